--- /dev/null
+++ b/Makefile
@@ -0,0 +1,120 @@
+# jujubeswitch: `make` builds, `make check` tests, `make demo` shows the path.
+#
+# SAN=address,undefined or SAN=thread builds into a folder of its own.
+
+SAN ?=
+comma := ,
+ifeq ($(SAN),)
+B := build
+else
+B := build/san-$(subst $(comma),-,$(SAN))
+SANFLAGS := -fsanitize=$(SAN) -fno-omit-frame-pointer
+endif
+
+CC ?= gcc
+CXX ?= g++
+PKGS := apr-1 libzmq libmicrohttpd libcurl jansson msgpack libxxhash \
+	glib-2.0 log4c
+# Third-party headers are not ours to keep free of warnings.
+PKG_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PKGS)))
+PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lm
+WARN := -Wall -Wextra -Werror
+CPPFLAGS += -Iinclude -Isrc -D_GNU_SOURCE $(PKG_CFLAGS)
+CFLAGS ?= -O2 -g
+CXXFLAGS ?= -O2 -g
+CFLAGS += -std=c11 $(WARN) -Wmissing-prototypes -Wstrict-prototypes -fPIC \
+	-pthread $(SANFLAGS)
+CXXFLAGS += -std=c++17 $(WARN) -fPIC -pthread $(SANFLAGS)
+LDFLAGS += -pthread $(SANFLAGS)
+
+LIB_C := $(wildcard src/core/*.c src/ports/*.c src/adapters/*.c)
+LIB_CXX := $(wildcard src/adapters/*.cpp)
+LIB_OBJ := $(LIB_C:%.c=$(B)/%.o) $(LIB_CXX:%.cpp=$(B)/%.o)
+CORE_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/core/*.c))
+LIB := $(B)/libjujubeswitch.a
+SHLIB := $(B)/libjujubeswitch.so
+
+DAEMON_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/daemon/*.c))
+CTL_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/ctl/*.c))
+COMMON_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard standins/common/*.c))
+PROGS := $(B)/jujubed $(B)/jujubectl $(B)/standin-platform \
+	$(B)/standin-engine $(B)/standin-service
+BENCH := $(if $(wildcard bench/*.c),$(B)/jujube-bench)
+
+CORE_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/core/*.cc))
+ADAPTER_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/adapters/*.cc))
+SYSTEM_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/system/*.cc))
+FUZZERS := $(patsubst tests/fuzz/%.c,$(B)/fuzz-%,$(wildcard tests/fuzz/*.c))
+EXAMPLES := $(patsubst examples/%.c,$(B)/example-%,$(wildcard examples/*.c))
+
+all: $(LIB) $(SHLIB) $(PROGS) $(BENCH) $(EXAMPLES)
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+$(B)/%.o: %.cpp
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
+$(B)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) -I. $(CXXFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+$(SHLIB): $(LIB_OBJ)
+	$(CXX) -shared $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(B)/jujubed: $(DAEMON_OBJ) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+$(B)/jujubectl: $(CTL_OBJ) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+$(B)/jujube-bench: $(patsubst %.c,$(B)/%.o,$(wildcard bench/*.c)) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+$(B)/example-%: $(B)/examples/%.o $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+define STANDIN
+$(B)/standin-$(1): $$(patsubst %.c,$(B)/%.o,$$(wildcard standins/$(1)/*.c)) \
+	$(COMMON_OBJ)
+	$$(CC) $$(LDFLAGS) -o $$@ $$^ $$(PKG_LIBS)
+endef
+$(foreach s,platform engine service,$(eval $(call STANDIN,$(s))))
+
+$(B)/test-core: $(CORE_TESTS) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
+$(B)/test-adapters: $(ADAPTER_TESTS) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
+$(B)/test-system: $(SYSTEM_TESTS) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
+
+test-core: $(B)/test-core
+	$(B)/test-core
+test-adapters: $(B)/test-adapters
+	$(B)/test-adapters
+test-system: all $(B)/test-system
+	JUJUBE_BIN=$(B) $(B)/test-system
+TEST_TARGETS := test-core $(if $(ADAPTER_TESTS),test-adapters) \
+	$(if $(SYSTEM_TESTS),test-system)
+check: all $(TEST_TARGETS)
+
+demo: all
+	JUJUBE_BIN=$(B) scripts/demo
+
+FORMAT_FILES := $(shell git ls-files -co --exclude-standard \
+	'*.c' '*.h' '*.cc' '*.cpp')
+format:
+	clang-format -i $(FORMAT_FILES)
+check-format:
+	clang-format --dry-run -Werror $(FORMAT_FILES)
+TIDY_FILES := $(wildcard src/*/*.c standins/*/*.c bench/*.c)
+check-tidy:
+	printf '%s\n' $(TIDY_FILES) | xargs -P 6 -n 4 sh -c \
+	    'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=c11 2>/dev/null' tidy
+
+clean:
+	rm -rf build
+
+.PHONY: all check demo test-core test-adapters test-system format \
+	check-format check-tidy clean
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/core/action.c
@@ -0,0 +1,161 @@
+/**
+ * @file action.c
+ * @brief Lists of actions, and freeing what actions and messages own.
+ */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "core/action.h"
+
+jj_action_t *
+jj_actions_add(jj_actions_t *actions, jj_action_kind_t kind)
+{
+	jj_action_t *action = jj_alloc(sizeof(*action));
+
+	action->kind = kind;
+	TAILQ_INSERT_TAIL(actions, action, link);
+	return action;
+}
+
+jj_message_t *
+jj_actions_add_message(
+    jj_actions_t *actions, const jj_name_t *to, jj_message_kind_t kind)
+{
+	jj_action_t *action = jj_actions_add(actions, JJ_ACTION_SEND);
+	jj_message_t *message = jj_alloc(sizeof(*message));
+
+	message->kind = kind;
+	action->body.send.to = *to;
+	action->body.send.message = message;
+	return message;
+}
+
+jj_platform_call_t *
+jj_actions_add_platform(jj_actions_t *actions, jj_owner_t owner,
+    jj_platform_op_t op, uint64_t token)
+{
+	jj_action_t *action = jj_actions_add(actions, JJ_ACTION_PLATFORM);
+
+	action->body.platform.owner = owner;
+	action->body.platform.op = op;
+	action->body.platform.token = token;
+	return &action->body.platform;
+}
+
+void
+jj_actions_add_event(
+    jj_actions_t *actions, const char *name, const char *format, ...)
+{
+	jj_action_t *action = jj_actions_add(actions, JJ_ACTION_EVENT);
+	va_list arguments;
+
+	action->body.event.name = name;
+	va_start(arguments, format);
+	(void)vsnprintf(action->body.event.detail,
+	    sizeof(action->body.event.detail), format, arguments);
+	va_end(arguments);
+}
+
+void
+jj_action_free(jj_action_t *action)
+{
+	switch (action->kind) {
+	case JJ_ACTION_SEND:
+		jj_message_clear(action->body.send.message);
+		free(action->body.send.message);
+		break;
+	case JJ_ACTION_PLATFORM:
+		jj_platform_call_clear(&action->body.platform);
+		break;
+	case JJ_ACTION_CALL_ANSWER:
+		jj_bytes_free(&action->body.call.answer.body);
+		break;
+	case JJ_ACTION_CONFIG_ANSWER:
+		jj_bytes_free(&action->body.config.detail);
+		break;
+	case JJ_ACTION_ITEM_READY:
+		jj_bytes_free(&action->body.item.body);
+		jj_bytes_free(&action->body.item.path);
+		break;
+	case JJ_ACTION_JOB_ANSWER:
+		jj_bytes_free(&action->body.job.body);
+		break;
+	case JJ_ACTION_ORDER:
+		jj_bytes_free(&action->body.order.body);
+		break;
+	default:
+		break;
+	}
+	free(action);
+}
+
+void
+jj_actions_clear(jj_actions_t *actions)
+{
+	jj_action_t *action;
+
+	while ((action = TAILQ_FIRST(actions)) != NULL) {
+		TAILQ_REMOVE(actions, action, link);
+		jj_action_free(action);
+	}
+}
+
+void
+jj_message_clear(jj_message_t *message)
+{
+	uint32_t i;
+
+	switch (message->kind) {
+	case JJ_MESSAGE_CONFIG:
+	case JJ_MESSAGE_CONFIG_ASK:
+		jj_bytes_free(&message->body.config.document);
+		break;
+	case JJ_MESSAGE_CALL:
+		jj_bytes_free(&message->body.call.path);
+		jj_bytes_free(&message->body.call.body);
+		break;
+	case JJ_MESSAGE_CALL_ANSWER:
+		jj_bytes_free(&message->body.call_answer.body);
+		break;
+	case JJ_MESSAGE_INTENT:
+		jj_bytes_free(&message->body.intent.record.answer);
+		break;
+	case JJ_MESSAGE_RESOLVE:
+		jj_bytes_free(&message->body.resolve.record.answer);
+		break;
+	case JJ_MESSAGE_SYNC:
+		for (i = 0; i < message->body.sync.record_count; i++)
+			jj_bytes_free(&message->body.sync.records[i].answer);
+		free(message->body.sync.records);
+		message->body.sync.records = NULL;
+		break;
+	case JJ_MESSAGE_SLOTS:
+		jj_bytes_free(&message->body.slots.table);
+		break;
+	case JJ_MESSAGE_JOBS:
+		jj_bytes_free(&message->body.jobs.events);
+		break;
+	default:
+		break;
+	}
+}
+
+void
+jj_platform_call_clear(jj_platform_call_t *call)
+{
+	jj_bytes_free(&call->value);
+}
+
+void
+jj_platform_result_clear(jj_platform_result_t *result)
+{
+	size_t i;
+
+	for (i = 0; i < result->item_count; i++)
+		jj_bytes_free(&result->items[i].value);
+	free(result->items);
+	result->items = NULL;
+	result->item_count = 0;
+	jj_bytes_free(&result->value);
+}
--- /dev/null
+++ b/src/core/types.c
@@ -0,0 +1,116 @@
+/**
+ * @file types.c
+ * @brief Names, bytes, hashes and allocation for all modules.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "core/types.h"
+
+bool
+jj_name_set(jj_name_t *name, const char *text)
+{
+	size_t length = strlen(text);
+
+	memset(name, 0, sizeof(*name));
+	if (length > JJ_NAME_MAX)
+		return false;
+	memcpy(name->text, text, length);
+	return true;
+}
+
+bool
+jj_name_equal(const jj_name_t *a, const jj_name_t *b)
+{
+	return strcmp(a->text, b->text) == 0;
+}
+
+bool
+jj_name_is_empty(const jj_name_t *name)
+{
+	return name->text[0] == '\0';
+}
+
+jj_bytes_t
+jj_bytes_copy(const void *data, size_t size)
+{
+	jj_bytes_t bytes = {NULL, 0};
+
+	if (size == 0)
+		return bytes;
+	bytes.data = jj_alloc(size + 1);
+	memcpy(bytes.data, data, size);
+	bytes.size = size;
+	return bytes;
+}
+
+jj_bytes_t
+jj_bytes_from_text(const char *text)
+{
+	return jj_bytes_copy(text, strlen(text));
+}
+
+void
+jj_bytes_free(jj_bytes_t *bytes)
+{
+	free(bytes->data);
+	bytes->data = NULL;
+	bytes->size = 0;
+}
+
+uint64_t
+jj_hash_bytes(const void *data, size_t size, uint64_t seed)
+{
+	return XXH3_64bits_withSeed(data, size, seed);
+}
+
+jj_hash_t
+jj_hash_wide(const void *data, size_t size)
+{
+	XXH128_hash_t wide = XXH3_128bits(data, size);
+	jj_hash_t hash = {wide.low64, wide.high64};
+
+	return hash;
+}
+
+bool
+jj_hash_equal(const jj_hash_t *a, const jj_hash_t *b)
+{
+	return a->low == b->low && a->high == b->high;
+}
+
+uint64_t
+jj_rendezvous_weight(const char *node, uint64_t item)
+{
+	return XXH3_64bits_withSeed(node, strlen(node), item);
+}
+
+void *
+jj_alloc(size_t size)
+{
+	void *memory = calloc(1, size > 0 ? size : 1);
+
+	JJ_INVARIANT(memory != NULL);
+	return memory;
+}
+
+void *
+jj_realloc(void *memory, size_t size)
+{
+	void *grown = realloc(memory, size > 0 ? size : 1);
+
+	JJ_INVARIANT(grown != NULL);
+	return grown;
+}
+
+void
+jj_invariant_broken(const char *file, int line, const char *what)
+{
+	(void)fprintf(stderr,
+	    "event=invariant_broken file=%s line=%d what=\"%s\"\n", file, line,
+	    what);
+	abort();
+}
