--- /dev/null
+++ b/src/adapters/http_client.c
@@ -0,0 +1,431 @@
+/**
+ * @file http_client.c
+ * @brief HTTP requests on libcurl: one thread and one multi handle each.
+ */
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "adapters/http_client.h"
+
+/** Longest wait of the loop without an event, milliseconds. */
+#define POLL_MS 1000
+/** Longest time to connect, milliseconds; VMs are a few ms apart. */
+#define CONNECT_TIMEOUT_MS 1000L
+/** Idle connections kept for reuse per client. */
+#define IDLE_CONNECTIONS 512L
+
+typedef enum {
+	COMMAND_START,
+	COMMAND_CANCEL,
+	COMMAND_RESUME,
+} command_kind_t;
+
+typedef struct transfer {
+	uint64_t number;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *body;
+	jj_http_request_t request; /**< only ctx and callbacks stay valid */
+	jj_http_head_t head;
+	bool head_told;
+} transfer_t;
+
+typedef struct command {
+	STAILQ_ENTRY(command) link;
+	command_kind_t kind;
+	uint64_t number;
+	transfer_t *transfer; /**< of a start */
+} command_t;
+
+struct jj_http_client {
+	pthread_t thread;
+	pthread_mutex_t lock; /**< guards commands and stopping */
+	STAILQ_HEAD(, command) commands;
+	bool stopping;
+	CURLM *multi;
+	GHashTable *transfers; /**< by number; the thread's own */
+	atomic_uint_fast64_t last_number;
+};
+
+static void *run(void *);
+static bool take_commands(jj_http_client_t *);
+static void start_transfer(jj_http_client_t *, transfer_t *);
+static void cancel_transfer(jj_http_client_t *, uint64_t);
+static void resume_transfer(jj_http_client_t *, uint64_t);
+static void finish_done(jj_http_client_t *);
+static void end_transfer(jj_http_client_t *, transfer_t *, jj_http_end_t);
+static void free_transfer(transfer_t *);
+static transfer_t *prepare_transfer(const jj_http_request_t *);
+static void set_body(transfer_t *, const jj_http_request_t *);
+static jj_http_end_t classify(CURL *, CURLcode);
+static size_t on_header(char *, size_t, size_t, void *);
+static size_t on_body(char *, size_t, size_t, void *);
+static void tell_head(transfer_t *);
+static void
+push_command(jj_http_client_t *, command_kind_t, uint64_t, transfer_t *);
+
+jj_http_client_t *
+jj_http_client_create(void)
+{
+	jj_http_client_t *client = jj_alloc(sizeof(*client));
+
+	STAILQ_INIT(&client->commands);
+	(void)pthread_mutex_init(&client->lock, NULL);
+	client->transfers = g_hash_table_new(g_int64_hash, g_int64_equal);
+	client->multi = curl_multi_init();
+	if (client->multi == NULL)
+		goto out_table;
+	(void)curl_multi_setopt(
+	    client->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS);
+	if (pthread_create(&client->thread, NULL, run, client) != 0)
+		goto out_multi;
+	return client;
+
+out_multi:
+	(void)curl_multi_cleanup(client->multi);
+out_table:
+	g_hash_table_destroy(client->transfers);
+	(void)pthread_mutex_destroy(&client->lock);
+	free(client);
+	return NULL;
+}
+
+void
+jj_http_client_destroy(jj_http_client_t *client)
+{
+	if (client == NULL)
+		return;
+	(void)pthread_mutex_lock(&client->lock);
+	client->stopping = true;
+	(void)pthread_mutex_unlock(&client->lock);
+	(void)curl_multi_wakeup(client->multi);
+	(void)pthread_join(client->thread, NULL);
+	(void)curl_multi_cleanup(client->multi);
+	g_hash_table_destroy(client->transfers);
+	(void)pthread_mutex_destroy(&client->lock);
+	free(client);
+}
+
+uint64_t
+jj_http_client_start(jj_http_client_t *client, const jj_http_request_t *request)
+{
+	transfer_t *transfer = prepare_transfer(request);
+	uint64_t number = atomic_fetch_add(&client->last_number, 1) + 1;
+
+	transfer->number = number;
+	push_command(client, COMMAND_START, number, transfer);
+	return number;
+}
+
+void
+jj_http_client_cancel(jj_http_client_t *client, uint64_t number)
+{
+	push_command(client, COMMAND_CANCEL, number, NULL);
+}
+
+void
+jj_http_client_resume(jj_http_client_t *client, uint64_t number)
+{
+	push_command(client, COMMAND_RESUME, number, NULL);
+}
+
+static void
+push_command(jj_http_client_t *client, command_kind_t kind, uint64_t number,
+    transfer_t *transfer)
+{
+	command_t *command = jj_alloc(sizeof(*command));
+
+	command->kind = kind;
+	command->number = number;
+	command->transfer = transfer;
+	(void)pthread_mutex_lock(&client->lock);
+	STAILQ_INSERT_TAIL(&client->commands, command, link);
+	(void)pthread_mutex_unlock(&client->lock);
+	(void)curl_multi_wakeup(client->multi);
+}
+
+static void *
+run(void *argument)
+{
+	jj_http_client_t *client = argument;
+	GHashTableIter iterator;
+	gpointer value;
+	int running;
+
+	while (take_commands(client)) {
+		(void)curl_multi_perform(client->multi, &running);
+		finish_done(client);
+		(void)curl_multi_poll(client->multi, NULL, 0, POLL_MS, NULL);
+	}
+	for (;;) {
+		g_hash_table_iter_init(&iterator, client->transfers);
+		if (!g_hash_table_iter_next(&iterator, NULL, &value))
+			break;
+		end_transfer(client, value, JJ_HTTP_CANCELLED);
+	}
+	return NULL;
+}
+
+/** Carries out what was asked for; false when the client shall stop. */
+static bool
+take_commands(jj_http_client_t *client)
+{
+	command_t *command;
+	bool stopping;
+
+	for (;;) {
+		(void)pthread_mutex_lock(&client->lock);
+		stopping = client->stopping;
+		command = STAILQ_FIRST(&client->commands);
+		if (command != NULL)
+			STAILQ_REMOVE_HEAD(&client->commands, link);
+		(void)pthread_mutex_unlock(&client->lock);
+		if (command == NULL)
+			return !stopping;
+		if (command->kind == COMMAND_START)
+			start_transfer(client, command->transfer);
+		else if (command->kind == COMMAND_CANCEL)
+			cancel_transfer(client, command->number);
+		else
+			resume_transfer(client, command->number);
+		free(command);
+	}
+}
+
+static void
+start_transfer(jj_http_client_t *client, transfer_t *transfer)
+{
+	(void)g_hash_table_insert(
+	    client->transfers, &transfer->number, transfer);
+	if (curl_multi_add_handle(client->multi, transfer->easy) != CURLM_OK)
+		end_transfer(client, transfer, JJ_HTTP_NOT_SENT);
+}
+
+static void
+cancel_transfer(jj_http_client_t *client, uint64_t number)
+{
+	transfer_t *transfer = g_hash_table_lookup(client->transfers, &number);
+
+	if (transfer != NULL)
+		end_transfer(client, transfer, JJ_HTTP_CANCELLED);
+}
+
+static void
+resume_transfer(jj_http_client_t *client, uint64_t number)
+{
+	transfer_t *transfer = g_hash_table_lookup(client->transfers, &number);
+
+	if (transfer != NULL)
+		(void)curl_easy_pause(transfer->easy, CURLPAUSE_CONT);
+}
+
+static void
+finish_done(jj_http_client_t *client)
+{
+	transfer_t *transfer;
+	CURLMsg *message;
+	jj_http_end_t end;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		(void)curl_easy_getinfo(
+		    message->easy_handle, CURLINFO_PRIVATE, &transfer);
+		end = classify(message->easy_handle, message->data.result);
+		end_transfer(client, transfer, end);
+	}
+}
+
+/**
+ * Tells whether bytes may have reached the server. "Not sent" is a promise
+ * to the caller that nothing ran, so it is only said when there was no
+ * connection at all.
+ */
+static jj_http_end_t
+classify(CURL *easy, CURLcode result)
+{
+	curl_off_t ready_us = 0;
+	long request_size = 0;
+
+	if (result == CURLE_OK)
+		return JJ_HTTP_COMPLETE;
+	(void)curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &ready_us);
+	(void)curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
+	if (result == CURLE_COULDNT_CONNECT)
+		return JJ_HTTP_NOT_SENT;
+	if (ready_us == 0 && request_size == 0)
+		return JJ_HTTP_NOT_SENT;
+	if (result == CURLE_OPERATION_TIMEDOUT)
+		return JJ_HTTP_TIMEOUT;
+	return JJ_HTTP_BROKEN;
+}
+
+static void
+end_transfer(jj_http_client_t *client, transfer_t *transfer, jj_http_end_t end)
+{
+	(void)curl_multi_remove_handle(client->multi, transfer->easy);
+	(void)g_hash_table_remove(client->transfers, &transfer->number);
+	if (end == JJ_HTTP_COMPLETE)
+		tell_head(transfer);
+	transfer->request.on_end(transfer->request.ctx, end, &transfer->head);
+	free_transfer(transfer);
+}
+
+static void
+free_transfer(transfer_t *transfer)
+{
+	curl_easy_cleanup(transfer->easy);
+	curl_slist_free_all(transfer->headers);
+	free(transfer->body);
+	free(transfer);
+}
+
+static transfer_t *
+prepare_transfer(const jj_http_request_t *request)
+{
+	transfer_t *transfer = jj_alloc(sizeof(*transfer));
+	char url[2048];
+	size_t i;
+
+	transfer->request = *request;
+	transfer->easy = curl_easy_init();
+	JJ_INVARIANT(transfer->easy != NULL);
+	(void)snprintf(
+	    url, sizeof(url), "http://%s%s", request->address, request->path);
+	(void)curl_easy_setopt(transfer->easy, CURLOPT_URL, url);
+	(void)curl_easy_setopt(transfer->easy, CURLOPT_NOSIGNAL, 1L);
+	(void)curl_easy_setopt(transfer->easy, CURLOPT_PATH_AS_IS, 1L);
+	(void)curl_easy_setopt(transfer->easy, CURLOPT_PROXY, "");
+	(void)curl_easy_setopt(
+	    transfer->easy, CURLOPT_CUSTOMREQUEST, request->method);
+	(void)curl_easy_setopt(
+	    transfer->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	(void)curl_easy_setopt(
+	    transfer->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	(void)curl_easy_setopt(
+	    transfer->easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+	(void)curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, transfer);
+	(void)curl_easy_setopt(
+	    transfer->easy, CURLOPT_HEADERFUNCTION, on_header);
+	(void)curl_easy_setopt(transfer->easy, CURLOPT_HEADERDATA, transfer);
+	(void)curl_easy_setopt(transfer->easy, CURLOPT_WRITEFUNCTION, on_body);
+	(void)curl_easy_setopt(transfer->easy, CURLOPT_WRITEDATA, transfer);
+	if (request->once) {
+		(void)curl_easy_setopt(
+		    transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+		(void)curl_easy_setopt(
+		    transfer->easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	/* Without this libcurl waits for "100 Continue" on larger bodies. */
+	transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+	for (i = 0; i < JJ_HTTP_HEADERS_MAX; i++) {
+		if (request->headers[i] == NULL)
+			break;
+		transfer->headers =
+		    curl_slist_append(transfer->headers, request->headers[i]);
+	}
+	(void)curl_easy_setopt(
+	    transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
+	set_body(transfer, request);
+	return transfer;
+}
+
+static void
+set_body(transfer_t *transfer, const jj_http_request_t *request)
+{
+	bool has_body = strcmp(request->method, "POST") == 0 ||
+	    strcmp(request->method, "PUT") == 0;
+
+	if (!has_body)
+		return;
+	transfer->body = jj_alloc(request->body_size + 1);
+	if (request->body_size > 0)
+		memcpy(transfer->body, request->body, request->body_size);
+	(void)curl_easy_setopt(transfer->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+	    (curl_off_t)request->body_size);
+	(void)curl_easy_setopt(
+	    transfer->easy, CURLOPT_POSTFIELDS, transfer->body);
+}
+
+static void
+copy_header(char *target, size_t room, const char *name, const char *line)
+{
+	size_t length = strlen(name);
+
+	if (strncasecmp(line, name, length) != 0)
+		return;
+	line += length;
+	while (*line == ' ')
+		line++;
+	(void)snprintf(target, room, "%s", line);
+}
+
+static size_t
+on_header(char *data, size_t size, size_t count, void *ctx)
+{
+	transfer_t *transfer = ctx;
+	jj_http_head_t *head = &transfer->head;
+	size_t length = size * count;
+	char line[256];
+	char number[32] = "";
+
+	(void)snprintf(line, sizeof(line), "%.*s", (int)length, data);
+	line[strcspn(line, "\r\n")] = '\0';
+	if (strncmp(line, "HTTP/", 5) == 0) {
+		long status = 0;
+
+		(void)curl_easy_getinfo(
+		    transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+		memset(head, 0, sizeof(*head));
+		head->status = (int)status;
+		return length;
+	}
+	copy_header(head->content_type, sizeof(head->content_type),
+	    "Content-Type:", line);
+	copy_header(head->etag, sizeof(head->etag), "ETag:", line);
+	copy_header(head->stream, sizeof(head->stream), "Jujube-Stream:", line);
+	copy_header(head->boot, sizeof(head->boot), "Jujube-Boot:", line);
+	copy_header(number, sizeof(number), "Retry-After:", line);
+	if (number[0] != '\0')
+		head->retry_after_ms = strtol(number, NULL, 10) * 1000;
+	if (strncasecmp(line, "Jujube-Leaving:", 15) == 0)
+		head->leaving = true;
+	return length;
+}
+
+static void
+tell_head(transfer_t *transfer)
+{
+	long status = 0;
+
+	if (transfer->head_told)
+		return;
+	(void)curl_easy_getinfo(
+	    transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+	transfer->head.status = (int)status;
+	transfer->head_told = true;
+	if (transfer->request.on_head != NULL)
+		transfer->request.on_head(
+		    transfer->request.ctx, &transfer->head);
+}
+
+static size_t
+on_body(char *data, size_t size, size_t count, void *ctx)
+{
+	transfer_t *transfer = ctx;
+	size_t length = size * count;
+
+	tell_head(transfer);
+	if (transfer->request.on_data(transfer->request.ctx, data, length) ==
+	    JJ_HTTP_PAUSE)
+		return CURL_WRITEFUNC_PAUSE;
+	return length;
+}
--- /dev/null
+++ b/src/adapters/neighbours.c
@@ -0,0 +1,342 @@
+/**
+ * @file neighbours.c
+ * @brief Messages between VMs of ours over ZeroMQ.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/queue.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <zmq.h>
+
+#include "adapters/neighbours.h"
+#include "adapters/wire.h"
+
+/*
+ * High-water marks: a neighbour that is slow for more than this many
+ * messages loses the next ones; heartbeats and resends make up for it, and
+ * memory stays bounded.
+ */
+#define SEND_HIGH_WATER 2000
+#define RECEIVE_HIGH_WATER 20000
+/** Largest message, bytes: a configuration of 1 MB and its frame. */
+#define MESSAGE_MAX (2 << 20)
+/** First and longest wait between connection attempts, milliseconds. */
+#define RECONNECT_MS 50
+#define RECONNECT_MOST_MS 1000
+/** Messages taken in one turn, so that sending is not starved. */
+#define TURN_MAX 256
+
+typedef struct outgoing {
+	STAILQ_ENTRY(outgoing) link;
+	char name[JJ_NAME_MAX + 1];
+	char address[JJ_NAME_MAX + 1];
+	jj_bytes_t bytes;
+} outgoing_t;
+
+typedef struct {
+	void *socket;
+	char address[JJ_NAME_MAX + 1];
+} connection_t;
+
+struct jj_neighbours {
+	void *context;
+	void *pull;
+	int wakeup;
+	pthread_t thread;
+	pthread_mutex_t lock; /**< guards outgoing, cut, counts, stopping */
+	STAILQ_HEAD(, outgoing) outgoing;
+	GHashTable *cut;
+	jj_neighbours_counts_t counts;
+	bool stopping;
+	GHashTable *connections; /**< by name; the thread's own */
+	jj_neighbours_take_t take;
+	void *ctx;
+};
+
+static void *run(void *);
+static bool send_all(jj_neighbours_t *);
+static void send_one(jj_neighbours_t *, const outgoing_t *);
+static void *connection_to(jj_neighbours_t *, const outgoing_t *);
+static void receive_some(jj_neighbours_t *);
+static void receive_one(jj_neighbours_t *, zmq_msg_t *);
+static void free_connection(void *);
+static bool is_cut(jj_neighbours_t *, const char *);
+static void set_option(void *, int, int);
+
+jj_neighbours_t *
+jj_neighbours_create(const char *address, jj_neighbours_take_t take, void *ctx)
+{
+	jj_neighbours_t *neighbours = jj_alloc(sizeof(*neighbours));
+	char endpoint[JJ_NAME_MAX + 16];
+	int64_t most = MESSAGE_MAX;
+
+	neighbours->take = take;
+	neighbours->ctx = ctx;
+	STAILQ_INIT(&neighbours->outgoing);
+	(void)pthread_mutex_init(&neighbours->lock, NULL);
+	neighbours->cut =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	neighbours->connections = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, free_connection);
+	neighbours->wakeup = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	neighbours->context = zmq_ctx_new();
+	neighbours->pull = zmq_socket(neighbours->context, ZMQ_PULL);
+	set_option(neighbours->pull, ZMQ_RCVHWM, RECEIVE_HIGH_WATER);
+	set_option(neighbours->pull, ZMQ_LINGER, 0);
+	(void)zmq_setsockopt(
+	    neighbours->pull, ZMQ_MAXMSGSIZE, &most, sizeof(most));
+	(void)snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
+	if (zmq_bind(neighbours->pull, endpoint) != 0)
+		goto out;
+	if (pthread_create(&neighbours->thread, NULL, run, neighbours) != 0)
+		goto out;
+	return neighbours;
+
+out:
+	(void)zmq_close(neighbours->pull);
+	(void)zmq_ctx_term(neighbours->context);
+	(void)close(neighbours->wakeup);
+	g_hash_table_destroy(neighbours->connections);
+	g_hash_table_destroy(neighbours->cut);
+	(void)pthread_mutex_destroy(&neighbours->lock);
+	free(neighbours);
+	return NULL;
+}
+
+void
+jj_neighbours_destroy(jj_neighbours_t *neighbours)
+{
+	outgoing_t *outgoing;
+
+	if (neighbours == NULL)
+		return;
+	(void)pthread_mutex_lock(&neighbours->lock);
+	neighbours->stopping = true;
+	(void)pthread_mutex_unlock(&neighbours->lock);
+	(void)eventfd_write(neighbours->wakeup, 1);
+	(void)pthread_join(neighbours->thread, NULL);
+	g_hash_table_destroy(neighbours->connections);
+	(void)zmq_close(neighbours->pull);
+	(void)zmq_ctx_term(neighbours->context);
+	(void)close(neighbours->wakeup);
+	while ((outgoing = STAILQ_FIRST(&neighbours->outgoing)) != NULL) {
+		STAILQ_REMOVE_HEAD(&neighbours->outgoing, link);
+		jj_bytes_free(&outgoing->bytes);
+		free(outgoing);
+	}
+	g_hash_table_destroy(neighbours->cut);
+	(void)pthread_mutex_destroy(&neighbours->lock);
+	free(neighbours);
+}
+
+void
+jj_neighbours_send(jj_neighbours_t *neighbours, const char *name,
+    const char *address, const jj_message_t *message)
+{
+	outgoing_t *outgoing = jj_alloc(sizeof(*outgoing));
+
+	(void)snprintf(outgoing->name, sizeof(outgoing->name), "%s", name);
+	(void)snprintf(
+	    outgoing->address, sizeof(outgoing->address), "%s", address);
+	outgoing->bytes = jj_wire_encode(message);
+	(void)pthread_mutex_lock(&neighbours->lock);
+	STAILQ_INSERT_TAIL(&neighbours->outgoing, outgoing, link);
+	(void)pthread_mutex_unlock(&neighbours->lock);
+	(void)eventfd_write(neighbours->wakeup, 1);
+}
+
+void
+jj_neighbours_cut(jj_neighbours_t *neighbours, const char *name, bool cut)
+{
+	(void)pthread_mutex_lock(&neighbours->lock);
+	if (cut)
+		(void)g_hash_table_add(neighbours->cut, g_strdup(name));
+	else
+		(void)g_hash_table_remove(neighbours->cut, name);
+	(void)pthread_mutex_unlock(&neighbours->lock);
+}
+
+jj_neighbours_counts_t
+jj_neighbours_counts(jj_neighbours_t *neighbours)
+{
+	jj_neighbours_counts_t counts;
+
+	(void)pthread_mutex_lock(&neighbours->lock);
+	counts = neighbours->counts;
+	(void)pthread_mutex_unlock(&neighbours->lock);
+	return counts;
+}
+
+static void *
+run(void *argument)
+{
+	jj_neighbours_t *neighbours = argument;
+	zmq_pollitem_t items[2] = {
+	    {neighbours->pull, 0, ZMQ_POLLIN, 0},
+	    {NULL, neighbours->wakeup, ZMQ_POLLIN, 0},
+	};
+	eventfd_t count;
+
+	while (send_all(neighbours)) {
+		if (zmq_poll(items, 2, 1000) < 0)
+			continue;
+		if (items[1].revents & ZMQ_POLLIN)
+			(void)eventfd_read(neighbours->wakeup, &count);
+		if (items[0].revents & ZMQ_POLLIN)
+			receive_some(neighbours);
+	}
+	return NULL;
+}
+
+/** Sends what is queued; false when the thread shall end. */
+static bool
+send_all(jj_neighbours_t *neighbours)
+{
+	outgoing_t *outgoing;
+	bool stopping;
+
+	for (;;) {
+		(void)pthread_mutex_lock(&neighbours->lock);
+		outgoing = STAILQ_FIRST(&neighbours->outgoing);
+		if (outgoing != NULL)
+			STAILQ_REMOVE_HEAD(&neighbours->outgoing, link);
+		stopping = neighbours->stopping;
+		(void)pthread_mutex_unlock(&neighbours->lock);
+		if (outgoing == NULL)
+			return !stopping;
+		send_one(neighbours, outgoing);
+		jj_bytes_free(&outgoing->bytes);
+		free(outgoing);
+	}
+}
+
+static void
+send_one(jj_neighbours_t *neighbours, const outgoing_t *outgoing)
+{
+	bool sent = false;
+	void *socket;
+
+	if (!is_cut(neighbours, outgoing->name)) {
+		socket = connection_to(neighbours, outgoing);
+		sent = socket != NULL &&
+		    zmq_send(socket, outgoing->bytes.data, outgoing->bytes.size,
+			ZMQ_DONTWAIT) >= 0;
+	}
+	(void)pthread_mutex_lock(&neighbours->lock);
+	if (sent) {
+		neighbours->counts.sent++;
+		neighbours->counts.sent_bytes += outgoing->bytes.size;
+	} else {
+		neighbours->counts.dropped++;
+	}
+	(void)pthread_mutex_unlock(&neighbours->lock);
+}
+
+/** The socket to a VM; a VM that moved gets a new one. */
+static void *
+connection_to(jj_neighbours_t *neighbours, const outgoing_t *outgoing)
+{
+	connection_t *connection =
+	    g_hash_table_lookup(neighbours->connections, outgoing->name);
+	char endpoint[JJ_NAME_MAX + 16];
+
+	if (connection != NULL &&
+	    strcmp(connection->address, outgoing->address) == 0)
+		return connection->socket;
+	connection = jj_alloc(sizeof(*connection));
+	(void)snprintf(connection->address, sizeof(connection->address), "%s",
+	    outgoing->address);
+	connection->socket = zmq_socket(neighbours->context, ZMQ_PUSH);
+	set_option(connection->socket, ZMQ_SNDHWM, SEND_HIGH_WATER);
+	/* A stop must not wait for a neighbour that is away. */
+	set_option(connection->socket, ZMQ_LINGER, 0);
+	/* Queue only to a living connection: else old news pile up. */
+	set_option(connection->socket, ZMQ_IMMEDIATE, 1);
+	set_option(connection->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+	set_option(
+	    connection->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MOST_MS);
+	(void)snprintf(
+	    endpoint, sizeof(endpoint), "tcp://%s", outgoing->address);
+	if (zmq_connect(connection->socket, endpoint) != 0) {
+		free_connection(connection);
+		return NULL;
+	}
+	(void)g_hash_table_replace(
+	    neighbours->connections, g_strdup(outgoing->name), connection);
+	return connection->socket;
+}
+
+static void
+receive_some(jj_neighbours_t *neighbours)
+{
+	zmq_msg_t part;
+	int i;
+
+	for (i = 0; i < TURN_MAX; i++) {
+		(void)zmq_msg_init(&part);
+		if (zmq_msg_recv(&part, neighbours->pull, ZMQ_DONTWAIT) < 0) {
+			(void)zmq_msg_close(&part);
+			return;
+		}
+		receive_one(neighbours, &part);
+		(void)zmq_msg_close(&part);
+	}
+}
+
+static void
+receive_one(jj_neighbours_t *neighbours, zmq_msg_t *part)
+{
+	jj_message_t *message = jj_alloc(sizeof(*message));
+	jj_wire_outcome_t outcome =
+	    jj_wire_decode(zmq_msg_data(part), zmq_msg_size(part), message);
+
+	(void)pthread_mutex_lock(&neighbours->lock);
+	neighbours->counts.received++;
+	neighbours->counts.received_bytes += zmq_msg_size(part);
+	if (outcome == JJ_WIRE_OTHER_VERSION)
+		neighbours->counts.other_version++;
+	else if (outcome != JJ_WIRE_OK)
+		neighbours->counts.malformed++;
+	(void)pthread_mutex_unlock(&neighbours->lock);
+	if (outcome != JJ_WIRE_OK) {
+		free(message);
+		return;
+	}
+	if (is_cut(neighbours, message->from.text)) {
+		jj_message_clear(message);
+		free(message);
+		return;
+	}
+	neighbours->take(neighbours->ctx, message);
+}
+
+static bool
+is_cut(jj_neighbours_t *neighbours, const char *name)
+{
+	bool cut;
+
+	(void)pthread_mutex_lock(&neighbours->lock);
+	cut = g_hash_table_contains(neighbours->cut, name);
+	(void)pthread_mutex_unlock(&neighbours->lock);
+	return cut;
+}
+
+static void
+free_connection(void *memory)
+{
+	connection_t *connection = memory;
+
+	(void)zmq_close(connection->socket);
+	free(connection);
+}
+
+static void
+set_option(void *socket, int option, int value)
+{
+	(void)zmq_setsockopt(socket, option, &value, sizeof(value));
+}
--- /dev/null
+++ b/src/adapters/random.h
@@ -0,0 +1,16 @@
+/**
+ * @file random.h
+ * @brief Random numbers from the kernel, for incarnations, seeds and ids.
+ */
+#ifndef JJ_ADAPTERS_RANDOM_H
+#define JJ_ADAPTERS_RANDOM_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** 64 random bits; waits for the kernel's pool right after boot. */
+uint64_t jj_random_u64(void);
+/** Fills @p size bytes with random ones. */
+void jj_random_fill(void *bytes, size_t size);
+
+#endif
--- /dev/null
+++ b/src/adapters/trace.c
@@ -0,0 +1,535 @@
+/**
+ * @file trace.c
+ * @brief Spans: a ring of the newest ones and an OTLP JSON file.
+ *
+ * Lock order: write_lock, then trace_lock. Ending a span takes trace_lock
+ * only, for a copy; the file is written without it, so that a slow disk
+ * never holds up a request.
+ */
+#include <errno.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <jansson.h>
+
+#include "adapters/random.h"
+#include "adapters/trace.h"
+
+/** Ring size when the settings name none. */
+#define RING_DEFAULT 2048
+/** Most spans that wait for the file; what comes beyond is dropped. */
+#define PENDING_MAX 4096
+/** Most spans in one line of the file. */
+#define LINE_SPANS_MAX 512
+/** Length of a traceparent of version 00. */
+#define PARENT_LENGTH 55
+
+/* SpanKind of OTLP. */
+#define OTLP_INTERNAL 1
+#define OTLP_SERVER 2
+#define OTLP_CLIENT 3
+/* Status code of OTLP: error. */
+#define OTLP_ERROR 2
+
+typedef struct {
+	const char *name;
+	int kind;
+} hop_t;
+
+static const hop_t hops[] = {
+    [JJ_HOP_CALLER] = {"caller", OTLP_SERVER},
+    [JJ_HOP_QUEUE] = {"queue", OTLP_INTERNAL},
+    [JJ_HOP_NEIGHBOUR] = {"neighbour", OTLP_CLIENT},
+    [JJ_HOP_HOME] = {"home", OTLP_SERVER},
+    [JJ_HOP_BACKEND] = {"backend", OTLP_CLIENT},
+    [JJ_HOP_PLATFORM] = {"platform", OTLP_CLIENT},
+    [JJ_HOP_BATCH] = {"batch", OTLP_INTERNAL},
+};
+
+static size_t copy_trace(const uint8_t[16], jj_span_t **);
+static bool read_hex(const char *, size_t, uint8_t *);
+static int hex_digit(char);
+static void write_hex(const uint8_t *, size_t, char *);
+static bool is_zero(const uint8_t *, size_t);
+static void copy_cut(char *, size_t, const char *);
+static bool choose_sampled(const uint8_t[16]);
+static void start_writer(void);
+static void *run_writer(void *);
+static void add_ms(struct timespec *, jj_ms_t);
+static void write_spans(const jj_span_t *, size_t);
+static json_t *encode_request(const jj_span_t *, size_t);
+static json_t *encode_span(const jj_span_t *);
+static json_t *encode_attribute(const char *, const char *);
+static json_t *encode_text(const char *);
+
+/** Guards all that follows but the file. */
+static pthread_mutex_t trace_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t trace_wake; /**< exists while writer_runs */
+static jj_name_t trace_vm;
+static double trace_share;
+static jj_ms_t trace_flush_ms;
+static jj_span_t *ring; /**< NULL: closed */
+static size_t ring_size;
+static uint64_t ring_count; /**< spans ever put in */
+static jj_span_t *pending; /**< NULL: no file */
+static size_t pending_count;
+static uint64_t dropped;
+static bool writer_runs;
+static bool writer_stops;
+static pthread_t writer;
+
+/** Guards the file. */
+static pthread_mutex_t write_lock = PTHREAD_MUTEX_INITIALIZER;
+static FILE *trace_file;
+
+bool
+jj_trace_open(const jj_trace_settings_t *settings)
+{
+	FILE *file = NULL;
+
+	if (settings->file != NULL && settings->file[0] != '\0') {
+		file = fopen(settings->file, "ae");
+		if (file == NULL)
+			return false;
+	}
+	jj_trace_close();
+	(void)pthread_mutex_lock(&write_lock);
+	(void)pthread_mutex_lock(&trace_lock);
+	trace_file = file;
+	(void)jj_name_set(&trace_vm, settings->vm);
+	trace_share = settings->share;
+	trace_flush_ms = settings->flush_ms;
+	ring_size = settings->ring > 0 ? settings->ring : RING_DEFAULT;
+	ring = jj_alloc(ring_size * sizeof(*ring));
+	ring_count = 0;
+	dropped = 0;
+	if (file != NULL)
+		pending = jj_alloc(PENDING_MAX * sizeof(*pending));
+	if (file != NULL && trace_flush_ms > 0)
+		start_writer();
+	(void)pthread_mutex_unlock(&trace_lock);
+	(void)pthread_mutex_unlock(&write_lock);
+	return true;
+}
+
+void
+jj_trace_close(void)
+{
+	bool join;
+
+	(void)pthread_mutex_lock(&trace_lock);
+	join = writer_runs;
+	writer_stops = true;
+	writer_runs = false;
+	if (join)
+		(void)pthread_cond_signal(&trace_wake);
+	(void)pthread_mutex_unlock(&trace_lock);
+	if (join) {
+		(void)pthread_join(writer, NULL);
+		(void)pthread_cond_destroy(&trace_wake);
+	}
+	jj_trace_flush();
+	(void)pthread_mutex_lock(&write_lock);
+	if (trace_file != NULL)
+		(void)fclose(trace_file);
+	trace_file = NULL;
+	(void)pthread_mutex_unlock(&write_lock);
+	(void)pthread_mutex_lock(&trace_lock);
+	free(ring);
+	free(pending);
+	ring = NULL;
+	pending = NULL;
+	pending_count = 0;
+	(void)pthread_mutex_unlock(&trace_lock);
+}
+
+bool
+jj_trace_parse_parent(const char *text, jj_trace_parent_t *parent)
+{
+	size_t length = strnlen(text, PARENT_LENGTH + 1);
+	uint8_t version, flags;
+
+	memset(parent, 0, sizeof(*parent));
+	if (length < PARENT_LENGTH || text[2] != '-' || text[35] != '-' ||
+	    text[52] != '-')
+		return false;
+	if (!read_hex(text, 1, &version) || version == 0xff)
+		return false;
+	/* A later version may be longer, but only behind another dash. */
+	if (length > PARENT_LENGTH &&
+	    (version == 0 || text[PARENT_LENGTH] != '-'))
+		return false;
+	if (!read_hex(text + 3, sizeof(parent->trace), parent->trace) ||
+	    !read_hex(text + 36, sizeof(parent->span), parent->span) ||
+	    !read_hex(text + 53, 1, &flags))
+		return false;
+	parent->sampled = (flags & 1) != 0;
+	return !is_zero(parent->trace, sizeof(parent->trace)) &&
+	    !is_zero(parent->span, sizeof(parent->span));
+}
+
+void
+jj_trace_format_parent(const jj_span_t *span, char text[JJ_TRACE_PARENT_SIZE])
+{
+	char trace[33], id[17];
+
+	write_hex(span->trace, sizeof(span->trace), trace);
+	write_hex(span->id, sizeof(span->id), id);
+	(void)snprintf(text, JJ_TRACE_PARENT_SIZE, "00-%s-%s-%02x", trace, id,
+	    span->sampled ? 1U : 0U);
+}
+
+jj_trace_parent_t
+jj_trace_as_parent(const jj_span_t *span)
+{
+	jj_trace_parent_t parent;
+
+	memcpy(parent.trace, span->trace, sizeof(parent.trace));
+	memcpy(parent.span, span->id, sizeof(parent.span));
+	parent.sampled = span->sampled;
+	return parent;
+}
+
+void
+jj_trace_begin(jj_span_t *span, const jj_trace_parent_t *parent, jj_hop_t hop,
+    const char *name, uint64_t unix_ns)
+{
+	memset(span, 0, sizeof(*span));
+	if (parent != NULL) {
+		memcpy(span->trace, parent->trace, sizeof(span->trace));
+		memcpy(span->parent, parent->span, sizeof(span->parent));
+		span->sampled = parent->sampled;
+	} else {
+		jj_random_fill(span->trace, sizeof(span->trace));
+		span->trace[0] |= 1; /* never all zero */
+		span->sampled = choose_sampled(span->trace);
+	}
+	jj_random_fill(span->id, sizeof(span->id));
+	span->id[0] |= 1;
+	span->hop = hop;
+	span->start_ns = unix_ns;
+	copy_cut(span->name, sizeof(span->name), name);
+}
+
+void
+jj_trace_set(jj_span_t *span, const char *key, const char *value)
+{
+	jj_attribute_t *attribute;
+
+	if (span->attribute_count >= JJ_TRACE_ATTRIBUTES_MAX)
+		return;
+	attribute = &span->attributes[span->attribute_count++];
+	copy_cut(attribute->key, sizeof(attribute->key), key);
+	copy_cut(attribute->value, sizeof(attribute->value), value);
+}
+
+void
+jj_trace_end(jj_span_t *span, bool failed, uint64_t unix_ns)
+{
+	span->failed = failed;
+	/* The wall clock may have stepped back since the start. */
+	span->end_ns = unix_ns > span->start_ns ? unix_ns : span->start_ns;
+	(void)pthread_mutex_lock(&trace_lock);
+	if (ring == NULL)
+		goto out;
+	ring[ring_count++ % ring_size] = *span;
+	if (!span->sampled || pending == NULL)
+		goto out;
+	if (pending_count < PENDING_MAX)
+		pending[pending_count++] = *span;
+	else
+		dropped++;
+out:
+	(void)pthread_mutex_unlock(&trace_lock);
+}
+
+void
+jj_trace_flush(void)
+{
+	jj_span_t *spans = NULL;
+	size_t count, at, part;
+
+	/* Taken first: two flushes must not swap lines of one trace. */
+	(void)pthread_mutex_lock(&write_lock);
+	(void)pthread_mutex_lock(&trace_lock);
+	count = pending_count;
+	if (count > 0) {
+		spans = pending;
+		pending = jj_alloc(PENDING_MAX * sizeof(*pending));
+		pending_count = 0;
+	}
+	(void)pthread_mutex_unlock(&trace_lock);
+	for (at = 0; at < count && trace_file != NULL; at += part) {
+		part = count - at;
+		if (part > LINE_SPANS_MAX)
+			part = LINE_SPANS_MAX;
+		write_spans(spans + at, part);
+	}
+	if (count > 0 && trace_file != NULL)
+		(void)fflush(trace_file);
+	(void)pthread_mutex_unlock(&write_lock);
+	free(spans);
+}
+
+uint64_t
+jj_trace_dropped(void)
+{
+	uint64_t count;
+
+	(void)pthread_mutex_lock(&trace_lock);
+	count = dropped;
+	(void)pthread_mutex_unlock(&trace_lock);
+	return count;
+}
+
+jj_bytes_t
+jj_trace_find(const char *trace_hex)
+{
+	uint8_t trace[16];
+	json_t *found = json_array();
+	jj_span_t *spans = NULL;
+	jj_bytes_t text = {NULL, 0};
+	size_t count = 0, i;
+
+	JJ_INVARIANT(found != NULL);
+	if (strlen(trace_hex) == 2 * sizeof(trace) &&
+	    read_hex(trace_hex, sizeof(trace), trace))
+		count = copy_trace(trace, &spans);
+	for (i = 0; i < count; i++)
+		(void)json_array_append_new(found, encode_span(&spans[i]));
+	text.data = json_dumps(found, JSON_COMPACT);
+	JJ_INVARIANT(text.data != NULL);
+	text.size = strlen(text.data);
+	json_decref(found);
+	free(spans);
+	return text;
+}
+
+/*
+ * Copies a trace's spans out of the ring: requests that end meanwhile wait
+ * for the copy only, not for its JSON.
+ */
+static size_t
+copy_trace(const uint8_t trace[16], jj_span_t **spans)
+{
+	const jj_span_t *span;
+	size_t count = 0;
+	uint64_t i;
+
+	(void)pthread_mutex_lock(&trace_lock);
+	i = ring_count > ring_size ? ring_count - ring_size : 0;
+	for (; ring != NULL && i < ring_count; i++) {
+		span = &ring[i % ring_size];
+		if (memcmp(span->trace, trace, sizeof(span->trace)) != 0)
+			continue;
+		*spans = jj_realloc(*spans, (count + 1) * sizeof(**spans));
+		(*spans)[count++] = *span;
+	}
+	(void)pthread_mutex_unlock(&trace_lock);
+	return count;
+}
+
+/* Lower-case digits only, as the specification asks. */
+static bool
+read_hex(const char *text, size_t size, uint8_t *bytes)
+{
+	size_t i;
+	int high, low;
+
+	for (i = 0; i < size; i++) {
+		high = hex_digit(text[2 * i]);
+		low = hex_digit(text[2 * i + 1]);
+		if (high < 0 || low < 0)
+			return false;
+		bytes[i] = (uint8_t)(high << 4 | low);
+	}
+	return true;
+}
+
+static int
+hex_digit(char digit)
+{
+	if (digit >= '0' && digit <= '9')
+		return digit - '0';
+	if (digit >= 'a' && digit <= 'f')
+		return digit - 'a' + 10;
+	return -1;
+}
+
+static void
+write_hex(const uint8_t *bytes, size_t size, char *text)
+{
+	static const char digits[] = "0123456789abcdef";
+	size_t i;
+
+	for (i = 0; i < size; i++) {
+		text[2 * i] = digits[bytes[i] >> 4];
+		text[2 * i + 1] = digits[bytes[i] & 0x0f];
+	}
+	text[2 * size] = '\0';
+}
+
+static bool
+is_zero(const uint8_t *bytes, size_t size)
+{
+	size_t i;
+
+	for (i = 0; i < size; i++) {
+		if (bytes[i] != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Cuts before a character of several bytes, never inside it. */
+static void
+copy_cut(char *to, size_t size, const char *from)
+{
+	size_t length = strnlen(from, size);
+
+	if (length == size) {
+		length--;
+		while (
+		    length > 0 && ((unsigned char)from[length] & 0xc0) == 0x80)
+			length--;
+	}
+	memcpy(to, from, length);
+	to[length] = '\0';
+}
+
+/* Decided by the trace's own bits: every VM would decide alike. */
+static bool
+choose_sampled(const uint8_t trace[16])
+{
+	uint32_t bits;
+	double share;
+
+	memcpy(&bits, trace + 12, sizeof(bits));
+	(void)pthread_mutex_lock(&trace_lock);
+	share = trace_share;
+	(void)pthread_mutex_unlock(&trace_lock);
+	return (double)bits < share * 4294967296.0;
+}
+
+/* A wall clock that steps back must not keep the writer asleep. */
+static void
+start_writer(void)
+{
+	pthread_condattr_t attributes;
+
+	(void)pthread_condattr_init(&attributes);
+	(void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+	(void)pthread_cond_init(&trace_wake, &attributes);
+	(void)pthread_condattr_destroy(&attributes);
+	writer_stops = false;
+	writer_runs = pthread_create(&writer, NULL, run_writer, NULL) == 0;
+}
+
+static void *
+run_writer(void *unused)
+{
+	struct timespec until;
+
+	(void)unused;
+	(void)pthread_mutex_lock(&trace_lock);
+	while (!writer_stops) {
+		(void)clock_gettime(CLOCK_MONOTONIC, &until);
+		add_ms(&until, trace_flush_ms);
+		(void)pthread_cond_timedwait(&trace_wake, &trace_lock, &until);
+		(void)pthread_mutex_unlock(&trace_lock);
+		jj_trace_flush();
+		(void)pthread_mutex_lock(&trace_lock);
+	}
+	(void)pthread_mutex_unlock(&trace_lock);
+	return NULL;
+}
+
+static void
+add_ms(struct timespec *time, jj_ms_t ms)
+{
+	time->tv_sec += ms / 1000;
+	time->tv_nsec += ms % 1000 * 1000000;
+	if (time->tv_nsec >= 1000000000) {
+		time->tv_nsec -= 1000000000;
+		time->tv_sec++;
+	}
+}
+
+/* One ExportTraceServiceRequest as one line. */
+static void
+write_spans(const jj_span_t *spans, size_t count)
+{
+	json_t *request = encode_request(spans, count);
+
+	(void)json_dumpf(request, trace_file, JSON_COMPACT);
+	(void)fputc('\n', trace_file);
+	json_decref(request);
+}
+
+static json_t *
+encode_request(const jj_span_t *spans, size_t count)
+{
+	json_t *list = json_array();
+	json_t *request;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		(void)json_array_append_new(list, encode_span(&spans[i]));
+	request = json_pack("{s:[{s:{s:[o,o]},s:[{s:{s:s},s:o}]}]}",
+	    "resourceSpans", "resource", "attributes",
+	    encode_attribute("service.name", "jujubed"),
+	    encode_attribute("service.instance.id", trace_vm.text),
+	    "scopeSpans", "scope", "name", "jujubeswitch", "spans", list);
+	JJ_INVARIANT(request != NULL);
+	return request;
+}
+
+static json_t *
+encode_span(const jj_span_t *span)
+{
+	json_t *attributes = json_array();
+	char trace[33], id[17], parent[17], start[24], end[24];
+	json_t *object;
+	uint32_t i;
+
+	write_hex(span->trace, sizeof(span->trace), trace);
+	write_hex(span->id, sizeof(span->id), id);
+	write_hex(span->parent, sizeof(span->parent), parent);
+	if (is_zero(span->parent, sizeof(span->parent)))
+		parent[0] = '\0';
+	(void)snprintf(start, sizeof(start), "%" PRIu64, span->start_ns);
+	(void)snprintf(end, sizeof(end), "%" PRIu64, span->end_ns);
+	(void)json_array_append_new(
+	    attributes, encode_attribute("jujube.hop", hops[span->hop].name));
+	for (i = 0; i < span->attribute_count; i++)
+		(void)json_array_append_new(attributes,
+		    encode_attribute(
+			span->attributes[i].key, span->attributes[i].value));
+	object = json_pack("{s:s,s:s,s:s,s:o,s:i,s:s,s:s,s:o,s:{s:i}}",
+	    "traceId", trace, "spanId", id, "parentSpanId", parent, "name",
+	    encode_text(span->name), "kind", hops[span->hop].kind,
+	    "startTimeUnixNano", start, "endTimeUnixNano", end, "attributes",
+	    attributes, "status", "code", span->failed ? OTLP_ERROR : 0);
+	JJ_INVARIANT(object != NULL);
+	return object;
+}
+
+static json_t *
+encode_attribute(const char *key, const char *value)
+{
+	return json_pack("{s:s,s:{s:o}}", "key", key, "value", "stringValue",
+	    encode_text(value));
+}
+
+/* What is not UTF-8, such as a caller's header, JSON cannot hold. */
+static json_t *
+encode_text(const char *text)
+{
+	json_t *string = json_string(text);
+
+	return string != NULL ? string : json_string("(not UTF-8)");
+}
--- /dev/null
+++ b/src/adapters/wire.c
@@ -0,0 +1,714 @@
+/**
+ * @file wire.c
+ * @brief msgpack codec of messages, driven by one table of fields per kind.
+ *
+ * The same table encodes and decodes, so the two cannot disagree. The codec
+ * of bytes is msgpack-c's; it is only handed input whose counts were checked
+ * against its length.
+ */
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "adapters/wire.h"
+
+/** Elements of the outermost array. */
+#define ENVELOPE_SIZE 6
+/** First byte of an array of ENVELOPE_SIZE elements (msgpack fixarray). */
+#define ENVELOPE_BYTE (0x90 | ENVELOPE_SIZE)
+
+typedef enum {
+	FIELD_U32,
+	FIELD_U64,
+	FIELD_I32,
+	FIELD_I64,
+	FIELD_BOOL,
+	FIELD_ENUM, /**< 0 to limit */
+	FIELD_TEXT, /**< char[limit], NUL-terminated */
+	FIELD_BYTES, /**< jj_bytes_t, at most limit bytes */
+	FIELD_HASH,
+	FIELD_STRUCT, /**< of layout */
+	FIELD_ARRAY, /**< in place, at most limit of layout */
+	FIELD_LIST, /**< on the heap, at most limit of layout */
+} field_type_t;
+
+/** One field of a struct on the wire. */
+typedef struct {
+	field_type_t type;
+	size_t offset;
+	size_t limit;
+	size_t count_offset; /**< of an array's uint32_t count */
+	const struct layout *layout;
+} field_t;
+
+/** The fields of a struct in their order on the wire. */
+typedef struct layout {
+	size_t size; /**< of the struct, bytes */
+	size_t field_count;
+	const field_t *fields;
+} layout_t;
+
+#define FIELD(type, owner, member)                        \
+	{                                                 \
+		type, offsetof(owner, member), 0, 0, NULL \
+	}
+#define ENUM(owner, member, most)                                  \
+	{                                                          \
+		FIELD_ENUM, offsetof(owner, member), most, 0, NULL \
+	}
+#define TEXT(owner, member)                               \
+	{                                                 \
+		FIELD_TEXT, offsetof(owner, member),      \
+		    sizeof(((owner *)0)->member), 0, NULL \
+	}
+#define BYTES(owner, member, most)                                  \
+	{                                                           \
+		FIELD_BYTES, offsetof(owner, member), most, 0, NULL \
+	}
+#define STRUCT(owner, member, inner)                               \
+	{                                                          \
+		FIELD_STRUCT, offsetof(owner, member), 0, 0, inner \
+	}
+#define ARRAY(type, owner, member, count, most, inner)                       \
+	{                                                                    \
+		type, offsetof(owner, member), most, offsetof(owner, count), \
+		    inner                                                    \
+	}
+#define LAYOUT(name, owner, fields)    \
+	static const layout_t name = { \
+	    sizeof(owner), sizeof(fields) / sizeof(*(fields)), fields}
+
+static bool pack_struct(msgpack_packer *, const layout_t *, const char *);
+static bool pack_field(msgpack_packer *, const field_t *, const char *);
+static bool pack_text(msgpack_packer *, const field_t *, const char *);
+static bool pack_bytes(msgpack_packer *, const field_t *, const jj_bytes_t *);
+static bool pack_array(msgpack_packer *, const field_t *, const char *);
+static bool check_shape(const uint8_t *, size_t);
+static bool read_head(const uint8_t *, size_t, size_t *, size_t *);
+static size_t read_length(const uint8_t *, size_t);
+static bool unpack_message(const msgpack_object *, jj_message_t *);
+static bool unpack_struct(const msgpack_object *, const layout_t *, char *);
+static bool unpack_field(const msgpack_object *, const field_t *, char *);
+static bool unpack_unsigned(const msgpack_object *, uint64_t, uint64_t *);
+static bool unpack_signed(const msgpack_object *, int64_t, int64_t, int64_t *);
+static bool unpack_number(const msgpack_object *, const field_t *, char *);
+static bool unpack_text(const msgpack_object *, const field_t *, char *);
+static bool unpack_bytes(const msgpack_object *, const field_t *, jj_bytes_t *);
+static bool unpack_hash(const msgpack_object *, jj_hash_t *);
+static bool unpack_array(const msgpack_object *, const field_t *, char *);
+
+static const field_t load_fields[] = {
+    TEXT(jj_load_t, server.text),
+    FIELD(FIELD_U32, jj_load_t, online),
+    FIELD(FIELD_U32, jj_load_t, batch),
+    FIELD(FIELD_U32, jj_load_t, token_gap_us),
+};
+LAYOUT(load_layout, jj_load_t, load_fields);
+
+static const field_t heartbeat_fields[] = {
+    ENUM(jj_message_t, body.heartbeat.state, JJ_VM_LEAVING),
+    TEXT(jj_message_t, body.heartbeat.domain.text),
+    TEXT(jj_message_t, body.heartbeat.address),
+    FIELD(FIELD_U64, jj_message_t, body.heartbeat.config_version),
+    FIELD(FIELD_U64, jj_message_t, body.heartbeat.slots_version),
+    FIELD(FIELD_U64, jj_message_t, body.heartbeat.ack_sequence),
+    ARRAY(FIELD_ARRAY, jj_message_t, body.heartbeat.loads,
+	body.heartbeat.load_count, JJ_MESSAGE_LOADS_MAX, &load_layout),
+};
+LAYOUT(heartbeat_layout, jj_message_t, heartbeat_fields);
+
+static const field_t nonce_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.nonce),
+};
+LAYOUT(nonce_layout, jj_message_t, nonce_fields);
+
+static const field_t config_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.config.version),
+    BYTES(jj_message_t, body.config.document, JJ_OBJECT_VALUE_MAX),
+};
+LAYOUT(config_layout, jj_message_t, config_fields);
+
+static const field_t loads_fields[] = {
+    ARRAY(FIELD_ARRAY, jj_message_t, body.load.loads, body.load.count,
+	JJ_MESSAGE_LOADS_MAX, &load_layout),
+};
+LAYOUT(loads_layout, jj_message_t, loads_fields);
+
+static const field_t call_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.call.call),
+    FIELD(FIELD_U32, jj_message_t, body.call.slot),
+    FIELD(FIELD_U64, jj_message_t, body.call.epoch),
+    FIELD(FIELD_HASH, jj_message_t, body.call.key),
+    FIELD(FIELD_U64, jj_message_t, body.call.fingerprint),
+    FIELD(FIELD_I64, jj_message_t, body.call.budget_ms),
+    TEXT(jj_message_t, body.call.service.text),
+    BYTES(jj_message_t, body.call.path, JJ_WIRE_BYTES_MAX),
+    BYTES(jj_message_t, body.call.body, JJ_WIRE_BYTES_MAX),
+    TEXT(jj_message_t, body.call.trace),
+    TEXT(jj_message_t, body.call.key_text),
+};
+LAYOUT(call_layout, jj_message_t, call_fields);
+
+static const field_t call_answer_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.call_answer.call),
+    ENUM(jj_message_t, body.call_answer.outcome, JJ_CALL_NO_HISTORY),
+    FIELD(FIELD_I32, jj_message_t, body.call_answer.status),
+    FIELD(FIELD_I64, jj_message_t, body.call_answer.retry_after_ms),
+    BYTES(jj_message_t, body.call_answer.body, JJ_WIRE_BYTES_MAX),
+};
+LAYOUT(call_answer_layout, jj_message_t, call_answer_fields);
+
+static const field_t record_fields[] = {
+    FIELD(FIELD_HASH, jj_record_t, key),
+    FIELD(FIELD_U64, jj_record_t, fingerprint),
+    FIELD(FIELD_U32, jj_record_t, attempt),
+    ENUM(jj_record_t, state, JJ_RECORD_UNKNOWN),
+    FIELD(FIELD_I64, jj_record_t, age_ms),
+    FIELD(FIELD_I32, jj_record_t, status),
+    BYTES(jj_record_t, answer, JJ_WIRE_BYTES_MAX),
+};
+LAYOUT(record_layout, jj_record_t, record_fields);
+
+static const field_t intent_fields[] = {
+    FIELD(FIELD_U32, jj_message_t, body.intent.slot),
+    FIELD(FIELD_U64, jj_message_t, body.intent.epoch),
+    STRUCT(jj_message_t, body.intent.record, &record_layout),
+};
+LAYOUT(intent_layout, jj_message_t, intent_fields);
+
+static const field_t intent_ack_fields[] = {
+    FIELD(FIELD_U32, jj_message_t, body.intent_ack.slot),
+    FIELD(FIELD_U64, jj_message_t, body.intent_ack.epoch),
+    FIELD(FIELD_HASH, jj_message_t, body.intent_ack.key),
+    FIELD(FIELD_U32, jj_message_t, body.intent_ack.attempt),
+    FIELD(FIELD_BOOL, jj_message_t, body.intent_ack.accepted),
+};
+LAYOUT(intent_ack_layout, jj_message_t, intent_ack_fields);
+
+static const field_t resolve_fields[] = {
+    FIELD(FIELD_U32, jj_message_t, body.resolve.slot),
+    FIELD(FIELD_U64, jj_message_t, body.resolve.epoch),
+    FIELD(FIELD_BOOL, jj_message_t, body.resolve.removed),
+    STRUCT(jj_message_t, body.resolve.record, &record_layout),
+};
+LAYOUT(resolve_layout, jj_message_t, resolve_fields);
+
+static const field_t sync_fields[] = {
+    FIELD(FIELD_U32, jj_message_t, body.sync.slot),
+    FIELD(FIELD_U64, jj_message_t, body.sync.epoch),
+    FIELD(FIELD_U32, jj_message_t, body.sync.part),
+    FIELD(FIELD_BOOL, jj_message_t, body.sync.last),
+    FIELD(FIELD_BOOL, jj_message_t, body.sync.history_unknown),
+    FIELD(FIELD_I64, jj_message_t, body.sync.unknown_age_ms),
+    ARRAY(FIELD_LIST, jj_message_t, body.sync.records, body.sync.record_count,
+	JJ_MESSAGE_RECORDS_MAX, &record_layout),
+};
+LAYOUT(sync_layout, jj_message_t, sync_fields);
+
+static const field_t sync_ack_fields[] = {
+    FIELD(FIELD_U32, jj_message_t, body.sync_ack.slot),
+    FIELD(FIELD_U64, jj_message_t, body.sync_ack.epoch),
+    FIELD(FIELD_U32, jj_message_t, body.sync_ack.part),
+};
+LAYOUT(sync_ack_layout, jj_message_t, sync_ack_fields);
+
+static const field_t slots_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.slots.version),
+    BYTES(jj_message_t, body.slots.table, JJ_OBJECT_VALUE_MAX),
+};
+LAYOUT(slots_layout, jj_message_t, slots_fields);
+
+static const field_t suspect_fields[] = {
+    {FIELD_U64, 0, 0, 0, NULL},
+};
+LAYOUT(suspect_layout, uint64_t, suspect_fields);
+
+static const field_t crash_fields[] = {
+    TEXT(jj_message_t, body.crash.server.text),
+    FIELD(FIELD_U64, jj_message_t, body.crash.boot),
+    ARRAY(FIELD_ARRAY, jj_message_t, body.crash.suspects,
+	body.crash.suspect_count, JJ_MESSAGE_SUSPECTS_MAX, &suspect_layout),
+};
+LAYOUT(crash_layout, jj_message_t, crash_fields);
+
+static const field_t server_fields[] = {
+    TEXT(jj_message_t, body.server.server.text),
+    FIELD(FIELD_U64, jj_message_t, body.server.boot),
+    ENUM(jj_message_t, body.server.state, JJ_SERVER_DOWN),
+};
+LAYOUT(server_layout, jj_message_t, server_fields);
+
+static const field_t jobs_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.jobs.revision),
+    BYTES(jj_message_t, body.jobs.events, JJ_WIRE_BYTES_MAX),
+};
+LAYOUT(jobs_layout, jj_message_t, jobs_fields);
+
+static const layout_t *const body_layouts[JJ_MESSAGE_KIND_END] = {
+    [JJ_MESSAGE_HEARTBEAT] = &heartbeat_layout,
+    [JJ_MESSAGE_PROBE] = &nonce_layout,
+    [JJ_MESSAGE_PROBE_ECHO] = &nonce_layout,
+    [JJ_MESSAGE_CONFIG_ASK] = &config_layout,
+    [JJ_MESSAGE_CONFIG] = &config_layout,
+    [JJ_MESSAGE_LOAD] = &loads_layout,
+    [JJ_MESSAGE_CALL] = &call_layout,
+    [JJ_MESSAGE_CALL_ANSWER] = &call_answer_layout,
+    [JJ_MESSAGE_INTENT] = &intent_layout,
+    [JJ_MESSAGE_INTENT_ACK] = &intent_ack_layout,
+    [JJ_MESSAGE_RESOLVE] = &resolve_layout,
+    [JJ_MESSAGE_SYNC] = &sync_layout,
+    [JJ_MESSAGE_SYNC_ACK] = &sync_ack_layout,
+    [JJ_MESSAGE_SLOTS] = &slots_layout,
+    [JJ_MESSAGE_CRASH] = &crash_layout,
+    [JJ_MESSAGE_SERVER_STATE] = &server_layout,
+    [JJ_MESSAGE_JOBS] = &jobs_layout,
+    [JJ_MESSAGE_VMS] = &jobs_layout,
+};
+
+static const field_t from_field = TEXT(jj_message_t, from.text);
+
+jj_bytes_t
+jj_wire_encode(const jj_message_t *message)
+{
+	jj_bytes_t bytes = {NULL, 0};
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	JJ_INVARIANT(message->kind > 0 && message->kind < JJ_MESSAGE_KIND_END);
+	JJ_INVARIANT(body_layouts[message->kind] != NULL);
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, ENVELOPE_SIZE);
+	msgpack_pack_uint64(&packer, JJ_MESSAGE_VERSION);
+	msgpack_pack_uint64(&packer, message->kind);
+	if (!pack_field(&packer, &from_field, (const char *)message))
+		goto out;
+	msgpack_pack_uint64(&packer, message->incarnation);
+	msgpack_pack_uint64(&packer, message->sequence);
+	if (!pack_struct(
+		&packer, body_layouts[message->kind], (const char *)message))
+		goto out;
+	if (buffer.size > JJ_WIRE_BYTES_MAX)
+		goto out;
+	bytes.size = buffer.size;
+	JJ_INVARIANT(msgpack_sbuffer_write(&buffer, "", 1) == 0);
+	bytes.data = msgpack_sbuffer_release(&buffer);
+out:
+	msgpack_sbuffer_destroy(&buffer);
+	return bytes;
+}
+
+jj_wire_outcome_t
+jj_wire_decode(const void *data, size_t size, jj_message_t *out)
+{
+	const uint8_t *bytes = data;
+	msgpack_unpacked unpacked;
+	jj_wire_outcome_t outcome = JJ_WIRE_MALFORMED;
+	size_t offset = 0;
+
+	memset(out, 0, sizeof(*out));
+	if (size > JJ_WIRE_BYTES_MAX)
+		return JJ_WIRE_TOO_LARGE;
+	/*
+	 * All versions begin with this byte and their number as one byte, so
+	 * that a VM of another version is told from one that sends rubbish.
+	 */
+	if (size < 2 || bytes[0] != ENVELOPE_BYTE || bytes[1] > 0x7f)
+		return JJ_WIRE_MALFORMED;
+	if (bytes[1] != JJ_MESSAGE_VERSION)
+		return JJ_WIRE_OTHER_VERSION;
+	if (!check_shape(bytes, size))
+		return JJ_WIRE_MALFORMED;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, data, size, &offset) ==
+		MSGPACK_UNPACK_SUCCESS &&
+	    unpack_message(&unpacked.data, out))
+		outcome = JJ_WIRE_OK;
+	msgpack_unpacked_destroy(&unpacked);
+	if (outcome != JJ_WIRE_OK) {
+		jj_message_clear(out);
+		memset(out, 0, sizeof(*out));
+	}
+	return outcome;
+}
+
+const char *
+jj_wire_outcome_name(jj_wire_outcome_t outcome)
+{
+	switch (outcome) {
+	case JJ_WIRE_OK:
+		return "ok";
+	case JJ_WIRE_MALFORMED:
+		return "malformed";
+	case JJ_WIRE_OTHER_VERSION:
+		return "other_version";
+	case JJ_WIRE_TOO_LARGE:
+		return "too_large";
+	}
+	return "unknown";
+}
+
+/* Encoding. Each function is false when a bound of message.h is broken. */
+
+static bool
+pack_struct(msgpack_packer *packer, const layout_t *layout, const char *owner)
+{
+	size_t i;
+
+	msgpack_pack_array(packer, layout->field_count);
+	for (i = 0; i < layout->field_count; i++) {
+		if (!pack_field(packer, &layout->fields[i], owner))
+			return false;
+	}
+	return true;
+}
+
+static bool
+pack_field(msgpack_packer *packer, const field_t *field, const char *owner)
+{
+	const void *place = owner + field->offset;
+	const jj_hash_t *hash = place;
+
+	switch (field->type) {
+	case FIELD_U32:
+		return msgpack_pack_uint32(packer, *(const uint32_t *)place) ==
+		    0;
+	case FIELD_U64:
+		return msgpack_pack_uint64(packer, *(const uint64_t *)place) ==
+		    0;
+	case FIELD_I32:
+		return msgpack_pack_int32(packer, *(const int32_t *)place) == 0;
+	case FIELD_I64:
+		return msgpack_pack_int64(packer, *(const int64_t *)place) == 0;
+	case FIELD_BOOL:
+		return (*(const bool *)place ? msgpack_pack_true(packer)
+					     : msgpack_pack_false(packer)) == 0;
+	case FIELD_ENUM:
+		return *(const uint32_t *)place <= field->limit &&
+		    msgpack_pack_uint32(packer, *(const uint32_t *)place) == 0;
+	case FIELD_TEXT:
+		return pack_text(packer, field, place);
+	case FIELD_BYTES:
+		return pack_bytes(packer, field, place);
+	case FIELD_HASH:
+		msgpack_pack_array(packer, 2);
+		msgpack_pack_uint64(packer, hash->low);
+		return msgpack_pack_uint64(packer, hash->high) == 0;
+	case FIELD_STRUCT:
+		return pack_struct(packer, field->layout, place);
+	case FIELD_ARRAY:
+	case FIELD_LIST:
+		return pack_array(packer, field, owner);
+	}
+	return false;
+}
+
+static bool
+pack_text(msgpack_packer *packer, const field_t *field, const char *text)
+{
+	size_t length = strnlen(text, field->limit);
+
+	return length < field->limit &&
+	    msgpack_pack_str_with_body(packer, text, length) == 0;
+}
+
+static bool
+pack_bytes(
+    msgpack_packer *packer, const field_t *field, const jj_bytes_t *bytes)
+{
+	return bytes->size <= field->limit &&
+	    msgpack_pack_bin_with_body(
+		packer, bytes->size > 0 ? bytes->data : "", bytes->size) == 0;
+}
+
+static bool
+pack_array(msgpack_packer *packer, const field_t *field, const char *owner)
+{
+	const char *element = owner + field->offset;
+	uint32_t count, i;
+
+	memcpy(&count, owner + field->count_offset, sizeof(count));
+	if (count > field->limit)
+		return false;
+	if (field->type == FIELD_LIST)
+		memcpy(&element, owner + field->offset, sizeof(element));
+	msgpack_pack_array(packer, count);
+	for (i = 0; i < count; i++) {
+		if (!pack_struct(packer, field->layout, element))
+			return false;
+		element += field->layout->size;
+	}
+	return true;
+}
+
+/* Decoding. */
+
+/*
+ * True when the bytes are one complete value of the types in use. Guards
+ * against a short message that claims an array of billions: msgpack-c would
+ * allocate its elements before it misses them, and the VM would run out of
+ * memory. Every element takes at least one byte, so a count that the rest of
+ * the input cannot hold ends the walk, and what msgpack-c then allocates is
+ * a fixed multiple of the input.
+ */
+static bool
+check_shape(const uint8_t *bytes, size_t size)
+{
+	size_t pending = 1, at = 0, length, children;
+
+	while (pending > 0) {
+		if (!read_head(bytes + at, size - at, &length, &children))
+			return false;
+		at += length;
+		pending += children;
+		pending--;
+		if (pending > size - at)
+			return false;
+	}
+	return at == size;
+}
+
+/*
+ * Reads a value's first bytes: how long it is without its elements, and how
+ * many elements it has. False for types that no message uses, and when the
+ * value is longer than the input.
+ */
+static bool
+read_head(const uint8_t *bytes, size_t size, size_t *length, size_t *children)
+{
+	uint8_t head = size > 0 ? bytes[0] : 0;
+	size_t width;
+
+	*length = 1;
+	*children = 0;
+	if (size == 0)
+		return false;
+	if (head < 0x80 || head >= 0xe0 || head == 0xc2 || head == 0xc3)
+		return true;
+	if (head >= 0x90 && head <= 0x9f) {
+		*children = head & 0x0f;
+		return true;
+	}
+	if (head >= 0xa0 && head <= 0xbf) {
+		*length += head & 0x1f;
+	} else if (head >= 0xcc && head <= 0xd3) {
+		*length += (size_t)1 << ((head - 0xcc) % 4);
+	} else if (head >= 0xc4 && head <= 0xc6) {
+		width = (size_t)1 << (head - 0xc4);
+		if (size <= width)
+			return false;
+		*length += width + read_length(bytes + 1, width);
+	} else if (head >= 0xd9 && head <= 0xdb) {
+		width = (size_t)1 << (head - 0xd9);
+		if (size <= width)
+			return false;
+		*length += width + read_length(bytes + 1, width);
+	} else if (head == 0xdc || head == 0xdd) {
+		width = head == 0xdc ? 2 : 4;
+		if (size <= width)
+			return false;
+		*length += width;
+		*children = read_length(bytes + 1, width);
+	} else {
+		return false;
+	}
+	return *length <= size;
+}
+
+/* A big-endian number of `width` bytes. */
+static size_t
+read_length(const uint8_t *bytes, size_t width)
+{
+	size_t length = 0, i;
+
+	for (i = 0; i < width; i++)
+		length = length << 8 | bytes[i];
+	return length;
+}
+
+static bool
+unpack_message(const msgpack_object *object, jj_message_t *out)
+{
+	const msgpack_object *parts = object->via.array.ptr;
+	uint64_t kind;
+
+	if (!unpack_unsigned(&parts[1], JJ_MESSAGE_KIND_END - 1, &kind))
+		return false;
+	if (kind == 0 || body_layouts[kind] == NULL)
+		return false;
+	out->kind = (jj_message_kind_t)kind;
+	if (!unpack_field(&parts[2], &from_field, (char *)out))
+		return false;
+	if (!unpack_unsigned(&parts[3], UINT64_MAX, &out->incarnation))
+		return false;
+	if (!unpack_unsigned(&parts[4], UINT64_MAX, &out->sequence))
+		return false;
+	if (jj_name_is_empty(&out->from) || out->incarnation == 0)
+		return false;
+	return unpack_struct(&parts[5], body_layouts[kind], (char *)out);
+}
+
+static bool
+unpack_struct(const msgpack_object *object, const layout_t *layout, char *owner)
+{
+	size_t i;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size != layout->field_count)
+		return false;
+	for (i = 0; i < layout->field_count; i++) {
+		if (!unpack_field(
+			&object->via.array.ptr[i], &layout->fields[i], owner))
+			return false;
+	}
+	return true;
+}
+
+static bool
+unpack_field(const msgpack_object *object, const field_t *field, char *owner)
+{
+	void *place = owner + field->offset;
+
+	switch (field->type) {
+	case FIELD_U32:
+	case FIELD_U64:
+	case FIELD_I32:
+	case FIELD_I64:
+	case FIELD_ENUM:
+		return unpack_number(object, field, place);
+	case FIELD_BOOL:
+		if (object->type != MSGPACK_OBJECT_BOOLEAN)
+			return false;
+		*(bool *)place = object->via.boolean;
+		return true;
+	case FIELD_TEXT:
+		return unpack_text(object, field, place);
+	case FIELD_BYTES:
+		return unpack_bytes(object, field, place);
+	case FIELD_HASH:
+		return unpack_hash(object, place);
+	case FIELD_STRUCT:
+		return unpack_struct(object, field->layout, place);
+	case FIELD_ARRAY:
+	case FIELD_LIST:
+		return unpack_array(object, field, owner);
+	}
+	return false;
+}
+
+static bool
+unpack_unsigned(const msgpack_object *object, uint64_t most, uint64_t *value)
+{
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.u64 > most)
+		return false;
+	*value = object->via.u64;
+	return true;
+}
+
+static bool
+unpack_signed(
+    const msgpack_object *object, int64_t least, int64_t most, int64_t *value)
+{
+	uint64_t positive;
+
+	if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+		*value = object->via.i64;
+		return *value >= least;
+	}
+	if (!unpack_unsigned(object, (uint64_t)most, &positive))
+		return false;
+	*value = (int64_t)positive;
+	return true;
+}
+
+static bool
+unpack_number(const msgpack_object *object, const field_t *field, char *place)
+{
+	uint64_t number;
+	int64_t whole;
+
+	switch (field->type) {
+	case FIELD_U64:
+		return unpack_unsigned(
+		    object, UINT64_MAX, (uint64_t *)(void *)place);
+	case FIELD_I64:
+		return unpack_signed(
+		    object, INT64_MIN, INT64_MAX, (int64_t *)(void *)place);
+	case FIELD_I32:
+		if (!unpack_signed(object, INT32_MIN, INT32_MAX, &whole))
+			return false;
+		*(int32_t *)(void *)place = (int32_t)whole;
+		return true;
+	default:
+		if (!unpack_unsigned(object,
+			field->type == FIELD_ENUM ? field->limit : UINT32_MAX,
+			&number))
+			return false;
+		*(uint32_t *)(void *)place = (uint32_t)number;
+		return true;
+	}
+}
+
+static bool
+unpack_text(const msgpack_object *object, const field_t *field, char *place)
+{
+	const msgpack_object_str *text = &object->via.str;
+
+	if (object->type != MSGPACK_OBJECT_STR || text->size >= field->limit)
+		return false;
+	/* A NUL inside would make two different names look the same. */
+	if (text->size > 0 && memchr(text->ptr, '\0', text->size) != NULL)
+		return false;
+	if (text->size > 0)
+		memcpy(place, text->ptr, text->size);
+	place[text->size] = '\0';
+	return true;
+}
+
+static bool
+unpack_bytes(
+    const msgpack_object *object, const field_t *field, jj_bytes_t *bytes)
+{
+	if (object->type != MSGPACK_OBJECT_BIN ||
+	    object->via.bin.size > field->limit)
+		return false;
+	*bytes = jj_bytes_copy(object->via.bin.ptr, object->via.bin.size);
+	return true;
+}
+
+static bool
+unpack_hash(const msgpack_object *object, jj_hash_t *hash)
+{
+	const msgpack_object *halves = object->via.array.ptr;
+
+	return object->type == MSGPACK_OBJECT_ARRAY &&
+	    object->via.array.size == 2 &&
+	    unpack_unsigned(&halves[0], UINT64_MAX, &hash->low) &&
+	    unpack_unsigned(&halves[1], UINT64_MAX, &hash->high);
+}
+
+static bool
+unpack_array(const msgpack_object *object, const field_t *field, char *owner)
+{
+	char *element = owner + field->offset;
+	uint32_t count, i;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size > field->limit)
+		return false;
+	count = object->via.array.size;
+	if (field->type == FIELD_LIST && count > 0) {
+		element = jj_alloc(count * field->layout->size);
+		memcpy(owner + field->offset, &element, sizeof(element));
+	}
+	/* Before the elements: on a fault all of them are freed. */
+	memcpy(owner + field->count_offset, &count, sizeof(count));
+	for (i = 0; i < count; i++) {
+		if (!unpack_struct(
+			&object->via.array.ptr[i], field->layout, element))
+			return false;
+		element += field->layout->size;
+	}
+	return true;
+}
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -75,6 +75,7 @@
 		jj_bytes_free(&action->body.config.detail);
 		break;
 	case JJ_ACTION_ITEM_READY:
+	case JJ_ACTION_CALL_READY:
 		jj_bytes_free(&action->body.item.body);
 		jj_bytes_free(&action->body.item.path);
 		break;
@@ -134,6 +135,7 @@
 		jj_bytes_free(&message->body.slots.table);
 		break;
 	case JJ_MESSAGE_JOBS:
+	case JJ_MESSAGE_VMS:
 		jj_bytes_free(&message->body.jobs.events);
 		break;
 	default:
--- a/src/core/action.h
+++ b/src/core/action.h
@@ -15,19 +15,22 @@
 #include "core/types.h"
 
 typedef enum {
-	JJ_ACTION_SEND,           /**< a message to a VM */
-	JJ_ACTION_PLATFORM,       /**< a call to the platform */
-	JJ_ACTION_BACKEND_START,  /**< send a request to a backend server */
+	JJ_ACTION_SEND, /**< a message to a VM */
+	JJ_ACTION_PLATFORM, /**< a call to the platform */
+	JJ_ACTION_BACKEND_START, /**< send a request to a backend server */
 	JJ_ACTION_BACKEND_CANCEL, /**< stop a request at its server */
-	JJ_ACTION_ANSWER,         /**< a caller's final answer */
-	JJ_ACTION_CALL_ANSWER,    /**< the outcome of a non-idempotent call */
-	JJ_ACTION_CONFIG_ANSWER,  /**< the outcome of a patch */
+	JJ_ACTION_ANSWER, /**< a caller's final answer */
+	JJ_ACTION_CALL_ANSWER, /**< the outcome of a non-idempotent call */
+	JJ_ACTION_CONFIG_ANSWER, /**< the outcome of a patch */
 	JJ_ACTION_CONFIG_ADOPTED, /**< a newer configuration is in force */
-	JJ_ACTION_ITEM_READY,     /**< a batch item wants a server */
-	JJ_ACTION_ITEM_CANCEL,    /**< a batch item shall stop */
-	JJ_ACTION_JOB_ANSWER,     /**< the outcome of a job operation */
-	JJ_ACTION_ORDER,          /**< an order to a model engine */
-	JJ_ACTION_EVENT,          /**< something worth a log line and a count */
+	JJ_ACTION_ITEM_READY, /**< a batch item wants a server */
+	JJ_ACTION_CALL_READY, /**< a non-idempotent call to be run once */
+	JJ_ACTION_ITEM_CANCEL, /**< a batch item shall stop */
+	JJ_ACTION_JOB_ANSWER, /**< the outcome of a job operation */
+	JJ_ACTION_ORDER, /**< an order to a model engine */
+	JJ_ACTION_JOB_CHANGED, /**< an object below `jobs/` changed */
+	JJ_ACTION_VM_LOST, /**< a VM's process is held for dead */
+	JJ_ACTION_EVENT, /**< something worth a log line and a count */
 } jj_action_kind_t;
 
 /** Where a request goes. */
@@ -41,15 +44,16 @@
 /** Why a request ends without a backend server's answer. */
 typedef enum {
 	JJ_GIVE_UP_NONE,
-	JJ_GIVE_UP_NO_SERVER,   /**< none up for this service here */
-	JJ_GIVE_UP_OVERLOADED,  /**< queue full or wait too long */
-	JJ_GIVE_UP_DEADLINE,    /**< cannot be met, or has passed */
-	JJ_GIVE_UP_RETRIES,     /**< attempts or retry budget used up */
+	JJ_GIVE_UP_NO_SERVER, /**< none up for this service here */
+	JJ_GIVE_UP_OVERLOADED, /**< queue full or wait too long */
+	JJ_GIVE_UP_DEADLINE, /**< cannot be met, or has passed */
+	JJ_GIVE_UP_RETRIES, /**< attempts or retry budget used up */
 	JJ_GIVE_UP_QUARANTINED, /**< it crashes backend servers */
-	JJ_GIVE_UP_BROKEN,      /**< the server failed in mid answer */
-	JJ_GIVE_UP_STOPPING,    /**< this VM is leaving */
-	JJ_GIVE_UP_NO_CONFIG,   /**< no configuration known yet */
+	JJ_GIVE_UP_BROKEN, /**< the server failed in mid answer */
+	JJ_GIVE_UP_STOPPING, /**< this VM is leaving */
+	JJ_GIVE_UP_NO_CONFIG, /**< no configuration known yet */
 	JJ_GIVE_UP_CANCELLED,
+	JJ_GIVE_UP_NO_SERVICE, /**< the configuration has no such service */
 } jj_give_up_t;
 
 /** What a final answer says about the run. */
@@ -88,23 +92,26 @@
 		} call;
 		struct {
 			uint64_t operation;
-			int status;          /**< HTTP: 200, 409, 412, 422, 503 */
-			uint64_t version;    /**< in force, or current */
-			jj_bytes_t detail;   /**< plain words for the operator */
+			int status; /**< HTTP: 200, 409, 412, 422, 503 */
+			uint64_t version; /**< in force, or current */
+			jj_bytes_t detail; /**< plain words for the operator */
 			jj_ms_t retry_after_ms;
 		} config;
 		struct {
 			uint64_t version;
 		} adopted;
 		struct {
-			uint64_t item;   /**< node-wide number of this run */
+			uint64_t item; /**< node-wide number of this run */
 			jj_name_t service;
 			jj_name_t team;
 			uint64_t fingerprint;
 			bool idempotent;
-			jj_ms_t due_ms;  /**< the job's due time, own clock */
+			jj_ms_t due_ms; /**< the job's due time, own clock */
 			jj_bytes_t body; /**< request body */
 			jj_bytes_t path;
+			/** of a call: the caller's key and traceparent */
+			char key[JJ_IDEMPOTENCY_KEY_MAX + 1];
+			char trace[56];
 		} item;
 		struct {
 			uint64_t operation;
@@ -119,8 +126,16 @@
 			jj_bytes_t body; /**< JSON */
 		} order;
 		struct {
-			const char *name;  /**< static, as in `event=NAME` */
-			char detail[200];  /**< more key=value pairs */
+			char key[JJ_OBJECT_KEY_MAX + 1];
+			uint64_t version;
+		} job_change;
+		struct {
+			jj_name_t name;
+			jj_incarnation_t incarnation;
+		} lost;
+		struct {
+			const char *name; /**< static, as in `event=NAME` */
+			char detail[200]; /**< more key=value pairs */
 		} event;
 	} body;
 } jj_action_t;
--- /dev/null
+++ b/src/core/batch.c
@@ -0,0 +1,322 @@
+/**
+ * @file batch.c
+ * @brief The batch worker's public functions.
+ *
+ * Each event ends with one round over all that is held: calls that are due
+ * are sent, items are offered, and further chunks are taken while the
+ * servers have room.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/batch_worker.h"
+
+/** Tokens of this module; the others belong to the job operations. */
+#define TOKEN_BIT (UINT64_C(1) << 63)
+/** Longest wait after failed calls: retry_ms doubled so often. */
+#define BACKOFF_DOUBLINGS 6
+/** Chunks held at most, with those whose service takes nothing now. */
+#define STALLED_FACTOR 4
+
+static void run_round(jj_batch_t *, jj_ms_t, jj_actions_t *);
+static void take_chunks(jj_batch_t *, jj_ms_t, jj_actions_t *);
+static bool has_place(const jj_batch_t *, jj_ms_t);
+static void sweep_chunks(jj_batch_t *);
+static bool split_key(const char *, char[JJ_OBJECT_ID_TEXT], const char **);
+static void
+take_chunk_change(jj_known_job_t *, const char *, uint64_t, jj_ms_t);
+
+jj_batch_t *
+jj_batch_create(const jj_batch_settings_t *settings)
+{
+	jj_batch_t *batch = jj_alloc(sizeof(*batch));
+
+	batch->settings = *settings;
+	jj_operations_seed(&batch->operations, settings->seed);
+	jj_job_table_create(&batch->jobs);
+	TAILQ_INIT(&batch->chunks);
+	return batch;
+}
+
+void
+jj_batch_destroy(jj_batch_t *batch)
+{
+	jj_held_chunk_t *chunk;
+
+	if (batch == NULL)
+		return;
+	while ((chunk = TAILQ_FIRST(&batch->chunks)) != NULL) {
+		TAILQ_REMOVE(&batch->chunks, chunk, link);
+		jj_held_chunk_destroy(chunk);
+	}
+	jj_job_table_destroy(&batch->jobs);
+	free(batch);
+}
+
+void
+jj_batch_set_idempotent(jj_batch_t *batch,
+    bool (*is_idempotent)(void *ctx, const char *service), void *ctx)
+{
+	batch->is_idempotent = is_idempotent;
+	batch->idempotent_ctx = ctx;
+}
+
+void
+jj_batch_set_room(jj_batch_t *batch, uint32_t items)
+{
+	batch->room = items;
+}
+
+void
+jj_batch_take_change(jj_batch_t *batch, const char *key, uint64_t version,
+    jj_ms_t now, jj_actions_t *out)
+{
+	char id[JJ_OBJECT_ID_TEXT];
+	const char *rest;
+	jj_known_job_t *known;
+
+	if (!split_key(key, id, &rest))
+		return;
+	known = jj_job_table_find(&batch->jobs, id);
+	if (known == NULL)
+		jj_job_table_learn(&batch->jobs, id);
+	else if (strcmp(rest, "job") == 0)
+		known->wants_refresh |= version > known->job.version;
+	else if (known->loaded)
+		take_chunk_change(known, rest, version, now);
+	run_round(batch, now, out);
+}
+
+void
+jj_batch_take_death(
+    jj_batch_t *batch, const char *writer, jj_ms_t now, jj_actions_t *out)
+{
+	jj_job_table_bury(&batch->jobs, writer);
+	run_round(batch, now, out);
+}
+
+void
+jj_batch_end_item(jj_batch_t *batch, uint64_t item, jj_item_outcome_t outcome,
+    int status, const jj_bytes_t *body, jj_ms_t now, jj_actions_t *out)
+{
+	jj_held_chunk_t *chunk;
+
+	TAILQ_FOREACH(chunk, &batch->chunks, link)
+	{
+		if (jj_held_chunk_end_item(
+			batch, chunk, item, outcome, status, body, now))
+			break;
+	}
+	run_round(batch, now, out);
+}
+
+void
+jj_batch_take_result(jj_batch_t *batch, const jj_platform_result_t *result,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_held_chunk_t *chunk;
+
+	if (result->owner != JJ_OWNER_BATCH || (result->token & TOKEN_BIT) == 0)
+		return;
+	TAILQ_FOREACH(chunk, &batch->chunks, link)
+	{
+		if (chunk->token == result->token)
+			break;
+	}
+	if (chunk != NULL)
+		jj_held_chunk_take_result(batch, chunk, result, now, out);
+	else
+		(void)jj_job_table_take_result(batch, result, now, out);
+	run_round(batch, now, out);
+}
+
+void
+jj_batch_tick(jj_batch_t *batch, jj_ms_t now, jj_actions_t *out)
+{
+	run_round(batch, now, out);
+}
+
+jj_ms_t
+jj_batch_next(const jj_batch_t *batch)
+{
+	jj_ms_t next = jj_job_table_next(batch);
+	const jj_held_chunk_t *chunk;
+
+	TAILQ_FOREACH(chunk, &batch->chunks, link)
+	{
+		jj_ms_t at = jj_held_chunk_next(batch, chunk);
+
+		if (at < next)
+			next = at;
+	}
+	/* What is due already was dealt with in this round: it waits for an
+	 * event such as room, not for the clock. */
+	return next > batch->now_ms ? next : batch->now_ms + 1;
+}
+
+void
+jj_batch_leave(jj_batch_t *batch, jj_ms_t now, jj_actions_t *out)
+{
+	jj_held_chunk_t *chunk;
+
+	batch->leaving = true;
+	TAILQ_FOREACH(chunk, &batch->chunks, link)
+	jj_held_chunk_leave(batch, chunk, out);
+	run_round(batch, now, out);
+}
+
+bool
+jj_batch_is_idle(const jj_batch_t *batch)
+{
+	return TAILQ_EMPTY(&batch->chunks);
+}
+
+jj_batch_counts_t
+jj_batch_counts(const jj_batch_t *batch)
+{
+	jj_batch_counts_t counts = batch->counts;
+	const jj_held_chunk_t *chunk;
+
+	TAILQ_FOREACH(chunk, &batch->chunks, link)
+	{
+		counts.chunks_held++;
+		counts.items_running += chunk->running;
+	}
+	return counts;
+}
+
+jj_platform_call_t *
+jj_batch_call(
+    jj_batch_t *batch, jj_actions_t *out, jj_platform_op_t op, uint64_t *token)
+{
+	*token = TOKEN_BIT | ++batch->next_token;
+	return jj_actions_add_platform(out, JJ_OWNER_BATCH, op, *token);
+}
+
+jj_ms_t
+jj_batch_backoff(
+    jj_batch_t *batch, uint32_t failures, jj_ms_t at_least_ms, jj_ms_t now)
+{
+	uint32_t doublings = failures > 0 ? failures - 1 : 0;
+	jj_ms_t wait;
+
+	if (doublings > BACKOFF_DOUBLINGS)
+		doublings = BACKOFF_DOUBLINGS;
+	wait = batch->settings.retry_ms << doublings;
+	if (wait < at_least_ms)
+		wait = at_least_ms;
+	wait += (jj_ms_t)(jj_operations_next(&batch->operations) %
+	    (uint64_t)(wait / 4 + 1));
+	return now + wait;
+}
+
+static void
+run_round(jj_batch_t *batch, jj_ms_t now, jj_actions_t *out)
+{
+	jj_held_chunk_t *chunk;
+
+	batch->now_ms = now;
+	TAILQ_FOREACH(chunk, &batch->chunks, link)
+	{
+		jj_held_chunk_step(batch, chunk, now, out);
+		jj_held_chunk_offer(batch, chunk, now, out);
+	}
+	sweep_chunks(batch);
+	take_chunks(batch, now, out);
+	jj_job_table_step(batch, now, out);
+	jj_job_table_sweep(&batch->jobs);
+}
+
+static void
+take_chunks(jj_batch_t *batch, jj_ms_t now, jj_actions_t *out)
+{
+	while (has_place(batch, now)) {
+		jj_chunk_choice_t choice = jj_job_table_choose(batch, now);
+		jj_held_chunk_t *chunk;
+
+		if (choice.job == NULL)
+			return;
+		chunk = jj_held_chunk_create(batch, &choice);
+		TAILQ_INSERT_TAIL(&batch->chunks, chunk, link);
+		jj_held_chunk_step(batch, chunk, now, out);
+	}
+}
+
+/*
+ * A chunk whose service takes nothing for now keeps its claim, but not the
+ * place of a chunk whose items could run.
+ */
+static bool
+has_place(const jj_batch_t *batch, jj_ms_t now)
+{
+	const jj_held_chunk_t *chunk;
+	uint32_t ready = 0;
+	uint32_t held = 0;
+	uint32_t all = 0;
+
+	TAILQ_FOREACH(chunk, &batch->chunks, link)
+	{
+		ready += jj_held_chunk_ready(chunk, now);
+		held += jj_held_chunk_is_stalled(chunk) ? 0 : 1;
+		all++;
+	}
+	return !batch->leaving && batch->room > ready &&
+	    held < batch->settings.chunks &&
+	    all < batch->settings.chunks * STALLED_FACTOR;
+}
+
+static void
+sweep_chunks(jj_batch_t *batch)
+{
+	jj_held_chunk_t *chunk;
+	jj_held_chunk_t *next;
+
+	for (chunk = TAILQ_FIRST(&batch->chunks); chunk != NULL; chunk = next) {
+		next = TAILQ_NEXT(chunk, link);
+		if (chunk->phase != JJ_PHASE_GONE)
+			continue;
+		TAILQ_REMOVE(&batch->chunks, chunk, link);
+		jj_held_chunk_destroy(chunk);
+	}
+}
+
+/* Splits `jobs/ID/REST`. */
+static bool
+split_key(const char *key, char id[JJ_OBJECT_ID_TEXT], const char **rest)
+{
+	const char *start = key + strlen("jobs/");
+	size_t size;
+
+	if (strncmp(key, "jobs/", strlen("jobs/")) != 0)
+		return false;
+	size = strcspn(start, "/");
+	if (size == 0 || size >= JJ_OBJECT_ID_TEXT || start[size] != '/')
+		return false;
+	memcpy(id, start, size);
+	id[size] = '\0';
+	*rest = start + size + 1;
+	return true;
+}
+
+/* `chunk/N` or `out/N` was written. */
+static void
+take_chunk_change(
+    jj_known_job_t *known, const char *rest, uint64_t version, jj_ms_t now)
+{
+	const char *number = strchr(rest, '/');
+	uint32_t chunk;
+
+	if (number == NULL)
+		return;
+	chunk = (uint32_t)strtoul(number + 1, NULL, 10);
+	if (chunk >= known->job.part_count ||
+	    known->views[chunk] == JJ_VIEW_HELD ||
+	    known->views[chunk] == JJ_VIEW_OUT)
+		return;
+	if (strncmp(rest, "out/", strlen("out/")) == 0) {
+		jj_known_job_set_view(known, chunk, JJ_VIEW_OUT);
+		return;
+	}
+	jj_known_job_set_view(known, chunk, JJ_VIEW_CLAIMED);
+	(void)jj_known_job_see_claim(known, chunk, version, now);
+}
--- /dev/null
+++ b/src/core/batch_items.c
@@ -0,0 +1,427 @@
+/**
+ * @file batch_items.c
+ * @brief Items of a held chunk: loading, offering, ending.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/batch_worker.h"
+
+/** Runs turned away before an item is given up; hours, as waits double. */
+#define NOT_RUN_MAX 200
+/** Longest wait before an item's next run: item_retry_ms doubled so often. */
+#define ITEM_DOUBLINGS 6
+/** Items turned away so often make a chunk stalled. */
+#define STALLED_AFTER 3
+
+static uint32_t reserved_elsewhere(const jj_batch_t *, const jj_held_chunk_t *);
+static bool may_offer(const jj_batch_t *, const jj_held_chunk_t *, jj_ms_t);
+static bool is_idempotent(const jj_batch_t *, const jj_batch_item_t *);
+static void
+offer_item(jj_batch_t *, jj_held_chunk_t *, uint32_t, bool, jj_actions_t *);
+static void load_item(jj_batch_t *, jj_held_chunk_t *, uint32_t, json_t *);
+static const char *custom_id(const jj_batch_item_t *);
+static void
+end_with(jj_batch_t *, jj_held_chunk_t *, uint32_t, jj_item_result_t);
+static void end_run(jj_batch_t *, jj_held_chunk_t *, uint32_t,
+    jj_item_outcome_t, int, const jj_bytes_t *, jj_ms_t);
+static void
+end_done(jj_batch_t *, jj_held_chunk_t *, uint32_t, int, const jj_bytes_t *);
+static void end_broken(jj_batch_t *, jj_held_chunk_t *, uint32_t, jj_ms_t);
+static void end_not_run(jj_batch_t *, jj_held_chunk_t *, uint32_t, jj_ms_t);
+static void wait_for_next(jj_batch_t *, jj_batch_item_t *, uint32_t, jj_ms_t);
+
+bool
+jj_held_chunk_load(
+    jj_held_chunk_t *chunk, const jj_bytes_t *part, jj_batch_t *batch)
+{
+	json_t *document = json_loadb(part->data, part->size, 0, NULL);
+	json_t *lines = json_object_get(document, "items");
+	bool known = json_is_array(lines);
+	uint32_t i;
+
+	for (i = 0; known && i < chunk->count; i++)
+		load_item(batch, chunk, i, json_array_get(lines, i));
+	json_decref(document);
+	return known;
+}
+
+void
+jj_held_chunk_offer(
+    jj_batch_t *batch, jj_held_chunk_t *chunk, jj_ms_t now, jj_actions_t *out)
+{
+	uint32_t i;
+
+	if (!may_offer(batch, chunk, now))
+		return;
+	for (i = 0; i < chunk->count && batch->room > 0; i++) {
+		jj_batch_item_t *item = &chunk->items[i];
+		bool idempotent;
+
+		if (item->state != JJ_ITEM_OPEN || now < item->ready_at_ms)
+			continue;
+		idempotent = is_idempotent(batch, item);
+		if (idempotent || item->cleared)
+			offer_item(batch, chunk, i, idempotent, out);
+	}
+}
+
+/*
+ * A VM may be lost after it has sent a non-idempotent item: sent again by
+ * the next holder, it would book its pallets twice. So the item is recorded
+ * as started, in a confirmed write on the claim's own version, before it is
+ * offered. A holder that has lost its claim fails at that write, and the
+ * next holder sees the mark and never sends the item.
+ */
+uint32_t
+jj_held_chunk_mark(jj_batch_t *batch, jj_held_chunk_t *chunk, jj_ms_t now)
+{
+	uint32_t marked = 0;
+	uint32_t wanted = 0;
+	uint32_t reserved = reserved_elsewhere(batch, chunk);
+	uint32_t room;
+	uint32_t i;
+
+	if (batch->leaving || jj_known_job_is_cancelled(chunk->job))
+		return 0;
+	room = reserved < batch->room ? batch->room - reserved : 0;
+	for (i = 0; i < chunk->count && wanted < room; i++) {
+		jj_batch_item_t *item = &chunk->items[i];
+
+		if (item->state != JJ_ITEM_OPEN || now < item->ready_at_ms)
+			continue;
+		wanted++;
+		if (item->cleared || is_idempotent(batch, item))
+			continue;
+		item->state = JJ_ITEM_MARKING;
+		chunk->started[i] = true;
+		marked++;
+	}
+	return marked;
+}
+
+void
+jj_held_chunk_unmark(jj_held_chunk_t *chunk, bool confirmed)
+{
+	uint32_t i;
+
+	for (i = 0; i < chunk->count; i++) {
+		jj_batch_item_t *item = &chunk->items[i];
+
+		if (item->state != JJ_ITEM_MARKING)
+			continue;
+		item->state = JJ_ITEM_OPEN;
+		item->cleared = confirmed;
+		chunk->started[i] = confirmed;
+	}
+}
+
+bool
+jj_held_chunk_end_item(jj_batch_t *batch, jj_held_chunk_t *chunk, uint64_t run,
+    jj_item_outcome_t outcome, int status, const jj_bytes_t *body, jj_ms_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < chunk->count; i++) {
+		jj_batch_item_t *item = &chunk->items[i];
+
+		if (item->state != JJ_ITEM_RUNNING || item->run != run)
+			continue;
+		item->state = JJ_ITEM_OPEN;
+		chunk->running--;
+		end_run(batch, chunk, i, outcome, status, body, now);
+		return true;
+	}
+	return false;
+}
+
+void
+jj_held_chunk_cancel_items(
+    jj_batch_t *batch, jj_held_chunk_t *chunk, jj_actions_t *out)
+{
+	uint32_t i;
+
+	jj_held_chunk_stop_items(chunk, true, out);
+	chunk->must_confirm = true;
+	for (i = 0; i < chunk->count; i++) {
+		jj_batch_item_t *item = &chunk->items[i];
+		bool may_have_run =
+		    item->attempts > 0 || chunk->started[i] || chunk->takeover;
+
+		if (item->state == JJ_ITEM_ENDED)
+			continue;
+		end_with(batch, chunk, i,
+		    jj_result_error(custom_id(item), "cancelled",
+			"the job was cancelled",
+			may_have_run ? "unknown" : "not_run"));
+	}
+}
+
+void
+jj_held_chunk_stop_items(jj_held_chunk_t *chunk, bool all, jj_actions_t *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < chunk->count; i++) {
+		jj_batch_item_t *item = &chunk->items[i];
+		jj_action_t *action;
+
+		if (item->state != JJ_ITEM_RUNNING ||
+		    (!all && !item->idempotent))
+			continue;
+		action = jj_actions_add(out, JJ_ACTION_ITEM_CANCEL);
+		action->body.item.item = item->run;
+		item->state = JJ_ITEM_OPEN;
+		item->attempts++;
+		chunk->running--;
+	}
+}
+
+uint32_t
+jj_held_chunk_ready(const jj_held_chunk_t *chunk, jj_ms_t now)
+{
+	uint32_t ready = 0;
+	uint32_t i;
+
+	if (chunk->phase < JJ_PHASE_RUN)
+		return chunk->count;
+	for (i = 0; i < chunk->count; i++) {
+		const jj_batch_item_t *item = &chunk->items[i];
+
+		if (item->state == JJ_ITEM_MARKING ||
+		    (item->state == JJ_ITEM_OPEN && now >= item->ready_at_ms))
+			ready++;
+	}
+	return ready;
+}
+
+bool
+jj_held_chunk_is_stalled(const jj_held_chunk_t *chunk)
+{
+	uint32_t i;
+
+	if (chunk->phase < JJ_PHASE_RUN || chunk->running > 0 ||
+	    chunk->ended == chunk->count)
+		return false;
+	for (i = 0; i < chunk->count; i++) {
+		if (chunk->items[i].state != JJ_ITEM_ENDED &&
+		    chunk->items[i].not_run < STALLED_AFTER)
+			return false;
+	}
+	return true;
+}
+
+/* Items of other chunks that are recorded as started and not sent yet. */
+static uint32_t
+reserved_elsewhere(const jj_batch_t *batch, const jj_held_chunk_t *chunk)
+{
+	const jj_held_chunk_t *other;
+	uint32_t reserved = 0;
+	uint32_t i;
+
+	TAILQ_FOREACH(other, &batch->chunks, link)
+	{
+		for (i = 0; other != chunk && i < other->count; i++) {
+			const jj_batch_item_t *item = &other->items[i];
+
+			if (item->state == JJ_ITEM_MARKING ||
+			    (item->state == JJ_ITEM_OPEN && item->cleared))
+				reserved++;
+		}
+	}
+	return reserved;
+}
+
+/*
+ * A holder that was frozen past its lease may have lost the chunk without
+ * knowing it, and would start work that another does already: it starts
+ * nothing until its next write is confirmed. While the platform cannot be
+ * reached nobody can take the chunk over, so idempotent items go on.
+ */
+static bool
+may_offer(const jj_batch_t *batch, const jj_held_chunk_t *chunk, jj_ms_t now)
+{
+	if (chunk->phase != JJ_PHASE_RUN && chunk->phase != JJ_PHASE_CHECK_JOB)
+		return false;
+	if (batch->leaving || jj_known_job_is_cancelled(chunk->job))
+		return false;
+	return now < chunk->lease_until_ms || chunk->unreachable;
+}
+
+static bool
+is_idempotent(const jj_batch_t *batch, const jj_batch_item_t *item)
+{
+	return batch->is_idempotent != NULL &&
+	    batch->is_idempotent(
+		batch->idempotent_ctx, item->line.service.text);
+}
+
+static void
+offer_item(jj_batch_t *batch, jj_held_chunk_t *chunk, uint32_t index,
+    bool idempotent, jj_actions_t *out)
+{
+	jj_batch_item_t *item = &chunk->items[index];
+	jj_action_t *action = jj_actions_add(out, JJ_ACTION_ITEM_READY);
+	const jj_batch_line_t *line = &item->line;
+
+	if (item->offered)
+		batch->counts.items_rerun++;
+	item->state = JJ_ITEM_RUNNING;
+	item->idempotent = idempotent;
+	item->offered = true;
+	item->run = ++batch->next_item;
+	chunk->running++;
+	batch->room--;
+	action->body.item.item = item->run;
+	action->body.item.service = line->service;
+	action->body.item.team = chunk->job->job.team;
+	action->body.item.fingerprint = line->fingerprint;
+	action->body.item.idempotent = idempotent;
+	action->body.item.due_ms = chunk->job->due_at_ms;
+	action->body.item.body =
+	    jj_bytes_copy(line->body.data, line->body.size);
+	action->body.item.path =
+	    jj_bytes_copy(line->path.data, line->path.size);
+}
+
+static void
+load_item(
+    jj_batch_t *batch, jj_held_chunk_t *chunk, uint32_t index, json_t *text)
+{
+	jj_batch_item_t *item = &chunk->items[index];
+	const char *line = json_string_value(text);
+	bool known = jj_batch_line_decode(
+	    &item->line, line != NULL ? line : "", &chunk->job->job.service);
+
+	if (item->state == JJ_ITEM_ENDED)
+		return;
+	if (chunk->started[index])
+		end_with(batch, chunk, index,
+		    jj_result_error(custom_id(item), "outcome_unknown",
+			"it may have been sent before its worker was lost",
+			"unknown"));
+	else if (!known)
+		end_with(batch, chunk, index,
+		    jj_result_error(custom_id(item), "invalid_line",
+			"the line names no service or has no body", "not_run"));
+}
+
+static const char *
+custom_id(const jj_batch_item_t *item)
+{
+	const char *id = item->line.custom_id.data;
+
+	return id != NULL ? id : "";
+}
+
+static void
+end_with(jj_batch_t *batch, jj_held_chunk_t *chunk, uint32_t index,
+    jj_item_result_t result)
+{
+	chunk->items[index].state = JJ_ITEM_ENDED;
+	chunk->results[index] = result;
+	chunk->ended++;
+	if (result.kind == JJ_RESULT_DONE)
+		batch->counts.items_done++;
+	else
+		batch->counts.items_failed++;
+}
+
+static void
+end_run(jj_batch_t *batch, jj_held_chunk_t *chunk, uint32_t index,
+    jj_item_outcome_t outcome, int status, const jj_bytes_t *body, jj_ms_t now)
+{
+	jj_batch_item_t *item = &chunk->items[index];
+
+	switch (outcome) {
+	case JJ_ITEM_DONE:
+		end_done(batch, chunk, index, status, body);
+		break;
+	case JJ_ITEM_REFUSED:
+		end_with(batch, chunk, index,
+		    jj_result_error(custom_id(item), "refused",
+			body != NULL && body->data != NULL ? body->data : "",
+			"unknown"));
+		break;
+	case JJ_ITEM_POISON:
+		end_with(batch, chunk, index,
+		    jj_result_error(custom_id(item), "quarantined",
+			"it crashes backend servers", "unknown"));
+		break;
+	case JJ_ITEM_NOT_RUN:
+		end_not_run(batch, chunk, index, now);
+		break;
+	case JJ_ITEM_WITHDRAWN:
+		/* A withdrawn run may have begun: only an idempotent item
+		 * may run again. */
+		if (!item->idempotent)
+			end_broken(batch, chunk, index, now);
+		else
+			wait_for_next(batch, item, 0, now);
+		break;
+	default:
+		end_broken(batch, chunk, index, now);
+		break;
+	}
+}
+
+static void
+end_done(jj_batch_t *batch, jj_held_chunk_t *chunk, uint32_t index, int status,
+    const jj_bytes_t *body)
+{
+	char request_id[64];
+
+	(void)snprintf(request_id, sizeof(request_id), "%s-%06u-%u",
+	    chunk->job->job.id, chunk->number, index);
+	end_with(batch, chunk, index,
+	    jj_result_answered(
+		custom_id(&chunk->items[index]), request_id, status, body));
+}
+
+static void
+end_broken(
+    jj_batch_t *batch, jj_held_chunk_t *chunk, uint32_t index, jj_ms_t now)
+{
+	jj_batch_item_t *item = &chunk->items[index];
+
+	item->attempts++;
+	if (!item->idempotent)
+		end_with(batch, chunk, index,
+		    jj_result_error(custom_id(item), "outcome_unknown",
+			"the run broke and may not be repeated", "unknown"));
+	else if (item->attempts >= batch->settings.item_attempts)
+		end_with(batch, chunk, index,
+		    jj_result_error(custom_id(item), "attempts_used_up",
+			"each run broke", "unknown"));
+	else
+		wait_for_next(batch, item, item->attempts - 1, now);
+}
+
+static void
+end_not_run(
+    jj_batch_t *batch, jj_held_chunk_t *chunk, uint32_t index, jj_ms_t now)
+{
+	jj_batch_item_t *item = &chunk->items[index];
+
+	if (++item->not_run >= NOT_RUN_MAX)
+		end_with(batch, chunk, index,
+		    jj_result_error(custom_id(item), "not_accepted",
+			"no backend server took it", "unknown"));
+	else
+		wait_for_next(batch, item, item->not_run - 1, now);
+}
+
+static void
+wait_for_next(
+    jj_batch_t *batch, jj_batch_item_t *item, uint32_t doublings, jj_ms_t now)
+{
+	jj_ms_t wait;
+
+	if (doublings > ITEM_DOUBLINGS)
+		doublings = ITEM_DOUBLINGS;
+	wait = batch->settings.item_retry_ms << doublings;
+	wait += (jj_ms_t)(jj_operations_next(&batch->operations) %
+	    (uint64_t)(wait / 4 + 1));
+	item->ready_at_ms = now + wait;
+}
--- /dev/null
+++ b/src/core/batch_jobs.c
@@ -0,0 +1,410 @@
+/**
+ * @file batch_jobs.c
+ * @brief Table of known jobs, views of their chunks, choice of the next.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/batch_worker.h"
+
+/** Least time between two looks at claims that have changed. */
+#define PROBE_MS 250
+
+static uint64_t id_hash(const char *);
+static void known_job_destroy(jj_job_table_t *, jj_known_job_t *);
+static void insert_in_due_order(jj_job_table_t *, jj_known_job_t *);
+static bool is_due_before(const jj_known_job_t *, const jj_known_job_t *);
+static void load_views(jj_known_job_t *);
+static void remove_claim(jj_known_job_t *, uint32_t);
+static bool choose_open(jj_batch_t *, jj_known_job_t *, jj_chunk_choice_t *);
+static bool
+choose_claimed(jj_batch_t *, jj_known_job_t *, jj_ms_t, jj_chunk_choice_t *);
+static void tell_chunks(jj_batch_t *, jj_known_job_t *, jj_actions_t *);
+
+void
+jj_job_table_create(jj_job_table_t *table)
+{
+	memset(table, 0, sizeof(*table));
+	TAILQ_INIT(&table->list);
+}
+
+void
+jj_job_table_destroy(jj_job_table_t *table)
+{
+	jj_known_job_t *known;
+
+	while ((known = TAILQ_FIRST(&table->list)) != NULL)
+		known_job_destroy(table, known);
+}
+
+jj_known_job_t *
+jj_job_table_find(jj_job_table_t *table, const char *id)
+{
+	jj_known_job_t *known;
+
+	TAILQ_FOREACH(known, &table->list, link)
+	{
+		if (strcmp(known->job.id, id) == 0)
+			return known;
+	}
+	return NULL;
+}
+
+void
+jj_job_table_learn(jj_job_table_t *table, const char *id)
+{
+	uint64_t hash = id_hash(id);
+	jj_known_job_t *known;
+
+	if (table->ended[hash % JJ_ENDED_JOBS] == hash)
+		return;
+	if (table->count >= JJ_KNOWN_JOBS_MAX ||
+	    jj_job_table_find(table, id) != NULL)
+		return;
+	known = jj_alloc(sizeof(*known));
+	(void)snprintf(known->job.id, sizeof(known->job.id), "%s", id);
+	LIST_INIT(&known->claims);
+	known->step = JJ_STEP_READ;
+	TAILQ_INSERT_TAIL(&table->list, known, link);
+	table->count++;
+}
+
+void
+jj_job_table_sweep(jj_job_table_t *table)
+{
+	jj_known_job_t *known;
+	jj_known_job_t *next;
+
+	for (known = TAILQ_FIRST(&table->list); known != NULL; known = next) {
+		next = TAILQ_NEXT(known, link);
+		if (known->held_count > 0)
+			continue;
+		/* One that could not be read is found again by a listing. */
+		if (known->loaded ? !jj_known_job_has_ended(known)
+				  : known->step != JJ_STEP_REST)
+			continue;
+		known_job_destroy(table, known);
+	}
+}
+
+void
+jj_job_table_bury(jj_job_table_t *table, const char *writer)
+{
+	char *slot = table->dead[table->dead_next % JJ_DEAD_WRITERS];
+
+	if (jj_job_table_is_dead(table, writer))
+		return;
+	(void)snprintf(slot, JJ_WRITER_TEXT, "%s", writer);
+	table->dead_next++;
+}
+
+bool
+jj_job_table_is_dead(const jj_job_table_t *table, const char *writer)
+{
+	int i;
+
+	for (i = 0; i < JJ_DEAD_WRITERS; i++) {
+		if (writer[0] != '\0' && strcmp(table->dead[i], writer) == 0)
+			return true;
+	}
+	return false;
+}
+
+jj_chunk_choice_t
+jj_job_table_choose(jj_batch_t *batch, jj_ms_t now)
+{
+	jj_chunk_choice_t choice = {0};
+	jj_known_job_t *known;
+
+	TAILQ_FOREACH(known, &batch->jobs.list, link)
+	{
+		if (!known->loaded)
+			continue;
+		if (known->refreshed_ms == 0) {
+			known->wants_refresh = true;
+			break;
+		}
+		if (choose_open(batch, known, &choice))
+			break;
+		if (choose_claimed(batch, known, now, &choice))
+			break;
+	}
+	return choice;
+}
+
+bool
+jj_known_job_is_cancelled(const jj_known_job_t *known)
+{
+	return known->job.state == JJ_JOB_CANCELLING ||
+	    known->job.state == JJ_JOB_CANCELLED;
+}
+
+bool
+jj_known_job_has_ended(const jj_known_job_t *known)
+{
+	const jj_job_t *job = &known->job;
+
+	if (job->state == JJ_JOB_CANCELLED)
+		return job->done + job->failed + job->cancelled_items ==
+		    job->items;
+	return job->state == JJ_JOB_COMPLETED;
+}
+
+bool
+jj_known_job_update(jj_batch_t *batch, jj_known_job_t *known,
+    const jj_bytes_t *value, uint64_t version, jj_ms_t now, jj_actions_t *out)
+{
+	jj_job_t job = {0};
+
+	if (known->loaded && version <= known->job.version)
+		return true;
+	if (!jj_job_decode(&job, value, version))
+		return false;
+	if (strcmp(job.id, known->job.id) != 0) {
+		jj_job_clear(&job);
+		return false;
+	}
+	jj_job_clear(&known->job);
+	known->job = job;
+	if (!known->loaded) {
+		known->loaded = true;
+		known->due_at_ms = now + job.due_after_ms;
+		load_views(known);
+		insert_in_due_order(&batch->jobs, known);
+	}
+	if (known->job.state != JJ_JOB_RUNNING)
+		tell_chunks(batch, known, out);
+	return true;
+}
+
+void
+jj_known_job_set_view(
+    jj_known_job_t *known, uint32_t chunk, jj_chunk_view_t view)
+{
+	uint32_t *counts[] = {&known->open_count, &known->claimed_count,
+	    &known->held_count, NULL};
+	uint32_t *before;
+
+	if (chunk >= known->job.part_count)
+		return;
+	before = counts[known->views[chunk]];
+	if (before != NULL)
+		(*before)--;
+	known->views[chunk] = (uint8_t)view;
+	if (counts[view] != NULL)
+		(*counts[view])++;
+	if (view != JJ_VIEW_CLAIMED && view != JJ_VIEW_HELD)
+		remove_claim(known, chunk);
+}
+
+jj_seen_claim_t *
+jj_known_job_find_claim(jj_known_job_t *known, uint32_t chunk)
+{
+	jj_seen_claim_t *claim;
+
+	LIST_FOREACH(claim, &known->claims, link)
+	{
+		if (claim->chunk == chunk)
+			return claim;
+	}
+	return NULL;
+}
+
+jj_seen_claim_t *
+jj_known_job_see_claim(
+    jj_known_job_t *known, uint32_t chunk, uint64_t version, jj_ms_t now)
+{
+	jj_seen_claim_t *claim = jj_known_job_find_claim(known, chunk);
+
+	if (claim == NULL) {
+		claim = jj_alloc(sizeof(*claim));
+		claim->chunk = chunk;
+		LIST_INSERT_HEAD(&known->claims, claim, link);
+	}
+	if (version <= claim->version)
+		return claim;
+	claim->version = version;
+	claim->seen_ms = now;
+	claim->changed = true;
+	claim->released = false;
+	return claim;
+}
+
+jj_seen_claim_t *
+jj_known_job_read_claim(jj_known_job_t *known, uint32_t chunk,
+    const jj_chunk_record_t *record, jj_ms_t now)
+{
+	jj_seen_claim_t *claim =
+	    jj_known_job_see_claim(known, chunk, record->version, now);
+
+	if (claim->version != record->version)
+		return claim;
+	claim->changed = false;
+	claim->released = record->state == JJ_CHUNK_RELEASED;
+	claim->lease_ms = record->lease_ms;
+	memcpy(claim->holder, record->holder, sizeof(claim->holder));
+	return claim;
+}
+
+bool
+jj_seen_claim_has_lapsed(
+    const jj_batch_t *batch, const jj_seen_claim_t *claim, jj_ms_t now)
+{
+	jj_ms_t lease_ms = claim->lease_ms;
+
+	if (claim->released ||
+	    jj_job_table_is_dead(&batch->jobs, claim->holder))
+		return true;
+	if (lease_ms == 0)
+		lease_ms = batch->settings.lease_ms;
+	return now - claim->seen_ms >= lease_ms + batch->settings.margin_ms;
+}
+
+static uint64_t
+id_hash(const char *id)
+{
+	return jj_hash_bytes(id, strlen(id), 1);
+}
+
+static void
+known_job_destroy(jj_job_table_t *table, jj_known_job_t *known)
+{
+	jj_seen_claim_t *claim;
+	uint64_t hash = id_hash(known->job.id);
+
+	if (known->loaded)
+		table->ended[hash % JJ_ENDED_JOBS] = hash;
+	while ((claim = LIST_FIRST(&known->claims)) != NULL) {
+		LIST_REMOVE(claim, link);
+		free(claim);
+	}
+	TAILQ_REMOVE(&table->list, known, link);
+	table->count--;
+	jj_job_clear(&known->job);
+	free(known->views);
+	free(known);
+}
+
+static void
+insert_in_due_order(jj_job_table_t *table, jj_known_job_t *known)
+{
+	jj_known_job_t *other;
+
+	TAILQ_REMOVE(&table->list, known, link);
+	TAILQ_FOREACH(other, &table->list, link)
+	{
+		if (!other->loaded || is_due_before(known, other))
+			break;
+	}
+	if (other != NULL)
+		TAILQ_INSERT_BEFORE(other, known, link);
+	else
+		TAILQ_INSERT_TAIL(&table->list, known, link);
+}
+
+static bool
+is_due_before(const jj_known_job_t *a, const jj_known_job_t *b)
+{
+	int64_t due_a = a->job.submitted_at * 1000 + a->job.due_after_ms;
+	int64_t due_b = b->job.submitted_at * 1000 + b->job.due_after_ms;
+
+	if (due_a != due_b)
+		return due_a < due_b;
+	return strcmp(a->job.id, b->job.id) < 0;
+}
+
+static void
+load_views(jj_known_job_t *known)
+{
+	known->views = jj_alloc(known->job.part_count + 1);
+	known->open_count = known->job.part_count;
+}
+
+static void
+remove_claim(jj_known_job_t *known, uint32_t chunk)
+{
+	jj_seen_claim_t *claim = jj_known_job_find_claim(known, chunk);
+
+	if (claim == NULL)
+		return;
+	LIST_REMOVE(claim, link);
+	free(claim);
+}
+
+/*
+ * Workers begin at different chunks: each takes the one that weighs most
+ * for its own name, so that many idle VMs do not race for the same claim.
+ */
+static bool
+choose_open(jj_batch_t *batch, jj_known_job_t *known, jj_chunk_choice_t *choice)
+{
+	uint64_t job = id_hash(known->job.id);
+	uint64_t best = 0;
+	uint32_t i;
+
+	if (known->open_count == 0 || known->job.state != JJ_JOB_RUNNING)
+		return false;
+	for (i = 0; i < known->job.part_count; i++) {
+		uint64_t weight;
+
+		if (known->views[i] != JJ_VIEW_OPEN)
+			continue;
+		weight =
+		    jj_rendezvous_weight(batch->settings.name.text, job + i);
+		if (choice->job != NULL && weight <= best)
+			continue;
+		choice->job = known;
+		choice->chunk = i;
+		best = weight;
+	}
+	return choice->job != NULL;
+}
+
+/*
+ * Claims that have lapsed; and, one each PROBE_MS, those whose record was
+ * never read or has changed: only the record tells that its holder is dead
+ * or has released it.
+ */
+static bool
+choose_claimed(jj_batch_t *batch, jj_known_job_t *known, jj_ms_t now,
+    jj_chunk_choice_t *choice)
+{
+	jj_seen_claim_t *claim;
+
+	LIST_FOREACH(claim, &known->claims, link)
+	{
+		bool lapsed;
+
+		if (known->views[claim->chunk] != JJ_VIEW_CLAIMED)
+			continue;
+		lapsed = jj_seen_claim_has_lapsed(batch, claim, now);
+		if (!lapsed &&
+		    (!claim->changed || now < batch->jobs.probe_at_ms))
+			continue;
+		if (!lapsed)
+			batch->jobs.probe_at_ms = now + PROBE_MS;
+		choice->job = known;
+		choice->chunk = claim->chunk;
+		choice->has_record = true;
+		return true;
+	}
+	return false;
+}
+
+/* A job that no longer runs stops the items held here. */
+static void
+tell_chunks(jj_batch_t *batch, jj_known_job_t *known, jj_actions_t *out)
+{
+	jj_held_chunk_t *chunk;
+
+	TAILQ_FOREACH(chunk, &batch->chunks, link)
+	{
+		if (chunk->job != known)
+			continue;
+		if (known->job.state == JJ_JOB_COMPLETED)
+			jj_held_chunk_lose(batch, chunk, out);
+		else
+			jj_held_chunk_cancel(batch, chunk, out);
+	}
+}
--- /dev/null
+++ b/src/core/calls.c
@@ -0,0 +1,353 @@
+/**
+ * @file calls.c
+ * @brief Non-idempotent calls on their way from the entry VM to their home.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "core/calls.h"
+
+/** One call that waits for its home's word. */
+typedef struct waiting {
+	TAILQ_ENTRY(waiting) link;
+	uint64_t number; /**< of this call in messages */
+	uint64_t operation; /**< of the caller; 0 when relayed */
+	jj_name_t asker; /**< VM it is relayed for, or empty */
+	uint64_t asker_call;
+	jj_name_t domain; /**< of the key */
+	jj_name_t sent_to; /**< empty: never left this VM */
+	jj_incarnation_t sent_to_incarnation;
+	jj_call_t call; /**< owned copy */
+	jj_ms_t deadline_ms;
+	jj_ms_t resend_ms;
+} waiting_t;
+
+struct jj_calls {
+	jj_calls_settings_t settings;
+	jj_ledger_t *ledger;
+	const jj_member_t *member;
+	uint64_t last_number;
+	TAILQ_HEAD(, waiting) waiting;
+};
+
+static void copy_call(jj_call_t *, const jj_call_t *);
+static waiting_t *
+add_waiting(jj_calls_t *, const jj_call_t *, const jj_name_t *, jj_ms_t);
+static void forward(jj_calls_t *, waiting_t *, jj_ms_t, jj_actions_t *);
+static bool choose_next_vm(const jj_calls_t *, const waiting_t *, jj_name_t *);
+static void send_call(jj_calls_t *, waiting_t *, jj_ms_t, jj_actions_t *);
+static void end_waiting(
+    jj_calls_t *, waiting_t *, const jj_call_answer_t *, jj_actions_t *);
+static void refuse(jj_calls_t *, waiting_t *, jj_actions_t *);
+static bool target_is_gone(const jj_calls_t *, const waiting_t *);
+static waiting_t *find_relayed(jj_calls_t *, const jj_name_t *, uint64_t);
+
+jj_calls_t *
+jj_calls_create(const jj_calls_settings_t *settings, jj_ledger_t *ledger,
+    const jj_member_t *member)
+{
+	jj_calls_t *calls = jj_alloc(sizeof(*calls));
+
+	calls->settings = *settings;
+	calls->ledger = ledger;
+	calls->member = member;
+	TAILQ_INIT(&calls->waiting);
+	return calls;
+}
+
+void
+jj_calls_destroy(jj_calls_t *calls)
+{
+	waiting_t *waiting;
+
+	if (calls == NULL)
+		return;
+	while ((waiting = TAILQ_FIRST(&calls->waiting)) != NULL) {
+		TAILQ_REMOVE(&calls->waiting, waiting, link);
+		jj_bytes_free(&waiting->call.path);
+		jj_bytes_free(&waiting->call.body);
+		free(waiting);
+	}
+	free(calls);
+}
+
+bool
+jj_calls_domain(const jj_service_t *service, const char *key, jj_name_t *domain)
+{
+	uint64_t item = jj_hash_bytes(key, strlen(key), 0);
+	uint64_t best = 0;
+	uint64_t weight;
+	size_t length;
+	uint32_t i;
+
+	for (i = 0; i < service->key_domain_count; i++) {
+		length = strlen(service->key_domains[i]);
+		if (strncmp(key, service->key_domains[i], length) == 0 &&
+		    key[length] == '/')
+			return jj_name_set(domain, service->key_domains[i]);
+	}
+	for (i = 0; i < service->key_domain_count; i++) {
+		weight = jj_rendezvous_weight(service->key_domains[i], item);
+		if (i > 0 && weight <= best)
+			continue;
+		best = weight;
+		(void)jj_name_set(domain, service->key_domains[i]);
+	}
+	return service->key_domain_count > 0;
+}
+
+void
+jj_calls_begin(jj_calls_t *calls, uint64_t operation,
+    const jj_service_t *service, const jj_call_t *call, jj_ms_t now,
+    jj_actions_t *out)
+{
+	waiting_t *waiting;
+	jj_name_t domain;
+	jj_name_t home;
+
+	if (!jj_calls_domain(service, call->key_text, &domain))
+		domain = calls->settings.domain;
+	if (jj_name_equal(&domain, &calls->settings.domain) &&
+	    jj_ledger_home(calls->ledger, &call->key, &home) &&
+	    jj_name_equal(&home, &calls->settings.name)) {
+		jj_ledger_begin(calls->ledger, operation, NULL, call, now, out);
+		return;
+	}
+	waiting = add_waiting(calls, call, &domain, now);
+	waiting->operation = operation;
+	forward(calls, waiting, now, out);
+}
+
+void
+jj_calls_take_call(jj_calls_t *calls, const jj_message_t *message,
+    const jj_service_t *service, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_call_t *call = &message->body.call;
+	const jj_member_info_t *from;
+	waiting_t *waiting;
+	jj_name_t domain;
+	jj_name_t home;
+	bool is_home;
+
+	if (service == NULL ||
+	    !jj_calls_domain(service, call->key_text, &domain) ||
+	    !jj_name_equal(&domain, &calls->settings.domain))
+		return;
+	is_home = jj_ledger_home(calls->ledger, &call->key, &home) &&
+	    jj_name_equal(&home, &calls->settings.name);
+	from = jj_member_find(calls->member, &message->from);
+	/*
+	 * Within the domain a call makes one hop only: two VMs with tables of
+	 * different age must not pass it to and fro. The ledger answers for a
+	 * slot that is not its own.
+	 */
+	if (is_home ||
+	    (from != NULL &&
+		jj_name_equal(&from->domain, &calls->settings.domain))) {
+		jj_ledger_begin(
+		    calls->ledger, call->call, &message->from, call, now, out);
+		return;
+	}
+	if (find_relayed(calls, &message->from, call->call) != NULL)
+		return;
+	waiting = add_waiting(calls, call, &domain, now);
+	waiting->asker = message->from;
+	waiting->asker_call = call->call;
+	forward(calls, waiting, now, out);
+}
+
+void
+jj_calls_take_answer(
+    jj_calls_t *calls, const jj_message_t *message, jj_actions_t *out)
+{
+	const jj_call_answer_t *answer = &message->body.call_answer;
+	waiting_t *waiting;
+
+	TAILQ_FOREACH(waiting, &calls->waiting, link)
+	{
+		if (waiting->number == answer->call) {
+			end_waiting(calls, waiting, answer, out);
+			return;
+		}
+	}
+}
+
+void
+jj_calls_tick(jj_calls_t *calls, jj_ms_t now, jj_actions_t *out)
+{
+	waiting_t *waiting;
+	waiting_t *next;
+
+	for (waiting = TAILQ_FIRST(&calls->waiting); waiting != NULL;
+	     waiting = next) {
+		next = TAILQ_NEXT(waiting, link);
+		if (now >= waiting->deadline_ms ||
+		    target_is_gone(calls, waiting))
+			refuse(calls, waiting, out);
+		else if (now >= waiting->resend_ms)
+			forward(calls, waiting, now, out);
+	}
+}
+
+jj_ms_t
+jj_calls_next(const jj_calls_t *calls)
+{
+	const waiting_t *waiting;
+	jj_ms_t next = JJ_MS_NEVER;
+
+	TAILQ_FOREACH(waiting, &calls->waiting, link)
+	{
+		if (waiting->deadline_ms < next)
+			next = waiting->deadline_ms;
+		if (waiting->resend_ms < next)
+			next = waiting->resend_ms;
+	}
+	return next;
+}
+
+bool
+jj_calls_is_idle(const jj_calls_t *calls)
+{
+	return TAILQ_EMPTY(&calls->waiting);
+}
+
+static void
+copy_call(jj_call_t *copy, const jj_call_t *call)
+{
+	*copy = *call;
+	copy->path = jj_bytes_copy(call->path.data, call->path.size);
+	copy->body = jj_bytes_copy(call->body.data, call->body.size);
+}
+
+static waiting_t *
+add_waiting(jj_calls_t *calls, const jj_call_t *call, const jj_name_t *domain,
+    jj_ms_t now)
+{
+	waiting_t *waiting = jj_alloc(sizeof(*waiting));
+
+	copy_call(&waiting->call, call);
+	waiting->number = ++calls->last_number;
+	waiting->domain = *domain;
+	waiting->deadline_ms = now + call->budget_ms;
+	TAILQ_INSERT_TAIL(&calls->waiting, waiting, link);
+	return waiting;
+}
+
+static void
+forward(jj_calls_t *calls, waiting_t *waiting, jj_ms_t now, jj_actions_t *out)
+{
+	jj_name_t target;
+	const jj_member_info_t *info;
+
+	if (!choose_next_vm(calls, waiting, &target)) {
+		refuse(calls, waiting, out);
+		return;
+	}
+	info = jj_member_find(calls->member, &target);
+	waiting->sent_to = target;
+	waiting->sent_to_incarnation = info != NULL ? info->incarnation : 0;
+	send_call(calls, waiting, now, out);
+}
+
+/** The home in the own domain, any live VM in another one. */
+static bool
+choose_next_vm(
+    const jj_calls_t *calls, const waiting_t *waiting, jj_name_t *target)
+{
+	if (jj_name_equal(&waiting->domain, &calls->settings.domain))
+		return jj_ledger_home(
+			   calls->ledger, &waiting->call.key, target) &&
+		    !jj_name_equal(target, &calls->settings.name) &&
+		    jj_member_is_live(calls->member, target);
+	if (!jj_name_is_empty(&waiting->sent_to) &&
+	    jj_member_is_live(calls->member, &waiting->sent_to)) {
+		*target = waiting->sent_to;
+		return true;
+	}
+	return jj_member_choose(
+	    calls->member, &waiting->domain, waiting->call.key.low, target);
+}
+
+static void
+send_call(jj_calls_t *calls, waiting_t *waiting, jj_ms_t now, jj_actions_t *out)
+{
+	jj_message_t *message =
+	    jj_actions_add_message(out, &waiting->sent_to, JJ_MESSAGE_CALL);
+
+	copy_call(&message->body.call, &waiting->call);
+	message->body.call.call = waiting->number;
+	message->body.call.budget_ms = waiting->deadline_ms - now;
+	waiting->resend_ms = now + calls->settings.resend_ms;
+}
+
+/**
+ * Ends a call that got no word from its home. Once it was sent to another
+ * VM it may have run there: only "unknown" is true then. The caller may
+ * resend under the same key; the home knows what became of it.
+ */
+static void
+refuse(jj_calls_t *calls, waiting_t *waiting, jj_actions_t *out)
+{
+	jj_call_answer_t answer = {0};
+
+	answer.outcome = jj_name_is_empty(&waiting->sent_to)
+	    ? JJ_CALL_NO_HISTORY
+	    : JJ_CALL_UNKNOWN;
+	answer.retry_after_ms = calls->settings.retry_after_ms;
+	end_waiting(calls, waiting, &answer, out);
+}
+
+/** True when the process that had the call is dead or was replaced. */
+static bool
+target_is_gone(const jj_calls_t *calls, const waiting_t *waiting)
+{
+	const jj_member_info_t *info;
+
+	if (jj_name_is_empty(&waiting->sent_to))
+		return false;
+	info = jj_member_find(calls->member, &waiting->sent_to);
+	return info == NULL || !info->live ||
+	    info->incarnation != waiting->sent_to_incarnation;
+}
+
+static void
+end_waiting(jj_calls_t *calls, waiting_t *waiting,
+    const jj_call_answer_t *answer, jj_actions_t *out)
+{
+	jj_message_t *message;
+	jj_action_t *action;
+
+	if (jj_name_is_empty(&waiting->asker)) {
+		action = jj_actions_add(out, JJ_ACTION_CALL_ANSWER);
+		action->body.call.call = waiting->operation;
+		action->body.call.answer = *answer;
+		action->body.call.answer.body =
+		    jj_bytes_copy(answer->body.data, answer->body.size);
+	} else {
+		message = jj_actions_add_message(
+		    out, &waiting->asker, JJ_MESSAGE_CALL_ANSWER);
+		message->body.call_answer = *answer;
+		message->body.call_answer.call = waiting->asker_call;
+		message->body.call_answer.body =
+		    jj_bytes_copy(answer->body.data, answer->body.size);
+	}
+	TAILQ_REMOVE(&calls->waiting, waiting, link);
+	jj_bytes_free(&waiting->call.path);
+	jj_bytes_free(&waiting->call.body);
+	free(waiting);
+}
+
+static waiting_t *
+find_relayed(jj_calls_t *calls, const jj_name_t *asker, uint64_t number)
+{
+	waiting_t *waiting;
+
+	TAILQ_FOREACH(waiting, &calls->waiting, link)
+	{
+		if (waiting->asker_call == number &&
+		    jj_name_equal(&waiting->asker, asker))
+			return waiting;
+	}
+	return NULL;
+}
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -25,6 +25,13 @@
 	JJ_SERVICE_PLAIN,
 } jj_service_kind_t;
 
+/** What a service's model engines shall have loaded; empty: no wish. */
+typedef struct {
+	char model[JJ_NAME_MAX + 1];
+	char version[JJ_NAME_MAX + 1];
+	char role[JJ_NAME_MAX + 1];
+} jj_model_wish_t;
+
 /** One service as the configuration decides it; plain to read. */
 typedef struct {
 	jj_name_t name;
@@ -38,6 +45,7 @@
 	uint32_t server_slots; /**< requests a server runs at once, hint */
 	char key_domains[8][JJ_NAME_MAX + 1]; /**< homes of keys, in order */
 	uint32_t key_domain_count;
+	jj_model_wish_t model_wish;
 } jj_service_t;
 
 /** One team's share. */
@@ -88,8 +96,10 @@
 /** A platform result with owner JJ_OWNER_CONFIG. */
 void jj_config_take_result(jj_config_t *config,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out);
-/** Gives up patches that wait for too long. */
+/** Repeats calls of patches that failed, gives up those that wait too long. */
 void jj_config_tick(jj_config_t *config, jj_ms_t now, jj_actions_t *out);
+/** When the next tick is due. */
+jj_ms_t jj_config_next(const jj_config_t *config);
 
 /**
  * Checks a configuration document.
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,142 @@
+/**
+ * @file core.h
+ * @brief The whole core of a VM's control: events and time in, actions out.
+ *
+ * No thread, socket or clock inside. The daemon, a bench in the same process
+ * or a program that speaks lines on standard input can drive it alike: call
+ * jj_core_handle for each event, carry the actions out in order, call it
+ * with JJ_EVENT_TICK at jj_core_next.
+ *
+ * Batch jobs have their own half (core/batch.h, core/job.h, core/intake.h),
+ * driven by another thread, so that a megabyte of batch input never stands
+ * before an online request. Its items come in here as requests like others.
+ */
+#ifndef JJ_CORE_CORE_H
+#define JJ_CORE_CORE_H
+
+#include "core/action.h"
+#include "core/config.h"
+#include "core/dispatch.h"
+#include "core/fleet.h"
+#include "core/lease.h"
+#include "core/ledger.h"
+#include "core/member.h"
+#include "core/orders.h"
+#include "core/quarantine.h"
+
+/** Bit that marks request numbers given by the core itself. */
+#define JJ_REQUEST_INTERNAL (UINT64_C(1) << 63)
+
+typedef struct {
+	jj_name_t name;
+	jj_name_t domain;
+	jj_incarnation_t incarnation;
+	jj_member_settings_t member;
+	jj_quarantine_settings_t quarantine;
+	jj_config_settings_t config;
+	jj_lease_settings_t lease;
+	jj_ledger_settings_t ledger;
+	jj_dispatch_settings_t dispatch;
+	jj_orders_settings_t orders;
+	jj_ms_t vms_poll_ms; /**< between reads of the VM list */
+	jj_ms_t pause_ms; /**< a longer gap between ticks is a pause */
+	jj_ms_t resend_ms; /**< a forwarded call is sent again after */
+} jj_core_settings_t;
+
+typedef enum {
+	JJ_EVENT_TICK,
+	JJ_EVENT_MESSAGE, /**< from another VM */
+	JJ_EVENT_PLATFORM, /**< a result of a call of this core */
+	JJ_EVENT_REQUEST, /**< from a caller, or a batch item */
+	JJ_EVENT_BACKEND, /**< what happened at a backend server */
+	JJ_EVENT_GONE, /**< the caller of a request went away */
+	JJ_EVENT_CRASH, /**< a backend server's process died */
+	JJ_EVENT_SERVER, /**< a backend server's own sign of its state */
+	JJ_EVENT_REPORT, /**< a backend server's load report */
+	JJ_EVENT_ORDERED, /**< the answer to an order */
+	JJ_EVENT_PATCH, /**< an operator's patch of the configuration */
+	JJ_EVENT_RELEASE, /**< an operator gives a ledger slot up */
+	JJ_EVENT_STATUS, /**< an operator asks for the state */
+	JJ_EVENT_LEAVE, /**< planned stop */
+} jj_event_kind_t;
+
+/** One event; pointers belong to the caller and are only read. */
+typedef struct {
+	jj_event_kind_t kind;
+	union {
+		const jj_message_t *message;
+		const jj_platform_result_t *platform;
+		struct {
+			jj_request_t request;
+			const char *key; /**< idempotency key or NULL */
+			const char *path;
+			jj_bytes_t body; /**< only read */
+			const char *trace;
+		} request;
+		struct {
+			jj_backend_event_t event;
+			int status; /**< of a whole answer */
+			jj_bytes_t body; /**< of a whole answer; only read */
+		} backend;
+		uint64_t request_gone;
+		struct {
+			jj_name_t server;
+			uint64_t boot;
+			jj_server_state_t state; /**< of JJ_EVENT_SERVER */
+		} server;
+		struct {
+			jj_name_t server;
+			uint32_t running;
+			uint32_t waiting;
+			jj_ms_t age_ms;
+		} report;
+		struct {
+			jj_name_t server;
+			uint64_t order;
+			int status;
+			jj_ms_t retry_after_ms;
+		} ordered;
+		struct {
+			uint64_t operation;
+			uint64_t operation_key;
+			const char *operator_name;
+			uint64_t base_version;
+			jj_bytes_t patch; /**< only read */
+		} patch;
+		struct {
+			uint64_t operation;
+			uint32_t slot;
+		} release;
+		uint64_t operation; /**< of a status */
+	} body;
+} jj_event_t;
+
+typedef struct jj_core jj_core_t;
+
+jj_core_t *jj_core_create(const jj_core_settings_t *settings);
+void jj_core_destroy(jj_core_t *core);
+/** Adds a VM or server from the settings. */
+void jj_core_learn_vm(jj_core_t *core, const jj_name_t *name,
+    const jj_name_t *domain, const char *address);
+void jj_core_learn_server(jj_core_t *core, const jj_server_t *server);
+/** Takes one event; appends what is to be done. */
+void jj_core_handle(
+    jj_core_t *core, const jj_event_t *event, jj_ms_t now, jj_actions_t *out);
+/** When the next tick is due. */
+jj_ms_t jj_core_next(const jj_core_t *core);
+/** True when nothing of ours is left to do before a planned stop. */
+bool jj_core_is_idle(const jj_core_t *core);
+/** Address of a VM for the adapter that sends; NULL when unknown. */
+const char *jj_core_address(const jj_core_t *core, const jj_name_t *name);
+
+/* What adapters and tests may read. */
+const jj_config_t *jj_core_config(const jj_core_t *core);
+const jj_fleet_t *jj_core_fleet(const jj_core_t *core);
+const jj_member_t *jj_core_member(const jj_core_t *core);
+uint32_t jj_core_batch_room(const jj_core_t *core, jj_ms_t now);
+
+/** Writes NAME/HEX16, as objects at the platform name a process. */
+void jj_core_write_writer(const jj_name_t *name, jj_incarnation_t incarnation,
+    char *text, size_t room);
+
+#endif
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -27,30 +27,30 @@
 
 /** A request as routing sees it. */
 typedef struct {
-	uint64_t request;   /**< unique within this VM, never reused */
+	uint64_t request; /**< unique within this VM, never reused */
 	jj_class_t class_of; /**< online or batch */
 	jj_name_t service;
 	jj_name_t team;
 	uint64_t fingerprint;
 	bool idempotent;
 	jj_ms_t deadline_ms; /**< point in time; batch: the job's due time */
-	uint32_t prompt_tokens;  /**< estimate */
-	uint32_t output_tokens;  /**< most, as asked */
+	uint32_t prompt_tokens; /**< estimate */
+	uint32_t output_tokens; /**< most, as asked */
 	uint32_t prefix_count;
 	uint64_t prefix[JJ_PREFIX_BLOCKS_MAX]; /**< chained block hashes */
 } jj_request_t;
 
 /** What happened to a request at its server. */
 typedef enum {
-	JJ_BACKEND_NOT_SENT,  /**< no byte can have reached the server */
-	JJ_BACKEND_REFUSED,   /**< 429/503 that proves it was not begun */
-	JJ_BACKEND_LEAVING,   /**< refused as the server is leaving */
-	JJ_BACKEND_FIRST,     /**< first token, or an answer's head */
-	JJ_BACKEND_TOKENS,    /**< `tokens` more of them */
+	JJ_BACKEND_NOT_SENT, /**< no byte can have reached the server */
+	JJ_BACKEND_REFUSED, /**< 429/503 that proves it was not begun */
+	JJ_BACKEND_LEAVING, /**< refused as the server is leaving */
+	JJ_BACKEND_FIRST, /**< first token, or an answer's head */
+	JJ_BACKEND_TOKENS, /**< `tokens` more of them */
 	JJ_BACKEND_DONE,
-	JJ_BACKEND_REJECTED,  /**< a permanent refusal (4xx), answer relayed */
-	JJ_BACKEND_FAILED,    /**< an error after it may have begun */
-	JJ_BACKEND_BROKEN,    /**< the connection broke after sending */
+	JJ_BACKEND_REJECTED, /**< a permanent refusal (4xx), answer relayed */
+	JJ_BACKEND_FAILED, /**< an error after it may have begun */
+	JJ_BACKEND_BROKEN, /**< the connection broke after sending */
 	JJ_BACKEND_TIMEOUT,
 	JJ_BACKEND_CANCELLED, /**< a cancel of ours took effect */
 } jj_backend_kind_t;
@@ -65,14 +65,14 @@
 } jj_backend_event_t;
 
 typedef struct {
-	jj_name_t name;   /**< this VM */
+	jj_name_t name; /**< this VM */
 	jj_name_t domain;
 	uint64_t seed;
-	double retry_share;   /**< retries per first attempt; default 0.1 */
+	double retry_share; /**< retries per first attempt; default 0.1 */
 	uint32_t retry_floor; /**< retries allowed in any case; default 10 */
 	jj_ms_t withdraw_retry_ms; /**< batch rests after a withdrawal; 250 */
 	uint32_t batch_start; /**< first batch limit of a server; default 2 */
-	uint32_t batch_most;  /**< greatest batch limit of a server; 256 */
+	uint32_t batch_most; /**< greatest batch limit of a server; 256 */
 } jj_dispatch_settings_t;
 
 typedef struct jj_dispatch jj_dispatch_t;
@@ -95,8 +95,8 @@
 void jj_dispatch_take_event(jj_dispatch_t *dispatch,
     const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out);
 /** The caller went away, or the job was cancelled: stop it at its server. */
-void jj_dispatch_cancel(jj_dispatch_t *dispatch, uint64_t request,
-    jj_ms_t now, jj_actions_t *out);
+void jj_dispatch_cancel(
+    jj_dispatch_t *dispatch, uint64_t request, jj_ms_t now, jj_actions_t *out);
 /** A server is seen dead: its requests in flight are told broken and are
  * suspects; adds the crash report for the neighbours. */
 void jj_dispatch_take_crash(jj_dispatch_t *dispatch, const jj_name_t *server,
@@ -111,8 +111,7 @@
 void jj_dispatch_take_cache_event(jj_dispatch_t *dispatch,
     const jj_name_t *server, uint64_t prefix, bool added);
 /** Queues, deadlines, headroom, load messages to the neighbours. */
-void jj_dispatch_tick(
-    jj_dispatch_t *dispatch, jj_ms_t now, jj_actions_t *out);
+void jj_dispatch_tick(jj_dispatch_t *dispatch, jj_ms_t now, jj_actions_t *out);
 jj_ms_t jj_dispatch_next(const jj_dispatch_t *dispatch);
 /** How many more batch items this VM could send now, all its servers. */
 uint32_t jj_dispatch_batch_room(const jj_dispatch_t *dispatch, jj_ms_t now);
@@ -122,7 +121,7 @@
 /** Planned stop: new requests are refused, those in flight go on. */
 void jj_dispatch_leave(jj_dispatch_t *dispatch);
 /** Requests queued or in flight, of a class. */
-uint32_t jj_dispatch_in_flight(
-    const jj_dispatch_t *dispatch, jj_class_t class_of);
+uint32_t
+jj_dispatch_in_flight(const jj_dispatch_t *dispatch, jj_class_t class_of);
 
 #endif
--- /dev/null
+++ b/src/core/dispatch_answer.c
@@ -0,0 +1,103 @@
+/**
+ * @file dispatch_answer.c
+ * @brief Answers of our own: what they say about the run and when to
+ * come back.
+ */
+#include "core/dispatch_state.h"
+
+/* Bounds of the time after which a caller is told to come back. */
+#define RETRY_AFTER_LEAST_MS 100
+#define RETRY_AFTER_MOST_MS 60000
+#define RETRY_AFTER_UNKNOWN_MS 1000
+/* A VM that leaves sends callers to the others at once. */
+#define RETRY_AFTER_STOPPING_MS 50
+
+static jj_ms_t jitter(jj_dispatch_t *, jj_ms_t);
+static jj_ms_t
+retry_after(jj_dispatch_t *, const jj_entry_t *, jj_give_up_t, jj_ms_t);
+
+void
+jj_dispatch_refuse(jj_dispatch_t *dispatch, const jj_request_t *request,
+    jj_give_up_t reason, jj_ms_t now, jj_actions_t *out)
+{
+	jj_action_t *action = jj_actions_add(out, JJ_ACTION_ANSWER);
+
+	action->body.answer.request = request->request;
+	action->body.answer.reason = reason;
+	action->body.answer.run = JJ_RUN_NOT_RUN;
+	action->body.answer.retry_after_ms =
+	    retry_after(dispatch, NULL, reason, now);
+}
+
+/* Ends a request, queued or in flight, with an answer of our own. */
+void
+jj_dispatch_give_up(jj_dispatch_t *dispatch, jj_entry_t *entry,
+    jj_give_up_t reason, jj_ms_t now, jj_actions_t *out)
+{
+	jj_action_t *action;
+
+	if (entry->state == JJ_ENTRY_IN_FLIGHT) {
+		action = jj_actions_add(out, JJ_ACTION_BACKEND_CANCEL);
+		action->body.cancel.request = entry->request.request;
+		action->body.cancel.attempt = entry->attempt;
+		entry->may_have_run = true;
+		jj_dispatch_leave_server(dispatch, entry);
+	} else if (entry->state == JJ_ENTRY_QUEUED)
+		jj_service_queue_remove(entry->service, entry);
+	action = jj_actions_add(out, JJ_ACTION_ANSWER);
+	action->body.answer.request = entry->request.request;
+	action->body.answer.reason = reason;
+	action->body.answer.run =
+	    entry->may_have_run ? JJ_RUN_UNKNOWN : JJ_RUN_NOT_RUN;
+	action->body.answer.retry_after_ms =
+	    retry_after(dispatch, entry, reason, now);
+	/* Asking a non-idempotent request again could run it twice. */
+	if (entry->may_have_run && !entry->request.idempotent)
+		action->body.answer.retry_after_ms = 0;
+	jj_dispatch_free_entry(dispatch, entry);
+}
+
+/* Between one and one and a half times: callers shall not come together. */
+static jj_ms_t
+jitter(jj_dispatch_t *dispatch, jj_ms_t ms)
+{
+	dispatch->random =
+	    jj_hash_bytes(&dispatch->random, sizeof(dispatch->random), 1);
+	return ms + (jj_ms_t)(dispatch->random % ((uint64_t)ms / 2 + 1));
+}
+
+/* When asking again makes sense: from the rate at which the queue drains. */
+static jj_ms_t
+retry_after(jj_dispatch_t *dispatch, const jj_entry_t *entry,
+    jj_give_up_t reason, jj_ms_t now)
+{
+	jj_ms_t wait = RETRY_AFTER_UNKNOWN_MS;
+
+	switch (reason) {
+	case JJ_GIVE_UP_STOPPING:
+		return jitter(dispatch, RETRY_AFTER_STOPPING_MS);
+	case JJ_GIVE_UP_QUARANTINED:
+	case JJ_GIVE_UP_CANCELLED:
+	case JJ_GIVE_UP_NONE:
+		return 0;
+	case JJ_GIVE_UP_OVERLOADED:
+	case JJ_GIVE_UP_DEADLINE:
+		if (entry == NULL)
+			return 0;
+		if (entry->team == NULL)
+			wait = dispatch->settings.withdraw_retry_ms;
+		else
+			wait = jj_service_queue_wait(entry->service,
+			    entry->team, entry->team->queued + 1, now);
+		break;
+	default:
+		break;
+	}
+	if (wait == JJ_MS_NEVER)
+		wait = RETRY_AFTER_UNKNOWN_MS;
+	if (wait < RETRY_AFTER_LEAST_MS)
+		wait = RETRY_AFTER_LEAST_MS;
+	if (wait > RETRY_AFTER_MOST_MS)
+		wait = RETRY_AFTER_MOST_MS;
+	return jitter(dispatch, wait);
+}
--- /dev/null
+++ b/src/core/dispatch_failure.c
@@ -0,0 +1,201 @@
+/**
+ * @file dispatch_failure.c
+ * @brief Failed attempts, retries, and servers that died.
+ */
+#include <string.h>
+
+#include "core/dispatch_state.h"
+
+#define DEFAULT_ATTEMPTS 3
+/* A server's own Retry-After is believed up to this. */
+#define REST_MOST_MS 5000
+/* A refusal without Retry-After rests the server for so long. */
+#define REST_LEAST_MS 50
+/* A connection that broke this long before a crash is part of it. */
+#define BROKEN_MEMORY_MS 10000
+
+static void note_failure(jj_dispatch_t *, jj_entry_t *,
+    const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
+static void
+retry_or_give_up(jj_dispatch_t *, jj_entry_t *, bool, jj_ms_t, jj_actions_t *);
+
+void
+jj_dispatch_take_failure(jj_dispatch_t *dispatch, jj_entry_t *entry,
+    const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
+{
+	bool charged = event->kind != JJ_BACKEND_LEAVING;
+	bool began = event->kind != JJ_BACKEND_NOT_SENT &&
+	    event->kind != JJ_BACKEND_REFUSED &&
+	    event->kind != JJ_BACKEND_LEAVING;
+
+	note_failure(dispatch, entry, event, now, out);
+	entry->avoid = entry->server->name;
+	jj_dispatch_leave_server(dispatch, entry);
+	entry->may_have_run |= began;
+	/*
+	 * A break may be the sign of a crash that nobody has told yet: until
+	 * it has completed somewhere, the request runs as a suspect.
+	 */
+	if (event->kind == JJ_BACKEND_BROKEN)
+		entry->suspect = true;
+	if (entry->team == NULL) {
+		jj_dispatch_give_up(dispatch, entry,
+		    began ? JJ_GIVE_UP_BROKEN : JJ_GIVE_UP_OVERLOADED, now,
+		    out);
+		return;
+	}
+	retry_or_give_up(dispatch, entry, charged, now, out);
+}
+
+/*
+ * The platform's list lags: a server that refuses as it leaves, or is gone,
+ * would be sent work by the other VMs until each has found out (story 23).
+ */
+void
+jj_dispatch_note_server(jj_dispatch_t *dispatch, const jj_name_t *server,
+    jj_server_state_t state, uint64_t boot, jj_ms_t now, jj_actions_t *out)
+{
+	jj_member_info_t infos[VMS_MAX];
+	size_t count = jj_member_list(
+	    dispatch->member, &dispatch->settings.domain, infos, VMS_MAX);
+	jj_message_t *message;
+	bool is_news = false;
+	size_t i;
+
+	jj_fleet_note(dispatch->fleet, server, state, boot, now, out, &is_news);
+	for (i = 0; is_news && i < count; i++) {
+		message = jj_dispatch_tell(
+		    out, &infos[i], dispatch, JJ_MESSAGE_SERVER_STATE);
+		if (message == NULL)
+			continue;
+		message->body.server.server = *server;
+		message->body.server.boot = boot;
+		message->body.server.state = state;
+	}
+}
+
+uint32_t
+jj_dispatch_gather_suspects(const jj_dispatch_t *dispatch,
+    const jj_server_view_t *view, jj_ms_t now, uint64_t *suspects,
+    uint32_t most)
+{
+	const jj_entry_t *entry;
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < view->broken_count && i < JJ_BROKEN_MAX; i++)
+		if (now - view->broken_ms[i] <= BROKEN_MEMORY_MS)
+			suspects[count++] = view->broken[i];
+	TAILQ_FOREACH(entry, &dispatch->entries, all_link)
+	{
+		if (count < most && entry->state == JJ_ENTRY_IN_FLIGHT &&
+		    entry->server == view)
+			suspects[count++] = entry->request.fingerprint;
+	}
+	return count;
+}
+
+void
+jj_dispatch_report_crash(jj_dispatch_t *dispatch, jj_server_view_t *view,
+    uint64_t boot, const uint64_t *suspects, uint32_t count, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_member_info_t infos[VMS_MAX];
+	size_t vm_count = jj_member_list(
+	    dispatch->member, &dispatch->settings.domain, infos, VMS_MAX);
+	jj_crash_t crash = {0};
+	jj_message_t *message;
+	uint32_t done;
+	size_t i;
+
+	for (done = 0; done < count; done += crash.suspect_count) {
+		crash.server = view->name;
+		crash.boot = boot;
+		crash.suspect_count = count - done;
+		if (crash.suspect_count > JJ_MESSAGE_SUSPECTS_MAX)
+			crash.suspect_count = JJ_MESSAGE_SUSPECTS_MAX;
+		memcpy(crash.suspects, suspects + done,
+		    crash.suspect_count * sizeof(suspects[0]));
+		jj_quarantine_take_crash(
+		    dispatch->quarantine, &crash, now, out);
+		for (i = 0; i < vm_count; i++) {
+			message = jj_dispatch_tell(
+			    out, &infos[i], dispatch, JJ_MESSAGE_CRASH);
+			if (message != NULL)
+				message->body.crash = crash;
+		}
+	}
+}
+
+static void
+note_failure(jj_dispatch_t *dispatch, jj_entry_t *entry,
+    const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
+{
+	jj_server_view_t *view = entry->server;
+	jj_ms_t rest = event->retry_after_ms;
+
+	switch (event->kind) {
+	case JJ_BACKEND_NOT_SENT:
+		jj_dispatch_note_server(
+		    dispatch, &view->name, JJ_SERVER_DOWN, 0, now, out);
+		view->up = false;
+		break;
+	case JJ_BACKEND_LEAVING:
+		jj_dispatch_note_server(
+		    dispatch, &view->name, JJ_SERVER_LEAVING, 0, now, out);
+		view->up = false;
+		return;
+	case JJ_BACKEND_REFUSED:
+		if (rest < REST_LEAST_MS)
+			rest = REST_LEAST_MS;
+		if (rest > REST_MOST_MS)
+			rest = REST_MOST_MS;
+		view->rest_until_ms = now + rest;
+		break;
+	case JJ_BACKEND_BROKEN:
+		jj_server_view_note_broken(
+		    view, entry->request.fingerprint, now);
+		break;
+	default:
+		break;
+	}
+	jj_server_view_note_outcome(view, true);
+}
+
+/*
+ * Retries are for requests that may run twice, or surely have not run, and
+ * of which the caller has seen nothing. They are bounded per request and by
+ * the service's budget, so that a failing back end is not kept down by them.
+ */
+static void
+retry_or_give_up(jj_dispatch_t *dispatch, jj_entry_t *entry, bool charged,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_service_queue_t *service = entry->service;
+	uint32_t attempts = service->settings.attempts;
+
+	if (attempts == 0)
+		attempts = DEFAULT_ATTEMPTS;
+	if (entry->relayed ||
+	    (entry->may_have_run && !entry->request.idempotent))
+		jj_dispatch_give_up(
+		    dispatch, entry, JJ_GIVE_UP_BROKEN, now, out);
+	else if (jj_quarantine_check(dispatch->quarantine,
+		     entry->request.fingerprint, now) == JJ_QUARANTINE_REFUSED)
+		jj_dispatch_give_up(
+		    dispatch, entry, JJ_GIVE_UP_QUARANTINED, now, out);
+	else if (now + (jj_ms_t)service->quick_ms > entry->request.deadline_ms)
+		jj_dispatch_give_up(
+		    dispatch, entry, JJ_GIVE_UP_DEADLINE, now, out);
+	else if (charged &&
+	    (entry->attempt >= attempts ||
+		!jj_retry_budget_take(&service->budget, now)))
+		jj_dispatch_give_up(
+		    dispatch, entry, JJ_GIVE_UP_RETRIES, now, out);
+	else {
+		jj_service_queue_add(service, entry, true, now);
+		if (!jj_dispatch_has_server_up(service))
+			jj_dispatch_give_up(
+			    dispatch, entry, JJ_GIVE_UP_NO_SERVER, now, out);
+	}
+}
--- /dev/null
+++ b/src/core/dispatch_headroom.c
@@ -0,0 +1,249 @@
+/**
+ * @file dispatch_headroom.c
+ * @brief Measures token gaps and keeps the limit at the bend of the curve.
+ */
+#include <math.h>
+#include <stdlib.h>
+
+#include "core/dispatch_headroom.h"
+
+#define ADJUST_MS 100
+/* Fewer gaps than this do not make a measurement. */
+#define SAMPLES_LEAST 24
+/* Gaps longer than this many medians hold a prefill and are left out. */
+#define OUTLIER_FACTOR 1.5
+/* Growth of the gap that is put up with, at trade 0 and trade 1. */
+#define ALLOWANCE_LEAST 0.03
+#define ALLOWANCE_MOST 0.10
+/* Growth of the limit per adjustment before and after the first bound. */
+#define START_FACTOR 1.5
+#define GROWTH 1.0
+/* One breach lowers the limit to no less than this share. */
+#define SHRINK_LEAST 0.5
+/* Shares by which the base follows a measurement. */
+#define BASE_DOWN 0.5
+#define BASE_UP_QUIET 0.2
+#define BASE_UP_SLOW 0.02
+/* Crowded this long without batch: the server itself became slower. */
+#define CROWDED_MS 5000
+/* Share of a server's time that batch prefills may take, trade 0 and 1. */
+#define PREFILL_SHARE_LEAST 0.10
+#define PREFILL_SHARE_MOST 0.50
+/* Places over the limit before batch is stopped, trade 0 and 1. */
+#define SLACK_LEAST 1.0
+#define SLACK_MOST 3.0
+/* Share of the slots that batch leaves free for online arrivals. */
+#define SLOTS_FREE_SHARE 8
+
+static double measure(jj_headroom_t *);
+static int compare_samples(const void *, const void *);
+static void
+learn_base(jj_headroom_t *, const jj_headroom_use_t *, double, jj_ms_t);
+static void move_limit(jj_headroom_t *, const jj_headroom_use_t *, double);
+static double between(double, double, double);
+static double ceiling(const jj_headroom_t *, const jj_headroom_use_t *);
+
+void
+jj_headroom_reset(jj_headroom_t *headroom, uint32_t start)
+{
+	*headroom = (jj_headroom_t){0};
+	headroom->limit = start;
+	headroom->starting = true;
+}
+
+void
+jj_headroom_add_gap(jj_headroom_t *headroom, uint32_t gap_us)
+{
+	headroom->samples[headroom->sample_count % JJ_HEADROOM_SAMPLES] =
+	    gap_us;
+	headroom->sample_count++;
+}
+
+void
+jj_headroom_add_first(jj_headroom_t *headroom, jj_ms_t first_ms)
+{
+	double prefill_ms = (double)first_ms - headroom->gap_us / 1000;
+
+	if (prefill_ms < 0)
+		prefill_ms = 0;
+	headroom->prefill_ms += (prefill_ms - headroom->prefill_ms) / 8;
+}
+
+void
+jj_headroom_adjust(
+    jj_headroom_t *headroom, const jj_headroom_use_t *use, jj_ms_t now)
+{
+	if (now < headroom->step_ms || headroom->sample_count < SAMPLES_LEAST)
+		return;
+	headroom->step_ms = now + ADJUST_MS;
+	headroom->gap_us = measure(headroom);
+	learn_base(headroom, use, headroom->gap_us, now);
+	move_limit(headroom, use, headroom->gap_us);
+}
+
+void
+jj_headroom_note_waiting(jj_headroom_t *headroom, uint32_t running)
+{
+	headroom->starting = false;
+	if (headroom->limit > running)
+		headroom->limit = running;
+}
+
+uint32_t
+jj_headroom_room(
+    const jj_headroom_t *headroom, const jj_headroom_use_t *use, jj_ms_t now)
+{
+	double room;
+
+	if (now < headroom->rest_ms || use->batch >= use->batch_most)
+		return 0;
+	room = ceiling(headroom, use) - use->online - use->batch;
+	if (room < 1)
+		return 0;
+	if (room > use->batch_most - use->batch)
+		return use->batch_most - use->batch;
+	return (uint32_t)room;
+}
+
+uint32_t
+jj_headroom_excess(const jj_headroom_t *headroom, const jj_headroom_use_t *use)
+{
+	double slack = between(SLACK_LEAST, SLACK_MOST, use->trade);
+	double excess =
+	    use->online + use->batch - ceiling(headroom, use) - slack;
+
+	/* Batch alone is no harm: let it run out rather than be lost. */
+	if (excess < 1 || use->online == 0)
+		return 0;
+	return excess > use->batch ? use->batch : (uint32_t)excess;
+}
+
+void
+jj_headroom_note_start(
+    jj_headroom_t *headroom, const jj_headroom_use_t *use, jj_ms_t now)
+{
+	double share =
+	    between(PREFILL_SHARE_LEAST, PREFILL_SHARE_MOST, use->trade);
+
+	/* Batch prefills that pile up stall every stream of the server. */
+	if (use->online > 0)
+		headroom->rest_ms =
+		    now + (jj_ms_t)(headroom->prefill_ms * (1 - share) / share);
+}
+
+/* The mean of the gaps without those that a prefill lengthened. */
+static double
+measure(jj_headroom_t *headroom)
+{
+	uint32_t sorted[JJ_HEADROOM_SAMPLES];
+	uint32_t count = headroom->sample_count;
+	uint32_t used = 0;
+	uint32_t i;
+	double sum = 0;
+	double most;
+
+	if (count > JJ_HEADROOM_SAMPLES)
+		count = JJ_HEADROOM_SAMPLES;
+	for (i = 0; i < count; i++)
+		sorted[i] = headroom->samples[i];
+	qsort(sorted, count, sizeof(sorted[0]), compare_samples);
+	most = sorted[count / 2] * OUTLIER_FACTOR;
+	for (i = 0; i < count; i++) {
+		if (sorted[i] > most)
+			break;
+		sum += sorted[i];
+		used++;
+	}
+	headroom->sample_count = 0;
+	return used > 0 ? sum / used : 0;
+}
+
+static int
+compare_samples(const void *a, const void *b)
+{
+	uint32_t left = *(const uint32_t *)a;
+	uint32_t right = *(const uint32_t *)b;
+
+	return (left > right) - (left < right);
+}
+
+/*
+ * The base follows lower gaps at once and higher ones only when batch cannot
+ * be their cause: on a quiet server, or one crowded for long without batch.
+ */
+static void
+learn_base(jj_headroom_t *headroom, const jj_headroom_use_t *use, double gap,
+    jj_ms_t now)
+{
+	uint32_t running = use->online + use->batch;
+
+	if (headroom->base_gap_us <= 0) {
+		headroom->base_gap_us = gap;
+		return;
+	}
+	if (gap <= headroom->base_gap_us) {
+		headroom->base_gap_us +=
+		    (gap - headroom->base_gap_us) * BASE_DOWN;
+		return;
+	}
+	if (running <= 2 || running <= headroom->limit / 4)
+		headroom->base_gap_us +=
+		    (gap - headroom->base_gap_us) * BASE_UP_QUIET;
+	if (use->batch > 0) {
+		headroom->crowded_ms = 0;
+		return;
+	}
+	if (headroom->crowded_ms == 0)
+		headroom->crowded_ms = now;
+	if (now - headroom->crowded_ms >= CROWDED_MS)
+		headroom->base_gap_us +=
+		    (gap - headroom->base_gap_us) * BASE_UP_SLOW;
+}
+
+/*
+ * Over the bend the gap grows in proportion to what runs, so that the ratio
+ * of the gaps says how far the limit has to go down.
+ */
+static void
+move_limit(jj_headroom_t *headroom, const jj_headroom_use_t *use, double gap)
+{
+	double running = use->online + use->batch;
+	double allowed = headroom->base_gap_us *
+	    (1 + between(ALLOWANCE_LEAST, ALLOWANCE_MOST, use->trade));
+	double lower;
+
+	if (gap > allowed) {
+		headroom->starting = false;
+		lower = running * allowed / gap;
+		if (lower < headroom->limit * SHRINK_LEAST)
+			lower = headroom->limit * SHRINK_LEAST;
+		if (lower < headroom->limit)
+			headroom->limit = lower;
+		if (headroom->limit < 1)
+			headroom->limit = 1;
+		return;
+	}
+	if (running < headroom->limit - 1)
+		return;
+	if (headroom->starting)
+		headroom->limit *= START_FACTOR;
+	else
+		headroom->limit += GROWTH;
+}
+
+static double
+between(double least, double most, double share)
+{
+	return least + (most - least) * share;
+}
+
+/* The limit, held below the slots so that online never queues for one. */
+static double
+ceiling(const jj_headroom_t *headroom, const jj_headroom_use_t *use)
+{
+	double most = use->slots - use->slots / SLOTS_FREE_SHARE;
+
+	if (use->slots > 0 && headroom->limit > most)
+		return most;
+	return headroom->limit;
+}
--- /dev/null
+++ b/src/core/dispatch_headroom.h
@@ -0,0 +1,62 @@
+/**
+ * @file dispatch_headroom.h
+ * @brief How many requests a backend server runs before online ones suffer.
+ *
+ * A server's load report lags, so it cannot say whether one more batch item
+ * hurts. The tokens of our own streams can: the time between two of them is
+ * the engine's step time, seen without lag. The limit is on all requests at
+ * the server, not on batch alone: when an online request comes, batch has to
+ * give up one place at once, without anything being learned anew.
+ */
+#ifndef JJ_CORE_DISPATCH_HEADROOM_H
+#define JJ_CORE_DISPATCH_HEADROOM_H
+
+#include "core/types.h"
+
+/** Token gaps kept for one measurement. */
+#define JJ_HEADROOM_SAMPLES 128
+
+typedef struct {
+	double limit; /**< requests at which the gap stays in bounds */
+	double base_gap_us; /**< gap of a server that is not crowded; 0: none */
+	double gap_us; /**< latest measurement; 0: none */
+	bool starting; /**< no bound met yet: the limit grows fast */
+	uint32_t sample_count;
+	uint32_t samples[JJ_HEADROOM_SAMPLES]; /**< microseconds */
+	jj_ms_t step_ms; /**< next adjustment */
+	jj_ms_t rest_ms; /**< no batch starts before that */
+	jj_ms_t crowded_ms; /**< crowded without batch since; 0: is not */
+	double prefill_ms; /**< of a batch item, as seen */
+} jj_headroom_t;
+
+/** What a server runs, as far as this VM knows. */
+typedef struct {
+	uint32_t online;
+	uint32_t batch;
+	uint32_t slots; /**< most the server runs at once; 0: not known */
+	double trade; /**< batch throughput (1) against harm (0) */
+	uint32_t batch_most;
+} jj_headroom_use_t;
+
+/** Starts with room for @p start batch items. */
+void jj_headroom_reset(jj_headroom_t *headroom, uint32_t start);
+/** Notes the time between two tokens of a stream, microseconds. */
+void jj_headroom_add_gap(jj_headroom_t *headroom, uint32_t gap_us);
+/** Notes how long a batch item's first token took, milliseconds. */
+void jj_headroom_add_first(jj_headroom_t *headroom, jj_ms_t first_ms);
+/** Adjusts the limit when it is time. */
+void jj_headroom_adjust(
+    jj_headroom_t *headroom, const jj_headroom_use_t *use, jj_ms_t now);
+/** The server said it has requests waiting: it is over its slots. */
+void jj_headroom_note_waiting(jj_headroom_t *headroom, uint32_t running);
+/** How many more batch items may start now. */
+uint32_t jj_headroom_room(
+    const jj_headroom_t *headroom, const jj_headroom_use_t *use, jj_ms_t now);
+/** How many batch items must stop now. */
+uint32_t
+jj_headroom_excess(const jj_headroom_t *headroom, const jj_headroom_use_t *use);
+/** A batch item starts: spaces the next one out. */
+void jj_headroom_note_start(
+    jj_headroom_t *headroom, const jj_headroom_use_t *use, jj_ms_t now);
+
+#endif
--- /dev/null
+++ b/src/core/dispatch_refresh.c
@@ -0,0 +1,214 @@
+/**
+ * @file dispatch_refresh.c
+ * @brief What time brings: views, deadlines, headroom, withdrawal.
+ */
+#include "core/dispatch_state.h"
+
+/* The views of servers and neighbours are renewed this often. */
+#define REFRESH_MS 100
+
+static void refresh_services(jj_dispatch_t *);
+static void refresh_views(jj_dispatch_t *, jj_ms_t);
+static void drop_unlisted(jj_dispatch_t *);
+static void withdraw_excess(jj_dispatch_t *, jj_service_queue_t *,
+    jj_server_view_t *, jj_ms_t, jj_actions_t *);
+static jj_entry_t *
+choose_victim(const jj_dispatch_t *, const jj_server_view_t *);
+
+void
+jj_dispatch_refresh(jj_dispatch_t *dispatch, jj_ms_t now)
+{
+	jj_service_queue_t *service;
+
+	if (now < dispatch->refresh_ms)
+		return;
+	dispatch->refresh_ms = now + REFRESH_MS;
+	refresh_services(dispatch);
+	refresh_views(dispatch, now);
+	TAILQ_FOREACH(service, &dispatch->services, link)
+	jj_service_queue_sweep(service);
+	drop_unlisted(dispatch);
+}
+
+/*
+ * A queued request that can no longer make it is answered now, while its
+ * caller can still do something else; one in flight of which the caller has
+ * seen nothing is stopped when its deadline passes.
+ */
+void
+jj_dispatch_check_deadlines(
+    jj_dispatch_t *dispatch, jj_ms_t now, jj_actions_t *out)
+{
+	jj_entry_t *entry;
+	jj_entry_t *next;
+	jj_ms_t deadline;
+
+	for (entry = TAILQ_FIRST(&dispatch->entries); entry != NULL;
+	     entry = next) {
+		next = TAILQ_NEXT(entry, all_link);
+		/* A batch item past its job's due time is still wanted. */
+		if (entry->team == NULL)
+			continue;
+		deadline = entry->request.deadline_ms;
+		if (entry->state == JJ_ENTRY_QUEUED)
+			deadline -= (jj_ms_t)entry->service->quick_ms;
+		else if (entry->relayed)
+			continue;
+		if (now > deadline)
+			jj_dispatch_give_up(
+			    dispatch, entry, JJ_GIVE_UP_DEADLINE, now, out);
+	}
+}
+
+void
+jj_dispatch_adjust_headroom(
+    jj_dispatch_t *dispatch, jj_ms_t now, jj_actions_t *out)
+{
+	jj_service_queue_t *service;
+	jj_server_view_t *view;
+	jj_headroom_use_t base;
+	jj_headroom_use_t use;
+
+	TAILQ_FOREACH(service, &dispatch->services, link)
+	{
+		base = jj_dispatch_headroom_use(dispatch, service);
+		TAILQ_FOREACH(view, &service->servers, link)
+		{
+			use = jj_server_view_use(view, &base);
+			jj_headroom_adjust(&view->headroom, &use, now);
+			withdraw_excess(dispatch, service, view, now, out);
+		}
+	}
+}
+
+static void
+refresh_services(jj_dispatch_t *dispatch)
+{
+	jj_service_queue_t *service;
+	const jj_service_t *settings;
+	size_t count;
+	size_t i;
+
+	settings = jj_config_services(dispatch->config, &count);
+	for (i = 0; i < count; i++) {
+		service =
+		    jj_dispatch_find_service(dispatch, settings[i].name.text);
+		if (service != NULL) {
+			service->settings = settings[i];
+			continue;
+		}
+		service = jj_service_queue_create(&settings[i],
+		    dispatch->settings.retry_share,
+		    dispatch->settings.retry_floor);
+		TAILQ_INSERT_TAIL(&dispatch->services, service, link);
+	}
+}
+
+static void
+refresh_views(jj_dispatch_t *dispatch, jj_ms_t now)
+{
+	const jj_server_t *servers;
+	jj_service_queue_t *service;
+	jj_server_view_t *view;
+	jj_name_t steward;
+	size_t count;
+	size_t i;
+
+	TAILQ_FOREACH(service, &dispatch->services, link)
+	{
+		TAILQ_FOREACH(view, &service->servers, link)
+		view->listed = false;
+	}
+	servers = jj_fleet_list(dispatch->fleet, &count);
+	for (i = 0; i < count; i++) {
+		view =
+		    jj_dispatch_find_view(dispatch, &servers[i].name, &service);
+		service =
+		    jj_dispatch_find_service(dispatch, servers[i].service.text);
+		if (service == NULL)
+			continue;
+		if (view == NULL) {
+			view = jj_server_view_create(&servers[i]);
+			jj_headroom_reset(
+			    &view->headroom, dispatch->settings.batch_start);
+			TAILQ_INSERT_TAIL(&service->servers, view, link);
+		}
+		view->listed = true;
+		view->local = jj_name_equal(
+		    &servers[i].domain, &dispatch->settings.domain);
+		view->up =
+		    jj_fleet_takes_work(dispatch->fleet, &servers[i].name, now);
+		view->steward = view->local &&
+		    jj_member_choose(dispatch->member,
+			&dispatch->settings.domain, view->hash, &steward) &&
+		    jj_name_equal(&steward, &dispatch->settings.name);
+		jj_server_view_refresh(view, dispatch->member);
+	}
+}
+
+static void
+drop_unlisted(jj_dispatch_t *dispatch)
+{
+	jj_service_queue_t *service;
+	jj_server_view_t *view;
+	jj_server_view_t *next;
+
+	TAILQ_FOREACH(service, &dispatch->services, link)
+	{
+		for (view = TAILQ_FIRST(&service->servers); view != NULL;
+		     view = next) {
+			next = TAILQ_NEXT(view, link);
+			if (view->listed || view->online + view->batch > 0)
+				continue;
+			TAILQ_REMOVE(&service->servers, view, link);
+			jj_server_view_destroy(view);
+		}
+	}
+}
+
+/* Online went up: batch gives its places back at once. */
+static void
+withdraw_excess(jj_dispatch_t *dispatch, jj_service_queue_t *service,
+    jj_server_view_t *view, jj_ms_t now, jj_actions_t *out)
+{
+	jj_headroom_use_t use = jj_dispatch_headroom_use(dispatch, service);
+	jj_entry_t *victim;
+	uint32_t excess;
+
+	use = jj_server_view_use(view, &use);
+	excess = jj_headroom_excess(&view->headroom, &use);
+	if (excess == 0)
+		return;
+	view->headroom.rest_ms = now + dispatch->settings.withdraw_retry_ms;
+	for (; excess > 0; excess--) {
+		victim = choose_victim(dispatch, view);
+		if (victim == NULL)
+			return;
+		jj_dispatch_give_up(
+		    dispatch, victim, JJ_GIVE_UP_OVERLOADED, now, out);
+	}
+}
+
+/* The batch item that loses least work: fewest tokens, newest first. */
+static jj_entry_t *
+choose_victim(const jj_dispatch_t *dispatch, const jj_server_view_t *view)
+{
+	jj_entry_t *entry;
+	jj_entry_t *victim = NULL;
+
+	if (view->batch == 0)
+		return NULL;
+	TAILQ_FOREACH(entry, &dispatch->entries, all_link)
+	{
+		/*
+		 * A non-idempotent item may never be sent again: stopped, it
+		 * would stay without a result.
+		 */
+		if (entry->server != view || entry->team != NULL ||
+		    !entry->request.idempotent)
+			continue;
+		if (victim == NULL || entry->tokens <= victim->tokens)
+			victim = entry;
+	}
+	return victim;
+}
--- /dev/null
+++ b/src/core/dispatch_send.c
@@ -0,0 +1,234 @@
+/**
+ * @file dispatch_send.c
+ * @brief Admission and sending: queues, the choice of a server, the
+ * start of an attempt.
+ */
+#include "core/dispatch_state.h"
+
+/* Used where the configuration leaves it open. */
+#define DEFAULT_QUEUE_LIMIT 256
+#define DEFAULT_SLOTS 32
+
+static bool can_meet_deadline(const jj_entry_t *, uint32_t, jj_ms_t);
+static void
+pump_suspects(jj_dispatch_t *, jj_service_queue_t *, jj_ms_t, jj_actions_t *);
+static bool send_online(jj_dispatch_t *, jj_entry_t *, jj_ms_t, jj_actions_t *);
+static jj_server_view_t *choose(jj_dispatch_t *, jj_entry_t *, jj_ms_t);
+static void start(
+    jj_dispatch_t *, jj_entry_t *, jj_server_view_t *, jj_ms_t, jj_actions_t *);
+
+void
+jj_dispatch_begin_online(
+    jj_dispatch_t *dispatch, jj_entry_t *entry, jj_ms_t now, jj_actions_t *out)
+{
+	jj_service_queue_t *service = entry->service;
+	uint32_t limit = service->settings.queue_limit;
+	uint64_t request = entry->request.request;
+	jj_entry_t *victim;
+
+	jj_retry_budget_note_first(&service->budget, now);
+	jj_service_queue_add(service, entry, false, now);
+	jj_dispatch_pump(dispatch, service, now, out);
+	entry = jj_dispatch_find_entry(dispatch, request);
+	if (entry == NULL || entry->state == JJ_ENTRY_IN_FLIGHT)
+		return;
+	if (!jj_dispatch_has_server_up(service)) {
+		jj_dispatch_give_up(
+		    dispatch, entry, JJ_GIVE_UP_NO_SERVER, now, out);
+		return;
+	}
+	if (!can_meet_deadline(entry, entry->team->queued, now)) {
+		jj_dispatch_give_up(
+		    dispatch, entry, JJ_GIVE_UP_DEADLINE, now, out);
+		return;
+	}
+	if (limit == 0)
+		limit = DEFAULT_QUEUE_LIMIT;
+	if (service->queued <= limit)
+		return;
+	victim = jj_service_queue_overflow(service);
+	if (victim != NULL)
+		jj_dispatch_give_up(
+		    dispatch, victim, JJ_GIVE_UP_OVERLOADED, now, out);
+}
+
+/* Batch never waits here: what does not fit now goes back at once. */
+void
+jj_dispatch_begin_batch(
+    jj_dispatch_t *dispatch, jj_entry_t *entry, jj_ms_t now, jj_actions_t *out)
+{
+	jj_headroom_use_t use =
+	    jj_dispatch_headroom_use(dispatch, entry->service);
+	jj_server_need_t need = {0};
+	jj_server_view_t *view;
+
+	need.request = &entry->request;
+	need.suspect = entry->suspect;
+	view =
+	    jj_server_choose_batch(&entry->service->servers, &need, &use, now);
+	if (view == NULL ||
+	    !jj_fleet_takes_work(dispatch->fleet, &view->name, now)) {
+		jj_dispatch_give_up(
+		    dispatch, entry, JJ_GIVE_UP_OVERLOADED, now, out);
+		return;
+	}
+	use = jj_server_view_use(view, &use);
+	jj_headroom_note_start(&view->headroom, &use, now);
+	start(dispatch, entry, view, now, out);
+}
+
+bool
+jj_dispatch_has_server_up(const jj_service_queue_t *service)
+{
+	const jj_server_view_t *view;
+
+	TAILQ_FOREACH(view, &service->servers, link)
+	{
+		/* One that rests for a moment comes back: worth a wait. */
+		if (view->listed && view->up)
+			return true;
+	}
+	return false;
+}
+
+void
+jj_dispatch_pump(jj_dispatch_t *dispatch, jj_service_queue_t *service,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_team_queue_t *team;
+
+	pump_suspects(dispatch, service, now, out);
+	while ((team = jj_service_queue_next(service)) != NULL) {
+		if (!send_online(
+			dispatch, TAILQ_FIRST(&team->entries), now, out))
+			break;
+	}
+}
+
+void
+jj_dispatch_leave_server(jj_dispatch_t *dispatch, jj_entry_t *entry)
+{
+	jj_server_view_t *view = entry->server;
+
+	if (entry->team != NULL) {
+		entry->team->in_flight--;
+		entry->service->in_flight--;
+		view->online--;
+	} else
+		view->batch--;
+	if (entry->suspect)
+		view->suspects--;
+	entry->server = NULL;
+	entry->state = JJ_ENTRY_IDLE;
+	dispatch->told_all = false;
+}
+
+/* False when even a quick answer would come too late from this place. */
+static bool
+can_meet_deadline(const jj_entry_t *entry, uint32_t place, jj_ms_t now)
+{
+	jj_ms_t wait =
+	    jj_service_queue_wait(entry->service, entry->team, place, now);
+
+	if (wait == JJ_MS_NEVER)
+		wait = 0;
+	return now + wait + (jj_ms_t)entry->service->quick_ms <=
+	    entry->request.deadline_ms;
+}
+
+static void
+pump_suspects(jj_dispatch_t *dispatch, jj_service_queue_t *service, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_entry_t *entry;
+	jj_entry_t *next;
+
+	for (entry = TAILQ_FIRST(&service->suspects); entry != NULL;
+	     entry = next) {
+		next = TAILQ_NEXT(entry, link);
+		(void)send_online(dispatch, entry, now, out);
+	}
+}
+
+/* False when no server has a place; true also when it was given up. */
+static bool
+send_online(
+    jj_dispatch_t *dispatch, jj_entry_t *entry, jj_ms_t now, jj_actions_t *out)
+{
+	jj_service_queue_t *service = entry->service;
+	jj_quarantine_verdict_t verdict = jj_quarantine_check(
+	    dispatch->quarantine, entry->request.fingerprint, now);
+	jj_server_view_t *view;
+
+	/* A neighbour's crash report may have come while it waited. */
+	if (verdict == JJ_QUARANTINE_REFUSED) {
+		jj_dispatch_give_up(
+		    dispatch, entry, JJ_GIVE_UP_QUARANTINED, now, out);
+		return true;
+	}
+	if (verdict == JJ_QUARANTINE_SUSPECT && !entry->suspect) {
+		jj_service_queue_remove(service, entry);
+		entry->suspect = true;
+		jj_service_queue_add(service, entry, false, now);
+		return true;
+	}
+	view = choose(dispatch, entry, now);
+	if (view == NULL)
+		return false;
+	jj_service_queue_remove(service, entry);
+	jj_service_queue_charge(service, entry);
+	start(dispatch, entry, view, now, out);
+	return true;
+}
+
+static jj_server_view_t *
+choose(jj_dispatch_t *dispatch, jj_entry_t *entry, jj_ms_t now)
+{
+	jj_service_queue_t *service = entry->service;
+	jj_server_need_t need = {0};
+	jj_server_view_t *view;
+
+	need.request = &entry->request;
+	need.suspect = entry->suspect;
+	need.salt = dispatch->settings.seed ^ entry->request.request;
+	need.online_most = service->settings.server_slots;
+	if (need.online_most == 0)
+		need.online_most = DEFAULT_SLOTS;
+	if (!jj_name_is_empty(&entry->avoid))
+		need.avoid = &entry->avoid;
+	/* Another VM's notice may be newer than the view: look again. */
+	while ((view = jj_server_choose_online(
+		    &service->servers, &need, now)) != NULL) {
+		if (jj_fleet_takes_work(dispatch->fleet, &view->name, now))
+			return view;
+		view->up = false;
+	}
+	return NULL;
+}
+
+static void
+start(jj_dispatch_t *dispatch, jj_entry_t *entry, jj_server_view_t *view,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_action_t *action = jj_actions_add(out, JJ_ACTION_BACKEND_START);
+
+	entry->state = JJ_ENTRY_IN_FLIGHT;
+	entry->server = view;
+	entry->attempt++;
+	entry->tokens = 0;
+	entry->sent_ms = now;
+	entry->token_ms = 0;
+	if (entry->team != NULL) {
+		entry->team->in_flight++;
+		entry->service->in_flight++;
+		view->online++;
+	} else
+		view->batch++;
+	if (entry->suspect)
+		view->suspects++;
+	jj_server_view_add_prefix(view, &entry->request);
+	action->body.start.request = entry->request.request;
+	action->body.start.attempt = entry->attempt;
+	action->body.start.server = view->name;
+	dispatch->told_all = false;
+}
--- /dev/null
+++ b/src/core/json_text.c
@@ -0,0 +1,32 @@
+/**
+ * @file json_text.c
+ * @brief JSON values to bytes, and strings out of JSON values.
+ */
+#include "core/json_text.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+jj_bytes_t
+jj_json_take_bytes(json_t *object)
+{
+	char *text = json_dumps(object, JSON_COMPACT);
+	jj_bytes_t bytes;
+
+	JJ_INVARIANT(text != NULL);
+	bytes = jj_bytes_from_text(text);
+	free(text);
+	json_decref(object);
+	return bytes;
+}
+
+bool
+jj_json_copy_text(char *to, size_t room, const json_t *text)
+{
+	size_t size = json_string_length(text);
+
+	if (!json_is_string(text) || size >= room)
+		return false;
+	memcpy(to, json_string_value(text), size + 1);
+	return true;
+}
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -29,6 +29,8 @@
 /** Wants the lease (or no longer does: releases it when held). */
 void jj_lease_want(
     jj_lease_t *lease, bool wanted, jj_ms_t now, jj_actions_t *out);
+/** The object may have changed (watch): looks at it without delay. */
+void jj_lease_refresh(jj_lease_t *lease, jj_ms_t now, jj_actions_t *out);
 void jj_lease_tick(jj_lease_t *lease, jj_ms_t now, jj_actions_t *out);
 jj_ms_t jj_lease_next(const jj_lease_t *lease);
 void jj_lease_take_result(jj_lease_t *lease,
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -4,13 +4,28 @@
  *
  * Keys fall into JJ_LEDGER_SLOTS slots per failure domain. The slot table,
  * one platform object per domain changed only by conditional update, gives
- * each slot an epoch, a home and a witness (VM and incarnation). A home sends
- * a call only after the witness of the same epoch has recorded the intent; a
- * VM that has adopted a newer epoch of a slot refuses the older one. A slot
- * is taken over only by a VM that holds its whole history: the home, or a
- * witness that was synced in that epoch. So a frozen home that wakes gets no
- * acknowledgement, and two lone halves cannot exist: going on without a
- * witness needs the platform's conditional update.
+ * each slot an epoch, a home and a witness (VM and incarnation).
+ *
+ * Why a call runs at most once:
+ *  - A home runs a call only after the witness of the same epoch recorded the
+ *    intent. A witness that has adopted a newer epoch refuses the older one,
+ *    so a deposed or frozen home that wakes gets no acknowledgement.
+ *  - An epoch is opened only by a VM with the slot's whole history: its home,
+ *    or a witness that was synced. So each key that ran has a record at the
+ *    next home, which turns an unfinished intent into "unknown".
+ *  - A home acts only after its witness was synced in this epoch. Until then
+ *    the VM that was home or synced witness one epoch before still has the
+ *    whole history, and may open the next epoch.
+ *  - Going on without a witness needs the platform's conditional update, so
+ *    two lone halves cannot exist. A lone home cannot be deposed.
+ *  - Where the history is lost (both processes replaced, or an operator says
+ *    so) the slot runs no key without a record for the retention time.
+ *
+ * NOT_RUN is said only when nobody can have run the key: by a home whose
+ * attempt the witness has acknowledged, or by a lone home. All other refusals
+ * are NO_HISTORY (this attempt was not run, earlier ones are not known) with
+ * a time to come back: a home without an acknowledgement cannot tell whether
+ * it was deposed and its successor ran the key.
  */
 #ifndef JJ_CORE_LEDGER_H
 #define JJ_CORE_LEDGER_H
@@ -25,25 +40,33 @@
 	jj_name_t name;
 	jj_name_t domain;
 	jj_incarnation_t incarnation;
-	jj_ms_t retention_ms;  /**< keys are kept for; default 7200000 */
+	jj_ms_t retention_ms; /**< keys are kept for; default 7200000 */
 	jj_ms_t ack_timeout_ms; /**< wait for the witness; default 1000 */
-	jj_ms_t takeover_ms;   /**< silence before a takeover; default 3000 */
-	size_t answer_max;     /**< largest answer kept, bytes; 8192 */
-	size_t record_max;     /**< most records kept; default 200000 */
+	jj_ms_t takeover_ms; /**< silence before a takeover; default 3000 */
+	size_t answer_max; /**< largest answer kept, bytes; 8192 */
+	size_t record_max; /**< most records kept; default 200000 */
 	uint64_t seed;
 } jj_ledger_settings_t;
 
-/** What the home shall do with a call that was begun. */
 typedef struct jj_ledger jj_ledger_t;
 
-/** Runs the call: called once per key at most, after the witness's word. */
+/** What the ledger needs of its surroundings. */
 typedef struct {
 	void *ctx;
+	/** Runs the call: once per key at most, after the witness's word.
+	 * May not call the ledger before it returns. */
 	void (*run)(void *ctx, uint64_t run, const jj_call_t *call);
+	/** The VM's entry, or NULL when it is not known (jj_member_find). */
+	const jj_member_info_t *(*find)(void *ctx, const jj_name_t *name);
+	/** Live VMs of the own domain that are not leaving, with this one
+	 * unless it leaves; at most @p most, returns how many
+	 * (jj_member_list). */
+	size_t (*list)(void *ctx, jj_member_info_t *infos, size_t most);
 } jj_ledger_port_t;
 
-jj_ledger_t *jj_ledger_create(const jj_ledger_settings_t *settings,
-    const jj_member_t *member, const jj_ledger_port_t *port);
+/** The port is copied; its ctx must outlive the ledger. */
+jj_ledger_t *jj_ledger_create(
+    const jj_ledger_settings_t *settings, const jj_ledger_port_t *port);
 void jj_ledger_destroy(jj_ledger_t *ledger);
 
 /** The slot of a key. */
@@ -60,16 +83,16 @@
  * came from @p from, with a JJ_MESSAGE_CALL_ANSWER to it. The bytes of
  * @p call are copied.
  */
-void jj_ledger_begin(jj_ledger_t *ledger, uint64_t operation,
-    const jj_name_t *from, const jj_call_t *call, jj_ms_t now,
-    jj_actions_t *out);
+void
+jj_ledger_begin(jj_ledger_t *ledger, uint64_t operation, const jj_name_t *from,
+    const jj_call_t *call, jj_ms_t now, jj_actions_t *out);
 /**
  * A run ended: @p outcome is DONE with status and body, NOT_RUN when surely
  * no byte was sent (the key is then free again), UNKNOWN otherwise.
  */
-void jj_ledger_end(jj_ledger_t *ledger, uint64_t run,
-    jj_call_outcome_t outcome, int status, const jj_bytes_t *body,
-    jj_ms_t retry_after_ms, jj_ms_t now, jj_actions_t *out);
+void jj_ledger_end(jj_ledger_t *ledger, uint64_t run, jj_call_outcome_t outcome,
+    int status, const jj_bytes_t *body, jj_ms_t retry_after_ms, jj_ms_t now,
+    jj_actions_t *out);
 /** INTENT, INTENT_ACK, RESOLVE, SYNC, SYNC_ACK, SLOTS from an accepted VM. */
 void jj_ledger_take_message(jj_ledger_t *ledger, const jj_message_t *message,
     jj_ms_t now, jj_actions_t *out);
--- /dev/null
+++ b/src/core/ledger_records.c
@@ -0,0 +1,193 @@
+/**
+ * @file ledger_records.c
+ * @brief Hash table of records, with a list for each slot.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ledger_records.h"
+
+#define BUCKETS_FIRST 1024
+
+LIST_HEAD(bucket, jj_ledger_entry);
+
+struct jj_ledger_records {
+	jj_ms_t retention_ms;
+	size_t count;
+	size_t bucket_count; /* a power of two */
+	struct bucket *buckets;
+	jj_ledger_entries_t slots[JJ_LEDGER_SLOTS];
+};
+
+static struct bucket *find_bucket(jj_ledger_records_t *, const jj_hash_t *);
+static void grow(jj_ledger_records_t *);
+static bool
+is_expired(const jj_ledger_records_t *, const jj_ledger_entry_t *, jj_ms_t);
+
+jj_ledger_records_t *
+jj_ledger_records_create(jj_ms_t retention_ms)
+{
+	jj_ledger_records_t *records = jj_alloc(sizeof(*records));
+	size_t i;
+
+	records->retention_ms = retention_ms;
+	records->bucket_count = BUCKETS_FIRST;
+	records->buckets = jj_alloc(BUCKETS_FIRST * sizeof(struct bucket));
+	for (i = 0; i < JJ_LEDGER_SLOTS; i++)
+		TAILQ_INIT(&records->slots[i]);
+	return records;
+}
+
+void
+jj_ledger_records_destroy(jj_ledger_records_t *records)
+{
+	jj_ledger_entry_t *entry;
+	size_t i;
+
+	for (i = 0; i < JJ_LEDGER_SLOTS; i++) {
+		while ((entry = TAILQ_FIRST(&records->slots[i])) != NULL)
+			jj_ledger_records_remove(records, entry);
+	}
+	free(records->buckets);
+	free(records);
+}
+
+size_t
+jj_ledger_records_count(const jj_ledger_records_t *records)
+{
+	return records->count;
+}
+
+jj_ledger_entries_t *
+jj_ledger_records_slot(jj_ledger_records_t *records, uint32_t slot)
+{
+	return &records->slots[slot];
+}
+
+jj_ledger_entry_t *
+jj_ledger_records_find(
+    jj_ledger_records_t *records, const jj_hash_t *key, jj_ms_t now)
+{
+	jj_ledger_entry_t *entry;
+
+	LIST_FOREACH(entry, find_bucket(records, key), bucket_link)
+	{
+		if (jj_hash_equal(&entry->key, key))
+			break;
+	}
+	if (entry != NULL && is_expired(records, entry, now)) {
+		jj_ledger_records_remove(records, entry);
+		return NULL;
+	}
+	return entry;
+}
+
+jj_ledger_entry_t *
+jj_ledger_records_add(jj_ledger_records_t *records, const jj_hash_t *key)
+{
+	jj_ledger_entry_t *entry = jj_alloc(sizeof(*entry));
+
+	if (records->count >= records->bucket_count)
+		grow(records);
+	entry->key = *key;
+	entry->slot = jj_ledger_slot(key);
+	LIST_INSERT_HEAD(find_bucket(records, key), entry, bucket_link);
+	TAILQ_INSERT_TAIL(&records->slots[entry->slot], entry, slot_link);
+	records->count++;
+	return entry;
+}
+
+void
+jj_ledger_records_remove(jj_ledger_records_t *records, jj_ledger_entry_t *entry)
+{
+	LIST_REMOVE(entry, bucket_link);
+	TAILQ_REMOVE(&records->slots[entry->slot], entry, slot_link);
+	records->count--;
+	jj_bytes_free(&entry->answer);
+	free(entry);
+}
+
+void
+jj_ledger_records_sweep(
+    jj_ledger_records_t *records, uint32_t slot, jj_ms_t now)
+{
+	jj_ledger_entry_t *entry;
+	jj_ledger_entry_t *next;
+
+	entry = TAILQ_FIRST(&records->slots[slot]);
+	for (; entry != NULL; entry = next) {
+		next = TAILQ_NEXT(entry, slot_link);
+		if (is_expired(records, entry, now))
+			jj_ledger_records_remove(records, entry);
+	}
+}
+
+void
+jj_ledger_records_export(
+    const jj_ledger_entry_t *entry, jj_ms_t now, jj_record_t *record)
+{
+	memset(record, 0, sizeof(*record));
+	record->key = entry->key;
+	record->fingerprint = entry->fingerprint;
+	record->attempt = entry->attempt;
+	record->state = entry->state;
+	record->age_ms = now - entry->since;
+	record->status = entry->status;
+	record->answer = jj_bytes_copy(entry->answer.data, entry->answer.size);
+}
+
+void
+jj_ledger_records_import(
+    jj_ledger_entry_t *entry, const jj_record_t *record, jj_ms_t now)
+{
+	jj_bytes_free(&entry->answer);
+	entry->fingerprint = record->fingerprint;
+	entry->attempt = record->attempt;
+	entry->state = record->state;
+	entry->since = now - record->age_ms;
+	entry->status = record->status;
+	entry->answer = jj_bytes_copy(record->answer.data, record->answer.size);
+}
+
+static struct bucket *
+find_bucket(jj_ledger_records_t *records, const jj_hash_t *key)
+{
+	return &records->buckets[key->high & (records->bucket_count - 1)];
+}
+
+static void
+grow(jj_ledger_records_t *records)
+{
+	jj_ledger_entry_t *entry;
+	size_t i;
+
+	free(records->buckets);
+	records->bucket_count *= 2;
+	records->buckets =
+	    jj_alloc(records->bucket_count * sizeof(struct bucket));
+	for (i = 0; i < JJ_LEDGER_SLOTS; i++) {
+		TAILQ_FOREACH(entry, &records->slots[i], slot_link)
+		{
+			LIST_INSERT_HEAD(find_bucket(records, &entry->key),
+			    entry, bucket_link);
+		}
+	}
+}
+
+/*
+ * An intent is kept for twice the time: a witness that lost the word of its
+ * end must not forget the key before the home does, or a takeover would run
+ * it a second time. A call of this VM that has not ended never expires.
+ */
+static bool
+is_expired(const jj_ledger_records_t *records, const jj_ledger_entry_t *entry,
+    jj_ms_t now)
+{
+	jj_ms_t kept = records->retention_ms;
+
+	if (entry->run != 0)
+		return false;
+	if (entry->state == JJ_RECORD_INTENT)
+		kept *= 2;
+	return now - entry->since > kept;
+}
--- /dev/null
+++ b/src/core/ledger_records.h
@@ -0,0 +1,57 @@
+/**
+ * @file ledger_records.h
+ * @brief The records of idempotency keys that a VM holds, by key and slot.
+ */
+#ifndef JJ_CORE_LEDGER_RECORDS_H
+#define JJ_CORE_LEDGER_RECORDS_H
+
+#include <sys/queue.h>
+
+#include "core/ledger.h"
+
+/** One key's record; plain to read, changed by the ledger only. */
+typedef struct jj_ledger_entry {
+	LIST_ENTRY(jj_ledger_entry) bucket_link;
+	TAILQ_ENTRY(jj_ledger_entry) slot_link;
+	jj_hash_t key;
+	uint64_t fingerprint;
+	uint32_t slot;
+	uint32_t attempt;
+	jj_record_state_t state;
+	int32_t status;
+	jj_bytes_t answer;
+	jj_ms_t since; /**< when made, or when ended */
+	uint64_t epoch; /**< the last one in which the home named it */
+	uint64_t run; /**< this VM's own call that has not ended, 0: none */
+} jj_ledger_entry_t;
+
+typedef TAILQ_HEAD(jj_ledger_entries, jj_ledger_entry) jj_ledger_entries_t;
+typedef struct jj_ledger_records jj_ledger_records_t;
+
+/** @param retention_ms how long a record is kept after its end */
+jj_ledger_records_t *jj_ledger_records_create(jj_ms_t retention_ms);
+void jj_ledger_records_destroy(jj_ledger_records_t *records);
+
+size_t jj_ledger_records_count(const jj_ledger_records_t *records);
+/** The records of one slot, oldest first. */
+jj_ledger_entries_t *
+jj_ledger_records_slot(jj_ledger_records_t *records, uint32_t slot);
+/** The key's record or NULL; an expired one is removed first. */
+jj_ledger_entry_t *jj_ledger_records_find(
+    jj_ledger_records_t *records, const jj_hash_t *key, jj_ms_t now);
+/** Adds a key that has no record. */
+jj_ledger_entry_t *
+jj_ledger_records_add(jj_ledger_records_t *records, const jj_hash_t *key);
+void jj_ledger_records_remove(
+    jj_ledger_records_t *records, jj_ledger_entry_t *entry);
+/** Removes the expired records of one slot. */
+void jj_ledger_records_sweep(
+    jj_ledger_records_t *records, uint32_t slot, jj_ms_t now);
+/** Fills a message's record; its answer is a copy. */
+void jj_ledger_records_export(
+    const jj_ledger_entry_t *entry, jj_ms_t now, jj_record_t *record);
+/** Takes over a message's record; the answer is copied. */
+void jj_ledger_records_import(
+    jj_ledger_entry_t *entry, const jj_record_t *record, jj_ms_t now);
+
+#endif
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -10,7 +10,11 @@
  *
  * A process is its name plus its incarnation. A message of an unknown
  * incarnation is held to be nothing until a probe's nonce has come back from
- * it: late messages of a dead process cannot answer a probe.
+ * it: late messages of a dead process cannot answer a probe. A heartbeat is a
+ * sign of life only when it acknowledges a message that this process sent
+ * lately (on its own clock); otherwise a queue of old heartbeats, delivered
+ * after a reconnect, would revive a dead VM. A heartbeat without such an
+ * acknowledgement is answered by a probe instead, whose echo is one.
  */
 #ifndef JJ_CORE_MEMBER_H
 #define JJ_CORE_MEMBER_H
@@ -28,6 +32,7 @@
 	jj_ms_t heartbeat_ms; /**< between heartbeats; default 500 */
 	jj_ms_t suspect_ms;   /**< silence until suspected; default 2000 */
 	jj_ms_t forget_ms;    /**< silence until dropped; default 3600000 */
+	uint64_t seed;        /**< for the nonces of probes */
 } jj_member_settings_t;
 
 /** What is known of one VM; plain to read. */
@@ -59,6 +64,11 @@
  */
 bool jj_member_accept(jj_member_t *member, const jj_message_t *message,
     jj_ms_t now, jj_actions_t *out);
+/**
+ * Fills in a message's sender, incarnation and sequence. Called once for each
+ * JJ_ACTION_SEND, in the order in which the messages go out.
+ */
+void jj_member_stamp(jj_member_t *member, jj_message_t *message);
 /** Sends due heartbeats (the caller fills loads in by the callback below). */
 void jj_member_tick(jj_member_t *member, jj_ms_t now, jj_actions_t *out);
 /** When the next tick is due. */
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -22,30 +22,31 @@
 
 typedef enum {
 	JJ_MESSAGE_HEARTBEAT = 1,
-	JJ_MESSAGE_PROBE,         /**< asks an unknown incarnation to echo */
-	JJ_MESSAGE_PROBE_ECHO,    /**< only the living process can send it */
-	JJ_MESSAGE_CONFIG_ASK,    /**< send me your newest configuration */
-	JJ_MESSAGE_CONFIG,        /**< a whole configuration */
-	JJ_MESSAGE_LOAD,          /**< loads that changed */
-	JJ_MESSAGE_CALL,          /**< entry VM to home: run this once */
-	JJ_MESSAGE_CALL_ANSWER,   /**< home to entry VM */
-	JJ_MESSAGE_INTENT,        /**< home to witness: about to send */
-	JJ_MESSAGE_INTENT_ACK,    /**< witness to home */
-	JJ_MESSAGE_RESOLVE,       /**< home to witness: how it ended */
-	JJ_MESSAGE_SYNC,          /**< home to new witness: records of a slot */
-	JJ_MESSAGE_SYNC_ACK,      /**< witness to home: all records held */
-	JJ_MESSAGE_SLOTS,         /**< newest slot table, as stored */
-	JJ_MESSAGE_CRASH,         /**< a backend server died with these on it */
-	JJ_MESSAGE_SERVER_STATE,  /**< a backend server is leaving or down */
-	JJ_MESSAGE_JOBS,          /**< job events of the domain's watch relay */
+	JJ_MESSAGE_PROBE, /**< asks an unknown incarnation to echo */
+	JJ_MESSAGE_PROBE_ECHO, /**< only the living process can send it */
+	JJ_MESSAGE_CONFIG_ASK, /**< send me your newest configuration */
+	JJ_MESSAGE_CONFIG, /**< a whole configuration */
+	JJ_MESSAGE_LOAD, /**< loads that changed */
+	JJ_MESSAGE_CALL, /**< entry VM to home: run this once */
+	JJ_MESSAGE_CALL_ANSWER, /**< home to entry VM */
+	JJ_MESSAGE_INTENT, /**< home to witness: about to send */
+	JJ_MESSAGE_INTENT_ACK, /**< witness to home */
+	JJ_MESSAGE_RESOLVE, /**< home to witness: how it ended */
+	JJ_MESSAGE_SYNC, /**< home to new witness: records of a slot */
+	JJ_MESSAGE_SYNC_ACK, /**< witness to home: all records held */
+	JJ_MESSAGE_SLOTS, /**< newest slot table, as stored */
+	JJ_MESSAGE_CRASH, /**< a backend server died with these on it */
+	JJ_MESSAGE_SERVER_STATE, /**< a backend server is leaving or down */
+	JJ_MESSAGE_JOBS, /**< job events of the domain's watch relay */
+	JJ_MESSAGE_VMS, /**< the platform's VM list, body as of JOBS */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
 /** What a VM runs on one backend server. */
 typedef struct {
 	jj_name_t server;
-	uint32_t online;   /**< online requests in flight */
-	uint32_t batch;    /**< batch items in flight */
+	uint32_t online; /**< online requests in flight */
+	uint32_t batch; /**< batch items in flight */
 	uint32_t token_gap_us; /**< recent time between tokens, 0: none seen */
 } jj_load_t;
 
@@ -61,14 +62,17 @@
 	char address[JJ_NAME_MAX + 1]; /**< IP:PORT for neighbours */
 	uint64_t config_version;
 	uint64_t slots_version; /**< platform version of the slot table */
+	/** Highest sequence the sender has accepted from the receiver's
+	 * process, 0: none. Says when the sender was alive: see member.h. */
+	uint64_t ack_sequence;
 	uint32_t load_count;
 	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
 } jj_heartbeat_t;
 
 /** State of one idempotency key. */
 typedef enum {
-	JJ_RECORD_INTENT,  /**< may have been sent */
-	JJ_RECORD_DONE,    /**< ran; answer kept when small enough */
+	JJ_RECORD_INTENT, /**< may have been sent */
+	JJ_RECORD_DONE, /**< ran; answer kept when small enough */
 	JJ_RECORD_UNKNOWN, /**< may have run; nobody will learn more */
 } jj_record_state_t;
 
@@ -76,35 +80,35 @@
 typedef struct {
 	jj_hash_t key;
 	uint64_t fingerprint; /**< of service, path and body */
-	uint32_t attempt;     /**< counts intents of this key at its home */
+	uint32_t attempt; /**< counts intents of this key at its home */
 	jj_record_state_t state;
 	jj_ms_t age_ms; /**< since the record was made, on the sender's clock */
-	int32_t status;    /**< HTTP status of a DONE record */
+	int32_t status; /**< HTTP status of a DONE record */
 	jj_bytes_t answer; /**< body of a DONE record, empty when too large */
 } jj_record_t;
 
 /** How a non-idempotent call ended, as its entry VM is told. */
 typedef enum {
-	JJ_CALL_DONE,        /**< ran; status and body are its answer */
-	JJ_CALL_REPLAYED,    /**< ran earlier; this is the stored answer */
+	JJ_CALL_DONE, /**< ran; status and body are its answer */
+	JJ_CALL_REPLAYED, /**< ran earlier; this is the stored answer */
 	JJ_CALL_IN_PROGRESS, /**< an earlier attempt has not ended yet */
-	JJ_CALL_MISMATCH,    /**< same key, other content; not run */
-	JJ_CALL_NOT_RUN,     /**< surely not run under this key */
-	JJ_CALL_UNKNOWN,     /**< may have run; never sent again */
-	JJ_CALL_NO_HISTORY,  /**< this attempt not run, earlier ones unknown */
+	JJ_CALL_MISMATCH, /**< same key, other content; not run */
+	JJ_CALL_NOT_RUN, /**< surely not run under this key */
+	JJ_CALL_UNKNOWN, /**< may have run; never sent again */
+	JJ_CALL_NO_HISTORY, /**< this attempt not run, earlier ones unknown */
 } jj_call_outcome_t;
 
 typedef struct {
-	uint64_t call;       /**< the entry VM's number */
+	uint64_t call; /**< the entry VM's number */
 	uint32_t slot;
-	uint64_t epoch;      /**< slot's epoch the sender believes in */
+	uint64_t epoch; /**< slot's epoch the sender believes in */
 	jj_hash_t key;
 	uint64_t fingerprint;
-	jj_ms_t budget_ms;   /**< time left until the caller's deadline */
+	jj_ms_t budget_ms; /**< time left until the caller's deadline */
 	jj_name_t service;
 	jj_bytes_t path;
 	jj_bytes_t body;
-	char trace[56];      /**< W3C traceparent */
+	char trace[56]; /**< W3C traceparent */
 	char key_text[JJ_IDEMPOTENCY_KEY_MAX + 1];
 } jj_call_t;
 
@@ -140,7 +144,7 @@
 typedef struct {
 	uint32_t slot;
 	uint64_t epoch;
-	uint32_t part;  /**< counts from 0 */
+	uint32_t part; /**< counts from 0 */
 	bool last;
 	bool history_unknown; /**< the slot's earlier records were lost */
 	jj_ms_t unknown_age_ms; /**< since then, on the sender's clock */
@@ -178,7 +182,7 @@
 	jj_message_kind_t kind;
 	jj_name_t from;
 	jj_incarnation_t incarnation; /**< of the sender's process */
-	uint64_t sequence;            /**< rises by one per message to a VM */
+	uint64_t sequence; /**< rises with each message of the process */
 	union {
 		jj_heartbeat_t heartbeat;
 		uint64_t nonce; /**< probe and echo */
--- a/src/core/platform_call.h
+++ b/src/core/platform_call.h
@@ -40,20 +40,20 @@
 	char key[JJ_OBJECT_KEY_MAX + 1]; /**< or the prefix of a list, watch */
 	char after[JJ_OBJECT_KEY_MAX + 1];
 	uint64_t version; /**< expected version, or `since` of a watch */
-	int limit;        /**< most items of a list */
-	bool values;      /**< a list brings the values too */
-	jj_ms_t wait_ms;  /**< how long a watch may wait */
+	int limit; /**< most items of a list */
+	bool values; /**< a list brings the values too */
+	jj_ms_t wait_ms; /**< how long a watch may wait */
 	jj_bytes_t value; /**< of create and update */
 } jj_platform_call_t;
 
 typedef enum {
 	JJ_PLATFORM_OK,
-	JJ_PLATFORM_ABSENT,   /**< 404 */
+	JJ_PLATFORM_ABSENT, /**< 404 */
 	JJ_PLATFORM_CONFLICT, /**< 412: another version, or exists already */
-	JJ_PLATFORM_GAP,      /**< 410: watch history lost, list again */
-	JJ_PLATFORM_LIMITED,  /**< 429: surely not done, see retry_after_ms */
-	JJ_PLATFORM_DOWN,     /**< refused: surely not done */
-	JJ_PLATFORM_UNKNOWN,  /**< no answer: a write may have taken effect */
+	JJ_PLATFORM_GAP, /**< 410: watch history lost, list again */
+	JJ_PLATFORM_LIMITED, /**< 429: surely not done, see retry_after_ms */
+	JJ_PLATFORM_DOWN, /**< refused: surely not done */
+	JJ_PLATFORM_UNKNOWN, /**< no answer: a write may have taken effect */
 } jj_platform_outcome_t;
 
 /** One object of a list, or one event of a watch. */
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -27,7 +27,7 @@
 
 /** Bytes on the heap, owned by the struct that holds them. */
 typedef struct {
-	char *data;  /**< NULL when empty; has a NUL behind the last byte */
+	char *data; /**< NULL when empty; has a NUL behind the last byte */
 	size_t size; /**< bytes, without that NUL */
 } jj_bytes_t;
 
@@ -74,11 +74,11 @@
 void *jj_realloc(void *memory, size_t size);
 
 /** Stops the process with a message: an invariant of the core is broken. */
-_Noreturn void jj_invariant_broken(
-    const char *file, int line, const char *what);
+__attribute__((noreturn)) void
+jj_invariant_broken(const char *file, int line, const char *what);
 /** Checks an invariant; all other faults are outcomes, never this. */
 #define JJ_INVARIANT(condition) \
-	((condition) ? (void)0 \
+	((condition) ? (void)0  \
 		     : jj_invariant_broken(__FILE__, __LINE__, #condition))
 
 #endif
--- /dev/null
+++ b/src/daemon/main.c
@@ -0,0 +1,164 @@
+/**
+ * @file main.c
+ * @brief jujubed: the daemon of an entry VM.
+ *
+ * Exit codes: 0 stopped as asked, 1 could not start, 2 the command line or
+ * the settings are wrong (nothing was started).
+ */
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "adapters/log.h"
+#include "adapters/monotonic.h"
+#include "adapters/settings.h"
+#include "adapters/trace.h"
+#include "daemon/node.h"
+
+#define EXIT_USAGE 2
+/** How often a planned stop looks whether all is done, ms. */
+#define DRAIN_LOOK_MS 20
+
+#ifndef JJ_VERSION
+#define JJ_VERSION "0.1.0"
+#endif
+
+static char *settings_path;
+static gboolean check_only;
+static gboolean show_version;
+
+static const GOptionEntry options[] = {
+    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &settings_path,
+	"TOML settings of this VM", "FILE"},
+    {"check", 0, 0, G_OPTION_ARG_NONE, &check_only,
+	"Check the settings and end", NULL},
+    {"version", 0, 0, G_OPTION_ARG_NONE, &show_version,
+	"Print the version and end", NULL},
+    {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+};
+
+static int run(const jj_settings_t *);
+static void wait_for_stop(jj_node_t *, const jj_settings_t *, sigset_t *);
+static bool wait_for_signal(const sigset_t *, jj_ms_t);
+
+int
+main(int argc, char **argv)
+{
+	GOptionContext *context =
+	    g_option_context_new("- daemon of an entry VM");
+	jj_settings_t settings;
+	char why[JJ_SETTINGS_WHY_MAX];
+	GError *error = NULL;
+	int status;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	g_option_context_set_description(context,
+	    "Exit codes: 0 stopped as asked; 1 could not start; 2 wrong "
+	    "command line or settings.");
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		(void)fprintf(stderr, "jujubed: %s\n", error->message);
+		return EXIT_USAGE;
+	}
+	g_option_context_free(context);
+	if (show_version) {
+		(void)printf("jujubed %s\n", JJ_VERSION);
+		return 0;
+	}
+	if (settings_path == NULL) {
+		(void)fprintf(stderr, "jujubed: --settings FILE is needed\n");
+		return EXIT_USAGE;
+	}
+	if (!jj_settings_load(&settings, settings_path, why, sizeof(why))) {
+		(void)fprintf(stderr, "%s\n", why);
+		return EXIT_USAGE;
+	}
+	if (check_only) {
+		(void)printf("%s: settings are valid\n", settings_path);
+		jj_settings_clear(&settings);
+		return 0;
+	}
+	status = run(&settings);
+	jj_settings_clear(&settings);
+	g_free(settings_path);
+	return status;
+}
+
+static int
+run(const jj_settings_t *settings)
+{
+	jj_trace_settings_t trace = {settings->name.text, settings->trace.file,
+	    settings->trace.share, settings->trace.ring,
+	    settings->trace.flush_ms};
+	jj_node_t *node;
+	sigset_t signals;
+	int status = EXIT_FAILURE;
+
+	(void)sigemptyset(&signals);
+	(void)sigaddset(&signals, SIGTERM);
+	(void)sigaddset(&signals, SIGINT);
+	(void)pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	(void)signal(SIGPIPE, SIG_IGN);
+	(void)curl_global_init(CURL_GLOBAL_DEFAULT);
+	if (!jj_log_open(settings->log.level,
+		settings->log.file[0] != '\0' ? settings->log.file : NULL))
+		return EXIT_FAILURE;
+	jj_log_set_name(settings->name.text);
+	if (!jj_trace_open(&trace))
+		goto out_log;
+	node = jj_node_create(settings);
+	if (node == NULL)
+		goto out_trace;
+	jj_log(JJ_LOG_INFO, "started", "callers=%s operators=%s neighbours=%s",
+	    settings->listen_callers, settings->listen_operators,
+	    settings->listen_neighbours);
+	wait_for_stop(node, settings, &signals);
+	jj_node_destroy(node);
+	jj_log(JJ_LOG_INFO, "stopped", "status=0");
+	status = 0;
+
+out_trace:
+	jj_trace_close();
+out_log:
+	jj_log_close();
+	curl_global_cleanup();
+	return status;
+}
+
+/**
+ * Waits for a signal, or for an operator's drain, and then until nothing is
+ * in progress any more; a second signal, or the drain limit, ends the wait.
+ */
+static void
+wait_for_stop(jj_node_t *node, const jj_settings_t *settings, sigset_t *signals)
+{
+	jj_ms_t until;
+
+	while (!wait_for_signal(signals, 200)) {
+		if (atomic_load(&node->leaving))
+			break;
+	}
+	jj_node_leave(node);
+	until = jj_monotonic_now() + settings->stop.drain_ms;
+	while (!jj_node_is_idle(node) && jj_monotonic_now() < until) {
+		if (wait_for_signal(signals, DRAIN_LOOK_MS)) {
+			jj_log(JJ_LOG_WARN, "stop_forced", "by=signal");
+			return;
+		}
+	}
+	if (!jj_node_is_idle(node))
+		jj_log(JJ_LOG_WARN, "stop_forced", "by=drain_limit");
+}
+
+static bool
+wait_for_signal(const sigset_t *signals, jj_ms_t wait_ms)
+{
+	struct timespec wait = {wait_ms / 1000, (wait_ms % 1000) * 1000000L};
+
+	return sigtimedwait(signals, NULL, &wait) > 0;
+}
--- /dev/null
+++ b/src/daemon/node_finish.c
@@ -0,0 +1,163 @@
+/**
+ * @file node_finish.c
+ * @brief Ends exchanges: each is taken off once and answered once.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/log.h"
+#include "adapters/monotonic.h"
+#include "daemon/answers.h"
+#include "daemon/node.h"
+
+static void end_caller(jj_exchange_t *, bool, const jj_problem_t *);
+static jj_item_outcome_t outcome_of(const jj_answer_t *);
+static void answer_whole(jj_exchange_t *, bool, const jj_whole_t *);
+static void log_answer(const jj_exchange_t *, int, const char *, const char *);
+
+void
+jj_node_finish_given_up(jj_node_t *node, const jj_answer_t *answer)
+{
+	jj_problem_t problem = jj_problem_of_give_up(answer);
+	jj_exchange_t exchange;
+	bool relayed;
+
+	if (!jj_relay_take(node->relay, answer->request, &exchange, &relayed))
+		return;
+	if (exchange.kind == JJ_EXCHANGE_ITEM)
+		jj_node_post_item_end(node, answer->request & ~JJ_REQUEST_ITEM,
+		    outcome_of(answer), 0, NULL);
+	else if (exchange.kind == JJ_EXCHANGE_CALLER)
+		end_caller(&exchange, relayed, &problem);
+	jj_exchange_clear(&exchange);
+}
+
+void
+jj_node_finish_call(
+    jj_node_t *node, uint64_t request, const jj_call_answer_t *answer)
+{
+	jj_problem_t problem = jj_problem_of_call(answer);
+	jj_whole_t whole = {answer->status, "application/json", answer->body};
+	jj_exchange_t exchange;
+	bool relayed;
+
+	if (!jj_relay_take(node->relay, request, &exchange, &relayed))
+		return;
+	if (answer->outcome == JJ_CALL_DONE ||
+	    answer->outcome == JJ_CALL_REPLAYED)
+		answer_whole(
+		    &exchange, answer->outcome == JJ_CALL_REPLAYED, &whole);
+	else
+		end_caller(&exchange, relayed, &problem);
+	jj_exchange_clear(&exchange);
+}
+
+void
+jj_node_finish_whole(
+    jj_node_t *node, uint64_t request, bool rejected, jj_whole_t *whole)
+{
+	jj_exchange_t exchange;
+	bool relayed;
+
+	if (!jj_relay_take(node->relay, request, &exchange, &relayed))
+		return;
+	if (exchange.kind == JJ_EXCHANGE_ITEM) {
+		jj_node_post_item_end(node, request & ~JJ_REQUEST_ITEM,
+		    rejected ? JJ_ITEM_REFUSED : JJ_ITEM_DONE, whole->status,
+		    &whole->body);
+	} else if (exchange.kind == JJ_EXCHANGE_CALLER) {
+		if (relayed) {
+			log_answer(&exchange, 200, "streamed", "run");
+			jj_trace_end(&exchange.span, false, jj_unix_now_ns());
+			jj_http_call_end(exchange.call, false);
+		} else {
+			answer_whole(&exchange, false, whole);
+		}
+	}
+	jj_exchange_clear(&exchange);
+}
+
+void
+jj_node_drop_exchange(jj_node_t *node, uint64_t request)
+{
+	jj_exchange_t exchange;
+	bool relayed;
+
+	if (!jj_relay_take(node->relay, request, &exchange, &relayed))
+		return;
+	if (exchange.kind == JJ_EXCHANGE_CALLER) {
+		log_answer(&exchange, 499, "caller_gone", "unknown");
+		jj_trace_end(&exchange.span, true, jj_unix_now_ns());
+		jj_http_call_end(exchange.call, true);
+	}
+	jj_exchange_clear(&exchange);
+}
+
+/**
+ * A stream that has begun ends with an error event and a broken connection:
+ * its caller can take it for nothing whole.
+ */
+static void
+end_caller(jj_exchange_t *exchange, bool relayed, const jj_problem_t *problem)
+{
+	jj_bytes_t text;
+	char *event;
+	int size;
+
+	log_answer(exchange, problem->status, problem->code, problem->run);
+	jj_trace_set(&exchange->span, "code", problem->code);
+	jj_trace_end(&exchange->span, true, jj_unix_now_ns());
+	if (!relayed) {
+		jj_answer_problem(exchange->call, problem);
+		return;
+	}
+	text = jj_problem_write(problem);
+	event = jj_alloc(text.size + 64);
+	size = snprintf(event, text.size + 64,
+	    "event: error\ndata: {\"error\":%s}\n\n", text.data);
+	(void)jj_http_call_write(exchange->call, event, (size_t)size, true);
+	jj_http_call_end(exchange->call, true);
+	free(event);
+	jj_bytes_free(&text);
+}
+
+static void
+answer_whole(jj_exchange_t *exchange, bool replayed, const jj_whole_t *whole)
+{
+	jj_http_answer_t answer = {whole->status,
+	    whole->content_type[0] != '\0' ? whole->content_type
+					   : "application/json",
+	    {{"X-Request-Id", exchange->operation_id},
+		{replayed ? "Jujube-Replayed" : NULL, "true"}, {NULL, NULL}}};
+
+	log_answer(
+	    exchange, whole->status, replayed ? "replayed" : "answered", "run");
+	jj_trace_end(&exchange->span, whole->status >= 400, jj_unix_now_ns());
+	jj_http_call_answer(
+	    exchange->call, &answer, whole->body.data, whole->body.size);
+}
+
+static jj_item_outcome_t
+outcome_of(const jj_answer_t *answer)
+{
+	switch (answer->reason) {
+	case JJ_GIVE_UP_QUARANTINED:
+		return JJ_ITEM_POISON;
+	case JJ_GIVE_UP_OVERLOADED:
+		return JJ_ITEM_WITHDRAWN;
+	default:
+		return answer->run == JJ_RUN_NOT_RUN ? JJ_ITEM_NOT_RUN
+						     : JJ_ITEM_BROKEN;
+	}
+}
+
+static void
+log_answer(const jj_exchange_t *exchange, int status, const char *code,
+    const char *run)
+{
+	jj_log(JJ_LOG_INFO, "request_ended",
+	    "request=%s service=%s status=%d code=%s run=%s",
+	    exchange->operation_id, exchange->service.text, status, code,
+	    run != NULL ? run : "none");
+}
--- /dev/null
+++ b/src/daemon/node_metrics.c
@@ -0,0 +1,61 @@
+/**
+ * @file node_metrics.c
+ * @brief What a VM counts, brought together when somebody asks.
+ */
+#include "daemon/node.h"
+
+static void set_neighbour_counts(jj_node_t *);
+static void set_total(const char *, const char *, uint64_t);
+
+void
+jj_node_count_event(const char *name)
+{
+	jj_counter_t *counter = jj_metrics_counter("jujube_events_total",
+	    "Events by name, as in the log.", "event", name);
+
+	jj_counter_add(counter, 1);
+}
+
+void
+jj_node_update_metrics(jj_node_t *node)
+{
+	set_neighbour_counts(node);
+	set_total("jujube_platform_control_calls_total",
+	    "Calls to the platform for control.",
+	    jj_platform_calls(node->platform_control));
+	set_total("jujube_platform_bulk_calls_total",
+	    "Calls to the platform for batch data.",
+	    jj_platform_calls(node->platform_bulk));
+	jj_gauge_set(jj_metrics_gauge("jujube_open_requests",
+			 "Requests of callers not answered yet.", NULL, NULL),
+	    jj_http_server_open(node->callers));
+}
+
+static void
+set_neighbour_counts(jj_node_t *node)
+{
+	jj_neighbours_counts_t counts = jj_neighbours_counts(node->neighbours);
+
+	set_total("jujube_messages_sent_total", "Messages to other VMs.",
+	    counts.sent);
+	set_total("jujube_message_bytes_sent_total",
+	    "Bytes of messages to other VMs.", counts.sent_bytes);
+	set_total("jujube_messages_dropped_total",
+	    "Messages not sent: no connection, or a full queue.",
+	    counts.dropped);
+	set_total("jujube_messages_received_total", "Messages from other VMs.",
+	    counts.received);
+	set_total("jujube_message_bytes_received_total",
+	    "Bytes of messages from other VMs.", counts.received_bytes);
+	set_total("jujube_messages_malformed_total",
+	    "Bytes on the neighbours' port that are no message.",
+	    counts.malformed);
+	set_total("jujube_messages_other_version_total",
+	    "Messages of VMs of another version.", counts.other_version);
+}
+
+static void
+set_total(const char *name, const char *help, uint64_t total)
+{
+	jj_counter_set(jj_metrics_counter(name, help, NULL, NULL), total);
+}
