--- /dev/null
+++ b/src/daemon/relay.c
@@ -0,0 +1,624 @@
+/**
+ * @file relay.c
+ * @brief Requests between callers and backend servers, in shards.
+ */
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "adapters/monotonic.h"
+#include "daemon/relay.h"
+#include "daemon/sse.h"
+
+/** Largest whole answer, bytes. */
+#define WHOLE_MAX (8U << 20)
+/** The core hears of a stream's tokens this often, ms. */
+#define TOKENS_MS 200
+
+/** One attempt at a server; lives on its shard's client thread. */
+typedef struct {
+	jj_relay_t *relay;
+	uint32_t shard;
+	uint64_t request;
+	uint32_t attempt;
+	jj_name_t server;
+	bool once; /**< non-idempotent: the status alone proves nothing */
+	bool streams;
+	bool first_told;
+	bool relayed;
+	jj_sse_t sse;
+	char *body;
+	size_t size;
+	size_t room;
+	bool too_large;
+	int status;
+	char content_type[96];
+	jj_ms_t tokens_told_ms;
+	jj_span_t span;
+} attempt_t;
+
+/** An exchange in its shard's table. */
+typedef struct {
+	jj_exchange_t exchange;
+	uint32_t attempt; /**< the only one whose events count; 0: none */
+	uint64_t transfer; /**< its number at the client */
+	bool begun; /**< the caller's stream has begun */
+	bool ended; /**< the stream's end was passed on */
+	uint32_t tokens; /**< passed on to the caller */
+	char stream[64]; /**< the engine's id of the stream */
+	char boot[20];
+	char address[JJ_NAME_MAX + 1];
+} entry_t;
+
+typedef struct {
+	pthread_mutex_t lock; /**< guards the table and its entries */
+	GHashTable *table; /**< entry_t by request */
+	jj_http_client_t *client;
+} shard_t;
+
+struct jj_relay {
+	jj_relay_port_t port;
+	uint32_t shard_count;
+	shard_t *shards;
+};
+
+static uint32_t shard_of(const jj_relay_t *, uint64_t);
+static entry_t *lock_entry(jj_relay_t *, uint64_t, shard_t **);
+static void free_entry(void *);
+static attempt_t *
+create_attempt(jj_relay_t *, const entry_t *, const jj_backend_start_t *, bool);
+static void start_request(
+    shard_t *, entry_t *, attempt_t *, const jj_backend_start_t *, jj_ms_t);
+static void on_head(void *, const jj_http_head_t *);
+static jj_http_flow_t on_data(void *, const char *, size_t);
+static jj_http_flow_t take_stream(attempt_t *, entry_t *, const char *, size_t);
+static void take_whole(attempt_t *, const char *, size_t);
+static bool pass_on(attempt_t *, entry_t *, bool);
+static void begin_stream(entry_t *);
+static void on_end(void *, jj_http_end_t, const jj_http_head_t *);
+static bool finish_stream(attempt_t *, entry_t *);
+static jj_backend_kind_t
+judge(const attempt_t *, jj_http_end_t, const jj_http_head_t *);
+static jj_backend_kind_t
+judge_status(const attempt_t *, const jj_http_head_t *);
+static void
+tell(attempt_t *, jj_backend_kind_t, uint32_t, jj_ms_t, jj_whole_t *, bool);
+static void tell_progress(attempt_t *);
+static void cancel_at_engine(shard_t *, const entry_t *);
+static jj_http_flow_t ignore_data(void *, const char *, size_t);
+static void ignore_end(void *, jj_http_end_t, const jj_http_head_t *);
+static void free_attempt(attempt_t *);
+
+jj_relay_t *
+jj_relay_create(uint32_t shards, const jj_relay_port_t *port)
+{
+	jj_relay_t *relay = jj_alloc(sizeof(*relay));
+	uint32_t i;
+
+	relay->port = *port;
+	relay->shard_count = shards;
+	relay->shards = jj_alloc(shards * sizeof(*relay->shards));
+	for (i = 0; i < shards; i++) {
+		(void)pthread_mutex_init(&relay->shards[i].lock, NULL);
+		relay->shards[i].table = g_hash_table_new_full(
+		    g_int64_hash, g_int64_equal, NULL, free_entry);
+		relay->shards[i].client = jj_http_client_create();
+		JJ_INVARIANT(relay->shards[i].client != NULL);
+	}
+	return relay;
+}
+
+void
+jj_relay_destroy(jj_relay_t *relay)
+{
+	uint32_t i;
+
+	if (relay == NULL)
+		return;
+	for (i = 0; i < relay->shard_count; i++) {
+		jj_http_client_destroy(relay->shards[i].client);
+		g_hash_table_destroy(relay->shards[i].table);
+		(void)pthread_mutex_destroy(&relay->shards[i].lock);
+	}
+	free(relay->shards);
+	free(relay);
+}
+
+void
+jj_relay_add(jj_relay_t *relay, const jj_exchange_t *exchange)
+{
+	shard_t *shard = &relay->shards[shard_of(relay, exchange->request)];
+	entry_t *entry = jj_alloc(sizeof(*entry));
+
+	entry->exchange = *exchange;
+	if (exchange->call != NULL)
+		jj_http_call_set_context(
+		    exchange->call, (void *)(uintptr_t)exchange->request);
+	(void)pthread_mutex_lock(&shard->lock);
+	(void)g_hash_table_replace(
+	    shard->table, &entry->exchange.request, entry);
+	(void)pthread_mutex_unlock(&shard->lock);
+}
+
+bool
+jj_relay_find(jj_relay_t *relay, uint64_t request, jj_exchange_t *copy)
+{
+	shard_t *shard;
+	entry_t *entry = lock_entry(relay, request, &shard);
+
+	if (entry != NULL)
+		*copy = entry->exchange;
+	(void)pthread_mutex_unlock(&shard->lock);
+	return entry != NULL;
+}
+
+bool
+jj_relay_address(
+    jj_relay_t *relay, uint64_t request, char *address, size_t room)
+{
+	shard_t *shard;
+	entry_t *entry = lock_entry(relay, request, &shard);
+
+	if (entry != NULL)
+		(void)snprintf(address, room, "%s", entry->address);
+	(void)pthread_mutex_unlock(&shard->lock);
+	return entry != NULL;
+}
+
+void
+jj_relay_start(jj_relay_t *relay, const jj_backend_start_t *start,
+    const char *address, jj_ms_t timeout_ms, bool idempotent)
+{
+	shard_t *shard;
+	entry_t *entry = lock_entry(relay, start->request, &shard);
+	attempt_t *attempt;
+
+	if (entry != NULL) {
+		(void)snprintf(
+		    entry->address, sizeof(entry->address), "%s", address);
+		entry->exchange.idempotent = idempotent;
+		entry->attempt = start->attempt;
+		attempt = create_attempt(relay, entry, start, idempotent);
+		start_request(shard, entry, attempt, start, timeout_ms);
+	}
+	(void)pthread_mutex_unlock(&shard->lock);
+}
+
+void
+jj_relay_cancel(jj_relay_t *relay, uint64_t request, uint32_t attempt)
+{
+	shard_t *shard;
+	entry_t *entry = lock_entry(relay, request, &shard);
+
+	if (entry != NULL && entry->attempt == attempt) {
+		entry->attempt = 0;
+		jj_http_client_cancel(shard->client, entry->transfer);
+		cancel_at_engine(shard, entry);
+	}
+	(void)pthread_mutex_unlock(&shard->lock);
+}
+
+bool
+jj_relay_take(
+    jj_relay_t *relay, uint64_t request, jj_exchange_t *taken, bool *relayed)
+{
+	shard_t *shard;
+	entry_t *entry = lock_entry(relay, request, &shard);
+
+	if (entry != NULL) {
+		*taken = entry->exchange;
+		*relayed = entry->begun;
+		if (entry->attempt != 0)
+			jj_http_client_cancel(shard->client, entry->transfer);
+		(void)g_hash_table_steal(
+		    shard->table, &entry->exchange.request);
+		free(entry);
+	}
+	(void)pthread_mutex_unlock(&shard->lock);
+	return entry != NULL;
+}
+
+void
+jj_exchange_clear(jj_exchange_t *exchange)
+{
+	jj_bytes_free(&exchange->path);
+	jj_bytes_free(&exchange->body);
+}
+
+void
+jj_relay_resume(jj_relay_t *relay, uint64_t request)
+{
+	shard_t *shard;
+	entry_t *entry = lock_entry(relay, request, &shard);
+
+	if (entry != NULL && entry->attempt != 0)
+		jj_http_client_resume(shard->client, entry->transfer);
+	(void)pthread_mutex_unlock(&shard->lock);
+}
+
+uint64_t
+jj_relay_request_of(const jj_http_call_t *call)
+{
+	return (uint64_t)(uintptr_t)jj_http_call_context(call);
+}
+
+static uint32_t
+shard_of(const jj_relay_t *relay, uint64_t request)
+{
+	return (uint32_t)(request % relay->shard_count);
+}
+
+/** The entry or NULL; its shard is locked in both cases. */
+static entry_t *
+lock_entry(jj_relay_t *relay, uint64_t request, shard_t **shard)
+{
+	*shard = &relay->shards[shard_of(relay, request)];
+	(void)pthread_mutex_lock(&(*shard)->lock);
+	return g_hash_table_lookup((*shard)->table, &request);
+}
+
+static void
+free_entry(void *memory)
+{
+	entry_t *entry = memory;
+
+	jj_exchange_clear(&entry->exchange);
+	free(entry);
+}
+
+static attempt_t *
+create_attempt(jj_relay_t *relay, const entry_t *entry,
+    const jj_backend_start_t *start, bool idempotent)
+{
+	attempt_t *attempt = jj_alloc(sizeof(*attempt));
+	const jj_exchange_t *exchange = &entry->exchange;
+	jj_trace_parent_t parent = jj_trace_as_parent(&exchange->span);
+
+	attempt->relay = relay;
+	attempt->shard = shard_of(relay, start->request);
+	attempt->request = start->request;
+	attempt->attempt = start->attempt;
+	attempt->server = start->server;
+	attempt->once = !idempotent;
+	attempt->streams = exchange->streams && exchange->is_model;
+	attempt->relayed = entry->begun;
+	jj_trace_begin(&attempt->span, &parent, JJ_HOP_BACKEND,
+	    start->server.text, jj_unix_now_ns());
+	return attempt;
+}
+
+static void
+start_request(shard_t *shard, entry_t *entry, attempt_t *attempt,
+    const jj_backend_start_t *start, jj_ms_t timeout_ms)
+{
+	const jj_exchange_t *exchange = &entry->exchange;
+	jj_http_request_t request = {0};
+	char id[JJ_NAME_MAX + 64];
+	char key[JJ_IDEMPOTENCY_KEY_MAX + 32];
+	char trace[JJ_TRACE_PARENT_SIZE + 16];
+	char parent[JJ_TRACE_PARENT_SIZE];
+	char path[160];
+	char resume[96];
+	size_t count = 0;
+
+	(void)snprintf(
+	    id, sizeof(id), "Jujube-Request: %s", exchange->operation_id);
+	jj_trace_format_parent(&attempt->span, parent);
+	(void)snprintf(trace, sizeof(trace), "traceparent: %s", parent);
+	request.headers[count++] = "Content-Type: application/json";
+	request.headers[count++] = id;
+	request.headers[count++] = trace;
+	if (exchange->kind == JJ_EXCHANGE_ITEM)
+		request.headers[count++] = "Jujube-Class: batch";
+	if (exchange->key[0] != '\0') {
+		(void)snprintf(
+		    key, sizeof(key), "Idempotency-Key: %s", exchange->key);
+		request.headers[count++] = key;
+	}
+	request.method = "POST";
+	request.address = entry->address;
+	request.path = exchange->path.data;
+	request.body = exchange->body.data;
+	request.body_size = exchange->body.size;
+	if (start->resume_from > 0 && entry->stream[0] != '\0') {
+		(void)snprintf(
+		    path, sizeof(path), "/v1/streams/%s/resume", entry->stream);
+		(void)snprintf(resume, sizeof(resume),
+		    "{\"boot\":\"%s\",\"from\":%u}", entry->boot,
+		    entry->tokens);
+		request.path = path;
+		request.body = resume;
+		request.body_size = strlen(resume);
+	}
+	request.timeout_ms = timeout_ms;
+	request.once = attempt->once;
+	request.ctx = attempt;
+	request.on_head = on_head;
+	request.on_data = on_data;
+	request.on_end = on_end;
+	entry->transfer = jj_http_client_start(shard->client, &request);
+}
+
+static void
+on_head(void *ctx, const jj_http_head_t *head)
+{
+	attempt_t *attempt = ctx;
+	shard_t *shard;
+	entry_t *entry;
+
+	attempt->status = head->status;
+	(void)snprintf(attempt->content_type, sizeof(attempt->content_type),
+	    "%s", head->content_type);
+	if (strncmp(head->content_type, "text/event-stream", 17) != 0)
+		attempt->streams = false;
+	entry = lock_entry(attempt->relay, attempt->request, &shard);
+	if (entry != NULL && entry->attempt == attempt->attempt) {
+		(void)snprintf(
+		    entry->stream, sizeof(entry->stream), "%s", head->stream);
+		(void)snprintf(
+		    entry->boot, sizeof(entry->boot), "%s", head->boot);
+	}
+	(void)pthread_mutex_unlock(&shard->lock);
+}
+
+static jj_http_flow_t
+on_data(void *ctx, const char *data, size_t size)
+{
+	attempt_t *attempt = ctx;
+	jj_http_flow_t flow = JJ_HTTP_TAKEN;
+	shard_t *shard;
+	entry_t *entry = lock_entry(attempt->relay, attempt->request, &shard);
+
+	/*
+	 * Bytes of an attempt that was given up on must reach nobody: the
+	 * exchange may be on another attempt, or gone.
+	 */
+	if (entry != NULL && entry->attempt == attempt->attempt) {
+		if (attempt->streams)
+			flow = take_stream(attempt, entry, data, size);
+		else
+			take_whole(attempt, data, size);
+	}
+	(void)pthread_mutex_unlock(&shard->lock);
+	if (flow == JJ_HTTP_TAKEN)
+		tell_progress(attempt);
+	return flow;
+}
+
+static jj_http_flow_t
+take_stream(attempt_t *attempt, entry_t *entry, const char *data, size_t size)
+{
+	if (attempt->sse.whole > 0 && !pass_on(attempt, entry, false))
+		return JJ_HTTP_PAUSE;
+	jj_sse_feed(&attempt->sse, data, size);
+	(void)pass_on(attempt, entry, false);
+	return JJ_HTTP_TAKEN;
+}
+
+/** Passes whole events on; false when the caller's buffer is full. */
+static bool
+pass_on(attempt_t *attempt, entry_t *entry, bool must)
+{
+	if (attempt->sse.whole == 0)
+		return true;
+	if (!entry->begun)
+		begin_stream(entry);
+	if (!jj_http_call_write(entry->exchange.call, attempt->sse.pending,
+		attempt->sse.whole, must))
+		return false;
+	jj_sse_drop_whole(&attempt->sse);
+	attempt->relayed = true;
+	return true;
+}
+
+static void
+begin_stream(entry_t *entry)
+{
+	jj_http_answer_t answer = {200, "text/event-stream",
+	    {{"Cache-Control", "no-cache"},
+		{"X-Request-Id", entry->exchange.operation_id}, {NULL, NULL}}};
+
+	entry->begun = true;
+	jj_http_call_begin(entry->exchange.call, &answer);
+}
+
+static void
+take_whole(attempt_t *attempt, const char *data, size_t size)
+{
+	if (attempt->size + size > WHOLE_MAX) {
+		attempt->too_large = true;
+		return;
+	}
+	if (attempt->size + size + 1 > attempt->room) {
+		attempt->room = attempt->room * 2 + size + 1024;
+		attempt->body = jj_realloc(attempt->body, attempt->room);
+	}
+	memcpy(attempt->body + attempt->size, data, size);
+	attempt->size += size;
+	attempt->body[attempt->size] = '\0';
+}
+
+static void
+on_end(void *ctx, jj_http_end_t end, const jj_http_head_t *head)
+{
+	attempt_t *attempt = ctx;
+	jj_backend_kind_t kind = judge(attempt, end, head);
+	jj_whole_t whole = {0};
+	bool is_current = false;
+	bool suspect = end == JJ_HTTP_BROKEN || end == JJ_HTTP_NOT_SENT;
+	shard_t *shard;
+	entry_t *entry;
+
+	entry = lock_entry(attempt->relay, attempt->request, &shard);
+	if (entry != NULL && entry->attempt == attempt->attempt) {
+		is_current = true;
+		if (attempt->streams && !finish_stream(attempt, entry) &&
+		    kind == JJ_BACKEND_DONE)
+			kind = JJ_BACKEND_BROKEN;
+		entry->tokens += attempt->sse.total;
+		entry->attempt = 0;
+	}
+	(void)pthread_mutex_unlock(&shard->lock);
+	jj_trace_set(&attempt->span, "end",
+	    is_current ? (kind == JJ_BACKEND_DONE ? "done" : "failed")
+		       : "abandoned");
+	jj_trace_end(&attempt->span, kind != JJ_BACKEND_DONE, jj_unix_now_ns());
+	if (!is_current || end == JJ_HTTP_CANCELLED) {
+		free_attempt(attempt);
+		return;
+	}
+	if (head->leaving)
+		attempt->relay->port.on_leaving(
+		    attempt->relay->port.ctx, &attempt->server);
+	if (kind == JJ_BACKEND_DONE || kind == JJ_BACKEND_REJECTED) {
+		whole.status = attempt->status;
+		(void)snprintf(whole.content_type, sizeof(whole.content_type),
+		    "%s", attempt->content_type);
+		whole.body.data = attempt->body;
+		whole.body.size = attempt->size;
+		attempt->body = NULL;
+	}
+	tell(attempt, kind, jj_sse_take_tokens(&attempt->sse),
+	    head->retry_after_ms, &whole, suspect);
+	jj_bytes_free(&whole.body);
+	free_attempt(attempt);
+}
+
+/**
+ * Passes the rest of a stream on.
+ * @return false when its end mark is missing: it was truncated, however
+ * cleanly its connection ended.
+ */
+static bool
+finish_stream(attempt_t *attempt, entry_t *entry)
+{
+	(void)pass_on(attempt, entry, true);
+	return attempt->sse.done && !attempt->sse.too_long;
+}
+
+static jj_backend_kind_t
+judge(const attempt_t *attempt, jj_http_end_t end, const jj_http_head_t *head)
+{
+	switch (end) {
+	case JJ_HTTP_NOT_SENT:
+		return JJ_BACKEND_NOT_SENT;
+	case JJ_HTTP_BROKEN:
+		return JJ_BACKEND_BROKEN;
+	case JJ_HTTP_TIMEOUT:
+		return JJ_BACKEND_TIMEOUT;
+	case JJ_HTTP_CANCELLED:
+		return JJ_BACKEND_CANCELLED;
+	case JJ_HTTP_COMPLETE:
+		break;
+	}
+	if (attempt->too_large)
+		return JJ_BACKEND_FAILED;
+	return judge_status(attempt, head);
+}
+
+/**
+ * A 503 or 429 may come after the work was begun, so by itself it is a
+ * failure like others; only a server that says it is leaving has promised
+ * that it did not begin.
+ */
+static jj_backend_kind_t
+judge_status(const attempt_t *attempt, const jj_http_head_t *head)
+{
+	(void)attempt;
+	if (head->status == 503 && head->leaving)
+		return JJ_BACKEND_LEAVING;
+	if (head->status >= 200 && head->status < 300)
+		return JJ_BACKEND_DONE;
+	if (head->status >= 400 && head->status < 500 && head->status != 408 &&
+	    head->status != 425 && head->status != 429)
+		return JJ_BACKEND_REJECTED;
+	return JJ_BACKEND_FAILED;
+}
+
+static void
+tell(attempt_t *attempt, jj_backend_kind_t kind, uint32_t tokens,
+    jj_ms_t retry_after_ms, jj_whole_t *whole, bool suspect)
+{
+	jj_backend_event_t event = {0};
+
+	event.request = attempt->request;
+	event.attempt = attempt->attempt;
+	event.kind = kind;
+	event.tokens = tokens;
+	event.retry_after_ms = retry_after_ms;
+	event.relayed = attempt->relayed;
+	attempt->relay->port.on_event(
+	    attempt->relay->port.ctx, &event, whole, &attempt->server, suspect);
+}
+
+/** First token at once, later ones together now and then. */
+static void
+tell_progress(attempt_t *attempt)
+{
+	jj_ms_t now;
+
+	if (!attempt->first_told) {
+		attempt->first_told = true;
+		attempt->tokens_told_ms = jj_monotonic_now();
+		tell(attempt, JJ_BACKEND_FIRST, 0, 0, NULL, false);
+		return;
+	}
+	if (attempt->sse.tokens == 0)
+		return;
+	now = jj_monotonic_now();
+	if (now < attempt->tokens_told_ms + TOKENS_MS)
+		return;
+	attempt->tokens_told_ms = now;
+	tell(attempt, JJ_BACKEND_TOKENS, jj_sse_take_tokens(&attempt->sse), 0,
+	    NULL, false);
+}
+
+/** The engine frees the stream's place at once, not when it next writes. */
+static void
+cancel_at_engine(shard_t *shard, const entry_t *entry)
+{
+	jj_http_request_t request = {0};
+	char path[160];
+
+	if (!entry->exchange.is_model || entry->stream[0] == '\0')
+		return;
+	(void)snprintf(
+	    path, sizeof(path), "/v1/streams/%s/cancel", entry->stream);
+	request.method = "POST";
+	request.address = entry->address;
+	request.path = path;
+	request.timeout_ms = 1000;
+	request.on_data = ignore_data;
+	request.on_end = ignore_end;
+	(void)jj_http_client_start(shard->client, &request);
+}
+
+static jj_http_flow_t
+ignore_data(void *ctx, const char *data, size_t size)
+{
+	(void)ctx;
+	(void)data;
+	(void)size;
+	return JJ_HTTP_TAKEN;
+}
+
+static void
+ignore_end(void *ctx, jj_http_end_t end, const jj_http_head_t *head)
+{
+	(void)ctx;
+	(void)end;
+	(void)head;
+}
+
+static void
+free_attempt(attempt_t *attempt)
+{
+	jj_sse_clear(&attempt->sse);
+	free(attempt->body);
+	free(attempt);
+}
--- /dev/null
+++ b/standins/engine/control.h
@@ -0,0 +1,14 @@
+/**
+ * @file control.h
+ * @brief The control port, by which tests set faults and read records.
+ */
+#ifndef STANDIN_ENGINE_CONTROL_H
+#define STANDIN_ENGINE_CONTROL_H
+
+#include "../common/web.h"
+
+/** Answers a test; a web_handler_t, @p ctx is the engine_t. */
+void
+control_serve(void *ctx, const web_request_t *request, web_answer_t *answer);
+
+#endif
--- /dev/null
+++ b/standins/service/faults.c
@@ -0,0 +1,96 @@
+#include <stddef.h>
+
+#include <xxhash.h>
+
+#include "faults.h"
+
+/* Resolution of a drawn share. */
+#define DRAW_RANGE 1000000
+
+static bool is_count(const json_t *);
+static bool draw_failure(faults_t *);
+static bool take_one(long *);
+
+const char *
+faults_set(faults_t *faults, const json_t *json)
+{
+	static const char *const count_names[] = {
+	    "delay_ms", "run_then_503", "run_then_break", "run_then_hang"};
+	static const char *const flag_names[] = {"leaving", "refuse"};
+	long delay_ms = (long)faults->delay_ms;
+	long *counts[] = {&delay_ms, &faults->run_then_503,
+	    &faults->run_then_break, &faults->run_then_hang};
+	bool *flags[] = {&faults->leaving, &faults->refuse};
+	const json_t *share = json_object_get(json, "fail_share");
+	const json_t *value;
+	size_t i;
+
+	if (share != NULL && !json_is_number(share))
+		return "fail_share";
+	for (i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
+		if (!is_count(json_object_get(json, count_names[i])))
+			return count_names[i];
+	}
+	for (i = 0; i < sizeof(flags) / sizeof(flags[0]); i++) {
+		value = json_object_get(json, flag_names[i]);
+		if (value != NULL && !json_is_boolean(value))
+			return flag_names[i];
+	}
+	for (i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
+		value = json_object_get(json, count_names[i]);
+		if (value != NULL)
+			*counts[i] = (long)json_integer_value(value);
+	}
+	for (i = 0; i < sizeof(flags) / sizeof(flags[0]); i++) {
+		value = json_object_get(json, flag_names[i]);
+		if (value != NULL)
+			*flags[i] = json_is_true(value);
+	}
+	faults->delay_ms = delay_ms;
+	if (share != NULL)
+		faults->fail_share = json_number_value(share);
+	return NULL;
+}
+
+after_run_t
+faults_take(faults_t *faults)
+{
+	if (take_one(&faults->run_then_503))
+		return AFTER_503;
+	if (take_one(&faults->run_then_break))
+		return AFTER_BREAK;
+	if (take_one(&faults->run_then_hang))
+		return AFTER_HANG;
+	return draw_failure(faults) ? AFTER_500 : AFTER_ANSWER;
+}
+
+/* An absent field will do. */
+static bool
+is_count(const json_t *value)
+{
+	if (value == NULL)
+		return true;
+	return json_is_integer(value) && json_integer_value(value) >= 0;
+}
+
+static bool
+draw_failure(faults_t *faults)
+{
+	uint64_t drawn;
+
+	if (faults->fail_share <= 0)
+		return false;
+	faults->draws++;
+	drawn = XXH3_64bits_withSeed(
+	    &faults->draws, sizeof(faults->draws), faults->seed);
+	return (double)(drawn % DRAW_RANGE) < faults->fail_share * DRAW_RANGE;
+}
+
+static bool
+take_one(long *count)
+{
+	if (*count <= 0)
+		return false;
+	(*count)--;
+	return true;
+}
