--- a/src/core/calls.c
+++ b/src/core/calls.c
@@ -32,6 +32,11 @@
 };
 
 static void copy_call(jj_call_t *, const jj_call_t *);
+static void relay(jj_calls_t *, const jj_message_t *, const jj_name_t *,
+    jj_ms_t, jj_actions_t *);
+static void relay_abroad(jj_calls_t *, const jj_message_t *,
+    const jj_member_info_t *, const jj_name_t *, jj_ms_t, jj_actions_t *);
+static bool choose_abroad(const jj_calls_t *, const waiting_t *, jj_name_t *);
 static waiting_t *
 add_waiting(jj_calls_t *, const jj_call_t *, const jj_name_t *, jj_ms_t);
 static void forward(jj_calls_t *, waiting_t *, jj_ms_t, jj_actions_t *);
@@ -125,18 +130,20 @@
 {
 	const jj_call_t *call = &message->body.call;
 	const jj_member_info_t *from;
-	waiting_t *waiting;
 	jj_name_t domain;
 	jj_name_t home;
 	bool is_home;
 
 	if (service == NULL ||
-	    !jj_calls_domain(service, call->key_text, &domain) ||
-	    !jj_name_equal(&domain, &calls->settings.domain))
+	    !jj_calls_domain(service, call->key_text, &domain))
+		return;
+	from = jj_member_find(calls->member, &message->from);
+	if (!jj_name_equal(&domain, &calls->settings.domain)) {
+		relay_abroad(calls, message, from, &domain, now, out);
 		return;
+	}
 	is_home = jj_ledger_home(calls->ledger, &call->key, &home) &&
 	    jj_name_equal(&home, &calls->settings.name);
-	from = jj_member_find(calls->member, &message->from);
 	/*
 	 * Within the domain a call makes one hop only: two VMs with tables of
 	 * different age must not pass it to and fro. The ledger answers for a
@@ -149,12 +156,7 @@
 		    calls->ledger, call->call, &message->from, call, now, out);
 		return;
 	}
-	if (find_relayed(calls, &message->from, call->call) != NULL)
-		return;
-	waiting = add_waiting(calls, call, &domain, now);
-	waiting->asker = message->from;
-	waiting->asker_call = call->call;
-	forward(calls, waiting, now, out);
+	relay(calls, message, &domain, now, out);
 }
 
 void
@@ -220,6 +222,38 @@
 	copy->body = jj_bytes_copy(call->body.data, call->body.size);
 }
 
+static void
+relay(jj_calls_t *calls, const jj_message_t *message, const jj_name_t *domain,
+    jj_ms_t now, jj_actions_t *out)
+{
+	const jj_call_t *call = &message->body.call;
+	waiting_t *waiting;
+
+	/* A repeat of a call that is on its way already. */
+	if (find_relayed(calls, &message->from, call->call) != NULL)
+		return;
+	waiting = add_waiting(calls, call, domain, now);
+	waiting->asker = message->from;
+	waiting->asker_call = call->call;
+	forward(calls, waiting, now, out);
+}
+
+/**
+ * The speaker passes calls of its own domain's VMs on to other domains, of
+ * which they know nobody. Nothing else is passed abroad, so that a call
+ * cannot travel in a circle.
+ */
+static void
+relay_abroad(jj_calls_t *calls, const jj_message_t *message,
+    const jj_member_info_t *from, const jj_name_t *domain, jj_ms_t now,
+    jj_actions_t *out)
+{
+	if (from != NULL &&
+	    jj_name_equal(&from->domain, &calls->settings.domain) &&
+	    jj_member_is_speaker(calls->member))
+		relay(calls, message, domain, now, out);
+}
+
 static waiting_t *
 add_waiting(jj_calls_t *calls, const jj_call_t *call, const jj_name_t *domain,
     jj_ms_t now)
@@ -260,13 +294,30 @@
 			   calls->ledger, &waiting->call.key, target) &&
 		    !jj_name_equal(target, &calls->settings.name) &&
 		    jj_member_is_live(calls->member, target);
+	return choose_abroad(calls, waiting, target);
+}
+
+/** A VM of the key's domain, else our speaker, which knows one. */
+static bool
+choose_abroad(
+    const jj_calls_t *calls, const waiting_t *waiting, jj_name_t *target)
+{
+	jj_member_info_t first;
+
 	if (!jj_name_is_empty(&waiting->sent_to) &&
 	    jj_member_is_live(calls->member, &waiting->sent_to)) {
 		*target = waiting->sent_to;
 		return true;
 	}
-	return jj_member_choose(
-	    calls->member, &waiting->domain, waiting->call.key.low, target);
+	if (jj_member_choose(
+		calls->member, &waiting->domain, waiting->call.key.low, target))
+		return true;
+	if (jj_member_list(calls->member, &calls->settings.domain, &first, 1) ==
+		0 ||
+	    jj_name_equal(&first.name, &calls->settings.name))
+		return false;
+	*target = first.name;
+	return true;
 }
 
 static void
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -107,4 +107,12 @@
  */
 bool jj_config_check(const json_t *document, char *why, size_t why_size);
 
+/**
+ * Checks what a change may not do: move the keys of a non-idempotent service
+ * to other failure domains. While VMs differ in version, or after a key was
+ * used, two domains would each run it. A new service under a new name can.
+ */
+bool jj_config_check_change(const json_t *before, const json_t *after,
+    char *why, size_t why_size);
+
 #endif
--- a/src/core/config_check.c
+++ b/src/core/config_check.c
@@ -118,6 +118,34 @@
 	return true;
 }
 
+bool
+jj_config_check_change(
+    const json_t *before, const json_t *after, char *why, size_t why_size)
+{
+	const json_t *services = json_object_get(after, "services");
+	const json_t *old_services = json_object_get(before, "services");
+	const json_t *old;
+	const char *name;
+	json_t *service;
+
+	json_object_foreach((json_t *)services, name, service)
+	{
+		old = json_object_get(old_services, name);
+		if (old == NULL ||
+		    json_is_true(json_object_get(old, "idempotent")))
+			continue;
+		if (json_equal(json_object_get(old, "key_domains"),
+			json_object_get(service, "key_domains")))
+			continue;
+		(void)snprintf(why, why_size,
+		    "services.%s.key_domains cannot change: keys in use "
+		    "would get a second home; make a new service",
+		    name);
+		return false;
+	}
+	return true;
+}
+
 /* A map from names to objects of one kind. */
 static bool
 check_map(const json_t *map, const char *kind, const field_t *fields,
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -77,6 +77,7 @@
 static void take_job_events(jj_core_t *, const jj_bytes_t *, jj_actions_t *);
 static jj_bytes_t encode_job_events(const jj_platform_result_t *);
 static void add_job_change(jj_actions_t *, const char *, uint64_t);
+static void wish_models(jj_core_t *, jj_ms_t);
 static void notice_lost_vms(jj_core_t *, jj_actions_t *);
 static void refuse_request(jj_actions_t *, uint64_t, jj_give_up_t);
 static void refuse_unknown_key(jj_actions_t *, uint64_t);
@@ -217,6 +218,7 @@
 	next = earlier(next, jj_ledger_next(core->ledger));
 	next = earlier(next, jj_calls_next(core->calls));
 	next = earlier(next, jj_lease_next(core->lease));
+	next = earlier(next, jj_config_next(core->config));
 	next = earlier(next, jj_orders_next(core->orders));
 	next = earlier(next, jj_watch_next(&core->config_watch));
 	next = earlier(next, jj_watch_next(&core->jobs_watch));
@@ -386,6 +388,7 @@
 	jj_calls_tick(core->calls, now, out);
 	jj_lease_want(core->lease, speaker, now, out);
 	jj_lease_tick(core->lease, now, out);
+	wish_models(core, now);
 	jj_orders_tick(core->orders, now, out);
 	jj_quarantine_tick(core->quarantine, now);
 	jj_dispatch_tick(core->dispatch, now, out);
@@ -797,6 +800,31 @@
 	action->body.job_change.version = version;
 }
 
+/** What the configuration wants the own domain's engines to have loaded. */
+static void
+wish_models(jj_core_t *core, jj_ms_t now)
+{
+	const jj_service_t *service;
+	const jj_server_t *servers;
+	size_t count;
+	size_t i;
+
+	if (!jj_lease_is_held(core->lease, now))
+		return;
+	servers = jj_fleet_list(core->fleet, &count);
+	for (i = 0; i < count; i++) {
+		if (!jj_name_equal(&servers[i].domain, &core->settings.domain))
+			continue;
+		service =
+		    jj_config_service(core->config, servers[i].service.text);
+		if (service == NULL || service->model_wish.model[0] == '\0')
+			continue;
+		jj_orders_wish(core->orders, &servers[i].name,
+		    service->model_wish.model, service->model_wish.version,
+		    service->model_wish.role, now);
+	}
+}
+
 /** A process that fell silent: its batch claims may be taken over. */
 static void
 notice_lost_vms(jj_core_t *core, jj_actions_t *out)
--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -6,6 +6,8 @@
 
 #include "core/dispatch_state.h"
 
+/* A death is noticed and told within this. */
+#define CRASH_WAIT_MS 500
 #define DEFAULT_ATTEMPTS 3
 /* A server's own Retry-After is believed up to this. */
 #define REST_MOST_MS 5000
@@ -16,6 +18,7 @@
 
 static void note_failure(jj_dispatch_t *, jj_entry_t *,
     const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
+static void note_break(jj_entry_t *, jj_ms_t);
 static void
 retry_or_give_up(jj_dispatch_t *, jj_entry_t *, bool, jj_ms_t, jj_actions_t *);
 
@@ -35,12 +38,8 @@
 	jj_dispatch_leave_server(dispatch, entry);
 	entry->may_have_run |= began;
 	entry->failures += event->kind != JJ_BACKEND_LEAVING;
-	/*
-	 * A break may be the sign of a crash that nobody has told yet: until
-	 * it has completed somewhere, the request runs as a suspect.
-	 */
 	if (event->kind == JJ_BACKEND_BROKEN)
-		entry->suspect = true;
+		note_break(entry, now);
 	if (entry->team == NULL) {
 		jj_dispatch_give_up(dispatch, entry,
 		    began ? JJ_GIVE_UP_BROKEN : JJ_GIVE_UP_OVERLOADED, now,
@@ -165,6 +164,21 @@
 	jj_server_view_note_outcome(view, true);
 }
 
+/*
+ * A break may be the sign of a crash that nobody has told yet: until it has
+ * completed somewhere, the request runs as a suspect. One that broke twice
+ * waits for the word on those servers: sent on at once, a request that kills
+ * servers has killed its third before the first death is known (story 27).
+ */
+static void
+note_break(jj_entry_t *entry, jj_ms_t now)
+{
+	entry->suspect = true;
+	entry->breaks++;
+	if (entry->breaks > 1)
+		entry->hold_until_ms = now + CRASH_WAIT_MS;
+}
+
 /*
  * Retries are for requests that may run twice, or surely have not run, and
  * of which the caller has seen nothing. They are bounded per request and by
--- a/src/core/dispatch_headroom.c
+++ b/src/core/dispatch_headroom.c
@@ -7,6 +7,7 @@
 
 #include "core/dispatch_headroom.h"
 
+#define US_PER_MS 1000.0
 #define ADJUST_MS 100
 /* Fewer gaps than this do not make a measurement. */
 #define SAMPLES_LEAST 24
@@ -22,8 +23,7 @@
 #define SHRINK_LEAST 0.5
 /* Shares by which the base follows a measurement. */
 #define BASE_DOWN 0.5
-#define BASE_UP_QUIET 0.2
-#define BASE_UP_SLOW 0.02
+#define BASE_UP 0.02
 /* Crowded this long, and not by batch: the server itself became slower. */
 #define CROWDED_MS 5000
 /* Share of a server's time that batch prefills may take, trade 0 and 1. */
@@ -62,7 +62,7 @@
 void
 jj_headroom_add_first(jj_headroom_t *headroom, jj_ms_t first_ms)
 {
-	double prefill_ms = (double)first_ms - headroom->gap_us / 1000;
+	double prefill_ms = (double)first_ms - headroom->gap_us / US_PER_MS;
 
 	if (prefill_ms < 0)
 		prefill_ms = 0;
@@ -152,6 +152,7 @@
 	uint32_t used = 0;
 	uint32_t i;
 	double sum = 0;
+	uint32_t middle;
 	double most;
 
 	if (count > JJ_HEADROOM_SAMPLES)
@@ -159,7 +160,8 @@
 	for (i = 0; i < count; i++)
 		sorted[i] = headroom->samples[i];
 	qsort(sorted, count, sizeof(sorted[0]), compare_samples);
-	most = sorted[count / 2] * OUTLIER_FACTOR;
+	middle = count / 2;
+	most = sorted[middle] * OUTLIER_FACTOR;
 	for (i = 0; i < count; i++) {
 		if (sorted[i] > most)
 			break;
@@ -181,8 +183,8 @@
 
 /*
  * The base follows lower gaps at once and higher ones only when batch cannot
- * be their cause: on a quiet server, or when they are higher for long than
- * the batch items that run there could make them.
+ * be their cause: when they are higher for long than the batch items that run
+ * there could make them.
  */
 static void
 learn_base(jj_headroom_t *headroom, const jj_headroom_use_t *use, double gap,
@@ -200,9 +202,6 @@
 		    (gap - headroom->base_gap_us) * BASE_DOWN;
 		return;
 	}
-	if (running <= 2 || running <= headroom->limit / 4)
-		headroom->base_gap_us +=
-		    (gap - headroom->base_gap_us) * BASE_UP_QUIET;
 	/* At the worst a gap grows in proportion to what runs. */
 	if (gap <= headroom->base_gap_us * running / others) {
 		headroom->crowded_ms = 0;
@@ -212,7 +211,7 @@
 		headroom->crowded_ms = now;
 	if (now - headroom->crowded_ms >= CROWDED_MS)
 		headroom->base_gap_us +=
-		    (gap - headroom->base_gap_us) * BASE_UP_SLOW;
+		    (gap - headroom->base_gap_us) * BASE_UP;
 }
 
 /*
@@ -256,7 +255,8 @@
 static double
 ceiling(const jj_headroom_t *headroom, const jj_headroom_use_t *use)
 {
-	double most = use->slots - use->slots / SLOTS_FREE_SHARE;
+	uint32_t spare = use->slots / SLOTS_FREE_SHARE;
+	double most = use->slots - spare;
 
 	if (use->slots > 0 && headroom->limit > most)
 		return most;
--- a/src/core/dispatch_queue.c
+++ b/src/core/dispatch_queue.c
@@ -101,6 +101,7 @@
 	jj_team_queue_t *team = entry->team;
 
 	entry->state = JJ_ENTRY_QUEUED;
+	entry->queued_ms = now;
 	/* One that waits for a server without suspects holds up nobody. */
 	if (entry->suspect) {
 		TAILQ_INSERT_TAIL(&service->suspects, entry, link);
--- a/src/core/dispatch_refresh.c
+++ b/src/core/dispatch_refresh.c
@@ -28,6 +28,8 @@
 	dispatch->refresh_ms = now + REFRESH_MS;
 	dispatch->vms = (int64_t)jj_member_list(
 	    dispatch->member, &dispatch->settings.domain, infos, VMS_MAX);
+	if (dispatch->vms < 1)
+		dispatch->vms = 1;
 	refresh_services(dispatch);
 	refresh_views(dispatch, now);
 	TAILQ_FOREACH(service, &dispatch->services, link)
--- a/src/core/dispatch_send.c
+++ b/src/core/dispatch_send.c
@@ -5,6 +5,8 @@
  */
 #include "core/dispatch_state.h"
 
+/* A suspect waits so long for a server of which this VM is steward. */
+#define SUSPECT_WAIT_MS 1000
 /* Used where the configuration leaves it open. */
 #define DEFAULT_QUEUE_LIMIT 256
 #define DEFAULT_SLOTS 32
@@ -172,6 +174,8 @@
 		jj_service_queue_add(service, entry, false, now);
 		return true;
 	}
+	if (now < entry->hold_until_ms)
+		return false;
 	view = choose(dispatch, entry, now);
 	if (view == NULL)
 		return false;
@@ -190,10 +194,14 @@
 
 	need.request = &entry->request;
 	need.suspect = entry->suspect;
+	need.anywhere = now - entry->queued_ms >= SUSPECT_WAIT_MS;
 	need.salt = dispatch->settings.seed ^ entry->request.request;
 	need.online_most = service->settings.server_slots;
 	if (need.online_most == 0)
 		need.online_most = DEFAULT_SLOTS;
+	need.online_share =
+	    (uint32_t)(((int64_t)need.online_most + dispatch->vms - 1) /
+		dispatch->vms);
 	if (!jj_name_is_empty(&entry->avoid))
 		need.avoid = &entry->avoid;
 	/* Another VM's notice may be newer than the view: look again. */
--- a/src/core/dispatch_server.c
+++ b/src/core/dispatch_server.c
@@ -30,8 +30,8 @@
 
 static double score(const jj_server_view_t *, const jj_server_need_t *);
 static double spread(const jj_server_view_t *, const jj_server_need_t *);
-static bool
-fits_suspect(const jj_server_views_t *, const jj_server_view_t *, jj_ms_t);
+static bool is_full(const jj_server_view_t *, const jj_server_need_t *);
+static bool fits_suspect(const jj_server_view_t *, const jj_server_need_t *);
 static jj_neighbour_load_t *
 find_neighbour(jj_server_view_t *, const jj_name_t *);
 static void sum_neighbours(jj_server_view_t *);
@@ -171,10 +171,9 @@
 
 	TAILQ_FOREACH(view, views, link)
 	{
-		if (!jj_server_view_is_up(view, now) ||
-		    view->online + view->others_online >= need->online_most)
+		if (!jj_server_view_is_up(view, now) || is_full(view, need))
 			continue;
-		if (need->suspect && !fits_suspect(views, view, now))
+		if (need->suspect && !fits_suspect(view, need))
 			continue;
 		cost = score(view, need);
 		if (cost < best_cost) {
@@ -265,26 +264,27 @@
 }
 
 /*
- * A server may run one suspect at a time over all VMs, so suspects go to
- * servers this VM is steward of; only when it has none such that is up, to
- * any.
+ * A flood at the other VMs refills each free place there at once: a VM that
+ * runs nothing would never see one free, and its callers would wait for ever.
+ * It may always have its share; the others then find the server over full
+ * and hold back until all have theirs.
  */
 static bool
-fits_suspect(
-    const jj_server_views_t *views, const jj_server_view_t *view, jj_ms_t now)
+is_full(const jj_server_view_t *view, const jj_server_need_t *need)
 {
-	const jj_server_view_t *other;
+	return view->online + view->others_online >= need->online_most &&
+	    view->online >= need->online_share;
+}
 
-	if (view->suspects > 0)
-		return false;
-	if (view->steward)
-		return true;
-	TAILQ_FOREACH(other, views, link)
-	{
-		if (other->steward && jj_server_view_is_up(other, now))
-			return false;
-	}
-	return true;
+/*
+ * A server may run one suspect at a time over all VMs, so suspects go to
+ * servers this VM is steward of. A VM that has none such up would keep them
+ * for ever; after a while, when who crashed what is known, any will do.
+ */
+static bool
+fits_suspect(const jj_server_view_t *view, const jj_server_need_t *need)
+{
+	return view->suspects == 0 && (view->steward || need->anywhere);
 }
 
 static jj_neighbour_load_t *
--- a/src/core/dispatch_server.h
+++ b/src/core/dispatch_server.h
@@ -63,7 +63,10 @@
 typedef struct {
 	const jj_request_t *request;
 	bool suspect; /**< may share a server with no other suspect */
+	bool anywhere; /**< a suspect that has waited long enough */
 	uint32_t online_most; /**< online requests a server runs at most */
+	uint32_t
+	    online_share; /**< this VM's part of them, whatever others run */
 	uint64_t salt; /**< differs by request: spreads equal scores */
 	const jj_name_t *avoid; /**< last resort: it failed there before */
 } jj_server_need_t;
--- /dev/null
+++ b/tests/core/core_test.cc
@@ -0,0 +1,161 @@
+/**
+ * @file core_test.cc
+ * @brief Whole cores together: configuration and calls across VMs.
+ */
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "tests/core/core_world.h"
+
+namespace
+{
+
+/** The users' bound: in force everywhere within 3 s. */
+const jj_ms_t kInForceMs = 3000;
+
+const char kServices[] =
+    "{\"services\":{\"pallets\":{\"kind\":\"plain\",\"idempotent\":false,"
+    "\"key_domains\":[\"d100\",\"d101\",\"d102\"]}}}";
+
+struct SpreadCase {
+	const char *name;
+	int domains;
+	int vms;
+	int patches;
+	/** Cuts of domain 1 from the platform, from domains 0 and 2. */
+	bool platform;
+	bool others;
+	/** The speaker of domain 1 hangs during the patches. */
+	bool frozen;
+};
+
+class ConfigSpread : public ::testing::TestWithParam<SpreadCase>
+{
+};
+
+/** When the last VM that can be reached had the version in force. */
+jj_ms_t
+last_adoption(const World &world, uint64_t version, const std::string &skip)
+{
+	jj_ms_t last = 0;
+
+	for (auto &core : world.cores) {
+		jj_ms_t found = JJ_MS_NEVER;
+
+		if (core->domain == skip || core->frozen)
+			continue;
+		for (auto &adopted : core->adopted) {
+			if (adopted.second >= version)
+				found = std::min(found, adopted.first);
+		}
+		last = std::max(last, found);
+	}
+	return last;
+}
+
+/*
+ * An operator's patch is accepted, and half a minute later some VM still
+ * serves by the old configuration. Watches come late or not at all, a domain
+ * is cut from the platform, the VM that watches for its domain is frozen.
+ */
+TEST_P(ConfigSpread, IsInForceAtTheLastVmInTime)
+{
+	const SpreadCase &c = GetParam();
+	World world(c.domains, c.vms);
+	std::vector<jj_ms_t> times;
+
+	world.run_until(6000);
+	world.patch(world.at(0, 1), 0, kServices);
+	world.run_until(9000);
+	for (auto &core : world.cores)
+		core->cut_from_platform = c.platform && core->domain == "d101";
+	if (c.others) {
+		world.cut_domains.insert({"d100", "d101"});
+		world.cut_domains.insert({"d102", "d101"});
+	}
+	world.at(1, 0).frozen = c.frozen;
+	for (int i = 1; i <= c.patches; i++) {
+		jj_ms_t begun = world.now;
+		std::string text =
+		    "{\"teams\":{\"t\":{\"weight\":" + std::to_string(i) +
+		    "}}}";
+
+		WorldCore &taker = world.at(i % 2 * 2, i % c.vms);
+		world.patch(taker, (uint64_t)i, text);
+		world.run_until(begun + kInForceMs + 500);
+		ASSERT_EQ(200, taker.patch_answers.back().second);
+		times.push_back(
+		    last_adoption(world, (uint64_t)i + 1, "") - begun);
+	}
+	std::sort(times.begin(), times.end());
+	printf("config_spread case=%s vms=%zu patches=%d p50_ms=%lld "
+	       "max_ms=%lld\n",
+	    c.name, world.cores.size(), c.patches,
+	    (long long)times[times.size() / 2], (long long)times.back());
+	EXPECT_LE(times.back(), kInForceMs);
+	for (auto &core : world.cores) {
+		for (size_t i = 1; i < core->adopted.size(); i++)
+			EXPECT_GT(core->adopted[i].second,
+			    core->adopted[i - 1].second);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Cuts, ConfigSpread,
+    ::testing::Values(SpreadCase{"calm", 3, 3, 200, false, false, false},
+	SpreadCase{"cut_from_platform", 3, 3, 200, true, false, false},
+	SpreadCase{"cut_from_others", 3, 3, 50, false, true, false},
+	SpreadCase{"speaker_frozen", 3, 3, 50, false, false, true},
+	SpreadCase{"target_size", 23, 14, 3, false, false, false}),
+    [](const ::testing::TestParamInfo<SpreadCase> &info) {
+	    return std::string(info.param.name);
+    });
+
+struct CallCase {
+	const char *name;
+	int domain;
+	int vm;
+	const char *key;
+};
+
+class CallRoute : public ::testing::TestWithParam<CallCase>
+{
+};
+
+/*
+ * A driver's app reaches whichever VM the balancer picks, and its order is
+ * refused at most of them: only a domain's speaker knows VMs of the domain
+ * that the key belongs to.
+ */
+TEST_P(CallRoute, ReachesTheKeysHomeFromAnyVmAndRunsOnce)
+{
+	const CallCase &c = GetParam();
+	World world(3, 3);
+
+	world.run_until(6000);
+	world.patch(world.at(0, 1), 0, kServices);
+	world.run_until(12000);
+	world.call(world.at(c.domain, c.vm), 1, c.key);
+	world.run_until(13000);
+	world.call(world.at(0, 2), 2, c.key);
+	world.call(world.at(2, 1), 3, c.key);
+	world.run_until(15000);
+	EXPECT_EQ(1, world.runs[c.key]);
+	ASSERT_EQ(1u, world.at(c.domain, c.vm).call_answers.size());
+	EXPECT_EQ(
+	    JJ_CALL_DONE, world.at(c.domain, c.vm).call_answers[0].second);
+	EXPECT_EQ(JJ_CALL_REPLAYED, world.at(0, 2).call_answers.back().second);
+	EXPECT_EQ(JJ_CALL_REPLAYED, world.at(2, 1).call_answers.back().second);
+}
+
+INSTANTIATE_TEST_SUITE_P(Entries, CallRoute,
+    ::testing::Values(CallCase{"speaker_own_domain", 0, 0, "d100/a"},
+	CallCase{"other_vm_own_domain", 1, 2, "d101/a"},
+	CallCase{"speaker_abroad", 1, 0, "d100/b"},
+	CallCase{"other_vm_abroad", 1, 2, "d102/c"},
+	CallCase{"hashed_key", 1, 1, "order-77"}),
+    [](const ::testing::TestParamInfo<CallCase> &info) {
+	    return std::string(info.param.name);
+    });
+
+} // namespace
