--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -22,7 +22,8 @@
 static void take_chunks(jj_batch_t *, jj_ms_t, jj_actions_t *);
 static bool has_place(const jj_batch_t *, jj_ms_t);
 static void sweep_chunks(jj_batch_t *);
-static bool split_key(const char *, char[JJ_OBJECT_ID_TEXT], const char **);
+static void
+take_job_change(jj_batch_t *, const char *, const char *, uint64_t, jj_ms_t);
 static void
 take_chunk_change(jj_known_job_t *, const char *, uint64_t, jj_ms_t);
 
@@ -73,17 +74,13 @@
 {
 	char id[JJ_OBJECT_ID_TEXT];
 	const char *rest;
-	jj_known_job_t *known;
 
-	if (!split_key(key, id, &rest))
-		return;
-	known = jj_job_table_find(&batch->jobs, id);
-	if (known == NULL)
-		jj_job_table_learn(&batch->jobs, id);
-	else if (strcmp(rest, "job") == 0)
-		known->wants_refresh |= version > known->job.version;
-	else if (known->loaded)
-		take_chunk_change(known, rest, version, now);
+	if (key[0] == '\0')
+		jj_job_table_relist(batch, now);
+	else if (jj_batch_split_key(key, JJ_ACTIVE_PREFIX, id, &rest))
+		jj_job_table_learn(&batch->jobs, id, false);
+	else if (jj_batch_split_key(key, "jobs/", id, &rest))
+		take_job_change(batch, id, rest, version, now);
 	run_round(batch, now, out);
 }
 
@@ -193,6 +190,24 @@
 	return jj_actions_add_platform(out, JJ_OWNER_BATCH, op, *token);
 }
 
+bool
+jj_batch_split_key(const char *key, const char *prefix,
+    char id[JJ_OBJECT_ID_TEXT], const char **rest)
+{
+	const char *start = key + strlen(prefix);
+	size_t size;
+
+	if (strncmp(key, prefix, strlen(prefix)) != 0)
+		return false;
+	size = strcspn(start, "/");
+	if (size == 0 || size >= JJ_OBJECT_ID_TEXT)
+		return false;
+	memcpy(id, start, size);
+	id[size] = '\0';
+	*rest = start + size + (start[size] == '/' ? 1 : 0);
+	return true;
+}
+
 jj_ms_t
 jj_batch_backoff(
     jj_batch_t *batch, uint32_t failures, jj_ms_t at_least_ms, jj_ms_t now)
@@ -280,22 +295,20 @@
 	}
 }
 
-/* Splits `jobs/ID/REST`. */
-static bool
-split_key(const char *key, char id[JJ_OBJECT_ID_TEXT], const char **rest)
+/* `jobs/ID/REST` was written. */
+static void
+take_job_change(jj_batch_t *batch, const char *id, const char *rest,
+    uint64_t version, jj_ms_t now)
 {
-	const char *start = key + strlen("jobs/");
-	size_t size;
+	jj_known_job_t *known = jj_job_table_find(&batch->jobs, id);
+	bool is_job = strcmp(rest, "job") == 0;
 
-	if (strncmp(key, "jobs/", strlen("jobs/")) != 0)
-		return false;
-	size = strcspn(start, "/");
-	if (size == 0 || size >= JJ_OBJECT_ID_TEXT || start[size] != '/')
-		return false;
-	memcpy(id, start, size);
-	id[size] = '\0';
-	*rest = start + size + 1;
-	return true;
+	if (known == NULL)
+		jj_job_table_learn(&batch->jobs, id, is_job);
+	else if (is_job)
+		known->wants_refresh |= version > known->job.version;
+	else if (known->loaded)
+		take_chunk_change(known, rest, version, now);
 }
 
 /* `chunk/N` or `out/N` was written. */
--- a/src/core/batch_chunk_result.c
+++ b/src/core/batch_chunk_result.c
@@ -204,6 +204,9 @@
 	}
 	claim =
 	    jj_known_job_read_claim(chunk->job, chunk->number, &record, now);
+	jj_job_table_count_probe(&batch->jobs,
+	    record.state == JJ_CHUNK_DONE ||
+		jj_seen_claim_has_lapsed(batch, claim, now));
 	if (record.state == JJ_CHUNK_DONE) {
 		jj_held_chunk_drop(chunk, JJ_VIEW_OUT);
 	} else if (!jj_seen_claim_has_lapsed(batch, claim, now)) {
@@ -258,6 +261,8 @@
 		(void)jj_known_job_read_claim(
 		    chunk->job, chunk->number, &record, now);
 		jj_held_chunk_drop(chunk, JJ_VIEW_CLAIMED);
+		/* Two lists tell of all claims; else each costs a write. */
+		chunk->job->behind = chunk->job->open_count > 0;
 	}
 	jj_chunk_record_clear(&record);
 }
--- a/src/core/batch_job_steps.c
+++ b/src/core/batch_job_steps.c
@@ -8,26 +8,42 @@
 
 #include "core/batch_worker.h"
 
-/** Keys in one page of the listing of all jobs. */
-#define LIST_PAGE 500
-/** A job known for long is looked at each relist_ms / this. */
-#define REFRESHES_PER_RELIST 16
+/** Keys in one page of the index of active jobs; the platform's most. */
+#define LIST_PAGE 1000
+/** Records in one page of a job's sum: some hundred bytes each when done. */
+#define SUM_PAGE 200
+/**
+ * A job known for long is looked at each relist_ms / this: a net below the
+ * hints, which all VMs spread.
+ */
+#define REFRESHES_PER_RELIST 2
+/** Events were lost: the index is listed within relist_ms / this. */
+#define LOST_PER_RELIST 16
 
 static void step_listing(jj_batch_t *, jj_ms_t, jj_actions_t *);
 static void take_listing(jj_batch_t *, const jj_platform_result_t *, jj_ms_t);
-static bool id_of_key(const char *, char[JJ_OBJECT_ID_TEXT]);
+static jj_ms_t spread(jj_batch_t *, jj_ms_t);
 static void start_refresh_of_stalest(jj_batch_t *, jj_ms_t);
+static bool is_before(const jj_known_job_t *, const jj_known_job_t *);
 static void step_job(jj_batch_t *, jj_known_job_t *, jj_ms_t, jj_actions_t *);
-static void
+static void send_get(jj_batch_t *, jj_known_job_t *, jj_actions_t *);
+static jj_platform_call_t *
 send_list(jj_batch_t *, jj_known_job_t *, const char *, jj_actions_t *);
+static void send_sum(jj_batch_t *, jj_known_job_t *, jj_actions_t *);
+static void send_delete(jj_batch_t *, jj_known_job_t *, jj_actions_t *);
 static jj_job_t closed_job(const jj_known_job_t *);
 static void send_close(jj_batch_t *, jj_known_job_t *, jj_actions_t *);
 static void take_step(jj_batch_t *, jj_known_job_t *,
     const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
 static void take_job(jj_batch_t *, jj_known_job_t *,
     const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void take_no_job(jj_batch_t *, jj_known_job_t *, jj_ms_t);
 static void take_list(jj_known_job_t *, const jj_platform_result_t *, jj_ms_t);
-static void take_sum(jj_known_job_t *, const jj_platform_result_t *);
+static uint32_t chunk_of(const jj_known_job_t *, const jj_platform_item_t *);
+static bool take_page(jj_known_job_t *, const jj_platform_result_t *);
+static void take_records(jj_known_job_t *, const jj_platform_result_t *);
+static void add_counts(jj_known_job_t *, uint32_t, const jj_result_counts_t *);
+static void take_out(jj_known_job_t *, const jj_platform_result_t *);
 static void take_close(jj_known_job_t *, const jj_platform_result_t *);
 static void take_refreshed(jj_known_job_t *, jj_ms_t);
 static bool is_finished(const jj_known_job_t *);
@@ -93,20 +109,34 @@
 	if (table->token != 0 || now < table->list_at_ms || batch->leaving)
 		return;
 	call = jj_batch_call(batch, out, JJ_PLATFORM_LIST, &table->token);
-	(void)snprintf(call->key, sizeof(call->key), "jobs/");
+	(void)snprintf(call->key, sizeof(call->key), JJ_ACTIVE_PREFIX);
 	memcpy(call->after, table->after, sizeof(call->after));
 	call->limit = LIST_PAGE;
 }
 
+void
+jj_job_table_relist(jj_batch_t *batch, jj_ms_t now)
+{
+	jj_job_table_t *table = &batch->jobs;
+	jj_ms_t at =
+	    now + spread(batch, batch->settings.relist_ms / LOST_PER_RELIST);
+
+	table->list_again = table->token != 0 || table->after[0] != '\0';
+	if (!table->list_again && at < table->list_at_ms)
+		table->list_at_ms = at;
+}
+
 /*
- * A page may hold many small jobs, or a part of one large job: the next page
- * begins behind the last job seen, whose chunks need not be listed here.
+ * Hundreds of VMs that were started or cut off together would list in step,
+ * and meet the platform's rate limit in step: each waits a time of its own.
  */
 static void
 take_listing(jj_batch_t *batch, const jj_platform_result_t *result, jj_ms_t now)
 {
 	jj_job_table_t *table = &batch->jobs;
-	char id[JJ_OBJECT_ID_TEXT] = "";
+	char id[JJ_OBJECT_ID_TEXT];
+	const char *rest;
+	jj_ms_t relist_ms = batch->settings.relist_ms;
 	size_t i;
 
 	table->token = 0;
@@ -117,32 +147,28 @@
 	}
 	table->failures = 0;
 	for (i = 0; i < result->item_count; i++) {
-		if (id_of_key(result->items[i].key, id))
-			jj_job_table_learn(table, id);
+		if (jj_batch_split_key(
+			result->items[i].key, JJ_ACTIVE_PREFIX, id, &rest))
+			jj_job_table_take_entry(
+			    table, id, result->items[i].version, now);
 	}
-	if (result->more && result->item_count > 0 && id[0] != '\0') {
-		(void)snprintf(
-		    table->after, sizeof(table->after), "jobs/%s/~", id);
+	if (result->more && result->item_count > 0) {
+		memcpy(table->after, result->items[i - 1].key,
+		    sizeof(table->after));
 		return;
 	}
 	table->after[0] = '\0';
-	table->list_at_ms = now + batch->settings.relist_ms;
+	table->list_at_ms = now + relist_ms / 2 + spread(batch, relist_ms);
+	if (table->list_again)
+		jj_job_table_relist(batch, now);
 }
 
-static bool
-id_of_key(const char *key, char id[JJ_OBJECT_ID_TEXT])
+/* A time from 0 to below @p most_ms, from the own seed. */
+static jj_ms_t
+spread(jj_batch_t *batch, jj_ms_t most_ms)
 {
-	const char *start = key + strlen("jobs/");
-	size_t size;
-
-	if (strncmp(key, "jobs/", strlen("jobs/")) != 0)
-		return false;
-	size = strcspn(start, "/");
-	if (size == 0 || size >= JJ_OBJECT_ID_TEXT)
-		return false;
-	memcpy(id, start, size);
-	id[size] = '\0';
-	return true;
+	return (jj_ms_t)(jj_operations_next(&batch->operations) %
+	    (uint64_t)(most_ms + 1));
 }
 
 /*
@@ -159,28 +185,34 @@
 	if (now < batch->jobs.refresh_at_ms || batch->leaving)
 		return;
 	batch->jobs.refresh_at_ms = now +
-	    batch->settings.relist_ms / REFRESHES_PER_RELIST +
-	    (jj_ms_t)(jj_operations_next(&batch->operations) % 64);
+	    batch->settings.relist_ms / REFRESHES_PER_RELIST / 2 +
+	    spread(batch, batch->settings.relist_ms / REFRESHES_PER_RELIST);
 	TAILQ_FOREACH(known, &batch->jobs.list, link)
 	{
 		if (!known->loaded || known->step != JJ_STEP_REST)
 			continue;
 		if (now - known->refreshed_ms < batch->settings.relist_ms)
 			continue;
-		if (stalest == NULL ||
-		    known->refreshed_ms < stalest->refreshed_ms)
+		if (stalest == NULL || is_before(known, stalest))
 			stalest = known;
 	}
 	if (stalest != NULL)
 		stalest->wants_refresh = true;
 }
 
+/* First those of which, as far as is known, nothing but the end is left. */
+static bool
+is_before(const jj_known_job_t *a, const jj_known_job_t *b)
+{
+	if (is_finished(a) != is_finished(b))
+		return is_finished(a);
+	return a->refreshed_ms < b->refreshed_ms;
+}
+
 static void
 step_job(
     jj_batch_t *batch, jj_known_job_t *known, jj_ms_t now, jj_actions_t *out)
 {
-	jj_platform_call_t *call;
-
 	if (known->step == JJ_STEP_REST && known->wants_refresh) {
 		known->step = JJ_STEP_READ;
 		known->wants_refresh = false;
@@ -188,30 +220,47 @@
 	if (known->token != 0 || known->step == JJ_STEP_REST ||
 	    now < known->retry_at_ms || batch->leaving)
 		return;
-	if (known->step == JJ_STEP_LIST_OUTS) {
-		send_list(batch, known, "out", out);
-		return;
-	}
-	if (known->step == JJ_STEP_LIST_CLAIMS) {
-		send_list(batch, known, "chunk", out);
-		return;
-	}
-	if (known->step == JJ_STEP_CLOSE) {
+	switch (known->step) {
+	case JJ_STEP_READ:
+	case JJ_STEP_SUM_OUT:
+		send_get(batch, known, out);
+		break;
+	case JJ_STEP_LIST_OUTS:
+		(void)send_list(batch, known, "out", out);
+		break;
+	case JJ_STEP_LIST_CLAIMS:
+		(void)send_list(batch, known, "chunk", out);
+		break;
+	case JJ_STEP_SUM_RECORDS:
+		send_sum(batch, known, out);
+		break;
+	case JJ_STEP_CLOSE:
 		send_close(batch, known, out);
-		return;
+		break;
+	case JJ_STEP_DELETE_ENTRY:
+		send_delete(batch, known, out);
+		break;
+	case JJ_STEP_REST:
+		break;
 	}
-	call = jj_batch_call(batch, out, JJ_PLATFORM_GET, &known->token);
+}
+
+/* The job's object, or the out object to be summed. */
+static void
+send_get(jj_batch_t *batch, jj_known_job_t *known, jj_actions_t *out)
+{
+	jj_platform_call_t *call =
+	    jj_batch_call(batch, out, JJ_PLATFORM_GET, &known->token);
+
 	if (known->step == JJ_STEP_READ)
 		(void)snprintf(
 		    call->key, sizeof(call->key), "jobs/%s/job", known->job.id);
 	else
-		(void)snprintf(call->key, sizeof(call->key), "jobs/%s/%s/%06u",
-		    known->job.id,
-		    known->step == JJ_STEP_SUM_RECORD ? "chunk" : "out",
-		    known->sum_next);
+		(void)snprintf(call->key, sizeof(call->key), "jobs/%s/out/%06u",
+		    known->job.id, known->sum_next);
 }
 
-static void
+static jj_platform_call_t *
 send_list(jj_batch_t *batch, jj_known_job_t *known, const char *kind,
     jj_actions_t *out)
 {
@@ -221,6 +270,36 @@
 	(void)snprintf(
 	    call->key, sizeof(call->key), "jobs/%s/%s/", known->job.id, kind);
 	memcpy(call->after, known->after, sizeof(call->after));
+	return call;
+}
+
+/*
+ * The records come with their values: one call for hundreds of chunks, where
+ * a get for each would take a large job's end half a minute.
+ */
+static void
+send_sum(jj_batch_t *batch, jj_known_job_t *known, jj_actions_t *out)
+{
+	jj_platform_call_t *call = send_list(batch, known, "chunk", out);
+
+	call->values = true;
+	call->limit = SUM_PAGE;
+}
+
+/*
+ * An ended job's entry may be deleted whatever its version: a resend that
+ * meets it adds nothing. An orphan's only as it was seen.
+ */
+static void
+send_delete(jj_batch_t *batch, jj_known_job_t *known, jj_actions_t *out)
+{
+	jj_platform_call_t *call =
+	    jj_batch_call(batch, out, JJ_PLATFORM_DELETE, &known->token);
+
+	(void)snprintf(
+	    call->key, sizeof(call->key), JJ_ACTIVE_PREFIX "%s", known->job.id);
+	if (!known->loaded)
+		call->version = known->entry_version;
 }
 
 /* The job as it ends; shares what the known job owns. */
@@ -249,6 +328,7 @@
 	jj_operations_next_text(&batch->operations, job.operation);
 	(void)snprintf(
 	    call->key, sizeof(call->key), "jobs/%s/job", known->job.id);
+	known->closing = true;
 	call->version = known->job.version;
 	call->value = jj_job_encode(&job, batch->settings.writer);
 }
@@ -278,13 +358,19 @@
 	case JJ_STEP_LIST_CLAIMS:
 		take_list(known, result, now);
 		break;
-	case JJ_STEP_SUM_RECORD:
+	case JJ_STEP_SUM_RECORDS:
+		take_records(known, result);
+		break;
 	case JJ_STEP_SUM_OUT:
-		take_sum(known, result);
+		take_out(known, result);
 		break;
-	default:
+	case JJ_STEP_CLOSE:
 		take_close(known, result);
 		break;
+	case JJ_STEP_DELETE_ENTRY:
+	case JJ_STEP_REST:
+		rest(known);
+		break;
 	}
 }
 
@@ -292,13 +378,33 @@
 take_job(jj_batch_t *batch, jj_known_job_t *known,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
 {
-	known->step = JJ_STEP_LIST_OUTS;
+	bool first = !known->loaded;
+
+	rest(known);
 	known->after[0] = '\0';
-	if (result->outcome == JJ_PLATFORM_OK &&
-	    jj_known_job_update(
+	if (result->outcome == JJ_PLATFORM_ABSENT)
+		take_no_job(batch, known, now);
+	if (result->outcome != JJ_PLATFORM_OK ||
+	    !jj_known_job_update(
 		batch, known, &result->value, result->version, now, out))
 		return;
-	rest(known);
+	if (jj_job_has_ended(&known->job)) {
+		/* Only who closed it, or saw its entry: not each VM. */
+		if (known->closing || known->entry_version != 0)
+			known->step = JJ_STEP_DELETE_ENTRY;
+	} else if (first && known->created) {
+		/* New: there is nothing to list, and events tell the rest. */
+		known->refreshed_ms = now > 0 ? now : 1;
+	} else {
+		known->step = JJ_STEP_LIST_OUTS;
+	}
+}
+
+static void
+take_no_job(jj_batch_t *batch, jj_known_job_t *known, jj_ms_t now)
+{
+	if (!known->loaded && jj_job_table_is_orphan(&batch->jobs, known, now))
+		known->step = JJ_STEP_DELETE_ENTRY;
 }
 
 static void
@@ -310,9 +416,7 @@
 
 	for (i = 0; i < result->item_count; i++) {
 		const jj_platform_item_t *item = &result->items[i];
-		const char *number = strrchr(item->key, '/');
-		uint32_t chunk =
-		    (uint32_t)strtoul(number ? number + 1 : "", NULL, 10);
+		uint32_t chunk = chunk_of(known, item);
 
 		if (chunk >= known->job.part_count ||
 		    known->views[chunk] == JJ_VIEW_HELD ||
@@ -325,27 +429,49 @@
 		jj_known_job_set_view(known, chunk, JJ_VIEW_CLAIMED);
 		(void)jj_known_job_see_claim(known, chunk, item->version, now);
 	}
-	if (result->more && result->item_count > 0) {
-		memcpy(known->after, result->items[result->item_count - 1].key,
-		    sizeof(known->after));
+	if (take_page(known, result))
 		return;
-	}
-	known->after[0] = '\0';
 	known->step = JJ_STEP_LIST_CLAIMS;
-	if (!outs)
+	/* With all results there, the claims tell nothing more. */
+	if (!outs || known->open_count + known->claimed_count == 0)
 		take_refreshed(known, now);
 }
 
+static uint32_t
+chunk_of(const jj_known_job_t *known, const jj_platform_item_t *item)
+{
+	const char *number = strrchr(item->key, '/');
+
+	if (number == NULL)
+		return known->job.part_count;
+	return (uint32_t)strtoul(number + 1, NULL, 10);
+}
+
+/* True when the list goes on. */
+static bool
+take_page(jj_known_job_t *known, const jj_platform_result_t *result)
+{
+	known->after[0] = '\0';
+	if (!result->more || result->item_count == 0)
+		return false;
+	memcpy(known->after, result->items[result->item_count - 1].key,
+	    sizeof(known->after));
+	return true;
+}
+
 static void
 take_refreshed(jj_known_job_t *known, jj_ms_t now)
 {
 	known->refreshed_ms = now > 0 ? now : 1;
+	known->behind = false;
 	rest(known);
 	if (!is_finished(known))
 		return;
 	memset(&known->sum, 0, sizeof(known->sum));
+	memset(
+	    known->summed, 0, known->job.part_count * sizeof(*known->summed));
 	known->sum_next = 0;
-	sum_on(known);
+	known->step = JJ_STEP_SUM_RECORDS;
 }
 
 /*
@@ -356,23 +482,23 @@
 static bool
 is_finished(const jj_known_job_t *known)
 {
-	if (jj_known_job_has_ended(known))
+	if (jj_job_has_ended(&known->job))
 		return false;
 	if (known->claimed_count > 0 || known->held_count > 0)
 		return false;
 	return known->open_count == 0 || jj_known_job_is_cancelled(known);
 }
 
-/* Goes on with the next chunk that has an out object, or closes the job. */
+/* Goes on with the next out object not counted yet, or closes the job. */
 static void
 sum_on(jj_known_job_t *known)
 {
 	while (known->sum_next < known->job.part_count &&
-	    known->views[known->sum_next] != JJ_VIEW_OUT)
+	    (known->views[known->sum_next] != JJ_VIEW_OUT ||
+		known->summed[known->sum_next]))
 		known->sum_next++;
-	known->step = known->sum_next < known->job.part_count
-	    ? JJ_STEP_SUM_RECORD
-	    : JJ_STEP_CLOSE;
+	known->step = known->sum_next < known->job.part_count ? JJ_STEP_SUM_OUT
+							      : JJ_STEP_CLOSE;
 }
 
 /*
@@ -380,30 +506,46 @@
  * object and that record left none: the out object itself is counted.
  */
 static void
-take_sum(jj_known_job_t *known, const jj_platform_result_t *result)
+take_records(jj_known_job_t *known, const jj_platform_result_t *result)
 {
-	jj_result_counts_t counts = {0};
-	jj_chunk_record_t record = {0};
-	int kind;
+	size_t i;
 
-	if (result->outcome == JJ_PLATFORM_OK && known->step == JJ_STEP_SUM_OUT)
-		(void)jj_out_count(&result->value, &counts);
-	if (known->step == JJ_STEP_SUM_RECORD) {
-		bool done = result->outcome == JJ_PLATFORM_OK &&
-		    jj_chunk_record_decode(
-			&record, &result->value, result->version) &&
-		    record.state == JJ_CHUNK_DONE;
+	for (i = 0; i < result->item_count; i++) {
+		const jj_platform_item_t *item = &result->items[i];
+		uint32_t chunk = chunk_of(known, item);
+		jj_chunk_record_t record = {0};
 
-		counts = record.counts;
+		if (jj_chunk_record_decode(
+			&record, &item->value, item->version) &&
+		    record.state == JJ_CHUNK_DONE)
+			add_counts(known, chunk, &record.counts);
 		jj_chunk_record_clear(&record);
-		if (!done) {
-			known->step = JJ_STEP_SUM_OUT;
-			return;
-		}
 	}
+	if (!take_page(known, result))
+		sum_on(known);
+}
+
+static void
+add_counts(
+    jj_known_job_t *known, uint32_t chunk, const jj_result_counts_t *counts)
+{
+	int kind;
+
+	if (chunk >= known->job.part_count || known->summed[chunk])
+		return;
+	known->summed[chunk] = true;
 	for (kind = JJ_RESULT_DONE; kind <= JJ_RESULT_CANCELLED; kind++)
-		known->sum.by_kind[kind] += counts.by_kind[kind];
-	known->sum_next++;
+		known->sum.by_kind[kind] += counts->by_kind[kind];
+}
+
+static void
+take_out(jj_known_job_t *known, const jj_platform_result_t *result)
+{
+	jj_result_counts_t counts = {0};
+
+	if (result->outcome == JJ_PLATFORM_OK)
+		(void)jj_out_count(&result->value, &counts);
+	add_counts(known, known->sum_next, &counts);
 	sum_on(known);
 }
 
@@ -413,12 +555,12 @@
 {
 	if (result->outcome != JJ_PLATFORM_OK) {
 		known->step = JJ_STEP_READ;
+		known->closing = false;
 		return;
 	}
+	known->job = closed_job(known);
 	known->job.version = result->version;
-	known->job.state = jj_known_job_is_cancelled(known) ? JJ_JOB_CANCELLED
-							    : JJ_JOB_COMPLETED;
-	rest(known);
+	known->step = JJ_STEP_DELETE_ENTRY;
 }
 
 static void
--- a/src/core/batch_jobs.c
+++ b/src/core/batch_jobs.c
@@ -10,8 +10,13 @@
 
 /** Least time between two looks at claims that have changed. */
 #define PROBE_MS 250
+/** It doubles so often while looks find nothing to take over: to 8 s. */
+#define PROBE_DOUBLINGS 5
 
 static uint64_t id_hash(const char *);
+static jj_known_job_t *add_job(jj_job_table_t *, const char *);
+static jj_orphan_t *find_orphan(jj_job_table_t *, const char *);
+static jj_orphan_t *find_orphan_slot(jj_job_table_t *);
 static void known_job_destroy(jj_job_table_t *, jj_known_job_t *);
 static void insert_in_due_order(jj_job_table_t *, jj_known_job_t *);
 static bool is_due_before(const jj_known_job_t *, const jj_known_job_t *);
@@ -52,22 +57,67 @@
 }
 
 void
-jj_job_table_learn(jj_job_table_t *table, const char *id)
+jj_job_table_learn(jj_job_table_t *table, const char *id, bool created)
 {
 	uint64_t hash = id_hash(id);
 	jj_known_job_t *known;
 
 	if (table->ended[hash % JJ_ENDED_JOBS] == hash)
 		return;
-	if (table->count >= JJ_KNOWN_JOBS_MAX ||
-	    jj_job_table_find(table, id) != NULL)
+	known = add_job(table, id);
+	if (known != NULL)
+		known->created = created;
+}
+
+/*
+ * A job that is remembered as ended and still has an entry is read again:
+ * the VM that closed it was lost before it deleted the entry, and whoever
+ * lists the entry deletes it. An orphan is read once, and again when its
+ * grace is over.
+ */
+void
+jj_job_table_take_entry(
+    jj_job_table_t *table, const char *id, uint64_t version, jj_ms_t now)
+{
+	jj_known_job_t *known = jj_job_table_find(table, id);
+	jj_orphan_t *orphan = find_orphan(table, id);
+
+	if (orphan != NULL)
+		orphan->listed_ms = now;
+	if (known == NULL && orphan != NULL && orphan->version == version &&
+	    now - orphan->seen_ms < JJ_ORPHAN_GRACE_MS)
 		return;
-	known = jj_alloc(sizeof(*known));
-	(void)snprintf(known->job.id, sizeof(known->job.id), "%s", id);
-	LIST_INIT(&known->claims);
-	known->step = JJ_STEP_READ;
-	TAILQ_INSERT_TAIL(&table->list, known, link);
-	table->count++;
+	if (known == NULL)
+		known = add_job(table, id);
+	if (known != NULL)
+		known->entry_version = version;
+}
+
+/*
+ * A VM may be lost between an index entry and its job; the entry would be
+ * read by each worker for ever. Deleted at once, it would be that of a
+ * submission on its way, whose job no worker would then find. So it must
+ * stand unchanged for the grace on the own clock, and the deletion names
+ * that version: a submission that relies on an older entry writes it anew.
+ */
+bool
+jj_job_table_is_orphan(
+    jj_job_table_t *table, const jj_known_job_t *known, jj_ms_t now)
+{
+	jj_orphan_t *orphan = find_orphan(table, known->job.id);
+
+	if (known->entry_version == 0)
+		return false;
+	if (orphan == NULL)
+		orphan = find_orphan_slot(table);
+	if (strcmp(orphan->id, known->job.id) != 0 ||
+	    orphan->version != known->entry_version) {
+		memcpy(orphan->id, known->job.id, sizeof(orphan->id));
+		orphan->version = known->entry_version;
+		orphan->seen_ms = now;
+	}
+	orphan->listed_ms = now > 0 ? now : 1;
+	return now - orphan->seen_ms >= JJ_ORPHAN_GRACE_MS;
 }
 
 void
@@ -78,10 +128,11 @@
 
 	for (known = TAILQ_FIRST(&table->list); known != NULL; known = next) {
 		next = TAILQ_NEXT(known, link);
-		if (known->held_count > 0)
+		if (known->held_count > 0 ||
+		    known->step == JJ_STEP_DELETE_ENTRY)
 			continue;
 		/* One that could not be read is found again by a listing. */
-		if (known->loaded ? !jj_known_job_has_ended(known)
+		if (known->loaded ? !jj_job_has_ended(&known->job)
 				  : known->step != JJ_STEP_REST)
 			continue;
 		known_job_destroy(table, known);
@@ -125,6 +176,10 @@
 			known->wants_refresh = known->step == JJ_STEP_REST;
 			break;
 		}
+		if (known->behind) {
+			known->wants_refresh |= known->step == JJ_STEP_REST;
+			continue;
+		}
 		if (choose_open(batch, known, &choice))
 			break;
 		if (choose_claimed(batch, known, now, &choice))
@@ -140,17 +195,6 @@
 	    known->job.state == JJ_JOB_CANCELLED;
 }
 
-bool
-jj_known_job_has_ended(const jj_known_job_t *known)
-{
-	const jj_job_t *job = &known->job;
-
-	if (job->state == JJ_JOB_CANCELLED)
-		return job->done + job->failed + job->cancelled_items ==
-		    job->items;
-	return job->state == JJ_JOB_COMPLETED;
-}
-
 bool
 jj_known_job_update(jj_batch_t *batch, jj_known_job_t *known,
     const jj_bytes_t *value, uint64_t version, jj_ms_t now, jj_actions_t *out)
@@ -198,6 +242,15 @@
 		remove_claim(known, chunk);
 }
 
+void
+jj_job_table_count_probe(jj_job_table_t *table, bool found)
+{
+	if (found)
+		table->probe_misses = 0;
+	else if (table->probe_misses < PROBE_DOUBLINGS)
+		table->probe_misses++;
+}
+
 jj_seen_claim_t *
 jj_known_job_find_claim(jj_known_job_t *known, uint32_t chunk)
 {
@@ -272,6 +325,50 @@
 	return jj_hash_bytes(id, strlen(id), 1);
 }
 
+/* NULL when the job is known already, or there are too many. */
+static jj_known_job_t *
+add_job(jj_job_table_t *table, const char *id)
+{
+	jj_known_job_t *known;
+
+	if (table->count >= JJ_KNOWN_JOBS_MAX ||
+	    jj_job_table_find(table, id) != NULL)
+		return NULL;
+	known = jj_alloc(sizeof(*known));
+	(void)snprintf(known->job.id, sizeof(known->job.id), "%s", id);
+	LIST_INIT(&known->claims);
+	known->step = JJ_STEP_READ;
+	TAILQ_INSERT_TAIL(&table->list, known, link);
+	table->count++;
+	return known;
+}
+
+static jj_orphan_t *
+find_orphan(jj_job_table_t *table, const char *id)
+{
+	int i;
+
+	for (i = 0; i < JJ_ORPHANS; i++) {
+		if (strcmp(table->orphans[i].id, id) == 0)
+			return &table->orphans[i];
+	}
+	return NULL;
+}
+
+/* A free slot, or that of the orphan listed longest ago. */
+static jj_orphan_t *
+find_orphan_slot(jj_job_table_t *table)
+{
+	jj_orphan_t *oldest = &table->orphans[0];
+	int i;
+
+	for (i = 1; i < JJ_ORPHANS; i++) {
+		if (table->orphans[i].listed_ms < oldest->listed_ms)
+			oldest = &table->orphans[i];
+	}
+	return oldest;
+}
+
 static void
 known_job_destroy(jj_job_table_t *table, jj_known_job_t *known)
 {
@@ -288,6 +385,7 @@
 	table->count--;
 	jj_job_clear(&known->job);
 	free(known->views);
+	free(known->summed);
 	free(known);
 }
 
@@ -323,6 +421,8 @@
 load_views(jj_known_job_t *known)
 {
 	known->views = jj_alloc(known->job.part_count + 1);
+	known->summed =
+	    jj_alloc((known->job.part_count + 1) * sizeof(*known->summed));
 	known->open_count = known->job.part_count;
 }
 
@@ -369,7 +469,8 @@
 /*
  * Claims that have lapsed; and, one each PROBE_MS, those whose record was
  * never read or has changed: only the record tells that its holder is dead
- * or has released it.
+ * or has released it. Most changes are renewals, and each idle VM hears of
+ * all of them: looks that find nothing to take over become rarer.
  */
 static bool
 choose_claimed(jj_batch_t *batch, jj_known_job_t *known, jj_ms_t now,
@@ -388,7 +489,8 @@
 		    (!claim->changed || now < batch->jobs.probe_at_ms))
 			continue;
 		if (!lapsed)
-			batch->jobs.probe_at_ms = now + PROBE_MS;
+			batch->jobs.probe_at_ms =
+			    now + (PROBE_MS << batch->jobs.probe_misses);
 		choice->job = known;
 		choice->chunk = claim->chunk;
 		choice->has_record = true;
--- a/src/core/batch_jobs.h
+++ b/src/core/batch_jobs.h
@@ -20,6 +20,13 @@
 #define JJ_ENDED_JOBS 16384
 /** Dead writers that are remembered. */
 #define JJ_DEAD_WRITERS 64
+/** Index entries without a job that are remembered. */
+#define JJ_ORPHANS 256
+/**
+ * An index entry without a job is kept so long on the own clock, ms: far
+ * longer than a submission may take, whose entry comes before its job.
+ */
+#define JJ_ORPHAN_GRACE_MS 600000
 
 /** What is known of a chunk. */
 typedef enum {
@@ -47,9 +54,10 @@
 	JJ_STEP_READ,
 	JJ_STEP_LIST_OUTS,
 	JJ_STEP_LIST_CLAIMS,
-	JJ_STEP_SUM_RECORD,
-	JJ_STEP_SUM_OUT,
+	JJ_STEP_SUM_RECORDS, /**< list the records with their counts */
+	JJ_STEP_SUM_OUT, /**< read an out object whose record has none */
 	JJ_STEP_CLOSE,
+	JJ_STEP_DELETE_ENTRY, /**< of an ended job, or of an orphan */
 } jj_job_step_t;
 
 /** A known job. */
@@ -57,6 +65,10 @@
 	TAILQ_ENTRY(jj_known_job) link; /**< in due order */
 	jj_job_t job;
 	bool loaded; /**< the object was read */
+	bool created; /**< learnt from its object's event: nothing claimed */
+	bool behind; /**< a claim met another's: the views need a refresh */
+	bool closing; /**< a close was sent and its outcome is not known */
+	uint64_t entry_version; /**< of the index entry seen, 0: none */
 	jj_ms_t due_at_ms; /**< own clock */
 	uint8_t *views; /**< jj_chunk_view_t of each chunk */
 	uint32_t open_count;
@@ -71,11 +83,20 @@
 	bool wants_refresh;
 	char after[JJ_OBJECT_KEY_MAX + 1]; /**< where a list goes on */
 	uint32_t sum_next; /**< next chunk to sum up */
+	bool *summed; /**< by chunk, while summing; owned */
 	jj_result_counts_t sum;
 } jj_known_job_t;
 
 typedef TAILQ_HEAD(jj_known_job_list, jj_known_job) jj_known_jobs_t;
 
+/** An index entry whose job did not exist. */
+typedef struct {
+	char id[JJ_OBJECT_ID_TEXT];
+	uint64_t version;
+	jj_ms_t seen_ms; /**< own clock, when this version was first seen */
+	jj_ms_t listed_ms; /**< when it was last seen; 0: free */
+} jj_orphan_t;
+
 /** The table. */
 typedef struct {
 	jj_known_jobs_t list;
@@ -85,10 +106,13 @@
 	uint32_t dead_next;
 	uint64_t token; /**< of the listing under way, 0: none */
 	jj_ms_t list_at_ms;
+	bool list_again; /**< events were lost during the listing */
+	jj_orphan_t orphans[JJ_ORPHANS];
 	uint32_t failures;
 	char after[JJ_OBJECT_KEY_MAX + 1];
 	jj_ms_t refresh_at_ms; /**< next look at a job known for long */
 	jj_ms_t probe_at_ms; /**< next look at a claim that has changed */
+	uint32_t probe_misses; /**< such looks in a row that found nothing */
 } jj_job_table_t;
 
 /** A chunk to take. */
@@ -104,7 +128,15 @@
 /** The known job, or NULL. */
 jj_known_job_t *jj_job_table_find(jj_job_table_t *table, const char *id);
 /** Takes note of a job id; reads it if it is new and has not ended. */
-void jj_job_table_learn(jj_job_table_t *table, const char *id);
+void jj_job_table_learn(jj_job_table_t *table, const char *id, bool created);
+/** Takes note of a listed index entry. */
+void jj_job_table_take_entry(
+    jj_job_table_t *table, const char *id, uint64_t version, jj_ms_t now);
+/** The listed entry's job does not exist; true when the grace is over. */
+bool jj_job_table_is_orphan(
+    jj_job_table_t *table, const jj_known_job_t *known, jj_ms_t now);
+/** Events were lost: the index is listed again soon. */
+void jj_job_table_relist(jj_batch_t *batch, jj_ms_t now);
 /** Removes jobs that have ended and of which nothing is held. */
 void jj_job_table_sweep(jj_job_table_t *table);
 
@@ -115,13 +147,11 @@
 /** Next chunk for this worker, or none. May ask for a refresh. */
 jj_chunk_choice_t jj_job_table_choose(jj_batch_t *batch, jj_ms_t now);
 
+/** Counts a look at another's record; @p found: it may be taken over. */
+void jj_job_table_count_probe(jj_job_table_t *table, bool found);
+
 /** True when the job is cancelled or being cancelled. */
 bool jj_known_job_is_cancelled(const jj_known_job_t *known);
-/**
- * True when nothing is left to do: completed, or cancelled with all its
- * items counted.
- */
-bool jj_known_job_has_ended(const jj_known_job_t *known);
 /** Takes in the job's object; false when it is malformed. */
 bool jj_known_job_update(jj_batch_t *batch, jj_known_job_t *known,
     const jj_bytes_t *value, uint64_t version, jj_ms_t now, jj_actions_t *out);
--- a/src/core/batch_worker.h
+++ b/src/core/batch_worker.h
@@ -28,6 +28,12 @@
 /** Adds a platform call without a key and notes its token. */
 jj_platform_call_t *jj_batch_call(
     jj_batch_t *batch, jj_actions_t *out, jj_platform_op_t op, uint64_t *token);
+/**
+ * Splits a key PREFIX ID or PREFIX ID "/" REST.
+ * @return false when it is none; @p id then is unchanged.
+ */
+bool jj_batch_split_key(const char *key, const char *prefix,
+    char id[JJ_OBJECT_ID_TEXT], const char **rest);
 /** When to repeat a call after so many failures in a row, with jitter. */
 jj_ms_t jj_batch_backoff(
     jj_batch_t *batch, uint32_t failures, jj_ms_t at_least_ms, jj_ms_t now);
--- a/src/core/calls.c
+++ b/src/core/calls.c
@@ -18,6 +18,7 @@
 	jj_name_t domain; /**< of the key */
 	jj_name_t sent_to; /**< empty: never left this VM */
 	jj_incarnation_t sent_to_incarnation;
+	bool strayed; /**< another process was sent it before that one */
 	jj_call_t call; /**< owned copy */
 	jj_ms_t deadline_ms;
 	jj_ms_t resend_ms;
@@ -45,6 +46,8 @@
 static void end_waiting(
     jj_calls_t *, waiting_t *, const jj_call_answer_t *, jj_actions_t *);
 static void refuse(jj_calls_t *, waiting_t *, jj_actions_t *);
+static void
+take_answer(jj_calls_t *, waiting_t *, const jj_message_t *, jj_actions_t *);
 static bool target_is_gone(const jj_calls_t *, const waiting_t *);
 static waiting_t *find_relayed(jj_calls_t *, const jj_name_t *, uint64_t);
 
@@ -169,7 +172,7 @@
 	TAILQ_FOREACH(waiting, &calls->waiting, link)
 	{
 		if (waiting->number == answer->call) {
-			end_waiting(calls, waiting, answer, out);
+			take_answer(calls, waiting, message, out);
 			return;
 		}
 	}
@@ -279,6 +282,10 @@
 		return;
 	}
 	info = jj_member_find(calls->member, &target);
+	if (!jj_name_is_empty(&waiting->sent_to) &&
+	    (!jj_name_equal(&waiting->sent_to, &target) || info == NULL ||
+		info->incarnation != waiting->sent_to_incarnation))
+		waiting->strayed = true;
 	waiting->sent_to = target;
 	waiting->sent_to_incarnation = info != NULL ? info->incarnation : 0;
 	send_call(calls, waiting, now, out);
@@ -349,6 +356,28 @@
 	end_waiting(calls, waiting, &answer, out);
 }
 
+/**
+ * Takes the word of the process that the call was last sent to, and of no
+ * other: a late refusal of an earlier home, or of a dead process with the
+ * same name, does not speak for it. When the slot moved while the call was
+ * under way, its new home cannot say that the call was not run: the earlier
+ * one may be running it.
+ */
+static void
+take_answer(jj_calls_t *calls, waiting_t *waiting, const jj_message_t *message,
+    jj_actions_t *out)
+{
+	jj_call_answer_t answer = message->body.call_answer;
+
+	if (!jj_name_equal(&message->from, &waiting->sent_to) ||
+	    message->incarnation != waiting->sent_to_incarnation)
+		return;
+	if (waiting->strayed && answer.outcome != JJ_CALL_DONE &&
+	    answer.outcome != JJ_CALL_REPLAYED)
+		answer.outcome = JJ_CALL_UNKNOWN;
+	end_waiting(calls, waiting, &answer, out);
+}
+
 /** True when the process that had the call is dead or was replaced. */
 static bool
 target_is_gone(const jj_calls_t *calls, const waiting_t *waiting)
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -658,14 +658,10 @@
 	jj_action_t *next;
 
 	for (action = TAILQ_FIRST(out); action != NULL; action = next) {
+		/* The answer stays: what was kept for the run is freed by it. */
 		if (action->kind == JJ_ACTION_ANSWER &&
-		    (action->body.answer.request & JJ_REQUEST_INTERNAL)) {
+		    (action->body.answer.request & JJ_REQUEST_INTERNAL))
 			end_refused_call(core, &action->body.answer, now, out);
-			next = TAILQ_NEXT(action, link);
-			TAILQ_REMOVE(out, action, link);
-			jj_action_free(action);
-			continue;
-		}
 		if (action->kind == JJ_ACTION_CONFIG_ADOPTED)
 			spread_config(core, out);
 		next = TAILQ_NEXT(action, link);
--- a/src/core/dispatch_server.c
+++ b/src/core/dispatch_server.c
@@ -284,7 +284,13 @@
 static bool
 fits_suspect(const jj_server_view_t *view, const jj_server_need_t *need)
 {
-	return view->suspects == 0 && (view->steward || need->anywhere);
+	if (view->suspects > 0)
+		return false;
+	/* Where it broke is probably dead: there a retry is wasted. */
+	return need->anywhere ||
+	    (view->steward &&
+		(need->avoid == NULL ||
+		    !jj_name_equal(&view->name, need->avoid)));
 }
 
 static jj_neighbour_load_t *
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -16,6 +16,12 @@
 #define JJ_JOB_ENDPOINT_MAX 127
 /** Most jobs of one page of a list. */
 #define JJ_JOB_PAGE 20
+/**
+ * Index of the jobs that have not ended: `active/ID`. Below `jobs/` stand
+ * all jobs of days with their chunks; workers list the index instead. A job
+ * that was acknowledged and has not ended has an entry.
+ */
+#define JJ_ACTIVE_PREFIX "active/"
 
 /** A job's state. */
 typedef enum {
@@ -52,6 +58,11 @@
 bool jj_job_decode(jj_job_t *job, const jj_bytes_t *value, uint64_t version);
 /** The job's object, to be written by @p writer; freed by the caller. */
 jj_bytes_t jj_job_encode(const jj_job_t *job, const char *writer);
+/**
+ * True when nothing is left to do: completed, or cancelled with all its
+ * items counted.
+ */
+bool jj_job_has_ended(const jj_job_t *job);
 /** Frees what the job owns and empties it. */
 void jj_job_clear(jj_job_t *job);
 /**
--- a/src/core/job_codec.c
+++ b/src/core/job_codec.c
@@ -82,6 +82,15 @@
 	return jj_json_take_bytes(object);
 }
 
+bool
+jj_job_has_ended(const jj_job_t *job)
+{
+	if (job->state == JJ_JOB_CANCELLED)
+		return job->done + job->failed + job->cancelled_items ==
+		    job->items;
+	return job->state == JJ_JOB_COMPLETED;
+}
+
 void
 jj_job_clear(jj_job_t *job)
 {
--- a/src/core/job_operation.c
+++ b/src/core/job_operation.c
@@ -20,6 +20,8 @@
 
 static void send_call(jj_job_operation_t *, jj_actions_t *);
 static bool is_write(const jj_platform_call_t *);
+static bool writes_job(const jj_job_operation_t *);
+static jj_bytes_t encode_entry(const jj_jobs_t *, const jj_job_operation_t *);
 static bool is_sure(jj_platform_outcome_t);
 static void repeat(jj_jobs_t *, jj_job_operation_t *,
     const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
@@ -78,6 +80,30 @@
 	send_call(operation, out);
 }
 
+void
+jj_job_operation_call_index(jj_jobs_t *jobs, jj_job_operation_t *operation,
+    jj_platform_op_t op, uint64_t version, jj_actions_t *out)
+{
+	char key[JJ_OBJECT_KEY_MAX + 1];
+
+	snprintf(key, sizeof(key), JJ_ACTIVE_PREFIX "%s", operation->id);
+	set_call(operation, op, key);
+	operation->call.version = version;
+	if (is_write(&operation->call)) {
+		jj_operations_next_text(
+		    &jobs->operations, operation->index_operation);
+		operation->call.value = encode_entry(jobs, operation);
+	}
+	send_call(operation, out);
+}
+
+bool
+jj_job_operation_is_index(const jj_job_operation_t *operation)
+{
+	return strncmp(operation->call.key, JJ_ACTIVE_PREFIX,
+		   strlen(JJ_ACTIVE_PREFIX)) == 0;
+}
+
 void
 jj_job_operation_read(jj_job_operation_t *operation, jj_actions_t *out)
 {
@@ -138,7 +164,7 @@
     jj_jobs_t *jobs, jj_job_operation_t *operation, jj_actions_t *out)
 {
 	bool unknown = operation->write_unknown ||
-	    (operation->in_flight && is_write(&operation->call));
+	    (operation->in_flight && writes_job(operation));
 	jj_ms_t retry_after_ms = jobs->settings.retry_after_ms;
 	jj_action_t *action = jj_actions_add(out, JJ_ACTION_JOB_ANSWER);
 
@@ -157,6 +183,17 @@
 jj_job_operation_take(jj_jobs_t *jobs, jj_job_operation_t *operation,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
 {
+	/*
+	 * A VM frozen between its index entry and its job may wake after the
+	 * entry was deleted as an orphan. It would create and acknowledge a
+	 * job that no worker finds. Entries are kept for far longer than an
+	 * operation may take, so that what comes after the deadline is not
+	 * acted on; a resend looks after the entry before it acknowledges.
+	 */
+	if (now >= operation->deadline) {
+		jj_job_operation_give_up(jobs, operation, out);
+		return;
+	}
 	operation->in_flight = false;
 	if (result->outcome == JJ_PLATFORM_CONFLICT)
 		operation->conflicts++;
@@ -226,6 +263,25 @@
 	return call->op == JJ_PLATFORM_CREATE || call->op == JJ_PLATFORM_UPDATE;
 }
 
+/* An index entry without its job runs nothing. */
+static bool
+writes_job(const jj_job_operation_t *operation)
+{
+	return is_write(&operation->call) &&
+	    !jj_job_operation_is_index(operation);
+}
+
+static jj_bytes_t
+encode_entry(const jj_jobs_t *jobs, const jj_job_operation_t *operation)
+{
+	json_t *entry =
+	    json_pack("{s:s,s:s,s:s}", "job", operation->id, "writer",
+		jobs->settings.writer, "operation", operation->index_operation);
+
+	JJ_INVARIANT(entry != NULL);
+	return jj_json_take_bytes(entry);
+}
+
 static bool
 is_sure(jj_platform_outcome_t outcome)
 {
@@ -251,7 +307,7 @@
 		operation->retry_after_ms = result->retry_after_ms;
 	if (result->outcome == JJ_PLATFORM_UNKNOWN &&
 	    is_write(&operation->call)) {
-		operation->write_unknown = true;
+		operation->write_unknown |= writes_job(operation);
 		set_call(operation, JJ_PLATFORM_GET, operation->call.key);
 	}
 	if (!jj_retry_plan(
--- a/src/core/job_operation.h
+++ b/src/core/job_operation.h
@@ -42,6 +42,9 @@
 	char id[JJ_OBJECT_ID_TEXT];
 	jj_job_t job; /**< as read, or as it is to be written */
 	bool has_key; /**< the submission came with an idempotency key */
+	bool indexed; /**< the entry below JJ_ACTIVE_PREFIX is confirmed */
+	bool found; /**< `job` stands at the platform already */
+	char index_operation[JJ_OPERATION_TEXT]; /**< of the entry's write */
 	uint32_t chunk; /**< whose results are read */
 	json_t *data; /**< jobs of a list so far; owned */
 };
@@ -65,6 +68,14 @@
 /** Sends a create or update of the job's object from `job`. */
 void jj_job_operation_write(jj_jobs_t *jobs, jj_job_operation_t *operation,
     jj_platform_op_t op, jj_actions_t *out);
+/**
+ * Sends a create, update (on @p version) or get of the job's entry in the
+ * index of active jobs.
+ */
+void jj_job_operation_call_index(jj_jobs_t *jobs, jj_job_operation_t *operation,
+    jj_platform_op_t op, uint64_t version, jj_actions_t *out);
+/** True when the call under way is one of the job's index entry. */
+bool jj_job_operation_is_index(const jj_job_operation_t *operation);
 /** Reads the object of the job `id`. */
 void jj_job_operation_read(jj_job_operation_t *operation, jj_actions_t *out);
 /** Decodes a job that was read; when malformed, answers 500: false. */
--- a/src/core/job_submit.c
+++ b/src/core/job_submit.c
@@ -1,6 +1,10 @@
 /**
  * @file job_submit.c
- * @brief Submits a job: reads the file's manifest, creates the job's object.
+ * @brief Submits a job: reads the file's manifest, enters the job into the
+ * index of active jobs, creates the job's object.
+ *
+ * A fresh submission with a key costs two reads and two writes, one without
+ * a key one read less; a resend costs no write once the job has ended.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -30,6 +34,10 @@
 static bool take_manifest(jj_job_operation_t *, const json_t *);
 static void take_job(jj_jobs_t *, jj_job_operation_t *,
     const jj_platform_result_t *, jj_actions_t *);
+static void begin_job(jj_jobs_t *, jj_job_operation_t *, jj_actions_t *);
+static void take_entry(jj_jobs_t *, jj_job_operation_t *,
+    const jj_platform_result_t *, jj_actions_t *);
+static void go_on(jj_jobs_t *, jj_job_operation_t *, jj_actions_t *);
 static bool is_same(const jj_job_operation_t *, const jj_job_t *);
 
 void
@@ -208,6 +216,8 @@
 	(void)now;
 	if (operation->job.part_count == 0)
 		take_file(jobs, operation, result, out);
+	else if (jj_job_operation_is_index(operation))
+		take_entry(jobs, operation, result, out);
 	else if (result->op == JJ_PLATFORM_GET)
 		take_job(jobs, operation, result, out);
 	else if (result->outcome == JJ_PLATFORM_OK)
@@ -235,8 +245,7 @@
 	    take_manifest(operation, manifest);
 	json_decref(manifest);
 	if (usable)
-		jj_job_operation_write(
-		    jobs, operation, JJ_PLATFORM_CREATE, out);
+		begin_job(jobs, operation, out);
 	else
 		jj_job_operation_refuse(jobs, operation, 404, "file_unknown",
 		    "no such input file; upload it first", out);
@@ -267,7 +276,68 @@
 	return true;
 }
 
-/* The job's object was there already, or a write's answer was lost. */
+/*
+ * With a key the job is looked for first: a resend of a job that has ended
+ * must not enter it into the index, where each worker would read it.
+ */
+static void
+begin_job(jj_jobs_t *jobs, jj_job_operation_t *operation, jj_actions_t *out)
+{
+	if (operation->has_key)
+		jj_job_operation_read(operation, out);
+	else
+		jj_job_operation_call_index(
+		    jobs, operation, JJ_PLATFORM_CREATE, 0, out);
+}
+
+/*
+ * The job would be acknowledged and never run: its VM was lost between the
+ * job's object and its index entry. So the entry comes first; an entry
+ * without a job is deleted by the workers after a long time.
+ *
+ * An entry that stands already may be about to be deleted that way. The
+ * deletion names the version that was seen without a job, so the entry is
+ * written anew, and either the deletion fails or this update does.
+ */
+static void
+take_entry(jj_jobs_t *jobs, jj_job_operation_t *operation,
+    const jj_platform_result_t *result, jj_actions_t *out)
+{
+	bool read = result->op == JJ_PLATFORM_GET;
+	bool stands = result->outcome == JJ_PLATFORM_OK;
+
+	if (stands && read &&
+	    !jj_operation_is_own(&result->value, jobs->settings.writer,
+		operation->index_operation)) {
+		jj_job_operation_call_index(
+		    jobs, operation, JJ_PLATFORM_UPDATE, result->version, out);
+	} else if (stands) {
+		operation->indexed = true;
+		go_on(jobs, operation, out);
+	} else if (result->outcome == JJ_PLATFORM_CONFLICT) {
+		jj_job_operation_call_index(
+		    jobs, operation, JJ_PLATFORM_GET, 0, out);
+	} else {
+		jj_job_operation_call_index(
+		    jobs, operation, JJ_PLATFORM_CREATE, 0, out);
+	}
+}
+
+static void
+go_on(jj_jobs_t *jobs, jj_job_operation_t *operation, jj_actions_t *out)
+{
+	if (operation->found)
+		jj_job_operation_answer_job(jobs, operation, out);
+	else
+		jj_job_operation_write(
+		    jobs, operation, JJ_PLATFORM_CREATE, out);
+}
+
+/*
+ * The job's object was there already, or a write's answer was lost. One that
+ * has not ended is acknowledged again only with its entry confirmed: the
+ * submission that created it may have given up, with its entry deleted.
+ */
 static void
 take_job(jj_jobs_t *jobs, jj_job_operation_t *operation,
     const jj_platform_result_t *result, jj_actions_t *out)
@@ -275,9 +345,13 @@
 	jj_job_t found;
 	bool same;
 
+	if (result->outcome != JJ_PLATFORM_OK && operation->indexed) {
+		go_on(jobs, operation, out);
+		return;
+	}
 	if (result->outcome != JJ_PLATFORM_OK) {
-		jj_job_operation_write(
-		    jobs, operation, JJ_PLATFORM_CREATE, out);
+		jj_job_operation_call_index(
+		    jobs, operation, JJ_PLATFORM_CREATE, 0, out);
 		return;
 	}
 	same = jj_job_decode(&found, &result->value, result->version) &&
@@ -285,7 +359,12 @@
 	if (same) {
 		jj_job_clear(&operation->job);
 		operation->job = found;
-		jj_job_operation_answer_job(jobs, operation, out);
+		operation->found = true;
+		if (operation->indexed || jj_job_has_ended(&operation->job))
+			jj_job_operation_answer_job(jobs, operation, out);
+		else
+			jj_job_operation_call_index(
+			    jobs, operation, JJ_PLATFORM_CREATE, 0, out);
 		return;
 	}
 	jj_job_clear(&found);
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -30,9 +30,9 @@
 	jj_incarnation_t incarnation;
 	char address[JJ_NAME_MAX + 1]; /**< where neighbours reach this VM */
 	jj_ms_t heartbeat_ms; /**< between heartbeats; default 500 */
-	jj_ms_t suspect_ms;   /**< silence until suspected; default 2000 */
-	jj_ms_t forget_ms;    /**< silence until dropped; default 3600000 */
-	uint64_t seed;        /**< for the nonces of probes */
+	jj_ms_t suspect_ms; /**< silence until suspected; default 2000 */
+	jj_ms_t forget_ms; /**< silence until dropped; default 3600000 */
+	uint64_t seed; /**< for the nonces of probes */
 } jj_member_settings_t;
 
 /** What is known of one VM; plain to read. */
@@ -41,7 +41,7 @@
 	jj_name_t domain;
 	char address[JJ_NAME_MAX + 1];
 	jj_incarnation_t incarnation; /**< 0: not confirmed yet */
-	bool live;                    /**< heard within suspect_ms */
+	bool live; /**< heard within suspect_ms */
 	jj_vm_state_t state;
 	uint64_t config_version;
 	uint64_t slots_version;
@@ -81,8 +81,8 @@
     jj_member_t *member, const jj_load_t *loads, uint32_t count);
 
 /** The VM's entry or NULL; valid until the next call that changes it. */
-const jj_member_info_t *jj_member_find(
-    const jj_member_t *member, const jj_name_t *name);
+const jj_member_info_t *
+jj_member_find(const jj_member_t *member, const jj_name_t *name);
 /** True for this VM itself and for VMs heard lately that are not leaving. */
 bool jj_member_is_live(const jj_member_t *member, const jj_name_t *name);
 /**
@@ -101,10 +101,12 @@
 bool jj_member_is_speaker(const jj_member_t *member);
 /**
  * Notices that this process was paused: true when more than @p limit has
- * passed since the last tick. The caller must drop queued messages and
- * re-check leases before it acts (a frozen VM that wakes, story 31).
+ * passed since the last tick (a frozen VM that wakes, story 31). Nothing that
+ * was queued meanwhile can make it act on old news: heartbeats count only
+ * with a fresh acknowledgement, leases are checked before each act, ledger
+ * messages carry epochs. The caller says in its log that it was paused.
  */
-bool jj_member_was_paused(
-    const jj_member_t *member, jj_ms_t now, jj_ms_t limit);
+bool
+jj_member_was_paused(const jj_member_t *member, jj_ms_t now, jj_ms_t limit);
 
 #endif
--- a/tests/core/batch_fleet.h
+++ b/tests/core/batch_fleet.h
@@ -107,9 +107,15 @@
 	/** What must always hold and did not. */
 	std::vector<std::string> broken;
 	Rows chunks;
+	/** Each write reaches all workers as a hint in the next round. */
+	bool hints = false;
 
 	explicit Fleet(const Rows &rows, int count = 2) : chunks(rows)
 	{
+		platform.put(entry_key(),
+		    "{\"job\":\"" + kJob +
+			"\",\"writer\":\"w/1\",\"operation\":"
+			"\"0000000000000002\"}");
 		put_job("running");
 		for (uint32_t i = 0; i < rows.size(); i++)
 			put_part(i);
@@ -154,6 +160,12 @@
 	{
 		return "jobs/" + kJob + "/job";
 	}
+	/** In the index of active jobs. */
+	static std::string
+	entry_key()
+	{
+		return "active/" + kJob;
+	}
 	static std::string
 	out_key(uint32_t chunk)
 	{
@@ -299,10 +311,20 @@
 				step(w);
 			}
 			now += quiet ? 1000 : 5;
+			deliver_hints();
 		}
 		return has_ended();
 	}
 
+	void
+	deliver_hints()
+	{
+		for (; hints && hinted < platform.log.size(); hinted++) {
+			for (size_t w = 0; w < workers.size(); w++)
+				change(w, std::string(platform.log[hinted]));
+		}
+	}
+
 	bool
 	is_quiet(size_t index)
 	{
@@ -387,6 +409,7 @@
 
       private:
 	size_t log_seen = 0;
+	size_t hinted = 0;
 	std::set<std::string> outs_seen;
 
 	void
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -148,6 +148,37 @@
 	EXPECT_EQ(JJ_CALL_REPLAYED, world.at(2, 1).call_answers.back().second);
 }
 
+/*
+ * A shop is told "not run" although its order is booked. The answer came
+ * late, from a VM that had refused an earlier call with the same number; the
+ * call itself was under way at its home.
+ */
+TEST(CallAnswer, CountsOnlyFromTheProcessThatHasTheCall)
+{
+	World world(3, 3);
+	jj_message_t late = {};
+	jj_event_t event = {};
+	WorldCore &entry = world.at(1, 2);
+
+	world.run_until(6000);
+	world.patch(world.at(0, 1), 0, kServices);
+	world.run_until(12000);
+	world.call(entry, 1, "d102/late");
+	late.kind = JJ_MESSAGE_CALL_ANSWER;
+	(void)jj_name_set(&late.from, world.at(1, 1).name.c_str());
+	late.incarnation = 5;
+	late.sequence = 1U << 30;
+	late.body.call_answer.call = 1;
+	late.body.call_answer.outcome = JJ_CALL_NOT_RUN;
+	event.kind = JJ_EVENT_MESSAGE;
+	event.body.message = &late;
+	world.handle(entry, event);
+	world.run_until(14000);
+	EXPECT_EQ(1, world.runs["d102/late"]);
+	ASSERT_EQ(1u, entry.call_answers.size());
+	EXPECT_EQ(JJ_CALL_DONE, entry.call_answers[0].second);
+}
+
 INSTANTIATE_TEST_SUITE_P(Entries, CallRoute,
     ::testing::Values(CallCase{"speaker_own_domain", 0, 0, "d100/a"},
 	CallCase{"other_vm_own_domain", 1, 2, "d101/a"},
--- a/tests/core/dispatch_test.cc
+++ b/tests/core/dispatch_test.cc
@@ -719,6 +719,20 @@
 	EXPECT_EQ(1, StartsOf(5));
 }
 
+// Story 31: as above, for batch: a server whose neighbours seem to run a
+// hundred requests gets no batch until the frozen one is no longer believed.
+TEST_F(DispatchTest, SilentNeighboursLoadDoesNotStopBatch)
+{
+	Build(1, 8);
+	MeetNeighbour();
+	NeighbourLoad(0, 100, 0);
+	EXPECT_EQ(0u, jj_dispatch_batch_room(dispatch, now));
+	for (int i = 0; i < 6; i++)
+		jj_member_tick(member_a, now += 500, &out);
+	Tick(0);
+	EXPECT_EQ(2u, jj_dispatch_batch_room(dispatch, now));
+}
+
 // Story 17: a team floods the other VM, which refills each place as it gets
 // free. This VM's caller would wait until the flood ends.
 TEST_F(DispatchTest, FloodElsewhereLeavesThisVmItsShare)
--- a/tests/core/ledger_model_test.cc
+++ b/tests/core/ledger_model_test.cc
@@ -521,7 +521,7 @@
 
 /*
  * Each sequence of events up to a depth, states seen before left out;
- * JUJUBE_MODEL_SEQUENCES=20000 goes through the third level whole.
+ * JUJUBE_MODEL_SEQUENCES sets how many are tried from each start.
  */
 TEST_P(LedgerModel, AllShortSequences)
 {
