Mend what the first soak and failure tests found between domains

Cause: across domains only speakers exchange heartbeats, but any message made a VM abroad count as live; a second later it was "lost", its chunk claims were taken at once and back again (91 takeovers in 15 s in a healthy fleet, 29 of 30 bookings in jobs ended unknown). A restarted server stayed down at VMs that saw it die, since nobody but its steward looked again. A poison request killed a third server, in another domain: its death was not told there, and a server abroad had no boot number to count it by.

Ruled out: the claims' leases (renewed all along), the quarantine's strikes.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -78,6 +78,7 @@
 static jj_bytes_t encode_job_events(const jj_platform_result_t *);
 static void add_job_change(jj_actions_t *, const char *, uint64_t);
 static void wish_models(jj_core_t *, jj_ms_t);
+static void pass_crash_on(jj_core_t *, const jj_message_t *, jj_actions_t *);
 static void notice_lost_vms(jj_core_t *, jj_actions_t *);
 static void refuse_request(jj_actions_t *, uint64_t, jj_give_up_t);
 static void refuse_unknown_key(jj_actions_t *, uint64_t);
@@ -437,6 +438,7 @@
 	case JJ_MESSAGE_CRASH:
 		jj_quarantine_take_crash(
 		    core->quarantine, &message->body.crash, now, out);
+		pass_crash_on(core, message, out);
 		break;
 	case JJ_MESSAGE_SERVER_STATE:
 		jj_fleet_take_notice(core->fleet, &message->body.server, now);
@@ -821,6 +823,34 @@
 	}
 }
 
+/**
+ * Speakers carry crash reports between domains: out of their own to the
+ * others, and from abroad to their own. So a request that kills servers is
+ * known everywhere after its second victim, wherever it is resent.
+ */
+static void
+pass_crash_on(jj_core_t *core, const jj_message_t *message, jj_actions_t *out)
+{
+	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
+	size_t count = jj_member_list_all(core->member, infos, JJ_MEMBERS_MAX);
+	const jj_member_info_t *from =
+	    jj_member_find(core->member, &message->from);
+	bool inbound = from != NULL &&
+	    !jj_name_equal(&from->domain, &core->settings.domain);
+	bool own;
+	size_t i;
+
+	for (i = 0; i < count && jj_member_is_speaker(core->member); i++) {
+		own = jj_name_equal(&infos[i].domain, &core->settings.domain);
+		if (!infos[i].live || own != inbound ||
+		    jj_name_equal(&infos[i].name, &core->settings.name))
+			continue;
+		jj_actions_add_message(out, &infos[i].name, JJ_MESSAGE_CRASH)
+		    ->body.crash = message->body.crash;
+	}
+	free(infos);
+}
+
 /** A process that fell silent: its batch claims may be taken over. */
 static void
 notice_lost_vms(jj_core_t *core, jj_actions_t *out)
@@ -842,7 +872,12 @@
 		    out, "vm_lost", "lost=%s", core->seen[i].name.text);
 	}
 	core->seen_count = 0;
-	i = jj_member_list_all(core->member, members, JJ_LEDGER_SLOTS);
+	/*
+	 * Of other domains only speakers are heard: a VM abroad that falls
+	 * silent is no sign of death, nor is a cut between domains.
+	 */
+	i = jj_member_list(
+	    core->member, &core->settings.domain, members, JJ_LEDGER_SLOTS);
 	while (i-- > 0) {
 		if (!members[i].live ||
 		    jj_name_equal(&members[i].name, &core->settings.name))
--- a/src/daemon/health.c
+++ b/src/daemon/health.c
@@ -2,7 +2,6 @@
  * @file health.c
  * @brief Looks after backend servers: is the process alive, how loaded is it.
  */
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +10,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "adapters/runtime.h"
 #include "daemon/health.h"
 
 /** A server that does not answer a look in this time is held for down. */
@@ -44,7 +44,8 @@
 struct jj_health_watch {
 	jj_health_port_t port;
 	jj_http_client_t *client;
-	pthread_mutex_t lock; /**< guards records */
+	apr_pool_t *pool;
+	apr_thread_mutex_t *lock; /**< guards records */
 	GHashTable *records;
 };
 
@@ -65,7 +66,8 @@
 	jj_health_watch_t *watch = jj_alloc(sizeof(*watch));
 
 	watch->port = *port;
-	(void)pthread_mutex_init(&watch->lock, NULL);
+	watch->pool = jj_runtime_create_pool();
+	watch->lock = jj_runtime_create_mutex(watch->pool);
 	watch->records =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_record);
 	watch->client = jj_http_client_create();
@@ -80,7 +82,7 @@
 		return;
 	jj_http_client_destroy(watch->client);
 	g_hash_table_destroy(watch->records);
-	(void)pthread_mutex_destroy(&watch->lock);
+	apr_pool_destroy(watch->pool);
 	free(watch);
 }
 
@@ -91,14 +93,14 @@
 	record_t *record;
 	bool start;
 
-	(void)pthread_mutex_lock(&watch->lock);
+	(void)apr_thread_mutex_lock(watch->lock);
 	record = find_record(watch, server);
 	start = !record->looking;
 	(void)snprintf(record->address, sizeof(record->address), "%s", address);
 	if (start)
 		record->looks++;
 	record->looking = true;
-	(void)pthread_mutex_unlock(&watch->lock);
+	(void)apr_thread_mutex_unlock(watch->lock);
 	if (start)
 		start_look(watch, server, address, with_load);
 }
@@ -111,7 +113,7 @@
 	record_t *record;
 
 	held->event = event;
-	(void)pthread_mutex_lock(&watch->lock);
+	(void)apr_thread_mutex_lock(watch->lock);
 	record = find_record(watch, server);
 	/*
 	 * A look under way may have been answered just before the server
@@ -119,7 +121,7 @@
 	 */
 	held->needs = record->looks + 1;
 	STAILQ_INSERT_TAIL(&record->held, held, link);
-	(void)pthread_mutex_unlock(&watch->lock);
+	(void)apr_thread_mutex_unlock(watch->lock);
 	jj_health_watch_look(watch, server, address, false);
 }
 
@@ -208,7 +210,7 @@
 	uint64_t seen = text != NULL ? strtoull(text, NULL, 16) : 0;
 	record_t *record;
 
-	(void)pthread_mutex_lock(&look->watch->lock);
+	(void)apr_thread_mutex_lock(look->watch->lock);
 	record = find_record(look->watch, &look->server);
 	record->looking = false;
 	*boot = record->boot;
@@ -219,7 +221,7 @@
 			*boot = seen;
 		record->boot = seen;
 	}
-	(void)pthread_mutex_unlock(&look->watch->lock);
+	(void)apr_thread_mutex_unlock(look->watch->lock);
 	if (look->with_load && json != NULL)
 		tell_load(look, json);
 	json_decref(json);
@@ -247,7 +249,7 @@
 	bool more;
 
 	for (;;) {
-		(void)pthread_mutex_lock(&watch->lock);
+		(void)apr_thread_mutex_lock(watch->lock);
 		record = find_record(watch, server);
 		held = STAILQ_FIRST(&record->held);
 		more = held != NULL;
@@ -256,7 +258,7 @@
 		if (held != NULL)
 			STAILQ_REMOVE_HEAD(&record->held, link);
 		memcpy(address, record->address, sizeof(address));
-		(void)pthread_mutex_unlock(&watch->lock);
+		(void)apr_thread_mutex_unlock(watch->lock);
 		if (held == NULL)
 			break;
 		watch->port.on_release(watch->port.ctx, held->event);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -5,13 +5,13 @@
  * Exit codes: 0 stopped as asked, 1 could not start, 2 the command line or
  * the settings are wrong (nothing was started).
  */
-#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
+#include <apr_signal.h>
 #include <curl/curl.h>
 #include <glib.h>
 
@@ -102,8 +102,9 @@
 	(void)sigemptyset(&signals);
 	(void)sigaddset(&signals, SIGTERM);
 	(void)sigaddset(&signals, SIGINT);
-	(void)pthread_sigmask(SIG_BLOCK, &signals, NULL);
-	(void)signal(SIGPIPE, SIG_IGN);
+	(void)apr_signal_block(SIGTERM);
+	(void)apr_signal_block(SIGINT);
+	(void)apr_signal(SIGPIPE, SIG_IGN);
 	(void)curl_global_init(CURL_GLOBAL_DEFAULT);
 	if (!jj_log_open(settings->log.level,
 		settings->log.file[0] != '\0' ? settings->log.file : NULL))
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -10,7 +10,11 @@
 #include "adapters/random.h"
 #include "daemon/node.h"
 
+/** Stands for the boot of a server that died before it was learned. */
+#define UNKNOWN_BOOT 1
+
 static void fill_core_settings(const jj_node_t *, jj_core_settings_t *);
+static void create_locks(jj_node_t *);
 static void create_core(jj_node_t *);
 static void learn_seeds(jj_node_t *);
 static bool create_adapters(jj_node_t *);
@@ -33,8 +37,7 @@
 	node->incarnation = jj_random_u64() | 1;
 	jj_core_write_writer(&settings->name, node->incarnation, node->writer,
 	    sizeof(node->writer));
-	(void)pthread_mutex_init(&node->pending_lock, NULL);
-	(void)pthread_mutex_init(&node->upload_lock, NULL);
+	create_locks(node);
 	node->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
 	node->uploads = g_hash_table_new(g_int64_hash, g_int64_equal);
 	create_core(node);
@@ -87,8 +90,7 @@
 	jj_jobs_destroy(node->jobs);
 	g_hash_table_destroy(node->pending);
 	g_hash_table_destroy(node->uploads);
-	(void)pthread_mutex_destroy(&node->pending_lock);
-	(void)pthread_mutex_destroy(&node->upload_lock);
+	apr_pool_destroy(node->pool);
 	free(node);
 }
 
@@ -98,6 +100,19 @@
 	return atomic_fetch_add(&node->last_number, 1) + 1;
 }
 
+static void
+create_locks(jj_node_t *node)
+{
+	size_t i;
+
+	node->pool = jj_runtime_create_pool();
+	node->pending_lock = jj_runtime_create_mutex(node->pool);
+	node->upload_lock = jj_runtime_create_mutex(node->pool);
+	node->results_lock = jj_runtime_create_mutex(node->pool);
+	for (i = 0; i < JJ_NODE_UPLOAD_SHARDS; i++)
+		node->upload_shards[i] = jj_runtime_create_mutex(node->pool);
+}
+
 static void
 create_core(jj_node_t *node)
 {
@@ -257,8 +272,13 @@
 {
 	if (health == JJ_HEALTH_UNSURE)
 		return;
-	if (health != JJ_HEALTH_UP && boot != 0)
-		jj_node_post_server(ctx, server, JJ_SERVER_DOWN, boot, true);
+	/*
+	 * A server abroad may die before its boot was ever learned; its death
+	 * still counts against what it ran, once.
+	 */
+	if (health != JJ_HEALTH_UP)
+		jj_node_post_server(ctx, server, JJ_SERVER_DOWN,
+		    boot != 0 ? boot : UNKNOWN_BOOT, true);
 	jj_node_post_server(ctx, server,
 	    health == JJ_HEALTH_DOWN ? JJ_SERVER_DOWN : JJ_SERVER_UP,
 	    health == JJ_HEALTH_UP ? boot : 0, false);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -9,7 +9,6 @@
 #ifndef JJ_DAEMON_NODE_H
 #define JJ_DAEMON_NODE_H
 
-#include <pthread.h>
 #include <stdatomic.h>
 
 #include <glib.h>
@@ -19,6 +18,7 @@
 #include "adapters/metrics.h"
 #include "adapters/neighbours.h"
 #include "adapters/platform.h"
+#include "adapters/runtime.h"
 #include "adapters/settings.h"
 #include "core/batch.h"
 #include "core/core.h"
@@ -30,6 +30,8 @@
 #define JJ_REQUEST_ITEM (UINT64_C(1) << 62)
 /** Most services the batch half knows at once. */
 #define JJ_NODE_SERVICES_MAX 256
+/** Locks that uploads share; more uploads than this rarely run at once. */
+#define JJ_NODE_UPLOAD_SHARDS 16
 
 typedef struct jj_node jj_node_t;
 
@@ -73,10 +75,14 @@
 	jj_http_server_t *callers;
 	jj_http_server_t *operators;
 
-	pthread_mutex_t pending_lock; /**< guards pending */
+	apr_pool_t *pool; /**< owns the locks that follow */
+	apr_thread_mutex_t *pending_lock; /**< guards pending */
 	GHashTable *pending; /**< jj_pending_t by operation */
-	pthread_mutex_t upload_lock; /**< guards uploads */
+	apr_thread_mutex_t *upload_lock; /**< guards uploads */
 	GHashTable *uploads; /**< by token */
+	/** Each guards the uploads whose token falls to it. */
+	apr_thread_mutex_t *upload_shards[JJ_NODE_UPLOAD_SHARDS];
+	apr_thread_mutex_t *results_lock; /**< guards readers' waiting */
 
 	atomic_uint_fast64_t last_number; /**< requests and operations */
 	atomic_bool leaving;
--- a/src/daemon/node_control.c
+++ b/src/daemon/node_control.c
@@ -43,6 +43,7 @@
 static void after_gone(jj_node_t *, uint64_t);
 static void after_step(jj_node_t *, jj_ms_t);
 static void look_at_servers(jj_node_t *, jj_ms_t);
+static void look_again(jj_node_t *, const jj_server_t *, jj_ms_t);
 static event_task_t *create_task(jj_event_kind_t);
 static void free_task(event_task_t *);
 
@@ -516,9 +517,10 @@
 	size_t i;
 	bool is_model;
 
-	(void)now;
 	servers = jj_fleet_list(fleet, &count);
 	for (i = 0; i < count; i++) {
+		if (servers[i].state == JJ_SERVER_DOWN)
+			look_again(node, &servers[i], now);
 		if (!jj_name_equal(&servers[i].domain, &node->settings->domain))
 			continue;
 		item = jj_hash_bytes(
@@ -535,6 +537,19 @@
 	}
 }
 
+/**
+ * A server that this VM saw down is only taken for up by its own look: a
+ * neighbour that still reaches it proves nothing here. Waits double while it
+ * stays down (fleet.h).
+ */
+static void
+look_again(jj_node_t *node, const jj_server_t *server, jj_ms_t now)
+{
+	if (now >= server->down_until_ms)
+		jj_health_watch_look(
+		    node->health, &server->name, server->address, false);
+}
+
 static event_task_t *
 create_task(jj_event_kind_t kind)
 {
--- a/src/daemon/node_finish.c
+++ b/src/daemon/node_finish.c
@@ -30,6 +30,8 @@
 		    outcome_of(answer), 0, NULL);
 	else if (exchange.kind == JJ_EXCHANGE_CALLER)
 		end_caller(&exchange, relayed, &problem);
+	if (exchange.kind != JJ_EXCHANGE_CALLER)
+		jj_trace_end(&exchange.span, true, jj_unix_now_ns());
 	jj_exchange_clear(&exchange);
 }
 
@@ -75,6 +77,8 @@
 			answer_whole(&exchange, false, whole);
 		}
 	}
+	if (exchange.kind != JJ_EXCHANGE_CALLER)
+		jj_trace_end(&exchange.span, rejected, jj_unix_now_ns());
 	jj_exchange_clear(&exchange);
 }
 
@@ -156,6 +160,16 @@
 log_answer(const jj_exchange_t *exchange, int status, const char *code,
     const char *run)
 {
+	uint64_t took_ns = jj_unix_now_ns() - exchange->span.start_ns;
+
+	jj_counter_add(
+	    jj_metrics_counter("jujube_requests_total",
+		"Callers' requests by how they ended.", "code", code),
+	    1);
+	jj_histogram_observe(
+	    jj_metrics_histogram("jujube_request_seconds",
+		"Time from a request's head to its end.", NULL, NULL),
+	    took_ns / 1000);
 	jj_log(JJ_LOG_INFO, "request_ended",
 	    "request=%s service=%s status=%d code=%s run=%s",
 	    exchange->operation_id, exchange->service.text, status, code,
--- a/src/daemon/node_pending.c
+++ b/src/daemon/node_pending.c
@@ -17,9 +17,9 @@
 	pending->operation = jj_node_next_number(node);
 	pending->call = call;
 	pending->answer = answer;
-	(void)pthread_mutex_lock(&node->pending_lock);
+	(void)apr_thread_mutex_lock(node->pending_lock);
 	(void)g_hash_table_insert(node->pending, &pending->operation, pending);
-	(void)pthread_mutex_unlock(&node->pending_lock);
+	(void)apr_thread_mutex_unlock(node->pending_lock);
 	return pending;
 }
 
@@ -29,11 +29,11 @@
 {
 	jj_pending_t *pending;
 
-	(void)pthread_mutex_lock(&node->pending_lock);
+	(void)apr_thread_mutex_lock(node->pending_lock);
 	pending = g_hash_table_lookup(node->pending, &operation);
 	if (pending != NULL)
 		(void)g_hash_table_remove(node->pending, &operation);
-	(void)pthread_mutex_unlock(&node->pending_lock);
+	(void)apr_thread_mutex_unlock(node->pending_lock);
 	if (pending == NULL)
 		return;
 	pending->answer(node, pending, status, retry_after_ms, body);
--- a/src/daemon/node_results.c
+++ b/src/daemon/node_results.c
@@ -21,8 +21,7 @@
 	uint32_t chunk;
 	uint32_t tries;
 	bool begun;
-	pthread_mutex_t lock; /**< guards waiting */
-	bool waiting; /**< for room at the reader */
+	bool waiting; /**< for room; guarded by the node's results_lock */
 } reader_t;
 
 static void ask(jj_node_t *, reader_t *);
@@ -47,7 +46,6 @@
 	reader_t *reader = jj_alloc(sizeof(*reader));
 
 	reader->call = call;
-	(void)pthread_mutex_init(&reader->lock, NULL);
 	(void)strncpy(reader->id, id, sizeof(reader->id) - 1);
 	jj_http_call_set_context(call, reader);
 	ask(node, reader);
@@ -59,10 +57,10 @@
 	reader_t *reader = jj_http_call_context(call);
 	bool go_on;
 
-	(void)pthread_mutex_lock(&reader->lock);
+	(void)apr_thread_mutex_lock(node->results_lock);
 	go_on = reader->waiting;
 	reader->waiting = false;
-	(void)pthread_mutex_unlock(&reader->lock);
+	(void)apr_thread_mutex_unlock(node->results_lock);
 	if (go_on)
 		ask(node, reader);
 }
@@ -102,7 +100,6 @@
 		return;
 	}
 	jj_answer_json(reader->call, status, body, retry_after_ms);
-	(void)pthread_mutex_destroy(&reader->lock);
 	free(reader);
 }
 
@@ -126,12 +123,12 @@
 		return;
 	}
 	/* Asked before the wait is declared: on_room may come in between. */
-	(void)pthread_mutex_lock(&reader->lock);
+	(void)apr_thread_mutex_lock(node->results_lock);
 	reader->waiting = true;
 	room = jj_http_call_has_room(reader->call);
 	if (room)
 		reader->waiting = false;
-	(void)pthread_mutex_unlock(&reader->lock);
+	(void)apr_thread_mutex_unlock(node->results_lock);
 	if (room)
 		ask(node, reader);
 }
@@ -140,6 +137,5 @@
 end_reader(reader_t *reader, bool broken)
 {
 	jj_http_call_end(reader->call, broken);
-	(void)pthread_mutex_destroy(&reader->lock);
 	free(reader);
 }
--- a/src/daemon/node_uploads.c
+++ b/src/daemon/node_uploads.c
@@ -1,9 +1,12 @@
 /**
  * @file node_uploads.c
- * @brief Uploads of batch files, each with a lock of its own.
+ * @brief Uploads of batch files, in shards that each have a lock.
  *
  * An upload runs on its connection's thread and the bulk client's thread,
  * never on the loops: however many megabytes come in, routing does not wait.
+ *
+ * Lock order: the node's upload_lock, an upload's lock, its call's own. No
+ * thread holds two uploads' locks.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,7 +21,7 @@
 
 typedef struct {
 	uint64_t token;
-	pthread_mutex_t lock; /**< guards all below */
+	apr_thread_mutex_t *lock; /**< its shard's; guards all below */
 	int references;
 	jj_intake_t *intake;
 	jj_http_call_t *call;
@@ -51,13 +54,13 @@
 
 	if (upload == NULL)
 		upload = create_upload(node, call);
-	(void)pthread_mutex_lock(&upload->lock);
+	(void)apr_thread_mutex_lock(upload->lock);
 	if (jj_intake_state(upload->intake) == JJ_INTAKE_OPEN)
 		taken = jj_intake_feed(
 		    upload->intake, data, size, jj_monotonic_now(), &actions);
 	else
 		taken = size; /* thrown away: the answer is decided */
-	(void)pthread_mutex_unlock(&upload->lock);
+	(void)apr_thread_mutex_unlock(upload->lock);
 	carry_out(node, &actions);
 	return taken;
 }
@@ -70,11 +73,11 @@
 
 	if (upload == NULL)
 		upload = create_upload(node, call);
-	(void)pthread_mutex_lock(&upload->lock);
+	(void)apr_thread_mutex_lock(upload->lock);
 	upload->complete = true;
 	if (jj_intake_state(upload->intake) == JJ_INTAKE_OPEN)
 		jj_intake_finish(upload->intake, jj_monotonic_now(), &actions);
-	(void)pthread_mutex_unlock(&upload->lock);
+	(void)apr_thread_mutex_unlock(upload->lock);
 	carry_out(node, &actions);
 	answer_when_ended(node, upload);
 }
@@ -87,10 +90,10 @@
 
 	if (upload == NULL)
 		return;
-	(void)pthread_mutex_lock(&upload->lock);
+	(void)apr_thread_mutex_lock(upload->lock);
 	answered = upload->answered;
 	upload->answered = true;
-	(void)pthread_mutex_unlock(&upload->lock);
+	(void)apr_thread_mutex_unlock(upload->lock);
 	if (answered)
 		return;
 	jj_http_call_end(call, true);
@@ -107,14 +110,14 @@
 		jj_platform_result_clear(result);
 		return;
 	}
-	(void)pthread_mutex_lock(&upload->lock);
+	(void)apr_thread_mutex_lock(upload->lock);
 	jj_intake_take_result(
 	    upload->intake, result, jj_monotonic_now(), &actions);
 	if (!upload->answered && !upload->complete &&
 	    (jj_intake_wants_more(upload->intake) ||
 		jj_intake_state(upload->intake) != JJ_INTAKE_OPEN))
 		jj_http_call_continue(upload->call);
-	(void)pthread_mutex_unlock(&upload->lock);
+	(void)apr_thread_mutex_unlock(upload->lock);
 	carry_out(node, &actions);
 	answer_when_ended(node, upload);
 	jj_platform_result_clear(result);
@@ -131,22 +134,22 @@
 	upload_t *upload;
 	guint i;
 
-	(void)pthread_mutex_lock(&node->upload_lock);
+	(void)apr_thread_mutex_lock(node->upload_lock);
 	g_hash_table_iter_init(&iterator, node->uploads);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		upload = value;
-		(void)pthread_mutex_lock(&upload->lock);
+		(void)apr_thread_mutex_lock(upload->lock);
 		upload->references++;
-		(void)pthread_mutex_unlock(&upload->lock);
+		(void)apr_thread_mutex_unlock(upload->lock);
 		g_ptr_array_add(all, upload);
 	}
-	(void)pthread_mutex_unlock(&node->upload_lock);
+	(void)apr_thread_mutex_unlock(node->upload_lock);
 	for (i = 0; i < all->len; i++) {
 		upload = g_ptr_array_index(all, i);
-		(void)pthread_mutex_lock(&upload->lock);
+		(void)apr_thread_mutex_lock(upload->lock);
 		if (now >= jj_intake_next(upload->intake))
 			jj_intake_tick(upload->intake, now, &actions);
-		(void)pthread_mutex_unlock(&upload->lock);
+		(void)apr_thread_mutex_unlock(upload->lock);
 		carry_out(node, &actions);
 		answer_when_ended(node, upload);
 		release_upload(upload);
@@ -165,15 +168,16 @@
 	    settings.writer, sizeof(settings.writer), "%s", node->writer);
 	settings.seed = node->incarnation ^ jj_node_next_number(node);
 	upload->token = jj_node_next_number(node);
-	(void)pthread_mutex_init(&upload->lock, NULL);
+	upload->lock =
+	    node->upload_shards[upload->token % JJ_NODE_UPLOAD_SHARDS];
 	upload->references = 1;
 	upload->call = call;
 	upload->intake = jj_intake_create(
 	    &settings, upload->token, team != NULL ? team : "default");
 	jj_http_call_set_context(call, upload);
-	(void)pthread_mutex_lock(&node->upload_lock);
+	(void)apr_thread_mutex_lock(node->upload_lock);
 	(void)g_hash_table_insert(node->uploads, &upload->token, upload);
-	(void)pthread_mutex_unlock(&node->upload_lock);
+	(void)apr_thread_mutex_unlock(node->upload_lock);
 	return upload;
 }
 
@@ -182,14 +186,14 @@
 {
 	upload_t *upload;
 
-	(void)pthread_mutex_lock(&node->upload_lock);
+	(void)apr_thread_mutex_lock(node->upload_lock);
 	upload = g_hash_table_lookup(node->uploads, &token);
 	if (upload != NULL) {
-		(void)pthread_mutex_lock(&upload->lock);
+		(void)apr_thread_mutex_lock(upload->lock);
 		upload->references++;
-		(void)pthread_mutex_unlock(&upload->lock);
+		(void)apr_thread_mutex_unlock(upload->lock);
 	}
-	(void)pthread_mutex_unlock(&node->upload_lock);
+	(void)apr_thread_mutex_unlock(node->upload_lock);
 	return upload;
 }
 
@@ -198,13 +202,12 @@
 {
 	int left;
 
-	(void)pthread_mutex_lock(&upload->lock);
+	(void)apr_thread_mutex_lock(upload->lock);
 	left = --upload->references;
-	(void)pthread_mutex_unlock(&upload->lock);
+	(void)apr_thread_mutex_unlock(upload->lock);
 	if (left > 0)
 		return;
 	jj_intake_destroy(upload->intake);
-	(void)pthread_mutex_destroy(&upload->lock);
 	free(upload);
 }
 
@@ -232,13 +235,13 @@
 	jj_bytes_t body;
 	bool answer;
 
-	(void)pthread_mutex_lock(&upload->lock);
+	(void)apr_thread_mutex_lock(upload->lock);
 	state = jj_intake_state(upload->intake);
 	answer =
 	    state != JJ_INTAKE_OPEN && upload->complete && !upload->answered;
 	if (answer)
 		upload->answered = true;
-	(void)pthread_mutex_unlock(&upload->lock);
+	(void)apr_thread_mutex_unlock(upload->lock);
 	if (!answer)
 		return;
 	problem.detail = jj_intake_detail(upload->intake);
@@ -261,8 +264,8 @@
 static void
 forget_upload(jj_node_t *node, upload_t *upload)
 {
-	(void)pthread_mutex_lock(&node->upload_lock);
+	(void)apr_thread_mutex_lock(node->upload_lock);
 	(void)g_hash_table_remove(node->uploads, &upload->token);
-	(void)pthread_mutex_unlock(&node->upload_lock);
+	(void)apr_thread_mutex_unlock(node->upload_lock);
 	release_upload(upload);
 }
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -3,7 +3,6 @@
  * @brief Requests between callers and backend servers, in shards.
  */
 #include <inttypes.h>
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +11,7 @@
 #include <jansson.h>
 
 #include "adapters/monotonic.h"
+#include "adapters/runtime.h"
 #include "daemon/assembler.h"
 #include "daemon/relay.h"
 #include "daemon/sse.h"
@@ -58,12 +58,13 @@
 } entry_t;
 
 typedef struct {
-	pthread_mutex_t lock; /**< guards the table and its entries */
+	apr_thread_mutex_t *lock; /**< guards the table and its entries */
 	GHashTable *table; /**< entry_t by request */
 	jj_http_client_t *client;
 } shard_t;
 
 struct jj_relay {
+	apr_pool_t *pool; /**< owns the shards' locks */
 	jj_relay_port_t port;
 	uint32_t shard_count;
 	shard_t *shards;
@@ -104,9 +105,10 @@
 
 	relay->port = *port;
 	relay->shard_count = shards;
+	relay->pool = jj_runtime_create_pool();
 	relay->shards = jj_alloc(shards * sizeof(*relay->shards));
 	for (i = 0; i < shards; i++) {
-		(void)pthread_mutex_init(&relay->shards[i].lock, NULL);
+		relay->shards[i].lock = jj_runtime_create_mutex(relay->pool);
 		relay->shards[i].table = g_hash_table_new_full(
 		    g_int64_hash, g_int64_equal, NULL, free_entry);
 		relay->shards[i].client = jj_http_client_create();
@@ -125,8 +127,8 @@
 	for (i = 0; i < relay->shard_count; i++) {
 		jj_http_client_destroy(relay->shards[i].client);
 		g_hash_table_destroy(relay->shards[i].table);
-		(void)pthread_mutex_destroy(&relay->shards[i].lock);
 	}
+	apr_pool_destroy(relay->pool);
 	free(relay->shards);
 	free(relay);
 }
@@ -143,10 +145,10 @@
 	if (exchange->call != NULL)
 		jj_http_call_set_context(
 		    exchange->call, (void *)(uintptr_t)exchange->request);
-	(void)pthread_mutex_lock(&shard->lock);
+	(void)apr_thread_mutex_lock(shard->lock);
 	(void)g_hash_table_replace(
 	    shard->table, &entry->exchange.request, entry);
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 }
 
 bool
@@ -157,7 +159,7 @@
 
 	if (entry != NULL)
 		*copy = entry->exchange;
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 	return entry != NULL;
 }
 
@@ -170,7 +172,7 @@
 
 	if (entry != NULL)
 		(void)snprintf(address, room, "%s", entry->address);
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 	return entry != NULL;
 }
 
@@ -190,7 +192,7 @@
 		attempt = create_attempt(relay, entry, start, idempotent);
 		start_request(shard, entry, attempt, start, timeout_ms);
 	}
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 }
 
 void
@@ -204,7 +206,7 @@
 		jj_http_client_cancel(shard->client, entry->transfer);
 		cancel_at_engine(shard, entry);
 	}
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 }
 
 bool
@@ -224,7 +226,7 @@
 		jj_assembler_destroy(entry->assembler);
 		free(entry);
 	}
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 	return entry != NULL;
 }
 
@@ -243,7 +245,7 @@
 
 	if (entry != NULL && entry->attempt != 0)
 		jj_http_client_resume(shard->client, entry->transfer);
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 }
 
 uint64_t
@@ -263,7 +265,7 @@
 lock_entry(jj_relay_t *relay, uint64_t request, shard_t **shard)
 {
 	*shard = &relay->shards[shard_of(relay, request)];
-	(void)pthread_mutex_lock(&(*shard)->lock);
+	(void)apr_thread_mutex_lock((*shard)->lock);
 	return g_hash_table_lookup((*shard)->table, &request);
 }
 
@@ -373,7 +375,7 @@
 		(void)snprintf(
 		    entry->boot, sizeof(entry->boot), "%s", head->boot);
 	}
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 }
 
 static jj_http_flow_t
@@ -394,7 +396,7 @@
 		else
 			take_whole(attempt, data, size);
 	}
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 	if (flow == JJ_HTTP_TAKEN)
 		tell_progress(attempt);
 	return flow;
@@ -479,7 +481,7 @@
 		entry->tokens += attempt->sse.total;
 		entry->attempt = 0;
 	}
-	(void)pthread_mutex_unlock(&shard->lock);
+	(void)apr_thread_mutex_unlock(shard->lock);
 	jj_trace_set(&attempt->span, "end",
 	    is_current ? (kind == JJ_BACKEND_DONE ? "done" : "failed")
 		       : "abandoned");
