--- a/src/core/config_check.c
+++ b/src/core/config_check.c
@@ -90,6 +90,8 @@
 static bool check_domains(const json_t *, report_t *);
 static bool check_name(const json_t *, const char *, report_t *);
 static bool is_name(const char *);
+static bool fail_unknown(
+    report_t *, const char *, const json_t *, const field_t *);
 static bool fail(report_t *, const char *, const json_t *, const char *, ...)
     __attribute__((format(printf, 4, 5)));
 
@@ -146,6 +148,21 @@
 	return true;
 }
 
+static bool
+fail_unknown(report_t *report, const char *name, const json_t *value,
+    const field_t *fields)
+{
+	char known[512] = "";
+	size_t used = 0;
+	const field_t *field;
+
+	for (field = fields; field->name != NULL; field++)
+		used += (size_t)snprintf(known + used, sizeof(known) - used,
+		    "%s%s", used > 0 ? ", " : "", field->name);
+	return fail(report, name, value,
+	    "is no field of this object; known are %s", known);
+}
+
 /* A map from names to objects of one kind. */
 static bool
 check_map(const json_t *map, const char *kind, const field_t *fields,
@@ -188,8 +205,7 @@
 			if (strcmp(field->name, name) == 0)
 				break;
 		if (field->name == NULL)
-			return fail(
-			    report, name, value, "is no field of this object");
+			return fail_unknown(report, name, value, fields);
 		if (!check_field(value, field, report))
 			return false;
 	}
