--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -2,7 +2,6 @@
  * @file http_client.c
  * @brief HTTP requests on libcurl: one thread and one multi handle each.
  */
-#include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,6 +12,7 @@
 #include <glib.h>
 
 #include "adapters/http_client.h"
+#include "adapters/runtime.h"
 
 /** Longest wait of the loop without an event, milliseconds. */
 #define POLL_MS 1000
@@ -45,8 +45,9 @@
 } command_t;
 
 struct jj_http_client {
-	pthread_t thread;
-	pthread_mutex_t lock; /**< guards commands and stopping */
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+	apr_thread_mutex_t *lock; /**< guards commands and stopping */
 	STAILQ_HEAD(, command) commands;
 	bool stopping;
 	CURLM *multi;
@@ -54,7 +55,7 @@
 	atomic_uint_fast64_t last_number;
 };
 
-static void *run(void *);
+static void *APR_THREAD_FUNC run(apr_thread_t *, void *);
 static bool take_commands(jj_http_client_t *);
 static void start_transfer(jj_http_client_t *, transfer_t *);
 static void cancel_transfer(jj_http_client_t *, uint64_t);
@@ -77,14 +78,16 @@
 	jj_http_client_t *client = jj_alloc(sizeof(*client));
 
 	STAILQ_INIT(&client->commands);
-	(void)pthread_mutex_init(&client->lock, NULL);
+	client->pool = jj_runtime_create_pool();
+	client->lock = jj_runtime_create_mutex(client->pool);
 	client->transfers = g_hash_table_new(g_int64_hash, g_int64_equal);
 	client->multi = curl_multi_init();
 	if (client->multi == NULL)
 		goto out_table;
 	(void)curl_multi_setopt(
 	    client->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS);
-	if (pthread_create(&client->thread, NULL, run, client) != 0)
+	client->thread = jj_runtime_start_thread(client->pool, run, client);
+	if (client->thread == NULL)
 		goto out_multi;
 	return client;
 
@@ -92,7 +95,7 @@
 	(void)curl_multi_cleanup(client->multi);
 out_table:
 	g_hash_table_destroy(client->transfers);
-	(void)pthread_mutex_destroy(&client->lock);
+	apr_pool_destroy(client->pool);
 	free(client);
 	return NULL;
 }
@@ -102,14 +105,14 @@
 {
 	if (client == NULL)
 		return;
-	(void)pthread_mutex_lock(&client->lock);
+	(void)apr_thread_mutex_lock(client->lock);
 	client->stopping = true;
-	(void)pthread_mutex_unlock(&client->lock);
+	(void)apr_thread_mutex_unlock(client->lock);
 	(void)curl_multi_wakeup(client->multi);
-	(void)pthread_join(client->thread, NULL);
+	jj_runtime_join_thread(client->thread);
 	(void)curl_multi_cleanup(client->multi);
 	g_hash_table_destroy(client->transfers);
-	(void)pthread_mutex_destroy(&client->lock);
+	apr_pool_destroy(client->pool);
 	free(client);
 }
 
@@ -145,20 +148,21 @@
 	command->kind = kind;
 	command->number = number;
 	command->transfer = transfer;
-	(void)pthread_mutex_lock(&client->lock);
+	(void)apr_thread_mutex_lock(client->lock);
 	STAILQ_INSERT_TAIL(&client->commands, command, link);
-	(void)pthread_mutex_unlock(&client->lock);
+	(void)apr_thread_mutex_unlock(client->lock);
 	(void)curl_multi_wakeup(client->multi);
 }
 
-static void *
-run(void *argument)
+static void *APR_THREAD_FUNC
+run(apr_thread_t *thread, void *argument)
 {
 	jj_http_client_t *client = argument;
 	GHashTableIter iterator;
 	gpointer value;
 	int running;
 
+	(void)thread;
 	while (take_commands(client)) {
 		(void)curl_multi_perform(client->multi, &running);
 		finish_done(client);
@@ -181,12 +185,12 @@
 	bool stopping;
 
 	for (;;) {
-		(void)pthread_mutex_lock(&client->lock);
+		(void)apr_thread_mutex_lock(client->lock);
 		stopping = client->stopping;
 		command = STAILQ_FIRST(&client->commands);
 		if (command != NULL)
 			STAILQ_REMOVE_HEAD(&client->commands, link);
-		(void)pthread_mutex_unlock(&client->lock);
+		(void)apr_thread_mutex_unlock(client->lock);
 		if (command == NULL)
 			return !stopping;
 		if (command->kind == COMMAND_START)
--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -4,18 +4,17 @@
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
-#include <time.h>
 
 #include <microhttpd.h>
 
 #include "adapters/http_server.h"
+#include "adapters/runtime.h"
 
 /** How often waiting callers are looked at for a closed connection, ms. */
 #define SWEEP_MS 200
@@ -23,6 +22,11 @@
 #define STREAM_BLOCK 65536
 /** A body this many times over its limit is not read to its end. */
 #define OVERSIZE_FACTOR 4
+/**
+ * Locks that the calls of a server share: APR keeps a lock in a pool, and a
+ * pool for each call would cost it 8 KB. No thread holds two calls' locks.
+ */
+#define CALL_LOCKS 64
 
 typedef enum {
 	CALL_READING, /**< the body is coming in */
@@ -47,7 +51,7 @@
 	size_t body_room;
 	void *context;
 
-	pthread_mutex_t lock; /**< guards all below */
+	apr_thread_mutex_t *lock; /**< one of the server's; guards all below */
 	call_state_t state;
 	bool suspended;
 	bool gone; /**< the caller went away */
@@ -66,11 +70,16 @@
 	struct MHD_Daemon *daemon;
 	jj_http_port_t port;
 	jj_http_limits_t limits;
-	pthread_mutex_t lock; /**< guards open and stopping */
+	apr_pool_t *pool;
+	/** Its own, and one for each call: calls may outlive its end. */
+	atomic_int references;
+	apr_thread_mutex_t *lock; /**< guards open and stopping */
 	TAILQ_HEAD(, jj_http_call) open;
 	atomic_uint open_count;
-	pthread_t sweeper;
-	pthread_cond_t wake;
+	apr_thread_mutex_t *call_locks[CALL_LOCKS];
+	atomic_uint next_call_lock;
+	apr_thread_t *sweeper;
+	apr_pollset_t *waker; /**< of the sweeper */
 	bool stopping;
 };
 
@@ -86,27 +95,29 @@
 static ssize_t read_stream(void *, uint64_t, char *, size_t);
 static void resume_locked(jj_http_call_t *);
 static void set_fields(struct MHD_Response *, const jj_http_answer_t *);
-static void *sweep(void *);
+static void *APR_THREAD_FUNC sweep(apr_thread_t *, void *);
+static jj_http_call_t *find_closed(jj_http_server_t *, bool *);
+static void tell_gone(jj_http_server_t *, jj_http_call_t *);
 static bool is_closed(jj_http_call_t *);
 static bool parse_address(const char *, struct sockaddr_in *);
 static void grow(char **, size_t *, size_t);
-static void init_monotonic(pthread_cond_t *);
+static jj_http_server_t *
+prepare_server(const jj_http_limits_t *, const jj_http_port_t *);
+static void release_server(jj_http_server_t *);
 static void answer_too_large(jj_http_call_t *);
 
 jj_http_server_t *
 jj_http_server_create(
     const jj_http_limits_t *limits, const jj_http_port_t *port)
 {
-	jj_http_server_t *server = jj_alloc(sizeof(*server));
+	jj_http_server_t *server = prepare_server(limits, port);
 	struct sockaddr_in address;
 	unsigned int flags =
 	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
 
-	server->port = *port;
-	server->limits = *limits;
-	TAILQ_INIT(&server->open);
-	(void)pthread_mutex_init(&server->lock, NULL);
-	init_monotonic(&server->wake);
+	server->waker = jj_runtime_create_waker(server->pool);
+	if (server->waker == NULL)
+		goto out;
 	if (!parse_address(limits->address, &address))
 		goto out;
 	server->daemon = MHD_start_daemon(flags, 0, NULL, NULL, handle, server,
@@ -120,28 +131,18 @@
 	    completed, server, MHD_OPTION_END);
 	if (server->daemon == NULL)
 		goto out;
-	if (pthread_create(&server->sweeper, NULL, sweep, server) != 0)
+	server->sweeper = jj_runtime_start_thread(server->pool, sweep, server);
+	if (server->sweeper == NULL)
 		goto out_daemon;
 	return server;
 
 out_daemon:
 	MHD_stop_daemon(server->daemon);
 out:
-	(void)pthread_cond_destroy(&server->wake);
-	(void)pthread_mutex_destroy(&server->lock);
-	free(server);
+	release_server(server);
 	return NULL;
 }
 
-void
-jj_http_server_quiesce(jj_http_server_t *server)
-{
-	MHD_socket listening = MHD_quiesce_daemon(server->daemon);
-
-	if (listening != MHD_INVALID_SOCKET)
-		(void)shutdown(listening, SHUT_RDWR);
-}
-
 void
 jj_http_server_destroy(jj_http_server_t *server)
 {
@@ -149,22 +150,20 @@
 
 	if (server == NULL)
 		return;
-	(void)pthread_mutex_lock(&server->lock);
+	(void)apr_thread_mutex_lock(server->lock);
 	server->stopping = true;
-	(void)pthread_cond_signal(&server->wake);
 	TAILQ_FOREACH(call, &server->open, link)
 	{
-		(void)pthread_mutex_lock(&call->lock);
+		(void)apr_thread_mutex_lock(call->lock);
 		call->gone = true;
 		resume_locked(call);
-		(void)pthread_mutex_unlock(&call->lock);
+		(void)apr_thread_mutex_unlock(call->lock);
 	}
-	(void)pthread_mutex_unlock(&server->lock);
-	(void)pthread_join(server->sweeper, NULL);
+	(void)apr_thread_mutex_unlock(server->lock);
+	(void)apr_pollset_wakeup(server->waker);
+	jj_runtime_join_thread(server->sweeper);
 	MHD_stop_daemon(server->daemon);
-	(void)pthread_cond_destroy(&server->wake);
-	(void)pthread_mutex_destroy(&server->lock);
-	free(server);
+	release_server(server);
 }
 
 uint32_t
@@ -226,7 +225,7 @@
 
 	JJ_INVARIANT(response != NULL);
 	set_fields(response, answer);
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	if (call->state == CALL_READING || call->state == CALL_WAITING) {
 		call->response = response;
 		call->status = answer->status;
@@ -234,7 +233,7 @@
 		response = NULL;
 		resume_locked(call);
 	}
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	if (response != NULL)
 		MHD_destroy_response(response);
 	jj_http_call_release(call);
@@ -248,12 +247,12 @@
 
 	JJ_INVARIANT(response != NULL);
 	set_fields(response, answer);
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	call->response = response;
 	call->status = answer->status;
 	call->state = CALL_STREAMING;
 	resume_locked(call);
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 }
 
 bool
@@ -262,7 +261,7 @@
 {
 	bool taken = true;
 
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	if (call->gone || call->finished) {
 		taken = true;
 	} else if (!must &&
@@ -281,7 +280,7 @@
 		call->buffer_size += size;
 		resume_locked(call);
 	}
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	return taken;
 }
 
@@ -290,12 +289,12 @@
 {
 	bool room;
 
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	room =
 	    call->gone || call->buffer_size < call->server->limits.stream_bytes;
 	if (!room)
 		call->full = true;
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	return room;
 }
 
@@ -304,29 +303,29 @@
 {
 	bool gone;
 
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	gone = call->gone;
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	return gone;
 }
 
 void
 jj_http_call_end(jj_http_call_t *call, bool broken)
 {
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	call->state = CALL_ENDED;
 	call->broken = broken;
 	resume_locked(call);
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	jj_http_call_release(call);
 }
 
 void
 jj_http_call_continue(jj_http_call_t *call)
 {
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	resume_locked(call);
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 }
 
 void
@@ -342,7 +341,7 @@
 		return;
 	if (call->response != NULL)
 		MHD_destroy_response(call->response);
-	(void)pthread_mutex_destroy(&call->lock);
+	release_server(call->server);
 	free(call->buffer);
 	free(call->path);
 	jj_bytes_free(&call->body);
@@ -383,15 +382,18 @@
 	call->connection = connection;
 	(void)snprintf(call->method, sizeof(call->method), "%s", method);
 	call->path = strdup(url);
-	(void)pthread_mutex_init(&call->lock, NULL);
+	call->lock =
+	    server->call_locks[atomic_fetch_add(&server->next_call_lock, 1) %
+		CALL_LOCKS];
+	(void)atomic_fetch_add(&server->references, 1);
 	atomic_init(&call->references, 1);
 	call->is_upload = server->port.takes_upload != NULL &&
 	    server->port.takes_upload(server->port.ctx, call);
 	*memory = call;
 	(void)atomic_fetch_add(&server->open_count, 1);
-	(void)pthread_mutex_lock(&server->lock);
+	(void)apr_thread_mutex_lock(server->lock);
 	TAILQ_INSERT_TAIL(&server->open, call, link);
-	(void)pthread_mutex_unlock(&server->lock);
+	(void)apr_thread_mutex_unlock(server->lock);
 	return MHD_YES;
 }
 
@@ -430,15 +432,15 @@
 	 * looks must find the connection suspended, or it would be lost and
 	 * the upload would stand still.
 	 */
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	MHD_suspend_connection(call->connection);
 	call->suspended = true;
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	taken = port->on_upload(port->ctx, call, data, *size);
 	if (taken > 0) {
-		(void)pthread_mutex_lock(&call->lock);
+		(void)apr_thread_mutex_lock(call->lock);
 		resume_locked(call);
-		(void)pthread_mutex_unlock(&call->lock);
+		(void)apr_thread_mutex_unlock(call->lock);
 	}
 	*size -= taken;
 	return MHD_YES;
@@ -456,11 +458,11 @@
 	if (call->too_large) {
 		answer_too_large(call);
 	} else {
-		(void)pthread_mutex_lock(&call->lock);
+		(void)apr_thread_mutex_lock(call->lock);
 		first = call->state == CALL_READING;
 		if (first)
 			call->state = CALL_WAITING;
-		(void)pthread_mutex_unlock(&call->lock);
+		(void)apr_thread_mutex_unlock(call->lock);
 		if (first) {
 			if (!call->begun)
 				jj_http_call_hold(call);
@@ -468,7 +470,7 @@
 			port->on_request(port->ctx, call);
 		}
 	}
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	if (call->gone) {
 		result = MHD_NO;
 	} else if (call->state == CALL_WAITING) {
@@ -478,7 +480,7 @@
 		response = call->response;
 		call->response = NULL;
 	}
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	if (response != NULL) {
 		result = MHD_queue_response(
 		    call->connection, (unsigned int)call->status, response);
@@ -515,16 +517,16 @@
 	if (call == NULL)
 		return;
 	*memory = NULL;
-	(void)pthread_mutex_lock(&server->lock);
+	(void)apr_thread_mutex_lock(server->lock);
 	TAILQ_REMOVE(&server->open, call, link);
-	(void)pthread_mutex_unlock(&server->lock);
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_unlock(server->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	told = call->gone;
 	call->finished = true;
 	call->gone = true;
 	unfinished = call->begun && call->state != CALL_ANSWERED &&
 	    call->state != CALL_ENDED;
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	if (unfinished && !told && server->port.on_gone != NULL)
 		server->port.on_gone(server->port.ctx, call);
 	(void)atomic_fetch_sub(&server->open_count, 1);
@@ -540,7 +542,7 @@
 	bool has_room = false;
 
 	(void)position;
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	if (call->buffer_size > 0) {
 		if (room > call->buffer_size)
 			room = call->buffer_size;
@@ -561,7 +563,7 @@
 		call->suspended = true;
 		MHD_suspend_connection(call->connection);
 	}
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	if (has_room && port->on_room != NULL)
 		port->on_room(port->ctx, call);
 	return result;
@@ -598,51 +600,54 @@
  * not polled, so without this a vanished caller would hold its place at a
  * backend server until the answer is written.
  */
-static void *
-sweep(void *argument)
+static void *APR_THREAD_FUNC
+sweep(apr_thread_t *thread, void *argument)
 {
 	jj_http_server_t *server = argument;
-	const jj_http_port_t *port = &server->port;
-	jj_http_call_t *call;
 	jj_http_call_t *closed;
-	struct timespec until;
-
-	(void)pthread_mutex_lock(&server->lock);
-	while (!server->stopping) {
-		(void)clock_gettime(CLOCK_MONOTONIC, &until);
-		until.tv_nsec += SWEEP_MS * 1000000L;
-		if (until.tv_nsec >= 1000000000L) {
-			until.tv_sec++;
-			until.tv_nsec -= 1000000000L;
-		}
-		(void)pthread_cond_timedwait(
-		    &server->wake, &server->lock, &until);
-		do {
-			closed = NULL;
-			TAILQ_FOREACH(call, &server->open, link)
-			{
-				if (is_closed(call)) {
-					closed = call;
-					jj_http_call_hold(closed);
-					break;
-				}
-			}
-			if (closed == NULL)
-				break;
-			(void)pthread_mutex_unlock(&server->lock);
-			if (port->on_gone != NULL)
-				port->on_gone(port->ctx, closed);
-			(void)pthread_mutex_lock(&closed->lock);
-			resume_locked(closed);
-			(void)pthread_mutex_unlock(&closed->lock);
-			jj_http_call_release(closed);
-			(void)pthread_mutex_lock(&server->lock);
-		} while (!server->stopping);
+	bool stopping = false;
+
+	(void)thread;
+	while (!stopping) {
+		jj_runtime_wait(server->waker, SWEEP_MS);
+		while ((closed = find_closed(server, &stopping)) != NULL)
+			tell_gone(server, closed);
 	}
-	(void)pthread_mutex_unlock(&server->lock);
 	return NULL;
 }
 
+/** A call whose caller hung up, held, or NULL when there is no other. */
+static jj_http_call_t *
+find_closed(jj_http_server_t *server, bool *stopping)
+{
+	jj_http_call_t *call = NULL;
+
+	(void)apr_thread_mutex_lock(server->lock);
+	*stopping = server->stopping;
+	if (!*stopping) {
+		TAILQ_FOREACH(call, &server->open, link)
+		{
+			if (is_closed(call))
+				break;
+		}
+	}
+	if (call != NULL)
+		jj_http_call_hold(call);
+	(void)apr_thread_mutex_unlock(server->lock);
+	return call;
+}
+
+static void
+tell_gone(jj_http_server_t *server, jj_http_call_t *call)
+{
+	if (server->port.on_gone != NULL)
+		server->port.on_gone(server->port.ctx, call);
+	(void)apr_thread_mutex_lock(call->lock);
+	resume_locked(call);
+	(void)apr_thread_mutex_unlock(call->lock);
+	jj_http_call_release(call);
+}
+
 /** True once, when a suspended call's connection was closed by its caller. */
 static bool
 is_closed(jj_http_call_t *call)
@@ -651,7 +656,7 @@
 	bool closed = false;
 	char byte;
 
-	(void)pthread_mutex_lock(&call->lock);
+	(void)apr_thread_mutex_lock(call->lock);
 	if (call->suspended && !call->gone && call->begun &&
 	    (call->state == CALL_WAITING || call->state == CALL_STREAMING)) {
 		info = MHD_get_connection_info(
@@ -662,7 +667,7 @@
 		if (closed)
 			call->gone = true;
 	}
-	(void)pthread_mutex_unlock(&call->lock);
+	(void)apr_thread_mutex_unlock(call->lock);
 	return closed;
 }
 
@@ -690,14 +695,33 @@
 	*memory = jj_realloc(*memory, *room);
 }
 
-/** Timed waits on it follow the monotonic clock, not the wall's steps. */
-static void
-init_monotonic(pthread_cond_t *condition)
+static jj_http_server_t *
+prepare_server(const jj_http_limits_t *limits, const jj_http_port_t *port)
 {
-	pthread_condattr_t attributes;
+	jj_http_server_t *server = jj_alloc(sizeof(*server));
+	size_t i;
 
-	(void)pthread_condattr_init(&attributes);
-	(void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	(void)pthread_cond_init(condition, &attributes);
-	(void)pthread_condattr_destroy(&attributes);
+	server->port = *port;
+	server->limits = *limits;
+	TAILQ_INIT(&server->open);
+	atomic_init(&server->references, 1);
+	server->pool = jj_runtime_create_pool();
+	server->lock = jj_runtime_create_mutex(server->pool);
+	for (i = 0; i < CALL_LOCKS; i++)
+		server->call_locks[i] = jj_runtime_create_mutex(server->pool);
+	return server;
+}
+
+/**
+ * Guards against a call that is answered after the server's end: the loops
+ * stop after the server, and an answer of theirs takes the call's lock, which
+ * lies in the server's pool. So the last call ends the pool.
+ */
+static void
+release_server(jj_http_server_t *server)
+{
+	if (atomic_fetch_sub(&server->references, 1) != 1)
+		return;
+	apr_pool_destroy(server->pool);
+	free(server);
 }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -73,8 +73,6 @@
 /** Starts serving; NULL when the address cannot be bound. */
 jj_http_server_t *jj_http_server_create(
     const jj_http_limits_t *limits, const jj_http_port_t *port);
-/** Stops listening; open requests go on. */
-void jj_http_server_quiesce(jj_http_server_t *server);
 /** Ends the server; open requests are cut off. */
 void jj_http_server_destroy(jj_http_server_t *server);
 /** Requests not answered to the end yet. */
--- a/src/adapters/log.c
+++ b/src/adapters/log.c
@@ -6,7 +6,6 @@
  * working folder and the user's home, and settings come from one file only.
  */
 #include <errno.h>
-#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -17,6 +16,7 @@
 
 #include "adapters/log.h"
 #include "adapters/monotonic.h"
+#include "adapters/runtime.h"
 #include "core/types.h"
 
 /** Longest value before it is quoted, bytes. */
@@ -64,7 +64,7 @@
     "jujube_stream", NULL, append_event, NULL};
 
 /** Guards all that follows, and keeps lines whole and in order. */
-static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
+static jj_static_lock_t log_lock;
 static log4c_category_t *log_category;
 static FILE *log_stream; /**< NULL: closed */
 static int log_priority = LOG4C_PRIORITY_INFO;
@@ -80,31 +80,31 @@
 	if (stream == NULL)
 		return false;
 	jj_log_close();
-	(void)pthread_mutex_lock(&log_lock);
+	jj_runtime_lock_static(&log_lock);
 	log_stream = stream;
 	log_priority = priorities[level];
 	set_up_category();
-	(void)pthread_mutex_unlock(&log_lock);
+	jj_runtime_unlock_static(&log_lock);
 	return true;
 }
 
 void
 jj_log_close(void)
 {
-	(void)pthread_mutex_lock(&log_lock);
+	jj_runtime_lock_static(&log_lock);
 	if (log_stream != NULL && log_stream != stderr)
 		(void)fclose(log_stream);
 	log_stream = NULL;
-	(void)pthread_mutex_unlock(&log_lock);
+	jj_runtime_unlock_static(&log_lock);
 }
 
 void
 jj_log_set_name(const char *name)
 {
-	(void)pthread_mutex_lock(&log_lock);
+	jj_runtime_lock_static(&log_lock);
 	if (!jj_name_set(&log_vm, name))
 		(void)jj_name_set(&log_vm, "-");
-	(void)pthread_mutex_unlock(&log_lock);
+	jj_runtime_unlock_static(&log_lock);
 }
 
 bool
@@ -127,7 +127,7 @@
 	line_t line = {.used = 0};
 	va_list args;
 
-	(void)pthread_mutex_lock(&log_lock);
+	jj_runtime_lock_static(&log_lock);
 	if (log_stream == NULL || priorities[level] > log_priority)
 		goto out;
 	append_head(&line, level, event);
@@ -136,7 +136,7 @@
 	va_end(args);
 	log4c_category_log(log_category, priorities[level], "%s", line.text);
 out:
-	(void)pthread_mutex_unlock(&log_lock);
+	jj_runtime_unlock_static(&log_lock);
 }
 
 /* The line is ready when it comes here: log4c adds nothing to it. */
--- a/src/adapters/loop.c
+++ b/src/adapters/loop.c
@@ -2,68 +2,72 @@
  * @file loop.c
  * @brief A thread that takes tasks in order and wakes when its core is due.
  */
-#include <pthread.h>
 #include <stdbool.h>
 #include <stdlib.h>
-#include <time.h>
 
 #include "adapters/loop.h"
 #include "adapters/monotonic.h"
+#include "adapters/runtime.h"
 #include "core/types.h"
 
 struct jj_loop {
-	pthread_t thread;
-	pthread_mutex_t lock; /**< guards tasks and stopping */
-	pthread_cond_t wake;
+	apr_pool_t *pool;
+	apr_thread_t *thread; /**< NULL: not started */
+	apr_thread_mutex_t *lock; /**< guards tasks, stopping and waiting */
+	apr_pollset_t *waker;
 	STAILQ_HEAD(, jj_task) tasks;
 	bool stopping;
-	bool started;
+	bool waiting; /**< the thread is, or is about to be, in a wait */
 	jj_ms_t (*next)(void *);
 	void (*tick)(void *, jj_ms_t);
 	void *ctx;
 };
 
-static void *run(void *);
+static void *APR_THREAD_FUNC run(apr_thread_t *, void *);
 static jj_task_t *wait_for_task(jj_loop_t *, jj_ms_t, bool *);
-static void wait_until(jj_loop_t *, jj_ms_t);
+static void wait_unlocked(jj_loop_t *, jj_ms_t);
+static bool stop_waiting(jj_loop_t *);
 
 jj_loop_t *
 jj_loop_create(
     jj_ms_t (*next)(void *ctx), void (*tick)(void *ctx, jj_ms_t now), void *ctx)
 {
 	jj_loop_t *loop = jj_alloc(sizeof(*loop));
-	pthread_condattr_t attributes;
 
 	loop->next = next;
 	loop->tick = tick;
 	loop->ctx = ctx;
 	STAILQ_INIT(&loop->tasks);
-	(void)pthread_mutex_init(&loop->lock, NULL);
-	(void)pthread_condattr_init(&attributes);
-	(void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	(void)pthread_cond_init(&loop->wake, &attributes);
-	(void)pthread_condattr_destroy(&attributes);
+	loop->pool = jj_runtime_create_pool();
+	loop->lock = jj_runtime_create_mutex(loop->pool);
 	return loop;
 }
 
 bool
 jj_loop_start(jj_loop_t *loop)
 {
-	loop->started = pthread_create(&loop->thread, NULL, run, loop) == 0;
-	return loop->started;
+	loop->waker = jj_runtime_create_waker(loop->pool);
+	if (loop->waker == NULL)
+		return false;
+	loop->thread = jj_runtime_start_thread(loop->pool, run, loop);
+	return loop->thread != NULL;
 }
 
 void
 jj_loop_stop(jj_loop_t *loop)
 {
-	if (loop == NULL || !loop->started)
+	bool wake;
+
+	if (loop == NULL || loop->thread == NULL)
 		return;
-	(void)pthread_mutex_lock(&loop->lock);
+	(void)apr_thread_mutex_lock(loop->lock);
 	loop->stopping = true;
-	(void)pthread_cond_signal(&loop->wake);
-	(void)pthread_mutex_unlock(&loop->lock);
-	(void)pthread_join(loop->thread, NULL);
-	loop->started = false;
+	wake = stop_waiting(loop);
+	(void)apr_thread_mutex_unlock(loop->lock);
+	if (wake)
+		(void)apr_pollset_wakeup(loop->waker);
+	jj_runtime_join_thread(loop->thread);
+	loop->thread = NULL;
 }
 
 void
@@ -78,28 +82,32 @@
 		STAILQ_REMOVE_HEAD(&loop->tasks, link);
 		task->run(task, NULL, 0);
 	}
-	(void)pthread_cond_destroy(&loop->wake);
-	(void)pthread_mutex_destroy(&loop->lock);
+	apr_pool_destroy(loop->pool);
 	free(loop);
 }
 
 void
 jj_loop_post(jj_loop_t *loop, jj_task_t *task)
 {
-	(void)pthread_mutex_lock(&loop->lock);
+	bool wake;
+
+	(void)apr_thread_mutex_lock(loop->lock);
 	STAILQ_INSERT_TAIL(&loop->tasks, task, link);
-	(void)pthread_cond_signal(&loop->wake);
-	(void)pthread_mutex_unlock(&loop->lock);
+	wake = stop_waiting(loop);
+	(void)apr_thread_mutex_unlock(loop->lock);
+	if (wake)
+		(void)apr_pollset_wakeup(loop->waker);
 }
 
-static void *
-run(void *argument)
+static void *APR_THREAD_FUNC
+run(apr_thread_t *thread, void *argument)
 {
 	jj_loop_t *loop = argument;
 	jj_task_t *task;
 	jj_ms_t now;
 	bool stopping = false;
 
+	(void)thread;
 	for (;;) {
 		task = wait_for_task(loop, loop->next(loop->ctx), &stopping);
 		now = jj_monotonic_now();
@@ -117,39 +125,44 @@
 {
 	jj_task_t *task;
 
-	(void)pthread_mutex_lock(&loop->lock);
+	(void)apr_thread_mutex_lock(loop->lock);
+	if (STAILQ_EMPTY(&loop->tasks) && !loop->stopping)
+		wait_unlocked(loop, until);
 	task = STAILQ_FIRST(&loop->tasks);
-	if (task == NULL && !loop->stopping && jj_monotonic_now() < until) {
-		wait_until(loop, until);
-		task = STAILQ_FIRST(&loop->tasks);
-	}
 	if (task != NULL)
 		STAILQ_REMOVE_HEAD(&loop->tasks, link);
 	*stopping = loop->stopping;
-	(void)pthread_mutex_unlock(&loop->lock);
+	(void)apr_thread_mutex_unlock(loop->lock);
 	return task;
 }
 
+/**
+ * Waits until a task is posted or the time has come. The lock is given up
+ * meanwhile; a task posted before the wait has begun finds the flag set, and
+ * its wake ends the wait at once.
+ */
 static void
-wait_until(jj_loop_t *loop, jj_ms_t until)
+wait_unlocked(jj_loop_t *loop, jj_ms_t until)
 {
-	struct timespec time;
-	jj_ms_t remaining;
+	jj_ms_t most_ms = JJ_MS_NEVER;
 
-	if (until == JJ_MS_NEVER) {
-		(void)pthread_cond_wait(&loop->wake, &loop->lock);
-		return;
-	}
-	/* The injected clock may count on while the condition's does not. */
-	remaining = until - jj_monotonic_now();
-	if (remaining <= 0)
+	if (until != JJ_MS_NEVER)
+		most_ms = until - jj_monotonic_now();
+	if (most_ms <= 0)
 		return;
-	(void)clock_gettime(CLOCK_MONOTONIC, &time);
-	time.tv_sec += remaining / 1000;
-	time.tv_nsec += (remaining % 1000) * 1000000L;
-	if (time.tv_nsec >= 1000000000L) {
-		time.tv_sec++;
-		time.tv_nsec -= 1000000000L;
-	}
-	(void)pthread_cond_timedwait(&loop->wake, &loop->lock, &time);
+	loop->waiting = true;
+	(void)apr_thread_mutex_unlock(loop->lock);
+	jj_runtime_wait(loop->waker, most_ms);
+	(void)apr_thread_mutex_lock(loop->lock);
+	loop->waiting = false;
+}
+
+/** True when the thread must be woken; of many posters one has to do it. */
+static bool
+stop_waiting(jj_loop_t *loop)
+{
+	bool waiting = loop->waiting;
+
+	loop->waiting = false;
+	return waiting;
 }
--- a/src/adapters/metrics.c
+++ b/src/adapters/metrics.c
@@ -3,7 +3,6 @@
  * @brief A registry of families of series; values are atomics.
  */
 #include <inttypes.h>
-#include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +11,7 @@
 #include <sys/queue.h>
 
 #include "adapters/metrics.h"
+#include "adapters/runtime.h"
 
 /** Bounds of histogram buckets: 100 us * 2^(i/2), up to about 200 s. */
 #define BUCKET_COUNT 43
@@ -73,7 +73,7 @@
 static void print_escaped(FILE *, const char *, bool);
 
 /** Guards the lists only: values change without it, series never go. */
-static pthread_mutex_t registry_lock = PTHREAD_MUTEX_INITIALIZER;
+static jj_static_lock_t registry_lock;
 static STAILQ_HEAD(, family) families = STAILQ_HEAD_INITIALIZER(families);
 
 static const char *const type_names[] = {
@@ -182,10 +182,10 @@
 	family_t *family;
 
 	JJ_INVARIANT(stream != NULL);
-	(void)pthread_mutex_lock(&registry_lock);
+	jj_runtime_lock_static(&registry_lock);
 	STAILQ_FOREACH(family, &families, link)
 	print_family(stream, family);
-	(void)pthread_mutex_unlock(&registry_lock);
+	jj_runtime_unlock_static(&registry_lock);
 	JJ_INVARIANT(fclose(stream) == 0);
 	return text;
 }
@@ -197,10 +197,10 @@
 	family_t *family;
 	series_t *series;
 
-	(void)pthread_mutex_lock(&registry_lock);
+	jj_runtime_lock_static(&registry_lock);
 	family = find_family(type, name, help, label_name);
 	series = add_series(family, label_value != NULL ? label_value : "");
-	(void)pthread_mutex_unlock(&registry_lock);
+	jj_runtime_unlock_static(&registry_lock);
 	return series;
 }
 
--- a/src/adapters/neighbours.c
+++ b/src/adapters/neighbours.c
@@ -2,7 +2,6 @@
  * @file neighbours.c
  * @brief Messages between VMs of ours over ZeroMQ.
  */
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,6 +13,7 @@
 #include <zmq.h>
 
 #include "adapters/neighbours.h"
+#include "adapters/runtime.h"
 #include "adapters/wire.h"
 
 /*
@@ -47,8 +47,9 @@
 	void *context;
 	void *pull;
 	int wakeup;
-	pthread_t thread;
-	pthread_mutex_t lock; /**< guards outgoing, cut, counts, stopping */
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+	apr_thread_mutex_t *lock; /**< guards outgoing, cut, counts, stopping */
 	STAILQ_HEAD(, outgoing) outgoing;
 	GHashTable *cut;
 	jj_neighbours_counts_t counts;
@@ -58,7 +59,7 @@
 	void *ctx;
 };
 
-static void *run(void *);
+static void *APR_THREAD_FUNC run(apr_thread_t *, void *);
 static bool send_all(jj_neighbours_t *);
 static void send_one(jj_neighbours_t *, const outgoing_t *);
 static void *connection_to(jj_neighbours_t *, const outgoing_t *);
@@ -78,7 +79,8 @@
 	neighbours->take = take;
 	neighbours->ctx = ctx;
 	STAILQ_INIT(&neighbours->outgoing);
-	(void)pthread_mutex_init(&neighbours->lock, NULL);
+	neighbours->pool = jj_runtime_create_pool();
+	neighbours->lock = jj_runtime_create_mutex(neighbours->pool);
 	neighbours->cut =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	neighbours->connections = g_hash_table_new_full(
@@ -93,7 +95,9 @@
 	(void)snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
 	if (zmq_bind(neighbours->pull, endpoint) != 0)
 		goto out;
-	if (pthread_create(&neighbours->thread, NULL, run, neighbours) != 0)
+	neighbours->thread =
+	    jj_runtime_start_thread(neighbours->pool, run, neighbours);
+	if (neighbours->thread == NULL)
 		goto out;
 	return neighbours;
 
@@ -103,7 +107,7 @@
 	(void)close(neighbours->wakeup);
 	g_hash_table_destroy(neighbours->connections);
 	g_hash_table_destroy(neighbours->cut);
-	(void)pthread_mutex_destroy(&neighbours->lock);
+	apr_pool_destroy(neighbours->pool);
 	free(neighbours);
 	return NULL;
 }
@@ -115,11 +119,11 @@
 
 	if (neighbours == NULL)
 		return;
-	(void)pthread_mutex_lock(&neighbours->lock);
+	(void)apr_thread_mutex_lock(neighbours->lock);
 	neighbours->stopping = true;
-	(void)pthread_mutex_unlock(&neighbours->lock);
+	(void)apr_thread_mutex_unlock(neighbours->lock);
 	(void)eventfd_write(neighbours->wakeup, 1);
-	(void)pthread_join(neighbours->thread, NULL);
+	jj_runtime_join_thread(neighbours->thread);
 	g_hash_table_destroy(neighbours->connections);
 	(void)zmq_close(neighbours->pull);
 	(void)zmq_ctx_term(neighbours->context);
@@ -130,7 +134,7 @@
 		free(outgoing);
 	}
 	g_hash_table_destroy(neighbours->cut);
-	(void)pthread_mutex_destroy(&neighbours->lock);
+	apr_pool_destroy(neighbours->pool);
 	free(neighbours);
 }
 
@@ -144,21 +148,21 @@
 	(void)snprintf(
 	    outgoing->address, sizeof(outgoing->address), "%s", address);
 	outgoing->bytes = jj_wire_encode(message);
-	(void)pthread_mutex_lock(&neighbours->lock);
+	(void)apr_thread_mutex_lock(neighbours->lock);
 	STAILQ_INSERT_TAIL(&neighbours->outgoing, outgoing, link);
-	(void)pthread_mutex_unlock(&neighbours->lock);
+	(void)apr_thread_mutex_unlock(neighbours->lock);
 	(void)eventfd_write(neighbours->wakeup, 1);
 }
 
 void
 jj_neighbours_cut(jj_neighbours_t *neighbours, const char *name, bool cut)
 {
-	(void)pthread_mutex_lock(&neighbours->lock);
+	(void)apr_thread_mutex_lock(neighbours->lock);
 	if (cut)
 		(void)g_hash_table_add(neighbours->cut, g_strdup(name));
 	else
 		(void)g_hash_table_remove(neighbours->cut, name);
-	(void)pthread_mutex_unlock(&neighbours->lock);
+	(void)apr_thread_mutex_unlock(neighbours->lock);
 }
 
 jj_neighbours_counts_t
@@ -166,14 +170,14 @@
 {
 	jj_neighbours_counts_t counts;
 
-	(void)pthread_mutex_lock(&neighbours->lock);
+	(void)apr_thread_mutex_lock(neighbours->lock);
 	counts = neighbours->counts;
-	(void)pthread_mutex_unlock(&neighbours->lock);
+	(void)apr_thread_mutex_unlock(neighbours->lock);
 	return counts;
 }
 
-static void *
-run(void *argument)
+static void *APR_THREAD_FUNC
+run(apr_thread_t *thread, void *argument)
 {
 	jj_neighbours_t *neighbours = argument;
 	zmq_pollitem_t items[2] = {
@@ -182,6 +186,7 @@
 	};
 	eventfd_t count;
 
+	(void)thread;
 	while (send_all(neighbours)) {
 		if (zmq_poll(items, 2, 1000) < 0)
 			continue;
@@ -201,12 +206,12 @@
 	bool stopping;
 
 	for (;;) {
-		(void)pthread_mutex_lock(&neighbours->lock);
+		(void)apr_thread_mutex_lock(neighbours->lock);
 		outgoing = STAILQ_FIRST(&neighbours->outgoing);
 		if (outgoing != NULL)
 			STAILQ_REMOVE_HEAD(&neighbours->outgoing, link);
 		stopping = neighbours->stopping;
-		(void)pthread_mutex_unlock(&neighbours->lock);
+		(void)apr_thread_mutex_unlock(neighbours->lock);
 		if (outgoing == NULL)
 			return !stopping;
 		send_one(neighbours, outgoing);
@@ -227,14 +232,14 @@
 		    zmq_send(socket, outgoing->bytes.data, outgoing->bytes.size,
 			ZMQ_DONTWAIT) >= 0;
 	}
-	(void)pthread_mutex_lock(&neighbours->lock);
+	(void)apr_thread_mutex_lock(neighbours->lock);
 	if (sent) {
 		neighbours->counts.sent++;
 		neighbours->counts.sent_bytes += outgoing->bytes.size;
 	} else {
 		neighbours->counts.dropped++;
 	}
-	(void)pthread_mutex_unlock(&neighbours->lock);
+	(void)apr_thread_mutex_unlock(neighbours->lock);
 }
 
 /** The socket to a VM; a VM that moved gets a new one. */
@@ -295,14 +300,14 @@
 	jj_wire_outcome_t outcome =
 	    jj_wire_decode(zmq_msg_data(part), zmq_msg_size(part), message);
 
-	(void)pthread_mutex_lock(&neighbours->lock);
+	(void)apr_thread_mutex_lock(neighbours->lock);
 	neighbours->counts.received++;
 	neighbours->counts.received_bytes += zmq_msg_size(part);
 	if (outcome == JJ_WIRE_OTHER_VERSION)
 		neighbours->counts.other_version++;
 	else if (outcome != JJ_WIRE_OK)
 		neighbours->counts.malformed++;
-	(void)pthread_mutex_unlock(&neighbours->lock);
+	(void)apr_thread_mutex_unlock(neighbours->lock);
 	if (outcome != JJ_WIRE_OK) {
 		free(message);
 		return;
@@ -320,9 +325,9 @@
 {
 	bool cut;
 
-	(void)pthread_mutex_lock(&neighbours->lock);
+	(void)apr_thread_mutex_lock(neighbours->lock);
 	cut = g_hash_table_contains(neighbours->cut, name);
-	(void)pthread_mutex_unlock(&neighbours->lock);
+	(void)apr_thread_mutex_unlock(neighbours->lock);
 	return cut;
 }
 
--- a/src/adapters/platform.c
+++ b/src/adapters/platform.c
@@ -10,7 +10,9 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "adapters/monotonic.h"
 #include "adapters/platform.h"
+#include "adapters/trace.h"
 
 /** Largest answer kept, bytes: a list with values may be large. */
 #define ANSWER_MAX (64U << 20)
@@ -34,6 +36,7 @@
 	size_t size;
 	size_t room;
 	bool too_large;
+	jj_span_t span; /**< the hop to the platform */
 } exchange_t;
 
 static void build_path(const jj_platform_call_t *, char *, size_t);
@@ -90,6 +93,9 @@
 	exchange->result.token = call->token;
 	exchange->result.op = call->op;
 	build_path(call, path, sizeof(path));
+	jj_trace_begin(&exchange->span, NULL, JJ_HOP_PLATFORM,
+	    method_of(call->op), jj_unix_now_ns());
+	jj_trace_set(&exchange->span, "key", call->key);
 	request.method = method_of(call->op);
 	request.address = platform->address;
 	request.path = path;
@@ -191,6 +197,8 @@
 
 	result->outcome = judge(exchange, end, head);
 	result->retry_after_ms = head->retry_after_ms;
+	jj_trace_end(
+	    &exchange->span, end != JJ_HTTP_COMPLETE, jj_unix_now_ns());
 	if (result->outcome == JJ_PLATFORM_OK ||
 	    result->outcome == JJ_PLATFORM_CONFLICT ||
 	    result->outcome == JJ_PLATFORM_GAP)
--- a/src/adapters/trace.c
+++ b/src/adapters/trace.c
@@ -8,15 +8,14 @@
  */
 #include <errno.h>
 #include <inttypes.h>
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include <jansson.h>
 
 #include "adapters/random.h"
+#include "adapters/runtime.h"
 #include "adapters/trace.h"
 
 /** Ring size when the settings name none. */
@@ -58,8 +57,8 @@
 static void copy_cut(char *, size_t, const char *);
 static bool choose_sampled(const uint8_t[16]);
 static void start_writer(void);
-static void *run_writer(void *);
-static void add_ms(struct timespec *, jj_ms_t);
+static void *APR_THREAD_FUNC run_writer(apr_thread_t *, void *);
+static bool writer_goes_on(void);
 static void write_spans(const jj_span_t *, size_t);
 static json_t *encode_request(const jj_span_t *, size_t);
 static json_t *encode_span(const jj_span_t *);
@@ -67,8 +66,7 @@
 static json_t *encode_text(const char *);
 
 /** Guards all that follows but the file. */
-static pthread_mutex_t trace_lock = PTHREAD_MUTEX_INITIALIZER;
-static pthread_cond_t trace_wake; /**< exists while writer_runs */
+static jj_static_lock_t trace_lock;
 static jj_name_t trace_vm;
 static double trace_share;
 static jj_ms_t trace_flush_ms;
@@ -78,12 +76,13 @@
 static jj_span_t *pending; /**< NULL: no file */
 static size_t pending_count;
 static uint64_t dropped;
-static bool writer_runs;
 static bool writer_stops;
-static pthread_t writer;
+static apr_pool_t *writer_pool; /**< owns the two that follow */
+static apr_thread_t *writer; /**< NULL: none runs */
+static apr_pollset_t *writer_waker;
 
 /** Guards the file. */
-static pthread_mutex_t write_lock = PTHREAD_MUTEX_INITIALIZER;
+static jj_static_lock_t write_lock;
 static FILE *trace_file;
 
 bool
@@ -97,8 +96,8 @@
 			return false;
 	}
 	jj_trace_close();
-	(void)pthread_mutex_lock(&write_lock);
-	(void)pthread_mutex_lock(&trace_lock);
+	jj_runtime_lock_static(&write_lock);
+	jj_runtime_lock_static(&trace_lock);
 	trace_file = file;
 	(void)jj_name_set(&trace_vm, settings->vm);
 	trace_share = settings->share;
@@ -111,40 +110,39 @@
 		pending = jj_alloc(PENDING_MAX * sizeof(*pending));
 	if (file != NULL && trace_flush_ms > 0)
 		start_writer();
-	(void)pthread_mutex_unlock(&trace_lock);
-	(void)pthread_mutex_unlock(&write_lock);
+	jj_runtime_unlock_static(&trace_lock);
+	jj_runtime_unlock_static(&write_lock);
 	return true;
 }
 
 void
 jj_trace_close(void)
 {
-	bool join;
+	apr_thread_t *ending;
 
-	(void)pthread_mutex_lock(&trace_lock);
-	join = writer_runs;
+	jj_runtime_lock_static(&trace_lock);
+	ending = writer;
 	writer_stops = true;
-	writer_runs = false;
-	if (join)
-		(void)pthread_cond_signal(&trace_wake);
-	(void)pthread_mutex_unlock(&trace_lock);
-	if (join) {
-		(void)pthread_join(writer, NULL);
-		(void)pthread_cond_destroy(&trace_wake);
+	writer = NULL;
+	jj_runtime_unlock_static(&trace_lock);
+	if (ending != NULL) {
+		(void)apr_pollset_wakeup(writer_waker);
+		jj_runtime_join_thread(ending);
+		apr_pool_destroy(writer_pool);
 	}
 	jj_trace_flush();
-	(void)pthread_mutex_lock(&write_lock);
+	jj_runtime_lock_static(&write_lock);
 	if (trace_file != NULL)
 		(void)fclose(trace_file);
 	trace_file = NULL;
-	(void)pthread_mutex_unlock(&write_lock);
-	(void)pthread_mutex_lock(&trace_lock);
+	jj_runtime_unlock_static(&write_lock);
+	jj_runtime_lock_static(&trace_lock);
 	free(ring);
 	free(pending);
 	ring = NULL;
 	pending = NULL;
 	pending_count = 0;
-	(void)pthread_mutex_unlock(&trace_lock);
+	jj_runtime_unlock_static(&trace_lock);
 }
 
 bool
@@ -233,7 +231,7 @@
 	span->failed = failed;
 	/* The wall clock may have stepped back since the start. */
 	span->end_ns = unix_ns > span->start_ns ? unix_ns : span->start_ns;
-	(void)pthread_mutex_lock(&trace_lock);
+	jj_runtime_lock_static(&trace_lock);
 	if (ring == NULL)
 		goto out;
 	ring[ring_count++ % ring_size] = *span;
@@ -244,7 +242,7 @@
 	else
 		dropped++;
 out:
-	(void)pthread_mutex_unlock(&trace_lock);
+	jj_runtime_unlock_static(&trace_lock);
 }
 
 void
@@ -254,15 +252,15 @@
 	size_t count, at, part;
 
 	/* Taken first: two flushes must not swap lines of one trace. */
-	(void)pthread_mutex_lock(&write_lock);
-	(void)pthread_mutex_lock(&trace_lock);
+	jj_runtime_lock_static(&write_lock);
+	jj_runtime_lock_static(&trace_lock);
 	count = pending_count;
 	if (count > 0) {
 		spans = pending;
 		pending = jj_alloc(PENDING_MAX * sizeof(*pending));
 		pending_count = 0;
 	}
-	(void)pthread_mutex_unlock(&trace_lock);
+	jj_runtime_unlock_static(&trace_lock);
 	for (at = 0; at < count && trace_file != NULL; at += part) {
 		part = count - at;
 		if (part > LINE_SPANS_MAX)
@@ -271,7 +269,7 @@
 	}
 	if (count > 0 && trace_file != NULL)
 		(void)fflush(trace_file);
-	(void)pthread_mutex_unlock(&write_lock);
+	jj_runtime_unlock_static(&write_lock);
 	free(spans);
 }
 
@@ -280,9 +278,9 @@
 {
 	uint64_t count;
 
-	(void)pthread_mutex_lock(&trace_lock);
+	jj_runtime_lock_static(&trace_lock);
 	count = dropped;
-	(void)pthread_mutex_unlock(&trace_lock);
+	jj_runtime_unlock_static(&trace_lock);
 	return count;
 }
 
@@ -320,7 +318,7 @@
 	size_t count = 0;
 	uint64_t i;
 
-	(void)pthread_mutex_lock(&trace_lock);
+	jj_runtime_lock_static(&trace_lock);
 	i = ring_count > ring_size ? ring_count - ring_size : 0;
 	for (; ring != NULL && i < ring_count; i++) {
 		span = &ring[i % ring_size];
@@ -329,7 +327,7 @@
 		*spans = jj_realloc(*spans, (count + 1) * sizeof(**spans));
 		(*spans)[count++] = *span;
 	}
-	(void)pthread_mutex_unlock(&trace_lock);
+	jj_runtime_unlock_static(&trace_lock);
 	return count;
 }
 
@@ -409,54 +407,46 @@
 	double share;
 
 	memcpy(&bits, trace + 12, sizeof(bits));
-	(void)pthread_mutex_lock(&trace_lock);
+	jj_runtime_lock_static(&trace_lock);
 	share = trace_share;
-	(void)pthread_mutex_unlock(&trace_lock);
+	jj_runtime_unlock_static(&trace_lock);
 	return (double)bits < share * 4294967296.0;
 }
 
-/* A wall clock that steps back must not keep the writer asleep. */
+/* Without it spans reach the file at jj_trace_flush and at the end only. */
 static void
 start_writer(void)
 {
-	pthread_condattr_t attributes;
-
-	(void)pthread_condattr_init(&attributes);
-	(void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	(void)pthread_cond_init(&trace_wake, &attributes);
-	(void)pthread_condattr_destroy(&attributes);
 	writer_stops = false;
-	writer_runs = pthread_create(&writer, NULL, run_writer, NULL) == 0;
+	writer_pool = jj_runtime_create_pool();
+	writer_waker = jj_runtime_create_waker(writer_pool);
+	if (writer_waker != NULL)
+		writer = jj_runtime_start_thread(writer_pool, run_writer, NULL);
+	if (writer == NULL)
+		apr_pool_destroy(writer_pool);
 }
 
-static void *
-run_writer(void *unused)
+static void *APR_THREAD_FUNC
+run_writer(apr_thread_t *thread, void *unused)
 {
-	struct timespec until;
-
+	(void)thread;
 	(void)unused;
-	(void)pthread_mutex_lock(&trace_lock);
-	while (!writer_stops) {
-		(void)clock_gettime(CLOCK_MONOTONIC, &until);
-		add_ms(&until, trace_flush_ms);
-		(void)pthread_cond_timedwait(&trace_wake, &trace_lock, &until);
-		(void)pthread_mutex_unlock(&trace_lock);
+	while (writer_goes_on()) {
+		jj_runtime_wait(writer_waker, trace_flush_ms);
 		jj_trace_flush();
-		(void)pthread_mutex_lock(&trace_lock);
 	}
-	(void)pthread_mutex_unlock(&trace_lock);
 	return NULL;
 }
 
-static void
-add_ms(struct timespec *time, jj_ms_t ms)
+static bool
+writer_goes_on(void)
 {
-	time->tv_sec += ms / 1000;
-	time->tv_nsec += ms % 1000 * 1000000;
-	if (time->tv_nsec >= 1000000000) {
-		time->tv_nsec -= 1000000000;
-		time->tv_sec++;
-	}
+	bool goes_on;
+
+	jj_runtime_lock_static(&trace_lock);
+	goes_on = !writer_stops;
+	jj_runtime_unlock_static(&trace_lock);
+	return goes_on;
 }
 
 /* One ExportTraceServiceRequest as one line. */
--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -98,10 +98,9 @@
 static bool unpack_array(const msgpack_object *, const field_t *, char *);
 
 static const field_t load_fields[] = {
-    TEXT(jj_load_t, server.text),
+    FIELD(FIELD_U64, jj_load_t, server),
     FIELD(FIELD_U32, jj_load_t, online),
     FIELD(FIELD_U32, jj_load_t, batch),
-    FIELD(FIELD_U32, jj_load_t, token_gap_us),
 };
 LAYOUT(load_layout, jj_load_t, load_fields);
 
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -40,6 +40,8 @@
 	create_locks(node);
 	node->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
 	node->uploads = g_hash_table_new(g_int64_hash, g_int64_equal);
+	node->hops =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
 	create_core(node);
 	create_batch(node);
 	if (!create_adapters(node)) {
@@ -90,6 +92,7 @@
 	jj_jobs_destroy(node->jobs);
 	g_hash_table_destroy(node->pending);
 	g_hash_table_destroy(node->uploads);
+	g_hash_table_destroy(node->hops);
 	apr_pool_destroy(node->pool);
 	free(node);
 }
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -89,6 +89,7 @@
 	atomic_bool core_idle;
 	atomic_bool batch_idle;
 	atomic_bool ready; /**< a configuration is known */
+	GHashTable *hops; /**< spans by call; the control loop's own */
 	uint32_t batch_told; /**< limit told last; the control loop's own */
 	uint32_t batch_limit; /**< items out at once; the batch loop's own */
 	jj_ms_t next_look; /**< at servers' health; the control loop's own */
@@ -169,6 +170,11 @@
 void jj_node_answer_plainly(jj_node_t *node, jj_pending_t *pending, int status,
     jj_ms_t retry_after_ms, const jj_bytes_t *body);
 
+/* Spans of calls sent to other VMs (node_hops.c); the control loop's own. */
+/** Begins the hop, once per call; the call carries it as its parent. */
+void jj_node_begin_hop(jj_node_t *node, const jj_name_t *to, jj_call_t *call);
+void jj_node_end_hop(jj_node_t *node, const jj_call_answer_t *answer);
+
 /* Finishing exchanges (node_finish.c). */
 void jj_node_finish_given_up(jj_node_t *node, const jj_answer_t *answer);
 void jj_node_finish_call(
--- a/src/daemon/node_control.c
+++ b/src/daemon/node_control.c
@@ -36,6 +36,7 @@
 static void carry_out(jj_node_t *, jj_action_t *, jj_ms_t);
 static void send_message(jj_node_t *, jj_action_t *);
 static void start_backend(jj_node_t *, const jj_backend_start_t *, jj_ms_t);
+static void record_wait(const jj_exchange_t *);
 static void begin_call_run(jj_node_t *, jj_action_t *);
 static void answer_patch(jj_node_t *, jj_action_t *);
 static void adopt_config(jj_node_t *, uint64_t);
@@ -244,6 +245,9 @@
 		free_task(task);
 		return;
 	}
+	if (task->event.kind == JJ_EVENT_MESSAGE &&
+	    task->message->kind == JJ_MESSAGE_CALL_ANSWER)
+		jj_node_end_hop(node, &task->message->body.call_answer);
 	step(node, &task->event, now);
 	if (task->event.kind == JJ_EVENT_BACKEND &&
 	    (backend->kind == JJ_BACKEND_DONE ||
@@ -363,6 +367,9 @@
 
 	if (address == NULL || address[0] == '\0')
 		return;
+	if (action->body.send.message->kind == JJ_MESSAGE_CALL)
+		jj_node_begin_hop(node, &action->body.send.to,
+		    &action->body.send.message->body.call);
 	jj_neighbours_send(node->neighbours, action->body.send.to.text, address,
 	    action->body.send.message);
 }
@@ -389,11 +396,25 @@
 		timeout = exchange.deadline_ms - now;
 	if (timeout < 1)
 		timeout = 1;
+	if (start->attempt == 1)
+		record_wait(&exchange);
 	jj_relay_start(node->relay, start,
 	    server != NULL ? server->address : "127.0.0.1:1", timeout,
 	    idempotent);
 }
 
+/** The hop between a request's head and its first server: the queue. */
+static void
+record_wait(const jj_exchange_t *exchange)
+{
+	jj_trace_parent_t parent = jj_trace_as_parent(&exchange->span);
+	jj_span_t span;
+
+	jj_trace_begin(
+	    &span, &parent, JJ_HOP_QUEUE, "queue", exchange->span.start_ns);
+	jj_trace_end(&span, false, jj_unix_now_ns());
+}
+
 /** The ledger lets a call run: give the relay what is to be sent. */
 static void
 begin_call_run(jj_node_t *node, jj_action_t *action)
