--- a/src/core/action.h
+++ b/src/core/action.h
@@ -38,7 +38,7 @@
 	uint64_t request;
 	uint32_t attempt; /**< rises by one each time it is sent */
 	jj_name_t server;
-	uint32_t resume_from; /**< token to resume from, 0: start anew */
+	uint32_t resume_from; /**< not 0: goes on with its stream there */
 } jj_backend_start_t;
 
 /** Why a request ends without a backend server's answer. */
--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -62,6 +62,14 @@
 	batch->idempotent_ctx = ctx;
 }
 
+void
+jj_batch_set_limits(jj_batch_t *batch,
+    int32_t (*limit)(void *ctx, const char *service), void *ctx)
+{
+	batch->service_room.limit = limit;
+	batch->service_room.ctx = ctx;
+}
+
 void
 jj_batch_set_room(jj_batch_t *batch, uint32_t items)
 {
@@ -231,6 +239,9 @@
 	jj_held_chunk_t *chunk;
 
 	batch->now_ms = now;
+	jj_batch_room_begin(&batch->service_room);
+	TAILQ_FOREACH(chunk, &batch->chunks, link)
+	jj_held_chunk_count_running(batch, chunk);
 	TAILQ_FOREACH(chunk, &batch->chunks, link)
 	{
 		jj_held_chunk_step(batch, chunk, now, out);
--- a/src/core/batch.h
+++ b/src/core/batch.h
@@ -2,12 +2,14 @@
  * @file batch.h
  * @brief The batch worker of a VM: finds jobs, claims chunks, runs items.
  *
- * One conditional-update chain per chunk (`jobs/ID/chunk/N`) orders claims,
- * checkpoints and takeovers; `jobs/ID/out/N` is created once and is the
- * truth: an item has exactly the result in it. A worker that lost its claim
- * finds out at its next write. Re-running an idempotent item after a crash
- * is allowed; an item of a non-idempotent service is recorded as started
- * before it is sent and never sent again.
+ * Workers find jobs in the index `active/`, not below `jobs/`, where the
+ * chunks of days stand. One conditional-update chain per chunk
+ * (`jobs/ID/chunk/N`) orders claims, checkpoints and takeovers;
+ * `jobs/ID/out/N` is created once and is the truth: an item has exactly the
+ * result in it. A worker that lost its claim finds out at its next write.
+ * Re-running an idempotent item after a crash is allowed; an item of a
+ * non-idempotent service is recorded as started before it is sent and never
+ * sent again.
  */
 #ifndef JJ_CORE_BATCH_H
 #define JJ_CORE_BATCH_H
@@ -52,6 +54,13 @@
  */
 void jj_batch_set_idempotent(jj_batch_t *batch,
     bool (*is_idempotent)(void *ctx, const char *service), void *ctx);
+/**
+ * Callback that tells how many items of a service this VM may have out at
+ * once; -1 when it has no share of the service's servers. Without it only
+ * jj_batch_set_room bounds what is offered.
+ */
+void jj_batch_set_limits(jj_batch_t *batch,
+    int32_t (*limit)(void *ctx, const char *service), void *ctx);
 /**
  * How many more items this VM's servers could take now; the worker claims
  * chunks and offers items (JJ_ACTION_ITEM_READY) up to it.
--- a/src/core/batch_chunk.c
+++ b/src/core/batch_chunk.c
@@ -8,6 +8,9 @@
 
 #include "core/batch_worker.h"
 
+/** A chunk without room is looked at again this often, ms. */
+#define BLOCKED_LOOK_MS 500
+
 static void
 send_get(jj_batch_t *, jj_held_chunk_t *, const char *, jj_actions_t *);
 static void send_job(jj_batch_t *, jj_held_chunk_t *, jj_actions_t *);
@@ -151,6 +154,9 @@
 	if (chunk->token == 0 && chunk->phase == JJ_PHASE_RUN &&
 	    chunk->write.kind == JJ_WRITE_NONE && next < chunk->renew_at_ms)
 		next = chunk->renew_at_ms;
+	if (chunk->blocked_ms != 0 &&
+	    next > chunk->blocked_ms + BLOCKED_LOOK_MS)
+		next = batch->now_ms + BLOCKED_LOOK_MS;
 	for (i = 0; i < chunk->count && batch->room > 0; i++) {
 		const jj_batch_item_t *item = &chunk->items[i];
 
@@ -283,7 +289,10 @@
 	bool complete = chunk->ended == chunk->count;
 	bool due = now >= chunk->renew_at_ms || chunk->must_confirm;
 
-	if (batch->leaving && chunk->running == 0 && !complete) {
+	if (chunk->running == 0 && !complete &&
+	    (batch->leaving ||
+		jj_held_chunk_wants_release(batch, chunk, now))) {
+		jj_held_chunk_unmark_unsent(chunk);
 		jj_held_chunk_prepare_record(
 		    batch, chunk, JJ_WRITE_RELEASE, JJ_CHUNK_RELEASED);
 		return;
--- a/src/core/batch_chunk.h
+++ b/src/core/batch_chunk.h
@@ -47,6 +47,7 @@
 	uint32_t attempts; /**< runs that may have reached a server */
 	uint32_t not_run; /**< runs that surely did not */
 	jj_ms_t ready_at_ms; /**< not offered before */
+	uint32_t service; /**< place in the table of services */
 } jj_batch_item_t;
 
 /** What the write under way does. */
@@ -92,6 +93,7 @@
 	uint32_t count; /**< items */
 	uint32_t ended; /**< items with a result */
 	uint32_t running; /**< items offered and not ended */
+	jj_ms_t blocked_ms; /**< no item finds room since, 0: is not so */
 	jj_batch_item_t *items;
 	jj_item_result_t *results;
 	bool *started;
@@ -109,6 +111,14 @@
 /** Takes the result of the call under way. */
 void jj_held_chunk_take_result(jj_batch_t *batch, jj_held_chunk_t *chunk,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out);
+/** Counts the chunk's items that are out, by service. */
+void
+jj_held_chunk_count_running(jj_batch_t *batch, const jj_held_chunk_t *chunk);
+/** True when the chunk shall go to a VM with room for its items. */
+bool jj_held_chunk_wants_release(
+    const jj_batch_t *batch, const jj_held_chunk_t *chunk, jj_ms_t now);
+/** Before a release: marks of items that were never sent are taken back. */
+void jj_held_chunk_unmark_unsent(jj_held_chunk_t *chunk);
 /** Offers items that may run, up to the worker's room. */
 void jj_held_chunk_offer(
     jj_batch_t *batch, jj_held_chunk_t *chunk, jj_ms_t now, jj_actions_t *out);
--- a/src/core/batch_chunk_result.c
+++ b/src/core/batch_chunk_result.c
@@ -7,6 +7,9 @@
 
 #include "core/batch_worker.h"
 
+/** A chunk that was given back is not claimed here again before, ms. */
+#define AVOID_MS 30000
+
 static bool is_answer(jj_platform_outcome_t);
 static void take_failure(
     jj_batch_t *, jj_held_chunk_t *, const jj_platform_result_t *, jj_ms_t);
@@ -110,6 +113,21 @@
 		jj_held_chunk_lose(batch, chunk, out);
 }
 
+/* Another VM shall have the chunk: this one gave it back for want of room. */
+static void
+avoid_released(jj_batch_t *batch, jj_held_chunk_t *chunk)
+{
+	jj_seen_claim_t *claim = jj_known_job_see_claim(
+	    chunk->job, chunk->number, chunk->version, batch->now_ms);
+
+	claim->changed = false;
+	claim->released = true;
+	claim->lease_ms = batch->settings.lease_ms;
+	claim->avoid_until_ms = batch->now_ms + AVOID_MS;
+	(void)snprintf(
+	    claim->holder, sizeof(claim->holder), "%s", batch->settings.writer);
+}
+
 static void
 confirm_write(jj_batch_t *batch, jj_held_chunk_t *chunk, uint64_t version)
 {
@@ -119,10 +137,13 @@
 	jj_held_chunk_discard_write(chunk);
 	if (kind == JJ_WRITE_OUT) {
 		batch->counts.published++;
+		jj_known_job_answer_for_out(chunk->job, version);
 		begin_finish(batch, chunk);
 		return;
 	}
 	chunk->version = version;
+	if (kind == JJ_WRITE_RELEASE)
+		avoid_released(batch, chunk);
 	if (kind == JJ_WRITE_DONE || kind == JJ_WRITE_RELEASE) {
 		jj_held_chunk_drop(chunk,
 		    kind == JJ_WRITE_DONE ? JJ_VIEW_OUT : JJ_VIEW_CLAIMED);
@@ -202,8 +223,8 @@
 		jj_held_chunk_drop(chunk, JJ_VIEW_OPEN);
 		return;
 	}
-	claim =
-	    jj_known_job_read_claim(chunk->job, chunk->number, &record, now);
+	claim = jj_known_job_read_claim(
+	    &batch->jobs, chunk->job, chunk->number, &record, now);
 	jj_job_table_count_probe(&batch->jobs,
 	    record.state == JJ_CHUNK_DONE ||
 		jj_seen_claim_has_lapsed(batch, claim, now));
@@ -259,7 +280,7 @@
 		jj_held_chunk_drop(chunk, JJ_VIEW_OUT);
 	} else {
 		(void)jj_known_job_read_claim(
-		    chunk->job, chunk->number, &record, now);
+		    &batch->jobs, chunk->job, chunk->number, &record, now);
 		jj_held_chunk_drop(chunk, JJ_VIEW_CLAIMED);
 		/* Two lists tell of all claims; else each costs a write. */
 		chunk->job->behind = chunk->job->open_count > 0;
@@ -291,7 +312,7 @@
 		chunk->phase = JJ_PHASE_RUN;
 	} else {
 		(void)jj_known_job_read_claim(
-		    chunk->job, chunk->number, &record, now);
+		    &batch->jobs, chunk->job, chunk->number, &record, now);
 		jj_held_chunk_lose(batch, chunk, out);
 	}
 	jj_chunk_record_clear(&record);
@@ -307,6 +328,7 @@
 		return;
 	}
 	(void)jj_out_count(&result->value, &chunk->counts);
+	jj_known_job_answer_for_out(chunk->job, result->version);
 	begin_finish(batch, chunk);
 }
 
@@ -358,6 +380,7 @@
 	else
 		batch->counts.publish_conflicts++;
 	(void)jj_out_count(&result->value, &chunk->counts);
+	jj_known_job_answer_for_out(chunk->job, result->version);
 	begin_finish(batch, chunk);
 }
 
--- a/src/core/batch_items.c
+++ b/src/core/batch_items.c
@@ -15,6 +15,12 @@
 /** Items turned away so often make a chunk stalled. */
 #define STALLED_AFTER 3
 
+/** A chunk that finds no room is given back after, ms. */
+#define BLOCKED_RELEASE_MS 10000
+/** The same when this VM has no share in what is left of it. */
+#define NO_SHARE_RELEASE_MS 500
+
+static void note_blocked(const jj_batch_t *, jj_held_chunk_t *, jj_ms_t);
 static uint32_t reserved_elsewhere(const jj_batch_t *, const jj_held_chunk_t *);
 static bool may_offer(const jj_batch_t *, const jj_held_chunk_t *, jj_ms_t);
 static bool is_idempotent(const jj_batch_t *, const jj_batch_item_t *);
@@ -55,11 +61,13 @@
 
 	if (!may_offer(batch, chunk, now))
 		return;
+	note_blocked(batch, chunk, now);
 	for (i = 0; i < chunk->count && batch->room > 0; i++) {
 		jj_batch_item_t *item = &chunk->items[i];
 		bool idempotent;
 
-		if (item->state != JJ_ITEM_OPEN || now < item->ready_at_ms)
+		if (item->state != JJ_ITEM_OPEN || now < item->ready_at_ms ||
+		    !jj_batch_room_has(&batch->service_room, item->service))
 			continue;
 		idempotent = is_idempotent(batch, item);
 		if (idempotent || item->cleared)
@@ -67,6 +75,59 @@
 	}
 }
 
+void
+jj_held_chunk_count_running(jj_batch_t *batch, const jj_held_chunk_t *chunk)
+{
+	uint32_t i;
+
+	for (i = 0; i < chunk->count && chunk->running > 0; i++) {
+		if (chunk->items[i].state == JJ_ITEM_RUNNING)
+			jj_batch_room_count(
+			    &batch->service_room, chunk->items[i].service);
+	}
+}
+
+/*
+ * A chunk whose rest is of services that this VM has no share in would keep
+ * its claim for ever: its lease is renewed, so nobody takes it, and its items
+ * find no room. It is given back soon; one that only waits for a burst to
+ * pass is given back later, as another VM may have room.
+ */
+bool
+jj_held_chunk_wants_release(
+    const jj_batch_t *batch, const jj_held_chunk_t *chunk, jj_ms_t now)
+{
+	uint32_t i;
+
+	if (chunk->phase != JJ_PHASE_RUN || chunk->blocked_ms == 0)
+		return false;
+	if (now - chunk->blocked_ms >= BLOCKED_RELEASE_MS)
+		return true;
+	for (i = 0; i < chunk->count; i++) {
+		if (chunk->items[i].state == JJ_ITEM_OPEN &&
+		    jj_batch_room_has_share(
+			&batch->service_room, chunk->items[i].service))
+			return false;
+	}
+	return now - chunk->blocked_ms >= NO_SHARE_RELEASE_MS;
+}
+
+void
+jj_held_chunk_unmark_unsent(jj_held_chunk_t *chunk)
+{
+	uint32_t i;
+
+	for (i = 0; i < chunk->count; i++) {
+		jj_batch_item_t *item = &chunk->items[i];
+
+		if (item->state != JJ_ITEM_OPEN || !item->cleared ||
+		    item->offered)
+			continue;
+		item->cleared = false;
+		chunk->started[i] = false;
+	}
+}
+
 /*
  * A VM may be lost after it has sent a non-idempotent item: sent again by
  * the next holder, it would book its pallets twice. So the item is recorded
@@ -89,7 +150,8 @@
 	for (i = 0; i < chunk->count && wanted < room; i++) {
 		jj_batch_item_t *item = &chunk->items[i];
 
-		if (item->state != JJ_ITEM_OPEN || now < item->ready_at_ms)
+		if (item->state != JJ_ITEM_OPEN || now < item->ready_at_ms ||
+		    !jj_batch_room_has(&batch->service_room, item->service))
 			continue;
 		wanted++;
 		if (item->cleared || is_idempotent(batch, item))
@@ -244,7 +306,8 @@
 {
 	if (chunk->phase != JJ_PHASE_RUN && chunk->phase != JJ_PHASE_CHECK_JOB)
 		return false;
-	if (batch->leaving || jj_known_job_is_cancelled(chunk->job))
+	if (batch->leaving || jj_known_job_is_cancelled(chunk->job) ||
+	    chunk->write.kind == JJ_WRITE_RELEASE)
 		return false;
 	return now < chunk->lease_until_ms || chunk->unreachable;
 }
@@ -257,6 +320,30 @@
 		batch->idempotent_ctx, item->line.service.text);
 }
 
+/* Since when no item of the chunk runs and none that could finds room. */
+static void
+note_blocked(const jj_batch_t *batch, jj_held_chunk_t *chunk, jj_ms_t now)
+{
+	bool waits = false;
+	uint32_t i;
+
+	for (i = 0; i < chunk->count && chunk->running == 0; i++) {
+		const jj_batch_item_t *item = &chunk->items[i];
+
+		if (item->state == JJ_ITEM_MARKING)
+			break;
+		if (item->state != JJ_ITEM_OPEN)
+			continue;
+		waits = true;
+		if (jj_batch_room_has(&batch->service_room, item->service))
+			break;
+	}
+	if (!waits || chunk->running > 0 || i < chunk->count)
+		chunk->blocked_ms = 0;
+	else if (chunk->blocked_ms == 0)
+		chunk->blocked_ms = now;
+}
+
 static void
 offer_item(jj_batch_t *batch, jj_held_chunk_t *chunk, uint32_t index,
     bool idempotent, jj_actions_t *out)
@@ -273,6 +360,7 @@
 	item->run = ++batch->next_item;
 	chunk->running++;
 	batch->room--;
+	jj_batch_room_count(&batch->service_room, item->service);
 	action->body.item.item = item->run;
 	action->body.item.service = line->service;
 	action->body.item.team = chunk->job->job.team;
@@ -294,6 +382,8 @@
 	bool known = jj_batch_line_decode(
 	    &item->line, line != NULL ? line : "", &chunk->job->job.service);
 
+	item->service =
+	    jj_batch_room_place(&batch->service_room, item->line.service.text);
 	if (item->state == JJ_ITEM_ENDED)
 		return;
 	if (chunk->started[index])
--- a/src/core/batch_job_steps.c
+++ b/src/core/batch_job_steps.c
@@ -196,8 +196,10 @@
 		if (stalest == NULL || is_before(known, stalest))
 			stalest = known;
 	}
-	if (stalest != NULL)
-		stalest->wants_refresh = true;
+	if (stalest == NULL)
+		return;
+	stalest->wants_refresh = true;
+	stalest->checks = true;
 }
 
 /* First those of which, as far as is known, nothing but the end is left. */
@@ -389,8 +391,11 @@
 		batch, known, &result->value, result->version, now, out))
 		return;
 	if (jj_job_has_ended(&known->job)) {
-		/* Only who closed it, or saw its entry: not each VM. */
-		if (known->closing || known->entry_version != 0)
+		/*
+		 * Who closed it, or found its entry after its end: hundreds
+		 * of VMs that saw it run would delete it at once.
+		 */
+		if (known->closing || (first && known->entry_version != 0))
 			known->step = JJ_STEP_DELETE_ENTRY;
 	} else if (first && known->created) {
 		/* New: there is nothing to list, and events tell the rest. */
@@ -418,6 +423,8 @@
 		const jj_platform_item_t *item = &result->items[i];
 		uint32_t chunk = chunk_of(known, item);
 
+		if (outs && known->last_out < item->version)
+			known->last_out = item->version;
 		if (chunk >= known->job.part_count ||
 		    known->views[chunk] == JJ_VIEW_HELD ||
 		    known->views[chunk] == JJ_VIEW_OUT)
@@ -459,13 +466,22 @@
 	return true;
 }
 
+/*
+ * All who end a chunk near the job's end look whether it was the last. The
+ * one that answers for the newest out object sums up and closes the job; the
+ * others would only do the same again. Should that one be lost, the look
+ * that each takes now and then closes the job.
+ */
 static void
 take_refreshed(jj_known_job_t *known, jj_ms_t now)
 {
+	bool closes = known->checks || known->own_out >= known->last_out;
+
 	known->refreshed_ms = now > 0 ? now : 1;
 	known->behind = false;
+	known->checks = false;
 	rest(known);
-	if (!is_finished(known))
+	if (!is_finished(known) || !closes)
 		return;
 	memset(&known->sum, 0, sizeof(known->sum));
 	memset(
--- a/src/core/batch_jobs.c
+++ b/src/core/batch_jobs.c
@@ -12,10 +12,13 @@
 #define PROBE_MS 250
 /** It doubles so often while looks find nothing to take over: to 8 s. */
 #define PROBE_DOUBLINGS 5
+/** An entry's job is looked for so long at each listing, ms. */
+#define ORPHAN_READ_MS 60000
 
 static uint64_t id_hash(const char *);
 static jj_known_job_t *add_job(jj_job_table_t *, const char *);
 static jj_orphan_t *find_orphan(jj_job_table_t *, const char *);
+static bool is_waiting(const jj_orphan_t *, jj_ms_t);
 static jj_orphan_t *find_orphan_slot(jj_job_table_t *);
 static void known_job_destroy(jj_job_table_t *, jj_known_job_t *);
 static void insert_in_due_order(jj_job_table_t *, jj_known_job_t *);
@@ -72,8 +75,8 @@
 /*
  * A job that is remembered as ended and still has an entry is read again:
  * the VM that closed it was lost before it deleted the entry, and whoever
- * lists the entry deletes it. An orphan is read once, and again when its
- * grace is over.
+ * lists the entry deletes it. An orphan is read at each listing while its
+ * job may be on its way, and again when its grace is over.
  */
 void
 jj_job_table_take_entry(
@@ -85,7 +88,7 @@
 	if (orphan != NULL)
 		orphan->listed_ms = now;
 	if (known == NULL && orphan != NULL && orphan->version == version &&
-	    now - orphan->seen_ms < JJ_ORPHAN_GRACE_MS)
+	    is_waiting(orphan, now))
 		return;
 	if (known == NULL)
 		known = add_job(table, id);
@@ -188,6 +191,13 @@
 	return choice;
 }
 
+void
+jj_known_job_answer_for_out(jj_known_job_t *known, uint64_t version)
+{
+	if (known->own_out < version)
+		known->own_out = version;
+}
+
 bool
 jj_known_job_is_cancelled(const jj_known_job_t *known)
 {
@@ -284,13 +294,40 @@
 	return claim;
 }
 
+/*
+ * A VM that is cut from this one looks dead here while it works on: two that
+ * hold each other for dead would take a chunk from each other without end. A
+ * process that wrote again after it was held for dead is alive.
+ */
+static void
+doubt_death(jj_job_table_t *table, jj_seen_claim_t *claim)
+{
+	int i;
+
+	if (!jj_job_table_is_dead(table, claim->holder))
+		return;
+	if (strcmp(claim->dead_holder, claim->holder) != 0) {
+		memcpy(claim->dead_holder, claim->holder,
+		    sizeof(claim->dead_holder));
+		claim->dead_version = claim->version;
+		return;
+	}
+	if (claim->version == claim->dead_version)
+		return;
+	for (i = 0; i < JJ_DEAD_WRITERS; i++) {
+		if (strcmp(table->dead[i], claim->holder) == 0)
+			table->dead[i][0] = '\0';
+	}
+	claim->dead_holder[0] = '\0';
+}
+
 /*
  * A read counts more than a hint: a hint of a version that never was would
  * else keep the claim from ever lapsing.
  */
 jj_seen_claim_t *
-jj_known_job_read_claim(jj_known_job_t *known, uint32_t chunk,
-    const jj_chunk_record_t *record, jj_ms_t now)
+jj_known_job_read_claim(jj_job_table_t *table, jj_known_job_t *known,
+    uint32_t chunk, const jj_chunk_record_t *record, jj_ms_t now)
 {
 	jj_seen_claim_t *claim =
 	    jj_known_job_see_claim(known, chunk, record->version, now);
@@ -302,6 +339,7 @@
 	claim->released = record->state == JJ_CHUNK_RELEASED;
 	claim->lease_ms = record->lease_ms;
 	memcpy(claim->holder, record->holder, sizeof(claim->holder));
+	doubt_death(table, claim);
 	return claim;
 }
 
@@ -355,6 +393,15 @@
 	return NULL;
 }
 
+/* True when its job would be there by now, and the grace is not over. */
+static bool
+is_waiting(const jj_orphan_t *orphan, jj_ms_t now)
+{
+	jj_ms_t age_ms = now - orphan->seen_ms;
+
+	return age_ms >= ORPHAN_READ_MS && age_ms < JJ_ORPHAN_GRACE_MS;
+}
+
 /* A free slot, or that of the orphan listed longest ago. */
 static jj_orphan_t *
 find_orphan_slot(jj_job_table_t *table)
@@ -482,7 +529,8 @@
 	{
 		bool lapsed;
 
-		if (known->views[claim->chunk] != JJ_VIEW_CLAIMED)
+		if (known->views[claim->chunk] != JJ_VIEW_CLAIMED ||
+		    now < claim->avoid_until_ms)
 			continue;
 		lapsed = jj_seen_claim_has_lapsed(batch, claim, now);
 		if (!lapsed &&
--- a/src/core/batch_jobs.h
+++ b/src/core/batch_jobs.h
@@ -46,6 +46,10 @@
 	bool changed; /**< another version since the record was read */
 	bool released;
 	char holder[JJ_WRITER_TEXT]; /**< empty: record not read yet */
+	/** Version and holder when the holder was held for dead, 0: was not. */
+	uint64_t dead_version;
+	char dead_holder[JJ_WRITER_TEXT];
+	jj_ms_t avoid_until_ms; /**< given back by this VM: not before */
 } jj_seen_claim_t;
 
 /** Which call a job's own steps are at. */
@@ -68,6 +72,9 @@
 	bool created; /**< learnt from its object's event: nothing claimed */
 	bool behind; /**< a claim met another's: the views need a refresh */
 	bool closing; /**< a close was sent and its outcome is not known */
+	bool checks; /**< the refresh is one of those now and then */
+	uint64_t own_out; /**< newest out object this worker answered for */
+	uint64_t last_out; /**< newest out object listed; versions both */
 	uint64_t entry_version; /**< of the index entry seen, 0: none */
 	jj_ms_t due_at_ms; /**< own clock */
 	uint8_t *views; /**< jj_chunk_view_t of each chunk */
@@ -150,6 +157,8 @@
 /** Counts a look at another's record; @p found: it may be taken over. */
 void jj_job_table_count_probe(jj_job_table_t *table, bool found);
 
+/** This worker published the chunk's out object, or finishes for who did. */
+void jj_known_job_answer_for_out(jj_known_job_t *known, uint64_t version);
 /** True when the job is cancelled or being cancelled. */
 bool jj_known_job_is_cancelled(const jj_known_job_t *known);
 /** Takes in the job's object; false when it is malformed. */
@@ -163,8 +172,9 @@
 jj_seen_claim_t *jj_known_job_see_claim(
     jj_known_job_t *known, uint32_t chunk, uint64_t version, jj_ms_t now);
 /** Notes a record that was read. */
-jj_seen_claim_t *jj_known_job_read_claim(jj_known_job_t *known, uint32_t chunk,
-    const jj_chunk_record_t *record, jj_ms_t now);
+jj_seen_claim_t *
+jj_known_job_read_claim(jj_job_table_t *table, jj_known_job_t *known,
+    uint32_t chunk, const jj_chunk_record_t *record, jj_ms_t now);
 /** True when a claim may be taken over. */
 bool jj_seen_claim_has_lapsed(
     const jj_batch_t *batch, const jj_seen_claim_t *claim, jj_ms_t now);
--- a/src/core/batch_worker.h
+++ b/src/core/batch_worker.h
@@ -8,6 +8,7 @@
 #include "core/batch.h"
 #include "core/batch_chunk.h"
 #include "core/batch_jobs.h"
+#include "core/batch_room.h"
 #include "core/operation.h"
 
 struct jj_batch {
@@ -16,6 +17,7 @@
 	bool (*is_idempotent)(void *ctx, const char *service);
 	void *idempotent_ctx;
 	uint32_t room; /**< more items the servers could take */
+	jj_batch_room_t service_room; /**< the same by service */
 	uint64_t next_item; /**< number of the next run of an item */
 	uint64_t next_token; /**< of the next platform call */
 	bool leaving;
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -35,8 +35,10 @@
 #define TICK_MOST_MS 100
 /** While items wait for room, it is looked for this often, ms. */
 #define WITHHELD_TICK_MS 10
-/** Items that wait next to the decision, beyond those with room. */
-#define WITHHELD_MOST 8
+/** Items of a service that wait next to the decision, beyond the room. */
+#define WITHHELD_MOST 4
+/** An unchanged VM list is told to the domain again after, ms. */
+#define LIST_TELL_MS 60000
 /** Told with refusals of calls, ms. */
 #define CALL_RETRY_AFTER_MS 1000
 
@@ -67,6 +69,9 @@
 static void
 end_refused_call(jj_core_t *, const jj_answer_t *, jj_ms_t, jj_actions_t *);
 static void spread_config(jj_core_t *, jj_actions_t *);
+static bool is_abroad(const jj_core_t *, const jj_name_t *);
+static void tell_vm_list(
+    jj_core_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
 static void send_config(jj_core_t *, const jj_name_t *, jj_actions_t *);
 static void tell_domain(jj_core_t *, jj_message_kind_t, uint64_t,
     const jj_bytes_t *, jj_actions_t *);
@@ -140,6 +145,7 @@
 {
 	core->out = out;
 	core->now = now;
+	core->config_source = JJ_CONFIG_FROM_PLATFORM;
 	switch (event->kind) {
 	case JJ_EVENT_TICK:
 		take_tick(core, now, out);
@@ -263,15 +269,15 @@
 }
 
 uint32_t
-jj_core_batch_limit(const jj_core_t *core, jj_ms_t now)
+jj_core_batch_shares(
+    const jj_core_t *core, jj_batch_share_t *shares, uint32_t most, jj_ms_t now)
 {
-	uint32_t room = jj_dispatch_batch_room(core->dispatch, now);
-	uint32_t in_flight =
-	    jj_dispatch_in_flight(core->dispatch, JJ_CLASS_BATCH);
+	uint32_t count = jj_dispatch_shares(core->dispatch, shares, most, now);
+	uint32_t i;
 
-	if (core->leaving || room + in_flight == 0)
-		return 0;
-	return room + in_flight + WITHHELD_MOST;
+	for (i = 0; i < count; i++)
+		shares[i].limit += WITHHELD_MOST;
+	return count;
 }
 
 void
@@ -364,8 +370,11 @@
 		jj_actions_add_event(
 		    out, "paused", "gap_ms=%" PRId64, now - core->last_tick);
 	core->last_tick = now;
-	count = jj_dispatch_loads(core->dispatch, loads, JJ_MESSAGE_LOADS_MAX);
-	jj_member_set_loads(core->member, loads, count);
+	if (jj_member_next(core->member) <= now) {
+		count = jj_dispatch_loads(
+		    core->dispatch, loads, JJ_MESSAGE_LOADS_MAX);
+		jj_member_set_loads(core->member, loads, count);
+	}
 	jj_member_set_versions(core->member, jj_config_version(core->config),
 	    jj_ledger_version(core->ledger));
 	jj_member_tick(core->member, now, out);
@@ -411,6 +420,9 @@
 			send_config(core, &message->from, out);
 		break;
 	case JJ_MESSAGE_CONFIG:
+		core->config_source = is_abroad(core, &message->from)
+		    ? JJ_CONFIG_FROM_ABROAD
+		    : JJ_CONFIG_FROM_DOMAIN;
 		(void)jj_config_take(
 		    core->config, &message->body.config.document, out);
 		break;
@@ -510,8 +522,7 @@
 		if (result->outcome != JJ_PLATFORM_OK)
 			return;
 		take_vm_list(core, &result->value, now, out);
-		tell_domain(
-		    core, JJ_MESSAGE_VMS, result->version, &result->value, out);
+		tell_vm_list(core, result, now, out);
 		return;
 	}
 	if (result->token == TOKEN_WATCH_CONFIG) {
@@ -679,25 +690,59 @@
 	    0, NULL, answer->retry_after_ms, now, out);
 }
 
-/** Tells the own domain, and each other domain's speaker. */
+/**
+ * Each VM gets the document once or twice, however many there are: who takes
+ * it from the platform, an operator or abroad tells its domain; what comes
+ * from the own domain is only passed abroad, by the speaker. A VM that was
+ * left out asks when it hears of the version in a heartbeat.
+ */
 static void
 spread_config(jj_core_t *core, jj_actions_t *out)
 {
-	static const size_t most = JJ_MEMBERS_MAX;
-	jj_member_info_t *infos = jj_alloc(most * sizeof(*infos));
-	size_t count = jj_member_list_all(core->member, infos, most);
+	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
+	size_t count = jj_member_list_all(core->member, infos, JJ_MEMBERS_MAX);
+	bool from_domain = core->config_source == JJ_CONFIG_FROM_DOMAIN;
 	size_t i;
 
+	if (from_domain && !jj_member_is_speaker(core->member))
+		count = 0;
 	for (i = 0; i < count; i++) {
 		if (!infos[i].live ||
 		    jj_name_equal(&infos[i].name, &core->settings.name))
 			continue;
+		if (from_domain &&
+		    jj_name_equal(&infos[i].domain, &core->settings.domain))
+			continue;
 		if (infos[i].config_version < jj_config_version(core->config))
 			send_config(core, &infos[i].name, out);
 	}
 	free(infos);
 }
 
+static bool
+is_abroad(const jj_core_t *core, const jj_name_t *name)
+{
+	const jj_member_info_t *info = jj_member_find(core->member, name);
+
+	return info != NULL &&
+	    !jj_name_equal(&info->domain, &core->settings.domain);
+}
+
+/** The list is large and rarely changes: told when it did, or now and then. */
+static void
+tell_vm_list(jj_core_t *core, const jj_platform_result_t *result, jj_ms_t now,
+    jj_actions_t *out)
+{
+	uint64_t hash =
+	    jj_hash_bytes(result->value.data, result->value.size, 0);
+
+	if (hash == core->list_hash && now < core->next_tell)
+		return;
+	core->list_hash = hash;
+	core->next_tell = now + LIST_TELL_MS;
+	tell_domain(core, JJ_MESSAGE_VMS, result->version, &result->value, out);
+}
+
 static void
 send_config(jj_core_t *core, const jj_name_t *to, jj_actions_t *out)
 {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -133,8 +133,12 @@
 const jj_config_t *jj_core_config(const jj_core_t *core);
 const jj_fleet_t *jj_core_fleet(const jj_core_t *core);
 const jj_member_t *jj_core_member(const jj_core_t *core);
-/** How many batch items this VM may have at its servers at once. */
-uint32_t jj_core_batch_limit(const jj_core_t *core, jj_ms_t now);
+/**
+ * How many batch items of each service this VM may have out at once; a few
+ * more than there is room for, to wait next to the decision.
+ */
+uint32_t jj_core_batch_shares(const jj_core_t *core, jj_batch_share_t *shares,
+    uint32_t most, jj_ms_t now);
 
 /** Writes NAME/HEX16, as objects at the platform name a process. */
 void jj_core_write_writer(const jj_name_t *name, jj_incarnation_t incarnation,
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -16,6 +16,13 @@
 	jj_incarnation_t incarnation;
 } jj_seen_t;
 
+/** Where a configuration came from in the step under way. */
+typedef enum {
+	JJ_CONFIG_FROM_PLATFORM, /**< or an operator's patch here */
+	JJ_CONFIG_FROM_DOMAIN, /**< a VM of the own domain */
+	JJ_CONFIG_FROM_ABROAD,
+} jj_config_source_t;
+
 struct jj_core {
 	jj_core_settings_t settings;
 	jj_member_t *member;
@@ -34,6 +41,9 @@
 	bool list_known; /**< a VM list was taken once */
 	uint64_t last_request;
 	jj_ms_t last_tick;
+	uint64_t list_hash; /**< of the list told last */
+	jj_ms_t next_tell; /**< an unchanged list is told again then */
+	jj_config_source_t config_source;
 	jj_ms_t next_vms;
 	jj_ms_t next_refresh;
 	jj_ms_t next_ask;
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -19,6 +19,7 @@
 
 static jj_entry_t *
 add_entry(jj_dispatch_t *, const jj_request_t *, jj_service_queue_t *);
+static jj_server_view_t *find_hash(const jj_dispatch_t *, uint64_t);
 static void take_first(jj_entry_t *, jj_ms_t);
 static void take_tokens(jj_entry_t *, uint32_t, jj_ms_t);
 static void finish(jj_dispatch_t *, jj_entry_t *, bool, jj_ms_t);
@@ -132,7 +133,11 @@
 		finish(dispatch, entry, true, now);
 		break;
 	case JJ_BACKEND_REJECTED:
-		finish(dispatch, entry, false, now);
+		if (entry->resuming)
+			jj_dispatch_take_failure(
+			    dispatch, entry, event, now, out);
+		else
+			finish(dispatch, entry, false, now);
 		break;
 	case JJ_BACKEND_CANCELLED:
 		jj_dispatch_leave_server(dispatch, entry);
@@ -207,15 +212,13 @@
 jj_dispatch_take_loads(jj_dispatch_t *dispatch, const jj_name_t *from,
     const jj_load_t *loads, uint32_t count, jj_ms_t now)
 {
-	jj_service_queue_t *service;
 	jj_server_view_t *view;
 	uint32_t i;
 
 	if (jj_name_equal(from, &dispatch->settings.name))
 		return;
 	for (i = 0; i < count; i++) {
-		view =
-		    jj_dispatch_find_view(dispatch, &loads[i].server, &service);
+		view = find_hash(dispatch, loads[i].server);
 		if (view != NULL)
 			jj_server_view_take_load(view, from, &loads[i]);
 	}
@@ -280,6 +283,36 @@
 	return room;
 }
 
+uint32_t
+jj_dispatch_shares(const jj_dispatch_t *dispatch, jj_batch_share_t *shares,
+    uint32_t most, jj_ms_t now)
+{
+	const jj_service_queue_t *service;
+	const jj_server_view_t *view;
+	uint32_t count = 0;
+	uint32_t running;
+	bool steward;
+
+	TAILQ_FOREACH(service, &dispatch->services, link)
+	{
+		running = 0;
+		steward = false;
+		TAILQ_FOREACH(view, &service->servers, link)
+		{
+			steward |=
+			    view->steward && jj_server_view_is_up(view, now);
+			running += view->batch;
+		}
+		if (!steward || count == most || dispatch->leaving)
+			continue;
+		shares[count].service = service->name;
+		shares[count].limit = running +
+		    jj_dispatch_service_room(dispatch, &service->name, now);
+		count++;
+	}
+	return count;
+}
+
 uint32_t
 jj_dispatch_service_room(
     const jj_dispatch_t *dispatch, const jj_name_t *name, jj_ms_t now)
@@ -308,25 +341,6 @@
 	return room;
 }
 
-uint32_t
-jj_dispatch_loads(
-    const jj_dispatch_t *dispatch, jj_load_t *loads, uint32_t most)
-{
-	const jj_service_queue_t *service;
-	const jj_server_view_t *view;
-	uint32_t count = 0;
-
-	TAILQ_FOREACH(service, &dispatch->services, link)
-	{
-		TAILQ_FOREACH(view, &service->servers, link)
-		{
-			if (count < most && view->local)
-				loads[count++] = jj_dispatch_load_of(view);
-		}
-	}
-	return count;
-}
-
 void
 jj_dispatch_leave(jj_dispatch_t *dispatch)
 {
@@ -428,13 +442,30 @@
 	return entry;
 }
 
+static jj_server_view_t *
+find_hash(const jj_dispatch_t *dispatch, uint64_t hash)
+{
+	jj_service_queue_t *service;
+	jj_server_view_t *view;
+
+	TAILQ_FOREACH(service, &dispatch->services, link)
+	{
+		TAILQ_FOREACH(view, &service->servers, link)
+		{
+			if (view->hash == hash)
+				return view;
+		}
+	}
+	return NULL;
+}
+
 static void
 take_first(jj_entry_t *entry, jj_ms_t now)
 {
 	entry->may_have_run = true;
 	entry->token_ms = now;
 	entry->tokens++;
-	if (entry->team == NULL)
+	if (entry->team == NULL && !entry->resuming)
 		jj_headroom_add_first(
 		    &entry->server->headroom, now - entry->sent_ms);
 }
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -48,7 +48,8 @@
 	JJ_BACKEND_FIRST, /**< first token, or an answer's head */
 	JJ_BACKEND_TOKENS, /**< `tokens` more of them */
 	JJ_BACKEND_DONE,
-	JJ_BACKEND_REJECTED, /**< a permanent refusal (4xx), answer relayed */
+	/** a permanent refusal (4xx), answer relayed; of a resume: FAILED */
+	JJ_BACKEND_REJECTED,
 	JJ_BACKEND_FAILED, /**< an error after it may have begun */
 	JJ_BACKEND_BROKEN, /**< the connection broke after sending */
 	JJ_BACKEND_TIMEOUT,
@@ -62,6 +63,7 @@
 	uint32_t tokens;
 	jj_ms_t retry_after_ms; /**< the server's, of a refusal */
 	bool relayed; /**< part of the answer is at the caller already */
+	bool resumable; /**< its server can go on with the stream */
 } jj_backend_event_t;
 
 typedef struct {
@@ -86,6 +88,8 @@
 /**
  * Takes a request: ends at once or later with JJ_ACTION_BACKEND_START (maybe
  * several, one attempt at a time) and, when given up on, JJ_ACTION_ANSWER.
+ * An attempt with resume_from set goes on with the stream of the one before,
+ * at the same server, behind the tokens that the relay has of it.
  * A batch request that is withdrawn gets JJ_ACTION_BACKEND_CANCEL and then
  * JJ_ACTION_ANSWER with reason JJ_GIVE_UP_OVERLOADED.
  */
@@ -115,12 +119,28 @@
 jj_ms_t jj_dispatch_next(const jj_dispatch_t *dispatch);
 /** How many more batch items this VM could send now, all its servers. */
 uint32_t jj_dispatch_batch_room(const jj_dispatch_t *dispatch, jj_ms_t now);
+/** This VM's share of one service's servers. */
+typedef struct {
+	jj_name_t service;
+	uint32_t limit; /**< items that may be out at once */
+} jj_batch_share_t;
+
+/** Services of whose servers this VM is steward; how many were written. */
+uint32_t jj_dispatch_shares(const jj_dispatch_t *dispatch,
+    jj_batch_share_t *shares, uint32_t most, jj_ms_t now);
 /** The same for the servers of one service. */
 uint32_t jj_dispatch_service_room(
     const jj_dispatch_t *dispatch, const jj_name_t *service, jj_ms_t now);
-/** Loads of this VM for the heartbeat; how many were written. */
-uint32_t jj_dispatch_loads(
-    const jj_dispatch_t *dispatch, jj_load_t *loads, uint32_t most);
+/**
+ * Loads of this VM for the next heartbeat: a few servers in turn, so that
+ * what a lost message left wrong at a neighbour is put right in a few
+ * seconds. Called once for each round of heartbeats.
+ * @return how many were written.
+ */
+uint32_t
+jj_dispatch_loads(jj_dispatch_t *dispatch, jj_load_t *loads, uint32_t most);
+/** The number by which messages name a server. */
+uint64_t jj_dispatch_hash_server(const jj_name_t *server);
 /** Planned stop: new requests are refused, those in flight go on. */
 void jj_dispatch_leave(jj_dispatch_t *dispatch);
 /** Requests queued or in flight, of a class. */
--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -27,18 +27,23 @@
     const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
 {
 	/* What a dead server ran is bounded by its slots: no retry storm. */
-	bool charged = event->kind != JJ_BACKEND_LEAVING &&
-	    (event->kind != JJ_BACKEND_BROKEN || entry->server->up);
+	bool died = entry->resuming
+	    ? event->kind == JJ_BACKEND_NOT_SENT
+	    : event->kind == JJ_BACKEND_BROKEN && !entry->server->up;
+	bool charged = event->kind != JJ_BACKEND_LEAVING && !died;
 	bool began = event->kind != JJ_BACKEND_NOT_SENT &&
 	    event->kind != JJ_BACKEND_REFUSED &&
 	    event->kind != JJ_BACKEND_LEAVING;
 
+	if (jj_dispatch_resume(dispatch, entry, event, now, out))
+		return;
 	note_failure(dispatch, entry, event, now, out);
 	entry->avoid = entry->server->name;
 	jj_dispatch_leave_server(dispatch, entry);
 	entry->may_have_run |= began;
 	entry->failures += event->kind != JJ_BACKEND_LEAVING;
-	if (event->kind == JJ_BACKEND_BROKEN)
+	/* A stream that could not be resumed had broken before. */
+	if (event->kind == JJ_BACKEND_BROKEN || entry->resuming)
 		note_break(entry, now);
 	if (entry->team == NULL) {
 		jj_dispatch_give_up(dispatch, entry,
--- a/src/core/dispatch_queue.h
+++ b/src/core/dispatch_queue.h
@@ -73,6 +73,8 @@
 	bool suspect; /**< may crash servers */
 	bool may_have_run;
 	bool relayed; /**< part of the answer is at the caller */
+	uint32_t resumes; /**< attempts that went on with a stream */
+	bool resuming; /**< the newest attempt is one */
 	uint32_t tokens; /**< of this attempt */
 	jj_ms_t sent_ms;
 	jj_ms_t token_ms; /**< when the latest tokens came */
--- a/src/core/dispatch_refresh.c
+++ b/src/core/dispatch_refresh.c
@@ -11,6 +11,7 @@
 
 static void refresh_services(jj_dispatch_t *);
 static void refresh_views(jj_dispatch_t *, jj_ms_t);
+static void refresh_steward(const jj_dispatch_t *, jj_server_view_t *);
 static void drop_unlisted(jj_dispatch_t *);
 static void withdraw_excess(jj_dispatch_t *, jj_service_queue_t *,
     jj_server_view_t *, jj_ms_t, jj_actions_t *);
@@ -22,6 +23,7 @@
 {
 	jj_member_info_t infos[VMS_MAX];
 	jj_service_queue_t *service;
+	int64_t vms;
 
 	/* A new configuration counts at once: a request for a service that it
 	 * brought must not be told that there is no such service. */
@@ -30,10 +32,13 @@
 		return;
 	dispatch->config_version = jj_config_version(dispatch->config);
 	dispatch->refresh_ms = now + REFRESH_MS;
-	dispatch->vms = (int64_t)jj_member_list(
+	vms = (int64_t)jj_member_list(
 	    dispatch->member, &dispatch->settings.domain, infos, VMS_MAX);
-	if (dispatch->vms < 1)
-		dispatch->vms = 1;
+	if (vms < 1)
+		vms = 1;
+	if (vms > dispatch->vms)
+		jj_dispatch_tell_anew(dispatch);
+	dispatch->vms = vms;
 	refresh_services(dispatch);
 	refresh_views(dispatch, now);
 	TAILQ_FOREACH(service, &dispatch->services, link)
@@ -148,17 +153,28 @@
 		    &servers[i].domain, &dispatch->settings.domain);
 		view->up =
 		    jj_fleet_takes_work(dispatch->fleet, &servers[i].name, now);
-		(void)jj_name_set(&view->steward_name, "");
-		if (view->local)
-			(void)jj_member_choose(dispatch->member,
-			    &dispatch->settings.domain, view->hash,
-			    &view->steward_name);
-		view->steward = jj_name_equal(
-		    &view->steward_name, &dispatch->settings.name);
+		refresh_steward(dispatch, view);
 		jj_server_view_refresh(view, dispatch->member);
 	}
 }
 
+static void
+refresh_steward(const jj_dispatch_t *dispatch, jj_server_view_t *view)
+{
+	jj_name_t before = view->steward_name;
+
+	(void)jj_name_set(&view->steward_name, "");
+	if (view->local)
+		(void)jj_member_choose(dispatch->member,
+		    &dispatch->settings.domain, view->hash,
+		    &view->steward_name);
+	view->steward =
+	    jj_name_equal(&view->steward_name, &dispatch->settings.name);
+	/* The new one knows no more than all neighbours do. */
+	if (!jj_name_equal(&view->steward_name, &before))
+		view->steward_online = view->told_online;
+}
+
 static void
 drop_unlisted(jj_dispatch_t *dispatch)
 {
--- /dev/null
+++ b/src/core/dispatch_resume.c
@@ -0,0 +1,61 @@
+/**
+ * @file dispatch_resume.c
+ * @brief Streams that go on after their connection broke.
+ *
+ * A connection breaks, or an answer ends without its end mark, in the middle
+ * of a stream whose server is well. Part of the answer is at the caller, so
+ * that it can be sent nowhere else; the engine keeps the stream, and a resume
+ * gives the rest. Nothing is begun anew by it: an engine that has restarted,
+ * or does not know the stream, refuses (story 18), and the request goes the
+ * way of any that broke.
+ */
+#include "core/dispatch_state.h"
+
+/* A stream that breaks again and again is given up on. */
+#define RESUMES_MOST 2
+
+static bool can_resume(
+    jj_dispatch_t *, const jj_entry_t *, const jj_backend_event_t *, jj_ms_t);
+
+bool
+jj_dispatch_resume(jj_dispatch_t *dispatch, jj_entry_t *entry,
+    const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
+{
+	jj_server_view_t *view = entry->server;
+	jj_action_t *action;
+
+	if (!can_resume(dispatch, entry, event, now))
+		return false;
+	/* The server may have died all the same: its crash report shall name
+	 * what broke there (story 27). */
+	jj_server_view_note_broken(view, entry->request.fingerprint, now);
+	jj_server_view_note_outcome(view, true);
+	entry->may_have_run = true;
+	entry->resumes++;
+	entry->resuming = true;
+	entry->attempt++;
+	entry->token_ms = 0;
+	action = jj_actions_add(out, JJ_ACTION_BACKEND_START);
+	action->body.start.request = entry->request.request;
+	action->body.start.attempt = entry->attempt;
+	action->body.start.server = view->name;
+	action->body.start.resume_from = 1;
+	return true;
+}
+
+static bool
+can_resume(jj_dispatch_t *dispatch, const jj_entry_t *entry,
+    const jj_backend_event_t *event, jj_ms_t now)
+{
+	const jj_server_view_t *view = entry->server;
+
+	if (!event->resumable || entry->resumes >= RESUMES_MOST)
+		return false;
+	if (!view->up ||
+	    !jj_fleet_takes_work(dispatch->fleet, &view->name, now))
+		return false;
+	if (jj_quarantine_check(dispatch->quarantine,
+		entry->request.fingerprint, now) == JJ_QUARANTINE_REFUSED)
+		return false;
+	return jj_retry_budget_take(&entry->service->budget, now);
+}
--- a/src/core/dispatch_send.c
+++ b/src/core/dispatch_send.c
@@ -224,6 +224,7 @@
 	entry->server = view;
 	entry->attempt++;
 	entry->tokens = 0;
+	entry->resuming = false;
 	entry->sent_ms = now;
 	entry->token_ms = 0;
 	if (entry->team != NULL) {
--- a/src/core/dispatch_server.c
+++ b/src/core/dispatch_server.c
@@ -43,8 +43,7 @@
 
 	view->name = server->name;
 	view->service = server->service;
-	view->hash =
-	    jj_hash_bytes(server->name.text, strlen(server->name.text), 0);
+	view->hash = jj_dispatch_hash_server(&server->name);
 	view->listed = true;
 	return view;
 }
--- a/src/core/dispatch_state.h
+++ b/src/core/dispatch_state.h
@@ -28,7 +28,8 @@
 	uint32_t counts[2]; /**< requests by class */
 	uint64_t random;
 	bool leaving;
-	bool told_all; /**< the neighbours know all loads */
+	bool told_all; /**< the neighbours know what they need to */
+	uint32_t load_turn; /**< where the next heartbeat's loads begin */
 	jj_ms_t next_ms;
 	jj_ms_t refresh_ms;
 	uint64_t config_version; /**< of the last refresh */
@@ -73,6 +74,12 @@
 /** An attempt failed: retries the request or gives it up. */
 void jj_dispatch_take_failure(jj_dispatch_t *dispatch, jj_entry_t *entry,
     const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out);
+/**
+ * Goes on with a stream whose connection broke, at its own server.
+ * @return false when it cannot: the attempt has failed.
+ */
+bool jj_dispatch_resume(jj_dispatch_t *dispatch, jj_entry_t *entry,
+    const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out);
 /** Tells the quarantine and the neighbours who was on a dead server. */
 void jj_dispatch_report_crash(jj_dispatch_t *dispatch, jj_server_view_t *view,
     uint64_t boot, const uint64_t *suspects, uint32_t count, jj_ms_t now,
@@ -98,6 +105,8 @@
 /** Sends the loads that changed, when it is time. */
 void
 jj_dispatch_tell_loads(jj_dispatch_t *dispatch, jj_ms_t now, jj_actions_t *out);
+/** A neighbour has come: it is told of all that runs. */
+void jj_dispatch_tell_anew(jj_dispatch_t *dispatch);
 /** What this VM runs at a server. */
 jj_load_t jj_dispatch_load_of(const jj_server_view_t *view);
 
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -12,7 +12,7 @@
 #include "core/types.h"
 
 /** Version of this set of messages; another one is dropped and counted. */
-#define JJ_MESSAGE_VERSION 1
+#define JJ_MESSAGE_VERSION 2
 /** Most servers whose load one heartbeat carries. */
 #define JJ_MESSAGE_LOADS_MAX 128
 /** Most ledger records in one transfer message. */
@@ -44,10 +44,9 @@
 
 /** What a VM runs on one backend server. */
 typedef struct {
-	jj_name_t server;
+	uint64_t server; /**< jj_dispatch_hash_server of its name */
 	uint32_t online; /**< online requests in flight */
 	uint32_t batch; /**< batch items in flight */
-	uint32_t token_gap_us; /**< recent time between tokens, 0: none seen */
 } jj_load_t;
 
 typedef enum {
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -186,6 +186,7 @@
 	node->batch = jj_batch_create(&batch);
 	node->jobs = jj_jobs_create(&jobs);
 	jj_batch_set_idempotent(node->batch, jj_node_is_idempotent, node);
+	jj_batch_set_limits(node->batch, jj_node_service_limit, node);
 }
 
 static bool
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -29,7 +29,7 @@
 /** Bit that marks request numbers of batch items. */
 #define JJ_REQUEST_ITEM (UINT64_C(1) << 62)
 /** Most services the batch half knows at once. */
-#define JJ_NODE_SERVICES_MAX 256
+#define JJ_NODE_SERVICES_MAX 64
 /** Locks that uploads share; more uploads than this rarely run at once. */
 #define JJ_NODE_UPLOAD_SHARDS 16
 
@@ -90,8 +90,11 @@
 	atomic_bool batch_idle;
 	atomic_bool ready; /**< a configuration is known */
 	GHashTable *hops; /**< spans by call; the control loop's own */
-	uint32_t batch_told; /**< limit told last; the control loop's own */
-	uint32_t batch_limit; /**< items out at once; the batch loop's own */
+	/** Batch shares told last; the control loop's own. */
+	jj_batch_share_t shares_told[JJ_NODE_SERVICES_MAX];
+	uint32_t share_told;
+	jj_batch_share_t shares[JJ_NODE_SERVICES_MAX]; /**< the batch loop's */
+	uint32_t share_count;
 	jj_ms_t next_look; /**< at servers' health; the control loop's own */
 	jj_ms_t next_upload_tick; /**< the batch loop's own */
 };
@@ -149,13 +152,16 @@
 void
 jj_node_post_job_change(jj_node_t *node, const char *key, uint64_t version);
 void jj_node_post_vm_lost(jj_node_t *node, const char *writer);
-void jj_node_post_batch_limit(jj_node_t *node, uint32_t limit);
+void jj_node_post_shares(
+    jj_node_t *node, const jj_batch_share_t *shares, uint32_t count);
 void jj_node_post_services(
     jj_node_t *node, const jj_node_service_t *services, size_t count);
 void jj_node_post_batch_leave(jj_node_t *node);
 void jj_node_post_bulk_result(jj_node_t *node, jj_platform_result_t *result);
 jj_ms_t jj_node_batch_next(void *node);
 void jj_node_batch_tick(void *node, jj_ms_t now);
+/** Items of a service that may be out, -1: no share of its servers. */
+int32_t jj_node_service_limit(void *node, const char *service);
 /** What the batch worker asks of a service. */
 bool jj_node_is_idempotent(void *node, const char *service);
 
--- a/src/daemon/node_batch.c
+++ b/src/daemon/node_batch.c
@@ -23,7 +23,7 @@
 	BATCH_ITEM_END,
 	BATCH_CHANGE,
 	BATCH_VM_LOST,
-	BATCH_ROOM,
+	BATCH_SHARES,
 	BATCH_SERVICES,
 	BATCH_LEAVE,
 	BATCH_RESULT,
@@ -46,6 +46,8 @@
 	jj_platform_result_t result;
 	jj_node_service_t *services;
 	size_t service_count;
+	jj_batch_share_t *shares;
+	uint32_t share_count;
 } batch_task_t;
 
 static void run_task(jj_task_t *, void *, jj_ms_t);
@@ -114,11 +116,14 @@
 }
 
 void
-jj_node_post_batch_limit(jj_node_t *node, uint32_t limit)
+jj_node_post_shares(
+    jj_node_t *node, const jj_batch_share_t *shares, uint32_t count)
 {
-	batch_task_t *task = create_task(BATCH_ROOM);
+	batch_task_t *task = create_task(BATCH_SHARES);
 
-	task->number = limit;
+	task->shares = jj_alloc((count + 1) * sizeof(*shares));
+	memcpy(task->shares, shares, count * sizeof(*shares));
+	task->share_count = count;
 	jj_loop_post(node->batch_loop, &task->task);
 }
 
@@ -180,6 +185,19 @@
 	atomic_store(&node->batch_idle, jj_batch_is_idle(node->batch));
 }
 
+int32_t
+jj_node_service_limit(void *ctx, const char *service)
+{
+	const jj_node_t *node = ctx;
+	uint32_t i;
+
+	for (i = 0; i < node->share_count; i++) {
+		if (strcmp(node->shares[i].service.text, service) == 0)
+			return (int32_t)node->shares[i].limit;
+	}
+	return -1;
+}
+
 bool
 jj_node_is_idempotent(void *ctx, const char *service)
 {
@@ -223,10 +241,10 @@
 	case BATCH_VM_LOST:
 		jj_batch_take_death(node->batch, task->text, now, &actions);
 		break;
-	case BATCH_ROOM:
-		node->batch_limit = (uint32_t)task->number;
-		update_room(node);
-		jj_batch_tick(node->batch, now, &actions);
+	case BATCH_SHARES:
+		node->share_count = task->share_count;
+		memcpy(node->shares, task->shares,
+		    task->share_count * sizeof(node->shares[0]));
 		break;
 	case BATCH_SERVICES:
 		take_services(node, task);
@@ -270,7 +288,8 @@
 		    task->chunk, now, out);
 		break;
 	case JJ_JOB_LIST:
-		jj_jobs_list(node->jobs, task->number, task->text, now, out);
+		jj_jobs_list(node->jobs, task->number,
+		    task->text[0] != '\0' ? task->text : NULL, now, out);
 		break;
 	}
 }
@@ -292,9 +311,12 @@
 update_room(jj_node_t *node)
 {
 	uint32_t running = jj_batch_counts(node->batch).items_running;
+	uint32_t limit = 0;
+	uint32_t i;
 
-	jj_batch_set_room(node->batch,
-	    node->batch_limit > running ? node->batch_limit - running : 0);
+	for (i = 0; i < node->share_count; i++)
+		limit += node->shares[i].limit;
+	jj_batch_set_room(node->batch, limit > running ? limit - running : 0);
 }
 
 static void
@@ -397,5 +419,6 @@
 	jj_bytes_free(&task->body);
 	jj_platform_result_clear(&task->result);
 	free(task->services);
+	free(task->shares);
 	free(task);
 }
--- a/src/daemon/node_callers.c
+++ b/src/daemon/node_callers.c
@@ -349,8 +349,8 @@
 		return;
 	}
 	after = jj_http_call_query(call, "after");
-	jj_node_post_job(node, JJ_JOB_LIST, pending->operation,
-	    after != NULL ? after : "", NULL, NULL, NULL, 0);
+	jj_node_post_job(
+	    node, JJ_JOB_LIST, pending->operation, after, NULL, NULL, NULL, 0);
 }
 
 /** ID, ID/cancel or ID/results below /v1/batches/. */
--- a/src/daemon/node_control.c
+++ b/src/daemon/node_control.c
@@ -516,11 +516,17 @@
 static void
 after_step(jj_node_t *node, jj_ms_t now)
 {
-	uint32_t limit = jj_core_batch_limit(node->core, now);
-
-	if (limit != node->batch_told) {
-		node->batch_told = limit;
-		jj_node_post_batch_limit(node, limit);
+	jj_batch_share_t shares[JJ_NODE_SERVICES_MAX];
+	uint32_t count;
+
+	memset(shares, 0, sizeof(shares));
+	count =
+	    jj_core_batch_shares(node->core, shares, JJ_NODE_SERVICES_MAX, now);
+	if (count != node->share_told ||
+	    memcmp(shares, node->shares_told, count * sizeof(shares[0])) != 0) {
+		node->share_told = count;
+		memcpy(node->shares_told, shares, count * sizeof(shares[0]));
+		jj_node_post_shares(node, shares, count);
 	}
 	atomic_store(&node->core_idle, jj_core_is_idle(node->core));
 }
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -33,6 +33,8 @@
 	bool assembles; /**< and is put together, not passed on */
 	bool first_told;
 	bool relayed;
+	bool resumes; /**< goes on with the stream of the attempt before */
+	bool resumable;
 	jj_sse_t sse;
 	char *body;
 	size_t size;
@@ -74,9 +76,9 @@
 static entry_t *lock_entry(jj_relay_t *, uint64_t, shard_t **);
 static void free_entry(void *);
 static attempt_t *
-create_attempt(jj_relay_t *, const entry_t *, const jj_backend_start_t *, bool);
-static void start_request(
-    shard_t *, entry_t *, attempt_t *, const jj_backend_start_t *, jj_ms_t);
+create_attempt(jj_relay_t *, entry_t *, const jj_backend_start_t *, bool);
+static void forget_stream(entry_t *);
+static void start_request(shard_t *, entry_t *, attempt_t *, jj_ms_t);
 static void on_head(void *, const jj_http_head_t *);
 static jj_http_flow_t on_data(void *, const char *, size_t);
 static jj_http_flow_t take_stream(attempt_t *, entry_t *, const char *, size_t);
@@ -84,7 +86,9 @@
 static bool pass_on(attempt_t *, entry_t *, bool);
 static void begin_stream(entry_t *);
 static void on_end(void *, jj_http_end_t, const jj_http_head_t *);
-static bool finish_stream(attempt_t *, entry_t *);
+static jj_backend_kind_t
+finish_stream(attempt_t *, entry_t *, jj_backend_kind_t);
+static bool assemble(attempt_t *, entry_t *);
 static jj_backend_kind_t
 judge(const attempt_t *, jj_http_end_t, const jj_http_head_t *);
 static jj_backend_kind_t
@@ -190,7 +194,7 @@
 		entry->exchange.idempotent = idempotent;
 		entry->attempt = start->attempt;
 		attempt = create_attempt(relay, entry, start, idempotent);
-		start_request(shard, entry, attempt, start, timeout_ms);
+		start_request(shard, entry, attempt, timeout_ms);
 	}
 	(void)apr_thread_mutex_unlock(shard->lock);
 }
@@ -274,13 +278,16 @@
 {
 	entry_t *entry = memory;
 
+	/* A forced stop: nobody will answer this call any more. */
+	if (entry->exchange.call != NULL)
+		jj_http_call_release(entry->exchange.call);
 	jj_exchange_clear(&entry->exchange);
 	jj_assembler_destroy(entry->assembler);
 	free(entry);
 }
 
 static attempt_t *
-create_attempt(jj_relay_t *relay, const entry_t *entry,
+create_attempt(jj_relay_t *relay, entry_t *entry,
     const jj_backend_start_t *start, bool idempotent)
 {
 	attempt_t *attempt = jj_alloc(sizeof(*attempt));
@@ -296,17 +303,29 @@
 	attempt->assembles = entry->assembler != NULL;
 	attempt->streams =
 	    exchange->is_model && (exchange->streams || attempt->assembles);
-	if (attempt->assembles && start->resume_from == 0)
-		jj_assembler_reset(entry->assembler);
+	attempt->resumes = start->resume_from > 0;
+	if (!attempt->resumes)
+		forget_stream(entry);
 	attempt->relayed = entry->begun;
 	jj_trace_begin(&attempt->span, &parent, JJ_HOP_BACKEND,
 	    start->server.text, jj_unix_now_ns());
 	return attempt;
 }
 
+/** A new stream begins: what is known of an earlier one is not of it. */
+static void
+forget_stream(entry_t *entry)
+{
+	entry->tokens = 0;
+	entry->stream[0] = '\0';
+	entry->boot[0] = '\0';
+	if (entry->assembler != NULL)
+		jj_assembler_reset(entry->assembler);
+}
+
 static void
-start_request(shard_t *shard, entry_t *entry, attempt_t *attempt,
-    const jj_backend_start_t *start, jj_ms_t timeout_ms)
+start_request(
+    shard_t *shard, entry_t *entry, attempt_t *attempt, jj_ms_t timeout_ms)
 {
 	const jj_exchange_t *exchange = &entry->exchange;
 	jj_http_request_t request = {0};
@@ -337,7 +356,8 @@
 	request.path = exchange->path.data;
 	request.body = exchange->body.data;
 	request.body_size = exchange->body.size;
-	if (start->resume_from > 0 && entry->stream[0] != '\0') {
+	/* Never the request itself: it has run once already. */
+	if (attempt->resumes) {
 		(void)snprintf(
 		    path, sizeof(path), "/v1/streams/%s/resume", entry->stream);
 		(void)snprintf(resume, sizeof(resume),
@@ -369,7 +389,9 @@
 	if (strncmp(head->content_type, "text/event-stream", 17) != 0)
 		attempt->streams = false;
 	entry = lock_entry(attempt->relay, attempt->request, &shard);
-	if (entry != NULL && entry->attempt == attempt->attempt) {
+	/* The refusal of a resume names no stream. */
+	if (entry != NULL && entry->attempt == attempt->attempt &&
+	    head->stream[0] != '\0') {
 		(void)snprintf(
 		    entry->stream, sizeof(entry->stream), "%s", head->stream);
 		(void)snprintf(
@@ -475,10 +497,11 @@
 	entry = lock_entry(attempt->relay, attempt->request, &shard);
 	if (entry != NULL && entry->attempt == attempt->attempt) {
 		is_current = true;
-		if (attempt->streams && !finish_stream(attempt, entry) &&
-		    kind == JJ_BACKEND_DONE)
-			kind = JJ_BACKEND_BROKEN;
+		kind = finish_stream(attempt, entry, kind);
 		entry->tokens += attempt->sse.total;
+		attempt->resumable = kind == JJ_BACKEND_BROKEN &&
+		    attempt->streams && !attempt->sse.too_long &&
+		    entry->stream[0] != '\0';
 		entry->attempt = 0;
 	}
 	(void)apr_thread_mutex_unlock(shard->lock);
@@ -510,21 +533,34 @@
 }
 
 /**
- * Passes the rest of a stream on.
- * @return false when its end mark is missing: it was truncated, however
- * cleanly its connection ended.
+ * Passes the rest of a stream on and corrects how its attempt ended: without
+ * the end mark it was truncated, however cleanly its connection ended; with
+ * it nothing is missing, however the connection ended.
  */
-static bool
-finish_stream(attempt_t *attempt, entry_t *entry)
+static jj_backend_kind_t
+finish_stream(attempt_t *attempt, entry_t *entry, jj_backend_kind_t kind)
 {
-	jj_bytes_t whole;
+	bool is_whole;
 
+	if (!attempt->streams)
+		return kind;
 	(void)pass_on(attempt, entry, true);
-	if (!attempt->sse.done || attempt->sse.too_long)
-		return false;
-	if (!attempt->assembles)
-		return true;
-	whole = jj_assembler_finish(entry->assembler);
+	is_whole = attempt->sse.done && !attempt->sse.too_long;
+	if (is_whole && attempt->assembles)
+		is_whole = assemble(attempt, entry);
+	if (is_whole && kind == JJ_BACKEND_BROKEN)
+		return JJ_BACKEND_DONE;
+	if (!is_whole && kind == JJ_BACKEND_DONE)
+		return JJ_BACKEND_BROKEN;
+	return kind;
+}
+
+/** Puts a streamed item's answer together; false when it is malformed. */
+static bool
+assemble(attempt_t *attempt, entry_t *entry)
+{
+	jj_bytes_t whole = jj_assembler_finish(entry->assembler);
+
 	attempt->body = whole.data;
 	attempt->size = whole.size;
 	(void)snprintf(attempt->content_type, sizeof(attempt->content_type),
@@ -560,9 +596,11 @@
 static jj_backend_kind_t
 judge_status(const attempt_t *attempt, const jj_http_head_t *head)
 {
-	(void)attempt;
 	if (head->status == 503 && head->leaving)
 		return JJ_BACKEND_LEAVING;
+	/* What a server says of a resume is not its answer to the request. */
+	if (attempt->resumes && (head->status != 200 || !attempt->streams))
+		return JJ_BACKEND_FAILED;
 	if (head->status >= 200 && head->status < 300)
 		return JJ_BACKEND_DONE;
 	if (head->status >= 400 && head->status < 500 && head->status != 408 &&
@@ -583,6 +621,7 @@
 	event.tokens = tokens;
 	event.retry_after_ms = retry_after_ms;
 	event.relayed = attempt->relayed;
+	event.resumable = attempt->resumable;
 	attempt->relay->port.on_event(
 	    attempt->relay->port.ctx, &event, whole, &attempt->server, suspect);
 }
--- a/tests/core/batch_fleet.h
+++ b/tests/core/batch_fleet.h
@@ -316,6 +316,18 @@
 		return has_ended();
 	}
 
+	/** Each round an event at each worker, and @p ms later the hints. */
+	void
+	run_rounds(int rounds, jj_ms_t ms)
+	{
+		for (int i = 0; i < rounds; i++) {
+			for (size_t w = 0; w < workers.size(); w++)
+				step(w);
+			now += ms;
+			deliver_hints();
+		}
+	}
+
 	void
 	deliver_hints()
 	{
@@ -328,8 +340,13 @@
 	bool
 	is_quiet(size_t index)
 	{
-		return workers[index]->running.empty() &&
-		    !FakePlatform::find_call(&workers[index]->actions);
+		return workers[index]->running.empty() && is_waiting(index);
+	}
+
+	bool
+	is_waiting(size_t index)
+	{
+		return !FakePlatform::find_call(&workers[index]->actions);
 	}
 
 	std::string
--- a/tests/core/batch_model_test.cc
+++ b/tests/core/batch_model_test.cc
@@ -100,6 +100,11 @@
 		apply(fleet, event);
 	bool ended = fleet.run_to_end();
 	fleet.check_outs();
+	for (int i = 0; i < 100 && fleet.platform.has(fleet.entry_key()); i++)
+		fleet.run_rounds(1, 1000);
+	if (fleet.platform.has(fleet.entry_key()))
+		ADD_FAILURE() << "the index entry stays, "
+			      << describe(scenario, prefix, events);
 	for (const std::string &what : fleet.broken)
 		ADD_FAILURE()
 		    << what << ", " << describe(scenario, prefix, events);
--- a/tests/core/batch_test.cc
+++ b/tests/core/batch_test.cc
@@ -153,8 +153,8 @@
 	struct {
 		const char *name;
 		int write; /**< which write loses its answer */
-	} const cases[] = {
-	    {"claim", 0}, {"start", 1}, {"out", 2}, {"done", 3}, {"close", 4}};
+	} const cases[] = {{"claim", 0}, {"start", 1}, {"out", 2}, {"done", 3},
+	    {"close", 4}, {"entry's deletion", 5}};
 
 	for (const auto &c : cases) {
 		for (Fault fault : {Fault::kLoseAnswer, Fault::kNoAnswer,
@@ -175,6 +175,10 @@
 			EXPECT_EQ(2, fleet.workers[0]->offered);
 			/* claim, start, out, done and close, none twice. */
 			EXPECT_EQ(objects + 5, fleet.platform.log.size());
+			/* Before the next listing would find the entry. */
+			fleet.run_rounds(30, 100);
+			EXPECT_FALSE(fleet.platform.has(fleet.entry_key()));
+			EXPECT_LE(fleet.platform.writes, 8);
 			expect_sound(fleet);
 		}
 	}
@@ -420,6 +424,155 @@
 	EXPECT_EQ("completed", fleet.job_state());
 }
 
+/*
+ * Each VM reads a job that ended days ago at each listing: the VM that
+ * closed it was lost before it deleted the index entry, and the others
+ * remember the job as ended. Whoever lists the entry deletes it.
+ */
+TEST(BatchIndex, EntryOfAnEndedJobIsDeletedByAnybody)
+{
+	for (bool remembers : {true, false}) {
+		SCOPED_TRACE(remembers);
+		Fleet fleet(Rows{{true}});
+
+		settle(fleet, 0);
+		settle(fleet, 1);
+		fleet.end(0, JJ_ITEM_DONE);
+		while (fleet.job_state() == "running")
+			fleet.call(0);
+		if (remembers)
+			fleet.change(1, fleet.job_key());
+		settle(fleet, 1);
+		fleet.kill(0);
+		fleet.workers.erase(fleet.workers.begin());
+		if (!remembers)
+			fleet.kill(0);
+		ASSERT_TRUE(fleet.platform.has(fleet.entry_key()));
+		fleet.run_rounds(100, 1000);
+		EXPECT_FALSE(fleet.platform.has(fleet.entry_key()));
+		EXPECT_TRUE(fleet.has_ended());
+	}
+}
+
+/*
+ * A caller's job never runs, or workers read for ever what is not there: a
+ * VM is lost, or slow, between the index entry and its job. An entry without
+ * a job is deleted, after far longer than a submission may take.
+ */
+TEST(BatchIndex, OrphanIsKeptForItsGrace)
+{
+	struct {
+		const char *name;
+		int job_after_s; /**< the job is there then; 0: never */
+		int renewed_after_s; /**< a resend writes the entry anew */
+		int seconds;
+		bool entry;
+	} const cases[] = {
+	    {"within the grace", 0, 0, 590, true},
+	    {"after the grace", 0, 0, 700, false},
+	    {"job comes late", 5, 0, 120, false},
+	    {"job comes much later", 300, 0, 900, false},
+	    {"submitted again", 0, 500, 1000, true},
+	    {"submitted again, then not", 0, 500, 1300, false},
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		Fleet fleet(Rows{{true}});
+		FakePlatform::Object job =
+		    fleet.platform.objects[fleet.job_key()];
+		int reads = 0;
+
+		fleet.platform.objects.erase(fleet.job_key());
+		fleet.platform.before = [&](const jj_platform_call_t &call) {
+			reads += call.op == JJ_PLATFORM_GET;
+		};
+		for (int s = 0; s < c.seconds; s++) {
+			if (c.renewed_after_s > 0 && s == c.renewed_after_s)
+				fleet.platform.put(fleet.entry_key(), "{}");
+			if (c.job_after_s > 0 && s == c.job_after_s)
+				fleet.platform.put(fleet.job_key(), job.value);
+			for (int i = 0; i < 20; i++)
+				fleet.run_rounds(1, 50);
+		}
+		EXPECT_EQ(c.entry, fleet.platform.has(fleet.entry_key()));
+		if (c.job_after_s > 0)
+			EXPECT_EQ("completed", fleet.job_state());
+		else
+			EXPECT_LE(reads, 2 * 12);
+	}
+}
+
+/*
+ * A worker read the job as absent and deletes its entry; a submission that
+ * came upon that entry wrote it anew in between, and its job would be found
+ * by nobody. The deletion names the version that was read.
+ */
+TEST(BatchIndex, OrphanThatIsWrittenAnewStays)
+{
+	Fleet fleet(Rows{{true}}, 1);
+	std::string job = fleet.platform.objects[fleet.job_key()].value;
+	bool raced = false;
+
+	fleet.platform.objects.erase(fleet.job_key());
+	fleet.platform.before = [&](const jj_platform_call_t &call) {
+		if (call.op != JJ_PLATFORM_DELETE || raced)
+			return;
+		raced = true;
+		fleet.platform.put(fleet.entry_key(), "{}");
+		fleet.platform.put(fleet.job_key(), job);
+	};
+	fleet.run_rounds(8000, 100);
+	EXPECT_TRUE(raced);
+	EXPECT_EQ("completed", fleet.job_state());
+	expect_sound(fleet);
+}
+
+/*
+ * The watch relay lost events: a new job waits for the next listing, half a
+ * minute away. Told of the loss, the worker lists soon; so too when the loss
+ * is told during a listing.
+ */
+TEST(BatchIndex, IsListedSoonAfterLostEvents)
+{
+	for (bool during : {false, true}) {
+		SCOPED_TRACE(during);
+		Fleet fleet(Rows{{true}}, 1);
+		FakePlatform full = fleet.platform;
+
+		fleet.platform.objects.erase(fleet.job_key());
+		fleet.platform.objects.erase(fleet.entry_key());
+		fleet.tick(0);
+		if (!during)
+			settle(fleet, 0);
+		jj_batch_take_change(fleet.workers[0]->batch, "", 0, fleet.now,
+		    &fleet.workers[0]->actions);
+		settle(fleet, 0);
+		fleet.platform.objects = full.objects;
+		fleet.run_rounds(30, 100);
+		EXPECT_EQ(1, fleet.workers[0]->offered);
+	}
+}
+
+/* All VMs were started at once; their listings must not stay in step. */
+TEST(BatchIndex, ListingsAreSpread)
+{
+	Fleet fleet(Rows{{true}}, 100);
+	std::map<jj_ms_t, int> lists;
+
+	for (auto &worker : fleet.workers)
+		worker->room = 0;
+	fleet.platform.before = [&](const jj_platform_call_t &call) {
+		if (strcmp(call.key, JJ_ACTIVE_PREFIX) == 0)
+			lists[fleet.now / 1000]++;
+	};
+	fleet.run_rounds(1000, 100);
+	ASSERT_GE(lists.size(), 60u);
+	EXPECT_EQ(100, lists[1]) << "the first, at the start";
+	for (const auto &entry : lists)
+		EXPECT_LE(entry.second, entry.first == 1 ? 100 : 15);
+}
+
 /*
  * Story 8: the platform is down for an hour while batch runs. Finished work
  * is kept and published once the platform is back, nothing is run again,
@@ -656,4 +809,33 @@
 		jj_result_clear(&result);
 }
 
+/** Shares of one service only, as a steward of that service's servers has. */
+int32_t
+only(void *service, const char *asked)
+{
+	return strcmp(asked, (const char *)service) == 0 ? 4 : -1;
+}
+
+/*
+ * A job with prompts and bookings never ends although all VMs are idle. Its
+ * chunk is held by a VM that is steward of the engine only: the bookings find
+ * no room there, its lease is renewed for ever, and the VM that could run
+ * them never gets the chunk.
+ */
+TEST(BatchShare, ChunkGoesToTheVmThatHasAShareInItsRest)
+{
+	Fleet fleet(Rows{{true, false, true, false}, {false, true}});
+	char prompts[] = "narrador";
+	char bookings[] = "ordini";
+
+	jj_batch_set_limits(fleet.workers[0]->batch, only, prompts);
+	jj_batch_set_limits(fleet.workers[1]->batch, only, bookings);
+	EXPECT_TRUE(fleet.run_to_end());
+	expect_sound(fleet);
+	for (uint32_t chunk = 0; chunk < 2; chunk++) {
+		for (size_t i = 0; i < fleet.chunks[chunk].size(); i++)
+			EXPECT_EQ("", fleet.code(chunk, i));
+	}
+}
+
 } // namespace
--- a/tests/core/dispatch_test.cc
+++ b/tests/core/dispatch_test.cc
@@ -263,7 +263,8 @@
 		jj_name_t from = Name("vm-b");
 		jj_load_t load = {};
 
-		load.server = Name("server-" + std::to_string(server));
+		jj_name_t name = Name("server-" + std::to_string(server));
+		load.server = jj_dispatch_hash_server(&name);
 		load.online = online;
 		load.batch = batch;
 		jj_dispatch_take_loads(dispatch, &from, &load, 1, now);
--- a/tests/core/job_test.cc
+++ b/tests/core/job_test.cc
@@ -192,6 +192,15 @@
 			    object.first.find("/job") == 29;
 		return count;
 	}
+	static int
+	entry_count(const FakePlatform &on)
+	{
+		int count = 0;
+
+		for (const auto &object : on.objects)
+			count += object.first.find("active/") == 0;
+		return count;
+	}
 	/** Ends the job as a batch worker does; false when it has ended. */
 	bool
 	finish(const std::string &id)
@@ -204,8 +213,10 @@
 		jj_bytes_free(&value);
 		bool ended = jj_job_finish(&job, 1000, 7);
 		value = jj_job_encode(&job, "vm-9/1");
-		if (ended)
+		if (ended) {
 			platform.put("jobs/" + id + "/job", value.data);
+			platform.objects.erase("active/" + id);
+		}
 		jj_bytes_free(&value);
 		jj_job_clear(&job);
 		return ended;
@@ -229,22 +240,35 @@
 		int jobs;
 	} cases[] = {
 	    {"no fault", {}, {}, F::kNone, 200, "", 1},
-	    {"answer lost", {F::kLoseAnswer}, {}, F::kNone, 200, "", 1},
-	    {"no answer, not done", {F::kNoAnswer}, {}, F::kNone, 200, "", 1},
-	    {"not done, then lost", {F::kNoAnswer, F::kLoseAnswer}, {},
+	    {"answer lost", {F::kNone, F::kLoseAnswer}, {}, F::kNone, 200, "",
+		1},
+	    {"no answer, not done", {F::kNone, F::kNoAnswer}, {}, F::kNone, 200,
+		"", 1},
+	    {"not done, then lost", {F::kNone, F::kNoAnswer, F::kLoseAnswer},
+		{}, F::kNone, 200, "", 1},
+	    {"repeated below us", {F::kNone, F::kConflict}, {}, F::kNone, 200,
+		"", 1},
+	    {"entry's answer lost", {F::kLoseAnswer}, {}, F::kNone, 200, "", 1},
+	    {"entry not done, then lost", {F::kNoAnswer, F::kLoseAnswer}, {},
+		F::kNone, 200, "", 1},
+	    {"entry repeated below us", {F::kConflict}, {}, F::kNone, 200, "",
+		1},
+	    {"both answers lost", {F::kLoseAnswer, F::kLoseAnswer}, {},
 		F::kNone, 200, "", 1},
-	    {"repeated below us", {F::kConflict}, {}, F::kNone, 200, "", 1},
 	    {"refused, limited", {F::kRefuse, F::kLimit}, {F::kRefuse},
 		F::kNone, 200, "", 1},
 	    {"outage from the start", {}, {}, F::kRefuse, 503, "not_run", 0},
 	    {"hanging from the start", {}, {}, F::kNoAnswer, 503, "not_run", 0},
 	    {"writes refused", kManyRefused, {}, F::kNone, 503, "not_run", 0},
-	    {"lost, then an outage", {F::kLoseAnswer},
-		{F::kNone, F::kRefuse, F::kRefuse, F::kRefuse}, F::kNone, 503,
-		"unknown", 1},
+	    {"lost, then an outage", {F::kNone, F::kLoseAnswer},
+		{F::kNone, F::kNone, F::kRefuse, F::kRefuse, F::kRefuse},
+		F::kNone, 503, "unknown", 1},
 	    {"not done, then an outage",
-		{F::kNoAnswer, F::kRefuse, F::kRefuse, F::kRefuse}, {},
-		F::kNone, 503, "unknown", 0},
+		{F::kNone, F::kNoAnswer, F::kRefuse, F::kRefuse, F::kRefuse},
+		{}, F::kNone, 503, "unknown", 0},
+	    {"entry lost, then an outage", {F::kLoseAnswer},
+		{F::kNone, F::kNone, F::kRefuse, F::kRefuse, F::kRefuse},
+		F::kNone, 503, "not_run", 0},
 	};
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
@@ -257,6 +281,8 @@
 		EXPECT_EQ(answer.status, c.status) << answer.text;
 		EXPECT_EQ(answer.field("run"), c.run);
 		EXPECT_EQ(job_count(fresh), c.jobs);
+		EXPECT_LE(job_count(fresh), entry_count(fresh))
+		    << "a job that no worker finds";
 		if (c.status == 503) {
 			EXPECT_EQ(answer.field("code"), "platform_unavailable");
 			EXPECT_EQ(answer.retry_after, 2000);
@@ -268,6 +294,7 @@
 			Vm second(fresh, 4);
 			EXPECT_EQ(second.submit(request()).status, 200);
 			EXPECT_EQ(job_count(fresh), 1);
+			EXPECT_EQ(entry_count(fresh), 1);
 		}
 	}
 }
@@ -276,13 +303,15 @@
 TEST_F(Jobs, AnswersOnlyWhatIsDurable)
 {
 	vm.begin_submit(request());
-	for (int calls = 0; calls < 2; calls++) {
+	/* The file, is there such a job, its index entry, the job. */
+	for (int calls = 0; calls < 4; calls++) {
 		Answer early;
 		EXPECT_FALSE(vm.take(&early));
 		jj_action_t *action = FakePlatform::find_call(&vm.actions);
 		ASSERT_NE(action, nullptr);
 		TAILQ_REMOVE(&vm.actions, action, link);
 		EXPECT_EQ(job_count(), 0);
+		EXPECT_EQ(entry_count(platform), calls == 3 ? 1 : 0);
 		jj_platform_result_t result =
 		    platform.execute(action->body.platform);
 		jj_action_free(action);
@@ -377,9 +406,109 @@
 /* Without a key, only the write's own id tells a lost answer's job. */
 TEST_F(Jobs, WithoutAKeyKnowsItsOwnWrite)
 {
-	platform.next_writes = {F::kLoseAnswer};
+	platform.next_writes = {F::kNone, F::kLoseAnswer};
 	EXPECT_EQ(vm.submit(request(), nullptr).status, 200);
 	EXPECT_EQ(job_count(), 1);
+	platform.next_writes = {F::kLoseAnswer, F::kNone};
+	EXPECT_EQ(vm.submit(request(), nullptr).status, 200);
+	EXPECT_EQ(job_count(), 2);
+}
+
+/*
+ * Each worker reads what the index of active jobs names. A client resends a
+ * job for days: were each resend of an ended job to enter it again, the
+ * workers would read it again and again. What a submission costs, too.
+ */
+TEST_F(Jobs, EntersOnlyActiveJobsIntoTheIndex)
+{
+	const struct {
+		const char *name, *key;
+		bool resend, ended, cancelled;
+		int writes, reads, entries;
+	} cases[] = {
+	    {"new", "k", false, false, false, 2, 2, 1},
+	    {"new, no key", nullptr, false, false, false, 2, 1, 1},
+	    {"resend while it runs", "k", true, false, false, 2, 3, 1},
+	    {"resend after the end", "k", true, true, false, 0, 2, 0},
+	    {"resend, cancelled, not counted", "k", true, false, true, 2, 3, 1},
+	};
+	const FakePlatform start = platform;
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		platform = start;
+		if (c.resend) {
+			std::string id = vm.submit(request()).field("id");
+			if (c.ended) {
+				EXPECT_TRUE(finish(id));
+			}
+			if (c.cancelled) {
+				EXPECT_EQ(vm.cancel(id).status, 200);
+			}
+		}
+		platform.writes = platform.reads = 0;
+		EXPECT_EQ(other.submit(request(), c.key).status, 200);
+		EXPECT_EQ(platform.writes, c.writes);
+		EXPECT_EQ(platform.reads, c.reads);
+		EXPECT_EQ(entry_count(platform), c.entries);
+	}
+}
+
+/*
+ * A caller holds an acknowledgment of a job that never runs. Its submission
+ * came upon the entry of an earlier one whose VM was lost; a worker, for
+ * which that entry was an orphan, deleted it while the job was created.
+ */
+TEST_F(Jobs, AnOldEntryIsWrittenAnewBeforeTheJob)
+{
+	std::string id = vm.submit(request()).field("id");
+	std::string entry = "active/" + id;
+
+	for (bool deleted_first : {false, true}) {
+		SCOPED_TRACE(deleted_first);
+		platform.objects.erase("jobs/" + id + "/job");
+		uint64_t seen = platform.objects[entry].version;
+		bool done = false;
+		platform.before = [&](const jj_platform_call_t &call) {
+			bool update = call.op == JJ_PLATFORM_UPDATE;
+			bool job =
+			    call.op == JJ_PLATFORM_CREATE && call.key != entry;
+			if (done || !(deleted_first ? update : job))
+				return;
+			done = true;
+			/* The worker's deletion names what it saw. */
+			if (platform.objects[entry].version == seen)
+				platform.objects.erase(entry);
+		};
+		EXPECT_EQ(other.submit(request()).status, 200);
+		EXPECT_TRUE(done);
+		EXPECT_TRUE(platform.has(entry));
+		EXPECT_EQ(job_count(), 1);
+		platform.before = nullptr;
+	}
+}
+
+/*
+ * As above: a VM is frozen between its entry and its job for longer than an
+ * entry without a job is kept. It wakes and must create no job unseen by the
+ * workers; if it did so before it was frozen, a resend must look after the
+ * entry.
+ */
+TEST_F(Jobs, FrozenBetweenEntryAndJobCreatesNothing)
+{
+	platform.before = [&](const jj_platform_call_t &call) {
+		if (std::string(call.key).find("active/") == 0)
+			vm.now = 700000;
+	};
+	vm.begin_submit(request());
+	Answer answer = vm.run();
+	EXPECT_EQ(answer.status, 503);
+	EXPECT_EQ(answer.field("run"), "not_run");
+	EXPECT_EQ(job_count(), 0);
+	platform.before = nullptr;
+	std::string id = other.submit(request()).field("id");
+	platform.objects.erase("active/" + id);
+	EXPECT_EQ(vm.submit(request()).field("id"), id);
+	EXPECT_EQ(entry_count(platform), 1);
 }
 
 /*
@@ -389,23 +518,24 @@
  */
 TEST_F(Jobs, GivesUpAtTheDeadline)
 {
-	for (int calls = 0; calls < 2; calls++) {
+	for (int calls = 0; calls < 4; calls++) {
 		SCOPED_TRACE(calls);
-		Vm one(platform, 10 + calls);
+		FakePlatform fresh = platform;
+		Vm one(fresh, 10 + calls);
 		Answer answer;
 		one.begin_submit(request());
 		jj_action_t *action = FakePlatform::find_call(&one.actions);
 		for (int at = 0; at < calls; at++) {
 			TAILQ_REMOVE(&one.actions, action, link);
 			jj_platform_result_t result =
-			    platform.execute(action->body.platform);
+			    fresh.execute(action->body.platform);
 			jj_action_free(action);
 			jj_jobs_take_result(one.jobs, &result, 0, &one.actions);
 			jj_platform_result_clear(&result);
 			action = FakePlatform::find_call(&one.actions);
 		}
 		jj_platform_result_t late =
-		    platform.execute(action->body.platform);
+		    fresh.execute(action->body.platform);
 		jj_actions_clear(&one.actions);
 		EXPECT_EQ(jj_jobs_next(one.jobs), 8000);
 		jj_jobs_tick(one.jobs, 7999, &one.actions);
@@ -414,7 +544,7 @@
 		ASSERT_TRUE(one.take(&answer));
 		EXPECT_EQ(answer.status, 503);
 		EXPECT_EQ(
-		    answer.field("run"), calls == 1 ? "unknown" : "not_run");
+		    answer.field("run"), calls == 3 ? "unknown" : "not_run");
 		jj_jobs_status(one.jobs, 79, kFile, 8000, &one.actions);
 		jj_jobs_take_result(one.jobs, &late, 8000, &one.actions);
 		Answer wrong;
