Let the news of a death spread before its requests run again

Ruled out: counting the deaths (each was counted where it was seen).

Change: what ran on a dead server waits 30 ms before it is tried again; a new request that looks like one with a strike rests 300 ms; speakers carry crash reports and servers' states between domains.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -39,6 +39,8 @@
 #define WITHHELD_MOST 4
 /** An unchanged VM list is told to the domain again after, ms. */
 #define LIST_TELL_MS 60000
+/** A request like one that crashed a server rests so long, ms. */
+#define SUSPECT_REST_MS 300
 /** Told with refusals of calls, ms. */
 #define CALL_RETRY_AFTER_MS 1000
 
@@ -62,50 +64,21 @@
 static void
 take_backend(jj_core_t *, const jj_event_t *, jj_ms_t, jj_actions_t *);
 static void
-take_server_state(jj_core_t *, const jj_event_t *, jj_ms_t, jj_actions_t *);
-static void end_call(jj_core_t *, uint64_t, jj_call_outcome_t, int,
-    const jj_bytes_t *, jj_ms_t, jj_ms_t, jj_actions_t *);
-static void settle(jj_core_t *, jj_ms_t, jj_actions_t *);
-static void
-end_refused_call(jj_core_t *, const jj_answer_t *, jj_ms_t, jj_actions_t *);
-static void spread_config(jj_core_t *, jj_actions_t *);
-static bool is_abroad(const jj_core_t *, const jj_name_t *);
-static void tell_vm_list(
-    jj_core_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
-static void send_config(jj_core_t *, const jj_name_t *, jj_actions_t *);
-static void tell_domain(jj_core_t *, jj_message_kind_t, uint64_t,
-    const jj_bytes_t *, jj_actions_t *);
-static void
-take_vm_list(jj_core_t *, const jj_bytes_t *, jj_ms_t, jj_actions_t *);
-static void
-learn_listed_vm(void *, const jj_name_t *, const jj_name_t *, const char *);
-static void take_job_events(jj_core_t *, const jj_bytes_t *, jj_actions_t *);
-static jj_bytes_t encode_job_events(const jj_platform_result_t *);
-static void add_job_change(jj_actions_t *, const char *, uint64_t);
-static void wish_models(jj_core_t *, jj_ms_t);
-static void pass_crash_on(jj_core_t *, const jj_message_t *, jj_actions_t *);
-static void notice_lost_vms(jj_core_t *, jj_actions_t *);
-static void refuse_request(jj_actions_t *, uint64_t, jj_give_up_t);
-static void refuse_unknown_key(jj_actions_t *, uint64_t);
-static void stamp_messages(jj_core_t *, jj_actions_t *);
-static jj_ms_t earlier(jj_ms_t, jj_ms_t);
-
-jj_core_t *
-jj_core_create(const jj_core_settings_t *settings)
-{
-	jj_core_t *core = jj_alloc(sizeof(*core));
-	jj_watch_settings_t config_watch = {JJ_OWNER_MEMBER, TOKEN_WATCH_CONFIG,
-	    "config/", WATCH_WAIT_MS, WATCH_CONFIG_SPACING_MS,
-	    WATCH_BACKOFF_MS};
-	jj_watch_settings_t jobs_watch = {JJ_OWNER_MEMBER, TOKEN_WATCH_JOBS,
-	    "jobs/", WATCH_WAIT_MS, WATCH_JOBS_SPACING_MS, WATCH_BACKOFF_MS};
-
-	core->settings = *settings;
-	core->last_request = JJ_REQUEST_INTERNAL;
-	jj_watch_init(&core->config_watch, &config_watch);
-	jj_watch_init(&core->jobs_watch, &jobs_watch);
-	create_modules(core);
-	return core;
+take_server_state(
+    jj_core_t *core, const jj_event_t *event, jj_ms_t now, jj_actions_t *out)
+{
+	jj_message_t news = {.kind = JJ_MESSAGE_SERVER_STATE};
+	bool is_news = false;
+
+	jj_fleet_note(core->fleet, &event->body.server.server,
+	    event->body.server.state, event->body.server.boot, now, out,
+	    &is_news);
+	if (!is_news)
+		return;
+	news.body.server.server = event->body.server.server;
+	news.body.server.boot = event->body.server.boot;
+	news.body.server.state = event->body.server.state;
+	tell_news(core, &news, true, jj_member_is_speaker(core->member), out);
 }
 
 void
@@ -117,6 +90,7 @@
 	jj_lease_destroy(core->lease);
 	jj_calls_destroy(core->calls);
 	jj_ledger_destroy(core->ledger);
+	jj_suspects_destroy(core->suspects);
 	jj_withheld_destroy(core->withheld);
 	jj_dispatch_destroy(core->dispatch);
 	jj_config_destroy(core->config);
@@ -164,7 +138,9 @@
 		break;
 	case JJ_EVENT_GONE:
 		if (!jj_withheld_remove(
-			core->withheld, event->body.request_gone))
+			core->withheld, event->body.request_gone) &&
+		    !jj_suspects_remove(
+			core->suspects, event->body.request_gone))
 			jj_dispatch_cancel(
 			    core->dispatch, event->body.request_gone, now, out);
 		break;
@@ -209,6 +185,7 @@
 		jj_lease_want(core->lease, false, now, out);
 		break;
 	}
+	jj_suspects_tick(core->suspects, core->dispatch, now, out);
 	jj_withheld_pump(core->withheld, core->dispatch, now, out);
 	settle(core, now, out);
 	stamp_messages(core, out);
@@ -229,6 +206,7 @@
 	next = earlier(next, jj_orders_next(core->orders));
 	next = earlier(next, jj_watch_next(&core->config_watch));
 	next = earlier(next, jj_watch_next(&core->jobs_watch));
+	next = earlier(next, jj_suspects_next(core->suspects));
 	if (jj_withheld_count(core->withheld) > 0)
 		next = earlier(next, core->last_tick + WITHHELD_TICK_MS);
 	return next;
@@ -237,7 +215,8 @@
 bool
 jj_core_is_idle(const jj_core_t *core)
 {
-	return jj_dispatch_in_flight(core->dispatch, JJ_CLASS_ONLINE) == 0 &&
+	return jj_suspects_next(core->suspects) == JJ_MS_NEVER &&
+	    jj_dispatch_in_flight(core->dispatch, JJ_CLASS_ONLINE) == 0 &&
 	    jj_dispatch_in_flight(core->dispatch, JJ_CLASS_BATCH) == 0 &&
 	    jj_ledger_is_idle(core->ledger) && jj_calls_is_idle(core->calls);
 }
@@ -302,6 +281,7 @@
 	core->dispatch = jj_dispatch_create(&settings->dispatch, core->config,
 	    core->fleet, core->member, core->quarantine);
 	core->withheld = jj_withheld_create();
+	core->suspects = jj_suspects_create(SUSPECT_REST_MS);
 	core->ledger = jj_ledger_create(&settings->ledger, &port);
 	core->calls = jj_calls_create(&calls, core->ledger, core->member);
 	core->lease = jj_lease_create(&settings->lease);
@@ -450,10 +430,11 @@
 	case JJ_MESSAGE_CRASH:
 		jj_quarantine_take_crash(
 		    core->quarantine, &message->body.crash, now, out);
-		pass_crash_on(core, message, out);
+		pass_on(core, message, out);
 		break;
 	case JJ_MESSAGE_SERVER_STATE:
 		jj_fleet_take_notice(core->fleet, &message->body.server, now);
+		pass_on(core, message, out);
 		break;
 	case JJ_MESSAGE_JOBS:
 		take_job_events(core, &message->body.jobs.events, out);
@@ -533,7 +514,7 @@
 	}
 	news = jj_watch_take_result(&core->jobs_watch, result, now);
 	if (news == JJ_WATCH_LOST)
-		add_job_change(out, "", 0);
+		tell_lost_job_events(core, result->version, out);
 	if (news != JJ_WATCH_EVENTS)
 		return;
 	for (i = 0; i < result->item_count; i++)
@@ -570,6 +551,9 @@
 	}
 	if (request.class_of == JJ_CLASS_BATCH && !core->leaving)
 		jj_withheld_add(core->withheld, &request);
+	else if (jj_quarantine_check(core->quarantine, request.fingerprint,
+		     now) == JJ_QUARANTINE_SUSPECT)
+		jj_suspects_add(core->suspects, &request, now);
 	else
 		jj_dispatch_begin(core->dispatch, &request, now, out);
 }
@@ -833,6 +817,18 @@
 	json_decref(array);
 }
 
+/** Events were lost: each VM of the domain looks at the active jobs. */
+static void
+tell_lost_job_events(jj_core_t *core, uint64_t revision, jj_actions_t *out)
+{
+	jj_bytes_t events =
+	    jj_bytes_from_text("[{\"key\":\"\",\"version\":0}]");
+
+	add_job_change(out, "", 0);
+	tell_domain(core, JJ_MESSAGE_JOBS, revision, &events, out);
+	jj_bytes_free(&events);
+}
+
 static void
 add_job_change(jj_actions_t *out, const char *key, uint64_t version)
 {
@@ -869,29 +865,44 @@
 }
 
 /**
- * Speakers carry crash reports between domains: out of their own to the
- * others, and from abroad to their own. So a request that kills servers is
- * known everywhere after its second victim, wherever it is resent.
+ * Speakers carry news of backend servers between domains: out of their own to
+ * the others, and from abroad to their own. So a request that kills servers
+ * is known everywhere after its second victim, wherever it is resent, and a
+ * server that leaves is spared by all.
  */
 static void
-pass_crash_on(jj_core_t *core, const jj_message_t *message, jj_actions_t *out)
+pass_on(jj_core_t *core, const jj_message_t *message, jj_actions_t *out)
+{
+	if (!jj_member_is_speaker(core->member))
+		return;
+	if (is_abroad(core, &message->from))
+		tell_news(core, message, true, false, out);
+	else
+		tell_news(core, message, false, true, out);
+}
+
+/** Sends a crash or a server's state to live VMs. */
+static void
+tell_news(jj_core_t *core, const jj_message_t *message, bool domain,
+    bool abroad, jj_actions_t *out)
 {
 	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
 	size_t count = jj_member_list_all(core->member, infos, JJ_MEMBERS_MAX);
-	const jj_member_info_t *from =
-	    jj_member_find(core->member, &message->from);
-	bool inbound = from != NULL &&
-	    !jj_name_equal(&from->domain, &core->settings.domain);
+	jj_message_t *copy;
 	bool own;
 	size_t i;
 
-	for (i = 0; i < count && jj_member_is_speaker(core->member); i++) {
+	for (i = 0; i < count; i++) {
 		own = jj_name_equal(&infos[i].domain, &core->settings.domain);
-		if (!infos[i].live || own != inbound ||
+		if (!infos[i].live || !(own ? domain : abroad) ||
 		    jj_name_equal(&infos[i].name, &core->settings.name))
 			continue;
-		jj_actions_add_message(out, &infos[i].name, JJ_MESSAGE_CRASH)
-		    ->body.crash = message->body.crash;
+		copy =
+		    jj_actions_add_message(out, &infos[i].name, message->kind);
+		if (message->kind == JJ_MESSAGE_CRASH)
+			copy->body.crash = message->body.crash;
+		else
+			copy->body.server = message->body.server;
 	}
 	free(infos);
 }
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -7,6 +7,7 @@
 
 #include "core/calls.h"
 #include "core/core.h"
+#include "core/suspects.h"
 #include "core/watch.h"
 #include "core/withheld.h"
 
@@ -31,6 +32,7 @@
 	jj_config_t *config;
 	jj_dispatch_t *dispatch;
 	jj_withheld_t *withheld;
+	jj_suspects_t *suspects;
 	jj_ledger_t *ledger;
 	jj_calls_t *calls;
 	jj_lease_t *lease;
--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -8,6 +8,8 @@
 
 /* A death is noticed and told within this. */
 #define CRASH_WAIT_MS 500
+/* The word of a death is with all VMs, also abroad, after so long. */
+#define CRASH_SPREAD_MS 30
 #define DEFAULT_ATTEMPTS 3
 /* A server's own Retry-After is believed up to this. */
 #define REST_MOST_MS 5000
@@ -41,7 +43,13 @@
 	entry->avoid = entry->server->name;
 	jj_dispatch_leave_server(dispatch, entry);
 	entry->may_have_run |= began;
-	entry->failures += event->kind != JJ_BACKEND_LEAVING;
+	/*
+	 * Two servers that die at the same time are met one after the other:
+	 * one that is found dead must not use up an attempt. It is down from
+	 * now on, so that none is met twice.
+	 */
+	entry->failures += event->kind != JJ_BACKEND_LEAVING &&
+	    event->kind != JJ_BACKEND_NOT_SENT;
 	/* A stream that could not be resumed had broken before. */
 	if (event->kind == JJ_BACKEND_BROKEN || entry->resuming)
 		note_break(entry, now);
@@ -199,8 +207,9 @@
 {
 	entry->suspect = true;
 	entry->breaks++;
-	if (entry->breaks > 1)
-		entry->hold_until_ms = now + CRASH_WAIT_MS;
+	/* By then a resend of it at another VM is a suspect there, too. */
+	entry->hold_until_ms =
+	    now + (entry->breaks > 1 ? CRASH_WAIT_MS : CRASH_SPREAD_MS);
 }
 
 /*
--- a/src/core/dispatch_send.c
+++ b/src/core/dispatch_send.c
@@ -5,8 +5,8 @@
  */
 #include "core/dispatch_state.h"
 
-/* A suspect waits so long for a server of which this VM is steward. */
-#define SUSPECT_WAIT_MS 1000
+/* A suspect waits so long for one of the servers that are open to this VM. */
+#define SUSPECT_TURN_MS 500
 /* Used where the configuration leaves it open. */
 #define DEFAULT_QUEUE_LIMIT 256
 #define DEFAULT_SLOTS 32
@@ -189,12 +189,12 @@
 choose(jj_dispatch_t *dispatch, jj_entry_t *entry, jj_ms_t now)
 {
 	jj_service_queue_t *service = entry->service;
+	jj_member_info_t infos[VMS_MAX];
 	jj_server_need_t need = {0};
 	jj_server_view_t *view;
 
 	need.request = &entry->request;
 	need.suspect = entry->suspect;
-	need.anywhere = now - entry->queued_ms >= SUSPECT_WAIT_MS;
 	need.salt = dispatch->settings.seed ^ entry->request.request;
 	need.online_most = service->settings.server_slots;
 	if (need.online_most == 0)
@@ -204,6 +204,14 @@
 		dispatch->vms);
 	if (!jj_name_is_empty(&entry->avoid))
 		need.avoid = &entry->avoid;
+	if (entry->suspect) {
+		need.turn =
+		    (uint32_t)((now - entry->queued_ms) / SUSPECT_TURN_MS);
+		need.self = &dispatch->settings.name;
+		need.vms = infos;
+		need.vm_count = jj_member_list(dispatch->member,
+		    &dispatch->settings.domain, infos, VMS_MAX);
+	}
 	/* Another VM's notice may be newer than the view: look again. */
 	while ((view = jj_server_choose_online(
 		    &service->servers, &need, now)) != NULL) {
--- a/src/core/dispatch_server.c
+++ b/src/core/dispatch_server.c
@@ -32,6 +32,7 @@
 static double spread(const jj_server_view_t *, const jj_server_need_t *);
 static bool is_full(const jj_server_view_t *, const jj_server_need_t *);
 static bool fits_suspect(const jj_server_view_t *, const jj_server_need_t *);
+static bool has_turn(const jj_server_view_t *, const jj_server_need_t *);
 static jj_neighbour_load_t *
 find_neighbour(jj_server_view_t *, const jj_name_t *);
 static void sum_neighbours(jj_server_view_t *);
@@ -65,6 +66,7 @@
 	neighbour->live = true;
 	neighbour->online = load->online;
 	neighbour->batch = load->batch;
+	neighbour->suspects = load->suspects;
 	sum_neighbours(view);
 }
 
@@ -197,7 +199,7 @@
 	{
 		if (!jj_server_view_is_up(view, now) || !view->steward)
 			continue;
-		if (need->suspect && view->suspects > 0)
+		if (need->suspect && view->suspects + view->others_suspects > 0)
 			continue;
 		use = jj_server_view_use(view, service);
 		room = jj_headroom_room(&view->headroom, &use, now);
@@ -275,21 +277,42 @@
 	    view->online >= need->online_share;
 }
 
-/*
- * A server may run one suspect at a time over all VMs, so suspects go to
- * servers this VM is steward of. A VM that has none such up would keep them
- * for ever; after a while, when who crashed what is known, any will do.
- */
 static bool
 fits_suspect(const jj_server_view_t *view, const jj_server_need_t *need)
 {
-	if (view->suspects > 0)
+	if (view->suspects + view->others_suspects > 0)
 		return false;
 	/* Where it broke is probably dead: there a retry is wasted. */
-	return need->anywhere ||
-	    (view->steward &&
-		(need->avoid == NULL ||
-		    !jj_name_equal(&view->name, need->avoid)));
+	if (need->turn == 0 && need->avoid != NULL &&
+	    jj_name_equal(&view->name, need->avoid))
+		return false;
+	return has_turn(view, need);
+}
+
+/*
+ * A server may run one suspect at a time over all VMs: with two, the next
+ * death gives an innocent one its second strike. So a suspect goes to servers
+ * that this VM is steward of, and, when it has found none free, in the next
+ * turn to those that it is second to, and so on: those that broke on the same
+ * server wait since the same moment, and in no turn is a server open to two
+ * VMs. One that still runs from an earlier turn is told by the loads.
+ */
+static bool
+has_turn(const jj_server_view_t *view, const jj_server_need_t *need)
+{
+	uint64_t own = jj_rendezvous_weight(need->self->text, view->hash);
+	size_t order = 0;
+	size_t vms = 1;
+	size_t i;
+
+	for (i = 0; i < need->vm_count; i++) {
+		if (jj_name_equal(&need->vms[i].name, need->self))
+			continue;
+		vms++;
+		order += jj_rendezvous_weight(
+			     need->vms[i].name.text, view->hash) > own;
+	}
+	return order == need->turn % vms;
 }
 
 static jj_neighbour_load_t *
@@ -316,10 +339,12 @@
 
 	view->others_online = 0;
 	view->others_batch = 0;
+	view->others_suspects = 0;
 	for (i = 0; i < view->neighbour_count; i++) {
 		if (!view->neighbours[i].live)
 			continue;
 		view->others_online += view->neighbours[i].online;
 		view->others_batch += view->neighbours[i].batch;
+		view->others_suspects += view->neighbours[i].suspects;
 	}
 }
--- a/src/core/dispatch_server.h
+++ b/src/core/dispatch_server.h
@@ -26,6 +26,7 @@
 	bool live;
 	uint32_t online;
 	uint32_t batch;
+	uint32_t suspects;
 } jj_neighbour_load_t;
 
 typedef struct jj_server_view {
@@ -43,9 +44,11 @@
 	uint32_t suspects; /**< of this VM, in flight */
 	uint32_t others_online; /**< of live neighbours, as last told */
 	uint32_t others_batch;
+	uint32_t others_suspects;
 	uint32_t steward_online; /**< as its steward knows it */
 	uint32_t told_online; /**< as the neighbours know it */
 	uint32_t told_batch;
+	uint32_t told_suspects;
 	size_t neighbour_count;
 	jj_neighbour_load_t *neighbours;
 	double failures; /**< recent share of failed attempts */
@@ -63,7 +66,10 @@
 typedef struct {
 	const jj_request_t *request;
 	bool suspect; /**< may share a server with no other suspect */
-	bool anywhere; /**< a suspect that has waited long enough */
+	uint32_t turn; /**< of a suspect: how many of them it has waited */
+	const jj_name_t *self; /**< of a suspect: this VM */
+	const jj_member_info_t *vms; /**< of a suspect: the domain's live VMs */
+	size_t vm_count;
 	uint32_t online_most; /**< online requests a server runs at most */
 	uint32_t
 	    online_share; /**< this VM's part of them, whatever others run */
--- a/src/core/dispatch_tell.c
+++ b/src/core/dispatch_tell.c
@@ -29,7 +29,7 @@
 /* A neighbour that has come knows of no load but 0. */
 #define TOLD_NOTHING 0
 
-static void tell_all(jj_dispatch_t *, jj_ms_t, jj_actions_t *);
+static void tell_all(jj_dispatch_t *, jj_actions_t *);
 static bool is_worth_telling(const jj_dispatch_t *, const jj_service_queue_t *,
     const jj_server_view_t *);
 static bool
@@ -66,7 +66,8 @@
 		return;
 	if (now - dispatch->told_ms >= pause) {
 		dispatch->told_all = true;
-		tell_all(dispatch, now, out);
+		dispatch->told_ms = now;
+		tell_all(dispatch, out);
 		tell_stewards(dispatch, false, now, out);
 	} else if (now - dispatch->urgent_ms >= URGENT_MS)
 		tell_stewards(dispatch, true, now, out);
@@ -85,6 +86,7 @@
 		{
 			view->told_online = TOLD_NOTHING;
 			view->told_batch = TOLD_NOTHING;
+			view->told_suspects = TOLD_NOTHING;
 			view->steward_online = TOLD_NOTHING;
 		}
 	}
@@ -98,6 +100,7 @@
 	load.server = view->hash;
 	load.online = view->online;
 	load.batch = view->batch;
+	load.suspects = view->suspects;
 	return load;
 }
 
@@ -133,7 +136,7 @@
 }
 
 static void
-tell_all(jj_dispatch_t *dispatch, jj_ms_t now, jj_actions_t *out)
+tell_all(jj_dispatch_t *dispatch, jj_actions_t *out)
 {
 	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
 	jj_service_queue_t *service;
@@ -155,10 +158,8 @@
 			note_told(view);
 		}
 	}
-	if (count == 0)
-		return;
-	dispatch->told_ms = now;
-	send_loads(dispatch, loads, count, out);
+	if (count > 0)
+		send_loads(dispatch, loads, count, out);
 }
 
 /* Smaller changes are left to the heartbeats. */
@@ -170,6 +171,9 @@
 	    difference(view->batch, view->told_batch);
 	uint32_t least = 1 + (uint32_t)(dispatch->vms / VMS_PER_CHANGE);
 
+	/* No other VM may send a suspect there meanwhile (story 27). */
+	if (view->suspects != view->told_suspects)
+		return true;
 	if (change > 0 && is_nearly_full(service, view))
 		return true;
 	return change >= least;
@@ -197,6 +201,7 @@
 {
 	view->told_online = view->online;
 	view->told_batch = view->batch;
+	view->told_suspects = view->suspects;
 	view->steward_online = view->online;
 }
 
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -47,6 +47,7 @@
 	uint64_t server; /**< jj_dispatch_hash_server of its name */
 	uint32_t online; /**< online requests in flight */
 	uint32_t batch; /**< batch items in flight */
+	uint32_t suspects; /**< of them, those that may crash it */
 } jj_load_t;
 
 typedef enum {
--- a/src/daemon/health.h
+++ b/src/daemon/health.h
@@ -29,8 +29,8 @@
 	/** A load report. */
 	void (*on_report)(void *ctx, const jj_name_t *server, uint32_t running,
 	    uint32_t waiting, jj_ms_t age_ms);
-	/** Nothing is left to wait for: the event may be told now. */
-	void (*on_release)(void *ctx, void *held);
+	/** The look ended: the event may be told; @p crashed: a death. */
+	void (*on_release)(void *ctx, void *held, bool crashed);
 } jj_health_port_t;
 
 typedef struct jj_health_watch jj_health_watch_t;
