--- a/src/core/core.c
+++ b/src/core/core.c
@@ -64,21 +64,53 @@
 static void
 take_backend(jj_core_t *, const jj_event_t *, jj_ms_t, jj_actions_t *);
 static void
-take_server_state(
-    jj_core_t *core, const jj_event_t *event, jj_ms_t now, jj_actions_t *out)
-{
-	jj_message_t news = {.kind = JJ_MESSAGE_SERVER_STATE};
-	bool is_news = false;
-
-	jj_fleet_note(core->fleet, &event->body.server.server,
-	    event->body.server.state, event->body.server.boot, now, out,
-	    &is_news);
-	if (!is_news)
-		return;
-	news.body.server.server = event->body.server.server;
-	news.body.server.boot = event->body.server.boot;
-	news.body.server.state = event->body.server.state;
-	tell_news(core, &news, true, jj_member_is_speaker(core->member), out);
+take_server_state(jj_core_t *, const jj_event_t *, jj_ms_t, jj_actions_t *);
+static void end_call(jj_core_t *, uint64_t, jj_call_outcome_t, int,
+    const jj_bytes_t *, jj_ms_t, jj_ms_t, jj_actions_t *);
+static void settle(jj_core_t *, jj_ms_t, jj_actions_t *);
+static void
+end_refused_call(jj_core_t *, const jj_answer_t *, jj_ms_t, jj_actions_t *);
+static void spread_config(jj_core_t *, jj_actions_t *);
+static bool is_abroad(const jj_core_t *, const jj_name_t *);
+static void tell_vm_list(
+    jj_core_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void send_config(jj_core_t *, const jj_name_t *, jj_actions_t *);
+static void tell_domain(jj_core_t *, jj_message_kind_t, uint64_t,
+    const jj_bytes_t *, jj_actions_t *);
+static void
+take_vm_list(jj_core_t *, const jj_bytes_t *, jj_ms_t, jj_actions_t *);
+static void
+learn_listed_vm(void *, const jj_name_t *, const jj_name_t *, const char *);
+static void take_job_events(jj_core_t *, const jj_bytes_t *, jj_actions_t *);
+static jj_bytes_t encode_job_events(const jj_platform_result_t *);
+static void add_job_change(jj_actions_t *, const char *, uint64_t);
+static void wish_models(jj_core_t *, jj_ms_t);
+static void pass_on(jj_core_t *, const jj_message_t *, jj_actions_t *);
+static void
+tell_news(jj_core_t *, const jj_message_t *, bool, bool, jj_actions_t *);
+static void tell_lost_job_events(jj_core_t *, uint64_t, jj_actions_t *);
+static void notice_lost_vms(jj_core_t *, jj_actions_t *);
+static void refuse_request(jj_actions_t *, const jj_event_t *, jj_give_up_t);
+static void refuse_unknown_key(jj_actions_t *, uint64_t);
+static void stamp_messages(jj_core_t *, jj_actions_t *);
+static jj_ms_t earlier(jj_ms_t, jj_ms_t);
+
+jj_core_t *
+jj_core_create(const jj_core_settings_t *settings)
+{
+	jj_core_t *core = jj_alloc(sizeof(*core));
+	jj_watch_settings_t config_watch = {JJ_OWNER_MEMBER, TOKEN_WATCH_CONFIG,
+	    "config/", WATCH_WAIT_MS, WATCH_CONFIG_SPACING_MS,
+	    WATCH_BACKOFF_MS};
+	jj_watch_settings_t jobs_watch = {JJ_OWNER_MEMBER, TOKEN_WATCH_JOBS,
+	    "jobs/", WATCH_WAIT_MS, WATCH_JOBS_SPACING_MS, WATCH_BACKOFF_MS};
+
+	core->settings = *settings;
+	core->last_request = JJ_REQUEST_INTERNAL;
+	jj_watch_init(&core->config_watch, &config_watch);
+	jj_watch_init(&core->jobs_watch, &jobs_watch);
+	create_modules(core);
+	return core;
 }
 
 void
@@ -533,12 +565,12 @@
 	jj_request_t request = event->body.request.request;
 
 	if (jj_config_version(core->config) == 0) {
-		refuse_request(out, request.request, JJ_GIVE_UP_NO_CONFIG);
+		refuse_request(out, event, JJ_GIVE_UP_NO_CONFIG);
 		return;
 	}
 	service = jj_config_service(core->config, request.service.text);
 	if (service == NULL) {
-		refuse_request(out, request.request, JJ_GIVE_UP_NO_SERVICE);
+		refuse_request(out, event, JJ_GIVE_UP_NO_SERVICE);
 		return;
 	}
 	request.idempotent = service->idempotent;
@@ -550,7 +582,7 @@
 		return;
 	}
 	if (request.class_of == JJ_CLASS_BATCH && !core->leaving)
-		jj_withheld_add(core->withheld, &request);
+		jj_withheld_add(core->withheld, &request, now);
 	else if (jj_quarantine_check(core->quarantine, request.fingerprint,
 		     now) == JJ_QUARANTINE_SUSPECT)
 		jj_suspects_add(core->suspects, &request, now);
@@ -567,7 +599,7 @@
 	jj_call_t call = {0};
 
 	if (core->leaving) {
-		refuse_request(out, request->request, JJ_GIVE_UP_STOPPING);
+		refuse_request(out, event, JJ_GIVE_UP_STOPPING);
 		return;
 	}
 	if (service->key_domain_count == 0) {
@@ -609,28 +641,18 @@
 take_server_state(
     jj_core_t *core, const jj_event_t *event, jj_ms_t now, jj_actions_t *out)
 {
-	jj_member_info_t members[JJ_LEDGER_SLOTS];
-	jj_message_t *message;
+	jj_message_t news = {.kind = JJ_MESSAGE_SERVER_STATE};
 	bool is_news = false;
-	size_t count;
-	size_t i;
 
 	jj_fleet_note(core->fleet, &event->body.server.server,
 	    event->body.server.state, event->body.server.boot, now, out,
 	    &is_news);
 	if (!is_news)
 		return;
-	count = jj_member_list(
-	    core->member, &core->settings.domain, members, JJ_LEDGER_SLOTS);
-	for (i = 0; i < count; i++) {
-		if (jj_name_equal(&members[i].name, &core->settings.name))
-			continue;
-		message = jj_actions_add_message(
-		    out, &members[i].name, JJ_MESSAGE_SERVER_STATE);
-		message->body.server.server = event->body.server.server;
-		message->body.server.boot = event->body.server.boot;
-		message->body.server.state = event->body.server.state;
-	}
+	news.body.server.server = event->body.server.server;
+	news.body.server.boot = event->body.server.boot;
+	news.body.server.state = event->body.server.state;
+	tell_news(core, &news, true, jj_member_is_speaker(core->member), out);
 }
 
 static void
@@ -945,14 +967,19 @@
 	}
 }
 
+/**
+ * Refuses a caller's request before anything is known of it. With a key, an
+ * earlier attempt may have run: only the key's home could say "not run".
+ */
 static void
-refuse_request(jj_actions_t *out, uint64_t request, jj_give_up_t reason)
+refuse_request(jj_actions_t *out, const jj_event_t *event, jj_give_up_t reason)
 {
 	jj_action_t *action = jj_actions_add(out, JJ_ACTION_ANSWER);
 
-	action->body.answer.request = request;
+	action->body.answer.request = event->body.request.request.request;
 	action->body.answer.reason = reason;
-	action->body.answer.run = JJ_RUN_NOT_RUN;
+	action->body.answer.run =
+	    event->body.request.key != NULL ? JJ_RUN_UNKNOWN : JJ_RUN_NOT_RUN;
 	if (reason != JJ_GIVE_UP_NO_SERVICE)
 		action->body.answer.retry_after_ms = CALL_RETRY_AFTER_MS;
 }
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -283,6 +283,26 @@
 	return room;
 }
 
+bool
+jj_dispatch_has_share(
+    const jj_dispatch_t *dispatch, const jj_name_t *name, jj_ms_t now)
+{
+	const jj_service_queue_t *service;
+	const jj_server_view_t *view;
+
+	TAILQ_FOREACH(service, &dispatch->services, link)
+	{
+		if (!jj_name_equal(&service->name, name))
+			continue;
+		TAILQ_FOREACH(view, &service->servers, link)
+		{
+			if (view->steward && jj_server_view_is_up(view, now))
+				return true;
+		}
+	}
+	return false;
+}
+
 uint32_t
 jj_dispatch_shares(const jj_dispatch_t *dispatch, jj_batch_share_t *shares,
     uint32_t most, jj_ms_t now)
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -125,6 +125,9 @@
 	uint32_t limit; /**< items that may be out at once */
 } jj_batch_share_t;
 
+/** True when this VM has a share of the service's servers. */
+bool jj_dispatch_has_share(
+    const jj_dispatch_t *dispatch, const jj_name_t *service, jj_ms_t now);
 /** Services of whose servers this VM is steward; how many were written. */
 uint32_t jj_dispatch_shares(const jj_dispatch_t *dispatch,
     jj_batch_share_t *shares, uint32_t most, jj_ms_t now);
--- a/src/core/withheld.c
+++ b/src/core/withheld.c
@@ -7,10 +7,17 @@
 
 #include "core/withheld.h"
 
+/**
+ * A VM that just started takes itself for the steward of all servers; items
+ * that came by then must not wait for ever for servers of another steward.
+ */
+#define NO_SHARE_MS 500
+
 /** One request that waits. */
 typedef struct waiter {
 	TAILQ_ENTRY(waiter) link;
 	jj_request_t request;
+	jj_ms_t since_ms;
 } waiter_t;
 
 struct jj_withheld {
@@ -18,6 +25,8 @@
 	uint32_t count;
 };
 
+static void
+give_back(jj_withheld_t *, waiter_t *, jj_give_up_t, jj_actions_t *);
 static void take_off(jj_withheld_t *, waiter_t *);
 
 jj_withheld_t *
@@ -40,11 +49,13 @@
 }
 
 void
-jj_withheld_add(jj_withheld_t *withheld, const jj_request_t *request)
+jj_withheld_add(
+    jj_withheld_t *withheld, const jj_request_t *request, jj_ms_t now)
 {
 	waiter_t *waiter = jj_alloc(sizeof(*waiter));
 
 	waiter->request = *request;
+	waiter->since_ms = now;
 	TAILQ_INSERT_TAIL(&withheld->waiters, waiter, link);
 	withheld->count++;
 }
@@ -75,6 +86,12 @@
 	for (waiter = TAILQ_FIRST(&withheld->waiters); waiter != NULL;
 	     waiter = next) {
 		next = TAILQ_NEXT(waiter, link);
+		if (now - waiter->since_ms >= NO_SHARE_MS &&
+		    !jj_dispatch_has_share(
+			dispatch, &waiter->request.service, now)) {
+			give_back(withheld, waiter, JJ_GIVE_UP_OVERLOADED, out);
+			continue;
+		}
 		if (jj_name_equal(&waiter->request.service, &full))
 			continue;
 		if (jj_dispatch_service_room(
@@ -90,16 +107,9 @@
 void
 jj_withheld_leave(jj_withheld_t *withheld, jj_actions_t *out)
 {
-	jj_action_t *action;
-	waiter_t *waiter;
-
-	while ((waiter = TAILQ_FIRST(&withheld->waiters)) != NULL) {
-		action = jj_actions_add(out, JJ_ACTION_ANSWER);
-		action->body.answer.request = waiter->request.request;
-		action->body.answer.reason = JJ_GIVE_UP_STOPPING;
-		action->body.answer.run = JJ_RUN_NOT_RUN;
-		take_off(withheld, waiter);
-	}
+	while (!TAILQ_EMPTY(&withheld->waiters))
+		give_back(withheld, TAILQ_FIRST(&withheld->waiters),
+		    JJ_GIVE_UP_STOPPING, out);
 }
 
 uint32_t
@@ -108,6 +118,19 @@
 	return withheld->count;
 }
 
+/** Nothing of it was sent. */
+static void
+give_back(jj_withheld_t *withheld, waiter_t *waiter, jj_give_up_t reason,
+    jj_actions_t *out)
+{
+	jj_action_t *action = jj_actions_add(out, JJ_ACTION_ANSWER);
+
+	action->body.answer.request = waiter->request.request;
+	action->body.answer.reason = reason;
+	action->body.answer.run = JJ_RUN_NOT_RUN;
+	take_off(withheld, waiter);
+}
+
 static void
 take_off(jj_withheld_t *withheld, waiter_t *waiter)
 {
--- a/src/daemon/node_callers.c
+++ b/src/daemon/node_callers.c
@@ -388,8 +388,10 @@
 static void
 refuse(jj_http_call_t *call, int status, const char *code, const char *detail)
 {
+	/* Under a key an earlier attempt may have run. */
+	bool has_key = jj_http_call_header(call, "Idempotency-Key") != NULL;
 	jj_problem_t problem = {status, code, "The request is not valid.",
-	    detail, "not_run", status == 503 ? 1000 : 0};
+	    detail, has_key ? "unknown" : "not_run", status == 503 ? 1000 : 0};
 
 	jj_answer_problem(call, &problem);
 }
--- a/src/daemon/node_control.c
+++ b/src/daemon/node_control.c
@@ -18,6 +18,8 @@
  * through another VM meanwhile.
  */
 #define CRASH_REST_MS 100
+/** Of so many turns one looks at a leaving server: did it come back? */
+#define LEAVING_TURNS 10
 /** Timeout of an attempt whose service is no longer configured, ms. */
 #define FALLBACK_TIMEOUT_MS 30000
 
@@ -563,6 +565,9 @@
 	for (i = 0; i < count; i++) {
 		if (servers[i].state == JJ_SERVER_DOWN)
 			look_again(node, &servers[i], now);
+		else if (servers[i].state == JJ_SERVER_LEAVING &&
+		    now / LOOK_MS % LEAVING_TURNS == (jj_ms_t)i % LEAVING_TURNS)
+			look_again(node, &servers[i], now);
 		if (!jj_name_equal(&servers[i].domain, &node->settings->domain))
 			continue;
 		item = jj_hash_bytes(
--- a/src/daemon/node_finish.c
+++ b/src/daemon/node_finish.c
@@ -145,14 +145,17 @@
 static jj_item_outcome_t
 outcome_of(const jj_answer_t *answer)
 {
+	/* An item that was surely not sent may be sent, also a booking. */
+	if (answer->run == JJ_RUN_NOT_RUN &&
+	    answer->reason != JJ_GIVE_UP_QUARANTINED)
+		return JJ_ITEM_NOT_RUN;
 	switch (answer->reason) {
 	case JJ_GIVE_UP_QUARANTINED:
 		return JJ_ITEM_POISON;
 	case JJ_GIVE_UP_OVERLOADED:
 		return JJ_ITEM_WITHDRAWN;
 	default:
-		return answer->run == JJ_RUN_NOT_RUN ? JJ_ITEM_NOT_RUN
-						     : JJ_ITEM_BROKEN;
+		return JJ_ITEM_BROKEN;
 	}
 }
 
