--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 COMMON_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard standins/common/*.c))
 PROGS := $(B)/jujubed $(B)/jujubectl $(B)/standin-platform \
 	$(B)/standin-engine $(B)/standin-service
-BENCH := $(if $(wildcard bench/*.c),$(B)/jujube-bench)
+BENCH := $(B)/jujube-bench $(B)/jujube-slopes $(B)/jujube-hop
 
 CORE_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/core/*.cc))
 ADAPTER_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/adapters/*.cc))
@@ -70,6 +70,10 @@
 	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 $(B)/jujube-bench: $(patsubst %.c,$(B)/%.o,$(wildcard bench/*.c)) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+$(B)/jujube-slopes: $(patsubst %.c,$(B)/%.o,$(wildcard bench/slopes/*.c)) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+$(B)/jujube-hop: $(patsubst %.c,$(B)/%.o,$(wildcard bench/hop/*.c)) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 $(B)/example-%: $(B)/examples/%.o $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
@@ -87,12 +91,26 @@
 $(B)/test-system: $(SYSTEM_TESTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
 
+# The soak and the figures under failure: real processes, not in CI.
+HARNESS := $(B)/tests/system/harness.o
+$(B)/soak: $(patsubst %.cc,$(B)/%.o,$(wildcard tests/soak/*.cc)) $(HARNESS) \
+	$(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest $(PKG_LIBS)
+$(B)/figures: $(patsubst %.cc,$(B)/%.o,$(wildcard tests/figures/*.cc)) \
+	$(HARNESS) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
+soak: all $(B)/soak
+	JUJUBE_BIN=$(B) scripts/soak
+figures: all $(B)/figures
+	JUJUBE_BIN=$(B) $(B)/figures
+
 test-core: $(B)/test-core
 	$(B)/test-core
 test-adapters: $(B)/test-adapters
 	$(B)/test-adapters
+# In four processes side by side; each test waits for most of its time.
 test-system: all $(B)/test-system
-	JUJUBE_BIN=$(B) $(B)/test-system
+	JUJUBE_BIN=$(B) scripts/run-shards $(B)/test-system 4
 TEST_TARGETS := test-core $(if $(ADAPTER_TESTS),test-adapters) \
 	$(if $(SYSTEM_TESTS),test-system)
 check: all $(TEST_TARGETS)
@@ -105,14 +123,23 @@
 	$(if $(findstring thread,$(SAN)),,$(B)/test-core \
 	    --gtest_filter=-*Model*)
 	JUJUBE_BIN=$(B) TSAN_OPTIONS="suppressions=scripts/tsan.supp" \
-	    $(B)/test-system --gtest_filter='$(SANITIZED_SYSTEM)'
+	    scripts/run-shards $(B)/test-system 4 \
+	    --gtest_filter='$(SANITIZED_SYSTEM)'
 
 check-bench: $(B)/jujube-bench
+	$(B)/jujube-bench --messages
 	$(B)/jujube-bench --check examples/scenarios/bounds.toml --runs 4
 
 bench: $(B)/jujube-bench
 	$(B)/jujube-bench --all examples/scenarios --runs 4
 
+slopes: $(B)/jujube-slopes
+	$(B)/jujube-slopes --check bench/slopes/bounds.txt
+bench-hop: all
+	JUJUBE_BIN=$(B) scripts/bench-hop
+bench-control: all
+	JUJUBE_BIN=$(B) scripts/bench-control
+
 demo: all
 	JUJUBE_BIN=$(B) scripts/demo
 
@@ -122,7 +149,7 @@
 	clang-format -i $(FORMAT_FILES)
 check-format:
 	clang-format --dry-run -Werror $(FORMAT_FILES)
-TIDY_FILES := $(wildcard src/*/*.c standins/*/*.c bench/*.c)
+TIDY_FILES := $(wildcard src/*/*.c standins/*/*.c bench/*.c bench/*/*.c)
 check-tidy:
 	printf '%s\n' $(TIDY_FILES) | xargs -P 6 -n 4 sh -c \
 	    'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=c11 2>/dev/null' tidy
@@ -153,7 +180,7 @@
 clean:
 	rm -rf build
 
-.PHONY: bench sanitized check-bench fuzz all check demo test-core test-adapters test-system format \
+.PHONY: slopes bench-hop bench-control soak figures bench sanitized check-bench fuzz all check demo test-core test-adapters test-system format \
 	check-format check-tidy clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/bench/main.c
+++ b/bench/main.c
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "adapters/toml.h"
+#include "messages.h"
 #include "report.h"
 
 #define WHY_SIZE 256
@@ -24,6 +25,7 @@
 	gint64 seed;
 	gint runs;
 	gboolean json;
+	gboolean messages;
 } options_t;
 
 static bool parse_options(options_t *, int *, char ***);
@@ -50,7 +52,9 @@
 
 	if (!parse_options(&options, &argc, &argv))
 		return 2;
-	if (options.check != NULL)
+	if (options.messages)
+		status = messages_measure();
+	else if (options.check != NULL)
 		status = check_bounds(&options);
 	else if (options.all != NULL)
 		status = run_all(&options);
@@ -83,6 +87,9 @@
 	    {"check", 0, 0, G_OPTION_ARG_FILENAME, &options->check,
 		"run what a file of bounds names; status 1 on a breach",
 		"FILE"},
+	    {"messages", 0, 0, G_OPTION_ARG_NONE, &options->messages,
+		"measure what VMs tell each other; status 1 over the budget",
+		NULL},
 	    {NULL, 0, 0, 0, NULL, NULL, NULL}};
 	GOptionContext *context = g_option_context_new(NULL);
 	GError *error = NULL;
@@ -91,9 +98,9 @@
 	g_option_context_add_main_entries(context, entries, NULL);
 	valid = g_option_context_parse(context, argc, argv, &error);
 	if (valid && options->scenario == NULL && options->all == NULL &&
-	    options->check == NULL) {
+	    options->check == NULL && !options->messages) {
 		fprintf(stderr,
-		    "one of --scenario, --all, --check is "
+		    "one of --scenario, --all, --check, --messages is "
 		    "needed\n");
 		valid = false;
 	}
--- a/bench/scenario.c
+++ b/bench/scenario.c
@@ -11,7 +11,6 @@
 static const char *const FAULT_NAMES[BENCH_FAULT_KINDS] = {"slow", "fail",
     "kill", "restart", "leave", "freeze", "thaw", "reports", "poison"};
 
-static void set_defaults(bench_scenario_t *);
 static double number_of(const jj_toml_node_t *, const char *, double);
 static void text_of(const jj_toml_node_t *, const char *, char *, size_t);
 static void read_numbers(bench_scenario_t *, const jj_toml_node_t *);
@@ -20,6 +19,31 @@
 static bool
 read_lists(bench_scenario_t *, const jj_toml_node_t *, char *, size_t);
 
+void
+scenario_set_defaults(bench_scenario_t *scenario)
+{
+	memset(scenario, 0, sizeof(*scenario));
+	scenario->seconds = 60;
+	scenario->seed = 1;
+	scenario->runs = 1;
+	scenario->vms = 3;
+	scenario->servers = 4;
+	scenario->slots = 32;
+	scenario->soft = 16;
+	scenario->step_ms = 10;
+	scenario->prefill_us = 20;
+	scenario->cache_blocks = 4096;
+	scenario->prefixes = 20;
+	scenario->net_us = 1000;
+	scenario->deadline_ms = 10000;
+	scenario->timeout_ms = 5000;
+	scenario->queue_limit = 64;
+	scenario->harm_weight = 8;
+	scenario->batch_tokens = 120;
+	scenario->batch_prompt = 256;
+	scenario->batch_most = 256;
+}
+
 bool
 scenario_load(
     bench_scenario_t *scenario, const char *path, char *why, size_t why_size)
@@ -31,7 +55,7 @@
 	if (toml == NULL)
 		return false;
 	root = jj_toml_root(toml);
-	set_defaults(scenario);
+	scenario_set_defaults(scenario);
 	text_of(root, "name", scenario->name, sizeof(scenario->name));
 	read_numbers(scenario, root);
 	valid = read_lists(scenario, root, why, why_size);
@@ -47,30 +71,6 @@
 	return valid;
 }
 
-static void
-set_defaults(bench_scenario_t *scenario)
-{
-	memset(scenario, 0, sizeof(*scenario));
-	scenario->seconds = 60;
-	scenario->seed = 1;
-	scenario->runs = 1;
-	scenario->vms = 3;
-	scenario->servers = 4;
-	scenario->slots = 32;
-	scenario->soft = 16;
-	scenario->step_ms = 10;
-	scenario->prefill_us = 20;
-	scenario->cache_blocks = 4096;
-	scenario->prefixes = 20;
-	scenario->net_us = 1000;
-	scenario->deadline_ms = 10000;
-	scenario->timeout_ms = 5000;
-	scenario->queue_limit = 64;
-	scenario->harm_weight = 8;
-	scenario->batch_tokens = 120;
-	scenario->batch_prompt = 256;
-}
-
 static void
 read_numbers(bench_scenario_t *scenario, const jj_toml_node_t *root)
 {
@@ -87,7 +87,8 @@
 	    {"timeout_ms", &scenario->timeout_ms},
 	    {"queue_limit", &scenario->queue_limit},
 	    {"batch_tokens", &scenario->batch_tokens},
-	    {"batch_prompt", &scenario->batch_prompt}};
+	    {"batch_prompt", &scenario->batch_prompt},
+	    {"batch_most", &scenario->batch_most}};
 	size_t i;
 
 	for (i = 0; i < sizeof(fields) / sizeof(fields[0]); i++)
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -9,8 +9,8 @@
 
 #define BENCH_PHASES_MAX 32
 #define BENCH_FAULTS_MAX 64
-#define BENCH_SERVERS_MAX 32
-#define BENCH_VMS_MAX 8
+#define BENCH_SERVERS_MAX 128
+#define BENCH_VMS_MAX 16
 
 /** Poisson arrivals of one team whose rate moves evenly between two values. */
 typedef struct {
@@ -65,12 +65,16 @@
 	double batch_from_s;
 	uint32_t batch_tokens;
 	uint32_t batch_prompt;
+	uint32_t batch_most; /**< batch streams of a server at most */
+	bool measures_bytes; /**< messages are encoded to be measured */
 	uint32_t phase_count;
 	bench_phase_t phases[BENCH_PHASES_MAX];
 	uint32_t fault_count;
 	bench_fault_t faults[BENCH_FAULTS_MAX];
 } bench_scenario_t;
 
+/** What a scenario is when its file says nothing else. */
+void scenario_set_defaults(bench_scenario_t *scenario);
 /** Reads a scenario; false and @p why when the file is not a valid one. */
 bool scenario_load(
     bench_scenario_t *scenario, const char *path, char *why, size_t why_size);
--- a/bench/world.c
+++ b/bench/world.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "adapters/wire.h"
 #include "core/dispatch.h"
 #include "engine.h"
 #include "events.h"
@@ -109,6 +110,7 @@
 static item_t *find_item(world_t *, uint64_t);
 static void end_item(world_t *, item_t *, bool);
 static void do_actions(world_t *, uint32_t, jj_actions_t *);
+static void measure_message(world_t *, const jj_message_t *);
 static void do_start(world_t *, uint32_t, const jj_backend_start_t *);
 static void do_answer(world_t *, const jj_answer_t *);
 static void submit_stream(world_t *, uint32_t, uint32_t, uint64_t, uint32_t);
@@ -172,6 +174,7 @@
 run_merge(run_t *sum, const run_t *run)
 {
 	size_t count = sum->call_count + run->call_count;
+	size_t i;
 
 	sum->calls = jj_realloc(sum->calls, (count + 1) * sizeof(call_t));
 	memcpy(sum->calls + sum->call_count, run->calls,
@@ -183,6 +186,10 @@
 	sum->batch_withdrawn += run->batch_withdrawn;
 	sum->idle_tokens += run->idle_tokens;
 	sum->messages += run->messages;
+	for (i = 0; i < JJ_MESSAGE_KIND_END; i++) {
+		sum->sent[i] += run->sent[i];
+		sum->sent_bytes[i] += run->sent_bytes[i];
+	}
 }
 
 void
@@ -314,7 +321,8 @@
 	jj_member_settings_t member = {.heartbeat_ms = 500,
 	    .suspect_ms = 2000,
 	    .forget_ms = 3600000,
-	    .incarnation = index + 1};
+	    .incarnation = 0x5eed000000000001 + index,
+	    .address = "10.0.1.11:7400"};
 	jj_quarantine_settings_t quarantine = {2, 600000, 3600000, 65536};
 	jj_config_settings_t config = {
 	    .writer = "bench", .call_timeout_ms = 4000};
@@ -323,7 +331,7 @@
 	    .retry_floor = 10,
 	    .withdraw_retry_ms = 250,
 	    .batch_start = 2,
-	    .batch_most = 256};
+	    .batch_most = scenario->batch_most};
 	jj_bytes_t object = make_config(scenario);
 	jj_actions_t actions = TAILQ_HEAD_INITIALIZER(actions);
 
@@ -745,10 +753,12 @@
 	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
 	jj_ms_t now = now_ms(world);
 
-	jj_member_set_loads(vm->member, loads,
-	    jj_dispatch_loads(vm->dispatch, loads, JJ_MESSAGE_LOADS_MAX));
-	if (jj_member_next(vm->member) <= now)
+	if (jj_member_next(vm->member) <= now) {
+		jj_member_set_loads(vm->member, loads,
+		    jj_dispatch_loads(
+			vm->dispatch, loads, JJ_MESSAGE_LOADS_MAX));
 		jj_member_tick(vm->member, now, &actions);
+	}
 	if (jj_dispatch_next(vm->dispatch) <= now)
 		jj_dispatch_tick(vm->dispatch, now, &actions);
 	settle(world, index, &actions);
@@ -1052,6 +1062,7 @@
 		case JJ_ACTION_SEND:
 			jj_member_stamp(
 			    world->vms[vm].member, action->body.send.message);
+			measure_message(world, action->body.send.message);
 			event.kind = EVENT_MESSAGE;
 			event.pointer = action->body.send.message;
 			event.target = (uint32_t)atoi(
@@ -1078,6 +1089,20 @@
 	}
 }
 
+/* What the warm-up sends is not counted. */
+static void
+measure_message(world_t *world, const jj_message_t *message)
+{
+	jj_bytes_t bytes;
+
+	if (!world->scenario->measures_bytes || !world->batch_counts)
+		return;
+	bytes = jj_wire_encode(message);
+	world->run->sent[message->kind]++;
+	world->run->sent_bytes[message->kind] += bytes.size;
+	jj_bytes_free(&bytes);
+}
+
 static void
 do_start(world_t *world, uint32_t vm, const jj_backend_start_t *start)
 {
--- a/bench/world.h
+++ b/bench/world.h
@@ -52,6 +52,8 @@
 	uint64_t batch_withdrawn; /**< items stopped */
 	double idle_tokens; /**< room in steps, see docs/BENCHMARKS.md */
 	uint64_t messages; /**< between VMs */
+	uint64_t sent[JJ_MESSAGE_KIND_END]; /**< by kind, when measured */
+	uint64_t sent_bytes[JJ_MESSAGE_KIND_END]; /**< encoded */
 } run_t;
 
 /** Runs a scenario; the caller frees the run. */
--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -101,6 +101,7 @@
     FIELD(FIELD_U64, jj_load_t, server),
     FIELD(FIELD_U32, jj_load_t, online),
     FIELD(FIELD_U32, jj_load_t, batch),
+    FIELD(FIELD_U32, jj_load_t, suspects),
 };
 LAYOUT(load_layout, jj_load_t, load_fields);
 
--- a/src/core/batch_chunk_result.c
+++ b/src/core/batch_chunk_result.c
@@ -8,7 +8,7 @@
 #include "core/batch_worker.h"
 
 /** A chunk that was given back is not claimed here again before, ms. */
-#define AVOID_MS 30000
+#define AVOID_MS 3000
 
 static bool is_answer(jj_platform_outcome_t);
 static void take_failure(
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -16,8 +16,8 @@
 
 typedef struct {
 	char writer[JJ_NAME_MAX + 20]; /**< NAME/HEX16 of this process */
-	uint64_t seed;                 /**< for operation numbers */
-	jj_ms_t call_timeout_ms;       /**< give a patch up after; 4000 */
+	uint64_t seed; /**< for operation numbers */
+	jj_ms_t call_timeout_ms; /**< give a patch up after; 4000 */
 } jj_config_settings_t;
 
 typedef enum {
@@ -36,12 +36,12 @@
 typedef struct {
 	jj_name_t name;
 	jj_service_kind_t kind;
-	bool idempotent;       /**< false: runs at most once per key */
-	jj_ms_t timeout_ms;    /**< one attempt at a backend server */
-	jj_ms_t deadline_ms;   /**< of a request that names none */
-	uint32_t attempts;     /**< most attempts of one request */
-	double trade;          /**< batch throughput (1) against harm (0) */
-	uint32_t queue_limit;  /**< online requests that may wait per VM */
+	bool idempotent; /**< false: runs at most once per key */
+	jj_ms_t timeout_ms; /**< one attempt at a backend server */
+	jj_ms_t deadline_ms; /**< of a request that names none */
+	uint32_t attempts; /**< most attempts of one request */
+	double trade; /**< batch throughput (1) against harm (0) */
+	uint32_t queue_limit; /**< online requests that may wait per VM */
 	uint32_t server_slots; /**< requests a server runs at once, hint */
 	char key_domains[8][JJ_NAME_MAX + 1]; /**< homes of keys, in order */
 	uint32_t key_domain_count;
@@ -51,8 +51,8 @@
 /** One team's share. */
 typedef struct {
 	jj_name_t name;
-	double weight;       /**< of the fair share; 1 by default */
-	uint32_t in_flight;  /**< most online requests at once, 0: no limit */
+	double weight; /**< of the fair share; 1 by default */
+	uint32_t in_flight; /**< most online requests at once, 0: no limit */
 } jj_team_t;
 
 typedef struct jj_config jj_config_t;
@@ -65,10 +65,10 @@
 /** The stored object in force (JSON text as in OBJECTS.md), or NULL. */
 const jj_bytes_t *jj_config_object(const jj_config_t *config);
 /** The service or NULL; valid until the next adoption. */
-const jj_service_t *jj_config_service(
-    const jj_config_t *config, const char *name);
-const jj_service_t *jj_config_services(
-    const jj_config_t *config, size_t *count);
+const jj_service_t *
+jj_config_service(const jj_config_t *config, const char *name);
+const jj_service_t *
+jj_config_services(const jj_config_t *config, size_t *count);
 /** The team's share, the default's when it has none of its own. */
 jj_team_t jj_config_team(const jj_config_t *config, const char *name);
 
@@ -112,7 +112,7 @@
  * to other failure domains. While VMs differ in version, or after a key was
  * used, two domains would each run it. A new service under a new name can.
  */
-bool jj_config_check_change(const json_t *before, const json_t *after,
-    char *why, size_t why_size);
+bool jj_config_check_change(
+    const json_t *before, const json_t *after, char *why, size_t why_size);
 
 #endif
--- a/src/core/config_check.c
+++ b/src/core/config_check.c
@@ -90,8 +90,8 @@
 static bool check_domains(const json_t *, report_t *);
 static bool check_name(const json_t *, const char *, report_t *);
 static bool is_name(const char *);
-static bool fail_unknown(
-    report_t *, const char *, const json_t *, const field_t *);
+static bool
+fail_unknown(report_t *, const char *, const json_t *, const field_t *);
 static bool fail(report_t *, const char *, const json_t *, const char *, ...)
     __attribute__((format(printf, 4, 5)));
 
--- a/src/core/config_patch.c
+++ b/src/core/config_patch.c
@@ -376,8 +376,8 @@
 	}
 	document = jj_json_merge(json_object_get(stored, "document"), change);
 	if (!jj_config_check(document, why, why_size) ||
-	    !jj_config_check_change(json_object_get(stored, "document"),
-		document, why, why_size))
+	    !jj_config_check_change(
+		json_object_get(stored, "document"), document, why, why_size))
 		goto out;
 	jj_bytes_free(&patch->object);
 	jj_bytes_free(&patch->record);
--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -20,7 +20,7 @@
 
 static void note_failure(jj_dispatch_t *, jj_entry_t *,
     const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
-static void note_break(jj_entry_t *, jj_ms_t);
+static void note_break(jj_entry_t *, bool, jj_ms_t);
 static void
 retry_or_give_up(jj_dispatch_t *, jj_entry_t *, bool, jj_ms_t, jj_actions_t *);
 
@@ -52,7 +52,7 @@
 	    event->kind != JJ_BACKEND_NOT_SENT;
 	/* A stream that could not be resumed had broken before. */
 	if (event->kind == JJ_BACKEND_BROKEN || entry->resuming)
-		note_break(entry, now);
+		note_break(entry, died, now);
 	if (entry->team == NULL) {
 		jj_dispatch_give_up(dispatch, entry,
 		    began ? JJ_GIVE_UP_BROKEN : JJ_GIVE_UP_OVERLOADED, now,
@@ -203,13 +203,15 @@
  * servers has killed its third before the first death is known (story 27).
  */
 static void
-note_break(jj_entry_t *entry, jj_ms_t now)
+note_break(jj_entry_t *entry, bool died, jj_ms_t now)
 {
 	entry->suspect = true;
 	entry->breaks++;
+	if (entry->breaks > 1)
+		entry->hold_until_ms = now + CRASH_WAIT_MS;
 	/* By then a resend of it at another VM is a suspect there, too. */
-	entry->hold_until_ms =
-	    now + (entry->breaks > 1 ? CRASH_WAIT_MS : CRASH_SPREAD_MS);
+	else if (died)
+		entry->hold_until_ms = now + CRASH_SPREAD_MS;
 }
 
 /*
--- a/src/core/dispatch_headroom.c
+++ b/src/core/dispatch_headroom.c
@@ -16,8 +16,9 @@
 /* Growth of the gap that is put up with, at trade 0 and trade 1. */
 #define ALLOWANCE_LEAST 0.04
 #define ALLOWANCE_MOST 0.06
-/* The same while no online request runs on the server. */
+/* Growth put up with, and of the limit, while no online request runs. */
 #define ALLOWANCE_ALONE 0.3
+#define ALONE_FACTOR 1.1
 /* Growth of the limit per adjustment before and after the first bound. */
 #define START_FACTOR 1.5
 #define GROWTH 0.3
@@ -224,23 +225,17 @@
 move_limit(jj_headroom_t *headroom, const jj_headroom_use_t *use, double gap)
 {
 	double running = use->online + use->batch;
-	double allowance = use->online > 0
-	    ? between(ALLOWANCE_LEAST, ALLOWANCE_MOST, use->trade)
-	    : ALLOWANCE_ALONE;
-	double allowed = headroom->base_gap_us * (1 + allowance);
+	double allowed = headroom->base_gap_us *
+	    (1 + between(ALLOWANCE_LEAST, ALLOWANCE_MOST, use->trade));
 	double lower;
 
 	/*
 	 * Batch alone harms nobody: jitter of its own gaps must not keep an
-	 * idle server idle. It grows fast and holds past the bend; the first
-	 * measurement beside an online request takes the excess back.
+	 * idle server idle. It only gives way far past the bend.
 	 */
-	if (use->online == 0) {
-		if (gap <= allowed && running >= headroom->limit - 1)
-			headroom->limit *= START_FACTOR;
+	if (use->online == 0 && gap > allowed &&
+	    gap <= headroom->base_gap_us * (1 + ALLOWANCE_ALONE))
 		return;
-	}
-
 	if (gap > allowed) {
 		headroom->starting = false;
 		lower = running * allowed / gap;
@@ -256,6 +251,8 @@
 		return;
 	if (headroom->starting)
 		headroom->limit *= START_FACTOR;
+	else if (use->online == 0)
+		headroom->limit *= ALONE_FACTOR;
 	else
 		headroom->limit += GROWTH;
 }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -21,11 +21,11 @@
 	jj_name_t domain;
 	jj_name_t service;
 	char address[JJ_NAME_MAX + 1]; /**< IP:PORT */
-	uint64_t boot;                 /**< 0: not known yet */
+	uint64_t boot; /**< 0: not known yet */
 	jj_server_state_t state;
 	bool listed_leaving; /**< the platform's list says leaving */
 	jj_ms_t down_until_ms; /**< probe again then; doubles while down */
-	bool checks_fence;   /**< refuses orders with an old fencing number */
+	bool checks_fence; /**< refuses orders with an old fencing number */
 } jj_server_t;
 
 typedef struct jj_fleet jj_fleet_t;
@@ -40,8 +40,7 @@
  * entry VMs through the callback.
  * @return false on malformed JSON; nothing is changed then.
  */
-bool jj_fleet_take_list(jj_fleet_t *fleet, const jj_bytes_t *json,
-    jj_ms_t now,
+bool jj_fleet_take_list(jj_fleet_t *fleet, const jj_bytes_t *json, jj_ms_t now,
     void (*on_vm)(void *ctx, const jj_name_t *name, const jj_name_t *domain,
 	const char *address),
     void *ctx, jj_actions_t *out);
@@ -55,8 +54,8 @@
 /** True when new work may be sent there now. */
 bool jj_fleet_takes_work(
     const jj_fleet_t *fleet, const jj_name_t *server, jj_ms_t now);
-const jj_server_t *jj_fleet_find(
-    const jj_fleet_t *fleet, const jj_name_t *server);
+const jj_server_t *
+jj_fleet_find(const jj_fleet_t *fleet, const jj_name_t *server);
 /** All servers; the array is valid until the next change. */
 const jj_server_t *jj_fleet_list(const jj_fleet_t *fleet, size_t *count);
 
--- a/src/core/orders.h
+++ b/src/core/orders.h
@@ -17,10 +17,10 @@
 #include "core/lease.h"
 
 typedef struct {
-	jj_ms_t settle_ms;    /**< a wish stands before an order; 2000 */
-	jj_ms_t retry_ms;     /**< an unanswered order again; default 3000 */
-	uint32_t at_once;     /**< load orders under way; default 2 */
-	jj_ms_t spacing_ms;   /**< between load orders; default 500 */
+	jj_ms_t settle_ms; /**< a wish stands before an order; 2000 */
+	jj_ms_t retry_ms; /**< an unanswered order again; default 3000 */
+	uint32_t at_once; /**< load orders under way; default 2 */
+	jj_ms_t spacing_ms; /**< between load orders; default 500 */
 	uint64_t seed;
 } jj_orders_settings_t;
 
--- a/src/core/quarantine.h
+++ b/src/core/quarantine.h
@@ -16,10 +16,10 @@
 #include "core/action.h"
 
 typedef struct {
-	uint32_t strikes;       /**< until refused; default 2 */
-	jj_ms_t suspect_ms;     /**< a strike lapses after; default 600000 */
-	jj_ms_t quarantine_ms;  /**< refused for; default 3600000 */
-	size_t most;            /**< fingerprints kept; default 65536 */
+	uint32_t strikes; /**< until refused; default 2 */
+	jj_ms_t suspect_ms; /**< a strike lapses after; default 600000 */
+	jj_ms_t quarantine_ms; /**< refused for; default 3600000 */
+	size_t most; /**< fingerprints kept; default 65536 */
 } jj_quarantine_settings_t;
 
 typedef enum {
@@ -30,8 +30,7 @@
 
 typedef struct jj_quarantine jj_quarantine_t;
 
-jj_quarantine_t *jj_quarantine_create(
-    const jj_quarantine_settings_t *settings);
+jj_quarantine_t *jj_quarantine_create(const jj_quarantine_settings_t *settings);
 void jj_quarantine_destroy(jj_quarantine_t *quarantine);
 
 jj_quarantine_verdict_t jj_quarantine_check(
--- a/src/ctl/ctl_batch.c
+++ b/src/ctl/ctl_batch.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "adapters/monotonic.h"
 #include "ctl/ctl_batch.h"
 #include "ctl/ctl_print.h"
 
@@ -17,6 +18,15 @@
 /** Pages of a list; each has at most 20 jobs. */
 #define PAGES_MOST 500
 
+static gint wait_limit;
+
+static const GOptionEntry wait_options[] = {
+    {"limit", 0, 0, G_OPTION_ARG_INT, &wait_limit,
+	"Stop waiting after so long; the job goes on (default: never)",
+	"SECONDS"},
+    {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+};
+
 static const jj_ctl_column_t job_columns[] = {
     {"ID", "id"},
     {"STATUS", "status"},
@@ -40,7 +50,7 @@
     {"batch", "submit", "[FILE]", "upload a file and submit it as a job", 0, 1,
 	jj_ctl_submit_options, jj_ctl_job_submit},
     {"batch", "status", "ID", "a job's state and counts", 1, 1, NULL, show_job},
-    {"batch", "wait", "ID", "wait until a job has ended", 1, 1, NULL,
+    {"batch", "wait", "ID", "wait until a job has ended", 1, 1, wait_options,
 	wait_for_job},
     {"batch", "results", "ID", "results as JSON lines, checked to be whole", 1,
 	1, jj_ctl_results_options, jj_ctl_job_results},
@@ -115,6 +125,7 @@
 {
 	jj_ctl_job_t job = {false, false, 0, 0, 0};
 	json_t *object = NULL;
+	jj_ms_t begun = jj_monotonic_now();
 	jj_ctl_exit_t outcome;
 	int failures = 0;
 
@@ -130,6 +141,12 @@
 		if (job.ended)
 			break;
 		json_decref(object);
+		if (wait_limit > 0 &&
+		    jj_monotonic_now() - begun >= (jj_ms_t)wait_limit * 1000) {
+			warnx("the job has not ended: %lld of %lld items",
+			    job.done + job.failed, job.total);
+			return JJ_CTL_FAILED;
+		}
 		g_usleep(LOOK_MS * 1000);
 	}
 	if (isatty(STDERR_FILENO))
--- a/src/ctl/ctl_print.c
+++ b/src/ctl/ctl_print.c
@@ -16,6 +16,7 @@
 static size_t count_columns(const jj_ctl_column_t *);
 static void widen(glong *, const char *);
 static void print_cell(const char *, glong);
+static void print_column(const char *, size_t, size_t, glong);
 
 const json_t *
 jj_ctl_find(const json_t *object, const char *path)
@@ -66,32 +67,37 @@
     const jj_ctl_t *ctl, const json_t *rows, const jj_ctl_column_t *columns)
 {
 	size_t count = count_columns(columns);
-	size_t row_count = json_array_size(rows);
-	char **cells = g_new0(char *, (row_count + 1) * count);
 	glong widths[COLUMNS_MAX] = {0};
-	size_t i;
+	const json_t *row;
+	char *text;
+	size_t i, column;
 
 	if (ctl->json) {
 		jj_ctl_print_json(rows);
-		g_free(cells);
 		return;
 	}
-	for (i = 0; i < (row_count + 1) * count; i++) {
-		cells[i] = i < count ? g_strdup(columns[i].heading)
-				     : jj_ctl_text(jj_ctl_find(
-					   json_array_get(rows, i / count - 1),
-					   columns[i % count].path));
-		widen(&widths[i % count], cells[i]);
+	for (column = 0; column < count; column++) {
+		widen(&widths[column], columns[column].heading);
+		json_array_foreach(rows, i, row)
+		{
+			text =
+			    jj_ctl_text(jj_ctl_find(row, columns[column].path));
+			widen(&widths[column], text);
+			g_free(text);
+		}
 	}
-	for (i = 0; i < (row_count + 1) * count; i++) {
-		bool last = i % count == count - 1;
-
-		print_cell(cells[i], last ? 0 : widths[i % count] + GAP);
-		if (last)
-			(void)putchar('\n');
-		g_free(cells[i]);
+	for (column = 0; column < count; column++)
+		print_column(
+		    columns[column].heading, column, count, widths[column]);
+	json_array_foreach(rows, i, row)
+	{
+		for (column = 0; column < count; column++) {
+			text =
+			    jj_ctl_text(jj_ctl_find(row, columns[column].path));
+			print_column(text, column, count, widths[column]);
+			g_free(text);
+		}
 	}
-	g_free(cells);
 }
 
 void
@@ -144,3 +150,14 @@
 	(void)printf(
 	    "%s%*s", text, length < width ? (int)(width - length) : 0, "");
 }
+
+/** The last column is not padded and ends the line. */
+static void
+print_column(const char *text, size_t column, size_t count, glong width)
+{
+	bool last = column == count - 1;
+
+	print_cell(text, last ? 0 : width + GAP);
+	if (last)
+		(void)putchar('\n');
+}
--- a/src/ctl/ctl_results.c
+++ b/src/ctl/ctl_results.c
@@ -12,7 +12,7 @@
 
 const GOptionEntry jj_ctl_results_options[] = {
     {"output", 'o', 0, G_OPTION_ARG_FILENAME, &results_output,
-	"Write to FILE, which appears once the results are whole", "FILE"},
+	"Write to FILE, which appears once the stream has ended whole", "FILE"},
     {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
 };
 
--- a/src/ctl/ctl_submit.c
+++ b/src/ctl/ctl_submit.c
@@ -64,9 +64,11 @@
 	outcome = submit(ctl, key, file);
 	/* A file uploaded again has another id and so is other content under
 	 * the same key: a resend must name the file it uploaded first. */
-	if (outcome != JJ_CTL_OK)
+	if (outcome == JJ_CTL_UNKNOWN || outcome == JJ_CTL_UNREACHABLE)
 		warnx("to send it again: batch submit --file-id %s --key %s",
 		    file, key);
+	else if (outcome == JJ_CTL_FAILED)
+		warnx("the file was uploaded as %s", file);
 	g_free(file);
 	return outcome;
 }
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -66,11 +66,10 @@
 {
 	*count = JJ_MESSAGE_LOADS_MAX;
 	for (uint32_t i = 0; i < *count; i++) {
-		jj_name_set(&loads[i].server,
-		    std::string(JJ_NAME_MAX, 'a' + i % 26).c_str());
+		loads[i].server = UINT64_MAX - i;
 		loads[i].online = i;
 		loads[i].batch = UINT32_MAX;
-		loads[i].token_gap_us = 1;
+		loads[i].suspects = 1;
 	}
 }
 
@@ -295,6 +294,26 @@
 	jj_message_clear(&back);
 }
 
+TEST(Wire, KeepsTheFieldsOfALoad)
+{
+	jj_message_t message = make_message(JJ_MESSAGE_LOAD), back;
+
+	message.body.load.count = 2;
+	message.body.load.loads[0] = {UINT64_MAX, 3, 4, 2};
+	message.body.load.loads[1] = {1, UINT32_MAX, 0, 0};
+	std::string bytes = to_string(jj_wire_encode(&message));
+	ASSERT_EQ(
+	    JJ_WIRE_OK, jj_wire_decode(bytes.data(), bytes.size(), &back));
+	ASSERT_EQ(2U, back.body.load.count);
+	EXPECT_EQ(UINT64_MAX, back.body.load.loads[0].server);
+	EXPECT_EQ(3U, back.body.load.loads[0].online);
+	EXPECT_EQ(4U, back.body.load.loads[0].batch);
+	EXPECT_EQ(2U, back.body.load.loads[0].suspects);
+	EXPECT_EQ(1U, back.body.load.loads[1].server);
+	EXPECT_EQ(UINT32_MAX, back.body.load.loads[1].online);
+	EXPECT_EQ(0U, back.body.load.loads[1].batch);
+}
+
 struct BytesCase {
 	const char *name;
 	std::string bytes;
@@ -311,71 +330,85 @@
 	return all;
 }
 
-static const std::string load_head("\x96\x01\x06\xa1"
+static const std::string load_head("\x96\x02\x06\xa1"
 				   "a\x01\x01\x91\xdc",
     9);
-static const std::string empty_load("\x94\xa0\x00\x00\x00", 5);
-static const std::string config_head("\x96\x01\x05\xa1"
+static const std::string empty_load("\x94\x00\x00\x00\x00", 5);
+static const std::string config_head("\x96\x02\x05\xa1"
 				     "a\x01\x01\x92\x01\xc6",
     10);
 
-/* [1, PROBE, "a", 1, 1, [5]] and what may be wrong with it. */
+/* [2, PROBE, "a", 1, 1, [5]] and what may be wrong with it. */
 static const BytesCase bytes_cases[] = {
     {"Whole",
-	"\x96\x01\x02\xa1"
+	"\x96\x02\x02\xa1"
 	"a\x01\x01\x91\x05",
 	JJ_WIRE_OK},
     {"OtherVersion",
-	"\x96\x02\x02\xa1"
+	"\x96\x03\x02\xa1"
+	"a\x01\x01\x91\x05",
+	JJ_WIRE_OTHER_VERSION},
+    {"OlderVersion",
+	"\x96\x01\x02\xa1"
 	"a\x01\x01\x91\x05",
 	JJ_WIRE_OTHER_VERSION},
     {"OtherVersionOtherShape", "\x96\x7f\xc0", JJ_WIRE_OTHER_VERSION},
     {"Empty", "", JJ_WIRE_MALFORMED},
     {"NoArray", "GET / HTTP/1.1\r\n\r\n", JJ_WIRE_MALFORMED},
     {"UnknownKind",
-	"\x96\x01\x7f\xa1"
+	"\x96\x02\x7f\xa1"
 	"a\x01\x01\x91\x05",
 	JJ_WIRE_MALFORMED},
     {"KindZero",
-	std::string("\x96\x01\x00\xa1"
+	std::string("\x96\x02\x00\xa1"
 		    "a\x01\x01\x91\x05",
 	    9),
 	JJ_WIRE_MALFORMED},
-    {"NobodyFrom", "\x96\x01\x02\xa0\x01\x01\x91\x05", JJ_WIRE_MALFORMED},
+    {"NobodyFrom", "\x96\x02\x02\xa0\x01\x01\x91\x05", JJ_WIRE_MALFORMED},
     {"NulInName",
-	std::string("\x96\x01\x02\xa2"
+	std::string("\x96\x02\x02\xa2"
 		    "a\0\x01\x01\x91\x05",
 	    10),
 	JJ_WIRE_MALFORMED},
     {"LongName",
-	"\x96\x01\x02\xd9\x40" + std::string(64, 'a') + "\x01\x01\x91\x05",
+	"\x96\x02\x02\xd9\x40" + std::string(64, 'a') + "\x01\x01\x91\x05",
 	JJ_WIRE_MALFORMED},
     {"IncarnationZero",
-	std::string("\x96\x01\x02\xa1"
+	std::string("\x96\x02\x02\xa1"
 		    "a\x00\x01\x91\x05",
 	    9),
 	JJ_WIRE_MALFORMED},
     {"NegativeNonce",
-	"\x96\x01\x02\xa1"
+	"\x96\x02\x02\xa1"
 	"a\x01\x01\x91\xff",
 	JJ_WIRE_MALFORMED},
     {"ExtraField",
-	"\x96\x01\x02\xa1"
+	"\x96\x02\x02\xa1"
 	"a\x01\x01\x92\x05\x05",
 	JJ_WIRE_MALFORMED},
     {"TextForNumber",
-	"\x96\x01\x02\xa1"
+	"\x96\x02\x02\xa1"
 	"a\x01\x01\x91\xa1"
 	"5",
 	JJ_WIRE_MALFORMED},
     {"EnumBeyond",
-	"\x96\x01\x10\xa1"
+	"\x96\x02\x10\xa1"
 	"a\x01\x01\x93\xa1"
 	"b\x01\x03",
 	JJ_WIRE_MALFORMED},
     {"MostLoads",
 	load_head + std::string("\x00\x80", 2) + repeat(empty_load, 128),
 	JJ_WIRE_OK},
+    {"LoadByName",
+	std::string("\x96\x02\x06\xa1"
+		    "a\x01\x01\x91\x91\x94\xa1"
+		    "b\x00\x00\x00",
+	    15),
+	JJ_WIRE_MALFORMED},
+    {"LoadOfVersionOne",
+	load_head + std::string("\x00\x01", 2) +
+	    std::string("\x94\xa0\x00\x00\x00", 5),
+	JJ_WIRE_MALFORMED},
     {"OneLoadTooMany",
 	load_head + std::string("\x00\x81", 2) + repeat(empty_load, 129),
 	JJ_WIRE_MALFORMED},
@@ -419,15 +452,15 @@
 		std::string bytes;
 	} cases[] = {
 	    {"InBody",
-		std::string("\x96\x01\x0c\xa1"
+		std::string("\x96\x02\x0c\xa1"
 			    "a\x01\x01\xdd\x00\x40\x00\x00",
 		    12)},
 	    {"Nested",
-		std::string("\x96\x01\x0c\xa1"
+		std::string("\x96\x02\x0c\xa1"
 			    "a\x01\x01\xdd\x00\x40\x00\x00"
 			    "\xdd\x00\x40\x00\x00",
 		    17)},
-	    {"Envelope", std::string("\xdd\x00\x40\x00\x00\x01", 6)},
+	    {"Envelope", std::string("\xdd\x00\x40\x00\x00\x02", 6)},
 	};
 	jj_message_t out;
 
--- a/tests/core/dispatch_test.cc
+++ b/tests/core/dispatch_test.cc
@@ -11,6 +11,7 @@
 extern "C" {
 #include "core/dispatch.h"
 #include "core/dispatch_headroom.h"
+#include "core/dispatch_server.h"
 #include "core/retry_budget.h"
 }
 
@@ -28,6 +29,16 @@
 	uint64_t request;
 	uint32_t attempt;
 	std::string server;
+	uint32_t resume_from;
+};
+
+// The word of a death is with all VMs after so long, ms.
+const jj_ms_t SPREAD_MS = 30;
+
+// A load message that was sent.
+struct Told {
+	std::string to;
+	std::vector<jj_load_t> loads;
 };
 
 jj_name_t
@@ -126,6 +137,9 @@
 		jj_fleet_destroy(fleet);
 		jj_member_destroy(member_a);
 		jj_member_destroy(member_b);
+		for (const auto &one : others)
+			jj_member_destroy(one.second);
+		others.clear();
 	}
 
 	// Sorts what dispatch asked for into the lists below.
@@ -139,7 +153,8 @@
 			if (action->kind == JJ_ACTION_BACKEND_START)
 				starts.push_back({action->body.start.request,
 				    action->body.start.attempt,
-				    action->body.start.server.text});
+				    action->body.start.server.text,
+				    action->body.start.resume_from});
 			if (action->kind == JJ_ACTION_BACKEND_CANCEL)
 				cancels.push_back(action->body.cancel.request);
 			if (action->kind == JJ_ACTION_ANSWER)
@@ -148,11 +163,52 @@
 				    action->body.answer.run,
 				    action->body.answer.retry_after_ms});
 			if (action->kind == JJ_ACTION_SEND)
-				sent.push_back(action->body.send.message->kind);
+				NoteSent(action->body.send.to,
+				    *action->body.send.message);
 			jj_action_free(action);
 		}
 	}
 
+	void
+	NoteSent(const jj_name_t &to, const jj_message_t &message)
+	{
+		const jj_load_t *loads = message.body.load.loads;
+
+		sent.push_back(message.kind);
+		if (message.kind == JJ_MESSAGE_LOAD)
+			told.push_back({to.text,
+			    {loads, loads + message.body.load.count}});
+	}
+
+	// The newest of what a VM was told of a server; -1: nothing.
+	int
+	ToldOnline(const std::string &vm, const std::string &server) const
+	{
+		jj_name_t name = Name(server);
+		int online = -1;
+
+		for (const Told &one : told)
+			for (const jj_load_t &load : one.loads)
+				if (one.to == vm &&
+				    load.server ==
+					jj_dispatch_hash_server(&name))
+					online = (int)load.online;
+		return online;
+	}
+
+	// The VM that decides on batch at a server.
+	std::string
+	StewardOf(const std::string &server) const
+	{
+		jj_name_t name = Name(server);
+		jj_name_t domain = Name("sala-a");
+		jj_name_t steward;
+
+		EXPECT_TRUE(jj_member_choose(member_a, &domain,
+		    jj_dispatch_hash_server(&name), &steward));
+		return steward.text;
+	}
+
 	// Heartbeats and probes until both VMs know each other.
 	void
 	MeetNeighbour()
@@ -174,6 +230,71 @@
 		Drain();
 	}
 
+	// Neighbours "vm-c0" and on, in this domain.
+	void
+	MeetMany(int count)
+	{
+		jj_name_t a = Name("vm-a");
+		jj_name_t domain = Name("sala-a");
+		jj_member_settings_t settings = {};
+
+		settings.domain = domain;
+		settings.heartbeat_ms = 500;
+		settings.suspect_ms = 2000;
+		settings.forget_ms = 3600000;
+		for (int i = 0; i < count; i++) {
+			settings.name = Name("vm-c" + std::to_string(i));
+			settings.incarnation = 10 + i;
+			jj_member_t *member = jj_member_create(&settings);
+			jj_member_set_state(member, JJ_VM_SERVING);
+			jj_member_learn(member_a, &settings.name, &domain, "");
+			jj_member_learn(member, &a, &domain, "");
+			others[settings.name.text] = member;
+		}
+		for (int i = 0; i < 6; i++, now += 500) {
+			jj_member_tick(member_a, now, &out);
+			Exchange(member_a, 2);
+			for (const auto &one : others) {
+				jj_member_tick(one.second, now, &out);
+				Exchange(one.second, 2);
+			}
+		}
+		for (const auto &one : others) {
+			jj_name_t name = Name(one.first);
+			ASSERT_TRUE(jj_member_is_live(member_a, &name));
+		}
+		jj_dispatch_tick(dispatch, now, &out);
+		Drain();
+	}
+
+	// Delivers what one member sent, and what that brings about.
+	void
+	Exchange(jj_member_t *from, int depth)
+	{
+		jj_actions_t mail;
+		jj_action_t *action;
+
+		TAILQ_INIT(&mail);
+		TAILQ_CONCAT(&mail, &out, link);
+		while ((action = TAILQ_FIRST(&mail)) != nullptr) {
+			TAILQ_REMOVE(&mail, action, link);
+			if (action->kind == JJ_ACTION_SEND) {
+				jj_message_t *message =
+				    action->body.send.message;
+				auto to =
+				    others.find(action->body.send.to.text);
+				jj_member_t *member =
+				    to != others.end() ? to->second : member_a;
+				jj_member_stamp(from, message);
+				(void)jj_member_accept(
+				    member, message, now, &out);
+				if (depth > 0)
+					Exchange(member, depth - 1);
+			}
+			jj_action_free(action);
+		}
+	}
+
 	void
 	Deliver(jj_member_t *from, jj_member_t *to, int depth)
 	{
@@ -236,7 +357,7 @@
 
 	void
 	Event(uint64_t request, uint32_t attempt, jj_backend_kind_t kind,
-	    bool relayed = false, uint32_t tokens = 1)
+	    bool relayed = false, uint32_t tokens = 1, bool resumable = false)
 	{
 		jj_backend_event_t event = {};
 
@@ -245,6 +366,7 @@
 		event.kind = kind;
 		event.tokens = tokens;
 		event.relayed = relayed;
+		event.resumable = resumable;
 		jj_dispatch_take_event(dispatch, &event, now, &out);
 		Drain();
 	}
@@ -323,6 +445,8 @@
 	std::vector<Answer> answers;
 	std::vector<uint64_t> cancels;
 	std::vector<jj_message_kind_t> sent;
+	std::vector<Told> told;
+	std::map<std::string, jj_member_t *> others;
 };
 
 // Stories 10, 12, 13: a caller books pallets; the connection breaks after the
@@ -637,11 +761,126 @@
 	}
 	EXPECT_GT(stewarded, 0u);
 	ASSERT_LT(stewarded, 8u);
-	// The rest are not kept for ever.
-	Tick(1100);
+	// The rest are not kept for ever: theirs are the others in the next turn.
+	for (int i = 0; i < 11; i++)
+		Tick(100);
 	EXPECT_EQ(16u, starts.size());
 }
 
+// Story 27: each VM has suspects of the same death and servers that it is not
+// steward of. Sent anywhere after a second, two VMs' suspects meet on one
+// server; it dies, and the innocent one is refused for an hour.
+TEST_F(DispatchTest, NoServerIsOpenToTwoVmsInOneTurn)
+{
+	jj_member_info_t vms[3] = {};
+	jj_request_t request = Request(1);
+	jj_server_views_t views;
+	std::vector<jj_server_view_t *> all;
+
+	Build(1, 8);
+	TAILQ_INIT(&views);
+	for (int i = 0; i < 3; i++)
+		vms[i].name = Name("vm-" + std::to_string(i));
+	for (int i = 0; i < 12; i++) {
+		jj_server_t server = {};
+		server.name = Name("server-" + std::to_string(i));
+		jj_server_view_t *view = jj_server_view_create(&server);
+		view->up = true;
+		view->local = true;
+		TAILQ_INSERT_TAIL(&views, view, link);
+		all.push_back(view);
+	}
+	std::map<std::pair<int, jj_server_view_t *>, int> turns;
+	for (uint32_t turn = 0; turn < 3; turn++) {
+		std::map<jj_server_view_t *, int> open;
+		for (int vm = 0; vm < 3; vm++) {
+			jj_server_need_t need = {};
+			need.request = &request;
+			need.suspect = true;
+			need.online_most = 8;
+			need.online_share = 8;
+			need.turn = turn;
+			need.self = &vms[vm].name;
+			need.vms = vms;
+			need.vm_count = 3;
+			jj_server_view_t *view;
+			std::vector<jj_server_view_t *> mine;
+			while ((view = jj_server_choose_online(
+				    &views, &need, now)) != nullptr) {
+				view->suspects = 1;
+				mine.push_back(view);
+				open[view]++;
+				turns[{vm, view}]++;
+			}
+			for (jj_server_view_t *one : mine)
+				one->suspects = 0;
+		}
+		EXPECT_EQ(12u, open.size());
+		for (const auto &one : open)
+			EXPECT_EQ(1, one.second);
+	}
+	// Each VM has had its turn at each server.
+	EXPECT_EQ(36u, turns.size());
+	// One that runs there still since an earlier turn holds it.
+	jj_server_need_t need = {};
+	need.request = &request;
+	need.suspect = true;
+	need.online_most = 8;
+	need.self = &vms[0].name;
+	jj_load_t load = {all[0]->hash, 1, 0, 1};
+	jj_server_view_take_load(all[0], &vms[1].name, &load);
+	for (int i = 0; i < 11; i++) {
+		jj_server_view_t *view =
+		    jj_server_choose_online(&views, &need, now);
+		ASSERT_NE(nullptr, view);
+		EXPECT_NE(all[0], view);
+		view->suspects = 1;
+	}
+	EXPECT_EQ(nullptr, jj_server_choose_online(&views, &need, now));
+	for (jj_server_view_t *view : all)
+		jj_server_view_destroy(view);
+}
+
+// Story 27: a VM's suspect runs for seconds. Its neighbours have to know at
+// once that the server is taken, however far from full it is.
+TEST_F(DispatchTest, AllHearWhereASuspectRuns)
+{
+	retry_floor = 20;
+	Build(3, 32);
+	MeetMany(9);
+	Tick(1000);
+	BeginOnline(1);
+	Event(1, 1, JJ_BACKEND_BROKEN);
+	told.clear();
+	for (int i = 0; i < 600 && starts.size() < 2; i++)
+		Tick(20);
+	ASSERT_EQ(2u, starts.size());
+	for (int i = 0; i < 25; i++)
+		Tick(20);
+	for (const auto &one : others)
+		EXPECT_EQ(1, ToldOnline(one.first, starts[1].server));
+}
+
+// Story 27: two servers die together. A request of the second meets the first
+// on its way: found dead twice, it would have used up its attempts without
+// having run anywhere since.
+TEST_F(DispatchTest, ServersFoundDeadUseUpNoAttempts)
+{
+	retry_floor = 20;
+	Build(4, 8);
+	BeginOnline(1);
+	Event(1, 1, JJ_BACKEND_NOT_SENT);
+	Event(1, 2, JJ_BACKEND_NOT_SENT);
+	Event(1, 3, JJ_BACKEND_NOT_SENT);
+	EXPECT_EQ(4, StartsOf(1));
+	EXPECT_EQ(nullptr, AnswerOf(1));
+	// None is left: that is said at once, and that it was not run.
+	Event(1, 4, JJ_BACKEND_NOT_SENT);
+	ASSERT_NE(nullptr, AnswerOf(1));
+	EXPECT_EQ(JJ_RUN_NOT_RUN, AnswerOf(1)->run);
+	EXPECT_EQ(JJ_GIVE_UP_NO_SERVER, AnswerOf(1)->reason);
+}
+
 // Story 27: this VM's only server broke the connection because it died. Sent
 // back there, the request uses up an attempt on a server known to be doubtful.
 TEST_F(DispatchTest, SuspectDoesNotGoBackAtOnce)
@@ -667,6 +906,9 @@
 	LearnServer(2);
 	Tick(200);
 	Crash(0, 7);
+	// The word of the death goes first, so that resends elsewhere rest.
+	EXPECT_EQ(4u, starts.size());
+	Tick(30);
 	EXPECT_EQ(6u, starts.size());
 	EXPECT_NE(starts[4].server, starts[5].server);
 	EXPECT_TRUE(answers.empty());
@@ -754,6 +996,326 @@
 	EXPECT_EQ(2u, jj_dispatch_batch_room(dispatch, now));
 }
 
+// Stories 18 and 28: a network fault breaks a stream in the middle, or an
+// engine ends it early without its end mark. The caller has half an order; the
+// engine is well and still has the rest. Sent anew, the caller would get the
+// beginning twice; not resumed, it has to ask again for all of it.
+TEST_F(DispatchTest, BrokenStreamGoesOnAtItsServer)
+{
+	struct Case {
+		const char *name;
+		bool resumable;
+		bool relayed;
+		jj_backend_kind_t then; // how the second attempt ends
+		bool then_resumable;
+		int starts; // all, with those elsewhere
+		bool answered;
+		jj_give_up_t reason;
+	} cases[] = {
+	    {"goes on", true, true, JJ_BACKEND_DONE, false, 2, false,
+		JJ_GIVE_UP_NONE},
+	    {"breaks again", true, true, JJ_BACKEND_BROKEN, true, 3, false,
+		JJ_GIVE_UP_NONE},
+	    {"another boot", true, true, JJ_BACKEND_FAILED, false, 2, true,
+		JJ_GIVE_UP_BROKEN},
+	    {"unknown stream", true, true, JJ_BACKEND_REJECTED, false, 2, true,
+		JJ_GIVE_UP_BROKEN},
+	    {"leaving", true, true, JJ_BACKEND_LEAVING, false, 2, true,
+		JJ_GIVE_UP_BROKEN},
+	    {"died", true, true, JJ_BACKEND_NOT_SENT, false, 2, true,
+		JJ_GIVE_UP_BROKEN},
+	    {"unseen, died", true, false, JJ_BACKEND_NOT_SENT, false, 3, false,
+		JJ_GIVE_UP_NONE},
+	    {"unseen, refused", true, false, JJ_BACKEND_REJECTED, false, 3,
+		false, JJ_GIVE_UP_NONE},
+	    {"no stream", false, true, JJ_BACKEND_DONE, false, 1, true,
+		JJ_GIVE_UP_BROKEN},
+	};
+	uint64_t number = 0;
+
+	retry_floor = 20;
+	for (const Case &row : cases) {
+		SCOPED_TRACE(row.name);
+		starts.clear();
+		Build(3, 8);
+		BeginOnline(++number);
+		Event(number, 1, JJ_BACKEND_FIRST, row.relayed);
+		Event(number, 1, JJ_BACKEND_BROKEN, row.relayed, 0,
+		    row.resumable);
+		if (row.resumable) {
+			ASSERT_EQ(2u, starts.size());
+			EXPECT_EQ(starts[0].server, starts[1].server);
+			EXPECT_EQ(1u, starts[1].resume_from);
+			EXPECT_EQ(2u, starts[1].attempt);
+		}
+		Event(number, 2, row.then, row.relayed, 0, row.then_resumable);
+		Tick(SPREAD_MS);
+		ASSERT_EQ((size_t)row.starts, starts.size());
+		// A resume goes to its own server, a fresh start elsewhere.
+		if (row.starts == 3) {
+			EXPECT_EQ(row.then_resumable ? 1u : 0u,
+			    starts[2].resume_from);
+			EXPECT_EQ(row.then_resumable,
+			    starts[2].server == starts[0].server);
+		}
+		const Answer *answer = AnswerOf(number);
+		ASSERT_EQ(row.answered, answer != nullptr);
+		if (answer != nullptr) {
+			EXPECT_EQ(row.reason, answer->reason);
+			EXPECT_EQ(JJ_RUN_UNKNOWN, answer->run);
+		}
+		TearDown();
+	}
+	Build(1, 8);
+}
+
+// Story 16 with 18: an engine breaks each stream again and again. Resumed
+// without a bound its streams come back for ever, as a retry storm would.
+TEST_F(DispatchTest, ResumesAreBounded)
+{
+	retry_floor = 4;
+	Build(3, 32);
+	for (uint64_t i = 1; i <= 2; i++) {
+		BeginOnline(i);
+		for (uint32_t attempt = 1; attempt <= 3; attempt++)
+			Event(i, attempt, JJ_BACKEND_BROKEN, true, 0, true);
+		EXPECT_EQ(3, StartsOf(i));
+		ASSERT_NE(nullptr, AnswerOf(i));
+		EXPECT_EQ(JJ_GIVE_UP_BROKEN, AnswerOf(i)->reason);
+	}
+	// The floor's four are used up: they count as retries.
+	BeginOnline(3);
+	Event(3, 1, JJ_BACKEND_BROKEN, true, 0, true);
+	EXPECT_EQ(1, StartsOf(3));
+	ASSERT_NE(nullptr, AnswerOf(3));
+}
+
+// Story 18 with 27: the break was the server's death. A resume would go to a
+// dead server; what broke there is a suspect, whoever sees the death first.
+TEST_F(DispatchTest, NothingIsResumedAtADeadServer)
+{
+	bool is_news;
+
+	retry_floor = 20;
+	Build(3, 8);
+	BeginOnline(1);
+	std::string first = starts[0].server;
+	jj_name_t name = Name(first);
+	// A neighbour has told of it already.
+	jj_fleet_note(fleet, &name, JJ_SERVER_DOWN, 7, now, &out, &is_news);
+	Event(1, 1, JJ_BACKEND_BROKEN, false, 0, true);
+	Tick(SPREAD_MS);
+	ASSERT_EQ(2u, starts.size());
+	EXPECT_NE(first, starts[1].server);
+	EXPECT_EQ(0u, starts[1].resume_from);
+	// The own probe sees it while the resume is under way.
+	BeginOnline(2);
+	std::string second = starts[2].server;
+	Event(2, 1, JJ_BACKEND_BROKEN, false, 0, true);
+	ASSERT_EQ(1u, starts[3].resume_from);
+	Crash(second.back() - '0', 7);
+	EXPECT_EQ(JJ_QUARANTINE_SUSPECT,
+	    jj_quarantine_check(tested_quarantine, 1002, now));
+	for (size_t i = 4; i < starts.size(); i++) {
+		EXPECT_NE(second, starts[i].server);
+		EXPECT_EQ(0u, starts[i].resume_from);
+	}
+}
+
+// Story 27 with 18: streams break as their server dies; their resumes find
+// nobody there, and the probes see the death last. Each of them may be the one
+// that killed it: one per server from now on, and all are in the report.
+TEST_F(DispatchTest, VainResumesAreSuspects)
+{
+	retry_floor = 20;
+	Build(1, 8);
+	for (uint64_t i = 1; i <= 3; i++) {
+		BeginOnline(i);
+		Event(i, 1, JJ_BACKEND_FIRST, i == 3);
+		Event(i, 1, JJ_BACKEND_BROKEN, i == 3, 0, true);
+	}
+	ASSERT_EQ(6u, starts.size());
+	LearnServer(1);
+	Tick(200);
+	for (uint64_t i = 1; i <= 3; i++)
+		Event(i, 2, JJ_BACKEND_NOT_SENT, i == 3);
+	Tick(SPREAD_MS);
+	EXPECT_EQ(7u, starts.size());
+	EXPECT_EQ("server-1", starts.back().server);
+	ASSERT_NE(nullptr, AnswerOf(3));
+	Crash(0, 7);
+	for (uint64_t fingerprint : {1001, 1002, 1003})
+		EXPECT_EQ(JJ_QUARANTINE_SUSPECT,
+		    jj_quarantine_check(tested_quarantine, fingerprint, now));
+}
+
+// Story 16 with 18: a server dies with many streams. Were both the resume that
+// finds it dead and the fresh start charged, the budget would be gone with
+// the first few, and the other callers refused though servers are free.
+TEST_F(DispatchTest, StartAfterAVainResumeIsNotCharged)
+{
+	retry_floor = 1;
+	Build(3, 8);
+	BeginOnline(1);
+	Event(1, 1, JJ_BACKEND_BROKEN, false, 0, true);
+	Event(1, 2, JJ_BACKEND_NOT_SENT);
+	Tick(SPREAD_MS);
+	ASSERT_EQ(3u, starts.size());
+	EXPECT_NE(starts[0].server, starts[2].server);
+	EXPECT_EQ(0u, starts[2].resume_from);
+}
+
+// A batch item's stream goes on too: what it has generated is not lost.
+TEST_F(DispatchTest, BrokenBatchStreamGoesOn)
+{
+	Build(1, 32);
+	BeginBatch(1);
+	Event(1, 1, JJ_BACKEND_BROKEN, false, 0, true);
+	ASSERT_EQ(2u, starts.size());
+	EXPECT_EQ(1u, starts[1].resume_from);
+	EXPECT_EQ(nullptr, AnswerOf(1));
+	Event(1, 2, JJ_BACKEND_FAILED);
+	ASSERT_NE(nullptr, AnswerOf(1));
+	EXPECT_EQ(JJ_GIVE_UP_BROKEN, AnswerOf(1)->reason);
+}
+
+// Story 14 in a domain of ten VMs: a caller's request is on its way to a
+// server full of batch. Its steward hears of it in the same step; the eight
+// others, who only weigh servers, need not.
+TEST_F(DispatchTest, StewardHearsAtOnce)
+{
+	Build(8, 32);
+	MeetMany(9);
+	Tick(1000);
+	told.clear();
+	for (uint64_t i = 1; i <= 8; i++) {
+		Tick(10);
+		BeginOnline(i);
+	}
+	Tick(10);
+	for (const Start &start : starts) {
+		std::string steward = StewardOf(start.server);
+		if (steward != "vm-a") {
+			EXPECT_EQ(1, ToldOnline(steward, start.server));
+		}
+	}
+	size_t stewarded = 0;
+	for (int i = 0; i < 8; i++)
+		stewarded += StewardOf("server-" + std::to_string(i)) == "vm-a";
+	ASSERT_EQ(8u, starts.size());
+	EXPECT_EQ(8 - stewarded, told.size());
+}
+
+// A steward that is never told that requests ended keeps batch away from an
+// idle server. It is told when there is something else to say, or in time.
+TEST_F(DispatchTest, StewardHearsOfTheEndInTime)
+{
+	Build(1, 32);
+	MeetMany(9);
+	std::string steward = StewardOf("server-0");
+	ASSERT_NE("vm-a", steward) << "choose other VM names";
+	Tick(1000);
+	BeginOnline(1);
+	Event(1, 1, JJ_BACKEND_DONE);
+	for (int i = 0; i < 40; i++)
+		Tick(20);
+	EXPECT_EQ(0, ToldOnline(steward, "server-0"));
+}
+
+// What VMs tell each other has to fit their control budget at any rate of
+// requests: here a request begins and ends each millisecond for 200 ms. With
+// 2 VMs all loads go out each 16 ms, and a steward hears of more each 5 ms.
+TEST_F(DispatchTest, LoadMessagesAreSpaced)
+{
+	Build(4, 32);
+	MeetNeighbour();
+	told.clear();
+	for (uint64_t i = 1; i <= 200; i++, now++) {
+		BeginOnline(i);
+		Event(i, 1, JJ_BACKEND_DONE);
+	}
+	EXPECT_LE(told.size(), 200u / 16 + 200u / 5 + 2);
+	EXPECT_GE(told.size(), 10u);
+}
+
+// A server nearly has all the requests it can run. Here one more decides
+// whether the next VM's caller waits in a queue: all are told of it.
+TEST_F(DispatchTest, AllHearOfANearlyFullServer)
+{
+	struct Case {
+		const char *name;
+		uint32_t others;
+		uint32_t own;
+		bool told;
+	} cases[] = {
+	    {"far from full", 2, 1, false},
+	    {"by two", 2, 2, true},
+	    {"nearly full", 23, 1, true},
+	};
+
+	for (const Case &row : cases) {
+		SCOPED_TRACE(row.name);
+		starts.clear();
+		Build(1, 32);
+		MeetMany(9);
+		jj_name_t from = Name("vm-c0");
+		jj_name_t server = Name("server-0");
+		jj_load_t load = {
+		    jj_dispatch_hash_server(&server), row.others, 0, 0};
+		jj_dispatch_take_loads(dispatch, &from, &load, 1, now);
+		Tick(1000);
+		told.clear();
+		for (uint32_t i = 1; i <= row.own; i++)
+			BeginOnline(i);
+		Tick(500);
+		int heard = 0;
+		for (const auto &one : others)
+			heard +=
+			    ToldOnline(one.first, "server-0") == (int)row.own;
+		EXPECT_EQ(row.told ? 9 : 1, heard);
+		TearDown();
+	}
+	Build(1, 8);
+}
+
+// A load message is lost, or its change was too small to be told: a neighbour
+// would be wrong about that server for ever. Heartbeats name all in turn.
+TEST_F(DispatchTest, HeartbeatsNameAllServersInTurn)
+{
+	for (int servers : {1, 8, 9, 100}) {
+		SCOPED_TRACE(servers);
+		Build(servers, 32);
+		Tick(200);
+		std::map<uint64_t, int> named;
+		jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
+		for (int round = 0; round < (servers + 7) / 8; round++) {
+			uint32_t count = jj_dispatch_loads(
+			    dispatch, loads, JJ_MESSAGE_LOADS_MAX);
+			EXPECT_LE(count, 8u);
+			for (uint32_t i = 0; i < count; i++)
+				named[loads[i].server]++;
+		}
+		EXPECT_EQ((size_t)servers, named.size());
+		TearDown();
+	}
+	Build(1, 8);
+}
+
+// Story 29: a VM is replaced. Nothing changes meanwhile, so nobody would tell
+// the new one what runs; it takes full servers for idle ones.
+TEST_F(DispatchTest, NewNeighbourIsToldOfAllThatRuns)
+{
+	Build(3, 32);
+	for (uint64_t i = 1; i <= 3; i++)
+		BeginOnline(i);
+	Tick(200);
+	told.clear();
+	MeetNeighbour();
+	Tick(200);
+	for (const Start &start : starts)
+		EXPECT_EQ(1, ToldOnline("vm-b", start.server));
+}
+
 // Story 17: a team floods the other VM, which refills each place as it gets
 // free. This VM's caller would wait until the flood ends.
 TEST_F(DispatchTest, FloodElsewhereLeavesThisVmItsShare)
--- /dev/null
+++ b/tests/soak/schedule.cc
@@ -0,0 +1,127 @@
+/*
+ * Draws the faults of a run.
+ */
+#include <random>
+
+#include "tests/soak/schedule.h"
+
+namespace soak
+{
+
+namespace
+{
+
+struct row_t {
+	fault_kind_t kind;
+	const char *name;
+	int weight;
+	long least_ms;
+	long most_ms;
+};
+
+const row_t ROWS[] = {
+    {fault_kind_t::KILL, "kill", 5, 200, 3000},
+    {fault_kind_t::STOP, "stop", 2, 100, 1000},
+    {fault_kind_t::FREEZE, "freeze", 5, 1000, 8000},
+    {fault_kind_t::CUT, "cut", 3, 1000, 8000},
+    {fault_kind_t::PLATFORM_CUT, "platform_cut", 3, 1000, 8000},
+    {fault_kind_t::OUTAGE, "outage", 3, 2000, 10000},
+    {fault_kind_t::LOSE_ANSWERS, "lose_answers", 4, 10, 20},
+    {fault_kind_t::SLOW_PLATFORM, "slow_platform", 2, 1000, 6000},
+    {fault_kind_t::WATCH, "watch", 2, 10, 20},
+    {fault_kind_t::LIST, "list", 2, 1000, 6000},
+    {fault_kind_t::LEAVING, "leaving", 3, 1000, 6000},
+    {fault_kind_t::ENGINE_KILL, "engine_kill", 3, 200, 2000},
+    {fault_kind_t::SERVICE, "service", 5, 500, 3000},
+    {fault_kind_t::NONE, "none", 0, 0, 0},
+    {fault_kind_t::POISON, "poison", 0, 0, 0},
+};
+
+/* The first faults meet a fleet at work, the last ones have their time. */
+constexpr long QUIET_BEGIN_MS = 2000;
+constexpr long QUIET_END_MS = 2000;
+constexpr long GAP_LEAST_MS = 400;
+constexpr long GAP_MOST_MS = 2400;
+
+/* std::uniform_int_distribution differs between libraries; this does not. */
+long
+draw(std::mt19937_64 &random, long least, long most)
+{
+	return least +
+	    static_cast<long>(
+		random() % static_cast<unsigned long>(most - least + 1));
+}
+
+int
+weigh(const options_t &options, const row_t &row)
+{
+	return options.brings(row.name) ? row.weight : 0;
+}
+
+const row_t &
+draw_row(const options_t &options, std::mt19937_64 &random, int total)
+{
+	long at = draw(random, 0, total - 1);
+
+	for (const row_t &row : ROWS) {
+		at -= weigh(options, row);
+		if (at < 0)
+			return row;
+	}
+	return ROWS[0];
+}
+
+} // namespace
+
+const char *
+fault_name(fault_kind_t kind)
+{
+	for (const row_t &row : ROWS) {
+		if (row.kind == kind)
+			return row.name;
+	}
+	return "";
+}
+
+bool
+is_fault_kind(const std::string &name)
+{
+	for (const row_t &row : ROWS) {
+		if (name == row.name)
+			return true;
+	}
+	return false;
+}
+
+std::string
+fault_kinds()
+{
+	std::string names;
+
+	for (const row_t &row : ROWS)
+		names += (names.empty() ? "" : ", ") + std::string(row.name);
+	return names;
+}
+
+std::vector<fault_t>
+plan_faults(const options_t &options)
+{
+	std::mt19937_64 random(options.seed);
+	std::vector<fault_t> faults;
+	long end_ms = options.seconds * 1000 - QUIET_END_MS;
+	long at_ms = QUIET_BEGIN_MS;
+	int total = 0;
+
+	for (const row_t &row : ROWS)
+		total += weigh(options, row);
+	while (total > 0 && at_ms < end_ms) {
+		const row_t &row = draw_row(options, random, total);
+		long lasts_ms = draw(random, row.least_ms, row.most_ms);
+		faults.push_back(
+		    {at_ms, lasts_ms, row.kind, random(), random()});
+		at_ms += draw(random, GAP_LEAST_MS, GAP_MOST_MS);
+	}
+	return faults;
+}
+
+} // namespace soak
--- /dev/null
+++ b/tests/system/answer_failure_test.cc
@@ -0,0 +1,233 @@
+/*
+ * Failures of answers: each caller receives the whole answer to its own
+ * request and only that, or is told that it did not.
+ */
+#include "tests/system/harness.h"
+
+using namespace harness;
+
+namespace
+{
+
+const char DONE[] = "data: [DONE]\n\n";
+
+std::string
+stream_request(const std::string &prompt, int tokens)
+{
+	return "{\"model\":\"narrador\",\"prompt\":\"" + prompt +
+	    "\",\"max_tokens\":" + std::to_string(tokens) + ",\"stream\":true}";
+}
+
+/* The text in the events of a stream. */
+std::string
+text_in(const std::string &events)
+{
+	std::string text;
+	size_t at = 0;
+
+	while ((at = events.find("data: {", at)) != std::string::npos) {
+		size_t from = at + 6;
+		at = events.find('\n', from);
+		text += json_view_t(events.substr(from, at - from))
+			    .text("choices.0.text");
+	}
+	return text;
+}
+
+/* How an engine's stream for a prompt ended; empty: there is none. */
+std::string
+outcome_of(const standin_t &engine, const std::string &prompt)
+{
+	json_view_t list(engine.ask("/records").body);
+	std::string text = text_of(prompt, 1);
+	std::string hash = text.substr(3, 8);
+	std::string outcome;
+
+	for (size_t i = 0; i < list.size(); i++) {
+		std::string at = std::to_string(i);
+		if (list.text(at + ".prompt_hash") == hash)
+			outcome = list.text(at + ".outcome");
+	}
+	return outcome;
+}
+
+/*
+ * An engine's stream ends early: cut short cleanly, broken after its headers,
+ * or late past the timeout. A driver who takes the half for the whole loads
+ * half an order. Where nothing was passed on yet, another engine
+ * gives the whole.
+ */
+TEST(AnswerFailure, HalfAnAnswerIsNeverPassedAsWhole)
+{
+	static const struct {
+		const char *name;
+		const char *fault;
+		bool streams;
+		bool helper; /* another engine can answer it whole */
+	} cases[] = {
+	    {"truncated, whole", "{\"truncate_next\":3}", false, true},
+	    {"truncated, stream", "{\"truncate_next\":3}", true, false},
+	    {"truncated everywhere", "{\"truncate_next\":90}", false, false},
+	    {"truncated stream everywhere", "{\"truncate_next\":90}", true,
+		false},
+	    {"broken, whole", "{\"break_next\":3}", false, true},
+	    {"broken, stream", "{\"break_next\":3}", true, true},
+	    {"broken everywhere", "{\"break_next\":90}", true, false},
+	    {"late, whole", "{\"late_next\":3,\"late_ms\":1500}", false, true},
+	    {"late, stream", "{\"late_next\":3,\"late_ms\":1500}", true, true},
+	};
+	fleet_options_t options;
+
+	options.domains = 1;
+	options.engines = 2;
+	options.narrador = ",\"timeout_ms\":700,\"deadline_ms\":4000";
+	fleet_t fleet(options);
+	for (const auto &row : cases) {
+		SCOPED_TRACE(row.name);
+		fleet.engines[0].fault(row.fault);
+		if (!row.helper)
+			fleet.engines[1].fault(row.fault);
+		for (int i = 0; i < 6; i++) {
+			std::string prompt = row.name + std::to_string(i);
+			const vm_t &vm = *fleet.vms[i % 2];
+			if (!row.streams) {
+				reply_t reply = vm.complete(prompt, 8);
+				EXPECT_EQ(reply.status == 200,
+				    is_answer_to(reply, prompt, 8))
+				    << reply.body;
+				EXPECT_TRUE(!row.helper || reply.status == 200)
+				    << reply.body;
+				continue;
+			}
+			stream_t stream(vm.callers + "/v1/completions",
+			    stream_request(prompt, 8));
+			const reply_t &reply = stream.finish();
+			std::string text = text_in(reply.body);
+			EXPECT_EQ(text_of(prompt, 8).rfind(text, 0), 0u)
+			    << "another's text: " << reply.body;
+			EXPECT_EQ(reply.has(DONE), text == text_of(prompt, 8))
+			    << reply.body;
+			EXPECT_TRUE(reply.has(DONE) || reply.status != 200 ||
+			    reply.code != CURLE_OK)
+			    << "a half looks like a whole: " << reply.body;
+			EXPECT_TRUE(!row.helper || reply.has(DONE))
+			    << reply.status << " " << reply.body;
+		}
+		for (const standin_t &engine : fleet.engines)
+			engine.fault("{\"truncate_next\":0,\"break_next\":0,"
+				     "\"late_next\":0}");
+	}
+}
+
+/*
+ * Callers give up on late answers and their connections to the engine are
+ * used by the next ones. An answer that arrives then must not reach another
+ * caller: each text names the prompt it belongs to.
+ */
+TEST(AnswerFailure, LateAnswersReachNobodyElse)
+{
+	fleet_options_t options;
+
+	options.domains = 1;
+	options.narrador = ",\"timeout_ms\":300,\"deadline_ms\":1500";
+	fleet_t fleet(options);
+	fleet.engines[0].fault("{\"late_next\":20,\"late_ms\":450}");
+	for (int round = 0; round < 4; round++) {
+		std::map<std::string, std::future<reply_t>> sent;
+		for (int i = 0; i < 16; i++) {
+			std::string prompt = "caller " + std::to_string(round) +
+			    "-" + std::to_string(i);
+			sent[prompt] =
+			    fleet.vms[i % 2]->complete_later(prompt, 3);
+		}
+		for (auto &later : sent) {
+			reply_t reply = later.second.get();
+			EXPECT_NE(reply.status, 0);
+			if (reply.status == 200) {
+				EXPECT_TRUE(is_answer_to(reply, later.first, 3))
+				    << later.first << ": " << reply.body;
+			} else {
+				EXPECT_NE(reply.text("run"), "") << reply.body;
+			}
+		}
+	}
+	reply_t last = fleet.vm(0, 0).complete("after all", 3);
+	EXPECT_TRUE(is_answer_to(last, "after all", 3)) << last.body;
+}
+
+/*
+ * A caller hangs up in the middle of its stream, or of its wait. Its stream
+ * at the engine would run on for nobody, and hold a slot that a driver
+ * waits for.
+ */
+TEST(AnswerFailure, VanishedCallerFreesItsSlot)
+{
+	static const struct {
+		const char *prompt;
+		bool streams;
+	} cases[] = {{"vanishes in a stream", true}, {"vanishes", false}};
+	fleet_options_t options;
+
+	options.domains = 1;
+	options.engine_options = {"--step-ms", "20", "--slots", "1"};
+	fleet_t fleet(options);
+	for (const auto &row : cases) {
+		SCOPED_TRACE(row.prompt);
+		const std::string url =
+		    fleet.vm(0, 0).callers + "/v1/completions";
+		std::string body = stream_request(row.prompt, 100000);
+		if (!row.streams)
+			body.replace(body.find("true"), 4, "false");
+		stream_t stream(url, body);
+		wait_until("the stream runs", [&] {
+			return outcome_of(fleet.engines[0], row.prompt) ==
+			    "running" &&
+			    (!row.streams || stream.seen().size() > 0);
+		});
+		stream.hang_up();
+		wait_until("its slot is free", [&] {
+			std::string outcome =
+			    outcome_of(fleet.engines[0], row.prompt);
+			return outcome == "gone" || outcome == "cancelled";
+		});
+		reply_t next = fleet.vm(0, 1).complete("next driver", 2);
+		EXPECT_TRUE(is_answer_to(next, "next driver", 2)) << next.body;
+	}
+}
+
+/*
+ * A caller reads nothing of a long stream. Its stream must not hold the
+ * engine's slot for ever, callers beside it must not wait for it, and what it
+ * gets in the end must not look whole.
+ */
+TEST(AnswerFailure, SlowReaderHarmsNobodyElse)
+{
+	fleet_options_t options;
+
+	options.domains = 1;
+	options.vms = 1;
+	options.engine_options = {"--step-ms", "1", "--slots", "4"};
+	options.narrador = ",\"timeout_ms\":3000,\"deadline_ms\":6000";
+	options.settings = "[callers]\nstream_bytes = 4096\n";
+	fleet_t fleet(options);
+	/* Fills what the kernel holds between the two in a moment. */
+	fleet.engines[0].fault("{\"slow\":0.02}");
+	stream_t slow(fleet.vm(0, 0).callers + "/v1/completions",
+	    stream_request("slow", 1000000));
+	wait_until(
+	    "the slow stream runs", [&] { return slow.seen().size() > 0; });
+	slow.pause(true);
+	for (int i = 0; i < 30; i++) {
+		std::string prompt = "beside " + std::to_string(i);
+		reply_t reply = fleet.vm(0, 0).complete(prompt, 4);
+		EXPECT_TRUE(is_answer_to(reply, prompt, 4)) << reply.body;
+	}
+	wait_until("the slow reader's stream is ended", [&] {
+		std::string outcome = outcome_of(fleet.engines[0], "slow");
+		return outcome == "gone" || outcome == "cancelled";
+	});
+	slow.pause(false);
+	EXPECT_FALSE(slow.finish().has(DONE));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/system/once_failure_test.cc
@@ -0,0 +1,357 @@
+/*
+ * Failures of calls that may not be repeated: each runs at most once, and
+ * nobody is told "not run" of a call that ran.
+ */
+#include "tests/system/harness.h"
+
+using namespace harness;
+
+namespace
+{
+
+fleet_options_t
+once_options(int domains, int vms)
+{
+	fleet_options_t options;
+
+	options.domains = domains;
+	options.vms = vms;
+	options.engines = 0;
+	options.services = 2;
+	options.pallets = ",\"timeout_ms\":600,\"deadline_ms\":3000";
+	options.settings = "[member]\nheartbeat_ms = 100\nsuspect_ms = 600\n"
+			   "[ledger]\nack_timeout_ms = 300\ntakeover_ms = 800\n"
+			   "[core]\nresend_ms = 100\n";
+	return options;
+}
+
+/* The slots of the ledger have their homes: new keys run at each VM. */
+bool
+wait_settled(const fleet_t &fleet)
+{
+	static int round;
+	std::string name = "settled-" + std::to_string(++round) + "-";
+	std::string body;
+
+	for (const std::unique_ptr<vm_t> &vm : fleet.vms) {
+		for (int i = 0; i < 24; i++) {
+			std::string key = name + std::to_string(i) + vm->name;
+			if (!wait_until(vm->name + " runs calls", [&] {
+				    reply_t reply = vm->book(key);
+				    body = reply.body;
+				    return reply.status == 200;
+			    })) {
+				ADD_FAILURE() << body;
+				return false;
+			}
+		}
+	}
+	return true;
+}
+
+long
+runs_of(const fleet_t &fleet, const std::string &key)
+{
+	long runs = 0;
+
+	for (const standin_t &service : fleet.services) {
+		json_view_t list(service.ask("/runs").body);
+		for (size_t i = 0; i < list.size(); i++)
+			runs += list.text(std::to_string(i) + ".key") == key;
+	}
+	return runs;
+}
+
+/* The VM that sent a key's call to its server; null: nobody did. */
+vm_t *
+find_sender(const fleet_t &fleet, const std::string &key)
+{
+	for (const standin_t &service : fleet.services) {
+		json_view_t list(service.ask("/runs").body);
+		for (size_t i = 0; i < list.size(); i++) {
+			std::string at = std::to_string(i);
+			std::string request = list.text(at + ".request");
+			if (list.text(at + ".key") != key)
+				continue;
+			for (const std::unique_ptr<vm_t> &vm : fleet.vms) {
+				if (request.rfind(vm->name + "-", 0) == 0)
+					return vm.get();
+			}
+		}
+	}
+	return nullptr;
+}
+
+void
+fault_services(const fleet_t &fleet, const std::string &json)
+{
+	for (const standin_t &service : fleet.services)
+		service.fault(json);
+}
+
+/* Only a call without a run may be called "not run". */
+void
+expect_honest(
+    const fleet_t &fleet, const std::string &key, const reply_t &reply)
+{
+	std::string run = reply.text("run");
+
+	if (reply.status == 200 || reply.status == 0)
+		return;
+	EXPECT_TRUE(run == "not_run" || run == "unknown") << reply.body;
+	if (run == "not_run") {
+		EXPECT_FALSE(fleet.has_run(key)) << key << " " << reply.body;
+	}
+}
+
+/*
+ * A booking reaches its server and runs there, but the answer is a 503, a
+ * broken connection, or nothing until the timeout. A second try, by this VM
+ * or another, books the pallets twice; "not run" makes the shop try itself.
+ */
+TEST(OnceFailure, UncertainCallIsNeverSentAgain)
+{
+	static const char *const faults[] = {
+	    "run_then_503", "run_then_break", "run_then_hang"};
+	fleet_t fleet(once_options(1, 2));
+
+	/* Warms the connections too: libcurl resends on a reused one that
+	 * breaks before the first byte of the answer. */
+	ASSERT_TRUE(wait_settled(fleet));
+	for (const char *fault : faults) {
+		SCOPED_TRACE(fault);
+		std::string on = std::string("{\"") + fault + "\":";
+		fault_services(fleet, on + "100}");
+		for (const std::unique_ptr<vm_t> &vm : fleet.vms) {
+			std::string key = std::string(fault) + vm->name;
+			reply_t reply = vm->book(key);
+			EXPECT_GE(reply.status, 500) << reply.body;
+			EXPECT_EQ(reply.text("run"), "unknown") << reply.body;
+		}
+		fault_services(fleet, on + "0}");
+		for (const std::unique_ptr<vm_t> &vm : fleet.vms) {
+			std::string key = std::string(fault) + vm->name;
+			for (const std::unique_ptr<vm_t> &at : fleet.vms) {
+				reply_t reply = at->book(key);
+				EXPECT_EQ(reply.text("run"), "unknown")
+				    << reply.body;
+			}
+			EXPECT_EQ(runs_of(fleet, key), 1);
+		}
+	}
+	EXPECT_EQ(fleet.runs("doubled"), 0);
+}
+
+/*
+ * The first use of a connection breaks after the run, as above, but with
+ * VMs that were just started and hold no connection yet.
+ */
+TEST(OnceFailure, BreakOnAFreshConnectionIsNotSentAgain)
+{
+	fleet_t fleet(once_options(1, 2));
+	reply_t reply;
+
+	fault_services(fleet, "{\"run_then_break\":1000}");
+	wait_until("a call reaches a server", [&] {
+		reply = fleet.vm(0, 0).book("fresh");
+		return fleet.has_run("fresh");
+	});
+	EXPECT_EQ(reply.text("run"), "unknown") << reply.body;
+	fault_services(fleet, "{\"run_then_break\":0}");
+	EXPECT_EQ(fleet.vm(0, 1).book("fresh").text("run"), "unknown");
+	EXPECT_EQ(fleet.runs("doubled"), 0);
+}
+
+/*
+ * The VM that sent a booking is lost before the answer comes back; the shop
+ * sends it again through the others, at once and after they have taken the
+ * dead VM's keys over. Who sent it is gone, but not that it was sent.
+ */
+TEST(OnceFailure, VmLostAfterSendingLeavesOutcomeUnknown)
+{
+	fleet_t fleet(once_options(1, 3));
+	const std::string key = "lost-sender";
+	vm_t *sender = nullptr;
+
+	ASSERT_TRUE(wait_settled(fleet));
+	fault_services(fleet, "{\"delay_ms\":500}");
+	std::future<reply_t> first = fleet.vm(0, 0).book_later(key);
+	wait_until("the call runs", [&] {
+		sender = find_sender(fleet, key);
+		return sender != nullptr;
+	});
+	ASSERT_NE(sender, nullptr);
+	sender->process->kill();
+	expect_honest(fleet, key, first.get());
+	fault_services(fleet, "{\"delay_ms\":0}");
+	for (const std::unique_ptr<vm_t> &vm : fleet.vms) {
+		if (vm.get() == sender)
+			continue;
+		expect_honest(fleet, key, vm->book(key));
+		reply_t reply;
+		wait_until("a final word on the call", [&] {
+			reply = vm->book(key);
+			return reply.text("code") == "outcome_unknown";
+		});
+	}
+	sender->process->start();
+	wait_until(sender->name + " is ready",
+	    [sender] { return sender->is_ready(); });
+	EXPECT_EQ(sender->book(key).text("run"), "unknown");
+	EXPECT_EQ(fleet.runs("doubled"), 0);
+}
+
+/*
+ * An impatient shop sends one booking to VMs of two failure domains at once.
+ * One runs it; the others must wait, replay its answer, or say that it is in
+ * progress, and none may run it again.
+ */
+TEST(OnceFailure, SameKeyAtAllVmsRunsOnce)
+{
+	fleet_t fleet(once_options(2, 2));
+	int count = 25;
+
+	ASSERT_TRUE(wait_settled(fleet));
+	fault_services(fleet, "{\"delay_ms\":20}");
+	for (int i = 0; i < count; i++) {
+		std::string key = "at-once-" + std::to_string(i);
+		std::vector<std::future<reply_t>> sent;
+		long run = -1;
+		for (const std::unique_ptr<vm_t> &vm : fleet.vms)
+			sent.push_back(vm->book_later(key));
+		for (std::future<reply_t> &later : sent) {
+			reply_t reply = later.get();
+			if (reply.status == 200) {
+				run = run < 0 ? reply.number("run") : run;
+				EXPECT_EQ(reply.number("run"), run);
+			}
+			expect_honest(fleet, key, reply);
+		}
+		EXPECT_EQ(runs_of(fleet, key), 1) << key;
+		reply_t again = fleet.vm(1, 1).book(key);
+		EXPECT_EQ(again.number("run"), run) << again.body;
+		EXPECT_EQ(
+		    fleet.vm(0, 0).book(key, "{\"other\":1}").status, 422);
+	}
+	EXPECT_EQ(fleet.runs("doubled"), 0);
+}
+
+/*
+ * Bookings are sent while VMs cannot see each other, the platform, or both,
+ * and sent again everywhere once they can. A side that thinks the other is
+ * dead and runs its keys anew books twice.
+ */
+TEST(OnceFailure, CutsNeverRunACallTwice)
+{
+	static const struct {
+		const char *name;
+		bool inside; /* between the VMs of a domain */
+		bool between; /* between the domains */
+		bool platform;
+	} cases[] = {
+	    {"inside a domain", true, false, false},
+	    {"between domains", false, true, false},
+	    {"from the platform", false, false, true},
+	    {"between domains and from the platform", false, true, true},
+	    {"all", true, true, true},
+	};
+	fleet_t fleet(once_options(2, 2));
+
+	for (const auto &row : cases) {
+		SCOPED_TRACE(row.name);
+		std::map<std::string, std::future<reply_t>> sent;
+		ASSERT_TRUE(wait_settled(fleet));
+		fault_services(fleet, "{\"delay_ms\":100}");
+		for (int i = 0; i < 40; i++) {
+			std::string key =
+			    std::string(row.name) + std::to_string(i);
+			sent[key] = fleet.vms[i % 4]->book_later(key);
+			if (i == 10 && row.inside)
+				fleet.cut(fleet.vm(0, 0), fleet.vm(0, 1), true);
+			if (i == 10 && row.between)
+				fleet.cut_domain(0, true);
+			if (i == 10 && row.platform)
+				fleet.cut_platform_from_domain(0);
+		}
+		std::map<std::string, reply_t> first;
+		for (auto &later : sent)
+			first[later.first] = later.second.get();
+		for (const auto &answer : first) {
+			EXPECT_NE(answer.second.status, 0) << answer.first;
+			expect_honest(fleet, answer.first, answer.second);
+		}
+		fault_services(fleet, "{\"delay_ms\":0}");
+		for (int i = 0; i < 10; i++) {
+			std::string key =
+			    std::string(row.name) + std::to_string(i * 4);
+			for (const std::unique_ptr<vm_t> &vm : fleet.vms)
+				expect_honest(fleet, key, vm->book(key));
+		}
+		fleet.cut(fleet.vm(0, 0), fleet.vm(0, 1), false);
+		fleet.cut_domain(0, false);
+		fleet.cut_platform({});
+		ASSERT_TRUE(wait_settled(fleet));
+		for (const auto &answer : first) {
+			for (const std::unique_ptr<vm_t> &vm : fleet.vms)
+				expect_honest(fleet, answer.first,
+				    vm->book(answer.first));
+			if (answer.second.status == 200) {
+				EXPECT_EQ(runs_of(fleet, answer.first), 1);
+			}
+		}
+		EXPECT_EQ(fleet.runs("doubled"), 0);
+	}
+}
+
+/*
+ * A VM that has run bookings is killed or frozen, and others take its keys
+ * over; then it comes back, with an empty memory or with its old belief. A
+ * key that one side has forgotten must not run there.
+ */
+TEST(OnceFailure, TakenOverKeysAreRemembered)
+{
+	static const struct {
+		const char *name;
+		bool frozen;
+	} cases[] = {{"killed", false}, {"frozen", true}};
+
+	for (const auto &row : cases) {
+		SCOPED_TRACE(row.name);
+		fleet_t fleet(once_options(1, 3));
+		vm_t &gone = fleet.vm(0, 0);
+		std::map<std::string, long> runs;
+		ASSERT_TRUE(wait_settled(fleet));
+		for (int i = 0; i < 60; i++) {
+			std::string key = "kept-" + std::to_string(i);
+			runs[key] = fleet.vms[i % 3]->book(key).number("run");
+			EXPECT_GT(runs[key], 0) << key;
+		}
+		if (row.frozen)
+			gone.process->freeze();
+		else
+			gone.process->kill();
+		for (const auto &run : runs) {
+			reply_t reply;
+			wait_until(run.first + " is known", [&] {
+				reply = fleet.vm(0, 1).book(run.first);
+				return reply.status == 200;
+			});
+			EXPECT_EQ(reply.number("run"), run.second);
+		}
+		if (row.frozen)
+			gone.process->thaw();
+		else
+			gone.process->start();
+		wait_until("it is back", [&] { return gone.is_ready(); });
+		for (const auto &run : runs) {
+			reply_t reply = gone.book(run.first);
+			expect_honest(fleet, run.first, reply);
+			if (reply.status == 200) {
+				EXPECT_EQ(reply.number("run"), run.second);
+			}
+		}
+		EXPECT_EQ(fleet.runs("doubled"), 0);
+	}
+}
+
+} // namespace
