Do not blame a request for servers that it only finds dead

Cause: a refused connection was held back for a look at the server like a broken one; the look said that the server had died, and all requests counted in flight there got a strike, also this one, of which no byte was sent. Ruled out: counting the same death twice (it is counted once per request, which is what harmed). Change: a request that was not sent is told at once and is off the server before the look.

--- a/src/daemon/node_control.c
+++ b/src/daemon/node_control.c
@@ -123,13 +123,20 @@
 		task->event.body.backend.status = task->whole.status;
 		task->event.body.backend.body = task->whole.body;
 	}
-	if (suspect &&
+	suspect = suspect &&
 	    jj_relay_address(
-		node->relay, event->request, address, sizeof(address))) {
+		node->relay, event->request, address, sizeof(address));
+	if (suspect && event->kind != JJ_BACKEND_NOT_SENT) {
 		jj_health_watch_hold(node->health, server, address, task);
 		return;
 	}
+	/*
+	 * A request that only finds a server dead must not be blamed for its
+	 * death: it is off the server before the look says that it died.
+	 */
 	jj_loop_post(node->control, &task->task);
+	if (suspect)
+		jj_health_watch_look(node->health, server, address, false);
 }
 
 void
--- a/tests/figures/figures.cc
+++ b/tests/figures/figures.cc
@@ -9,7 +9,6 @@
 #include <chrono>
 #include <cmath>
 #include <cstdio>
-#include <cstring>
 #include <sstream>
 
 #include <glib.h>
--- a/tests/soak/injector.h
+++ b/tests/soak/injector.h
@@ -21,6 +21,8 @@
 	explicit injector_t(stage_t &stage);
 	/* Until the planned end; all faults are mended then. */
 	void run();
+	/* Restarts engines that the last poison crashes, until told to end. */
+	void look_after(const std::atomic<bool> &over);
 
       private:
 	/* A fault that was begun and waits for its end. */
@@ -60,6 +62,7 @@
 	void cut_domain(const fault_t &, bool cut);
 	void watch_stops(long now_ms);
 	void watch_engines(long now_ms);
+	void note_death(const harness::standin_t &);
 	void tell_cuts();
 	bool tell_cuts_to(size_t vm);
 	void kill_vm(size_t number);
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -55,6 +55,8 @@
 
 	injector.run();
 	stage.stop = true;
+	std::atomic<bool> over{false};
+	std::thread guard([&] { injector.look_after(over); });
 	for (std::thread &thread : traffic)
 		thread.join();
 	wait_quiet(stage);
@@ -62,6 +64,8 @@
 	check_online(stage);
 	check_jobs(stage);
 	check_config(stage);
+	over = true;
+	guard.join();
 	verdicts.judge("run: the processes could be steered",
 	    !testing::Test::HasFailure(), "see standard error");
 	history.print_counts();
