Say "not sent" and "not run" only where no byte was sent

Cause, first: libcurl sends a request again by itself when a reused connection closes without an answer. Change: a refused connect is "not sent" only when the request's size sent is 0. Cause, second: a batch item that was withdrawn after its stream had begun was told "not run" when its job was cancelled; a withdrawal now counts as a run that may have begun. Third: a neighbour's word of a death gave strikes but did not take the server out of service there; now it does.

BatchCancel.WithdrawnItem fails without its guard.

--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -280,7 +280,12 @@
 		return JJ_HTTP_COMPLETE;
 	(void)curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &ready_us);
 	(void)curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
-	if (result == CURLE_COULDNT_CONNECT)
+	/*
+	 * libcurl sends again by itself when a reused connection closes
+	 * without an answer. A server that died of the request then refuses
+	 * the new connection, yet the request had been sent.
+	 */
+	if (result == CURLE_COULDNT_CONNECT && request_size == 0)
 		return JJ_HTTP_NOT_SENT;
 	if (ready_us == 0 && request_size == 0)
 		return JJ_HTTP_NOT_SENT;
--- a/src/core/batch_chunk.h
+++ b/src/core/batch_chunk.h
@@ -43,6 +43,7 @@
 	bool idempotent; /**< when it was last offered */
 	bool cleared; /**< its start is confirmed in the record */
 	bool offered; /**< at least once */
+	bool withdrawn; /**< a run that may have begun was taken back */
 	uint64_t run; /**< number of the run under way */
 	uint32_t attempts; /**< runs that may have reached a server */
 	uint32_t not_run; /**< runs that surely did not */
--- a/src/core/batch_items.c
+++ b/src/core/batch_items.c
@@ -208,8 +208,8 @@
 	chunk->must_confirm = true;
 	for (i = 0; i < chunk->count; i++) {
 		jj_batch_item_t *item = &chunk->items[i];
-		bool may_have_run =
-		    item->attempts > 0 || chunk->started[i] || chunk->takeover;
+		bool may_have_run = item->attempts > 0 || item->withdrawn ||
+		    chunk->started[i] || chunk->takeover;
 
 		if (item->state == JJ_ITEM_ENDED)
 			continue;
@@ -443,6 +443,7 @@
 		end_not_run(batch, chunk, index, now);
 		break;
 	case JJ_ITEM_WITHDRAWN:
+		item->withdrawn = true;
 		/* A withdrawn run may have begun: only an idempotent item
 		 * may run again. */
 		if (!item->idempotent)
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -85,6 +85,7 @@
 static jj_bytes_t encode_job_events(const jj_platform_result_t *);
 static void add_job_change(jj_actions_t *, const char *, uint64_t);
 static void wish_models(jj_core_t *, jj_ms_t);
+static void take_death(jj_core_t *, const jj_crash_t *, jj_ms_t);
 static void pass_on(jj_core_t *, const jj_message_t *, jj_actions_t *);
 static void
 tell_news(jj_core_t *, const jj_message_t *, bool, bool, jj_actions_t *);
@@ -462,6 +463,7 @@
 	case JJ_MESSAGE_CRASH:
 		jj_quarantine_take_crash(
 		    core->quarantine, &message->body.crash, now, out);
+		take_death(core, &message->body.crash, now);
 		pass_on(core, message, out);
 		break;
 	case JJ_MESSAGE_SERVER_STATE:
@@ -886,6 +888,16 @@
 	}
 }
 
+/** A neighbour's word of a death: no new work there, unless seen up since. */
+static void
+take_death(jj_core_t *core, const jj_crash_t *crash, jj_ms_t now)
+{
+	jj_server_notice_t notice = {
+	    crash->server, crash->boot, JJ_SERVER_DOWN};
+
+	jj_fleet_take_notice(core->fleet, &notice, now);
+}
+
 /**
  * Speakers carry news of backend servers between domains: out of their own to
  * the others, and from abroad to their own. So a request that kills servers
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -19,7 +19,6 @@
 
 static jj_entry_t *
 add_entry(jj_dispatch_t *, const jj_request_t *, jj_service_queue_t *);
-static jj_server_view_t *find_hash(const jj_dispatch_t *, uint64_t);
 static void take_first(jj_entry_t *, jj_ms_t);
 static void take_tokens(jj_entry_t *, uint32_t, jj_ms_t);
 static void finish(jj_dispatch_t *, jj_entry_t *, bool, jj_ms_t);
@@ -45,6 +44,8 @@
 	TAILQ_INIT(&dispatch->entries);
 	for (i = 0; i < BUCKETS; i++)
 		LIST_INIT(&dispatch->buckets[i]);
+	for (i = 0; i < VIEW_BUCKETS; i++)
+		LIST_INIT(&dispatch->view_buckets[i]);
 	return dispatch;
 }
 
@@ -217,8 +218,11 @@
 
 	if (jj_name_equal(from, &dispatch->settings.name))
 		return;
+	/* The word of one that leaves counts until the next look only. */
+	if (!jj_member_is_live(dispatch->member, from))
+		dispatch->views_stale = true;
 	for (i = 0; i < count; i++) {
-		view = find_hash(dispatch, loads[i].server);
+		view = jj_dispatch_find_hash(dispatch, loads[i].server);
 		if (view != NULL)
 			jj_server_view_take_load(view, from, &loads[i]);
 	}
@@ -296,6 +300,8 @@
 			continue;
 		TAILQ_FOREACH(view, &service->servers, link)
 		{
+			if (!view->local)
+				break;
 			if (view->steward && jj_server_view_is_up(view, now))
 				return true;
 		}
@@ -352,6 +358,8 @@
 		base = jj_dispatch_headroom_use(dispatch, service);
 		TAILQ_FOREACH(view, &service->servers, link)
 		{
+			if (!view->local)
+				break;
 			if (!view->steward || !jj_server_view_is_up(view, now))
 				continue;
 			use = jj_server_view_use(view, &base);
@@ -411,23 +419,6 @@
 	return NULL;
 }
 
-jj_server_view_t *
-jj_dispatch_find_view(const jj_dispatch_t *dispatch, const jj_name_t *server,
-    jj_service_queue_t **service)
-{
-	jj_server_view_t *view;
-
-	TAILQ_FOREACH(*service, &dispatch->services, link)
-	{
-		TAILQ_FOREACH(view, &(*service)->servers, link)
-		{
-			if (jj_name_equal(&view->name, server))
-				return view;
-		}
-	}
-	return NULL;
-}
-
 jj_headroom_use_t
 jj_dispatch_headroom_use(
     const jj_dispatch_t *dispatch, const jj_service_queue_t *service)
@@ -462,23 +453,6 @@
 	return entry;
 }
 
-static jj_server_view_t *
-find_hash(const jj_dispatch_t *dispatch, uint64_t hash)
-{
-	jj_service_queue_t *service;
-	jj_server_view_t *view;
-
-	TAILQ_FOREACH(service, &dispatch->services, link)
-	{
-		TAILQ_FOREACH(view, &service->servers, link)
-		{
-			if (view->hash == hash)
-				return view;
-		}
-	}
-	return NULL;
-}
-
 static void
 take_first(jj_entry_t *entry, jj_ms_t now)
 {
--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -99,8 +99,8 @@
 	uint32_t i;
 
 	for (i = 0; i < view->broken_count && i < JJ_BROKEN_MAX; i++)
-		if (now - view->broken_ms[i] <= BROKEN_MEMORY_MS)
-			suspects[count++] = view->broken[i];
+		if (now - view->broken[i].ms <= BROKEN_MEMORY_MS)
+			suspects[count++] = view->broken[i].fingerprint;
 	TAILQ_FOREACH(entry, &dispatch->entries, all_link)
 	{
 		if (count < most && entry->state == JJ_ENTRY_IN_FLIGHT &&
--- a/src/core/dispatch_refresh.c
+++ b/src/core/dispatch_refresh.c
@@ -1,18 +1,20 @@
 /**
  * @file dispatch_refresh.c
- * @brief What time brings: views, deadlines, headroom, withdrawal.
+ * @brief What time brings: services, deadlines, headroom, withdrawal.
  */
 #include "core/dispatch_state.h"
 
 /* The views of servers and neighbours are renewed this often. */
 #define REFRESH_MS 100
+/*
+ * And those of other domains' servers adjusted: no batch runs there that would
+ * have to give way, and they are two thousand.
+ */
+#define DISTANT_MS 500
 /* A server that batch was withdrawn from gets none for so long. */
 #define WITHDRAW_REST_MS 60
 
 static void refresh_services(jj_dispatch_t *);
-static void refresh_views(jj_dispatch_t *, jj_ms_t);
-static void refresh_steward(const jj_dispatch_t *, jj_server_view_t *);
-static void drop_unlisted(jj_dispatch_t *);
 static void withdraw_excess(jj_dispatch_t *, jj_service_queue_t *,
     jj_server_view_t *, jj_ms_t, jj_actions_t *);
 static jj_entry_t *
@@ -23,27 +25,26 @@
 {
 	jj_member_info_t infos[VMS_MAX];
 	jj_service_queue_t *service;
-	int64_t vms;
+	size_t vms;
 
 	/* A new configuration counts at once: a request for a service that it
 	 * brought must not be told that there is no such service. */
 	if (now < dispatch->refresh_ms &&
 	    dispatch->config_version == jj_config_version(dispatch->config))
 		return;
+	if (dispatch->config_version != jj_config_version(dispatch->config))
+		dispatch->views_stale = true;
 	dispatch->config_version = jj_config_version(dispatch->config);
 	dispatch->refresh_ms = now + REFRESH_MS;
-	vms = (int64_t)jj_member_list(
+	vms = jj_member_list(
 	    dispatch->member, &dispatch->settings.domain, infos, VMS_MAX);
-	if (vms < 1)
-		vms = 1;
-	if (vms > dispatch->vms)
+	if ((int64_t)vms > dispatch->vms)
 		jj_dispatch_tell_anew(dispatch);
-	dispatch->vms = vms;
+	dispatch->vms = vms > 0 ? (int64_t)vms : 1;
 	refresh_services(dispatch);
-	refresh_views(dispatch, now);
+	jj_dispatch_renew_views(dispatch, infos, vms, now);
 	TAILQ_FOREACH(service, &dispatch->services, link)
 	jj_service_queue_sweep(service);
-	drop_unlisted(dispatch);
 }
 
 /*
@@ -84,12 +85,17 @@
 	jj_server_view_t *view;
 	jj_headroom_use_t base;
 	jj_headroom_use_t use;
+	bool distant = now >= dispatch->distant_ms;
 
+	if (distant)
+		dispatch->distant_ms = now + DISTANT_MS;
 	TAILQ_FOREACH(service, &dispatch->services, link)
 	{
 		base = jj_dispatch_headroom_use(dispatch, service);
 		TAILQ_FOREACH(view, &service->servers, link)
 		{
+			if (!view->local && !distant)
+				break;
 			use = jj_server_view_use(view, &base);
 			jj_headroom_adjust(&view->headroom, &use, now);
 			withdraw_excess(dispatch, service, view, now, out);
@@ -120,81 +126,6 @@
 	}
 }
 
-static void
-refresh_views(jj_dispatch_t *dispatch, jj_ms_t now)
-{
-	const jj_server_t *servers;
-	jj_service_queue_t *service;
-	jj_server_view_t *view;
-	size_t count;
-	size_t i;
-
-	TAILQ_FOREACH(service, &dispatch->services, link)
-	{
-		TAILQ_FOREACH(view, &service->servers, link)
-		view->listed = false;
-	}
-	servers = jj_fleet_list(dispatch->fleet, &count);
-	for (i = 0; i < count; i++) {
-		view =
-		    jj_dispatch_find_view(dispatch, &servers[i].name, &service);
-		service =
-		    jj_dispatch_find_service(dispatch, servers[i].service.text);
-		if (service == NULL)
-			continue;
-		if (view == NULL) {
-			view = jj_server_view_create(&servers[i]);
-			jj_headroom_reset(
-			    &view->headroom, dispatch->settings.batch_start);
-			TAILQ_INSERT_TAIL(&service->servers, view, link);
-		}
-		view->listed = true;
-		view->local = jj_name_equal(
-		    &servers[i].domain, &dispatch->settings.domain);
-		view->up =
-		    jj_fleet_takes_work(dispatch->fleet, &servers[i].name, now);
-		refresh_steward(dispatch, view);
-		jj_server_view_refresh(view, dispatch->member);
-	}
-}
-
-static void
-refresh_steward(const jj_dispatch_t *dispatch, jj_server_view_t *view)
-{
-	jj_name_t before = view->steward_name;
-
-	(void)jj_name_set(&view->steward_name, "");
-	if (view->local)
-		(void)jj_member_choose(dispatch->member,
-		    &dispatch->settings.domain, view->hash,
-		    &view->steward_name);
-	view->steward =
-	    jj_name_equal(&view->steward_name, &dispatch->settings.name);
-	/* The new one knows no more than all neighbours do. */
-	if (!jj_name_equal(&view->steward_name, &before))
-		view->steward_online = view->told_online;
-}
-
-static void
-drop_unlisted(jj_dispatch_t *dispatch)
-{
-	jj_service_queue_t *service;
-	jj_server_view_t *view;
-	jj_server_view_t *next;
-
-	TAILQ_FOREACH(service, &dispatch->services, link)
-	{
-		for (view = TAILQ_FIRST(&service->servers); view != NULL;
-		     view = next) {
-			next = TAILQ_NEXT(view, link);
-			if (view->listed || view->online + view->batch > 0)
-				continue;
-			TAILQ_REMOVE(&service->servers, view, link);
-			jj_server_view_destroy(view);
-		}
-	}
-}
-
 /* Online went up: batch gives its places back at once. */
 static void
 withdraw_excess(jj_dispatch_t *dispatch, jj_service_queue_t *service,
--- a/src/core/dispatch_server.c
+++ b/src/core/dispatch_server.c
@@ -27,6 +27,8 @@
 #define AVOID_COST_US 1e9
 /* Another failure domain is a last resort, too: its own load is unseen. */
 #define REMOTE_COST_US 1e8
+/* No server of another domain costs less, whatever its cache saves. */
+#define REMOTE_LEAST_US (REMOTE_COST_US - JJ_PREFIX_BLOCKS_MAX * BLOCK_SAVES_US)
 
 static double score(const jj_server_view_t *, const jj_server_need_t *);
 static double spread(const jj_server_view_t *, const jj_server_need_t *);
@@ -54,6 +56,7 @@
 {
 	free(view->neighbours);
 	free(view->prefixes);
+	free(view->broken);
 	free(view);
 }
 
@@ -66,7 +69,8 @@
 	neighbour->live = true;
 	neighbour->online = load->online;
 	neighbour->batch = load->batch;
-	neighbour->suspects = load->suspects;
+	neighbour->suspects =
+	    load->suspects < UINT16_MAX ? (uint16_t)load->suspects : UINT16_MAX;
 	sum_neighbours(view);
 }
 
@@ -150,8 +154,10 @@
 {
 	uint32_t place = view->broken_count % JJ_BROKEN_MAX;
 
-	view->broken[place] = fingerprint;
-	view->broken_ms[place] = now;
+	if (view->broken == NULL)
+		view->broken = jj_alloc(JJ_BROKEN_MAX * sizeof(*view->broken));
+	view->broken[place].fingerprint = fingerprint;
+	view->broken[place].ms = now;
 	view->broken_count++;
 }
 
@@ -172,6 +178,8 @@
 
 	TAILQ_FOREACH(view, views, link)
 	{
+		if (!view->local && best_cost < REMOTE_LEAST_US)
+			break;
 		if (!jj_server_view_is_up(view, now) || is_full(view, need))
 			continue;
 		if (need->suspect && !fits_suspect(view, need))
@@ -197,6 +205,9 @@
 
 	TAILQ_FOREACH(view, views, link)
 	{
+		/* Stewards have the servers of their own domain only. */
+		if (!view->local)
+			break;
 		if (!jj_server_view_is_up(view, now) || !view->steward)
 			continue;
 		if (need->suspect && view->suspects + view->others_suspects > 0)
--- a/src/core/dispatch_server.h
+++ b/src/core/dispatch_server.h
@@ -20,17 +20,28 @@
 /** Requests remembered whose connection broke, for a crash report. */
 #define JJ_BROKEN_MAX JJ_MESSAGE_SUSPECTS_MAX
 
-/** What one neighbour runs at a server. */
+/** What one neighbour runs at a server; kept small, as each VM keeps one for
+ * each neighbour and server. */
 typedef struct {
 	jj_name_t vm;
-	bool live;
 	uint32_t online;
 	uint32_t batch;
-	uint32_t suspects;
+	uint16_t suspects; /**< as told, at most UINT16_MAX */
+	bool live;
 } jj_neighbour_load_t;
 
+/** A request whose connection broke, for a crash report. */
+typedef struct {
+	uint64_t fingerprint;
+	jj_ms_t ms; /**< when */
+} jj_broken_t;
+
+struct jj_service_queue;
+
 typedef struct jj_server_view {
 	TAILQ_ENTRY(jj_server_view) link;
+	LIST_ENTRY(jj_server_view) hash_link;
+	struct jj_service_queue *owner; /**< whose list it is in */
 	jj_name_t name;
 	jj_name_t service;
 	uint64_t hash; /**< of the name, spreads equal scores */
@@ -55,8 +66,7 @@
 	jj_ms_t rest_until_ms; /**< it asked to be left alone until then */
 	jj_headroom_t headroom;
 	uint64_t *prefixes; /**< table by hash; NULL until first used */
-	uint64_t broken[JJ_BROKEN_MAX]; /**< fingerprints */
-	jj_ms_t broken_ms[JJ_BROKEN_MAX];
+	jj_broken_t *broken; /**< JJ_BROKEN_MAX; NULL until first used */
 	uint32_t broken_count;
 } jj_server_view_t;
 
@@ -103,7 +113,10 @@
 
 /** True when new work may go there. */
 bool jj_server_view_is_up(const jj_server_view_t *view, jj_ms_t now);
-/** The best server for an online request, or NULL when all are full. */
+/**
+ * The best server for an online request, or NULL when all are full; of the
+ * views those of the own domain come first.
+ */
 jj_server_view_t *jj_server_choose_online(
     const jj_server_views_t *views, const jj_server_need_t *need, jj_ms_t now);
 /** The best stewarded server with batch room, or NULL. */
--- a/src/core/dispatch_state.h
+++ b/src/core/dispatch_state.h
@@ -10,11 +10,13 @@
 #include "core/dispatch_server.h"
 
 #define BUCKETS 4096
+#define VIEW_BUCKETS 4096
 /* VMs of one failure domain that are told of things. */
 #define VMS_MAX 128
 
 TAILQ_HEAD(service_list, jj_service_queue);
 LIST_HEAD(bucket, jj_entry);
+LIST_HEAD(view_bucket, jj_server_view);
 
 struct jj_dispatch {
 	jj_dispatch_settings_t settings;
@@ -25,6 +27,7 @@
 	struct service_list services;
 	TAILQ_HEAD(, jj_entry) entries;
 	struct bucket buckets[BUCKETS];
+	struct view_bucket view_buckets[VIEW_BUCKETS]; /**< by view's hash */
 	uint32_t counts[2]; /**< requests by class */
 	uint64_t random;
 	bool leaving;
@@ -33,6 +36,12 @@
 	jj_ms_t next_ms;
 	jj_ms_t refresh_ms;
 	uint64_t config_version; /**< of the last refresh */
+	uint64_t fleet_version; /**< that the views show */
+	uint64_t vms_hash; /**< names of the VMs that the views show */
+	bool views_stale; /**< something else than these has changed */
+	bool ended_kept; /**< a server that is gone still has requests */
+	jj_ms_t renew_ms; /**< when the views are renewed in any case */
+	jj_ms_t distant_ms; /**< next look at servers of other domains */
 	int64_t vms; /**< live VMs of the domain, at least 1 */
 	jj_ms_t told_ms;
 	jj_ms_t urgent_ms; /**< when a steward was told last */
@@ -49,6 +58,12 @@
 /** The view of a server and its service, or NULL. */
 jj_server_view_t *jj_dispatch_find_view(const jj_dispatch_t *dispatch,
     const jj_name_t *server, jj_service_queue_t **service);
+/** The view that messages name by this number, or NULL. */
+jj_server_view_t *
+jj_dispatch_find_hash(const jj_dispatch_t *dispatch, uint64_t hash);
+/** Brings the views up to date when what they show has changed. */
+void jj_dispatch_renew_views(jj_dispatch_t *dispatch,
+    const jj_member_info_t *vms, size_t vm_count, jj_ms_t now);
 /** The service's part of the headroom's input. */
 jj_headroom_use_t jj_dispatch_headroom_use(
     const jj_dispatch_t *dispatch, const jj_service_queue_t *service);
--- a/src/core/dispatch_tell.c
+++ b/src/core/dispatch_tell.c
@@ -125,7 +125,9 @@
 	{
 		TAILQ_FOREACH(view, &service->servers, link)
 		{
-			if (!view->local || place++ < turn || count == most)
+			if (!view->local)
+				break;
+			if (place++ < turn || count == most)
 				continue;
 			loads[count++] = jj_dispatch_load_of(view);
 			note_told(view);
@@ -147,8 +149,9 @@
 	{
 		TAILQ_FOREACH(view, &service->servers, link)
 		{
-			if (!view->local ||
-			    !is_worth_telling(dispatch, service, view))
+			if (!view->local)
+				break;
+			if (!is_worth_telling(dispatch, service, view))
 				continue;
 			if (count == JJ_MESSAGE_LOADS_MAX) {
 				dispatch->told_all = false;
@@ -217,6 +220,8 @@
 	{
 		TAILQ_FOREACH(view, &service->servers, link)
 		{
+			if (!view->local)
+				break;
 			if (!is_unknown_to_steward(view) ||
 			    (more_only && view->online < view->steward_online))
 				continue;
@@ -240,6 +245,8 @@
 	{
 		TAILQ_FOREACH(view, &service->servers, link)
 		{
+			if (!view->local)
+				break;
 			if (count == JJ_MESSAGE_LOADS_MAX ||
 			    !is_unknown_to_steward(view) ||
 			    !jj_name_equal(&view->steward_name, steward))
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -26,9 +26,9 @@
 #define DOWN_FIRST_MS 500
 #define DOWN_MOST_MS 30000
 
-/** A server with what only this module needs. */
+/** What only this module needs of a server. */
 typedef struct {
-	jj_server_t server;
+	jj_server_t *server; /**< in the fleet's array, at the same place */
 	bool from_settings; /**< never forgotten */
 	bool listed; /**< was on a list since it was last missing */
 	uint32_t missed; /**< lists in a row without it */
@@ -42,8 +42,9 @@
 
 struct jj_fleet {
 	jj_name_t own_domain;
+	uint64_t version; /**< counts what changes where work may go */
 	size_t count;
-	jj_server_t *servers; /**< copy for jj_fleet_list */
+	jj_server_t *servers;
 	entry_t *entries;
 	uint16_t index[INDEX_SIZE]; /**< entry number + 1, 0: free */
 };
@@ -68,6 +69,7 @@
 static bool is_plausible(const jj_fleet_t *);
 static void count_missing(jj_fleet_t *, jj_ms_t, jj_actions_t *);
 static void forget_missing(jj_fleet_t *, jj_ms_t);
+static void move_entry(jj_fleet_t *, size_t, size_t);
 static void set_up(entry_t *);
 static void set_down(entry_t *, jj_ms_t);
 static void set_leaving(entry_t *, jj_ms_t);
@@ -105,8 +107,9 @@
 		entry = add_entry(fleet, &server->name);
 	if (entry == NULL)
 		return;
-	entry->server = *server;
+	*entry->server = *server;
 	entry->from_settings = true;
+	fleet->version++;
 }
 
 bool
@@ -158,7 +161,7 @@
 	*is_news = false;
 	if (entry == NULL)
 		return;
-	before = entry->server.state;
+	before = entry->server->state;
 	switch (state) {
 	case JJ_SERVER_UP:
 		restarted = note_up(entry, boot, now);
@@ -166,7 +169,7 @@
 	case JJ_SERVER_LEAVING:
 		set_leaving(entry, now);
 		if (boot != 0)
-			entry->server.boot = boot;
+			entry->server->boot = boot;
 		break;
 	case JJ_SERVER_DOWN:
 		set_down(entry, now);
@@ -174,12 +177,13 @@
 		entry->down_seen = true;
 		break;
 	}
-	*is_news = entry->server.state != before || restarted;
+	*is_news = entry->server->state != before || restarted;
+	fleet->version += entry->server->state != before;
 	if (*is_news)
 		jj_actions_add_event(out, "server_state",
 		    "server=%s state=%s boot=%016llx", server->text,
-		    state_name(entry->server.state),
-		    (unsigned long long)entry->server.boot);
+		    state_name(entry->server->state),
+		    (unsigned long long)entry->server->boot);
 }
 
 void
@@ -187,16 +191,18 @@
     jj_fleet_t *fleet, const jj_server_notice_t *notice, jj_ms_t now)
 {
 	entry_t *entry = find_entry(fleet, &notice->server);
+	jj_server_state_t before;
 	bool other_boot;
 
 	if (entry == NULL)
 		return;
-	other_boot = notice->boot != 0 && entry->server.boot != 0 &&
-	    notice->boot != entry->server.boot;
+	other_boot = notice->boot != 0 && entry->server->boot != 0 &&
+	    notice->boot != entry->server->boot;
 	/* A late notice about an earlier run of the server would take the
 	 * restarted one out of service; what we saw ourselves goes first. */
 	if (other_boot && is_up_sign_fresh(entry, now))
 		return;
+	before = entry->server->state;
 	switch (notice->state) {
 	case JJ_SERVER_LEAVING:
 		set_leaving(entry, now);
@@ -204,21 +210,22 @@
 	case JJ_SERVER_DOWN:
 		/* A neighbour that is cut from the server sees it down. */
 		if (is_up_sign_fresh(entry, now) ||
-		    entry->server.state == JJ_SERVER_LEAVING)
+		    entry->server->state == JJ_SERVER_LEAVING)
 			return;
 		set_down(entry, now);
 		break;
 	case JJ_SERVER_UP:
-		if (entry->server.state == JJ_SERVER_LEAVING && !other_boot)
+		if (entry->server->state == JJ_SERVER_LEAVING && !other_boot)
 			return;
-		if (entry->server.state == JJ_SERVER_DOWN && entry->down_seen)
-			entry->server.down_until_ms = now;
+		if (entry->server->state == JJ_SERVER_DOWN && entry->down_seen)
+			entry->server->down_until_ms = now;
 		else
 			set_up(entry);
 		break;
 	}
+	fleet->version += entry->server->state != before;
 	if (notice->boot != 0)
-		entry->server.boot = notice->boot;
+		entry->server->boot = notice->boot;
 }
 
 bool
@@ -228,9 +235,9 @@
 	const entry_t *entry = find_entry(fleet, server);
 
 	(void)now;
-	if (entry == NULL || entry->server.listed_leaving)
+	if (entry == NULL || entry->server->listed_leaving)
 		return false;
-	return entry->server.state == JJ_SERVER_UP;
+	return entry->server->state == JJ_SERVER_UP;
 }
 
 const jj_server_t *
@@ -238,20 +245,22 @@
 {
 	const entry_t *entry = find_entry(fleet, server);
 
-	return entry != NULL ? &entry->server : NULL;
+	return entry != NULL ? entry->server : NULL;
 }
 
 const jj_server_t *
 jj_fleet_list(const jj_fleet_t *fleet, size_t *count)
 {
-	size_t i;
-
-	for (i = 0; i < fleet->count; i++)
-		fleet->servers[i] = fleet->entries[i].server;
 	*count = fleet->count;
 	return fleet->servers;
 }
 
+uint64_t
+jj_fleet_version(const jj_fleet_t *fleet)
+{
+	return fleet->version;
+}
+
 static entry_t *
 find_entry(const jj_fleet_t *fleet, const jj_name_t *name)
 {
@@ -262,8 +271,7 @@
 
 		if (number == 0)
 			return NULL;
-		if (jj_name_equal(
-			&fleet->entries[number - 1].server.name, name))
+		if (jj_name_equal(&fleet->servers[number - 1].name, name))
 			return &fleet->entries[number - 1];
 	}
 }
@@ -277,18 +285,21 @@
 		return NULL;
 	entry = &fleet->entries[fleet->count];
 	memset(entry, 0, sizeof(*entry));
-	entry->server.name = *name;
+	entry->server = &fleet->servers[fleet->count];
+	memset(entry->server, 0, sizeof(*entry->server));
+	entry->server->name = *name;
 	entry->up_ms = JJ_MS_NEVER;
 	entry->leaving_ms = JJ_MS_NEVER;
 	index_entry(fleet, fleet->count);
 	fleet->count++;
+	fleet->version++;
 	return entry;
 }
 
 static void
 index_entry(jj_fleet_t *fleet, size_t number)
 {
-	const char *name = fleet->entries[number].server.name.text;
+	const char *name = fleet->servers[number].name.text;
 	size_t at = jj_hash_bytes(name, strlen(name), 0);
 
 	while (fleet->index[at % INDEX_SIZE] != 0)
@@ -355,12 +366,15 @@
 		jj_actions_add_event(out, "server_listed",
 		    "server=%s domain=%s", line->name.text, line->domain.text);
 	}
-	was_leaving = entry->server.listed_leaving;
-	entry->server.domain = line->domain;
-	entry->server.service = line->service;
-	(void)snprintf(entry->server.address, sizeof(entry->server.address),
+	was_leaving = entry->server->listed_leaving;
+	fleet->version += was_leaving != line->leaving ||
+	    !jj_name_equal(&entry->server->domain, &line->domain) ||
+	    !jj_name_equal(&entry->server->service, &line->service);
+	entry->server->domain = line->domain;
+	entry->server->service = line->service;
+	(void)snprintf(entry->server->address, sizeof(entry->server->address),
 	    "%s", line->address);
-	entry->server.listed_leaving = line->leaving;
+	entry->server->listed_leaving = line->leaving;
 	entry->listed = true;
 	entry->on_list = true;
 	entry->missed = 0;
@@ -407,11 +421,12 @@
 		    now - entry->missed_ms < MISSING_MS)
 			continue;
 		entry->listed = false;
-		if (entry->server.state == JJ_SERVER_LEAVING)
+		if (entry->server->state == JJ_SERVER_LEAVING)
 			continue;
 		set_down(entry, now);
+		fleet->version++;
 		jj_actions_add_event(out, "server_missing", "server=%s",
-		    entry->server.name.text);
+		    entry->server->name.text);
 	}
 }
 
@@ -425,24 +440,33 @@
 		const entry_t *entry = &fleet->entries[i];
 
 		if (!entry->listed && !entry->from_settings &&
-		    entry->server.state != JJ_SERVER_UP &&
+		    entry->server->state != JJ_SERVER_UP &&
 		    now - entry->missed_ms >= FORGET_MS)
 			continue;
 		if (kept != i)
-			fleet->entries[kept] = *entry;
+			move_entry(fleet, i, kept);
 		kept++;
 	}
 	if (kept == fleet->count)
 		return;
 	fleet->count = kept;
+	fleet->version++;
 	rebuild_index(fleet);
 }
 
+static void
+move_entry(jj_fleet_t *fleet, size_t from, size_t to)
+{
+	fleet->servers[to] = fleet->servers[from];
+	fleet->entries[to] = fleet->entries[from];
+	fleet->entries[to].server = &fleet->servers[to];
+}
+
 static void
 set_up(entry_t *entry)
 {
-	entry->server.state = JJ_SERVER_UP;
-	entry->server.down_until_ms = 0;
+	entry->server->state = JJ_SERVER_UP;
+	entry->server->down_until_ms = 0;
 	entry->down_wait_ms = 0;
 	entry->down_seen = false;
 	entry->leaving_ms = JJ_MS_NEVER;
@@ -451,24 +475,24 @@
 static void
 set_down(entry_t *entry, jj_ms_t now)
 {
-	bool was_down = entry->server.state == JJ_SERVER_DOWN;
+	bool was_down = entry->server->state == JJ_SERVER_DOWN;
 
 	/* Many requests fail on one death; they count as one. */
-	if (was_down && now < entry->server.down_until_ms)
+	if (was_down && now < entry->server->down_until_ms)
 		return;
 	entry->down_wait_ms =
 	    was_down ? 2 * entry->down_wait_ms : DOWN_FIRST_MS;
 	if (entry->down_wait_ms > DOWN_MOST_MS)
 		entry->down_wait_ms = DOWN_MOST_MS;
-	entry->server.state = JJ_SERVER_DOWN;
-	entry->server.down_until_ms = now + entry->down_wait_ms;
+	entry->server->state = JJ_SERVER_DOWN;
+	entry->server->down_until_ms = now + entry->down_wait_ms;
 }
 
 static void
 set_leaving(entry_t *entry, jj_ms_t now)
 {
-	entry->server.state = JJ_SERVER_LEAVING;
-	entry->server.down_until_ms = 0;
+	entry->server->state = JJ_SERVER_LEAVING;
+	entry->server->down_until_ms = 0;
 	entry->leaving_ms = now;
 	entry->down_seen = false;
 }
@@ -477,19 +501,19 @@
 static bool
 note_up(entry_t *entry, uint64_t boot, jj_ms_t now)
 {
-	bool known = entry->server.boot != 0 && boot != 0;
-	bool restarted = known && boot != entry->server.boot;
+	bool known = entry->server->boot != 0 && boot != 0;
+	bool restarted = known && boot != entry->server->boot;
 
 	entry->up_ms = now;
 	if (boot != 0)
-		entry->server.boot = boot;
+		entry->server->boot = boot;
 	/* A leaving server still answers what it has; taking that for a
 	 * sign that it is back would send it new work while it drains. Only
 	 * another run, or a long time without a refusal, ends its leaving. */
 	if (entry->leaving_ms != JJ_MS_NEVER && !restarted &&
-	    (entry->server.listed_leaving ||
+	    (entry->server->listed_leaving ||
 		now - entry->leaving_ms < LEAVING_HOLD_MS)) {
-		entry->server.state = JJ_SERVER_LEAVING;
+		entry->server->state = JJ_SERVER_LEAVING;
 		return false;
 	}
 	set_up(entry);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -58,5 +58,10 @@
 jj_fleet_find(const jj_fleet_t *fleet, const jj_name_t *server);
 /** All servers; the array is valid until the next change. */
 const jj_server_t *jj_fleet_list(const jj_fleet_t *fleet, size_t *count);
+/**
+ * Rises whenever a server comes, goes, moves to another domain or service, or
+ * jj_fleet_takes_work() may answer otherwise than before.
+ */
+uint64_t jj_fleet_version(const jj_fleet_t *fleet);
 
 #endif
--- a/tests/core/batch_test.cc
+++ b/tests/core/batch_test.cc
@@ -838,4 +838,23 @@
 	}
 }
 
+/*
+ * A caller is told "not run" of an item that an engine had begun. It was taken
+ * back to make room for online requests, and the job cancelled before it was
+ * sent again.
+ */
+TEST(BatchCancel, WithdrawnItemIsNotCalledNotRun)
+{
+	Fleet fleet(Rows{{true}}, 1);
+
+	settle(fleet, 0);
+	fleet.end(0, JJ_ITEM_WITHDRAWN);
+	fleet.cancel();
+	fleet.change(0, fleet.job_key());
+	settle(fleet, 0);
+	EXPECT_TRUE(fleet.run_to_end());
+	expect_sound(fleet);
+	EXPECT_EQ("unknown", fleet.code(0, 0, "run"));
+}
+
 } // namespace
