--- /dev/null
+++ b/bench/plot.h
@@ -0,0 +1,19 @@
+/**
+ * @file plot.h
+ * @brief A run second by second, as rows for gnuplot (scripts/plots).
+ */
+#ifndef BENCH_PLOT_H
+#define BENCH_PLOT_H
+
+#include "world.h"
+
+/**
+ * Prints one row for each second of a run that measured its seconds: the
+ * second, online arrivals per second, the first token's p99 in ms of the
+ * calls that arrived in it ("nan" when none was answered), the share of them
+ * that has no answer, and the batch streams that ran on all servers. Rates
+ * and streams are means over the scenario's runs.
+ */
+void plot_print_series(const bench_scenario_t *scenario, const run_t *run);
+
+#endif
--- a/bench/report.h
+++ b/bench/report.h
@@ -46,6 +46,12 @@
 /** Draws up the figures of a run. */
 void report_figures(
     const bench_scenario_t *scenario, const run_t *run, figures_t *figures);
+/**
+ * First token of the calls that arrive in [from_us, to_us) and are answered;
+ * zeros when there is none.
+ */
+void report_first_token(
+    const run_t *run, int64_t from_us, int64_t to_us, quantiles_t *quantiles);
 /** Compares a run with the reference. */
 void report_compare(const bench_scenario_t *scenario, const figures_t *own,
     const figures_t *reference, comparison_t *comparison);
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -67,6 +67,7 @@
 	uint32_t batch_prompt;
 	uint32_t batch_most; /**< batch streams of a server at most */
 	bool measures_bytes; /**< messages are encoded to be measured */
+	bool measures_seconds; /**< batch streams are counted each second */
 	uint32_t phase_count;
 	bench_phase_t phases[BENCH_PHASES_MAX];
 	uint32_t fault_count;
--- a/bench/world.c
+++ b/bench/world.c
@@ -13,9 +13,8 @@
 #include "random.h"
 #include "world.h"
 
-/* Heartbeats settle before the first arrival. */
-#define WARM_US 1000000
 #define TICK_US 10000
+#define COUNT_US (1000000 / WORLD_COUNTS_PER_SECOND)
 #define REPORT_US 500000
 /* A VM's probe notices a death or a start after so long. */
 #define PROBE_US 100000
@@ -56,6 +55,7 @@
 	events_t events;
 	int64_t now_us;
 	int64_t end_us;
+	int64_t count_us; /* of the next count of batch streams */
 	uint64_t random;
 	uint64_t batch_random;
 	uint64_t batch_number;
@@ -84,6 +84,8 @@
 static void learn_servers(world_t *, vm_t *);
 static void schedule_start(world_t *);
 static void run_events(world_t *);
+static void count_batch(world_t *);
+static uint32_t count_batch_streams(const bench_engine_t *);
 static void handle(world_t *, event_t *);
 static bool hold(world_t *, const event_t *);
 static void take_arrival(world_t *, size_t);
@@ -135,10 +137,16 @@
 	world->batch_random = scenario->seed ^ 0xba7c4;
 	world->reports = true;
 	LIST_INIT(&world->items);
-	world->end_us = WARM_US + (int64_t)(scenario->seconds * 1e6);
+	world->end_us = WORLD_WARM_US + (int64_t)(scenario->seconds * 1e6);
 	for (i = 0; i < scenario->servers; i++)
 		engine_create(
 		    &world->engines[i], scenario, scenario->seed * 1000 + i);
+	world->count_us = WORLD_WARM_US;
+	if (scenario->measures_seconds) {
+		run->second_count = (size_t)scenario->seconds;
+		run->batch_running =
+		    jj_alloc((run->second_count + 1) * sizeof(uint64_t));
+	}
 	make_calls(world);
 	create_vms(world);
 	schedule_start(world);
@@ -190,6 +198,8 @@
 		sum->sent[i] += run->sent[i];
 		sum->sent_bytes[i] += run->sent_bytes[i];
 	}
+	for (i = 0; i < sum->second_count; i++)
+		sum->batch_running[i] += run->batch_running[i];
 }
 
 void
@@ -197,6 +207,8 @@
 {
 	free(run->calls);
 	run->calls = NULL;
+	free(run->batch_running);
+	run->batch_running = NULL;
 }
 
 /* Arrivals: made at the start, so that all policies meet the same. */
@@ -215,7 +227,7 @@
 		if (scenario->faults[i].kind != BENCH_FAULT_POISON)
 			continue;
 		poison.arrival_us =
-		    WARM_US + (int64_t)(scenario->faults[i].at_s * 1e6);
+		    WORLD_WARM_US + (int64_t)(scenario->faults[i].at_s * 1e6);
 		poison.poison = true;
 		poison.tokens = 10;
 		poison.fingerprint = (uint64_t)scenario->faults[i].value + 1;
@@ -250,7 +262,7 @@
 		if (random_share(&world->random) * most > rate)
 			continue;
 		call.arrival_us =
-		    WARM_US + (int64_t)((phase->from_s + at) * 1e6);
+		    WORLD_WARM_US + (int64_t)((phase->from_s + at) * 1e6);
 		call.tokens = phase->tokens / 3 +
 		    (uint32_t)random_exponential(
 			&world->random, phase->tokens * 2 / 3.0);
@@ -406,7 +418,7 @@
 	event.kind = EVENT_FAULT;
 	for (i = 0; i < scenario->fault_count; i++) {
 		event.at_us =
-		    WARM_US + (int64_t)(scenario->faults[i].at_s * 1e6);
+		    WORLD_WARM_US + (int64_t)(scenario->faults[i].at_s * 1e6);
 		event.request = i;
 		events_push(&world->events, &event);
 	}
@@ -416,7 +428,7 @@
 run_events(world_t *world)
 {
 	int64_t from_us =
-	    WARM_US + (int64_t)(world->scenario->batch_from_s * 1e6);
+	    WORLD_WARM_US + (int64_t)(world->scenario->batch_from_s * 1e6);
 	event_t event;
 	uint32_t i;
 
@@ -433,12 +445,44 @@
 			events_push(&world->events, &event);
 			break;
 		}
+		count_batch(world);
 		handle(world, &event);
 	}
 	for (i = 0; i < world->scenario->servers; i++)
 		engine_settle(&world->engines[i], world->end_us);
 }
 
+/* Nothing changes between two events, so one count stands for what is due. */
+static void
+count_batch(world_t *world)
+{
+	run_t *run = world->run;
+	size_t second;
+	uint32_t i;
+
+	if (run->second_count == 0)
+		return;
+	for (; world->count_us <= world->now_us; world->count_us += COUNT_US) {
+		second = (size_t)((world->count_us - WORLD_WARM_US) / 1000000);
+		if (second >= run->second_count)
+			return;
+		for (i = 0; i < world->scenario->servers; i++)
+			run->batch_running[second] +=
+			    count_batch_streams(&world->engines[i]);
+	}
+}
+
+static uint32_t
+count_batch_streams(const bench_engine_t *engine)
+{
+	const bench_stream_t *stream;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(stream, &engine->running, link)
+	count += !stream->online;
+	return count;
+}
+
 static void
 handle(world_t *world, event_t *event)
 {
--- a/bench/world.h
+++ b/bench/world.h
@@ -8,6 +8,11 @@
 #include "core/action.h"
 #include "scenario.h"
 
+/** Requests arrive from here on: heartbeats have settled. */
+#define WORLD_WARM_US 1000000
+/** How often a second the batch streams are counted. */
+#define WORLD_COUNTS_PER_SECOND 10
+
 typedef enum {
 	POLICY_JUJUBE, /**< batch as the dispatch module decides */
 	POLICY_NONE, /**< no batch at all: the reference */
@@ -54,6 +59,8 @@
 	uint64_t messages; /**< between VMs */
 	uint64_t sent[JJ_MESSAGE_KIND_END]; /**< by kind, when measured */
 	uint64_t sent_bytes[JJ_MESSAGE_KIND_END]; /**< encoded */
+	uint64_t *batch_running; /**< by second: sum of its counts of streams */
+	size_t second_count; /**< 0 when the seconds are not measured */
 } run_t;
 
 /** Runs a scenario; the caller frees the run. */
