--- a/bench/slopes/fleet_slopes.c
+++ b/bench/slopes/fleet_slopes.c
@@ -9,6 +9,11 @@
 
 /** Until all VMs know each other and the ledger has settled, ms. */
 #define SETTLE_MS 13000
+/**
+ * Until the watches have ended that each VM began while it knew of no other:
+ * with them all would read a change from the platform at once, ms.
+ */
+#define WATCHES_SETTLE_MS 70000
 /** Measured for, ms. */
 #define MEASURE_MS 8000
 /** The same before a loss, and how long its work is counted, ms. */
@@ -229,6 +234,7 @@
 	    {"calm", 23, 0, 0},
 	    {"busy", 23, 0, TARGET_RATE},
 	    {"calm_whole_list", 1, 2500, 0},
+	    {"busy_whole_list", 1, 2500, TARGET_RATE},
 	};
 	world_plan_t plan = {.vms = 14,
 	    .vms_elsewhere = 1,
@@ -311,7 +317,7 @@
 
 	plan.teams = teams;
 	world = world_create(&plan);
-	world_run(world, SETTLE_MS);
+	world_run(world, WATCHES_SETTLE_MS);
 	world_reset(world);
 	world_put_config(world, 2, teams);
 	begin_ms = world_now(world);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -6,6 +6,7 @@
  * the settings are wrong (nothing was started).
  */
 #include <signal.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -43,6 +44,14 @@
     {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
 };
 
+/**
+ * Blocks from this size on are given back to the system when they are freed,
+ * bytes. Streams' buffers of that size else stay in the arenas of the threads
+ * that held them: 65,760, 63,760 and 67,476 KiB at 1,000 streams with the
+ * default, 60,836, 60,012 and 60,280 with this.
+ */
+#define MMAP_THRESHOLD (32 * 1024)
+
 static int run(const jj_settings_t *);
 static void wait_for_stop(jj_node_t *, const jj_settings_t *, sigset_t *);
 static bool wait_for_signal(const sigset_t *, jj_ms_t);
@@ -57,6 +66,7 @@
 	GError *error = NULL;
 	int status;
 
+	(void)mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD);
 	g_option_context_add_main_entries(context, options, NULL);
 	g_option_context_set_description(context,
 	    "Exit codes: 0 stopped as asked; 1 could not start; 2 wrong "
