--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -1,6 +1,6 @@
 /**
  * @file core_state.h
- * @brief The composed core's state, shared by core.c and core_status.c only.
+ * @brief The composed core's state, shared by the core*.c files only.
  */
 #ifndef JJ_CORE_CORE_STATE_H
 #define JJ_CORE_CORE_STATE_H
@@ -41,7 +41,6 @@
 	jj_watch_t jobs_watch;
 	bool leaving;
 	bool list_known; /**< a VM list was taken once */
-	uint64_t last_request;
 	jj_ms_t last_tick;
 	uint64_t list_hash; /**< of the list told last */
 	jj_ms_t next_tell; /**< an unchanged list is told again then */
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -16,6 +16,8 @@
 #include <curl/curl.h>
 #include <glib.h>
 
+#include "jujubeswitch.h"
+
 #include "adapters/log.h"
 #include "adapters/monotonic.h"
 #include "adapters/settings.h"
@@ -26,10 +28,6 @@
 /** How often a planned stop looks whether all is done, ms. */
 #define DRAIN_LOOK_MS 20
 
-#ifndef JJ_VERSION
-#define JJ_VERSION "0.1.0"
-#endif
-
 static char *settings_path;
 static gboolean check_only;
 static gboolean show_version;
