Bound the answers kept for replays; say when one was not kept

Cause: the ledger bounded records (200,000) and one answer (8 KB), but not all answers together: 240 MB and more within the bounds, of 32 MB for all control. And a replay whose answer had not been kept was answered 200 with an empty body, which a caller takes for the whole answer. Ruled out: dropping records (a forgotten key could run twice). Change: at most 8 MB of answers, records stay without theirs; such a replay gets 410 answer_not_kept, run.

--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -533,7 +533,8 @@
 		entry->state = JJ_RECORD_DONE;
 		entry->status = status;
 		if (body != NULL && body->size <= ledger->settings.answer_max)
-			entry->answer = jj_bytes_copy(body->data, body->size);
+			jj_ledger_records_keep_answer(
+			    ledger->records, entry, body);
 	} else {
 		entry->state = JJ_RECORD_UNKNOWN;
 	}
--- a/src/core/ledger_intent.c
+++ b/src/core/ledger_intent.c
@@ -150,7 +150,8 @@
 		return;
 	if (!resolve->removed && record->state == JJ_RECORD_DONE) {
 		if (entry->fingerprint == record->fingerprint)
-			jj_ledger_records_import(entry, record, now);
+			jj_ledger_records_import(
+			    ledger->records, entry, record, now);
 		return;
 	}
 	if (resolve->epoch != slot->epoch ||
@@ -161,7 +162,7 @@
 	if (resolve->removed)
 		jj_ledger_records_remove(ledger->records, entry);
 	else
-		jj_ledger_records_import(entry, record, now);
+		jj_ledger_records_import(ledger->records, entry, record, now);
 }
 
 void
@@ -204,7 +205,7 @@
 	} else if (entry->epoch == epoch && entry->attempt > record->attempt) {
 		return false;
 	}
-	jj_ledger_records_import(entry, record, now);
+	jj_ledger_records_import(ledger->records, entry, record, now);
 	entry->state = JJ_RECORD_INTENT;
 	entry->epoch = epoch;
 	*accepted = true;
--- a/src/core/ledger_records.c
+++ b/src/core/ledger_records.c
@@ -14,11 +14,13 @@
 struct jj_ledger_records {
 	jj_ms_t retention_ms;
 	size_t count;
+	size_t answer_bytes; /* kept in all records */
 	size_t bucket_count; /* a power of two */
 	struct bucket *buckets;
 	jj_ledger_entries_t slots[JJ_LEDGER_SLOTS];
 };
 
+static void drop_answer(jj_ledger_records_t *, jj_ledger_entry_t *);
 static struct bucket *find_bucket(jj_ledger_records_t *, const jj_hash_t *);
 static void grow(jj_ledger_records_t *);
 static bool
@@ -103,7 +105,7 @@
 	LIST_REMOVE(entry, bucket_link);
 	TAILQ_REMOVE(&records->slots[entry->slot], entry, slot_link);
 	records->count--;
-	jj_bytes_free(&entry->answer);
+	drop_answer(records, entry);
 	free(entry);
 }
 
@@ -137,16 +139,33 @@
 }
 
 void
-jj_ledger_records_import(
-    jj_ledger_entry_t *entry, const jj_record_t *record, jj_ms_t now)
+jj_ledger_records_keep_answer(jj_ledger_records_t *records,
+    jj_ledger_entry_t *entry, const jj_bytes_t *answer)
+{
+	drop_answer(records, entry);
+	if (records->answer_bytes + answer->size > JJ_LEDGER_ANSWERS_MAX)
+		return;
+	entry->answer = jj_bytes_copy(answer->data, answer->size);
+	records->answer_bytes += entry->answer.size;
+}
+
+void
+jj_ledger_records_import(jj_ledger_records_t *records, jj_ledger_entry_t *entry,
+    const jj_record_t *record, jj_ms_t now)
 {
-	jj_bytes_free(&entry->answer);
 	entry->fingerprint = record->fingerprint;
 	entry->attempt = record->attempt;
 	entry->state = record->state;
 	entry->since = now - record->age_ms;
 	entry->status = record->status;
-	entry->answer = jj_bytes_copy(record->answer.data, record->answer.size);
+	jj_ledger_records_keep_answer(records, entry, &record->answer);
+}
+
+static void
+drop_answer(jj_ledger_records_t *records, jj_ledger_entry_t *entry)
+{
+	records->answer_bytes -= entry->answer.size;
+	jj_bytes_free(&entry->answer);
 }
 
 static struct bucket *
--- a/src/core/ledger_records.h
+++ b/src/core/ledger_records.h
@@ -9,6 +9,12 @@
 
 #include "core/ledger.h"
 
+/**
+ * Most bytes of answers kept for replays: a VM's control has 32 MB for all.
+ * A record whose answer finds no room is kept without it.
+ */
+#define JJ_LEDGER_ANSWERS_MAX ((size_t)8 << 20)
+
 /** One key's record; plain to read, changed by the ledger only. */
 typedef struct jj_ledger_entry {
 	LIST_ENTRY(jj_ledger_entry) bucket_link;
@@ -50,8 +56,11 @@
 /** Fills a message's record; its answer is a copy. */
 void jj_ledger_records_export(
     const jj_ledger_entry_t *entry, jj_ms_t now, jj_record_t *record);
+/** Keeps a copy of an answer when there is room; else the record has none. */
+void jj_ledger_records_keep_answer(jj_ledger_records_t *records,
+    jj_ledger_entry_t *entry, const jj_bytes_t *answer);
 /** Takes over a message's record; the answer is copied. */
-void jj_ledger_records_import(
+void jj_ledger_records_import(jj_ledger_records_t *records,
     jj_ledger_entry_t *entry, const jj_record_t *record, jj_ms_t now);
 
 #endif
--- a/src/core/ledger_sync.c
+++ b/src/core/ledger_sync.c
@@ -175,7 +175,7 @@
 		entry = jj_ledger_records_add(ledger->records, &record->key);
 	else if (entry->run != 0 || entry->state == JJ_RECORD_DONE)
 		goto out;
-	jj_ledger_records_import(entry, record, now);
+	jj_ledger_records_import(ledger->records, entry, record, now);
 out:
 	entry->epoch = ledger->table.slots[slot].epoch;
 }
--- a/src/daemon/answers.c
+++ b/src/daemon/answers.c
@@ -139,6 +139,14 @@
 				"this request was not run.";
 		problem.retry_after_ms = 0;
 		break;
+	case JJ_CALL_REPLAYED:
+		problem.status = 410;
+		problem.code = "answer_not_kept";
+		problem.title =
+		    "The call was run before; its answer was not kept.";
+		problem.run = "run";
+		problem.retry_after_ms = 0;
+		break;
 	case JJ_CALL_UNKNOWN:
 		problem.status = 502;
 		problem.code = "outcome_unknown";
--- a/src/daemon/node_finish.c
+++ b/src/daemon/node_finish.c
@@ -46,8 +46,9 @@
 
 	if (!jj_relay_take(node->relay, request, &exchange, &relayed))
 		return;
+	/* An empty body would look like the whole answer, and is none. */
 	if (answer->outcome == JJ_CALL_DONE ||
-	    answer->outcome == JJ_CALL_REPLAYED)
+	    (answer->outcome == JJ_CALL_REPLAYED && answer->body.size > 0))
 		answer_whole(
 		    &exchange, answer->outcome == JJ_CALL_REPLAYED, &whole);
 	else
--- a/tests/system/once_failure_test.cc
+++ b/tests/system/once_failure_test.cc
@@ -162,6 +162,32 @@
 	EXPECT_EQ(fleet.runs("doubled"), 0);
 }
 
+/*
+ * A shop resends a booking whose confirmation is long. The answer was too
+ * large to be kept, and an empty one would be taken for the whole.
+ */
+TEST(OnceFailure, AnswerThatWasNotKeptIsSaidToBe)
+{
+	fleet_t fleet(once_options(1, 2));
+	const std::string url = "/services/pallets/call/book";
+	const std::string body =
+	    "{\"note\":\"" + std::string(20000, 'x') + "\"}";
+	const strings_t headers = {"Idempotency-Key: long"};
+	reply_t reply;
+
+	wait_until("the call runs", [&] {
+		reply =
+		    call("POST", fleet.vm(0, 0).callers + url, body, headers);
+		return reply.status == 200;
+	});
+	EXPECT_GT(reply.body.size(), body.size());
+	reply = call("POST", fleet.vm(0, 1).callers + url, body, headers);
+	EXPECT_EQ(reply.status, 410) << reply.body;
+	EXPECT_EQ(reply.text("code"), "answer_not_kept");
+	EXPECT_EQ(reply.text("run"), "run");
+	EXPECT_EQ(fleet.runs("doubled"), 0);
+}
+
 /*
  * The VM that sent a booking is lost before the answer comes back; the shop
  * sends it again through the others, at once and after they have taken the
