--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -12,19 +12,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "../common/process.h"
 #include "cache.h"
 #include "faults.h"
 #include "orders.h"
 #include "records.h"
 #include "stream.h"
 
-/** Bytes of a boot identity in hex, with the NUL. */
-#define ENGINE_BOOT_SIZE 17
-
 /** The command line. */
 typedef struct {
-	char *listen; /**< IP:PORT for callers */
-	char *control; /**< IP:PORT for tests */
+	process_addresses_t addresses;
 	char *model; /**< loaded from the start */
 	int step_ms; /**< length of an unloaded step, milliseconds */
 	int soft; /**< streams that a step carries without slowing */
@@ -51,7 +48,7 @@
 /** The whole stand-in. */
 typedef struct engine {
 	engine_options_t options;
-	char boot[ENGINE_BOOT_SIZE];
+	char boot[PROCESS_BOOT_SIZE];
 	pthread_mutex_t lock; /**< guards everything below */
 	pthread_cond_t wake; /**< work arrived, or the end has come */
 	pthread_t ticker;
--- a/standins/engine/faults.c
+++ b/standins/engine/faults.c
@@ -1,12 +1,7 @@
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "faults.h"
 
-/* Resolution of a drawn share. */
-#define DRAW_RANGE 1000000
-
 /* What a field must be. */
 typedef enum {
 	FIELD_BOOL,
@@ -25,7 +20,7 @@
 {
 	memset(faults, 0, sizeof(*faults));
 	faults->slow = 1;
-	faults->seed = seed;
+	faults->failures.seed = seed;
 }
 
 void
@@ -98,14 +93,7 @@
 bool
 faults_draw_failure(faults_t *faults)
 {
-	uint64_t drawn;
-
-	if (faults->fail_share <= 0)
-		return false;
-	faults->draws++;
-	drawn = XXH3_64bits_withSeed(
-	    &faults->draws, sizeof(faults->draws), faults->seed);
-	return (double)(drawn % DRAW_RANGE) < faults->fail_share * DRAW_RANGE;
+	return process_draw_share(&faults->failures, faults->fail_share);
 }
 
 bool
--- a/standins/engine/faults.h
+++ b/standins/engine/faults.h
@@ -10,6 +10,8 @@
 
 #include <jansson.h>
 
+#include "../common/process.h"
+
 /** All faults; zero is none, but for slow, which is 1. */
 typedef struct {
 	bool leaving;
@@ -22,8 +24,7 @@
 	long late_next;
 	int64_t late_ms;
 	json_t *cut; /**< array of clients' names, or NULL */
-	uint64_t seed;
-	uint64_t draws; /**< of the seeded shares so far */
+	process_draw_t failures; /**< draws of fail_share */
 } faults_t;
 
 void faults_init(faults_t *faults, uint64_t seed);
--- a/standins/engine/main.c
+++ b/standins/engine/main.c
@@ -1,9 +1,6 @@
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/random.h>
-#include <unistd.h>
 
 #include <glib.h>
 
@@ -12,54 +9,37 @@
 #include "engine.h"
 #include "routes.h"
 
-#define LISTEN_DEFAULT "127.0.0.1:0"
-/* Between looks at whether a leaving engine is idle, milliseconds. */
-#define IDLE_POLL_MS 5
-
 static bool options_parse(engine_options_t *, int, char **);
 static void options_set_defaults(engine_options_t *);
 static bool options_are_valid(const engine_options_t *);
 static void options_clear(engine_options_t *);
 static void engine_init(engine_t *);
 static void engine_destroy(engine_t *);
-static void serve(engine_t *, web_server_t *, web_server_t *);
-static void leave(engine_t *);
-static void *end_at_once(void *);
+static bool is_idle(void *);
 
 int
 main(int argc, char **argv)
 {
 	static engine_t engine;
-	web_server_t *control = NULL;
-	web_server_t *data = NULL;
+	const process_t process = {
+	    .addresses = &engine.options.addresses,
+	    .serve = routes_serve,
+	    .control = control_serve,
+	    .is_idle = is_idle,
+	    .ctx = &engine,
+	    .lock = &engine.lock,
+	    .leaving = &engine.faults.leaving,
+	};
 	int status = EXIT_FAILURE;
 
-	web_block_signals();
-	/* Or the first objects of two threads would seed the hash at once. */
-	json_object_seed(1);
+	process_init();
 	if (!options_parse(&engine.options, argc, argv))
 		goto out_options;
 	engine_init(&engine);
 	if (!batcher_start(&engine))
 		goto out_engine;
-	data = web_start(engine.options.listen, routes_serve, &engine);
-	if (data == NULL) {
-		fprintf(stderr, "event=listen_failed address=%s\n",
-		    engine.options.listen);
-		goto out_batcher;
-	}
-	control = web_start(engine.options.control, control_serve, &engine);
-	if (control == NULL) {
-		fprintf(stderr, "event=listen_failed address=%s\n",
-		    engine.options.control);
-		goto out_data;
-	}
-	serve(&engine, data, control);
-	status = EXIT_SUCCESS;
-	web_stop(control);
-out_data:
-	web_stop(data);
-out_batcher:
+	if (process_run(&process))
+		status = EXIT_SUCCESS;
 	batcher_stop(&engine);
 out_engine:
 	engine_destroy(&engine);
@@ -72,10 +52,6 @@
 options_parse(engine_options_t *options, int argc, char **argv)
 {
 	GOptionEntry entries[] = {
-	    {"listen", 0, 0, G_OPTION_ARG_STRING, &options->listen,
-		"address for callers", "IP:PORT"},
-	    {"control", 0, 0, G_OPTION_ARG_STRING, &options->control,
-		"address for tests", "IP:PORT"},
 	    {"model", 0, 0, G_OPTION_ARG_STRING, &options->model,
 		"model loaded from the start", "NAME"},
 	    {"step-ms", 0, 0, G_OPTION_ARG_INT, &options->step_ms,
@@ -102,26 +78,16 @@
 		"run a crashing prompt like any other", NULL},
 	    {NULL, 0, 0, 0, NULL, NULL, NULL},
 	};
-	GOptionContext *context = g_option_context_new(NULL);
-	GError *error = NULL;
-	bool parsed;
 
 	options_set_defaults(options);
-	g_option_context_add_main_entries(context, entries, NULL);
-	parsed = g_option_context_parse(context, &argc, &argv, &error);
-	if (!parsed) {
-		fprintf(stderr, "%s\n", error->message);
-		g_error_free(error);
-	}
-	g_option_context_free(context);
-	return parsed && options_are_valid(options);
+	return process_parse_options(
+		   &options->addresses, entries, argc, argv) &&
+	    options_are_valid(options);
 }
 
 static void
 options_set_defaults(engine_options_t *options)
 {
-	options->listen = g_strdup(LISTEN_DEFAULT);
-	options->control = g_strdup(LISTEN_DEFAULT);
 	options->model = g_strdup("model");
 	options->fencing = g_strdup("check");
 	options->step_ms = 10;
@@ -173,8 +139,7 @@
 static void
 options_clear(engine_options_t *options)
 {
-	g_free(options->listen);
-	g_free(options->control);
+	process_clear_addresses(&options->addresses);
 	g_free(options->model);
 	g_free(options->fencing);
 }
@@ -184,11 +149,8 @@
 {
 	const engine_options_t *options = &engine->options;
 	uint64_t seed = (uint64_t)options->seed;
-	uint64_t boot = 0;
 
-	if (getrandom(&boot, sizeof(boot), 0) != (ssize_t)sizeof(boot))
-		boot = (uint64_t)web_now_ms() ^ (uint64_t)getpid() << 32;
-	snprintf(engine->boot, sizeof(engine->boot), "%016" PRIx64, boot);
+	process_make_boot(engine->boot);
 	pthread_mutex_init(&engine->lock, NULL);
 	stream_cond_init(&engine->wake);
 	stream_table_init(&engine->streams);
@@ -212,42 +174,10 @@
 	pthread_mutex_destroy(&engine->lock);
 }
 
-static void
-serve(engine_t *engine, web_server_t *data, web_server_t *control)
-{
-	char *ip = g_strdup(engine->options.listen);
-	pthread_t ender;
-
-	*strrchr(ip, ':') = '\0';
-	web_announce(ip, web_port(data), web_port(control));
-	g_free(ip);
-	web_wait_for_signal();
-	if (pthread_create(&ender, NULL, end_at_once, NULL) == 0)
-		pthread_detach(ender);
-	leave(engine);
-}
-
-/* Refuses new work and returns once what was accepted is answered. */
-static void
-leave(engine_t *engine)
+static bool
+is_idle(void *ctx)
 {
-	bool idle = false;
-
-	pthread_mutex_lock(&engine->lock);
-	engine->faults.leaving = true;
-	pthread_mutex_unlock(&engine->lock);
-	while (!idle) {
-		web_sleep_ms(IDLE_POLL_MS);
-		pthread_mutex_lock(&engine->lock);
-		idle = batcher_is_idle(engine);
-		pthread_mutex_unlock(&engine->lock);
-	}
-}
+	const engine_t *engine = ctx;
 
-static void *
-end_at_once(void *ctx)
-{
-	(void)ctx;
-	web_wait_for_signal();
-	_exit(EXIT_SUCCESS);
+	return batcher_is_idle(engine);
 }
--- a/standins/service/faults.c
+++ b/standins/service/faults.c
@@ -1,14 +1,8 @@
 #include <stddef.h>
 
-#include <xxhash.h>
-
 #include "faults.h"
 
-/* Resolution of a drawn share. */
-#define DRAW_RANGE 1000000
-
 static bool is_count(const json_t *);
-static bool draw_failure(faults_t *);
 static bool take_one(long *);
 
 const char *
@@ -61,7 +55,9 @@
 		return AFTER_BREAK;
 	if (take_one(&faults->run_then_hang))
 		return AFTER_HANG;
-	return draw_failure(faults) ? AFTER_500 : AFTER_ANSWER;
+	if (process_draw_share(&faults->failures, faults->fail_share))
+		return AFTER_500;
+	return AFTER_ANSWER;
 }
 
 /* An absent field will do. */
@@ -73,19 +69,6 @@
 	return json_is_integer(value) && json_integer_value(value) >= 0;
 }
 
-static bool
-draw_failure(faults_t *faults)
-{
-	uint64_t drawn;
-
-	if (faults->fail_share <= 0)
-		return false;
-	faults->draws++;
-	drawn = XXH3_64bits_withSeed(
-	    &faults->draws, sizeof(faults->draws), faults->seed);
-	return (double)(drawn % DRAW_RANGE) < faults->fail_share * DRAW_RANGE;
-}
-
 static bool
 take_one(long *count)
 {
--- a/standins/service/faults.h
+++ b/standins/service/faults.h
@@ -10,6 +10,8 @@
 
 #include <jansson.h>
 
+#include "../common/process.h"
+
 /** All faults; zero is none. */
 typedef struct {
 	int64_t delay_ms; /**< between a run and its answer */
@@ -19,8 +21,7 @@
 	long run_then_503;
 	long run_then_break;
 	long run_then_hang;
-	uint64_t seed;
-	uint64_t draws; /**< of fail_share so far */
+	process_draw_t failures; /**< draws of fail_share */
 } faults_t;
 
 /** What becomes of a call that was run. */
--- a/standins/service/service.h
+++ b/standins/service/service.h
@@ -11,17 +11,14 @@
 
 #include <glib.h>
 
+#include "../common/process.h"
 #include "../common/web.h"
 #include "faults.h"
 #include "runs.h"
 
-/** Bytes of a boot identity in hex, with the NUL. */
-#define SERVICE_BOOT_SIZE 17
-
 /** The command line. */
 typedef struct {
-	char *listen; /**< IP:PORT for callers */
-	char *control; /**< IP:PORT for tests */
+	process_addresses_t addresses;
 	int64_t seed; /**< of failures */
 	gboolean no_crash; /**< a crashing call is run like any other */
 } service_options_t;
@@ -29,7 +26,7 @@
 /** The whole stand-in. */
 typedef struct {
 	service_options_t options;
-	char boot[SERVICE_BOOT_SIZE];
+	char boot[PROCESS_BOOT_SIZE];
 	pthread_mutex_t lock; /**< guards everything below */
 	runs_t runs;
 	faults_t faults;
--- a/tests/system/backend_contract_test.cc
+++ b/tests/system/backend_contract_test.cc
@@ -2,11 +2,8 @@
  * The contract of the backend servers' stand-ins, as docs/interfaces/ENGINE.md
  * and SERVICE.md state it. Each case starts processes of its own.
  */
-#include <spawn.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
-#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
@@ -18,73 +15,15 @@
 #include <jansson.h>
 #include <xxhash.h>
 
-extern char **environ;
+#include "tests/system/harness.h"
 
-namespace
-{
-
-/* Generous: only a hang reaches it. */
-constexpr long LIMIT_S = 30;
-
-using strings_t = std::vector<std::string>;
-
-struct reply_t {
-	CURLcode code = CURLE_OK;
-	long status = 0;
-	std::string headers;
-	std::string body;
-
-	bool
-	has(const std::string &part) const
-	{
-		return (headers + body).find(part) != std::string::npos;
-	}
-	std::string
-	header(const std::string &name) const
-	{
-		size_t at = headers.find(name + ": ");
-		if (at == std::string::npos)
-			return "";
-		at += name.size() + 2;
-		return headers.substr(at, headers.find('\r', at) - at);
-	}
-};
+using harness::call;
+using harness::reply_t;
+using harness::strings_t;
+using harness::wait_until;
 
-size_t
-append(char *data, size_t size, size_t count, void *text)
+namespace
 {
-	static_cast<std::string *>(text)->append(data, size * count);
-	return size * count;
-}
-
-reply_t
-call(const std::string &method, const std::string &url,
-    const std::string &body = "", const strings_t &headers = {})
-{
-	curl_slist *list = nullptr;
-	CURL *curl = curl_easy_init();
-	reply_t reply;
-
-	for (const std::string &header : headers)
-		list = curl_slist_append(list, header.c_str());
-	curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
-	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT, LIMIT_S);
-	if (method != "GET") {
-		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.c_str());
-		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method.c_str());
-	}
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, append);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reply.headers);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply.body);
-	reply.code = curl_easy_perform(curl);
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply.status);
-	curl_slist_free_all(list);
-	curl_easy_cleanup(curl);
-	return reply;
-}
 
 /* Sends a request and reads nothing; cleaning up the handle hangs up. */
 CURL *
@@ -106,67 +45,58 @@
 	return curl;
 }
 
-/* A stand-in's process, killed at the end of its case. */
-class process_t
+/* A stand-in's process, killed at the end of its case. Its first line must be
+ * the one that names its addresses. */
+class backend_t
 {
       public:
 	std::string data;
 	std::string control;
 
-	explicit process_t(const std::string &program, strings_t options = {})
+	explicit backend_t(const std::string &program, strings_t options = {})
+	    : process(program, std::move(options), folder + "/log")
 	{
-		const char *folder = getenv("JUJUBE_BIN");
-		std::string path =
-		    std::string(folder ? folder : "build") + "/" + program;
-		std::vector<char *> arguments = {path.data()};
-		posix_spawn_file_actions_t actions;
-		int ends[2];
-
-		for (std::string &option : options)
-			arguments.push_back(option.data());
-		arguments.push_back(nullptr);
-		EXPECT_EQ(pipe(ends), 0);
-		posix_spawn_file_actions_init(&actions);
-		posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
-		posix_spawn_file_actions_addclose(&actions, ends[0]);
-		EXPECT_EQ(posix_spawn(&pid, path.c_str(), &actions, nullptr,
-			      arguments.data(), environ),
-		    0);
-		posix_spawn_file_actions_destroy(&actions);
-		close(ends[1]);
-		output = fdopen(ends[0], "r");
-		std::string line = read_line();
-		data = "http://" + field(line, "address=");
-		control = "http://" + field(line, "control=") + "/control";
+		process.start();
+		wait_until(program + " prints a line",
+		    [this] { return !process.is_alive() || !line(0).empty(); });
+		EXPECT_EQ(line(0).find("event=listening "), 0u) << line(0);
+		data = "http://" + field("address=");
+		control = "http://" + field("control=") + "/control";
 	}
-	~process_t()
+	~backend_t()
 	{
-		if (pid > 0) {
-			kill(pid, SIGKILL);
-			wait_exit();
-		}
-		fclose(output);
+		process.kill();
+		if (testing::Test::HasFailure())
+			fputs(process.log_text().c_str(), stderr);
+		unlink((folder + "/log").c_str());
+		rmdir(folder.c_str());
 	}
-	process_t(const process_t &) = delete;
+	backend_t(const backend_t &) = delete;
 
+	/* A whole line of what was printed, from 0; else empty. */
 	std::string
-	read_line()
+	line(int number) const
 	{
-		char line[1024] = "";
-		return fgets(line, sizeof(line), output) ? line : "";
+		std::string text = process.log_text();
+		size_t at = 0;
+		size_t end = text.find('\n');
+
+		for (; number > 0 && end != std::string::npos; number--) {
+			at = end + 1;
+			end = text.find('\n', at);
+		}
+		return end == std::string::npos ? ""
+						: text.substr(at, end - at);
 	}
 	int
 	wait_exit()
 	{
-		int status = 0;
-		waitpid(pid, &status, 0);
-		pid = -1;
-		return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+		return process.wait_exit();
 	}
 	void
-	terminate() const
+	terminate()
 	{
-		kill(pid, SIGTERM);
+		process.terminate();
 	}
 	void
 	fault(const std::string &json) const
@@ -178,32 +108,34 @@
 	{
 		return wait_for_url(control + path, part);
 	}
-	/* Asks again until the answer holds a part; the limit ends it. */
+	/* Asks again until the answer holds a part. */
 	static std::string
 	wait_for_url(const std::string &url, const std::string &part)
 	{
-		for (long i = 0; i < LIMIT_S * 100; i++) {
-			std::string body = call("GET", url).body;
-			if (body.find(part) != std::string::npos)
-				return body;
-			usleep(10000);
-		}
-		ADD_FAILURE() << url << " never showed " << part;
-		return "";
+		std::string body;
+
+		wait_until(url + " shows " + part, [&] {
+			body = call("GET", url).body;
+			return body.find(part) != std::string::npos;
+		});
+		return body;
 	}
 
       private:
-	pid_t pid = -1;
-	FILE *output = nullptr;
+	char name[32] = "/tmp/jujube-test-XXXXXX";
+	std::string folder = mkdtemp(name);
+	harness::process_t process;
 
-	static std::string
-	field(const std::string &line, const std::string &name)
+	std::string
+	field(const std::string &name) const
 	{
-		size_t at = line.find(name);
+		std::string first = line(0);
+		size_t at = first.find(name);
+
 		if (at == std::string::npos)
 			return "";
 		at += name.size();
-		return line.substr(at, line.find_first_of(" \n", at) - at);
+		return first.substr(at, first.find(' ', at) - at);
 	}
 };
 
@@ -282,7 +214,7 @@
 	    {"chat stream", "/v1/chat/completions", chat + ",\"stream\":true}",
 		"a\nb", 3, true, "\"length\""},
 	};
-	process_t engine("standin-engine", {"--step-ms=1"});
+	backend_t engine("standin-engine", {"--step-ms=1"});
 
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
@@ -336,7 +268,7 @@
 
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
-		process_t engine("standin-engine", {"--step-ms=1"});
+		backend_t engine("standin-engine", {"--step-ms=1"});
 		engine.fault(c.fault);
 		reply_t reply = call("POST", engine.data + "/v1/completions",
 		    c.body, {"Jujube-Client: n1", "Jujube-Class: batch"});
@@ -362,7 +294,7 @@
  */
 TEST(EngineContract, ResumesOnlyTheSameStream)
 {
-	process_t engine("standin-engine", {"--step-ms=1"});
+	backend_t engine("standin-engine", {"--step-ms=1"});
 	engine.fault("{\"truncate_next\":1}");
 	reply_t first =
 	    call("POST", engine.data + "/v1/completions", ask("p", 4, true));
@@ -398,8 +330,8 @@
 
 TEST(EngineContract, GoesOnWithAnImportedStream)
 {
-	process_t from("standin-engine", {"--step-ms=1"});
-	process_t to("standin-engine", {"--step-ms=1"});
+	backend_t from("standin-engine", {"--step-ms=1"});
+	backend_t to("standin-engine", {"--step-ms=1"});
 	std::string prompt(600, 'x');
 
 	from.fault("{\"truncate_next\":1}");
@@ -435,7 +367,7 @@
 
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
-		process_t engine("standin-engine", {"--slots=1"});
+		backend_t engine("standin-engine", {"--slots=1"});
 		CURL *lost = send_only(engine.data, "/v1/completions", c.body);
 		engine.wait_for("/records", "\"outcome\":\"running\"");
 		curl_easy_cleanup(lost);
@@ -456,7 +388,7 @@
 
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
-		process_t engine("standin-engine", {"--slots=1"});
+		backend_t engine("standin-engine", {"--slots=1"});
 		std::string cancel = engine.data + "/v1/streams/1/cancel";
 		reply_t first;
 		std::thread caller([&] {
@@ -507,7 +439,7 @@
 	};
 
 	for (bool checks : {true, false}) {
-		process_t engine("standin-engine",
+		backend_t engine("standin-engine",
 		    {checks ? "--fencing=check" : "--fencing=ignore"});
 		std::string url = engine.data + "/orders";
 		for (const auto &c : cases) {
@@ -535,7 +467,7 @@
 
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
-		process_t engine("standin-engine",
+		backend_t engine("standin-engine",
 		    {"--cache-blocks=2", "--step-ms=1", "--event-lag-ms=0",
 			c.gap});
 		std::string url = engine.data + "/v1/completions";
@@ -561,7 +493,7 @@
  */
 TEST(EngineContract, RunsAtMostItsSlotsAndFinishesBeforeItEnds)
 {
-	process_t engine(
+	backend_t engine(
 	    "standin-engine", {"--slots=2", "--step-ms=60", "--load-lag-ms=0"});
 	std::vector<reply_t> replies(5);
 	std::vector<std::thread> callers;
@@ -585,7 +517,7 @@
 
 TEST(EngineContract, ReportsLoadLateAndFrozen)
 {
-	process_t engine("standin-engine", {"--load-lag-ms=0"});
+	backend_t engine("standin-engine", {"--load-lag-ms=0"});
 	std::string url = engine.data + "/v1/completions";
 	std::vector<std::thread> callers;
 
@@ -609,7 +541,7 @@
 TEST(EngineContract, CrashesOnceTheRequestIsAdmitted)
 {
 	for (bool crashes : {true, false}) {
-		process_t engine("standin-engine",
+		backend_t engine("standin-engine",
 		    crashes ? strings_t{} : strings_t{"--no-crash"});
 		reply_t reply = call("POST", engine.data + "/v1/completions",
 		    ask("<<crash>>", 1, false));
@@ -641,7 +573,7 @@
 
 	for (const auto &c : cases) {
 		SCOPED_TRACE(c.name);
-		process_t service("standin-service");
+		backend_t service("standin-service");
 		service.fault(c.fault);
 		for (int i = 0; i < 2; i++) {
 			reply_t reply = call("POST",
@@ -665,19 +597,19 @@
 
 TEST(ServiceContract, PrintsTheRunThatCrashesIt)
 {
-	process_t service("standin-service");
+	backend_t service("standin-service");
 	reply_t reply = call("POST", service.data + "/call/book",
 	    "\"<<crash>>\"", {"Idempotency-Key: k1"});
 
 	EXPECT_EQ(reply.status, 0);
-	EXPECT_EQ(service.read_line().substr(0, 35),
-	    "event=run run=1 name=book key=k1 re");
 	EXPECT_EQ(service.wait_exit(), 1);
+	EXPECT_EQ(service.line(1).substr(0, 35),
+	    "event=run run=1 name=book key=k1 re");
 }
 
 TEST(ServiceContract, NeverAnswersAHungCallAndStillEnds)
 {
-	process_t service("standin-service");
+	backend_t service("standin-service");
 	reply_t reply;
 
 	service.fault("{\"run_then_hang\":1}");
--- a/tests/system/platform_contract_test.cc
+++ b/tests/system/platform_contract_test.cc
@@ -4,12 +4,8 @@
  */
 #include <gtest/gtest.h>
 
-#include <signal.h>
-#include <spawn.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -20,7 +16,12 @@
 #include <curl/curl.h>
 #include <jansson.h>
 
-extern char **environ;
+#include "tests/system/harness.h"
+
+using harness::LIMIT_MS;
+using harness::reply_t;
+using harness::strings_t;
+using harness::wait_until;
 
 namespace
 {
@@ -28,14 +29,6 @@
 /* Statuses beyond those of HTTP. */
 const long CLOSED = 0; /* the connection ended without an answer */
 const long GAVE_UP = -1; /* the client's own limit passed first */
-/* Generous: reached only when something is broken. */
-const long LIMIT_MS = 30000;
-
-struct Reply {
-	long status;
-	std::string headers;
-	std::string body;
-};
 
 struct Call {
 	const char *method;
@@ -46,49 +39,22 @@
 	long limit_ms = LIMIT_MS;
 };
 
-size_t
-Append(char *data, size_t size, size_t count, void *text)
-{
-	static_cast<std::string *>(text)->append(data, size * count);
-	return size * count;
-}
-
 /* One connection a call: on a reused one libcurl sends again by itself when
  * the answer is lost, which would hide the fault. */
-Reply
+reply_t
 Send(const Call &call)
 {
-	Reply reply = {};
-	CURL *curl = curl_easy_init();
-	std::string client = std::string("Jujube-Client: ") + call.client;
-	curl_slist *list = curl_slist_append(nullptr, client.c_str());
+	strings_t headers = {std::string("Jujube-Client: ") + call.client};
+	reply_t reply;
 
-	list = curl_slist_append(list, "Expect:");
 	if (!call.header.empty())
-		list = curl_slist_append(list, call.header.c_str());
-	curl_easy_setopt(curl, CURLOPT_URL, call.url.c_str());
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, call.limit_ms);
-	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, Append);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply.body);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, Append);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reply.headers);
-	if (strcmp(call.method, "GET") != 0) {
-		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, call.body.c_str());
-		curl_easy_setopt(
-		    curl, CURLOPT_POSTFIELDSIZE, (long)call.body.size());
-		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, call.method);
-	}
-	CURLcode code = curl_easy_perform(curl);
-	if (code == CURLE_OK)
-		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply.status);
-	else
-		reply.status =
-		    code == CURLE_OPERATION_TIMEDOUT ? GAVE_UP : CLOSED;
-	curl_slist_free_all(list);
-	curl_easy_cleanup(curl);
+		headers.push_back(call.header);
+	reply = harness::call(
+	    call.method, call.url, call.body, headers, call.limit_ms);
+	if (reply.code == CURLE_OPERATION_TIMEDOUT)
+		reply.status = GAVE_UP;
+	else if (reply.code != CURLE_OK)
+		reply.status = CLOSED;
 	return reply;
 }
 
@@ -96,37 +62,22 @@
 class Platform
 {
       public:
-	explicit Platform(const std::vector<std::string> &options)
+	explicit Platform(const strings_t &options)
+	    : process_("standin-platform", options, folder_ + "/log")
 	{
-		const char *folder = getenv("JUJUBE_BIN");
-		std::string program = std::string(folder ? folder : "build") +
-		    "/standin-platform";
-		std::vector<char *> argv = {&program[0]};
-		posix_spawn_file_actions_t actions;
-		char line[256] = "";
 		char api[64] = "";
 		char control[64] = "";
-		int ends[2];
-
-		for (const std::string &option : options)
-			argv.push_back(const_cast<char *>(option.c_str()));
-		argv.push_back(nullptr);
-		EXPECT_EQ(0, pipe(ends));
-		posix_spawn_file_actions_init(&actions);
-		posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
-		posix_spawn_file_actions_addclose(&actions, ends[0]);
-		EXPECT_EQ(0,
-		    posix_spawn(&pid_, program.c_str(), &actions, nullptr,
-			argv.data(), environ));
-		posix_spawn_file_actions_destroy(&actions);
-		close(ends[1]);
-		FILE *output = fdopen(ends[0], "r");
-		EXPECT_NE(nullptr, fgets(line, sizeof(line), output));
+
+		process_.start();
+		wait_until("the stand-in prints a line", [this] {
+			return !process_.is_alive() ||
+			    process_.log_text().find('\n') != std::string::npos;
+		});
 		EXPECT_EQ(2,
-		    sscanf(line, "event=listening address=%63s control=%63s",
-			api, control))
-		    << line;
-		fclose(output);
+		    sscanf(process_.log_text().c_str(),
+			"event=listening address=%63s control=%63s", api,
+			control))
+		    << process_.log_text();
 		api_ = std::string("http://") + api;
 		control_ = std::string("http://") + control;
 	}
@@ -134,24 +85,22 @@
 	~Platform()
 	{
 		EXPECT_EQ(0, Stop());
+		if (testing::Test::HasFailure())
+			fputs(process_.log_text().c_str(), stderr);
+		unlink((folder_ + "/log").c_str());
+		rmdir(folder_.c_str());
 	}
 
 	/* The exit status, which a sanitizer's finding changes; one that does
-	 * not end by itself is killed and so reported. */
+	 * not end by itself is killed and fails the test. */
 	int
 	Stop()
 	{
-		int status = 0;
-
-		if (pid_ == 0)
-			return 0;
-		kill(pid_, SIGTERM);
-		for (long ms = 0; waitpid(pid_, &status, WNOHANG) == 0; ms++) {
-			if (ms == LIMIT_MS)
-				kill(pid_, SIGKILL);
-			usleep(1000);
-		}
-		pid_ = 0;
+		int status;
+
+		process_.terminate();
+		status = process_.wait_exit();
+		process_.kill();
 		return status;
 	}
 
@@ -163,7 +112,7 @@
 		return (control ? control_ : api_) + path;
 	}
 
-	Reply
+	reply_t
 	Ask(const char *method, const std::string &path,
 	    const std::string &body = "", const std::string &header = "",
 	    const char *client = "tester") const
@@ -177,20 +126,20 @@
 		EXPECT_EQ(204, Ask("POST", "/control/fault", json).status);
 	}
 
-	/* Waits until the stand-in has seen that many watches. */
+	/* Waits until the counts show that the stand-in has seen so much. */
 	void
-	AwaitWatches(int count) const
+	AwaitCount(const std::string &wanted) const
 	{
-		std::string wanted = "\"watch\":" + std::to_string(count) + ",";
-		std::string body;
-
-		do {
-			body = Ask("GET", "/control/counts").body;
-		} while (body.find(wanted) == std::string::npos);
+		wait_until(wanted, [&] {
+			return Ask("GET", "/control/counts")
+				   .body.find(wanted) != std::string::npos;
+		});
 	}
 
       private:
-	pid_t pid_ = 0;
+	char name_[32] = "/tmp/jujube-test-XXXXXX";
+	std::string folder_ = mkdtemp(name_);
+	harness::process_t process_;
 	std::string api_;
 	std::string control_;
 };
@@ -371,7 +320,7 @@
 	int number = 0;
 
 	for (const Step &step : GetParam().steps) {
-		Reply reply = Send({step.method, platform.Url(step.path),
+		reply_t reply = Send({step.method, platform.Url(step.path),
 		    step.body, step.header, step.client, step.limit_ms});
 		std::string all = reply.headers + reply.body;
 
@@ -414,14 +363,14 @@
 {
 	const WaitingCase &param = GetParam();
 	Platform platform({});
-	Reply reply = {};
+	reply_t reply = {};
 	std::thread watcher([&] {
 		reply = platform.Ask("GET",
 		    "/v1/watch?prefix=c/&since=0&wait=60000", "", "",
 		    "watcher");
 	});
 
-	platform.AwaitWatches(1);
+	platform.AwaitCount("\"watch\":1,");
 	platform.Ask(param.method, param.path, param.body);
 	watcher.join();
 	EXPECT_EQ(param.status, reply.status);
@@ -438,18 +387,16 @@
 TEST(PlatformProcess, StopsWithCallsOpen)
 {
 	Platform platform({});
-	Reply watched = {};
-	Reply hung = {};
+	reply_t watched = {};
+	reply_t hung = {};
 	std::thread watcher([&] {
 		watched = platform.Ask("GET", "/v1/watch?since=0&wait=60000");
 	});
 
-	platform.AwaitWatches(1);
+	platform.AwaitCount("\"watch\":1,");
 	platform.Fault("{\"outage\":\"hang\"}");
 	std::thread caller([&] { hung = platform.Ask("GET", "/v1/vms"); });
-	while (platform.Ask("GET", "/control/counts").body.find("\"vms\":1,") ==
-	    std::string::npos)
-		continue;
+	platform.AwaitCount("\"vms\":1,");
 	EXPECT_EQ(0, platform.Stop());
 	watcher.join();
 	caller.join();
@@ -482,7 +429,7 @@
 	for (int i = 0; i < clients; i++)
 		threads.emplace_back([&] {
 			for (int done = 0; done < rounds;) {
-				Reply read = platform.Ask("GET", OBJ "n");
+				reply_t read = platform.Ask("GET", OBJ "n");
 				size_t at = read.headers.find("ETag: ");
 				size_t end = read.headers.find("\r\n", at);
 				std::string etag =
