--- a/Makefile
+++ b/Makefile
@@ -141,6 +141,10 @@
 bench-control: all
 	JUJUBE_BIN=$(B) scripts/bench-control
 
+docs:
+	mkdir -p build/doc
+	doxygen Doxyfile
+
 plots: $(B)/jujube-bench
 	JUJUBE_BIN=$(B) scripts/plots
 
@@ -184,7 +188,7 @@
 clean:
 	rm -rf build
 
-.PHONY: plots slopes bench-hop bench-control soak figures bench sanitized check-bench fuzz all check demo test-core test-adapters test-system format \
+.PHONY: docs plots slopes bench-hop bench-control soak figures bench sanitized check-bench fuzz all check demo test-core test-adapters test-system format \
 	check-format check-tidy clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
