--- a/src/core/dispatch_headroom.c
+++ b/src/core/dispatch_headroom.c
@@ -25,7 +25,7 @@
 /* One breach lowers the limit to no less than this share. */
 #define SHRINK_LEAST 0.5
 /* Shares by which the base follows a measurement. */
-#define BASE_DOWN 0.1
+#define BASE_DOWN 0.5
 #define BASE_UP 0.02
 /* Crowded this long, and not by batch: the server itself became slower. */
 #define CROWDED_MS 5000
