Take the daemon's rest after a death out: routing has it

Cause: the wait that lets the news of a death spread was first built in the daemon, on the events held back for a look at the server. The crash itself already fails over what ran there, so those events are stale when they come; the wait that works is the one in dispatch (30 ms after a death). The first one stayed: a list of resting tasks, a time in each task, a flag through the health watch, 60 lines that decided nothing. Ruled out: that it held anything the other does not (an event of a dead server's attempt is ignored by its attempt number). Change: removed; health's port is as it was before.

--- a/src/daemon/health.c
+++ b/src/daemon/health.c
@@ -57,7 +57,7 @@
 static jj_health_t
 judge(look_t *, jj_http_end_t, const jj_http_head_t *, uint64_t *);
 static void tell_load(const look_t *, const json_t *);
-static void release(jj_health_watch_t *, const jj_name_t *, bool);
+static void release(jj_health_watch_t *, const jj_name_t *);
 static void free_record(void *);
 
 jj_health_watch_t *
@@ -186,8 +186,7 @@
 	}
 	health = judge(look, end, head, &boot);
 	watch->port.on_health(watch->port.ctx, &look->server, health, boot);
-	release(watch, &look->server,
-	    health == JJ_HEALTH_DOWN || health == JJ_HEALTH_REBORN);
+	release(watch, &look->server);
 	free(look);
 }
 
@@ -242,7 +241,7 @@
 
 /** Tells the events that waited for this look, after its verdict. */
 static void
-release(jj_health_watch_t *watch, const jj_name_t *server, bool crashed)
+release(jj_health_watch_t *watch, const jj_name_t *server)
 {
 	char address[JJ_NAME_MAX + 1];
 	record_t *record;
@@ -262,7 +261,7 @@
 		(void)apr_thread_mutex_unlock(watch->lock);
 		if (held == NULL)
 			break;
-		watch->port.on_release(watch->port.ctx, held->event, crashed);
+		watch->port.on_release(watch->port.ctx, held->event);
 		free(held);
 	}
 	if (more)
--- a/src/daemon/health.h
+++ b/src/daemon/health.h
@@ -29,8 +29,8 @@
 	/** A load report. */
 	void (*on_report)(void *ctx, const jj_name_t *server, uint32_t running,
 	    uint32_t waiting, jj_ms_t age_ms);
-	/** The look ended: the event may be told; @p crashed: a death. */
-	void (*on_release)(void *ctx, void *held, bool crashed);
+	/** The look ended and was told: now the event may be. */
+	void (*on_release)(void *ctx, void *held);
 } jj_health_port_t;
 
 typedef struct jj_health_watch jj_health_watch_t;
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -15,7 +15,6 @@
 
 static void fill_core_settings(const jj_node_t *, jj_core_settings_t *);
 static void create_locks(jj_node_t *);
-static void drop_resting(jj_node_t *);
 static void create_core(jj_node_t *);
 static void learn_seeds(jj_node_t *);
 static bool create_adapters(jj_node_t *);
@@ -39,7 +38,6 @@
 	jj_core_write_writer(&settings->name, node->incarnation, node->writer,
 	    sizeof(node->writer));
 	create_locks(node);
-	STAILQ_INIT(&node->resting);
 	node->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
 	node->uploads = g_hash_table_new(g_int64_hash, g_int64_equal);
 	node->hops =
@@ -89,7 +87,6 @@
 	jj_platform_destroy(node->platform_bulk);
 	jj_loop_destroy(node->control);
 	jj_loop_destroy(node->batch_loop);
-	drop_resting(node);
 	jj_core_destroy(node->core);
 	jj_batch_destroy(node->batch);
 	jj_jobs_destroy(node->jobs);
@@ -119,17 +116,6 @@
 		node->upload_shards[i] = jj_runtime_create_mutex(node->pool);
 }
 
-static void
-drop_resting(jj_node_t *node)
-{
-	jj_task_t *task;
-
-	while ((task = STAILQ_FIRST(&node->resting)) != NULL) {
-		STAILQ_REMOVE_HEAD(&node->resting, link);
-		task->run(task, NULL, 0);
-	}
-}
-
 static void
 create_core(jj_node_t *node)
 {
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -89,7 +89,6 @@
 	atomic_bool core_idle;
 	atomic_bool batch_idle;
 	atomic_bool ready; /**< a configuration is known */
-	STAILQ_HEAD(, jj_task) resting; /**< the control loop's own */
 	GHashTable *hops; /**< spans by call; the control loop's own */
 	/** Batch shares told last; the control loop's own. */
 	jj_batch_share_t shares_told[JJ_NODE_SERVICES_MAX];
@@ -132,7 +131,7 @@
 /** Answers the operation with the configuration in force. */
 void jj_node_post_show_config(jj_node_t *node, uint64_t operation);
 /** Tells events held back by the health watch. */
-void jj_node_release_held(void *node, void *held, bool crashed);
+void jj_node_release_held(void *node, void *held);
 jj_ms_t jj_node_control_next(void *node);
 void jj_node_control_tick(void *node, jj_ms_t now);
 
--- a/src/daemon/node_control.c
+++ b/src/daemon/node_control.c
@@ -12,12 +12,6 @@
 
 /** Health and load of a server are looked at this often by its steward. */
 #define LOOK_MS 500
-/**
- * After a server died, what ran there is only tried again when the other VMs
- * have heard of it: a request that kills servers must not reach the next one
- * through another VM meanwhile.
- */
-#define CRASH_REST_MS 100
 /** Of so many turns one looks at a leaving server: did it come back? */
 #define LEAVING_TURNS 10
 /** Timeout of an attempt whose service is no longer configured, ms. */
@@ -36,7 +30,6 @@
 	char operator_name[JJ_NAME_MAX + 1];
 	jj_whole_t whole;
 	jj_name_t server;
-	jj_ms_t begin_ms; /**< not handled before, 0: at once */
 } event_task_t;
 
 static void run_event(jj_task_t *, void *, jj_ms_t);
@@ -55,7 +48,6 @@
 static void look_at_servers(jj_node_t *, jj_ms_t);
 static void look_again(jj_node_t *, const jj_server_t *, jj_ms_t);
 static event_task_t *create_task(jj_event_kind_t);
-static void run_rested(jj_node_t *, jj_ms_t);
 static void free_task(event_task_t *);
 
 void
@@ -140,13 +132,11 @@
 }
 
 void
-jj_node_release_held(void *ctx, void *held, bool crashed)
+jj_node_release_held(void *ctx, void *held)
 {
 	jj_node_t *node = ctx;
 	event_task_t *task = held;
 
-	if (crashed)
-		task->begin_ms = jj_monotonic_now() + CRASH_REST_MS;
 	jj_loop_post(node->control, &task->task);
 }
 
@@ -247,7 +237,6 @@
 	jj_event_t event = {.kind = JJ_EVENT_TICK};
 
 	step(node, &event, now);
-	run_rested(node, now);
 	if (now >= node->next_look) {
 		node->next_look = now + LOOK_MS;
 		look_at_servers(node, now);
@@ -265,10 +254,6 @@
 		free_task(task);
 		return;
 	}
-	if (now < task->begin_ms) {
-		STAILQ_INSERT_TAIL(&node->resting, base, link);
-		return;
-	}
 	if (task->event.kind == JJ_EVENT_MESSAGE &&
 	    task->message->kind == JJ_MESSAGE_CALL_ANSWER)
 		jj_node_end_hop(node, &task->message->body.call_answer);
@@ -604,20 +589,6 @@
 		    node->health, &server->name, server->address, false);
 }
 
-/** Ticks come at least every 100 ms, so a rest is not much longer. */
-static void
-run_rested(jj_node_t *node, jj_ms_t now)
-{
-	STAILQ_HEAD(, jj_task) rested = STAILQ_HEAD_INITIALIZER(rested);
-	jj_task_t *task;
-
-	STAILQ_CONCAT(&rested, &node->resting);
-	while ((task = STAILQ_FIRST(&rested)) != NULL) {
-		STAILQ_REMOVE_HEAD(&rested, link);
-		task->run(task, node, now);
-	}
-}
-
 static event_task_t *
 create_task(jj_event_kind_t kind)
 {
