--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 LIB := $(B)/libjujubeswitch.a
 SHLIB := $(B)/libjujubeswitch.so
 
-DAEMON_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/daemon/*.c))
+DAEMON_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/daemon/*.c platform/*.c))
 CTL_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard src/ctl/*.c))
 COMMON_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard standins/common/*.c))
 PROGS := $(B)/jujubed $(B)/jujubectl $(B)/standin-platform \
--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -2,11 +2,14 @@
  * @file http_client.c
  * @brief HTTP requests on libcurl: one thread and one multi handle each.
  */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 #include <apr_time.h>
 #include <curl/curl.h>
@@ -28,6 +31,12 @@
 #define CONNECT_TIMEOUT_MS 1000L
 /** Idle connections kept for reuse per client. */
 #define IDLE_CONNECTIONS 512L
+/** Seconds of silence before a probe, and between probes. */
+#define KEEPALIVE_S 1L
+/** Probes without an answer until a connection counts as broken. */
+#define KEEPALIVE_PROBES 3
+/** The same for bytes that were sent and never acknowledged, ms. */
+#define SILENCE_MS 3000U
 
 typedef enum {
 	COMMAND_START,
@@ -42,6 +51,7 @@
 	char *body;
 	jj_http_request_t request; /**< only ctx and callbacks stay valid */
 	jj_http_head_t head;
+	GString *lines; /**< of the head */
 	bool head_told;
 } transfer_t;
 
@@ -73,10 +83,14 @@
 static void end_transfer(jj_http_client_t *, transfer_t *, jj_http_end_t);
 static void free_transfer(transfer_t *);
 static transfer_t *prepare_transfer(const jj_http_request_t *);
+static void leave_out_defaults(transfer_t *);
+static void set_silence(CURL *);
+static int on_socket(void *, curl_socket_t, curlsocktype);
 static void set_body(transfer_t *, const jj_http_request_t *);
 static jj_http_end_t classify(CURL *, CURLcode);
 static size_t on_header(char *, size_t, size_t, void *);
 static size_t on_body(char *, size_t, size_t, void *);
+static void append_line(GString *, const char *, size_t);
 static void tell_head(transfer_t *);
 static void
 push_command(jj_http_client_t *, command_kind_t, uint64_t, transfer_t *);
@@ -310,6 +324,7 @@
 {
 	curl_easy_cleanup(transfer->easy);
 	curl_slist_free_all(transfer->headers);
+	(void)g_string_free(transfer->lines, TRUE);
 	free(transfer->body);
 	free(transfer);
 }
@@ -318,15 +333,18 @@
 prepare_transfer(const jj_http_request_t *request)
 {
 	transfer_t *transfer = jj_alloc(sizeof(*transfer));
-	char url[2048];
+	gchar *url =
+	    g_strdup_printf("http://%s%s", request->address, request->path);
+	jj_ms_t connect_ms =
+	    request->connect_ms > 0 ? request->connect_ms : CONNECT_TIMEOUT_MS;
 	size_t i;
 
 	transfer->request = *request;
+	transfer->lines = g_string_new("");
 	transfer->easy = curl_easy_init();
 	JJ_INVARIANT(transfer->easy != NULL);
-	(void)snprintf(
-	    url, sizeof(url), "http://%s%s", request->address, request->path);
 	(void)curl_easy_setopt(transfer->easy, CURLOPT_URL, url);
+	g_free(url);
 	(void)curl_easy_setopt(transfer->easy, CURLOPT_NOSIGNAL, 1L);
 	(void)curl_easy_setopt(transfer->easy, CURLOPT_PATH_AS_IS, 1L);
 	(void)curl_easy_setopt(transfer->easy, CURLOPT_PROXY, "");
@@ -335,7 +353,8 @@
 	(void)curl_easy_setopt(
 	    transfer->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	(void)curl_easy_setopt(
-	    transfer->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	    transfer->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+	set_silence(transfer->easy);
 	(void)curl_easy_setopt(
 	    transfer->easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
 	(void)curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, transfer);
@@ -358,12 +377,65 @@
 		transfer->headers =
 		    curl_slist_append(transfer->headers, request->headers[i]);
 	}
+	for (i = 0; i < request->more_header_count; i++)
+		transfer->headers = curl_slist_append(
+		    transfer->headers, request->more_headers[i]);
+	if (request->verbatim)
+		leave_out_defaults(transfer);
 	(void)curl_easy_setopt(
 	    transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
 	set_body(transfer, request);
 	return transfer;
 }
 
+/** libcurl's own headers go, but where the request has that header. */
+static void
+leave_out_defaults(transfer_t *transfer)
+{
+	static const char *const names[] = {"Accept:", "Content-Type:"};
+	const struct curl_slist *line;
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		for (line = transfer->headers; line != NULL; line = line->next)
+			if (strncasecmp(
+				line->data, names[i], strlen(names[i])) == 0)
+				break;
+		if (line == NULL)
+			transfer->headers =
+			    curl_slist_append(transfer->headers, names[i]);
+	}
+}
+
+/**
+ * Guards against connections that fall silent for good without a reset: the
+ * peer's machine lost power, or is behind a cut. Probes of the kernel end
+ * them within some seconds, where else a watch would wait for its whole time.
+ */
+static void
+set_silence(CURL *easy)
+{
+	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
+	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
+	(void)curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+}
+
+static int
+on_socket(void *ctx, curl_socket_t socket, curlsocktype purpose)
+{
+	int count = KEEPALIVE_PROBES;
+	unsigned int timeout = SILENCE_MS;
+
+	(void)ctx;
+	(void)purpose;
+	(void)setsockopt(
+	    socket, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+	(void)setsockopt(
+	    socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+	return CURL_SOCKOPT_OK;
+}
+
 static void
 set_body(transfer_t *transfer, const jj_http_request_t *request)
 {
@@ -412,8 +484,11 @@
 		    transfer->easy, CURLINFO_RESPONSE_CODE, &status);
 		memset(head, 0, sizeof(*head));
 		head->status = (int)status;
+		(void)g_string_truncate(transfer->lines, 0);
 		return length;
 	}
+	if (!transfer->head_told)
+		append_line(transfer->lines, data, length);
 	copy_header(head->content_type, sizeof(head->content_type),
 	    "Content-Type:", line);
 	copy_header(head->etag, sizeof(head->etag), "ETag:", line);
@@ -421,12 +496,25 @@
 	copy_header(head->boot, sizeof(head->boot), "Jujube-Boot:", line);
 	copy_header(number, sizeof(number), "Retry-After:", line);
 	if (number[0] != '\0')
-		head->retry_after_ms = strtol(number, NULL, 10) * 1000;
+		head->retry_after_ms =
+		    (jj_ms_t)(g_ascii_strtod(number, NULL) * 1000);
 	if (strncasecmp(line, "Jujube-Leaving:", 15) == 0)
 		head->leaving = true;
 	return length;
 }
 
+static void
+append_line(GString *lines, const char *data, size_t length)
+{
+	while (length > 0 &&
+	    (data[length - 1] == '\n' || data[length - 1] == '\r'))
+		length--;
+	if (length == 0)
+		return;
+	(void)g_string_append_len(lines, data, (gssize)length);
+	(void)g_string_append_c(lines, '\n');
+}
+
 static void
 tell_head(transfer_t *transfer)
 {
@@ -437,6 +525,7 @@
 	(void)curl_easy_getinfo(
 	    transfer->easy, CURLINFO_RESPONSE_CODE, &status);
 	transfer->head.status = (int)status;
+	transfer->head.lines = transfer->lines->str;
 	transfer->head_told = true;
 	if (transfer->request.on_head != NULL)
 		transfer->request.on_head(
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -32,6 +32,7 @@
 	char boot[20]; /**< Jujube-Boot */
 	bool leaving; /**< Jujube-Leaving is set */
 	jj_ms_t retry_after_ms; /**< Retry-After, 0: none */
+	const char *lines; /**< all header lines, each with a line feed */
 } jj_http_head_t;
 
 /** What a data callback did with the bytes. */
@@ -56,6 +57,12 @@
 	 * running it would run twice. On a fresh connection it never repeats.
 	 */
 	bool once;
+	/** More header lines, as `headers`; copied. */
+	char *const *more_headers;
+	size_t more_header_count;
+	/** Only the headers given here are sent, none of libcurl's own. */
+	bool verbatim;
+	jj_ms_t connect_ms; /**< longest time to connect; 0: the default */
 	void *ctx;
 	void (*on_head)(void *ctx, const jj_http_head_t *head); /**< or NULL */
 	jj_http_flow_t (*on_data)(void *ctx, const char *data, size_t size);
--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -43,6 +43,7 @@
 	atomic_int references;
 	char method[16];
 	char *path;
+	char *uri; /**< as it came */
 	bool is_upload;
 	bool begun; /**< the port knows of it */
 	bool too_large;
@@ -66,6 +67,12 @@
 	size_t buffer_room;
 };
 
+/** What each header is handed to. */
+typedef struct {
+	void (*take)(void *, const char *, const char *);
+	void *ctx;
+} header_taker_t;
+
 struct jj_http_server {
 	struct MHD_Daemon *daemon;
 	jj_http_port_t port;
@@ -85,8 +92,10 @@
 
 static enum MHD_Result handle(void *, struct MHD_Connection *, const char *,
     const char *, const char *, const char *, size_t *, void **);
-static enum MHD_Result begin_call(jj_http_server_t *, struct MHD_Connection *,
-    const char *, const char *, void **);
+static void *prepare_call(void *, const char *, struct MHD_Connection *);
+static enum MHD_Result begin_call(jj_http_call_t *, const char *, const char *);
+static enum MHD_Result
+take_header(void *, enum MHD_ValueKind, const char *, const char *);
 static enum MHD_Result take_body(jj_http_call_t *, const char *, size_t *);
 static enum MHD_Result take_upload(jj_http_call_t *, const char *, size_t *);
 static enum MHD_Result go_on(jj_http_call_t *);
@@ -127,8 +136,9 @@
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits->header_bytes,
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    (unsigned int)(limits->idle_ms / 1000),
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_NOTIFY_COMPLETED,
-	    completed, server, MHD_OPTION_END);
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
+	    prepare_call, server, MHD_OPTION_NOTIFY_COMPLETED, completed,
+	    server, MHD_OPTION_END);
 	if (server->daemon == NULL)
 		goto out;
 	server->sweeper = jj_runtime_start_thread(server->pool, sweep, server);
@@ -184,6 +194,22 @@
 	return call->path;
 }
 
+const char *
+jj_http_call_uri(const jj_http_call_t *call)
+{
+	return call->uri;
+}
+
+void
+jj_http_call_each_header(const jj_http_call_t *call,
+    void (*take)(void *ctx, const char *name, const char *value), void *ctx)
+{
+	header_taker_t taker = {take, ctx};
+
+	(void)MHD_get_connection_values(
+	    call->connection, MHD_HEADER_KIND, take_header, &taker);
+}
+
 const char *
 jj_http_call_header(const jj_http_call_t *call, const char *name)
 {
@@ -344,6 +370,7 @@
 	release_server(call->server);
 	free(call->buffer);
 	free(call->path);
+	free(call->uri);
 	jj_bytes_free(&call->body);
 	free(call);
 }
@@ -357,8 +384,10 @@
 	jj_http_call_t *call = *memory;
 
 	(void)version;
-	if (call == NULL)
-		return begin_call(ctx, connection, url, method, memory);
+	(void)ctx;
+	(void)connection;
+	if (call->path == NULL)
+		return begin_call(call, url, method);
 	if (call->gone)
 		return MHD_NO;
 	if (*size > 0 && call->state == CALL_READING)
@@ -372,28 +401,48 @@
 	return go_on(call);
 }
 
-static enum MHD_Result
-begin_call(jj_http_server_t *server, struct MHD_Connection *connection,
-    const char *url, const char *method, void **memory)
+/** Called with the request line's URI before anything of it is decoded. */
+static void *
+prepare_call(void *ctx, const char *uri, struct MHD_Connection *connection)
 {
+	jj_http_server_t *server = ctx;
 	jj_http_call_t *call = jj_alloc(sizeof(*call));
 
 	call->server = server;
 	call->connection = connection;
-	(void)snprintf(call->method, sizeof(call->method), "%s", method);
-	call->path = strdup(url);
+	call->uri = strdup(uri);
 	call->lock =
 	    server->call_locks[atomic_fetch_add(&server->next_call_lock, 1) %
 		CALL_LOCKS];
 	(void)atomic_fetch_add(&server->references, 1);
 	atomic_init(&call->references, 1);
-	call->is_upload = server->port.takes_upload != NULL &&
-	    server->port.takes_upload(server->port.ctx, call);
-	*memory = call;
 	(void)atomic_fetch_add(&server->open_count, 1);
 	(void)apr_thread_mutex_lock(server->lock);
 	TAILQ_INSERT_TAIL(&server->open, call, link);
 	(void)apr_thread_mutex_unlock(server->lock);
+	return call;
+}
+
+static enum MHD_Result
+begin_call(jj_http_call_t *call, const char *url, const char *method)
+{
+	const jj_http_port_t *port = &call->server->port;
+
+	(void)snprintf(call->method, sizeof(call->method), "%s", method);
+	call->path = strdup(url);
+	call->is_upload =
+	    port->takes_upload != NULL && port->takes_upload(port->ctx, call);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+take_header(
+    void *ctx, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	header_taker_t *taker = ctx;
+
+	(void)kind;
+	taker->take(taker->ctx, name, value != NULL ? value : "");
 	return MHD_YES;
 }
 
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -14,8 +14,8 @@
 
 #include "core/types.h"
 
-/** Most extra headers of an answer. */
-#define JJ_HTTP_ANSWER_HEADERS_MAX 8
+/** Most extra headers of an answer; a backend server's pass through. */
+#define JJ_HTTP_ANSWER_HEADERS_MAX 32
 
 /** One request under way; counted references. */
 typedef struct jj_http_call jj_http_call_t;
@@ -80,6 +80,11 @@
 
 const char *jj_http_call_method(const jj_http_call_t *call);
 const char *jj_http_call_path(const jj_http_call_t *call);
+/** Path and query as they came, nothing decoded. */
+const char *jj_http_call_uri(const jj_http_call_t *call);
+/** Each request header; only while on_request runs. */
+void jj_http_call_each_header(const jj_http_call_t *call,
+    void (*take)(void *ctx, const char *name, const char *value), void *ctx);
 /** A request header or NULL. */
 const char *jj_http_call_header(const jj_http_call_t *call, const char *name);
 /** A query argument or NULL. */
--- a/src/adapters/log.c
+++ b/src/adapters/log.c
@@ -6,9 +6,12 @@
  * working folder and the user's home, and settings come from one file only.
  */
 #include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/uio.h>
+#include <unistd.h>
 
 #include <log4c/appender.h>
 #include <log4c/category.h>
@@ -24,6 +27,13 @@
 /** Longest conversion, as in `%-08.3llu`. */
 #define CONVERSION_MAX 24
 
+/**
+ * Most lines to standard output in a window: several for each of some hundred
+ * requests a second, the most that a small VM serves.
+ */
+#define BOUND_LINES 1500
+#define BOUND_WINDOW_MS 1000
+
 /** A line under construction; always ends with a NUL. */
 typedef struct {
 	char text[JJ_LOG_LINE_MAX];
@@ -47,6 +57,8 @@
 static const char *
 format_event(const log4c_layout_t *, const log4c_logging_event_t *);
 static int append_event(log4c_appender_t *, const log4c_logging_event_t *);
+static void write_line(const char *);
+static void set_nonblocking(int);
 static void set_up_category(void);
 static void append_text(line_t *, const char *, size_t);
 static void append_escaped(line_t *, const char *, size_t, bool);
@@ -69,13 +81,19 @@
 static FILE *log_stream; /**< NULL: closed */
 static int log_priority = LOG4C_PRIORITY_INFO;
 static jj_name_t log_vm = {"-"};
+static jj_ms_t log_window_ms; /**< when the window began */
+static unsigned int log_window_lines;
+static unsigned long log_dropped; /**< lines since the last one written */
 
 bool
 jj_log_open(jj_log_level_t level, const char *file)
 {
 	FILE *stream = stderr;
 
-	if (file != NULL && file[0] != '\0')
+	if (file != NULL && strcmp(file, JJ_LOG_STDOUT) == 0) {
+		stream = stdout;
+		set_nonblocking(STDOUT_FILENO);
+	} else if (file != NULL && file[0] != '\0')
 		stream = fopen(file, "ae");
 	if (stream == NULL)
 		return false;
@@ -92,7 +110,7 @@
 jj_log_close(void)
 {
 	jj_runtime_lock_static(&log_lock);
-	if (log_stream != NULL && log_stream != stderr)
+	if (log_stream != NULL && log_stream != stderr && log_stream != stdout)
 		(void)fclose(log_stream);
 	log_stream = NULL;
 	jj_runtime_unlock_static(&log_lock);
@@ -151,10 +169,55 @@
 append_event(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
 	(void)appender;
+	if (log_stream == stdout) {
+		write_line(event->evt_rendered_msg);
+		return 0;
+	}
 	(void)fprintf(log_stream, "%s\n", event->evt_rendered_msg);
 	return fflush(log_stream);
 }
 
+/**
+ * Guards against a reader of the log that is slow or gone: a write that waits
+ * would hold up every thread that logs, and requests with them. A line that
+ * cannot be written now, or is over the bound, is dropped and counted; the
+ * next one that goes out says how many.
+ */
+static void
+write_line(const char *text)
+{
+	char lost[80];
+	struct iovec parts[3] = {
+	    {lost, 0}, {(void *)text, strlen(text)}, {(void *)"\n", 1}};
+	jj_ms_t now = jj_monotonic_now();
+
+	if (now - log_window_ms >= BOUND_WINDOW_MS) {
+		log_window_ms = now;
+		log_window_lines = 0;
+	}
+	if (log_window_lines >= BOUND_LINES) {
+		log_dropped++;
+		return;
+	}
+	log_window_lines++;
+	if (log_dropped > 0)
+		parts[0].iov_len = (size_t)snprintf(lost, sizeof(lost),
+		    "event=log_dropped lines=%lu\n", log_dropped);
+	if (writev(STDOUT_FILENO, parts, 3) < 0)
+		log_dropped++;
+	else
+		log_dropped = 0;
+}
+
+static void
+set_nonblocking(int fd)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		(void)fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+}
+
 static void
 set_up_category(void)
 {
@@ -201,6 +264,10 @@
 	for (i = 0; i < size; i++) {
 		unsigned char c = (unsigned char)text[i];
 
+		if (c >= 0x20 && c != 0x7f && c != '"' && c != '\\') {
+			append_text(line, text + i, 1);
+			continue;
+		}
 		if (quoted && (c == '"' || c == '\\'))
 			(void)snprintf(escape, sizeof(escape), "\\%c", c);
 		else if (c == '\n')
--- a/src/adapters/log.h
+++ b/src/adapters/log.h
@@ -20,9 +20,13 @@
 /** Longest line in bytes, its end included; what is longer is cut. */
 #define JJ_LOG_LINE_MAX 4096
 
+/** Stands for standard output in place of a file. */
+#define JJ_LOG_STDOUT "-"
+
 /**
  * Opens the log for events of @p level and graver ones.
- * @param file is appended to; NULL: standard error.
+ * @param file is appended to; NULL: standard error; JJ_LOG_STDOUT: standard
+ * output, which never waits for its reader and is bounded in lines a second.
  * @return false when the file cannot be opened (errno says why).
  */
 bool jj_log_open(jj_log_level_t level, const char *file);
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -11,6 +11,7 @@
 #include "adapters/log.h"
 #include "core/batch.h"
 #include "core/core.h"
+#include "core/gateway.h"
 #include "core/intake.h"
 #include "core/job.h"
 
@@ -45,11 +46,14 @@
 	char listen_callers[JJ_NAME_MAX + 1]; /**< IP:PORT */
 	char listen_operators[JJ_NAME_MAX + 1]; /**< IP:PORT */
 	char listen_neighbours[JJ_NAME_MAX + 1]; /**< IP:PORT, ZeroMQ */
+	/** IP:PORT where a balancer asks; empty: at the callers' address. */
+	char listen_ready[JJ_NAME_MAX + 1];
 
 	struct {
 		char address[JJ_NAME_MAX + 1]; /**< IP:PORT */
 		jj_ms_t timeout_ms; /**< of one call */
 		jj_name_t client; /**< Jujube-Client; the VM's name */
+		jj_name_t form; /**< of a deployment; empty: our own */
 	} platform;
 
 	jj_neighbour_seed_t *neighbours; /**< owned */
@@ -79,6 +83,8 @@
 
 	struct {
 		jj_ms_t drain_ms; /**< most a planned stop waits */
+		double grace_s; /**< the process is killed then; 0: never */
+		jj_ms_t least_ms; /**< the balancer needs to notice it */
 	} stop;
 
 	bool faults; /**< fault switches are served, for failure tests */
@@ -89,6 +95,8 @@
 	 * they belong to the run, not to the file.
 	 */
 	jj_core_settings_t core;
+	jj_gateway_settings_t gateway; /**< of a VM that serves routes */
+	bool gateway_idle; /**< it takes and runs no requests */
 	jj_batch_settings_t batch;
 	jj_intake_settings_t intake;
 	jj_jobs_settings_t jobs;
--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -238,6 +238,16 @@
 };
 LAYOUT(server_layout, jj_message_t, server_fields);
 
+static const field_t yield_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.yield),
+};
+LAYOUT(yield_layout, jj_message_t, yield_fields);
+
+static const field_t job_ended_fields[] = {
+    TEXT(jj_message_t, body.job_ended),
+};
+LAYOUT(job_ended_layout, jj_message_t, job_ended_fields);
+
 static const field_t jobs_fields[] = {
     FIELD(FIELD_U64, jj_message_t, body.jobs.revision),
     BYTES(jj_message_t, body.jobs.events, JJ_WIRE_BYTES_MAX),
@@ -263,6 +273,8 @@
     [JJ_MESSAGE_SERVER_STATE] = &server_layout,
     [JJ_MESSAGE_JOBS] = &jobs_layout,
     [JJ_MESSAGE_VMS] = &jobs_layout,
+    [JJ_MESSAGE_YIELD] = &yield_layout,
+    [JJ_MESSAGE_JOB_ENDED] = &job_ended_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- /dev/null
+++ b/src/core/event_stream.c
@@ -0,0 +1,220 @@
+/**
+ * @file event_stream.c
+ * @brief Whole server-sent events out of a stream's bytes, in their order.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/event_stream.h"
+
+/** One line of an event. */
+typedef struct {
+	const char *text;
+	size_t size; /**< without its end */
+	size_t whole; /**< with its end; 0: the line has no end yet */
+} line_t;
+
+static line_t read_line(const char *, size_t);
+static size_t find_event_end(const char *, size_t);
+static void read_fields(jj_event_piece_t *);
+static bool is_field(const line_t *, const char *, const char **, size_t *);
+static bool is_next(const jj_event_stream_t *, const jj_event_piece_t *);
+static void append(jj_bytes_t *, const char *, size_t);
+
+void
+jj_event_stream_begin(jj_event_stream_t *stream, int64_t last_id)
+{
+	stream->size = 0;
+	stream->start = 0;
+	stream->last_id = last_id;
+	stream->ended = false;
+}
+
+void
+jj_event_stream_feed(jj_event_stream_t *stream, const char *data, size_t size)
+{
+	if (stream->start > 0) {
+		stream->size -= stream->start;
+		memmove(stream->pending, stream->pending + stream->start,
+		    stream->size);
+		stream->start = 0;
+	}
+	if (stream->size + size > stream->room) {
+		stream->room = stream->size + size + 512;
+		stream->pending = jj_realloc(stream->pending, stream->room);
+	}
+	memcpy(stream->pending + stream->size, data, size);
+	stream->size += size;
+}
+
+jj_event_found_t
+jj_event_stream_next(jj_event_stream_t *stream, jj_event_piece_t *piece)
+{
+	const char *from = stream->pending + stream->start;
+	size_t left = stream->size - stream->start;
+	size_t end;
+
+	if (stream->ended)
+		return JJ_EVENT_FOREIGN;
+	end = left > 0 ? find_event_end(from, left) : 0;
+	if (end == 0) {
+		stream->ended = left > JJ_EVENT_SIZE_MAX;
+		return stream->ended ? JJ_EVENT_FOREIGN : JJ_EVENT_MORE;
+	}
+	memset(piece, 0, sizeof(*piece));
+	piece->raw = from;
+	piece->raw_size = end;
+	read_fields(piece);
+	if (!is_next(stream, piece)) {
+		stream->ended = true;
+		return JJ_EVENT_FOREIGN;
+	}
+	if (piece->id != JJ_EVENT_NO_ID)
+		stream->last_id = piece->id;
+	stream->start += end;
+	return JJ_EVENT_WHOLE;
+}
+
+bool
+jj_event_stream_has_rest(const jj_event_stream_t *stream)
+{
+	return stream->size > stream->start;
+}
+
+void
+jj_event_stream_clear(jj_event_stream_t *stream)
+{
+	free(stream->pending);
+	memset(stream, 0, sizeof(*stream));
+}
+
+void
+jj_event_piece_append_data(
+    const jj_event_piece_t *piece, bool first, jj_bytes_t *text)
+{
+	size_t at = 0;
+	bool begun = false;
+
+	if (!piece->has_data)
+		return;
+	if (!first)
+		append(text, "\n", 1);
+	while (at < piece->raw_size) {
+		line_t line = read_line(piece->raw + at, piece->raw_size - at);
+		const char *value;
+		size_t size;
+
+		if (line.whole == 0)
+			return;
+		at += line.whole;
+		if (!is_field(&line, "data", &value, &size))
+			continue;
+		if (begun)
+			append(text, "\n", 1);
+		append(text, value, size);
+		begun = true;
+	}
+}
+
+static line_t
+read_line(const char *text, size_t size)
+{
+	line_t line = {text, 0, 0};
+	const char *end = memchr(text, '\n', size);
+
+	if (end == NULL)
+		return line;
+	line.size = (size_t)(end - text);
+	line.whole = line.size + 1;
+	if (line.size > 0 && text[line.size - 1] == '\r')
+		line.size--;
+	return line;
+}
+
+/** Bytes up to the end of the first empty line; 0: there is none. */
+static size_t
+find_event_end(const char *text, size_t size)
+{
+	size_t at = 0;
+
+	while (at < size) {
+		line_t line = read_line(text + at, size - at);
+
+		if (line.whole == 0)
+			return 0;
+		at += line.whole;
+		if (line.size == 0)
+			return at;
+	}
+	return 0;
+}
+
+static void
+read_fields(jj_event_piece_t *piece)
+{
+	size_t at = 0;
+
+	piece->id = JJ_EVENT_NO_ID;
+	while (at < piece->raw_size) {
+		line_t line = read_line(piece->raw + at, piece->raw_size - at);
+		const char *value;
+		char number[24] = "";
+		size_t size;
+
+		if (line.whole == 0)
+			return;
+		at += line.whole;
+		if (is_field(&line, "data", &value, &size))
+			piece->has_data = true;
+		if (!is_field(&line, "id", &value, &size) || size == 0 ||
+		    size >= sizeof(number))
+			continue;
+		memcpy(number, value, size);
+		if (strspn(number, "0123456789") == size)
+			piece->id = strtoll(number, NULL, 10);
+	}
+}
+
+static bool
+is_field(const line_t *line, const char *name, const char **value, size_t *size)
+{
+	size_t length = strlen(name);
+
+	if (line->size <= length || memcmp(line->text, name, length) != 0 ||
+	    line->text[length] != ':')
+		return false;
+	*value = line->text + length + 1;
+	*size = line->size - length - 1;
+	if (*size > 0 && **value == ' ') {
+		(*value)++;
+		(*size)--;
+	}
+	return true;
+}
+
+/**
+ * Guards against a run that is joined to another one's events: a server that
+ * began anew instead of going on, a second run behind the first, bytes of a
+ * stranger. It would show as an id that does not follow on the last one. The
+ * first event of all sets where ids begin (0 or 1).
+ */
+static bool
+is_next(const jj_event_stream_t *stream, const jj_event_piece_t *piece)
+{
+	if (!piece->has_data)
+		return piece->id == JJ_EVENT_NO_ID;
+	if (piece->id == JJ_EVENT_NO_ID)
+		return false;
+	if (stream->last_id == JJ_EVENT_NO_ID)
+		return piece->id <= 1;
+	return piece->id == stream->last_id + 1;
+}
+
+static void
+append(jj_bytes_t *text, const char *data, size_t size)
+{
+	text->data = jj_realloc(text->data, text->size + size + 1);
+	memcpy(text->data + text->size, data, size);
+	text->size += size;
+	text->data[text->size] = '\0';
+}
--- /dev/null
+++ b/src/core/gateway.c
@@ -0,0 +1,523 @@
+/**
+ * @file gateway.c
+ * @brief Puts the modules of a VM that serves routes together.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/gateway_state.h"
+
+/** Tokens of the mirrors' calls. */
+#define TOKEN_CONFIG 1
+#define TOKEN_SERVERS 2
+#define TOKEN_RETIRE 3
+/** Between ticks of all modules, and while requests are under way, ms. */
+#define TICK_MS 200
+#define BUSY_TICK_MS 25
+
+static void init_mirrors(jj_gateway_t *);
+static void begin_list(void *);
+static void end_list(void *, jj_ms_t);
+static void take_config_object(void *, const jj_platform_item_t *);
+static void drop_nothing(void *, const char *);
+static void begin_servers(void *);
+static void take_server(void *, const jj_platform_item_t *);
+static void drop_server(void *, const char *);
+static void end_servers(void *, jj_ms_t);
+static void take_retirement(void *, const jj_platform_item_t *);
+static jj_ms_t missing_until(const jj_gateway_t *, jj_ms_t);
+static const char *name_of(const char *);
+static bool is_live(void *, const char *);
+static bool is_chosen(void *, const char *);
+static bool hears_others(void *);
+static const jj_route_t *find_route(void *, const char *, const char *);
+static int64_t unix_ms(void *);
+static jj_bytes_t write_page(void *, const jj_inline_page_t *);
+static jj_ms_t earlier(jj_ms_t, jj_ms_t);
+static void enter(jj_gateway_t *, jj_ms_t, jj_actions_t *);
+static void leave_step(jj_gateway_t *, jj_ms_t, jj_actions_t *);
+
+jj_gateway_t *
+jj_gateway_create(
+    const jj_gateway_settings_t *settings, const jj_gateway_port_t *port)
+{
+	jj_gateway_t *gateway = jj_alloc(sizeof(*gateway));
+	jj_inline_port_t jobs = {gateway, is_live, is_chosen, hears_others,
+	    find_route, unix_ms, jj_gateway_begin_item, jj_gateway_cancel_item,
+	    write_page, jj_gateway_tell_ended};
+
+	gateway->settings = *settings;
+	gateway->port = *port;
+	gateway->random = settings->seed;
+	gateway->member = jj_member_create(&settings->member);
+	gateway->quarantine = jj_quarantine_create(&settings->quarantine);
+	gateway->slots = jj_slots_create(&settings->slots);
+	gateway->jobs = jj_inline_create(&settings->jobs, &jobs);
+	TAILQ_INIT(&gateway->sent);
+	TAILQ_INIT(&gateway->waiting);
+	init_mirrors(gateway);
+	jj_member_set_state(gateway->member, JJ_VM_SERVING);
+	return gateway;
+}
+
+void
+jj_gateway_destroy(jj_gateway_t *gateway)
+{
+	jj_actions_t unused;
+	jj_gateway_entry_t *entry;
+
+	if (gateway == NULL)
+		return;
+	TAILQ_INIT(&unused);
+	enter(gateway, gateway->last_tick_ms, &unused);
+	jj_inline_destroy(gateway->jobs);
+	while ((entry = TAILQ_FIRST(&gateway->sent)) != NULL)
+		jj_gateway_free_entry(gateway, entry);
+	while ((entry = TAILQ_FIRST(&gateway->waiting)) != NULL)
+		jj_gateway_free_entry(gateway, entry);
+	jj_actions_clear(&unused);
+	jj_slots_destroy(gateway->slots);
+	jj_quarantine_destroy(gateway->quarantine);
+	jj_member_destroy(gateway->member);
+	jj_routes_clear(&gateway->routes);
+	jj_bytes_free(&gateway->config_object);
+	free(gateway->vms);
+	free(gateway);
+}
+
+void
+jj_gateway_submit(jj_gateway_t *gateway, uint64_t operation,
+    jj_inline_job_t *job, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_route_t *route =
+	    jj_routes_match(&gateway->routes, job->host, job->path);
+	jj_action_t *action;
+
+	enter(gateway, now, out);
+	if (route != NULL && route->kind == JJ_ROUTE_BATCH) {
+		job->submitted_unix_ms =
+		    gateway->port.unix_ms(gateway->port.ctx);
+		jj_inline_submit(
+		    gateway->jobs, operation, job, route, now, out);
+		leave_step(gateway, now, out);
+		return;
+	}
+	jj_actions_add_event(out, "job_without_route",
+	    "job=%s host=%s path=%s version=%llu", job->id, job->host,
+	    job->path, (unsigned long long)gateway->routes.version);
+	action = jj_actions_add(out, JJ_ACTION_JOB_ANSWER);
+	action->body.job.operation = operation;
+	action->body.job.status = gateway->routes.version == 0 ? 503 : 404;
+	action->body.job.retry_after_ms = gateway->settings.retry_after_ms;
+	jj_inline_job_clear(job);
+}
+
+jj_inline_t *
+jj_gateway_jobs(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	enter(gateway, now, out);
+	return gateway->jobs;
+}
+
+void
+jj_gateway_step(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	enter(gateway, now, out);
+	leave_step(gateway, now, out);
+}
+
+void
+jj_gateway_take_message(jj_gateway_t *gateway, const jj_message_t *message,
+    jj_ms_t now, jj_actions_t *out)
+{
+	enter(gateway, now, out);
+	if (jj_member_accept(gateway->member, message, now, out))
+		jj_gateway_take_news(gateway, message, now, out);
+	leave_step(gateway, now, out);
+}
+
+void
+jj_gateway_take_platform(jj_gateway_t *gateway,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	enter(gateway, now, out);
+	if (result->owner == JJ_OWNER_INLINE)
+		jj_inline_take_result(gateway->jobs, result, now, out);
+	else if (result->token == TOKEN_CONFIG)
+		jj_mirror_take_result(&gateway->config_mirror, result, now);
+	else if (result->token == TOKEN_SERVERS)
+		jj_mirror_take_result(&gateway->servers_mirror, result, now);
+	else if (result->token == TOKEN_RETIRE)
+		jj_mirror_take_result(&gateway->retire_mirror, result, now);
+	else
+		(void)jj_gateway_take_vms(gateway, result, now, out);
+	leave_step(gateway, now, out);
+}
+
+void
+jj_gateway_tick(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
+	uint32_t count;
+
+	enter(gateway, now, out);
+	gateway->last_tick_ms = now;
+	jj_mirror_set_active(&gateway->retire_mirror,
+	    gateway->settings.retire_prefix[0] != '\0', now);
+	jj_mirror_tick(&gateway->retire_mirror, now, out);
+	if (!gateway->settings.serves)
+		return;
+	jj_mirror_set_active(&gateway->config_mirror, true, now);
+	jj_mirror_set_active(&gateway->servers_mirror, true, now);
+	jj_mirror_tick(&gateway->config_mirror, now, out);
+	jj_mirror_tick(&gateway->servers_mirror, now, out);
+	if (jj_member_next(gateway->member) <= now) {
+		count = jj_slots_list_loads(
+		    gateway->slots, loads, JJ_MESSAGE_LOADS_MAX);
+		jj_member_set_loads(gateway->member, loads, count);
+	}
+	jj_member_set_versions(gateway->member, gateway->routes.version, 0);
+	jj_member_tick(gateway->member, now, out);
+	jj_gateway_forget_lost(gateway, out);
+	jj_gateway_tick_vms(gateway, now, out);
+	jj_quarantine_tick(gateway->quarantine, now);
+	jj_slots_tick(gateway->slots, now);
+	jj_gateway_check_times(gateway, now, out);
+	jj_inline_tick(gateway->jobs, now, out);
+	leave_step(gateway, now, out);
+}
+
+jj_ms_t
+jj_gateway_next(const jj_gateway_t *gateway)
+{
+	bool busy = gateway->counts[JJ_CLASS_ONLINE] > 0 ||
+	    gateway->counts[JJ_CLASS_BATCH] > 0;
+	jj_ms_t next = gateway->last_tick_ms + (busy ? BUSY_TICK_MS : TICK_MS);
+
+	next = earlier(next, jj_mirror_next(&gateway->retire_mirror));
+	if (!gateway->settings.serves)
+		return next > gateway->last_tick_ms ? next
+						    : gateway->last_tick_ms + 1;
+	next = earlier(next, jj_mirror_next(&gateway->config_mirror));
+	next = earlier(next, jj_mirror_next(&gateway->servers_mirror));
+	next = earlier(next, jj_member_next(gateway->member));
+	next = earlier(next, jj_gateway_next_vms(gateway));
+	next = earlier(next, jj_inline_next(gateway->jobs));
+	if (gateway->news_near)
+		next = earlier(next, gateway->next_near_ms);
+	if (gateway->news_far)
+		next = earlier(next, gateway->next_far_ms);
+	/* No tick comes closer than 1 ms behind the last one. */
+	return next > gateway->last_tick_ms ? next : gateway->last_tick_ms + 1;
+}
+
+void
+jj_gateway_leave(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	enter(gateway, now, out);
+	gateway->leaving = true;
+	jj_member_set_state(gateway->member, JJ_VM_LEAVING);
+	jj_inline_leave(gateway->jobs, now, out);
+	leave_step(gateway, now, out);
+}
+
+bool
+jj_gateway_is_idle(const jj_gateway_t *gateway)
+{
+	return gateway->counts[JJ_CLASS_ONLINE] == 0 &&
+	    jj_inline_is_idle(gateway->jobs);
+}
+
+bool
+jj_gateway_is_ready(const jj_gateway_t *gateway)
+{
+	return gateway->routes.version > 0;
+}
+
+void
+jj_gateway_learn_vm(jj_gateway_t *gateway, const jj_name_t *name,
+    const jj_name_t *domain, const char *address)
+{
+	jj_member_learn(gateway->member, name, domain, address);
+}
+
+const char *
+jj_gateway_address(const jj_gateway_t *gateway, const jj_name_t *name)
+{
+	const jj_member_info_t *info = jj_member_find(gateway->member, name);
+
+	return info != NULL ? info->address : NULL;
+}
+
+const jj_routes_t *
+jj_gateway_routes(const jj_gateway_t *gateway)
+{
+	return &gateway->routes;
+}
+
+const jj_slots_t *
+jj_gateway_slots(const jj_gateway_t *gateway)
+{
+	return gateway->slots;
+}
+
+const jj_member_t *
+jj_gateway_member(const jj_gateway_t *gateway)
+{
+	return gateway->member;
+}
+
+uint32_t
+jj_gateway_in_flight(const jj_gateway_t *gateway, jj_class_t class_of)
+{
+	return gateway->counts[class_of];
+}
+
+uint32_t
+jj_gateway_waiting_items(const jj_gateway_t *gateway)
+{
+	const jj_gateway_entry_t *entry;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(entry, &gateway->waiting, link)
+	{
+		count++;
+	}
+	return count;
+}
+
+static void
+init_mirrors(jj_gateway_t *gateway)
+{
+	const jj_gateway_settings_t *from = &gateway->settings;
+	jj_mirror_settings_t settings = {JJ_OWNER_GATEWAY, TOKEN_CONFIG, "",
+	    from->watch_wait_ms, 0, from->backoff_ms, from->backoff_most_ms};
+	jj_mirror_port_t config = {
+	    gateway, begin_list, take_config_object, drop_nothing, end_list};
+	jj_mirror_port_t servers = {
+	    gateway, begin_servers, take_server, drop_server, end_servers};
+	jj_mirror_port_t retire = {
+	    gateway, begin_list, take_retirement, drop_nothing, end_list};
+
+	/* A change is told on at once; changes come in rows now and then. */
+	settings.spacing_ms = from->spacing_ms / 4;
+	(void)snprintf(settings.prefix, sizeof(settings.prefix), "%s",
+	    from->config_prefix);
+	jj_mirror_init(&gateway->config_mirror, &settings, &config);
+	settings.token = TOKEN_SERVERS;
+	settings.spacing_ms = from->spacing_ms;
+	(void)snprintf(settings.prefix, sizeof(settings.prefix), "%s",
+	    from->servers_prefix);
+	jj_mirror_init(&gateway->servers_mirror, &settings, &servers);
+	settings.token = TOKEN_RETIRE;
+	(void)snprintf(settings.prefix, sizeof(settings.prefix), "%s",
+	    from->retire_prefix);
+	jj_mirror_init(&gateway->retire_mirror, &settings, &retire);
+}
+
+static void
+begin_list(void *ctx)
+{
+	(void)ctx;
+}
+
+static void
+end_list(void *ctx, jj_ms_t now)
+{
+	(void)ctx;
+	(void)now;
+}
+
+static void
+drop_nothing(void *ctx, const char *key)
+{
+	(void)ctx;
+	(void)key;
+}
+
+static void
+take_config_object(void *ctx, const jj_platform_item_t *item)
+{
+	jj_gateway_t *gateway = ctx;
+
+	if (strcmp(item->key, gateway->settings.config_key) == 0)
+		(void)jj_gateway_take_config(gateway, &item->value, "platform");
+}
+
+static void
+begin_servers(void *ctx)
+{
+	jj_gateway_t *gateway = ctx;
+
+	jj_slots_begin_list(gateway->slots);
+}
+
+static void
+take_server(void *ctx, const jj_platform_item_t *item)
+{
+	jj_gateway_t *gateway = ctx;
+	const char *id = name_of(item->key);
+	const jj_slot_server_t *known = jj_slots_find(gateway->slots, id);
+	jj_slot_info_t info = {0};
+
+	if (!gateway->port.read_server(
+		gateway->port.ctx, id, &item->value, &info)) {
+		jj_actions_add_event(gateway->out, "server_unreadable",
+		    "server=%s version=%llu", id,
+		    (unsigned long long)item->version);
+		return;
+	}
+	if (known == NULL || known->info.draining != info.draining)
+		jj_actions_add_event(gateway->out,
+		    info.draining ? "server_draining" : "server_listed",
+		    "server=%s service=%s domain=%s address=%s version=%llu",
+		    id, info.service.text, info.domain.text, info.address,
+		    (unsigned long long)item->version);
+	jj_slots_learn(gateway->slots, &info);
+}
+
+static void
+drop_server(void *ctx, const char *key)
+{
+	jj_gateway_t *gateway = ctx;
+	jj_ms_t until = missing_until(gateway, gateway->now);
+
+	jj_actions_add_event(gateway->out, "server_unlisted",
+	    "server=%s kept_ms=%lld", name_of(key),
+	    (long long)(until - gateway->now));
+	jj_slots_drop(gateway->slots, name_of(key), until);
+}
+
+static void
+end_servers(void *ctx, jj_ms_t now)
+{
+	jj_gateway_t *gateway = ctx;
+
+	jj_slots_end_list(gateway->slots, missing_until(gateway, now));
+}
+
+/**
+ * Guards against taking a whole fleet for dead: while the platform is away
+ * servers cannot renew their entries, and these lapse. They are back within
+ * a grace after its return; one still missing then is gone.
+ */
+static jj_ms_t
+missing_until(const jj_gateway_t *gateway, jj_ms_t now)
+{
+	const jj_mirror_t *mirror = &gateway->servers_mirror;
+	jj_ms_t until;
+
+	if (mirror->returned_ms == JJ_MS_NEVER)
+		return now;
+	until = mirror->returned_ms + gateway->settings.relist_grace_ms;
+	return until > now ? until : now;
+}
+
+static void
+take_retirement(void *ctx, const jj_platform_item_t *item)
+{
+	jj_gateway_take_retirement(ctx, item);
+}
+
+static const char *
+name_of(const char *key)
+{
+	const char *slash = strchr(key, '/');
+
+	return slash != NULL ? slash + 1 : key;
+}
+
+/** @param writer NAME/HEX16 of a process. */
+static bool
+is_live(void *ctx, const char *writer)
+{
+	const jj_gateway_t *gateway = ctx;
+	const char *slash = strrchr(writer, '/');
+	const jj_member_info_t *info;
+	jj_name_t name = {""};
+
+	if (slash == NULL || (size_t)(slash - writer) > JJ_NAME_MAX)
+		return false;
+	memcpy(name.text, writer, (size_t)(slash - writer));
+	info = jj_member_find(gateway->member, &name);
+	return info != NULL && info->live &&
+	    info->incarnation == strtoull(slash + 1, NULL, 16);
+}
+
+/** One of the live VMs that take requests; their names say which do. */
+static bool
+is_chosen(void *ctx, const char *id)
+{
+	const jj_gateway_t *gateway = ctx;
+	jj_name_t chosen;
+
+	return jj_member_choose(gateway->member,
+		   &gateway->settings.member.domain,
+		   jj_hash_bytes(id, strlen(id), 0), &chosen) &&
+	    jj_name_equal(&chosen, &gateway->settings.name);
+}
+
+static bool
+hears_others(void *ctx)
+{
+	const jj_gateway_t *gateway = ctx;
+	jj_member_info_t infos[2];
+
+	return jj_member_list(gateway->member, &gateway->settings.member.domain,
+		   infos, 2) > 1;
+}
+
+static const jj_route_t *
+find_route(void *ctx, const char *host, const char *path)
+{
+	const jj_gateway_t *gateway = ctx;
+
+	return jj_routes_match(&gateway->routes, host, path);
+}
+
+static int64_t
+unix_ms(void *ctx)
+{
+	const jj_gateway_t *gateway = ctx;
+
+	return gateway->port.unix_ms(gateway->port.ctx);
+}
+
+static jj_bytes_t
+write_page(void *ctx, const jj_inline_page_t *page)
+{
+	const jj_gateway_t *gateway = ctx;
+
+	return gateway->port.write_page(gateway->port.ctx, page);
+}
+
+static jj_ms_t
+earlier(jj_ms_t a, jj_ms_t b)
+{
+	return a < b ? a : b;
+}
+
+static void
+enter(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	gateway->now = now;
+	gateway->out = out;
+}
+
+/** What every step may have made possible; then its messages are numbered. */
+static void
+leave_step(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_action_t *action;
+
+	jj_gateway_pump(gateway, now, out);
+	jj_gateway_tell_loads(gateway, now, out);
+	TAILQ_FOREACH(action, out, link)
+	{
+		if (action->kind == JJ_ACTION_SEND &&
+		    action->body.send.message->sequence == 0)
+			jj_member_stamp(
+			    gateway->member, action->body.send.message);
+	}
+}
--- /dev/null
+++ b/src/core/gateway_items.c
@@ -0,0 +1,136 @@
+/**
+ * @file gateway_items.c
+ * @brief Items of jobs: they fill free places and give them up at once.
+ *
+ * An item that is cut goes on elsewhere behind what it has; so cutting costs
+ * little more than reading its prompt again, and batch may take nearly all
+ * places that online leaves.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "core/gateway_state.h"
+
+/** A cut item rests, so that it does not take the place it has just left. */
+#define CUT_REST_MS 40
+/** Servers an item may be sent to; its failures are counted by its job. */
+#define ATTEMPTS_MOST UINT32_MAX
+
+uint64_t
+jj_gateway_begin_item(void *ctx, const jj_inline_job_t *job,
+    const jj_inline_item_t *item, const jj_route_t *route, jj_ms_t due_ms,
+    jj_ms_t retention_ms)
+{
+	jj_gateway_t *gateway = ctx;
+	jj_gateway_entry_t *entry = jj_alloc(sizeof(*entry));
+	uint64_t seed = jj_hash_bytes(item->path, strlen(item->path), 0);
+
+	(void)job;
+	entry->request = JJ_GATEWAY_ITEM | ++gateway->last_item;
+	(void)snprintf(entry->id, sizeof(entry->id), "%s", item->id);
+	entry->class_of = JJ_CLASS_BATCH;
+	gateway->random = jj_hash_bytes(
+	    &gateway->random, sizeof(gateway->random), gateway->settings.seed);
+	entry->service = *jj_route_pick(route, gateway->random);
+	entry->streams = true;
+	entry->repeatable = true;
+	entry->attempts_most = ATTEMPTS_MOST;
+	entry->begun_ms = gateway->now;
+	entry->give_up_ms = retention_ms;
+	entry->deadline_ms = retention_ms;
+	entry->due_ms = due_ms;
+	entry->fingerprint =
+	    jj_hash_bytes(item->body.data != NULL ? item->body.data : "",
+		item->body.size, seed);
+	LIST_INSERT_HEAD(&gateway->buckets[entry->request % JJ_GATEWAY_BUCKETS],
+	    entry, bucket);
+	jj_gateway_wait(gateway, entry);
+	gateway->counts[JJ_CLASS_BATCH]++;
+	return entry->request;
+}
+
+void
+jj_gateway_cancel_item(void *ctx, uint64_t request)
+{
+	jj_gateway_t *gateway = ctx;
+	jj_gateway_entry_t *entry = jj_gateway_find_entry(gateway, request);
+	jj_action_t *action;
+
+	if (entry == NULL)
+		return;
+	action = jj_actions_add(gateway->out, JJ_ACTION_ITEM_CANCEL);
+	action->body.cancel.request = request;
+	jj_gateway_free_entry(gateway, entry);
+}
+
+void
+jj_gateway_wait(jj_gateway_t *gateway, jj_gateway_entry_t *entry)
+{
+	jj_gateway_entry_t *other;
+
+	TAILQ_FOREACH(other, &gateway->waiting, link)
+	{
+		if (other->due_ms > entry->due_ms)
+			break;
+	}
+	if (other != NULL)
+		TAILQ_INSERT_BEFORE(other, entry, link);
+	else
+		TAILQ_INSERT_TAIL(&gateway->waiting, entry, link);
+}
+
+void
+jj_gateway_pump(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_gateway_entry_t *entry;
+	jj_gateway_entry_t *next;
+	jj_slot_server_t *server;
+	const jj_name_t *full = NULL;
+
+	if (gateway->leaving)
+		return;
+	for (entry = TAILQ_FIRST(&gateway->waiting); entry != NULL;
+	     entry = next) {
+		next = TAILQ_NEXT(entry, link);
+		if (entry->class_of != JJ_CLASS_BATCH ||
+		    now < entry->rest_until_ms)
+			continue;
+		if (full != NULL && jj_name_equal(full, &entry->service))
+			continue;
+		server = jj_slots_choose_batch(
+		    gateway->slots, &entry->service, NULL, now);
+		if (server == NULL) {
+			full = &entry->service;
+			continue;
+		}
+		jj_gateway_send(gateway, entry, server, now, out);
+	}
+}
+
+bool
+jj_gateway_cut(jj_gateway_t *gateway, jj_slot_server_t *server, const char *why,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_gateway_entry_t *entry;
+	jj_action_t *action;
+
+	TAILQ_FOREACH_REVERSE(entry, &gateway->sent, jj_gateway_entries, link)
+	{
+		if (entry->class_of == JJ_CLASS_BATCH &&
+		    entry->server == server)
+			break;
+	}
+	if (entry == NULL)
+		return false;
+	action = jj_actions_add(out, JJ_ACTION_BACKEND_CANCEL);
+	action->body.cancel.request = entry->request;
+	action->body.cancel.attempt = entry->attempt;
+	jj_actions_add_event(out, "item_cut",
+	    "request=%s server=%s for=%s ran_ms=%lld", entry->id,
+	    server->info.id.text, why, (long long)(now - entry->sent_ms));
+	jj_gateway_leave_server(gateway, entry);
+	TAILQ_REMOVE(&gateway->waiting, entry, link);
+	entry->rest_until_ms = now + CUT_REST_MS;
+	jj_gateway_wait(gateway, entry);
+	return true;
+}
--- /dev/null
+++ b/src/core/gateway_news.c
@@ -0,0 +1,253 @@
+/**
+ * @file gateway_news.c
+ * @brief What VMs tell each other: loads, configuration, crashes, ends.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/gateway_state.h"
+
+/** Least time between asks for a configuration, ms. */
+#define CONFIG_ASK_MS 200
+/** Loads go to all VMs of a region one pause later for each so many. */
+#define VMS_PER_PAUSE 12
+
+static void
+take_heartbeat(jj_gateway_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
+static void send_config(jj_gateway_t *, const jj_name_t *, jj_actions_t *);
+static void tell_config(jj_gateway_t *);
+static void send_loads(jj_gateway_t *, bool, jj_actions_t *);
+static jj_ms_t far_pause(const jj_gateway_t *);
+
+bool
+jj_gateway_take_config(
+    jj_gateway_t *gateway, const jj_bytes_t *object, const char *from)
+{
+	jj_routes_t routes = {0};
+	char why[200] = "";
+
+	if (!gateway->port.read_routes(
+		gateway->port.ctx, object, &routes, why, sizeof(why))) {
+		jj_actions_add_event(gateway->out, "config_unreadable",
+		    "from=%s why=%.150s", from, why);
+		return false;
+	}
+	/*
+	 * Guards against going back: an older version may come late, from a
+	 * stale read, a neighbour that knows less or a watch that was cut.
+	 */
+	if (routes.version <= gateway->routes.version) {
+		jj_routes_clear(&routes);
+		return false;
+	}
+	jj_actions_add_event(gateway->out, "config_in_force",
+	    "version=%llu before=%llu from=%s routes=%zu",
+	    (unsigned long long)routes.version,
+	    (unsigned long long)gateway->routes.version, from,
+	    routes.route_count);
+	jj_routes_clear(&gateway->routes);
+	gateway->routes = routes;
+	jj_bytes_free(&gateway->config_object);
+	gateway->config_object = jj_bytes_copy(object->data, object->size);
+	gateway->port.on_routes(gateway->port.ctx, &gateway->routes);
+	tell_config(gateway);
+	return true;
+}
+
+void
+jj_gateway_take_news(jj_gateway_t *gateway, const jj_message_t *message,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_slot_server_t *server;
+
+	switch (message->kind) {
+	case JJ_MESSAGE_HEARTBEAT:
+		take_heartbeat(gateway, message, now, out);
+		break;
+	case JJ_MESSAGE_CONFIG_ASK:
+		if (message->body.config.version < gateway->routes.version)
+			send_config(gateway, &message->from, out);
+		break;
+	case JJ_MESSAGE_CONFIG:
+		(void)jj_gateway_take_config(gateway,
+		    &message->body.config.document, message->from.text);
+		break;
+	case JJ_MESSAGE_LOAD:
+		jj_slots_take_loads(gateway->slots, &message->from,
+		    message->body.load.loads, message->body.load.count, false);
+		break;
+	case JJ_MESSAGE_CRASH:
+		jj_quarantine_take_crash(
+		    gateway->quarantine, &message->body.crash, now, out);
+		break;
+	case JJ_MESSAGE_YIELD:
+		server =
+		    jj_slots_find_hash(gateway->slots, message->body.yield);
+		if (server != NULL)
+			(void)jj_gateway_cut(
+			    gateway, server, message->from.text, now, out);
+		break;
+	case JJ_MESSAGE_JOB_ENDED:
+		jj_inline_take_ended(
+		    gateway->jobs, message->body.job_ended, now, out);
+		break;
+	default:
+		break;
+	}
+}
+
+void
+jj_gateway_note_loads(jj_gateway_t *gateway)
+{
+	gateway->news_near = true;
+	gateway->news_far = true;
+}
+
+void
+jj_gateway_tell_loads(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	if (gateway->news_far && now >= gateway->next_far_ms) {
+		send_loads(gateway, true, out);
+		gateway->news_far = false;
+		gateway->news_near = false;
+		gateway->next_near_ms = now + gateway->settings.tell_near_ms;
+		gateway->next_far_ms = now + far_pause(gateway);
+	} else if (gateway->news_near && now >= gateway->next_near_ms) {
+		send_loads(gateway, false, out);
+		gateway->news_near = false;
+		gateway->next_near_ms = now + gateway->settings.tell_near_ms;
+	}
+}
+
+void
+jj_gateway_forget_lost(jj_gateway_t *gateway, jj_actions_t *out)
+{
+	jj_slot_server_t *server;
+	const jj_member_info_t *info;
+	jj_name_t vm;
+	size_t i;
+
+	for (server = jj_slots_first(gateway->slots); server != NULL;
+	     server = TAILQ_NEXT(server, link)) {
+		for (i = server->neighbour_count; i-- > 0;) {
+			vm = server->neighbours[i].vm;
+			info = jj_member_find(gateway->member, &vm);
+			if (info != NULL && info->live)
+				continue;
+			jj_actions_add_event(out, "loads_forgotten",
+			    "vm=%s heard_ms_ago=%lld", vm.text,
+			    info == NULL || info->heard_ms == JJ_MS_NEVER
+				? -1LL
+				: (long long)(gateway->now - info->heard_ms));
+			jj_slots_forget_neighbour(gateway->slots, &vm);
+			break;
+		}
+	}
+}
+
+void
+jj_gateway_tell_ended(void *ctx, const char *writer, const char *id)
+{
+	jj_gateway_t *gateway = ctx;
+	const char *slash = strrchr(writer, '/');
+	jj_name_t name = {""};
+	jj_message_t *message;
+
+	if (slash == NULL || (size_t)(slash - writer) > JJ_NAME_MAX)
+		return;
+	memcpy(name.text, writer, (size_t)(slash - writer));
+	if (jj_member_find(gateway->member, &name) == NULL)
+		return;
+	message =
+	    jj_actions_add_message(gateway->out, &name, JJ_MESSAGE_JOB_ENDED);
+	(void)snprintf(
+	    message->body.job_ended, sizeof(message->body.job_ended), "%s", id);
+}
+
+static void
+take_heartbeat(jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now,
+    jj_actions_t *out)
+{
+	const jj_heartbeat_t *heartbeat = &message->body.heartbeat;
+	jj_message_t *ask;
+
+	jj_slots_take_loads(gateway->slots, &message->from, heartbeat->loads,
+	    heartbeat->load_count, true);
+	if (heartbeat->config_version <= gateway->routes.version ||
+	    now < gateway->next_ask_ms)
+		return;
+	gateway->next_ask_ms = now + CONFIG_ASK_MS;
+	ask =
+	    jj_actions_add_message(out, &message->from, JJ_MESSAGE_CONFIG_ASK);
+	ask->body.config.version = gateway->routes.version;
+}
+
+static void
+send_config(jj_gateway_t *gateway, const jj_name_t *to, jj_actions_t *out)
+{
+	jj_message_t *message;
+
+	if (gateway->config_object.size == 0)
+		return;
+	message = jj_actions_add_message(out, to, JJ_MESSAGE_CONFIG);
+	message->body.config.version = gateway->routes.version;
+	message->body.config.document = jj_bytes_copy(
+	    gateway->config_object.data, gateway->config_object.size);
+}
+
+/** To those that are known to be behind; others ask. */
+static void
+tell_config(jj_gateway_t *gateway)
+{
+	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
+	size_t count = jj_member_list(gateway->member,
+	    &gateway->settings.member.domain, infos, JJ_MEMBERS_MAX);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (jj_name_equal(&infos[i].name, &gateway->settings.name) ||
+		    infos[i].config_version >= gateway->routes.version)
+			continue;
+		send_config(gateway, &infos[i].name, gateway->out);
+	}
+	free(infos);
+}
+
+/**
+ * Each VM sends to all others of the region; the more there are, the longer
+ * it waits, so that what a VM sends and takes stays about the same.
+ */
+static jj_ms_t
+far_pause(const jj_gateway_t *gateway)
+{
+	return gateway->settings.tell_far_ms *
+	    (jj_ms_t)(1 + gateway->vm_count / VMS_PER_PAUSE);
+}
+
+static void
+send_loads(jj_gateway_t *gateway, bool far, jj_actions_t *out)
+{
+	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
+	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
+	size_t vms = jj_member_list(gateway->member,
+	    &gateway->settings.member.domain, infos, JJ_MEMBERS_MAX);
+	uint32_t count;
+	size_t i;
+
+	count = jj_slots_take_news(gateway->slots,
+	    far ? JJ_SLOTS_FAR : JJ_SLOTS_NEAR, loads, JJ_MESSAGE_LOADS_MAX);
+	for (i = 0; i < vms && count > 0; i++) {
+		jj_message_t *message;
+
+		if (jj_name_equal(&infos[i].name, &gateway->settings.name) ||
+		    (!far && !jj_gateway_is_in_domain(gateway, &infos[i].name)))
+			continue;
+		message = jj_actions_add_message(
+		    out, &infos[i].name, JJ_MESSAGE_LOAD);
+		message->body.load.count = count;
+		memcpy(
+		    message->body.load.loads, loads, count * sizeof(loads[0]));
+	}
+	free(infos);
+}
--- /dev/null
+++ b/src/core/gateway_requests.c
@@ -0,0 +1,587 @@
+/**
+ * @file gateway_requests.c
+ * @brief Callers' requests: placed, sent again where that is allowed, ended.
+ *
+ * A request is sent again only when the attempt before surely did not run, or
+ * when its route says that it may run again or go on elsewhere. What is given
+ * up on is answered at once; "not run" is said only while no attempt may have
+ * run.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/gateway_state.h"
+
+/** Breaks within so long of each other belong to one crash, ms. */
+#define CRASH_WINDOW_MS 300
+
+static jj_gateway_entry_t *add_entry(
+    jj_gateway_t *, const jj_gateway_request_t *, const jj_route_t *, jj_ms_t);
+static void refuse(
+    jj_gateway_t *, const jj_gateway_request_t *, jj_give_up_t, jj_actions_t *);
+static void
+make_room(jj_gateway_t *, jj_slot_server_t *, jj_ms_t, jj_actions_t *);
+static void take_failure(jj_gateway_t *, jj_gateway_entry_t *,
+    const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
+static void take_sign(
+    jj_gateway_t *, jj_gateway_entry_t *, const jj_backend_event_t *, jj_ms_t);
+static void take_end(jj_gateway_t *, jj_gateway_entry_t *,
+    const jj_backend_event_t *, int, jj_bytes_t *, jj_ms_t, jj_actions_t *);
+static void note_server(
+    jj_gateway_t *, jj_gateway_entry_t *, const jj_backend_event_t *, jj_ms_t);
+static void note_broken(
+    jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
+static void note_unreachable(
+    jj_gateway_t *, const jj_slot_server_t *, jj_ms_t, jj_actions_t *);
+static void
+report_crash(jj_gateway_t *, const jj_slot_server_t *, jj_ms_t, jj_actions_t *);
+static void
+try_again(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
+static void cut_off(jj_gateway_t *, jj_gateway_entry_t *, jj_actions_t *);
+static void
+log_end(const jj_gateway_entry_t *, const char *, jj_ms_t, jj_actions_t *);
+static const char *name_of_kind(jj_backend_kind_t);
+static uint64_t next_random(jj_gateway_t *);
+
+void
+jj_gateway_begin(jj_gateway_t *gateway, const jj_gateway_request_t *request,
+    jj_ms_t now, jj_actions_t *out)
+{
+	const jj_route_t *route =
+	    jj_routes_match(&gateway->routes, request->host, request->path);
+	jj_gateway_entry_t *entry;
+
+	gateway->now = now;
+	gateway->out = out;
+	if (gateway->routes.version == 0) {
+		refuse(gateway, request, JJ_GIVE_UP_NO_CONFIG, out);
+		return;
+	}
+	if (route == NULL || route->kind == JJ_ROUTE_BATCH) {
+		refuse(gateway, request, JJ_GIVE_UP_NO_SERVICE, out);
+		return;
+	}
+	if (jj_quarantine_check(gateway->quarantine, request->fingerprint,
+		now) == JJ_QUARANTINE_REFUSED) {
+		refuse(gateway, request, JJ_GIVE_UP_QUARANTINED, out);
+		return;
+	}
+	entry = add_entry(gateway, request, route, now);
+	jj_gateway_place(gateway, entry, now, out);
+	jj_gateway_step(gateway, now, out);
+}
+
+void
+jj_gateway_take_backend(jj_gateway_t *gateway, const jj_backend_event_t *event,
+    int status, jj_bytes_t *text, jj_ms_t now, jj_actions_t *out)
+{
+	jj_gateway_entry_t *entry =
+	    jj_gateway_find_entry(gateway, event->request);
+
+	gateway->now = now;
+	gateway->out = out;
+	/* Of an attempt that was given up on nothing counts any more. */
+	if (entry == NULL || entry->server == NULL ||
+	    entry->attempt != event->attempt)
+		return;
+	entry->relayed = entry->relayed || event->relayed;
+	switch (event->kind) {
+	case JJ_BACKEND_FIRST:
+	case JJ_BACKEND_TOKENS:
+		take_sign(gateway, entry, event, now);
+		return;
+	case JJ_BACKEND_DONE:
+	case JJ_BACKEND_REJECTED:
+		take_end(gateway, entry, event, status, text, now, out);
+		break;
+	default:
+		take_failure(gateway, entry, event, now, out);
+		break;
+	}
+	jj_gateway_step(gateway, now, out);
+}
+
+void
+jj_gateway_take_gone(
+    jj_gateway_t *gateway, uint64_t request, jj_ms_t now, jj_actions_t *out)
+{
+	jj_gateway_entry_t *entry = jj_gateway_find_entry(gateway, request);
+
+	if (entry == NULL)
+		return;
+	log_end(entry, "caller_gone", now, out);
+	cut_off(gateway, entry, out);
+	jj_gateway_free_entry(gateway, entry);
+	jj_gateway_step(gateway, now, out);
+}
+
+bool
+jj_gateway_find_start(const jj_gateway_t *gateway, uint64_t request,
+    jj_ms_t now, jj_gateway_start_t *start)
+{
+	const jj_gateway_entry_t *entry =
+	    jj_gateway_find_entry(gateway, request);
+
+	if (entry == NULL || entry->server == NULL)
+		return false;
+	memset(start, 0, sizeof(*start));
+	start->server = entry->server->info.id;
+	memcpy(start->address, entry->server->info.address,
+	    sizeof(start->address));
+	start->budget_ms = entry->deadline_ms - now;
+	if (entry->class_of == JJ_CLASS_ONLINE &&
+	    entry->give_up_ms - now < start->budget_ms)
+		start->budget_ms = entry->give_up_ms - now;
+	if (start->budget_ms < 1)
+		start->budget_ms = 1;
+	start->connect_ms = gateway->settings.connect_ms;
+	start->streams = entry->streams;
+	start->repeatable = entry->repeatable;
+	if (entry->class_of == JJ_CLASS_BATCH)
+		start->item =
+		    jj_inline_find_item(gateway->jobs, request, &start->job);
+	return entry->class_of == JJ_CLASS_ONLINE || start->item != NULL;
+}
+
+jj_gateway_entry_t *
+jj_gateway_find_entry(const jj_gateway_t *gateway, uint64_t request)
+{
+	jj_gateway_entry_t *entry;
+
+	LIST_FOREACH(
+	    entry, &gateway->buckets[request % JJ_GATEWAY_BUCKETS], bucket)
+	{
+		if (entry->request == request)
+			return entry;
+	}
+	return NULL;
+}
+
+void
+jj_gateway_free_entry(jj_gateway_t *gateway, jj_gateway_entry_t *entry)
+{
+	if (entry->server != NULL)
+		jj_gateway_leave_server(gateway, entry);
+	TAILQ_REMOVE(&gateway->waiting, entry, link);
+	LIST_REMOVE(entry, bucket);
+	gateway->counts[entry->class_of]--;
+	free(entry);
+}
+
+/** Online only: a place now, or an answer now. */
+void
+jj_gateway_place(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
+    jj_actions_t *out)
+{
+	const jj_name_t *avoid = entry->tries > 0 ? &entry->last_server : NULL;
+	jj_slot_server_t *server;
+	bool full;
+
+	server = jj_slots_choose_online(
+	    gateway->slots, &entry->service, avoid, now, &full);
+	if (server == NULL) {
+		jj_gateway_give_up(gateway, entry,
+		    full ? JJ_GIVE_UP_OVERLOADED : JJ_GIVE_UP_NO_SERVER, out);
+		return;
+	}
+	make_room(gateway, server, now, out);
+	jj_gateway_send(gateway, entry, server, now, out);
+}
+
+void
+jj_gateway_give_up(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    jj_give_up_t reason, jj_actions_t *out)
+{
+	jj_action_t *action = jj_actions_add(out, JJ_ACTION_ANSWER);
+
+	action->body.answer.request = entry->request;
+	action->body.answer.reason = reason;
+	action->body.answer.run =
+	    entry->may_have_run ? JJ_RUN_UNKNOWN : JJ_RUN_NOT_RUN;
+	action->body.answer.retry_after_ms = gateway->settings.retry_after_ms;
+	jj_actions_add_event(out, "request_given_up",
+	    "request=%s reason=%d may_have_run=%d relayed=%d tries=%u sent=%u "
+	    "server=%s after_ms=%lld",
+	    entry->id, (int)reason, entry->may_have_run, entry->relayed,
+	    entry->tries, entry->sent, entry->last_server.text,
+	    (long long)(gateway->now - entry->begun_ms));
+	jj_gateway_free_entry(gateway, entry);
+}
+
+void
+jj_gateway_leave_server(jj_gateway_t *gateway, jj_gateway_entry_t *entry)
+{
+	TAILQ_REMOVE(&gateway->sent, entry, link);
+	jj_slots_remove(entry->server, entry->class_of);
+	entry->server = NULL;
+	TAILQ_INSERT_HEAD(&gateway->waiting, entry, link);
+	jj_gateway_note_loads(gateway);
+}
+
+void
+jj_gateway_send(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    jj_slot_server_t *server, jj_ms_t now, jj_actions_t *out)
+{
+	jj_action_t *action = jj_actions_add(out, JJ_ACTION_BACKEND_START);
+
+	TAILQ_REMOVE(&gateway->waiting, entry, link);
+	TAILQ_INSERT_TAIL(&gateway->sent, entry, link);
+	entry->attempt++;
+	entry->tries++;
+	entry->server = server;
+	entry->last_server = server->info.id;
+	entry->sent_ms = now;
+	entry->sign_ms = now;
+	entry->first_seen = false;
+	jj_slots_add(server, entry->class_of);
+	jj_gateway_note_loads(gateway);
+	action->body.start.request = entry->request;
+	action->body.start.attempt = entry->attempt;
+	action->body.start.server = server->info.id;
+	jj_actions_add_event(out,
+	    entry->class_of == JJ_CLASS_ONLINE ? "request_sent" : "item_sent",
+	    "request=%s server=%s attempt=%u own=%u+%u others=%u+%u slots=%u",
+	    entry->id, server->info.id.text, entry->attempt, server->online,
+	    server->batch, server->others_online, server->others_batch,
+	    server->info.slots);
+}
+
+void
+jj_gateway_check_times(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_backend_event_t stalled = {0};
+	jj_gateway_entry_t *entry;
+	jj_gateway_entry_t *next;
+
+	for (entry = TAILQ_FIRST(&gateway->sent); entry != NULL; entry = next) {
+		next = TAILQ_NEXT(entry, link);
+		if (entry->class_of == JJ_CLASS_ONLINE &&
+		    now >= entry->give_up_ms) {
+			entry->may_have_run = true;
+			cut_off(gateway, entry, out);
+			jj_gateway_give_up(
+			    gateway, entry, JJ_GIVE_UP_DEADLINE, out);
+			continue;
+		}
+		if (!entry->repeatable ||
+		    now - entry->sign_ms < gateway->settings.stall_ms)
+			continue;
+		cut_off(gateway, entry, out);
+		stalled.request = entry->request;
+		stalled.kind = JJ_BACKEND_BROKEN;
+		jj_actions_add_event(out, "stream_stalled",
+		    "request=%s server=%s silent_ms=%lld", entry->id,
+		    entry->server->info.id.text,
+		    (long long)(now - entry->sign_ms));
+		take_failure(gateway, entry, &stalled, now, out);
+	}
+}
+
+static jj_gateway_entry_t *
+add_entry(jj_gateway_t *gateway, const jj_gateway_request_t *request,
+    const jj_route_t *route, jj_ms_t now)
+{
+	jj_gateway_entry_t *entry = jj_alloc(sizeof(*entry));
+	jj_ms_t budget = request->budget_ms;
+
+	if (budget <= 0 || budget > route->timeout_ms)
+		budget = route->timeout_ms;
+	entry->request = request->request;
+	(void)snprintf(entry->id, sizeof(entry->id), "%s", request->id);
+	entry->class_of = JJ_CLASS_ONLINE;
+	entry->service = *jj_route_pick(route, next_random(gateway));
+	entry->streams = route->kind == JJ_ROUTE_STREAM;
+	entry->repeatable = jj_route_is_repeatable(route);
+	entry->attempts_most = route->attempts > 0 ? route->attempts : 1;
+	entry->begun_ms = now;
+	entry->give_up_ms = now + budget;
+	entry->deadline_ms = now +
+	    (request->budget_ms > 0 ? request->budget_ms : route->timeout_ms);
+	entry->fingerprint = request->fingerprint;
+	LIST_INSERT_HEAD(&gateway->buckets[entry->request % JJ_GATEWAY_BUCKETS],
+	    entry, bucket);
+	TAILQ_INSERT_HEAD(&gateway->waiting, entry, link);
+	gateway->counts[JJ_CLASS_ONLINE]++;
+	return entry;
+}
+
+static void
+refuse(jj_gateway_t *gateway, const jj_gateway_request_t *request,
+    jj_give_up_t reason, jj_actions_t *out)
+{
+	jj_action_t *action = jj_actions_add(out, JJ_ACTION_ANSWER);
+
+	action->body.answer.request = request->request;
+	action->body.answer.reason = reason;
+	action->body.answer.run = JJ_RUN_NOT_RUN;
+	action->body.answer.retry_after_ms = gateway->settings.retry_after_ms;
+	jj_actions_add_event(out, "request_refused",
+	    "request=%s reason=%d host=%s path=%.60s config=%llu", request->id,
+	    (int)reason, request->host, request->path,
+	    (unsigned long long)gateway->routes.version);
+}
+
+/** Batch gives its place up before the request gets there. */
+static void
+make_room(jj_gateway_t *gateway, jj_slot_server_t *server, jj_ms_t now,
+    jj_actions_t *out)
+{
+	const jj_name_t *vm;
+	jj_message_t *message;
+
+	if (jj_slot_server_taken(server) < server->info.slots)
+		return;
+	if (jj_gateway_cut(gateway, server, "online", now, out))
+		return;
+	vm = jj_slots_ask_to_yield(server);
+	if (vm == NULL)
+		return;
+	message = jj_actions_add_message(out, vm, JJ_MESSAGE_YIELD);
+	message->body.yield = server->hash;
+}
+
+static void
+take_sign(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const jj_backend_event_t *event, jj_ms_t now)
+{
+	(void)gateway;
+	entry->sign_ms = now;
+	if (event->kind != JJ_BACKEND_FIRST || entry->first_seen)
+		return;
+	entry->first_seen = true;
+	entry->may_have_run = true;
+	jj_slots_note_first(entry->server, now - entry->sent_ms);
+}
+
+/** A whole answer, relayed already; or an item's. */
+static void
+take_end(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const jj_backend_event_t *event, int status, jj_bytes_t *text, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_inline_end_t end = JJ_INLINE_DONE;
+
+	if (!entry->first_seen)
+		jj_slots_note_first(entry->server, now - entry->sent_ms);
+	if (event->kind == JJ_BACKEND_DONE)
+		jj_quarantine_clear(gateway->quarantine, entry->fingerprint);
+	log_end(entry, event->kind == JJ_BACKEND_DONE ? "done" : "rejected",
+	    now, out);
+	if (entry->class_of == JJ_CLASS_BATCH) {
+		uint64_t request = entry->request;
+
+		if (event->kind == JJ_BACKEND_REJECTED)
+			end = status == 422 ? JJ_INLINE_REFUSED
+					    : JJ_INLINE_FAILED;
+		jj_gateway_free_entry(gateway, entry);
+		jj_inline_end_item(gateway->jobs, request, end, text, now, out);
+		return;
+	}
+	jj_gateway_free_entry(gateway, entry);
+}
+
+static void
+take_failure(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
+{
+	bool was_sent = event->kind != JJ_BACKEND_NOT_SENT;
+	bool not_run = event->kind == JJ_BACKEND_NOT_SENT ||
+	    event->kind == JJ_BACKEND_REFUSED ||
+	    event->kind == JJ_BACKEND_LEAVING;
+
+	if (was_sent)
+		entry->sent++;
+	if (!not_run)
+		entry->may_have_run = true;
+	if (event->kind == JJ_BACKEND_BROKEN)
+		note_broken(gateway, entry, now, out);
+	if (event->kind == JJ_BACKEND_NOT_SENT)
+		note_unreachable(gateway, entry->server, now, out);
+	note_server(gateway, entry, event, now);
+	jj_actions_add_event(out, "attempt_failed",
+	    "request=%s server=%s attempt=%u kind=%s first=%d relayed=%d "
+	    "after_ms=%lld",
+	    entry->id, entry->server->info.id.text, entry->attempt,
+	    name_of_kind(event->kind), entry->first_seen, entry->relayed,
+	    (long long)(now - entry->sent_ms));
+	jj_gateway_leave_server(gateway, entry);
+	if (entry->class_of == JJ_CLASS_BATCH) {
+		entry->rest_until_ms =
+		    not_run ? now : now + gateway->settings.retry_after_ms;
+		TAILQ_REMOVE(&gateway->waiting, entry, link);
+		jj_gateway_wait(gateway, entry);
+		return;
+	}
+	if (not_run || entry->repeatable)
+		try_again(gateway, entry, now, out);
+	else
+		jj_gateway_give_up(gateway, entry, JJ_GIVE_UP_BROKEN, out);
+}
+
+static void
+try_again(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
+    jj_actions_t *out)
+{
+	if (entry->sent >= entry->attempts_most ||
+	    entry->tries >=
+		entry->attempts_most + gateway->settings.connect_tries) {
+		jj_gateway_give_up(gateway, entry,
+		    entry->may_have_run ? JJ_GIVE_UP_RETRIES
+					: JJ_GIVE_UP_OVERLOADED,
+		    out);
+		return;
+	}
+	if (jj_quarantine_check(gateway->quarantine, entry->fingerprint, now) ==
+	    JJ_QUARANTINE_REFUSED) {
+		jj_gateway_give_up(gateway, entry, JJ_GIVE_UP_QUARANTINED, out);
+		return;
+	}
+	jj_gateway_place(gateway, entry, now, out);
+}
+
+static void
+note_server(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const jj_backend_event_t *event, jj_ms_t now)
+{
+	(void)gateway;
+	switch (event->kind) {
+	case JJ_BACKEND_REFUSED:
+		jj_slots_note_refusal(
+		    entry->server, event->retry_after_ms, now);
+		break;
+	case JJ_BACKEND_LEAVING:
+		/* Another process has the address now. */
+		entry->server->info.draining = true;
+		break;
+	case JJ_BACKEND_NOT_SENT:
+	case JJ_BACKEND_BROKEN:
+		jj_slots_note_failure(entry->server, now);
+		break;
+	default:
+		break;
+	}
+}
+
+/**
+ * Several requests that break off at one moment at one server, or one at a
+ * server that then takes no connection: it crashed. Those without a first
+ * event had just begun to run, and one of them may be why; each gets a strike
+ * (core/quarantine.h). A lone break on a server that lives is a lost answer.
+ */
+static void
+note_broken(jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_gateway_broken_t *broken;
+	uint32_t same = 0;
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < gateway->broken_count; i++)
+		if (now - gateway->broken[i].ms <= CRASH_WINDOW_MS)
+			gateway->broken[kept++] = gateway->broken[i];
+	gateway->broken_count = kept;
+	if (kept == JJ_GATEWAY_BROKEN_MAX)
+		return;
+	broken = &gateway->broken[gateway->broken_count++];
+	broken->fingerprint = entry->first_seen ? 0 : entry->fingerprint;
+	broken->server = entry->server->hash;
+	broken->ms = now;
+	for (i = 0; i < gateway->broken_count; i++)
+		same += gateway->broken[i].server == broken->server;
+	if (same > 1)
+		report_crash(gateway, entry->server, now, out);
+}
+
+/** A server that takes no connection: what broke off there last is why. */
+static void
+note_unreachable(jj_gateway_t *gateway, const jj_slot_server_t *server,
+    jj_ms_t now, jj_actions_t *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < gateway->broken_count; i++)
+		if (gateway->broken[i].server == server->hash)
+			break;
+	if (i < gateway->broken_count)
+		report_crash(gateway, server, now, out);
+}
+
+static void
+report_crash(jj_gateway_t *gateway, const jj_slot_server_t *server, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
+	jj_crash_t crash = {0};
+	size_t count;
+	size_t i;
+
+	crash.server = server->info.id;
+	/* Each start has an id of its own, so it names the process that died. */
+	crash.boot = server->hash;
+	for (i = 0; i < gateway->broken_count &&
+	     crash.suspect_count < JJ_MESSAGE_SUSPECTS_MAX;
+	     i++)
+		if (gateway->broken[i].server == server->hash &&
+		    gateway->broken[i].fingerprint != 0)
+			crash.suspects[crash.suspect_count++] =
+			    gateway->broken[i].fingerprint;
+	if (crash.suspect_count == 0) {
+		free(infos);
+		return;
+	}
+	jj_quarantine_take_crash(gateway->quarantine, &crash, now, out);
+	count = jj_member_list(gateway->member,
+	    &gateway->settings.member.domain, infos, JJ_MEMBERS_MAX);
+	for (i = 0; i < count; i++) {
+		if (jj_name_equal(&infos[i].name, &gateway->settings.name))
+			continue;
+		jj_actions_add_message(out, &infos[i].name, JJ_MESSAGE_CRASH)
+		    ->body.crash = crash;
+	}
+	free(infos);
+}
+
+/** Stops the attempt at its server. */
+static void
+cut_off(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_actions_t *out)
+{
+	jj_action_t *action;
+
+	(void)gateway;
+	if (entry->server == NULL)
+		return;
+	action = jj_actions_add(out, JJ_ACTION_BACKEND_CANCEL);
+	action->body.cancel.request = entry->request;
+	action->body.cancel.attempt = entry->attempt;
+}
+
+static void
+log_end(const jj_gateway_entry_t *entry, const char *outcome, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_actions_add_event(out,
+	    entry->class_of == JJ_CLASS_ONLINE ? "request_ended" : "item_ended",
+	    "request=%s outcome=%s server=%s attempt=%u took_ms=%lld",
+	    entry->id, outcome, entry->last_server.text, entry->attempt,
+	    (long long)(now - entry->begun_ms));
+}
+
+static const char *
+name_of_kind(jj_backend_kind_t kind)
+{
+	static const char *const names[] = {"not_sent", "refused",
+	    "other_instance", "first", "tokens", "done", "rejected", "failed",
+	    "broken", "timeout", "cancelled"};
+
+	return names[kind];
+}
+
+static uint64_t
+next_random(jj_gateway_t *gateway)
+{
+	gateway->random = jj_hash_bytes(
+	    &gateway->random, sizeof(gateway->random), gateway->settings.seed);
+	return gateway->random;
+}
--- /dev/null
+++ b/src/core/gateway_state.h
@@ -0,0 +1,170 @@
+/**
+ * @file gateway_state.h
+ * @brief What the parts of the gateway share; private to them.
+ */
+#ifndef JJ_CORE_GATEWAY_STATE_H
+#define JJ_CORE_GATEWAY_STATE_H
+
+#include "core/gateway.h"
+#include "core/mirror.h"
+
+#define JJ_GATEWAY_BUCKETS 1024
+
+/** A request, or an item of a job, in hand. */
+typedef struct jj_gateway_entry {
+	LIST_ENTRY(jj_gateway_entry) bucket;
+	TAILQ_ENTRY(jj_gateway_entry) link; /**< in one of the lists below */
+	uint64_t request;
+	char id[JJ_GATEWAY_ID_MAX + 1];
+	jj_class_t class_of;
+	jj_name_t service;
+	bool streams;
+	bool repeatable;
+	uint32_t attempts_most; /**< servers it may be sent to */
+	uint32_t sent; /**< attempts of which a byte may have been sent */
+	uint32_t tries; /**< attempts of any kind */
+	jj_ms_t begun_ms;
+	jj_ms_t give_up_ms; /**< answered by then in any case */
+	jj_ms_t deadline_ms; /**< the caller waits until then */
+	jj_ms_t due_ms; /**< of an item: its job's due time */
+	jj_ms_t rest_until_ms; /**< of an item: not sent before */
+	uint64_t fingerprint;
+
+	uint32_t attempt; /**< number of the one under way */
+	jj_slot_server_t *server; /**< where it is, or NULL */
+	jj_name_t last_server; /**< of the attempt before */
+	jj_ms_t sent_ms;
+	jj_ms_t sign_ms; /**< the server was last heard then */
+	bool first_seen; /**< an event of this attempt was seen */
+	bool relayed; /**< part of the answer is at the caller */
+	bool may_have_run; /**< in any attempt */
+} jj_gateway_entry_t;
+
+TAILQ_HEAD(jj_gateway_entries, jj_gateway_entry);
+
+/** A request that broke off before its first event, for crash reports. */
+typedef struct {
+	uint64_t fingerprint;
+	uint64_t server; /**< hash */
+	jj_ms_t ms;
+} jj_gateway_broken_t;
+
+#define JJ_GATEWAY_BROKEN_MAX 64
+
+/** A VM of ours by the platform's list. */
+typedef struct {
+	jj_name_t name;
+	jj_name_t domain; /**< failure domain */
+} jj_gateway_vm_t;
+
+struct jj_gateway {
+	jj_gateway_settings_t settings;
+	jj_gateway_port_t port;
+	jj_member_t *member;
+	jj_quarantine_t *quarantine;
+	jj_slots_t *slots;
+	jj_inline_t *jobs;
+	jj_routes_t routes;
+	jj_bytes_t config_object; /**< as stored, for neighbours */
+	jj_mirror_t config_mirror;
+	jj_mirror_t servers_mirror;
+	jj_mirror_t retire_mirror;
+	uint64_t random;
+
+	LIST_HEAD(, jj_gateway_entry) buckets[JJ_GATEWAY_BUCKETS];
+	struct jj_gateway_entries sent; /**< at a server, oldest first */
+	struct jj_gateway_entries waiting; /**< items, the first due first */
+	uint32_t counts[2]; /**< in hand, by class */
+	uint64_t last_item; /**< number of the last item's request */
+
+	bool leaving;
+	jj_ms_t last_tick_ms;
+	jj_ms_t next_near_ms; /**< loads to the own domain */
+	jj_ms_t next_far_ms;
+	bool news_near; /**< loads that the own domain does not know */
+	bool news_far;
+	jj_ms_t next_ask_ms; /**< for a newer configuration */
+	jj_ms_t next_vms_ms;
+	bool vms_polling;
+	uint32_t vms_failures;
+	bool registered; /**< this VM's entry is written */
+	bool registering;
+	uint64_t register_version; /**< of an entry of an earlier process */
+	jj_ms_t next_register_ms;
+	char vms_after[JJ_OBJECT_KEY_MAX + 1];
+	size_t vm_count;
+	jj_gateway_vm_t *vms; /**< owned */
+	uint64_t retire_token;
+	bool retired; /**< the order to empty this VM was answered */
+	uint32_t broken_count;
+	jj_gateway_broken_t broken[JJ_GATEWAY_BROKEN_MAX];
+
+	jj_actions_t *out; /**< of the step under way, for callbacks */
+	jj_ms_t now; /**< likewise */
+};
+
+/** Bit that marks numbers of items' requests. */
+#define JJ_GATEWAY_ITEM (UINT64_C(1) << 62)
+
+/* Requests (gateway_requests.c). */
+jj_gateway_entry_t *
+jj_gateway_find_entry(const jj_gateway_t *gateway, uint64_t request);
+void jj_gateway_free_entry(jj_gateway_t *gateway, jj_gateway_entry_t *entry);
+/** Sends it to a server, or gives it up. */
+void jj_gateway_place(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    jj_ms_t now, jj_actions_t *out);
+/** Ends it with an answer of our own. */
+void jj_gateway_give_up(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    jj_give_up_t reason, jj_actions_t *out);
+/** Takes it off its server. */
+void jj_gateway_leave_server(jj_gateway_t *gateway, jj_gateway_entry_t *entry);
+/** Gives up what has run out of time, moves what has stalled. */
+void
+jj_gateway_check_times(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+jj_ms_t jj_gateway_next_time(const jj_gateway_t *gateway);
+
+/* Items (gateway_items.c). */
+uint64_t jj_gateway_begin_item(void *gateway, const jj_inline_job_t *job,
+    const jj_inline_item_t *item, const jj_route_t *route, jj_ms_t due_ms,
+    jj_ms_t retention_ms);
+void jj_gateway_cancel_item(void *gateway, uint64_t request);
+/** An item waits for a place, the first due first. */
+void jj_gateway_wait(jj_gateway_t *gateway, jj_gateway_entry_t *entry);
+/** Sends items while servers have room for them. */
+void jj_gateway_pump(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Cuts the newest item of this VM there; false when there is none. */
+bool jj_gateway_cut(jj_gateway_t *gateway, jj_slot_server_t *server,
+    const char *why, jj_ms_t now, jj_actions_t *out);
+/** Starts an attempt at a server. */
+void jj_gateway_send(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    jj_slot_server_t *server, jj_ms_t now, jj_actions_t *out);
+
+/* News (gateway_news.c). */
+/** Takes a newer configuration; tells the neighbours when it is one. */
+bool jj_gateway_take_config(
+    jj_gateway_t *gateway, const jj_bytes_t *object, const char *from);
+void jj_gateway_take_news(jj_gateway_t *gateway, const jj_message_t *message,
+    jj_ms_t now, jj_actions_t *out);
+/** Tells loads that the neighbours do not know, when it is time. */
+void
+jj_gateway_tell_loads(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** What this VM runs has changed. */
+void jj_gateway_note_loads(jj_gateway_t *gateway);
+/** Neighbours that are gone run nothing. */
+void jj_gateway_forget_lost(jj_gateway_t *gateway, jj_actions_t *out);
+void jj_gateway_tell_ended(void *gateway, const char *writer, const char *id);
+
+/* VMs and orders at the platform (gateway_vms.c). */
+void jj_gateway_tick_vms(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Takes a result of the list of VMs or of the own entry; false: not ours. */
+bool jj_gateway_take_vms(jj_gateway_t *gateway,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out);
+jj_ms_t jj_gateway_next_vms(const jj_gateway_t *gateway);
+/** True when that VM is in this one's failure domain. */
+bool
+jj_gateway_is_in_domain(const jj_gateway_t *gateway, const jj_name_t *name);
+/** Answers an order to empty this VM: it holds nothing that lasts. */
+void jj_gateway_take_retirement(
+    jj_gateway_t *gateway, const jj_platform_item_t *item);
+
+#endif
--- /dev/null
+++ b/src/core/gateway_vms.c
@@ -0,0 +1,250 @@
+/**
+ * @file gateway_vms.c
+ * @brief How VMs find each other, and orders to empty one.
+ *
+ * Each VM writes one entry at the platform when it starts, and looks at the
+ * list now and then; who is alive they hear from each other. The list may be
+ * seconds old, which makes a look cheap: a new VM speaks first.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "core/gateway_state.h"
+#include "core/json_text.h"
+
+#define VMS_PREFIX "vms/"
+#define TOKEN_LIST 10
+#define TOKEN_REGISTER 11
+#define TOKEN_RETIRE_STATUS 12
+/** While a VM hears no other one it looks this often, ms. */
+#define LONELY_POLL_MS 1000
+
+static void start_register(jj_gateway_t *, jj_actions_t *);
+static void start_list(jj_gateway_t *, jj_actions_t *);
+static void take_list(jj_gateway_t *, const jj_platform_result_t *, jj_ms_t);
+static void
+take_registered(jj_gateway_t *, const jj_platform_result_t *, jj_ms_t);
+static void take_vm(jj_gateway_t *, const jj_platform_item_t *);
+static void note_domain(jj_gateway_t *, const jj_name_t *, const jj_name_t *);
+static bool is_lonely(const jj_gateway_t *);
+
+void
+jj_gateway_tick_vms(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	if (!gateway->registered && !gateway->registering &&
+	    now >= gateway->next_register_ms)
+		start_register(gateway, out);
+	if (!gateway->vms_polling && now >= gateway->next_vms_ms)
+		start_list(gateway, out);
+}
+
+bool
+jj_gateway_take_vms(jj_gateway_t *gateway, const jj_platform_result_t *result,
+    jj_ms_t now, jj_actions_t *out)
+{
+	switch (result->token) {
+	case TOKEN_LIST:
+		take_list(gateway, result, now);
+		return true;
+	case TOKEN_REGISTER:
+		take_registered(gateway, result, now);
+		return true;
+	case TOKEN_RETIRE_STATUS:
+		gateway->retired = result->outcome == JJ_PLATFORM_OK;
+		jj_actions_add_event(out, "retirement_answered", "outcome=%d",
+		    (int)result->outcome);
+		if (!gateway->retired)
+			jj_mirror_set_active(
+			    &gateway->retire_mirror, false, now);
+		/* It is listed again, and answered again. */
+		if (!gateway->retired)
+			gateway->retire_mirror.listed = false;
+		return true;
+	default:
+		return false;
+	}
+}
+
+jj_ms_t
+jj_gateway_next_vms(const jj_gateway_t *gateway)
+{
+	jj_ms_t next = JJ_MS_NEVER;
+
+	if (!gateway->vms_polling)
+		next = gateway->next_vms_ms;
+	if (!gateway->registered && !gateway->registering &&
+	    gateway->next_register_ms < next)
+		next = gateway->next_register_ms;
+	return next;
+}
+
+bool
+jj_gateway_is_in_domain(const jj_gateway_t *gateway, const jj_name_t *name)
+{
+	size_t i;
+
+	for (i = 0; i < gateway->vm_count; i++)
+		if (jj_name_equal(&gateway->vms[i].name, name))
+			return jj_name_equal(
+			    &gateway->vms[i].domain, &gateway->settings.domain);
+	return false;
+}
+
+void
+jj_gateway_take_retirement(
+    jj_gateway_t *gateway, const jj_platform_item_t *item)
+{
+	const char *slash = strchr(item->key, '/');
+	jj_platform_call_t *call;
+
+	if (slash == NULL ||
+	    strcmp(slash + 1, gateway->settings.name.text) != 0 ||
+	    gateway->retired || gateway->retire_token != 0)
+		return;
+	jj_actions_add_event(gateway->out, "retirement_ordered",
+	    "version=%" PRIu64 " lasting_state=none", item->version);
+	call = jj_actions_add_platform(gateway->out, JJ_OWNER_GATEWAY,
+	    JJ_PLATFORM_SET_STATUS, TOKEN_RETIRE_STATUS);
+	(void)snprintf(call->key, sizeof(call->key), "%s", item->key);
+	call->value = jj_bytes_from_text("{\"state\":\"done\"}");
+}
+
+static void
+start_register(jj_gateway_t *gateway, jj_actions_t *out)
+{
+	jj_platform_call_t *call;
+	json_t *entry;
+
+	gateway->registering = true;
+	call = jj_actions_add_platform(out, JJ_OWNER_GATEWAY,
+	    gateway->register_version == 0 ? JJ_PLATFORM_CREATE
+					   : JJ_PLATFORM_UPDATE,
+	    TOKEN_REGISTER);
+	(void)snprintf(call->key, sizeof(call->key), "%s%s", VMS_PREFIX,
+	    gateway->settings.name.text);
+	call->version = gateway->register_version;
+	entry =
+	    json_pack("{s:s,s:s,s:s}", "domain", gateway->settings.domain.text,
+		"region", gateway->settings.member.domain.text, "address",
+		gateway->settings.member.address);
+	call->value = jj_json_take_bytes(entry);
+}
+
+static void
+take_registered(
+    jj_gateway_t *gateway, const jj_platform_result_t *result, jj_ms_t now)
+{
+	gateway->registering = false;
+	if (result->outcome == JJ_PLATFORM_OK) {
+		gateway->registered = true;
+		return;
+	}
+	gateway->next_register_ms = now + gateway->settings.backoff_most_ms;
+	/* An entry of an earlier process of this name: written over. */
+	if (result->outcome == JJ_PLATFORM_CONFLICT &&
+	    result->version != gateway->register_version) {
+		gateway->register_version = result->version;
+		gateway->next_register_ms = now;
+	}
+	if (result->outcome == JJ_PLATFORM_ABSENT)
+		gateway->register_version = 0;
+}
+
+static void
+start_list(jj_gateway_t *gateway, jj_actions_t *out)
+{
+	jj_platform_call_t *call = jj_actions_add_platform(
+	    out, JJ_OWNER_GATEWAY, JJ_PLATFORM_LIST, TOKEN_LIST);
+
+	gateway->vms_polling = true;
+	(void)snprintf(call->key, sizeof(call->key), "%s", VMS_PREFIX);
+	(void)snprintf(
+	    call->after, sizeof(call->after), "%s", gateway->vms_after);
+	call->values = true;
+	call->stale = true;
+}
+
+static void
+take_list(
+    jj_gateway_t *gateway, const jj_platform_result_t *result, jj_ms_t now)
+{
+	size_t i;
+
+	gateway->vms_polling = false;
+	if (result->outcome != JJ_PLATFORM_OK) {
+		gateway->next_vms_ms = now + gateway->settings.vms_poll_ms;
+		return;
+	}
+	for (i = 0; i < result->item_count; i++)
+		take_vm(gateway, &result->items[i]);
+	gateway->vms_after[0] = '\0';
+	gateway->next_vms_ms = now +
+	    (is_lonely(gateway) ? LONELY_POLL_MS
+				: gateway->settings.vms_poll_ms);
+	if (!result->more || result->item_count == 0)
+		return;
+	gateway->next_vms_ms = now;
+	(void)snprintf(gateway->vms_after, sizeof(gateway->vms_after), "%s",
+	    result->items[result->item_count - 1].key);
+}
+
+static void
+take_vm(jj_gateway_t *gateway, const jj_platform_item_t *item)
+{
+	json_t *entry =
+	    json_loadb(item->value.data != NULL ? item->value.data : "",
+		item->value.size, 0, NULL);
+	char address[JJ_NAME_MAX + 1];
+	char domain[JJ_NAME_MAX + 1];
+	char region[JJ_NAME_MAX + 1];
+	jj_name_t name;
+	jj_name_t group;
+	jj_name_t zone;
+	const char *slash = strchr(item->key, '/');
+	bool valid = slash != NULL && jj_name_set(&name, slash + 1) &&
+	    jj_json_copy_text(
+		address, sizeof(address), json_object_get(entry, "address")) &&
+	    jj_json_copy_text(
+		domain, sizeof(domain), json_object_get(entry, "domain")) &&
+	    jj_json_copy_text(
+		region, sizeof(region), json_object_get(entry, "region"));
+
+	json_decref(entry);
+	if (!valid || jj_name_equal(&name, &gateway->settings.name))
+		return;
+	(void)jj_name_set(&group, region);
+	(void)jj_name_set(&zone, domain);
+	jj_member_learn(gateway->member, &name, &group, address);
+	note_domain(gateway, &name, &zone);
+}
+
+static void
+note_domain(
+    jj_gateway_t *gateway, const jj_name_t *name, const jj_name_t *domain)
+{
+	size_t i;
+
+	for (i = 0; i < gateway->vm_count; i++)
+		if (jj_name_equal(&gateway->vms[i].name, name))
+			break;
+	if (i == gateway->vm_count) {
+		gateway->vms = jj_realloc(gateway->vms,
+		    (gateway->vm_count + 1) * sizeof(*gateway->vms));
+		gateway->vm_count++;
+	}
+	gateway->vms[i].name = *name;
+	gateway->vms[i].domain = *domain;
+}
+
+static bool
+is_lonely(const jj_gateway_t *gateway)
+{
+	jj_member_info_t infos[2];
+
+	return jj_member_list(gateway->member, &gateway->settings.member.domain,
+		   infos, 2) <= 1;
+}
--- /dev/null
+++ b/src/core/inline_op.c
@@ -0,0 +1,569 @@
+/**
+ * @file inline_op.c
+ * @brief Callers' reads of results and bodies, and their ends of jobs.
+ *
+ * The VM that runs a job answers reads from what its writes confirmed. Any
+ * other one asks the platform, at the end of the time that the reader lets it
+ * wait, so that a read costs one call.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/inline_state.h"
+
+/** Of a reader's wait, the part after which the platform is asked. */
+#define WAIT_SHARE_TENTHS 9
+/** Most bytes of one page of results; readers get 1 MB at most. */
+#define PAGE_BYTES 900000
+
+static void step_read(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
+static bool
+serve_from_run(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
+static bool holds(const jj_inline_t *, const jj_inline_run_t *);
+static void start_read(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
+static void take_read(jj_inline_t *, jj_inline_op_t *,
+    const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void take_segment(jj_inline_t *, jj_inline_op_t *,
+    const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void
+take_no_segment(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
+static void take_job_of_read(jj_inline_t *, jj_inline_op_t *,
+    const jj_platform_result_t *, jj_actions_t *);
+static void answer_page(jj_inline_t *, jj_inline_op_t *,
+    const jj_inline_segment_t *, uint32_t, jj_actions_t *);
+static void step_item(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
+static void answer_item(
+    jj_inline_t *, jj_inline_op_t *, const jj_inline_job_t *, jj_actions_t *);
+static void take_item(jj_inline_t *, jj_inline_op_t *,
+    const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void step_end(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
+static void start_update(
+    jj_inline_t *, jj_inline_op_t *, const jj_open_entry_t *, jj_actions_t *);
+static void take_end(jj_inline_t *, jj_inline_op_t *,
+    const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void
+take_entry(jj_inline_t *, jj_inline_op_t *, const jj_platform_result_t *);
+static void
+end_is_durable(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
+
+void
+jj_inline_read(jj_inline_t *jobs, uint64_t operation, const char *id,
+    uint32_t after, jj_ms_t wait_ms, jj_ms_t now, jj_actions_t *out)
+{
+	jj_inline_op_t *op = jj_inline_add_op(jobs, JJ_OP_READ, operation, id,
+	    now + wait_ms + jobs->settings.read_ms, now);
+	bool is_open = jj_inline_find_open(jobs, id) != NULL;
+
+	op->after = after;
+	op->look_ms = now;
+	/* Of a job that is not open all results are there: no need to wait. */
+	if (is_open)
+		op->look_ms += wait_ms * WAIT_SHARE_TENTHS / 10;
+	jj_inline_step_op(jobs, op, now, out);
+}
+
+void
+jj_inline_read_item(jj_inline_t *jobs, uint64_t operation, const char *id,
+    const char *item, jj_ms_t now, jj_actions_t *out)
+{
+	jj_inline_op_t *op = jj_inline_add_op(
+	    jobs, JJ_OP_ITEM, operation, id, now + jobs->settings.read_ms, now);
+
+	op->item = strdup(item);
+	(void)snprintf(op->load.id, sizeof(op->load.id), "%s", id);
+	jj_inline_want_call(&op->load.call, now);
+	jj_inline_step_op(jobs, op, now, out);
+}
+
+void
+jj_inline_end(jj_inline_t *jobs, uint64_t operation, const char *id,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_inline_op_t *op = jj_inline_add_op(jobs, JJ_OP_END, operation, id,
+	    now + jobs->settings.submit_ms, now);
+
+	jj_inline_want_call(&op->end, now);
+	jj_inline_step_op(jobs, op, now, out);
+}
+
+void
+jj_inline_step_op(
+    jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	switch (op->kind) {
+	case JJ_OP_SUBMIT:
+		jj_inline_step_submit(jobs, op, now, out);
+		return;
+	case JJ_OP_READ:
+		step_read(jobs, op, now, out);
+		return;
+	case JJ_OP_ITEM:
+		step_item(jobs, op, now, out);
+		return;
+	case JJ_OP_END:
+		step_end(jobs, op, now, out);
+		return;
+	}
+}
+
+bool
+jj_inline_take_op_result(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	switch (op->kind) {
+	case JJ_OP_SUBMIT:
+		return jj_inline_take_submit(jobs, op, result, now, out);
+	case JJ_OP_READ:
+		if (result->token != op->get.token)
+			return false;
+		take_read(jobs, op, result, now, out);
+		return true;
+	case JJ_OP_ITEM:
+		if (result->token != op->load.call.token)
+			return false;
+		take_item(jobs, op, result, now, out);
+		return true;
+	case JJ_OP_END:
+		if (result->token != op->end.token)
+			return false;
+		take_end(jobs, op, result, now, out);
+		return true;
+	}
+	return false;
+}
+
+jj_ms_t
+jj_inline_op_next(const jj_inline_op_t *op)
+{
+	const jj_inline_call_t *calls[] = {&op->create_job, &op->create_open,
+	    &op->get, &op->load.call, &op->end};
+	jj_ms_t next = op->until_ms;
+	size_t i;
+
+	if (op->kind == JJ_OP_READ && op->get.token == 0 &&
+	    op->get.due_ms == JJ_MS_NEVER && op->look_ms < next)
+		next = op->look_ms;
+	for (i = 0; i < sizeof(calls) / sizeof(calls[0]); i++)
+		if (calls[i]->token == 0 && calls[i]->due_ms < next)
+			next = calls[i]->due_ms;
+	return next;
+}
+
+jj_inline_op_t *
+jj_inline_add_op(jj_inline_t *jobs, jj_inline_op_kind_t kind,
+    uint64_t operation, const char *id, jj_ms_t until_ms, jj_ms_t now)
+{
+	jj_inline_op_t *op = jj_alloc(sizeof(*op));
+
+	op->kind = kind;
+	op->operation = operation;
+	(void)snprintf(op->id, sizeof(op->id), "%s", id);
+	op->begun_ms = now;
+	op->until_ms = until_ms;
+	jj_inline_end_call(&op->create_job);
+	jj_inline_end_call(&op->create_open);
+	jj_inline_end_call(&op->get);
+	jj_inline_end_call(&op->load.call);
+	jj_inline_end_call(&op->end);
+	TAILQ_INSERT_TAIL(&jobs->ops, op, link);
+	return op;
+}
+
+void
+jj_inline_answer(jj_inline_t *jobs, jj_inline_op_t *op, int status,
+    const jj_bytes_t *body, jj_actions_t *out)
+{
+	jj_action_t *action;
+
+	if (!op->forgotten) {
+		action = jj_actions_add(out, JJ_ACTION_JOB_ANSWER);
+		action->body.job.operation = op->operation;
+		action->body.job.status = status;
+		if (status == 429 || status == 503)
+			action->body.job.retry_after_ms =
+			    jobs->settings.retry_after_ms;
+		if (body != NULL)
+			action->body.job.body =
+			    jj_bytes_copy(body->data, body->size);
+	}
+	jj_inline_free_op(jobs, op);
+}
+
+void
+jj_inline_free_op(jj_inline_t *jobs, jj_inline_op_t *op)
+{
+	TAILQ_REMOVE(&jobs->ops, op, link);
+	jj_inline_job_clear(&op->job);
+	jj_bytes_free(&op->text);
+	jj_inline_clear_load(&op->load);
+	free(op->item);
+	free(op);
+}
+
+void
+jj_inline_serve_readers(
+    jj_inline_t *jobs, const jj_inline_run_t *run, jj_actions_t *out)
+{
+	jj_inline_op_t *op;
+	jj_inline_op_t *next;
+
+	for (op = TAILQ_FIRST(&jobs->ops); op != NULL; op = next) {
+		next = TAILQ_NEXT(op, link);
+		if (op->kind == JJ_OP_READ && strcmp(op->id, run->id) == 0 &&
+		    op->after >= run->segment.first && op->after < run->shown &&
+		    holds(jobs, run))
+			answer_page(
+			    jobs, op, &run->segment, run->segment.total, out);
+	}
+}
+
+static void
+step_read(jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	if (op->forgotten && op->get.token == 0) {
+		jj_inline_free_op(jobs, op);
+		return;
+	}
+	if (op->get.token == 0 && serve_from_run(jobs, op, now, out))
+		return;
+	if (now >= op->until_ms) {
+		jj_actions_add_event(out, "job_read_failed",
+		    "job=%s after=%u failures=%u", op->id, op->after,
+		    op->get.failures);
+		jj_inline_answer(jobs, op, 503, NULL, out);
+		return;
+	}
+	if (op->get.token == 0 && op->get.due_ms == JJ_MS_NEVER &&
+	    now >= op->look_ms)
+		jj_inline_want_call(&op->get, now);
+	if (jj_inline_is_due(&op->get, now))
+		start_read(jobs, op, out);
+}
+
+/** True when the run here answered the read, or will. */
+static bool
+serve_from_run(
+    jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_inline_run_t *run = jj_inline_find_run(jobs, op->id);
+
+	if (run == NULL || !holds(jobs, run) || op->after < run->segment.first)
+		return false;
+	if (op->after < run->shown || op->after >= run->segment.total ||
+	    now >= op->look_ms || run->state == JJ_RUN_CLOSED) {
+		answer_page(jobs, op, &run->segment, run->segment.total, out);
+		return true;
+	}
+	return true;
+}
+
+/**
+ * Guards against a reader that saw more elsewhere: a VM that was frozen or
+ * cut off while another one took its job over does not know what that one has
+ * shown. It answers by itself only while the list says that the job is its
+ * own; a job that it has just accepted is not listed yet.
+ */
+static bool
+holds(const jj_inline_t *jobs, const jj_inline_run_t *run)
+{
+	const jj_open_entry_t *entry = jj_inline_find_open(jobs, run->id);
+
+	if (run->state != JJ_RUN_RUNNING && run->state != JJ_RUN_CLOSING &&
+	    run->state != JJ_RUN_CLOSED)
+		return false;
+	if (run->rereads)
+		return false;
+	return entry == NULL || entry->version <= run->open_version ||
+	    strcmp(entry->owner, jobs->settings.writer) == 0;
+}
+
+static void
+start_read(jj_inline_t *jobs, jj_inline_op_t *op, jj_actions_t *out)
+{
+	jj_platform_call_t *call =
+	    jj_inline_start_call(jobs, &op->get, JJ_PLATFORM_GET, out);
+
+	if (op->asks_job)
+		(void)snprintf(call->key, sizeof(call->key), "%s%s",
+		    JJ_INLINE_JOBS, op->id);
+	else
+		(void)snprintf(call->key, sizeof(call->key), "%s%s.%u",
+		    JJ_INLINE_OUT, op->id, op->segment_number);
+}
+
+static void
+take_read(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	if (op->forgotten) {
+		jj_inline_free_op(jobs, op);
+		return;
+	}
+	if (result->outcome != JJ_PLATFORM_OK &&
+	    result->outcome != JJ_PLATFORM_ABSENT) {
+		jj_inline_back_off(jobs, &op->get, now);
+		return;
+	}
+	if (op->asks_job)
+		take_job_of_read(jobs, op, result, out);
+	else if (result->outcome == JJ_PLATFORM_OK)
+		take_segment(jobs, op, result, now, out);
+	else
+		take_no_segment(jobs, op, now, out);
+}
+
+static void
+take_segment(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	jj_inline_segment_t segment;
+
+	if (!jj_inline_segment_decode(&segment, &result->value)) {
+		jj_inline_back_off(jobs, &op->get, now);
+		return;
+	}
+	op->total = segment.total;
+	if (segment.sealed && op->after >= segment.first + segment.count) {
+		op->segment_number++;
+		jj_inline_want_call(&op->get, now);
+		start_read(jobs, op, out);
+	} else
+		answer_page(jobs, op, &segment, segment.total, out);
+	jj_inline_segment_clear(&segment);
+}
+
+static void
+take_no_segment(
+    jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_open_entry_t *entry = jj_inline_find_open(jobs, op->id);
+	uint32_t total = entry != NULL ? entry->total : op->total;
+
+	if (total > 0) {
+		answer_page(jobs, op, NULL, total, out);
+		return;
+	}
+	op->asks_job = true;
+	jj_inline_want_call(&op->get, now);
+	start_read(jobs, op, out);
+}
+
+static void
+take_job_of_read(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_actions_t *out)
+{
+	jj_inline_job_t job;
+
+	if (result->outcome == JJ_PLATFORM_ABSENT) {
+		jj_inline_answer(jobs, op, 404, NULL, out);
+		return;
+	}
+	/* A cut job's size is known once its entry is listed. */
+	if (!jj_inline_job_decode(
+		&job, result->value.data, result->value.size)) {
+		jj_inline_answer(jobs, op, 503, NULL, out);
+		return;
+	}
+	answer_page(jobs, op, NULL, (uint32_t)job.item_count, out);
+	jj_inline_job_clear(&job);
+}
+
+/** The results from `after` on, as many as a page holds. */
+static void
+answer_page(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_inline_segment_t *segment, uint32_t total, jj_actions_t *out)
+{
+	jj_inline_page_t page = {total, op->after, 0, NULL};
+	jj_bytes_t body;
+	size_t size = 0;
+	uint32_t at;
+
+	if (segment != NULL && op->after >= segment->first &&
+	    op->after < segment->first + segment->count) {
+		at = op->after - segment->first;
+		page.results = &segment->results[at];
+		for (; at < segment->count; at++) {
+			size += segment->results[at].text.size;
+			if (page.count > 0 && size > PAGE_BYTES)
+				break;
+			page.count++;
+		}
+	}
+	body = jobs->port.write_page(jobs->port.ctx, &page);
+	jj_inline_answer(jobs, op, 200, &body, out);
+	jj_bytes_free(&body);
+}
+
+static void
+step_item(jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_inline_run_t *run = jj_inline_find_run(jobs, op->id);
+
+	if (run != NULL && run->job.item_count > 0) {
+		answer_item(jobs, op, &run->job, out);
+		return;
+	}
+	if (now >= op->until_ms) {
+		jj_inline_answer(jobs, op, 503, NULL, out);
+		return;
+	}
+	jj_inline_step_load(jobs, &op->load, now, out);
+}
+
+static void
+answer_item(jj_inline_t *jobs, jj_inline_op_t *op, const jj_inline_job_t *job,
+    jj_actions_t *out)
+{
+	const jj_inline_item_t *item = jj_inline_job_find(job, op->item);
+
+	if (item == NULL)
+		jj_inline_answer(jobs, op, 404, NULL, out);
+	else
+		jj_inline_answer(jobs, op, 200, &item->body, out);
+}
+
+static void
+take_item(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	jj_inline_loaded_t loaded =
+	    jj_inline_take_load(jobs, &op->load, result, now);
+	jj_inline_job_t job;
+
+	if (loaded == JJ_LOAD_MORE) {
+		jj_inline_step_load(jobs, &op->load, now, out);
+		return;
+	}
+	if (loaded == JJ_LOAD_ABSENT) {
+		jj_inline_answer(jobs, op, 404, NULL, out);
+		return;
+	}
+	if (loaded == JJ_LOAD_DONE &&
+	    jj_inline_job_decode(
+		&job, op->load.text.data, op->load.text.size)) {
+		answer_item(jobs, op, &job, out);
+		jj_inline_job_clear(&job);
+		return;
+	}
+	jj_inline_answer(jobs, op, 503, NULL, out);
+}
+
+static void
+step_end(jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_open_entry_t *entry;
+	jj_platform_call_t *call;
+
+	if (now >= op->until_ms) {
+		jj_inline_answer(jobs, op, 504, NULL, out);
+		return;
+	}
+	if (!jj_inline_is_due(&op->end, now))
+		return;
+	entry = jj_inline_find_open(jobs, op->id);
+	if (entry != NULL && !op->asks_job && !op->reads_open) {
+		start_update(jobs, op, entry, out);
+		return;
+	}
+	call = jj_inline_start_call(jobs, &op->end, JJ_PLATFORM_GET, out);
+	(void)snprintf(call->key, sizeof(call->key), "%s%s",
+	    op->asks_job ? JJ_INLINE_JOBS : JJ_INLINE_OPEN, op->id);
+	op->reads_open = !op->asks_job;
+}
+
+static void
+start_update(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_open_entry_t *entry, jj_actions_t *out)
+{
+	jj_platform_call_t *call =
+	    jj_inline_start_call(jobs, &op->end, JJ_PLATFORM_UPDATE, out);
+
+	op->reads_open = false;
+	(void)snprintf(op->owner, sizeof(op->owner), "%s", entry->owner);
+	(void)snprintf(
+	    call->key, sizeof(call->key), "%s%s", JJ_INLINE_OPEN, op->id);
+	call->version = entry->version;
+	call->value = jj_inline_encode_open(
+	    entry->owner, &entry->route, entry->tokens, entry->total, true);
+}
+
+static void
+take_end(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	jj_open_entry_t stored = {0};
+	bool asked_job = op->asks_job;
+
+	switch (result->outcome) {
+	case JJ_PLATFORM_ABSENT:
+		if (asked_job) {
+			jj_inline_answer(jobs, op, 404, NULL, out);
+			return;
+		}
+		/* Nothing runs any more; was there such a job? */
+		op->asks_job = true;
+		jj_inline_want_call(&op->end, now);
+		break;
+	case JJ_PLATFORM_OK:
+		if (asked_job) {
+			jj_inline_answer(jobs, op, 200, NULL, out);
+			return;
+		}
+		if (!op->reads_open) {
+			end_is_durable(jobs, op, now, out);
+			return;
+		}
+		/* fall through */
+	case JJ_PLATFORM_CONFLICT:
+		if (!jj_inline_decode_open(&stored, &result->value)) {
+			op->reads_open = true;
+			jj_inline_back_off(jobs, &op->end, now);
+			return;
+		}
+		take_entry(jobs, op, result);
+		if (stored.ended) {
+			(void)snprintf(
+			    op->owner, sizeof(op->owner), "%s", stored.owner);
+			end_is_durable(jobs, op, now, out);
+			return;
+		}
+		stored.version = result->version;
+		(void)snprintf(stored.id, sizeof(stored.id), "%s", op->id);
+		jj_inline_want_call(&op->end, now);
+		start_update(jobs, op, &stored, out);
+		return;
+	default:
+		/* A write with a lost answer may have ended it: look. */
+		op->reads_open = true;
+		jj_inline_back_off(jobs, &op->end, now);
+		return;
+	}
+	step_end(jobs, op, now, out);
+}
+
+/** What was read is news for the list of open jobs as well. */
+static void
+take_entry(
+    jj_inline_t *jobs, jj_inline_op_t *op, const jj_platform_result_t *result)
+{
+	jj_open_entry_t *entry = jj_inline_find_open(jobs, op->id);
+
+	if (entry == NULL || entry->version >= result->version)
+		return;
+	if (jj_inline_decode_open(entry, &result->value))
+		entry->version = result->version;
+}
+
+static void
+end_is_durable(
+    jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	jj_actions_add_event(
+	    out, "job_ended", "job=%s owner=%s", op->id, op->owner);
+	if (strcmp(op->owner, jobs->settings.writer) == 0)
+		jj_inline_take_ended(jobs, op->id, now, out);
+	else
+		jobs->port.tell_ended(jobs->port.ctx, op->owner, op->id);
+	jj_inline_answer(jobs, op, 200, NULL, out);
+}
--- /dev/null
+++ b/src/core/inline_open.c
@@ -0,0 +1,319 @@
+/**
+ * @file inline_open.c
+ * @brief The list of open jobs: who runs each, and which one has lost its VM.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "core/inline_state.h"
+#include "core/json_text.h"
+
+/** Token of the mirror's calls; those of other calls count up from it. */
+#define TOKEN_MIRROR 1
+/** Between looks at entries whose owner may be lost, ms. */
+#define LOOK_MS 250
+/** A failed takeover rests before the next try, ms. */
+#define TAKEOVER_REST_MS 500
+
+static void begin_list(void *);
+static void take_entry(void *, const jj_platform_item_t *);
+static void drop_entry(void *, const char *);
+static void end_list(void *, jj_ms_t);
+static void free_entry(jj_inline_t *, jj_open_entry_t *);
+static const char *id_of(const char *);
+static void look_at(jj_inline_t *, jj_open_entry_t *, jj_ms_t, jj_actions_t *);
+static bool is_lost(jj_inline_t *, jj_open_entry_t *, jj_ms_t);
+static void start_takeover(jj_inline_t *, jj_open_entry_t *, jj_actions_t *);
+
+void
+jj_inline_init_open(jj_inline_t *jobs)
+{
+	jj_mirror_settings_t settings = {JJ_OWNER_INLINE, TOKEN_MIRROR,
+	    JJ_INLINE_OPEN, jobs->settings.mirror_wait_ms,
+	    jobs->settings.mirror_spacing_ms, jobs->settings.retry_ms,
+	    jobs->settings.retry_most_ms};
+	jj_mirror_port_t port = {
+	    jobs, begin_list, take_entry, drop_entry, end_list};
+
+	TAILQ_INIT(&jobs->open);
+	jobs->last_token = TOKEN_MIRROR;
+	jj_mirror_init(&jobs->mirror, &settings, &port);
+}
+
+void
+jj_inline_clear_open(jj_inline_t *jobs)
+{
+	jj_open_entry_t *entry;
+
+	while ((entry = TAILQ_FIRST(&jobs->open)) != NULL)
+		free_entry(jobs, entry);
+}
+
+jj_open_entry_t *
+jj_inline_find_open(const jj_inline_t *jobs, const char *id)
+{
+	jj_open_entry_t *entry;
+
+	TAILQ_FOREACH(entry, &jobs->open, link)
+	{
+		if (strcmp(entry->id, id) == 0)
+			return entry;
+	}
+	return NULL;
+}
+
+jj_bytes_t
+jj_inline_encode_open(const char *owner, const jj_name_t *route,
+    uint64_t tokens, uint32_t total, bool ended)
+{
+	return jj_json_take_bytes(json_pack("{s:s,s:s,s:I,s:I,s:b}", "owner",
+	    owner, "route", route->text, "tokens", (json_int_t)tokens, "total",
+	    (json_int_t)total, "ended", ended));
+}
+
+bool
+jj_inline_decode_open(jj_open_entry_t *entry, const jj_bytes_t *value)
+{
+	json_t *root = json_loadb(
+	    value->data != NULL ? value->data : "", value->size, 0, NULL);
+	const char *route = json_string_value(json_object_get(root, "route"));
+	bool valid = jj_json_copy_text(
+	    entry->owner, sizeof(entry->owner), json_object_get(root, "owner"));
+
+	if (route == NULL || !jj_name_set(&entry->route, route))
+		valid = false;
+	entry->tokens =
+	    (uint64_t)json_integer_value(json_object_get(root, "tokens"));
+	entry->total =
+	    (uint32_t)json_integer_value(json_object_get(root, "total"));
+	entry->ended = json_is_true(json_object_get(root, "ended"));
+	json_decref(root);
+	return valid;
+}
+
+uint64_t
+jj_inline_open_tokens(const jj_inline_t *jobs, const jj_name_t *route)
+{
+	const jj_open_entry_t *entry;
+	const jj_inline_run_t *run;
+	const jj_inline_op_t *op;
+	uint64_t tokens = 0;
+
+	TAILQ_FOREACH(entry, &jobs->open, link)
+	{
+		if (!entry->ended && jj_name_equal(&entry->route, route))
+			tokens += entry->tokens;
+	}
+	/* What this VM has just accepted is not listed yet. */
+	TAILQ_FOREACH(run, &jobs->runs, link)
+	{
+		if (run->state == JJ_RUN_RUNNING && !run->ended &&
+		    jj_inline_find_open(jobs, run->id) == NULL)
+			tokens += run->job.tokens;
+	}
+	TAILQ_FOREACH(op, &jobs->ops, link)
+	{
+		if (op->kind == JJ_OP_SUBMIT &&
+		    jj_name_equal(&op->route, route) &&
+		    jj_inline_find_open(jobs, op->id) == NULL)
+			tokens += op->job.tokens;
+	}
+	return tokens;
+}
+
+void
+jj_inline_look_at_open(jj_inline_t *jobs, jj_ms_t now, jj_actions_t *out)
+{
+	jj_open_entry_t *entry;
+
+	if (now < jobs->next_look_ms || jobs->leaving ||
+	    !jj_mirror_is_current(&jobs->mirror))
+		return;
+	jobs->next_look_ms = now + LOOK_MS;
+	TAILQ_FOREACH(entry, &jobs->open, link)
+	{
+		look_at(jobs, entry, now, out);
+	}
+}
+
+bool
+jj_inline_take_takeover(jj_inline_t *jobs, const jj_platform_result_t *result,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_open_entry_t *entry;
+
+	TAILQ_FOREACH(entry, &jobs->open, link)
+	{
+		if (entry->token == result->token)
+			break;
+	}
+	if (entry == NULL || result->token == 0)
+		return false;
+	entry->token = 0;
+	entry->retry_ms = now + TAKEOVER_REST_MS;
+	if (result->outcome != JJ_PLATFORM_OK) {
+		/* A takeover that took effect shows in the list. */
+		jj_actions_add_event(out, "job_takeover_failed",
+		    "job=%s owner=%s outcome=%d", entry->id, entry->owner,
+		    (int)result->outcome);
+		return true;
+	}
+	jj_actions_add_event(out, "job_taken_over",
+	    "job=%s from=%s version=%llu", entry->id, entry->owner,
+	    (unsigned long long)result->version);
+	(void)snprintf(
+	    entry->owner, sizeof(entry->owner), "%s", jobs->settings.writer);
+	entry->version = result->version;
+	jobs->counts.takeovers++;
+	(void)jj_inline_adopt(jobs, entry->id, result->version, now);
+	return true;
+}
+
+static void
+begin_list(void *ctx)
+{
+	jj_inline_t *jobs = ctx;
+	jj_open_entry_t *entry;
+
+	TAILQ_FOREACH(entry, &jobs->open, link)
+	{
+		entry->listed = false;
+	}
+}
+
+static void
+take_entry(void *ctx, const jj_platform_item_t *item)
+{
+	jj_inline_t *jobs = ctx;
+	const char *id = id_of(item->key);
+	jj_open_entry_t *entry = jj_inline_find_open(jobs, id);
+
+	if (strlen(id) > JJ_INLINE_ID_MAX)
+		return;
+	if (entry == NULL) {
+		entry = jj_alloc(sizeof(*entry));
+		(void)snprintf(entry->id, sizeof(entry->id), "%s", id);
+		entry->lost_ms = JJ_MS_NEVER;
+		TAILQ_INSERT_TAIL(&jobs->open, entry, link);
+	}
+	entry->listed = true;
+	/* An own write may be known before the watch brings it. */
+	if (item->version <= entry->version)
+		return;
+	entry->version = item->version;
+	entry->lost_ms = JJ_MS_NEVER;
+	if (!jj_inline_decode_open(entry, &item->value))
+		free_entry(jobs, entry);
+}
+
+static void
+drop_entry(void *ctx, const char *key)
+{
+	jj_inline_t *jobs = ctx;
+	jj_open_entry_t *entry = jj_inline_find_open(jobs, id_of(key));
+
+	if (entry != NULL)
+		free_entry(jobs, entry);
+}
+
+static void
+end_list(void *ctx, jj_ms_t now)
+{
+	jj_inline_t *jobs = ctx;
+	jj_open_entry_t *entry;
+	jj_open_entry_t *next;
+
+	(void)now;
+	for (entry = TAILQ_FIRST(&jobs->open); entry != NULL; entry = next) {
+		next = TAILQ_NEXT(entry, link);
+		if (!entry->listed)
+			free_entry(jobs, entry);
+	}
+}
+
+static void
+free_entry(jj_inline_t *jobs, jj_open_entry_t *entry)
+{
+	TAILQ_REMOVE(&jobs->open, entry, link);
+	free(entry);
+}
+
+static const char *
+id_of(const char *key)
+{
+	return strncmp(key, JJ_INLINE_OPEN, strlen(JJ_INLINE_OPEN)) == 0
+	    ? key + strlen(JJ_INLINE_OPEN)
+	    : key;
+}
+
+static void
+look_at(
+    jj_inline_t *jobs, jj_open_entry_t *entry, jj_ms_t now, jj_actions_t *out)
+{
+	jj_inline_run_t *run = jj_inline_find_run(jobs, entry->id);
+	bool is_own = strcmp(entry->owner, jobs->settings.writer) == 0;
+
+	if (run != NULL && entry->version > run->open_version && !is_own &&
+	    run->state != JJ_RUN_CLOSED) {
+		jj_actions_add_event(out, "job_lost_to",
+		    "job=%s owner=%s version=%llu", entry->id, entry->owner,
+		    (unsigned long long)entry->version);
+		jj_inline_drop_run(jobs, run);
+		return;
+	}
+	if (is_own) {
+		/* A write of ours whose answer was lost made it ours. */
+		if (run == NULL)
+			run = jj_inline_adopt(
+			    jobs, entry->id, entry->version, now);
+		if (entry->version > run->open_version)
+			run->open_version = entry->version;
+		if (entry->ended)
+			jj_inline_end_run(run, jobs, now);
+		return;
+	}
+	if (entry->token == 0 && now >= entry->retry_ms &&
+	    is_lost(jobs, entry, now) &&
+	    jobs->port.is_chosen(jobs->port.ctx, entry->id))
+		start_takeover(jobs, entry, out);
+}
+
+/**
+ * An owner that is silent may be frozen or cut off, and a job that two VMs run
+ * is work done twice; so it is given some time. One that let go is not.
+ */
+static bool
+is_lost(jj_inline_t *jobs, jj_open_entry_t *entry, jj_ms_t now)
+{
+	jj_ms_t patience = jobs->settings.takeover_ms;
+
+	if (entry->owner[0] == '\0')
+		return true;
+	if (jobs->port.is_live(jobs->port.ctx, entry->owner)) {
+		entry->lost_ms = JJ_MS_NEVER;
+		return false;
+	}
+	if (entry->lost_ms == JJ_MS_NEVER)
+		entry->lost_ms = now;
+	if (!jobs->port.hears_others(jobs->port.ctx))
+		patience = jobs->settings.alone_ms;
+	return now - entry->lost_ms >= patience;
+}
+
+static void
+start_takeover(jj_inline_t *jobs, jj_open_entry_t *entry, jj_actions_t *out)
+{
+	jj_inline_call_t call = {0};
+	jj_platform_call_t *update =
+	    jj_inline_start_call(jobs, &call, JJ_PLATFORM_UPDATE, out);
+
+	entry->token = call.token;
+	update->version = entry->version;
+	(void)snprintf(update->key, sizeof(update->key), "%s%s", JJ_INLINE_OPEN,
+	    entry->id);
+	update->value = jj_inline_encode_open(jobs->settings.writer,
+	    &entry->route, entry->tokens, entry->total, entry->ended);
+}
--- /dev/null
+++ b/src/core/inline_run.c
@@ -0,0 +1,511 @@
+/**
+ * @file inline_run.c
+ * @brief A job that this VM runs: its items, from the first to the last.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/inline_state.h"
+
+static jj_inline_run_t *create_run(jj_inline_t *, const char *, uint64_t);
+static void begin_catching_up(jj_inline_t *, jj_inline_run_t *, jj_ms_t);
+static void step_items(jj_inline_t *, jj_inline_run_t *, jj_ms_t);
+static void step_item(
+    jj_inline_t *, jj_inline_run_t *, size_t, const jj_route_t *, jj_ms_t);
+static void give_up_item(jj_inline_t *, jj_inline_run_t *, size_t, jj_ms_t);
+static void cancel_items(jj_inline_t *, jj_inline_run_t *);
+static void begin_closing(jj_inline_run_t *, jj_ms_t);
+static void step_close(jj_inline_t *, jj_inline_run_t *, jj_actions_t *);
+static void take_close(jj_inline_t *, jj_inline_run_t *,
+    const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void take_loaded(jj_inline_t *, jj_inline_run_t *,
+    const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void take_absent(jj_inline_t *, jj_inline_run_t *, jj_ms_t);
+static void close_run(jj_inline_t *, jj_inline_run_t *, jj_ms_t);
+static bool is_all_shown(const jj_inline_run_t *);
+static void
+set_due(jj_inline_t *, jj_inline_run_t *, const jj_route_t *, jj_ms_t);
+
+jj_inline_run_t *
+jj_inline_find_run(const jj_inline_t *jobs, const char *id)
+{
+	jj_inline_run_t *run;
+
+	TAILQ_FOREACH(run, &jobs->runs, link)
+	{
+		if (strcmp(run->id, id) == 0)
+			return run;
+	}
+	return NULL;
+}
+
+jj_inline_run_t *
+jj_inline_adopt(
+    jj_inline_t *jobs, const char *id, uint64_t open_version, jj_ms_t now)
+{
+	jj_inline_run_t *run = jj_inline_find_run(jobs, id);
+
+	if (run != NULL && run->state != JJ_RUN_CLOSED) {
+		run->open_version = open_version;
+		return run;
+	}
+	if (run != NULL)
+		jj_inline_drop_run(jobs, run);
+	run = create_run(jobs, id, open_version);
+	run->state = JJ_RUN_LOADING;
+	jj_inline_want_call(&run->load.call, now);
+	return run;
+}
+
+void
+jj_inline_adopt_job(jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now)
+{
+	jj_inline_run_t *run = jj_inline_find_run(jobs, op->id);
+
+	if (run != NULL)
+		return;
+	run = create_run(jobs, op->id, op->open_version);
+	run->job = op->job;
+	memset(&op->job, 0, sizeof(op->job));
+	begin_catching_up(jobs, run, now);
+	run->due_ms = op->run_due_ms;
+	run->retention_ms = op->retention_ms;
+	/* Nobody can have shown results of a job that is new. */
+	if (op->job_is_new) {
+		jj_inline_end_call(&run->write);
+		run->rereads = false;
+		run->state = JJ_RUN_RUNNING;
+	}
+}
+
+void
+jj_inline_drop_run(jj_inline_t *jobs, jj_inline_run_t *run)
+{
+	size_t i;
+
+	cancel_items(jobs, run);
+	for (i = 0; run->items != NULL && i < run->job.item_count; i++)
+		jj_bytes_free(&run->items[i].text);
+	free(run->items);
+	jj_inline_clear_load(&run->load);
+	jj_inline_job_clear(&run->job);
+	jj_inline_segment_clear(&run->segment);
+	TAILQ_REMOVE(&jobs->runs, run, link);
+	free(run);
+}
+
+void
+jj_inline_end_run(jj_inline_run_t *run, jj_inline_t *jobs, jj_ms_t now)
+{
+	if (run->ended)
+		return;
+	run->ended = true;
+	cancel_items(jobs, run);
+	if (run->state == JJ_RUN_RUNNING)
+		begin_closing(run, now);
+}
+
+void
+jj_inline_leave_run(jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now)
+{
+	size_t i;
+
+	if (run->leaves || run->state == JJ_RUN_CLOSED)
+		return;
+	run->leaves = true;
+	cancel_items(jobs, run);
+	if (run->state == JJ_RUN_LOADING) {
+		jj_inline_end_call(&run->load.call);
+		begin_closing(run, now);
+		return;
+	}
+	for (i = 0; i < run->job.item_count; i++)
+		if (run->items[i].state == JJ_ITEM_FINISHED)
+			run->publish_ms = now;
+}
+
+bool
+jj_inline_run_is_complete(const jj_inline_run_t *run)
+{
+	size_t i;
+
+	for (i = 0; i < run->job.item_count; i++)
+		if (run->items[i].state != JJ_ITEM_SHOWN)
+			return false;
+	return true;
+}
+
+void
+jj_inline_step_run(
+    jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now, jj_actions_t *out)
+{
+	switch (run->state) {
+	case JJ_RUN_LOADING:
+		jj_inline_step_load(jobs, &run->load, now, out);
+		break;
+	case JJ_RUN_CATCHING_UP:
+		jj_inline_step_publish(jobs, run, now, out);
+		break;
+	case JJ_RUN_RUNNING:
+		step_items(jobs, run, now);
+		jj_inline_step_publish(jobs, run, now, out);
+		if (jj_inline_run_is_complete(run) ||
+		    (run->leaves && run->write.token == 0 &&
+			run->publish_ms == JJ_MS_NEVER))
+			begin_closing(run, now);
+		break;
+	case JJ_RUN_CLOSING:
+		if (jj_inline_is_due(&run->close, now) && run->write.token == 0)
+			step_close(jobs, run, out);
+		break;
+	case JJ_RUN_CLOSED:
+		if (now - run->closed_ms >= jobs->settings.keep_ms)
+			jj_inline_drop_run(jobs, run);
+		break;
+	}
+}
+
+bool
+jj_inline_take_run_result(jj_inline_t *jobs, jj_inline_run_t *run,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	if (result->token == run->load.call.token) {
+		take_loaded(jobs, run, result, now, out);
+		return true;
+	}
+	if (result->token == run->close.token) {
+		take_close(jobs, run, result, now, out);
+		return true;
+	}
+	return jj_inline_take_publish(jobs, run, result, now, out);
+}
+
+jj_ms_t
+jj_inline_run_next(const jj_inline_run_t *run)
+{
+	jj_ms_t next = run->load.call.due_ms;
+	size_t i;
+
+	if (run->write.token == 0 && run->write.due_ms < next)
+		next = run->write.due_ms;
+	if (run->write.token == 0 && run->publish_ms < next &&
+	    run->state == JJ_RUN_RUNNING)
+		next = run->publish_ms;
+	if (run->close.due_ms < next)
+		next = run->close.due_ms;
+	if (run->state != JJ_RUN_RUNNING)
+		return next;
+	for (i = 0; i < run->job.item_count; i++)
+		if (run->items[i].state == JJ_ITEM_IDLE &&
+		    run->items[i].rest_until_ms < next)
+			next = run->items[i].rest_until_ms;
+	return next;
+}
+
+void
+jj_inline_end_item(jj_inline_t *jobs, uint64_t request, jj_inline_end_t end,
+    jj_bytes_t *text, jj_ms_t now, jj_actions_t *out)
+{
+	jj_inline_item_run_t *item = NULL;
+	jj_inline_run_t *run;
+	const jj_route_t *route;
+	uint32_t attempts;
+	size_t i;
+
+	TAILQ_FOREACH(run, &jobs->runs, link)
+	{
+		for (i = 0; run->items != NULL && i < run->job.item_count; i++)
+			if (run->items[i].state == JJ_ITEM_BEGUN &&
+			    run->items[i].request == request)
+				item = &run->items[i];
+		if (item != NULL)
+			break;
+	}
+	if (item == NULL)
+		return;
+	i = (size_t)(item - run->items);
+	route =
+	    jobs->port.find_route(jobs->port.ctx, run->job.host, run->job.path);
+	attempts = route != NULL && route->attempts > 0 ? route->attempts : 1;
+	if (end == JJ_INLINE_FAILED && ++item->failures < attempts) {
+		item->state = JJ_ITEM_IDLE;
+		item->rest_until_ms = now +
+		    (jobs->settings.item_retry_ms << (item->failures - 1));
+		return;
+	}
+	item->state = JJ_ITEM_FINISHED;
+	item->done = end == JJ_INLINE_DONE;
+	if (item->done) {
+		item->text = *text;
+		memset(text, 0, sizeof(*text));
+	} else
+		jj_actions_add_event(out, "item_given_up",
+		    "job=%s item=%s reason=%s failures=%u", run->id,
+		    run->job.items[i].id,
+		    end == JJ_INLINE_REFUSED ? "refused" : "failed",
+		    item->failures);
+	jj_inline_want_publish(jobs, run, now);
+}
+
+const jj_inline_item_t *
+jj_inline_find_item(
+    const jj_inline_t *jobs, uint64_t request, const jj_inline_job_t **job)
+{
+	const jj_inline_run_t *run;
+	size_t i;
+
+	TAILQ_FOREACH(run, &jobs->runs, link)
+	{
+		for (i = 0; run->items != NULL && i < run->job.item_count;
+		     i++) {
+			if (run->items[i].state != JJ_ITEM_BEGUN ||
+			    run->items[i].request != request)
+				continue;
+			*job = &run->job;
+			return &run->job.items[i];
+		}
+	}
+	return NULL;
+}
+
+static jj_inline_run_t *
+create_run(jj_inline_t *jobs, const char *id, uint64_t open_version)
+{
+	jj_inline_run_t *run = jj_alloc(sizeof(*run));
+
+	(void)snprintf(run->id, sizeof(run->id), "%s", id);
+	(void)snprintf(run->load.id, sizeof(run->load.id), "%s", id);
+	run->open_version = open_version;
+	run->absent_ms = JJ_MS_NEVER;
+	run->publish_ms = JJ_MS_NEVER;
+	jj_inline_end_call(&run->load.call);
+	jj_inline_end_call(&run->write);
+	jj_inline_end_call(&run->close);
+	TAILQ_INSERT_TAIL(&jobs->runs, run, link);
+	return run;
+}
+
+static void
+begin_catching_up(jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now)
+{
+	const jj_route_t *route =
+	    jobs->port.find_route(jobs->port.ctx, run->job.host, run->job.path);
+
+	run->items = jj_alloc(run->job.item_count * sizeof(*run->items));
+	run->segment.total = (uint32_t)run->job.item_count;
+	run->state = JJ_RUN_CATCHING_UP;
+	run->rereads = true;
+	jj_inline_want_call(&run->write, now);
+	set_due(jobs, run, route, now);
+}
+
+/** By the wall clock, as the job may come from another VM. */
+static void
+set_due(jj_inline_t *jobs, jj_inline_run_t *run, const jj_route_t *route,
+    jj_ms_t now)
+{
+	jj_ms_t age =
+	    jobs->port.unix_ms(jobs->port.ctx) - run->job.submitted_unix_ms;
+
+	run->due_ms = now;
+	run->retention_ms = JJ_MS_NEVER;
+	if (route == NULL)
+		return;
+	if (age < 0)
+		age = 0;
+	run->due_ms = now - age + route->run_due_ms;
+	run->retention_ms = now - age + route->retention_ms;
+}
+
+static void
+step_items(jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now)
+{
+	const jj_route_t *route =
+	    jobs->port.find_route(jobs->port.ctx, run->job.host, run->job.path);
+	size_t i;
+
+	/* A route that was dropped may come back: its items wait. */
+	if (route == NULL && now < run->retention_ms)
+		return;
+	if (run->retention_ms == JJ_MS_NEVER)
+		set_due(jobs, run, route, now);
+	for (i = 0; i < run->job.item_count; i++) {
+		if (now >= run->retention_ms)
+			give_up_item(jobs, run, i, now);
+		else
+			step_item(jobs, run, i, route, now);
+	}
+}
+
+static void
+step_item(jj_inline_t *jobs, jj_inline_run_t *run, size_t i,
+    const jj_route_t *route, jj_ms_t now)
+{
+	jj_inline_item_run_t *item = &run->items[i];
+
+	if (item->state != JJ_ITEM_IDLE || now < item->rest_until_ms ||
+	    jobs->leaving)
+		return;
+	item->state = JJ_ITEM_BEGUN;
+	item->request = jobs->port.begin_item(jobs->port.ctx, &run->job,
+	    &run->job.items[i], route, run->due_ms, run->retention_ms);
+}
+
+static void
+give_up_item(jj_inline_t *jobs, jj_inline_run_t *run, size_t i, jj_ms_t now)
+{
+	jj_inline_item_run_t *item = &run->items[i];
+
+	if (item->state == JJ_ITEM_FINISHED || item->state == JJ_ITEM_SHOWN)
+		return;
+	if (item->state == JJ_ITEM_BEGUN)
+		jobs->port.cancel_item(jobs->port.ctx, item->request);
+	item->state = JJ_ITEM_FINISHED;
+	item->done = false;
+	jj_inline_want_publish(jobs, run, now);
+}
+
+static void
+cancel_items(jj_inline_t *jobs, jj_inline_run_t *run)
+{
+	size_t i;
+
+	for (i = 0; run->items != NULL && i < run->job.item_count; i++) {
+		if (run->items[i].state != JJ_ITEM_BEGUN)
+			continue;
+		jobs->port.cancel_item(jobs->port.ctx, run->items[i].request);
+		run->items[i].state = JJ_ITEM_IDLE;
+	}
+}
+
+static void
+begin_closing(jj_inline_run_t *run, jj_ms_t now)
+{
+	run->state = JJ_RUN_CLOSING;
+	jj_inline_want_call(&run->close, now);
+}
+
+static void
+step_close(jj_inline_t *jobs, jj_inline_run_t *run, jj_actions_t *out)
+{
+	bool hands_over = run->leaves && !run->ended && !is_all_shown(run);
+	const jj_open_entry_t *entry = jj_inline_find_open(jobs, run->id);
+	jj_platform_call_t *call = jj_inline_start_call(jobs, &run->close,
+	    hands_over ? JJ_PLATFORM_UPDATE : JJ_PLATFORM_DELETE, out);
+
+	call->version = run->open_version;
+	(void)snprintf(
+	    call->key, sizeof(call->key), "%s%s", JJ_INLINE_OPEN, run->id);
+	if (hands_over && entry != NULL)
+		call->value = jj_inline_encode_open("", &entry->route,
+		    entry->tokens, entry->total, entry->ended);
+	else if (hands_over) {
+		jj_name_t none = {""};
+
+		call->value = jj_inline_encode_open("", &none, run->job.tokens,
+		    (uint32_t)run->job.item_count, false);
+	}
+}
+
+static bool
+is_all_shown(const jj_inline_run_t *run)
+{
+	return run->job.item_count > 0 && jj_inline_run_is_complete(run);
+}
+
+static void
+take_close(jj_inline_t *jobs, jj_inline_run_t *run,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	jj_open_entry_t now_stored = {0};
+
+	switch (result->outcome) {
+	case JJ_PLATFORM_OK:
+	case JJ_PLATFORM_ABSENT:
+		jj_inline_end_call(&run->close);
+		jj_actions_add_event(out, "job_closed",
+		    "job=%s results=%u of=%zu ended=%d handed_over=%d", run->id,
+		    run->shown, run->job.item_count, run->ended, run->leaves);
+		close_run(jobs, run, now);
+		break;
+	case JJ_PLATFORM_CONFLICT:
+		if (jj_inline_decode_open(&now_stored, &result->value) &&
+		    strcmp(now_stored.owner, jobs->settings.writer) == 0) {
+			run->open_version = result->version;
+			run->ended = run->ended || now_stored.ended;
+			jj_inline_want_call(&run->close, now);
+			break;
+		}
+		/* Another VM has it, and will close it. */
+		jj_inline_end_call(&run->close);
+		close_run(jobs, run, now);
+		break;
+	default:
+		jj_inline_back_off(jobs, &run->close, now);
+		break;
+	}
+}
+
+/** The job's content goes at once; its last results stay for readers. */
+static void
+close_run(jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now)
+{
+	size_t i;
+
+	run->state = JJ_RUN_CLOSED;
+	run->closed_ms = now;
+	if (run->leaves) {
+		jj_inline_drop_run(jobs, run);
+		return;
+	}
+	for (i = 0; i < run->job.item_count; i++)
+		jj_bytes_free(&run->items[i].text);
+	free(run->items);
+	run->items = NULL;
+	jj_inline_job_clear(&run->job);
+}
+
+static void
+take_loaded(jj_inline_t *jobs, jj_inline_run_t *run,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	jj_inline_loaded_t loaded =
+	    jj_inline_take_load(jobs, &run->load, result, now);
+
+	if (loaded == JJ_LOAD_MORE)
+		return;
+	if (loaded == JJ_LOAD_ABSENT) {
+		take_absent(jobs, run, now);
+		return;
+	}
+	if (loaded == JJ_LOAD_DONE &&
+	    jj_inline_job_decode(
+		&run->job, run->load.text.data, run->load.text.size)) {
+		jj_inline_clear_load(&run->load);
+		begin_catching_up(jobs, run, now);
+		return;
+	}
+	jj_actions_add_event(
+	    out, "job_unreadable", "job=%s parts=%u", run->id, run->load.parts);
+	jj_inline_clear_load(&run->load);
+	jj_inline_back_off(jobs, &run->load.call, now);
+}
+
+/**
+ * The entry of a submission that was given up on. The write of its job may
+ * take effect seconds later, so it is only deleted after a while.
+ */
+static void
+take_absent(jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now)
+{
+	if (run->absent_ms == JJ_MS_NEVER)
+		run->absent_ms = now;
+	if (now - run->absent_ms < jobs->settings.orphan_ms) {
+		run->load.call.failures = 8;
+		jj_inline_back_off(jobs, &run->load.call, now);
+		return;
+	}
+	run->ended = true;
+	begin_closing(run, now);
+}
--- /dev/null
+++ b/src/core/inline_submit.c
@@ -0,0 +1,241 @@
+/**
+ * @file inline_submit.c
+ * @brief A job is taken: stored, with an entry that says who runs it.
+ *
+ * Both writes are creates under the job's id, so that a resend, here or at
+ * any VM, meets the first one's objects and gets the same answer. They go out
+ * side by side; the order in which they take effect does not matter, as
+ * neither an entry without a job nor a job without an entry runs anything.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "core/inline_state.h"
+
+static bool fits(const jj_inline_t *, const jj_route_t *, uint64_t);
+static void start_job(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
+static void start_open(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
+static void start_check(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
+static void take_job(
+    jj_inline_t *, jj_inline_op_t *, const jj_platform_result_t *, jj_ms_t);
+static void take_open(
+    jj_inline_t *, jj_inline_op_t *, const jj_platform_result_t *, jj_ms_t);
+static void take_check(jj_inline_t *, jj_inline_op_t *,
+    const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void accept(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
+static void give_up(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
+
+void
+jj_inline_submit(jj_inline_t *jobs, uint64_t operation, jj_inline_job_t *job,
+    const jj_route_t *route, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_inline_run_t *run = jj_inline_find_run(jobs, job->id);
+	bool is_known =
+	    run != NULL || jj_inline_find_open(jobs, job->id) != NULL;
+	bool has_room = is_known || fits(jobs, route, job->tokens);
+	jj_inline_op_t *op = jj_inline_add_op(jobs, JJ_OP_SUBMIT, operation,
+	    job->id, now + jobs->settings.submit_ms, now);
+
+	op->job = *job;
+	memset(job, 0, sizeof(*job));
+	op->route = route->name;
+	op->run_due_ms = now + route->run_due_ms;
+	op->retention_ms = now + route->retention_ms;
+	if (run != NULL && run->state != JJ_RUN_LOADING) {
+		jj_inline_answer(jobs, op, 202, NULL, out);
+		return;
+	}
+	if (jobs->leaving && !is_known) {
+		jj_inline_answer(jobs, op, 503, NULL, out);
+		return;
+	}
+	if (!has_room) {
+		op->asks_job = true;
+		jj_inline_want_call(&op->get, now);
+	} else {
+		op->text = jj_inline_job_encode(&op->job);
+		op->parts = jj_inline_count_parts(op->text.size);
+		jj_inline_want_call(&op->create_job, now);
+		jj_inline_want_call(&op->create_open, now);
+	}
+	jj_inline_step_submit(jobs, op, now, out);
+}
+
+void
+jj_inline_step_submit(
+    jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	if (now >= op->until_ms) {
+		give_up(jobs, op, out);
+		return;
+	}
+	if (jj_inline_is_due(&op->get, now))
+		start_check(jobs, op, out);
+	if (jj_inline_is_due(&op->create_job, now))
+		start_job(jobs, op, out);
+	if (jj_inline_is_due(&op->create_open, now))
+		start_open(jobs, op, out);
+}
+
+bool
+jj_inline_take_submit(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	if (result->token == op->get.token) {
+		take_check(jobs, op, result, now, out);
+		return true;
+	}
+	if (result->token == op->create_job.token)
+		take_job(jobs, op, result, now);
+	else if (result->token == op->create_open.token)
+		take_open(jobs, op, result, now);
+	else
+		return false;
+	if (op->job_stored && op->open_stored)
+		accept(jobs, op, now, out);
+	else
+		jj_inline_step_submit(jobs, op, now, out);
+	return true;
+}
+
+static bool
+fits(const jj_inline_t *jobs, const jj_route_t *route, uint64_t tokens)
+{
+	return route->tokens_most == 0 ||
+	    jj_inline_open_tokens(jobs, &route->name) + tokens <=
+	    route->tokens_most;
+}
+
+static void
+start_job(jj_inline_t *jobs, jj_inline_op_t *op, jj_actions_t *out)
+{
+	jj_platform_call_t *call = jj_inline_start_call(
+	    jobs, &op->create_job, JJ_PLATFORM_CREATE, out);
+
+	if (op->parts_done < op->parts) {
+		(void)snprintf(call->key, sizeof(call->key), "%s%s.%u",
+		    JJ_INLINE_PARTS, op->id, op->parts_done);
+		call->value = jj_inline_encode_part(&op->text, op->parts_done);
+		return;
+	}
+	(void)snprintf(
+	    call->key, sizeof(call->key), "%s%s", JJ_INLINE_JOBS, op->id);
+	call->value = op->parts > 0
+	    ? jj_inline_encode_cut(op->parts)
+	    : jj_bytes_copy(op->text.data, op->text.size);
+}
+
+static void
+start_open(jj_inline_t *jobs, jj_inline_op_t *op, jj_actions_t *out)
+{
+	jj_platform_call_t *call = jj_inline_start_call(
+	    jobs, &op->create_open, JJ_PLATFORM_CREATE, out);
+
+	(void)snprintf(
+	    call->key, sizeof(call->key), "%s%s", JJ_INLINE_OPEN, op->id);
+	call->value = jj_inline_encode_open(jobs->settings.writer, &op->route,
+	    op->job.tokens, (uint32_t)op->job.item_count, false);
+}
+
+static void
+start_check(jj_inline_t *jobs, jj_inline_op_t *op, jj_actions_t *out)
+{
+	jj_platform_call_t *call =
+	    jj_inline_start_call(jobs, &op->get, JJ_PLATFORM_GET, out);
+
+	(void)snprintf(
+	    call->key, sizeof(call->key), "%s%s", JJ_INLINE_JOBS, op->id);
+}
+
+/** A part that stands already is of an earlier try: the same text. */
+static void
+take_job(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_ms_t now)
+{
+	bool is_part = op->parts_done < op->parts;
+
+	if (result->outcome != JJ_PLATFORM_OK &&
+	    result->outcome != JJ_PLATFORM_CONFLICT) {
+		if (!is_part && !jj_inline_surely_failed(result->outcome))
+			op->may_be_stored = true;
+		jj_inline_back_off(jobs, &op->create_job, now);
+		return;
+	}
+	if (is_part) {
+		op->parts_done++;
+		jj_inline_want_call(&op->create_job, now);
+		return;
+	}
+	jj_inline_end_call(&op->create_job);
+	op->job_stored = true;
+	op->job_is_new = result->outcome == JJ_PLATFORM_OK;
+	op->may_be_stored = true;
+}
+
+static void
+take_open(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_ms_t now)
+{
+	jj_open_entry_t stored = {0};
+
+	if (result->outcome != JJ_PLATFORM_OK &&
+	    result->outcome != JJ_PLATFORM_CONFLICT) {
+		jj_inline_back_off(jobs, &op->create_open, now);
+		return;
+	}
+	jj_inline_end_call(&op->create_open);
+	op->open_stored = true;
+	op->open_version = result->version;
+	/* A conflict with an entry of this process: an answer was lost. */
+	op->open_is_mine = result->outcome == JJ_PLATFORM_OK ||
+	    (jj_inline_decode_open(&stored, &result->value) &&
+		strcmp(stored.owner, jobs->settings.writer) == 0);
+}
+
+static void
+take_check(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	if (result->outcome == JJ_PLATFORM_OK) {
+		jj_inline_answer(jobs, op, 202, NULL, out);
+	} else if (result->outcome == JJ_PLATFORM_ABSENT) {
+		jj_actions_add_event(out, "job_over_limit",
+		    "job=%s tokens=%llu waiting=%llu route=%s", op->id,
+		    (unsigned long long)op->job.tokens,
+		    (unsigned long long)(jj_inline_open_tokens(
+					     jobs, &op->route) -
+			op->job.tokens),
+		    op->route.text);
+		jj_inline_answer(jobs, op, 429, NULL, out);
+	} else
+		jj_inline_back_off(jobs, &op->get, now);
+}
+
+static void
+accept(jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	if (op->job_is_new)
+		jobs->counts.accepted++;
+	jj_actions_add_event(out, "job_accepted",
+	    "job=%s items=%zu tokens=%llu new=%d runs_here=%d took_ms=%lld",
+	    op->id, op->job.item_count, (unsigned long long)op->job.tokens,
+	    op->job_is_new, op->open_is_mine, (long long)(now - op->begun_ms));
+	if (op->open_is_mine)
+		jj_inline_adopt_job(jobs, op, now);
+	jj_inline_answer(jobs, op, 202, NULL, out);
+}
+
+/**
+ * "Not run" is said only when no write of the job itself can have an effect,
+ * now or later; without its job an entry runs nothing.
+ */
+static void
+give_up(jj_inline_t *jobs, jj_inline_op_t *op, jj_actions_t *out)
+{
+	bool unknown = op->may_be_stored || op->create_job.token != 0;
+
+	jj_actions_add_event(out, "job_not_accepted",
+	    "job=%s stored=%d entry=%d failures=%u unknown=%d", op->id,
+	    op->job_stored, op->open_stored, op->create_job.failures, unknown);
+	jj_inline_answer(jobs, op, unknown ? 504 : 503, NULL, out);
+}
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -17,6 +17,8 @@
 #define JJ_MESSAGE_LOADS_MAX 128
 /** Most ledger records in one transfer message. */
 #define JJ_MESSAGE_RECORDS_MAX 64
+/** Longest id of a job in a message, its end included. */
+#define JJ_MESSAGE_JOB_ID_SIZE 128
 /** Most fingerprints in one crash report. */
 #define JJ_MESSAGE_SUSPECTS_MAX 64
 
@@ -39,6 +41,8 @@
 	JJ_MESSAGE_SERVER_STATE, /**< a backend server is leaving or down */
 	JJ_MESSAGE_JOBS, /**< job events of the domain's watch relay */
 	JJ_MESSAGE_VMS, /**< the platform's VM list, body as of JOBS */
+	JJ_MESSAGE_YIELD, /**< cut a batch item there: online needs its place */
+	JJ_MESSAGE_JOB_ENDED, /**< its client has ended this job of yours */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -207,6 +211,8 @@
 		} slots;
 		jj_crash_t crash;
 		jj_server_notice_t server;
+		uint64_t yield; /**< jj_dispatch_hash_server of its name */
+		char job_ended[JJ_MESSAGE_JOB_ID_SIZE];
 		struct {
 			uint64_t revision;
 			jj_bytes_t events; /**< JSON array of {key,version} */
--- /dev/null
+++ b/src/core/mirror.c
@@ -0,0 +1,180 @@
+/**
+ * @file mirror.c
+ * @brief All objects below a prefix, listed once and then watched.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "core/mirror.h"
+
+static void take_list(jj_mirror_t *, const jj_platform_result_t *, jj_ms_t);
+static void take_events(jj_mirror_t *, const jj_platform_result_t *, jj_ms_t);
+static void take_failure(jj_mirror_t *, jj_ms_t);
+static void take_success(jj_mirror_t *, jj_ms_t);
+static void start_list(jj_mirror_t *);
+
+void
+jj_mirror_init(jj_mirror_t *mirror, const jj_mirror_settings_t *settings,
+    const jj_mirror_port_t *port)
+{
+	memset(mirror, 0, sizeof(*mirror));
+	mirror->settings = *settings;
+	mirror->port = *port;
+	mirror->failed_ms = JJ_MS_NEVER;
+	mirror->returned_ms = JJ_MS_NEVER;
+}
+
+void
+jj_mirror_set_active(jj_mirror_t *mirror, bool active, jj_ms_t now)
+{
+	if (mirror->active == active)
+		return;
+	mirror->active = active;
+	mirror->next_ms = now;
+}
+
+void
+jj_mirror_tick(jj_mirror_t *mirror, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_mirror_settings_t *settings = &mirror->settings;
+	jj_platform_call_t *call;
+
+	if (!mirror->active || mirror->polling || now < mirror->next_ms)
+		return;
+	mirror->polling = true;
+	call = jj_actions_add_platform(out, settings->owner,
+	    mirror->listed ? JJ_PLATFORM_WATCH : JJ_PLATFORM_LIST,
+	    settings->token);
+	(void)snprintf(call->key, sizeof(call->key), "%s", settings->prefix);
+	if (mirror->listed) {
+		call->version = mirror->since;
+		call->wait_ms = settings->wait_ms;
+		return;
+	}
+	call->values = true;
+	(void)snprintf(call->after, sizeof(call->after), "%s", mirror->after);
+}
+
+jj_ms_t
+jj_mirror_next(const jj_mirror_t *mirror)
+{
+	if (!mirror->active || mirror->polling)
+		return JJ_MS_NEVER;
+	return mirror->next_ms;
+}
+
+void
+jj_mirror_take_result(
+    jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now)
+{
+	mirror->polling = false;
+	switch (result->outcome) {
+	case JJ_PLATFORM_OK:
+		take_success(mirror, now);
+		if (result->op == JJ_PLATFORM_LIST)
+			take_list(mirror, result, now);
+		else
+			take_events(mirror, result, now);
+		break;
+	case JJ_PLATFORM_GAP:
+		take_success(mirror, now);
+		start_list(mirror);
+		mirror->next_ms = now;
+		break;
+	default:
+		take_failure(mirror, now);
+		break;
+	}
+}
+
+bool
+jj_mirror_is_current(const jj_mirror_t *mirror)
+{
+	return mirror->listed && mirror->failures == 0;
+}
+
+static void
+take_list(jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now)
+{
+	const jj_mirror_port_t *port = &mirror->port;
+	size_t i;
+
+	if (mirror->after[0] == '\0')
+		port->begin_list(port->ctx);
+	/*
+	 * The watch goes on from the first page's revision: an object that
+	 * changes while later pages are read would else be missed.
+	 */
+	if (mirror->after[0] == '\0')
+		mirror->since = result->version;
+	for (i = 0; i < result->item_count; i++) {
+		port->take(port->ctx, &result->items[i]);
+		(void)snprintf(mirror->after, sizeof(mirror->after), "%s",
+		    result->items[i].key);
+	}
+	mirror->next_ms = now;
+	if (result->more && result->item_count > 0)
+		return;
+	mirror->after[0] = '\0';
+	mirror->listed = true;
+	port->end_list(port->ctx, now);
+}
+
+static void
+take_events(
+    jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now)
+{
+	const jj_mirror_port_t *port = &mirror->port;
+	size_t i;
+
+	for (i = 0; i < result->item_count; i++) {
+		if (result->items[i].deleted)
+			port->drop(port->ctx, result->items[i].key);
+		else
+			port->take(port->ctx, &result->items[i]);
+	}
+	mirror->since = result->version;
+	mirror->next_ms = now;
+	if (result->item_count > 0)
+		mirror->next_ms += mirror->settings.spacing_ms;
+}
+
+/**
+ * Guards against a storm of calls: a platform that refuses at once (down, over
+ * its rate, or not understanding the call) would be asked again at once by
+ * every VM. Each refused call has its price.
+ */
+static void
+take_failure(jj_mirror_t *mirror, jj_ms_t now)
+{
+	jj_ms_t wait = mirror->settings.backoff_ms;
+	uint32_t i;
+
+	for (i = 0; i < mirror->failures; i++) {
+		wait *= 2;
+		if (wait >= mirror->settings.backoff_most_ms)
+			break;
+	}
+	if (wait > mirror->settings.backoff_most_ms)
+		wait = mirror->settings.backoff_most_ms;
+	if (mirror->failures == 0)
+		mirror->failed_ms = now;
+	mirror->failures++;
+	mirror->next_ms = now + wait;
+}
+
+static void
+take_success(jj_mirror_t *mirror, jj_ms_t now)
+{
+	if (mirror->failures > 0)
+		mirror->returned_ms = now;
+	mirror->failures = 0;
+	mirror->failed_ms = JJ_MS_NEVER;
+}
+
+static void
+start_list(jj_mirror_t *mirror)
+{
+	mirror->listed = false;
+	mirror->after[0] = '\0';
+}
--- a/src/core/platform_call.h
+++ b/src/core/platform_call.h
@@ -20,6 +20,8 @@
 	JJ_OWNER_LEASE,
 	JJ_OWNER_MEMBER,
 	JJ_OWNER_INTAKE,
+	JJ_OWNER_GATEWAY,
+	JJ_OWNER_INLINE,
 } jj_owner_t;
 
 typedef enum {
@@ -30,6 +32,7 @@
 	JJ_PLATFORM_LIST, /**< keys below `key`, after `after`, `limit` */
 	JJ_PLATFORM_WATCH,
 	JJ_PLATFORM_VMS,
+	JJ_PLATFORM_SET_STATUS, /**< put the object's status */
 } jj_platform_op_t;
 
 /** One call. */
@@ -42,6 +45,7 @@
 	uint64_t version; /**< expected version, or `since` of a watch */
 	int limit; /**< most items of a list */
 	bool values; /**< a list brings the values too */
+	bool stale; /**< may be seconds old, where that is cheaper */
 	jj_ms_t wait_ms; /**< how long a watch may wait */
 	jj_bytes_t value; /**< of create and update */
 } jj_platform_call_t;
@@ -61,7 +65,7 @@
 	char key[JJ_OBJECT_KEY_MAX + 1];
 	uint64_t version;
 	bool deleted;
-	jj_bytes_t value; /**< only of a list with values */
+	jj_bytes_t value; /**< where the platform tells it */
 } jj_platform_item_t;
 
 /** What came of a call. */
@@ -71,7 +75,7 @@
 	jj_platform_op_t op;
 	jj_platform_outcome_t outcome;
 	uint64_t version; /**< object's version, or the revision of a list */
-	jj_bytes_t value; /**< of a get, or the body of the VM list */
+	jj_bytes_t value; /**< of a get or a conflict, or the VM list */
 	jj_platform_item_t *items;
 	size_t item_count;
 	bool more; /**< a list was cut at its limit */
--- /dev/null
+++ b/src/daemon/gateway_front.c
@@ -0,0 +1,388 @@
+/**
+ * @file gateway_front.c
+ * @brief Callers of a VM that serves routes: requests in, our answers out.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "adapters/log.h"
+#include "adapters/metrics.h"
+#include "adapters/monotonic.h"
+#include "core/event_stream.h"
+#include "daemon/gateway_node.h"
+
+/** Marks the context of a call that waits for an operation. */
+#define CONTEXT_OPERATION (UINT64_C(1) << 63)
+
+/** Headers of a request while they are gathered. */
+typedef struct {
+	jj_gateway_node_t *node;
+	jj_stream_exchange_t *exchange;
+	const char *connection; /**< value of Connection, or NULL */
+} gather_t;
+
+static void on_request(void *, jj_http_call_t *);
+static void on_gone(void *, jj_http_call_t *);
+static void on_room(void *, jj_http_call_t *);
+static void on_ready(void *, jj_http_call_t *);
+static void on_operator(void *, jj_http_call_t *);
+static void forward(jj_gateway_node_t *, jj_http_call_t *);
+static void submit(jj_gateway_node_t *, jj_http_call_t *);
+static void operate(jj_gateway_node_t *, jj_http_call_t *,
+    jj_gateway_operation_t, const jj_front_call_t *, jj_inline_job_t *);
+static bool takes_job(jj_gateway_node_t *, jj_http_call_t *, const char *);
+static void take_header(void *, const char *, const char *);
+static bool is_named(const char *, const char *);
+static uint64_t fingerprint_of(const jj_http_call_t *);
+static void answer(jj_gateway_node_t *, jj_http_call_t *, int, jj_ms_t,
+    const char *, const jj_bytes_t *);
+static int status_of(const jj_answer_t *);
+static void answer_ready(jj_gateway_node_t *, jj_http_call_t *);
+
+bool
+jj_gateway_node_serve(jj_gateway_node_t *node)
+{
+	const jj_settings_t *settings = node->settings;
+	jj_http_limits_t limits = {settings->listen_callers, 1,
+	    settings->callers.connections, settings->callers.header_bytes,
+	    settings->callers.body_bytes, settings->callers.stream_bytes,
+	    settings->callers.idle_ms};
+	jj_http_port_t callers = {
+	    node, on_request, NULL, NULL, on_gone, on_room};
+	jj_http_port_t ready = {node, on_ready, NULL, NULL, NULL, NULL};
+	jj_http_port_t operators = {node, on_operator, NULL, NULL, NULL, NULL};
+
+	limits.address = settings->listen_operators;
+	node->operators = jj_http_server_create(&limits, &operators);
+	if (node->operators == NULL)
+		return false;
+	if (settings->gateway_idle)
+		return true;
+	limits.address = settings->listen_callers;
+	node->callers = jj_http_server_create(&limits, &callers);
+	if (node->callers == NULL)
+		return false;
+	if (settings->listen_ready[0] == '\0')
+		return true;
+	limits.address = settings->listen_ready;
+	node->ready_server = jj_http_server_create(&limits, &ready);
+	return node->ready_server != NULL;
+}
+
+void
+jj_gateway_answer_request(jj_gateway_node_t *node, const jj_answer_t *given)
+{
+	jj_http_call_t *call = NULL;
+	bool relayed = false;
+
+	if (!jj_stream_relay_take(
+		node->relay, given->request, &call, &relayed) ||
+	    call == NULL)
+		return;
+	/* What has begun can only be cut short, so that it is not complete. */
+	if (relayed)
+		jj_http_call_end(call, true);
+	else
+		answer(node, call, status_of(given), given->retry_after_ms,
+		    "text/plain", NULL);
+}
+
+void
+jj_gateway_answer_operation(jj_gateway_node_t *node, uint64_t operation,
+    int status, jj_ms_t retry_after_ms, const jj_bytes_t *body)
+{
+	jj_http_call_t *call;
+
+	(void)apr_thread_mutex_lock(node->lock);
+	call = g_hash_table_lookup(node->pending, &operation);
+	if (call != NULL)
+		(void)g_hash_table_remove(node->pending, &operation);
+	(void)apr_thread_mutex_unlock(node->lock);
+	if (call != NULL)
+		answer(node, call, status, retry_after_ms, "application/json",
+		    body);
+}
+
+void
+jj_gateway_add_item(jj_gateway_node_t *node, uint64_t request,
+    const jj_inline_job_t *job, const jj_inline_item_t *item)
+{
+	const jj_front_headers_t *names = &node->deployment->headers;
+	jj_stream_exchange_t exchange = {0};
+	char name[256];
+	const char *colon;
+	size_t i;
+
+	exchange.request = request;
+	exchange.last_id = JJ_EVENT_NO_ID;
+	(void)snprintf(exchange.id, sizeof(exchange.id), "%s", item->id);
+	exchange.method = strdup("POST");
+	exchange.uri = strdup(item->path);
+	exchange.body = jj_bytes_copy(item->body.data, item->body.size);
+	jj_stream_exchange_add_header(&exchange, "Host", job->host);
+	jj_stream_exchange_add_header(&exchange, names->request_id, item->id);
+	for (i = 0; i < item->header_count; i++) {
+		colon = strchr(item->headers[i], ':');
+		if (colon == NULL ||
+		    (size_t)(colon - item->headers[i]) >= sizeof(name))
+			continue;
+		(void)snprintf(name, sizeof(name), "%.*s",
+		    (int)(colon - item->headers[i]), item->headers[i]);
+		if (strcasecmp(name, names->request_id) == 0 ||
+		    strcasecmp(name, names->deadline_ms) == 0 ||
+		    strcasecmp(name, names->target) == 0 ||
+		    strcasecmp(name, "Host") == 0 ||
+		    jj_stream_relay_is_hop_header(name))
+			continue;
+		colon++;
+		colon += strspn(colon, " ");
+		jj_stream_exchange_add_header(&exchange, name, colon);
+	}
+	jj_stream_relay_add(node->relay, &exchange);
+}
+
+static void
+on_request(void *ctx, jj_http_call_t *call)
+{
+	jj_gateway_node_t *node = ctx;
+	jj_front_call_t read;
+
+	node->deployment->read_call(call, &read);
+	switch (read.kind) {
+	case JJ_FRONT_READ_RESULTS:
+		operate(node, call, JJ_GATEWAY_READ, &read, NULL);
+		break;
+	case JJ_FRONT_READ_ITEM:
+		operate(node, call, JJ_GATEWAY_READ_ITEM, &read, NULL);
+		break;
+	case JJ_FRONT_END_JOB:
+		operate(node, call, JJ_GATEWAY_END, &read, NULL);
+		break;
+	case JJ_FRONT_MALFORMED:
+		answer(node, call, 400, 0, "text/plain", NULL);
+		break;
+	case JJ_FRONT_FORWARD:
+		if (node->settings->listen_ready[0] == '\0' &&
+		    strcmp(jj_http_call_path(call),
+			node->deployment->ready_path) == 0)
+			answer_ready(node, call);
+		else
+			forward(node, call);
+		break;
+	}
+}
+
+static void
+on_gone(void *ctx, jj_http_call_t *call)
+{
+	jj_gateway_node_t *node = ctx;
+	uint64_t number = (uint64_t)(uintptr_t)jj_http_call_context(call);
+
+	if (number == 0)
+		return;
+	if ((number & CONTEXT_OPERATION) == 0)
+		jj_gateway_post_gone(node, number);
+	else
+		jj_gateway_post_forget(node, number & ~CONTEXT_OPERATION);
+}
+
+static void
+on_room(void *ctx, jj_http_call_t *call)
+{
+	jj_gateway_node_t *node = ctx;
+	uint64_t number = (uint64_t)(uintptr_t)jj_http_call_context(call);
+
+	if (number != 0 && (number & CONTEXT_OPERATION) == 0)
+		jj_stream_relay_resume(node->relay, number);
+}
+
+static void
+on_ready(void *ctx, jj_http_call_t *call)
+{
+	answer_ready(ctx, call);
+}
+
+static void
+on_operator(void *ctx, jj_http_call_t *call)
+{
+	jj_gateway_node_t *node = ctx;
+	jj_bytes_t text;
+
+	if (strcmp(jj_http_call_path(call), "/metrics") != 0) {
+		answer_ready(node, call);
+		return;
+	}
+	jj_gateway_update_metrics(node);
+	text = jj_metrics_text();
+	answer(node, call, 200, 0, "text/plain; version=0.0.4", &text);
+	jj_bytes_free(&text);
+}
+
+static void
+forward(jj_gateway_node_t *node, jj_http_call_t *call)
+{
+	const jj_front_headers_t *names = &node->deployment->headers;
+	const char *host = jj_http_call_header(call, "Host");
+	const char *id = jj_http_call_header(call, names->request_id);
+	const char *budget = jj_http_call_header(call, names->deadline_ms);
+	const char *last = jj_http_call_header(call, names->last_event_id);
+	const jj_bytes_t *body = jj_http_call_body(call);
+	jj_stream_exchange_t exchange = {0};
+	jj_gateway_request_t request = {0};
+	gather_t gather = {
+	    node, &exchange, jj_http_call_header(call, "Connection")};
+
+	if (host == NULL) {
+		answer(node, call, 400, 0, "text/plain", NULL);
+		return;
+	}
+	if (takes_job(node, call, host)) {
+		submit(node, call);
+		return;
+	}
+	request.request = jj_gateway_node_next_number(node);
+	(void)snprintf(
+	    request.id, sizeof(request.id), "%s", id != NULL ? id : "");
+	request.host = host;
+	request.path = jj_http_call_path(call);
+	request.budget_ms = budget != NULL ? strtol(budget, NULL, 10) : 0;
+	request.fingerprint = fingerprint_of(call);
+	exchange.request = request.request;
+	exchange.call = call;
+	memcpy(exchange.id, request.id, sizeof(exchange.id));
+	exchange.method = strdup(jj_http_call_method(call));
+	exchange.uri = strdup(jj_http_call_uri(call));
+	exchange.body = jj_bytes_copy(body->data, body->size);
+	exchange.last_id =
+	    last != NULL ? strtoll(last, NULL, 10) : JJ_EVENT_NO_ID;
+	jj_http_call_each_header(call, take_header, &gather);
+	jj_http_call_set_context(call, (void *)(uintptr_t)request.request);
+	jj_stream_relay_add(node->relay, &exchange);
+	jj_gateway_post_request(node, &request);
+}
+
+/** All that concern more than this connection, but what we set ourselves. */
+static void
+take_header(void *ctx, const char *name, const char *value)
+{
+	const gather_t *gather = ctx;
+	const jj_front_headers_t *names = &gather->node->deployment->headers;
+
+	if (jj_stream_relay_is_hop_header(name) ||
+	    strcasecmp(name, names->deadline_ms) == 0 ||
+	    strcasecmp(name, names->target) == 0 ||
+	    strcasecmp(name, names->last_event_id) == 0 ||
+	    is_named(gather->connection, name))
+		return;
+	jj_stream_exchange_add_header(gather->exchange, name, value);
+}
+
+/** True when the value of Connection names the header. */
+static bool
+is_named(const char *connection, const char *name)
+{
+	size_t length = strlen(name);
+
+	while (connection != NULL && *connection != '\0') {
+		connection += strspn(connection, " ,\t");
+		if (strncasecmp(connection, name, length) == 0 &&
+		    strchr(" ,\t", connection[length]) != NULL)
+			return true;
+		connection += strcspn(connection, ",");
+	}
+	return false;
+}
+
+static bool
+takes_job(jj_gateway_node_t *node, jj_http_call_t *call, const char *host)
+{
+	const jj_route_t *route;
+	bool takes;
+
+	if (strcmp(jj_http_call_method(call), "POST") != 0)
+		return false;
+	(void)apr_thread_mutex_lock(node->lock);
+	route = jj_routes_match(&node->routes, host, jj_http_call_path(call));
+	takes = route != NULL && route->kind == JJ_ROUTE_BATCH;
+	(void)apr_thread_mutex_unlock(node->lock);
+	return takes;
+}
+
+static void
+submit(jj_gateway_node_t *node, jj_http_call_t *call)
+{
+	jj_inline_job_t job;
+
+	if (node->deployment->read_job(call, &job))
+		operate(node, call, JJ_GATEWAY_SUBMIT, NULL, &job);
+	else
+		answer(node, call, 400, 0, "text/plain", NULL);
+}
+
+static void
+operate(jj_gateway_node_t *node, jj_http_call_t *call,
+    jj_gateway_operation_t kind, const jj_front_call_t *read,
+    jj_inline_job_t *job)
+{
+	uint64_t operation = jj_gateway_node_next_number(node);
+	gint64 *key = g_new(gint64, 1);
+
+	*key = (gint64)operation;
+	jj_http_call_set_context(
+	    call, (void *)(uintptr_t)(operation | CONTEXT_OPERATION));
+	(void)apr_thread_mutex_lock(node->lock);
+	(void)g_hash_table_insert(node->pending, key, call);
+	(void)apr_thread_mutex_unlock(node->lock);
+	jj_gateway_post_operation(node, kind, operation, read, job);
+}
+
+static uint64_t
+fingerprint_of(const jj_http_call_t *call)
+{
+	const jj_bytes_t *body = jj_http_call_body(call);
+	const char *uri = jj_http_call_uri(call);
+
+	return jj_hash_bytes(body->data != NULL ? body->data : "", body->size,
+	    jj_hash_bytes(uri, strlen(uri), 0));
+}
+
+/** Our own answers; while this VM stops, its connections are given up. */
+static void
+answer(jj_gateway_node_t *node, jj_http_call_t *call, int status,
+    jj_ms_t retry_after_ms, const char *content_type, const jj_bytes_t *body)
+{
+	jj_http_answer_t head = {status, content_type, {{NULL, NULL}}};
+	char seconds[32];
+	size_t count = 0;
+
+	if (retry_after_ms > 0 && (status == 429 || status == 503)) {
+		(void)snprintf(seconds, sizeof(seconds), "%.3f",
+		    (double)retry_after_ms / 1000);
+		head.fields[count].name = "Retry-After";
+		head.fields[count++].value = seconds;
+	}
+	if (atomic_load(&node->leaving)) {
+		head.fields[count].name = "Connection";
+		head.fields[count++].value = "close";
+	}
+	jj_http_call_answer(call, &head, body != NULL ? body->data : NULL,
+	    body != NULL ? body->size : 0);
+}
+
+static int
+status_of(const jj_answer_t *given)
+{
+	if (given->run != JJ_RUN_NOT_RUN)
+		return given->reason == JJ_GIVE_UP_DEADLINE ? 504 : 502;
+	return given->reason == JJ_GIVE_UP_NO_SERVICE ? 404 : 503;
+}
+
+static void
+answer_ready(jj_gateway_node_t *node, jj_http_call_t *call)
+{
+	bool ready = atomic_load(&node->ready) && !atomic_load(&node->leaving);
+
+	answer(node, call, ready ? 200 : 503, 0, "text/plain", NULL);
+}
--- /dev/null
+++ b/src/daemon/gateway_node.c
@@ -0,0 +1,226 @@
+/**
+ * @file gateway_node.c
+ * @brief Builds a VM that serves routes from its parts, and takes it down.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters/log.h"
+#include "adapters/metrics.h"
+#include "adapters/monotonic.h"
+#include "adapters/random.h"
+#include "daemon/gateway_node.h"
+
+static void fill_settings(const jj_gateway_node_t *, jj_gateway_settings_t *);
+static void create_core(jj_gateway_node_t *);
+static bool create_adapters(jj_gateway_node_t *);
+static bool
+read_routes(void *, const jj_bytes_t *, jj_routes_t *, char *, size_t);
+static bool
+read_server(void *, const char *, const jj_bytes_t *, jj_slot_info_t *);
+static jj_bytes_t write_page(void *, const jj_inline_page_t *);
+static int64_t unix_ms(void *);
+static void on_routes(void *, const jj_routes_t *);
+
+jj_gateway_node_t *
+jj_gateway_node_create(
+    const jj_settings_t *settings, const jj_deployment_t *deployment)
+{
+	jj_gateway_node_t *node = jj_alloc(sizeof(*node));
+
+	node->settings = settings;
+	node->deployment = deployment;
+	node->incarnation = jj_random_u64() | 1;
+	node->pool = jj_runtime_create_pool();
+	node->lock = jj_runtime_create_mutex(node->pool);
+	node->pending =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	create_core(node);
+	node->loop =
+	    jj_loop_create(jj_gateway_node_next, jj_gateway_node_tick, node);
+	if (create_adapters(node) && jj_loop_start(node->loop) &&
+	    jj_gateway_node_serve(node))
+		return node;
+	jj_log(JJ_LOG_ERROR, "start_failed",
+	    "callers=%s ready=%s operators=%s neighbours=%s",
+	    settings->listen_callers, settings->listen_ready,
+	    settings->listen_operators, settings->listen_neighbours);
+	jj_gateway_node_destroy(node);
+	return NULL;
+}
+
+void
+jj_gateway_node_leave(jj_gateway_node_t *node)
+{
+	atomic_store(&node->leaving, true);
+	atomic_store(&node->idle, false);
+	jj_gateway_post_leave(node);
+}
+
+bool
+jj_gateway_node_is_idle(jj_gateway_node_t *node)
+{
+	return atomic_load(&node->idle) &&
+	    (node->callers == NULL || jj_http_server_open(node->callers) == 0);
+}
+
+void
+jj_gateway_node_destroy(jj_gateway_node_t *node)
+{
+	jj_http_server_destroy(node->callers);
+	jj_http_server_destroy(node->ready_server);
+	jj_http_server_destroy(node->operators);
+	jj_loop_stop(node->loop);
+	jj_neighbours_destroy(node->neighbours);
+	jj_stream_relay_destroy(node->relay);
+	jj_platform_destroy(node->platform);
+	jj_loop_destroy(node->loop);
+	jj_gateway_destroy(node->core);
+	jj_routes_clear(&node->routes);
+	g_hash_table_destroy(node->pending);
+	apr_pool_destroy(node->pool);
+	free(node);
+}
+
+uint64_t
+jj_gateway_node_next_number(jj_gateway_node_t *node)
+{
+	return atomic_fetch_add(&node->last_number, 1) + 1;
+}
+
+void
+jj_gateway_update_metrics(jj_gateway_node_t *node)
+{
+	jj_neighbours_counts_t counts = jj_neighbours_counts(node->neighbours);
+
+	jj_counter_set(jj_metrics_counter("jujube_messages_sent_total",
+			   "Messages to other VMs.", NULL, NULL),
+	    counts.sent);
+	jj_counter_set(jj_metrics_counter("jujube_messages_dropped_total",
+			   "Messages that could not be sent.", NULL, NULL),
+	    counts.dropped);
+	jj_counter_set(jj_metrics_counter("jujube_platform_calls_total",
+			   "Calls to the platform.", NULL, NULL),
+	    jj_platform_calls(node->platform));
+	if (node->callers != NULL)
+		jj_gauge_set(jj_metrics_gauge("jujube_open_requests",
+				 "Calls not answered yet.", NULL, NULL),
+		    jj_http_server_open(node->callers));
+}
+
+static void
+create_core(jj_gateway_node_t *node)
+{
+	jj_gateway_settings_t settings;
+	jj_gateway_port_t port = {
+	    node, read_routes, read_server, write_page, unix_ms, on_routes};
+
+	fill_settings(node, &settings);
+	node->core = jj_gateway_create(&settings, &port);
+}
+
+/** Times come from the file; names, the seed and the wire from elsewhere. */
+static void
+fill_settings(const jj_gateway_node_t *node, jj_gateway_settings_t *core)
+{
+	const jj_settings_t *settings = node->settings;
+	const jj_deployment_t *deployment = node->deployment;
+
+	*core = settings->gateway;
+	core->name = settings->name;
+	core->domain = settings->domain;
+	core->incarnation = node->incarnation;
+	core->seed = node->incarnation ^ 1;
+	core->serves = !settings->gateway_idle;
+	core->member = settings->core.member;
+	core->member.incarnation = node->incarnation;
+	core->member.seed = node->incarnation ^ 2;
+	if (!jj_name_is_empty(&settings->region))
+		core->member.domain = settings->region;
+	core->quarantine = settings->core.quarantine;
+	core->slots.name = settings->name;
+	core->slots.domain = settings->domain;
+	core->slots.seed = node->incarnation ^ 3;
+	core->jobs.mirror_wait_ms = core->watch_wait_ms;
+	jj_core_write_writer(&settings->name, node->incarnation,
+	    core->jobs.writer, sizeof(core->jobs.writer));
+	(void)snprintf(core->config_prefix, sizeof(core->config_prefix), "%s",
+	    deployment->config_prefix);
+	(void)snprintf(core->config_key, sizeof(core->config_key), "%s",
+	    deployment->config_key);
+	(void)snprintf(core->servers_prefix, sizeof(core->servers_prefix), "%s",
+	    deployment->servers_prefix);
+	/* Only a VM with a disk is emptied by an order. */
+	if (!core->serves)
+		(void)snprintf(core->retire_prefix, sizeof(core->retire_prefix),
+		    "%s", deployment->retire_prefix);
+}
+
+static bool
+create_adapters(jj_gateway_node_t *node)
+{
+	const jj_settings_t *settings = node->settings;
+	jj_stream_relay_port_t relay = {node, jj_gateway_post_backend};
+
+	node->platform = jj_platform_create(node->deployment->store,
+	    settings->platform.address, settings->platform.client.text,
+	    settings->platform.timeout_ms, jj_gateway_post_platform, node);
+	node->relay = jj_stream_relay_create(node->deployment, &relay);
+	node->neighbours = jj_neighbours_create(
+	    settings->listen_neighbours, jj_gateway_post_message, node);
+	return node->platform != NULL && node->relay != NULL &&
+	    node->neighbours != NULL;
+}
+
+static bool
+read_routes(void *ctx, const jj_bytes_t *object, jj_routes_t *routes, char *why,
+    size_t why_size)
+{
+	const jj_gateway_node_t *node = ctx;
+
+	return node->deployment->read_routes(object, routes, why, why_size);
+}
+
+static bool
+read_server(
+    void *ctx, const char *id, const jj_bytes_t *object, jj_slot_info_t *info)
+{
+	const jj_gateway_node_t *node = ctx;
+
+	return node->deployment->read_server(id, object, info);
+}
+
+static jj_bytes_t
+write_page(void *ctx, const jj_inline_page_t *page)
+{
+	const jj_gateway_node_t *node = ctx;
+
+	return node->deployment->write_page(page);
+}
+
+static int64_t
+unix_ms(void *ctx)
+{
+	(void)ctx;
+	return (int64_t)(jj_unix_now_ns() / 1000000);
+}
+
+static void
+on_routes(void *ctx, const jj_routes_t *routes)
+{
+	jj_gateway_node_t *node = ctx;
+	jj_routes_t copy = *routes;
+
+	copy.routes = NULL;
+	if (routes->route_count > 0) {
+		copy.routes =
+		    jj_alloc(routes->route_count * sizeof(*copy.routes));
+		memcpy(copy.routes, routes->routes,
+		    routes->route_count * sizeof(*copy.routes));
+	}
+	(void)apr_thread_mutex_lock(node->lock);
+	jj_routes_clear(&node->routes);
+	node->routes = copy;
+	(void)apr_thread_mutex_unlock(node->lock);
+}
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -18,15 +18,21 @@
 
 #include "jujubeswitch.h"
 
+#include "adapters/deployment.h"
 #include "adapters/log.h"
 #include "adapters/monotonic.h"
 #include "adapters/settings.h"
 #include "adapters/trace.h"
+#include "daemon/gateway_node.h"
 #include "daemon/node.h"
 
 #define EXIT_USAGE 2
 /** How often a planned stop looks whether all is done, ms. */
 #define DRAIN_LOOK_MS 20
+/** How often a running daemon looks whether it was told to stop, ms. */
+#define STOP_LOOK_MS 200
+/** A stop ends so long before the process would be killed, ms. */
+#define STOP_MARGIN_MS 400
 
 static char *settings_path;
 static gboolean check_only;
@@ -52,7 +58,11 @@
 
 static int run(const jj_settings_t *);
 static void wait_for_stop(jj_node_t *, const jj_settings_t *, sigset_t *);
-static bool wait_for_signal(const sigset_t *, jj_ms_t);
+static int run_node(const jj_settings_t *, sigset_t *);
+static int
+run_gateway(const jj_settings_t *, const jj_deployment_t *, sigset_t *);
+static void log_start(const jj_settings_t *);
+static int wait_for_signal(const sigset_t *, jj_ms_t);
 
 int
 main(int argc, char **argv)
@@ -103,42 +113,103 @@
 	jj_trace_settings_t trace = {settings->name.text, settings->trace.file,
 	    settings->trace.share, settings->trace.ring,
 	    settings->trace.flush_ms};
-	jj_node_t *node;
+	const char *form = settings->platform.form.text;
+	const jj_deployment_t *deployment = NULL;
 	sigset_t signals;
 	int status = EXIT_FAILURE;
 
 	(void)sigemptyset(&signals);
 	(void)sigaddset(&signals, SIGTERM);
 	(void)sigaddset(&signals, SIGINT);
+	(void)sigaddset(&signals, SIGHUP);
 	(void)apr_signal_block(SIGTERM);
 	(void)apr_signal_block(SIGINT);
+	(void)apr_signal_block(SIGHUP);
 	(void)apr_signal(SIGPIPE, SIG_IGN);
 	(void)curl_global_init(CURL_GLOBAL_DEFAULT);
 	if (!jj_log_open(settings->log.level,
 		settings->log.file[0] != '\0' ? settings->log.file : NULL))
 		return EXIT_FAILURE;
 	jj_log_set_name(settings->name.text);
+	if (form[0] != '\0') {
+		deployment = jj_deployment_find(form);
+		if (deployment == NULL) {
+			jj_log(JJ_LOG_ERROR, "start_failed",
+			    "platform.form=%s must be a known one", form);
+			goto out_log;
+		}
+	}
 	if (!jj_trace_open(&trace))
 		goto out_log;
-	node = jj_node_create(settings);
-	if (node == NULL)
-		goto out_trace;
-	jj_log(JJ_LOG_INFO, "started", "callers=%s operators=%s neighbours=%s",
-	    settings->listen_callers, settings->listen_operators,
-	    settings->listen_neighbours);
-	wait_for_stop(node, settings, &signals);
-	jj_node_destroy(node);
-	jj_log(JJ_LOG_INFO, "stopped", "status=0");
-	status = 0;
-
-out_trace:
+	status = deployment != NULL
+	    ? run_gateway(settings, deployment, &signals)
+	    : run_node(settings, &signals);
 	jj_trace_close();
+
 out_log:
 	jj_log_close();
 	curl_global_cleanup();
 	return status;
 }
 
+static int
+run_node(const jj_settings_t *settings, sigset_t *signals)
+{
+	jj_node_t *node = jj_node_create(settings);
+
+	if (node == NULL)
+		return EXIT_FAILURE;
+	log_start(settings);
+	wait_for_stop(node, settings, signals);
+	jj_node_destroy(node);
+	jj_log(JJ_LOG_INFO, "stopped", "status=0");
+	return 0;
+}
+
+static int
+run_gateway(const jj_settings_t *settings, const jj_deployment_t *deployment,
+    sigset_t *signals)
+{
+	jj_gateway_node_t *node = jj_gateway_node_create(settings, deployment);
+	jj_ms_t begun;
+	jj_ms_t until;
+	int signal;
+
+	if (node == NULL)
+		return EXIT_FAILURE;
+	log_start(settings);
+	/* Nothing in the file changes while a VM runs. */
+	while ((signal = wait_for_signal(signals, STOP_LOOK_MS)) == 0 ||
+	    signal == SIGHUP)
+		if (signal == SIGHUP)
+			jj_log(JJ_LOG_INFO, "reload", "changed=0");
+	begun = jj_monotonic_now();
+	until = begun + settings->stop.drain_ms;
+	if (settings->stop.grace_s > 0)
+		until = begun + (jj_ms_t)(settings->stop.grace_s * 1000) -
+		    STOP_MARGIN_MS;
+	jj_log(JJ_LOG_INFO, "stopping", "signal=%d limit_ms=%lld", signal,
+	    (long long)(until - begun));
+	jj_gateway_node_leave(node);
+	while (jj_monotonic_now() < until &&
+	    (!jj_gateway_node_is_idle(node) ||
+		jj_monotonic_now() < begun + settings->stop.least_ms))
+		(void)wait_for_signal(signals, DRAIN_LOOK_MS);
+	jj_log(JJ_LOG_INFO, "stopped", "status=0 idle=%d took_ms=%lld",
+	    jj_gateway_node_is_idle(node),
+	    (long long)(jj_monotonic_now() - begun));
+	jj_gateway_node_destroy(node);
+	return 0;
+}
+
+static void
+log_start(const jj_settings_t *settings)
+{
+	jj_log(JJ_LOG_INFO, "started", "callers=%s operators=%s neighbours=%s",
+	    settings->listen_callers, settings->listen_operators,
+	    settings->listen_neighbours);
+}
+
 /**
  * Waits for a signal, or for an operator's drain, and then until nothing is
  * in progress any more; a second signal, or the drain limit, ends the wait.
@@ -147,15 +218,18 @@
 wait_for_stop(jj_node_t *node, const jj_settings_t *settings, sigset_t *signals)
 {
 	jj_ms_t until;
+	int signal;
 
-	while (!wait_for_signal(signals, 200)) {
+	while ((signal = wait_for_signal(signals, STOP_LOOK_MS)) == 0 ||
+	    signal == SIGHUP) {
 		if (atomic_load(&node->leaving))
 			break;
 	}
 	jj_node_leave(node);
 	until = jj_monotonic_now() + settings->stop.drain_ms;
 	while (!jj_node_is_idle(node) && jj_monotonic_now() < until) {
-		if (wait_for_signal(signals, DRAIN_LOOK_MS)) {
+		signal = wait_for_signal(signals, DRAIN_LOOK_MS);
+		if (signal == SIGTERM || signal == SIGINT) {
 			jj_log(JJ_LOG_WARN, "stop_forced", "by=signal");
 			return;
 		}
@@ -164,10 +238,12 @@
 		jj_log(JJ_LOG_WARN, "stop_forced", "by=drain_limit");
 }
 
-static bool
+/** The signal that came within the time, or 0. */
+static int
 wait_for_signal(const sigset_t *signals, jj_ms_t wait_ms)
 {
 	struct timespec wait = {wait_ms / 1000, (wait_ms % 1000) * 1000000L};
+	int signal = sigtimedwait(signals, NULL, &wait);
 
-	return sigtimedwait(signals, NULL, &wait) > 0;
+	return signal > 0 ? signal : 0;
 }
--- /dev/null
+++ b/src/daemon/stream_relay.c
@@ -0,0 +1,641 @@
+/**
+ * @file stream_relay.c
+ * @brief Answers of servers on their way to callers, byte for byte.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <glib.h>
+
+#include "adapters/monotonic.h"
+#include "adapters/runtime.h"
+#include "core/event_stream.h"
+#include "daemon/stream_relay.h"
+
+/** Largest answer that is no stream, bytes. */
+#define WHOLE_MAX (16U << 20)
+/** Between signs that a stream goes on, ms; the core looks for its stall. */
+#define SIGN_MS 250
+/** The server ends its work at the time it is given; then we do too, ms. */
+#define LATE_MS 500
+
+/** An exchange and what of its answer was passed on. */
+typedef struct {
+	jj_stream_exchange_t exchange;
+	uint32_t attempt; /**< under way, 0: none */
+	uint64_t transfer;
+	bool begun; /**< the caller has the head */
+	int64_t last_id; /**< of the last event passed on */
+	jj_bytes_t text; /**< of an item: its output so far */
+	bool has_text; /**< some event was taken, if only an empty one */
+} entry_t;
+
+/** What is known of the answer's head. */
+typedef enum {
+	ANSWER_UNKNOWN,
+	ANSWER_STREAM,
+	ANSWER_WHOLE,
+	ANSWER_FOREIGN, /**< not the answer to this request */
+} answer_kind_t;
+
+/** One attempt; lives as long as its transfer. */
+typedef struct {
+	jj_stream_relay_t *relay;
+	uint64_t request;
+	uint32_t attempt;
+	bool streams; /**< the route says so */
+	bool resumes; /**< goes on behind an event that was passed on */
+	char id[JJ_GATEWAY_ID_MAX + 1];
+	answer_kind_t kind;
+	int status;
+	bool not_run; /**< the server says so */
+	char *lines; /**< the head's, owned */
+	jj_event_stream_t events;
+	jj_bytes_t body; /**< of a whole answer */
+	size_t body_room;
+	bool first_told;
+	jj_ms_t sign_ms;
+} attempt_t;
+
+struct jj_stream_relay {
+	const jj_deployment_t *deployment;
+	jj_stream_relay_port_t port;
+	jj_http_client_t *client;
+	apr_pool_t *pool;
+	apr_thread_mutex_t *lock; /**< guards the table and its entries */
+	GHashTable *table; /**< entry_t by request */
+};
+
+static entry_t *find(jj_stream_relay_t *, uint64_t);
+static void free_entry(void *);
+static void clear_exchange(jj_stream_exchange_t *);
+static void free_attempt(attempt_t *);
+static void on_head(void *, const jj_http_head_t *);
+static bool read_line(const char **, char *, size_t, char **);
+static void judge_head(attempt_t *);
+static jj_http_flow_t on_data(void *, const char *, size_t);
+static void take_events(attempt_t *, entry_t *, const char *, size_t);
+static void pass_on(attempt_t *, entry_t *, const jj_event_piece_t *);
+static void take_whole(attempt_t *, const char *, size_t);
+static void begin_answer(attempt_t *, entry_t *);
+static void answer_whole(attempt_t *, entry_t *);
+static void fill_answer(attempt_t *, jj_http_answer_t *, GPtrArray *);
+static void on_end(void *, jj_http_end_t, const jj_http_head_t *);
+static jj_backend_kind_t judge_end(const attempt_t *, jj_http_end_t);
+static jj_backend_kind_t judge_status(const attempt_t *);
+static void finish(attempt_t *, entry_t *, jj_bytes_t *);
+static void tell(attempt_t *, jj_backend_kind_t, jj_ms_t, bool, jj_bytes_t *);
+static void tell_sign(attempt_t *);
+
+jj_stream_relay_t *
+jj_stream_relay_create(
+    const jj_deployment_t *deployment, const jj_stream_relay_port_t *port)
+{
+	jj_stream_relay_t *relay = jj_alloc(sizeof(*relay));
+
+	relay->deployment = deployment;
+	relay->port = *port;
+	relay->pool = jj_runtime_create_pool();
+	relay->lock = jj_runtime_create_mutex(relay->pool);
+	relay->table = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_entry);
+	relay->client = jj_http_client_create();
+	if (relay->client != NULL)
+		return relay;
+	jj_stream_relay_destroy(relay);
+	return NULL;
+}
+
+void
+jj_stream_relay_destroy(jj_stream_relay_t *relay)
+{
+	if (relay == NULL)
+		return;
+	jj_http_client_destroy(relay->client);
+	g_hash_table_destroy(relay->table);
+	apr_pool_destroy(relay->pool);
+	free(relay);
+}
+
+void
+jj_stream_relay_add(
+    jj_stream_relay_t *relay, const jj_stream_exchange_t *exchange)
+{
+	entry_t *entry = jj_alloc(sizeof(*entry));
+
+	entry->exchange = *exchange;
+	entry->last_id = exchange->last_id;
+	(void)apr_thread_mutex_lock(relay->lock);
+	(void)g_hash_table_insert(
+	    relay->table, &entry->exchange.request, entry);
+	(void)apr_thread_mutex_unlock(relay->lock);
+}
+
+void
+jj_stream_exchange_add_header(
+    jj_stream_exchange_t *exchange, const char *name, const char *value)
+{
+	size_t room = strlen(name) + strlen(value) + 3;
+	char *line = jj_alloc(room);
+
+	/* libcurl leaves a header out that is "Name:"; "Name;" sends it. */
+	if (value[0] == '\0')
+		(void)snprintf(line, room, "%s;", name);
+	else
+		(void)snprintf(line, room, "%s: %s", name, value);
+	exchange->headers = jj_realloc(exchange->headers,
+	    (exchange->header_count + 1) * sizeof(*exchange->headers));
+	exchange->headers[exchange->header_count++] = line;
+}
+
+bool
+jj_stream_relay_has(jj_stream_relay_t *relay, uint64_t request)
+{
+	bool has;
+
+	(void)apr_thread_mutex_lock(relay->lock);
+	has = find(relay, request) != NULL;
+	(void)apr_thread_mutex_unlock(relay->lock);
+	return has;
+}
+
+void
+jj_stream_relay_start(jj_stream_relay_t *relay, uint64_t request,
+    uint32_t number, const jj_gateway_start_t *start)
+{
+	const jj_front_headers_t *names = &relay->deployment->headers;
+	jj_http_request_t http = {0};
+	char deadline[128];
+	char target[192];
+	char last[128];
+	attempt_t *attempt;
+	entry_t *entry;
+	size_t count = 0;
+
+	(void)apr_thread_mutex_lock(relay->lock);
+	entry = find(relay, request);
+	if (entry == NULL) {
+		(void)apr_thread_mutex_unlock(relay->lock);
+		return;
+	}
+	attempt = jj_alloc(sizeof(*attempt));
+	attempt->relay = relay;
+	attempt->request = request;
+	attempt->attempt = number;
+	attempt->streams = start->streams;
+	attempt->resumes = entry->last_id != JJ_EVENT_NO_ID;
+	memcpy(attempt->id, entry->exchange.id, sizeof(attempt->id));
+	jj_event_stream_begin(&attempt->events, entry->last_id);
+	(void)snprintf(deadline, sizeof(deadline), "%s: %lld",
+	    names->deadline_ms, (long long)start->budget_ms);
+	(void)snprintf(target, sizeof(target), "%s: %s", names->target,
+	    start->server.text);
+	http.headers[count++] = deadline;
+	http.headers[count++] = target;
+	if (entry->last_id != JJ_EVENT_NO_ID) {
+		(void)snprintf(last, sizeof(last), "%s: %lld",
+		    names->last_event_id, (long long)entry->last_id);
+		http.headers[count++] = last;
+	}
+	http.method = entry->exchange.method;
+	http.address = start->address;
+	http.path = entry->exchange.uri;
+	http.more_headers = entry->exchange.headers;
+	http.more_header_count = entry->exchange.header_count;
+	http.verbatim = true;
+	http.body = entry->exchange.body.data;
+	http.body_size = entry->exchange.body.size;
+	http.timeout_ms = start->budget_ms + LATE_MS;
+	http.connect_ms = start->connect_ms;
+	http.once = true;
+	http.ctx = attempt;
+	http.on_head = on_head;
+	http.on_data = on_data;
+	http.on_end = on_end;
+	entry->attempt = number;
+	entry->transfer = jj_http_client_start(relay->client, &http);
+	(void)apr_thread_mutex_unlock(relay->lock);
+}
+
+void
+jj_stream_relay_cancel(
+    jj_stream_relay_t *relay, uint64_t request, uint32_t attempt)
+{
+	entry_t *entry;
+
+	(void)apr_thread_mutex_lock(relay->lock);
+	entry = find(relay, request);
+	if (entry != NULL && entry->attempt == attempt) {
+		entry->attempt = 0;
+		jj_http_client_cancel(relay->client, entry->transfer);
+	}
+	(void)apr_thread_mutex_unlock(relay->lock);
+}
+
+bool
+jj_stream_relay_take(jj_stream_relay_t *relay, uint64_t request,
+    jj_http_call_t **call, bool *relayed)
+{
+	entry_t *entry;
+
+	(void)apr_thread_mutex_lock(relay->lock);
+	entry = find(relay, request);
+	if (entry != NULL) {
+		*call = entry->exchange.call;
+		*relayed = entry->begun;
+		entry->exchange.call = NULL;
+		if (entry->attempt != 0)
+			jj_http_client_cancel(relay->client, entry->transfer);
+		(void)g_hash_table_remove(relay->table, &request);
+	}
+	(void)apr_thread_mutex_unlock(relay->lock);
+	return entry != NULL;
+}
+
+void
+jj_stream_relay_resume(jj_stream_relay_t *relay, uint64_t request)
+{
+	entry_t *entry;
+
+	(void)apr_thread_mutex_lock(relay->lock);
+	entry = find(relay, request);
+	if (entry != NULL && entry->attempt != 0)
+		jj_http_client_resume(relay->client, entry->transfer);
+	(void)apr_thread_mutex_unlock(relay->lock);
+}
+
+bool
+jj_stream_relay_is_hop_header(const char *name)
+{
+	static const char *const names[] = {"Connection", "Keep-Alive",
+	    "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	    "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	    "Expect"};
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (strcasecmp(names[i], name) == 0)
+			return true;
+	return false;
+}
+
+static entry_t *
+find(jj_stream_relay_t *relay, uint64_t request)
+{
+	return g_hash_table_lookup(relay->table, &request);
+}
+
+static void
+free_entry(void *memory)
+{
+	entry_t *entry = memory;
+
+	/* A forced stop: nobody will answer this call any more. */
+	if (entry->exchange.call != NULL)
+		jj_http_call_release(entry->exchange.call);
+	clear_exchange(&entry->exchange);
+	jj_bytes_free(&entry->text);
+	free(entry);
+}
+
+static void
+clear_exchange(jj_stream_exchange_t *exchange)
+{
+	size_t i;
+
+	for (i = 0; i < exchange->header_count; i++)
+		free(exchange->headers[i]);
+	free(exchange->headers);
+	free(exchange->method);
+	free(exchange->uri);
+	jj_bytes_free(&exchange->body);
+}
+
+static void
+free_attempt(attempt_t *attempt)
+{
+	jj_event_stream_clear(&attempt->events);
+	jj_bytes_free(&attempt->body);
+	free(attempt->lines);
+	free(attempt);
+}
+
+static void
+on_head(void *ctx, const jj_http_head_t *head)
+{
+	attempt_t *attempt = ctx;
+
+	attempt->status = head->status;
+	attempt->lines = strdup(head->lines);
+	judge_head(attempt);
+}
+
+/** Splits the next header line; @p name is cut off at the colon. */
+static bool
+read_line(const char **at, char *line, size_t room, char **value)
+{
+	size_t length = strcspn(*at, "\n");
+
+	if (**at == '\0')
+		return false;
+	(void)snprintf(line, room, "%.*s", (int)length, *at);
+	*at += length + ((*at)[length] == '\n');
+	*value = strchr(line, ':');
+	if (*value == NULL) {
+		*value = line + strlen(line);
+		return true;
+	}
+	*(*value)++ = '\0';
+	*value += strspn(*value, " \t");
+	return true;
+}
+
+/**
+ * Guards against bytes that are no answer to this request: a late answer to
+ * another one (its echoed id differs), a body that a middleman has encoded,
+ * a success without the server's proof. None of them may reach the caller.
+ */
+static void
+judge_head(attempt_t *attempt)
+{
+	const jj_front_headers_t *names = &attempt->relay->deployment->headers;
+	const char *at = attempt->lines;
+	bool has_stamp = false;
+	char line[4096];
+	char *value;
+
+	attempt->kind =
+	    attempt->streams && attempt->status >= 200 && attempt->status < 300
+	    ? ANSWER_STREAM
+	    : ANSWER_WHOLE;
+	while (read_line(&at, line, sizeof(line), &value)) {
+		if (strcasecmp(line, names->request_id) == 0 &&
+		    strcmp(value, attempt->id) != 0)
+			attempt->kind = ANSWER_FOREIGN;
+		if (strcasecmp(line, "Content-Encoding") == 0 &&
+		    strcasecmp(value, "identity") != 0)
+			attempt->kind = ANSWER_FOREIGN;
+		if (strcasecmp(line, names->stamp) == 0)
+			has_stamp = true;
+		if (strcasecmp(line, names->not_run) == 0)
+			attempt->not_run = strcmp(value, "0") != 0;
+	}
+	if (attempt->status >= 200 && attempt->status < 300 && !has_stamp)
+		attempt->kind = ANSWER_FOREIGN;
+}
+
+static jj_http_flow_t
+on_data(void *ctx, const char *data, size_t size)
+{
+	attempt_t *attempt = ctx;
+	jj_stream_relay_t *relay = attempt->relay;
+	jj_http_flow_t flow = JJ_HTTP_TAKEN;
+	entry_t *entry;
+
+	(void)apr_thread_mutex_lock(relay->lock);
+	entry = find(relay, attempt->request);
+	if (entry != NULL && entry->attempt == attempt->attempt) {
+		if (attempt->kind == ANSWER_WHOLE)
+			take_whole(attempt, data, size);
+		else if (attempt->kind == ANSWER_STREAM &&
+		    entry->exchange.call != NULL &&
+		    !jj_http_call_has_room(entry->exchange.call))
+			flow = JJ_HTTP_PAUSE;
+		else if (attempt->kind == ANSWER_STREAM)
+			take_events(attempt, entry, data, size);
+		if (attempt->kind == ANSWER_FOREIGN)
+			jj_http_client_cancel(relay->client, entry->transfer);
+	}
+	(void)apr_thread_mutex_unlock(relay->lock);
+	if (flow == JJ_HTTP_TAKEN && attempt->kind == ANSWER_STREAM)
+		tell_sign(attempt);
+	return flow;
+}
+
+static void
+take_events(attempt_t *attempt, entry_t *entry, const char *data, size_t size)
+{
+	jj_event_piece_t piece;
+	jj_event_found_t found;
+
+	jj_event_stream_feed(&attempt->events, data, size);
+	while ((found = jj_event_stream_next(&attempt->events, &piece)) ==
+	    JJ_EVENT_WHOLE)
+		pass_on(attempt, entry, &piece);
+	if (found == JJ_EVENT_FOREIGN)
+		attempt->kind = ANSWER_FOREIGN;
+}
+
+static void
+pass_on(attempt_t *attempt, entry_t *entry, const jj_event_piece_t *piece)
+{
+	entry->last_id = attempt->events.last_id;
+	if (entry->exchange.call == NULL) {
+		jj_event_piece_append_data(
+		    piece, !entry->has_text, &entry->text);
+		entry->has_text = entry->has_text || piece->has_data;
+		return;
+	}
+	if (!entry->begun)
+		begin_answer(attempt, entry);
+	(void)jj_http_call_write(
+	    entry->exchange.call, piece->raw, piece->raw_size, true);
+}
+
+static void
+take_whole(attempt_t *attempt, const char *data, size_t size)
+{
+	jj_bytes_t *body = &attempt->body;
+
+	if (body->size + size > WHOLE_MAX) {
+		attempt->kind = ANSWER_FOREIGN;
+		return;
+	}
+	if (body->size + size + 1 > attempt->body_room) {
+		attempt->body_room = attempt->body_room * 2 + size + 1024;
+		body->data = jj_realloc(body->data, attempt->body_room);
+	}
+	memcpy(body->data + body->size, data, size);
+	body->size += size;
+	body->data[body->size] = '\0';
+}
+
+static void
+begin_answer(attempt_t *attempt, entry_t *entry)
+{
+	GPtrArray *kept = g_ptr_array_new_with_free_func(g_free);
+	jj_http_answer_t answer = {0};
+
+	fill_answer(attempt, &answer, kept);
+	entry->begun = true;
+	jj_http_call_begin(entry->exchange.call, &answer);
+	g_ptr_array_free(kept, TRUE);
+}
+
+static void
+answer_whole(attempt_t *attempt, entry_t *entry)
+{
+	GPtrArray *kept = g_ptr_array_new_with_free_func(g_free);
+	jj_http_answer_t answer = {0};
+
+	fill_answer(attempt, &answer, kept);
+	jj_http_call_answer(entry->exchange.call, &answer, attempt->body.data,
+	    attempt->body.size);
+	entry->exchange.call = NULL;
+	g_ptr_array_free(kept, TRUE);
+}
+
+/** The server's status and headers, but those of its connection. */
+static void
+fill_answer(attempt_t *attempt, jj_http_answer_t *answer, GPtrArray *kept)
+{
+	const char *at = attempt->lines != NULL ? attempt->lines : "";
+	size_t count = 0;
+	char line[4096];
+	char *value;
+
+	answer->status = attempt->status;
+	while (count < JJ_HTTP_ANSWER_HEADERS_MAX - 1 &&
+	    read_line(&at, line, sizeof(line), &value)) {
+		if (jj_stream_relay_is_hop_header(line))
+			continue;
+		answer->fields[count].name = g_strdup(line);
+		answer->fields[count].value = g_strdup(value);
+		g_ptr_array_add(kept, (gpointer)answer->fields[count].name);
+		g_ptr_array_add(kept, (gpointer)answer->fields[count].value);
+		count++;
+	}
+}
+
+static void
+on_end(void *ctx, jj_http_end_t end, const jj_http_head_t *head)
+{
+	attempt_t *attempt = ctx;
+	jj_stream_relay_t *relay = attempt->relay;
+	jj_backend_kind_t kind = judge_end(attempt, end);
+	jj_bytes_t text = {NULL, 0};
+	bool is_current = false;
+	bool relayed = false;
+	entry_t *entry;
+
+	(void)apr_thread_mutex_lock(relay->lock);
+	entry = find(relay, attempt->request);
+	if (entry != NULL && entry->attempt == attempt->attempt) {
+		is_current = true;
+		entry->attempt = 0;
+		relayed = entry->begun;
+		if (kind == JJ_BACKEND_DONE || kind == JJ_BACKEND_REJECTED)
+			finish(attempt, entry, &text);
+	}
+	(void)apr_thread_mutex_unlock(relay->lock);
+	if (is_current)
+		tell(attempt, kind, head->retry_after_ms, relayed, &text);
+	jj_bytes_free(&text);
+	free_attempt(attempt);
+}
+
+/** The answer goes to its caller; an item's output to its job. */
+static void
+finish(attempt_t *attempt, entry_t *entry, jj_bytes_t *text)
+{
+	uint64_t request = attempt->request;
+
+	if (entry->exchange.call == NULL) {
+		*text = entry->text;
+		memset(&entry->text, 0, sizeof(entry->text));
+	} else if (attempt->kind == ANSWER_WHOLE) {
+		answer_whole(attempt, entry);
+	} else {
+		if (!entry->begun)
+			begin_answer(attempt, entry);
+		jj_http_call_end(entry->exchange.call, false);
+		entry->exchange.call = NULL;
+	}
+	(void)g_hash_table_remove(attempt->relay->table, &request);
+}
+
+static jj_backend_kind_t
+judge_end(const attempt_t *attempt, jj_http_end_t end)
+{
+	if (attempt->kind == ANSWER_FOREIGN)
+		return JJ_BACKEND_BROKEN;
+	switch (end) {
+	case JJ_HTTP_NOT_SENT:
+		return JJ_BACKEND_NOT_SENT;
+	case JJ_HTTP_BROKEN:
+		return JJ_BACKEND_BROKEN;
+	case JJ_HTTP_TIMEOUT:
+		return JJ_BACKEND_TIMEOUT;
+	case JJ_HTTP_CANCELLED:
+		return JJ_BACKEND_CANCELLED;
+	case JJ_HTTP_COMPLETE:
+		break;
+	}
+	if (attempt->kind == ANSWER_STREAM)
+		return jj_event_stream_has_rest(&attempt->events) ||
+			(!attempt->first_told && !attempt->resumes)
+		    ? JJ_BACKEND_BROKEN
+		    : JJ_BACKEND_DONE;
+	return judge_status(attempt);
+}
+
+/**
+ * Only the server's own word is proof that it did not run a request. A status
+ * that would tell the caller so without that word is not passed on.
+ */
+static jj_backend_kind_t
+judge_status(const attempt_t *attempt)
+{
+	if (attempt->status == 421)
+		return JJ_BACKEND_LEAVING;
+	if (attempt->not_run)
+		return JJ_BACKEND_REFUSED;
+	if (attempt->status >= 200 && attempt->status < 300)
+		return JJ_BACKEND_DONE;
+	switch (attempt->status) {
+	case 408:
+	case 429:
+	case 502:
+	case 503:
+	case 504:
+		return JJ_BACKEND_FAILED;
+	default:
+		return JJ_BACKEND_REJECTED;
+	}
+}
+
+static void
+tell(attempt_t *attempt, jj_backend_kind_t kind, jj_ms_t retry_after_ms,
+    bool relayed, jj_bytes_t *text)
+{
+	jj_backend_event_t event = {0};
+
+	event.request = attempt->request;
+	event.attempt = attempt->attempt;
+	event.kind = kind;
+	event.retry_after_ms = retry_after_ms;
+	event.relayed = relayed;
+	attempt->relay->port.on_event(
+	    attempt->relay->port.ctx, &event, attempt->status, text);
+}
+
+/** The first event at once, later ones now and then. */
+static void
+tell_sign(attempt_t *attempt)
+{
+	jj_ms_t now;
+
+	if (attempt->events.last_id == JJ_EVENT_NO_ID)
+		return;
+	now = jj_monotonic_now();
+	if (!attempt->first_told) {
+		attempt->first_told = true;
+		attempt->sign_ms = now;
+		tell(attempt, JJ_BACKEND_FIRST, 0, false, NULL);
+	} else if (now - attempt->sign_ms >= SIGN_MS) {
+		attempt->sign_ms = now;
+		tell(attempt, JJ_BACKEND_TOKENS, 0, false, NULL);
+	}
+}
