Show only confirmed results; confirm an end that is asked again; leave whole

Ruled out: that a conditional write took effect twice: versions in the log follow on each other. Change: a page ends where the confirmed results end; the job's object is asked when the entry is gone; answers of a stopping VM say that the connection ends, and it refuses what comes after the balancer has noticed.

--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -30,6 +30,8 @@
 take_no_segment(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
 static void take_job_of_read(jj_inline_t *, jj_inline_op_t *,
     const jj_platform_result_t *, jj_actions_t *);
+static void answer_from_run(
+    jj_inline_t *, jj_inline_op_t *, const jj_inline_run_t *, jj_actions_t *);
 static void answer_page(jj_inline_t *, jj_inline_op_t *,
     const jj_inline_segment_t *, uint32_t, jj_actions_t *);
 static void step_item(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
@@ -46,6 +48,7 @@
 take_entry(jj_inline_t *, jj_inline_op_t *, const jj_platform_result_t *);
 static void
 end_is_durable(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
+static void note_version(jj_inline_t *, const jj_inline_op_t *, uint64_t);
 
 void
 jj_inline_read(jj_inline_t *jobs, uint64_t operation, const char *id,
@@ -213,8 +216,7 @@
 		if (op->kind == JJ_OP_READ && strcmp(op->id, run->id) == 0 &&
 		    op->after >= run->segment.first && op->after < run->shown &&
 		    holds(jobs, run))
-			answer_page(
-			    jobs, op, &run->segment, run->segment.total, out);
+			answer_from_run(jobs, op, run, out);
 	}
 }
 
@@ -252,7 +254,7 @@
 		return false;
 	if (op->after < run->shown || op->after >= run->segment.total ||
 	    now >= op->look_ms || run->state == JJ_RUN_CLOSED) {
-		answer_page(jobs, op, &run->segment, run->segment.total, out);
+		answer_from_run(jobs, op, run, out);
 		return true;
 	}
 	return true;
@@ -369,6 +371,21 @@
 	jj_inline_job_clear(&job);
 }
 
+/**
+ * Guards against a position that changes: results whose write is under way
+ * stand behind those that are shown. If the write fails, others may take
+ * their positions, so a reader must not see them.
+ */
+static void
+answer_from_run(jj_inline_t *jobs, jj_inline_op_t *op,
+    const jj_inline_run_t *run, jj_actions_t *out)
+{
+	jj_inline_segment_t shown = run->segment;
+
+	shown.count = run->shown - shown.first;
+	answer_page(jobs, op, &shown, shown.total, out);
+}
+
 /** The results from `after` on, as many as a page holds. */
 static void
 answer_page(jj_inline_t *jobs, jj_inline_op_t *op,
@@ -511,6 +528,7 @@
 			return;
 		}
 		if (!op->reads_open) {
+			note_version(jobs, op, result->version);
 			end_is_durable(jobs, op, now, out);
 			return;
 		}
@@ -555,6 +573,16 @@
 		entry->version = result->version;
 }
 
+/** The entry's version after our own write, for the run that closes it. */
+static void
+note_version(jj_inline_t *jobs, const jj_inline_op_t *op, uint64_t version)
+{
+	jj_inline_run_t *run = jj_inline_find_run(jobs, op->id);
+
+	if (run != NULL && strcmp(op->owner, jobs->settings.writer) == 0)
+		run->open_version = version;
+}
+
 static void
 end_is_durable(
     jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -16,6 +16,9 @@
 /** Marks the context of a call that waits for an operation. */
 #define CONTEXT_OPERATION (UINT64_C(1) << 63)
 
+/** Told to callers of a VM that ends: the next one is not busy, ms. */
+#define REFUSED_RETRY_MS 10
+
 /** Headers of a request while they are gathered. */
 typedef struct {
 	jj_gateway_node_t *node;
@@ -149,6 +152,15 @@
 	jj_gateway_node_t *node = ctx;
 	jj_front_call_t read;
 
+	/*
+	 * Guards against a request that the end of this process cuts: callers
+	 * go on using open connections until it is gone. It was not sent
+	 * anywhere, and another VM takes it at once.
+	 */
+	if (atomic_load(&node->refusing)) {
+		answer(node, call, 503, REFUSED_RETRY_MS, "text/plain", NULL);
+		return;
+	}
 	node->deployment->read_call(call, &read);
 	switch (read.kind) {
 	case JJ_FRONT_READ_RESULTS:
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -55,9 +55,16 @@
 {
 	atomic_store(&node->leaving, true);
 	atomic_store(&node->idle, false);
+	jj_stream_relay_close_callers(node->relay);
 	jj_gateway_post_leave(node);
 }
 
+void
+jj_gateway_node_refuse(jj_gateway_node_t *node)
+{
+	atomic_store(&node->refusing, true);
+}
+
 bool
 jj_gateway_node_is_idle(jj_gateway_node_t *node)
 {
--- a/src/daemon/gateway_node.h
+++ b/src/daemon/gateway_node.h
@@ -50,6 +50,7 @@
 	atomic_uint_fast64_t last_number;
 	atomic_bool ready;
 	atomic_bool leaving;
+	atomic_bool refusing; /**< new requests would not end in time */
 	atomic_bool idle;
 } jj_gateway_node_t;
 
@@ -58,6 +59,8 @@
     const jj_settings_t *settings, const jj_deployment_t *deployment);
 /** Begins a planned stop: first the balancer is told. */
 void jj_gateway_node_leave(jj_gateway_node_t *node);
+/** Later in a planned stop: no new request is taken any more. */
+void jj_gateway_node_refuse(jj_gateway_node_t *node);
 /** True when a planned stop has nothing left to wait for. */
 bool jj_gateway_node_is_idle(jj_gateway_node_t *node);
 void jj_gateway_node_destroy(jj_gateway_node_t *node);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -193,8 +193,12 @@
 	jj_gateway_node_leave(node);
 	while (jj_monotonic_now() < until &&
 	    (!jj_gateway_node_is_idle(node) ||
-		jj_monotonic_now() < begun + settings->stop.least_ms))
+		jj_monotonic_now() < begun + settings->stop.least_ms)) {
+		/* The balancer has noticed: what still comes came late. */
+		if (jj_monotonic_now() >= begun + settings->stop.least_ms)
+			jj_gateway_node_refuse(node);
 		(void)wait_for_signal(signals, DRAIN_LOOK_MS);
+	}
 	jj_log(JJ_LOG_INFO, "stopped", "status=0 idle=%d took_ms=%lld",
 	    jj_gateway_node_is_idle(node),
 	    (long long)(jj_monotonic_now() - begun));
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -66,6 +66,7 @@
 	apr_pool_t *pool;
 	apr_thread_mutex_t *lock; /**< guards the table and its entries */
 	GHashTable *table; /**< entry_t by request */
+	bool closes; /**< callers' connections end with their answers */
 };
 
 static entry_t *find(jj_stream_relay_t *, uint64_t);
@@ -119,6 +120,14 @@
 	free(relay);
 }
 
+void
+jj_stream_relay_close_callers(jj_stream_relay_t *relay)
+{
+	(void)apr_thread_mutex_lock(relay->lock);
+	relay->closes = true;
+	(void)apr_thread_mutex_unlock(relay->lock);
+}
+
 void
 jj_stream_relay_add(
     jj_stream_relay_t *relay, const jj_stream_exchange_t *exchange)
@@ -497,6 +506,10 @@
 	char *value;
 
 	answer->status = attempt->status;
+	if (attempt->relay->closes) {
+		answer->fields[count].name = "Connection";
+		answer->fields[count++].value = "close";
+	}
 	while (count < JJ_HTTP_ANSWER_HEADERS_MAX - 1 &&
 	    read_line(&at, line, sizeof(line), &value)) {
 		if (jj_stream_relay_is_hop_header(line))
--- a/src/daemon/stream_relay.h
+++ b/src/daemon/stream_relay.h
@@ -43,6 +43,9 @@
     const jj_deployment_t *deployment, const jj_stream_relay_port_t *port);
 void jj_stream_relay_destroy(jj_stream_relay_t *relay);
 
+/** From now on callers are told that their connections end. */
+void jj_stream_relay_close_callers(jj_stream_relay_t *relay);
+
 void jj_stream_relay_add(
     jj_stream_relay_t *relay, const jj_stream_exchange_t *exchange);
 /** Adds a header to an exchange that is being made. */
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -178,6 +178,12 @@
 		m->body.jobs.revision = 5;
 		m->body.jobs.events = jj_bytes_from_text("[]");
 	}},
+    {"Yield", JJ_MESSAGE_YIELD,
+	[](jj_message_t *m) { m->body.yield = UINT64_MAX; }},
+    {"JobEnded", JJ_MESSAGE_JOB_ENDED,
+	[](jj_message_t *m) {
+		memset(m->body.job_ended, 'j', JJ_MESSAGE_JOB_ID_SIZE - 1);
+	}},
     {"Vms", JJ_MESSAGE_VMS,
 	[](jj_message_t *m) {
 		m->body.jobs.events = jj_bytes_from_text("{\"vms\":[]}");
--- /dev/null
+++ b/tests/core/inline_test.cc
@@ -0,0 +1,330 @@
+/**
+ * @file inline_test.cc
+ * @brief Jobs that come whole: accepted, run, read, ended, whatever fails.
+ */
+#include "tests/core/inline_world.h"
+
+namespace
+{
+
+class Inline : public InlineWorld
+{
+      protected:
+	InlineVm &a = add_vm("a");
+	InlineVm &b = add_vm("b");
+
+	Inline()
+	{
+		pass(100);
+	}
+};
+
+class InlineFailure : public Inline
+{
+};
+
+TEST_F(Inline, RunsAJobFromSubmissionToItsLastResult)
+{
+	uint64_t submit = a.submit("j", 2);
+
+	ASSERT_EQ(202, a.answer(submit).status);
+	EXPECT_TRUE(platform.has("batch-jobs/j"));
+	EXPECT_TRUE(platform.has("batch-open/j"));
+	pass(100);
+	ASSERT_EQ(2U, a.items.size());
+	EXPECT_TRUE(a.finish("j-1", "eins"));
+	pass(600);
+	EXPECT_EQ("2 0: j-1=eins", a.answer(a.read("j", 0)).body);
+	EXPECT_TRUE(a.finish("j-0", "null"));
+	pass(200);
+	EXPECT_EQ("2 1: j-0=null", a.answer(a.read("j", 1)).body);
+	EXPECT_FALSE(platform.has("batch-open/j"));
+	EXPECT_EQ("2 0: j-1=eins j-0=null", b.answer(b.read("j", 0)).body);
+	pass(2000);
+	EXPECT_EQ("2 0: j-1=eins j-0=null", a.answer(a.read("j", 0)).body);
+	EXPECT_TRUE(jj_inline_is_idle(a.jobs));
+}
+
+TEST_F(Inline, AnswersAnUnknownJobWith404)
+{
+	EXPECT_EQ(404, a.answer(a.read("no", 0)).status);
+	EXPECT_EQ(404, a.answer(a.read_item("no", "no-1")).status);
+	EXPECT_EQ(404, a.answer(a.end("no")).status);
+}
+
+TEST_F(Inline, GivesItemsBodiesBack)
+{
+	(void)a.submit("j", 1, 10, 5);
+	EXPECT_EQ("bbbbb", a.answer(a.read_item("j", "j-0")).body);
+	EXPECT_EQ("bbbbb", b.answer(b.read_item("j", "j-0")).body);
+	EXPECT_EQ(404, b.answer(b.read_item("j", "j-7")).status);
+}
+
+TEST_F(Inline, CutsALargeJobIntoParts)
+{
+	uint64_t submit = a.submit("j", 3, 10, 500000);
+
+	ASSERT_EQ(202, a.answer(submit).status);
+	EXPECT_TRUE(platform.has("batch-parts/j.3"));
+	EXPECT_EQ(500000U, b.answer(b.read_item("j", "j-2")).body.size());
+	dead.insert(a.writer);
+	a.frozen = true;
+	pass(8000);
+	EXPECT_EQ(3U, b.items.size()) << "another VM reads it whole";
+}
+
+TEST_F(Inline, SealsASegmentThatIsFull)
+{
+	(void)a.submit("j", 5);
+	pass(100);
+	a.finish_all(std::string(250000, 't'));
+	pass(2000);
+	EXPECT_TRUE(platform.has("batch-out/j.1"));
+	EXPECT_EQ(5U, stored("j").size());
+	std::string page = b.answer(b.read("j", 4)).body;
+	EXPECT_EQ(0U, page.find("5 4: j-")) << page.substr(0, 20);
+}
+
+TEST_F(Inline, RefusesWhatDoesNotFitTheRoute)
+{
+	EXPECT_EQ(202, a.answer(a.submit("j", 9, 100)).status);
+	EXPECT_EQ(429, a.answer(a.submit("k", 2, 100)).status);
+	EXPECT_FALSE(platform.has("batch-jobs/k"));
+	pass(300);
+	EXPECT_EQ(429, b.answer(b.submit("k", 2, 100)).status)
+	    << "other VMs count it as well";
+	EXPECT_EQ(202, b.answer(b.submit("j", 9, 100)).status)
+	    << "a resend of an accepted job always fits";
+}
+
+struct EndCase {
+	const char *name;
+	jj_inline_end_t how;
+	int runs; /**< until the item is given up */
+};
+
+class InlineItem : public Inline, public ::testing::WithParamInterface<EndCase>
+{
+};
+
+TEST_P(InlineItem, IsGivenUpAfterItsRuns)
+{
+	(void)a.submit("j", 1);
+	for (int run = 1; run <= GetParam().runs; run++) {
+		pass(1000);
+		EXPECT_TRUE(stored("j").empty());
+		ASSERT_TRUE(a.finish("j-0", "", GetParam().how)) << run;
+	}
+	pass(1000);
+	EXPECT_EQ("1 0: j-0!", a.answer(a.read("j", 0)).body);
+	EXPECT_TRUE(a.items.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, InlineItem,
+    ::testing::Values(EndCase{"Failed", JJ_INLINE_FAILED, 3},
+	EndCase{"Refused", JJ_INLINE_REFUSED, 1}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+/*
+ * A reader asks while a write of results is under way; the write's answer is
+ * lost and it never took effect; the next write puts other results first. The
+ * reader had seen a position whose result changed: results of a write under
+ * way stood in the same list as those that were shown.
+ */
+TEST_F(InlineFailure, ResultsOfAWriteUnderWayAreNotShown)
+{
+	(void)a.submit("j", 3);
+	pass(100);
+	a.holds = [](const jj_platform_call_t &call) {
+		return call.op == JJ_PLATFORM_CREATE &&
+		    strncmp(call.key, "batch-out/", 10) == 0;
+	};
+	EXPECT_TRUE(a.finish("j-2", "zwei"));
+	pass(600);
+	ASSERT_EQ(1U, a.held.size());
+	EXPECT_EQ("3 0:", a.answer(a.read("j", 0)).body);
+	a.holds = nullptr;
+	EXPECT_TRUE(a.finish("j-0", "null"));
+	platform.next_writes = {Fault::kNoAnswer};
+	a.release();
+	pass(1000);
+	EXPECT_EQ("3 0: j-0=null j-2=zwei", a.answer(a.read("j", 0)).body);
+}
+
+/*
+ * A client ends its job and asks again a moment later, as it does when an
+ * answer is slow. The VM's list still has the entry that was deleted with the
+ * end, so its update found nothing and the client was told that there is no
+ * such job.
+ */
+TEST_F(InlineFailure, AnEndThatIsAskedAgainIsConfirmedAgain)
+{
+	(void)a.submit("j", 1);
+	pass(300);
+	EXPECT_EQ(200, a.answer(a.end("j")).status);
+	b.frozen = true;
+	pass(100);
+	b.frozen = false;
+	EXPECT_FALSE(platform.has("batch-open/j"));
+	EXPECT_EQ(200, b.answer(b.end("j")).status) << "its list is behind";
+	pass(500);
+	EXPECT_EQ(200, b.answer(b.end("j")).status);
+	EXPECT_EQ(200, a.answer(a.end("j")).status);
+	EXPECT_TRUE(a.items.empty());
+}
+
+/*
+ * The VM that took a job dies right after its answer. Its entry names a
+ * process that is lost; another VM takes it over and runs it.
+ */
+TEST_F(InlineFailure, AJobOfALostVmIsTakenOver)
+{
+	EXPECT_EQ(202, b.answer(b.submit("j", 2)).status);
+	pass(100);
+	EXPECT_TRUE(b.finish("j-0", "null"));
+	pass(600);
+	b.frozen = true;
+	dead.insert(b.writer);
+	pass(8000);
+	ASSERT_EQ(1U, a.items.size()) << "only what is not shown is run";
+	a.finish_all("eins");
+	pass(600);
+	EXPECT_EQ("2 0: j-0=null j-1=eins", a.answer(a.read("j", 0)).body);
+}
+
+/*
+ * A VM is frozen, its job is taken over and finished elsewhere. It wakes with
+ * results of its own in hand and publishes: each item keeps the one result and
+ * position that readers saw.
+ */
+TEST_F(InlineFailure, AVmThatWakesDoesNotChangeWhatIsShown)
+{
+	(void)b.submit("j", 2);
+	pass(100);
+	EXPECT_TRUE(b.finish("j-0", "alt"));
+	b.frozen = true;
+	dead.insert(b.writer);
+	pass(8000);
+	a.finish_all("neu");
+	pass(600);
+	std::string shown = a.answer(a.read("j", 0)).body;
+	EXPECT_EQ("2 0: j-0=neu j-1=neu", shown);
+	b.frozen = false;
+	jj_inline_tick(b.jobs, now, &b.out);
+	b.settle();
+	EXPECT_TRUE(b.finish("j-1", "alt") || b.items.empty());
+	pass(3000);
+	EXPECT_EQ(shown, b.answer(b.read("j", 0)).body);
+	EXPECT_EQ(2U, stored("j").size());
+	EXPECT_TRUE(b.items.empty()) << "it runs nothing of it any more";
+}
+
+/*
+ * While a VM was frozen its job was taken over and more was shown elsewhere.
+ * It wakes and is asked before its list has caught up: it must not say that
+ * there is nothing at a position that was read.
+ */
+TEST_F(InlineFailure, AVmThatLostItsJobAsksThePlatform)
+{
+	(void)b.submit("j", 2);
+	pass(300);
+	b.frozen = true;
+	dead.insert(b.writer);
+	pass(8000);
+	EXPECT_TRUE(a.finish("j-1", "neu"));
+	pass(600);
+	b.frozen = false;
+	b.see_changes();
+	EXPECT_EQ("2 0: j-1=neu", b.answer(b.read("j", 0)).body);
+}
+
+struct LostCase {
+	const char *name;
+	std::vector<Fault> writes;
+	int status;
+	bool stored;
+};
+
+class InlineSubmit : public Inline,
+		     public ::testing::WithParamInterface<LostCase>
+{
+};
+
+/*
+ * Answers of the platform are lost or refused while a job is taken. A write
+ * whose answer was lost is known again by its own entry; "not accepted" is
+ * said only when nothing of the job can be stored.
+ */
+TEST_P(InlineSubmit, TellsTheTruth)
+{
+	platform.next_writes = GetParam().writes;
+	uint64_t submit = a.submit("j", 1);
+	if (GetParam().status >= 500)
+		platform.fault = GetParam().writes.back();
+	pass(3500);
+	EXPECT_EQ(GetParam().status, a.answer(submit).status);
+	EXPECT_EQ(GetParam().stored, platform.has("batch-jobs/j"));
+	platform.fault = Fault::kNone;
+	pass(500);
+	EXPECT_EQ(GetParam().stored ? 1U : 0U, a.items.size());
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, InlineSubmit,
+    ::testing::Values(
+	LostCase{"LostJob", {Fault::kLoseAnswer, Fault::kNone}, 202, true},
+	LostCase{"LostEntry", {Fault::kNone, Fault::kLoseAnswer}, 202, true},
+	LostCase{
+	    "BothLost", {Fault::kLoseAnswer, Fault::kLoseAnswer}, 202, true},
+	LostCase{"Limited", {Fault::kLimit, Fault::kLimit}, 202, true},
+	LostCase{"Down", {Fault::kRefuse, Fault::kRefuse}, 503, false},
+	LostCase{"Silent", {Fault::kNoAnswer, Fault::kNoAnswer}, 504, false}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+/* The same job arrives at two VMs: both accept it, one of them runs it. */
+TEST_F(InlineFailure, AResendElsewhereIsNotRunTwice)
+{
+	EXPECT_EQ(202, a.answer(a.submit("j", 1)).status);
+	EXPECT_EQ(202, b.answer(b.submit("j", 1)).status);
+	pass(500);
+	EXPECT_EQ(1U, a.items.size());
+	EXPECT_TRUE(b.items.empty());
+	a.finish_all("x");
+	pass(3000);
+	EXPECT_EQ(202, b.answer(b.submit("j", 1)).status) << "long ended";
+	pass(3000);
+	EXPECT_TRUE(b.items.empty());
+	EXPECT_FALSE(platform.has("batch-open/j"));
+	EXPECT_EQ(1U, stored("j").size());
+}
+
+/* A stop hands a job over with what is shown; the next VM runs the rest. */
+TEST_F(InlineFailure, AStopHandsJobsOver)
+{
+	(void)b.submit("j", 2);
+	pass(300);
+	EXPECT_TRUE(b.finish("j-0", "null"));
+	jj_inline_leave(b.jobs, now, &b.out);
+	b.settle();
+	pass(1000);
+	EXPECT_TRUE(jj_inline_is_idle(b.jobs));
+	EXPECT_TRUE(b.items.empty());
+	ASSERT_EQ(1U, a.items.size());
+	a.finish_all("eins");
+	pass(600);
+	EXPECT_EQ("2 0: j-0=null j-1=eins", a.answer(a.read("j", 0)).body);
+}
+
+/* While the platform is away readers are told to come back, never "no job". */
+TEST_F(InlineFailure, AReadWithoutThePlatformIsRefused)
+{
+	(void)a.submit("j", 1);
+	platform.fault = Fault::kRefuse;
+	uint64_t read = b.read("j", 0);
+	uint64_t item = b.read_item("j", "j-0");
+	pass(2500);
+	EXPECT_EQ(503, b.answer(read).status);
+	EXPECT_EQ(503, b.answer(item).status);
+	EXPECT_EQ(200, a.answer(a.read("j", 0)).status) << "it runs the job";
+}
+
+} // namespace
--- /dev/null
+++ b/tests/core/inline_world.h
@@ -0,0 +1,494 @@
+/**
+ * @file inline_world.h
+ * @brief VMs that run inline jobs over one platform in memory, step by step.
+ */
+#ifndef JJ_TESTS_CORE_INLINE_WORLD_H
+#define JJ_TESTS_CORE_INLINE_WORLD_H
+
+#include <cstdio>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "tests/core/fake_platform.h"
+
+extern "C" {
+#include "core/inline.h"
+#include "core/json_text.h"
+}
+
+/** An answer to an operation. */
+struct InlineAnswer {
+	int status = 0;
+	std::string body;
+};
+
+class InlineVm;
+
+/** All VMs, the platform and the time. */
+class InlineWorld : public ::testing::Test
+{
+      public:
+	FakePlatform platform;
+	jj_ms_t now = 1000;
+	std::set<std::string> dead; /**< writers that others hold for lost */
+	std::vector<std::unique_ptr<InlineVm>> vms;
+	jj_route_t route = {};
+
+	InlineWorld();
+	~InlineWorld() override;
+	InlineVm &add_vm(const std::string &name);
+	/** Lets time pass; all VMs tick and their calls are carried out. */
+	void pass(jj_ms_t ms);
+	/** Results of a job as stored, in their order. */
+	std::vector<std::string> stored(const std::string &id) const;
+};
+
+class InlineVm
+{
+      public:
+	InlineWorld &world;
+	std::string writer;
+	jj_inline_t *jobs;
+	jj_actions_t out;
+	uint64_t last_operation = 0;
+	uint64_t last_request = 0;
+	std::map<uint64_t, InlineAnswer> answers;
+	/** Items that want a server, by request. */
+	std::map<uint64_t, std::string> items;
+	std::vector<std::string> told_ended;
+	/** A call that is kept back instead of carried out. */
+	std::function<bool(const jj_platform_call_t &)> holds;
+	std::list<jj_action_t *> held;
+	jj_action_t *watch = nullptr; /**< under way */
+	bool frozen = false;
+
+	InlineVm(InlineWorld &in, const std::string &name);
+	~InlineVm();
+	uint64_t submit(const std::string &id, int items, uint64_t tokens = 10,
+	    size_t body = 3);
+	uint64_t
+	read(const std::string &id, uint32_t after, jj_ms_t wait_ms = 0);
+	uint64_t read_item(const std::string &id, const std::string &item);
+	uint64_t end(const std::string &id);
+	/** Ends the run of an item that this VM has begun. */
+	bool finish(const std::string &item, const std::string &text,
+	    jj_inline_end_t how = JJ_INLINE_DONE);
+	void finish_all(const std::string &text);
+	/** Carries out what was asked for; a watch waits. */
+	void settle();
+	/** Carries the kept calls out now. */
+	void release();
+	/** The watch brings what has changed. */
+	void see_changes();
+	InlineAnswer &
+	answer(uint64_t operation)
+	{
+		return answers[operation];
+	}
+
+      private:
+	void take(const jj_platform_result_t &result);
+	void take_other(jj_action_t *action);
+	uint64_t
+	next()
+	{
+		return ++last_operation;
+	}
+};
+
+inline InlineWorld::InlineWorld()
+{
+	jj_name_set(&route.name, "notturno");
+	snprintf(route.host, sizeof(route.host), "ordini.example");
+	snprintf(route.prefix, sizeof(route.prefix), "/liste/");
+	route.kind = JJ_ROUTE_BATCH;
+	route.attempts = 3;
+	route.run_due_ms = 18000;
+	route.retention_ms = 60000;
+	route.tokens_most = 1000;
+	route.backend_count = 1;
+}
+
+inline InlineWorld::~InlineWorld()
+{
+	vms.clear();
+}
+
+inline InlineVm &
+InlineWorld::add_vm(const std::string &name)
+{
+	vms.push_back(std::make_unique<InlineVm>(*this, name));
+	return *vms.back();
+}
+
+inline void
+InlineWorld::pass(jj_ms_t ms)
+{
+	for (jj_ms_t until = now + ms; now < until; now += 50)
+		for (auto &vm : vms) {
+			if (vm->frozen)
+				continue;
+			vm->see_changes();
+			jj_inline_tick(vm->jobs, now, &vm->out);
+			vm->settle();
+		}
+}
+
+inline std::vector<std::string>
+InlineWorld::stored(const std::string &id) const
+{
+	std::vector<std::string> ids;
+
+	for (int part = 0;; part++) {
+		auto found = platform.objects.find(
+		    "batch-out/" + id + "." + std::to_string(part));
+		if (found == platform.objects.end())
+			return ids;
+		jj_bytes_t text = {
+		    const_cast<char *>(found->second.value.data()),
+		    found->second.value.size()};
+		jj_inline_segment_t segment;
+		EXPECT_TRUE(jj_inline_segment_decode(&segment, &text));
+		EXPECT_EQ(ids.size(), segment.first);
+		for (uint32_t i = 0; i < segment.count; i++)
+			ids.push_back(segment.results[i].id);
+		jj_inline_segment_clear(&segment);
+	}
+}
+
+namespace inline_port
+{
+
+inline InlineVm *
+vm(void *ctx)
+{
+	return static_cast<InlineVm *>(ctx);
+}
+
+inline bool
+is_live(void *ctx, const char *writer)
+{
+	return vm(ctx)->world.dead.count(writer) == 0;
+}
+
+/** The first VM that is not lost takes jobs over. */
+inline bool
+is_chosen(void *ctx, const char *)
+{
+	for (auto &other : vm(ctx)->world.vms)
+		if (vm(ctx)->world.dead.count(other->writer) == 0)
+			return other.get() == vm(ctx);
+	return false;
+}
+
+inline bool
+hears_others(void *ctx)
+{
+	return vm(ctx)->world.vms.size() > vm(ctx)->world.dead.size() + 1;
+}
+
+inline const jj_route_t *
+find_route(void *ctx, const char *host, const char *)
+{
+	const jj_route_t &route = vm(ctx)->world.route;
+
+	return strcmp(route.host, host) == 0 ? &route : nullptr;
+}
+
+inline int64_t
+unix_ms(void *ctx)
+{
+	return vm(ctx)->world.now + 1700000000000;
+}
+
+inline uint64_t
+begin_item(void *ctx, const jj_inline_job_t *, const jj_inline_item_t *item,
+    const jj_route_t *, jj_ms_t, jj_ms_t)
+{
+	InlineVm *self = vm(ctx);
+
+	self->items[++self->last_request] = item->id;
+	return self->last_request;
+}
+
+inline void
+cancel_item(void *ctx, uint64_t request)
+{
+	vm(ctx)->items.erase(request);
+}
+
+/** "TOTAL FROM: ID=TEXT ID!" */
+inline jj_bytes_t
+write_page(void *, const jj_inline_page_t *page)
+{
+	std::string text = std::to_string(page->total) + " " +
+	    std::to_string(page->first) + ":";
+
+	for (uint32_t i = 0; i < page->count; i++) {
+		const jj_inline_result_t &result = page->results[i];
+
+		text += std::string(" ") + result.id;
+		if (result.done)
+			text += "=" +
+			    std::string(result.text.data != nullptr
+				    ? result.text.data
+				    : "",
+				result.text.size);
+		else
+			text += "!";
+	}
+	return jj_bytes_copy(text.data(), text.size());
+}
+
+inline void
+tell_ended(void *ctx, const char *writer, const char *id)
+{
+	vm(ctx)->told_ended.push_back(std::string(writer) + " " + id);
+}
+
+} // namespace inline_port
+
+inline InlineVm::InlineVm(InlineWorld &in, const std::string &name)
+    : world(in), writer(name + "/0000000000000001")
+{
+	jj_inline_settings_t settings = {};
+	jj_inline_port_t port = {this, inline_port::is_live,
+	    inline_port::is_chosen, inline_port::hears_others,
+	    inline_port::find_route, inline_port::unix_ms,
+	    inline_port::begin_item, inline_port::cancel_item,
+	    inline_port::write_page, inline_port::tell_ended};
+
+	snprintf(
+	    settings.writer, sizeof(settings.writer), "%s", writer.c_str());
+	settings.publish_ms = 500;
+	settings.takeover_ms = 1500;
+	settings.alone_ms = 6000;
+	settings.retry_ms = 50;
+	settings.retry_most_ms = 400;
+	settings.submit_ms = 3000;
+	settings.read_ms = 1500;
+	settings.orphan_ms = 5000;
+	settings.keep_ms = 1000;
+	settings.item_retry_ms = 100;
+	settings.mirror_wait_ms = 20000;
+	settings.mirror_spacing_ms = 100;
+	settings.retry_after_ms = 500;
+	TAILQ_INIT(&out);
+	jobs = jj_inline_create(&settings, &port);
+}
+
+inline InlineVm::~InlineVm()
+{
+	jj_inline_destroy(jobs);
+	for (jj_action_t *action : held)
+		jj_action_free(action);
+	if (watch != nullptr)
+		jj_action_free(watch);
+	jj_actions_clear(&out);
+}
+
+inline uint64_t
+InlineVm::submit(const std::string &id, int count, uint64_t tokens, size_t body)
+{
+	jj_inline_job_t job = {};
+	uint64_t operation = next();
+	std::string text(body, 'b');
+
+	snprintf(job.id, sizeof(job.id), "%s", id.c_str());
+	job.host = strdup("ordini.example");
+	job.path = strdup("/liste/notte");
+	job.submitted_unix_ms = inline_port::unix_ms(this);
+	for (int i = 0; i < count; i++) {
+		jj_inline_item_t *item = jj_inline_job_add(&job);
+
+		item->id = strdup((id + "-" + std::to_string(i)).c_str());
+		item->path = strdup("/liste/1");
+		item->tokens = tokens;
+		item->body = jj_bytes_copy(text.data(), text.size());
+		jj_inline_item_add_header(item, "X-Model", "m");
+		job.tokens += tokens;
+	}
+	jj_inline_submit(jobs, operation, &job, &world.route, world.now, &out);
+	settle();
+	return operation;
+}
+
+inline uint64_t
+InlineVm::read(const std::string &id, uint32_t after, jj_ms_t wait_ms)
+{
+	uint64_t operation = next();
+
+	jj_inline_read(
+	    jobs, operation, id.c_str(), after, wait_ms, world.now, &out);
+	settle();
+	return operation;
+}
+
+inline uint64_t
+InlineVm::read_item(const std::string &id, const std::string &item)
+{
+	uint64_t operation = next();
+
+	jj_inline_read_item(
+	    jobs, operation, id.c_str(), item.c_str(), world.now, &out);
+	settle();
+	return operation;
+}
+
+inline uint64_t
+InlineVm::end(const std::string &id)
+{
+	uint64_t operation = next();
+
+	jj_inline_end(jobs, operation, id.c_str(), world.now, &out);
+	settle();
+	return operation;
+}
+
+inline bool
+InlineVm::finish(
+    const std::string &item, const std::string &text, jj_inline_end_t how)
+{
+	for (auto &entry : items) {
+		if (entry.second != item)
+			continue;
+		uint64_t request = entry.first;
+		jj_bytes_t bytes = jj_bytes_copy(text.data(), text.size());
+
+		items.erase(request);
+		jj_inline_end_item(jobs, request, how, &bytes, world.now, &out);
+		jj_bytes_free(&bytes);
+		settle();
+		return true;
+	}
+	return false;
+}
+
+inline void
+InlineVm::finish_all(const std::string &text)
+{
+	std::map<uint64_t, std::string> begun = items;
+
+	for (auto &entry : begun)
+		(void)finish(entry.second, text);
+}
+
+inline void
+InlineVm::settle()
+{
+	jj_action_t *action;
+
+	while ((action = TAILQ_FIRST(&out)) != nullptr) {
+		TAILQ_REMOVE(&out, action, link);
+		if (action->kind != JJ_ACTION_PLATFORM) {
+			take_other(action);
+			continue;
+		}
+		if (action->body.platform.op == JJ_PLATFORM_WATCH) {
+			watch = action;
+			continue;
+		}
+		if (holds && holds(action->body.platform)) {
+			held.push_back(action);
+			continue;
+		}
+		jj_platform_result_t result =
+		    world.platform.execute(action->body.platform);
+		jj_action_free(action);
+		take(result);
+		jj_platform_result_clear(&result);
+	}
+}
+
+inline void
+InlineVm::release()
+{
+	std::list<jj_action_t *> late;
+
+	late.swap(held);
+	for (jj_action_t *action : late) {
+		jj_platform_result_t result =
+		    world.platform.execute(action->body.platform);
+		jj_action_free(action);
+		take(result);
+		jj_platform_result_clear(&result);
+	}
+	settle();
+}
+
+/** Deleted entries come as well: what the VM may know and is not there. */
+inline void
+InlineVm::see_changes()
+{
+	std::vector<jj_platform_item_t> changed;
+	jj_platform_result_t result = {};
+
+	if (watch == nullptr ||
+	    watch->body.platform.version >= world.platform.revision)
+		return;
+	for (auto &object : world.platform.objects) {
+		jj_platform_item_t item = {};
+
+		if (object.first.find("batch-open/") != 0 ||
+		    object.second.version <= watch->body.platform.version)
+			continue;
+		snprintf(
+		    item.key, sizeof(item.key), "%s", object.first.c_str());
+		item.version = object.second.version;
+		item.value = jj_bytes_copy(
+		    object.second.value.data(), object.second.value.size());
+		changed.push_back(item);
+	}
+	for (const std::string &key : world.platform.log) {
+		jj_platform_item_t item = {};
+
+		if (key.find("batch-open/") != 0 || world.platform.has(key))
+			continue;
+		snprintf(item.key, sizeof(item.key), "%s", key.c_str());
+		item.deleted = true;
+		changed.push_back(item);
+	}
+	result.owner = JJ_OWNER_INLINE;
+	result.token = watch->body.platform.token;
+	result.op = JJ_PLATFORM_WATCH;
+	result.outcome = JJ_PLATFORM_OK;
+	result.version = world.platform.revision;
+	result.items = changed.data();
+	result.item_count = changed.size();
+	jj_action_free(watch);
+	watch = nullptr;
+	jj_inline_take_result(jobs, &result, world.now, &out);
+	for (jj_platform_item_t &item : changed)
+		jj_bytes_free(&item.value);
+	settle();
+}
+
+inline void
+InlineVm::take(const jj_platform_result_t &result)
+{
+	jj_inline_take_result(jobs, &result, world.now, &out);
+}
+
+inline void
+InlineVm::take_other(jj_action_t *action)
+{
+	if (action->kind == JJ_ACTION_JOB_ANSWER) {
+		InlineAnswer &given = answers[action->body.job.operation];
+
+		EXPECT_EQ(0, given.status) << "answered twice";
+		given.status = action->body.job.status;
+		given.body = std::string(action->body.job.body.data != nullptr
+			? action->body.job.body.data
+			: "",
+		    action->body.job.body.size);
+	}
+	jj_action_free(action);
+}
+
+#endif
