--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,8 @@
 
 CORE_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/core/*.cc))
 ADAPTER_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/adapters/*.cc))
+PLATFORM_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/platform/*.cc))
+PLATFORM_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
 SYSTEM_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/system/*.cc))
 EXAMPLES := $(patsubst examples/%.c,$(B)/example-%,$(wildcard examples/*.c))
 
@@ -86,7 +88,7 @@
 
 $(B)/test-core: $(CORE_TESTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
-$(B)/test-adapters: $(ADAPTER_TESTS) $(LIB)
+$(B)/test-adapters: $(ADAPTER_TESTS) $(PLATFORM_TESTS) $(PLATFORM_OBJ) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
 $(B)/test-system: $(SYSTEM_TESTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
@@ -157,7 +159,7 @@
 	clang-format -i $(FORMAT_FILES)
 check-format:
 	clang-format --dry-run -Werror $(FORMAT_FILES)
-TIDY_FILES := $(wildcard src/*/*.c standins/*/*.c bench/*.c bench/*/*.c)
+TIDY_FILES := $(wildcard src/*/*.c platform/*.c standins/*/*.c bench/*.c bench/*/*.c)
 check-tidy:
 	printf '%s\n' $(TIDY_FILES) | xargs -P 6 -n 4 sh -c \
 	    'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=c11 2>/dev/null' tidy
--- /dev/null
+++ b/tests/core/event_stream_test.cc
@@ -0,0 +1,108 @@
+/**
+ * @file event_stream_test.cc
+ * @brief Whole events in their order, and nothing else.
+ */
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "core/event_stream.h"
+}
+
+namespace
+{
+
+struct StreamCase {
+	const char *name;
+	int64_t last_id; /**< behind which the run goes on */
+	const char *bytes;
+	const char *passed; /**< what is handed out */
+	jj_event_found_t end;
+	bool rest;
+};
+
+class EventStream : public ::testing::TestWithParam<StreamCase>
+{
+      protected:
+	jj_event_stream_t stream = {};
+	std::string passed;
+	jj_event_found_t found = JJ_EVENT_MORE;
+
+	~EventStream() override
+	{
+		jj_event_stream_clear(&stream);
+	}
+	void
+	feed(const std::string &bytes)
+	{
+		jj_event_piece_t piece;
+
+		jj_event_stream_feed(&stream, bytes.data(), bytes.size());
+		while ((found = jj_event_stream_next(&stream, &piece)) ==
+		    JJ_EVENT_WHOLE)
+			passed += std::string(piece.raw, piece.raw_size);
+	}
+};
+
+TEST_P(EventStream, HandsOutWhatFollowsOn)
+{
+	jj_event_stream_begin(&stream, GetParam().last_id);
+	feed(GetParam().bytes);
+	EXPECT_EQ(GetParam().passed, passed);
+	EXPECT_EQ(GetParam().end, found);
+	EXPECT_EQ(GetParam().rest, jj_event_stream_has_rest(&stream));
+}
+
+/* Whatever the pieces in which bytes come, the same is handed out. */
+TEST_P(EventStream, DoesNotCareHowBytesCome)
+{
+	jj_event_stream_begin(&stream, GetParam().last_id);
+	for (const char *at = GetParam().bytes; *at != '\0'; at++)
+		feed(std::string(1, *at));
+	EXPECT_EQ(GetParam().passed, passed);
+}
+
+#define E0 "id: 0\ndata: a\n\n"
+#define E1 "id: 1\ndata: b\n\n"
+#define E2 "id: 2\ndata: c\n\n"
+#define E3 "id: 3\ndata: d\n\n"
+
+INSTANTIATE_TEST_SUITE_P(Streams, EventStream,
+    ::testing::Values(
+	StreamCase{"FromZero", -1, E0 E1, E0 E1, JJ_EVENT_MORE, false},
+	StreamCase{"FromOne", -1, E1 E2, E1 E2, JJ_EVENT_MORE, false},
+	StreamCase{"CutInside", -1, E0 "id: 1\nda", E0, JJ_EVENT_MORE, true},
+	StreamCase{"GoesOn", 1, E2 E3, E2 E3, JJ_EVENT_MORE, false},
+	/* A server that was asked to go on began anew. */
+	StreamCase{"BeganAnew", 1, E0 E1, "", JJ_EVENT_FOREIGN, true},
+	/* A second run stands behind the first, in one answer. */
+	StreamCase{"TwoRuns", -1, E0 E1 E0 E1, E0 E1, JJ_EVENT_FOREIGN, true},
+	StreamCase{"Gap", -1, E0 E2, E0, JJ_EVENT_FOREIGN, true},
+	StreamCase{"Repeat", -1, E0 E0, E0, JJ_EVENT_FOREIGN, true},
+	StreamCase{"StartsLate", -1, E3, "", JJ_EVENT_FOREIGN, true},
+	StreamCase{"NoId", -1, "data: x\n\n", "", JJ_EVENT_FOREIGN, true},
+	StreamCase{
+	    "Comment", -1, ": hi\n\n" E0, ": hi\n\n" E0, JJ_EVENT_MORE, false},
+	StreamCase{"FieldBefore", -1, "versions: 3\n" E0, "versions: 3\n" E0,
+	    JJ_EVENT_MORE, false},
+	StreamCase{"CarriageReturns", -1, "id:0\r\ndata:a\r\n\r\n",
+	    "id:0\r\ndata:a\r\n\r\n", JJ_EVENT_MORE, false},
+	StreamCase{"Garbage", -1, "\x01\x02 zz\n\n", "\x01\x02 zz\n\n",
+	    JJ_EVENT_MORE, false}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+TEST(EventPiece, JoinsItsDataByLineFeeds)
+{
+	const char raw[] = "id: 4\ndata: one\ndata:two\n\n";
+	jj_event_piece_t piece = {raw, sizeof(raw) - 1, 4, true};
+	jj_bytes_t text = {};
+
+	jj_event_piece_append_data(&piece, true, &text);
+	jj_event_piece_append_data(&piece, false, &text);
+	EXPECT_STREQ("one\ntwo\none\ntwo", text.data);
+	jj_bytes_free(&text);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/core/gateway_test.cc
@@ -0,0 +1,580 @@
+/**
+ * @file gateway_test.cc
+ * @brief Requests through a VM that serves routes, whatever servers do.
+ */
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "tests/core/fake_platform.h"
+
+extern "C" {
+#include "core/gateway.h"
+}
+
+namespace
+{
+
+/** What the gateway said of a request. */
+struct Said {
+	std::vector<std::string> servers; /**< attempts, in order */
+	std::vector<uint32_t> cancelled; /**< attempts */
+	int answers = 0;
+	jj_answer_t answer = {};
+};
+
+/** Routes by the version that stands in the object. */
+bool
+read_routes(void *ctx, const jj_bytes_t *object, jj_routes_t *routes, char *why,
+    size_t why_size)
+{
+	auto *list = static_cast<std::vector<jj_route_t> *>(ctx);
+	uint64_t version = strtoull(object->data, nullptr, 10);
+
+	if (version == 0) {
+		snprintf(why, why_size, "no version");
+		return false;
+	}
+	routes->version = version;
+	routes->route_count = list->size();
+	routes->routes = static_cast<jj_route_t *>(
+	    jj_alloc(list->size() * sizeof(jj_route_t)));
+	std::copy(list->begin(), list->end(), routes->routes);
+	return true;
+}
+
+/** "DOMAIN ready" or "DOMAIN draining". */
+bool
+read_server(
+    void *, const char *id, const jj_bytes_t *object, jj_slot_info_t *info)
+{
+	std::string text(object->data, object->size);
+
+	jj_name_set(&info->id, id);
+	jj_name_set(&info->service, "ordini");
+	jj_name_set(&info->domain, text.substr(0, text.find(' ')).c_str());
+	snprintf(info->address, sizeof(info->address), "10.0.0.9:80");
+	info->slots = 2;
+	info->draining = text.find("draining") != std::string::npos;
+	return true;
+}
+
+jj_bytes_t
+write_page(void *, const jj_inline_page_t *)
+{
+	return jj_bytes_from_text("page");
+}
+
+int64_t
+unix_ms(void *)
+{
+	return 1700000000000;
+}
+
+void
+on_routes(void *, const jj_routes_t *)
+{
+}
+
+class Gateway : public ::testing::Test
+{
+      protected:
+	FakePlatform platform;
+	std::vector<jj_route_t> routes;
+	jj_gateway_t *gateway = nullptr;
+	jj_actions_t out;
+	jj_ms_t now = 1000;
+	uint64_t last = 0;
+	std::map<uint64_t, Said> said;
+	std::vector<std::string> sent; /**< messages: "NAME KIND" */
+	std::map<int, jj_action_t *> watches; /**< by token */
+	std::vector<std::string> item_servers;
+
+	Gateway()
+	{
+		TAILQ_INIT(&out);
+		add_route("once", "/once/", JJ_ROUTE_STREAM, false, 2);
+		add_route("again", "/again/", JJ_ROUTE_STREAM, true, 2);
+		add_route("batch", "/batch/", JJ_ROUTE_BATCH, true, 3);
+		platform.put("config/main", "7");
+		platform.put("servers/s1", "verona ready");
+		create(true);
+	}
+	~Gateway() override
+	{
+		jj_gateway_destroy(gateway);
+		for (auto &watch : watches)
+			jj_action_free(watch.second);
+		jj_actions_clear(&out);
+	}
+	void
+	add_route(const char *name, const char *prefix, jj_route_kind_t kind,
+	    bool resumable, uint32_t attempts)
+	{
+		jj_route_t route = {};
+
+		jj_name_set(&route.name, name);
+		snprintf(route.host, sizeof(route.host), "h");
+		snprintf(route.prefix, sizeof(route.prefix), "%s", prefix);
+		route.kind = kind;
+		route.resumable = resumable;
+		route.attempts = attempts;
+		route.timeout_ms = 5000;
+		route.run_due_ms = 18000;
+		route.retention_ms = 60000;
+		route.backend_count = 1;
+		jj_name_set(&route.backends[0].service, "ordini");
+		route.backends[0].weight = 1;
+		routes.push_back(route);
+	}
+	void
+	create(bool serves)
+	{
+		jj_gateway_settings_t settings = {};
+		jj_gateway_port_t port = {&routes, read_routes, read_server,
+		    write_page, unix_ms, on_routes};
+
+		jj_gateway_destroy(gateway);
+		for (auto &watch : watches)
+			jj_action_free(watch.second);
+		watches.clear();
+		jj_name_set(&settings.name, "verona-1");
+		jj_name_set(&settings.domain, "verona");
+		settings.incarnation = 1;
+		settings.member.name = settings.name;
+		jj_name_set(&settings.member.domain, "pianura");
+		settings.member.incarnation = 1;
+		settings.member.heartbeat_ms = 500;
+		settings.member.suspect_ms = 2000;
+		settings.member.forget_ms = 60000;
+		settings.quarantine = {2, 600000, 600000, 100};
+		settings.slots.name = settings.name;
+		settings.slots.domain = settings.domain;
+		settings.slots.reserve = 0;
+		settings.slots.queue_most = 1;
+		snprintf(settings.jobs.writer, sizeof(settings.jobs.writer),
+		    "verona-1/0000000000000001");
+		settings.jobs.publish_ms = 100;
+		settings.jobs.submit_ms = 3000;
+		settings.jobs.retry_ms = 50;
+		settings.jobs.retry_most_ms = 400;
+		settings.jobs.item_retry_ms = 100;
+		snprintf(settings.config_prefix, sizeof(settings.config_prefix),
+		    "config/");
+		snprintf(settings.config_key, sizeof(settings.config_key),
+		    "config/main");
+		snprintf(settings.servers_prefix,
+		    sizeof(settings.servers_prefix), "servers/");
+		snprintf(settings.retire_prefix, sizeof(settings.retire_prefix),
+		    "%s", serves ? "" : "retire/");
+		settings.serves = serves;
+		settings.watch_wait_ms = 20000;
+		settings.backoff_ms = 100;
+		settings.backoff_most_ms = 800;
+		settings.vms_poll_ms = 5000;
+		settings.relist_grace_ms = 2000;
+		settings.tell_near_ms = 10;
+		settings.tell_far_ms = 100;
+		settings.stall_ms = 1500;
+		settings.connect_ms = 250;
+		settings.retry_after_ms = 250;
+		settings.connect_tries = 3;
+		gateway = jj_gateway_create(&settings, &port);
+		tick(0);
+		tick(0);
+	}
+	void
+	tick(jj_ms_t ms)
+	{
+		now += ms;
+		jj_gateway_tick(gateway, now, &out);
+		settle();
+	}
+	void
+	settle()
+	{
+		jj_action_t *action;
+
+		while ((action = TAILQ_FIRST(&out)) != nullptr) {
+			TAILQ_REMOVE(&out, action, link);
+			if (action->kind == JJ_ACTION_PLATFORM &&
+			    action->body.platform.op == JJ_PLATFORM_WATCH) {
+				watches[number_of(action->body.platform)] =
+				    action;
+				continue;
+			}
+			take(action);
+			jj_action_free(action);
+		}
+	}
+	void
+	take(jj_action_t *action)
+	{
+		switch (action->kind) {
+		case JJ_ACTION_PLATFORM: {
+			jj_platform_result_t result =
+			    platform.execute(action->body.platform);
+
+			jj_gateway_take_platform(gateway, &result, now, &out);
+			jj_platform_result_clear(&result);
+			break;
+		}
+		case JJ_ACTION_BACKEND_START:
+			said[action->body.start.request].servers.push_back(
+			    action->body.start.server.text);
+			break;
+		case JJ_ACTION_BACKEND_CANCEL:
+			said[action->body.cancel.request].cancelled.push_back(
+			    action->body.cancel.attempt);
+			break;
+		case JJ_ACTION_ANSWER:
+			said[action->body.answer.request].answers++;
+			said[action->body.answer.request].answer =
+			    action->body.answer;
+			break;
+		case JJ_ACTION_SEND:
+			sent.push_back(std::string(action->body.send.to.text) +
+			    " " +
+			    std::to_string(action->body.send.message->kind));
+			break;
+		default:
+			break;
+		}
+	}
+	/** Watches of the jobs count from 100. */
+	static int
+	number_of(const jj_platform_call_t &call)
+	{
+		return (int)call.token +
+		    (call.owner == JJ_OWNER_INLINE ? 100 : 0);
+	}
+	/** The watch of that token brings one object. */
+	void
+	see(int token, const char *key, const char *value, bool gone = false)
+	{
+		jj_action_t *watch;
+		jj_platform_item_t item = {};
+		jj_platform_result_t result = {};
+
+		tick(0);
+		watch = watches[token];
+		ASSERT_NE(nullptr, watch);
+		snprintf(item.key, sizeof(item.key), "%s", key);
+		item.version = ++platform.revision;
+		item.deleted = gone;
+		if (!gone)
+			item.value = jj_bytes_from_text(value);
+		result.owner = watch->body.platform.owner;
+		result.token = (uint64_t)token;
+		result.op = JJ_PLATFORM_WATCH;
+		result.version = platform.revision;
+		result.items = &item;
+		result.item_count = 1;
+		jj_action_free(watch);
+		watches.erase(token);
+		jj_gateway_take_platform(gateway, &result, now, &out);
+		jj_bytes_free(&item.value);
+		settle();
+	}
+	uint64_t
+	begin(const char *path, uint64_t fingerprint = 0)
+	{
+		jj_gateway_request_t request = {};
+
+		request.request = ++last;
+		snprintf(request.id, sizeof(request.id), "r%d", (int)last);
+		request.host = "h";
+		request.path = path;
+		request.budget_ms = 4000;
+		request.fingerprint =
+		    fingerprint != 0 ? fingerprint : 1000 + last;
+		jj_gateway_begin(gateway, &request, now, &out);
+		settle();
+		return last;
+	}
+	void
+	happens(uint64_t request, jj_backend_kind_t kind, int status = 200,
+	    bool relayed = false)
+	{
+		jj_backend_event_t event = {};
+		jj_bytes_t text = {};
+
+		event.request = request;
+		event.attempt = (uint32_t)said[request].servers.size();
+		event.kind = kind;
+		event.relayed = relayed;
+		jj_gateway_take_backend(
+		    gateway, &event, status, &text, now, &out);
+		jj_bytes_free(&text);
+		settle();
+	}
+	size_t
+	attempts(uint64_t request)
+	{
+		return said[request].servers.size();
+	}
+	void
+	expect_end(uint64_t request, jj_give_up_t reason, jj_run_t run)
+	{
+		EXPECT_EQ(1, said[request].answers);
+		EXPECT_EQ(reason, said[request].answer.reason);
+		EXPECT_EQ(run, said[request].answer.run);
+	}
+	void
+	submit(const char *id, int count)
+	{
+		jj_inline_job_t job = {};
+
+		snprintf(job.id, sizeof(job.id), "%s", id);
+		job.host = strdup("h");
+		job.path = strdup("/batch/1");
+		for (int i = 0; i < count; i++) {
+			jj_inline_item_t *item = jj_inline_job_add(&job);
+
+			item->id = strdup(
+			    (std::string(id) + std::to_string(i)).c_str());
+			item->path = strdup("/batch/x");
+			item->body = jj_bytes_from_text(item->id);
+		}
+		jj_gateway_submit(gateway, ++last, &job, now, &out);
+		settle();
+	}
+	jj_slot_server_t *
+	server(const char *id)
+	{
+		return jj_slots_find(jj_gateway_slots(gateway), id);
+	}
+};
+
+class GatewayFailure : public Gateway
+{
+};
+
+TEST_F(Gateway, SendsARequestAndForgetsItWhenItIsDone)
+{
+	uint64_t request = begin("/once/1");
+
+	ASSERT_EQ(1U, attempts(request));
+	EXPECT_EQ("s1", said[request].servers[0]);
+	happens(request, JJ_BACKEND_FIRST);
+	happens(request, JJ_BACKEND_DONE, 200, true);
+	EXPECT_EQ(0, said[request].answers) << "its answer went by the relay";
+	EXPECT_EQ(0U, jj_gateway_in_flight(gateway, JJ_CLASS_ONLINE));
+	EXPECT_EQ(0U, server("s1")->online);
+}
+
+TEST_F(Gateway, RefusesWhatNoRouteAllows)
+{
+	expect_end(begin("/none/1"), JJ_GIVE_UP_NO_SERVICE, JJ_RUN_NOT_RUN);
+}
+
+TEST_F(Gateway, IsNotReadyWithoutAConfiguration)
+{
+	platform.objects.erase("config/main");
+	create(true);
+	EXPECT_FALSE(jj_gateway_is_ready(gateway));
+	expect_end(begin("/once/1"), JJ_GIVE_UP_NO_CONFIG, JJ_RUN_NOT_RUN);
+}
+
+TEST_F(Gateway, TakesANewerConfigurationOnly)
+{
+	see(1, "config/main", "9");
+	EXPECT_EQ(9U, jj_gateway_routes(gateway)->version);
+	see(1, "config/main", "8");
+	EXPECT_EQ(9U, jj_gateway_routes(gateway)->version);
+	see(1, "config/main", "nonsense");
+	EXPECT_EQ(9U, jj_gateway_routes(gateway)->version);
+}
+
+TEST_F(Gateway, SendsNothingToAServerThatLeaves)
+{
+	see(2, "servers/s2", "verona ready");
+	see(2, "servers/s1", "verona draining");
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ("s2", said[begin("/once/1")].servers[0]);
+	see(2, "servers/s2", "", true);
+	expect_end(begin("/once/1"), JJ_GIVE_UP_NO_SERVER, JJ_RUN_NOT_RUN);
+}
+
+TEST_F(Gateway, AnswersAnOrderToEmptyItsVm)
+{
+	platform.put("retire/verona-1", "{}");
+	platform.put("retire/verona-2", "{}");
+	create(false);
+	/* The fake store knows no status: the call itself is what counts. */
+	EXPECT_GT(platform.reads, 0);
+	EXPECT_TRUE(watches.count(3) == 1) << "only orders are watched";
+	EXPECT_EQ(1U, watches.size());
+}
+
+struct FailCase {
+	const char *name;
+	const char *path;
+	jj_backend_kind_t kind;
+	bool relayed;
+	size_t attempts; /**< in all, when each one fails alike */
+	jj_run_t run;
+};
+
+class GatewayFails : public Gateway,
+		     public ::testing::WithParamInterface<FailCase>
+{
+};
+
+/* What is sent again, how often, and what the caller is told of its run. */
+TEST_P(GatewayFails, IsSentAgainOnlyWhereAllowed)
+{
+	see(2, "servers/s2", "verona ready");
+	uint64_t request = begin(GetParam().path);
+
+	for (int i = 0; i < 9 && said[request].answers == 0; i++) {
+		if (GetParam().relayed)
+			happens(request, JJ_BACKEND_FIRST);
+		happens(request, GetParam().kind, 0, GetParam().relayed);
+		now += 1000;
+	}
+	EXPECT_EQ(GetParam().attempts, attempts(request));
+	EXPECT_EQ(1, said[request].answers);
+	EXPECT_EQ(GetParam().run, said[request].answer.run);
+	EXPECT_EQ(0U, jj_gateway_in_flight(gateway, JJ_CLASS_ONLINE));
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, GatewayFails,
+    ::testing::Values(FailCase{"OnceBroken", "/once/1", JJ_BACKEND_BROKEN,
+			  false, 1, JJ_RUN_UNKNOWN},
+	FailCase{"OnceRefused", "/once/1", JJ_BACKEND_REFUSED, false, 2,
+	    JJ_RUN_NOT_RUN},
+	FailCase{"OnceOtherInstance", "/once/1", JJ_BACKEND_LEAVING, false, 2,
+	    JJ_RUN_NOT_RUN},
+	FailCase{"OnceFailed", "/once/1", JJ_BACKEND_FAILED, false, 1,
+	    JJ_RUN_UNKNOWN},
+	FailCase{"OnceNotSent", "/once/1", JJ_BACKEND_NOT_SENT, false, 5,
+	    JJ_RUN_NOT_RUN},
+	FailCase{"OnceCutMidway", "/once/1", JJ_BACKEND_BROKEN, true, 1,
+	    JJ_RUN_UNKNOWN},
+	FailCase{"AgainBroken", "/again/1", JJ_BACKEND_BROKEN, false, 2,
+	    JJ_RUN_UNKNOWN},
+	FailCase{"AgainCutMidway", "/again/1", JJ_BACKEND_BROKEN, true, 2,
+	    JJ_RUN_UNKNOWN}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+/* A request's time is up: it is answered then, and stopped at its server. */
+TEST_F(GatewayFailure, ATimeLimitIsKept)
+{
+	uint64_t request = begin("/once/1");
+
+	tick(3990);
+	EXPECT_EQ(0, said[request].answers);
+	tick(10);
+	expect_end(request, JJ_GIVE_UP_DEADLINE, JJ_RUN_UNKNOWN);
+	EXPECT_EQ(1U, said[request].cancelled.size());
+}
+
+/* A server falls silent in the middle of a stream that may go on elsewhere. */
+TEST_F(GatewayFailure, ASilentStreamIsMovedWhereItMayBe)
+{
+	see(2, "servers/s2", "verona ready");
+	uint64_t again = begin("/again/1");
+	uint64_t once = begin("/once/1");
+
+	happens(again, JJ_BACKEND_FIRST);
+	happens(once, JJ_BACKEND_FIRST);
+	tick(1600);
+	EXPECT_EQ(2U, attempts(again));
+	EXPECT_NE(said[again].servers[0], said[again].servers[1]);
+	EXPECT_EQ(1U, said[again].cancelled.size());
+	EXPECT_EQ(1U, attempts(once)) << "silence is no reason to end it";
+	EXPECT_EQ(0, said[once].answers);
+}
+
+/* The caller hangs up: its request is stopped at once. */
+TEST_F(GatewayFailure, ACallerThatLeavesFreesItsPlace)
+{
+	uint64_t request = begin("/once/1");
+
+	jj_gateway_take_gone(gateway, request, now, &out);
+	settle();
+	EXPECT_EQ(1U, said[request].cancelled.size());
+	EXPECT_EQ(0U, server("s1")->online);
+	happens(request, JJ_BACKEND_DONE);
+	EXPECT_EQ(0, said[request].answers);
+}
+
+/*
+ * Batch fills the places that online leaves. A burst comes: the items are cut
+ * before the requests get there, and go on when it is over.
+ */
+TEST_F(GatewayFailure, OnlineTakesPlacesOfBatch)
+{
+	submit("j", 4);
+	tick(50);
+	EXPECT_EQ(2U, server("s1")->batch);
+	uint64_t first = begin("/once/1");
+	EXPECT_EQ(1U, attempts(first));
+	EXPECT_EQ(1U, server("s1")->batch);
+	uint64_t second = begin("/once/2");
+	EXPECT_EQ(0U, server("s1")->batch);
+	EXPECT_EQ(4U, jj_gateway_waiting_items(gateway));
+	happens(first, JJ_BACKEND_DONE);
+	happens(second, JJ_BACKEND_DONE);
+	tick(100);
+	EXPECT_EQ(2U, server("s1")->batch);
+}
+
+/* All places and queues are full: the caller is told at once, and truly. */
+TEST_F(GatewayFailure, AFullFleetRefusesAtOnce)
+{
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(1U, attempts(begin("/once/1")));
+	uint64_t request = begin("/once/1");
+
+	expect_end(request, JJ_GIVE_UP_OVERLOADED, JJ_RUN_NOT_RUN);
+	EXPECT_EQ(250, said[request].answer.retry_after_ms);
+	EXPECT_EQ(0U, attempts(request));
+}
+
+/*
+ * One request crashes each server that begins to run it, and its caller sends
+ * it again. Others that were there are not blamed for good.
+ */
+TEST_F(GatewayFailure, ARequestThatCrashesServersIsRefused)
+{
+	uint64_t poison;
+	uint64_t other;
+
+	see(2, "servers/s2", "verona ready");
+	for (int i = 0; i < 2; i++) {
+		poison = begin("/once/p", 77);
+		other = begin("/once/o");
+		while (said[other].servers[0] != said[poison].servers[0])
+			other = begin("/once/o");
+		happens(other, JJ_BACKEND_FIRST);
+		happens(poison, JJ_BACKEND_BROKEN);
+		happens(other, JJ_BACKEND_BROKEN, 0, true);
+		std::string dead = "servers/" + said[poison].servers[0];
+		see(2, dead.c_str(), "", true);
+		see(2, "servers/s3", "verona ready");
+		now += 1000;
+	}
+	expect_end(
+	    begin("/once/p", 77), JJ_GIVE_UP_QUARANTINED, JJ_RUN_NOT_RUN);
+	EXPECT_EQ(1U, attempts(begin("/once/o")));
+}
+
+/* A lost answer is no crash: the server lives, nobody is blamed. */
+TEST_F(GatewayFailure, ALostAnswerIsNoCrash)
+{
+	see(2, "servers/s2", "verona ready");
+	for (int i = 0; i < 4; i++) {
+		uint64_t request = begin("/once/l", 88);
+
+		ASSERT_EQ(1U, attempts(request)) << i;
+		happens(request, JJ_BACKEND_BROKEN);
+		now += 4000;
+	}
+}
+
+} // namespace
--- /dev/null
+++ b/tests/core/slots_test.cc
@@ -0,0 +1,240 @@
+/**
+ * @file slots_test.cc
+ * @brief Places at servers: online first, batch in what is left.
+ */
+#include <string>
+
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "core/slots.h"
+}
+
+namespace
+{
+
+class Slots : public ::testing::Test
+{
+      protected:
+	jj_slots_t *slots;
+	jj_name_t service;
+	bool full = false;
+
+	Slots()
+	{
+		jj_slots_settings_t settings = {};
+
+		jj_name_set(&settings.name, "verona-1");
+		jj_name_set(&settings.domain, "verona");
+		settings.reserve = 1;
+		settings.queue_most = 2;
+		settings.seed = 7;
+		slots = jj_slots_create(&settings);
+		jj_name_set(&service, "ordini");
+	}
+	~Slots() override
+	{
+		jj_slots_destroy(slots);
+	}
+
+	jj_slot_server_t *
+	learn(const char *id, const char *domain = "verona",
+	    bool draining = false)
+	{
+		jj_slot_info_t info = {};
+
+		jj_name_set(&info.id, id);
+		jj_name_set(&info.service, "ordini");
+		jj_name_set(&info.domain, domain);
+		snprintf(info.address, sizeof(info.address), "10.0.0.1:80");
+		info.slots = 4;
+		info.draining = draining;
+		jj_slots_learn(slots, &info);
+		return jj_slots_find(slots, id);
+	}
+	/** As if so many requests of this VM ran there. */
+	static void
+	fill(jj_slot_server_t *server, int online, int batch)
+	{
+		for (int i = 0; i < online + batch; i++) {
+			jj_slots_add(server,
+			    i < online ? JJ_CLASS_ONLINE : JJ_CLASS_BATCH);
+			jj_slots_note_first(server, 50);
+		}
+	}
+	void
+	neighbour(jj_slot_server_t *server, uint32_t online, uint32_t batch)
+	{
+		jj_load_t load = {server->hash, online, batch, 0};
+		jj_name_t vm;
+
+		jj_name_set(&vm, "verona-2");
+		jj_slots_take_loads(slots, &vm, &load, 1, false);
+	}
+	std::string
+	online(const char *avoid = nullptr, jj_ms_t now = 1000)
+	{
+		jj_name_t name;
+		jj_slot_server_t *server;
+
+		if (avoid != nullptr)
+			jj_name_set(&name, avoid);
+		server = jj_slots_choose_online(slots, &service,
+		    avoid != nullptr ? &name : nullptr, now, &full);
+		return server != nullptr ? server->info.id.text : "";
+	}
+	std::string
+	batch(jj_ms_t now = 1000)
+	{
+		jj_slot_server_t *server =
+		    jj_slots_choose_batch(slots, &service, nullptr, now);
+
+		return server != nullptr ? server->info.id.text : "";
+	}
+};
+
+TEST_F(Slots, OnlineTakesTheEmptiestServer)
+{
+	fill(learn("s1"), 2, 0);
+	fill(learn("s2"), 1, 0);
+	neighbour(jj_slots_find(slots, "s2"), 2, 0);
+	EXPECT_EQ("s1", online());
+}
+
+TEST_F(Slots, OnlineTakesAPlaceOfBatchBeforeItWaits)
+{
+	fill(learn("s1"), 4, 0);
+	fill(learn("s2"), 2, 2);
+	EXPECT_EQ("s2", online());
+}
+
+TEST_F(Slots, OnlinePrefersBatchOfThisVm)
+{
+	jj_slot_server_t *other = learn("s1");
+
+	fill(learn("s2"), 0, 4);
+	neighbour(other, 0, 4);
+	EXPECT_EQ("s2", online());
+	jj_slots_note_failure(jj_slots_find(slots, "s2"), 1000);
+	EXPECT_EQ("s1", online());
+	EXPECT_STREQ("verona-2", jj_slots_ask_to_yield(other)->text);
+	EXPECT_EQ(3U, other->others_batch);
+}
+
+TEST_F(Slots, OnlineIsRefusedWhenAllQueuesAreFull)
+{
+	fill(learn("s1"), 6, 0);
+	EXPECT_EQ("", online());
+	EXPECT_TRUE(full);
+}
+
+TEST_F(Slots, OnlineWithoutAServerIsNotCalledFull)
+{
+	learn("s1", "verona", true);
+	EXPECT_EQ("", online());
+	EXPECT_FALSE(full);
+}
+
+TEST_F(Slots, BatchLeavesAPlaceForTheNextRequest)
+{
+	fill(learn("s1"), 1, 1);
+	EXPECT_EQ("s1", batch());
+	fill(jj_slots_find(slots, "s1"), 0, 1);
+	EXPECT_EQ("", batch());
+}
+
+TEST_F(Slots, BatchStaysAtHomeWhileThereIsRoom)
+{
+	learn("s1", "mantova");
+	fill(learn("s2"), 1, 0);
+	EXPECT_EQ("s2", batch());
+	fill(jj_slots_find(slots, "s2"), 2, 0);
+	EXPECT_EQ("s1", batch());
+}
+
+TEST_F(Slots, AServerThatFailedRestsLongerEachTime)
+{
+	jj_slot_server_t *server = learn("s1");
+
+	jj_slots_note_failure(server, 1000);
+	EXPECT_EQ("", online(nullptr, 1100));
+	EXPECT_EQ("s1", online(nullptr, 1200));
+	jj_slots_note_failure(server, 1200);
+	EXPECT_EQ("", online(nullptr, 1500));
+	EXPECT_EQ("s1", online(nullptr, 1600));
+	jj_slots_note_first(server, 40);
+	jj_slots_note_failure(server, 2000);
+	EXPECT_EQ("s1", online(nullptr, 2200)) << "a success forgets them";
+}
+
+TEST_F(Slots, AServerOfAnEarlierTryIsTheLastResort)
+{
+	fill(learn("s1"), 0, 0);
+	fill(learn("s2"), 3, 0);
+	EXPECT_EQ("s2", online("s1"));
+	jj_slots_drop(slots, "s2", 1000);
+	EXPECT_EQ("s1", online("s1"));
+}
+
+/*
+ * The platform is away, servers cannot renew and their entries lapse. When it
+ * is back its list is empty for a moment: requests must go on to the servers
+ * that are known until they had time to come back, and no longer.
+ */
+TEST_F(Slots, AnEntryThatLapsedIsKeptForAWhile)
+{
+	learn("s1");
+	jj_slots_begin_list(slots);
+	jj_slots_end_list(slots, 3000);
+	EXPECT_EQ("s1", online(nullptr, 2999));
+	EXPECT_EQ("", online(nullptr, 3000));
+	learn("s1");
+	EXPECT_EQ("s1", online(nullptr, 9000));
+	jj_slots_drop(slots, "s1", 9000);
+	EXPECT_EQ("", online(nullptr, 9000));
+	jj_slots_tick(slots, 9000);
+	EXPECT_EQ(nullptr, jj_slots_find(slots, "s1"));
+}
+
+TEST_F(Slots, ASlowServerIsTakenForFuller)
+{
+	jj_slot_server_t *slow = learn("s1");
+
+	fill(learn("s2"), 2, 0);
+	jj_slots_note_first(slow, 900);
+	EXPECT_EQ("s2", online());
+}
+
+TEST_F(Slots, NeighboursAreToldWhatTheyDoNotKnow)
+{
+	jj_load_t loads[4];
+
+	fill(learn("s1"), 1, 1);
+	learn("s2");
+	ASSERT_EQ(1U, jj_slots_take_news(slots, JJ_SLOTS_NEAR, loads, 4));
+	EXPECT_EQ(1U, loads[0].online);
+	EXPECT_EQ(0U, jj_slots_take_news(slots, JJ_SLOTS_NEAR, loads, 4));
+	EXPECT_EQ(1U, jj_slots_take_news(slots, JJ_SLOTS_FAR, loads, 4))
+	    << "those abroad were not told yet";
+	jj_slots_remove(jj_slots_find(slots, "s1"), JJ_CLASS_BATCH);
+	EXPECT_EQ(1U, jj_slots_take_news(slots, JJ_SLOTS_FAR, loads, 4));
+	EXPECT_EQ(0U, jj_slots_take_news(slots, JJ_SLOTS_NEAR, loads, 4));
+}
+
+TEST_F(Slots, AHeartbeatNamesAllThatItsVmRuns)
+{
+	jj_slot_server_t *first = learn("s1");
+	jj_slot_server_t *second = learn("s2");
+	jj_load_t load = {second->hash, 1, 0, 0};
+	jj_name_t vm;
+
+	neighbour(first, 2, 1);
+	jj_name_set(&vm, "verona-2");
+	jj_slots_take_loads(slots, &vm, &load, 1, true);
+	EXPECT_EQ(0U, first->others_online + first->others_batch);
+	EXPECT_EQ(1U, second->others_online);
+	jj_slots_forget_neighbour(slots, &vm);
+	EXPECT_EQ(0U, second->others_online);
+}
+
+} // namespace
