Refuse a second run where a caller has bytes of a first

After the pause the word of the death passes the first tokens on their way to the core, which sends the request anew; the relay passed the second run's bytes on behind the first one's. Ruled out: a late attempt's bytes (dropped by number), a reset of the stream's position (the caller's head was sent once). Change: the relay, which knows under its lock what the caller has, refuses an attempt that is no resume and tells the core that the answer had begun.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,9 @@
 CORE_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/core/*.cc))
 ADAPTER_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/adapters/*.cc))
 PLATFORM_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/platform/*.cc))
+# What of the daemon is tested by itself.
+DAEMON_PARTS := $(B)/src/daemon/relay.o $(B)/src/daemon/sse.o \
+	$(B)/src/daemon/assembler.o $(B)/src/daemon/stream_relay.o
 PLATFORM_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
 SYSTEM_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/system/*.cc))
 EXAMPLES := $(patsubst examples/%.c,$(B)/example-%,$(wildcard examples/*.c))
@@ -88,7 +91,8 @@
 
 $(B)/test-core: $(CORE_TESTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
-$(B)/test-adapters: $(ADAPTER_TESTS) $(PLATFORM_TESTS) $(PLATFORM_OBJ) $(LIB)
+$(B)/test-adapters: $(ADAPTER_TESTS) $(PLATFORM_TESTS) $(PLATFORM_OBJ) \
+	$(DAEMON_PARTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
 $(B)/test-system: $(SYSTEM_TESTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -79,6 +79,7 @@
 create_attempt(jj_relay_t *, entry_t *, const jj_backend_start_t *, bool);
 static void forget_stream(entry_t *);
 static void start_request(shard_t *, entry_t *, attempt_t *, jj_ms_t);
+static void refuse_second_run(jj_relay_t *, const jj_backend_start_t *);
 static void on_head(void *, const jj_http_head_t *);
 static jj_http_flow_t on_data(void *, const char *, size_t);
 static jj_http_flow_t take_stream(attempt_t *, entry_t *, const char *, size_t);
@@ -184,6 +185,7 @@
 jj_relay_start(jj_relay_t *relay, const jj_backend_start_t *start,
     const char *address, jj_ms_t timeout_ms, bool idempotent)
 {
+	bool joins = false;
 	shard_t *shard;
 	entry_t *entry = lock_entry(relay, start->request, &shard);
 	attempt_t *attempt;
@@ -193,10 +195,37 @@
 		    entry->address, sizeof(entry->address), "%s", address);
 		entry->exchange.idempotent = idempotent;
 		entry->attempt = start->attempt;
+		joins = entry->begun && start->resume_from == 0;
+	}
+	if (entry != NULL && !joins) {
 		attempt = create_attempt(relay, entry, start, idempotent);
 		start_request(shard, entry, attempt, timeout_ms);
 	}
 	(void)apr_thread_mutex_unlock(shard->lock);
+	if (joins)
+		refuse_second_run(relay, start);
+}
+
+/**
+ * Guards against two runs in one answer. The word of a server's death may
+ * pass the first bytes of an answer on their way to the core, most of all
+ * when a process wakes after a pause; the core then sends the request anew,
+ * and the caller would get the start of one run and the whole of another as
+ * one complete answer. Whether bytes have gone to the caller is known here,
+ * under the lock under which they go, so here the second run ends.
+ */
+static void
+refuse_second_run(jj_relay_t *relay, const jj_backend_start_t *start)
+{
+	jj_backend_event_t event = {0};
+	jj_whole_t none = {0};
+
+	event.request = start->request;
+	event.attempt = start->attempt;
+	event.kind = JJ_BACKEND_BROKEN;
+	event.relayed = true;
+	relay->port.on_event(
+	    relay->port.ctx, &event, &none, &start->server, false);
 }
 
 void
--- a/tests/adapters/http_server_test.cc
+++ b/tests/adapters/http_server_test.cc
@@ -2,17 +2,14 @@
  * @file http_server_test.cc
  * @brief Calls that are answered when their server has ended already.
  */
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <cstring>
 #include <future>
 #include <string>
 
 #include <gtest/gtest.h>
 
+#include "tests/adapters/loopback.h"
+
 extern "C" {
 #include "adapters/http_server.h"
 }
@@ -20,40 +17,6 @@
 namespace
 {
 
-/** An address that is free now. */
-std::string
-free_address()
-{
-	sockaddr_in address = {};
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	(void)bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-	(void)getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
-	(void)close(fd);
-	return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
-int
-send_request(const std::string &to)
-{
-	const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-	sockaddr_in address = {};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	address.sin_port = htons(std::stoi(to.substr(to.find(':') + 1)));
-	if (connect(fd, reinterpret_cast<sockaddr *>(&address),
-		sizeof(address)) != 0 ||
-	    send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
-		ADD_FAILURE() << "no connection to " << to;
-	}
-	return fd;
-}
-
 struct finish_t {
 	const char *name;
 	void (*finish)(jj_http_call_t *);
--- /dev/null
+++ b/tests/adapters/loopback.h
@@ -0,0 +1,79 @@
+/**
+ * @file loopback.h
+ * @brief Plain HTTP callers on loopback, for tests of servers.
+ */
+#ifndef JJ_TESTS_ADAPTERS_LOOPBACK_H
+#define JJ_TESTS_ADAPTERS_LOOPBACK_H
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <string>
+
+#include <gtest/gtest.h>
+
+/** An address that is free now. */
+inline std::string
+free_address()
+{
+	sockaddr_in address = {};
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	(void)bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+	(void)getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
+	(void)close(fd);
+	return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+/** Sends a request; the answer is read from what is returned. */
+inline int
+send_request(const std::string &to,
+    const std::string &text = "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+{
+	sockaddr_in address = {};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(std::stoi(to.substr(to.find(':') + 1)));
+	if (connect(fd, reinterpret_cast<sockaddr *>(&address),
+		sizeof(address)) != 0 ||
+	    send(fd, text.data(), text.size(), MSG_NOSIGNAL) < 0) {
+		ADD_FAILURE() << "no connection to " << to;
+	}
+	return fd;
+}
+
+/** Reads until the text has come, or the connection ends. */
+inline std::string
+read_until(int fd, const std::string &wanted)
+{
+	std::string got;
+	char bytes[4096];
+	ssize_t size;
+
+	while (got.find(wanted) == std::string::npos &&
+	    (size = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		got.append(bytes, (size_t)size);
+	return got;
+}
+
+inline std::string
+read_to_end(int fd)
+{
+	std::string got;
+	char bytes[4096];
+	ssize_t size;
+
+	while ((size = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		got.append(bytes, (size_t)size);
+	return got;
+}
+
+#endif
--- /dev/null
+++ b/tests/adapters/relay_test.cc
@@ -0,0 +1,240 @@
+/**
+ * @file relay_test.cc
+ * @brief What a caller gets is one run's answer, whatever the core decides.
+ */
+#include <atomic>
+#include <condition_variable>
+#include <cstring>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "tests/adapters/loopback.h"
+
+extern "C" {
+#include "daemon/relay.h"
+}
+
+namespace
+{
+
+/** Waits are for events that come in milliseconds. */
+const int kPatienceMs = 10000;
+
+struct Told {
+	jj_backend_kind_t kind;
+	uint32_t attempt;
+	bool relayed;
+};
+
+/** An engine and a front of servers in this process, joined by a relay. */
+class Relay : public ::testing::Test
+{
+      protected:
+	std::mutex lock;
+	std::condition_variable changed;
+	std::vector<jj_http_call_t *> runs; /**< at the engine */
+	std::vector<jj_http_call_t *> callers;
+	std::vector<Told> told;
+	std::string engine_address = free_address();
+	std::string front_address = free_address();
+	jj_http_server_t *engine;
+	jj_http_server_t *front;
+	jj_relay_t *relay;
+	jj_backend_start_t start = {};
+
+	Relay()
+	{
+		jj_http_port_t engine_port = {
+		    this, on_run, nullptr, nullptr, nullptr, nullptr};
+		jj_http_port_t front_port = {
+		    this, on_caller, nullptr, nullptr, nullptr, nullptr};
+		jj_relay_port_t port = {this, on_event, on_leaving};
+
+		engine = serve(engine_address, engine_port);
+		front = serve(front_address, front_port);
+		relay = jj_relay_create(1, &port);
+		jj_name_set(&start.server, "ordini-1");
+		start.request = 1;
+	}
+	~Relay() override
+	{
+		jj_relay_destroy(relay);
+		jj_http_server_destroy(front);
+		jj_http_server_destroy(engine);
+	}
+	static jj_http_server_t *
+	serve(const std::string &address, const jj_http_port_t &port)
+	{
+		jj_http_limits_t limits = {
+		    address.c_str(), 1, 100, 16384, 65536, 65536, 60000};
+
+		return jj_http_server_create(&limits, &port);
+	}
+	static void
+	on_run(void *ctx, jj_http_call_t *call)
+	{
+		auto *self = static_cast<Relay *>(ctx);
+		std::lock_guard<std::mutex> guard(self->lock);
+		jj_http_answer_t done = {
+		    200, "text/plain", {{nullptr, nullptr}}};
+
+		if (strstr(jj_http_call_path(call), "/cancel") != nullptr) {
+			jj_http_call_answer(call, &done, "", 0);
+			return;
+		}
+		self->runs.push_back(call);
+		self->changed.notify_all();
+	}
+	static void
+	on_caller(void *ctx, jj_http_call_t *call)
+	{
+		auto *self = static_cast<Relay *>(ctx);
+		std::lock_guard<std::mutex> guard(self->lock);
+
+		self->callers.push_back(call);
+		self->changed.notify_all();
+	}
+	static void
+	on_event(void *ctx, const jj_backend_event_t *event, jj_whole_t *,
+	    const jj_name_t *, bool)
+	{
+		auto *self = static_cast<Relay *>(ctx);
+		std::lock_guard<std::mutex> guard(self->lock);
+
+		self->told.push_back(
+		    {event->kind, event->attempt, event->relayed});
+		self->changed.notify_all();
+	}
+	static void
+	on_leaving(void *, const jj_name_t *)
+	{
+	}
+	template <typename Condition>
+	void
+	wait_for(Condition condition)
+	{
+		std::unique_lock<std::mutex> guard(lock);
+
+		ASSERT_TRUE(changed.wait_for(
+		    guard, std::chrono::milliseconds(kPatienceMs), condition));
+	}
+	/** The relay's exchange of the caller that is waiting. */
+	void
+	add()
+	{
+		jj_exchange_t exchange = {};
+
+		exchange.request = 1;
+		exchange.kind = JJ_EXCHANGE_CALLER;
+		exchange.call = callers[0];
+		exchange.is_model = true;
+		exchange.streams = true;
+		exchange.path = jj_bytes_from_text("/v1/completions");
+		exchange.body = jj_bytes_from_text("{}");
+		jj_relay_add(relay, &exchange);
+	}
+	void
+	send(uint32_t attempt)
+	{
+		start.attempt = attempt;
+		jj_relay_start(
+		    relay, &start, engine_address.c_str(), 60000, true);
+	}
+	static void
+	begin_run(jj_http_call_t *run, const char *stream)
+	{
+		jj_http_answer_t answer = {200, "text/event-stream",
+		    {{"Jujube-Stream", stream}, {"Jujube-Boot", "0a"},
+			{nullptr, nullptr}}};
+
+		jj_http_call_begin(run, &answer);
+	}
+	static void
+	token(jj_http_call_t *run, const char *word)
+	{
+		std::string event = std::string("data: {\"choices\":[{"
+						"\"text\":\"") +
+		    word + "\"}]}\n\n";
+
+		(void)jj_http_call_write(run, event.data(), event.size(), true);
+	}
+};
+
+/*
+ * A VM stands still while it relays a stream; the engine dies meanwhile. When
+ * it wakes, the word of the death passes the first tokens on their way to the
+ * core: for the core the request had not begun, and it is sent anew. The
+ * caller got four tokens of one run and then a whole second run, as one
+ * complete answer.
+ */
+TEST_F(Relay, ASecondRunNeverFollowsTheBytesOfAFirst)
+{
+	int caller = send_request(front_address);
+
+	wait_for([this] { return callers.size() == 1; });
+	add();
+	send(1);
+	wait_for([this] { return runs.size() == 1; });
+	begin_run(runs[0], "7");
+	token(runs[0], "first");
+	ASSERT_NE(std::string::npos, read_until(caller, "first").find("first"));
+	/* The core has not heard of it, and has the request sent again. */
+	jj_relay_cancel(relay, 1, 1);
+	send(2);
+	wait_for([this] {
+		return !told.empty() && told.back().attempt == 2 &&
+		    told.back().kind == JJ_BACKEND_BROKEN;
+	});
+	EXPECT_TRUE(told.back().relayed) << "the core learns that it had begun";
+	EXPECT_EQ(1U, runs.size()) << "the second run is not even sent";
+	jj_exchange_t taken;
+	bool relayed = false;
+	ASSERT_TRUE(jj_relay_take(relay, 1, &taken, &relayed));
+	EXPECT_TRUE(relayed);
+	jj_http_call_end(taken.call, true);
+	jj_exchange_clear(&taken);
+	std::string rest = read_to_end(caller);
+	EXPECT_EQ(std::string::npos, rest.find("0\r\n\r\n"))
+	    << "a cut stream does not look complete";
+	jj_http_call_end(runs[0], true);
+	(void)close(caller);
+}
+
+/* A stream that may go on at its server does so, behind what the caller has. */
+TEST_F(Relay, AResumedRunIsPassedOn)
+{
+	int caller = send_request(front_address);
+
+	wait_for([this] { return callers.size() == 1; });
+	add();
+	send(1);
+	wait_for([this] { return runs.size() == 1; });
+	begin_run(runs[0], "7");
+	token(runs[0], "first");
+	(void)read_until(caller, "first");
+	jj_http_call_end(runs[0], true);
+	wait_for([this] {
+		return !told.empty() && told.back().kind == JJ_BACKEND_BROKEN;
+	});
+	start.resume_from = 1;
+	send(2);
+	wait_for([this] { return runs.size() == 2; });
+	EXPECT_STREQ("/v1/streams/7/resume", jj_http_call_path(runs[1]));
+	begin_run(runs[1], "7");
+	token(runs[1], "second");
+	EXPECT_NE(
+	    std::string::npos, read_until(caller, "second").find("second"));
+	jj_relay_cancel(relay, 1, 2);
+	jj_exchange_t taken;
+	bool relayed = false;
+	ASSERT_TRUE(jj_relay_take(relay, 1, &taken, &relayed));
+	jj_http_call_end(taken.call, true);
+	jj_exchange_clear(&taken);
+	jj_http_call_end(runs[1], true);
+	(void)close(caller);
+}
+
+} // namespace
