Let the end of a job stand with its results

Ruled out: a cut that the server did not notice (the run began anew). Change: the newest segment of results carries the end before the entry goes; an adopted job reads it; a takeover knows the entry's end at once.

--- a/src/core/inline_job.c
+++ b/src/core/inline_job.c
@@ -200,9 +200,10 @@
 				result->text.size));
 		(void)json_array_append_new(results, entry);
 	}
-	return jj_json_take_bytes(json_pack("{s:I,s:I,s:b,s:o}", "total",
+	return jj_json_take_bytes(json_pack("{s:I,s:I,s:b,s:b,s:o}", "total",
 	    (json_int_t)segment->total, "first", (json_int_t)segment->first,
-	    "sealed", segment->sealed, "results", results));
+	    "sealed", segment->sealed, "ended", segment->ended, "results",
+	    results));
 }
 
 bool
@@ -218,6 +219,7 @@
 	segment->first =
 	    (uint32_t)json_integer_value(json_object_get(root, "first"));
 	segment->sealed = json_is_true(json_object_get(root, "sealed"));
+	segment->ended = json_is_true(json_object_get(root, "ended"));
 	valid = root != NULL &&
 	    decode_results(segment, json_object_get(root, "results"));
 	json_decref(root);
--- a/src/core/inline_job.h
+++ b/src/core/inline_job.h
@@ -59,6 +59,7 @@
 	uint32_t count;
 	jj_inline_result_t *results; /**< owned */
 	bool sealed; /**< later ones stand in the next segment */
+	bool ended; /**< the job was ended: nothing of it runs any more */
 } jj_inline_segment_t;
 
 void jj_inline_job_clear(jj_inline_job_t *job);
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -144,6 +144,7 @@
     jj_ms_t now, jj_actions_t *out)
 {
 	jj_open_entry_t *entry;
+	jj_inline_run_t *run;
 
 	TAILQ_FOREACH(entry, &jobs->open, link)
 	{
@@ -168,7 +169,9 @@
 	    entry->owner, sizeof(entry->owner), "%s", jobs->settings.writer);
 	entry->version = result->version;
 	jobs->counts.takeovers++;
-	(void)jj_inline_adopt(jobs, entry->id, result->version, now);
+	run = jj_inline_adopt(jobs, entry->id, result->version, now);
+	/* Before anything of it is read: an ended job runs nothing. */
+	run->ended = run->ended || entry->ended;
 	return true;
 }
 
--- a/src/core/inline_publish.c
+++ b/src/core/inline_publish.c
@@ -24,6 +24,7 @@
 static void show_stored(jj_inline_t *, jj_inline_run_t *);
 static void show(jj_inline_t *, jj_inline_run_t *, const char *);
 static void begin_segment(jj_inline_run_t *);
+static bool wants_end(const jj_inline_run_t *);
 static bool has_finished(const jj_inline_run_t *);
 static bool is_all_finished(const jj_inline_run_t *);
 
@@ -51,7 +52,7 @@
 	}
 	if (run->write.due_ms != JJ_MS_NEVER && now < run->write.due_ms)
 		return;
-	if (now >= run->publish_ms && has_finished(run))
+	if (now >= run->publish_ms && (has_finished(run) || wants_end(run)))
 		write_segment(jobs, run, out);
 }
 
@@ -86,6 +87,7 @@
 		segment->sealed =
 		    jj_inline_segment_size(segment) >= JJ_INLINE_SEGMENT_BYTES;
 	}
+	segment->ended = segment->ended || run->ended;
 	run->publish_ms = JJ_MS_NEVER;
 	call = jj_inline_start_call(jobs, &run->write,
 	    run->segment_version == 0 ? JJ_PLATFORM_CREATE : JJ_PLATFORM_UPDATE,
@@ -172,11 +174,10 @@
 		jj_actions_add_event(out, "job_caught_up",
 		    "job=%s items=%zu shown=%u", run->id, run->job.item_count,
 		    run->shown);
+	run->ended = run->ended || run->segment.ended;
+	if (wants_end(run))
+		run->publish_ms = now;
 	jj_inline_serve_readers(jobs, run, out);
-	if (run->ended && was_catching_up) {
-		run->state = JJ_RUN_CLOSING;
-		jj_inline_want_call(&run->close, now);
-	}
 }
 
 /** What was appended for a write that did not stand comes off again. */
@@ -194,6 +195,7 @@
 		run->writing--;
 	}
 	segment->sealed = false;
+	segment->ended = false;
 }
 
 static void
@@ -250,6 +252,18 @@
 	run->segment_version = 0;
 }
 
+/**
+ * Guards against an ended job that runs again: its client sends it once more,
+ * as it does when an answer was slow, and the open entry that knew of the end
+ * is deleted. So the end stands with the results before the entry goes, where
+ * each VM that adopts the job reads it.
+ */
+static bool
+wants_end(const jj_inline_run_t *run)
+{
+	return run->ended && !run->segment.ended;
+}
+
 static bool
 has_finished(const jj_inline_run_t *run)
 {
--- a/src/core/inline_run.c
+++ b/src/core/inline_run.c
@@ -101,9 +101,8 @@
 	if (run->ended)
 		return;
 	run->ended = true;
+	run->publish_ms = now;
 	cancel_items(jobs, run);
-	if (run->state == JJ_RUN_RUNNING)
-		begin_closing(run, now);
 }
 
 void
@@ -148,10 +147,13 @@
 		jj_inline_step_publish(jobs, run, now, out);
 		break;
 	case JJ_RUN_RUNNING:
-		step_items(jobs, run, now);
+		if (!run->ended)
+			step_items(jobs, run, now);
 		jj_inline_step_publish(jobs, run, now, out);
-		if (jj_inline_run_is_complete(run) ||
-		    (run->leaves && run->write.token == 0 &&
+		if (run->write.token != 0)
+			break;
+		if (jj_inline_run_is_complete(run) || run->segment.ended ||
+		    (run->leaves && !run->ended &&
 			run->publish_ms == JJ_MS_NEVER))
 			begin_closing(run, now);
 		break;
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -173,6 +173,45 @@
 	EXPECT_TRUE(a.items.empty());
 }
 
+/*
+ * A client ends its job, and the submission that it had sent again arrives
+ * after the end. Nothing that knew of the end was left, so the job was adopted
+ * anew and its items ran.
+ */
+TEST_F(InlineFailure, AnEndedJobThatIsSentAgainIsNotRun)
+{
+	(void)a.submit("j", 2);
+	pass(300);
+	EXPECT_TRUE(a.finish("j-0", "null"));
+	EXPECT_EQ(200, a.answer(a.end("j")).status);
+	pass(3000);
+	EXPECT_FALSE(platform.has("batch-open/j"));
+	EXPECT_EQ(202, b.answer(b.submit("j", 2)).status);
+	pass(3000);
+	EXPECT_TRUE(a.items.empty());
+	EXPECT_TRUE(b.items.empty());
+	EXPECT_FALSE(platform.has("batch-open/j"));
+	EXPECT_EQ(200, b.answer(b.end("j")).status);
+}
+
+/*
+ * The VM that runs a job dies just after its end was confirmed. The one that
+ * takes the job over must not begin its items before it learns of the end.
+ */
+TEST_F(InlineFailure, AnEndedJobThatIsTakenOverIsNotRun)
+{
+	(void)b.submit("j", 2);
+	pass(300);
+	b.frozen = true;
+	EXPECT_EQ(200, a.answer(a.end("j")).status);
+	dead.insert(b.writer);
+	for (int i = 0; i < 200; i++) {
+		pass(50);
+		EXPECT_TRUE(a.items.empty());
+	}
+	EXPECT_FALSE(platform.has("batch-open/j"));
+}
+
 /*
  * The VM that took a job dies right after its answer. Its entry names a
  * process that is lost; another VM takes it over and runs it.
