Say why in words, when the first event came, and when a place is free

Ruled out: longer queues at servers: past two a server all in them are late. Change: a refused caller is told the mean time that requests hold places, spread over as long again. Conclusion: kept; test RefusedCallersComeBackWhenPlacesAreFree.

--- a/src/core/action.c
+++ b/src/core/action.c
@@ -8,6 +8,16 @@
 
 #include "core/action.h"
 
+const char *
+jj_give_up_name(jj_give_up_t reason)
+{
+	static const char *const names[] = {"none", "no_server", "overloaded",
+	    "deadline", "retries", "quarantined", "broken", "stopping",
+	    "no_config", "cancelled", "no_service"};
+
+	return names[reason];
+}
+
 jj_action_t *
 jj_actions_add(jj_actions_t *actions, jj_action_kind_t kind)
 {
--- a/src/core/action.h
+++ b/src/core/action.h
@@ -142,6 +142,8 @@
 
 typedef TAILQ_HEAD(jj_action_list, jj_action) jj_actions_t;
 
+/** The reason in one word, for log lines. */
+const char *jj_give_up_name(jj_give_up_t reason);
 /** Appends an action of a kind, zeroed, to be filled in. */
 jj_action_t *jj_actions_add(jj_actions_t *actions, jj_action_kind_t kind);
 /** Appends a message of a kind to a VM and returns it to be filled in. */
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -15,6 +15,8 @@
 
 /** Breaks within so long of each other belong to one crash, ms. */
 #define CRASH_WINDOW_MS 300
+/** How far the mean time of a request at its server moves with each one. */
+#define MEAN_SHARE 0.05
 
 static jj_gateway_entry_t *add_entry(
     jj_gateway_t *, const jj_gateway_request_t *, const jj_route_t *, jj_ms_t);
@@ -41,6 +43,7 @@
 static void cut_off(jj_gateway_t *, jj_gateway_entry_t *, jj_actions_t *);
 static void
 log_end(const jj_gateway_entry_t *, const char *, jj_ms_t, jj_actions_t *);
+static jj_ms_t come_back_ms(jj_gateway_t *, jj_give_up_t);
 static const char *name_of_kind(jj_backend_kind_t);
 static uint64_t next_random(jj_gateway_t *);
 
@@ -199,12 +202,12 @@
 	action->body.answer.reason = reason;
 	action->body.answer.run =
 	    entry->may_have_run ? JJ_RUN_UNKNOWN : JJ_RUN_NOT_RUN;
-	action->body.answer.retry_after_ms = gateway->settings.retry_after_ms;
+	action->body.answer.retry_after_ms = come_back_ms(gateway, reason);
 	jj_actions_add_event(out, "request_given_up",
-	    "request=%s reason=%d may_have_run=%d relayed=%d tries=%u sent=%u "
+	    "request=%s reason=%s may_have_run=%d relayed=%d tries=%u sent=%u "
 	    "server=%s after_ms=%lld",
-	    entry->id, (int)reason, entry->may_have_run, entry->relayed,
-	    entry->tries, entry->sent, entry->last_server.text,
+	    entry->id, jj_give_up_name(reason), entry->may_have_run,
+	    entry->relayed, entry->tries, entry->sent, entry->last_server.text,
 	    (long long)(gateway->now - entry->begun_ms));
 	jj_gateway_free_entry(gateway, entry);
 }
@@ -315,10 +318,10 @@
 	action->body.answer.request = request->request;
 	action->body.answer.reason = reason;
 	action->body.answer.run = JJ_RUN_NOT_RUN;
-	action->body.answer.retry_after_ms = gateway->settings.retry_after_ms;
+	action->body.answer.retry_after_ms = come_back_ms(gateway, reason);
 	jj_actions_add_event(out, "request_refused",
-	    "request=%s reason=%d host=%s path=%.60s config=%llu", request->id,
-	    (int)reason, request->host, request->path,
+	    "request=%s reason=%s host=%s path=%.60s config=%llu", request->id,
+	    jj_give_up_name(reason), request->host, request->path,
 	    (unsigned long long)gateway->routes.version);
 }
 
@@ -350,6 +353,8 @@
 	if (event->kind != JJ_BACKEND_FIRST || entry->first_seen)
 		return;
 	entry->first_seen = true;
+	if (entry->first_ms == 0)
+		entry->first_ms = now;
 	entry->may_have_run = true;
 	jj_slots_note_first(entry->server, now - entry->sent_ms);
 }
@@ -366,6 +371,9 @@
 		jj_slots_note_first(entry->server, now - entry->sent_ms);
 	if (event->kind == JJ_BACKEND_DONE)
 		jj_quarantine_clear(gateway->quarantine, entry->fingerprint);
+	if (entry->class_of == JJ_CLASS_ONLINE)
+		gateway->mean_ms += MEAN_SHARE *
+		    ((double)(now - entry->sent_ms) - gateway->mean_ms);
 	log_end(entry, event->kind == JJ_BACKEND_DONE ? "done" : "rejected",
 	    now, out);
 	if (entry->class_of == JJ_CLASS_BATCH) {
@@ -563,11 +571,32 @@
 {
 	jj_actions_add_event(out,
 	    entry->class_of == JJ_CLASS_ONLINE ? "request_ended" : "item_ended",
-	    "request=%s outcome=%s server=%s attempt=%u took_ms=%lld",
+	    "request=%s outcome=%s server=%s attempt=%u first_ms=%lld "
+	    "took_ms=%lld",
 	    entry->id, outcome, entry->last_server.text, entry->attempt,
+	    entry->first_ms == 0
+		? -1LL
+		: (long long)(entry->first_ms - entry->begun_ms),
 	    (long long)(now - entry->begun_ms));
 }
 
+/**
+ * When a refused caller may find a place. Of a full fleet about as many places
+ * come free in the time that a request holds one as there are; callers that
+ * come back sooner only meet the same queue, and those that come back all at
+ * once fill it again, so their times are spread over as long again.
+ */
+static jj_ms_t
+come_back_ms(jj_gateway_t *gateway, jj_give_up_t reason)
+{
+	jj_ms_t least = gateway->settings.retry_after_ms;
+	jj_ms_t mean = (jj_ms_t)gateway->mean_ms;
+
+	if (reason != JJ_GIVE_UP_OVERLOADED || mean < least)
+		return least;
+	return mean + (jj_ms_t)(next_random(gateway) % (uint64_t)mean);
+}
+
 static const char *
 name_of_kind(jj_backend_kind_t kind)
 {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -35,6 +35,7 @@
 	jj_name_t last_server; /**< of the attempt before */
 	jj_ms_t sent_ms;
 	jj_ms_t sign_ms; /**< the server was last heard then */
+	jj_ms_t first_ms; /**< first event of all attempts; 0: none yet */
 	bool first_seen; /**< an event of this attempt was seen */
 	bool relayed; /**< part of the answer is at the caller */
 	bool may_have_run; /**< in any attempt */
@@ -70,6 +71,7 @@
 	jj_mirror_t servers_mirror;
 	jj_mirror_t retire_mirror;
 	uint64_t random;
+	double mean_ms; /**< how long online requests hold their places */
 
 	LIST_HEAD(, jj_gateway_entry) buckets[JJ_GATEWAY_BUCKETS];
 	struct jj_gateway_entries sent; /**< at a server, oldest first */
--- a/tests/core/gateway_test.cc
+++ b/tests/core/gateway_test.cc
@@ -4,6 +4,7 @@
  */
 #include <cstdio>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -536,6 +537,29 @@
 	EXPECT_EQ(0U, attempts(request));
 }
 
+/* Refused callers of a burst do not all come back into the same burst. */
+TEST_F(GatewayFailure, RefusedCallersComeBackWhenPlacesAreFree)
+{
+	std::set<jj_ms_t> times;
+
+	for (int i = 0; i < 200; i++) {
+		uint64_t request = begin("/once/1");
+
+		now += 700;
+		happens(request, JJ_BACKEND_DONE);
+	}
+	for (int i = 0; i < 3; i++)
+		(void)begin("/once/1");
+	for (int i = 0; i < 20; i++) {
+		jj_ms_t wait = said[begin("/once/1")].answer.retry_after_ms;
+
+		EXPECT_LE(690, wait);
+		EXPECT_GE(1400, wait);
+		times.insert(wait);
+	}
+	EXPECT_GT(times.size(), 10U);
+}
+
 /*
  * One request crashes each server that begins to run it, and its caller sends
  * it again. Others that were there are not blamed for good.
