Let one VM of a domain watch, and VMs tell of the jobs that they run

Ruled out: longer waits between watches: ends of jobs and leaving servers have to be known within 2 to 3 s. Change: where a domain has five VMs or more one of them polls and relays; VMs that run jobs say every 400 ms what is shown and what still waits.

--- a/src/adapters/settings.c
+++ b/src/adapters/settings.c
@@ -309,6 +309,8 @@
 	"silence until a repeatable stream goes on at another server"),
     NUMBER("gateway", "retry_after_ms", KEY_MS, gateway.retry_after_ms, 10,
 	MINUTE, 250, "told to refused callers: some requests end meanwhile"),
+    NUMBER("gateway", "news_ms", KEY_MS, gateway.news_ms, 300, MINUTE, 2000,
+	"configuration and servers' states are in force at each VM within"),
     NUMBER("gateway", "watch_wait_ms", KEY_MS, gateway.watch_wait_ms, 100,
 	10 * MINUTE, 20000, "how long a watch may wait; each costs a call"),
     NUMBER("gateway", "spacing_ms", KEY_MS, gateway.spacing_ms, 0, MINUTE, 400,
@@ -349,6 +351,8 @@
     NUMBER("inline", "mirror_spacing_ms", KEY_MS,
 	gateway.jobs.mirror_spacing_ms, 0, MINUTE, 1500,
 	"from news of open jobs to the next watch: events come together"),
+    NUMBER("inline", "state_fresh_ms", KEY_MS, gateway.jobs.state_fresh_ms, 100,
+	MINUTE, 850, "what a VM says of its jobs holds; told each 400 ms"),
     NUMBER("inline", "retry_after_ms", KEY_MS, gateway.jobs.retry_after_ms, 10,
 	10 * MINUTE, 500, "told to submitters that are refused"),
 
--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -248,6 +248,29 @@
 };
 LAYOUT(job_ended_layout, jj_message_t, job_ended_fields);
 
+static const field_t relay_fields[] = {
+    FIELD(FIELD_U32, jj_message_t, body.relay.watch),
+    FIELD(FIELD_U64, jj_message_t, body.relay.from),
+    FIELD(FIELD_U64, jj_message_t, body.relay.to),
+    BYTES(jj_message_t, body.relay.events, JJ_WIRE_BYTES_MAX),
+};
+LAYOUT(relay_layout, jj_message_t, relay_fields);
+
+static const field_t job_state_fields[] = {
+    FIELD(FIELD_U64, jj_job_standing_t, job),
+    FIELD(FIELD_U64, jj_job_standing_t, route),
+    FIELD(FIELD_U64, jj_job_standing_t, tokens),
+    FIELD(FIELD_U32, jj_job_standing_t, total),
+    FIELD(FIELD_U32, jj_job_standing_t, shown),
+};
+LAYOUT(job_state_layout, jj_job_standing_t, job_state_fields);
+
+static const field_t job_states_fields[] = {
+    ARRAY(FIELD_ARRAY, jj_message_t, body.job_states.states,
+	body.job_states.count, JJ_MESSAGE_JOB_STATES_MAX, &job_state_layout),
+};
+LAYOUT(job_states_layout, jj_message_t, job_states_fields);
+
 static const field_t jobs_fields[] = {
     FIELD(FIELD_U64, jj_message_t, body.jobs.revision),
     BYTES(jj_message_t, body.jobs.events, JJ_WIRE_BYTES_MAX),
@@ -275,6 +298,8 @@
     [JJ_MESSAGE_VMS] = &jobs_layout,
     [JJ_MESSAGE_YIELD] = &yield_layout,
     [JJ_MESSAGE_JOB_ENDED] = &job_ended_layout,
+    [JJ_MESSAGE_RELAY] = &relay_layout,
+    [JJ_MESSAGE_JOB_STATES] = &job_states_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -144,6 +144,9 @@
 	case JJ_MESSAGE_SLOTS:
 		jj_bytes_free(&message->body.slots.table);
 		break;
+	case JJ_MESSAGE_RELAY:
+		jj_bytes_free(&message->body.relay.events);
+		break;
 	case JJ_MESSAGE_JOBS:
 	case JJ_MESSAGE_VMS:
 		jj_bytes_free(&message->body.jobs.events);
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -14,6 +14,13 @@
 #define TOKEN_RETIRE 3
 /** Between ticks of all modules, and while requests are under way, ms. */
 #define TICK_MS 200
+/**
+ * Of the time in which news is due at each VM: a relay polls three times in
+ * it, and one that is silent for two thirds is not counted on any more; what
+ * is left is enough for a poll.
+ */
+#define RELAY_PART 3
+#define FRESH_TENTHS 7
 #define BUSY_TICK_MS 25
 
 static void init_mirrors(jj_gateway_t *);
@@ -45,7 +52,7 @@
 	jj_gateway_t *gateway = jj_alloc(sizeof(*gateway));
 	jj_inline_port_t jobs = {gateway, is_live, is_chosen, hears_others,
 	    find_route, unix_ms, jj_gateway_begin_item, jj_gateway_cancel_item,
-	    write_page, jj_gateway_tell_ended};
+	    write_page, jj_gateway_relay_jobs, jj_gateway_tell_ended};
 
 	gateway->settings = *settings;
 	gateway->port = *port;
@@ -53,7 +60,10 @@
 	gateway->member = jj_member_create(&settings->member);
 	gateway->quarantine = jj_quarantine_create(&settings->quarantine);
 	gateway->slots = jj_slots_create(&settings->slots);
-	gateway->jobs = jj_inline_create(&settings->jobs, &jobs);
+	gateway->settings.jobs.relay_wait_ms = settings->news_ms / RELAY_PART;
+	gateway->settings.jobs.relay_fresh_ms =
+	    settings->news_ms * FRESH_TENTHS / 10;
+	gateway->jobs = jj_inline_create(&gateway->settings.jobs, &jobs);
 	TAILQ_INIT(&gateway->sent);
 	TAILQ_INIT(&gateway->waiting);
 	init_mirrors(gateway);
@@ -185,6 +195,7 @@
 	jj_slots_tick(gateway->slots, now);
 	jj_gateway_check_times(gateway, now, out);
 	jj_inline_tick(gateway->jobs, now, out);
+	jj_gateway_tick_relay(gateway, now, out);
 	leave_step(gateway, now, out);
 }
 
@@ -292,13 +303,14 @@
 {
 	const jj_gateway_settings_t *from = &gateway->settings;
 	jj_mirror_settings_t settings = {JJ_OWNER_GATEWAY, TOKEN_CONFIG, "",
-	    from->watch_wait_ms, 0, from->backoff_ms, from->backoff_most_ms};
-	jj_mirror_port_t config = {
-	    gateway, begin_list, take_config_object, drop_nothing, end_list};
-	jj_mirror_port_t servers = {
-	    gateway, begin_servers, take_server, drop_server, end_servers};
+	    from->watch_wait_ms, 0, from->backoff_ms, from->backoff_most_ms,
+	    from->news_ms / RELAY_PART, from->news_ms * FRESH_TENTHS / 10};
+	jj_mirror_port_t config = {gateway, begin_list, take_config_object,
+	    drop_nothing, end_list, jj_gateway_relay_objects};
+	jj_mirror_port_t servers = {gateway, begin_servers, take_server,
+	    drop_server, end_servers, jj_gateway_relay_objects};
 	jj_mirror_port_t retire = {
-	    gateway, begin_list, take_retirement, drop_nothing, end_list};
+	    gateway, begin_list, take_retirement, drop_nothing, end_list, NULL};
 
 	/* A change is told on at once; changes come in rows now and then. */
 	settings.spacing_ms = from->spacing_ms / 4;
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -50,6 +50,7 @@
 	char retire_prefix[64]; /**< orders to empty a VM; "": none */
 	bool serves; /**< false: a VM that takes and runs no requests */
 	uint64_t seed;
+	jj_ms_t news_ms; /**< news is due at each VM within */
 	jj_ms_t watch_wait_ms; /**< how long a watch may wait */
 	jj_ms_t spacing_ms; /**< from news to the next watch */
 	jj_ms_t backoff_ms;
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -88,6 +88,14 @@
 			(void)jj_gateway_cut(
 			    gateway, server, message->from.text, now, out);
 		break;
+	case JJ_MESSAGE_RELAY:
+		jj_gateway_take_relay(gateway, &message->body.relay, now, out);
+		break;
+	case JJ_MESSAGE_JOB_STATES:
+		jj_inline_take_states(gateway->jobs,
+		    message->body.job_states.states,
+		    message->body.job_states.count, now, out);
+		break;
 	case JJ_MESSAGE_JOB_ENDED:
 		jj_inline_take_ended(
 		    gateway->jobs, message->body.job_ended, now, out);
--- /dev/null
+++ b/src/core/gateway_relay.c
@@ -0,0 +1,244 @@
+/**
+ * @file gateway_relay.c
+ * @brief One VM of a failure domain watches; it tells the others.
+ *
+ * Each watch costs a call each time that it brings news. Where a domain has
+ * many VMs, its live VM with the smallest name watches for all of them, in
+ * short polls, and tells each poll to its neighbours, who count on it for a
+ * while (core/mirror.h). Few VMs each watch for themselves: a poll that waits
+ * long costs less than many short ones.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "core/gateway_state.h"
+#include "core/json_text.h"
+
+/**
+ * From so many VMs in a domain on one of them relays. Three watches polled by
+ * one VM in halves of the time in which news is due cost as much as those of
+ * about five VMs on a day with some hundred changes.
+ */
+#define RELAY_VMS 5
+/** Between looks at who relays, ms: it changes when VMs come and go. */
+#define DUTY_MS 400
+/** What VMs run is told so often, ms: readers elsewhere count on it. */
+#define STATES_MS 400
+
+/** Numbers of watches in messages. */
+enum {
+	WATCH_CONFIG = 1,
+	WATCH_SERVERS,
+	WATCH_JOBS
+};
+
+static jj_mirror_duty_t choose_duty(const jj_gateway_t *);
+static void tell(jj_gateway_t *, uint32_t, uint64_t, uint64_t,
+    const jj_platform_item_t *, size_t);
+static json_t *encode(const jj_platform_item_t *, size_t);
+static jj_platform_item_t *decode(const jj_bytes_t *, size_t *);
+static void free_items(jj_platform_item_t *, size_t);
+
+void
+jj_gateway_tick_relay(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_mirror_duty_t duty;
+
+	jj_gateway_tell_states(gateway, now, out);
+	if (now < gateway->next_duty_ms)
+		return;
+	gateway->next_duty_ms = now + DUTY_MS;
+	duty = choose_duty(gateway);
+	if (duty != gateway->config_mirror.duty)
+		jj_actions_add_event(out, "watch_duty", "duty=%s",
+		    duty == JJ_MIRROR_ALONE	   ? "alone"
+			: duty == JJ_MIRROR_RELAYS ? "relays"
+						   : "listens");
+	jj_mirror_set_duty(&gateway->config_mirror, duty, now);
+	jj_mirror_set_duty(&gateway->servers_mirror, duty, now);
+	jj_inline_set_duty(gateway->jobs, duty, now);
+}
+
+void
+jj_gateway_relay_objects(void *ctx, uint64_t token, uint64_t from, uint64_t to,
+    const jj_platform_item_t *items, size_t count)
+{
+	jj_gateway_t *gateway = ctx;
+
+	tell(gateway,
+	    token == gateway->config_mirror.settings.token ? WATCH_CONFIG
+							   : WATCH_SERVERS,
+	    from, to, items, count);
+}
+
+void
+jj_gateway_relay_jobs(void *ctx, uint64_t from, uint64_t to,
+    const jj_platform_item_t *items, size_t count)
+{
+	tell(ctx, WATCH_JOBS, from, to, items, count);
+}
+
+void
+jj_gateway_take_relay(jj_gateway_t *gateway, const jj_relay_news_t *news,
+    jj_ms_t now, jj_actions_t *out)
+{
+	size_t count = 0;
+	jj_platform_item_t *items = decode(&news->events, &count);
+
+	if (items == NULL && count > 0)
+		return;
+	if (news->watch == WATCH_CONFIG)
+		jj_mirror_take_relay(&gateway->config_mirror, news->from,
+		    news->to, items, count, now);
+	else if (news->watch == WATCH_SERVERS)
+		jj_mirror_take_relay(&gateway->servers_mirror, news->from,
+		    news->to, items, count, now);
+	else
+		jj_inline_take_relay(gateway->jobs, news->from, news->to, items,
+		    count, now, out);
+	free_items(items, count);
+}
+
+/** All VMs of the region that live: each may be asked by a reader. */
+void
+jj_gateway_tell_states(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_job_standing_t states[JJ_MESSAGE_JOB_STATES_MAX];
+	jj_member_info_t *infos;
+	uint32_t count;
+	size_t vms;
+	size_t i;
+
+	if (now < gateway->next_states_ms)
+		return;
+	gateway->next_states_ms = now + STATES_MS;
+	count = jj_inline_list_states(
+	    gateway->jobs, states, JJ_MESSAGE_JOB_STATES_MAX);
+	if (count == 0)
+		return;
+	infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
+	vms = jj_member_list(gateway->member, &gateway->settings.member.domain,
+	    infos, JJ_MEMBERS_MAX);
+	for (i = 0; i < vms; i++) {
+		jj_message_t *message;
+
+		if (jj_name_equal(&infos[i].name, &gateway->settings.name))
+			continue;
+		message = jj_actions_add_message(
+		    out, &infos[i].name, JJ_MESSAGE_JOB_STATES);
+		message->body.job_states.count = count;
+		memcpy(message->body.job_states.states, states,
+		    count * sizeof(states[0]));
+	}
+	free(infos);
+}
+
+static jj_mirror_duty_t
+choose_duty(const jj_gateway_t *gateway)
+{
+	const jj_name_t *self = &gateway->settings.name;
+	size_t near_count = 1;
+	bool is_first = true;
+	size_t i;
+
+	for (i = 0; i < gateway->vm_count; i++) {
+		const jj_gateway_vm_t *vm = &gateway->vms[i];
+
+		if (!jj_name_equal(&vm->domain, &gateway->settings.domain) ||
+		    !jj_member_is_live(gateway->member, &vm->name))
+			continue;
+		near_count++;
+		if (strcmp(vm->name.text, self->text) < 0)
+			is_first = false;
+	}
+	if (near_count < RELAY_VMS)
+		return JJ_MIRROR_ALONE;
+	return is_first ? JJ_MIRROR_RELAYS : JJ_MIRROR_LISTENS;
+}
+
+static void
+tell(jj_gateway_t *gateway, uint32_t watch, uint64_t from, uint64_t to,
+    const jj_platform_item_t *items, size_t count)
+{
+	jj_bytes_t events = jj_json_take_bytes(encode(items, count));
+	jj_message_t *message;
+	size_t i;
+
+	for (i = 0; i < gateway->vm_count; i++) {
+		const jj_gateway_vm_t *vm = &gateway->vms[i];
+
+		if (!jj_name_equal(&vm->domain, &gateway->settings.domain) ||
+		    !jj_member_is_live(gateway->member, &vm->name))
+			continue;
+		message = jj_actions_add_message(
+		    gateway->out, &vm->name, JJ_MESSAGE_RELAY);
+		message->body.relay.watch = watch;
+		message->body.relay.from = from;
+		message->body.relay.to = to;
+		message->body.relay.events =
+		    jj_bytes_copy(events.data, events.size);
+	}
+	jj_bytes_free(&events);
+}
+
+static json_t *
+encode(const jj_platform_item_t *items, size_t count)
+{
+	json_t *array = json_array();
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		json_t *event =
+		    json_pack("{s:s,s:I,s:b}", "key", items[i].key, "version",
+			(json_int_t)items[i].version, "gone", items[i].deleted);
+
+		if (items[i].value.data != NULL)
+			(void)json_object_set_new(event, "value",
+			    json_stringn(
+				items[i].value.data, items[i].value.size));
+		(void)json_array_append_new(array, event);
+	}
+	return array;
+}
+
+/** NULL with a count when the text is malformed. */
+static jj_platform_item_t *
+decode(const jj_bytes_t *events, size_t *count)
+{
+	json_t *array = json_loadb(
+	    events->data != NULL ? events->data : "", events->size, 0, NULL);
+	jj_platform_item_t *items = NULL;
+	const json_t *event;
+	size_t i;
+
+	*count = array != NULL ? json_array_size(array) : 1;
+	if (array != NULL && *count > 0)
+		items = jj_alloc(*count * sizeof(*items));
+	json_array_foreach(array, i, event)
+	{
+		const json_t *value = json_object_get(event, "value");
+
+		(void)jj_json_copy_text(items[i].key, sizeof(items[i].key),
+		    json_object_get(event, "key"));
+		items[i].version = (uint64_t)json_integer_value(
+		    json_object_get(event, "version"));
+		items[i].deleted = json_is_true(json_object_get(event, "gone"));
+		if (json_is_string(value))
+			items[i].value = jj_bytes_copy(json_string_value(value),
+			    json_string_length(value));
+	}
+	json_decref(array);
+	return items;
+}
+
+static void
+free_items(jj_platform_item_t *items, size_t count)
+{
+	size_t i;
+
+	for (i = 0; items != NULL && i < count; i++)
+		jj_bytes_free(&items[i].value);
+	free(items);
+}
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -85,6 +85,8 @@
 	jj_ms_t next_far_ms;
 	bool news_near; /**< loads that the own domain does not know */
 	bool news_far;
+	jj_ms_t next_duty_ms; /**< who watches is looked at again */
+	jj_ms_t next_states_ms; /**< the others are told of jobs */
 	jj_ms_t next_ask_ms; /**< for a newer configuration */
 	jj_ms_t next_vms_ms;
 	bool vms_polling;
@@ -156,6 +158,20 @@
 void jj_gateway_forget_lost(jj_gateway_t *gateway, jj_actions_t *out);
 void jj_gateway_tell_ended(void *gateway, const char *writer, const char *id);
 
+/* Watching for others (gateway_relay.c). */
+/** Chooses this VM's duty; tells what it runs when it is time. */
+void
+jj_gateway_tick_relay(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+void
+jj_gateway_tell_states(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** A poll of this VM's is done: for the others of its domain. */
+void jj_gateway_relay_objects(void *gateway, uint64_t token, uint64_t from,
+    uint64_t to, const jj_platform_item_t *items, size_t count);
+void jj_gateway_relay_jobs(void *gateway, uint64_t from, uint64_t to,
+    const jj_platform_item_t *items, size_t count);
+void jj_gateway_take_relay(jj_gateway_t *gateway, const jj_relay_news_t *news,
+    jj_ms_t now, jj_actions_t *out);
+
 /* VMs and orders at the platform (gateway_vms.c). */
 void jj_gateway_tick_vms(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 /** Takes a result of the list of VMs or of the own entry; false: not ours. */
--- a/src/core/inline.c
+++ b/src/core/inline.c
@@ -20,6 +20,7 @@
 	jobs->port = *port;
 	TAILQ_INIT(&jobs->runs);
 	TAILQ_INIT(&jobs->ops);
+	TAILQ_INIT(&jobs->heard);
 	jj_inline_init_open(jobs);
 	return jobs;
 }
@@ -37,6 +38,7 @@
 	while ((op = TAILQ_FIRST(&jobs->ops)) != NULL)
 		jj_inline_free_op(jobs, op);
 	jj_inline_clear_open(jobs);
+	jj_inline_clear_heard(jobs);
 	free(jobs);
 }
 
--- a/src/core/inline.h
+++ b/src/core/inline.h
@@ -23,6 +23,7 @@
 
 #include "core/action.h"
 #include "core/inline_job.h"
+#include "core/mirror.h"
 #include "core/route.h"
 
 /** Results from `first` on, for a reader. */
@@ -58,6 +59,9 @@
 	void (*cancel_item)(void *ctx, uint64_t request);
 	/** A page as readers get it. */
 	jj_bytes_t (*write_page)(void *ctx, const jj_inline_page_t *page);
+	/** A poll of the open jobs is done; for VMs that do not poll. */
+	void (*relay)(void *ctx, uint64_t from, uint64_t to,
+	    const jj_platform_item_t *items, size_t count);
 	/** The VM that holds a job shall hear that it was ended. */
 	void (*tell_ended)(void *ctx, const char *writer, const char *id);
 } jj_inline_port_t;
@@ -76,6 +80,9 @@
 	jj_ms_t item_retry_ms; /**< first rest after a failed run; doubles */
 	jj_ms_t mirror_wait_ms; /**< how long a watch may wait */
 	jj_ms_t mirror_spacing_ms; /**< from open entries' news to a watch */
+	jj_ms_t relay_wait_ms; /**< see core/mirror.h */
+	jj_ms_t relay_fresh_ms;
+	jj_ms_t state_fresh_ms; /**< what a VM says of its jobs holds so long */
 	jj_ms_t retry_after_ms; /**< told to callers that are refused */
 } jj_inline_settings_t;
 
@@ -115,6 +122,19 @@
 void jj_inline_take_ended(
     jj_inline_t *jobs, const char *id, jj_ms_t now, jj_actions_t *out);
 
+/** Whether this VM polls the open jobs, and for whom. */
+void jj_inline_set_duty(jj_inline_t *jobs, jj_mirror_duty_t duty, jj_ms_t now);
+/** A relay's poll of the open jobs. */
+void jj_inline_take_relay(jj_inline_t *jobs, uint64_t from, uint64_t to,
+    const jj_platform_item_t *items, size_t count, jj_ms_t now,
+    jj_actions_t *out);
+/** Jobs that this VM runs, for the others; how many were written. */
+uint32_t jj_inline_list_states(
+    const jj_inline_t *jobs, jj_job_standing_t *states, uint32_t most);
+/** Jobs that another VM runs. */
+void jj_inline_take_states(jj_inline_t *jobs, const jj_job_standing_t *states,
+    uint32_t count, jj_ms_t now, jj_actions_t *out);
+
 /** A run of an item ended; @p text is taken over when done. */
 void jj_inline_end_item(jj_inline_t *jobs, uint64_t request,
     jj_inline_end_t end, jj_bytes_t *text, jj_ms_t now, jj_actions_t *out);
--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -20,6 +20,8 @@
 static void step_read(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
 static bool
 serve_from_run(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
+static bool
+serve_from_heard(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
 static bool holds(const jj_inline_t *, const jj_inline_run_t *);
 static void start_read(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
 static void take_read(jj_inline_t *, jj_inline_op_t *,
@@ -56,7 +58,8 @@
 {
 	jj_inline_op_t *op = jj_inline_add_op(jobs, JJ_OP_READ, operation, id,
 	    now + wait_ms + jobs->settings.read_ms, now);
-	bool is_open = jj_inline_find_open(jobs, id) != NULL;
+	bool is_open = jj_inline_find_open(jobs, id) != NULL ||
+	    jj_inline_find_heard(jobs, id, now) != NULL;
 
 	op->after = after;
 	op->look_ms = now;
@@ -229,6 +232,8 @@
 	}
 	if (op->get.token == 0 && serve_from_run(jobs, op, now, out))
 		return;
+	if (op->get.token == 0 && serve_from_heard(jobs, op, now, out))
+		return;
 	if (now >= op->until_ms) {
 		jj_actions_add_event(out, "job_read_failed",
 		    "job=%s after=%u failures=%u", op->id, op->after,
@@ -260,6 +265,29 @@
 	return true;
 }
 
+/**
+ * True when what the VM that runs the job says is answer enough: there is
+ * nothing new. It is younger than the time in which positions that were read
+ * at one VM have to be known at all.
+ */
+static bool
+serve_from_heard(
+    jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_job_standing_t *state =
+	    jj_inline_find_heard(jobs, op->id, now);
+
+	if (state == NULL || op->asks_job || op->get.due_ms != JJ_MS_NEVER)
+		return false;
+	if (op->after < state->shown) {
+		op->look_ms = now;
+		return false;
+	}
+	if (now >= op->look_ms)
+		answer_page(jobs, op, NULL, state->total, out);
+	return true;
+}
+
 /**
  * Guards against a reader that saw more elsewhere: a VM that was frozen or
  * cut off while another one took its job over does not know what that one has
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -18,6 +18,8 @@
 /** A failed takeover rests before the next try, ms. */
 #define TAKEOVER_REST_MS 500
 
+static void
+relay(void *, uint64_t, uint64_t, uint64_t, const jj_platform_item_t *, size_t);
 static void begin_list(void *);
 static void take_entry(void *, const jj_platform_item_t *);
 static void drop_entry(void *, const char *);
@@ -34,9 +36,10 @@
 	jj_mirror_settings_t settings = {JJ_OWNER_INLINE, TOKEN_MIRROR,
 	    JJ_INLINE_OPEN, jobs->settings.mirror_wait_ms,
 	    jobs->settings.mirror_spacing_ms, jobs->settings.retry_ms,
-	    jobs->settings.retry_most_ms};
+	    jobs->settings.retry_most_ms, jobs->settings.relay_wait_ms,
+	    jobs->settings.relay_fresh_ms};
 	jj_mirror_port_t port = {
-	    jobs, begin_list, take_entry, drop_entry, end_list};
+	    jobs, begin_list, take_entry, drop_entry, end_list, relay};
 
 	TAILQ_INIT(&jobs->open);
 	jobs->last_token = TOKEN_MIRROR;
@@ -95,35 +98,56 @@
 }
 
 uint64_t
-jj_inline_open_tokens(const jj_inline_t *jobs, const jj_name_t *route)
+jj_inline_open_tokens(
+    const jj_inline_t *jobs, const jj_name_t *route, jj_ms_t now)
 {
+	uint64_t tokens = jj_inline_heard_tokens(jobs, route, now);
 	const jj_open_entry_t *entry;
 	const jj_inline_run_t *run;
 	const jj_inline_op_t *op;
-	uint64_t tokens = 0;
 
+	/* Of a job that nobody speaks of all its tokens count. */
 	TAILQ_FOREACH(entry, &jobs->open, link)
 	{
-		if (!entry->ended && jj_name_equal(&entry->route, route))
+		if (!entry->ended && jj_name_equal(&entry->route, route) &&
+		    jj_inline_find_run(jobs, entry->id) == NULL &&
+		    jj_inline_find_heard(jobs, entry->id, now) == NULL)
 			tokens += entry->tokens;
 	}
-	/* What this VM has just accepted is not listed yet. */
 	TAILQ_FOREACH(run, &jobs->runs, link)
 	{
-		if (run->state == JJ_RUN_RUNNING && !run->ended &&
-		    jj_inline_find_open(jobs, run->id) == NULL)
-			tokens += run->job.tokens;
+		if (jj_name_equal(&run->route, route))
+			tokens += jj_inline_run_tokens(run);
 	}
 	TAILQ_FOREACH(op, &jobs->ops, link)
 	{
 		if (op->kind == JJ_OP_SUBMIT &&
 		    jj_name_equal(&op->route, route) &&
+		    jj_inline_find_run(jobs, op->id) == NULL &&
 		    jj_inline_find_open(jobs, op->id) == NULL)
 			tokens += op->job.tokens;
 	}
 	return tokens;
 }
 
+void
+jj_inline_set_duty(jj_inline_t *jobs, jj_mirror_duty_t duty, jj_ms_t now)
+{
+	jj_mirror_set_duty(&jobs->mirror, duty, now);
+}
+
+void
+jj_inline_take_relay(jj_inline_t *jobs, uint64_t from, uint64_t to,
+    const jj_platform_item_t *items, size_t count, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_mirror_take_relay(&jobs->mirror, from, to, items, count, now);
+	if (count == 0)
+		return;
+	jobs->next_look_ms = now;
+	jj_inline_look_at_open(jobs, now, out);
+}
+
 void
 jj_inline_look_at_open(jj_inline_t *jobs, jj_ms_t now, jj_actions_t *out)
 {
@@ -175,6 +199,16 @@
 	return true;
 }
 
+static void
+relay(void *ctx, uint64_t token, uint64_t from, uint64_t to,
+    const jj_platform_item_t *items, size_t count)
+{
+	jj_inline_t *jobs = ctx;
+
+	(void)token;
+	jobs->port.relay(jobs->port.ctx, from, to, items, count);
+}
+
 static void
 begin_list(void *ctx)
 {
--- a/src/core/inline_run.c
+++ b/src/core/inline_run.c
@@ -69,6 +69,7 @@
 	run->job = op->job;
 	memset(&op->job, 0, sizeof(op->job));
 	begin_catching_up(jobs, run, now);
+	run->route = op->route;
 	run->due_ms = op->run_due_ms;
 	run->retention_ms = op->retention_ms;
 	/* Nobody can have shown results of a job that is new. */
@@ -124,6 +125,21 @@
 			run->publish_ms = now;
 }
 
+uint64_t
+jj_inline_run_tokens(const jj_inline_run_t *run)
+{
+	uint64_t tokens = 0;
+	size_t i;
+
+	if (run->items == NULL || run->ended)
+		return 0;
+	for (i = 0; i < run->job.item_count; i++)
+		if (run->items[i].state == JJ_ITEM_IDLE ||
+		    run->items[i].state == JJ_ITEM_BEGUN)
+			tokens += run->job.items[i].tokens;
+	return tokens;
+}
+
 bool
 jj_inline_run_is_complete(const jj_inline_run_t *run)
 {
@@ -314,6 +330,7 @@
 	run->retention_ms = JJ_MS_NEVER;
 	if (route == NULL)
 		return;
+	run->route = route->name;
 	if (age < 0)
 		age = 0;
 	run->due_ms = now - age + route->run_due_ms;
@@ -392,22 +409,15 @@
 step_close(jj_inline_t *jobs, jj_inline_run_t *run, jj_actions_t *out)
 {
 	bool hands_over = run->leaves && !run->ended && !is_all_shown(run);
-	const jj_open_entry_t *entry = jj_inline_find_open(jobs, run->id);
 	jj_platform_call_t *call = jj_inline_start_call(jobs, &run->close,
 	    hands_over ? JJ_PLATFORM_UPDATE : JJ_PLATFORM_DELETE, out);
 
 	call->version = run->open_version;
 	(void)snprintf(
 	    call->key, sizeof(call->key), "%s%s", JJ_INLINE_OPEN, run->id);
-	if (hands_over && entry != NULL)
-		call->value = jj_inline_encode_open("", &entry->route,
-		    entry->tokens, entry->total, entry->ended);
-	else if (hands_over) {
-		jj_name_t none = {""};
-
-		call->value = jj_inline_encode_open("", &none, run->job.tokens,
-		    (uint32_t)run->job.item_count, false);
-	}
+	if (hands_over)
+		call->value = jj_inline_encode_open("", &run->route,
+		    run->job.tokens, (uint32_t)run->job.item_count, false);
 }
 
 static bool
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -40,6 +40,15 @@
 
 TAILQ_HEAD(jj_open_list, jj_open_entry);
 
+/** What another VM said last of a job that it runs. */
+typedef struct jj_heard_state {
+	TAILQ_ENTRY(jj_heard_state) link;
+	jj_job_standing_t state;
+	jj_ms_t heard_ms;
+} jj_heard_state_t;
+
+TAILQ_HEAD(jj_heard_list, jj_heard_state);
+
 /** Reads a job's text, also one that was cut into parts. */
 typedef struct {
 	char id[JJ_INLINE_ID_MAX + 1];
@@ -87,6 +96,7 @@
 	jj_inline_run_state_t state;
 	char id[JJ_INLINE_ID_MAX + 1];
 	uint64_t open_version; /**< of its open entry */
+	jj_name_t route; /**< by which its tokens are counted */
 	jj_inline_load_t load;
 	jj_inline_job_t job;
 	jj_inline_item_run_t *items; /**< one for each of the job's */
@@ -169,6 +179,7 @@
 	jj_inline_port_t port;
 	jj_mirror_t mirror; /**< of the open entries */
 	struct jj_open_list open;
+	struct jj_heard_list heard;
 	struct jj_inline_run_list runs;
 	struct jj_inline_op_list ops;
 	uint64_t last_token;
@@ -207,8 +218,20 @@
     uint64_t tokens, uint32_t total, bool ended);
 /** Fills in all but id, version and links; false when malformed. */
 bool jj_inline_decode_open(jj_open_entry_t *entry, const jj_bytes_t *value);
-/** Tokens of the route's open jobs. */
-uint64_t jj_inline_open_tokens(const jj_inline_t *jobs, const jj_name_t *route);
+/** Tokens that wait on a route, as far as this VM knows. */
+uint64_t jj_inline_open_tokens(
+    const jj_inline_t *jobs, const jj_name_t *route, jj_ms_t now);
+
+/* What VMs tell each other of their jobs (inline_heard.c). */
+uint64_t jj_inline_hash(const char *text);
+/** What was heard of a job lately, or NULL. */
+const jj_job_standing_t *
+jj_inline_find_heard(const jj_inline_t *jobs, const char *id, jj_ms_t now);
+/** Tokens of the route's jobs at other VMs, heard of lately. */
+uint64_t jj_inline_heard_tokens(
+    const jj_inline_t *jobs, const jj_name_t *route, jj_ms_t now);
+void jj_inline_clear_heard(jj_inline_t *jobs);
+
 /** Takes lost jobs over when it is time. */
 void jj_inline_look_at_open(jj_inline_t *jobs, jj_ms_t now, jj_actions_t *out);
 bool jj_inline_take_takeover(jj_inline_t *jobs,
@@ -238,6 +261,8 @@
     jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now, jj_actions_t *out);
 bool jj_inline_take_publish(jj_inline_t *jobs, jj_inline_run_t *run,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out);
+/** Tokens of the items that are not finished. */
+uint64_t jj_inline_run_tokens(const jj_inline_run_t *run);
 /** True when no item is left to run or to show. */
 bool jj_inline_run_is_complete(const jj_inline_run_t *run);
 
--- a/src/core/inline_submit.c
+++ b/src/core/inline_submit.c
@@ -12,7 +12,7 @@
 
 #include "core/inline_state.h"
 
-static bool fits(const jj_inline_t *, const jj_route_t *, uint64_t);
+static bool fits(const jj_inline_t *, const jj_route_t *, uint64_t, jj_ms_t);
 static void start_job(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
 static void start_open(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
 static void start_check(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
@@ -32,7 +32,7 @@
 	const jj_inline_run_t *run = jj_inline_find_run(jobs, job->id);
 	bool is_known =
 	    run != NULL || jj_inline_find_open(jobs, job->id) != NULL;
-	bool has_room = is_known || fits(jobs, route, job->tokens);
+	bool has_room = is_known || fits(jobs, route, job->tokens, now);
 	jj_inline_op_t *op = jj_inline_add_op(jobs, JJ_OP_SUBMIT, operation,
 	    job->id, now + jobs->settings.submit_ms, now);
 
@@ -99,10 +99,11 @@
 }
 
 static bool
-fits(const jj_inline_t *jobs, const jj_route_t *route, uint64_t tokens)
+fits(const jj_inline_t *jobs, const jj_route_t *route, uint64_t tokens,
+    jj_ms_t now)
 {
 	return route->tokens_most == 0 ||
-	    jj_inline_open_tokens(jobs, &route->name) + tokens <=
+	    jj_inline_open_tokens(jobs, &route->name, now) + tokens <=
 	    route->tokens_most;
 }
 
@@ -203,7 +204,7 @@
 		    "job=%s tokens=%llu waiting=%llu route=%s", op->id,
 		    (unsigned long long)op->job.tokens,
 		    (unsigned long long)(jj_inline_open_tokens(
-					     jobs, &op->route) -
+					     jobs, &op->route, now) -
 			op->job.tokens),
 		    op->route.text);
 		jj_inline_answer(jobs, op, 429, NULL, out);
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -19,6 +19,8 @@
 #define JJ_MESSAGE_RECORDS_MAX 64
 /** Longest id of a job in a message, its end included. */
 #define JJ_MESSAGE_JOB_ID_SIZE 128
+/** Most jobs in one message of their states. */
+#define JJ_MESSAGE_JOB_STATES_MAX 64
 /** Most fingerprints in one crash report. */
 #define JJ_MESSAGE_SUSPECTS_MAX 64
 
@@ -43,6 +45,8 @@
 	JJ_MESSAGE_VMS, /**< the platform's VM list, body as of JOBS */
 	JJ_MESSAGE_YIELD, /**< cut a batch item there: online needs its place */
 	JJ_MESSAGE_JOB_ENDED, /**< its client has ended this job of yours */
+	JJ_MESSAGE_RELAY, /**< what a watch brought, for VMs that do not watch */
+	JJ_MESSAGE_JOB_STATES, /**< jobs that the sender runs */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -181,6 +185,23 @@
 	jj_server_state_t state;
 } jj_server_notice_t;
 
+/** A poll of one watch: all that changed behind `from`, up to `to`. */
+typedef struct {
+	uint32_t watch; /**< which one; the modules' own number */
+	uint64_t from;
+	uint64_t to;
+	jj_bytes_t events; /**< JSON array of {key,version,gone,value} */
+} jj_relay_news_t;
+
+/** A job that the sender runs, as it is now. */
+typedef struct {
+	uint64_t job; /**< hash of its id */
+	uint64_t route; /**< hash of its route's name */
+	uint64_t tokens; /**< of items that are not finished */
+	uint32_t total; /**< items */
+	uint32_t shown; /**< results that readers may see */
+} jj_job_standing_t;
+
 /** A message with its header. */
 typedef struct {
 	jj_message_kind_t kind;
@@ -213,6 +234,11 @@
 		jj_server_notice_t server;
 		uint64_t yield; /**< jj_dispatch_hash_server of its name */
 		char job_ended[JJ_MESSAGE_JOB_ID_SIZE];
+		jj_relay_news_t relay;
+		struct {
+			uint32_t count;
+			jj_job_standing_t states[JJ_MESSAGE_JOB_STATES_MAX];
+		} job_states;
 		struct {
 			uint64_t revision;
 			jj_bytes_t events; /**< JSON array of {key,version} */
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -12,6 +12,8 @@
 static void take_failure(jj_mirror_t *, jj_ms_t);
 static void take_success(jj_mirror_t *, jj_ms_t);
 static void start_list(jj_mirror_t *);
+static void apply(jj_mirror_t *, uint64_t, const jj_platform_item_t *, size_t);
+static jj_ms_t due_ms(const jj_mirror_t *);
 
 void
 jj_mirror_init(jj_mirror_t *mirror, const jj_mirror_settings_t *settings,
@@ -22,6 +24,7 @@
 	mirror->port = *port;
 	mirror->failed_ms = JJ_MS_NEVER;
 	mirror->returned_ms = JJ_MS_NEVER;
+	mirror->relayed_ms = JJ_MS_NEVER;
 }
 
 void
@@ -39,7 +42,7 @@
 	const jj_mirror_settings_t *settings = &mirror->settings;
 	jj_platform_call_t *call;
 
-	if (!mirror->active || mirror->polling || now < mirror->next_ms)
+	if (!mirror->active || mirror->polling || now < due_ms(mirror))
 		return;
 	mirror->polling = true;
 	call = jj_actions_add_platform(out, settings->owner,
@@ -48,7 +51,9 @@
 	(void)snprintf(call->key, sizeof(call->key), "%s", settings->prefix);
 	if (mirror->listed) {
 		call->version = mirror->since;
-		call->wait_ms = settings->wait_ms;
+		call->wait_ms = mirror->duty == JJ_MIRROR_RELAYS
+		    ? settings->relay_wait_ms
+		    : settings->wait_ms;
 		return;
 	}
 	call->values = true;
@@ -60,7 +65,32 @@
 {
 	if (!mirror->active || mirror->polling)
 		return JJ_MS_NEVER;
-	return mirror->next_ms;
+	return due_ms(mirror);
+}
+
+void
+jj_mirror_set_duty(jj_mirror_t *mirror, jj_mirror_duty_t duty, jj_ms_t now)
+{
+	if (mirror->duty == duty)
+		return;
+	mirror->duty = duty;
+	mirror->relayed_ms = JJ_MS_NEVER;
+	if (mirror->next_ms > now)
+		mirror->next_ms = now;
+}
+
+void
+jj_mirror_take_relay(jj_mirror_t *mirror, uint64_t from, uint64_t to,
+    const jj_platform_item_t *items, size_t count, jj_ms_t now)
+{
+	if (mirror->duty != JJ_MIRROR_LISTENS || !mirror->listed)
+		return;
+	if (from > mirror->since) {
+		mirror->relayed_ms = JJ_MS_NEVER;
+		return;
+	}
+	mirror->relayed_ms = now;
+	apply(mirror, to, items, count);
 }
 
 void
@@ -125,20 +155,52 @@
     jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now)
 {
 	const jj_mirror_port_t *port = &mirror->port;
-	size_t i;
+	uint64_t from = mirror->since;
 
-	for (i = 0; i < result->item_count; i++) {
-		if (result->items[i].deleted)
-			port->drop(port->ctx, result->items[i].key);
-		else
-			port->take(port->ctx, &result->items[i]);
-	}
-	mirror->since = result->version;
+	apply(mirror, result->version, result->items, result->item_count);
+	if (mirror->duty == JJ_MIRROR_RELAYS && port->relay != NULL)
+		port->relay(port->ctx, mirror->settings.token, from,
+		    result->version, result->items, result->item_count);
 	mirror->next_ms = now;
 	if (result->item_count > 0)
 		mirror->next_ms += mirror->settings.spacing_ms;
 }
 
+/**
+ * What is behind what is known already came by the other way, a poll or a
+ * relay, and may be older than what is known by now.
+ */
+static void
+apply(jj_mirror_t *mirror, uint64_t to, const jj_platform_item_t *items,
+    size_t count)
+{
+	const jj_mirror_port_t *port = &mirror->port;
+	size_t i;
+
+	if (to <= mirror->since)
+		return;
+	for (i = 0; i < count; i++) {
+		if (items[i].deleted)
+			port->drop(port->ctx, items[i].key);
+		else if (items[i].version > mirror->since)
+			port->take(port->ctx, &items[i]);
+	}
+	mirror->since = to;
+}
+
+/** A listener polls when its relay has been silent for too long. */
+static jj_ms_t
+due_ms(const jj_mirror_t *mirror)
+{
+	jj_ms_t silent;
+
+	if (mirror->duty != JJ_MIRROR_LISTENS || !mirror->listed ||
+	    mirror->relayed_ms == JJ_MS_NEVER)
+		return mirror->next_ms;
+	silent = mirror->relayed_ms + mirror->settings.relay_fresh_ms;
+	return silent > mirror->next_ms ? silent : mirror->next_ms;
+}
+
 /**
  * Guards against a storm of calls: a platform that refuses at once (down, over
  * its rate, or not understanding the call) would be asked again at once by
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -178,6 +178,20 @@
 		m->body.jobs.revision = 5;
 		m->body.jobs.events = jj_bytes_from_text("[]");
 	}},
+    {"Relay", JJ_MESSAGE_RELAY,
+	[](jj_message_t *m) {
+		m->body.relay.watch = 2;
+		m->body.relay.from = 7;
+		m->body.relay.to = UINT64_MAX;
+		m->body.relay.events = jj_bytes_from_text("[{\"key\":\"a\"}]");
+	}},
+    {"JobStates", JJ_MESSAGE_JOB_STATES,
+	[](jj_message_t *m) {
+		m->body.job_states.count = JJ_MESSAGE_JOB_STATES_MAX;
+		for (uint32_t i = 0; i < m->body.job_states.count; i++)
+			m->body.job_states.states[i] = {
+			    UINT64_MAX - i, i, UINT64_MAX, i + 1, i};
+	}},
     {"Yield", JJ_MESSAGE_YIELD,
 	[](jj_message_t *m) { m->body.yield = UINT64_MAX; }},
     {"JobEnded", JJ_MESSAGE_JOB_ENDED,
--- a/tests/core/gateway_test.cc
+++ b/tests/core/gateway_test.cc
@@ -173,6 +173,7 @@
 		    "%s", serves ? "" : "retire/");
 		settings.serves = serves;
 		settings.watch_wait_ms = 20000;
+		settings.news_ms = 2000;
 		settings.backoff_ms = 100;
 		settings.backoff_most_ms = 800;
 		settings.vms_poll_ms = 5000;
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -353,6 +353,56 @@
 	EXPECT_EQ("2 0: j-0=null j-1=eins", a.answer(a.read("j", 0)).body);
 }
 
+/* What the VM that runs a job says spares the platform the reads of others. */
+TEST_F(Inline, AReaderElsewhereAsksOnlyWhenThereIsNews)
+{
+	jj_job_standing_t states[4];
+
+	(void)a.submit("j", 2);
+	pass(300);
+	ASSERT_EQ(1U, jj_inline_list_states(a.jobs, states, 4));
+	EXPECT_EQ(20U, states[0].tokens);
+	jj_inline_take_states(b.jobs, states, 1, now, &b.out);
+	int reads = platform.reads;
+	EXPECT_EQ("2 0:", b.answer(b.read("j", 0)).body);
+	EXPECT_EQ(reads, platform.reads);
+	EXPECT_TRUE(a.finish("j-1", "eins"));
+	pass(600);
+	uint64_t waiting = b.read("j", 0, 1000);
+	(void)jj_inline_list_states(a.jobs, states, 4);
+	EXPECT_EQ(1U, states[0].shown);
+	EXPECT_EQ(10U, states[0].tokens);
+	jj_inline_take_states(b.jobs, states, 1, now, &b.out);
+	b.settle();
+	EXPECT_EQ("2 0: j-1=eins", b.answer(waiting).body);
+}
+
+/*
+ * A VM that was cut off and has lost its job goes on saying how much of it was
+ * shown when it had it. A reader that saw more must not be told otherwise, and
+ * what was heard long ago is no answer at all.
+ */
+TEST_F(InlineFailure, AnOldWordDoesNotHideWhatIsShown)
+{
+	jj_job_standing_t states[4];
+	jj_job_standing_t old;
+
+	(void)a.submit("j", 2);
+	pass(300);
+	(void)jj_inline_list_states(a.jobs, states, 4);
+	old = states[0];
+	EXPECT_TRUE(a.finish("j-1", "eins"));
+	pass(600);
+	(void)jj_inline_list_states(a.jobs, states, 4);
+	jj_inline_take_states(b.jobs, states, 1, now, &b.out);
+	jj_inline_take_states(b.jobs, &old, 1, now, &b.out);
+	EXPECT_EQ("2 0: j-1=eins", b.answer(b.read("j", 0)).body);
+	now += 900;
+	int reads = platform.reads;
+	EXPECT_EQ("2 1:", b.answer(b.read("j", 1)).body);
+	EXPECT_LT(reads, platform.reads);
+}
+
 /* While the platform is away readers are told to come back, never "no job". */
 TEST_F(InlineFailure, AReadWithoutThePlatformIsRefused)
 {
--- a/tests/core/inline_world.h
+++ b/tests/core/inline_world.h
@@ -246,6 +246,11 @@
 	return jj_bytes_copy(text.data(), text.size());
 }
 
+inline void
+relay(void *, uint64_t, uint64_t, const jj_platform_item_t *, size_t)
+{
+}
+
 inline void
 tell_ended(void *ctx, const char *writer, const char *id)
 {
@@ -262,7 +267,8 @@
 	    inline_port::is_chosen, inline_port::hears_others,
 	    inline_port::find_route, inline_port::unix_ms,
 	    inline_port::begin_item, inline_port::cancel_item,
-	    inline_port::write_page, inline_port::tell_ended};
+	    inline_port::write_page, inline_port::relay,
+	    inline_port::tell_ended};
 
 	snprintf(
 	    settings.writer, sizeof(settings.writer), "%s", writer.c_str());
@@ -278,6 +284,7 @@
 	settings.item_retry_ms = 100;
 	settings.mirror_wait_ms = 20000;
 	settings.mirror_spacing_ms = 100;
+	settings.state_fresh_ms = 850;
 	settings.retry_after_ms = 500;
 	TAILQ_INIT(&out);
 	jobs = jj_inline_create(&settings, &port);
