Draw servers for each request; offer servers abroad to a few VMs; log reads

And a VM told readers what it had read too late. Ruled out: too few servers: 340 of 712 places are taken at the peak. Change: a request looks at some servers of its own domain, drawn anew; a server abroad is offered to two VMs of other domains; messages on jobs show by what they acknowledge how old they are.

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -266,6 +266,7 @@
 LAYOUT(job_state_layout, jj_job_standing_t, job_state_fields);
 
 static const field_t job_states_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.job_states.ack),
     ARRAY(FIELD_ARRAY, jj_message_t, body.job_states.states,
 	body.job_states.count, JJ_MESSAGE_JOB_STATES_MAX, &job_state_layout),
 };
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -15,6 +15,8 @@
 
 static void
 take_heartbeat(jj_gateway_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
+static void
+take_states(jj_gateway_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
 static void send_config(jj_gateway_t *, const jj_name_t *, jj_actions_t *);
 static void tell_config(jj_gateway_t *);
 static void send_loads(jj_gateway_t *, bool, jj_actions_t *);
@@ -92,9 +94,7 @@
 		jj_gateway_take_relay(gateway, &message->body.relay, now, out);
 		break;
 	case JJ_MESSAGE_JOB_STATES:
-		jj_inline_take_states(gateway->jobs,
-		    message->body.job_states.states,
-		    message->body.job_states.count, now, out);
+		take_states(gateway, message, now, out);
 		break;
 	case JJ_MESSAGE_JOB_ENDED:
 		jj_inline_take_ended(
@@ -105,6 +105,25 @@
 	}
 }
 
+/**
+ * Guards against old news taken for new: on a VM that is slow or was frozen a
+ * message lies for a second before it is read, and readers would be told that
+ * there is nothing where others have read a result. What the sender had heard
+ * of this VM when it wrote shows how old the message is at most.
+ */
+static void
+take_states(jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_ms_t written =
+	    jj_member_ack_time(gateway->member, message->body.job_states.ack);
+
+	if (written == JJ_MS_NEVER)
+		return;
+	jj_inline_take_states(gateway->jobs, message->body.job_states.states,
+	    message->body.job_states.count, written, now, out);
+}
+
 void
 jj_gateway_note_loads(jj_gateway_t *gateway)
 {
--- a/src/core/gateway_relay.c
+++ b/src/core/gateway_relay.c
@@ -35,6 +35,7 @@
 };
 
 static jj_mirror_duty_t choose_duty(const jj_gateway_t *);
+static void count_vms(jj_gateway_t *);
 static void tell(jj_gateway_t *, uint32_t, uint64_t, uint64_t,
     const jj_platform_item_t *, size_t);
 static json_t *encode(const jj_platform_item_t *, size_t);
@@ -50,6 +51,7 @@
 	if (now < gateway->next_duty_ms)
 		return;
 	gateway->next_duty_ms = now + DUTY_MS;
+	count_vms(gateway);
 	duty = choose_duty(gateway);
 	if (duty != gateway->config_mirror.duty)
 		jj_actions_add_event(out, "watch_duty", "duty=%s",
@@ -128,6 +130,8 @@
 			continue;
 		message = jj_actions_add_message(
 		    out, &infos[i].name, JJ_MESSAGE_JOB_STATES);
+		message->body.job_states.ack =
+		    jj_member_accepted(gateway->member, &infos[i].name);
 		message->body.job_states.count = count;
 		memcpy(message->body.job_states.states, states,
 		    count * sizeof(states[0]));
@@ -135,6 +139,27 @@
 	free(infos);
 }
 
+/** Of this failure domain, and of all others. */
+static void
+count_vms(jj_gateway_t *gateway)
+{
+	uint32_t near = 1;
+	uint32_t far = 0;
+	size_t i;
+
+	for (i = 0; i < gateway->vm_count; i++) {
+		const jj_gateway_vm_t *vm = &gateway->vms[i];
+
+		if (!jj_member_is_live(gateway->member, &vm->name))
+			continue;
+		if (jj_name_equal(&vm->domain, &gateway->settings.domain))
+			near++;
+		else
+			far++;
+	}
+	jj_slots_set_vms(gateway->slots, near, far);
+}
+
 static jj_mirror_duty_t
 choose_duty(const jj_gateway_t *gateway)
 {
--- a/src/core/inline_heard.c
+++ b/src/core/inline_heard.c
@@ -50,14 +50,14 @@
 
 void
 jj_inline_take_states(jj_inline_t *jobs, const jj_job_standing_t *states,
-    uint32_t count, jj_ms_t now, jj_actions_t *out)
+    uint32_t count, jj_ms_t written, jj_ms_t now, jj_actions_t *out)
 {
 	jj_inline_op_t *op;
 	jj_inline_op_t *next;
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		take(jobs, &states[i], now);
+		take(jobs, &states[i], written);
 	forget_old(jobs, now);
 	for (op = TAILQ_FIRST(&jobs->ops); op != NULL; op = next) {
 		next = TAILQ_NEXT(op, link);
@@ -124,7 +124,7 @@
  * what is shown only grows.
  */
 static void
-take(jj_inline_t *jobs, const jj_job_standing_t *state, jj_ms_t now)
+take(jj_inline_t *jobs, const jj_job_standing_t *state, jj_ms_t written)
 {
 	jj_heard_state_t *heard = find(jobs, state->job);
 	uint32_t shown = 0;
@@ -137,7 +137,8 @@
 	heard->state = *state;
 	if (shown > state->shown)
 		heard->state.shown = shown;
-	heard->heard_ms = now;
+	if (heard->heard_ms == 0 || written > heard->heard_ms)
+		heard->heard_ms = written;
 }
 
 static void
--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -32,6 +32,8 @@
 take_no_segment(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
 static void take_job_of_read(jj_inline_t *, jj_inline_op_t *,
     const jj_platform_result_t *, jj_actions_t *);
+static void
+log_read(const jj_inline_op_t *, const char *, uint32_t, jj_actions_t *);
 static void answer_from_run(
     jj_inline_t *, jj_inline_op_t *, const jj_inline_run_t *, jj_actions_t *);
 static void answer_page(jj_inline_t *, jj_inline_op_t *,
@@ -283,8 +285,10 @@
 		op->look_ms = now;
 		return false;
 	}
-	if (now >= op->look_ms)
+	if (now >= op->look_ms) {
+		log_read(op, "heard", state->shown, out);
 		answer_page(jobs, op, NULL, state->total, out);
+	}
 	return true;
 }
 
@@ -358,8 +362,10 @@
 		op->segment_number++;
 		jj_inline_want_call(&op->get, now);
 		start_read(jobs, op, out);
-	} else
+	} else {
+		log_read(op, "store", segment.first + segment.count, out);
 		answer_page(jobs, op, &segment, segment.total, out);
+	}
 	jj_inline_segment_clear(&segment);
 }
 
@@ -371,6 +377,7 @@
 	uint32_t total = entry != NULL ? entry->total : op->total;
 
 	if (total > 0) {
+		log_read(op, "store", 0, out);
 		answer_page(jobs, op, NULL, total, out);
 		return;
 	}
@@ -411,9 +418,20 @@
 	jj_inline_segment_t shown = run->segment;
 
 	shown.count = run->shown - shown.first;
+	log_read(op, "run", run->shown, out);
 	answer_page(jobs, op, &shown, shown.total, out);
 }
 
+/** Where an answer came from: the run here, its VM's word, the platform. */
+static void
+log_read(const jj_inline_op_t *op, const char *source, uint32_t shown,
+    jj_actions_t *out)
+{
+	jj_actions_add_event(out, "job_read",
+	    "job=%s after=%u shown=%u source=%s segment=%u", op->id, op->after,
+	    shown, source, op->segment_number);
+}
+
 /** The results from `after` on, as many as a page holds. */
 static void
 answer_page(jj_inline_t *jobs, jj_inline_op_t *op,
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -112,6 +112,14 @@
 	return true;
 }
 
+uint64_t
+jj_member_accepted(const jj_member_t *member, const jj_name_t *name)
+{
+	const jj_peer_t *peer = find_peer(member, name);
+
+	return peer != NULL ? peer->sequence : 0;
+}
+
 void
 jj_member_stamp(jj_member_t *member, jj_message_t *message)
 {
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -69,6 +69,14 @@
  * JJ_ACTION_SEND, in the order in which the messages go out.
  */
 void jj_member_stamp(jj_member_t *member, jj_message_t *message);
+/** Highest sequence accepted from a VM's process, 0: none; for an ack. */
+uint64_t jj_member_accepted(const jj_member_t *member, const jj_name_t *name);
+/**
+ * A message that acknowledges this sequence was written after this point in
+ * time: when the round of heartbeats that it answers went out. JJ_MS_NEVER
+ * when that is not known any more.
+ */
+jj_ms_t jj_member_ack_time(const jj_member_t *member, uint64_t ack);
 /** Sends due heartbeats (the caller fills loads in by the callback below). */
 void jj_member_tick(jj_member_t *member, jj_ms_t now, jj_actions_t *out);
 /** When the next tick is due. */
--- a/src/core/member_signal.c
+++ b/src/core/member_signal.c
@@ -66,23 +66,30 @@
 
 bool
 jj_member_is_ack_fresh(const jj_member_t *member, uint64_t ack, jj_ms_t now)
+{
+	jj_ms_t written = jj_member_ack_time(member, ack);
+
+	return written != JJ_MS_NEVER &&
+	    now - written <= member->settings.suspect_ms;
+}
+
+jj_ms_t
+jj_member_ack_time(const jj_member_t *member, uint64_t ack)
 {
 	uint64_t i;
 
 	/* An acknowledgement of what an earlier process of this VM sent. */
 	if (ack > member->sequence)
-		return false;
+		return JJ_MS_NEVER;
 	for (i = 0; i < JJ_MEMBER_ROUNDS_MAX && i < member->round_count; i++) {
 		const jj_round_t *round =
 		    &member->rounds[(member->round_count - 1 - i) %
 			JJ_MEMBER_ROUNDS_MAX];
 
-		if (now - round->sent_ms > member->settings.suspect_ms)
-			return false;
 		if (ack >= round->sequence)
-			return true;
+			return round->sent_ms;
 	}
-	return false;
+	return JJ_MS_NEVER;
 }
 
 static void
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -236,6 +236,8 @@
 		char job_ended[JJ_MESSAGE_JOB_ID_SIZE];
 		jj_relay_news_t relay;
 		struct {
+			/** As ack_sequence of a heartbeat: how old this is. */
+			uint64_t ack;
 			uint32_t count;
 			jj_job_standing_t states[JJ_MESSAGE_JOB_STATES_MAX];
 		} job_states;
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -16,6 +16,8 @@
 #define COST_CUT_OWN 0.2
 #define COST_CUT_OTHER 0.4
 #define COST_ABROAD 0.9
+/* Equal costs differ by up to this. */
+#define COST_SPREAD 0.003
 /* Of a server where the request failed before: only if there is no other. */
 #define COST_AVOIDED 1000.0
 /* A connection that is not answered yet may be to a server that is dark. */
@@ -30,14 +32,30 @@
 /* Rest after a refusal that names no time: about one step of its queue, ms. */
 #define REFUSAL_REST_MS 50
 
+/* So many VMs of other domains choose a server, where there are many. */
+#define ABROAD_VMS 2
+/* With fewer VMs of other domains all may choose all: they hardly collide. */
+#define ABROAD_FREE_VMS 8
+/* Of the own domain's servers a request looks at this many times its VM's
+ * share, and at no fewer than these. */
+#define DRAWN_SHARES 2
+#define DRAWN_LEAST 3
+
 TAILQ_HEAD(slot_list, jj_slot_server);
 
 struct jj_slots {
 	jj_slots_settings_t settings;
 	struct slot_list servers;
 	uint64_t turn; /**< spreads equal costs */
+	uint32_t near_vms; /**< that choose among the own domain's servers */
+	uint32_t far_vms; /**< of other domains */
 };
 
+static jj_slot_server_t *choose(jj_slots_t *, const jj_name_t *,
+    const jj_name_t *, jj_ms_t, double, bool *);
+static double drawn_share(const jj_slots_t *, const jj_name_t *);
+static double draw_of(const jj_slots_t *, const jj_slot_server_t *);
+static bool is_offered(const jj_slots_t *, const jj_slot_server_t *);
 static double cost_of(const jj_slots_t *, const jj_slot_server_t *, double);
 static double fastest(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static double slowness(const jj_slot_server_t *, double);
@@ -57,6 +75,7 @@
 
 	slots->settings = *settings;
 	slots->turn = settings->seed;
+	slots->near_vms = 1;
 	TAILQ_INIT(&slots->servers);
 	return slots;
 }
@@ -166,6 +185,13 @@
 	return NULL;
 }
 
+void
+jj_slots_set_vms(jj_slots_t *slots, uint32_t near, uint32_t far)
+{
+	slots->near_vms = near > 0 ? near : 1;
+	slots->far_vms = far;
+}
+
 jj_slot_server_t *
 jj_slots_first(const jj_slots_t *slots)
 {
@@ -176,39 +202,14 @@
 jj_slots_choose_online(jj_slots_t *slots, const jj_name_t *service,
     const jj_name_t *avoid, jj_ms_t now, bool *full)
 {
-	jj_slot_server_t *best = NULL;
-	jj_slot_server_t *server;
-	double best_cost = 0;
-	double best_ms = fastest(slots, service, now);
-	uint64_t salt = slots->turn++;
-
-	*full = false;
-	TAILQ_FOREACH(server, &slots->servers, link)
-	{
-		double cost;
+	jj_slot_server_t *best;
 
-		if (!is_candidate(server, service, NULL, now))
-			continue;
-		if (server->online + server->others_online >=
-		    server->info.slots + slots->settings.queue_most) {
-			*full = true;
-			continue;
-		}
-		cost = cost_of(slots, server, best_ms);
-		if (avoid != NULL && jj_name_equal(&server->info.id, avoid))
-			cost += COST_AVOIDED;
-		/* Equal costs are spread, so that VMs differ in their choice. */
-		cost +=
-		    (double)(jj_hash_bytes(&salt, sizeof(salt), server->hash) &
-			0xff) *
-		    1e-5;
-		if (best != NULL && cost >= best_cost)
-			continue;
-		best = server;
-		best_cost = cost;
-	}
-	if (best != NULL)
-		*full = false;
+	slots->turn++;
+	best = choose(
+	    slots, service, avoid, now, drawn_share(slots, service), full);
+	/* Those drawn were full or none: all are looked at. */
+	if (best == NULL || jj_slot_server_taken(best) >= best->info.slots)
+		best = choose(slots, service, avoid, now, 1, full);
 	return best;
 }
 
@@ -228,7 +229,7 @@
 		double free_places;
 
 		if (!is_candidate(server, service, avoid, now) ||
-		    server->open_connects > 1)
+		    !is_offered(slots, server) || server->open_connects > 1)
 			continue;
 		/* Two free places abroad are as good as one at home. */
 		if (limit <
@@ -423,6 +424,90 @@
 	return &most->vm;
 }
 
+/**
+ * The cheapest of the servers that are drawn, each with the probability
+ * @p share; with 1 all of them, also those offered to others.
+ */
+static jj_slot_server_t *
+choose(jj_slots_t *slots, const jj_name_t *service, const jj_name_t *avoid,
+    jj_ms_t now, double share, bool *full)
+{
+	double best_ms = fastest(slots, service, now);
+	jj_slot_server_t *best = NULL;
+	jj_slot_server_t *server;
+	double best_cost = 0;
+
+	*full = false;
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		double draw = draw_of(slots, server);
+		double cost;
+
+		if (!is_candidate(server, service, NULL, now))
+			continue;
+		if (share < 1 && (draw >= share || !is_offered(slots, server)))
+			continue;
+		if (server->online + server->others_online >=
+		    server->info.slots + slots->settings.queue_most) {
+			*full = true;
+			continue;
+		}
+		cost = cost_of(slots, server, best_ms);
+		if (avoid != NULL && jj_name_equal(&server->info.id, avoid))
+			cost += COST_AVOIDED;
+		if (!is_offered(slots, server))
+			cost += COST_ABROAD;
+		/* Equal costs are spread, so that VMs differ in their choice. */
+		cost += draw * COST_SPREAD;
+		if (best != NULL && cost >= best_cost)
+			continue;
+		best = server;
+		best_cost = cost;
+	}
+	if (best != NULL)
+		*full = false;
+	return best;
+}
+
+/** What part of the servers one request looks at. */
+static double
+drawn_share(const jj_slots_t *slots, const jj_name_t *service)
+{
+	const jj_slot_server_t *server;
+	double drawn = DRAWN_LEAST;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		count += server->local &&
+		    jj_name_equal(&server->info.service, service);
+	}
+	if (DRAWN_SHARES * (double)count / slots->near_vms > drawn)
+		drawn = DRAWN_SHARES * (double)count / slots->near_vms;
+	return count > 0 && drawn < count ? drawn / count : 1;
+}
+
+/** A number from 0 to 1 for a server, another one for each request. */
+static double
+draw_of(const jj_slots_t *slots, const jj_slot_server_t *server)
+{
+	uint64_t hash = jj_hash_bytes(&slots->turn, sizeof(slots->turn),
+	    server->hash ^ slots->settings.seed);
+
+	return (double)(hash & 0xffff) / 0x10000;
+}
+
+/** False for a server of another domain that other VMs than this one use. */
+static bool
+is_offered(const jj_slots_t *slots, const jj_slot_server_t *server)
+{
+	if (server->local || slots->far_vms < ABROAD_FREE_VMS)
+		return true;
+	return jj_rendezvous_weight(slots->settings.name.text, server->hash) %
+	    slots->far_vms <
+	    ABROAD_VMS;
+}
+
 static double
 cost_of(const jj_slots_t *slots, const jj_slot_server_t *server, double best_ms)
 {
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -11,7 +11,10 @@
  * only places that leave some free for the next online request.
  *
  * What neighbours run is told by messages and so a little old; it orders
- * servers, and never makes one eligible.
+ * servers, and never makes one eligible. Many VMs that know the same would all
+ * choose the same server at once, so each looks at a part of them: of its own
+ * domain a few drawn anew for each request, of other domains always the same
+ * few, so that a server abroad is offered to two VMs of other domains.
  */
 #ifndef JJ_CORE_SLOTS_H
 #define JJ_CORE_SLOTS_H
@@ -101,6 +104,11 @@
 jj_slot_server_t *jj_slots_find(const jj_slots_t *slots, const char *id);
 /** The server that messages name by this number, or NULL. */
 jj_slot_server_t *jj_slots_find_hash(const jj_slots_t *slots, uint64_t hash);
+/**
+ * How many VMs choose among the same servers: @p near of this failure domain,
+ * this one among them, and @p far of others.
+ */
+void jj_slots_set_vms(jj_slots_t *slots, uint32_t near, uint32_t far);
 /** The first server; go on with TAILQ_NEXT. */
 jj_slot_server_t *jj_slots_first(const jj_slots_t *slots);
 
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -362,7 +362,7 @@
 	pass(300);
 	ASSERT_EQ(1U, jj_inline_list_states(a.jobs, states, 4));
 	EXPECT_EQ(20U, states[0].tokens);
-	jj_inline_take_states(b.jobs, states, 1, now, &b.out);
+	jj_inline_take_states(b.jobs, states, 1, now, now, &b.out);
 	int reads = platform.reads;
 	EXPECT_EQ("2 0:", b.answer(b.read("j", 0)).body);
 	EXPECT_EQ(reads, platform.reads);
@@ -372,7 +372,7 @@
 	(void)jj_inline_list_states(a.jobs, states, 4);
 	EXPECT_EQ(1U, states[0].shown);
 	EXPECT_EQ(10U, states[0].tokens);
-	jj_inline_take_states(b.jobs, states, 1, now, &b.out);
+	jj_inline_take_states(b.jobs, states, 1, now, now, &b.out);
 	b.settle();
 	EXPECT_EQ("2 0: j-1=eins", b.answer(waiting).body);
 }
@@ -394,13 +394,18 @@
 	EXPECT_TRUE(a.finish("j-1", "eins"));
 	pass(600);
 	(void)jj_inline_list_states(a.jobs, states, 4);
-	jj_inline_take_states(b.jobs, states, 1, now, &b.out);
-	jj_inline_take_states(b.jobs, &old, 1, now, &b.out);
+	jj_inline_take_states(b.jobs, states, 1, now, now, &b.out);
+	jj_inline_take_states(b.jobs, &old, 1, now, now, &b.out);
 	EXPECT_EQ("2 0: j-1=eins", b.answer(b.read("j", 0)).body);
 	now += 900;
 	int reads = platform.reads;
 	EXPECT_EQ("2 1:", b.answer(b.read("j", 1)).body);
 	EXPECT_LT(reads, platform.reads);
+	/* It lay in a queue for long: as good as not heard. */
+	reads = platform.reads;
+	jj_inline_take_states(b.jobs, states, 1, now - 900, now, &b.out);
+	EXPECT_EQ("2 1:", b.answer(b.read("j", 1)).body);
+	EXPECT_LT(reads, platform.reads);
 }
 
 /* While the platform is away readers are told to come back, never "no job". */
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -2,6 +2,7 @@
  * @file slots_test.cc
  * @brief Places at servers: online first, batch in what is left.
  */
+#include <set>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -205,6 +206,46 @@
 	EXPECT_EQ("s2", online());
 }
 
+/*
+ * Thirty VMs of other domains know the same old loads of this server: they all
+ * saw it empty and sent there at once, and it had three times its places.
+ */
+TEST_F(Slots, AServerAbroadIsOfferedToAFewVms)
+{
+	int offered = 0;
+
+	for (int i = 0; i < 200; i++)
+		learn(("m" + std::to_string(i)).c_str(), "mantova");
+	jj_slots_set_vms(slots, 10, 20);
+	for (jj_slot_server_t *server = jj_slots_first(slots);
+	     server != nullptr; server = TAILQ_NEXT(server, link)) {
+		for (int i = 0; i < 5 && batch() != ""; i++)
+			jj_slots_add(jj_slots_find(slots, batch().c_str()),
+			    JJ_CLASS_BATCH);
+	}
+	for (jj_slot_server_t *server = jj_slots_first(slots);
+	     server != nullptr; server = TAILQ_NEXT(server, link))
+		offered += server->batch > 0;
+	EXPECT_LT(8, offered);
+	EXPECT_GT(40, offered) << "about a tenth of them";
+	EXPECT_NE("", online()) << "online goes anywhere before it is refused";
+}
+
+/* Each request looks at some servers only, but never is refused for that. */
+TEST_F(Slots, ManyVmsDoNotAllChooseTheSameServer)
+{
+	std::set<std::string> chosen;
+
+	for (int i = 0; i < 30; i++)
+		fill(learn(("s" + std::to_string(i)).c_str()), 2, 0);
+	fill(learn("best"), 1, 0);
+	jj_slots_set_vms(slots, 18, 0);
+	for (int i = 0; i < 50; i++)
+		chosen.insert(online());
+	EXPECT_LT(10U, chosen.size());
+	EXPECT_EQ(0U, chosen.count(""));
+}
+
 TEST_F(Slots, NeighboursAreToldWhatTheyDoNotKnow)
 {
 	jj_load_t loads[4];
