Fence a job's results before a takeover speaks of it

Ruled out: old messages (their age is known now), stale reads (none asked). Change: a takeover writes the newest segment once, on the version that it read, before it answers readers or tells others; that makes every earlier conditional write fail. One more write for each takeover.

--- a/src/core/inline_job.c
+++ b/src/core/inline_job.c
@@ -200,10 +200,10 @@
 				result->text.size));
 		(void)json_array_append_new(results, entry);
 	}
-	return jj_json_take_bytes(json_pack("{s:I,s:I,s:b,s:b,s:o}", "total",
-	    (json_int_t)segment->total, "first", (json_int_t)segment->first,
-	    "sealed", segment->sealed, "ended", segment->ended, "results",
-	    results));
+	return jj_json_take_bytes(json_pack("{s:I,s:I,s:b,s:b,s:s,s:o}",
+	    "total", (json_int_t)segment->total, "first",
+	    (json_int_t)segment->first, "sealed", segment->sealed, "ended",
+	    segment->ended, "writer", segment->writer, "results", results));
 }
 
 bool
--- a/src/core/inline_job.h
+++ b/src/core/inline_job.h
@@ -60,6 +60,7 @@
 	jj_inline_result_t *results; /**< owned */
 	bool sealed; /**< later ones stand in the next segment */
 	bool ended; /**< the job was ended: nothing of it runs any more */
+	char writer[JJ_NAME_MAX + 20]; /**< process that wrote it last */
 } jj_inline_segment_t;
 
 void jj_inline_job_clear(jj_inline_job_t *job);
--- a/src/core/inline_publish.c
+++ b/src/core/inline_publish.c
@@ -19,6 +19,7 @@
     const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
 static void take_read(jj_inline_t *, jj_inline_run_t *,
     const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void end_catching_up(jj_inline_t *, jj_inline_run_t *, jj_actions_t *);
 static void take_back(jj_inline_run_t *);
 static void show_written(jj_inline_t *, jj_inline_run_t *);
 static void show_stored(jj_inline_t *, jj_inline_run_t *);
@@ -52,7 +53,8 @@
 	}
 	if (run->write.due_ms != JJ_MS_NEVER && now < run->write.due_ms)
 		return;
-	if (now >= run->publish_ms && (has_finished(run) || wants_end(run)))
+	if (run->fences ||
+	    (now >= run->publish_ms && (has_finished(run) || wants_end(run))))
 		write_segment(jobs, run, out);
 }
 
@@ -88,6 +90,8 @@
 		    jj_inline_segment_size(segment) >= JJ_INLINE_SEGMENT_BYTES;
 	}
 	segment->ended = segment->ended || run->ended;
+	(void)snprintf(segment->writer, sizeof(segment->writer), "%s",
+	    jobs->settings.writer);
 	run->publish_ms = JJ_MS_NEVER;
 	call = jj_inline_start_call(jobs, &run->write,
 	    run->segment_version == 0 ? JJ_PLATFORM_CREATE : JJ_PLATFORM_UPDATE,
@@ -120,6 +124,10 @@
 	if (result->outcome == JJ_PLATFORM_OK) {
 		jj_inline_end_call(&run->write);
 		run->segment_version = result->version;
+		if (run->fences) {
+			end_catching_up(jobs, run, out);
+			return;
+		}
 		jj_actions_add_event(out, "results_shown",
 		    "job=%s from=%u count=%u version=%llu", run->id, run->shown,
 		    run->writing, (unsigned long long)result->version);
@@ -149,7 +157,6 @@
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
 {
 	jj_inline_segment_t stored;
-	bool was_catching_up = run->state == JJ_RUN_CATCHING_UP;
 
 	if (result->outcome == JJ_PLATFORM_OK &&
 	    jj_inline_segment_decode(&stored, &result->value)) {
@@ -168,15 +175,30 @@
 	}
 	jj_inline_end_call(&run->write);
 	run->rereads = false;
-	if (was_catching_up)
-		run->state = JJ_RUN_RUNNING;
-	if (was_catching_up)
-		jj_actions_add_event(out, "job_caught_up",
-		    "job=%s items=%zu shown=%u", run->id, run->job.item_count,
-		    run->shown);
 	run->ended = run->ended || run->segment.ended;
 	if (wants_end(run))
 		run->publish_ms = now;
+	if (!run->fences)
+		jj_inline_serve_readers(jobs, run, out);
+}
+
+/**
+ * Guards against results that appear behind the back of the VM that runs the
+ * job now: a write of the one before it that was under way when its VM was
+ * cut off takes effect when the cut heals. Readers elsewhere see its results,
+ * while this VM says that there are none. Its own first write, on the version
+ * that it has read, makes every earlier one fail; only then it speaks of the
+ * job.
+ */
+static void
+end_catching_up(jj_inline_t *jobs, jj_inline_run_t *run, jj_actions_t *out)
+{
+	run->fences = false;
+	run->state = JJ_RUN_RUNNING;
+	jj_actions_add_event(out, "job_caught_up",
+	    "job=%s items=%zu shown=%u version=%llu", run->id,
+	    run->job.item_count, run->shown,
+	    (unsigned long long)run->segment_version);
 	jj_inline_serve_readers(jobs, run, out);
 }
 
--- a/src/core/inline_run.c
+++ b/src/core/inline_run.c
@@ -76,6 +76,7 @@
 	if (op->job_is_new) {
 		jj_inline_end_call(&run->write);
 		run->rereads = false;
+		run->fences = false;
 		run->state = JJ_RUN_RUNNING;
 	}
 }
@@ -314,6 +315,7 @@
 	run->segment.total = (uint32_t)run->job.item_count;
 	run->state = JJ_RUN_CATCHING_UP;
 	run->rereads = true;
+	run->fences = true;
 	jj_inline_want_call(&run->write, now);
 	set_due(jobs, run, route, now);
 }
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -114,6 +114,7 @@
 	uint32_t writing; /**< results at the end of `segment` under way */
 	jj_inline_call_t write; /**< or the read that catches up */
 	bool rereads; /**< the write's outcome is read back */
+	bool fences; /**< writes of the VM before may still take effect */
 	jj_ms_t publish_ms; /**< not before; JJ_MS_NEVER: nothing to show */
 	jj_inline_call_t close;
 } jj_inline_run_t;
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -277,6 +277,34 @@
 	EXPECT_EQ("2 0: j-1=neu", b.answer(b.read("j", 0)).body);
 }
 
+/*
+ * A VM is cut off with a write of results under way; its job is taken over.
+ * The cut heals, the write takes effect, and readers at other VMs see its
+ * results, while the VM that runs the job now says that there are none.
+ */
+TEST_F(InlineFailure, ALateWriteOfTheVmBeforeDoesNotCount)
+{
+	(void)b.submit("j", 2);
+	pass(300);
+	b.holds = [](const jj_platform_call_t &call) {
+		return strncmp(call.key, "batch-out/", 10) == 0;
+	};
+	EXPECT_TRUE(b.finish("j-0", "alt"));
+	pass(600);
+	ASSERT_EQ(1U, b.held.size());
+	b.frozen = true;
+	dead.insert(b.writer);
+	pass(8000);
+	ASSERT_EQ(2U, a.items.size());
+	b.holds = nullptr;
+	b.release();
+	EXPECT_TRUE(stored("j").empty());
+	EXPECT_EQ("2 0:", a.answer(a.read("j", 0)).body);
+	a.finish_all("neu");
+	pass(600);
+	EXPECT_EQ("2 0: j-0=neu j-1=neu", a.answer(a.read("j", 0)).body);
+}
+
 struct LostCase {
 	const char *name;
 	std::vector<Fault> writes;
