--- a/src/core/gateway_relay.c
+++ b/src/core/gateway_relay.c
@@ -239,8 +239,9 @@
 	size_t i;
 
 	*count = array != NULL ? json_array_size(array) : 1;
-	if (array != NULL && *count > 0)
-		items = jj_alloc(*count * sizeof(*items));
+	if (array == NULL || *count == 0)
+		goto out;
+	items = jj_alloc(*count * sizeof(*items));
 	json_array_foreach(array, i, event)
 	{
 		const json_t *value = json_object_get(event, "value");
@@ -254,6 +255,7 @@
 			items[i].value = jj_bytes_copy(json_string_value(value),
 			    json_string_length(value));
 	}
+out:
 	json_decref(array);
 	return items;
 }
