--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -12,6 +12,8 @@
 #define TOKEN_CONFIG 1
 #define TOKEN_SERVERS 2
 #define TOKEN_RETIRE 3
+/** A VM that is silent for longer is held to be gone, not cut off, ms. */
+#define MISSED_MS 30000
 /** Between ticks of all modules, and while requests are under way, ms. */
 #define TICK_MS 200
 /**
@@ -38,6 +40,7 @@
 static bool is_live(void *, const char *);
 static bool is_chosen(void *, const char *);
 static bool hears_others(void *);
+static bool misses_some(void *);
 static const jj_route_t *find_route(void *, const char *, const char *);
 static int64_t unix_ms(void *);
 static jj_bytes_t write_page(void *, const jj_inline_page_t *);
@@ -51,8 +54,9 @@
 {
 	jj_gateway_t *gateway = jj_alloc(sizeof(*gateway));
 	jj_inline_port_t jobs = {gateway, is_live, is_chosen, hears_others,
-	    find_route, unix_ms, jj_gateway_begin_item, jj_gateway_cancel_item,
-	    write_page, jj_gateway_relay_jobs, jj_gateway_tell_ended};
+	    misses_some, find_route, unix_ms, jj_gateway_begin_item,
+	    jj_gateway_cancel_item, write_page, jj_gateway_relay_jobs,
+	    jj_gateway_tell_ended};
 
 	gateway->settings = *settings;
 	gateway->port = *port;
@@ -480,6 +484,24 @@
 		   infos, 2) > 1;
 }
 
+/** Known VMs of the region that are silent, but for those long gone. */
+static bool
+misses_some(void *ctx)
+{
+	const jj_gateway_t *gateway = ctx;
+	const jj_member_info_t *info;
+	size_t i;
+
+	for (i = 0; i < gateway->vm_count; i++) {
+		info = jj_member_find(gateway->member, &gateway->vms[i].name);
+		if (info != NULL && !info->live &&
+		    info->heard_ms != JJ_MS_NEVER &&
+		    gateway->now - info->heard_ms < MISSED_MS)
+			return true;
+	}
+	return false;
+}
+
 static const jj_route_t *
 find_route(void *ctx, const char *host, const char *path)
 {
--- a/src/core/inline.c
+++ b/src/core/inline.c
@@ -21,6 +21,7 @@
 	TAILQ_INIT(&jobs->runs);
 	TAILQ_INIT(&jobs->ops);
 	TAILQ_INIT(&jobs->heard);
+	jj_inline_end_call(&jobs->check);
 	jj_inline_init_open(jobs);
 	return jobs;
 }
@@ -75,13 +76,15 @@
 	jj_inline_op_t *op;
 	jj_inline_op_t *next_op;
 
+	jobs->now_ms = now;
 	if (result->token == jobs->mirror.settings.token) {
 		jj_mirror_take_result(&jobs->mirror, result, now);
 		jobs->next_look_ms = now;
 		jj_inline_look_at_open(jobs, now, out);
 		return;
 	}
-	if (jj_inline_take_takeover(jobs, result, now, out))
+	if (jj_inline_take_check(jobs, result, now, out) ||
+	    jj_inline_take_takeover(jobs, result, now, out))
 		return;
 	for (run = TAILQ_FIRST(&jobs->runs); run != NULL; run = next_run) {
 		next_run = TAILQ_NEXT(run, link);
@@ -98,7 +101,9 @@
 void
 jj_inline_tick(jj_inline_t *jobs, jj_ms_t now, jj_actions_t *out)
 {
+	jobs->now_ms = now;
 	jj_mirror_set_active(&jobs->mirror, true, now);
+	jj_inline_step_check(jobs, now, out);
 	jj_mirror_tick(&jobs->mirror, now, out);
 	jj_inline_look_at_open(jobs, now, out);
 	step_runs(jobs, now, out);
--- a/src/core/inline.h
+++ b/src/core/inline.h
@@ -43,6 +43,8 @@
 	bool (*is_chosen)(void *ctx, const char *id);
 	/** False when this VM hears no other one: it may be the lost one. */
 	bool (*hears_others)(void *ctx);
+	/** True while some VM is not heard: it may take jobs of this one. */
+	bool (*misses_some)(void *ctx);
 	/** The route of a job's host and path in force, or NULL. */
 	const jj_route_t *(*find_route)(
 	    void *ctx, const char *host, const char *path);
--- a/src/core/inline_heard.c
+++ b/src/core/inline_heard.c
@@ -32,6 +32,8 @@
 	const jj_inline_run_t *run;
 	uint32_t count = 0;
 
+	if (!jj_inline_is_sure(jobs))
+		return 0;
 	TAILQ_FOREACH(run, &jobs->runs, link)
 	{
 		if (count == most || run->rereads ||
--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -306,7 +306,7 @@
 	if (run->state != JJ_RUN_RUNNING && run->state != JJ_RUN_CLOSING &&
 	    run->state != JJ_RUN_CLOSED)
 		return false;
-	if (run->rereads)
+	if (run->rereads || !jj_inline_is_sure(jobs))
 		return false;
 	return entry == NULL || entry->version <= run->open_version ||
 	    strcmp(entry->owner, jobs->settings.writer) == 0;
--- a/src/core/inline_publish.c
+++ b/src/core/inline_publish.c
@@ -53,6 +53,8 @@
 	}
 	if (run->write.due_ms != JJ_MS_NEVER && now < run->write.due_ms)
 		return;
+	if (!jj_inline_is_sure(jobs))
+		return;
 	if (run->fences ||
 	    (now >= run->publish_ms && (has_finished(run) || wants_end(run))))
 		write_segment(jobs, run, out);
@@ -163,6 +165,14 @@
 		jj_inline_segment_clear(&run->segment);
 		run->segment = stored;
 		run->segment_version = result->version;
+		/*
+		 * Guards against a VM that has lost its job and goes on
+		 * writing: the one that has it now wrote to it. Whose it is
+		 * shows in the list.
+		 */
+		if (run->state == JJ_RUN_RUNNING &&
+		    strcmp(stored.writer, jobs->settings.writer) != 0)
+			jj_inline_doubt(jobs);
 		show_stored(jobs, run);
 		jj_inline_want_call(&run->write, now);
 		if (stored.sealed) {
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -185,6 +185,13 @@
 	struct jj_inline_op_list ops;
 	uint64_t last_token;
 	bool leaving;
+	jj_ms_t now_ms; /**< of the step under way, or the last one */
+	/** Some VM was not heard then: see inline_sure.c. */
+	jj_ms_t doubt_ms;
+	jj_ms_t strict_ms; /**< another VM wrote to a job of ours then */
+	jj_ms_t verified_ms; /**< the list was looked at after this */
+	jj_inline_call_t check;
+	jj_ms_t check_ms; /**< when it began */
 	jj_ms_t next_look_ms; /**< at entries whose owner may be lost */
 	jj_inline_counts_t counts;
 };
@@ -238,6 +245,15 @@
 bool jj_inline_take_takeover(jj_inline_t *jobs,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out);
 
+/* Whether jobs are still this VM's (inline_sure.c). */
+/** True when what this VM knows of its jobs can be told. */
+bool jj_inline_is_sure(const jj_inline_t *jobs);
+/** Another VM has written to a job that this one runs. */
+void jj_inline_doubt(jj_inline_t *jobs);
+void jj_inline_step_check(jj_inline_t *jobs, jj_ms_t now, jj_actions_t *out);
+bool jj_inline_take_check(jj_inline_t *jobs, const jj_platform_result_t *result,
+    jj_ms_t now, jj_actions_t *out);
+
 /* Runs (inline_run.c, inline_publish.c). */
 jj_inline_run_t *jj_inline_find_run(const jj_inline_t *jobs, const char *id);
 /** A job is this VM's to run; its content is read first. */
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -93,6 +93,16 @@
 	apply(mirror, to, items, count);
 }
 
+void
+jj_mirror_take_check(jj_mirror_t *mirror, const jj_platform_result_t *result)
+{
+	if (result->outcome == JJ_PLATFORM_OK)
+		apply(
+		    mirror, result->version, result->items, result->item_count);
+	else if (result->outcome == JJ_PLATFORM_GAP)
+		start_list(mirror);
+}
+
 void
 jj_mirror_take_result(
     jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now)
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -79,6 +79,12 @@
  */
 void jj_mirror_take_relay(jj_mirror_t *mirror, uint64_t from, uint64_t to,
     const jj_platform_item_t *items, size_t count, jj_ms_t now);
+/**
+ * The result of a poll beside the mirror's own: what it brings is taken as
+ * far as it is new; a lost history means a new list.
+ */
+void
+jj_mirror_take_check(jj_mirror_t *mirror, const jj_platform_result_t *result);
 /** Starts a call when one is due. */
 void jj_mirror_tick(jj_mirror_t *mirror, jj_ms_t now, jj_actions_t *out);
 jj_ms_t jj_mirror_next(const jj_mirror_t *mirror);
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -305,6 +305,51 @@
 	EXPECT_EQ("2 0: j-0=neu j-1=neu", a.answer(a.read("j", 0)).body);
 }
 
+/*
+ * A zone is cut off; a job of its VM is taken over. The cut heals, but the
+ * VM's watch stands still a while longer: it met the other one's write, read
+ * the results and appended its own, and the VM that has the job went on saying
+ * that they are not there.
+ */
+TEST_F(InlineFailure, AVmThatLostItsJobWritesNothingMore)
+{
+	(void)b.submit("j", 2);
+	pass(300);
+	b.frozen = true;
+	dead.insert(b.writer);
+	pass(8000);
+	ASSERT_EQ(2U, a.items.size());
+	dead.clear();
+	b.frozen = false;
+	b.blind = true;
+	EXPECT_TRUE(b.finish("j-0", "alt"));
+	pass(3000);
+	EXPECT_TRUE(stored("j").empty());
+	EXPECT_EQ("2 0:", a.answer(a.read("j", 0)).body);
+	EXPECT_TRUE(b.items.empty());
+}
+
+/*
+ * While VMs do not hear each other, any of them may take a job of another one
+ * and show more of it. One whose watch stands still must not answer from what
+ * it knew, but ask.
+ */
+TEST_F(InlineFailure, AVmThatMissesOthersAsksBeforeItAnswers)
+{
+	jj_job_standing_t states[4];
+
+	(void)b.submit("j", 2);
+	pass(300);
+	cut = true;
+	b.blind = true;
+	dead.insert(b.writer);
+	pass(8000);
+	EXPECT_TRUE(a.finish("j-1", "neu"));
+	pass(600);
+	EXPECT_EQ("2 0: j-1=neu", b.answer(b.read("j", 0)).body);
+	EXPECT_EQ(0U, jj_inline_list_states(b.jobs, states, 4));
+}
+
 struct LostCase {
 	const char *name;
 	std::vector<Fault> writes;
--- a/tests/core/inline_world.h
+++ b/tests/core/inline_world.h
@@ -39,6 +39,7 @@
 	std::set<std::string> dead; /**< writers that others hold for lost */
 	std::vector<std::unique_ptr<InlineVm>> vms;
 	jj_route_t route = {};
+	bool cut = false; /**< VMs do not hear each other */
 
 	InlineWorld();
 	~InlineWorld() override;
@@ -67,6 +68,7 @@
 	std::list<jj_action_t *> held;
 	jj_action_t *watch = nullptr; /**< under way */
 	bool frozen = false;
+	bool blind = false; /**< its watch brings nothing */
 
 	InlineVm(InlineWorld &in, const std::string &name);
 	~InlineVm();
@@ -93,6 +95,7 @@
 	}
 
       private:
+	void bring(jj_action_t *call);
 	void take(const jj_platform_result_t &result);
 	void take_other(jj_action_t *action);
 	uint64_t
@@ -134,7 +137,8 @@
 		for (auto &vm : vms) {
 			if (vm->frozen)
 				continue;
-			vm->see_changes();
+			if (!vm->blind)
+				vm->see_changes();
 			jj_inline_tick(vm->jobs, now, &vm->out);
 			vm->settle();
 		}
@@ -187,6 +191,13 @@
 	return false;
 }
 
+/** A VM misses those that others hold for lost, if it is none of them. */
+inline bool
+misses_some(void *ctx)
+{
+	return vm(ctx)->world.cut || vm(ctx)->world.dead.size() > 0;
+}
+
 inline bool
 hears_others(void *ctx)
 {
@@ -265,10 +276,10 @@
 	jj_inline_settings_t settings = {};
 	jj_inline_port_t port = {this, inline_port::is_live,
 	    inline_port::is_chosen, inline_port::hears_others,
-	    inline_port::find_route, inline_port::unix_ms,
-	    inline_port::begin_item, inline_port::cancel_item,
-	    inline_port::write_page, inline_port::relay,
-	    inline_port::tell_ended};
+	    inline_port::misses_some, inline_port::find_route,
+	    inline_port::unix_ms, inline_port::begin_item,
+	    inline_port::cancel_item, inline_port::write_page,
+	    inline_port::relay, inline_port::tell_ended};
 
 	snprintf(
 	    settings.writer, sizeof(settings.writer), "%s", writer.c_str());
@@ -397,10 +408,15 @@
 			take_other(action);
 			continue;
 		}
-		if (action->body.platform.op == JJ_PLATFORM_WATCH) {
+		if (action->body.platform.op == JJ_PLATFORM_WATCH &&
+		    action->body.platform.wait_ms > 0) {
 			watch = action;
 			continue;
 		}
+		if (action->body.platform.op == JJ_PLATFORM_WATCH) {
+			bring(action);
+			continue;
+		}
 		if (holds && holds(action->body.platform)) {
 			held.push_back(action);
 			continue;
@@ -432,18 +448,29 @@
 /** Deleted entries come as well: what the VM may know and is not there. */
 inline void
 InlineVm::see_changes()
+{
+	jj_action_t *waiting = watch;
+
+	if (waiting == nullptr ||
+	    waiting->body.platform.version >= world.platform.revision)
+		return;
+	watch = nullptr;
+	bring(waiting);
+	settle();
+}
+
+/** What has changed since the call's version; the call is freed. */
+inline void
+InlineVm::bring(jj_action_t *call)
 {
 	std::vector<jj_platform_item_t> changed;
 	jj_platform_result_t result = {};
 
-	if (watch == nullptr ||
-	    watch->body.platform.version >= world.platform.revision)
-		return;
 	for (auto &object : world.platform.objects) {
 		jj_platform_item_t item = {};
 
 		if (object.first.find("batch-open/") != 0 ||
-		    object.second.version <= watch->body.platform.version)
+		    object.second.version <= call->body.platform.version)
 			continue;
 		snprintf(
 		    item.key, sizeof(item.key), "%s", object.first.c_str());
@@ -462,18 +489,16 @@
 		changed.push_back(item);
 	}
 	result.owner = JJ_OWNER_INLINE;
-	result.token = watch->body.platform.token;
+	result.token = call->body.platform.token;
 	result.op = JJ_PLATFORM_WATCH;
 	result.outcome = JJ_PLATFORM_OK;
 	result.version = world.platform.revision;
 	result.items = changed.data();
 	result.item_count = changed.size();
-	jj_action_free(watch);
-	watch = nullptr;
+	jj_action_free(call);
 	jj_inline_take_result(jobs, &result, world.now, &out);
 	for (jj_platform_item_t &item : changed)
 		jj_bytes_free(&item.value);
-	settle();
 }
 
 inline void
