A look at the list of open jobs counts as an answer of the platform

Change: a look that succeeds ends the mirror's rest; what is lost shows in any list, only taking over needs a current one. A VM whose write takes more than 100 ms says nothing of that job meanwhile.

--- a/src/core/inline_heard.c
+++ b/src/core/inline_heard.c
@@ -32,11 +32,9 @@
 	const jj_inline_run_t *run;
 	uint32_t count = 0;
 
-	if (!jj_inline_is_sure(jobs))
-		return 0;
 	TAILQ_FOREACH(run, &jobs->runs, link)
 	{
-		if (count == most || run->rereads ||
+		if (count == most || !jj_inline_can_speak(jobs, run) ||
 		    (run->state != JJ_RUN_RUNNING &&
 			run->state != JJ_RUN_CLOSING))
 			continue;
--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -63,6 +63,7 @@
 	bool is_open = jj_inline_find_open(jobs, id) != NULL ||
 	    jj_inline_find_heard(jobs, id, now) != NULL;
 
+	jobs->now_ms = now;
 	op->after = after;
 	op->look_ms = now;
 	/* Of a job that is not open all results are there: no need to wait. */
@@ -306,7 +307,7 @@
 	if (run->state != JJ_RUN_RUNNING && run->state != JJ_RUN_CLOSING &&
 	    run->state != JJ_RUN_CLOSED)
 		return false;
-	if (run->rereads || !jj_inline_is_sure(jobs))
+	if (!jj_inline_can_speak(jobs, run))
 		return false;
 	return entry == NULL || entry->version <= run->open_version ||
 	    strcmp(entry->owner, jobs->settings.writer) == 0;
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -153,8 +153,7 @@
 {
 	jj_open_entry_t *entry;
 
-	if (now < jobs->next_look_ms || jobs->leaving ||
-	    !jj_mirror_is_current(&jobs->mirror))
+	if (now < jobs->next_look_ms || jobs->leaving)
 		return;
 	jobs->next_look_ms = now + LOOK_MS;
 	TAILQ_FOREACH(entry, &jobs->open, link)
@@ -312,6 +311,12 @@
 			jj_inline_end_run(run, jobs, now);
 		return;
 	}
+	/*
+	 * A list that may be old still shows what this VM has lost, and a job
+	 * that it goes on with is shown twice. It does not show who is lost.
+	 */
+	if (!jj_mirror_is_current(&jobs->mirror))
+		return;
 	if (entry->token == 0 && now >= entry->retry_ms &&
 	    is_lost(jobs, entry, now) &&
 	    jobs->port.is_chosen(jobs->port.ctx, entry->id))
--- a/src/core/inline_publish.c
+++ b/src/core/inline_publish.c
@@ -91,6 +91,7 @@
 		segment->sealed =
 		    jj_inline_segment_size(segment) >= JJ_INLINE_SEGMENT_BYTES;
 	}
+	run->write_ms = jobs->now_ms;
 	segment->ended = segment->ended || run->ended;
 	(void)snprintf(segment->writer, sizeof(segment->writer), "%s",
 	    jobs->settings.writer);
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -113,6 +113,7 @@
 	uint32_t shown; /**< results shown in all segments */
 	uint32_t writing; /**< results at the end of `segment` under way */
 	jj_inline_call_t write; /**< or the read that catches up */
+	jj_ms_t write_ms; /**< when the write under way began */
 	bool rereads; /**< the write's outcome is read back */
 	bool fences; /**< writes of the VM before may still take effect */
 	jj_ms_t publish_ms; /**< not before; JJ_MS_NEVER: nothing to show */
@@ -248,6 +249,8 @@
 /* Whether jobs are still this VM's (inline_sure.c). */
 /** True when what this VM knows of its jobs can be told. */
 bool jj_inline_is_sure(const jj_inline_t *jobs);
+/** The same for one job: what is shown of it is known here. */
+bool jj_inline_can_speak(const jj_inline_t *jobs, const jj_inline_run_t *run);
 /** Another VM has written to a job that this one runs. */
 void jj_inline_doubt(jj_inline_t *jobs);
 void jj_inline_step_check(jj_inline_t *jobs, jj_ms_t now, jj_actions_t *out);
--- a/src/core/inline_sure.c
+++ b/src/core/inline_sure.c
@@ -15,6 +15,12 @@
 
 /** A look at the list counts for so long while some VM is missed, ms. */
 #define SURE_MS 800
+/**
+ * A write takes some ms. What is told of a job holds for state_fresh_ms more,
+ * and both together must stay within the second in which positions that were
+ * read at one VM have to be known at all.
+ */
+#define WRITE_MS 100
 /** Between looks meanwhile, ms. */
 #define CHECK_MS 400
 
@@ -25,6 +31,21 @@
 	    jobs->verified_ms + SURE_MS >= jobs->doubt_ms;
 }
 
+/**
+ * Guards against results that others see first: a write that takes long may
+ * have taken effect while its answer is held up or lost, and readers at the
+ * platform see more than this VM knows.
+ */
+bool
+jj_inline_can_speak(const jj_inline_t *jobs, const jj_inline_run_t *run)
+{
+	bool writes =
+	    run->write.token != 0 && jobs->now_ms - run->write_ms > WRITE_MS;
+
+	return !writes && !run->rereads && !run->fences &&
+	    jj_inline_is_sure(jobs);
+}
+
 void
 jj_inline_doubt(jj_inline_t *jobs)
 {
@@ -57,7 +78,7 @@
 	if (result->token == 0 || result->token != jobs->check.token)
 		return false;
 	jj_inline_end_call(&jobs->check);
-	jj_mirror_take_check(&jobs->mirror, result);
+	jj_mirror_take_check(&jobs->mirror, result, now);
 	if (result->outcome != JJ_PLATFORM_OK)
 		return true;
 	jobs->verified_ms = jobs->check_ms;
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -94,13 +94,21 @@
 }
 
 void
-jj_mirror_take_check(jj_mirror_t *mirror, const jj_platform_result_t *result)
+jj_mirror_take_check(
+    jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now)
 {
-	if (result->outcome == JJ_PLATFORM_OK)
+	if (result->outcome != JJ_PLATFORM_OK &&
+	    result->outcome != JJ_PLATFORM_GAP)
+		return;
+	/* The platform answers: what waited after a failure need not. */
+	if (mirror->failures > 0)
+		mirror->next_ms = now;
+	take_success(mirror, now);
+	if (result->outcome == JJ_PLATFORM_GAP)
+		start_list(mirror);
+	else
 		apply(
 		    mirror, result->version, result->items, result->item_count);
-	else if (result->outcome == JJ_PLATFORM_GAP)
-		start_list(mirror);
 }
 
 void
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -83,8 +83,8 @@
  * The result of a poll beside the mirror's own: what it brings is taken as
  * far as it is new; a lost history means a new list.
  */
-void
-jj_mirror_take_check(jj_mirror_t *mirror, const jj_platform_result_t *result);
+void jj_mirror_take_check(
+    jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now);
 /** Starts a call when one is due. */
 void jj_mirror_tick(jj_mirror_t *mirror, jj_ms_t now, jj_actions_t *out);
 jj_ms_t jj_mirror_next(const jj_mirror_t *mirror);
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -329,6 +329,63 @@
 	EXPECT_TRUE(b.items.empty());
 }
 
+/*
+ * After a cut a VM's watch had failed and waited for its next try, while its
+ * looks at the list of open jobs already succeeded. It counted as sure of its
+ * jobs, but did not give up the one that another VM had taken over, and
+ * appended to its results.
+ */
+TEST_F(InlineFailure, ALookAtTheListTakesALostJobAwayWhileTheWatchFails)
+{
+	(void)b.submit("j", 2);
+	pass(300);
+	b.frozen = true;
+	dead.insert(b.writer);
+	pass(8000);
+	ASSERT_EQ(2U, a.items.size());
+	dead.clear();
+	b.frozen = false;
+	b.blind = true;
+	cut = true;
+	EXPECT_TRUE(b.finish("j-0", "alt"));
+	for (int i = 0; i < 60; i++) {
+		b.lose_watch();
+		pass(50);
+	}
+	EXPECT_TRUE(stored("j").empty());
+	EXPECT_TRUE(b.items.empty());
+}
+
+/*
+ * A write of results takes effect, and its answer is held up by a cut. Readers
+ * at other VMs see the results in the store; the VM that wrote them must not
+ * go on telling that they are not there.
+ */
+TEST_F(InlineFailure, AVmWithAWriteUnderWayDoesNotSayWhatIsShown)
+{
+	jj_job_standing_t states[4];
+	int asked = 0;
+
+	(void)a.submit("j", 2);
+	pass(300);
+	a.holds = [&](const jj_platform_call_t &call) {
+		if (call.op != JJ_PLATFORM_CREATE ||
+		    strncmp(call.key, "batch-out/", 10) != 0)
+			return false;
+		jj_platform_result_t lost = platform.execute(call);
+
+		jj_platform_result_clear(&lost);
+		asked++;
+		return true;
+	};
+	EXPECT_TRUE(a.finish("j-1", "eins"));
+	pass(800);
+	ASSERT_EQ(1, asked);
+	EXPECT_EQ(0U, jj_inline_list_states(a.jobs, states, 4));
+	EXPECT_EQ("2 0: j-1=eins", a.answer(a.read("j", 0)).body);
+	EXPECT_EQ("2 0: j-1=eins", b.answer(b.read("j", 0)).body);
+}
+
 /*
  * While VMs do not hear each other, any of them may take a job of another one
  * and show more of it. One whose watch stands still must not answer from what
--- a/tests/core/inline_world.h
+++ b/tests/core/inline_world.h
@@ -88,6 +88,8 @@
 	void release();
 	/** The watch brings what has changed. */
 	void see_changes();
+	/** The watch ends without an answer. */
+	void lose_watch();
 	InlineAnswer &
 	answer(uint64_t operation)
 	{
@@ -459,6 +461,21 @@
 	settle();
 }
 
+inline void
+InlineVm::lose_watch()
+{
+	jj_platform_result_t result = {};
+
+	if (watch == nullptr)
+		return;
+	result.op = watch->body.platform.op;
+	result.token = watch->body.platform.token;
+	result.outcome = JJ_PLATFORM_UNKNOWN;
+	jj_action_free(watch);
+	watch = nullptr;
+	take(result);
+}
+
 /** What has changed since the call's version; the call is freed. */
 inline void
 InlineVm::bring(jj_action_t *call)
