--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -163,7 +163,7 @@
 			if (info != NULL && info->live)
 				continue;
 			jj_actions_add_event(out, "loads_forgotten",
-			    "vm=%s heard_ms_ago=%lld", vm.text,
+			    "peer=%s heard_ms_ago=%lld", vm.text,
 			    info == NULL || info->heard_ms == JJ_MS_NEVER
 				? -1LL
 				: (long long)(gateway->now - info->heard_ms));
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -388,7 +388,7 @@
 	peer->nonce = 0;
 	if (message->incarnation != peer->info.incarnation) {
 		jj_actions_add_event(out, "vm_confirmed",
-		    "vm=%s incarnation=%016llx replaced=%016llx",
+		    "peer=%s incarnation=%016llx replaced=%016llx",
 		    peer->info.name.text,
 		    (unsigned long long)message->incarnation,
 		    (unsigned long long)peer->info.incarnation);
@@ -412,7 +412,7 @@
 	if (peer->info.live)
 		return;
 	peer->info.live = true;
-	jj_actions_add_event(out, "vm_live", "vm=%s domain=%s",
+	jj_actions_add_event(out, "vm_live", "peer=%s domain=%s",
 	    peer->info.name.text, peer->info.domain.text);
 }
 
@@ -453,7 +453,7 @@
 		    now - peer->info.heard_ms >= member->settings.suspect_ms) {
 			peer->info.live = false;
 			jj_actions_add_event(out, "vm_silent",
-			    "vm=%s domain=%s", peer->info.name.text,
+			    "peer=%s domain=%s", peer->info.name.text,
 			    peer->info.domain.text);
 		}
 		if (!peer->info.live &&
