--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -439,9 +439,9 @@
 static const char *
 name_of(const char *key)
 {
-	const char *slash = strchr(key, '/');
+	size_t kind = strcspn(key, "/");
 
-	return slash != NULL ? slash + 1 : key;
+	return &key[key[kind] == '/' ? kind + 1 : 0];
 }
 
 /** @param writer NAME/HEX16 of a process. */
