Logic that stood twice stands once

Cause: the gateway was built beside the older daemon and wrote again what was there: a buffer that grows (four times), what a status of the store means, what the end of an exchange means for an attempt, the name in an object's key, the other VMs of the region, an item's header line. Two fields of the gateway were never set, one look at the neighbours was an alias of another. Ruled out: one relay for both wires; they share their ends, not their heads. The pairs by shape alone (field tables of the wire, posted events) are tables. Change: jj_buffer_t and jj_bytes_append, jj_platform_judge_status, jj_attempt_kind_of_end, jj_object_name, jj_gateway_list_others; an empty text in place of no text was not needed by the JSON reader. The list of VMs is no longer copied when there are no loads to tell. Behaviour is as before.

--- a/src/adapters/platform.c
+++ b/src/adapters/platform.c
@@ -13,8 +13,6 @@
 
 /** Largest answer kept, bytes: a list with values may be large. */
 #define ANSWER_MAX (64U << 20)
-/** First room for an answer, bytes. */
-#define ANSWER_FIRST 4096
 
 struct jj_platform {
 	const jj_platform_wire_t *wire;
@@ -31,9 +29,7 @@
 	jj_platform_t *platform;
 	jj_platform_result_t result;
 	char key[JJ_OBJECT_KEY_MAX + 1]; /**< of the call */
-	char *answer;
-	size_t size;
-	size_t room;
+	jj_buffer_t answer;
 	bool too_large;
 	jj_span_t span; /**< the hop to the platform */
 } exchange_t;
@@ -116,22 +112,38 @@
 	return atomic_load(&platform->calls);
 }
 
+jj_platform_outcome_t
+jj_platform_judge_status(int status, int conflict)
+{
+	if (status == conflict)
+		return JJ_PLATFORM_CONFLICT;
+	switch (status) {
+	case 200:
+	case 201:
+	case 204:
+		return JJ_PLATFORM_OK;
+	case 404:
+		return JJ_PLATFORM_ABSENT;
+	case 410:
+		return JJ_PLATFORM_GAP;
+	case 429:
+		return JJ_PLATFORM_LIMITED;
+	case 503:
+		return JJ_PLATFORM_DOWN;
+	default:
+		return JJ_PLATFORM_UNKNOWN;
+	}
+}
+
 static jj_http_flow_t
 on_data(void *ctx, const char *data, size_t size)
 {
 	exchange_t *exchange = ctx;
 
-	if (exchange->size + size > ANSWER_MAX) {
+	if (exchange->answer.bytes.size + size > ANSWER_MAX)
 		exchange->too_large = true;
-		return JJ_HTTP_TAKEN;
-	}
-	if (exchange->size + size + 1 > exchange->room) {
-		exchange->room = exchange->room * 2 + size + ANSWER_FIRST;
-		exchange->answer = jj_realloc(exchange->answer, exchange->room);
-	}
-	memcpy(exchange->answer + exchange->size, data, size);
-	exchange->size += size;
-	exchange->answer[exchange->size] = '\0';
+	else
+		jj_buffer_append(&exchange->answer, data, size);
 	return JJ_HTTP_TAKEN;
 }
 
@@ -145,7 +157,7 @@
 	    &exchange->span, end != JJ_HTTP_COMPLETE, jj_unix_now_ns());
 	read_answer(exchange, end, head);
 	exchange->platform->done(exchange->platform->ctx, &exchange->result);
-	free(exchange->answer);
+	jj_buffer_clear(&exchange->answer);
 	free(exchange);
 }
 
@@ -160,6 +172,5 @@
 		result->outcome = JJ_PLATFORM_UNKNOWN;
 	else
 		exchange->platform->wire->read(result, exchange->key, head,
-		    exchange->answer != NULL ? exchange->answer : "",
-		    exchange->size);
+		    exchange->answer.bytes.data, exchange->answer.bytes.size);
 }
--- a/src/adapters/platform.h
+++ b/src/adapters/platform.h
@@ -41,6 +41,13 @@
 	    const jj_http_head_t *head, const char *body, size_t size);
 } jj_platform_wire_t;
 
+/**
+ * What a status says that all platforms mean alike: a 5xx of a write proves
+ * nothing about its effect, but for 503.
+ * @param conflict the status of an object that is at another version.
+ */
+jj_platform_outcome_t jj_platform_judge_status(int status, int conflict);
+
 /** The wire of docs/interfaces/PLATFORM.md. */
 extern const jj_platform_wire_t jj_platform_own_wire;
 
--- a/src/adapters/platform_wire.c
+++ b/src/adapters/platform_wire.c
@@ -11,13 +11,15 @@
 
 #include "adapters/platform.h"
 
+/** An object that exists, or is at another version. */
+#define STATUS_CONFLICT 412
+
 static void
 write_call(const char *, const jj_platform_call_t *, jj_platform_request_t *);
 static void write_path(const jj_platform_call_t *, char *, size_t);
 static const char *method_of(jj_platform_op_t);
 static void read_answer(jj_platform_result_t *, const char *,
     const jj_http_head_t *, const char *, size_t);
-static jj_platform_outcome_t judge(int);
 static bool take_items(jj_platform_result_t *, const char *, size_t);
 static void take_item(jj_platform_item_t *, const json_t *);
 static uint64_t version_of(const char *);
@@ -92,7 +94,8 @@
     const jj_http_head_t *head, const char *body, size_t size)
 {
 	(void)key;
-	result->outcome = judge(head->status);
+	result->outcome =
+	    jj_platform_judge_status(head->status, STATUS_CONFLICT);
 	if (result->outcome != JJ_PLATFORM_OK &&
 	    result->outcome != JJ_PLATFORM_CONFLICT &&
 	    result->outcome != JJ_PLATFORM_GAP)
@@ -109,30 +112,6 @@
 		result->value = jj_bytes_copy(body, size);
 }
 
-/** A 5xx of a write proves nothing about its effect, but for 503. */
-static jj_platform_outcome_t
-judge(int status)
-{
-	switch (status) {
-	case 200:
-	case 201:
-	case 204:
-		return JJ_PLATFORM_OK;
-	case 404:
-		return JJ_PLATFORM_ABSENT;
-	case 410:
-		return JJ_PLATFORM_GAP;
-	case 412:
-		return JJ_PLATFORM_CONFLICT;
-	case 429:
-		return JJ_PLATFORM_LIMITED;
-	case 503:
-		return JJ_PLATFORM_DOWN;
-	default:
-		return JJ_PLATFORM_UNKNOWN;
-	}
-}
-
 static uint64_t
 version_of(const char *etag)
 {
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -5,6 +5,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "core/action.h"
 
@@ -156,6 +157,14 @@
 	}
 }
 
+const char *
+jj_object_name(const char *key)
+{
+	size_t kind = strcspn(key, "/");
+
+	return &key[key[kind] == '/' ? kind + 1 : 0];
+}
+
 void
 jj_platform_call_clear(jj_platform_call_t *call)
 {
--- a/src/core/batch_record.c
+++ b/src/core/batch_record.c
@@ -12,19 +12,10 @@
 /** Room left in an object beside its results, bytes. */
 #define OBJECT_SLACK 1024
 
-/** Text that grows at its end. */
-typedef struct {
-	char *data;
-	size_t size;
-	size_t room;
-} text_t;
-
 static const char *const state_names[] = {"running", "released", "done"};
 
-static void text_add(text_t *, const char *, size_t);
-static void
-text_format(text_t *, const char *, ...) __attribute__((format(printf, 2, 3)));
-static jj_bytes_t text_take(text_t *);
+static void text_format(jj_buffer_t *, const char *, ...)
+    __attribute__((format(printf, 2, 3)));
 static json_t *body_decode(const jj_bytes_t *);
 static json_t *body_repair(const jj_bytes_t *);
 static jj_item_result_t result_encode(json_t *, jj_result_kind_t);
@@ -33,10 +24,10 @@
 static uint32_t count_of(const json_t *, const char *);
 static void shrink_results(jj_item_result_t *, uint32_t);
 static void replace_result(jj_item_result_t *);
-static void head_write(text_t *, const jj_chunk_record_t *);
-static void started_write(text_t *, const bool *, uint32_t);
-static size_t results_write(text_t *, const jj_item_result_t *, const bool *,
-    uint32_t, size_t, bool, bool *);
+static void head_write(jj_buffer_t *, const jj_chunk_record_t *);
+static void started_write(jj_buffer_t *, const bool *, uint32_t);
+static size_t results_write(jj_buffer_t *, const jj_item_result_t *,
+    const bool *, uint32_t, size_t, bool, bool *);
 static void read_result(json_t *, jj_item_record_t *, uint32_t);
 
 jj_item_result_t
@@ -99,7 +90,7 @@
 jj_out_encode(jj_item_result_t *results, uint32_t count, const char *writer,
     const char *operation)
 {
-	text_t text = {0};
+	jj_buffer_t text = {0};
 	uint32_t i;
 
 	shrink_results(results, count);
@@ -108,11 +99,12 @@
 	text_format(&text, ",\"results\":[");
 	for (i = 0; i < count; i++) {
 		if (i > 0)
-			text_add(&text, ",", 1);
-		text_add(&text, results[i].text.data, results[i].text.size);
+			jj_buffer_append(&text, ",", 1);
+		jj_buffer_append(
+		    &text, results[i].text.data, results[i].text.size);
 	}
 	text_format(&text, "]}");
-	return text_take(&text);
+	return jj_buffer_take(&text);
 }
 
 jj_result_counts_t
@@ -195,7 +187,7 @@
     const jj_item_result_t *results, const bool *started, uint32_t count,
     size_t limit)
 {
-	text_t text = {0};
+	jj_buffer_t text = {0};
 	bool first = true;
 	size_t left = limit;
 
@@ -210,23 +202,11 @@
 		text_format(&text, "]");
 	}
 	text_format(&text, "}");
-	return text_take(&text);
+	return jj_buffer_take(&text);
 }
 
 static void
-text_add(text_t *text, const char *data, size_t size)
-{
-	if (text->size + size + 1 > text->room) {
-		text->room = (text->size + size + 1) * 2;
-		text->data = jj_realloc(text->data, text->room);
-	}
-	memcpy(text->data + text->size, data, size);
-	text->size += size;
-	text->data[text->size] = '\0';
-}
-
-static void
-text_format(text_t *text, const char *format, ...)
+text_format(jj_buffer_t *text, const char *format, ...)
 {
 	char piece[512];
 	va_list arguments;
@@ -234,15 +214,7 @@
 	va_start(arguments, format);
 	(void)vsnprintf(piece, sizeof(piece), format, arguments);
 	va_end(arguments);
-	text_add(text, piece, strlen(piece));
-}
-
-static jj_bytes_t
-text_take(text_t *text)
-{
-	jj_bytes_t bytes = {.data = text->data, .size = text->size};
-
-	return bytes;
+	jj_buffer_append(text, piece, strlen(piece));
 }
 
 static json_t *
@@ -355,7 +327,7 @@
 
 /* The record's head without its closing brace. */
 static void
-head_write(text_t *text, const jj_chunk_record_t *record)
+head_write(jj_buffer_t *text, const jj_chunk_record_t *record)
 {
 	const uint32_t *counts = record->counts.by_kind;
 
@@ -373,7 +345,7 @@
 }
 
 static void
-started_write(text_t *text, const bool *started, uint32_t count)
+started_write(jj_buffer_t *text, const bool *started, uint32_t count)
 {
 	const char *comma = "";
 	uint32_t i;
@@ -390,7 +362,7 @@
 
 /* Writes results of (un)started items that fit; returns the bytes left. */
 static size_t
-results_write(text_t *text, const jj_item_result_t *results,
+results_write(jj_buffer_t *text, const jj_item_result_t *results,
     const bool *started, uint32_t count, size_t left, bool of_started,
     bool *first)
 {
@@ -404,7 +376,7 @@
 		if (size > left)
 			continue;
 		text_format(text, "%s{\"item\":%u,", *first ? "" : ",", i);
-		text_add(
+		jj_buffer_append(
 		    text, results[i].text.data + 1, results[i].text.size - 1);
 		*first = false;
 		left -= size;
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -99,8 +99,8 @@
 jj_config_take(jj_config_t *config, const jj_bytes_t *object, jj_actions_t *out)
 {
 	char why[256];
-	json_t *stored = json_loadb(object->data != NULL ? object->data : "",
-	    object->size, JSON_REJECT_DUPLICATES, NULL);
+	json_t *stored = json_loadb(
+	    object->data, object->size, JSON_REJECT_DUPLICATES, NULL);
 	const json_t *document = json_object_get(stored, "document");
 	json_int_t number =
 	    json_integer_value(json_object_get(stored, "version"));
--- a/src/core/event_stream.c
+++ b/src/core/event_stream.c
@@ -19,7 +19,6 @@
 static void read_fields(jj_event_piece_t *);
 static bool is_field(const line_t *, const char *, const char **, size_t *);
 static bool is_next(const jj_event_stream_t *, const jj_event_piece_t *);
-static void append(jj_bytes_t *, const char *, size_t);
 
 void
 jj_event_stream_begin(jj_event_stream_t *stream, int64_t last_id)
@@ -98,7 +97,7 @@
 	if (!piece->has_data)
 		return;
 	if (!first)
-		append(text, "\n", 1);
+		jj_bytes_append(text, "\n", 1);
 	while (at < piece->raw_size) {
 		line_t line = read_line(piece->raw + at, piece->raw_size - at);
 		const char *value;
@@ -110,8 +109,8 @@
 		if (!is_field(&line, "data", &value, &size))
 			continue;
 		if (begun)
-			append(text, "\n", 1);
-		append(text, value, size);
+			jj_bytes_append(text, "\n", 1);
+		jj_bytes_append(text, value, size);
 		begun = true;
 	}
 }
@@ -209,12 +208,3 @@
 		return piece->id <= 1;
 	return piece->id == stream->last_id + 1;
 }
-
-static void
-append(jj_bytes_t *text, const char *data, size_t size)
-{
-	text->data = jj_realloc(text->data, text->size + size + 1);
-	memcpy(text->data + text->size, data, size);
-	text->size += size;
-	text->data[text->size] = '\0';
-}
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -118,8 +118,8 @@
 	const char *address),
     void *ctx, jj_actions_t *out)
 {
-	json_t *list = json_loadb(json->data != NULL ? json->data : "",
-	    json->size, JSON_REJECT_DUPLICATES, NULL);
+	json_t *list =
+	    json_loadb(json->data, json->size, JSON_REJECT_DUPLICATES, NULL);
 	const json_t *lines = json_object_get(list, "vms");
 	bool valid = check_lines(lines);
 	listed_t line;
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -36,7 +36,6 @@
 static void end_servers(void *, jj_ms_t);
 static void take_retirement(void *, const jj_platform_item_t *);
 static jj_ms_t missing_until(const jj_gateway_t *, jj_ms_t);
-static const char *name_of(const char *);
 static bool is_live(void *, const char *);
 static bool is_chosen(void *, const char *);
 static bool hears_others(void *);
@@ -373,7 +372,7 @@
 take_server(void *ctx, const jj_platform_item_t *item)
 {
 	jj_gateway_t *gateway = ctx;
-	const char *id = name_of(item->key);
+	const char *id = jj_object_name(item->key);
 	const jj_slot_server_t *known = jj_slots_find(gateway->slots, id);
 	jj_slot_info_t info = {0};
 
@@ -400,9 +399,9 @@
 	jj_ms_t until = missing_until(gateway, gateway->now);
 
 	jj_actions_add_event(gateway->out, "server_unlisted",
-	    "server=%s kept_ms=%lld", name_of(key),
+	    "server=%s kept_ms=%lld", jj_object_name(key),
 	    (long long)(until - gateway->now));
-	jj_slots_drop(gateway->slots, name_of(key), until);
+	jj_slots_drop(gateway->slots, jj_object_name(key), until);
 }
 
 static void
@@ -436,14 +435,6 @@
 	jj_gateway_take_retirement(ctx, item);
 }
 
-static const char *
-name_of(const char *key)
-{
-	size_t kind = strcspn(key, "/");
-
-	return &key[key[kind] == '/' ? kind + 1 : 0];
-}
-
 /** @param writer NAME/HEX16 of a process. */
 static bool
 is_live(void *ctx, const char *writer)
@@ -477,11 +468,7 @@
 static bool
 hears_others(void *ctx)
 {
-	const jj_gateway_t *gateway = ctx;
-	jj_member_info_t infos[2];
-
-	return jj_member_list(gateway->member, &gateway->settings.member.domain,
-		   infos, 2) > 1;
+	return !jj_gateway_is_alone(ctx);
 }
 
 /** Known VMs of the region that are silent, but for those long gone. */
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -227,17 +227,13 @@
 static void
 tell_config(jj_gateway_t *gateway)
 {
-	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
-	size_t count = jj_member_list(gateway->member,
-	    &gateway->settings.member.domain, infos, JJ_MEMBERS_MAX);
+	jj_member_info_t *infos;
+	size_t count = jj_gateway_list_others(gateway, &infos);
 	size_t i;
 
-	for (i = 0; i < count; i++) {
-		if (jj_name_equal(&infos[i].name, &gateway->settings.name) ||
-		    infos[i].config_version >= gateway->routes.version)
-			continue;
-		send_config(gateway, &infos[i].name, gateway->out);
-	}
+	for (i = 0; i < count; i++)
+		if (infos[i].config_version < gateway->routes.version)
+			send_config(gateway, &infos[i].name, gateway->out);
 	free(infos);
 }
 
@@ -255,20 +251,21 @@
 static void
 send_loads(jj_gateway_t *gateway, bool far, jj_actions_t *out)
 {
-	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
 	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
-	size_t vms = jj_member_list(gateway->member,
-	    &gateway->settings.member.domain, infos, JJ_MEMBERS_MAX);
+	jj_member_info_t *infos;
 	uint32_t count;
+	size_t vms;
 	size_t i;
 
 	count = jj_slots_take_news(gateway->slots,
 	    far ? JJ_SLOTS_FAR : JJ_SLOTS_NEAR, loads, JJ_MESSAGE_LOADS_MAX);
-	for (i = 0; i < vms && count > 0; i++) {
+	if (count == 0)
+		return;
+	vms = jj_gateway_list_others(gateway, &infos);
+	for (i = 0; i < vms; i++) {
 		jj_message_t *message;
 
-		if (jj_name_equal(&infos[i].name, &gateway->settings.name) ||
-		    (!far && !jj_gateway_is_in_domain(gateway, &infos[i].name)))
+		if (!far && !jj_gateway_is_in_domain(gateway, &infos[i].name))
 			continue;
 		message = jj_actions_add_message(
 		    out, &infos[i].name, JJ_MESSAGE_LOAD);
--- a/src/core/gateway_relay.c
+++ b/src/core/gateway_relay.c
@@ -34,6 +34,8 @@
 	WATCH_JOBS
 };
 
+static void tell_states(jj_gateway_t *, jj_ms_t, jj_actions_t *);
+static bool is_near(const jj_gateway_t *, const jj_gateway_vm_t *);
 static jj_mirror_duty_t choose_duty(const jj_gateway_t *);
 static void count_vms(jj_gateway_t *);
 static void tell(jj_gateway_t *, uint32_t, uint64_t, uint64_t,
@@ -47,7 +49,7 @@
 {
 	jj_mirror_duty_t duty;
 
-	jj_gateway_tell_states(gateway, now, out);
+	tell_states(gateway, now, out);
 	if (now < gateway->next_duty_ms)
 		return;
 	gateway->next_duty_ms = now + DUTY_MS;
@@ -104,8 +106,8 @@
 }
 
 /** All VMs of the region that live: each may be asked by a reader. */
-void
-jj_gateway_tell_states(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+static void
+tell_states(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
 	jj_job_standing_t states[JJ_MESSAGE_JOB_STATES_MAX];
 	jj_member_info_t *infos;
@@ -120,16 +122,11 @@
 	    gateway->jobs, states, JJ_MESSAGE_JOB_STATES_MAX);
 	if (count == 0)
 		return;
-	infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
-	vms = jj_member_list(gateway->member, &gateway->settings.member.domain,
-	    infos, JJ_MEMBERS_MAX);
+	vms = jj_gateway_list_others(gateway, &infos);
 	for (i = 0; i < vms; i++) {
-		jj_message_t *message;
-
-		if (jj_name_equal(&infos[i].name, &gateway->settings.name))
-			continue;
-		message = jj_actions_add_message(
+		jj_message_t *message = jj_actions_add_message(
 		    out, &infos[i].name, JJ_MESSAGE_JOB_STATES);
+
 		message->body.job_states.ack =
 		    jj_member_accepted(gateway->member, &infos[i].name);
 		message->body.job_states.count = count;
@@ -150,16 +147,22 @@
 	for (i = 0; i < gateway->vm_count; i++) {
 		const jj_gateway_vm_t *vm = &gateway->vms[i];
 
-		if (!jj_member_is_live(gateway->member, &vm->name))
-			continue;
-		if (jj_name_equal(&vm->domain, &gateway->settings.domain))
+		if (is_near(gateway, vm))
 			near++;
-		else
+		else if (jj_member_is_live(gateway->member, &vm->name))
 			far++;
 	}
 	jj_slots_set_vms(gateway->slots, near, far);
 }
 
+/** A live VM of this failure domain. */
+static bool
+is_near(const jj_gateway_t *gateway, const jj_gateway_vm_t *vm)
+{
+	return jj_name_equal(&vm->domain, &gateway->settings.domain) &&
+	    jj_member_is_live(gateway->member, &vm->name);
+}
+
 static jj_mirror_duty_t
 choose_duty(const jj_gateway_t *gateway)
 {
@@ -171,8 +174,7 @@
 	for (i = 0; i < gateway->vm_count; i++) {
 		const jj_gateway_vm_t *vm = &gateway->vms[i];
 
-		if (!jj_name_equal(&vm->domain, &gateway->settings.domain) ||
-		    !jj_member_is_live(gateway->member, &vm->name))
+		if (!is_near(gateway, vm))
 			continue;
 		near_count++;
 		if (strcmp(vm->name.text, self->text) < 0)
@@ -194,8 +196,7 @@
 	for (i = 0; i < gateway->vm_count; i++) {
 		const jj_gateway_vm_t *vm = &gateway->vms[i];
 
-		if (!jj_name_equal(&vm->domain, &gateway->settings.domain) ||
-		    !jj_member_is_live(gateway->member, &vm->name))
+		if (!is_near(gateway, vm))
 			continue;
 		message = jj_actions_add_message(
 		    gateway->out, &vm->name, JJ_MESSAGE_RELAY);
@@ -232,8 +233,7 @@
 static jj_platform_item_t *
 decode(const jj_bytes_t *events, size_t *count)
 {
-	json_t *array = json_loadb(
-	    events->data != NULL ? events->data : "", events->size, 0, NULL);
+	json_t *array = json_loadb(events->data, events->size, 0, NULL);
 	jj_platform_item_t *items = NULL;
 	const json_t *event;
 	size_t i;
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -90,7 +90,6 @@
 	jj_ms_t next_ask_ms; /**< for a newer configuration */
 	jj_ms_t next_vms_ms;
 	bool vms_polling;
-	uint32_t vms_failures;
 	bool registered; /**< this VM's entry is written */
 	bool registering;
 	uint64_t register_version; /**< of an entry of an earlier process */
@@ -98,7 +97,6 @@
 	char vms_after[JJ_OBJECT_KEY_MAX + 1];
 	size_t vm_count;
 	jj_gateway_vm_t *vms; /**< owned */
-	uint64_t retire_token;
 	bool retired; /**< the order to empty this VM was answered */
 	uint32_t broken_count;
 	jj_gateway_broken_t broken[JJ_GATEWAY_BROKEN_MAX];
@@ -162,8 +160,6 @@
 /** Chooses this VM's duty; tells what it runs when it is time. */
 void
 jj_gateway_tick_relay(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
-void
-jj_gateway_tell_states(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 /** A poll of this VM's is done: for the others of its domain. */
 void jj_gateway_relay_objects(void *gateway, uint64_t token, uint64_t from,
     uint64_t to, const jj_platform_item_t *items, size_t count);
@@ -178,6 +174,14 @@
 bool jj_gateway_take_vms(jj_gateway_t *gateway,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out);
 jj_ms_t jj_gateway_next_vms(const jj_gateway_t *gateway);
+/**
+ * The other VMs of the region that serve.
+ * @param infos their number of entries, to be freed.
+ */
+size_t
+jj_gateway_list_others(const jj_gateway_t *gateway, jj_member_info_t **infos);
+/** True when no other VM of the region is heard. */
+bool jj_gateway_is_alone(const jj_gateway_t *gateway);
 /** True when that VM is in this one's failure domain. */
 bool
 jj_gateway_is_in_domain(const jj_gateway_t *gateway, const jj_name_t *name);
--- a/src/core/gateway_vms.c
+++ b/src/core/gateway_vms.c
@@ -30,7 +30,6 @@
 take_registered(jj_gateway_t *, const jj_platform_result_t *, jj_ms_t);
 static void take_vm(jj_gateway_t *, const jj_platform_item_t *);
 static void note_domain(jj_gateway_t *, const jj_name_t *, const jj_name_t *);
-static bool is_lonely(const jj_gateway_t *);
 
 void
 jj_gateway_tick_vms(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
@@ -82,6 +81,32 @@
 	return next;
 }
 
+size_t
+jj_gateway_list_others(const jj_gateway_t *gateway, jj_member_info_t **infos)
+{
+	const jj_gateway_settings_t *settings = &gateway->settings;
+	jj_member_info_t *list = jj_alloc(JJ_MEMBERS_MAX * sizeof(*list));
+	size_t count = jj_member_list(
+	    gateway->member, &settings->member.domain, list, JJ_MEMBERS_MAX);
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (!jj_name_equal(&list[i].name, &settings->name))
+			list[kept++] = list[i];
+	*infos = list;
+	return kept;
+}
+
+bool
+jj_gateway_is_alone(const jj_gateway_t *gateway)
+{
+	jj_member_info_t infos[2];
+
+	return jj_member_list(gateway->member, &gateway->settings.member.domain,
+		   infos, 2) <= 1;
+}
+
 bool
 jj_gateway_is_in_domain(const jj_gateway_t *gateway, const jj_name_t *name)
 {
@@ -103,7 +128,7 @@
 
 	if (slash == NULL ||
 	    strcmp(slash + 1, gateway->settings.name.text) != 0 ||
-	    gateway->retired || gateway->retire_token != 0)
+	    gateway->retired)
 		return;
 	jj_actions_add_event(gateway->out, "retirement_ordered",
 	    "version=%" PRIu64 " lasting_state=none", item->version);
@@ -183,8 +208,8 @@
 		take_vm(gateway, &result->items[i]);
 	gateway->vms_after[0] = '\0';
 	gateway->next_vms_ms = now +
-	    (is_lonely(gateway) ? LONELY_POLL_MS
-				: gateway->settings.vms_poll_ms);
+	    (jj_gateway_is_alone(gateway) ? LONELY_POLL_MS
+					  : gateway->settings.vms_poll_ms);
 	if (!result->more || result->item_count == 0)
 		return;
 	gateway->next_vms_ms = now;
@@ -195,9 +220,7 @@
 static void
 take_vm(jj_gateway_t *gateway, const jj_platform_item_t *item)
 {
-	json_t *entry =
-	    json_loadb(item->value.data != NULL ? item->value.data : "",
-		item->value.size, 0, NULL);
+	json_t *entry = json_loadb(item->value.data, item->value.size, 0, NULL);
 	char address[JJ_NAME_MAX + 1];
 	char domain[JJ_NAME_MAX + 1];
 	char region[JJ_NAME_MAX + 1];
@@ -239,12 +262,3 @@
 	gateway->vms[i].name = *name;
 	gateway->vms[i].domain = *domain;
 }
-
-static bool
-is_lonely(const jj_gateway_t *gateway)
-{
-	jj_member_info_t infos[2];
-
-	return jj_member_list(gateway->member, &gateway->settings.member.domain,
-		   infos, 2) <= 1;
-}
--- a/src/core/inline_job.c
+++ b/src/core/inline_job.c
@@ -12,6 +12,7 @@
 #include "core/inline_job.h"
 #include "core/json_text.h"
 
+static void keep_header(jj_inline_item_t *, char *);
 static void clear_item(jj_inline_item_t *);
 static json_t *encode_item(const jj_inline_item_t *);
 static bool decode_item(jj_inline_item_t *, const json_t *);
@@ -51,9 +52,7 @@
 	char *line = jj_alloc(room);
 
 	(void)snprintf(line, room, "%s: %s", name, value);
-	item->headers = jj_realloc(
-	    item->headers, (item->header_count + 1) * sizeof(*item->headers));
-	item->headers[item->header_count++] = line;
+	keep_header(item, line);
 }
 
 const jj_inline_item_t *
@@ -173,10 +172,7 @@
 	json_decref(root);
 	if (decoded == NULL)
 		return false;
-	text->data = jj_realloc(text->data, text->size + size + 1);
-	memcpy(text->data + text->size, decoded, size);
-	text->size += size;
-	text->data[text->size] = '\0';
+	jj_bytes_append(text, decoded, size);
 	g_free(decoded);
 	return true;
 }
@@ -209,8 +205,7 @@
 bool
 jj_inline_segment_decode(jj_inline_segment_t *segment, const jj_bytes_t *text)
 {
-	json_t *root = json_loadb(
-	    text->data != NULL ? text->data : "", text->size, 0, NULL);
+	json_t *root = json_loadb(text->data, text->size, 0, NULL);
 	bool valid;
 
 	memset(segment, 0, sizeof(*segment));
@@ -269,6 +264,15 @@
 	return size;
 }
 
+/** Takes the line over. */
+static void
+keep_header(jj_inline_item_t *item, char *line)
+{
+	item->headers = jj_realloc(
+	    item->headers, (item->header_count + 1) * sizeof(*item->headers));
+	item->headers[item->header_count++] = line;
+}
+
 static void
 clear_item(jj_inline_item_t *item)
 {
@@ -322,9 +326,7 @@
 
 		if (text == NULL)
 			return false;
-		item->headers = jj_realloc(item->headers,
-		    (item->header_count + 1) * sizeof(*item->headers));
-		item->headers[item->header_count++] = text;
+		keep_header(item, text);
 	}
 	if (item->id == NULL || item->path == NULL || body == NULL)
 		return false;
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -25,7 +25,6 @@
 static void drop_entry(void *, const char *);
 static void end_list(void *, jj_ms_t);
 static void free_entry(jj_inline_t *, jj_open_entry_t *);
-static const char *id_of(const char *);
 static void look_at(jj_inline_t *, jj_open_entry_t *, jj_ms_t, jj_actions_t *);
 static bool is_lost(jj_inline_t *, jj_open_entry_t *, jj_ms_t);
 static void start_takeover(jj_inline_t *, jj_open_entry_t *, jj_actions_t *);
@@ -80,8 +79,7 @@
 bool
 jj_inline_decode_open(jj_open_entry_t *entry, const jj_bytes_t *value)
 {
-	json_t *root = json_loadb(
-	    value->data != NULL ? value->data : "", value->size, 0, NULL);
+	json_t *root = json_loadb(value->data, value->size, 0, NULL);
 	const char *route = json_string_value(json_object_get(root, "route"));
 	bool valid = jj_json_copy_text(
 	    entry->owner, sizeof(entry->owner), json_object_get(root, "owner"));
@@ -224,7 +222,7 @@
 take_entry(void *ctx, const jj_platform_item_t *item)
 {
 	jj_inline_t *jobs = ctx;
-	const char *id = id_of(item->key);
+	const char *id = jj_object_name(item->key);
 	jj_open_entry_t *entry = jj_inline_find_open(jobs, id);
 
 	if (strlen(id) > JJ_INLINE_ID_MAX)
@@ -249,7 +247,7 @@
 drop_entry(void *ctx, const char *key)
 {
 	jj_inline_t *jobs = ctx;
-	jj_open_entry_t *entry = jj_inline_find_open(jobs, id_of(key));
+	jj_open_entry_t *entry = jj_inline_find_open(jobs, jj_object_name(key));
 
 	if (entry != NULL)
 		free_entry(jobs, entry);
@@ -277,14 +275,6 @@
 	free(entry);
 }
 
-static const char *
-id_of(const char *key)
-{
-	return strncmp(key, JJ_INLINE_OPEN, strlen(JJ_INLINE_OPEN)) == 0
-	    ? key + strlen(JJ_INLINE_OPEN)
-	    : key;
-}
-
 static void
 look_at(
     jj_inline_t *jobs, jj_open_entry_t *entry, jj_ms_t now, jj_actions_t *out)
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -402,8 +402,7 @@
 	seen->known = true;
 	seen->exists = true;
 	seen->version = result->version;
-	json = json_loadb(result->value.data != NULL ? result->value.data : "",
-	    result->value.size, 0, NULL);
+	json = json_loadb(result->value.data, result->value.size, 0, NULL);
 	holder = json_string_value(json_object_get(json, "holder"));
 	(void)snprintf(seen->holder, sizeof(seen->holder), "%s",
 	    holder != NULL ? holder : "");
--- a/src/core/platform_call.h
+++ b/src/core/platform_call.h
@@ -82,6 +82,8 @@
 	jj_ms_t retry_after_ms;
 } jj_platform_result_t;
 
+/** The part of an object's key behind its kind: KIND/NAME; else the key. */
+const char *jj_object_name(const char *key);
 /** Frees what the call owns. */
 void jj_platform_call_clear(jj_platform_call_t *call);
 /** Frees what the result owns. */
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -10,6 +10,9 @@
 
 #include "core/types.h"
 
+/** Room of a buffer beyond its first piece, bytes. */
+#define BUFFER_FIRST 1024
+
 bool
 jj_name_set(jj_name_t *name, const char *text)
 {
@@ -53,6 +56,15 @@
 	return jj_bytes_copy(text, strlen(text));
 }
 
+void
+jj_bytes_append(jj_bytes_t *bytes, const void *data, size_t size)
+{
+	bytes->data = jj_realloc(bytes->data, bytes->size + size + 1);
+	memcpy(bytes->data + bytes->size, data, size);
+	bytes->size += size;
+	bytes->data[bytes->size] = '\0';
+}
+
 void
 jj_bytes_free(jj_bytes_t *bytes)
 {
@@ -61,6 +73,36 @@
 	bytes->size = 0;
 }
 
+void
+jj_buffer_append(jj_buffer_t *buffer, const void *data, size_t size)
+{
+	jj_bytes_t *bytes = &buffer->bytes;
+
+	if (bytes->size + size + 1 > buffer->room) {
+		buffer->room = buffer->room * 2 + size + BUFFER_FIRST;
+		bytes->data = jj_realloc(bytes->data, buffer->room);
+	}
+	memcpy(bytes->data + bytes->size, data, size);
+	bytes->size += size;
+	bytes->data[bytes->size] = '\0';
+}
+
+jj_bytes_t
+jj_buffer_take(jj_buffer_t *buffer)
+{
+	jj_bytes_t bytes = buffer->bytes;
+
+	memset(buffer, 0, sizeof(*buffer));
+	return bytes;
+}
+
+void
+jj_buffer_clear(jj_buffer_t *buffer)
+{
+	jj_bytes_free(&buffer->bytes);
+	buffer->room = 0;
+}
+
 uint64_t
 jj_hash_bytes(const void *data, size_t size, uint64_t seed)
 {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -51,9 +51,24 @@
 jj_bytes_t jj_bytes_copy(const void *data, size_t size);
 /** Copies a NUL-terminated string. */
 jj_bytes_t jj_bytes_from_text(const char *text);
+/** Adds @p size bytes behind those that are there. */
+void jj_bytes_append(jj_bytes_t *bytes, const void *data, size_t size);
 /** Frees the bytes and empties the struct. */
 void jj_bytes_free(jj_bytes_t *bytes);
 
+/** Bytes that come in many pieces; zeroed it is empty. */
+typedef struct {
+	jj_bytes_t bytes; /**< what is there, with its NUL */
+	size_t room; /**< allocated, bytes */
+} jj_buffer_t;
+
+/** Adds @p size bytes; the room doubles, so that few pieces are moved. */
+void jj_buffer_append(jj_buffer_t *buffer, const void *data, size_t size);
+/** Hands the bytes over; the buffer is empty after it. */
+jj_bytes_t jj_buffer_take(jj_buffer_t *buffer);
+/** Frees the bytes and empties the buffer. */
+void jj_buffer_clear(jj_buffer_t *buffer);
+
 /** XXH3 of @p size bytes. */
 uint64_t jj_hash_bytes(const void *data, size_t size, uint64_t seed);
 /** 128-bit XXH3 of @p size bytes. */
--- a/src/daemon/node_operators.c
+++ b/src/daemon/node_operators.c
@@ -252,8 +252,7 @@
 		jj_bytes_free(&answer);
 		return;
 	}
-	root = json_loadb(
-	    body->data != NULL ? body->data : "", body->size, 0, NULL);
+	root = json_loadb(body->data, body->size, 0, NULL);
 	json_object_foreach(root, name, cut)
 	{
 		jj_neighbours_cut(node->neighbours, name, json_is_true(cut));
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -13,6 +13,7 @@
 #include "adapters/monotonic.h"
 #include "adapters/runtime.h"
 #include "daemon/assembler.h"
+#include "daemon/attempt_end.h"
 #include "daemon/relay.h"
 #include "daemon/sse.h"
 
@@ -36,9 +37,7 @@
 	bool resumes; /**< goes on with the stream of the attempt before */
 	bool resumable;
 	jj_sse_t sse;
-	char *body;
-	size_t size;
-	size_t room;
+	jj_buffer_t body; /**< of a whole answer */
 	bool too_large;
 	int status;
 	char content_type[96];
@@ -499,17 +498,10 @@
 static void
 take_whole(attempt_t *attempt, const char *data, size_t size)
 {
-	if (attempt->size + size > WHOLE_MAX) {
+	if (attempt->body.bytes.size + size > WHOLE_MAX)
 		attempt->too_large = true;
-		return;
-	}
-	if (attempt->size + size + 1 > attempt->room) {
-		attempt->room = attempt->room * 2 + size + 1024;
-		attempt->body = jj_realloc(attempt->body, attempt->room);
-	}
-	memcpy(attempt->body + attempt->size, data, size);
-	attempt->size += size;
-	attempt->body[attempt->size] = '\0';
+	else
+		jj_buffer_append(&attempt->body, data, size);
 }
 
 static void
@@ -549,9 +541,7 @@
 		whole.status = attempt->status;
 		(void)snprintf(whole.content_type, sizeof(whole.content_type),
 		    "%s", attempt->content_type);
-		whole.body.data = attempt->body;
-		whole.body.size = attempt->size;
-		attempt->body = NULL;
+		whole.body = jj_buffer_take(&attempt->body);
 	}
 	if (attempt->sse.tokens > 0)
 		tell(attempt, JJ_BACKEND_TOKENS,
@@ -590,8 +580,8 @@
 {
 	jj_bytes_t whole = jj_assembler_finish(entry->assembler);
 
-	attempt->body = whole.data;
-	attempt->size = whole.size;
+	jj_buffer_clear(&attempt->body);
+	attempt->body.bytes = whole;
 	(void)snprintf(attempt->content_type, sizeof(attempt->content_type),
 	    "application/json");
 	return whole.size > 0;
@@ -600,18 +590,8 @@
 static jj_backend_kind_t
 judge(const attempt_t *attempt, jj_http_end_t end, const jj_http_head_t *head)
 {
-	switch (end) {
-	case JJ_HTTP_NOT_SENT:
-		return JJ_BACKEND_NOT_SENT;
-	case JJ_HTTP_BROKEN:
-		return JJ_BACKEND_BROKEN;
-	case JJ_HTTP_TIMEOUT:
-		return JJ_BACKEND_TIMEOUT;
-	case JJ_HTTP_CANCELLED:
-		return JJ_BACKEND_CANCELLED;
-	case JJ_HTTP_COMPLETE:
-		break;
-	}
+	if (end != JJ_HTTP_COMPLETE)
+		return jj_attempt_kind_of_end(end);
 	if (attempt->too_large)
 		return JJ_BACKEND_FAILED;
 	return judge_status(attempt, head);
@@ -718,6 +698,6 @@
 free_attempt(attempt_t *attempt)
 {
 	jj_sse_clear(&attempt->sse);
-	free(attempt->body);
+	jj_buffer_clear(&attempt->body);
 	free(attempt);
 }
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -12,6 +12,7 @@
 #include "adapters/monotonic.h"
 #include "adapters/runtime.h"
 #include "core/event_stream.h"
+#include "daemon/attempt_end.h"
 #include "daemon/stream_relay.h"
 
 /** Largest answer that is no stream, bytes. */
@@ -53,8 +54,7 @@
 	bool not_run; /**< the server says so */
 	char *lines; /**< the head's, owned */
 	jj_event_stream_t events;
-	jj_bytes_t body; /**< of a whole answer */
-	size_t body_room;
+	jj_buffer_t body; /**< of a whole answer */
 	bool first_told;
 	jj_ms_t sign_ms;
 } attempt_t;
@@ -326,7 +326,7 @@
 free_attempt(attempt_t *attempt)
 {
 	jj_event_stream_clear(&attempt->events);
-	jj_bytes_free(&attempt->body);
+	jj_buffer_clear(&attempt->body);
 	free(attempt->lines);
 	free(attempt);
 }
@@ -456,19 +456,10 @@
 static void
 take_whole(attempt_t *attempt, const char *data, size_t size)
 {
-	jj_bytes_t *body = &attempt->body;
-
-	if (body->size + size > WHOLE_MAX) {
+	if (attempt->body.bytes.size + size > WHOLE_MAX)
 		attempt->kind = ANSWER_FOREIGN;
-		return;
-	}
-	if (body->size + size + 1 > attempt->body_room) {
-		attempt->body_room = attempt->body_room * 2 + size + 1024;
-		body->data = jj_realloc(body->data, attempt->body_room);
-	}
-	memcpy(body->data + body->size, data, size);
-	body->size += size;
-	body->data[body->size] = '\0';
+	else
+		jj_buffer_append(&attempt->body, data, size);
 }
 
 static void
@@ -490,8 +481,8 @@
 	jj_http_answer_t answer = {0};
 
 	fill_answer(attempt, &answer, kept);
-	jj_http_call_answer(entry->exchange.call, &answer, attempt->body.data,
-	    attempt->body.size);
+	jj_http_call_answer(entry->exchange.call, &answer,
+	    attempt->body.bytes.data, attempt->body.bytes.size);
 	entry->exchange.call = NULL;
 	g_ptr_array_free(kept, TRUE);
 }
@@ -574,18 +565,8 @@
 {
 	if (attempt->kind == ANSWER_FOREIGN)
 		return JJ_BACKEND_BROKEN;
-	switch (end) {
-	case JJ_HTTP_NOT_SENT:
-		return JJ_BACKEND_NOT_SENT;
-	case JJ_HTTP_BROKEN:
-		return JJ_BACKEND_BROKEN;
-	case JJ_HTTP_TIMEOUT:
-		return JJ_BACKEND_TIMEOUT;
-	case JJ_HTTP_CANCELLED:
-		return JJ_BACKEND_CANCELLED;
-	case JJ_HTTP_COMPLETE:
-		break;
-	}
+	if (end != JJ_HTTP_COMPLETE)
+		return jj_attempt_kind_of_end(end);
 	if (attempt->kind == ANSWER_STREAM)
 		return jj_event_stream_has_rest(&attempt->events) ||
 			(!attempt->first_told && !attempt->resumes)
