VMs that meet again tell which requests crash servers

In the traced run a VM was killed, came back with an empty quarantine and ran a resend of a refused request, which crashed two more engines. Ruled out: the word of a crash under way (the others had refused it for six seconds), engines ended by the soak itself. Change: whenever a VM becomes live to another, or is a new process, each tells the requests with strikes and asks for the other's (core/struck, one message kind). Deaths are counted by the hash of server and boot, so none counts twice. Tests: Struck.AVmThatComesBackIsToldWhatIsRefused (red without), Quarantine.WhatANeighbourTellsCountsEachDeathOnce.

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -231,6 +231,21 @@
 };
 LAYOUT(crash_layout, jj_message_t, crash_fields);
 
+static const field_t struck_entry_fields[] = {
+    FIELD(FIELD_U64, jj_struck_t, fingerprint),
+    FIELD(FIELD_I64, jj_struck_t, age_ms),
+    ARRAY(FIELD_ARRAY, jj_struck_t, deaths, death_count, JJ_MESSAGE_DEATHS_MAX,
+	&suspect_layout),
+};
+LAYOUT(struck_entry_layout, jj_struck_t, struck_entry_fields);
+
+static const field_t struck_fields[] = {
+    FIELD(FIELD_BOOL, jj_message_t, body.struck.asks),
+    ARRAY(FIELD_ARRAY, jj_message_t, body.struck.entries, body.struck.count,
+	JJ_MESSAGE_STRUCK_MAX, &struck_entry_layout),
+};
+LAYOUT(struck_layout, jj_message_t, struck_fields);
+
 static const field_t server_fields[] = {
     TEXT(jj_message_t, body.server.server.text),
     FIELD(FIELD_U64, jj_message_t, body.server.boot),
@@ -301,6 +316,7 @@
     [JJ_MESSAGE_JOB_ENDED] = &job_ended_layout,
     [JJ_MESSAGE_RELAY] = &relay_layout,
     [JJ_MESSAGE_JOB_STATES] = &job_states_layout,
+    [JJ_MESSAGE_STRUCK] = &struck_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -14,6 +14,7 @@
 #include "core/core_requests.h"
 #include "core/core_state.h"
 #include "core/core_status.h"
+#include "core/struck.h"
 
 /** Watches of the speaker, by token of their platform calls. */
 #define TOKEN_WATCH_CONFIG UINT64_C(0xC0)
@@ -335,7 +336,10 @@
 take_message(jj_core_t *core, const jj_message_t *message, jj_ms_t now,
     jj_actions_t *out)
 {
-	if (!jj_member_accept(core->member, message, now, out))
+	bool accepted = jj_member_accept(core->member, message, now, out);
+
+	jj_struck_greet(core->quarantine, core->member, now, out);
+	if (!accepted)
 		return;
 	switch (message->kind) {
 	case JJ_MESSAGE_CALL:
--- a/src/core/core_news.c
+++ b/src/core/core_news.c
@@ -8,6 +8,7 @@
 
 #include "core/core_news.h"
 #include "core/core_state.h"
+#include "core/struck.h"
 
 /** Least time between asks for a configuration, ms. */
 #define CONFIG_ASK_MS 200
@@ -64,6 +65,9 @@
 		take_death(core, &message->body.crash, now);
 		pass_on(core, message, out);
 		break;
+	case JJ_MESSAGE_STRUCK:
+		jj_struck_take(core->quarantine, message, now, out);
+		break;
 	case JJ_MESSAGE_SERVER_STATE:
 		jj_fleet_take_notice(core->fleet, &message->body.server, now);
 		pass_on(core, message, out);
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "core/gateway_state.h"
+#include "core/struck.h"
 
 /** Tokens of the mirrors' calls. */
 #define TOKEN_CONFIG 1
@@ -144,8 +145,12 @@
 jj_gateway_take_message(jj_gateway_t *gateway, const jj_message_t *message,
     jj_ms_t now, jj_actions_t *out)
 {
+	bool accepted;
+
 	enter(gateway, now, out);
-	if (jj_member_accept(gateway->member, message, now, out))
+	accepted = jj_member_accept(gateway->member, message, now, out);
+	jj_struck_greet(gateway->quarantine, gateway->member, now, out);
+	if (accepted)
 		jj_gateway_take_news(gateway, message, now, out);
 	leave_step(gateway, now, out);
 }
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "core/gateway_state.h"
+#include "core/struck.h"
 
 /** Least time between asks for a configuration, ms. */
 #define CONFIG_ASK_MS 200
@@ -83,6 +84,9 @@
 		jj_quarantine_take_crash(
 		    gateway->quarantine, &message->body.crash, now, out);
 		break;
+	case JJ_MESSAGE_STRUCK:
+		jj_struck_take(gateway->quarantine, message, now, out);
+		break;
 	case JJ_MESSAGE_YIELD:
 		server =
 		    jj_slots_find_hash(gateway->slots, message->body.yield);
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -194,6 +194,23 @@
 	return peer != NULL && jj_member_is_serving(&peer->info);
 }
 
+bool
+jj_member_take_arrival(jj_member_t *member, jj_name_t *name)
+{
+	size_t i;
+
+	for (i = 0; i < member->peer_count; i++) {
+		jj_peer_t *peer = &member->peers[i];
+
+		if (!peer->arrived)
+			continue;
+		peer->arrived = false;
+		*name = peer->info.name;
+		return true;
+	}
+	return false;
+}
+
 size_t
 jj_member_list(const jj_member_t *member, const jj_name_t *domain,
     jj_member_info_t *infos, size_t most)
@@ -393,6 +410,7 @@
 		    (unsigned long long)message->incarnation,
 		    (unsigned long long)peer->info.incarnation);
 		peer->info.incarnation = message->incarnation;
+		peer->arrived = true;
 		peer->info.state = JJ_VM_STARTING;
 		peer->info.config_version = 0;
 		peer->info.slots_version = 0;
@@ -412,6 +430,7 @@
 	if (peer->info.live)
 		return;
 	peer->info.live = true;
+	peer->arrived = true;
 	jj_actions_add_event(out, "vm_live", "peer=%s domain=%s",
 	    peer->info.name.text, peer->info.domain.text);
 }
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -93,6 +93,12 @@
 jj_member_find(const jj_member_t *member, const jj_name_t *name);
 /** True for this VM itself and for VMs heard lately that are not leaving. */
 bool jj_member_is_live(const jj_member_t *member, const jj_name_t *name);
+/**
+ * The next VM that became live, or whose process is another one, since this
+ * was asked: it may have missed what was told meanwhile. False when none is
+ * left.
+ */
+bool jj_member_take_arrival(jj_member_t *member, jj_name_t *name);
 /**
  * Live VMs of a domain, ordered by name, with this VM when it belongs there.
  * @return how many; at most @p most are written.
--- a/src/core/member_state.h
+++ b/src/core/member_state.h
@@ -23,6 +23,7 @@
 	uint64_t nonce; /**< of the probe under way, 0: none */
 	jj_ms_t probed_ms;
 	jj_ms_t known_ms; /**< last sign of any kind; for forget_ms */
+	bool arrived; /**< became live, or anew; not taken yet */
 } jj_peer_t;
 
 struct jj_member {
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -21,6 +21,10 @@
 #define JJ_MESSAGE_JOB_ID_SIZE 128
 /** Most jobs in one message of their states. */
 #define JJ_MESSAGE_JOB_STATES_MAX 64
+/** Most deaths of servers kept and told for one request. */
+#define JJ_MESSAGE_DEATHS_MAX 4
+/** Most requests in one message of those that crashed servers. */
+#define JJ_MESSAGE_STRUCK_MAX 48
 /** Most fingerprints in one crash report. */
 #define JJ_MESSAGE_SUSPECTS_MAX 64
 
@@ -47,6 +51,7 @@
 	JJ_MESSAGE_JOB_ENDED, /**< its client has ended this job of yours */
 	JJ_MESSAGE_RELAY, /**< what a watch brought, for VMs that do not watch */
 	JJ_MESSAGE_JOB_STATES, /**< jobs that the sender runs */
+	JJ_MESSAGE_STRUCK, /**< requests known to have crashed servers */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -202,6 +207,15 @@
 	uint32_t shown; /**< results that readers may see */
 } jj_job_standing_t;
 
+/** A request that was on servers when they died; see quarantine.h. */
+typedef struct {
+	uint64_t fingerprint;
+	jj_ms_t age_ms; /**< since the last death, on the sender's clock */
+	uint32_t death_count;
+	uint64_t
+	    deaths[JJ_MESSAGE_DEATHS_MAX]; /**< hashes of server and boot */
+} jj_struck_t;
+
 /** A message with its header. */
 typedef struct {
 	jj_message_kind_t kind;
@@ -231,6 +245,11 @@
 			jj_bytes_t table;
 		} slots;
 		jj_crash_t crash;
+		struct {
+			bool asks; /**< the receiver shall tell what it knows */
+			uint32_t count;
+			jj_struck_t entries[JJ_MESSAGE_STRUCK_MAX];
+		} struck;
 		jj_server_notice_t server;
 		uint64_t yield; /**< jj_dispatch_hash_server of its name */
 		char job_ended[JJ_MESSAGE_JOB_ID_SIZE];
--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -11,7 +11,7 @@
 /** Buckets of the table by fingerprint; a power of two. */
 #define BUCKETS 4096
 /** Deaths remembered per fingerprint; at least the strikes' limit. */
-#define DEATHS_MAX 4
+#define DEATHS_MAX JJ_MESSAGE_DEATHS_MAX
 /** Reports of a death whose boot is unknown are one death for so long. */
 #define UNKNOWN_BOOT_MS 5000
 
@@ -52,7 +52,10 @@
 static bool is_lapsed(const jj_quarantine_t *, const suspect_t *, jj_ms_t);
 static bool is_counted(const suspect_t *, const death_t *, bool);
 static void strike(jj_quarantine_t *, uint64_t, const death_t *, bool,
-    const jj_crash_t *, jj_actions_t *);
+    const char *, jj_actions_t *);
+static size_t list_queue(const jj_quarantine_t *, const struct suspect_queue *,
+    jj_ms_t, jj_struck_t *, size_t);
+static jj_struck_t describe(const suspect_t *, jj_ms_t);
 
 jj_quarantine_t *
 jj_quarantine_create(const jj_quarantine_settings_t *settings)
@@ -106,7 +109,37 @@
 	    crash->server.text, strlen(crash->server.text), crash->boot);
 	for (i = 0; i < crash->suspect_count; i++)
 		strike(quarantine, crash->suspects[i], &death, crash->boot != 0,
-		    crash, out);
+		    crash->server.text, out);
+}
+
+size_t
+jj_quarantine_list(const jj_quarantine_t *quarantine, jj_ms_t now,
+    jj_struck_t *entries, size_t most)
+{
+	size_t count =
+	    list_queue(quarantine, &quarantine->refused, now, entries, most);
+
+	return count +
+	    list_queue(quarantine, &quarantine->suspects, now, entries + count,
+		most - count);
+}
+
+void
+jj_quarantine_take_struck(jj_quarantine_t *quarantine,
+    const jj_struck_t *entries, size_t count, jj_ms_t now, jj_actions_t *out)
+{
+	death_t death;
+	uint32_t k;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		death.at_ms = now - entries[i].age_ms;
+		for (k = 0; k < entries[i].death_count; k++) {
+			death.id = entries[i].deaths[k];
+			strike(quarantine, entries[i].fingerprint, &death, true,
+			    "told", out);
+		}
+	}
 }
 
 void
@@ -243,7 +276,7 @@
 
 static void
 strike(jj_quarantine_t *quarantine, uint64_t fingerprint, const death_t *death,
-    bool boot_known, const jj_crash_t *crash, jj_actions_t *out)
+    bool boot_known, const char *server, jj_actions_t *out)
 {
 	suspect_t *suspect = find_suspect(quarantine, fingerprint);
 
@@ -256,13 +289,45 @@
 	suspect->deaths[suspect->strikes] = *death;
 	suspect->strikes++;
 	TAILQ_REMOVE(queue_of(quarantine, suspect), suspect, queue);
-	suspect->struck_ms = death->at_ms;
+	/* One told later of an older death stays as young as it is. */
+	if (death->at_ms > suspect->struck_ms || suspect->strikes == 1)
+		suspect->struck_ms = death->at_ms;
 	suspect->refused = suspect->strikes >= quarantine->settings.strikes;
 	TAILQ_INSERT_TAIL(queue_of(quarantine, suspect), suspect, queue);
 	if (!suspect->refused)
 		return;
 	jj_actions_add_event(out, "request_quarantined",
 	    "fingerprint=%016llx strikes=%u server=%s",
-	    (unsigned long long)fingerprint, suspect->strikes,
-	    crash->server.text);
+	    (unsigned long long)fingerprint, suspect->strikes, server);
+}
+
+static size_t
+list_queue(const jj_quarantine_t *quarantine, const struct suspect_queue *queue,
+    jj_ms_t now, jj_struck_t *entries, size_t most)
+{
+	const suspect_t *suspect;
+	size_t count = 0;
+
+	TAILQ_FOREACH_REVERSE(suspect, queue, suspect_queue, queue)
+	{
+		if (count == most)
+			break;
+		if (!is_lapsed(quarantine, suspect, now))
+			entries[count++] = describe(suspect, now);
+	}
+	return count;
+}
+
+static jj_struck_t
+describe(const suspect_t *suspect, jj_ms_t now)
+{
+	jj_struck_t entry = {0};
+	uint32_t i;
+
+	entry.fingerprint = suspect->fingerprint;
+	entry.age_ms = now - suspect->struck_ms;
+	entry.death_count = suspect->strikes;
+	for (i = 0; i < suspect->strikes; i++)
+		entry.deaths[i] = suspect->deaths[i].id;
+	return entry;
 }
--- a/src/core/quarantine.h
+++ b/src/core/quarantine.h
@@ -41,6 +41,19 @@
  */
 void jj_quarantine_take_crash(jj_quarantine_t *quarantine,
     const jj_crash_t *crash, jj_ms_t now, jj_actions_t *out);
+/**
+ * Those that have crashed servers, the newest first and refused ones before
+ * all others.
+ * @return how many were written, at most @p most.
+ */
+size_t jj_quarantine_list(const jj_quarantine_t *quarantine, jj_ms_t now,
+    jj_struck_t *entries, size_t most);
+/**
+ * What a neighbour knows, of time before this VM ran or heard it. A death
+ * that is known already counts once, as in a crash report.
+ */
+void jj_quarantine_take_struck(jj_quarantine_t *quarantine,
+    const jj_struck_t *entries, size_t count, jj_ms_t now, jj_actions_t *out);
 /** The request completed: it is no suspect. */
 void jj_quarantine_clear(jj_quarantine_t *quarantine, uint64_t fingerprint);
 /** How many fingerprints are refused now. */
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -192,6 +192,15 @@
 			m->body.job_states.states[i] = {
 			    UINT64_MAX - i, i, UINT64_MAX, i + 1, i};
 	}},
+    {"Struck", JJ_MESSAGE_STRUCK,
+	[](jj_message_t *m) {
+		m->body.struck.asks = true;
+		m->body.struck.count = JJ_MESSAGE_STRUCK_MAX;
+		for (uint32_t i = 0; i < m->body.struck.count; i++)
+			m->body.struck.entries[i] = {UINT64_MAX - i, i,
+			    JJ_MESSAGE_DEATHS_MAX,
+			    {UINT64_MAX, i, i + 1, i + 2}};
+	}},
     {"Yield", JJ_MESSAGE_YIELD,
 	[](jj_message_t *m) { m->body.yield = UINT64_MAX; }},
     {"JobEnded", JJ_MESSAGE_JOB_ENDED,
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -179,6 +179,51 @@
 	EXPECT_EQ(JJ_CALL_DONE, entry.call_answers[0].second);
 }
 
+/*
+ * A timesheet note has crashed two engines and is refused. One VM of the
+ * domain was killed meanwhile and comes back with an empty memory; the
+ * caller sends the note there, and it crashes two more.
+ */
+TEST(Struck, AVmThatComesBackIsToldWhatIsRefused)
+{
+	constexpr uint64_t POISON = 666;
+	World world(1, 3);
+	WorldCore &gone = world.at(0, 2);
+	jj_message_t crash = {};
+	jj_event_t event = {};
+
+	world.run_until(6000);
+	world.patch(world.at(0, 1), 0, kServices);
+	world.run_until(8000);
+	crash.kind = JJ_MESSAGE_CRASH;
+	(void)jj_name_set(&crash.from, gone.name.c_str());
+	crash.incarnation = 3;
+	(void)jj_name_set(&crash.body.crash.server, "engine");
+	crash.body.crash.suspect_count = 1;
+	crash.body.crash.suspects[0] = POISON;
+	event.kind = JJ_EVENT_MESSAGE;
+	event.body.message = &crash;
+	for (uint64_t boot : {1, 2}) {
+		crash.body.crash.boot = boot;
+		crash.sequence = (1U << 30) + boot;
+		world.handle(world.at(0, 0), event);
+	}
+	world.restart(gone, 99);
+	world.run_until(10000);
+
+	event = {};
+	event.kind = JJ_EVENT_REQUEST;
+	event.body.request.request.request = 1;
+	(void)jj_name_set(&event.body.request.request.service, "pallets");
+	event.body.request.request.fingerprint = POISON;
+	event.body.request.request.deadline_ms = world.now + 4000;
+	event.body.request.path = "/v1/completions";
+	event.body.request.trace = "";
+	world.handle(gone, event);
+	ASSERT_EQ(1u, gone.given_up.count(1));
+	EXPECT_EQ(JJ_GIVE_UP_QUARANTINED, gone.given_up[1]);
+}
+
 INSTANTIATE_TEST_SUITE_P(Entries, CallRoute,
     ::testing::Values(CallCase{"speaker_own_domain", 0, 0, "d100/a"},
 	CallCase{"other_vm_own_domain", 1, 2, "d101/a"},
--- a/tests/core/core_world.h
+++ b/tests/core/core_world.h
@@ -34,6 +34,7 @@
 	std::vector<std::pair<jj_ms_t, uint64_t>> adopted;
 	std::vector<std::pair<uint64_t, int>> patch_answers;
 	std::vector<std::pair<uint64_t, jj_call_outcome_t>> call_answers;
+	std::map<uint64_t, jj_give_up_t> given_up;
 };
 
 class World
@@ -92,6 +93,14 @@
 		jj_core_handle(at.core, &event, now, &out);
 		carry_out(at, &out);
 	}
+	/** A new process in place of the old one, which it knows nothing of. */
+	void
+	restart(WorldCore &core, uint64_t incarnation)
+	{
+		jj_core_destroy(core.core);
+		build(core, incarnation);
+		greet(core);
+	}
 	void
 	run_until(jj_ms_t until)
 	{
@@ -176,7 +185,6 @@
 	{
 		auto core = std::make_unique<WorldCore>();
 		char why[JJ_SETTINGS_WHY_MAX];
-		jj_core_settings_t settings;
 
 		core->domain = domain;
 		core->name = domain + "-" + std::to_string(10 + v);
@@ -189,8 +197,14 @@
 		if (!jj_settings_parse(&core->settings, text.data(),
 			text.size(), "world", why, sizeof(why)))
 			abort();
-		settings = core->settings.core;
-		uint64_t seed = cores.size() + 1;
+		build(*core, cores.size() + 1);
+		cores.push_back(std::move(core));
+	}
+	void
+	build(WorldCore &core, uint64_t seed)
+	{
+		jj_core_settings_t settings = core.settings.core;
+
 		settings.incarnation = seed;
 		settings.member.incarnation = seed;
 		settings.member.seed = seed;
@@ -204,9 +218,8 @@
 		memcpy(settings.lease.writer, settings.config.writer,
 		    sizeof(settings.lease.writer));
 		snprintf(settings.lease.key, sizeof(settings.lease.key),
-		    "leases/%s/orders", domain.c_str());
-		core->core = jj_core_create(&settings);
-		cores.push_back(std::move(core));
+		    "leases/%s/orders", core.domain.c_str());
+		core.core = jj_core_create(&settings);
 	}
 	/** Each VM knows all of its domain and two of each other one. */
 	void
@@ -263,6 +276,9 @@
 				at.call_answers.push_back(
 				    {action->body.call.call,
 					action->body.call.answer.outcome});
+			else if (action->kind == JJ_ACTION_ANSWER)
+				at.given_up[action->body.answer.request] =
+				    action->body.answer.reason;
 			else if (action->kind == JJ_ACTION_CALL_READY)
 				run_keys[action->body.item.item] =
 				    action->body.item.key;
--- a/tests/core/quarantine_test.cc
+++ b/tests/core/quarantine_test.cc
@@ -110,6 +110,36 @@
 	EXPECT_EQ(check(POISON), JJ_QUARANTINE_REFUSED);
 }
 
+/* Two VMs meet again after a cut. Each has seen one death of its own and both
+ * have seen a third: none counts twice, and what is refused stays so for as
+ * long as it would have, not longer. */
+TEST_F(Quarantine, WhatANeighbourTellsCountsEachDeathOnce)
+{
+	jj_quarantine_settings_t settings = {2, 600000, 3600000, 100};
+	jj_quarantine_t *other = jj_quarantine_create(&settings);
+	jj_struck_t told[2] = {};
+
+	crash("s1", 1, {1, POISON});
+	crash("s2", 1, {POISON});
+	now += 1000;
+	ASSERT_EQ(jj_quarantine_list(quarantine, now, told, 2), 2u);
+	EXPECT_EQ(told[0].fingerprint, POISON) << "the refused come first";
+	EXPECT_EQ(told[0].death_count, 2u);
+	EXPECT_EQ(told[0].age_ms, 1000);
+	for (int i = 0; i < 2; i++)
+		jj_quarantine_take_struck(other, told, 2, now, &out);
+	EXPECT_EQ(
+	    jj_quarantine_check(other, POISON, now), JJ_QUARANTINE_REFUSED);
+	EXPECT_EQ(jj_quarantine_check(other, 1, now), JJ_QUARANTINE_SUSPECT);
+	now += 3598999;
+	EXPECT_EQ(
+	    jj_quarantine_check(other, POISON, now), JJ_QUARANTINE_REFUSED);
+	now += 1;
+	EXPECT_EQ(jj_quarantine_check(other, POISON, now), JJ_QUARANTINE_CLEAN);
+	EXPECT_EQ(jj_quarantine_list(quarantine, now, told, 2), 0u);
+	jj_quarantine_destroy(other);
+}
+
 TEST_F(Quarantine, StrikesAndRefusalsLapse)
 {
 	crash("s1", 1, {1, POISON});
