A VM that has just started lets requests rest until it has heard another

A VM without neighbours does not wait. Strikes are logged one by one (request_struck), with the death that each is for. Test: Struck.AVmThatComesBackIsToldWhatIsRefused/at_once, red without.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -42,6 +42,7 @@
 static void create_modules(jj_core_t *);
 static const jj_member_info_t *find_member(void *, const jj_name_t *);
 static size_t list_members(void *, jj_member_info_t *, size_t);
+static void note_pause(jj_core_t *, jj_ms_t, jj_actions_t *);
 static void take_tick(jj_core_t *, jj_ms_t, jj_actions_t *);
 static void
 take_message(jj_core_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
@@ -286,18 +287,29 @@
 	    core->member, &core->settings.domain, infos, most);
 }
 
+/** Others have told their news to the living when this VM was not heard. */
 static void
-take_tick(jj_core_t *core, jj_ms_t now, jj_actions_t *out)
+note_pause(jj_core_t *core, jj_ms_t now, jj_actions_t *out)
 {
-	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
-	bool speaker;
-	uint32_t count;
+	jj_ms_t silent_ms = core->settings.member.suspect_ms;
 
 	if (core->last_tick != 0 &&
 	    jj_member_was_paused(core->member, now, core->settings.pause_ms))
 		jj_actions_add_event(
 		    out, "paused", "gap_ms=%" PRId64, now - core->last_tick);
+	if (core->last_tick == 0 || now - core->last_tick >= silent_ms)
+		core->unheard_until_ms = now + silent_ms;
 	core->last_tick = now;
+}
+
+static void
+take_tick(jj_core_t *core, jj_ms_t now, jj_actions_t *out)
+{
+	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
+	bool speaker;
+	uint32_t count;
+
+	note_pause(core, now, out);
 	if (jj_member_next(core->member) <= now) {
 		count = jj_dispatch_loads(
 		    core->dispatch, loads, JJ_MESSAGE_LOADS_MAX);
--- a/src/core/core_news.c
+++ b/src/core/core_news.c
@@ -67,6 +67,8 @@
 		break;
 	case JJ_MESSAGE_STRUCK:
 		jj_struck_take(core->quarantine, message, now, out);
+		if (!is_abroad(core, &message->from))
+			core->unheard_until_ms = now;
 		break;
 	case JJ_MESSAGE_SERVER_STATE:
 		jj_fleet_take_notice(core->fleet, &message->body.server, now);
@@ -197,6 +199,25 @@
 	}
 }
 
+bool
+jj_core_is_unheard(const jj_core_t *core, jj_ms_t now)
+{
+	jj_member_info_t *infos;
+	size_t others = 0;
+	size_t i;
+
+	if (now >= core->unheard_until_ms)
+		return false;
+	infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
+	i = jj_member_list_all(core->member, infos, JJ_MEMBERS_MAX);
+	while (i-- > 0)
+		others +=
+		    !jj_name_equal(&infos[i].name, &core->settings.name) &&
+		    jj_name_equal(&infos[i].domain, &core->settings.domain);
+	free(infos);
+	return others > 0;
+}
+
 static void
 take_heartbeat(jj_core_t *core, const jj_message_t *message, jj_ms_t now,
     jj_actions_t *out)
--- a/src/core/core_news.h
+++ b/src/core/core_news.h
@@ -32,6 +32,13 @@
  * left out asks when it hears of the version in a heartbeat.
  */
 void jj_core_spread_config(jj_core_t *core, jj_actions_t *out);
+/**
+ * True from a start or a long pause until a VM of the own domain has told
+ * which requests crash servers, or would have if it lived. Guards against a
+ * resend of such a request that reaches this VM first and crashes two more
+ * servers here: requests rest meanwhile as suspects do.
+ */
+bool jj_core_is_unheard(const jj_core_t *core, jj_ms_t now);
 /** A process that fell silent: its batch claims may be taken over. */
 void jj_core_notice_lost_vms(jj_core_t *core, jj_actions_t *out);
 
--- a/src/core/core_requests.c
+++ b/src/core/core_requests.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "core/core_news.h"
 #include "core/core_requests.h"
 #include "core/core_state.h"
 
@@ -41,8 +42,9 @@
 	}
 	if (request.class_of == JJ_CLASS_BATCH && !core->leaving)
 		jj_withheld_add(core->withheld, &request, now);
-	else if (jj_quarantine_check(core->quarantine, request.fingerprint,
-		     now) == JJ_QUARANTINE_SUSPECT)
+	else if (jj_core_is_unheard(core, now) ||
+	    jj_quarantine_check(core->quarantine, request.fingerprint, now) ==
+		JJ_QUARANTINE_SUSPECT)
 		jj_suspects_add(core->suspects, &request, now);
 	else
 		jj_dispatch_begin(core->dispatch, &request, now, out);
--- a/src/core/core_state.h
+++ b/src/core/core_state.h
@@ -48,6 +48,7 @@
 	jj_ms_t next_vms;
 	jj_ms_t next_refresh;
 	jj_ms_t next_ask;
+	jj_ms_t unheard_until_ms; /**< see jj_core_is_unheard */
 	size_t seen_count;
 	jj_seen_t seen[JJ_LEDGER_SLOTS];
 	jj_actions_t *out; /**< of the step under way, for callbacks */
--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -294,11 +294,11 @@
 		suspect->struck_ms = death->at_ms;
 	suspect->refused = suspect->strikes >= quarantine->settings.strikes;
 	TAILQ_INSERT_TAIL(queue_of(quarantine, suspect), suspect, queue);
-	if (!suspect->refused)
-		return;
-	jj_actions_add_event(out, "request_quarantined",
-	    "fingerprint=%016llx strikes=%u server=%s",
-	    (unsigned long long)fingerprint, suspect->strikes, server);
+	jj_actions_add_event(out,
+	    suspect->refused ? "request_quarantined" : "request_struck",
+	    "fingerprint=%016llx strikes=%u server=%s death=%016llx",
+	    (unsigned long long)fingerprint, suspect->strikes, server,
+	    (unsigned long long)death->id);
 }
 
 static size_t
--- a/src/core/struck.c
+++ b/src/core/struck.c
@@ -45,8 +45,6 @@
 	size_t told = 0;
 	size_t part;
 
-	if (count == 0 && !asks)
-		return;
 	do {
 		part = count - told;
 		if (part > JJ_MESSAGE_STRUCK_MAX)
--- a/src/core/struck.h
+++ b/src/core/struck.h
@@ -18,7 +18,10 @@
 /** Tells and asks the VMs that have arrived; call after each message. */
 void jj_struck_greet(const jj_quarantine_t *quarantine, jj_member_t *member,
     jj_ms_t now, jj_actions_t *out);
-/** Takes a message of kind JJ_MESSAGE_STRUCK and answers it when asked. */
+/**
+ * Takes a message of kind JJ_MESSAGE_STRUCK and answers it when asked, also
+ * when there is nothing to tell: the other may wait for it.
+ */
 void jj_struck_take(jj_quarantine_t *quarantine, const jj_message_t *message,
     jj_ms_t now, jj_actions_t *out);
 
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -179,19 +179,31 @@
 	EXPECT_EQ(JJ_CALL_DONE, entry.call_answers[0].second);
 }
 
+struct StruckCase {
+	const char *name;
+	jj_ms_t after_ms; /**< since the start; 20: it has heard nobody yet */
+};
+
 /*
  * A timesheet note has crashed two engines and is refused. One VM of the
  * domain was killed meanwhile and comes back with an empty memory; the
- * caller sends the note there, and it crashes two more.
+ * caller sends the note there, and it crashes two more. The same when the
+ * note is there before the VM has heard another one.
  */
-TEST(Struck, AVmThatComesBackIsToldWhatIsRefused)
+class Struck : public ::testing::TestWithParam<StruckCase>
+{
+};
+
+TEST_P(Struck, AVmThatComesBackIsToldWhatIsRefused)
 {
 	constexpr uint64_t POISON = 666;
+	const StruckCase &c = GetParam();
 	World world(1, 3);
 	WorldCore &gone = world.at(0, 2);
 	jj_message_t crash = {};
 	jj_event_t event = {};
 
+	world.message_ms = 20;
 	world.run_until(6000);
 	world.patch(world.at(0, 1), 0, kServices);
 	world.run_until(8000);
@@ -209,7 +221,7 @@
 		world.handle(world.at(0, 0), event);
 	}
 	world.restart(gone, 99);
-	world.run_until(10000);
+	world.run_until(world.now + c.after_ms);
 
 	event = {};
 	event.kind = JJ_EVENT_REQUEST;
@@ -220,10 +232,17 @@
 	event.body.request.path = "/v1/completions";
 	event.body.request.trace = "";
 	world.handle(gone, event);
+	world.run_until(world.now + 2000);
 	ASSERT_EQ(1u, gone.given_up.count(1));
 	EXPECT_EQ(JJ_GIVE_UP_QUARANTINED, gone.given_up[1]);
 }
 
+INSTANTIATE_TEST_SUITE_P(Times, Struck,
+    ::testing::Values(StruckCase{"later", 2000}, StruckCase{"at_once", 20}),
+    [](const ::testing::TestParamInfo<StruckCase> &info) {
+	    return std::string(info.param.name);
+    });
+
 INSTANTIATE_TEST_SUITE_P(Entries, CallRoute,
     ::testing::Values(CallCase{"speaker_own_domain", 0, 0, "d100/a"},
 	CallCase{"other_vm_own_domain", 1, 2, "d101/a"},
