What one VM is told of crashes its domain knows

Two VMs of sala-a met VMs from abroad and were told; sala-a-3 met none, ran a resend a second later and lost a third engine. Change: what is new of such a word is passed on, from abroad to the own domain, from the domain abroad by the speaker, as crash reports are. Test: StruckAbroad.WhatOneVmIsToldItsDomainKnows, red without.

--- a/src/core/core_news.c
+++ b/src/core/core_news.c
@@ -31,6 +31,8 @@
 static jj_bytes_t encode_job_events(const jj_platform_result_t *);
 static void add_job_change(jj_actions_t *, const char *, uint64_t);
 static void take_death(jj_core_t *, const jj_crash_t *, jj_ms_t);
+static void
+take_struck(jj_core_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
 static void pass_on(jj_core_t *, const jj_message_t *, jj_actions_t *);
 static void
 tell_news(jj_core_t *, const jj_message_t *, bool, bool, jj_actions_t *);
@@ -66,9 +68,7 @@
 		pass_on(core, message, out);
 		break;
 	case JJ_MESSAGE_STRUCK:
-		jj_struck_take(core->quarantine, message, now, out);
-		if (!is_abroad(core, &message->from))
-			core->unheard_until_ms = now;
+		take_struck(core, message, now, out);
 		break;
 	case JJ_MESSAGE_SERVER_STATE:
 		jj_fleet_take_notice(core->fleet, &message->body.server, now);
@@ -373,6 +373,24 @@
 	jj_fleet_take_notice(core->fleet, &notice, now);
 }
 
+/**
+ * Guards against a domain of which one VM alone has met one abroad: the
+ * others would run what that one refuses. Only what is new here goes on, so
+ * that it goes round once.
+ */
+static void
+take_struck(jj_core_t *core, const jj_message_t *message, jj_ms_t now,
+    jj_actions_t *out)
+{
+	bool abroad = is_abroad(core, &message->from);
+
+	if (jj_struck_take(core->quarantine, message, now, out))
+		tell_news(core, message, abroad,
+		    !abroad && jj_member_is_speaker(core->member), out);
+	if (!abroad)
+		core->unheard_until_ms = now;
+}
+
 /**
  * Speakers carry news of backend servers between domains: out of their own to
  * the others, and from abroad to their own. So a request that kills servers
@@ -390,7 +408,7 @@
 		tell_news(core, message, false, true, out);
 }
 
-/** Sends a crash or a server's state to live VMs. */
+/** Sends a crash, past crashes or a server's state to live VMs. */
 static void
 tell_news(jj_core_t *core, const jj_message_t *message, bool domain,
     bool abroad, jj_actions_t *out)
@@ -410,7 +428,10 @@
 		    jj_actions_add_message(out, &infos[i].name, message->kind);
 		if (message->kind == JJ_MESSAGE_CRASH)
 			copy->body.crash = message->body.crash;
-		else
+		else if (message->kind == JJ_MESSAGE_STRUCK) {
+			copy->body.struck = message->body.struck;
+			copy->body.struck.asks = false;
+		} else
 			copy->body.server = message->body.server;
 	}
 	free(infos);
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -85,7 +85,7 @@
 		    gateway->quarantine, &message->body.crash, now, out);
 		break;
 	case JJ_MESSAGE_STRUCK:
-		jj_struck_take(gateway->quarantine, message, now, out);
+		(void)jj_struck_take(gateway->quarantine, message, now, out);
 		break;
 	case JJ_MESSAGE_YIELD:
 		server =
--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -51,7 +51,7 @@
 static struct suspect_queue *queue_of(jj_quarantine_t *, const suspect_t *);
 static bool is_lapsed(const jj_quarantine_t *, const suspect_t *, jj_ms_t);
 static bool is_counted(const suspect_t *, const death_t *, bool);
-static void strike(jj_quarantine_t *, uint64_t, const death_t *, bool,
+static bool strike(jj_quarantine_t *, uint64_t, const death_t *, bool,
     const char *, jj_actions_t *);
 static size_t list_queue(const jj_quarantine_t *, const struct suspect_queue *,
     jj_ms_t, jj_struck_t *, size_t);
@@ -108,8 +108,8 @@
 	death.id = jj_hash_bytes(
 	    crash->server.text, strlen(crash->server.text), crash->boot);
 	for (i = 0; i < crash->suspect_count; i++)
-		strike(quarantine, crash->suspects[i], &death, crash->boot != 0,
-		    crash->server.text, out);
+		(void)strike(quarantine, crash->suspects[i], &death,
+		    crash->boot != 0, crash->server.text, out);
 }
 
 size_t
@@ -124,10 +124,11 @@
 		most - count);
 }
 
-void
+bool
 jj_quarantine_take_struck(jj_quarantine_t *quarantine,
     const jj_struck_t *entries, size_t count, jj_ms_t now, jj_actions_t *out)
 {
+	bool news = false;
 	death_t death;
 	uint32_t k;
 	size_t i;
@@ -136,10 +137,11 @@
 		death.at_ms = now - entries[i].age_ms;
 		for (k = 0; k < entries[i].death_count; k++) {
 			death.id = entries[i].deaths[k];
-			strike(quarantine, entries[i].fingerprint, &death, true,
-			    "told", out);
+			news |= strike(quarantine, entries[i].fingerprint,
+			    &death, true, "told", out);
 		}
 	}
+	return news;
 }
 
 void
@@ -274,7 +276,8 @@
 	return false;
 }
 
-static void
+/** False when the death, or enough of them, was known. */
+static bool
 strike(jj_quarantine_t *quarantine, uint64_t fingerprint, const death_t *death,
     bool boot_known, const char *server, jj_actions_t *out)
 {
@@ -285,7 +288,7 @@
 	else if (is_lapsed(quarantine, suspect, death->at_ms))
 		forgive(quarantine, suspect);
 	if (suspect->refused || is_counted(suspect, death, boot_known))
-		return;
+		return false;
 	suspect->deaths[suspect->strikes] = *death;
 	suspect->strikes++;
 	TAILQ_REMOVE(queue_of(quarantine, suspect), suspect, queue);
@@ -299,6 +302,7 @@
 	    "fingerprint=%016llx strikes=%u server=%s death=%016llx",
 	    (unsigned long long)fingerprint, suspect->strikes, server,
 	    (unsigned long long)death->id);
+	return true;
 }
 
 static size_t
--- a/src/core/quarantine.h
+++ b/src/core/quarantine.h
@@ -51,8 +51,9 @@
 /**
  * What a neighbour knows, of time before this VM ran or heard it. A death
  * that is known already counts once, as in a crash report.
+ * @return true when one was not known.
  */
-void jj_quarantine_take_struck(jj_quarantine_t *quarantine,
+bool jj_quarantine_take_struck(jj_quarantine_t *quarantine,
     const jj_struck_t *entries, size_t count, jj_ms_t now, jj_actions_t *out);
 /** The request completed: it is no suspect. */
 void jj_quarantine_clear(jj_quarantine_t *quarantine, uint64_t fingerprint);
--- a/src/core/struck.c
+++ b/src/core/struck.c
@@ -25,14 +25,16 @@
 		tell(quarantine, &name, true, now, out);
 }
 
-void
+bool
 jj_struck_take(jj_quarantine_t *quarantine, const jj_message_t *message,
     jj_ms_t now, jj_actions_t *out)
 {
-	jj_quarantine_take_struck(quarantine, message->body.struck.entries,
-	    message->body.struck.count, now, out);
+	bool news = jj_quarantine_take_struck(quarantine,
+	    message->body.struck.entries, message->body.struck.count, now, out);
+
 	if (message->body.struck.asks)
 		tell(quarantine, &message->from, false, now, out);
+	return news;
 }
 
 static void
--- a/src/core/struck.h
+++ b/src/core/struck.h
@@ -21,8 +21,9 @@
 /**
  * Takes a message of kind JJ_MESSAGE_STRUCK and answers it when asked, also
  * when there is nothing to tell: the other may wait for it.
+ * @return true when it said something that was not known here.
  */
-void jj_struck_take(jj_quarantine_t *quarantine, const jj_message_t *message,
+bool jj_struck_take(jj_quarantine_t *quarantine, const jj_message_t *message,
     jj_ms_t now, jj_actions_t *out);
 
 #endif
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -237,6 +237,41 @@
 	EXPECT_EQ(JJ_GIVE_UP_QUARANTINED, gone.given_up[1]);
 }
 
+/*
+ * The note has crashed two engines abroad while the domains did not hear each
+ * other. Then one VM of each meets the other's; a resend at a VM that met
+ * nobody from abroad crashed two engines more.
+ */
+TEST(StruckAbroad, WhatOneVmIsToldItsDomainKnows)
+{
+	constexpr uint64_t POISON = 666;
+	World world(2, 3);
+	jj_message_t crash = {};
+	jj_event_t event = {};
+
+	world.run_until(6000);
+	world.cut_domains.insert({"d100", "d101"});
+	world.run_until(10000);
+	crash.kind = JJ_MESSAGE_CRASH;
+	(void)jj_name_set(&crash.from, world.at(0, 2).name.c_str());
+	crash.incarnation = 3;
+	(void)jj_name_set(&crash.body.crash.server, "engine");
+	crash.body.crash.suspect_count = 1;
+	crash.body.crash.suspects[0] = POISON;
+	event.kind = JJ_EVENT_MESSAGE;
+	event.body.message = &crash;
+	for (uint64_t boot : {1, 2}) {
+		crash.body.crash.boot = boot;
+		crash.sequence = (1U << 30) + boot;
+		world.handle(world.at(0, 0), event);
+		world.handle(world.at(0, 1), event);
+	}
+	world.cut_domains.clear();
+	world.run_until(10100);
+	for (int v = 0; v < 3; v++)
+		EXPECT_EQ(1, world.quarantined(world.at(1, v))) << v;
+}
+
 INSTANTIATE_TEST_SUITE_P(Times, Struck,
     ::testing::Values(StruckCase{"later", 2000}, StruckCase{"at_once", 20}),
     [](const ::testing::TestParamInfo<StruckCase> &info) {
--- a/tests/core/core_world.h
+++ b/tests/core/core_world.h
@@ -35,6 +35,7 @@
 	std::vector<std::pair<uint64_t, int>> patch_answers;
 	std::vector<std::pair<uint64_t, jj_call_outcome_t>> call_answers;
 	std::map<uint64_t, jj_give_up_t> given_up;
+	std::string status;
 };
 
 class World
@@ -120,6 +121,21 @@
 			now++;
 		}
 	}
+	/** How many requests it refuses, as operators are told. */
+	int
+	quarantined(WorldCore &at)
+	{
+		static const char FIELD[] = "\"quarantined\":";
+		jj_event_t event = {};
+
+		event.kind = JJ_EVENT_STATUS;
+		at.status.clear();
+		handle(at, event);
+		size_t found = at.status.find(FIELD);
+		return found == std::string::npos
+		    ? -1
+		    : atoi(at.status.c_str() + found + sizeof(FIELD) - 1);
+	}
 	void
 	patch(WorldCore &at, uint64_t base, const std::string &text)
 	{
@@ -276,6 +292,8 @@
 				at.call_answers.push_back(
 				    {action->body.call.call,
 					action->body.call.answer.outcome});
+			else if (action->kind == JJ_ACTION_JOB_ANSWER)
+				at.status = action->body.job.body.data;
 			else if (action->kind == JJ_ACTION_ANSWER)
 				at.given_up[action->body.answer.request] =
 				    action->body.answer.reason;
