A stream that moves may cut the item that is looked at next

The new attempt cut an item, that one was the next, had no server any more, and, silent as long as the stream, was taken for one that had: a null pointer was read. Change: the walk begins anew after each change. Test: GatewayFailure.AStreamThatMovesMayCutAnItemThatIsSilentToo; without the change the test program itself ends.

--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -22,6 +22,8 @@
     jj_gateway_t *, const jj_gateway_request_t *, const jj_route_t *, jj_ms_t);
 static void refuse(
     jj_gateway_t *, const jj_gateway_request_t *, jj_give_up_t, jj_actions_t *);
+static bool
+check_entry(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static void
 make_room(jj_gateway_t *, jj_slot_server_t *, jj_ms_t, jj_actions_t *);
 static void take_failure(jj_gateway_t *, jj_gateway_entry_t *,
@@ -253,32 +255,46 @@
 void
 jj_gateway_check_times(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
-	jj_backend_event_t stalled = {0};
 	jj_gateway_entry_t *entry;
 	jj_gateway_entry_t *next;
 
+	/*
+	 * What is sent again may cut any item of the list, the next one too:
+	 * taken for one at a server, it ended the process. So the list is
+	 * looked at from its start after each change; what was changed has
+	 * left it or is young.
+	 */
 	for (entry = TAILQ_FIRST(&gateway->sent); entry != NULL; entry = next) {
 		next = TAILQ_NEXT(entry, link);
-		if (entry->class_of == JJ_CLASS_ONLINE &&
-		    now >= entry->give_up_ms) {
-			entry->may_have_run = true;
-			cut_off(gateway, entry, out);
-			jj_gateway_give_up(
-			    gateway, entry, JJ_GIVE_UP_DEADLINE, out);
-			continue;
-		}
-		if (!entry->repeatable ||
-		    now - entry->sign_ms < gateway->settings.stall_ms)
-			continue;
+		if (check_entry(gateway, entry, now, out))
+			next = TAILQ_FIRST(&gateway->sent);
+	}
+}
+
+/** True when it left its place. */
+static bool
+check_entry(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_backend_event_t stalled = {0};
+
+	if (entry->class_of == JJ_CLASS_ONLINE && now >= entry->give_up_ms) {
+		entry->may_have_run = true;
 		cut_off(gateway, entry, out);
-		stalled.request = entry->request;
-		stalled.kind = JJ_BACKEND_BROKEN;
-		jj_actions_add_event(out, "stream_stalled",
-		    "request=%s server=%s silent_ms=%lld", entry->id,
-		    entry->server->info.id.text,
-		    (long long)(now - entry->sign_ms));
-		take_failure(gateway, entry, &stalled, now, out);
+		jj_gateway_give_up(gateway, entry, JJ_GIVE_UP_DEADLINE, out);
+		return true;
 	}
+	if (!entry->repeatable ||
+	    now - entry->sign_ms < gateway->settings.stall_ms)
+		return false;
+	cut_off(gateway, entry, out);
+	stalled.request = entry->request;
+	stalled.kind = JJ_BACKEND_BROKEN;
+	jj_actions_add_event(out, "stream_stalled",
+	    "request=%s server=%s silent_ms=%lld", entry->id,
+	    entry->server->info.id.text, (long long)(now - entry->sign_ms));
+	take_failure(gateway, entry, &stalled, now, out);
+	return true;
 }
 
 static jj_gateway_entry_t *
--- a/tests/core/gateway_test.cc
+++ b/tests/core/gateway_test.cc
@@ -526,6 +526,27 @@
 	EXPECT_EQ(2U, server("s1")->batch);
 }
 
+/*
+ * A whole process ended by itself: a stream and items were silent at one
+ * moment, as after a cut. The stream was sent again, which cut the item that
+ * was to be looked at next and had no server any more.
+ */
+TEST_F(GatewayFailure, AStreamThatMovesMayCutAnItemThatIsSilentToo)
+{
+	uint64_t stream = begin("/again/1");
+
+	see(2, "servers/s2", "verona ready");
+	see(2, "servers/s1", "verona draining");
+	submit("j", 1);
+	tick(50);
+	EXPECT_EQ(1U, server("s2")->batch);
+	EXPECT_EQ(1U, attempts(begin("/once/1")));
+	tick(1600);
+	EXPECT_EQ(2U, attempts(stream));
+	EXPECT_EQ(0, said[stream].answers);
+	EXPECT_EQ(1U, jj_gateway_waiting_items(gateway));
+}
+
 /* All places and queues are full: the caller is told at once, and truly. */
 TEST_F(GatewayFailure, AFullFleetRefusesAtOnce)
 {
