Requests rest until a started VM has heard another one

Change: what rests begins only when a VM of the domain has told what crashes servers, at the latest after the time that silence is suspected after. Test: Struck.AVmThatComesBackIsToldWhatIsRefused/at_once_slow, red without.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -39,6 +39,7 @@
 /** A request like one that crashed a server rests so long, ms. */
 #define SUSPECT_REST_MS 300
 
+static jj_ms_t next_suspect(const jj_core_t *);
 static void create_modules(jj_core_t *);
 static const jj_member_info_t *find_member(void *, const jj_name_t *);
 static size_t list_members(void *, jj_member_info_t *, size_t);
@@ -185,7 +186,7 @@
 	next = earlier(next, jj_orders_next(core->orders));
 	next = earlier(next, jj_watch_next(&core->config_watch));
 	next = earlier(next, jj_watch_next(&core->jobs_watch));
-	next = earlier(next, jj_suspects_next(core->suspects));
+	next = earlier(next, next_suspect(core));
 	if (jj_withheld_count(core->withheld) > 0)
 		next = earlier(next, core->last_tick + WITHHELD_TICK_MS);
 	return next;
@@ -245,6 +246,18 @@
 	(void)snprintf(text, room, "%s/%016" PRIx64, name->text, incarnation);
 }
 
+/** Suspects rest at least until this VM was told what crashes servers. */
+static jj_ms_t
+next_suspect(const jj_core_t *core)
+{
+	jj_ms_t next = jj_suspects_next(core->suspects);
+
+	if (next < core->unheard_until_ms &&
+	    jj_core_is_unheard(core, core->last_tick))
+		return core->unheard_until_ms;
+	return next;
+}
+
 static void
 create_modules(jj_core_t *core)
 {
--- a/src/core/core_news.h
+++ b/src/core/core_news.h
@@ -36,7 +36,8 @@
  * True from a start or a long pause until a VM of the own domain has told
  * which requests crash servers, or would have if it lived. Guards against a
  * resend of such a request that reaches this VM first and crashes two more
- * servers here: requests rest meanwhile as suspects do.
+ * servers here: requests rest meanwhile, as suspects do, at most as long as
+ * silence is suspected after.
  */
 bool jj_core_is_unheard(const jj_core_t *core, jj_ms_t now);
 /** A process that fell silent: its batch claims may be taken over. */
--- a/src/core/core_requests.c
+++ b/src/core/core_requests.c
@@ -64,7 +64,8 @@
 void
 jj_core_begin_waiting(jj_core_t *core, jj_ms_t now, jj_actions_t *out)
 {
-	jj_suspects_tick(core->suspects, core->dispatch, now, out);
+	if (!jj_core_is_unheard(core, now))
+		jj_suspects_tick(core->suspects, core->dispatch, now, out);
 	jj_withheld_pump(core->withheld, core->dispatch, now, out);
 }
 
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -181,6 +181,7 @@
 
 struct StruckCase {
 	const char *name;
+	jj_ms_t message_ms; /**< on the way from VM to VM */
 	jj_ms_t after_ms; /**< since the start; 20: it has heard nobody yet */
 };
 
@@ -203,7 +204,7 @@
 	jj_message_t crash = {};
 	jj_event_t event = {};
 
-	world.message_ms = 20;
+	world.message_ms = c.message_ms;
 	world.run_until(6000);
 	world.patch(world.at(0, 1), 0, kServices);
 	world.run_until(8000);
@@ -273,7 +274,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Times, Struck,
-    ::testing::Values(StruckCase{"later", 2000}, StruckCase{"at_once", 20}),
+    ::testing::Values(StruckCase{"later", 20, 2000},
+	StruckCase{"at_once", 20, 20}, StruckCase{"at_once_slow", 150, 20}),
     [](const ::testing::TestParamInfo<StruckCase> &info) {
 	    return std::string(info.param.name);
     });
