A first event that takes long shows places that nobody has told of

Ruled out: keeping what silent VMs ran last (they may be dead, and a domain that is cut off would leave half its places empty). Change: an attempt that waits for its first event three times as long as the fastest server's mean, 0.1 s at least, is a sign that the server is full. An item goes elsewhere, an online request cuts an item there or asks a neighbour to; batch leaves the server alone for 0.5 s. Tests: GatewayFailure.AnItemThatFindsNoPlaceLeavesTheServer, .AnOnlineRequestThatFindsNoPlaceCutsAnItem. OnlineTakesPlacesOfBatch now looks 50 ms after in place of 100: its servers never answer, which is a sign now.

--- a/src/adapters/neighbours.c
+++ b/src/adapters/neighbours.c
@@ -275,8 +275,7 @@
 	    connection->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MOST_MS);
 	set_option(
 	    connection->socket, ZMQ_CONNECT_TIMEOUT, SILENT_CONNECTION_MS);
-	set_option(
-	    connection->socket, ZMQ_HANDSHAKE_IVL, SILENT_CONNECTION_MS);
+	set_option(connection->socket, ZMQ_HANDSHAKE_IVL, SILENT_CONNECTION_MS);
 	set_option(connection->socket, ZMQ_TCP_MAXRT, SILENT_CONNECTION_MS);
 	(void)snprintf(
 	    endpoint, sizeof(endpoint), "tcp://%s", outgoing->address);
--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -115,7 +115,6 @@
     jj_ms_t now, jj_actions_t *out)
 {
 	jj_gateway_entry_t *entry;
-	jj_action_t *action;
 
 	TAILQ_FOREACH_REVERSE(entry, &gateway->sent, jj_gateway_entries, link)
 	{
@@ -125,15 +124,24 @@
 	}
 	if (entry == NULL)
 		return false;
-	action = jj_actions_add(out, JJ_ACTION_BACKEND_CANCEL);
+	jj_gateway_cut_item(gateway, entry, why, now, out);
+	return true;
+}
+
+void
+jj_gateway_cut_item(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const char *why, jj_ms_t now, jj_actions_t *out)
+{
+	jj_action_t *action = jj_actions_add(out, JJ_ACTION_BACKEND_CANCEL);
+
 	action->body.cancel.request = entry->request;
 	action->body.cancel.attempt = entry->attempt;
 	jj_actions_add_event(out, "item_cut",
 	    "request=%s server=%s for=%s ran_ms=%lld", entry->id,
-	    server->info.id.text, why, (long long)(now - entry->sent_ms));
+	    entry->server->info.id.text, why,
+	    (long long)(now - entry->sent_ms));
 	jj_gateway_leave_server(gateway, entry);
 	TAILQ_REMOVE(&gateway->waiting, entry, link);
 	entry->rest_until_ms = now + CUT_REST_MS;
 	jj_gateway_wait(gateway, entry);
-	return true;
 }
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -26,6 +26,12 @@
 check_entry(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static void
 make_room(jj_gateway_t *, jj_slot_server_t *, jj_ms_t, jj_actions_t *);
+static void
+take_place(jj_gateway_t *, jj_slot_server_t *, jj_ms_t, jj_actions_t *);
+static jj_ms_t
+wait_limit(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
+static void
+note_crowded(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static void take_failure(jj_gateway_t *, jj_gateway_entry_t *,
     const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
 static void take_sign(
@@ -239,6 +245,7 @@
 	entry->sent_ms = now;
 	entry->sign_ms = now;
 	entry->first_seen = false;
+	entry->crowded = false;
 	jj_slots_add(server, entry->class_of);
 	jj_gateway_note_loads(gateway);
 	action->body.start.request = entry->request;
@@ -271,7 +278,7 @@
 	}
 }
 
-/** True when it left its place. */
+/** True when it, or another one, left its place. */
 static bool
 check_entry(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
     jj_actions_t *out)
@@ -284,6 +291,11 @@
 		jj_gateway_give_up(gateway, entry, JJ_GIVE_UP_DEADLINE, out);
 		return true;
 	}
+	if (!entry->first_seen && !entry->crowded &&
+	    now - entry->sent_ms >= wait_limit(gateway, entry, now)) {
+		note_crowded(gateway, entry, now, out);
+		return true;
+	}
 	if (!entry->repeatable ||
 	    now - entry->sign_ms < gateway->settings.stall_ms)
 		return false;
@@ -345,12 +357,18 @@
 static void
 make_room(jj_gateway_t *gateway, jj_slot_server_t *server, jj_ms_t now,
     jj_actions_t *out)
+{
+	if (jj_slot_server_taken(server) >= server->info.slots)
+		take_place(gateway, server, now, out);
+}
+
+static void
+take_place(jj_gateway_t *gateway, jj_slot_server_t *server, jj_ms_t now,
+    jj_actions_t *out)
 {
 	const jj_name_t *vm;
 	jj_message_t *message;
 
-	if (jj_slot_server_taken(server) < server->info.slots)
-		return;
 	if (jj_gateway_cut(gateway, server, "online", now, out))
 		return;
 	vm = jj_slots_ask_to_yield(server);
@@ -360,6 +378,46 @@
 	message->body.yield = server->hash;
 }
 
+static jj_ms_t
+wait_limit(
+    const jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	jj_ms_t limit =
+	    jj_slots_wait_limit(gateway->slots, &entry->service, now);
+
+	if (limit >= gateway->settings.stall_ms || entry->crowded_tries > 4)
+		return JJ_MS_NEVER;
+	return limit << entry->crowded_tries;
+}
+
+/**
+ * Guards against places that nobody has told of: after a cut, a loss of power
+ * or a start VMs do not hear each other yet, each counts the servers' places
+ * for itself, and online requests wait behind the others' items. How long a
+ * first event takes is a sign that needs no message. An item takes longer
+ * with each try, so that a long prompt comes through.
+ */
+static void
+note_crowded(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_slot_server_t *server = entry->server;
+
+	entry->crowded = true;
+	jj_slots_note_crowded(server, now);
+	jj_actions_add_event(out, "server_crowded",
+	    "request=%s server=%s waits_ms=%lld own=%u+%u others=%u+%u slots=%u",
+	    entry->id, server->info.id.text, (long long)(now - entry->sent_ms),
+	    server->online, server->batch, server->others_online,
+	    server->others_batch, server->info.slots);
+	if (entry->class_of == JJ_CLASS_ONLINE) {
+		take_place(gateway, server, now, out);
+		return;
+	}
+	entry->crowded_tries++;
+	jj_gateway_cut_item(gateway, entry, "crowded", now, out);
+}
+
 static void
 take_sign(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
     const jj_backend_event_t *event, jj_ms_t now)
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -37,6 +37,8 @@
 	jj_ms_t sign_ms; /**< the server was last heard then */
 	jj_ms_t first_ms; /**< first event of all attempts; 0: none yet */
 	bool first_seen; /**< an event of this attempt was seen */
+	bool crowded; /**< this attempt waits longer than a free place takes */
+	uint32_t crowded_tries; /**< attempts that did */
 	bool relayed; /**< part of the answer is at the caller */
 	bool may_have_run; /**< in any attempt */
 } jj_gateway_entry_t;
@@ -134,6 +136,9 @@
 void jj_gateway_wait(jj_gateway_t *gateway, jj_gateway_entry_t *entry);
 /** Sends items while servers have room for them. */
 void jj_gateway_pump(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Takes an item off its server; it goes on elsewhere a little later. */
+void jj_gateway_cut_item(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const char *why, jj_ms_t now, jj_actions_t *out);
 /** Cuts the newest item of this VM there; false when there is none. */
 bool jj_gateway_cut(jj_gateway_t *gateway, jj_slot_server_t *server,
     const char *why, jj_ms_t now, jj_actions_t *out);
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -29,6 +29,15 @@
 /* First and longest rest after a failure, ms. */
 #define REST_MS 200
 #define REST_MOST_MS 3000
+/*
+ * A first event that takes this many times the fastest server's mean, and this
+ * long at least, waits behind requests that nobody has told of. An item then
+ * looks elsewhere, and batch leaves the server alone for about as long as an
+ * online request holds a place.
+ */
+#define CROWDED_TIMES 3.0
+#define CROWDED_LEAST_MS 100.0
+#define CROWDED_REST_MS 500
 /* Rest after a refusal that names no time: about one step of its queue, ms. */
 #define REFUSAL_REST_MS 50
 
@@ -229,7 +238,8 @@
 		double free_places;
 
 		if (!is_candidate(server, service, avoid, now) ||
-		    !is_offered(slots, server) || server->open_connects > 1)
+		    !is_offered(slots, server) || server->open_connects > 1 ||
+		    now < server->crowded_until_ms)
 			continue;
 		/* Two free places abroad are as good as one at home. */
 		if (limit <
@@ -340,6 +350,24 @@
 		server->rest_until_ms = until;
 }
 
+jj_ms_t
+jj_slots_wait_limit(
+    const jj_slots_t *slots, const jj_name_t *service, jj_ms_t now)
+{
+	double usual = fastest(slots, service, now);
+	double limit = CROWDED_TIMES * usual;
+
+	if (usual == 0)
+		return JJ_MS_NEVER;
+	return (jj_ms_t)(limit > CROWDED_LEAST_MS ? limit : CROWDED_LEAST_MS);
+}
+
+void
+jj_slots_note_crowded(jj_slot_server_t *server, jj_ms_t now)
+{
+	server->crowded_until_ms = now + CROWDED_REST_MS;
+}
+
 void
 jj_slots_take_loads(jj_slots_t *slots, const jj_name_t *from,
     const jj_load_t *loads, uint32_t count, bool whole)
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -69,6 +69,8 @@
 	jj_slot_neighbour_t *neighbours; /**< owned */
 	uint32_t failures; /**< in a row */
 	jj_ms_t rest_until_ms; /**< no new work before */
+	jj_ms_t
+	    crowded_until_ms; /**< no batch before: it is fuller than told */
 	double first_ms; /**< mean wait for a first event, 0: none seen */
 	double open_connects; /**< connections begun, not yet answered */
 } jj_slot_server_t;
@@ -100,6 +102,14 @@
 /** Forgets servers that are gone and run nothing of this VM. */
 void jj_slots_tick(jj_slots_t *slots, jj_ms_t now);
 
+/**
+ * A request that waits longer for its first event has found no free place.
+ * JJ_MS_NEVER while no server of the service has answered yet.
+ */
+jj_ms_t jj_slots_wait_limit(
+    const jj_slots_t *slots, const jj_name_t *service, jj_ms_t now);
+/** A request found no place there: batch stays away for a while. */
+void jj_slots_note_crowded(jj_slot_server_t *server, jj_ms_t now);
 /** The server of that id, or NULL. */
 jj_slot_server_t *jj_slots_find(const jj_slots_t *slots, const char *id);
 /** The server that messages name by this number, or NULL. */
--- a/tests/core/gateway_test.cc
+++ b/tests/core/gateway_test.cc
@@ -522,10 +522,53 @@
 	EXPECT_EQ(4U, jj_gateway_waiting_items(gateway));
 	happens(first, JJ_BACKEND_DONE);
 	happens(second, JJ_BACKEND_DONE);
-	tick(100);
+	tick(50);
 	EXPECT_EQ(2U, server("s1")->batch);
 }
 
+/*
+ * After a cut VMs did not hear each other and each filled all places with its
+ * items; online requests waited 600 ms behind them. An item that waits too
+ * long for its first event goes away and comes back only later, to servers
+ * that nobody crowds first.
+ */
+TEST_F(GatewayFailure, AnItemThatFindsNoPlaceLeavesTheServer)
+{
+	happens(begin("/once/1"), JJ_BACKEND_DONE);
+	submit("j", 1);
+	tick(50);
+	EXPECT_EQ(1U, server("s1")->batch);
+	tick(99);
+	EXPECT_EQ(1U, server("s1")->batch);
+	tick(1);
+	EXPECT_EQ(0U, server("s1")->batch);
+	see(2, "servers/s2", "verona ready");
+	tick(50);
+	EXPECT_EQ(0U, server("s1")->batch);
+	EXPECT_EQ(1U, server("s2")->batch);
+	EXPECT_EQ(0U, jj_gateway_waiting_items(gateway));
+}
+
+/*
+ * The same from the side of an online request: a place seemed free, yet its
+ * first event does not come. One item of this VM there makes room for it.
+ */
+TEST_F(GatewayFailure, AnOnlineRequestThatFindsNoPlaceCutsAnItem)
+{
+	happens(begin("/once/1"), JJ_BACKEND_DONE);
+	submit("j", 1);
+	tick(50);
+	happens(said.rbegin()->first, JJ_BACKEND_FIRST);
+	uint64_t request = begin("/once/1");
+	EXPECT_EQ(1U, server("s1")->batch);
+	tick(99);
+	EXPECT_EQ(1U, server("s1")->batch);
+	tick(1);
+	EXPECT_EQ(0U, server("s1")->batch);
+	EXPECT_EQ(1U, server("s1")->online);
+	EXPECT_EQ(0, said[request].answers);
+}
+
 /*
  * A whole process ended by itself: a stream and items were silent at one
  * moment, as after a cut. The stream was sent again, which cut the item that
