Items that cannot be in time run behind those that can

In a backlog each late item makes the next one late. Ruled out: items begun anew without what they had (they go on behind the last event; 368 of 591 results are of several runs), free places (none while items wait). Change: items that cannot end in time, by what others take at servers and what this one had, wait behind those that can, and are the first to be cut. Test: GatewayFailure.LateItemsRunBehindThoseThatCanBeInTime, red without.

--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -13,9 +13,16 @@
 
 /** A cut item rests, so that it does not take the place it has just left. */
 #define CUT_REST_MS 40
+/** How far the mean time of an item at servers moves with each one. */
+#define ITEM_MEAN_SHARE 0.1
 /** Servers an item may be sent to; its failures are counted by its job. */
 #define ATTEMPTS_MOST UINT32_MAX
 
+static void
+pump_items(jj_gateway_t *, bool, const jj_name_t **, jj_ms_t, jj_actions_t *);
+static bool is_late(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
+static jj_ms_t ran_ms(const jj_gateway_entry_t *, jj_ms_t);
+
 uint64_t
 jj_gateway_begin_item(void *ctx, const jj_inline_job_t *job,
     const jj_inline_item_t *item, const jj_route_t *route, jj_ms_t due_ms,
@@ -82,49 +89,105 @@
 		TAILQ_INSERT_TAIL(&gateway->waiting, entry, link);
 }
 
+/**
+ * Those first that can still be in time, of them the first due. A late item
+ * earns a tenth, and run first it makes the next one late too: in a backlog
+ * all would be.
+ */
 void
 jj_gateway_pump(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
-	jj_gateway_entry_t *entry;
-	jj_gateway_entry_t *next;
-	jj_slot_server_t *server;
 	const jj_name_t *full = NULL;
 
 	if (gateway->leaving)
 		return;
+	pump_items(gateway, false, &full, now, out);
+	pump_items(gateway, true, &full, now, out);
+}
+
+/**
+ * Sends the items that are late, or those that are not.
+ * @param full a service without room, or NULL; kept between calls.
+ */
+static void
+pump_items(jj_gateway_t *gateway, bool late, const jj_name_t **full,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_gateway_entry_t *entry;
+	jj_gateway_entry_t *next;
+	jj_slot_server_t *server;
+
 	for (entry = TAILQ_FIRST(&gateway->waiting); entry != NULL;
 	     entry = next) {
 		next = TAILQ_NEXT(entry, link);
 		if (entry->class_of != JJ_CLASS_BATCH ||
 		    now < entry->rest_until_ms)
 			continue;
-		if (full != NULL && jj_name_equal(full, &entry->service))
+		if (*full != NULL && jj_name_equal(*full, &entry->service))
+			continue;
+		if (is_late(gateway, entry, now) != late)
 			continue;
 		server = jj_slots_choose_batch(
 		    gateway->slots, &entry->service, NULL, now);
 		if (server == NULL) {
-			full = &entry->service;
+			*full = &entry->service;
 			continue;
 		}
 		jj_gateway_send(gateway, entry, server, now, out);
 	}
 }
 
+/** It cannot end in time any more, if it takes as long as others do. */
+static bool
+is_late(
+    const jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	jj_ms_t left = (jj_ms_t)gateway->item_mean_ms - ran_ms(entry, now);
+
+	return now + (left > 0 ? left : 0) > entry->due_ms;
+}
+
+/** How long it was at servers, in all attempts. */
+static jj_ms_t
+ran_ms(const jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	return entry->ran_ms + (entry->first_seen ? now - entry->sent_ms : 0);
+}
+
+void
+jj_gateway_note_item_end(
+    jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	jj_ms_t took = ran_ms(entry, now);
+
+	if (gateway->item_mean_ms == 0)
+		gateway->item_mean_ms = (double)took;
+	gateway->item_mean_ms +=
+	    ITEM_MEAN_SHARE * ((double)took - gateway->item_mean_ms);
+}
+
 bool
 jj_gateway_cut(jj_gateway_t *gateway, jj_slot_server_t *server, const char *why,
     jj_ms_t now, jj_actions_t *out)
 {
+	jj_gateway_entry_t *chosen = NULL;
 	jj_gateway_entry_t *entry;
 
 	TAILQ_FOREACH_REVERSE(entry, &gateway->sent, jj_gateway_entries, link)
 	{
-		if (entry->class_of == JJ_CLASS_BATCH &&
-		    entry->server == server)
-			break;
+		if (entry->class_of != JJ_CLASS_BATCH ||
+		    entry->server != server)
+			continue;
+		if (chosen == NULL)
+			chosen = entry;
+		if (!is_late(gateway, entry, now))
+			continue;
+		chosen = entry;
+		break;
 	}
-	if (entry == NULL)
+	if (chosen == NULL)
 		return false;
-	jj_gateway_cut_item(gateway, entry, why, now, out);
+	jj_gateway_cut_item(gateway, chosen, why, now, out);
 	return true;
 }
 
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -224,6 +224,9 @@
 jj_gateway_leave_server(jj_gateway_t *gateway, jj_gateway_entry_t *entry)
 {
 	TAILQ_REMOVE(&gateway->sent, entry, link);
+	if (entry->first_seen)
+		entry->ran_ms += gateway->now - entry->sent_ms;
+	entry->first_seen = false;
 	jj_slots_remove(entry->server, entry->class_of);
 	entry->server = NULL;
 	TAILQ_INSERT_HEAD(&gateway->waiting, entry, link);
@@ -453,6 +456,8 @@
 	if (entry->class_of == JJ_CLASS_BATCH) {
 		uint64_t request = entry->request;
 
+		if (event->kind == JJ_BACKEND_DONE)
+			jj_gateway_note_item_end(gateway, entry, now);
 		if (event->kind == JJ_BACKEND_REJECTED)
 			end = status == 422 ? JJ_INLINE_REFUSED
 					    : JJ_INLINE_FAILED;
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -34,6 +34,7 @@
 	jj_slot_server_t *server; /**< where it is, or NULL */
 	jj_name_t last_server; /**< of the attempt before */
 	jj_ms_t sent_ms;
+	jj_ms_t ran_ms; /**< at servers, in the attempts before this one */
 	jj_ms_t sign_ms; /**< the server was last heard then */
 	jj_ms_t first_ms; /**< first event of all attempts; 0: none yet */
 	bool first_seen; /**< an event of this attempt was seen */
@@ -74,6 +75,8 @@
 	jj_mirror_t retire_mirror;
 	uint64_t random;
 	double mean_ms; /**< how long online requests hold their places */
+	double
+	    item_mean_ms; /**< how long items do, in all attempts; 0: unknown */
 
 	LIST_HEAD(, jj_gateway_entry) buckets[JJ_GATEWAY_BUCKETS];
 	struct jj_gateway_entries sent; /**< at a server, oldest first */
@@ -139,7 +142,13 @@
 /** Takes an item off its server; it goes on elsewhere a little later. */
 void jj_gateway_cut_item(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
     const char *why, jj_ms_t now, jj_actions_t *out);
-/** Cuts the newest item of this VM there; false when there is none. */
+/** An item is done: how long it was at servers. */
+void jj_gateway_note_item_end(
+    jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now);
+/**
+ * Cuts an item of this VM there, a late one if there is one, else the newest;
+ * false when there is none.
+ */
 bool jj_gateway_cut(jj_gateway_t *gateway, jj_slot_server_t *server,
     const char *why, jj_ms_t now, jj_actions_t *out);
 /** Starts an attempt at a server. */
--- a/tests/core/gateway_test.cc
+++ b/tests/core/gateway_test.cc
@@ -351,6 +351,9 @@
 	}
 };
 
+/** Number of the first item's request; the next ones follow. */
+constexpr uint64_t FIRST_ITEM = (UINT64_C(1) << 62) + 1;
+
 class GatewayFailure : public Gateway
 {
 };
@@ -549,6 +552,33 @@
 	EXPECT_EQ(0U, jj_gateway_waiting_items(gateway));
 }
 
+/*
+ * A backlog: an item that was late already ran before one that could have
+ * been in time, and so made it late too. It runs behind, and it is the one
+ * that gives its place to an online request.
+ */
+TEST_F(GatewayFailure, LateItemsRunBehindThoseThatCanBeInTime)
+{
+	constexpr jj_ms_t DUE_MS = 18000;
+
+	see(2, "servers/s1", "verona draining");
+	submit("late", 1);
+	uint64_t late = FIRST_ITEM;
+	tick(DUE_MS + 1);
+	submit("young", 2);
+	see(2, "servers/s2", "verona ready");
+	tick(50);
+	EXPECT_EQ(1U, attempts(late + 1));
+	EXPECT_EQ(1U, attempts(late + 2));
+	EXPECT_EQ(0U, attempts(late));
+	happens(late + 1, JJ_BACKEND_DONE);
+	tick(50);
+	EXPECT_EQ(1U, attempts(late));
+	(void)begin("/once/1");
+	EXPECT_EQ(1U, said[late].cancelled.size());
+	EXPECT_EQ(0U, said[late + 2].cancelled.size());
+}
+
 /*
  * The same from the side of an online request: a place seemed free, yet its
  * first event does not come. One item of this VM there makes room for it.
