A VM cut off from the platform alone has a neighbour make its jobs' calls

Ruled out: a slow store (the others' calls take 5 ms), full servers. Change: after an unanswered call, reads and writes of one object of jobs go to a VM that is heard (core/gateway_lend), the next one if that cannot either, and are the VM's own again once the platform has answered one. 429 is an answer: no limit is passed by. Two message kinds. The tests' gateway settings moved to tests/core/gateway_world.h.

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -246,6 +246,24 @@
 };
 LAYOUT(struck_layout, jj_message_t, struck_fields);
 
+static const field_t lend_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.lend.number),
+    ENUM(jj_message_t, body.lend.op, JJ_PLATFORM_DELETE),
+    TEXT(jj_message_t, body.lend.key),
+    FIELD(FIELD_U64, jj_message_t, body.lend.version),
+    BYTES(jj_message_t, body.lend.value, JJ_OBJECT_VALUE_MAX),
+};
+LAYOUT(lend_layout, jj_message_t, lend_fields);
+
+static const field_t lent_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.lent.number),
+    ENUM(jj_message_t, body.lent.outcome, JJ_PLATFORM_UNKNOWN),
+    FIELD(FIELD_U64, jj_message_t, body.lent.version),
+    FIELD(FIELD_I64, jj_message_t, body.lent.retry_after_ms),
+    BYTES(jj_message_t, body.lent.value, JJ_OBJECT_VALUE_MAX),
+};
+LAYOUT(lent_layout, jj_message_t, lent_fields);
+
 static const field_t server_fields[] = {
     TEXT(jj_message_t, body.server.server.text),
     FIELD(FIELD_U64, jj_message_t, body.server.boot),
@@ -317,6 +335,8 @@
     [JJ_MESSAGE_RELAY] = &relay_layout,
     [JJ_MESSAGE_JOB_STATES] = &job_states_layout,
     [JJ_MESSAGE_STRUCK] = &struck_layout,
+    [JJ_MESSAGE_LEND] = &lend_layout,
+    [JJ_MESSAGE_LENT] = &lent_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -148,6 +148,12 @@
 	case JJ_MESSAGE_RELAY:
 		jj_bytes_free(&message->body.relay.events);
 		break;
+	case JJ_MESSAGE_LEND:
+		jj_bytes_free(&message->body.lend.value);
+		break;
+	case JJ_MESSAGE_LENT:
+		jj_bytes_free(&message->body.lent.value);
+		break;
 	case JJ_MESSAGE_JOBS:
 	case JJ_MESSAGE_VMS:
 		jj_bytes_free(&message->body.jobs.events);
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -70,6 +70,8 @@
 	gateway->jobs = jj_inline_create(&gateway->settings.jobs, &jobs);
 	TAILQ_INIT(&gateway->sent);
 	TAILQ_INIT(&gateway->waiting);
+	TAILQ_INIT(&gateway->borrowed);
+	TAILQ_INIT(&gateway->lent);
 	init_mirrors(gateway);
 	jj_member_set_state(gateway->member, JJ_VM_SERVING);
 	return gateway;
@@ -91,6 +93,7 @@
 	while ((entry = TAILQ_FIRST(&gateway->waiting)) != NULL)
 		jj_gateway_free_entry(gateway, entry);
 	jj_actions_clear(&unused);
+	jj_gateway_drop_loans(gateway);
 	jj_slots_destroy(gateway->slots);
 	jj_quarantine_destroy(gateway->quarantine);
 	jj_member_destroy(gateway->member);
@@ -160,7 +163,10 @@
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
 {
 	enter(gateway, now, out);
-	if (result->owner == JJ_OWNER_INLINE)
+	jj_gateway_note_reach(gateway, result, now);
+	if (result->owner == JJ_OWNER_LENT)
+		jj_gateway_take_lent_result(gateway, result, out);
+	else if (result->owner == JJ_OWNER_INLINE)
 		jj_inline_take_result(gateway->jobs, result, now, out);
 	else if (result->token == TOKEN_CONFIG)
 		jj_mirror_take_result(&gateway->config_mirror, result, now);
@@ -202,6 +208,7 @@
 	jj_quarantine_tick(gateway->quarantine, now);
 	jj_slots_tick(gateway->slots, now);
 	jj_gateway_check_times(gateway, now, out);
+	jj_gateway_tick_loans(gateway, now, out);
 	jj_inline_tick(gateway->jobs, now, out);
 	jj_gateway_tick_relay(gateway, now, out);
 	leave_step(gateway, now, out);
@@ -539,6 +546,7 @@
 
 	jj_gateway_pump(gateway, now, out);
 	jj_gateway_tell_loads(gateway, now, out);
+	jj_gateway_borrow(gateway, now, out);
 	TAILQ_FOREACH(action, out, link)
 	{
 		if (action->kind == JJ_ACTION_SEND &&
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -87,6 +87,12 @@
 	case JJ_MESSAGE_STRUCK:
 		(void)jj_struck_take(gateway->quarantine, message, now, out);
 		break;
+	case JJ_MESSAGE_LEND:
+		jj_gateway_lend(gateway, message, now, out);
+		break;
+	case JJ_MESSAGE_LENT:
+		jj_gateway_take_lent(gateway, message, now, out);
+		break;
 	case JJ_MESSAGE_YIELD:
 		server =
 		    jj_slots_find_hash(gateway->slots, message->body.yield);
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -55,6 +55,18 @@
 
 #define JJ_GATEWAY_BROKEN_MAX 64
 
+/** A call of this VM that another one carries out, or the other way round. */
+typedef struct jj_gateway_loan {
+	TAILQ_ENTRY(jj_gateway_loan) link;
+	uint64_t number; /**< of the VM that asks */
+	jj_name_t vm; /**< the other one */
+	uint64_t token; /**< of the call, here */
+	jj_platform_op_t op;
+	jj_ms_t asked_ms;
+} jj_gateway_loan_t;
+
+TAILQ_HEAD(jj_gateway_loans, jj_gateway_loan);
+
 /** A VM of ours by the platform's list. */
 typedef struct {
 	jj_name_t name;
@@ -103,6 +115,13 @@
 	size_t vm_count;
 	jj_gateway_vm_t *vms; /**< owned */
 	bool retired; /**< the order to empty this VM was answered */
+	struct jj_gateway_loans borrowed; /**< calls others make for this VM */
+	struct jj_gateway_loans lent; /**< calls this VM makes for others */
+	uint64_t loans; /**< numbers given so far */
+	jj_ms_t unreached_ms; /**< the platform last left a call of this VM
+				 unanswered; 0 once it has answered one */
+	jj_name_t lender; /**< who is asked */
+	bool lender_failed; /**< its last word was that it cannot either */
 	uint32_t broken_count;
 	jj_gateway_broken_t broken[JJ_GATEWAY_BROKEN_MAX];
 
@@ -182,6 +201,26 @@
 void jj_gateway_take_relay(jj_gateway_t *gateway, const jj_relay_news_t *news,
     jj_ms_t now, jj_actions_t *out);
 
+/* Platform calls through another VM (gateway_lend.c). */
+/** A result of a call of this VM's own: does the platform answer it? */
+void jj_gateway_note_reach(
+    jj_gateway_t *gateway, const jj_platform_result_t *result, jj_ms_t now);
+/** Sends calls of jobs to another VM while this one does not reach. */
+void jj_gateway_borrow(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Another VM asks: makes its call. */
+void jj_gateway_lend(jj_gateway_t *gateway, const jj_message_t *message,
+    jj_ms_t now, jj_actions_t *out);
+/** What came of a call made for another VM. */
+void jj_gateway_take_lent_result(jj_gateway_t *gateway,
+    const jj_platform_result_t *result, jj_actions_t *out);
+/** What came of a call that another VM made. */
+void jj_gateway_take_lent(jj_gateway_t *gateway, const jj_message_t *message,
+    jj_ms_t now, jj_actions_t *out);
+/** Calls that no word has come of count as not answered. */
+void
+jj_gateway_tick_loans(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+void jj_gateway_drop_loans(jj_gateway_t *gateway);
+
 /* VMs and orders at the platform (gateway_vms.c). */
 void jj_gateway_tick_vms(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 /** Takes a result of the list of VMs or of the own entry; false: not ours. */
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -9,7 +9,7 @@
 #ifndef JJ_CORE_MESSAGE_H
 #define JJ_CORE_MESSAGE_H
 
-#include "core/types.h"
+#include "core/platform_call.h"
 
 /** Version of this set of messages; another one is dropped and counted. */
 #define JJ_MESSAGE_VERSION 2
@@ -52,6 +52,8 @@
 	JJ_MESSAGE_RELAY, /**< what a watch brought, for VMs that do not watch */
 	JJ_MESSAGE_JOB_STATES, /**< jobs that the sender runs */
 	JJ_MESSAGE_STRUCK, /**< requests known to have crashed servers */
+	JJ_MESSAGE_LEND, /**< call the platform for me, I do not reach it */
+	JJ_MESSAGE_LENT, /**< what came of that call */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -250,6 +252,20 @@
 			uint32_t count;
 			jj_struck_t entries[JJ_MESSAGE_STRUCK_MAX];
 		} struck;
+		struct {
+			uint64_t number; /**< of the asking process */
+			jj_platform_op_t op; /**< up to JJ_PLATFORM_DELETE */
+			char key[JJ_OBJECT_KEY_MAX + 1];
+			uint64_t version;
+			jj_bytes_t value;
+		} lend;
+		struct {
+			uint64_t number;
+			jj_platform_outcome_t outcome;
+			uint64_t version;
+			jj_ms_t retry_after_ms;
+			jj_bytes_t value;
+		} lent;
 		jj_server_notice_t server;
 		uint64_t yield; /**< jj_dispatch_hash_server of its name */
 		char job_ended[JJ_MESSAGE_JOB_ID_SIZE];
--- a/src/core/platform_call.h
+++ b/src/core/platform_call.h
@@ -22,6 +22,7 @@
 	JJ_OWNER_INTAKE,
 	JJ_OWNER_GATEWAY,
 	JJ_OWNER_INLINE,
+	JJ_OWNER_LENT, /**< for another VM, see core/gateway_lend.c */
 } jj_owner_t;
 
 typedef enum {
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -201,6 +201,22 @@
 			    JJ_MESSAGE_DEATHS_MAX,
 			    {UINT64_MAX, i, i + 1, i + 2}};
 	}},
+    {"Lend", JJ_MESSAGE_LEND,
+	[](jj_message_t *m) {
+		m->body.lend.number = UINT64_MAX;
+		m->body.lend.op = JJ_PLATFORM_DELETE;
+		memset(m->body.lend.key, 'k', JJ_OBJECT_KEY_MAX);
+		m->body.lend.version = 7;
+		m->body.lend.value = jj_bytes_from_text("{}");
+	}},
+    {"Lent", JJ_MESSAGE_LENT,
+	[](jj_message_t *m) {
+		m->body.lent.number = UINT64_MAX;
+		m->body.lent.outcome = JJ_PLATFORM_UNKNOWN;
+		m->body.lent.version = UINT64_MAX;
+		m->body.lent.retry_after_ms = 250;
+		m->body.lent.value = jj_bytes_from_text("{}");
+	}},
     {"Yield", JJ_MESSAGE_YIELD,
 	[](jj_message_t *m) { m->body.yield = UINT64_MAX; }},
     {"JobEnded", JJ_MESSAGE_JOB_ENDED,
--- a/tests/core/gateway_test.cc
+++ b/tests/core/gateway_test.cc
@@ -10,11 +10,7 @@
 
 #include <gtest/gtest.h>
 
-#include "tests/core/fake_platform.h"
-
-extern "C" {
-#include "core/gateway.h"
-}
+#include "tests/core/gateway_world.h"
 
 namespace
 {
@@ -27,59 +23,6 @@
 	jj_answer_t answer = {};
 };
 
-/** Routes by the version that stands in the object. */
-bool
-read_routes(void *ctx, const jj_bytes_t *object, jj_routes_t *routes, char *why,
-    size_t why_size)
-{
-	auto *list = static_cast<std::vector<jj_route_t> *>(ctx);
-	uint64_t version = strtoull(object->data, nullptr, 10);
-
-	if (version == 0) {
-		snprintf(why, why_size, "no version");
-		return false;
-	}
-	routes->version = version;
-	routes->route_count = list->size();
-	routes->routes = static_cast<jj_route_t *>(
-	    jj_alloc(list->size() * sizeof(jj_route_t)));
-	std::copy(list->begin(), list->end(), routes->routes);
-	return true;
-}
-
-/** "DOMAIN ready" or "DOMAIN draining". */
-bool
-read_server(
-    void *, const char *id, const jj_bytes_t *object, jj_slot_info_t *info)
-{
-	std::string text(object->data, object->size);
-
-	jj_name_set(&info->id, id);
-	jj_name_set(&info->service, "ordini");
-	jj_name_set(&info->domain, text.substr(0, text.find(' ')).c_str());
-	snprintf(info->address, sizeof(info->address), "10.0.0.9:80");
-	info->slots = 2;
-	info->draining = text.find("draining") != std::string::npos;
-	return true;
-}
-
-jj_bytes_t
-write_page(void *, const jj_inline_page_t *)
-{
-	return jj_bytes_from_text("page");
-}
-
-int64_t
-unix_ms(void *)
-{
-	return 1700000000000;
-}
-
-void
-on_routes(void *, const jj_routes_t *)
-{
-}
-
 class Gateway : public ::testing::Test
 {
       protected:
@@ -134,7 +77,8 @@
 	void
 	create(bool serves)
 	{
-		jj_gateway_settings_t settings = {};
+		jj_gateway_settings_t settings =
+		    describe_gateway("verona-1", 1);
 		jj_gateway_port_t port = {&routes, read_routes, read_server,
 		    write_page, unix_ms, on_routes};
 
@@ -142,48 +86,9 @@
 		for (auto &watch : watches)
 			jj_action_free(watch.second);
 		watches.clear();
-		jj_name_set(&settings.name, "verona-1");
-		jj_name_set(&settings.domain, "verona");
-		settings.incarnation = 1;
-		settings.member.name = settings.name;
-		jj_name_set(&settings.member.domain, "pianura");
-		settings.member.incarnation = 1;
-		settings.member.heartbeat_ms = 500;
-		settings.member.suspect_ms = 2000;
-		settings.member.forget_ms = 60000;
-		settings.quarantine = {2, 600000, 600000, 100};
-		settings.slots.name = settings.name;
-		settings.slots.domain = settings.domain;
-		settings.slots.reserve = 0;
-		settings.slots.queue_most = 1;
-		snprintf(settings.jobs.writer, sizeof(settings.jobs.writer),
-		    "verona-1/0000000000000001");
-		settings.jobs.publish_ms = 100;
-		settings.jobs.submit_ms = 3000;
-		settings.jobs.retry_ms = 50;
-		settings.jobs.retry_most_ms = 400;
-		settings.jobs.item_retry_ms = 100;
-		snprintf(settings.config_prefix, sizeof(settings.config_prefix),
-		    "config/");
-		snprintf(settings.config_key, sizeof(settings.config_key),
-		    "config/main");
-		snprintf(settings.servers_prefix,
-		    sizeof(settings.servers_prefix), "servers/");
 		snprintf(settings.retire_prefix, sizeof(settings.retire_prefix),
 		    "%s", serves ? "" : "retire/");
 		settings.serves = serves;
-		settings.watch_wait_ms = 20000;
-		settings.news_ms = 2000;
-		settings.backoff_ms = 100;
-		settings.backoff_most_ms = 800;
-		settings.vms_poll_ms = 5000;
-		settings.relist_grace_ms = 2000;
-		settings.tell_near_ms = 10;
-		settings.tell_far_ms = 100;
-		settings.stall_ms = 1500;
-		settings.connect_ms = 250;
-		settings.retry_after_ms = 250;
-		settings.connect_tries = 3;
 		gateway = jj_gateway_create(&settings, &port);
 		tick(0);
 		tick(0);
--- /dev/null
+++ b/tests/core/gateway_world.h
@@ -0,0 +1,119 @@
+/**
+ * @file gateway_world.h
+ * @brief What tests of whole gateways share: settings and a plain platform's
+ * wire, where a route list is its version and a server "DOMAIN ready".
+ */
+#ifndef TESTS_CORE_GATEWAY_WORLD_H
+#define TESTS_CORE_GATEWAY_WORLD_H
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "tests/core/fake_platform.h"
+
+extern "C" {
+#include "core/gateway.h"
+}
+
+/** Routes by the version that stands in the object. */
+inline bool
+read_routes(void *ctx, const jj_bytes_t *object, jj_routes_t *routes, char *why,
+    size_t why_size)
+{
+	auto *list = static_cast<std::vector<jj_route_t> *>(ctx);
+	uint64_t version = strtoull(object->data, nullptr, 10);
+
+	if (version == 0) {
+		snprintf(why, why_size, "no version");
+		return false;
+	}
+	routes->version = version;
+	routes->route_count = list->size();
+	routes->routes = static_cast<jj_route_t *>(
+	    jj_alloc(list->size() * sizeof(jj_route_t)));
+	std::copy(list->begin(), list->end(), routes->routes);
+	return true;
+}
+
+/** "DOMAIN ready" or "DOMAIN draining". */
+inline bool
+read_server(
+    void *, const char *id, const jj_bytes_t *object, jj_slot_info_t *info)
+{
+	std::string text(object->data, object->size);
+
+	jj_name_set(&info->id, id);
+	jj_name_set(&info->service, "ordini");
+	jj_name_set(&info->domain, text.substr(0, text.find(' ')).c_str());
+	snprintf(info->address, sizeof(info->address), "10.0.0.9:80");
+	info->slots = 2;
+	info->draining = text.find("draining") != std::string::npos;
+	return true;
+}
+
+inline jj_bytes_t
+write_page(void *, const jj_inline_page_t *)
+{
+	return jj_bytes_from_text("page");
+}
+
+inline int64_t
+unix_ms(void *)
+{
+	return 1700000000000;
+}
+
+inline void
+on_routes(void *, const jj_routes_t *)
+{
+}
+
+inline jj_gateway_settings_t
+describe_gateway(const char *name, jj_incarnation_t incarnation)
+{
+	jj_gateway_settings_t settings = {};
+
+	jj_name_set(&settings.name, name);
+	jj_name_set(&settings.domain, "verona");
+	settings.incarnation = incarnation;
+	settings.member.name = settings.name;
+	jj_name_set(&settings.member.domain, "pianura");
+	settings.member.incarnation = incarnation;
+	settings.member.heartbeat_ms = 500;
+	settings.member.suspect_ms = 2000;
+	settings.member.forget_ms = 60000;
+	settings.quarantine = {2, 600000, 600000, 100};
+	settings.slots.name = settings.name;
+	settings.slots.domain = settings.domain;
+	settings.slots.reserve = 0;
+	settings.slots.queue_most = 1;
+	snprintf(settings.jobs.writer, sizeof(settings.jobs.writer),
+	    "%s/%016llx", name, (unsigned long long)incarnation);
+	settings.jobs.publish_ms = 100;
+	settings.jobs.submit_ms = 3000;
+	settings.jobs.retry_ms = 50;
+	settings.jobs.retry_most_ms = 400;
+	settings.jobs.item_retry_ms = 100;
+	snprintf(
+	    settings.config_prefix, sizeof(settings.config_prefix), "config/");
+	snprintf(
+	    settings.config_key, sizeof(settings.config_key), "config/main");
+	snprintf(settings.servers_prefix, sizeof(settings.servers_prefix),
+	    "servers/");
+	settings.watch_wait_ms = 20000;
+	settings.news_ms = 2000;
+	settings.backoff_ms = 100;
+	settings.backoff_most_ms = 800;
+	settings.vms_poll_ms = 5000;
+	settings.relist_grace_ms = 2000;
+	settings.tell_near_ms = 10;
+	settings.tell_far_ms = 100;
+	settings.stall_ms = 1500;
+	settings.connect_ms = 250;
+	settings.retry_after_ms = 250;
+	settings.connect_tries = 3;
+	return settings;
+}
+
+#endif
