A server in doubt is tried by batch, and others hear that it is dark

Ruled out: overfill (under 6 in that time), the third server a request may try. Change: a server whose last word was a failure costs an online request nearly as much as a queue, so an item tries it first; a VM that cannot connect tells the others, who doubt it unless it answered them within 0.3 s. Tests: Slots.AServerInDoubtIsTriedByBatch, .AnotherVmsFailureCountsUnlessTheServerHasJustAnswered, Lend.WhatOneVmCannotReachTheOthersDoubt.

--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -87,6 +87,13 @@
 	case JJ_MESSAGE_STRUCK:
 		(void)jj_struck_take(gateway->quarantine, message, now, out);
 		break;
+	case JJ_MESSAGE_SERVER_STATE:
+		server = jj_slots_find(
+		    gateway->slots, message->body.server.server.text);
+		if (server != NULL &&
+		    message->body.server.state == JJ_SERVER_DOWN)
+			jj_slots_note_doubt(server, now);
+		break;
 	case JJ_MESSAGE_LEND:
 		jj_gateway_lend(gateway, message, now, out);
 		break;
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -40,6 +40,7 @@
     const jj_backend_event_t *, int, jj_bytes_t *, jj_ms_t, jj_actions_t *);
 static void note_server(
     jj_gateway_t *, jj_gateway_entry_t *, const jj_backend_event_t *, jj_ms_t);
+static void tell_unreachable(jj_gateway_t *, const jj_slot_server_t *);
 static void note_broken(
     jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static void note_unreachable(
@@ -433,7 +434,7 @@
 	if (entry->first_ms == 0)
 		entry->first_ms = now;
 	entry->may_have_run = true;
-	jj_slots_note_first(entry->server, now - entry->sent_ms);
+	jj_slots_note_first(entry->server, now - entry->sent_ms, now);
 }
 
 /** A whole answer, relayed already; or an item's. */
@@ -445,7 +446,7 @@
 	jj_inline_end_t end = JJ_INLINE_DONE;
 
 	if (!entry->first_seen)
-		jj_slots_note_first(entry->server, now - entry->sent_ms);
+		jj_slots_note_first(entry->server, now - entry->sent_ms, now);
 	if (event->kind == JJ_BACKEND_DONE)
 		jj_quarantine_clear(gateway->quarantine, entry->fingerprint);
 	if (entry->class_of == JJ_CLASS_ONLINE)
@@ -531,7 +532,6 @@
 note_server(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
     const jj_backend_event_t *event, jj_ms_t now)
 {
-	(void)gateway;
 	switch (event->kind) {
 	case JJ_BACKEND_REFUSED:
 		jj_slots_note_refusal(
@@ -542,14 +542,39 @@
 		entry->server->info.draining = true;
 		break;
 	case JJ_BACKEND_NOT_SENT:
+		if (jj_slots_note_failure(entry->server, now))
+			tell_unreachable(gateway, entry->server);
+		break;
 	case JJ_BACKEND_BROKEN:
-		jj_slots_note_failure(entry->server, now);
+		(void)jj_slots_note_failure(entry->server, now);
 		break;
 	default:
 		break;
 	}
 }
 
+/**
+ * A dark server costs each request that tries it the time of a connection,
+ * which alone makes an online one late; so the others need not find out.
+ */
+static void
+tell_unreachable(jj_gateway_t *gateway, const jj_slot_server_t *server)
+{
+	jj_member_info_t *infos;
+	size_t count = jj_gateway_list_others(gateway, &infos);
+	jj_message_t *message;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		message = jj_actions_add_message(
+		    gateway->out, &infos[i].name, JJ_MESSAGE_SERVER_STATE);
+		message->body.server.server = server->info.id;
+		message->body.server.boot = server->hash;
+		message->body.server.state = JJ_SERVER_DOWN;
+	}
+	free(infos);
+}
+
 /**
  * Several requests that break off at one moment at one server, or one at a
  * server that then takes no connection: it crashed. Those without a first
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -18,6 +18,11 @@
 #define COST_ABROAD 0.9
 /* Equal costs differ by up to this. */
 #define COST_SPREAD 0.003
+/* A server whose last word was a failure: better to have an item cut than to
+ * wait for a connection that may not come, worse to wait behind a request. */
+#define COST_DOUBTED 0.8
+/* A first event this young stands against another VM's failure, ms. */
+#define DOUBT_AFTER_MS 300
 /* Of a server where the request failed before: only if there is no other. */
 #define COST_AVOIDED 1000.0
 /* A connection that is not answered yet may be to a server that is dark. */
@@ -312,9 +317,10 @@
 }
 
 void
-jj_slots_note_first(jj_slot_server_t *server, jj_ms_t wait_ms)
+jj_slots_note_first(jj_slot_server_t *server, jj_ms_t wait_ms, jj_ms_t now)
 {
 	server->failures = 0;
+	server->answered_ms = now;
 	server->rest_until_ms = 0;
 	if (server->open_connects > 0)
 		server->open_connects -= 1;
@@ -325,18 +331,28 @@
 		    FIRST_SHARE * ((double)wait_ms + 1 - server->first_ms);
 }
 
-void
+bool
 jj_slots_note_failure(jj_slot_server_t *server, jj_ms_t now)
 {
 	jj_ms_t rest = REST_MOST_MS;
 
 	/* Failures of one moment are one: they broke together. */
 	if (now < server->rest_until_ms)
-		return;
+		return false;
 	if (server->failures < 4)
 		rest = (jj_ms_t)REST_MS << server->failures;
 	server->failures++;
 	server->rest_until_ms = now + rest;
+	return true;
+}
+
+void
+jj_slots_note_doubt(jj_slot_server_t *server, jj_ms_t now)
+{
+	if (server->failures > 0 || now - server->answered_ms < DOUBT_AFTER_MS)
+		return;
+	server->failures = 1;
+	server->rest_until_ms = now + REST_MS;
 }
 
 void
@@ -556,6 +572,8 @@
 	cost += COST_OPEN_CONNECT *
 	    (server->open_connects > 1 ? server->open_connects - 1 : 0);
 	cost += slowness(server, best_ms) - 1;
+	if (server->failures > 0)
+		cost += COST_DOUBTED;
 	if (!server->local)
 		cost += COST_ABROAD;
 	return cost;
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -68,6 +68,7 @@
 	size_t neighbour_count;
 	jj_slot_neighbour_t *neighbours; /**< owned */
 	uint32_t failures; /**< in a row */
+	jj_ms_t answered_ms; /**< last first event or answer */
 	jj_ms_t rest_until_ms; /**< no new work before */
 	jj_ms_t
 	    crowded_until_ms; /**< no batch before: it is fuller than told */
@@ -144,9 +145,13 @@
 void jj_slots_add(jj_slot_server_t *server, jj_class_t class_of);
 void jj_slots_remove(jj_slot_server_t *server, jj_class_t class_of);
 /** A first event came after so long. */
-void jj_slots_note_first(jj_slot_server_t *server, jj_ms_t wait_ms);
+void
+jj_slots_note_first(jj_slot_server_t *server, jj_ms_t wait_ms, jj_ms_t now);
 /** It failed: it rests, longer each time in a row. */
-void jj_slots_note_failure(jj_slot_server_t *server, jj_ms_t now);
+/** @return false when it rests already: part of a failure that is known. */
+bool jj_slots_note_failure(jj_slot_server_t *server, jj_ms_t now);
+/** Another VM could not connect; an answer of late stands against it. */
+void jj_slots_note_doubt(jj_slot_server_t *server, jj_ms_t now);
 /** It asked to be left alone for so long (0: it did not say). */
 void
 jj_slots_note_refusal(jj_slot_server_t *server, jj_ms_t rest_ms, jj_ms_t now);
--- a/tests/core/gateway_lend_test.cc
+++ b/tests/core/gateway_lend_test.cc
@@ -1,6 +1,6 @@
 /**
  * @file gateway_lend_test.cc
- * @brief A VM that does not reach the platform, beside VMs that do.
+ * @brief A VM that does not reach the platform, or a server, beside others.
  */
 #include <deque>
 #include <map>
@@ -37,19 +37,9 @@
 
 	Lend()
 	{
-		jj_route_t route = {};
-
-		jj_name_set(&route.name, "batch");
-		snprintf(route.host, sizeof(route.host), "h");
-		snprintf(route.prefix, sizeof(route.prefix), "/batch/");
-		route.kind = JJ_ROUTE_BATCH;
-		route.attempts = 3;
-		route.run_due_ms = 18000;
-		route.retention_ms = 60000;
-		route.backend_count = 1;
-		jj_name_set(&route.backends[0].service, "ordini");
-		route.backends[0].weight = 1;
-		routes.push_back(route);
+		add_route("batch", "/batch/", JJ_ROUTE_BATCH);
+		add_route("online", "/online/", JJ_ROUTE_STREAM);
+		platform.put("servers/s1", "verona ready");
 		platform.put("config/main", "7");
 		for (int i = 1; i <= 3; i++)
 			create("verona-" + std::to_string(i), i);
@@ -63,6 +53,24 @@
 			jj_action_free(message.second);
 	}
 	void
+	add_route(const char *name, const char *prefix, jj_route_kind_t kind)
+	{
+		jj_route_t route = {};
+
+		jj_name_set(&route.name, name);
+		snprintf(route.host, sizeof(route.host), "h");
+		snprintf(route.prefix, sizeof(route.prefix), "%s", prefix);
+		route.kind = kind;
+		route.attempts = 3;
+		route.timeout_ms = 5000;
+		route.run_due_ms = 18000;
+		route.retention_ms = 60000;
+		route.backend_count = 1;
+		jj_name_set(&route.backends[0].service, "ordini");
+		route.backends[0].weight = 1;
+		routes.push_back(route);
+	}
+	void
 	create(const std::string &name, jj_incarnation_t incarnation)
 	{
 		jj_gateway_settings_t settings =
@@ -230,6 +238,35 @@
 	EXPECT_LT(vms["verona-1"].events["platform_call_lent"], 40);
 }
 
+/* One VM cannot connect to a server: the others hear of it before they send
+ * online requests there, each to wait for a connection in vain. */
+TEST_F(Lend, WhatOneVmCannotReachTheOthersDoubt)
+{
+	jj_gateway_request_t request = {};
+	jj_backend_event_t event = {};
+	jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+	jj_gateway_t *gateway = vms["verona-1"].gateway;
+
+	request.request = 1;
+	request.host = "h";
+	request.path = "/online/1";
+	request.budget_ms = 4000;
+	jj_gateway_begin(gateway, &request, now, &out);
+	carry_out("verona-1", &out);
+	event.request = 1;
+	event.attempt = 1;
+	event.kind = JJ_BACKEND_NOT_SENT;
+	jj_gateway_take_backend(gateway, &event, 0, nullptr, now, &out);
+	carry_out("verona-1", &out);
+	run(2 * STEP_MS);
+	for (const char *name : {"verona-1", "verona-2", "verona-3"}) {
+		const jj_slot_server_t *server =
+		    jj_slots_find(jj_gateway_slots(vms[name].gateway), "s1");
+		ASSERT_NE(nullptr, server);
+		EXPECT_EQ(1U, server->failures) << name;
+	}
+}
+
 /* A limit is an answer: it is kept, not passed by through a neighbour. */
 TEST_F(Lend, ALimitIsNotPassedBy)
 {
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -60,7 +60,7 @@
 		for (int i = 0; i < online + batch; i++) {
 			jj_slots_add(server,
 			    i < online ? JJ_CLASS_ONLINE : JJ_CLASS_BATCH);
-			jj_slots_note_first(server, 50);
+			jj_slots_note_first(server, 50, 1000);
 		}
 	}
 	void
@@ -163,11 +163,46 @@
 	jj_slots_note_failure(server, 1200);
 	EXPECT_EQ("", online(nullptr, 1500));
 	EXPECT_EQ("s1", online(nullptr, 1600));
-	jj_slots_note_first(server, 40);
+	jj_slots_note_first(server, 40, 1900);
 	jj_slots_note_failure(server, 2000);
 	EXPECT_EQ("s1", online(nullptr, 2200)) << "a success forgets them";
 }
 
+/*
+ * Three servers had gone dark. They seemed empty, so each VM sent online
+ * requests there whenever they had rested, and each of those was late by the
+ * time of a connection that never came. An item tries such a server first.
+ */
+TEST_F(Slots, AServerInDoubtIsTriedByBatch)
+{
+	jj_slot_server_t *dark = learn("s1");
+	jj_slot_server_t *busy = learn("s2");
+
+	EXPECT_TRUE(jj_slots_note_failure(dark, 1000));
+	fill(busy, 0, 4);
+	EXPECT_EQ("s2", online(nullptr, 1300)) << "an item gives way";
+	EXPECT_EQ(dark,
+	    jj_slots_choose_batch(slots, &dark->info.service, nullptr, 1300));
+	for (int i = 0; i < 4; i++)
+		jj_slots_remove(busy, JJ_CLASS_BATCH);
+	fill(busy, 4, 0);
+	EXPECT_EQ("s1", online(nullptr, 1300)) << "better than a queue";
+	jj_slots_note_first(dark, 40, 1400);
+	EXPECT_EQ("s1", online(nullptr, 1400));
+}
+
+TEST_F(Slots, AnotherVmsFailureCountsUnlessTheServerHasJustAnswered)
+{
+	jj_slot_server_t *server = learn("s1");
+
+	jj_slots_note_first(server, 40, 1000);
+	jj_slots_note_doubt(server, 1299);
+	EXPECT_EQ("s1", online(nullptr, 1299));
+	jj_slots_note_doubt(server, 1300);
+	EXPECT_EQ("", online(nullptr, 1400));
+	EXPECT_EQ("s1", online(nullptr, 1500));
+}
+
 TEST_F(Slots, AServerOfAnEarlierTryIsTheLastResort)
 {
 	fill(learn("s1"), 0, 0);
@@ -202,7 +237,7 @@
 	jj_slot_server_t *slow = learn("s1");
 
 	fill(learn("s2"), 2, 0);
-	jj_slots_note_first(slow, 900);
+	jj_slots_note_first(slow, 900, 1000);
 	EXPECT_EQ("s2", online());
 }
 
