After a cut VMs hear each other sooner, and silence during it takes no job over

Ruled out: heartbeats (each 0.5 s), the platform's list of VMs. Change: a connection that is not open after 0.3 s is tried again, at least each 0.2 s. An owner's silence counts from when this VM's calls were answered again, if they were not for a second; a single lost answer changes nothing. Test: InlineFailure.SilenceDuringAnOwnCutTakesNoJobOver, red without.

--- a/src/adapters/neighbours.c
+++ b/src/adapters/neighbours.c
@@ -27,10 +27,15 @@
 #define MESSAGE_MAX (2 << 20)
 /** First and longest wait between connection attempts, milliseconds. */
 #define RECONNECT_MS 50
-#define RECONNECT_MOST_MS 500
+#define RECONNECT_MOST_MS 200
 /**
- * A connection that gets no acknowledgement, no answer to its opening or no
- * greeting for so long is opened anew, ms. Guards against a cut without a
+ * A connection that is not open after so long is tried again, ms: it opens
+ * within some ms, and the system's own second try comes after a second.
+ */
+#define CONNECT_MS 300
+/**
+ * A connection that gets no acknowledgement or no greeting for so long is
+ * opened anew, ms. Guards against a cut without a
  * word: the system's own retransmissions come more and more rarely, so that
  * VMs miss each other for seconds after the cut has ended, take each other's
  * jobs over and fill servers twice. Two heartbeats.
@@ -273,8 +278,7 @@
 	set_option(connection->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_option(
 	    connection->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MOST_MS);
-	set_option(
-	    connection->socket, ZMQ_CONNECT_TIMEOUT, SILENT_CONNECTION_MS);
+	set_option(connection->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_MS);
 	set_option(connection->socket, ZMQ_HANDSHAKE_IVL, SILENT_CONNECTION_MS);
 	set_option(connection->socket, ZMQ_TCP_MAXRT, SILENT_CONNECTION_MS);
 	(void)snprintf(
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -41,6 +41,7 @@
 static bool is_chosen(void *, const char *);
 static bool hears_others(void *);
 static bool misses_some(void *);
+static jj_ms_t reached_ms(void *);
 static const jj_route_t *find_route(void *, const char *, const char *);
 static int64_t unix_ms(void *);
 static jj_bytes_t write_page(void *, const jj_inline_page_t *);
@@ -54,7 +55,7 @@
 {
 	jj_gateway_t *gateway = jj_alloc(sizeof(*gateway));
 	jj_inline_port_t jobs = {gateway, is_live, is_chosen, hears_others,
-	    misses_some, find_route, unix_ms, jj_gateway_begin_item,
+	    misses_some, reached_ms, find_route, unix_ms, jj_gateway_begin_item,
 	    jj_gateway_cancel_item, write_page, jj_gateway_relay_jobs,
 	    jj_gateway_tell_ended};
 
@@ -483,6 +484,14 @@
 	return !jj_gateway_is_alone(ctx);
 }
 
+static jj_ms_t
+reached_ms(void *ctx)
+{
+	const jj_gateway_t *gateway = ctx;
+
+	return gateway->reached_ms;
+}
+
 /** Known VMs of the region that are silent, but for those long gone. */
 static bool
 misses_some(void *ctx)
--- a/src/core/gateway_lend.c
+++ b/src/core/gateway_lend.c
@@ -18,6 +18,9 @@
 /** No word of the other VM for so long: as good as no answer, ms. About what
  * a call of one's own may take. */
 #define LOAN_WAIT_MS 800
+/** Without an answer for so long this VM was cut off; less is a lost answer,
+ * ms. About two heartbeats. */
+#define CUT_LEAST_MS 1000
 /** Calls that one VM makes for others at a time. */
 #define LOANS_MOST 256
 
@@ -44,6 +47,9 @@
 		    "unreached_ms=%lld borrowed=%llu",
 		    (long long)(now - gateway->unreached_ms),
 		    (unsigned long long)gateway->loans);
+	if (reached && gateway->unreached_ms != 0 &&
+	    now - gateway->unreached_ms >= CUT_LEAST_MS)
+		gateway->reached_ms = now;
 	if (reached)
 		gateway->unreached_ms = 0;
 	else if (gateway->unreached_ms == 0) {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -120,6 +120,7 @@
 	uint64_t loans; /**< numbers given so far */
 	jj_ms_t unreached_ms; /**< the platform last left a call of this VM
 				 unanswered; 0 once it has answered one */
+	jj_ms_t reached_ms; /**< when it answered again, 0: always did */
 	jj_name_t lender; /**< who is asked */
 	bool lender_failed; /**< its last word was that it cannot either */
 	uint32_t broken_count;
--- a/src/core/inline.h
+++ b/src/core/inline.h
@@ -45,6 +45,8 @@
 	bool (*hears_others)(void *ctx);
 	/** True while some VM is not heard: it may take jobs of this one. */
 	bool (*misses_some)(void *ctx);
+	/** When the platform answered again after it had not; 0: never not. */
+	jj_ms_t (*reached_ms)(void *ctx);
 	/** The route of a job's host and path in force, or NULL. */
 	const jj_route_t *(*find_route)(
 	    void *ctx, const char *host, const char *path);
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -328,7 +328,12 @@
 		entry->lost_ms = JJ_MS_NEVER;
 		return false;
 	}
-	if (entry->lost_ms == JJ_MS_NEVER)
+	/*
+	 * Silence while this VM was cut off says nothing of the others: back
+	 * at the platform before it hears them, it took their jobs over.
+	 */
+	if (entry->lost_ms == JJ_MS_NEVER ||
+	    entry->lost_ms < jobs->port.reached_ms(jobs->port.ctx))
 		entry->lost_ms = now;
 	if (!jobs->port.hears_others(jobs->port.ctx))
 		patience = jobs->settings.alone_ms;
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -231,6 +231,26 @@
 	EXPECT_EQ("2 0: j-0=null j-1=eins", a.answer(a.read("j", 0)).body);
 }
 
+/*
+ * A domain was cut off. It reached the platform again a second before it heard
+ * the others, whom it had missed for six, and took their jobs over: work was
+ * begun anew that was nearly done.
+ */
+TEST_F(InlineFailure, SilenceDuringAnOwnCutTakesNoJobOver)
+{
+	(void)b.submit("j", 1);
+	pass(100);
+	dead.insert(b.writer);
+	pass(5000);
+	a.reached_ms = now;
+	pass(5000);
+	EXPECT_EQ(0U, a.items.size());
+	dead.erase(b.writer);
+	pass(8000);
+	EXPECT_EQ(0U, a.items.size());
+	EXPECT_EQ(1U, b.items.size());
+}
+
 /*
  * A VM is frozen, its job is taken over and finished elsewhere. It wakes with
  * results of its own in hand and publishes: each item keeps the one result and
--- a/tests/core/inline_world.h
+++ b/tests/core/inline_world.h
@@ -68,6 +68,7 @@
 	std::list<jj_action_t *> held;
 	jj_action_t *watch = nullptr; /**< under way */
 	bool frozen = false;
+	jj_ms_t reached_ms = 0; /**< the platform answers again since */
 	bool blind = false; /**< its watch brings nothing */
 
 	InlineVm(InlineWorld &in, const std::string &name);
@@ -200,6 +201,12 @@
 	return vm(ctx)->world.cut || vm(ctx)->world.dead.size() > 0;
 }
 
+inline jj_ms_t
+reached_ms(void *ctx)
+{
+	return vm(ctx)->reached_ms;
+}
+
 inline bool
 hears_others(void *ctx)
 {
@@ -278,10 +285,11 @@
 	jj_inline_settings_t settings = {};
 	jj_inline_port_t port = {this, inline_port::is_live,
 	    inline_port::is_chosen, inline_port::hears_others,
-	    inline_port::misses_some, inline_port::find_route,
-	    inline_port::unix_ms, inline_port::begin_item,
-	    inline_port::cancel_item, inline_port::write_page,
-	    inline_port::relay, inline_port::tell_ended};
+	    inline_port::misses_some, inline_port::reached_ms,
+	    inline_port::find_route, inline_port::unix_ms,
+	    inline_port::begin_item, inline_port::cancel_item,
+	    inline_port::write_page, inline_port::relay,
+	    inline_port::tell_ended};
 
 	snprintf(
 	    settings.writer, sizeof(settings.writer), "%s", writer.c_str());
