--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -148,7 +148,25 @@
 /** Gives up what has run out of time, moves what has stalled. */
 void
 jj_gateway_check_times(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
-jj_ms_t jj_gateway_next_time(const jj_gateway_t *gateway);
+
+/* Servers that die or are dark (gateway_deaths.c). */
+/**
+ * A dark server costs each request that tries it the time of a connection,
+ * which alone makes an online one late; so the others need not find out.
+ */
+void jj_gateway_tell_unreachable(
+    jj_gateway_t *gateway, const jj_slot_server_t *server);
+/**
+ * Several requests that break off at one moment at one server, or one at a
+ * server that then takes no connection: it crashed. Those without a first
+ * event had just begun to run, and one of them may be why; each gets a strike
+ * (core/quarantine.h). A lone break on a server that lives is a lost answer.
+ */
+void jj_gateway_note_broken(jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, jj_ms_t now, jj_actions_t *out);
+/** A server that takes no connection: what broke off there last is why. */
+void jj_gateway_note_unreachable(jj_gateway_t *gateway,
+    const jj_slot_server_t *server, jj_ms_t now, jj_actions_t *out);
 
 /* Items (gateway_items.c). */
 uint64_t jj_gateway_begin_item(void *gateway, const jj_inline_job_t *job,
