A job that is not loaded is not said to be empty

Change: a VM speaks for a run only once its job was read. Test: InlineFailure.AJobThatIsNotLoadedIsNotSaidToBeEmpty, red without.

--- a/src/core/inline_sure.c
+++ b/src/core/inline_sure.c
@@ -34,7 +34,8 @@
 /**
  * Guards against results that others see first: a write that takes long may
  * have taken effect while its answer is held up or lost, and readers at the
- * platform see more than this VM knows.
+ * platform see more than this VM knows. And against a job that was let go
+ * before it was loaded, by a VM that stops: it would be told to have no items.
  */
 bool
 jj_inline_can_speak(const jj_inline_t *jobs, const jj_inline_run_t *run)
@@ -42,8 +43,8 @@
 	bool writes =
 	    run->write.token != 0 && jobs->now_ms - run->write_ms > WRITE_MS;
 
-	return !writes && !run->rereads && !run->fences &&
-	    jj_inline_is_sure(jobs);
+	return run->segment.total > 0 && !writes && !run->rereads &&
+	    !run->fences && jj_inline_is_sure(jobs);
 }
 
 void
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -503,6 +503,33 @@
 	EXPECT_EQ("2 0: j-0=null j-1=eins", a.answer(a.read("j", 0)).body);
 }
 
+/*
+ * A VM took a job over and was stopped before it had read it. While it let the
+ * job go it told a reader that the job of eight items has none.
+ */
+TEST_F(InlineFailure, AJobThatIsNotLoadedIsNotSaidToBeEmpty)
+{
+	(void)b.submit("j", 2);
+	pass(300);
+	b.frozen = true;
+	dead.insert(b.writer);
+	a.holds = [](const jj_platform_call_t &call) {
+		return call.op == JJ_PLATFORM_GET &&
+		    strcmp(call.key, "batch-jobs/j") == 0;
+	};
+	pass(8000);
+	a.holds = [](const jj_platform_call_t &call) {
+		return call.op == JJ_PLATFORM_UPDATE;
+	};
+	jj_inline_leave(a.jobs, now, &a.out);
+	a.settle();
+	jj_job_standing_t states[4];
+	EXPECT_EQ(0U, jj_inline_list_states(a.jobs, states, 4));
+	uint64_t read = a.read("j", 0);
+	pass(2000);
+	EXPECT_NE(0U, a.answer(read).body.find("0 0:")) << a.answer(read).body;
+}
+
 /* What the VM that runs a job says spares the platform the reads of others. */
 TEST_F(Inline, AReaderElsewhereAsksOnlyWhenThereIsNews)
 {
