One list of the other VMs, and no copy of it for a yes or no

Crash reports walked the members with a filter of their own: jj_gateway_list_others has it. Whether a started VM knows another one copied the whole list of members at each event of its first seconds: jj_member_knows_other looks. What counts as an answer of the platform stood twice in gateway_lend.c, and so did the loop that drops loans. Behaviour is unchanged.

--- a/src/core/core_news.c
+++ b/src/core/core_news.c
@@ -202,20 +202,8 @@
 bool
 jj_core_is_unheard(const jj_core_t *core, jj_ms_t now)
 {
-	jj_member_info_t *infos;
-	size_t others = 0;
-	size_t i;
-
-	if (now >= core->unheard_until_ms)
-		return false;
-	infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
-	i = jj_member_list_all(core->member, infos, JJ_MEMBERS_MAX);
-	while (i-- > 0)
-		others +=
-		    !jj_name_equal(&infos[i].name, &core->settings.name) &&
-		    jj_name_equal(&infos[i].domain, &core->settings.domain);
-	free(infos);
-	return others > 0;
+	return now < core->unheard_until_ms &&
+	    jj_member_knows_other(core->member, &core->settings.domain);
 }
 
 static void
--- a/src/core/gateway_deaths.c
+++ b/src/core/gateway_deaths.c
@@ -73,7 +73,7 @@
 report_crash(jj_gateway_t *gateway, const jj_slot_server_t *server, jj_ms_t now,
     jj_actions_t *out)
 {
-	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
+	jj_member_info_t *infos;
 	jj_crash_t crash = {0};
 	size_t count;
 	size_t i;
@@ -88,18 +88,12 @@
 		    gateway->broken[i].fingerprint != 0)
 			crash.suspects[crash.suspect_count++] =
 			    gateway->broken[i].fingerprint;
-	if (crash.suspect_count == 0) {
-		free(infos);
+	if (crash.suspect_count == 0)
 		return;
-	}
 	jj_quarantine_take_crash(gateway->quarantine, &crash, now, out);
-	count = jj_member_list(gateway->member,
-	    &gateway->settings.member.domain, infos, JJ_MEMBERS_MAX);
-	for (i = 0; i < count; i++) {
-		if (jj_name_equal(&infos[i].name, &gateway->settings.name))
-			continue;
+	count = jj_gateway_list_others(gateway, &infos);
+	for (i = 0; i < count; i++)
 		jj_actions_add_message(out, &infos[i].name, JJ_MESSAGE_CRASH)
 		    ->body.crash = crash;
-	}
 	free(infos);
 }
--- a/src/core/gateway_lend.c
+++ b/src/core/gateway_lend.c
@@ -26,6 +26,8 @@
 /** Calls that one VM makes for others at a time. */
 #define LOANS_MOST 256
 
+static void drop_all(struct jj_gateway_loans *);
+static bool is_answer(jj_platform_outcome_t);
 static bool may_ask(const jj_gateway_t *, jj_ms_t);
 static bool choose_lender(jj_gateway_t *);
 static bool is_lendable(const jj_action_t *);
@@ -42,8 +44,7 @@
 jj_gateway_note_reach(
     jj_gateway_t *gateway, const jj_platform_result_t *result, jj_ms_t now)
 {
-	bool reached = result->outcome != JJ_PLATFORM_DOWN &&
-	    result->outcome != JJ_PLATFORM_UNKNOWN;
+	bool reached = is_answer(result->outcome);
 
 	if (reached && gateway->unreached_ms != 0)
 		jj_actions_add_event(gateway->out, "platform_reached",
@@ -168,19 +169,29 @@
 
 void
 jj_gateway_drop_loans(jj_gateway_t *gateway)
+{
+	drop_all(&gateway->borrowed);
+	drop_all(&gateway->lent);
+}
+
+static void
+drop_all(struct jj_gateway_loans *loans)
 {
 	jj_gateway_loan_t *loan;
 
-	while ((loan = TAILQ_FIRST(&gateway->borrowed)) != NULL) {
-		TAILQ_REMOVE(&gateway->borrowed, loan, link);
-		free(loan);
-	}
-	while ((loan = TAILQ_FIRST(&gateway->lent)) != NULL) {
-		TAILQ_REMOVE(&gateway->lent, loan, link);
+	while ((loan = TAILQ_FIRST(loans)) != NULL) {
+		TAILQ_REMOVE(loans, loan, link);
 		free(loan);
 	}
 }
 
+/** False when the call was not done, or its answer did not come. */
+static bool
+is_answer(jj_platform_outcome_t outcome)
+{
+	return outcome != JJ_PLATFORM_DOWN && outcome != JJ_PLATFORM_UNKNOWN;
+}
+
 /**
  * Guards against a storm while nobody reaches the platform: jobs of 0.1 MB
  * went from VM to VM, each refused and sent to the next one, 1.7 GB in a
@@ -271,8 +282,7 @@
 	result->owner = JJ_OWNER_INLINE;
 	result->token = loan->token;
 	result->op = loan->op;
-	if (result->outcome != JJ_PLATFORM_DOWN &&
-	    result->outcome != JJ_PLATFORM_UNKNOWN)
+	if (is_answer(result->outcome))
 		gateway->lender_helped = true;
 	else if (jj_name_equal(&gateway->lender, &loan->vm)) {
 		gateway->lender_failed = true;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -194,6 +194,17 @@
 	return peer != NULL && jj_member_is_serving(&peer->info);
 }
 
+bool
+jj_member_knows_other(const jj_member_t *member, const jj_name_t *domain)
+{
+	size_t i;
+
+	for (i = 0; i < member->peer_count; i++)
+		if (jj_name_equal(&member->peers[i].info.domain, domain))
+			return true;
+	return false;
+}
+
 bool
 jj_member_take_arrival(jj_member_t *member, jj_name_t *name)
 {
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -93,6 +93,8 @@
 jj_member_find(const jj_member_t *member, const jj_name_t *name);
 /** True for this VM itself and for VMs heard lately that are not leaving. */
 bool jj_member_is_live(const jj_member_t *member, const jj_name_t *name);
+/** True when another VM of that domain is known, live or not. */
+bool jj_member_knows_other(const jj_member_t *member, const jj_name_t *domain);
 /**
  * The next VM that became live, or whose process is another one, since this
  * was asked: it may have missed what was told meanwhile. False when none is
