--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -179,6 +179,30 @@
 	EXPECT_EQ(JJ_CALL_DONE, entry.call_answers[0].second);
 }
 
+/** One VM's word, to some, that a request crashed two engines. */
+static void
+tell_two_crashes(World &world, const WorldCore &from,
+    const std::vector<WorldCore *> &to, uint64_t fingerprint)
+{
+	jj_message_t crash = {};
+	jj_event_t event = {};
+
+	crash.kind = JJ_MESSAGE_CRASH;
+	(void)jj_name_set(&crash.from, from.name.c_str());
+	crash.incarnation = 3;
+	(void)jj_name_set(&crash.body.crash.server, "engine");
+	crash.body.crash.suspect_count = 1;
+	crash.body.crash.suspects[0] = fingerprint;
+	event.kind = JJ_EVENT_MESSAGE;
+	event.body.message = &crash;
+	for (uint64_t boot : {1, 2}) {
+		crash.body.crash.boot = boot;
+		crash.sequence = (1U << 30) + boot;
+		for (WorldCore *core : to)
+			world.handle(*core, event);
+	}
+}
+
 struct StruckCase {
 	const char *name;
 	jj_ms_t message_ms; /**< on the way from VM to VM */
@@ -201,30 +225,16 @@
 	const StruckCase &c = GetParam();
 	World world(1, 3);
 	WorldCore &gone = world.at(0, 2);
-	jj_message_t crash = {};
 	jj_event_t event = {};
 
 	world.message_ms = c.message_ms;
 	world.run_until(6000);
 	world.patch(world.at(0, 1), 0, kServices);
 	world.run_until(8000);
-	crash.kind = JJ_MESSAGE_CRASH;
-	(void)jj_name_set(&crash.from, gone.name.c_str());
-	crash.incarnation = 3;
-	(void)jj_name_set(&crash.body.crash.server, "engine");
-	crash.body.crash.suspect_count = 1;
-	crash.body.crash.suspects[0] = POISON;
-	event.kind = JJ_EVENT_MESSAGE;
-	event.body.message = &crash;
-	for (uint64_t boot : {1, 2}) {
-		crash.body.crash.boot = boot;
-		crash.sequence = (1U << 30) + boot;
-		world.handle(world.at(0, 0), event);
-	}
+	tell_two_crashes(world, gone, {&world.at(0, 0)}, POISON);
 	world.restart(gone, 99);
 	world.run_until(world.now + c.after_ms);
 
-	event = {};
 	event.kind = JJ_EVENT_REQUEST;
 	event.body.request.request.request = 1;
 	(void)jj_name_set(&event.body.request.request.service, "pallets");
@@ -247,26 +257,12 @@
 {
 	constexpr uint64_t POISON = 666;
 	World world(2, 3);
-	jj_message_t crash = {};
-	jj_event_t event = {};
 
 	world.run_until(6000);
 	world.cut_domains.insert({"d100", "d101"});
 	world.run_until(10000);
-	crash.kind = JJ_MESSAGE_CRASH;
-	(void)jj_name_set(&crash.from, world.at(0, 2).name.c_str());
-	crash.incarnation = 3;
-	(void)jj_name_set(&crash.body.crash.server, "engine");
-	crash.body.crash.suspect_count = 1;
-	crash.body.crash.suspects[0] = POISON;
-	event.kind = JJ_EVENT_MESSAGE;
-	event.body.message = &crash;
-	for (uint64_t boot : {1, 2}) {
-		crash.body.crash.boot = boot;
-		crash.sequence = (1U << 30) + boot;
-		world.handle(world.at(0, 0), event);
-		world.handle(world.at(0, 1), event);
-	}
+	tell_two_crashes(
+	    world, world.at(0, 2), {&world.at(0, 0), &world.at(0, 1)}, POISON);
 	world.cut_domains.clear();
 	world.run_until(10100);
 	for (int v = 0; v < 3; v++)
