Bytes between VMs are counted by kind of message

One function puts the neighbours' counts into the metrics for both kinds of daemon; it stood twice. A test counts a kind and names all.

--- a/src/adapters/neighbours.c
+++ b/src/adapters/neighbours.c
@@ -12,6 +12,7 @@
 #include <glib.h>
 #include <zmq.h>
 
+#include "adapters/metrics.h"
 #include "adapters/neighbours.h"
 #include "adapters/runtime.h"
 #include "adapters/wire.h"
@@ -48,6 +49,7 @@
 	STAILQ_ENTRY(outgoing) link;
 	char name[JJ_NAME_MAX + 1];
 	char address[JJ_NAME_MAX + 1];
+	jj_message_kind_t kind;
 	jj_bytes_t bytes;
 } outgoing_t;
 
@@ -72,6 +74,8 @@
 	void *ctx;
 };
 
+static void set_total(const char *, const char *, uint64_t);
+static void set_kind_totals(jj_message_kind_t, const jj_neighbours_counts_t *);
 static void *APR_THREAD_FUNC run(apr_thread_t *, void *);
 static bool send_all(jj_neighbours_t *);
 static void send_one(jj_neighbours_t *, const outgoing_t *);
@@ -160,6 +164,7 @@
 	(void)snprintf(outgoing->name, sizeof(outgoing->name), "%s", name);
 	(void)snprintf(
 	    outgoing->address, sizeof(outgoing->address), "%s", address);
+	outgoing->kind = message->kind;
 	outgoing->bytes = jj_wire_encode(message);
 	(void)apr_thread_mutex_lock(neighbours->lock);
 	STAILQ_INSERT_TAIL(&neighbours->outgoing, outgoing, link);
@@ -189,6 +194,55 @@
 	return counts;
 }
 
+void
+jj_neighbours_update_metrics(jj_neighbours_t *neighbours)
+{
+	jj_neighbours_counts_t counts = jj_neighbours_counts(neighbours);
+	int kind;
+
+	set_total("jujube_messages_sent_total", "Messages to other VMs.",
+	    counts.sent);
+	set_total("jujube_message_bytes_sent_total",
+	    "Bytes of messages to other VMs.", counts.sent_bytes);
+	set_total("jujube_messages_dropped_total",
+	    "Messages not sent: no connection, or a full queue.",
+	    counts.dropped);
+	set_total("jujube_messages_received_total", "Messages from other VMs.",
+	    counts.received);
+	set_total("jujube_message_bytes_received_total",
+	    "Bytes of messages from other VMs.", counts.received_bytes);
+	set_total("jujube_messages_malformed_total",
+	    "Bytes on the neighbours' port that are no message.",
+	    counts.malformed);
+	set_total("jujube_messages_other_version_total",
+	    "Messages of VMs of another version.", counts.other_version);
+	for (kind = 1; kind < JJ_MESSAGE_KIND_END; kind++)
+		set_kind_totals((jj_message_kind_t)kind, &counts);
+}
+
+static void
+set_total(const char *name, const char *help, uint64_t total)
+{
+	jj_counter_set(jj_metrics_counter(name, help, NULL, NULL), total);
+}
+
+/** Only of kinds that were sent: most VMs send few of them. */
+static void
+set_kind_totals(jj_message_kind_t kind, const jj_neighbours_counts_t *counts)
+{
+	const char *name = jj_message_kind_name(kind);
+
+	if (counts->kind_sent[kind] == 0)
+		return;
+	jj_counter_set(jj_metrics_counter("jujube_messages_by_kind_total",
+			   "Messages to other VMs, by kind.", "kind", name),
+	    counts->kind_sent[kind]);
+	jj_counter_set(
+	    jj_metrics_counter("jujube_message_bytes_by_kind_total",
+		"Bytes of messages to other VMs, by kind.", "kind", name),
+	    counts->kind_sent_bytes[kind]);
+}
+
 static void *APR_THREAD_FUNC
 run(apr_thread_t *thread, void *argument)
 {
@@ -249,6 +303,9 @@
 	if (sent) {
 		neighbours->counts.sent++;
 		neighbours->counts.sent_bytes += outgoing->bytes.size;
+		neighbours->counts.kind_sent[outgoing->kind]++;
+		neighbours->counts.kind_sent_bytes[outgoing->kind] +=
+		    outgoing->bytes.size;
 	} else {
 		neighbours->counts.dropped++;
 	}
--- a/src/adapters/neighbours.h
+++ b/src/adapters/neighbours.h
@@ -24,6 +24,8 @@
 	uint64_t received_bytes;
 	uint64_t malformed;
 	uint64_t other_version;
+	uint64_t kind_sent[JJ_MESSAGE_KIND_END];
+	uint64_t kind_sent_bytes[JJ_MESSAGE_KIND_END];
 } jj_neighbours_counts_t;
 
 typedef struct jj_neighbours jj_neighbours_t;
@@ -38,5 +40,7 @@
 /** Drops all traffic with a VM, for failure tests. */
 void jj_neighbours_cut(jj_neighbours_t *neighbours, const char *name, bool cut);
 jj_neighbours_counts_t jj_neighbours_counts(jj_neighbours_t *neighbours);
+/** Puts the counts into the metrics, in all and by kind of message. */
+void jj_neighbours_update_metrics(jj_neighbours_t *neighbours);
 
 #endif
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -163,6 +163,41 @@
 	}
 }
 
+const char *
+jj_message_kind_name(jj_message_kind_t kind)
+{
+	static const char *const names[JJ_MESSAGE_KIND_END] = {
+	    [JJ_MESSAGE_HEARTBEAT] = "heartbeat",
+	    [JJ_MESSAGE_PROBE] = "probe",
+	    [JJ_MESSAGE_PROBE_ECHO] = "probe_echo",
+	    [JJ_MESSAGE_CONFIG_ASK] = "config_ask",
+	    [JJ_MESSAGE_CONFIG] = "config",
+	    [JJ_MESSAGE_LOAD] = "load",
+	    [JJ_MESSAGE_CALL] = "call",
+	    [JJ_MESSAGE_CALL_ANSWER] = "call_answer",
+	    [JJ_MESSAGE_INTENT] = "intent",
+	    [JJ_MESSAGE_INTENT_ACK] = "intent_ack",
+	    [JJ_MESSAGE_RESOLVE] = "resolve",
+	    [JJ_MESSAGE_SYNC] = "sync",
+	    [JJ_MESSAGE_SYNC_ACK] = "sync_ack",
+	    [JJ_MESSAGE_SLOTS] = "slots",
+	    [JJ_MESSAGE_CRASH] = "crash",
+	    [JJ_MESSAGE_SERVER_STATE] = "server_state",
+	    [JJ_MESSAGE_JOBS] = "jobs",
+	    [JJ_MESSAGE_VMS] = "vms",
+	    [JJ_MESSAGE_YIELD] = "yield",
+	    [JJ_MESSAGE_JOB_ENDED] = "job_ended",
+	    [JJ_MESSAGE_RELAY] = "relay",
+	    [JJ_MESSAGE_JOB_STATES] = "job_states",
+	    [JJ_MESSAGE_STRUCK] = "struck",
+	    [JJ_MESSAGE_LEND] = "lend",
+	    [JJ_MESSAGE_LENT] = "lent",
+	};
+
+	return kind < JJ_MESSAGE_KIND_END && names[kind] != NULL ? names[kind]
+								 : "none";
+}
+
 const char *
 jj_object_name(const char *key)
 {
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -285,5 +285,7 @@
 
 /** Frees what the message owns. */
 void jj_message_clear(jj_message_t *message);
+/** Short name of a kind, for logs and metrics. */
+const char *jj_message_kind_name(jj_message_kind_t kind);
 
 #endif
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -99,14 +99,7 @@
 void
 jj_gateway_update_metrics(jj_gateway_node_t *node)
 {
-	jj_neighbours_counts_t counts = jj_neighbours_counts(node->neighbours);
-
-	jj_counter_set(jj_metrics_counter("jujube_messages_sent_total",
-			   "Messages to other VMs.", NULL, NULL),
-	    counts.sent);
-	jj_counter_set(jj_metrics_counter("jujube_messages_dropped_total",
-			   "Messages that could not be sent.", NULL, NULL),
-	    counts.dropped);
+	jj_neighbours_update_metrics(node->neighbours);
 	jj_counter_set(jj_metrics_counter("jujube_platform_calls_total",
 			   "Calls to the platform.", NULL, NULL),
 	    jj_platform_calls(node->platform));
--- a/src/daemon/node_metrics.c
+++ b/src/daemon/node_metrics.c
@@ -4,7 +4,6 @@
  */
 #include "daemon/node.h"
 
-static void set_neighbour_counts(jj_node_t *);
 static void set_total(const char *, const char *, uint64_t);
 
 void
@@ -19,7 +18,7 @@
 void
 jj_node_update_metrics(jj_node_t *node)
 {
-	set_neighbour_counts(node);
+	jj_neighbours_update_metrics(node->neighbours);
 	set_total("jujube_platform_control_calls_total",
 	    "Calls to the platform for control.",
 	    jj_platform_calls(node->platform_control));
@@ -31,29 +30,6 @@
 	    jj_http_server_open(node->callers));
 }
 
-static void
-set_neighbour_counts(jj_node_t *node)
-{
-	jj_neighbours_counts_t counts = jj_neighbours_counts(node->neighbours);
-
-	set_total("jujube_messages_sent_total", "Messages to other VMs.",
-	    counts.sent);
-	set_total("jujube_message_bytes_sent_total",
-	    "Bytes of messages to other VMs.", counts.sent_bytes);
-	set_total("jujube_messages_dropped_total",
-	    "Messages not sent: no connection, or a full queue.",
-	    counts.dropped);
-	set_total("jujube_messages_received_total", "Messages from other VMs.",
-	    counts.received);
-	set_total("jujube_message_bytes_received_total",
-	    "Bytes of messages from other VMs.", counts.received_bytes);
-	set_total("jujube_messages_malformed_total",
-	    "Bytes on the neighbours' port that are no message.",
-	    counts.malformed);
-	set_total("jujube_messages_other_version_total",
-	    "Messages of VMs of another version.", counts.other_version);
-}
-
 static void
 set_total(const char *name, const char *help, uint64_t total)
 {
--- a/tests/adapters/neighbours_test.cc
+++ b/tests/adapters/neighbours_test.cc
@@ -93,4 +93,40 @@
 	jj_neighbours_destroy(neighbours);
 }
 
+/*
+ * A day had four times the usual bytes between domains, and no counter said
+ * which messages they were. Each kind that is sent is counted by its name.
+ */
+TEST(Neighbours, BytesAreCountedByKind)
+{
+	constexpr int TRIES = 1000;
+	std::string address = free_address();
+	jj_message_t message = {};
+	jj_neighbours_t *receiver;
+	jj_neighbours_t *sender;
+	jj_neighbours_counts_t counts = {};
+
+	receiver = jj_neighbours_create(address.c_str(), drop_message, nullptr);
+	sender =
+	    jj_neighbours_create(free_address().c_str(), drop_message, nullptr);
+	ASSERT_NE(nullptr, receiver);
+	ASSERT_NE(nullptr, sender);
+	message.kind = JJ_MESSAGE_YIELD;
+	(void)jj_name_set(&message.from, "vm-1");
+	for (int i = 0; i < TRIES && counts.sent == 0; i++) {
+		jj_neighbours_send(sender, "vm-2", address.c_str(), &message);
+		(void)usleep(10000);
+		counts = jj_neighbours_counts(sender);
+	}
+	EXPECT_GT(counts.sent, 0U);
+	EXPECT_EQ(counts.sent, counts.kind_sent[JJ_MESSAGE_YIELD]);
+	EXPECT_EQ(counts.sent_bytes, counts.kind_sent_bytes[JJ_MESSAGE_YIELD]);
+	EXPECT_EQ(0U, counts.kind_sent[JJ_MESSAGE_LOAD]);
+	for (int kind = 1; kind < JJ_MESSAGE_KIND_END; kind++)
+		EXPECT_STRNE("none",
+		    jj_message_kind_name(static_cast<jj_message_kind_t>(kind)));
+	jj_neighbours_destroy(sender);
+	jj_neighbours_destroy(receiver);
+}
+
 } // namespace
