A configuration is asked for by who lacks it, not sent by all that have it

Cause: each VM that took a new version sent the whole document to every VM that it believed behind. Ruled out: borrowed calls (20 of some KB), states of jobs (31 KB). Change: who has a newer version says so; who still lacks it after a sixth of the time in which news is due asks one that has it, of its own domain first; a VM sends four documents in that time at most.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -205,6 +205,7 @@
 	jj_member_set_versions(gateway->member, gateway->routes.version, 0);
 	jj_member_tick(gateway->member, now, out);
 	jj_gateway_forget_lost(gateway, out);
+	jj_gateway_tick_config(gateway, now, out);
 	jj_gateway_tick_vms(gateway, now, out);
 	jj_quarantine_tick(gateway->quarantine, now);
 	jj_slots_tick(gateway->slots, now);
@@ -314,6 +315,14 @@
 	return count;
 }
 
+uint64_t
+jj_gateway_random(jj_gateway_t *gateway)
+{
+	gateway->random = jj_hash_bytes(
+	    &gateway->random, sizeof(gateway->random), gateway->settings.seed);
+	return gateway->random;
+}
+
 static void
 init_mirrors(jj_gateway_t *gateway)
 {
--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -36,9 +36,7 @@
 	entry->request = JJ_GATEWAY_ITEM | ++gateway->last_item;
 	(void)snprintf(entry->id, sizeof(entry->id), "%s", item->id);
 	entry->class_of = JJ_CLASS_BATCH;
-	gateway->random = jj_hash_bytes(
-	    &gateway->random, sizeof(gateway->random), gateway->settings.seed);
-	entry->service = *jj_route_pick(route, gateway->random);
+	entry->service = *jj_route_pick(route, jj_gateway_random(gateway));
 	entry->streams = true;
 	entry->repeatable = true;
 	entry->attempts_most = ATTEMPTS_MOST;
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -1,6 +1,6 @@
 /**
  * @file gateway_news.c
- * @brief What VMs tell each other: loads, configuration, crashes, ends.
+ * @brief What VMs tell each other: loads, crashes, ends.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,55 +9,15 @@
 #include "core/gateway_state.h"
 #include "core/struck.h"
 
-/** Least time between asks for a configuration, ms. */
-#define CONFIG_ASK_MS 200
 /** Loads go to all VMs of a region one pause later for each so many. */
 #define VMS_PER_PAUSE 12
 
-static void
-take_heartbeat(jj_gateway_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
+static void take_heartbeat(jj_gateway_t *, const jj_message_t *, jj_ms_t);
 static void
 take_states(jj_gateway_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
-static void send_config(jj_gateway_t *, const jj_name_t *, jj_actions_t *);
-static void tell_config(jj_gateway_t *);
 static void send_loads(jj_gateway_t *, bool, jj_actions_t *);
 static jj_ms_t far_pause(const jj_gateway_t *);
 
-bool
-jj_gateway_take_config(
-    jj_gateway_t *gateway, const jj_bytes_t *object, const char *from)
-{
-	jj_routes_t routes = {0};
-	char why[200] = "";
-
-	if (!gateway->port.read_routes(
-		gateway->port.ctx, object, &routes, why, sizeof(why))) {
-		jj_actions_add_event(gateway->out, "config_unreadable",
-		    "from=%s why=%.150s", from, why);
-		return false;
-	}
-	/*
-	 * Guards against going back: an older version may come late, from a
-	 * stale read, a neighbour that knows less or a watch that was cut.
-	 */
-	if (routes.version <= gateway->routes.version) {
-		jj_routes_clear(&routes);
-		return false;
-	}
-	jj_actions_add_event(gateway->out, "config_in_force",
-	    "version=%llu before=%llu from=%s routes=%zu",
-	    (unsigned long long)routes.version,
-	    (unsigned long long)gateway->routes.version, from,
-	    routes.route_count);
-	jj_routes_clear(&gateway->routes);
-	gateway->routes = routes;
-	jj_bytes_free(&gateway->config_object);
-	gateway->config_object = jj_bytes_copy(object->data, object->size);
-	gateway->port.on_routes(gateway->port.ctx, &gateway->routes);
-	tell_config(gateway);
-	return true;
-}
-
 void
 jj_gateway_take_news(jj_gateway_t *gateway, const jj_message_t *message,
     jj_ms_t now, jj_actions_t *out)
@@ -66,15 +26,11 @@
 
 	switch (message->kind) {
 	case JJ_MESSAGE_HEARTBEAT:
-		take_heartbeat(gateway, message, now, out);
+		take_heartbeat(gateway, message, now);
 		break;
 	case JJ_MESSAGE_CONFIG_ASK:
-		if (message->body.config.version < gateway->routes.version)
-			send_config(gateway, &message->from, out);
-		break;
 	case JJ_MESSAGE_CONFIG:
-		(void)jj_gateway_take_config(gateway,
-		    &message->body.config.document, message->from.text);
+		jj_gateway_take_config_message(gateway, message, now, out);
 		break;
 	case JJ_MESSAGE_LOAD:
 		jj_slots_take_loads(gateway->slots, &message->from,
@@ -210,48 +166,14 @@
 }
 
 static void
-take_heartbeat(jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now,
-    jj_actions_t *out)
+take_heartbeat(jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now)
 {
 	const jj_heartbeat_t *heartbeat = &message->body.heartbeat;
-	jj_message_t *ask;
 
 	jj_slots_take_loads(gateway->slots, &message->from, heartbeat->loads,
 	    heartbeat->load_count, true);
-	if (heartbeat->config_version <= gateway->routes.version ||
-	    now < gateway->next_ask_ms)
-		return;
-	gateway->next_ask_ms = now + CONFIG_ASK_MS;
-	ask =
-	    jj_actions_add_message(out, &message->from, JJ_MESSAGE_CONFIG_ASK);
-	ask->body.config.version = gateway->routes.version;
-}
-
-static void
-send_config(jj_gateway_t *gateway, const jj_name_t *to, jj_actions_t *out)
-{
-	jj_message_t *message;
-
-	if (gateway->config_object.size == 0)
-		return;
-	message = jj_actions_add_message(out, to, JJ_MESSAGE_CONFIG);
-	message->body.config.version = gateway->routes.version;
-	message->body.config.document = jj_bytes_copy(
-	    gateway->config_object.data, gateway->config_object.size);
-}
-
-/** To those that are known to be behind; others ask. */
-static void
-tell_config(jj_gateway_t *gateway)
-{
-	jj_member_info_t *infos;
-	size_t count = jj_gateway_list_others(gateway, &infos);
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		if (infos[i].config_version < gateway->routes.version)
-			send_config(gateway, &infos[i].name, gateway->out);
-	free(infos);
+	jj_gateway_hear_config(
+	    gateway, &message->from, heartbeat->config_version, now);
 }
 
 /**
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -45,7 +45,6 @@
 log_end(const jj_gateway_entry_t *, const char *, jj_ms_t, jj_actions_t *);
 static jj_ms_t come_back_ms(jj_gateway_t *, jj_give_up_t);
 static const char *name_of_kind(jj_backend_kind_t);
-static uint64_t next_random(jj_gateway_t *);
 
 void
 jj_gateway_begin(jj_gateway_t *gateway, const jj_gateway_request_t *request,
@@ -316,7 +315,7 @@
 	entry->request = request->request;
 	(void)snprintf(entry->id, sizeof(entry->id), "%s", request->id);
 	entry->class_of = JJ_CLASS_ONLINE;
-	entry->service = *jj_route_pick(route, next_random(gateway));
+	entry->service = *jj_route_pick(route, jj_gateway_random(gateway));
 	entry->streams = route->kind == JJ_ROUTE_STREAM;
 	entry->repeatable = jj_route_is_repeatable(route);
 	entry->attempts_most = route->attempts > 0 ? route->attempts : 1;
@@ -587,7 +586,7 @@
 
 	if (reason != JJ_GIVE_UP_OVERLOADED || mean < least)
 		return least;
-	return mean + (jj_ms_t)(next_random(gateway) % (uint64_t)mean);
+	return mean + (jj_ms_t)(jj_gateway_random(gateway) % (uint64_t)mean);
 }
 
 static const char *
@@ -599,11 +598,3 @@
 
 	return names[kind];
 }
-
-static uint64_t
-next_random(jj_gateway_t *gateway)
-{
-	gateway->random = jj_hash_bytes(
-	    &gateway->random, sizeof(gateway->random), gateway->settings.seed);
-	return gateway->random;
-}
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -73,6 +73,16 @@
 	jj_name_t domain; /**< failure domain */
 } jj_gateway_vm_t;
 
+/** What other VMs know of configurations (gateway_config.c). */
+typedef struct {
+	uint64_t heard; /**< newest version that another VM has */
+	uint64_t awaited; /**< not here yet if it is above that in force */
+	jj_ms_t ask_ms; /**< for it; not before */
+	jj_ms_t ask_again_ms; /**< from one ask to the next */
+	jj_ms_t sends_ms; /**< documents are counted from then */
+	uint32_t sends;
+} jj_gateway_config_t;
+
 struct jj_gateway {
 	jj_gateway_settings_t settings;
 	jj_gateway_port_t port;
@@ -104,7 +114,7 @@
 	bool news_far;
 	jj_ms_t next_duty_ms; /**< who watches is looked at again */
 	jj_ms_t next_states_ms; /**< the others are told of jobs */
-	jj_ms_t next_ask_ms; /**< for a newer configuration */
+	jj_gateway_config_t config;
 	jj_ms_t next_vms_ms;
 	bool vms_polling;
 	bool registered; /**< this VM's entry is written */
@@ -195,10 +205,24 @@
 void jj_gateway_send(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
     jj_slot_server_t *server, jj_ms_t now, jj_actions_t *out);
 
-/* News (gateway_news.c). */
+/** A number that does not repeat, for spreading. */
+uint64_t jj_gateway_random(jj_gateway_t *gateway);
+
+/* Configuration (gateway_config.c). */
 /** Takes a newer configuration; tells the neighbours when it is one. */
 bool jj_gateway_take_config(
     jj_gateway_t *gateway, const jj_bytes_t *object, const char *from);
+/** Another VM has that version. */
+void jj_gateway_hear_config(jj_gateway_t *gateway, const jj_name_t *from,
+    uint64_t version, jj_ms_t now);
+/** Another VM asks, says what it has, or sends it. */
+void jj_gateway_take_config_message(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
+/** Asks for a newer one that did not come in time. */
+void
+jj_gateway_tick_config(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+
+/* News (gateway_news.c). */
 void jj_gateway_take_news(jj_gateway_t *gateway, const jj_message_t *message,
     jj_ms_t now, jj_actions_t *out);
 /** Tells loads that the neighbours do not know, when it is time. */
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -172,6 +172,16 @@
 		memcpy(member->loads, loads, count * sizeof(*loads));
 }
 
+void
+jj_member_note_config(
+    jj_member_t *member, const jj_name_t *name, uint64_t version)
+{
+	jj_peer_t *peer = find_peer(member, name);
+
+	if (peer != NULL && peer->info.config_version < version)
+		peer->info.config_version = version;
+}
+
 const jj_member_info_t *
 jj_member_find(const jj_member_t *member, const jj_name_t *name)
 {
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -77,6 +77,9 @@
  * when that is not known any more.
  */
 jj_ms_t jj_member_ack_time(const jj_member_t *member, uint64_t ack);
+/** A VM said by other means than a heartbeat which configuration it has. */
+void jj_member_note_config(
+    jj_member_t *member, const jj_name_t *name, uint64_t version);
 /** Sends due heartbeats (the caller fills loads in by the callback below). */
 void jj_member_tick(jj_member_t *member, jj_ms_t now, jj_actions_t *out);
 /** When the next tick is due. */
--- /dev/null
+++ b/tests/core/gateway_config_test.cc
@@ -0,0 +1,111 @@
+/**
+ * @file gateway_config_test.cc
+ * @brief How a configuration spreads among VMs, and what that costs.
+ */
+#include "tests/core/gateway_fleet.h"
+
+namespace
+{
+
+constexpr int VMS = 12;
+/** In force everywhere by then: news_ms of the settings. */
+constexpr jj_ms_t NEWS_MS = 2000;
+
+class ConfigSpread : public GatewayFleet
+{
+      protected:
+	ConfigSpread() : GatewayFleet(VMS)
+	{
+	}
+	size_t
+	documents()
+	{
+		size_t sum = 0;
+
+		for (const auto &vm : vms)
+			sum += vm.second.documents.size();
+		return sum;
+	}
+	/** Most that one VM sent within that time. */
+	size_t
+	most_within(jj_ms_t ms)
+	{
+		size_t most = 0;
+
+		for (const auto &vm : vms) {
+			const std::vector<jj_ms_t> &times = vm.second.documents;
+
+			for (size_t i = 0; i < times.size(); i++) {
+				size_t j = i;
+
+				while (j < times.size() &&
+				    times[j] < times[i] + ms)
+					j++;
+				most = std::max(most, j - i);
+			}
+		}
+		return most;
+	}
+	void
+	expect_all_have(uint64_t version)
+	{
+		for (const auto &vm : vms)
+			EXPECT_EQ(version, version_of(vm.first)) << vm.first;
+	}
+};
+
+/*
+ * A configuration of 0.3 MB changed. Each of 56 VMs learned it from its own
+ * watch and sent it to all that it took to be behind: 30 MB a VM, links of
+ * 30 Mbit/s stood still for eight seconds, VMs missed each other, servers
+ * that left were sent requests. Who learns it by itself needs it from nobody.
+ */
+TEST_F(ConfigSpread, WhatEachVmLearnsByItselfNobodySends)
+{
+	for (const auto &vm : vms) {
+		see_config(vm.first, 9);
+		run(2 * FLEET_STEP_MS);
+	}
+	run(NEWS_MS);
+	expect_all_have(9);
+	EXPECT_EQ(0U, documents());
+}
+
+/* One VM alone learns it: the others have it in time, each gets it about
+ * once, and no VM sends it to all of them. */
+TEST_F(ConfigSpread, WhatOneVmKnowsAllHaveInTime)
+{
+	for (int i = 1; i < VMS; i++)
+		vms["verona-" + std::to_string(i)].cut = JJ_PLATFORM_UNKNOWN;
+	see_config("verona-" + std::to_string(VMS), 9);
+	run(NEWS_MS);
+	expect_all_have(9);
+	EXPECT_LE(documents(), 2U * VMS);
+	EXPECT_LE(most_within(NEWS_MS / 6), 4U);
+}
+
+/* Its first source goes deaf: another one is asked. */
+TEST_F(ConfigSpread, AnotherVmIsAskedWhenOneDoesNotAnswer)
+{
+	see_config("verona-1", 9);
+	see_config("verona-2", 9);
+	run(2 * FLEET_STEP_MS);
+	vms["verona-1"].deaf = true;
+	run(NEWS_MS);
+	for (int i = 2; i <= VMS; i++)
+		EXPECT_EQ(9U, version_of("verona-" + std::to_string(i))) << i;
+}
+
+/* Versions in a row: the newest is in force, older ones are not sent on. */
+TEST_F(ConfigSpread, OfVersionsInARowTheNewestCounts)
+{
+	for (uint64_t version = 9; version < 20; version++) {
+		see_config("verona-3", version);
+		run(50);
+	}
+	run(NEWS_MS);
+	expect_all_have(19);
+	EXPECT_LE(documents(), 4U * VMS);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/core/gateway_fleet.h
@@ -0,0 +1,230 @@
+/**
+ * @file gateway_fleet.h
+ * @brief Whole gateways of one failure domain in virtual time.
+ *
+ * Messages take one step; the platform answers at once, but for watches, which
+ * a test answers itself.
+ */
+#ifndef TESTS_CORE_GATEWAY_FLEET_H
+#define TESTS_CORE_GATEWAY_FLEET_H
+
+#include <deque>
+#include <map>
+#include <memory>
+
+#include <gtest/gtest.h>
+
+#include "tests/core/gateway_world.h"
+
+constexpr jj_ms_t FLEET_STEP_MS = 5;
+
+struct FleetVm {
+	jj_gateway_t *gateway = nullptr;
+	jj_platform_outcome_t cut = JJ_PLATFORM_OK; /**< what calls end with */
+	bool deaf = false; /**< messages to it are lost */
+	std::map<uint64_t, int> answers; /**< of submissions, by operation */
+	std::map<std::string, int> events; /**< log lines, by name */
+	int calls = 0; /**< of single objects at the platform */
+	std::vector<jj_ms_t> documents; /**< configurations it sent, when */
+};
+
+/** Whole gateways in virtual time; messages take one step. */
+class GatewayFleet : public ::testing::Test
+{
+      protected:
+	FakePlatform platform;
+	std::vector<jj_route_t> routes;
+	std::map<std::string, FleetVm> vms;
+	std::deque<std::pair<std::string, jj_action_t *>> messages;
+	jj_ms_t now = 1000;
+	uint64_t last = 0;
+	int count;
+
+	explicit GatewayFleet(int count = 3) : count(count)
+	{
+		add_route("batch", "/batch/", JJ_ROUTE_BATCH);
+		add_route("online", "/online/", JJ_ROUTE_STREAM);
+		platform.put("servers/s1", "verona ready");
+		platform.put("config/main", "7");
+		for (int i = 1; i <= count; i++)
+			create("verona-" + std::to_string(i), i);
+		run(3000);
+	}
+	~GatewayFleet() override
+	{
+		for (auto &vm : vms)
+			jj_gateway_destroy(vm.second.gateway);
+		for (auto &message : messages)
+			jj_action_free(message.second);
+	}
+	void
+	add_route(const char *name, const char *prefix, jj_route_kind_t kind)
+	{
+		jj_route_t route = {};
+
+		jj_name_set(&route.name, name);
+		snprintf(route.host, sizeof(route.host), "h");
+		snprintf(route.prefix, sizeof(route.prefix), "%s", prefix);
+		route.kind = kind;
+		route.attempts = 3;
+		route.timeout_ms = 5000;
+		route.run_due_ms = 18000;
+		route.retention_ms = 60000;
+		route.backend_count = 1;
+		jj_name_set(&route.backends[0].service, "ordini");
+		route.backends[0].weight = 1;
+		routes.push_back(route);
+	}
+	void
+	create(const std::string &name, jj_incarnation_t incarnation)
+	{
+		jj_gateway_settings_t settings =
+		    describe_gateway(name.c_str(), incarnation);
+		jj_gateway_port_t port = {&routes, read_routes, read_server,
+		    write_page, unix_ms, on_routes};
+
+		settings.serves = true;
+		settings.member.seed = incarnation;
+		vms[name].gateway = jj_gateway_create(&settings, &port);
+		for (int i = 1; i <= count; i++) {
+			jj_name_t other;
+			std::string text = "verona-" + std::to_string(i);
+
+			jj_name_set(&other, text.c_str());
+			if (text != name)
+				jj_gateway_learn_vm(vms[name].gateway, &other,
+				    &settings.member.domain, "127.0.0.1:1");
+		}
+	}
+	void
+	run(jj_ms_t ms)
+	{
+		for (jj_ms_t until = now + ms; now < until;
+		     now += FLEET_STEP_MS) {
+			deliver();
+			for (auto &vm : vms) {
+				jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+
+				if (jj_gateway_next(vm.second.gateway) > now)
+					continue;
+				jj_gateway_tick(vm.second.gateway, now, &out);
+				carry_out(vm.first, &out);
+			}
+		}
+	}
+	void
+	deliver()
+	{
+		std::deque<std::pair<std::string, jj_action_t *>> batch;
+
+		batch.swap(messages);
+		for (auto &message : batch) {
+			jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+			std::string to = message.second->body.send.to.text;
+
+			if (vms.count(to) == 1 && !vms[to].deaf) {
+				jj_gateway_take_message(vms[to].gateway,
+				    message.second->body.send.message, now,
+				    &out);
+				carry_out(to, &out);
+			}
+			jj_action_free(message.second);
+		}
+	}
+	void
+	carry_out(const std::string &name, jj_actions_t *out)
+	{
+		FleetVm &vm = vms[name];
+		jj_action_t *action;
+
+		while ((action = TAILQ_FIRST(out)) != nullptr) {
+			TAILQ_REMOVE(out, action, link);
+			if (action->kind == JJ_ACTION_SEND) {
+				const jj_message_t *message =
+				    action->body.send.message;
+
+				if (message->kind == JJ_MESSAGE_CONFIG &&
+				    message->body.config.document.size > 0)
+					vm.documents.push_back(now);
+				messages.push_back({name, action});
+				continue;
+			}
+			if (action->kind == JJ_ACTION_PLATFORM)
+				call(name, action->body.platform);
+			else if (action->kind == JJ_ACTION_JOB_ANSWER)
+				vm.answers[action->body.job.operation] =
+				    action->body.job.status;
+			else if (action->kind == JJ_ACTION_EVENT)
+				vm.events[action->body.event.name]++;
+			jj_action_free(action);
+		}
+	}
+	void
+	call(const std::string &name, const jj_platform_call_t &call)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_platform_result_t result = {};
+
+		if (call.op == JJ_PLATFORM_WATCH)
+			return;
+		vms[name].calls += call.op <= JJ_PLATFORM_DELETE;
+		if (vms[name].cut == JJ_PLATFORM_OK)
+			result = platform.execute(call);
+		else {
+			result.owner = call.owner;
+			result.token = call.token;
+			result.op = call.op;
+			result.outcome = vms[name].cut;
+		}
+		jj_gateway_take_platform(vms[name].gateway, &result, now, &out);
+		jj_platform_result_clear(&result);
+		carry_out(name, &out);
+	}
+	/** The VM's watch of the configuration brings that version. */
+	void
+	see_config(const std::string &name, uint64_t version)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_platform_item_t item = {};
+		jj_platform_result_t result = {};
+
+		snprintf(item.key, sizeof(item.key), "config/main");
+		item.version = platform.revision + version;
+		item.value =
+		    jj_bytes_from_text(std::to_string(version).c_str());
+		result.owner = JJ_OWNER_GATEWAY;
+		result.token = 1;
+		result.op = JJ_PLATFORM_WATCH;
+		result.version = item.version;
+		result.items = &item;
+		result.item_count = 1;
+		jj_gateway_take_platform(vms[name].gateway, &result, now, &out);
+		jj_bytes_free(&item.value);
+		carry_out(name, &out);
+	}
+	uint64_t
+	version_of(const std::string &name)
+	{
+		return jj_gateway_routes(vms[name].gateway)->version;
+	}
+	uint64_t
+	submit(const std::string &name, const std::string &id)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_inline_job_t job = {};
+		jj_inline_item_t *item;
+
+		snprintf(job.id, sizeof(job.id), "%s", id.c_str());
+		job.host = strdup("h");
+		job.path = strdup("/batch/1");
+		item = jj_inline_job_add(&job);
+		item->id = strdup((id + "-0").c_str());
+		item->path = strdup("/batch/x");
+		item->body = jj_bytes_from_text("x");
+		jj_gateway_submit(vms[name].gateway, ++last, &job, now, &out);
+		carry_out(name, &out);
+		return last;
+	}
+};
+
+#endif
--- a/tests/core/gateway_lend_test.cc
+++ b/tests/core/gateway_lend_test.cc
@@ -2,190 +2,13 @@
  * @file gateway_lend_test.cc
  * @brief A VM that does not reach the platform, or a server, beside others.
  */
-#include <deque>
-#include <map>
-#include <memory>
-
-#include <gtest/gtest.h>
-
-#include "tests/core/gateway_world.h"
+#include "tests/core/gateway_fleet.h"
 
 namespace
 {
 
-constexpr jj_ms_t STEP_MS = 5;
-
-struct Vm {
-	jj_gateway_t *gateway = nullptr;
-	jj_platform_outcome_t cut = JJ_PLATFORM_OK; /**< what calls end with */
-	bool deaf = false; /**< messages to it are lost */
-	std::map<uint64_t, int> answers; /**< of submissions, by operation */
-	std::map<std::string, int> events; /**< log lines, by name */
-	int calls = 0; /**< of single objects at the platform */
-};
-
-/** Whole gateways in virtual time; messages take one step. */
-class Lend : public ::testing::Test
+class Lend : public GatewayFleet
 {
-      protected:
-	FakePlatform platform;
-	std::vector<jj_route_t> routes;
-	std::map<std::string, Vm> vms;
-	std::deque<std::pair<std::string, jj_action_t *>> messages;
-	jj_ms_t now = 1000;
-	uint64_t last = 0;
-
-	Lend()
-	{
-		add_route("batch", "/batch/", JJ_ROUTE_BATCH);
-		add_route("online", "/online/", JJ_ROUTE_STREAM);
-		platform.put("servers/s1", "verona ready");
-		platform.put("config/main", "7");
-		for (int i = 1; i <= 3; i++)
-			create("verona-" + std::to_string(i), i);
-		run(3000);
-	}
-	~Lend() override
-	{
-		for (auto &vm : vms)
-			jj_gateway_destroy(vm.second.gateway);
-		for (auto &message : messages)
-			jj_action_free(message.second);
-	}
-	void
-	add_route(const char *name, const char *prefix, jj_route_kind_t kind)
-	{
-		jj_route_t route = {};
-
-		jj_name_set(&route.name, name);
-		snprintf(route.host, sizeof(route.host), "h");
-		snprintf(route.prefix, sizeof(route.prefix), "%s", prefix);
-		route.kind = kind;
-		route.attempts = 3;
-		route.timeout_ms = 5000;
-		route.run_due_ms = 18000;
-		route.retention_ms = 60000;
-		route.backend_count = 1;
-		jj_name_set(&route.backends[0].service, "ordini");
-		route.backends[0].weight = 1;
-		routes.push_back(route);
-	}
-	void
-	create(const std::string &name, jj_incarnation_t incarnation)
-	{
-		jj_gateway_settings_t settings =
-		    describe_gateway(name.c_str(), incarnation);
-		jj_gateway_port_t port = {&routes, read_routes, read_server,
-		    write_page, unix_ms, on_routes};
-
-		settings.serves = true;
-		settings.member.seed = incarnation;
-		vms[name].gateway = jj_gateway_create(&settings, &port);
-		for (int i = 1; i <= 3; i++) {
-			jj_name_t other;
-			std::string text = "verona-" + std::to_string(i);
-
-			jj_name_set(&other, text.c_str());
-			if (text != name)
-				jj_gateway_learn_vm(vms[name].gateway, &other,
-				    &settings.member.domain, "127.0.0.1:1");
-		}
-	}
-	void
-	run(jj_ms_t ms)
-	{
-		for (jj_ms_t until = now + ms; now < until; now += STEP_MS) {
-			deliver();
-			for (auto &vm : vms) {
-				jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
-
-				if (jj_gateway_next(vm.second.gateway) > now)
-					continue;
-				jj_gateway_tick(vm.second.gateway, now, &out);
-				carry_out(vm.first, &out);
-			}
-		}
-	}
-	void
-	deliver()
-	{
-		std::deque<std::pair<std::string, jj_action_t *>> batch;
-
-		batch.swap(messages);
-		for (auto &message : batch) {
-			jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
-			std::string to = message.second->body.send.to.text;
-
-			if (vms.count(to) == 1 && !vms[to].deaf) {
-				jj_gateway_take_message(vms[to].gateway,
-				    message.second->body.send.message, now,
-				    &out);
-				carry_out(to, &out);
-			}
-			jj_action_free(message.second);
-		}
-	}
-	void
-	carry_out(const std::string &name, jj_actions_t *out)
-	{
-		Vm &vm = vms[name];
-		jj_action_t *action;
-
-		while ((action = TAILQ_FIRST(out)) != nullptr) {
-			TAILQ_REMOVE(out, action, link);
-			if (action->kind == JJ_ACTION_SEND) {
-				messages.push_back({name, action});
-				continue;
-			}
-			if (action->kind == JJ_ACTION_PLATFORM)
-				call(name, action->body.platform);
-			else if (action->kind == JJ_ACTION_JOB_ANSWER)
-				vm.answers[action->body.job.operation] =
-				    action->body.job.status;
-			else if (action->kind == JJ_ACTION_EVENT)
-				vm.events[action->body.event.name]++;
-			jj_action_free(action);
-		}
-	}
-	void
-	call(const std::string &name, const jj_platform_call_t &call)
-	{
-		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
-		jj_platform_result_t result = {};
-
-		if (call.op == JJ_PLATFORM_WATCH)
-			return;
-		vms[name].calls += call.op <= JJ_PLATFORM_DELETE;
-		if (vms[name].cut == JJ_PLATFORM_OK)
-			result = platform.execute(call);
-		else {
-			result.owner = call.owner;
-			result.token = call.token;
-			result.op = call.op;
-			result.outcome = vms[name].cut;
-		}
-		jj_gateway_take_platform(vms[name].gateway, &result, now, &out);
-		jj_platform_result_clear(&result);
-		carry_out(name, &out);
-	}
-	uint64_t
-	submit(const std::string &name, const std::string &id)
-	{
-		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
-		jj_inline_job_t job = {};
-		jj_inline_item_t *item;
-
-		snprintf(job.id, sizeof(job.id), "%s", id.c_str());
-		job.host = strdup("h");
-		job.path = strdup("/batch/1");
-		item = jj_inline_job_add(&job);
-		item->id = strdup((id + "-0").c_str());
-		item->path = strdup("/batch/x");
-		item->body = jj_bytes_from_text("x");
-		jj_gateway_submit(vms[name].gateway, ++last, &job, now, &out);
-		carry_out(name, &out);
-		return last;
-	}
 };
 
 /*
@@ -272,7 +95,7 @@
 	event.kind = JJ_BACKEND_NOT_SENT;
 	jj_gateway_take_backend(gateway, &event, 0, nullptr, now, &out);
 	carry_out("verona-1", &out);
-	run(2 * STEP_MS);
+	run(2 * FLEET_STEP_MS);
 	for (const char *name : {"verona-1", "verona-2", "verona-3"}) {
 		const jj_slot_server_t *server =
 		    jj_slots_find(jj_gateway_slots(vms[name].gateway), "s1");
