A suspect stays in its domain while a server there is up

Ruled out: two VMs of one domain (their turns, NoServerIsOpenToTwoVmsInOneTurn). Change: a suspect leaves its domain only when no server there is up; else it waits for its turn at home. The test was red in two of its five cases before.

--- a/src/core/dispatch_server.c
+++ b/src/core/dispatch_server.c
@@ -174,13 +174,24 @@
 	jj_server_view_t *view;
 	jj_server_view_t *best = NULL;
 	double best_cost = DBL_MAX;
+	bool home_is_up = false;
 	double cost;
 
 	TAILQ_FOREACH(view, views, link)
 	{
 		if (!view->local && best_cost < REMOTE_LEAST_US)
 			break;
-		if (!jj_server_view_is_up(view, now) || is_full(view, need))
+		if (!jj_server_view_is_up(view, now))
+			continue;
+		home_is_up = home_is_up || view->local;
+		/*
+		 * Guards an innocent suspect: who runs suspects is told within
+		 * a domain only, so one from abroad would meet it on a server,
+		 * and the next death would be its second.
+		 */
+		if (need->suspect && !view->local && home_is_up)
+			break;
+		if (is_full(view, need))
 			continue;
 		if (need->suspect && !fits_suspect(view, need))
 			continue;
--- a/tests/core/dispatch_test.cc
+++ b/tests/core/dispatch_test.cc
@@ -841,6 +841,67 @@
 		jj_server_view_destroy(view);
 }
 
+// Story 27: a request that had killed a server was sent on to another domain,
+// whose VMs did not know that a suspect came. It met an innocent one there;
+// the server died, and the innocent one was refused for an hour. Loads are
+// told within a domain, so a suspect leaves it only when no server there is up.
+TEST_F(DispatchTest, SuspectsStayInTheirDomainWhileAServerIsUp)
+{
+	jj_member_info_t self = {};
+	jj_request_t request = Request(1);
+	jj_server_views_t views;
+	jj_server_t server = {};
+	jj_server_view_t *local[2];
+
+	Build(1, 8);
+	TAILQ_INIT(&views);
+	self.name = Name("vm-0");
+	for (int i = 0; i < 2; i++) {
+		server.name = Name("home-" + std::to_string(i));
+		local[i] = jj_server_view_create(&server);
+		local[i]->up = true;
+		local[i]->local = true;
+		TAILQ_INSERT_TAIL(&views, local[i], link);
+	}
+	server.name = Name("abroad");
+	jj_server_view_t *abroad = jj_server_view_create(&server);
+	abroad->up = true;
+	TAILQ_INSERT_TAIL(&views, abroad, link);
+	jj_server_need_t need = {};
+	need.request = &request;
+	need.online_most = 8;
+	need.self = &self.name;
+	need.vms = &self;
+	need.vm_count = 1;
+	struct {
+		const char *name;
+		bool suspect;
+		uint32_t suspects; /**< that run on each server at home */
+		uint32_t online; /**< requests likewise */
+		bool up;
+		bool goes_abroad;
+	} cases[] = {
+	    {"free", true, 0, 0, true, false},
+	    {"each runs a suspect", true, 1, 1, true, false},
+	    {"full", true, 0, 8, true, false},
+	    {"down", true, 0, 0, false, true},
+	    {"full, no suspect", false, 0, 8, true, true},
+	};
+	for (const auto &one : cases) {
+		for (jj_server_view_t *view : local) {
+			view->suspects = one.suspects;
+			view->online = one.online;
+			view->up = one.up;
+		}
+		need.suspect = one.suspect;
+		EXPECT_EQ(one.goes_abroad,
+		    jj_server_choose_online(&views, &need, now) == abroad)
+		    << one.name;
+	}
+	for (jj_server_view_t *view : {local[0], local[1], abroad})
+		jj_server_view_destroy(view);
+}
+
 // Story 27: a VM's suspect runs for seconds. Its neighbours have to know at
 // once that the server is taken, however far from full it is.
 TEST_F(DispatchTest, AllHearWhereASuspectRuns)
