Loads of other VMs cost less: a wake a round, no round beside heartbeats

Change: the sending thread is woken once for a round, not for each VM; loads go to all VMs by heartbeats alone where a round of their own would be rarer; the VMs of a domain are listed without comparing each with each, and silent ones are looked for five times a second, not at each tick.

--- a/src/adapters/neighbours.c
+++ b/src/adapters/neighbours.c
@@ -160,6 +160,7 @@
     const char *address, const jj_message_t *message)
 {
 	outgoing_t *outgoing = jj_alloc(sizeof(*outgoing));
+	bool was_empty;
 
 	(void)snprintf(outgoing->name, sizeof(outgoing->name), "%s", name);
 	(void)snprintf(
@@ -167,9 +168,12 @@
 	outgoing->kind = message->kind;
 	outgoing->bytes = jj_wire_encode(message);
 	(void)apr_thread_mutex_lock(neighbours->lock);
+	was_empty = STAILQ_EMPTY(&neighbours->outgoing);
 	STAILQ_INSERT_TAIL(&neighbours->outgoing, outgoing, link);
 	(void)apr_thread_mutex_unlock(neighbours->lock);
-	(void)eventfd_write(neighbours->wakeup, 1);
+	/* A round goes to dozens of VMs: the thread is woken for the first. */
+	if (was_empty)
+		(void)eventfd_write(neighbours->wakeup, 1);
 }
 
 void
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -204,7 +204,7 @@
 	}
 	jj_member_set_versions(gateway->member, gateway->routes.version, 0);
 	jj_member_tick(gateway->member, now, out);
-	jj_gateway_forget_lost(gateway, out);
+	jj_gateway_forget_lost(gateway, now, out);
 	jj_gateway_tick_config(gateway, now, out);
 	jj_gateway_tick_vms(gateway, now, out);
 	jj_quarantine_tick(gateway->quarantine, now);
--- a/src/core/gateway_config.c
+++ b/src/core/gateway_config.c
@@ -164,9 +164,9 @@
 static bool
 choose_holder(jj_gateway_t *gateway, jj_name_t *holder)
 {
-	jj_member_info_t *infos = jj_alloc(JJ_MEMBERS_MAX * sizeof(*infos));
-	size_t count =
-	    jj_member_list_all(gateway->member, infos, JJ_MEMBERS_MAX);
+	size_t most = jj_member_count(gateway->member) + 1;
+	jj_member_info_t *infos = jj_alloc(most * sizeof(*infos));
+	size_t count = jj_member_list_all(gateway->member, infos, most);
 	uint64_t random = jj_gateway_random(gateway);
 	uint64_t best = 0;
 	size_t i;
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -9,6 +9,9 @@
 #include "core/gateway_state.h"
 #include "core/struck.h"
 
+/** Between looks for VMs that fell silent, ms: silence itself takes eight
+ * times as long to be noticed. */
+#define FORGET_MS 200
 /** Loads go to all VMs of a region one pause later for each so many. */
 #define VMS_PER_PAUSE 12
 
@@ -107,6 +110,9 @@
 void
 jj_gateway_tell_loads(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
+	/* Heartbeats carry all loads: a round of its own has to be sooner. */
+	if (far_pause(gateway) >= gateway->settings.member.heartbeat_ms)
+		gateway->news_far = false;
 	if (gateway->news_far && now >= gateway->next_far_ms) {
 		send_loads(gateway, true, out);
 		gateway->news_far = false;
@@ -121,13 +127,16 @@
 }
 
 void
-jj_gateway_forget_lost(jj_gateway_t *gateway, jj_actions_t *out)
+jj_gateway_forget_lost(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
 	jj_slot_server_t *server;
 	const jj_member_info_t *info;
 	jj_name_t vm;
 	size_t i;
 
+	if (now < gateway->next_forget_ms)
+		return;
+	gateway->next_forget_ms = now + FORGET_MS;
 	for (server = jj_slots_first(gateway->slots); server != NULL;
 	     server = TAILQ_NEXT(server, link)) {
 		for (i = server->neighbour_count; i-- > 0;) {
@@ -200,12 +209,11 @@
 	    far ? JJ_SLOTS_FAR : JJ_SLOTS_NEAR, loads, JJ_MESSAGE_LOADS_MAX);
 	if (count == 0)
 		return;
-	vms = jj_gateway_list_others(gateway, &infos);
+	vms = far ? jj_gateway_list_others(gateway, &infos)
+		  : jj_gateway_list_near(gateway, &infos);
 	for (i = 0; i < vms; i++) {
 		jj_message_t *message;
 
-		if (!far && !jj_gateway_is_in_domain(gateway, &infos[i].name))
-			continue;
 		message = jj_actions_add_message(
 		    out, &infos[i].name, JJ_MESSAGE_LOAD);
 		message->body.load.count = count;
--- a/src/core/gateway_relay.c
+++ b/src/core/gateway_relay.c
@@ -35,7 +35,6 @@
 };
 
 static void tell_states(jj_gateway_t *, jj_ms_t, jj_actions_t *);
-static bool is_near(const jj_gateway_t *, const jj_gateway_vm_t *);
 static jj_mirror_duty_t choose_duty(const jj_gateway_t *);
 static void count_vms(jj_gateway_t *);
 static void tell(jj_gateway_t *, uint32_t, uint64_t, uint64_t,
@@ -147,7 +146,7 @@
 	for (i = 0; i < gateway->vm_count; i++) {
 		const jj_gateway_vm_t *vm = &gateway->vms[i];
 
-		if (is_near(gateway, vm))
+		if (jj_gateway_is_near(gateway, vm))
 			near++;
 		else if (jj_member_is_live(gateway->member, &vm->name))
 			far++;
@@ -155,14 +154,6 @@
 	jj_slots_set_vms(gateway->slots, near, far);
 }
 
-/** A live VM of this failure domain. */
-static bool
-is_near(const jj_gateway_t *gateway, const jj_gateway_vm_t *vm)
-{
-	return jj_name_equal(&vm->domain, &gateway->settings.domain) &&
-	    jj_member_is_live(gateway->member, &vm->name);
-}
-
 static jj_mirror_duty_t
 choose_duty(const jj_gateway_t *gateway)
 {
@@ -174,7 +165,7 @@
 	for (i = 0; i < gateway->vm_count; i++) {
 		const jj_gateway_vm_t *vm = &gateway->vms[i];
 
-		if (!is_near(gateway, vm))
+		if (!jj_gateway_is_near(gateway, vm))
 			continue;
 		near_count++;
 		if (strcmp(vm->name.text, self->text) < 0)
@@ -196,7 +187,7 @@
 	for (i = 0; i < gateway->vm_count; i++) {
 		const jj_gateway_vm_t *vm = &gateway->vms[i];
 
-		if (!is_near(gateway, vm))
+		if (!jj_gateway_is_near(gateway, vm))
 			continue;
 		message = jj_actions_add_message(
 		    gateway->out, &vm->name, JJ_MESSAGE_RELAY);
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -112,6 +112,7 @@
 	jj_ms_t next_far_ms;
 	bool news_near; /**< loads that the own domain does not know */
 	bool news_far;
+	jj_ms_t next_forget_ms;
 	jj_ms_t next_duty_ms; /**< who watches is looked at again */
 	jj_ms_t next_states_ms; /**< the others are told of jobs */
 	jj_gateway_config_t config;
@@ -231,7 +232,8 @@
 /** What this VM runs has changed. */
 void jj_gateway_note_loads(jj_gateway_t *gateway);
 /** Neighbours that are gone run nothing. */
-void jj_gateway_forget_lost(jj_gateway_t *gateway, jj_actions_t *out);
+void
+jj_gateway_forget_lost(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 void jj_gateway_tell_ended(void *gateway, const char *writer, const char *id);
 
 /* Watching for others (gateway_relay.c). */
@@ -278,6 +280,11 @@
  */
 size_t
 jj_gateway_list_others(const jj_gateway_t *gateway, jj_member_info_t **infos);
+/** True for a live VM of this VM's failure domain, other than itself. */
+bool jj_gateway_is_near(const jj_gateway_t *gateway, const jj_gateway_vm_t *vm);
+/** Of them those of this VM's failure domain; @p infos likewise. */
+size_t
+jj_gateway_list_near(const jj_gateway_t *gateway, jj_member_info_t **infos);
 /** True when no other VM of the region is heard. */
 bool jj_gateway_is_alone(const jj_gateway_t *gateway);
 /** True when that VM is in this one's failure domain. */
--- a/src/core/gateway_vms.c
+++ b/src/core/gateway_vms.c
@@ -85,9 +85,10 @@
 jj_gateway_list_others(const jj_gateway_t *gateway, jj_member_info_t **infos)
 {
 	const jj_gateway_settings_t *settings = &gateway->settings;
-	jj_member_info_t *list = jj_alloc(JJ_MEMBERS_MAX * sizeof(*list));
+	size_t most = jj_member_count(gateway->member) + 1;
+	jj_member_info_t *list = jj_alloc(most * sizeof(*list));
 	size_t count = jj_member_list(
-	    gateway->member, &settings->member.domain, list, JJ_MEMBERS_MAX);
+	    gateway->member, &settings->member.domain, list, most);
 	size_t kept = 0;
 	size_t i;
 
@@ -98,6 +99,32 @@
 	return kept;
 }
 
+bool
+jj_gateway_is_near(const jj_gateway_t *gateway, const jj_gateway_vm_t *vm)
+{
+	return jj_name_equal(&vm->domain, &gateway->settings.domain) &&
+	    jj_member_is_live(gateway->member, &vm->name);
+}
+
+size_t
+jj_gateway_list_near(const jj_gateway_t *gateway, jj_member_info_t **infos)
+{
+	jj_member_info_t *list =
+	    jj_alloc((gateway->vm_count + 1) * sizeof(*list));
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < gateway->vm_count; i++) {
+		const jj_gateway_vm_t *vm = &gateway->vms[i];
+
+		if (jj_gateway_is_near(gateway, vm))
+			list[count++] =
+			    *jj_member_find(gateway->member, &vm->name);
+	}
+	*infos = list;
+	return count;
+}
+
 bool
 jj_gateway_is_alone(const jj_gateway_t *gateway)
 {
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -260,6 +260,12 @@
 	return count;
 }
 
+size_t
+jj_member_count(const jj_member_t *member)
+{
+	return member->peer_count;
+}
+
 size_t
 jj_member_list_all(
     const jj_member_t *member, jj_member_info_t *infos, size_t most)
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -110,6 +110,8 @@
  */
 size_t jj_member_list(const jj_member_t *member, const jj_name_t *domain,
     jj_member_info_t *infos, size_t most);
+/** How many other VMs are known, live or not. */
+size_t jj_member_count(const jj_member_t *member);
 /** All VMs known, live or not. */
 size_t jj_member_list_all(
     const jj_member_t *member, jj_member_info_t *infos, size_t most);
