Readers get results from the VM that runs the job

It answers by the same rule as its own readers; what it tells was confirmed by a write and never changes. A page carries its job and position, as numbers begin anew with a process.

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -281,6 +281,14 @@
 };
 LAYOUT(job_ended_layout, jj_message_t, job_ended_fields);
 
+static const field_t job_page_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.job_page.operation),
+    TEXT(jj_message_t, body.job_page.job),
+    FIELD(FIELD_U32, jj_message_t, body.job_page.after),
+    BYTES(jj_message_t, body.job_page.page, JJ_WIRE_BYTES_MAX),
+};
+LAYOUT(job_page_layout, jj_message_t, job_page_fields);
+
 static const field_t relay_fields[] = {
     FIELD(FIELD_U32, jj_message_t, body.relay.watch),
     FIELD(FIELD_U64, jj_message_t, body.relay.from),
@@ -337,6 +345,8 @@
     [JJ_MESSAGE_STRUCK] = &struck_layout,
     [JJ_MESSAGE_LEND] = &lend_layout,
     [JJ_MESSAGE_LENT] = &lent_layout,
+    [JJ_MESSAGE_JOB_READ] = &job_page_layout,
+    [JJ_MESSAGE_JOB_PAGE] = &job_page_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -151,6 +151,10 @@
 	case JJ_MESSAGE_LEND:
 		jj_bytes_free(&message->body.lend.value);
 		break;
+	case JJ_MESSAGE_JOB_READ:
+	case JJ_MESSAGE_JOB_PAGE:
+		jj_bytes_free(&message->body.job_page.page);
+		break;
 	case JJ_MESSAGE_LENT:
 		jj_bytes_free(&message->body.lent.value);
 		break;
@@ -192,6 +196,8 @@
 	    [JJ_MESSAGE_STRUCK] = "struck",
 	    [JJ_MESSAGE_LEND] = "lend",
 	    [JJ_MESSAGE_LENT] = "lent",
+	    [JJ_MESSAGE_JOB_READ] = "job_read",
+	    [JJ_MESSAGE_JOB_PAGE] = "job_page",
 	};
 
 	return kind < JJ_MESSAGE_KIND_END && names[kind] != NULL ? names[kind]
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -72,6 +72,12 @@
 	case JJ_MESSAGE_JOB_STATES:
 		take_states(gateway, message, now, out);
 		break;
+	case JJ_MESSAGE_JOB_READ:
+		jj_inline_take_peer_read(gateway->jobs, message, out);
+		break;
+	case JJ_MESSAGE_JOB_PAGE:
+		jj_inline_take_peer_page(gateway->jobs, message, now, out);
+		break;
 	case JJ_MESSAGE_JOB_ENDED:
 		jj_inline_take_ended(
 		    gateway->jobs, message->body.job_ended, now, out);
@@ -96,8 +102,9 @@
 
 	if (written == JJ_MS_NEVER)
 		return;
-	jj_inline_take_states(gateway->jobs, message->body.job_states.states,
-	    message->body.job_states.count, written, now, out);
+	jj_inline_take_states(gateway->jobs, &message->from,
+	    message->body.job_states.states, message->body.job_states.count,
+	    written, now, out);
 }
 
 void
--- a/src/core/inline.h
+++ b/src/core/inline.h
@@ -135,9 +135,16 @@
 /** Jobs that this VM runs, for the others; how many were written. */
 uint32_t jj_inline_list_states(
     const jj_inline_t *jobs, jj_job_standing_t *states, uint32_t most);
-/** Jobs that another VM runs, as they were at @p written or later. */
-void jj_inline_take_states(jj_inline_t *jobs, const jj_job_standing_t *states,
-    uint32_t count, jj_ms_t written, jj_ms_t now, jj_actions_t *out);
+/** Jobs that @p vm runs, as they were at @p written or later. */
+void jj_inline_take_states(jj_inline_t *jobs, const jj_name_t *vm,
+    const jj_job_standing_t *states, uint32_t count, jj_ms_t written,
+    jj_ms_t now, jj_actions_t *out);
+/** A reader at another VM wants results of a job that this one runs. */
+void jj_inline_take_peer_read(
+    jj_inline_t *jobs, const jj_message_t *message, jj_actions_t *out);
+/** The VM that runs a job answers. */
+void jj_inline_take_peer_page(jj_inline_t *jobs, const jj_message_t *message,
+    jj_ms_t now, jj_actions_t *out);
 
 /** A run of an item ended; @p text is taken over when done. */
 void jj_inline_end_item(jj_inline_t *jobs, uint64_t request,
--- a/src/core/inline_heard.c
+++ b/src/core/inline_heard.c
@@ -16,7 +16,8 @@
 #define KEEP_TIMES 4
 
 static jj_heard_state_t *find(const jj_inline_t *, uint64_t);
-static void take(jj_inline_t *, const jj_job_standing_t *, jj_ms_t);
+static void
+take(jj_inline_t *, const jj_name_t *, const jj_job_standing_t *, jj_ms_t);
 static void forget_old(jj_inline_t *, jj_ms_t);
 
 uint64_t
@@ -49,15 +50,16 @@
 }
 
 void
-jj_inline_take_states(jj_inline_t *jobs, const jj_job_standing_t *states,
-    uint32_t count, jj_ms_t written, jj_ms_t now, jj_actions_t *out)
+jj_inline_take_states(jj_inline_t *jobs, const jj_name_t *vm,
+    const jj_job_standing_t *states, uint32_t count, jj_ms_t written,
+    jj_ms_t now, jj_actions_t *out)
 {
 	jj_inline_op_t *op;
 	jj_inline_op_t *next;
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		take(jobs, &states[i], written);
+		take(jobs, vm, &states[i], written);
 	forget_old(jobs, now);
 	for (op = TAILQ_FIRST(&jobs->ops); op != NULL; op = next) {
 		next = TAILQ_NEXT(op, link);
@@ -66,7 +68,7 @@
 	}
 }
 
-const jj_job_standing_t *
+const jj_heard_state_t *
 jj_inline_find_heard(const jj_inline_t *jobs, const char *id, jj_ms_t now)
 {
 	const jj_heard_state_t *heard = find(jobs, jj_inline_hash(id));
@@ -74,7 +76,7 @@
 	if (heard == NULL ||
 	    now - heard->heard_ms > jobs->settings.state_fresh_ms)
 		return NULL;
-	return &heard->state;
+	return heard;
 }
 
 uint64_t
@@ -124,7 +126,8 @@
  * what is shown only grows.
  */
 static void
-take(jj_inline_t *jobs, const jj_job_standing_t *state, jj_ms_t written)
+take(jj_inline_t *jobs, const jj_name_t *vm, const jj_job_standing_t *state,
+    jj_ms_t written)
 {
 	jj_heard_state_t *heard = find(jobs, state->job);
 	uint32_t shown = 0;
@@ -137,8 +140,10 @@
 	heard->state = *state;
 	if (shown > state->shown)
 		heard->state.shown = shown;
-	if (heard->heard_ms == 0 || written > heard->heard_ms)
+	if (heard->heard_ms == 0 || written > heard->heard_ms) {
 		heard->heard_ms = written;
+		heard->vm = *vm;
+	}
 }
 
 static void
--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -3,8 +3,9 @@
  * @brief Callers' reads of results and bodies, and their ends of jobs.
  *
  * The VM that runs a job answers reads from what its writes confirmed. Any
- * other one asks the platform, at the end of the time that the reader lets it
- * wait, so that a read costs one call.
+ * other one asks that VM when it says that there is news, and the platform
+ * when nobody says anything, at the end of the time that the reader lets it
+ * wait, so that a read costs one call at most.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -36,8 +37,11 @@
 log_read(const jj_inline_op_t *, const char *, uint32_t, jj_actions_t *);
 static void answer_from_run(
     jj_inline_t *, jj_inline_op_t *, const jj_inline_run_t *, jj_actions_t *);
+static jj_inline_segment_t shown_part(const jj_inline_run_t *);
 static void answer_page(jj_inline_t *, jj_inline_op_t *,
     const jj_inline_segment_t *, uint32_t, jj_actions_t *);
+static jj_bytes_t write_page(
+    const jj_inline_t *, const jj_inline_segment_t *, uint32_t, uint32_t);
 static void step_item(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
 static void answer_item(
     jj_inline_t *, jj_inline_op_t *, const jj_inline_job_t *, jj_actions_t *);
@@ -153,6 +157,9 @@
 	if (op->kind == JJ_OP_READ && op->get.token == 0 &&
 	    op->get.due_ms == JJ_MS_NEVER && op->look_ms < next)
 		next = op->look_ms;
+	if (op->kind == JJ_OP_READ && op->peer_ms != 0 && op->get.token == 0 &&
+	    op->peer_ms < next)
+		next = op->peer_ms;
 	for (i = 0; i < sizeof(calls) / sizeof(calls[0]); i++)
 		if (calls[i]->token == 0 && calls[i]->due_ms < next)
 			next = calls[i]->due_ms;
@@ -277,18 +284,19 @@
 serve_from_heard(
     jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out)
 {
-	const jj_job_standing_t *state =
-	    jj_inline_find_heard(jobs, op->id, now);
+	const jj_heard_state_t *heard = jj_inline_find_heard(jobs, op->id, now);
 
-	if (state == NULL || op->asks_job || op->get.due_ms != JJ_MS_NEVER)
+	if (heard == NULL || op->asks_job || op->get.due_ms != JJ_MS_NEVER)
 		return false;
-	if (op->after < state->shown) {
+	if (op->after < heard->state.shown) {
+		if (jj_inline_ask_peer(jobs, op, now, out))
+			return true;
 		op->look_ms = now;
 		return false;
 	}
 	if (now >= op->look_ms) {
-		log_read(op, "heard", state->shown, out);
-		answer_page(jobs, op, NULL, state->total, out);
+		log_read(op, "heard", heard->state.shown, out);
+		answer_page(jobs, op, NULL, heard->state.total, out);
 	}
 	return true;
 }
@@ -412,17 +420,41 @@
  * stand behind those that are shown. If the write fails, others may take
  * their positions, so a reader must not see them.
  */
+static jj_inline_segment_t
+shown_part(const jj_inline_run_t *run)
+{
+	jj_inline_segment_t shown = run->segment;
+
+	shown.count = run->shown - shown.first;
+	return shown;
+}
+
 static void
 answer_from_run(jj_inline_t *jobs, jj_inline_op_t *op,
     const jj_inline_run_t *run, jj_actions_t *out)
 {
-	jj_inline_segment_t shown = run->segment;
+	jj_inline_segment_t shown = shown_part(run);
 
-	shown.count = run->shown - shown.first;
 	log_read(op, "run", run->shown, out);
 	answer_page(jobs, op, &shown, shown.total, out);
 }
 
+jj_bytes_t
+jj_inline_page_of_run(const jj_inline_t *jobs, const jj_inline_run_t *run,
+    uint32_t after, size_t most)
+{
+	jj_bytes_t none = {0};
+	jj_inline_segment_t shown;
+
+	if (!holds(jobs, run) || after < run->segment.first ||
+	    after >= run->shown)
+		return none;
+	shown = shown_part(run);
+	if (jj_inline_segment_size(&shown) > most)
+		return none;
+	return write_page(jobs, &shown, after, shown.total);
+}
+
 /** Where an answer came from: the run here, its VM's word, the platform. */
 static void
 log_read(const jj_inline_op_t *op, const char *source, uint32_t shown,
@@ -433,19 +465,31 @@
 	    shown, source, op->segment_number);
 }
 
-/** The results from `after` on, as many as a page holds. */
 static void
 answer_page(jj_inline_t *jobs, jj_inline_op_t *op,
     const jj_inline_segment_t *segment, uint32_t total, jj_actions_t *out)
 {
-	jj_inline_page_t page = {total, op->after, 0, NULL};
-	jj_bytes_t body;
+	jj_bytes_t body = write_page(jobs, segment, op->after, total);
+
+	jj_inline_answer(jobs, op, 200, &body, out);
+	jj_bytes_free(&body);
+}
+
+/**
+ * The results from @p after on, as many as a page holds.
+ * @param segment that has them, or NULL when there are none.
+ */
+static jj_bytes_t
+write_page(const jj_inline_t *jobs, const jj_inline_segment_t *segment,
+    uint32_t after, uint32_t total)
+{
+	jj_inline_page_t page = {total, after, 0, NULL};
 	size_t size = 0;
 	uint32_t at;
 
-	if (segment != NULL && op->after >= segment->first &&
-	    op->after < segment->first + segment->count) {
-		at = op->after - segment->first;
+	if (segment != NULL && after >= segment->first &&
+	    after < segment->first + segment->count) {
+		at = after - segment->first;
 		page.results = &segment->results[at];
 		for (; at < segment->count; at++) {
 			size += segment->results[at].text.size;
@@ -454,9 +498,7 @@
 			page.count++;
 		}
 	}
-	body = jobs->port.write_page(jobs->port.ctx, &page);
-	jj_inline_answer(jobs, op, 200, &body, out);
-	jj_bytes_free(&body);
+	return jobs->port.write_page(jobs->port.ctx, &page);
 }
 
 static void
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -44,6 +44,7 @@
 typedef struct jj_heard_state {
 	TAILQ_ENTRY(jj_heard_state) link;
 	jj_job_standing_t state;
+	jj_name_t vm; /**< that runs it */
 	jj_ms_t heard_ms;
 } jj_heard_state_t;
 
@@ -162,6 +163,7 @@
 	uint32_t total; /**< 0: not known yet */
 	jj_ms_t look_ms; /**< the platform is asked then */
 	jj_inline_call_t get;
+	jj_ms_t peer_ms; /**< the VM that runs it is asked until; 0: not yet */
 	bool asks_job; /**< no result there: does the job exist? */
 
 	/* of an item's body */
@@ -218,6 +220,19 @@
 /** True when a failed call surely had no effect. */
 bool jj_inline_surely_failed(jj_platform_outcome_t outcome);
 
+/* Reads at the VM that runs the job (inline_peer.c). */
+/** Asks it once for the results; true while its answer may come. */
+bool jj_inline_ask_peer(
+    jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out);
+
+/* Callers' operations (inline_op.c). */
+/**
+ * The page from @p after on of a run that may speak and has shown that
+ * position; empty when it may not, or when the page is larger than @p most.
+ */
+jj_bytes_t jj_inline_page_of_run(const jj_inline_t *jobs,
+    const jj_inline_run_t *run, uint32_t after, size_t most);
+
 /* Open entries (inline_open.c). */
 void jj_inline_init_open(jj_inline_t *jobs);
 void jj_inline_clear_open(jj_inline_t *jobs);
@@ -234,7 +249,7 @@
 /* What VMs tell each other of their jobs (inline_heard.c). */
 uint64_t jj_inline_hash(const char *text);
 /** What was heard of a job lately, or NULL. */
-const jj_job_standing_t *
+const jj_heard_state_t *
 jj_inline_find_heard(const jj_inline_t *jobs, const char *id, jj_ms_t now);
 /** Tokens of the route's jobs at other VMs, heard of lately. */
 uint64_t jj_inline_heard_tokens(
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -54,6 +54,8 @@
 	JJ_MESSAGE_STRUCK, /**< requests known to have crashed servers */
 	JJ_MESSAGE_LEND, /**< call the platform for me, I do not reach it */
 	JJ_MESSAGE_LENT, /**< what came of that call */
+	JJ_MESSAGE_JOB_READ, /**< a reader here wants results of your job */
+	JJ_MESSAGE_JOB_PAGE, /**< they are these, or ask the platform */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -269,6 +271,13 @@
 		jj_server_notice_t server;
 		uint64_t yield; /**< jj_dispatch_hash_server of its name */
 		char job_ended[JJ_MESSAGE_JOB_ID_SIZE];
+		struct {
+			uint64_t operation; /**< of the VM that asks */
+			char job[JJ_MESSAGE_JOB_ID_SIZE];
+			uint32_t after;
+			/** Of the answer: as readers get it; empty: none. */
+			jj_bytes_t page;
+		} job_page; /**< also JOB_READ, without a page */
 		jj_relay_news_t relay;
 		struct {
 			/** As ack_sequence of a heartbeat: how old this is. */
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -217,6 +217,18 @@
 		m->body.lent.retry_after_ms = 250;
 		m->body.lent.value = jj_bytes_from_text("{}");
 	}},
+    {"JobRead", JJ_MESSAGE_JOB_READ,
+	[](jj_message_t *m) {
+		m->body.job_page.operation = UINT64_MAX;
+		memset(m->body.job_page.job, 'j', JJ_MESSAGE_JOB_ID_SIZE - 1);
+		m->body.job_page.after = UINT32_MAX;
+	}},
+    {"JobPage", JJ_MESSAGE_JOB_PAGE,
+	[](jj_message_t *m) {
+		m->body.job_page.operation = 1;
+		memset(m->body.job_page.job, 'j', JJ_MESSAGE_JOB_ID_SIZE - 1);
+		m->body.job_page.page = jj_bytes_from_text("{\"total\":1}");
+	}},
     {"Yield", JJ_MESSAGE_YIELD,
 	[](jj_message_t *m) { m->body.yield = UINT64_MAX; }},
     {"JobEnded", JJ_MESSAGE_JOB_ENDED,
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -533,13 +533,14 @@
 /* What the VM that runs a job says spares the platform the reads of others. */
 TEST_F(Inline, AReaderElsewhereAsksOnlyWhenThereIsNews)
 {
+	const jj_name_t nobody = {};
 	jj_job_standing_t states[4];
 
 	(void)a.submit("j", 2);
 	pass(300);
 	ASSERT_EQ(1U, jj_inline_list_states(a.jobs, states, 4));
 	EXPECT_EQ(20U, states[0].tokens);
-	jj_inline_take_states(b.jobs, states, 1, now, now, &b.out);
+	jj_inline_take_states(b.jobs, &nobody, states, 1, now, now, &b.out);
 	int reads = platform.reads;
 	EXPECT_EQ("2 0:", b.answer(b.read("j", 0)).body);
 	EXPECT_EQ(reads, platform.reads);
@@ -549,7 +550,7 @@
 	(void)jj_inline_list_states(a.jobs, states, 4);
 	EXPECT_EQ(1U, states[0].shown);
 	EXPECT_EQ(10U, states[0].tokens);
-	jj_inline_take_states(b.jobs, states, 1, now, now, &b.out);
+	jj_inline_take_states(b.jobs, &nobody, states, 1, now, now, &b.out);
 	b.settle();
 	EXPECT_EQ("2 0: j-1=eins", b.answer(waiting).body);
 }
@@ -561,6 +562,7 @@
  */
 TEST_F(InlineFailure, AnOldWordDoesNotHideWhatIsShown)
 {
+	const jj_name_t nobody = {};
 	jj_job_standing_t states[4];
 	jj_job_standing_t old;
 
@@ -571,8 +573,8 @@
 	EXPECT_TRUE(a.finish("j-1", "eins"));
 	pass(600);
 	(void)jj_inline_list_states(a.jobs, states, 4);
-	jj_inline_take_states(b.jobs, states, 1, now, now, &b.out);
-	jj_inline_take_states(b.jobs, &old, 1, now, now, &b.out);
+	jj_inline_take_states(b.jobs, &nobody, states, 1, now, now, &b.out);
+	jj_inline_take_states(b.jobs, &nobody, &old, 1, now, now, &b.out);
 	EXPECT_EQ("2 0: j-1=eins", b.answer(b.read("j", 0)).body);
 	now += 900;
 	int reads = platform.reads;
@@ -580,11 +582,94 @@
 	EXPECT_LT(reads, platform.reads);
 	/* It lay in a queue for long: as good as not heard. */
 	reads = platform.reads;
-	jj_inline_take_states(b.jobs, states, 1, now - 900, now, &b.out);
+	jj_inline_take_states(
+	    b.jobs, &nobody, states, 1, now - 900, now, &b.out);
 	EXPECT_EQ("2 1:", b.answer(b.read("j", 1)).body);
 	EXPECT_LT(reads, platform.reads);
 }
 
+/* Results that are shown come from the VM that runs the job, without a call,
+ * while the platform is away too. */
+TEST_F(Inline, AReaderElsewhereGetsResultsFromTheVmThatRunsTheJob)
+{
+	(void)a.submit("j", 3);
+	pass(300);
+	EXPECT_TRUE(a.finish("j-1", "eins"));
+	EXPECT_TRUE(a.finish("j-2", "zwei"));
+	pass(600);
+	a.tell_states(b);
+	int reads = platform.reads;
+	uint64_t first = b.read("j", 0);
+	uint64_t second = b.read("j", 1);
+	platform.fault = Fault::kRefuse;
+	EXPECT_EQ(0, b.answer(first).status);
+	b.deliver(a);
+	a.deliver(b);
+	EXPECT_EQ("3 0: j-1=eins j-2=zwei", b.answer(first).body);
+	EXPECT_EQ("3 1: j-2=zwei", b.answer(second).body);
+	EXPECT_EQ(reads, platform.reads);
+	platform.fault = Fault::kNone;
+}
+
+/*
+ * The VM that runs a job is asked for results and does not answer: readers are
+ * not kept waiting, the platform is asked. An answer that was for a read of another job is nobody's.
+ */
+TEST_F(InlineFailure, AReadGoesToThePlatformWhenItsVmDoesNotAnswer)
+{
+	(void)a.submit("j", 2);
+	(void)a.submit("k", 2);
+	pass(300);
+	EXPECT_TRUE(a.finish("j-1", "eins"));
+	EXPECT_TRUE(a.finish("k-0", "null"));
+	pass(600);
+	a.tell_states(b);
+	uint64_t silent = b.read("j", 0);
+	pass(300);
+	EXPECT_EQ("2 0: j-1=eins", b.answer(silent).body);
+
+	/* What was asked then is not delivered any more. */
+	for (jj_action_t *action : b.sent)
+		jj_action_free(action);
+	b.sent.clear();
+	a.tell_states(b);
+	uint64_t read = b.read("j", 0);
+	ASSERT_EQ(1U, b.sent.size());
+	jj_message_t *message = b.sent.front()->body.send.message;
+	snprintf(message->body.job_page.job, sizeof(message->body.job_page.job),
+	    "k");
+	b.deliver(a);
+	a.deliver(b);
+	EXPECT_EQ(0, b.answer(read).status) << "a page of another job";
+	pass(300);
+	EXPECT_EQ("2 0: j-1=eins", b.answer(read).body);
+}
+
+/* Results whose write is under way are not told: they may not stand. */
+TEST_F(InlineFailure, WhatIsBeingWrittenIsNotToldToAnotherVm)
+{
+	(void)a.submit("j", 2);
+	pass(300);
+	EXPECT_TRUE(a.finish("j-1", "eins"));
+	pass(600);
+	a.tell_states(b);
+	a.holds = [](const jj_platform_call_t &call) {
+		return call.op == JJ_PLATFORM_UPDATE &&
+		    std::string(call.key).find("batch-out/") == 0;
+	};
+	EXPECT_TRUE(a.finish("j-0", "null"));
+	a.settle();
+	uint64_t read = b.read("j", 0);
+	uint64_t beyond = b.read("j", 1);
+	b.deliver(a);
+	a.deliver(b);
+	EXPECT_EQ("2 0: j-1=eins", b.answer(read).body);
+	EXPECT_EQ("2 1:", b.answer(beyond).body);
+	a.holds = nullptr;
+	a.release();
+	pass(100);
+}
+
 /* While the platform is away readers are told to come back, never "no job". */
 TEST_F(InlineFailure, AReadWithoutThePlatformIsRefused)
 {
--- a/tests/core/inline_world.h
+++ b/tests/core/inline_world.h
@@ -63,6 +63,7 @@
 	/** Items that want a server, by request. */
 	std::map<uint64_t, std::string> items;
 	std::vector<std::string> told_ended;
+	std::list<jj_action_t *> sent; /**< messages, not delivered yet */
 	/** A call that is kept back instead of carried out. */
 	std::function<bool(const jj_platform_call_t &)> holds;
 	std::list<jj_action_t *> held;
@@ -87,6 +88,10 @@
 	void settle();
 	/** Carries the kept calls out now. */
 	void release();
+	/** What this VM runs is told to the other one. */
+	void tell_states(InlineVm &to);
+	/** Messages of this VM come to the other one, whomever they are for. */
+	void deliver(InlineVm &to);
 	/** The watch brings what has changed. */
 	void see_changes();
 	/** The watch ends without an answer. */
@@ -316,6 +321,8 @@
 	jj_inline_destroy(jobs);
 	for (jj_action_t *action : held)
 		jj_action_free(action);
+	for (jj_action_t *action : sent)
+		jj_action_free(action);
 	if (watch != nullptr)
 		jj_action_free(watch);
 	jj_actions_clear(&out);
@@ -532,9 +539,47 @@
 	jj_inline_take_result(jobs, &result, world.now, &out);
 }
 
+inline void
+InlineVm::tell_states(InlineVm &to)
+{
+	jj_job_standing_t states[8];
+	jj_name_t vm = {};
+	uint32_t count = jj_inline_list_states(jobs, states, 8);
+
+	jj_name_set(&vm, writer.substr(0, writer.find('/')).c_str());
+	jj_inline_take_states(
+	    to.jobs, &vm, states, count, world.now, world.now, &to.out);
+	to.settle();
+}
+
+inline void
+InlineVm::deliver(InlineVm &to)
+{
+	std::list<jj_action_t *> messages;
+
+	messages.swap(sent);
+	for (jj_action_t *action : messages) {
+		jj_message_t *message = action->body.send.message;
+
+		jj_name_set(
+		    &message->from, writer.substr(0, writer.find('/')).c_str());
+		if (message->kind == JJ_MESSAGE_JOB_READ)
+			jj_inline_take_peer_read(to.jobs, message, &to.out);
+		if (message->kind == JJ_MESSAGE_JOB_PAGE)
+			jj_inline_take_peer_page(
+			    to.jobs, message, world.now, &to.out);
+		jj_action_free(action);
+	}
+	to.settle();
+}
+
 inline void
 InlineVm::take_other(jj_action_t *action)
 {
+	if (action->kind == JJ_ACTION_SEND) {
+		sent.push_back(action);
+		return;
+	}
 	if (action->kind == JJ_ACTION_JOB_ANSWER) {
 		InlineAnswer &given = answers[action->body.job.operation];
 
