A read that waits for the platform keeps nobody busy

Found by reading the change again: after the VM that runs a job had not answered, the time until which it was asked stayed the read's next time, so the loop woke each millisecond until the platform answered. It counts only while no call to the platform is wanted.

--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -158,7 +158,7 @@
 	    op->get.due_ms == JJ_MS_NEVER && op->look_ms < next)
 		next = op->look_ms;
 	if (op->kind == JJ_OP_READ && op->peer_ms != 0 && op->get.token == 0 &&
-	    op->peer_ms < next)
+	    op->get.due_ms == JJ_MS_NEVER && op->peer_ms < next)
 		next = op->peer_ms;
 	for (i = 0; i < sizeof(calls) / sizeof(calls[0]); i++)
 		if (calls[i]->token == 0 && calls[i]->due_ms < next)
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -645,6 +645,25 @@
 	EXPECT_EQ("2 0: j-1=eins", b.answer(read).body);
 }
 
+/* A VM that was asked is silent and the platform is away: the read waits for
+ * its next try, and nothing is due all the while. */
+TEST_F(InlineFailure, AReadThatWaitsForThePlatformKeepsNobodyBusy)
+{
+	(void)a.submit("j", 2);
+	pass(300);
+	EXPECT_TRUE(a.finish("j-1", "eins"));
+	pass(600);
+	a.tell_states(b);
+	uint64_t read = b.read("j", 0);
+	platform.fault = Fault::kRefuse;
+	pass(300);
+	ASSERT_EQ(0, b.answer(read).status);
+	EXPECT_GT(jj_inline_next(b.jobs), now);
+	platform.fault = Fault::kNone;
+	pass(1000);
+	EXPECT_EQ("2 0: j-1=eins", b.answer(read).body);
+}
+
 /* Results whose write is under way are not told: they may not stand. */
 TEST_F(InlineFailure, WhatIsBeingWrittenIsNotToldToAnotherVm)
 {
