A job that another VM ran and ended is not taken for new

One creates the job, another one its entry, runs it, is told of its end and deletes the entry; the first one's create of the entry, tried again and again, then succeeds. It had created the job, held it for new, read nothing of what stands and ran its items. Change: only a job whose entry is older than itself, or that was stored within 0.1 s, is held for new; any other one is read first, two calls. The test brings it about with a held call: two items ran, none now.

--- a/src/core/inline_run.c
+++ b/src/core/inline_run.c
@@ -8,6 +8,14 @@
 
 #include "core/inline_state.h"
 
+/**
+ * A submission that took no longer is held to be the only one, ms. Until an
+ * end by another VM is durable that VM's own submission, its client's answer
+ * and call, and three writes take place.
+ */
+#define QUICK_SUBMIT_MS 100
+
+static bool was_first(const jj_inline_op_t *, jj_ms_t);
 static jj_inline_run_t *create_run(jj_inline_t *, const char *, uint64_t);
 static void begin_catching_up(jj_inline_t *, jj_inline_run_t *, jj_ms_t);
 static void step_items(jj_inline_t *, jj_inline_run_t *, jj_ms_t);
@@ -72,8 +80,7 @@
 	run->route = op->route;
 	run->due_ms = op->run_due_ms;
 	run->retention_ms = op->retention_ms;
-	/* Nobody can have shown results of a job that is new. */
-	if (op->job_is_new) {
+	if (was_first(op, now)) {
 		jj_inline_end_call(&run->write);
 		run->rereads = false;
 		run->fences = false;
@@ -81,6 +88,21 @@
 	}
 }
 
+/**
+ * True when nobody else can have run the job: its entry is older than itself,
+ * or both came at once. Guards against a job that was run and ended meanwhile:
+ * another VM's entry stood first and is deleted by now, and this VM's, tried
+ * again and again during an outage, was created at last. It would run the
+ * ended job's items, as it knows nothing of the end; so it reads what stands.
+ */
+static bool
+was_first(const jj_inline_op_t *op, jj_ms_t now)
+{
+	return op->job_is_new &&
+	    (op->open_version < op->job_version ||
+		now - op->begun_ms <= QUICK_SUBMIT_MS);
+}
+
 void
 jj_inline_drop_run(jj_inline_t *jobs, jj_inline_run_t *run)
 {
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -152,6 +152,7 @@
 	jj_inline_call_t create_open;
 	bool job_stored;
 	bool job_is_new;
+	uint64_t job_version; /**< of a new one */
 	bool open_stored;
 	bool open_is_mine;
 	uint64_t open_version;
--- a/src/core/inline_submit.c
+++ b/src/core/inline_submit.c
@@ -170,6 +170,7 @@
 	jj_inline_end_call(&op->create_job);
 	op->job_stored = true;
 	op->job_is_new = result->outcome == JJ_PLATFORM_OK;
+	op->job_version = result->version;
 	op->may_be_stored = true;
 }
 
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -645,6 +645,35 @@
 	EXPECT_EQ("2 0: j-1=eins", b.answer(read).body);
 }
 
+/*
+ * After an outage of the platform a job was submitted at two VMs at once. One
+ * created the job, the other one the entry, ran it, was told of its end and
+ * deleted the entry. Then the first one's entry was created at last: it held
+ * the job for new, looked at no results and ran it for seconds after its end.
+ */
+TEST_F(InlineFailure, AJobThatEndedBeforeItsEntryWasCreatedIsNotRun)
+{
+	a.holds = [](const jj_platform_call_t &call) {
+		return std::string(call.key).find("batch-open/") == 0;
+	};
+	uint64_t first = a.submit("j", 2);
+	uint64_t second = b.submit("j", 2);
+	EXPECT_EQ(202, b.answer(second).status);
+	EXPECT_EQ(0, a.answer(first).status);
+	pass(300);
+	EXPECT_EQ(2U, b.items.size());
+	EXPECT_EQ(200, b.answer(b.end("j")).status);
+	pass(300);
+	ASSERT_FALSE(platform.has("batch-open/j"));
+	a.holds = nullptr;
+	a.release();
+	EXPECT_EQ(202, a.answer(first).status);
+	EXPECT_EQ(0U, a.items.size());
+	pass(1000);
+	EXPECT_EQ(0U, a.items.size());
+	EXPECT_FALSE(platform.has("batch-open/j"));
+}
+
 /* A VM that was asked is silent and the platform is away: the read waits for
  * its next try, and nothing is due all the while. */
 TEST_F(InlineFailure, AReadThatWaitsForThePlatformKeepsNobodyBusy)
