A job that another VM ran to its end during a cut is not gone on with

Cause: a VM that was cut off learns with one look at the list that its job was taken over and that the entry was deleted. A VM that learned of an end from the stored results also closed the job and left its items at their servers. Ruled out: words of other VMs that are too old (their age is known by what they acknowledge), a write under way (the job is silent after 0.1 s). Change: an entry that is gone makes its job silent and idle until the stored results were read again; an end that is read there stops the items.

--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -24,6 +24,7 @@
 static void take_entry(void *, const jj_platform_item_t *);
 static void drop_entry(void *, const char *);
 static void end_list(void *, jj_ms_t);
+static void lose_entry(jj_inline_t *, jj_open_entry_t *);
 static void free_entry(jj_inline_t *, jj_open_entry_t *);
 static void look_at(jj_inline_t *, jj_open_entry_t *, jj_ms_t, jj_actions_t *);
 static bool is_lost(jj_inline_t *, jj_open_entry_t *, jj_ms_t);
@@ -250,7 +251,7 @@
 	jj_open_entry_t *entry = jj_inline_find_open(jobs, jj_object_name(key));
 
 	if (entry != NULL)
-		free_entry(jobs, entry);
+		lose_entry(jobs, entry);
 }
 
 static void
@@ -264,10 +265,18 @@
 	for (entry = TAILQ_FIRST(&jobs->open); entry != NULL; entry = next) {
 		next = TAILQ_NEXT(entry, link);
 		if (!entry->listed)
-			free_entry(jobs, entry);
+			lose_entry(jobs, entry);
 	}
 }
 
+/** The platform has it no more. */
+static void
+lose_entry(jj_inline_t *jobs, jj_open_entry_t *entry)
+{
+	jj_inline_note_unlisted(jobs, entry->id);
+	free_entry(jobs, entry);
+}
+
 static void
 free_entry(jj_inline_t *jobs, jj_open_entry_t *entry)
 {
--- a/src/core/inline_publish.c
+++ b/src/core/inline_publish.c
@@ -46,6 +46,10 @@
 {
 	if (run->write.token != 0)
 		return;
+	if (run->unlisted && !run->rereads) {
+		run->rereads = true;
+		jj_inline_want_call(&run->write, now);
+	}
 	if (run->rereads) {
 		if (jj_inline_is_due(&run->write, now))
 			read_segment(jobs, run, out);
@@ -127,6 +131,8 @@
 	if (result->outcome == JJ_PLATFORM_OK) {
 		jj_inline_end_call(&run->write);
 		run->segment_version = result->version;
+		/* On that version nobody else had written. */
+		run->unlisted = false;
 		if (run->fences) {
 			end_catching_up(jobs, run, out);
 			return;
@@ -186,7 +192,9 @@
 	}
 	jj_inline_end_call(&run->write);
 	run->rereads = false;
-	run->ended = run->ended || run->segment.ended;
+	run->unlisted = false;
+	if (run->segment.ended)
+		jj_inline_end_run(run, jobs, now);
 	if (wants_end(run))
 		run->publish_ms = now;
 	if (!run->fences)
--- a/src/core/inline_run.c
+++ b/src/core/inline_run.c
@@ -114,6 +114,26 @@
 	cancel_items(jobs, run);
 }
 
+/**
+ * Guards against a job that goes on after its end: while this VM was cut off
+ * another one took the job over and closed it, at its end or its client's. The
+ * takeover and the deletion come with one look at the list, so no other owner
+ * is ever seen. Items of an ended job ran again, and readers of all VMs were
+ * told that there is nothing where results had been read. Only a closed job's
+ * entry is deleted, and its results are complete or say that it ended; so
+ * nothing is begun or told before they are read.
+ */
+void
+jj_inline_note_unlisted(jj_inline_t *jobs, const char *id)
+{
+	jj_inline_run_t *run = jj_inline_find_run(jobs, id);
+
+	if (run == NULL || run->state != JJ_RUN_RUNNING)
+		return;
+	run->unlisted = true;
+	cancel_items(jobs, run);
+}
+
 void
 jj_inline_leave_run(jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now)
 {
@@ -171,7 +191,7 @@
 		jj_inline_step_publish(jobs, run, now, out);
 		break;
 	case JJ_RUN_RUNNING:
-		if (!run->ended)
+		if (!run->ended && !run->unlisted)
 			step_items(jobs, run, now);
 		jj_inline_step_publish(jobs, run, now, out);
 		if (run->write.token != 0)
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -117,6 +117,7 @@
 	jj_ms_t write_ms; /**< when the write under way began */
 	bool rereads; /**< the write's outcome is read back */
 	bool fences; /**< writes of the VM before may still take effect */
+	bool unlisted; /**< its entry is gone: what is stored is read first */
 	jj_ms_t publish_ms; /**< not before; JJ_MS_NEVER: nothing to show */
 	jj_inline_call_t close;
 } jj_inline_run_t;
@@ -283,6 +284,8 @@
 /** Another VM has the job now. */
 void jj_inline_drop_run(jj_inline_t *jobs, jj_inline_run_t *run);
 void jj_inline_end_run(jj_inline_run_t *run, jj_inline_t *jobs, jj_ms_t now);
+/** The list does not have a job's entry any more. */
+void jj_inline_note_unlisted(jj_inline_t *jobs, const char *id);
 /** Planned stop: what is finished is shown, the rest another VM runs. */
 void jj_inline_leave_run(jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now);
 void jj_inline_step_run(
--- a/src/core/inline_sure.c
+++ b/src/core/inline_sure.c
@@ -44,7 +44,7 @@
 	    run->write.token != 0 && jobs->now_ms - run->write_ms > WRITE_MS;
 
 	return run->segment.total > 0 && !writes && !run->rereads &&
-	    !run->fences && jj_inline_is_sure(jobs);
+	    !run->fences && !run->unlisted && jj_inline_is_sure(jobs);
 }
 
 void
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -376,6 +376,89 @@
 	EXPECT_TRUE(b.items.empty());
 }
 
+/*
+ * A domain is cut off; a job of its VM is taken over, run to its end and closed
+ * before the cut heals. The VM's watch brings the takeover and the deletion of
+ * the entry together, so it never saw another owner. It held the job for its
+ * own and unlisted, ran it on, and told readers of every VM, for seconds, that
+ * there is nothing at positions that had been read.
+ */
+TEST_F(InlineFailure, AJobThatEndedElsewhereDuringACutIsNotGoneOnWith)
+{
+	InlineVm &reader = add_vm("c");
+
+	(void)b.submit("j", 2);
+	pass(300);
+	EXPECT_TRUE(b.finish("j-0", "first"));
+	pass(600);
+	ASSERT_EQ(1U, stored("j").size());
+	b.frozen = true;
+	dead.insert(b.writer);
+	pass(8000);
+	a.finish_all("second");
+	pass(600);
+	ASSERT_EQ(2U, stored("j").size());
+	ASSERT_FALSE(platform.has("batch-open/j"));
+	pass(5000);
+	dead.clear();
+	b.frozen = false;
+	pass(50);
+	b.tell_states(reader);
+	EXPECT_TRUE(b.items.empty());
+	EXPECT_EQ("2 1: j-1=second", b.answer(b.read("j", 1)).body);
+	EXPECT_EQ("2 1: j-1=second", reader.answer(reader.read("j", 1)).body);
+}
+
+/*
+ * The same, but its client ended the job at the VM that had taken it over. The
+ * VM that came back went on with the items of an ended job, which nobody asked
+ * for any more; and one that learned of the end from the stored results closed
+ * the job and left its items at their servers.
+ */
+TEST_F(InlineFailure, AJobThatItsClientEndedDuringACutRunsNoItems)
+{
+	(void)b.submit("j", 2);
+	pass(300);
+	b.frozen = true;
+	dead.insert(b.writer);
+	pass(8000);
+	(void)a.end("j");
+	pass(600);
+	ASSERT_FALSE(platform.has("batch-open/j"));
+	dead.clear();
+	b.frozen = false;
+	b.see_changes();
+	EXPECT_TRUE(b.items.empty());
+	pass(600);
+	EXPECT_TRUE(b.items.empty());
+	EXPECT_TRUE(stored("j").empty());
+}
+
+/*
+ * The list of open jobs is read anew after a gap in its history, and the entry
+ * of a job that this VM runs is missing: another VM took it over and closed it
+ * between the two looks. No event says so.
+ */
+TEST_F(InlineFailure, AJobThatIsMissingInANewListIsReadAgain)
+{
+	(void)b.submit("j", 2);
+	pass(300);
+	b.frozen = true;
+	dead.insert(b.writer);
+	pass(8000);
+	a.finish_all("other");
+	pass(600);
+	ASSERT_FALSE(platform.has("batch-open/j"));
+	dead.clear();
+	b.frozen = false;
+	b.lose_history();
+	b.settle();
+	pass(50);
+	EXPECT_TRUE(b.items.empty());
+	EXPECT_EQ(
+	    "2 0: j-0=other j-1=other", b.answer(b.read("j", 0)).body);
+}
+
 /*
  * A write of results takes effect, and its answer is held up by a cut. Readers
  * at other VMs see the results in the store; the VM that wrote them must not
--- a/tests/core/inline_world.h
+++ b/tests/core/inline_world.h
@@ -96,6 +96,8 @@
 	void see_changes();
 	/** The watch ends without an answer. */
 	void lose_watch();
+	/** The watch ends as the history that it follows is gone. */
+	void lose_history();
 	InlineAnswer &
 	answer(uint64_t operation)
 	{
@@ -103,6 +105,7 @@
 	}
 
       private:
+	void end_watch(jj_platform_outcome_t outcome);
 	void bring(jj_action_t *call);
 	void take(const jj_platform_result_t &result);
 	void take_other(jj_action_t *action);
@@ -478,6 +481,18 @@
 
 inline void
 InlineVm::lose_watch()
+{
+	end_watch(JJ_PLATFORM_UNKNOWN);
+}
+
+inline void
+InlineVm::lose_history()
+{
+	end_watch(JJ_PLATFORM_GAP);
+}
+
+inline void
+InlineVm::end_watch(jj_platform_outcome_t outcome)
 {
 	jj_platform_result_t result = {};
 
@@ -485,7 +500,7 @@
 		return;
 	result.op = watch->body.platform.op;
 	result.token = watch->body.platform.token;
-	result.outcome = JJ_PLATFORM_UNKNOWN;
+	result.outcome = outcome;
 	jj_action_free(watch);
 	watch = nullptr;
 	take(result);
