A server is its id and its start; an entry of another writer hides no other

Cause: a server may start again under its id. Nothing read when it started, so doubts, rests, strikes, loads told by other VMs and running streams of the process that is gone counted for its successor. And one object that the JSON reader can't take (no UTF-8, a NUL, a number out of range, deep nesting) made a whole list or watch unreadable: a VM that started then knew no server. Ruled out: a lenient reader. JSON readers with such modes still refuse numbers beyond a double or recurse; yajl passes texts and numbers on as they stand and does not recurse, so it finds where each object begins, and each is then read by itself. It runs only where the whole can't be read. Change: identity is (id, start), decoded once in platform/; a later start takes over, an earlier one names none to use until it is put right (or stands for 4 s); what ran at a start that is gone is moved 0.2 s later; words of other VMs name the start that they mean. An entry that says what no server says takes its id out of use until it is good again.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CC ?= gcc
 CXX ?= g++
 PKGS := apr-1 libzmq libmicrohttpd libcurl jansson msgpack libxxhash \
-	glib-2.0 log4c
+	glib-2.0 log4c yajl
 # Third-party headers are not ours to keep free of warnings.
 PKG_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PKGS)))
 PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lm
@@ -173,14 +173,14 @@
 FUZZ_RUNS ?= 20000
 $(B)/fuzz/%.o: %.c
 	@mkdir -p $(@D)
-	clang $(CPPFLAGS) -std=c11 -O1 -g -fsanitize=fuzzer-no-link,address \
+	clang $(CPPFLAGS) -I. -std=c11 -O1 -g -fsanitize=fuzzer-no-link,address \
 	    -MMD -MP -c -o $@ $<
 $(B)/fuzz/%.o: %.cpp
 	@mkdir -p $(@D)
 	clang++ $(CPPFLAGS) -std=c++17 -O1 -g \
 	    -fsanitize=fuzzer-no-link,address -MMD -MP -c -o $@ $<
 FUZZ_LIB := $(patsubst %.c,$(B)/fuzz/%.o,$(LIB_C) \
-	src/daemon/sse.c src/daemon/assembler.c) \
+	src/daemon/sse.c src/daemon/assembler.c $(wildcard platform/*.c)) \
 	$(patsubst %.cpp,$(B)/fuzz/%.o,$(LIB_CXX))
 FUZZ_NAMES := $(patsubst tests/fuzz/%.c,%,$(wildcard tests/fuzz/*.c))
 $(B)/fuzz-%: $(B)/fuzz/tests/fuzz/%.o $(FUZZ_LIB)
--- a/src/adapters/deployment.h
+++ b/src/adapters/deployment.h
@@ -53,8 +53,9 @@
 	jj_front_headers_t headers;
 	bool (*read_routes)(const jj_bytes_t *object, jj_routes_t *routes,
 	    char *why, size_t why_size);
-	bool (*read_server)(
-	    const char *id, const jj_bytes_t *object, jj_slot_info_t *info);
+	/** False, and @p why, for an entry that names no server to use. */
+	bool (*read_server)(const char *id, const jj_bytes_t *object,
+	    jj_slot_info_t *info, char *why, size_t why_size);
 	void (*read_call)(const jj_http_call_t *call, jj_front_call_t *read);
 	/** A job out of its submission; false when malformed. */
 	bool (*read_job)(const jj_http_call_t *call, jj_inline_job_t *job);
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -31,12 +31,7 @@
 static void end_list(void *, jj_ms_t);
 static void take_config_object(void *, const jj_platform_item_t *);
 static void drop_nothing(void *, const char *);
-static void begin_servers(void *);
-static void take_server(void *, const jj_platform_item_t *);
-static void drop_server(void *, const char *);
-static void end_servers(void *, jj_ms_t);
 static void take_retirement(void *, const jj_platform_item_t *);
-static jj_ms_t missing_until(const jj_gateway_t *, jj_ms_t);
 static bool is_live(void *, const char *);
 static bool is_chosen(void *, const char *);
 static bool hears_others(void *);
@@ -165,6 +160,12 @@
 {
 	enter(gateway, now, out);
 	jj_gateway_note_reach(gateway, result, now);
+	if (result->unreadable > 0)
+		jj_actions_add_event(out, "objects_unreadable",
+		    "count=%zu of=%zu token=%llu version=%llu",
+		    result->unreadable, result->item_count,
+		    (unsigned long long)result->token,
+		    (unsigned long long)result->version);
 	if (result->owner == JJ_OWNER_LENT)
 		jj_gateway_take_lent_result(gateway, result, out);
 	else if (result->owner == JJ_OWNER_INLINE)
@@ -208,7 +209,7 @@
 	jj_gateway_tick_config(gateway, now, out);
 	jj_gateway_tick_vms(gateway, now, out);
 	jj_quarantine_tick(gateway->quarantine, now);
-	jj_slots_tick(gateway->slots, now);
+	jj_gateway_tick_servers(gateway, now, out);
 	jj_gateway_check_times(gateway, now, out);
 	jj_gateway_tick_loans(gateway, now, out);
 	jj_inline_tick(gateway->jobs, now, out);
@@ -332,8 +333,9 @@
 	    from->news_ms / RELAY_PART, from->news_ms * FRESH_TENTHS / 10};
 	jj_mirror_port_t config = {gateway, begin_list, take_config_object,
 	    drop_nothing, end_list, jj_gateway_relay_objects};
-	jj_mirror_port_t servers = {gateway, begin_servers, take_server,
-	    drop_server, end_servers, jj_gateway_relay_objects};
+	jj_mirror_port_t servers = {gateway, jj_gateway_begin_servers,
+	    jj_gateway_take_server, jj_gateway_drop_server,
+	    jj_gateway_end_servers, jj_gateway_relay_objects};
 	jj_mirror_port_t retire = {
 	    gateway, begin_list, take_retirement, drop_nothing, end_list, NULL};
 
@@ -382,75 +384,6 @@
 		(void)jj_gateway_take_config(gateway, &item->value, "platform");
 }
 
-static void
-begin_servers(void *ctx)
-{
-	jj_gateway_t *gateway = ctx;
-
-	jj_slots_begin_list(gateway->slots);
-}
-
-static void
-take_server(void *ctx, const jj_platform_item_t *item)
-{
-	jj_gateway_t *gateway = ctx;
-	const char *id = jj_object_name(item->key);
-	const jj_slot_server_t *known = jj_slots_find(gateway->slots, id);
-	jj_slot_info_t info = {0};
-
-	if (!gateway->port.read_server(
-		gateway->port.ctx, id, &item->value, &info)) {
-		jj_actions_add_event(gateway->out, "server_unreadable",
-		    "server=%s version=%llu", id,
-		    (unsigned long long)item->version);
-		return;
-	}
-	if (known == NULL || known->info.draining != info.draining)
-		jj_actions_add_event(gateway->out,
-		    info.draining ? "server_draining" : "server_listed",
-		    "server=%s service=%s domain=%s address=%s version=%llu",
-		    id, info.service.text, info.domain.text, info.address,
-		    (unsigned long long)item->version);
-	jj_slots_learn(gateway->slots, &info);
-}
-
-static void
-drop_server(void *ctx, const char *key)
-{
-	jj_gateway_t *gateway = ctx;
-	jj_ms_t until = missing_until(gateway, gateway->now);
-
-	jj_actions_add_event(gateway->out, "server_unlisted",
-	    "server=%s kept_ms=%lld", jj_object_name(key),
-	    (long long)(until - gateway->now));
-	jj_slots_drop(gateway->slots, jj_object_name(key), until);
-}
-
-static void
-end_servers(void *ctx, jj_ms_t now)
-{
-	jj_gateway_t *gateway = ctx;
-
-	jj_slots_end_list(gateway->slots, missing_until(gateway, now));
-}
-
-/**
- * Guards against taking a whole fleet for dead: while the platform is away
- * servers cannot renew their entries, and these lapse. They are back within
- * a grace after its return; one still missing then is gone.
- */
-static jj_ms_t
-missing_until(const jj_gateway_t *gateway, jj_ms_t now)
-{
-	const jj_mirror_t *mirror = &gateway->servers_mirror;
-	jj_ms_t until;
-
-	if (mirror->returned_ms == JJ_MS_NEVER)
-		return now;
-	until = mirror->returned_ms + gateway->settings.relist_grace_ms;
-	return until > now ? until : now;
-}
-
 static void
 take_retirement(void *ctx, const jj_platform_item_t *item)
 {
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -26,9 +26,9 @@
 	/** The configuration; false and @p why when malformed. */
 	bool (*read_routes)(void *ctx, const jj_bytes_t *object,
 	    jj_routes_t *routes, char *why, size_t why_size);
-	/** A server's entry; false when malformed. */
+	/** A server's entry; false and @p why when it names none to use. */
 	bool (*read_server)(void *ctx, const char *id, const jj_bytes_t *object,
-	    jj_slot_info_t *info);
+	    jj_slot_info_t *info, char *why, size_t why_size);
 	jj_bytes_t (*write_page)(void *ctx, const jj_inline_page_t *page);
 	int64_t (*unix_ms)(void *ctx);
 	/** A new version of the routes is in force; only read meanwhile. */
--- a/src/core/gateway_deaths.c
+++ b/src/core/gateway_deaths.c
@@ -79,7 +79,7 @@
 	size_t i;
 
 	crash.server = server->info.id;
-	/* Each start has an id of its own, so it names the process that died. */
+	/* It names the process that died, not what has its id by now. */
 	crash.boot = server->hash;
 	for (i = 0; i < gateway->broken_count &&
 	     crash.suspect_count < JJ_MESSAGE_SUSPECTS_MAX;
--- a/src/core/gateway_news.c
+++ b/src/core/gateway_news.c
@@ -47,8 +47,8 @@
 		(void)jj_struck_take(gateway->quarantine, message, now, out);
 		break;
 	case JJ_MESSAGE_SERVER_STATE:
-		server = jj_slots_find(
-		    gateway->slots, message->body.server.server.text);
+		server = jj_slots_find_hash(
+		    gateway->slots, message->body.server.boot);
 		if (server != NULL &&
 		    message->body.server.state == JJ_SERVER_DOWN)
 			jj_slots_note_doubt(server, now);
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -13,15 +13,24 @@
 
 #include "core/gateway_state.h"
 
+/**
+ * What a process had sent before its end is read within, ms: a VM that was
+ * frozen has its sockets full, and looks at them 25 ms after its timers.
+ */
+#define REPLACED_MS 200
 /** How far the mean time of a request at its server moves with each one. */
 #define MEAN_SHARE 0.05
 
+static bool
+has_stalled(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static jj_gateway_entry_t *add_entry(
     jj_gateway_t *, const jj_gateway_request_t *, const jj_route_t *, jj_ms_t);
 static void refuse(
     jj_gateway_t *, const jj_gateway_request_t *, jj_give_up_t, jj_actions_t *);
 static bool
 check_entry(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
+static const jj_name_t *
+place_to_avoid(const jj_gateway_t *, const jj_gateway_entry_t *);
 static void
 make_room(jj_gateway_t *, jj_slot_server_t *, jj_ms_t, jj_actions_t *);
 static void
@@ -176,7 +185,7 @@
 jj_gateway_place(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
     jj_actions_t *out)
 {
-	const jj_name_t *avoid = entry->tries > 0 ? &entry->last_server : NULL;
+	const jj_name_t *avoid = place_to_avoid(gateway, entry);
 	jj_slot_server_t *server;
 	bool full;
 
@@ -236,6 +245,7 @@
 	entry->tries++;
 	entry->server = server;
 	entry->last_server = server->info.id;
+	entry->last_hash = server->hash;
 	entry->sent_ms = now;
 	entry->sign_ms = now;
 	entry->first_seen = false;
@@ -290,19 +300,39 @@
 		note_crowded(gateway, entry, now, out);
 		return true;
 	}
-	if (!entry->repeatable ||
-	    now - entry->sign_ms < gateway->settings.stall_ms)
+	if (!has_stalled(gateway, entry, now))
 		return false;
 	cut_off(gateway, entry, out);
 	stalled.request = entry->request;
 	stalled.kind = JJ_BACKEND_BROKEN;
 	jj_actions_add_event(out, "stream_stalled",
-	    "request=%s server=%s silent_ms=%lld", entry->id,
-	    entry->server->info.id.text, (long long)(now - entry->sign_ms));
+	    "request=%s server=%s silent_ms=%lld replaced=%d", entry->id,
+	    entry->server->info.id.text, (long long)(now - entry->sign_ms),
+	    entry->server->replaced);
 	take_failure(gateway, entry, &stalled, now, out);
 	return true;
 }
 
+/**
+ * Guards against waiting for a process that is gone: one that died without a
+ * word, behind a cut or with its VM, resets no connection, and its successor
+ * under the same id answers for new ones only. What it had sent before is read
+ * first. Without a successor silence alone shows it, and only what may be sent
+ * again is moved.
+ */
+static bool
+has_stalled(
+    const jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	const jj_slot_server_t *server = entry->server;
+
+	if (server->replaced && now - server->replaced_ms >= REPLACED_MS &&
+	    now - entry->sign_ms >= REPLACED_MS)
+		return true;
+	return entry->repeatable &&
+	    now - entry->sign_ms >= gateway->settings.stall_ms;
+}
+
 static jj_gateway_entry_t *
 add_entry(jj_gateway_t *gateway, const jj_gateway_request_t *request,
     const jj_route_t *route, jj_ms_t now)
@@ -347,6 +377,20 @@
 	    (unsigned long long)gateway->routes.version);
 }
 
+/** Where it failed before, unless another process is there by now. */
+static const jj_name_t *
+place_to_avoid(const jj_gateway_t *gateway, const jj_gateway_entry_t *entry)
+{
+	const jj_slot_server_t *last;
+
+	if (entry->tries == 0)
+		return NULL;
+	last = jj_slots_find(gateway->slots, entry->last_server.text);
+	return last != NULL && last->hash == entry->last_hash
+	    ? &entry->last_server
+	    : NULL;
+}
+
 /** Batch gives its place up before the request gets there. */
 static void
 make_room(jj_gateway_t *gateway, jj_slot_server_t *server, jj_ms_t now,
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -33,6 +33,7 @@
 	uint32_t attempt; /**< number of the one under way */
 	jj_slot_server_t *server; /**< where it is, or NULL */
 	jj_name_t last_server; /**< of the attempt before */
+	uint64_t last_hash; /**< of that server's process */
 	jj_ms_t sent_ms;
 	jj_ms_t ran_ms; /**< at servers, in the attempts before this one */
 	jj_ms_t sign_ms; /**< the server was last heard then */
@@ -162,6 +163,14 @@
 void
 jj_gateway_check_times(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 
+/* The list of servers (gateway_servers.c): the port of its mirror. */
+void jj_gateway_begin_servers(void *gateway);
+void jj_gateway_take_server(void *gateway, const jj_platform_item_t *item);
+void jj_gateway_drop_server(void *gateway, const char *key);
+void jj_gateway_end_servers(void *gateway, jj_ms_t now);
+void
+jj_gateway_tick_servers(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+
 /* Servers that die or are dark (gateway_deaths.c). */
 /**
  * A dark server costs each request that tries it the time of a connection,
--- a/src/core/platform_call.h
+++ b/src/core/platform_call.h
@@ -79,6 +79,8 @@
 	jj_bytes_t value; /**< of a get or a conflict, or the VM list */
 	jj_platform_item_t *items;
 	size_t item_count;
+	/** Objects that could not be read; with a name they are items too. */
+	size_t unreadable;
 	bool more; /**< a list was cut at its limit */
 	jj_ms_t retry_after_ms;
 } jj_platform_result_t;
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -46,6 +46,13 @@
 /* Rest after a refusal that names no time: about one step of its queue, ms. */
 #define REFUSAL_REST_MS 50
 
+/*
+ * An entry of an earlier start that stands for so long is true, ms: a server
+ * writes its entry anew each 1,200 ms, and is taken for gone after three times
+ * that without a word.
+ */
+#define CLAIM_MS 4000
+
 /* So many VMs of other domains choose a server, where there are many. */
 #define ABROAD_VMS 2
 /* With fewer VMs of other domains all may choose all: they hardly collide. */
@@ -78,6 +85,12 @@
 static void
 set_neighbour(jj_slot_server_t *, const jj_name_t *, uint32_t, uint32_t);
 static void sum_neighbours(jj_slot_server_t *);
+static jj_slot_server_t *add_server(jj_slots_t *, const jj_slot_info_t *);
+static void set_info(jj_slots_t *, jj_slot_server_t *, const jj_slot_info_t *);
+static jj_slot_server_t *replace_server(
+    jj_slots_t *, jj_slot_server_t *, const jj_slot_info_t *, jj_ms_t);
+static void unlist(jj_slot_server_t *, jj_ms_t);
+static uint64_t hash_of(const jj_slot_info_t *);
 static void remove_server(jj_slots_t *, jj_slot_server_t *);
 static bool is_known(const jj_slot_server_t *);
 static jj_load_t load_of(const jj_slot_server_t *);
@@ -106,19 +119,51 @@
 	free(slots);
 }
 
-void
-jj_slots_learn(jj_slots_t *slots, const jj_slot_info_t *info)
+jj_slots_learned_t
+jj_slots_learn(jj_slots_t *slots, const jj_slot_info_t *info, jj_ms_t now)
 {
 	jj_slot_server_t *server = jj_slots_find(slots, info->id.text);
 
 	if (server == NULL) {
-		server = jj_alloc(sizeof(*server));
-		server->hash = jj_dispatch_hash_server(&info->id);
-		TAILQ_INSERT_TAIL(&slots->servers, server, link);
+		(void)add_server(slots, info);
+		return JJ_SLOTS_NEW;
 	}
-	server->info = *info;
-	server->local = jj_name_equal(&info->domain, &slots->settings.domain);
-	server->listed = true;
+	if (info->started_ms < server->info.started_ms) {
+		if (!server->claimed)
+			server->claimed_ms = now;
+		server->claimed = true;
+		server->claim = *info;
+		unlist(server, now);
+		return JJ_SLOTS_OLD_START;
+	}
+	if (info->started_ms > server->info.started_ms) {
+		replace_server(slots, server, info, now);
+		return JJ_SLOTS_STARTED_AGAIN;
+	}
+	set_info(slots, server, info);
+	return JJ_SLOTS_KNOWN;
+}
+
+/**
+ * Guards against a server that is lost for good because its clock was set back
+ * before it started again. The word of a process that is gone, carried out
+ * late, is put right by the next one of the process that lives; one that
+ * nobody puts right is true.
+ */
+jj_slot_server_t *
+jj_slots_settle_claim(jj_slots_t *slots, jj_ms_t now)
+{
+	jj_slot_server_t *server;
+	jj_slot_info_t claim;
+
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		if (!server->claimed || now - server->claimed_ms < CLAIM_MS)
+			continue;
+		claim = server->claim;
+		return replace_server(slots, server, &claim, now);
+	}
+	return NULL;
 }
 
 void
@@ -130,8 +175,7 @@
 	{
 		if (!server->listed)
 			continue;
-		server->listed = false;
-		server->unlisted_ms = JJ_MS_NEVER;
+		unlist(server, JJ_MS_NEVER);
 	}
 }
 
@@ -152,10 +196,12 @@
 {
 	jj_slot_server_t *server = jj_slots_find(slots, id);
 
-	if (server == NULL || !server->listed)
+	if (server == NULL)
 		return;
-	server->listed = false;
-	server->unlisted_ms = until;
+	server->claimed = false;
+	/* One that is gone already stays so: its time is not begun anew. */
+	if (server->listed || until < server->unlisted_ms)
+		unlist(server, until);
 }
 
 void
@@ -168,7 +214,7 @@
 	     server = next) {
 		next = TAILQ_NEXT(server, link);
 		if (!server->listed && now >= server->unlisted_ms &&
-		    server->online + server->batch == 0)
+		    !server->claimed && server->online + server->batch == 0)
 			remove_server(slots, server);
 	}
 }
@@ -180,7 +226,7 @@
 
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
-		if (strcmp(server->info.id.text, id) == 0)
+		if (!server->replaced && strcmp(server->info.id.text, id) == 0)
 			return server;
 	}
 	return NULL;
@@ -672,6 +718,58 @@
 	return load;
 }
 
+/** A process of which nothing is known but its entry. */
+static jj_slot_server_t *
+add_server(jj_slots_t *slots, const jj_slot_info_t *info)
+{
+	jj_slot_server_t *server = jj_alloc(sizeof(*server));
+
+	server->hash = hash_of(info);
+	TAILQ_INSERT_TAIL(&slots->servers, server, link);
+	set_info(slots, server, info);
+	return server;
+}
+
+static void
+set_info(
+    jj_slots_t *slots, jj_slot_server_t *server, const jj_slot_info_t *info)
+{
+	server->info = *info;
+	server->local = jj_name_equal(&info->domain, &slots->settings.domain);
+	server->listed = true;
+	server->claimed = false;
+}
+
+/** The process before takes nothing more; what this VM has there ends. */
+static jj_slot_server_t *
+replace_server(jj_slots_t *slots, jj_slot_server_t *server,
+    const jj_slot_info_t *info, jj_ms_t now)
+{
+	server->replaced = true;
+	server->replaced_ms = now;
+	server->claimed = false;
+	unlist(server, now);
+	return add_server(slots, info);
+}
+
+static void
+unlist(jj_slot_server_t *server, jj_ms_t until)
+{
+	server->listed = false;
+	server->unlisted_ms = until;
+}
+
+/** Other VMs mean a process by it, not whatever has the id. */
+static uint64_t
+hash_of(const jj_slot_info_t *info)
+{
+	uint64_t hash = jj_dispatch_hash_server(&info->id);
+
+	if (info->started_ms == 0)
+		return hash;
+	return jj_hash_bytes(&info->started_ms, sizeof(info->started_ms), hash);
+}
+
 static void
 remove_server(jj_slots_t *slots, jj_slot_server_t *server)
 {
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -24,9 +24,15 @@
 #include "core/action.h"
 #include "core/dispatch.h"
 
-/** A server as the platform lists it. */
+/**
+ * A server as the platform lists it. One that starts again may do so under
+ * its id; what it is, is its id and its start. The process before is gone with
+ * all that it ran and knew.
+ */
 typedef struct {
-	jj_name_t id; /**< of one start of the server's process */
+	jj_name_t id;
+	/** Unix time of the start of its process, ms; 0: not told. */
+	int64_t started_ms;
 	jj_name_t service;
 	jj_name_t domain;
 	char address[JJ_NAME_MAX + 1]; /**< IP:PORT */
@@ -56,10 +62,15 @@
 typedef struct jj_slot_server {
 	TAILQ_ENTRY(jj_slot_server) link;
 	jj_slot_info_t info;
-	uint64_t hash; /**< jj_dispatch_hash_server of its id */
+	uint64_t hash; /**< of its id and its start */
 	bool local; /**< in this VM's failure domain */
 	bool listed; /**< the platform's list has it */
 	jj_ms_t unlisted_ms; /**< when that counts: no new work from then */
+	bool replaced; /**< a process that started later has its id */
+	jj_ms_t replaced_ms; /**< known since */
+	bool claimed; /**< its entry is of an earlier start, see claim */
+	jj_ms_t claimed_ms; /**< since */
+	jj_slot_info_t claim; /**< what that entry says */
 	uint32_t online; /**< of this VM, in flight */
 	uint32_t batch; /**< likewise */
 	uint32_t others_online; /**< of the neighbours, as told */
@@ -89,8 +100,23 @@
 jj_slots_t *jj_slots_create(const jj_slots_settings_t *settings);
 void jj_slots_destroy(jj_slots_t *slots);
 
+/** What an entry of the list meant. */
+typedef enum {
+	JJ_SLOTS_KNOWN, /**< the process that is known, as it is now */
+	JJ_SLOTS_NEW,
+	JJ_SLOTS_STARTED_AGAIN, /**< a later start under a known id */
+	/**
+	 * An earlier start than the one that is known: a late word of a
+	 * process that is gone, or another writer's. Names none to use.
+	 */
+	JJ_SLOTS_OLD_START,
+} jj_slots_learned_t;
+
 /** The list has this server. */
-void jj_slots_learn(jj_slots_t *slots, const jj_slot_info_t *info);
+jj_slots_learned_t
+jj_slots_learn(jj_slots_t *slots, const jj_slot_info_t *info, jj_ms_t now);
+/** A server whose entry says for long that it started earlier, or NULL. */
+jj_slot_server_t *jj_slots_settle_claim(jj_slots_t *slots, jj_ms_t now);
 /** Before a whole list is taken: what is not learned again is missing. */
 void jj_slots_begin_list(jj_slots_t *slots);
 /** After a whole list was taken; what is missing takes work until @p until. */
@@ -111,7 +137,7 @@
     const jj_slots_t *slots, const jj_name_t *service, jj_ms_t now);
 /** A request found no place there: batch stays away for a while. */
 void jj_slots_note_crowded(jj_slot_server_t *server, jj_ms_t now);
-/** The server of that id, or NULL. */
+/** The process that has that id now, or NULL. */
 jj_slot_server_t *jj_slots_find(const jj_slots_t *slots, const char *id);
 /** The server that messages name by this number, or NULL. */
 jj_slot_server_t *jj_slots_find_hash(const jj_slots_t *slots, uint64_t hash);
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -24,8 +24,8 @@
 static bool create_adapters(jj_gateway_node_t *);
 static bool
 read_routes(void *, const jj_bytes_t *, jj_routes_t *, char *, size_t);
-static bool
-read_server(void *, const char *, const jj_bytes_t *, jj_slot_info_t *);
+static bool read_server(
+    void *, const char *, const jj_bytes_t *, jj_slot_info_t *, char *, size_t);
 static jj_bytes_t write_page(void *, const jj_inline_page_t *);
 static int64_t unix_ms(void *);
 static void on_routes(void *, const jj_routes_t *);
@@ -189,12 +189,12 @@
 }
 
 static bool
-read_server(
-    void *ctx, const char *id, const jj_bytes_t *object, jj_slot_info_t *info)
+read_server(void *ctx, const char *id, const jj_bytes_t *object,
+    jj_slot_info_t *info, char *why, size_t why_size)
 {
 	const jj_gateway_node_t *node = ctx;
 
-	return node->deployment->read_server(id, object, info);
+	return node->deployment->read_server(id, object, info, why, why_size);
 }
 
 static jj_bytes_t
--- /dev/null
+++ b/tests/core/gateway_fixture.h
@@ -0,0 +1,265 @@
+/**
+ * @file gateway_fixture.h
+ * @brief One whole gateway, driven call by call; its platform in memory.
+ */
+#ifndef TESTS_CORE_GATEWAY_FIXTURE_H
+#define TESTS_CORE_GATEWAY_FIXTURE_H
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "tests/core/gateway_world.h"
+
+/** What the gateway said of a request. */
+struct Said {
+	std::vector<std::string> servers; /**< attempts, in order */
+	std::vector<uint32_t> cancelled; /**< attempts */
+	int answers = 0;
+	jj_answer_t answer = {};
+};
+
+class Gateway : public ::testing::Test
+{
+      protected:
+	FakePlatform platform;
+	std::vector<jj_route_t> routes;
+	jj_gateway_t *gateway = nullptr;
+	jj_actions_t out;
+	jj_ms_t now = 1000;
+	uint64_t last = 0;
+	std::map<uint64_t, Said> said;
+	std::vector<std::string> sent; /**< messages: "NAME KIND" */
+	std::map<int, jj_action_t *> watches; /**< by token */
+	std::vector<std::string> item_servers;
+
+	Gateway()
+	{
+		TAILQ_INIT(&out);
+		add_route("once", "/once/", JJ_ROUTE_STREAM, false, 2);
+		add_route("again", "/again/", JJ_ROUTE_STREAM, true, 2);
+		add_route("batch", "/batch/", JJ_ROUTE_BATCH, true, 3);
+		platform.put("config/main", "7");
+		platform.put("servers/s1", "verona ready");
+		create(true);
+	}
+	~Gateway() override
+	{
+		jj_gateway_destroy(gateway);
+		for (auto &watch : watches)
+			jj_action_free(watch.second);
+		jj_actions_clear(&out);
+	}
+	void
+	add_route(const char *name, const char *prefix, jj_route_kind_t kind,
+	    bool resumable, uint32_t attempts)
+	{
+		jj_route_t route = make_route(name, prefix, kind);
+
+		route.resumable = resumable;
+		route.attempts = attempts;
+		routes.push_back(route);
+	}
+	void
+	create(bool serves)
+	{
+		jj_gateway_settings_t settings =
+		    describe_gateway("verona-1", 1);
+		jj_gateway_port_t port = {&routes, read_routes, read_server,
+		    write_page, unix_ms, on_routes};
+
+		jj_gateway_destroy(gateway);
+		for (auto &watch : watches)
+			jj_action_free(watch.second);
+		watches.clear();
+		snprintf(settings.retire_prefix, sizeof(settings.retire_prefix),
+		    "%s", serves ? "" : "retire/");
+		settings.serves = serves;
+		gateway = jj_gateway_create(&settings, &port);
+		tick(0);
+		tick(0);
+	}
+	void
+	tick(jj_ms_t ms)
+	{
+		now += ms;
+		jj_gateway_tick(gateway, now, &out);
+		settle();
+	}
+	void
+	settle()
+	{
+		jj_action_t *action;
+
+		while ((action = TAILQ_FIRST(&out)) != nullptr) {
+			TAILQ_REMOVE(&out, action, link);
+			if (action->kind == JJ_ACTION_PLATFORM &&
+			    action->body.platform.op == JJ_PLATFORM_WATCH) {
+				watches[number_of(action->body.platform)] =
+				    action;
+				continue;
+			}
+			take(action);
+			jj_action_free(action);
+		}
+	}
+	void
+	take(jj_action_t *action)
+	{
+		switch (action->kind) {
+		case JJ_ACTION_PLATFORM: {
+			jj_platform_result_t result =
+			    platform.execute(action->body.platform);
+
+			jj_gateway_take_platform(gateway, &result, now, &out);
+			jj_platform_result_clear(&result);
+			break;
+		}
+		case JJ_ACTION_BACKEND_START:
+			said[action->body.start.request].servers.push_back(
+			    action->body.start.server.text);
+			break;
+		case JJ_ACTION_BACKEND_CANCEL:
+			said[action->body.cancel.request].cancelled.push_back(
+			    action->body.cancel.attempt);
+			break;
+		case JJ_ACTION_ANSWER:
+			said[action->body.answer.request].answers++;
+			said[action->body.answer.request].answer =
+			    action->body.answer;
+			break;
+		case JJ_ACTION_SEND:
+			sent.push_back(std::string(action->body.send.to.text) +
+			    " " +
+			    std::to_string(action->body.send.message->kind));
+			break;
+		default:
+			break;
+		}
+	}
+	/** Watches of the jobs count from 100. */
+	static int
+	number_of(const jj_platform_call_t &call)
+	{
+		return (int)call.token +
+		    (call.owner == JJ_OWNER_INLINE ? 100 : 0);
+	}
+	/** The watch of that token brings one object. */
+	void
+	see(int token, const char *key, const char *value, bool gone = false)
+	{
+		jj_action_t *watch;
+		jj_platform_item_t item = {};
+		jj_platform_result_t result = {};
+
+		tick(0);
+		watch = watches[token];
+		ASSERT_NE(nullptr, watch);
+		snprintf(item.key, sizeof(item.key), "%s", key);
+		item.version = ++platform.revision;
+		item.deleted = gone;
+		if (!gone)
+			item.value = jj_bytes_from_text(value);
+		result.owner = watch->body.platform.owner;
+		result.token = (uint64_t)token;
+		result.op = JJ_PLATFORM_WATCH;
+		result.version = platform.revision;
+		result.items = &item;
+		result.item_count = 1;
+		jj_action_free(watch);
+		watches.erase(token);
+		jj_gateway_take_platform(gateway, &result, now, &out);
+		jj_bytes_free(&item.value);
+		settle();
+	}
+	/** The watch of that token ends: its history is gone. */
+	void
+	lose_history(int token)
+	{
+		jj_platform_result_t result = {};
+
+		tick(0);
+		ASSERT_NE(nullptr, watches[token]);
+		result.owner = watches[token]->body.platform.owner;
+		result.token = (uint64_t)token;
+		result.op = JJ_PLATFORM_WATCH;
+		result.outcome = JJ_PLATFORM_GAP;
+		jj_action_free(watches[token]);
+		watches.erase(token);
+		jj_gateway_take_platform(gateway, &result, now, &out);
+		settle();
+		tick(0);
+	}
+	uint64_t
+	begin(const char *path, uint64_t fingerprint = 0)
+	{
+		jj_gateway_request_t request = {};
+
+		request.request = ++last;
+		snprintf(request.id, sizeof(request.id), "r%d", (int)last);
+		request.host = "h";
+		request.path = path;
+		request.budget_ms = 4000;
+		request.fingerprint =
+		    fingerprint != 0 ? fingerprint : 1000 + last;
+		jj_gateway_begin(gateway, &request, now, &out);
+		settle();
+		return last;
+	}
+	void
+	happens(uint64_t request, jj_backend_kind_t kind, int status = 200,
+	    bool relayed = false)
+	{
+		jj_backend_event_t event = {};
+		jj_bytes_t text = {};
+
+		event.request = request;
+		event.attempt = (uint32_t)said[request].servers.size();
+		event.kind = kind;
+		event.relayed = relayed;
+		jj_gateway_take_backend(
+		    gateway, &event, status, &text, now, &out);
+		jj_bytes_free(&text);
+		settle();
+	}
+	size_t
+	attempts(uint64_t request)
+	{
+		return said[request].servers.size();
+	}
+	void
+	expect_end(uint64_t request, jj_give_up_t reason, jj_run_t run)
+	{
+		EXPECT_EQ(1, said[request].answers);
+		EXPECT_EQ(reason, said[request].answer.reason);
+		EXPECT_EQ(run, said[request].answer.run);
+	}
+	void
+	submit(const char *id, int count)
+	{
+		jj_inline_job_t job = {};
+
+		snprintf(job.id, sizeof(job.id), "%s", id);
+		job.host = strdup("h");
+		job.path = strdup("/batch/1");
+		for (int i = 0; i < count; i++) {
+			jj_inline_item_t *item = jj_inline_job_add(&job);
+
+			item->id = strdup(
+			    (std::string(id) + std::to_string(i)).c_str());
+			item->path = strdup("/batch/x");
+			item->body = jj_bytes_from_text(item->id);
+		}
+		jj_gateway_submit(gateway, ++last, &job, now, &out);
+		settle();
+	}
+	jj_slot_server_t *
+	server(const char *id)
+	{
+		return jj_slots_find(jj_gateway_slots(gateway), id);
+	}
+};
+
+#endif
--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -167,17 +167,23 @@
 	/** The VM's watch of the configuration brings that version. */
 	void
 	see_config(const std::string &name, uint64_t version)
+	{
+		see(name, 1, "config/main", std::to_string(version).c_str());
+	}
+	/** The VM's watch of that token brings an object. */
+	void
+	see(const std::string &name, uint64_t token, const char *key,
+	    const char *text)
 	{
 		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
 		jj_platform_item_t item = {};
 		jj_platform_result_t result = {};
 
-		snprintf(item.key, sizeof(item.key), "config/main");
-		item.version = platform.revision + version;
-		item.value =
-		    jj_bytes_from_text(std::to_string(version).c_str());
+		snprintf(item.key, sizeof(item.key), "%s", key);
+		item.version = ++platform.revision;
+		item.value = jj_bytes_from_text(text);
 		result.owner = JJ_OWNER_GATEWAY;
-		result.token = 1;
+		result.token = token;
 		result.op = JJ_PLATFORM_WATCH;
 		result.version = item.version;
 		result.items = &item;
@@ -187,6 +193,36 @@
 		carry_out(name, &out);
 	}
 	uint64_t
+	begin(const std::string &name, const char *path)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_gateway_request_t request = {};
+
+		request.request = ++last;
+		request.host = "h";
+		request.path = path;
+		request.budget_ms = 4000;
+		request.fingerprint = last;
+		jj_gateway_begin(vms[name].gateway, &request, now, &out);
+		carry_out(name, &out);
+		return last;
+	}
+	/** The first attempt of the last request ended so. */
+	void
+	fail(const std::string &name, jj_backend_kind_t kind)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_backend_event_t event = {};
+		jj_bytes_t text = {};
+
+		event.request = last;
+		event.attempt = 1;
+		event.kind = kind;
+		jj_gateway_take_backend(
+		    vms[name].gateway, &event, 0, &text, now, &out);
+		carry_out(name, &out);
+	}
+	uint64_t
 	version_of(const std::string &name)
 	{
 		return jj_gateway_routes(vms[name].gateway)->version;
--- a/tests/core/gateway_world.h
+++ b/tests/core/gateway_world.h
@@ -16,6 +16,9 @@
 #include "core/gateway.h"
 }
 
+/** The time of day of these tests; it stands still. */
+constexpr int64_t UNIX_MS = 1700000000000;
+
 /** A route of host "h" to the service that read_server() tells of. */
 inline jj_route_t
 make_route(const char *name, const char *prefix, jj_route_kind_t kind)
@@ -56,13 +59,22 @@
 	return true;
 }
 
-/** "DOMAIN ready" or "DOMAIN draining". */
+/** "DOMAIN ready" or "DOMAIN draining", then its start in s from now on. */
 inline bool
-read_server(
-    void *, const char *id, const jj_bytes_t *object, jj_slot_info_t *info)
+read_server(void *, const char *id, const jj_bytes_t *object,
+    jj_slot_info_t *info, char *why, size_t why_size)
 {
-	std::string text(object->data, object->size);
+	std::string text(
+	    object->data != nullptr ? object->data : "", object->size);
+	size_t start = text.find_last_of(' ');
 
+	if (text.find(' ') == std::string::npos) {
+		snprintf(why, why_size, "no words");
+		return false;
+	}
+	if (start != text.find(' '))
+		info->started_ms =
+		    UNIX_MS + 1000 * strtoll(&text[start], nullptr, 10);
 	jj_name_set(&info->id, id);
 	jj_name_set(&info->service, "ordini");
 	jj_name_set(&info->domain, text.substr(0, text.find(' ')).c_str());
@@ -81,7 +93,7 @@
 inline int64_t
 unix_ms(void *)
 {
-	return 1700000000000;
+	return UNIX_MS;
 }
 
 inline void
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -50,7 +50,7 @@
 		snprintf(info.address, sizeof(info.address), "10.0.0.1:80");
 		info.slots = 4;
 		info.draining = draining;
-		jj_slots_learn(slots, &info);
+		(void)jj_slots_learn(slots, &info, 1000);
 		return jj_slots_find(slots, id);
 	}
 	/** As if so many requests of this VM ran there. */
--- /dev/null
+++ b/tests/platform/entries_test.cc
@@ -0,0 +1,286 @@
+/**
+ * @file entries_test.cc
+ * @brief Servers' entries, of their own and of other writers, alone and among
+ * others.
+ */
+#include <cstring>
+#include <string>
+
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "platform/parts.h"
+}
+
+namespace
+{
+
+/** An entry as a server writes it, with one field put in another way. */
+std::string
+entry(const std::string &field = "", const std::string &value = "")
+{
+	const char *const fields[][2] = {{"service", "\"s\""},
+	    {"address", "\"10.0.0.9:80\""}, {"zone", "\"z\""},
+	    {"version", "\"v1\""}, {"slots", "8"}, {"state", "\"ready\""},
+	    {"coldRemainingMs", "0"}, {"born", "1768922969619"}, {"seq", "4"}};
+	std::string text = "{";
+	bool known = false;
+
+	for (auto &each : fields) {
+		bool is_it = field == each[0];
+
+		known = known || is_it;
+		if (is_it && value.empty())
+			continue;
+		text += (text.size() > 1 ? ",\"" : "\"") +
+		    std::string(each[0]) + "\":" + (is_it ? value : each[1]);
+	}
+	if (!known && !field.empty())
+		text += ",\"" + field + "\":" + value;
+	return text + "}";
+}
+
+bool
+read(const std::string &text, jj_slot_info_t *info, std::string *why = nullptr)
+{
+	jj_bytes_t object = jj_bytes_copy(text.data(), text.size());
+	char reason[100] = "";
+	bool valid = jj_platform_read_server(
+	    "i-1", &object, info, reason, sizeof(reason));
+
+	jj_bytes_free(&object);
+	EXPECT_EQ(valid, reason[0] == '\0') << reason;
+	if (why != nullptr)
+		*why = reason;
+	return valid;
+}
+
+TEST(PlatformServer, IsReadAsItIs)
+{
+	jj_slot_info_t info;
+
+	ASSERT_TRUE(read(entry("state", "\"draining\""), &info));
+	EXPECT_STREQ("i-1", info.id.text);
+	EXPECT_STREQ("s", info.service.text);
+	EXPECT_STREQ("z", info.domain.text);
+	EXPECT_STREQ("10.0.0.9:80", info.address);
+	EXPECT_EQ(8U, info.slots);
+	EXPECT_EQ(1768922969619, info.started_ms);
+	EXPECT_TRUE(info.draining);
+	ASSERT_TRUE(read(entry("born", ""), &info));
+	EXPECT_EQ(0, info.started_ms) << "not told";
+	EXPECT_TRUE(read(entry("more", "[{}]"), &info))
+	    << "new fields may come";
+}
+
+struct EntryCase {
+	const char *name;
+	const char *field;
+	const char *value; /**< "": the field is missing */
+	const char *why; /**< a part of the reason */
+};
+
+class PlatformEntry : public ::testing::TestWithParam<EntryCase>
+{
+};
+
+/* Each says what no server says of itself: it names none to use. */
+TEST_P(PlatformEntry, NamesNoServer)
+{
+	jj_slot_info_t info;
+	std::string why;
+
+	EXPECT_FALSE(
+	    read(entry(GetParam().field, GetParam().value), &info, &why));
+	EXPECT_NE(std::string::npos, why.find(GetParam().why)) << why;
+}
+
+INSTANTIATE_TEST_SUITE_P(Fields, PlatformEntry,
+    ::testing::Values(EntryCase{"NoService", "service", "", "service"},
+	EntryCase{"ServiceIsNumber", "service", "3", "service"},
+	EntryCase{"ServiceIsEmpty", "service", "\"\"", "service"},
+	EntryCase{"NoAddress", "address", "", "address"},
+	EntryCase{"AddressIsList", "address", "[]", "address"},
+	EntryCase{"AddressIsName", "address", "\"host:80\"", "address"},
+	EntryCase{"AddressWithoutPort", "address", "\"10.0.0.9\"", "address"},
+	EntryCase{
+	    "AddressWithEmptyPort", "address", "\"10.0.0.9:\"", "address"},
+	EntryCase{"PortBeyond", "address", "\"10.0.0.9:65536\"", "address"},
+	EntryCase{"PortZero", "address", "\"10.0.0.9:0\"", "address"},
+	EntryCase{"PortWithMore", "address", "\"10.0.0.9:80x\"", "address"},
+	EntryCase{"AddressWithLine", "address", "\"10.0.0.9:80\\r\\nX: y\"",
+	    "address"},
+	EntryCase{"NoZone", "zone", "", "zone"},
+	EntryCase{"ZoneIsNull", "zone", "null", "zone"},
+	EntryCase{"NoSlots", "slots", "", "slots"},
+	EntryCase{"SlotsIsText", "slots", "\"8\"", "slots"},
+	EntryCase{"SlotsIsZero", "slots", "0", "slots"},
+	EntryCase{"SlotsIsNegative", "slots", "-8", "slots"},
+	EntryCase{"SlotsIsFraction", "slots", "8.5", "slots"},
+	EntryCase{"SlotsIsHuge", "slots", "9000000000000000000", "slots"},
+	EntryCase{"NoState", "state", "", "state"},
+	EntryCase{"StateIsUnknown", "state", "\"resting\"", "state"},
+	EntryCase{"StateIsTruth", "state", "true", "state"},
+	EntryCase{"BornIsFraction", "born", "1768922969619.5", "born"},
+	EntryCase{"BornIsWholeReal", "born", "1768922969619.0", "born"},
+	EntryCase{"BornIsText", "born", "\"1768922969619\"", "born"},
+	EntryCase{"BornIsNegative", "born", "-1", "born"},
+	EntryCase{"BornIsZero", "born", "0", "born"},
+	EntryCase{"BornIsNull", "born", "null", "born"},
+	EntryCase{"NulInText", "zone", "\"z\\u0000\"", "read"},
+	EntryCase{"NoUtf8", "zone", "\"z\xff\"", "read"},
+	EntryCase{"IntegerBeyond", "seq", "99999999999999999999", "read"},
+	EntryCase{"NumberBeyond", "more", "1e999", "read"},
+	EntryCase{"BornBeyond", "born", "18446744073709551616", "read"}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+TEST(PlatformServer, AnythingElseNamesNone)
+{
+	const char *const texts[] = {
+	    "", "x", "5", "null", "[]", "\"ready\"", "{", "{}", "[{}]"};
+
+	for (const char *text : texts) {
+		jj_slot_info_t info;
+
+		EXPECT_FALSE(read(text, &info)) << text;
+	}
+}
+
+std::string
+object(const std::string &name, const std::string &spec)
+{
+	return "{\"metadata\":{\"name\":\"" + name +
+	    "\",\"revision\":7,\"finalizers\":[]},\"spec\":" + spec + "}";
+}
+
+std::string
+deep(size_t levels)
+{
+	return std::string(levels, '[') + std::string(levels, ']');
+}
+
+struct BodyCase {
+	const char *name;
+	std::string spec;
+};
+
+class PlatformBody : public ::testing::TestWithParam<BodyCase>
+{
+      protected:
+	jj_platform_result_t result = {};
+
+	~PlatformBody() override
+	{
+		jj_platform_result_clear(&result);
+	}
+	void
+	take(jj_platform_op_t op, const std::string &body)
+	{
+		jj_http_head_t head = {};
+
+		jj_platform_result_clear(&result);
+		result = {};
+		result.op = op;
+		head.status = 200;
+		jj_platform_objects_wire.read(
+		    &result, "servers/", &head, body.data(), body.size());
+	}
+	/** The three entries, the one in the middle without a value. */
+	void
+	expect_entries()
+	{
+		const char *const keys[] = {
+		    "servers/a", "servers/bad", "servers/z"};
+
+		ASSERT_EQ(JJ_PLATFORM_OK, result.outcome);
+		EXPECT_EQ(530U, result.version);
+		EXPECT_EQ(1U, result.unreadable);
+		ASSERT_EQ(3U, result.item_count);
+		for (size_t i = 0; i < 3; i++) {
+			EXPECT_STREQ(keys[i], result.items[i].key);
+			EXPECT_EQ(7U, result.items[i].version);
+			EXPECT_FALSE(result.items[i].deleted);
+			EXPECT_EQ(i == 1, result.items[i].value.size == 0);
+		}
+	}
+};
+
+/*
+ * One text carries a whole list. An entry of another writer that the reader
+ * can't take made it refuse all of them: the VM kept what it had known, asked
+ * again and again, and after a start knew no server at all.
+ */
+TEST_P(PlatformBody, OneBadEntryHidesNoOther)
+{
+	std::string list = "{\"items\":[" + object("a", entry()) + "," +
+	    object("bad", GetParam().spec) + "," + object("z", entry()) +
+	    "],\"more\":true,\"at\":530}";
+	std::string event = "},{\"gone\":false,\"object\":";
+	std::string watch = "{\"at\":530,\"events\":[{\"gone\":false,"
+			    "\"object\":" +
+	    object("a", entry()) + event + object("bad", GetParam().spec) +
+	    event + object("z", entry()) + "}]}";
+
+	take(JJ_PLATFORM_LIST, list);
+	expect_entries();
+	EXPECT_TRUE(result.more);
+	take(JJ_PLATFORM_WATCH, watch);
+	expect_entries();
+}
+
+INSTANTIATE_TEST_SUITE_P(Specs, PlatformBody,
+    ::testing::Values(BodyCase{"NoUtf8", "{\"x\":\"\xc3\x28\"}"},
+	BodyCase{"Nul", "{\"x\":\"a\\u0000\"}"},
+	BodyCase{"NulInKey", "{\"\\u0000\":1}"},
+	BodyCase{"LoneSurrogate", "\"\\ud800\""},
+	BodyCase{"IntegerBeyond", "{\"x\":123456789012345678901234567890}"},
+	BodyCase{"NegativeBeyond", "-9223372036854775809"},
+	BodyCase{"NumberBeyond", "[1e400]"}, BodyCase{"Deep", deep(3000)},
+	BodyCase{"VeryDeep", deep(200000)},
+	BodyCase{"NamesOfOthers",
+	    "{\"items\":[{\"metadata\":{\"name\":\"evil\"}}],\"at\":1e999}"}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+TEST_F(PlatformBody, ADeletionIsKnownByNameAlone)
+{
+	take(JJ_PLATFORM_WATCH,
+	    "{\"events\":[{\"gone\":true,\"object\":" + object("bad", "1e999") +
+		"}],\"at\":9}");
+	ASSERT_EQ(1U, result.item_count);
+	EXPECT_TRUE(result.items[0].deleted);
+	EXPECT_STREQ("servers/bad", result.items[0].key);
+}
+
+/* A name that can't stand in a key: there is no such object for us. */
+TEST_F(PlatformBody, ANameThatIsNoneIsLeftOut)
+{
+	const std::string names[] = {"", "a/b", "a b", "\xff", "a\\u0000b",
+	    "a\\nb", std::string(5000, 'n')};
+
+	for (const std::string &name : names) {
+		take(JJ_PLATFORM_LIST,
+		    "{\"items\":[" + object(name, "{}") + "," +
+			object("z", entry()) + ",3,null],\"at\":530}");
+		ASSERT_EQ(JJ_PLATFORM_OK, result.outcome) << name;
+		ASSERT_EQ(1U, result.item_count) << name;
+		EXPECT_STREQ("servers/z", result.items[0].key);
+		EXPECT_GE(result.unreadable, 1U);
+	}
+}
+
+/* Half a text proves nothing: it is no list without the rest. */
+TEST_F(PlatformBody, ATextThatBreaksOffIsNoList)
+{
+	std::string list =
+	    "{\"items\":[" + object("a", entry()) + "],\"at\":530}";
+
+	for (size_t size = 0; size < list.size(); size++) {
+		take(JJ_PLATFORM_LIST, list.substr(0, size));
+		EXPECT_EQ(JJ_PLATFORM_UNKNOWN, result.outcome) << size;
+		EXPECT_EQ(0U, result.item_count);
+	}
+	take(JJ_PLATFORM_LIST, "{\"at\":530,\"more\":1e999}");
+	EXPECT_EQ(JJ_PLATFORM_UNKNOWN, result.outcome) << "no list in it";
+}
+
+} // namespace
--- a/tests/platform/objects_test.cc
+++ b/tests/platform/objects_test.cc
@@ -197,24 +197,6 @@
 	}
 }
 
-TEST(PlatformConfig, ReadsServers)
-{
-	jj_bytes_t object = bytes(
-	    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
-	    "\"slots\":8,\"state\":\"draining\",\"seq\":4}");
-	jj_slot_info_t info;
-
-	ASSERT_TRUE(jj_platform_read_server("i-1", &object, &info));
-	EXPECT_STREQ("i-1", info.id.text);
-	EXPECT_STREQ("z", info.domain.text);
-	EXPECT_EQ(8U, info.slots);
-	EXPECT_TRUE(info.draining);
-	jj_bytes_free(&object);
-	object = bytes("{\"service\":\"s\"}");
-	EXPECT_FALSE(jj_platform_read_server("i-1", &object, &info));
-	jj_bytes_free(&object);
-}
-
 TEST(PlatformPage, WritesResults)
 {
 	jj_inline_result_t results[2] = {};
