A listener whose relay speaks again is no longer cut off

Cause: a VM that listens to its domain's relay and had failed to ask for itself stayed failed for ever once the relay spoke again, as it never asks then. Ruled out: a takeover that failed (it is tried again each 0.5 s). Change: a relay's word counts as the platform's answer. Test: red before.

--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -90,6 +90,8 @@
 		return;
 	}
 	mirror->relayed_ms = now;
+	/* The platform answers the relay; this VM may not ask it again. */
+	take_success(mirror, now);
 	apply(mirror, to, items, count);
 }
 
--- a/tests/core/mirror_test.cc
+++ b/tests/core/mirror_test.cc
@@ -210,6 +210,28 @@
 }
 
 /* A message was lost: what follows must not hide what it said. */
+/*
+ * A domain was cut off: its listeners asked in vain. The cut heals, and before
+ * a listener's next try its relay speaks again, so that it need not ask. It
+ * counted as cut off from then on, for ever: it took over no job, not even one
+ * that nobody else takes, and dropped servers whose entries had lapsed without
+ * the time that they have to come back.
+ */
+TEST_F(MirrorFailure, ARelayThatSpeaksAgainEndsAFailure)
+{
+	jj_mirror_set_duty(&mirror, JJ_MIRROR_LISTENS, now);
+	list(50);
+	jj_mirror_take_relay(&mirror, 50, 55, nullptr, 0, now);
+	EXPECT_EQ("watch 55 20000", tick(1400));
+	answer(JJ_PLATFORM_WATCH, JJ_PLATFORM_UNKNOWN, 0);
+	ASSERT_FALSE(jj_mirror_is_current(&mirror));
+	now += 50;
+	jj_mirror_take_relay(&mirror, 55, 60, nullptr, 0, now);
+	EXPECT_TRUE(jj_mirror_is_current(&mirror));
+	EXPECT_EQ(now, mirror.returned_ms);
+	EXPECT_EQ("", tick(1399));
+}
+
 TEST_F(MirrorFailure, AListenerAsksAfterAGap)
 {
 	jj_platform_item_t news = item("s/c", 70);
