A deletion that is told again takes back nothing that is known

Cause: a VM that listens to its domain's relay and looks for itself too hears of the same changes twice. Of such a batch it took each deletion again, and left out what had come back behind it, as it knew that version. Ruled out: overload (servers of that domain were half empty at that moment); the grace after an outage (2 s were kept, and passed). Change: a deletion whose object stands again in the same news, at a version that is known, is old. Test: red before.

--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -13,6 +13,8 @@
 static void take_success(jj_mirror_t *, jj_ms_t);
 static void start_list(jj_mirror_t *);
 static void apply(jj_mirror_t *, uint64_t, const jj_platform_item_t *, size_t);
+static bool is_back(
+    const jj_mirror_t *, const jj_platform_item_t *, size_t, size_t);
 static jj_ms_t due_ms(const jj_mirror_t *);
 
 void
@@ -200,14 +202,34 @@
 	if (to <= mirror->since)
 		return;
 	for (i = 0; i < count; i++) {
-		if (items[i].deleted)
-			port->drop(port->ctx, items[i].key);
-		else if (items[i].version > mirror->since)
+		if (items[i].deleted) {
+			if (!is_back(mirror, items, count, i))
+				port->drop(port->ctx, items[i].key);
+		} else if (items[i].version > mirror->since)
 			port->take(port->ctx, &items[i]);
 	}
 	mirror->since = to;
 }
 
+/**
+ * Guards against a deletion that is told once more by the other way: what it
+ * took away had come back behind it, is known already, and would be left out
+ * of the same news. What a deletion says of its version is the object's, so
+ * that does not show which of the two is older.
+ */
+static bool
+is_back(const jj_mirror_t *mirror, const jj_platform_item_t *items,
+    size_t count, size_t deletion)
+{
+	size_t i;
+
+	for (i = deletion + 1; i < count; i++)
+		if (!items[i].deleted && items[i].version <= mirror->since &&
+		    strcmp(items[i].key, items[deletion].key) == 0)
+			return true;
+	return false;
+}
+
 /** A listener polls when its relay has been silent for too long. */
 static jj_ms_t
 due_ms(const jj_mirror_t *mirror)
--- a/tests/core/mirror_test.cc
+++ b/tests/core/mirror_test.cc
@@ -232,6 +232,35 @@
 	EXPECT_EQ("", tick(1399));
 }
 
+/*
+ * The platform was away, all entries lapsed and came back. A listener had seen
+ * both by its own look; its relay, a little behind, told of both once more.
+ * The listener took the deletions again and left out the entries, which it
+ * knew: fourteen VMs of a domain had no server from then on, and refused.
+ */
+TEST_F(MirrorFailure, ADeletionThatIsToldAgainTakesNothingBack)
+{
+	jj_platform_item_t gone = item("s/a", 3);
+	jj_platform_item_t back = item("s/a", 58);
+	jj_platform_item_t left = item("s/b", 4);
+
+	gone.deleted = true;
+	left.deleted = true;
+	jj_mirror_set_duty(&mirror, JJ_MIRROR_LISTENS, now);
+	list(50);
+	EXPECT_EQ("watch 50 20000", tick(0));
+	answer(JJ_PLATFORM_WATCH, JJ_PLATFORM_OK, 60, {gone, back, left});
+	ASSERT_EQ(58U, table["s/a"]);
+	jj_platform_item_t again[] = {gone, back, left, item("s/c", 61)};
+	jj_mirror_take_relay(&mirror, 50, 62, again, 4, now);
+	EXPECT_EQ(58U, table["s/a"]);
+	EXPECT_EQ(61U, table["s/c"]);
+	EXPECT_EQ(0U, table.count("s/b"));
+	gone.version = 60;
+	jj_mirror_take_relay(&mirror, 55, 63, &gone, 1, now);
+	EXPECT_EQ(0U, table.count("s/a")) << "it went after that";
+}
+
 TEST_F(MirrorFailure, AListenerAsksAfterAGap)
 {
 	jj_platform_item_t news = item("s/c", 70);
