When places are short, new requests first, and only as many as are in time

Cause: each server had a queue of up to six requests beyond its places. When more is asked than there are places all wait in it longer than their target, and nearly all are late in place of the part that could be in time. Change: a new request joins a queue only while its first event is expected within three quarters of its target, by how long requests hold places there; else it is refused at once, with a time to come back. One that came back waits in line at its VM for a place that comes free, 1.5 s or a third of its time at most. What may have run is not refused.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -495,6 +495,7 @@
 {
 	jj_action_t *action;
 
+	jj_gateway_pump_line(gateway, now, out);
 	jj_gateway_pump(gateway, now, out);
 	jj_gateway_tell_loads(gateway, now, out);
 	jj_gateway_borrow(gateway, now, out);
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -39,6 +39,7 @@
 wait_limit(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static void
 note_crowded(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
+static void note_hold(jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static void take_failure(jj_gateway_t *, jj_gateway_entry_t *,
     const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
 static void take_sign(
@@ -174,23 +175,27 @@
 {
 	if (entry->server != NULL)
 		jj_gateway_leave_server(gateway, entry);
+	jj_gateway_leave_line(gateway, entry);
 	TAILQ_REMOVE(&gateway->waiting, entry, link);
 	LIST_REMOVE(entry, bucket);
 	gateway->counts[entry->class_of]--;
 	free(entry);
 }
 
-/** Online only: a place now, or an answer now. */
+/** Online only: a place, a wait for one (gateway_line.c), or an answer now. */
 void
 jj_gateway_place(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
     jj_actions_t *out)
 {
-	const jj_name_t *avoid = place_to_avoid(gateway, entry);
+	jj_slots_wish_t wish = {&entry->service, place_to_avoid(gateway, entry),
+	    jj_gateway_first_within(entry)};
 	jj_slot_server_t *server;
 	bool full;
 
-	server = jj_slots_choose_online(
-	    gateway->slots, &entry->service, avoid, now, &full);
+	server = jj_slots_choose_online(gateway->slots, &wish, now, &full);
+	if (server == NULL && full &&
+	    jj_gateway_enter_line(gateway, entry, now, out))
+		return;
 	if (server == NULL) {
 		jj_gateway_give_up(gateway, entry,
 		    full ? JJ_GIVE_UP_OVERLOADED : JJ_GIVE_UP_NO_SERVER, out);
@@ -239,6 +244,7 @@
 {
 	jj_action_t *action = jj_actions_add(out, JJ_ACTION_BACKEND_START);
 
+	jj_gateway_leave_line(gateway, entry);
 	TAILQ_REMOVE(&gateway->waiting, entry, link);
 	TAILQ_INSERT_TAIL(&gateway->sent, entry, link);
 	entry->attempt++;
@@ -353,6 +359,9 @@
 	entry->give_up_ms = now + budget;
 	entry->deadline_ms = now +
 	    (request->budget_ms > 0 ? request->budget_ms : route->timeout_ms);
+	entry->target_ms = route->target_ms;
+	entry->returned = jj_gateway_has_returned(gateway, route, request);
+	entry->line_until_ms = jj_gateway_line_until(request, now);
 	entry->fingerprint = request->fingerprint;
 	LIST_INSERT_HEAD(&gateway->buckets[entry->request % JJ_GATEWAY_BUCKETS],
 	    entry, bucket);
@@ -465,6 +474,7 @@
 	if (event->kind != JJ_BACKEND_FIRST || entry->first_seen)
 		return;
 	entry->first_seen = true;
+	entry->began_ms = now;
 	if (entry->first_ms == 0)
 		entry->first_ms = now;
 	entry->may_have_run = true;
@@ -484,8 +494,7 @@
 	if (event->kind == JJ_BACKEND_DONE)
 		jj_quarantine_clear(gateway->quarantine, entry->fingerprint);
 	if (entry->class_of == JJ_CLASS_ONLINE)
-		gateway->mean_ms += MEAN_SHARE *
-		    ((double)(now - entry->sent_ms) - gateway->mean_ms);
+		note_hold(gateway, entry, now);
 	log_end(entry, event->kind == JJ_BACKEND_DONE ? "done" : "rejected",
 	    now, out);
 	if (entry->class_of == JJ_CLASS_BATCH) {
@@ -503,6 +512,17 @@
 	jj_gateway_free_entry(gateway, entry);
 }
 
+/** Without the wait for its place, where its first event shows that. */
+static void
+note_hold(jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	jj_ms_t since = entry->first_seen ? entry->began_ms : entry->sent_ms;
+
+	jj_slots_note_hold(entry->server, now - since);
+	gateway->mean_ms +=
+	    MEAN_SHARE * ((double)(now - since) - gateway->mean_ms);
+}
+
 static void
 take_failure(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
     const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -26,6 +26,10 @@
 	jj_ms_t begun_ms;
 	jj_ms_t give_up_ms; /**< answered by then in any case */
 	jj_ms_t deadline_ms; /**< the caller waits until then */
+	jj_ms_t target_ms; /**< its first event is aimed at within; 0: none */
+	bool returned; /**< its caller was here, or at another VM, before */
+	jj_ms_t line_until_ms; /**< a returned one waits for a free place */
+	bool in_line; /**< it does */
 	jj_ms_t due_ms; /**< of an item: its job's due time */
 	jj_ms_t rest_until_ms; /**< of an item: not sent before */
 	uint64_t fingerprint;
@@ -38,6 +42,7 @@
 	jj_ms_t ran_ms; /**< at servers, in the attempts before this one */
 	jj_ms_t sign_ms; /**< the server was last heard then */
 	jj_ms_t first_ms; /**< first event of all attempts; 0: none yet */
+	jj_ms_t began_ms; /**< first event of this attempt */
 	bool first_seen; /**< an event of this attempt was seen */
 	bool crowded; /**< this attempt waits longer than a free place takes */
 	uint32_t crowded_tries; /**< attempts that did */
@@ -47,6 +52,15 @@
 
 TAILQ_HEAD(jj_gateway_entries, jj_gateway_entry);
 
+/** What callers of a route wait at most, as seen. */
+typedef struct {
+	jj_name_t route;
+	jj_ms_t most_ms;
+} jj_gateway_budget_t;
+
+/** Routes whose budgets are kept; two that meet forget each other. */
+#define JJ_GATEWAY_BUDGETS 256
+
 /** A request that broke off before its first event, for crash reports. */
 typedef struct {
 	uint64_t fingerprint;
@@ -105,6 +119,8 @@
 	struct jj_gateway_entries sent; /**< at a server, oldest first */
 	struct jj_gateway_entries waiting; /**< items, the first due first */
 	uint32_t counts[2]; /**< in hand, by class */
+	uint32_t in_line; /**< online requests that wait for a free place */
+	jj_gateway_budget_t budgets[JJ_GATEWAY_BUDGETS];
 	uint64_t last_item; /**< number of the last item's request */
 
 	bool leaving;
@@ -171,6 +187,22 @@
 void
 jj_gateway_tick_servers(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 
+/* Who is served first when places are short (gateway_line.c). */
+/** True for a request whose caller has used up some of its time before. */
+bool jj_gateway_has_returned(jj_gateway_t *gateway, const jj_route_t *route,
+    const jj_gateway_request_t *request);
+/** A returned request waits in line until then at most. */
+jj_ms_t jj_gateway_line_until(const jj_gateway_request_t *request, jj_ms_t now);
+/** How soon its first event has to come for a place to be taken, ms. */
+jj_ms_t jj_gateway_first_within(const jj_gateway_entry_t *entry);
+/** Puts it in line when it may wait there; false: it may not. */
+bool jj_gateway_enter_line(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    jj_ms_t now, jj_actions_t *out);
+void jj_gateway_leave_line(jj_gateway_t *gateway, jj_gateway_entry_t *entry);
+/** Sends those in line that find a place, refuses those that waited long. */
+void
+jj_gateway_pump_line(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+
 /* Servers that die or are dark (gateway_deaths.c). */
 /**
  * A dark server costs each request that tries it the time of a connection,
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -13,6 +13,8 @@
 /* How far the mean of the waits for a first event moves with each one. */
 #define FIRST_SHARE 0.2
 
+/* Of the times that requests run there, likewise; they differ by themselves. */
+#define HOLD_SHARE 0.1
 /* First and longest rest after a failure, ms. */
 #define REST_MS 200
 #define REST_MOST_MS 3000
@@ -255,6 +257,14 @@
 		    FIRST_SHARE * ((double)wait_ms + 1 - server->first_ms);
 }
 
+void
+jj_slots_note_hold(jj_slot_server_t *server, jj_ms_t hold_ms)
+{
+	if (server->hold_ms == 0)
+		server->hold_ms = (double)hold_ms;
+	server->hold_ms += HOLD_SHARE * ((double)hold_ms - server->hold_ms);
+}
+
 bool
 jj_slots_note_failure(jj_slot_server_t *server, jj_ms_t now)
 {
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -84,6 +84,8 @@
 	jj_ms_t
 	    crowded_until_ms; /**< no batch before: it is fuller than told */
 	double first_ms; /**< mean wait for a first event, 0: none seen */
+	double
+	    hold_ms; /**< how long an online request runs there; 0: unknown */
 	double open_connects; /**< connections begun, not yet answered */
 } jj_slot_server_t;
 
@@ -149,13 +151,24 @@
 /** The first server; go on with TAILQ_NEXT. */
 jj_slot_server_t *jj_slots_first(const jj_slots_t *slots);
 
+/** What an online request looks for. */
+typedef struct {
+	const jj_name_t *service;
+	/** A server where it failed before, or NULL; last resort. */
+	const jj_name_t *avoid;
+	/**
+	 * Its first event is to come within so many ms, queues included;
+	 * JJ_MS_NEVER: whenever. A free place is good for any.
+	 */
+	jj_ms_t first_within_ms;
+} jj_slots_wish_t;
+
 /**
  * The server for an online request, or NULL when none takes work.
- * @param avoid a server where it failed before, or NULL; last resort.
- * @param full set when all servers have as many waiting as may wait.
+ * @param full set when servers are up, and at each too many wait.
  */
-jj_slot_server_t *jj_slots_choose_online(jj_slots_t *slots,
-    const jj_name_t *service, const jj_name_t *avoid, jj_ms_t now, bool *full);
+jj_slot_server_t *jj_slots_choose_online(
+    jj_slots_t *slots, const jj_slots_wish_t *wish, jj_ms_t now, bool *full);
 /** The server for a batch item, or NULL when there is no room. */
 jj_slot_server_t *jj_slots_choose_batch(jj_slots_t *slots,
     const jj_name_t *service, const jj_name_t *avoid, jj_ms_t now);
@@ -173,8 +186,12 @@
 /** A first event came after so long. */
 void
 jj_slots_note_first(jj_slot_server_t *server, jj_ms_t wait_ms, jj_ms_t now);
-/** It failed: it rests, longer each time in a row. */
-/** @return false when it rests already: part of a failure that is known. */
+/** An online request has left its place after running so long. */
+void jj_slots_note_hold(jj_slot_server_t *server, jj_ms_t hold_ms);
+/**
+ * It failed: it rests, longer each time in a row.
+ * @return false when it rests already: part of a failure that is known.
+ */
 bool jj_slots_note_failure(jj_slot_server_t *server, jj_ms_t now);
 /** Another VM could not connect; an answer of late stands against it. */
 void jj_slots_note_doubt(jj_slot_server_t *server, jj_ms_t now);
--- a/src/core/slots_choose.c
+++ b/src/core/slots_choose.c
@@ -49,8 +49,12 @@
 #define DRAWN_SHARES 2
 #define DRAWN_LEAST 3
 
-static jj_slot_server_t *choose(jj_slots_t *, const jj_name_t *,
-    const jj_name_t *, jj_ms_t, double, bool *);
+static jj_slot_server_t *
+choose(jj_slots_t *, const jj_slots_wish_t *, jj_ms_t, double, bool *);
+static bool is_full(const jj_slots_t *, const jj_slot_server_t *);
+static bool is_soon_enough(
+    const jj_slot_server_t *, const jj_slots_wish_t *, double, double);
+static double mean_hold(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static double drawn_share(const jj_slots_t *, const jj_name_t *);
 static double draw_of(const jj_slots_t *, const jj_slot_server_t *);
 static bool is_offered(const jj_slots_t *, const jj_slot_server_t *);
@@ -61,17 +65,17 @@
     const jj_slot_server_t *, const jj_name_t *, const jj_name_t *, jj_ms_t);
 
 jj_slot_server_t *
-jj_slots_choose_online(jj_slots_t *slots, const jj_name_t *service,
-    const jj_name_t *avoid, jj_ms_t now, bool *full)
+jj_slots_choose_online(
+    jj_slots_t *slots, const jj_slots_wish_t *wish, jj_ms_t now, bool *full)
 {
 	jj_slot_server_t *best;
 
 	slots->turn++;
-	best = choose(
-	    slots, service, avoid, now, drawn_share(slots, service), full);
+	best =
+	    choose(slots, wish, now, drawn_share(slots, wish->service), full);
 	/* Those drawn were full or none: all are looked at. */
 	if (best == NULL || jj_slot_server_taken(best) >= best->info.slots)
-		best = choose(slots, service, avoid, now, 1, full);
+		best = choose(slots, wish, now, 1, full);
 	return best;
 }
 
@@ -144,10 +148,11 @@
  * @p share; with 1 all of them, also those offered to others.
  */
 static jj_slot_server_t *
-choose(jj_slots_t *slots, const jj_name_t *service, const jj_name_t *avoid,
-    jj_ms_t now, double share, bool *full)
+choose(jj_slots_t *slots, const jj_slots_wish_t *wish, jj_ms_t now,
+    double share, bool *full)
 {
-	double best_ms = fastest(slots, service, now);
+	double best_ms = fastest(slots, wish->service, now);
+	double hold_ms = mean_hold(slots, wish->service, now);
 	jj_slot_server_t *best = NULL;
 	jj_slot_server_t *server;
 	double best_cost = 0;
@@ -158,17 +163,18 @@
 		double draw = draw_of(slots, server);
 		double cost;
 
-		if (!is_candidate(server, service, NULL, now))
+		if (!is_candidate(server, wish->service, NULL, now))
 			continue;
 		if (share < 1 && (draw >= share || !is_offered(slots, server)))
 			continue;
-		if (server->online + server->others_online >=
-		    server->info.slots + slots->settings.queue_most) {
+		if (is_full(slots, server) ||
+		    !is_soon_enough(server, wish, best_ms, hold_ms)) {
 			*full = true;
 			continue;
 		}
 		cost = cost_of(slots, server, best_ms);
-		if (avoid != NULL && jj_name_equal(&server->info.id, avoid))
+		if (wish->avoid != NULL &&
+		    jj_name_equal(&server->info.id, wish->avoid))
 			cost += COST_AVOIDED;
 		if (!is_offered(slots, server))
 			cost += COST_ABROAD;
@@ -184,6 +190,38 @@
 	return best;
 }
 
+static bool
+is_full(const jj_slots_t *slots, const jj_slot_server_t *server)
+{
+	return server->online + server->others_online >=
+	    server->info.slots + slots->settings.queue_most;
+}
+
+/**
+ * Guards against a queue in which all are late: a server serves in the order of
+ * arrival, so when more is asked than there are places each request would wait
+ * behind those that have waited too long already, and none would be in time.
+ * Of the queue behind a full server a request holds so much time as its place
+ * is held, shared by all places. Where a free place is too slow for anybody the
+ * queue is not what makes requests late, and none is refused for it.
+ */
+static bool
+is_soon_enough(const jj_slot_server_t *server, const jj_slots_wish_t *wish,
+    double best_ms, double hold_ms)
+{
+	uint32_t online = server->online + server->others_online;
+	double within = (double)wish->first_within_ms;
+	double hold = server->hold_ms > 0 ? server->hold_ms : hold_ms;
+	double wait_ms;
+
+	if (online < server->info.slots || wish->first_within_ms == JJ_MS_NEVER)
+		return true;
+	if (wish->first_within_ms > 0 && best_ms >= within)
+		return true;
+	wait_ms = (online - server->info.slots + 1) * hold / server->info.slots;
+	return best_ms + wait_ms <= within;
+}
+
 /** What part of the servers one request looks at. */
 static double
 drawn_share(const jj_slots_t *slots, const jj_name_t *service)
@@ -268,6 +306,25 @@
 	return best;
 }
 
+/** How long a request holds its place at a service's servers; 0: unknown. */
+static double
+mean_hold(const jj_slots_t *slots, const jj_name_t *service, jj_ms_t now)
+{
+	const jj_slot_server_t *server;
+	double sum = 0;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		if (!is_candidate(server, service, NULL, now) ||
+		    server->hold_ms == 0)
+			continue;
+		sum += server->hold_ms;
+		count++;
+	}
+	return count > 0 ? sum / count : 0;
+}
+
 /** How many times slower than the fastest; small differences are noise. */
 static double
 slowness(const jj_slot_server_t *server, double best_ms)
--- a/tests/core/gateway_fixture.h
+++ b/tests/core/gateway_fixture.h
@@ -193,7 +193,8 @@
 		tick(0);
 	}
 	uint64_t
-	begin(const char *path, uint64_t fingerprint = 0)
+	begin(const char *path, uint64_t fingerprint = 0,
+	    jj_ms_t budget_ms = 4000)
 	{
 		jj_gateway_request_t request = {};
 
@@ -201,7 +202,7 @@
 		snprintf(request.id, sizeof(request.id), "r%d", (int)last);
 		request.host = "h";
 		request.path = path;
-		request.budget_ms = 4000;
+		request.budget_ms = budget_ms;
 		request.fingerprint =
 		    fingerprint != 0 ? fingerprint : 1000 + last;
 		jj_gateway_begin(gateway, &request, now, &out);
--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -39,8 +39,10 @@
 	jj_ms_t now = 1000;
 	uint64_t last = 0;
 	int count;
+	uint32_t queue_most; /**< online requests that wait at a server */
 
-	explicit GatewayFleet(int count = 3) : count(count)
+	explicit GatewayFleet(int count = 3, uint32_t queue_most = 1)
+	    : count(count), queue_most(queue_most)
 	{
 		routes.push_back(
 		    make_route("batch", "/batch/", JJ_ROUTE_BATCH));
@@ -69,6 +71,7 @@
 
 		settings.serves = true;
 		settings.member.seed = incarnation;
+		settings.slots.queue_most = queue_most;
 		vms[name].gateway = jj_gateway_create(&settings, &port);
 		for (int i = 1; i <= count; i++) {
 			jj_name_t other;
@@ -140,9 +143,16 @@
 				    action->body.job.status;
 			else if (action->kind == JJ_ACTION_EVENT)
 				vm.events[action->body.event.name]++;
+			else
+				take(name, *action);
 			jj_action_free(action);
 		}
 	}
+	/** What goes to backend servers and callers. */
+	virtual void
+	take(const std::string &, const jj_action_t &)
+	{
+	}
 	void
 	call(const std::string &name, const jj_platform_call_t &call)
 	{
--- a/tests/core/gateway_world.h
+++ b/tests/core/gateway_world.h
@@ -59,7 +59,10 @@
 	return true;
 }
 
-/** "DOMAIN ready" or "DOMAIN draining", then its start in s from now on. */
+/**
+ * "DOMAIN ready" or "DOMAIN draining", then its start in s from now on, or
+ * "places=N".
+ */
 inline bool
 read_server(void *, const char *id, const jj_bytes_t *object,
     jj_slot_info_t *info, char *why, size_t why_size)
@@ -72,7 +75,7 @@
 		snprintf(why, why_size, "no words");
 		return false;
 	}
-	if (start != text.find(' '))
+	if (start != text.find(' ') && text.find('=') == std::string::npos)
 		info->started_ms =
 		    UNIX_MS + 1000 * strtoll(&text[start], nullptr, 10);
 	jj_name_set(&info->id, id);
@@ -80,6 +83,8 @@
 	jj_name_set(&info->domain, text.substr(0, text.find(' ')).c_str());
 	snprintf(info->address, sizeof(info->address), "10.0.0.9:80");
 	info->slots = 2;
+	if (text.find("places=") != std::string::npos)
+		info->slots = (uint32_t)atoi(&text[text.find('=') + 1]);
 	info->draining = text.find("draining") != std::string::npos;
 	return true;
 }
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -20,6 +20,7 @@
 	jj_slots_t *slots;
 	jj_name_t service;
 	bool full = false;
+	jj_ms_t within = JJ_MS_NEVER;
 
 	Slots()
 	{
@@ -80,8 +81,9 @@
 
 		if (avoid != nullptr)
 			jj_name_set(&name, avoid);
-		server = jj_slots_choose_online(slots, &service,
-		    avoid != nullptr ? &name : nullptr, now, &full);
+		jj_slots_wish_t wish = {
+		    &service, avoid != nullptr ? &name : nullptr, within};
+		server = jj_slots_choose_online(slots, &wish, now, &full);
 		return server != nullptr ? server->info.id.text : "";
 	}
 	std::string
