A server that is missing after a failed look has left, unless many are

Ruled out: news that came late (the entry's removal is seen within 0.4 s). Change: the time to come back is given when a third of the servers or more is missing; a few have left. Test: two, the first red before.

--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -29,6 +29,9 @@
  */
 #define CLAIM_MS 4000
 
+/* One of so many servers or more are missing at once: their entries lapsed.
+ * Of nine servers two leave together now and then, three hardly. */
+#define LAPSED_PART 3
 /* Batch leaves a crowded server alone for about as long as an online request
  * holds a place, ms. */
 #define CROWDED_REST_MS 500
@@ -38,6 +41,8 @@
 static jj_slot_server_t *replace_server(
     jj_slots_t *, jj_slot_server_t *, const jj_slot_info_t *, jj_ms_t);
 static void unlist(jj_slot_server_t *, jj_ms_t);
+static void judge_missing(jj_slots_t *, jj_ms_t);
+static bool is_missing(const jj_slot_server_t *, jj_ms_t);
 static uint64_t hash_of(const jj_slot_info_t *);
 static void remove_server(jj_slots_t *, jj_slot_server_t *);
 static bool is_known(const jj_slot_server_t *);
@@ -157,11 +162,12 @@
 	jj_slot_server_t *server;
 	jj_slot_server_t *next;
 
+	judge_missing(slots, now);
 	for (server = TAILQ_FIRST(&slots->servers); server != NULL;
 	     server = next) {
 		next = TAILQ_NEXT(server, link);
 		if (!server->listed && now >= server->unlisted_ms &&
-		    !server->claimed && server->online + server->batch == 0)
+		    now >= server->lapsed_until_ms && !server->claimed && server->online + server->batch == 0)
 			remove_server(slots, server);
 	}
 }
@@ -351,6 +357,44 @@
 {
 	server->listed = false;
 	server->unlisted_ms = until;
+	server->lapsed_until_ms = until;
+}
+
+/**
+ * Guards both ways after the list could not be read for a while. In an outage
+ * entries lapse though their servers live: taken for gone, a whole fleet is.
+ * But a watch may be cut off while the store is well, and a server that leaves
+ * just then without a word was sent work for longer than it serves. An outage
+ * that is long enough for one entry to lapse is so for most, so a few that are
+ * missing have left.
+ */
+static void
+judge_missing(jj_slots_t *slots, jj_ms_t now)
+{
+	jj_slot_server_t *server;
+	uint32_t missing = 0;
+	uint32_t listed = 0;
+
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		listed += server->listed;
+		missing += is_missing(server, now);
+	}
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		if (!is_missing(server, now))
+			continue;
+		if (missing * LAPSED_PART >= missing + listed)
+			server->unlisted_ms = server->lapsed_until_ms;
+		else if (server->unlisted_ms > now)
+			server->unlisted_ms = now;
+	}
+}
+
+static bool
+is_missing(const jj_slot_server_t *server, jj_ms_t now)
+{
+	return !server->listed && now < server->lapsed_until_ms;
 }
 
 /** Other VMs mean a process by it, not whatever has the id. */
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -66,6 +66,8 @@
 	bool local; /**< in this VM's failure domain */
 	bool listed; /**< the platform's list has it */
 	jj_ms_t unlisted_ms; /**< when that counts: no new work from then */
+	/** It may be back by then if its entry lapsed in an outage. */
+	jj_ms_t lapsed_until_ms;
 	bool replaced; /**< a process that started later has its id */
 	jj_ms_t replaced_ms; /**< known since */
 	bool claimed; /**< its entry is of an earlier start, see claim */
@@ -121,14 +123,18 @@
 jj_slot_server_t *jj_slots_settle_claim(jj_slots_t *slots, jj_ms_t now);
 /** Before a whole list is taken: what is not learned again is missing. */
 void jj_slots_begin_list(jj_slots_t *slots);
-/** After a whole list was taken; what is missing takes work until @p until. */
+/** After a whole list was taken; for what is missing see jj_slots_drop(). */
 void jj_slots_end_list(jj_slots_t *slots, jj_ms_t until);
 /**
- * The list says that the server is gone. It takes new work until @p until: an
- * entry that lapsed while the list could not be written comes back by then.
+ * The list says that the server is gone. If many are, their entries lapsed
+ * while they could not be written, and are back by @p until: they take work so
+ * long. One alone has left.
  */
 void jj_slots_drop(jj_slots_t *slots, const char *id, jj_ms_t until);
-/** Forgets servers that are gone and run nothing of this VM. */
+/**
+ * Judges who has left and who lapsed; forgets servers that are gone and run
+ * nothing of this VM.
+ */
 void jj_slots_tick(jj_slots_t *slots, jj_ms_t now);
 
 /**
--- a/tests/core/gateway_fixture.h
+++ b/tests/core/gateway_fixture.h
@@ -6,6 +6,7 @@
 #define TESTS_CORE_GATEWAY_FIXTURE_H
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -177,6 +178,11 @@
 	/** The watch of that token ends: its history is gone. */
 	void
 	lose_history(int token)
+	{
+		end_watch(token, JJ_PLATFORM_GAP);
+	}
+	void
+	end_watch(int token, jj_platform_outcome_t outcome)
 	{
 		jj_platform_result_t result = {};
 
@@ -185,7 +191,7 @@
 		result.owner = watches[token]->body.platform.owner;
 		result.token = (uint64_t)token;
 		result.op = JJ_PLATFORM_WATCH;
-		result.outcome = JJ_PLATFORM_GAP;
+		result.outcome = outcome;
 		jj_action_free(watches[token]);
 		watches.erase(token);
 		jj_gateway_take_platform(gateway, &result, now, &out);
--- a/tests/core/gateway_servers_test.cc
+++ b/tests/core/gateway_servers_test.cc
@@ -150,6 +150,47 @@
 	EXPECT_EQ(1U, attempts(begin("/once/1")));
 }
 
+/*
+ * A VM's watch was cut off for a moment while the store was well. Just then a
+ * server left without a word: its entry was removed. The VM held it for lapsed
+ * during an outage and sent it work for two seconds, four ms longer than a
+ * server that leaves has to be served.
+ */
+TEST_F(GatewayServer, OneThatIsMissingAfterAFailureIsGone)
+{
+	for (const char *id : {"servers/s2", "servers/s3", "servers/s4"})
+		see(SERVERS, id, "verona ready");
+	end_watch(SERVERS, JJ_PLATFORM_UNKNOWN);
+	let_pass(100);
+	see(SERVERS, "servers/s1", "", true);
+	let_pass(25);
+	for (int i = 0; i < 8; i++)
+		EXPECT_NE("s1", said[begin("/once/1")].servers[0]);
+}
+
+/* The store was away, and most entries lapsed: those servers live. */
+TEST_F(GatewayServer, ManyThatAreMissingAfterAFailureAreKept)
+{
+	for (const char *id : {"servers/s2", "servers/s3", "servers/s4"})
+		see(SERVERS, id, "verona ready");
+	end_watch(SERVERS, JJ_PLATFORM_UNKNOWN);
+	let_pass(100);
+	for (const char *id : {"servers/s1", "servers/s2", "servers/s3"})
+		see(SERVERS, id, "", true);
+	let_pass(25);
+	std::set<std::string> used;
+	for (int i = 0; i < 8; i++)
+		used.insert(said[begin("/once/1")].servers[0]);
+	EXPECT_EQ(4U, used.size());
+	let_pass(2000);
+	for (int i = 0; i < 3; i++) {
+		uint64_t request = begin("/once/1");
+
+		for (const std::string &name : said[request].servers)
+			EXPECT_EQ("s4", name);
+	}
+}
+
 struct BadCase {
 	const char *name;
 	const char *text;
