A VM that is silent for a while is a suspect, not dead

Symptom: live VMs of a domain called each other silent under load; callers got 503 history_unknown, or 502 outcome_unknown of a call whose answer lay ready, and both VMs claimed each other's chunks (51 streams for 40 items).

Cause, by a trace of each message and by vm_silent, which now says what decided it: (1) a heartbeat counted only when what it acknowledged was sent within suspect_ms, so the bound was on the round trip: 32 of 32 silences had heartbeats in the window. (2) A probe had a new nonce each heartbeat_ms, so an echo that took longer answered the one before. (3) A forwarded call (20 kB) was sent each resend_ms; its copies stood before the heartbeats. (4) On suspicion alone calls were ended or refused and claims given away. What made round trips long there is the sanitizer: it writes reports of races inside libzmq, which are suppressed, on libzmq's own thread (perf: a thread on the processor for a second).

Ruled out: pauses of the process (own_gap_ms 20 to 60), congestion control and lost packets (ss, nstat: no drops, retransmissions all spurious).

Change: a live VM's heartbeat counts while it acknowledges something newer, up to 3 x suspect_ms; a probe keeps its nonce while an echo may come in time; resends double twice; a VM is lost after takeover_ms (or at once when its process was replaced): until then a call that was sent waits for the answer, one that was not is held unsent; a home that settles makes calls wait at most takeover_ms + ack_timeout_ms; a run's end that this VM knows is told when the home is away; claims are free when the VM is lost.

--- a/src/core/calls.c
+++ b/src/core/calls.c
@@ -8,6 +8,19 @@
 
 #include "core/calls.h"
 
+/**
+ * Resends wait resend_ms, then twice, then four times as long. A call may be
+ * a megabyte: sent at a steady pace to a home that is slow to answer, its
+ * copies fill the link, the heartbeats behind them come late, and both VMs
+ * take each other for silent.
+ */
+#define RESEND_DOUBLINGS 2
+/**
+ * Between looks at a slot of this VM that settles, ms: a witness is told all
+ * within a few round trips of a millisecond; a caller does not notice 20.
+ */
+#define SETTLE_LOOK_MS 20
+
 /** One call that waits for its home's word. */
 typedef struct waiting {
 	TAILQ_ENTRY(waiting) link;
@@ -22,6 +35,8 @@
 	jj_call_t call; /**< owned copy */
 	jj_ms_t deadline_ms;
 	jj_ms_t resend_ms;
+	uint32_t sent; /**< times to the present target */
+	jj_name_t held_for; /**< a suspect it waits for, or empty */
 } waiting_t;
 
 struct jj_calls {
@@ -37,18 +52,28 @@
     jj_ms_t, jj_actions_t *);
 static void relay_abroad(jj_calls_t *, const jj_message_t *,
     const jj_member_info_t *, const jj_name_t *, jj_ms_t, jj_actions_t *);
-static bool choose_abroad(const jj_calls_t *, const waiting_t *, jj_name_t *);
+static bool
+choose_abroad(const jj_calls_t *, const waiting_t *, jj_ms_t, jj_name_t *);
 static waiting_t *
 add_waiting(jj_calls_t *, const jj_call_t *, const jj_name_t *, jj_ms_t);
 static void forward(jj_calls_t *, waiting_t *, jj_ms_t, jj_actions_t *);
-static bool choose_next_vm(const jj_calls_t *, const waiting_t *, jj_name_t *);
-static void send_call(jj_calls_t *, waiting_t *, jj_ms_t, jj_actions_t *);
+static bool
+choose_next_vm(const jj_calls_t *, const waiting_t *, jj_ms_t, jj_name_t *);
+static bool is_home_doubted(
+    const jj_calls_t *, const waiting_t *, const jj_name_t *, jj_ms_t);
+static bool is_doubted(const jj_calls_t *, const jj_name_t *, jj_ms_t, jj_ms_t);
+static bool is_home_here(const jj_calls_t *, const waiting_t *);
+static void begin_here(jj_calls_t *, waiting_t *, jj_ms_t, jj_actions_t *);
+static jj_ms_t resend_wait(const jj_calls_t *, const waiting_t *);
+static void send_call(waiting_t *, jj_ms_t, jj_actions_t *);
 static void end_waiting(
     jj_calls_t *, waiting_t *, const jj_call_answer_t *, jj_actions_t *);
-static void refuse(jj_calls_t *, waiting_t *, jj_actions_t *);
+static void free_waiting(jj_calls_t *, waiting_t *);
+static void refuse(jj_calls_t *, waiting_t *, jj_ms_t, jj_actions_t *);
 static void
 take_answer(jj_calls_t *, waiting_t *, const jj_message_t *, jj_actions_t *);
-static bool target_is_gone(const jj_calls_t *, const waiting_t *);
+static bool target_is_gone(const jj_calls_t *, const waiting_t *, jj_ms_t);
+static bool target_is_heard_again(const jj_calls_t *, const waiting_t *);
 static waiting_t *find_relayed(jj_calls_t *, const jj_name_t *, uint64_t);
 
 jj_calls_t *
@@ -118,7 +143,8 @@
 		domain = calls->settings.domain;
 	if (jj_name_equal(&domain, &calls->settings.domain) &&
 	    jj_ledger_home(calls->ledger, &call->key, &home) &&
-	    jj_name_equal(&home, &calls->settings.name)) {
+	    jj_name_equal(&home, &calls->settings.name) &&
+	    !jj_ledger_is_settling(calls->ledger, &call->key, now)) {
 		jj_ledger_begin(calls->ledger, operation, NULL, call, now, out);
 		return;
 	}
@@ -152,14 +178,16 @@
 	 * different age must not pass it to and fro. The ledger answers for a
 	 * slot that is not its own.
 	 */
-	if (is_home ||
+	if (is_home && jj_ledger_is_settling(calls->ledger, &call->key, now)) {
+		relay(calls, message, &domain, now, out);
+	} else if (is_home ||
 	    (from != NULL &&
 		jj_name_equal(&from->domain, &calls->settings.domain))) {
 		jj_ledger_begin(
 		    calls->ledger, call->call, &message->from, call, now, out);
-		return;
+	} else {
+		relay(calls, message, &domain, now, out);
 	}
-	relay(calls, message, &domain, now, out);
 }
 
 void
@@ -188,9 +216,10 @@
 	     waiting = next) {
 		next = TAILQ_NEXT(waiting, link);
 		if (now >= waiting->deadline_ms ||
-		    target_is_gone(calls, waiting))
-			refuse(calls, waiting, out);
-		else if (now >= waiting->resend_ms)
+		    target_is_gone(calls, waiting, now))
+			refuse(calls, waiting, now, out);
+		else if (now >= waiting->resend_ms ||
+		    target_is_heard_again(calls, waiting))
 			forward(calls, waiting, now, out);
 	}
 }
@@ -277,42 +306,131 @@
 	jj_name_t target;
 	const jj_member_info_t *info;
 
-	if (!choose_next_vm(calls, waiting, &target)) {
-		refuse(calls, waiting, out);
+	if (is_home_here(calls, waiting)) {
+		begin_here(calls, waiting, now, out);
+		return;
+	}
+	if (!choose_next_vm(calls, waiting, now, &target)) {
+		refuse(calls, waiting, now, out);
 		return;
 	}
+	if (!jj_member_is_live(calls->member, &target)) {
+		waiting->held_for = target;
+		waiting->resend_ms = now + calls->settings.resend_ms;
+		return;
+	}
+	waiting->held_for = (jj_name_t){""};
 	info = jj_member_find(calls->member, &target);
-	if (!jj_name_is_empty(&waiting->sent_to) &&
-	    (!jj_name_equal(&waiting->sent_to, &target) || info == NULL ||
-		info->incarnation != waiting->sent_to_incarnation))
-		waiting->strayed = true;
+	if (!jj_name_equal(&waiting->sent_to, &target) || info == NULL ||
+	    info->incarnation != waiting->sent_to_incarnation) {
+		waiting->strayed = !jj_name_is_empty(&waiting->sent_to);
+		waiting->sent = 0;
+	}
 	waiting->sent_to = target;
 	waiting->sent_to_incarnation = info != NULL ? info->incarnation : 0;
-	send_call(calls, waiting, now, out);
+	waiting->resend_ms = now + resend_wait(calls, waiting);
+	send_call(waiting, now, out);
+}
+
+static jj_ms_t
+resend_wait(const jj_calls_t *calls, const waiting_t *waiting)
+{
+	uint32_t doublings =
+	    waiting->sent < RESEND_DOUBLINGS ? waiting->sent : RESEND_DOUBLINGS;
+
+	return calls->settings.resend_ms << doublings;
+}
+
+/** Its slot is, or has moved while it waited, at this VM. */
+static bool
+is_home_here(const jj_calls_t *calls, const waiting_t *waiting)
+{
+	jj_name_t home;
+
+	return jj_name_equal(&waiting->domain, &calls->settings.domain) &&
+	    jj_ledger_home(calls->ledger, &waiting->call.key, &home) &&
+	    jj_name_equal(&home, &calls->settings.name);
+}
+
+/**
+ * What was never sent begins at this VM. What was sent may be running at its
+ * earlier home, whose word this VM gets as its successor: it waits for that.
+ */
+static void
+begin_here(
+    jj_calls_t *calls, waiting_t *waiting, jj_ms_t now, jj_actions_t *out)
+{
+	jj_call_answer_t answer;
+
+	if (!jj_name_is_empty(&waiting->sent_to)) {
+		if (jj_ledger_recall(
+			calls->ledger, &waiting->call, now, &answer))
+			end_waiting(calls, waiting, &answer, out);
+		else
+			waiting->resend_ms = now + calls->settings.resend_ms;
+		return;
+	}
+	if (jj_ledger_is_settling(calls->ledger, &waiting->call.key, now)) {
+		waiting->resend_ms = now + SETTLE_LOOK_MS;
+		return;
+	}
+	waiting->call.budget_ms = waiting->deadline_ms - now;
+	if (jj_name_is_empty(&waiting->asker))
+		jj_ledger_begin(calls->ledger, waiting->operation, NULL,
+		    &waiting->call, now, out);
+	else
+		jj_ledger_begin(calls->ledger, waiting->asker_call,
+		    &waiting->asker, &waiting->call, now, out);
+	free_waiting(calls, waiting);
 }
 
 /** The home in the own domain, any live VM in another one. */
 static bool
-choose_next_vm(
-    const jj_calls_t *calls, const waiting_t *waiting, jj_name_t *target)
+choose_next_vm(const jj_calls_t *calls, const waiting_t *waiting, jj_ms_t now,
+    jj_name_t *target)
 {
 	if (jj_name_equal(&waiting->domain, &calls->settings.domain))
 		return jj_ledger_home(
 			   calls->ledger, &waiting->call.key, target) &&
 		    !jj_name_equal(target, &calls->settings.name) &&
-		    jj_member_is_live(calls->member, target);
-	return choose_abroad(calls, waiting, target);
+		    (jj_member_is_live(calls->member, target) ||
+			is_home_doubted(calls, waiting, target, now));
+	return choose_abroad(calls, waiting, now, target);
+}
+
+/**
+ * A home that a new table names was alive when the table was written, though
+ * no message of it came: it has lost_ms from there on to be heard.
+ */
+static bool
+is_home_doubted(const jj_calls_t *calls, const waiting_t *waiting,
+    const jj_name_t *home, jj_ms_t now)
+{
+	return is_doubted(calls, home,
+	    jj_ledger_home_since(calls->ledger, &waiting->call.key), now);
+}
+
+/** Suspected, but not lost: it may live. */
+static bool
+is_doubted(
+    const jj_calls_t *calls, const jj_name_t *name, jj_ms_t since, jj_ms_t now)
+{
+	const jj_member_info_t *info = jj_member_find(calls->member, name);
+
+	return info != NULL && !info->live &&
+	    !jj_member_is_lost(calls->member, name, since, now);
 }
 
 /** A VM of the key's domain, else our speaker, which knows one. */
 static bool
-choose_abroad(
-    const jj_calls_t *calls, const waiting_t *waiting, jj_name_t *target)
+choose_abroad(const jj_calls_t *calls, const waiting_t *waiting, jj_ms_t now,
+    jj_name_t *target)
 {
 	jj_member_info_t first;
 
 	if (!jj_name_is_empty(&waiting->sent_to) &&
-	    jj_member_is_live(calls->member, &waiting->sent_to)) {
+	    (jj_member_is_live(calls->member, &waiting->sent_to) ||
+		is_doubted(calls, &waiting->sent_to, 0, now))) {
 		*target = waiting->sent_to;
 		return true;
 	}
@@ -328,7 +446,7 @@
 }
 
 static void
-send_call(jj_calls_t *calls, waiting_t *waiting, jj_ms_t now, jj_actions_t *out)
+send_call(waiting_t *waiting, jj_ms_t now, jj_actions_t *out)
 {
 	jj_message_t *message =
 	    jj_actions_add_message(out, &waiting->sent_to, JJ_MESSAGE_CALL);
@@ -336,19 +454,24 @@
 	copy_call(&message->body.call, &waiting->call);
 	message->body.call.call = waiting->number;
 	message->body.call.budget_ms = waiting->deadline_ms - now;
-	waiting->resend_ms = now + calls->settings.resend_ms;
+	waiting->sent++;
 }
 
 /**
  * Ends a call that got no word from its home. Once it was sent to another
- * VM it may have run there: only "unknown" is true then. The caller may
- * resend under the same key; the home knows what became of it.
+ * VM it may have run there: only "unknown" is true then, unless this VM knows
+ * the run's end itself. The caller may resend under the same key; the home
+ * knows what became of it.
  */
 static void
-refuse(jj_calls_t *calls, waiting_t *waiting, jj_actions_t *out)
+refuse(jj_calls_t *calls, waiting_t *waiting, jj_ms_t now, jj_actions_t *out)
 {
 	jj_call_answer_t answer = {0};
 
+	if (jj_ledger_recall(calls->ledger, &waiting->call, now, &answer)) {
+		end_waiting(calls, waiting, &answer, out);
+		return;
+	}
 	answer.outcome = jj_name_is_empty(&waiting->sent_to)
 	    ? JJ_CALL_NO_HISTORY
 	    : JJ_CALL_UNKNOWN;
@@ -378,17 +501,29 @@
 	end_waiting(calls, waiting, &answer, out);
 }
 
-/** True when the process that had the call is dead or was replaced. */
+/**
+ * True when the process that had the call is lost or was replaced. A suspect
+ * is neither: its caller would be told "unknown" of a call that it runs and
+ * answers a moment later, and never get that answer.
+ */
 static bool
-target_is_gone(const jj_calls_t *calls, const waiting_t *waiting)
+target_is_gone(const jj_calls_t *calls, const waiting_t *waiting, jj_ms_t now)
 {
 	const jj_member_info_t *info;
 
 	if (jj_name_is_empty(&waiting->sent_to))
 		return false;
 	info = jj_member_find(calls->member, &waiting->sent_to);
-	return info == NULL || !info->live ||
-	    info->incarnation != waiting->sent_to_incarnation;
+	return info == NULL ||
+	    info->incarnation != waiting->sent_to_incarnation ||
+	    jj_member_is_lost(calls->member, &waiting->sent_to, 0, now);
+}
+
+static bool
+target_is_heard_again(const jj_calls_t *calls, const waiting_t *waiting)
+{
+	return !jj_name_is_empty(&waiting->held_for) &&
+	    jj_member_is_live(calls->member, &waiting->held_for);
 }
 
 static void
@@ -412,6 +547,12 @@
 		message->body.call_answer.body =
 		    jj_bytes_copy(answer->body.data, answer->body.size);
 	}
+	free_waiting(calls, waiting);
+}
+
+static void
+free_waiting(jj_calls_t *calls, waiting_t *waiting)
+{
 	TAILQ_REMOVE(&calls->waiting, waiting, link);
 	jj_bytes_free(&waiting->call.path);
 	jj_bytes_free(&waiting->call.body);
--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -7,6 +7,13 @@
  * each other must not both run it. Within that domain the ledger names the
  * home VM. A call is sent to its home again until it answers; the home knows
  * the key, so a repeat is harmless.
+ *
+ * A home that is only suspected (member.h) may live and be running the call.
+ * A call that it was sent waits for its word until the home is lost or the
+ * call's time is up; a call that it was not sent yet waits, unsent, until it
+ * is heard again, its slot moves, or it is lost: what was never sent can
+ * still be refused as such. A call whose home is this VM waits while the slot
+ * settles (jj_ledger_is_settling).
  */
 #ifndef JJ_CORE_CALLS_H
 #define JJ_CORE_CALLS_H
@@ -19,7 +26,8 @@
 typedef struct {
 	jj_name_t name;
 	jj_name_t domain;
-	jj_ms_t resend_ms; /**< a forwarded call is sent again after */
+	/** A forwarded call is sent again after; the waits double. */
+	jj_ms_t resend_ms;
 	jj_ms_t retry_after_ms; /**< told with refusals */
 } jj_calls_settings_t;
 
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -264,10 +264,13 @@
 	const jj_core_settings_t *settings = &core->settings;
 	jj_ledger_port_t port = {
 	    core, jj_core_run_call, find_member, list_members};
+	jj_member_settings_t member = settings->member;
 	jj_calls_settings_t calls = {settings->name, settings->domain,
 	    settings->resend_ms, JJ_CALL_RETRY_AFTER_MS};
 
-	core->member = jj_member_create(&settings->member);
+	/* A lost VM's claims and its slots are taken over at the same time. */
+	member.lost_ms = settings->ledger.takeover_ms;
+	core->member = jj_member_create(&member);
 	core->fleet = jj_fleet_create(&settings->domain);
 	core->quarantine = jj_quarantine_create(&settings->quarantine);
 	core->config = jj_config_create(&settings->config);
@@ -331,7 +334,7 @@
 	jj_member_set_versions(core->member, jj_config_version(core->config),
 	    jj_ledger_version(core->ledger));
 	jj_member_tick(core->member, now, out);
-	jj_core_notice_lost_vms(core, out);
+	jj_core_notice_lost_vms(core, now, out);
 	speaker = jj_member_is_speaker(core->member) && !core->leaving;
 	jj_watch_set_active(&core->config_watch, speaker, now);
 	jj_watch_set_active(&core->jobs_watch, speaker, now);
--- a/src/core/core_news.c
+++ b/src/core/core_news.c
@@ -17,6 +17,10 @@
 
 static void
 take_heartbeat(jj_core_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
+static bool is_gone(const jj_core_t *, const jj_seen_t *, jj_ms_t);
+static bool is_leaving(const jj_core_t *, const jj_seen_t *);
+static void tell_lost(jj_core_t *, const jj_seen_t *, jj_ms_t, jj_actions_t *);
+static void note_seen(jj_core_t *, const jj_member_info_t *);
 static void send_config(jj_core_t *, const jj_name_t *, jj_actions_t *);
 static bool is_abroad(const jj_core_t *, const jj_name_t *);
 static void tell_domain(jj_core_t *, jj_message_kind_t, uint64_t,
@@ -163,40 +167,87 @@
 }
 
 void
-jj_core_notice_lost_vms(jj_core_t *core, jj_actions_t *out)
+jj_core_notice_lost_vms(jj_core_t *core, jj_ms_t now, jj_actions_t *out)
 {
 	jj_member_info_t members[JJ_LEDGER_SLOTS];
-	jj_action_t *action;
-	const jj_member_info_t *info;
+	size_t kept = 0;
 	size_t i;
 
 	for (i = 0; i < core->seen_count; i++) {
-		info = jj_member_find(core->member, &core->seen[i].name);
-		if (info != NULL && info->live &&
-		    info->incarnation == core->seen[i].incarnation)
-			continue;
-		action = jj_actions_add(out, JJ_ACTION_VM_LOST);
-		action->body.lost.name = core->seen[i].name;
-		action->body.lost.incarnation = core->seen[i].incarnation;
-		jj_actions_add_event(
-		    out, "vm_lost", "lost=%s", core->seen[i].name.text);
+		if (is_gone(core, &core->seen[i], now))
+			tell_lost(core, &core->seen[i], now, out);
+		else if (!is_leaving(core, &core->seen[i]))
+			core->seen[kept++] = core->seen[i];
 	}
-	core->seen_count = 0;
+	core->seen_count = kept;
 	/*
 	 * Of other domains only speakers are heard: a VM abroad that falls
 	 * silent is no sign of death, nor is a cut between domains.
 	 */
 	i = jj_member_list(
 	    core->member, &core->settings.domain, members, JJ_LEDGER_SLOTS);
-	while (i-- > 0) {
-		if (!members[i].live ||
-		    jj_name_equal(&members[i].name, &core->settings.name))
-			continue;
-		core->seen[core->seen_count].name = members[i].name;
-		core->seen[core->seen_count].incarnation =
-		    members[i].incarnation;
-		core->seen_count++;
-	}
+	while (i-- > 0)
+		note_seen(core, &members[i]);
+}
+
+/*
+ * Guards against work that is done twice: a VM that was silent for some
+ * hundred milliseconds lives, goes on with its items and renews its claims,
+ * while its neighbour claims and runs the same ones. A process that was
+ * replaced is gone for sure, a silent one only after lost_ms.
+ */
+static bool
+is_gone(const jj_core_t *core, const jj_seen_t *seen, jj_ms_t now)
+{
+	const jj_member_info_t *info =
+	    jj_member_find(core->member, &seen->name);
+
+	return info == NULL || info->incarnation != seen->incarnation ||
+	    jj_member_is_lost(core->member, &seen->name, 0, now);
+}
+
+/** It hands over what it has itself. */
+static bool
+is_leaving(const jj_core_t *core, const jj_seen_t *seen)
+{
+	return jj_member_find(core->member, &seen->name)->state ==
+	    JJ_VM_LEAVING;
+}
+
+static void
+tell_lost(
+    jj_core_t *core, const jj_seen_t *seen, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_member_info_t *info =
+	    jj_member_find(core->member, &seen->name);
+	jj_action_t *action = jj_actions_add(out, JJ_ACTION_VM_LOST);
+	bool replaced = info != NULL && info->incarnation != seen->incarnation;
+
+	action->body.lost.name = seen->name;
+	action->body.lost.incarnation = seen->incarnation;
+	jj_actions_add_event(out, "vm_lost",
+	    "lost=%s reason=%s heard_ms_ago=%lld", seen->name.text,
+	    replaced ? "replaced" : "silent",
+	    info == NULL || info->heard_ms == JJ_MS_NEVER
+		? -1LL
+		: (long long)(now - info->heard_ms));
+}
+
+static void
+note_seen(jj_core_t *core, const jj_member_info_t *member)
+{
+	size_t i;
+
+	if (!member->live || jj_name_equal(&member->name, &core->settings.name))
+		return;
+	for (i = 0; i < core->seen_count; i++)
+		if (jj_name_equal(&core->seen[i].name, &member->name))
+			return;
+	if (core->seen_count == JJ_LEDGER_SLOTS)
+		return;
+	core->seen[core->seen_count].name = member->name;
+	core->seen[core->seen_count].incarnation = member->incarnation;
+	core->seen_count++;
 }
 
 bool
--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -101,6 +101,41 @@
 	return true;
 }
 
+bool
+jj_ledger_recall(jj_ledger_t *ledger, const jj_call_t *call, jj_ms_t now,
+    jj_call_answer_t *answer)
+{
+	const jj_ledger_entry_t *entry =
+	    jj_ledger_records_find(ledger->records, &call->key, now);
+
+	if (entry == NULL || entry->state != JJ_RECORD_DONE ||
+	    entry->fingerprint != call->fingerprint)
+		return false;
+	*answer = (jj_call_answer_t){.outcome = JJ_CALL_REPLAYED,
+	    .status = entry->status,
+	    .body = entry->answer};
+	return true;
+}
+
+bool
+jj_ledger_is_settling(
+    const jj_ledger_t *ledger, const jj_hash_t *key, jj_ms_t now)
+{
+	uint32_t slot = jj_ledger_slot(key);
+	const jj_ledger_part_t *part = &ledger->parts[slot];
+	jj_ms_t most_ms =
+	    ledger->settings.takeover_ms + ledger->settings.ack_timeout_ms;
+
+	return jj_ledger_is_home(ledger, slot) && part->complete &&
+	    !part->synced && now - part->entered_ms < most_ms;
+}
+
+jj_ms_t
+jj_ledger_home_since(const jj_ledger_t *ledger, const jj_hash_t *key)
+{
+	return ledger->parts[jj_ledger_slot(key)].entered_ms;
+}
+
 void
 jj_ledger_begin(jj_ledger_t *ledger, uint64_t operation, const jj_name_t *from,
     const jj_call_t *call, jj_ms_t now, jj_actions_t *out)
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -76,7 +76,23 @@
 /** The home of a key's slot in the own domain, as known here. */
 bool jj_ledger_home(
     const jj_ledger_t *ledger, const jj_hash_t *key, jj_name_t *home);
+/**
+ * True at the key's home from the start of an epoch until its witness has
+ * been told all, at most for as long as it takes to replace a witness that
+ * does not answer: takeover_ms until it is lost, ack_timeout_ms for the new
+ * table and the next one. A call may wait for that.
+ */
+bool jj_ledger_is_settling(
+    const jj_ledger_t *ledger, const jj_hash_t *key, jj_ms_t now);
+/** When this VM learned of the key's slot's present epoch; 0: of none. */
+jj_ms_t jj_ledger_home_since(const jj_ledger_t *ledger, const jj_hash_t *key);
 
+/**
+ * The answer of a key's one run when this VM knows it, as home, witness or
+ * the one that ran it; @p answer is REPLAYED then, its body the ledger's own.
+ */
+bool jj_ledger_recall(jj_ledger_t *ledger, const jj_call_t *call, jj_ms_t now,
+    jj_call_answer_t *answer);
 /**
  * Begins a call at this VM as its home (a caller's own or a forwarded one).
  * Ends with one JJ_ACTION_CALL_ANSWER for @p operation, or, for a call that
--- a/src/core/ledger_slots.c
+++ b/src/core/ledger_slots.c
@@ -164,6 +164,7 @@
 	part->synced = false;
 	part->released = false;
 	part->part = 0;
+	part->entered_ms = now;
 	if (jj_ledger_is_home(ledger, index))
 		become_home(ledger, index, now);
 	else if (!jj_ledger_is_witness(ledger, index))
--- a/src/core/ledger_state.h
+++ b/src/core/ledger_state.h
@@ -51,6 +51,7 @@
 	bool released; /**< an operator said: the history is lost */
 	bool unknown; /**< keys without a record may have run earlier */
 	jj_ms_t unknown_since;
+	jj_ms_t entered_ms; /**< the epoch was learned; 0: none yet */
 	uint32_t part; /**< home: next to confirm; witness: next due */
 	jj_ms_t sync_due; /**< home: send the part again */
 	jj_hash_t *sync_keys; /**< home: what is to be sent */
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -20,7 +20,15 @@
     jj_member_t *, jj_peer_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
 static void take_echo(
     jj_member_t *, jj_peer_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
-static void note_heard(jj_member_t *, jj_peer_t *, jj_ms_t, jj_actions_t *);
+static bool is_sign(const jj_member_t *, const jj_peer_t *, uint64_t, jj_ms_t);
+static void note_ack(const jj_member_t *, jj_peer_t *, uint64_t);
+static void note_heard(
+    jj_member_t *, jj_peer_t *, const char *, jj_ms_t, jj_ms_t, jj_actions_t *);
+static void
+tell_silence(const jj_member_t *, const jj_peer_t *, jj_ms_t, jj_actions_t *);
+static void begin_watch(jj_peer_t *);
+static void note_gap(jj_member_t *, jj_ms_t);
+static long long since(jj_ms_t, jj_ms_t);
 static void excuse_pause(jj_member_t *, jj_ms_t);
 static void judge_silence(jj_member_t *, jj_ms_t, jj_actions_t *);
 
@@ -31,6 +39,8 @@
 
 	JJ_INVARIANT(settings->suspect_ms > 0);
 	member->settings = *settings;
+	if (member->settings.lost_ms < settings->suspect_ms)
+		member->settings.lost_ms = settings->suspect_ms;
 	member->self.name = settings->name;
 	member->self.domain = settings->domain;
 	member->self.incarnation = settings->incarnation;
@@ -131,6 +141,7 @@
 void
 jj_member_tick(jj_member_t *member, jj_ms_t now, jj_actions_t *out)
 {
+	note_gap(member, now);
 	excuse_pause(member, now);
 	member->ticked_ms = now;
 	judge_silence(member, now, out);
@@ -204,6 +215,21 @@
 	return peer != NULL && jj_member_is_serving(&peer->info);
 }
 
+bool
+jj_member_is_lost(const jj_member_t *member, const jj_name_t *name,
+    jj_ms_t since, jj_ms_t now)
+{
+	const jj_member_info_t *info = jj_member_find(member, name);
+
+	if (info == NULL)
+		return true;
+	if (info->live)
+		return false;
+	if (info->heard_ms != JJ_MS_NEVER && info->heard_ms > since)
+		since = info->heard_ms;
+	return since == 0 || now - since >= member->settings.lost_ms;
+}
+
 bool
 jj_member_knows_other(const jj_member_t *member, const jj_name_t *domain)
 {
@@ -377,6 +403,8 @@
 	peer->info.heard_ms = JJ_MS_NEVER;
 	peer->probed_ms = JJ_MS_NEVER;
 	peer->known_ms = JJ_MS_NEVER;
+	peer->acked_ms = JJ_MS_NEVER;
+	begin_watch(peer);
 	(void)snprintf(
 	    peer->info.address, sizeof(peer->info.address), "%s", address);
 	return peer;
@@ -410,25 +438,63 @@
 	peer->info.state = heartbeat->state;
 	peer->info.config_version = heartbeat->config_version;
 	peer->info.slots_version = heartbeat->slots_version;
-	/* ZeroMQ delivers a dead VM's queued heartbeats after a reconnect,
-	 * all with rising sequences: the dead would be taken for live and
-	 * given work. A queued heartbeat cannot acknowledge what was sent
-	 * after it, so only a fresh acknowledgement is a sign of life. */
-	if (jj_member_is_ack_fresh(member, heartbeat->ack_sequence, now))
-		note_heard(member, peer, now, out);
-	else
+	if (is_sign(member, peer, heartbeat->ack_sequence, now)) {
+		note_ack(member, peer, heartbeat->ack_sequence);
+		note_heard(member, peer, "heartbeat", peer->acked_ms, now, out);
+	} else {
+		peer->watch.uncounted++;
 		jj_member_send_probe(member, peer, now, out);
+	}
+	peer->watch.came_ms = now;
 	return peer->info.live;
 }
 
+/*
+ * ZeroMQ delivers a dead VM's queued heartbeats after a reconnect, all with
+ * rising sequences: the dead would be taken for live and given work. A queued
+ * heartbeat cannot acknowledge what was sent after it, so a VM that is silent
+ * is revived by a fresh acknowledgement only.
+ *
+ * A VM that is live is another matter: under load each round trip takes a
+ * little longer than suspect_ms, and VMs that go on sending would call each
+ * other silent, take each other's work and refuse each other's calls. There
+ * an acknowledgement of something newer is a sign: a one-way cut stops it,
+ * and a dead VM's queue ends.
+ */
+static bool
+is_sign(
+    const jj_member_t *member, const jj_peer_t *peer, uint64_t ack, jj_ms_t now)
+{
+	jj_ms_t written = jj_member_ack_time(member, ack);
+
+	if (written == JJ_MS_NEVER)
+		return false;
+	if (now - written <= member->settings.suspect_ms)
+		return true;
+	return peer->info.live &&
+	    (peer->acked_ms == JJ_MS_NEVER || written > peer->acked_ms) &&
+	    now - written <= JJ_MEMBER_LATE_TIMES * member->settings.suspect_ms;
+}
+
+static void
+note_ack(const jj_member_t *member, jj_peer_t *peer, uint64_t ack)
+{
+	jj_ms_t written = jj_member_ack_time(member, ack);
+
+	if (peer->acked_ms == JJ_MS_NEVER || written > peer->acked_ms)
+		peer->acked_ms = written;
+}
+
 static void
 take_echo(jj_member_t *member, jj_peer_t *peer, const jj_message_t *message,
     jj_ms_t now, jj_actions_t *out)
 {
 	/* An echo that comes late shows only that its sender lived then. */
 	if (peer->nonce == 0 || message->body.nonce != peer->nonce ||
-	    now - peer->probed_ms > member->settings.suspect_ms)
+	    now - peer->probed_ms > member->settings.suspect_ms) {
+		peer->watch.late_echoes++;
 		return;
+	}
 	peer->nonce = 0;
 	if (message->incarnation != peer->info.incarnation) {
 		jj_actions_add_event(out, "vm_confirmed",
@@ -442,24 +508,81 @@
 		peer->info.config_version = 0;
 		peer->info.slots_version = 0;
 		peer->sequence = 0;
+		peer->acked_ms = JJ_MS_NEVER;
 	}
 	if (message->sequence > peer->sequence)
 		peer->sequence = message->sequence;
-	note_heard(member, peer, now, out);
+	note_heard(member, peer, "echo", peer->probed_ms, now, out);
 }
 
+/** @param asked when this process sent what the sign of life answers. */
 static void
-note_heard(jj_member_t *member, jj_peer_t *peer, jj_ms_t now, jj_actions_t *out)
+note_heard(jj_member_t *member, jj_peer_t *peer, const char *sign,
+    jj_ms_t asked, jj_ms_t now, jj_actions_t *out)
 {
 	(void)member;
+	if (!peer->info.live)
+		jj_actions_add_event(out, "vm_live",
+		    "peer=%s domain=%s sign=%s round_trip_ms=%lld "
+		    "heard_ms_ago=%lld uncounted=%u probes=%u late_echoes=%u",
+		    peer->info.name.text, peer->info.domain.text, sign,
+		    since(asked, now), since(peer->info.heard_ms, now),
+		    peer->watch.uncounted, peer->watch.probes,
+		    peer->watch.late_echoes);
 	peer->info.heard_ms = now;
 	peer->known_ms = now;
+	begin_watch(peer);
 	if (peer->info.live)
 		return;
 	peer->info.live = true;
 	peer->arrived = true;
-	jj_actions_add_event(out, "vm_live", "peer=%s domain=%s",
-	    peer->info.name.text, peer->info.domain.text);
+}
+
+/*
+ * What tells a VM that is gone (nothing came) from one whose messages wait
+ * (they came, acknowledging old ones) and from a pause of this process.
+ */
+static void
+tell_silence(const jj_member_t *member, const jj_peer_t *peer, jj_ms_t now,
+    jj_actions_t *out)
+{
+	(void)member;
+	jj_actions_add_event(out, "vm_silent",
+	    "peer=%s domain=%s heard_ms_ago=%lld came_ms_ago=%lld "
+	    "acked_ms_ago=%lld uncounted=%u probes=%u late_echoes=%u "
+	    "own_gap_ms=%lld",
+	    peer->info.name.text, peer->info.domain.text,
+	    since(peer->info.heard_ms, now), since(peer->watch.came_ms, now),
+	    since(peer->acked_ms, now), peer->watch.uncounted,
+	    peer->watch.probes, peer->watch.late_echoes,
+	    (long long)peer->watch.gap_ms);
+}
+
+static void
+begin_watch(jj_peer_t *peer)
+{
+	peer->watch = (jj_peer_watch_t){.came_ms = JJ_MS_NEVER};
+}
+
+static void
+note_gap(jj_member_t *member, jj_ms_t now)
+{
+	jj_ms_t gap;
+	size_t i;
+
+	if (member->ticked_ms == JJ_MS_NEVER)
+		return;
+	gap = now - member->ticked_ms;
+	for (i = 0; i < member->peer_count; i++)
+		if (member->peers[i].watch.gap_ms < gap)
+			member->peers[i].watch.gap_ms = gap;
+}
+
+/** @return how long ago, -1: never. */
+static long long
+since(jj_ms_t then, jj_ms_t now)
+{
+	return then == JJ_MS_NEVER ? -1LL : (long long)(now - then);
 }
 
 /* A process that was frozen heard nobody meanwhile. When it wakes all others
@@ -498,9 +621,7 @@
 		if (peer->info.live &&
 		    now - peer->info.heard_ms >= member->settings.suspect_ms) {
 			peer->info.live = false;
-			jj_actions_add_event(out, "vm_silent",
-			    "peer=%s domain=%s", peer->info.name.text,
-			    peer->info.domain.text);
+			tell_silence(member, peer, now, out);
 		}
 		if (!peer->info.live &&
 		    now - peer->known_ms >= member->settings.forget_ms)
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -10,11 +10,17 @@
  *
  * A process is its name plus its incarnation. A message of an unknown
  * incarnation is held to be nothing until a probe's nonce has come back from
- * it: late messages of a dead process cannot answer a probe. A heartbeat is a
- * sign of life only when it acknowledges a message that this process sent
- * lately (on its own clock); otherwise a queue of old heartbeats, delivered
- * after a reconnect, would revive a dead VM. A heartbeat without such an
- * acknowledgement is answered by a probe instead, whose echo is one.
+ * it: late messages of a dead process cannot answer a probe. A heartbeat
+ * revives a silent VM only when it acknowledges a message that this process
+ * sent lately (on its own clock); otherwise a queue of old heartbeats,
+ * delivered after a reconnect, would revive a dead VM. A heartbeat without
+ * such an acknowledgement is answered by a probe instead, whose echo is one.
+ * A VM that is live stays so while its heartbeats go on to acknowledge newer
+ * messages, however long they are under way (JJ_MEMBER_LATE_TIMES).
+ *
+ * Silence is a suspicion: a suspect is given nothing new. It is no proof of
+ * death: what a suspect has is taken from it when it was silent for lost_ms,
+ * or when its process was replaced.
  */
 #ifndef JJ_CORE_MEMBER_H
 #define JJ_CORE_MEMBER_H
@@ -23,6 +29,13 @@
 
 /** Most VMs of ours that one VM keeps in mind. */
 #define JJ_MEMBERS_MAX 512
+/**
+ * A live VM's heartbeat counts while what it newly acknowledges was sent at
+ * most this many times suspect_ms ago: the way there, the way back, and what
+ * a loaded VM takes between them, a suspicion's time each. Beyond that a VM
+ * answers too late to be of use, and is suspected.
+ */
+#define JJ_MEMBER_LATE_TIMES 3
 
 typedef struct {
 	jj_name_t name;
@@ -31,6 +44,11 @@
 	char address[JJ_NAME_MAX + 1]; /**< where neighbours reach this VM */
 	jj_ms_t heartbeat_ms; /**< between heartbeats; default 500 */
 	jj_ms_t suspect_ms; /**< silence until suspected; default 2000 */
+	/**
+	 * Silence until taken for dead, so that what it had may be given to
+	 * others; raised to suspect_ms when it is less. 0: suspect_ms.
+	 */
+	jj_ms_t lost_ms;
 	jj_ms_t forget_ms; /**< silence until dropped; default 3600000 */
 	uint64_t seed; /**< for the nonces of probes */
 } jj_member_settings_t;
@@ -96,6 +114,13 @@
 jj_member_find(const jj_member_t *member, const jj_name_t *name);
 /** True for this VM itself and for VMs heard lately that are not leaving. */
 bool jj_member_is_live(const jj_member_t *member, const jj_name_t *name);
+/**
+ * True when a VM is to be taken for dead: not known, or silent for lost_ms.
+ * @param since other news show that it lived then, 0: there are none; the
+ * silence counts from the later of this and of what was heard.
+ */
+bool jj_member_is_lost(const jj_member_t *member, const jj_name_t *name,
+    jj_ms_t since, jj_ms_t now);
 /** True when another VM of that domain is known, live or not. */
 bool jj_member_knows_other(const jj_member_t *member, const jj_name_t *domain);
 /**
--- a/src/core/member_signal.c
+++ b/src/core/member_signal.c
@@ -9,6 +9,7 @@
 /** A remote speaker silent for so many rounds is probed. */
 #define PROBE_AFTER_ROUNDS 2
 
+static void begin_probe(jj_member_t *, jj_peer_t *, jj_ms_t);
 static void
 send_heartbeat(const jj_member_t *, const jj_peer_t *, jj_actions_t *);
 static void send_to_speakers(jj_member_t *, jj_ms_t, jj_actions_t *);
@@ -21,15 +22,13 @@
 {
 	jj_message_t *message;
 
-	if (peer->probed_ms != JJ_MS_NEVER &&
-	    now - peer->probed_ms < member->settings.heartbeat_ms)
+	if (now < peer->next_probe_ms)
 		return;
-	member->nonce_count++;
-	peer->nonce = jj_hash_bytes(&member->nonce_count,
-	    sizeof(member->nonce_count), member->settings.seed);
-	if (peer->nonce == 0)
-		peer->nonce = 1;
-	peer->probed_ms = now;
+	peer->next_probe_ms = now + member->settings.heartbeat_ms;
+	if (peer->nonce == 0 ||
+	    now - peer->probed_ms > member->settings.suspect_ms)
+		begin_probe(member, peer, now);
+	peer->watch.probes++;
 	message =
 	    jj_actions_add_message(out, &peer->info.name, JJ_MESSAGE_PROBE);
 	message->body.nonce = peer->nonce;
@@ -64,15 +63,6 @@
 		send_to_speakers(member, now, out);
 }
 
-bool
-jj_member_is_ack_fresh(const jj_member_t *member, uint64_t ack, jj_ms_t now)
-{
-	jj_ms_t written = jj_member_ack_time(member, ack);
-
-	return written != JJ_MS_NEVER &&
-	    now - written <= member->settings.suspect_ms;
-}
-
 jj_ms_t
 jj_member_ack_time(const jj_member_t *member, uint64_t ack)
 {
@@ -92,6 +82,23 @@
 	return JJ_MS_NEVER;
 }
 
+/*
+ * Guards against a new nonce with each probe: an echo that is under way for
+ * longer than heartbeat_ms would always answer the one before, and a VM that
+ * a loaded link delays would never be heard again. The time of the first
+ * sending holds, so that an echo shows no more life than it proves.
+ */
+static void
+begin_probe(jj_member_t *member, jj_peer_t *peer, jj_ms_t now)
+{
+	member->nonce_count++;
+	peer->nonce = jj_hash_bytes(&member->nonce_count,
+	    sizeof(member->nonce_count), member->settings.seed);
+	if (peer->nonce == 0)
+		peer->nonce = 1;
+	peer->probed_ms = now;
+}
+
 static void
 send_heartbeat(
     const jj_member_t *member, const jj_peer_t *peer, jj_actions_t *out)
--- a/tests/core/suspicion_test.cc
+++ b/tests/core/suspicion_test.cc
@@ -156,6 +156,53 @@
 	pair.expect_no_second_run();
 }
 
+/*
+ * A VM was replaced, its neighbour takes all slots over and tells the new
+ * process what it knows; that takes a while on a loaded machine. A booking
+ * that came meanwhile was refused ("history unknown", 5 ms after another VM
+ * had confirmed the same one), though its home could take it a moment later.
+ */
+TEST(Suspicion, ACallAtAHomeThatSettlesWaits)
+{
+	Pair pair;
+
+	pair.world.message_ms = 200;
+	pair.world.restart(pair.other, 77);
+	while (pair.entry.losses.empty())
+		pair.run(1);
+	pair.run(300); /* the new table is in force */
+	pair.call_all(pair.entry, 1);
+	pair.run(3000);
+	/* Four slots (about as many keys) move at a time for balance; what
+	 * waits for a witness just then is refused. */
+	EXPECT_GE(Pair::count(pair.entry, JJ_CALL_DONE), KEYS - 4);
+	pair.expect_no_second_run();
+}
+
+/*
+ * The new witness never answers: what waits for it is refused when it could
+ * have been replaced, not at the end of the booking's 20 s, and what comes
+ * later is refused at once.
+ */
+TEST(Suspicion, ACallAtAHomeThatDoesNotSettleIsRefused)
+{
+	Pair pair;
+	const jj_ms_t settle_ms = LOST_MS + 1000;
+
+	pair.world.restart(pair.other, 77);
+	while (pair.entry.losses.empty())
+		pair.run(1);
+	pair.run(20);
+	pair.entry.cut_from_platform = true;
+	pair.other.frozen = true;
+	pair.call_all(pair.entry, 1, 1);
+	pair.run(settle_ms + HEARTBEAT_MS);
+	ASSERT_EQ(pair.entry.call_answers.size(), 1u);
+	pair.call_all(pair.entry, 1000, 1);
+	pair.run(1000 + HEARTBEAT_MS);
+	ASSERT_EQ(pair.entry.call_answers.size(), 2u);
+}
+
 /*
  * Two VMs do not hear each other, and one takes all slots over. The other
  * reads the new table at the platform: its writer lived a moment ago, yet
