--- a/src/adapters/settings.c
+++ b/src/adapters/settings.c
@@ -177,7 +177,7 @@
     NUMBER("member", "heartbeat_ms", KEY_MS, core.member.heartbeat_ms, 50,
 	MINUTE, 500, "between heartbeats to each VM of the domain"),
     NUMBER("member", "suspect_ms", KEY_MS, core.member.suspect_ms, 200,
-	10 * MINUTE, 2000, "silence until a VM counts as gone: 3 lost ones"),
+	10 * MINUTE, 2000, "silence until a VM is a suspect: 3 lost ones"),
     NUMBER("member", "forget_ms", KEY_MS, core.member.forget_ms, MINUTE,
 	7 * DAY, HOUR, "silence until a VM is no longer tried"),
 
@@ -193,7 +193,8 @@
     NUMBER("ledger", "ack_timeout_ms", KEY_MS, core.ledger.ack_timeout_ms, 50,
 	MINUTE, 1000, "wait for the witness before a call is refused"),
     NUMBER("ledger", "takeover_ms", KEY_MS, core.ledger.takeover_ms, 500,
-	10 * MINUTE, 3000, "silence before a slot is taken over"),
+	10 * MINUTE, 3000,
+	"silence until a VM is lost: slots and claims go to others"),
     NUMBER("ledger", "answer_max", KEY_SIZE, core.ledger.answer_max, 0, 65536,
 	8192, "bytes; a larger answer is not kept for a replay"),
     NUMBER("ledger", "record_max", KEY_SIZE, core.ledger.record_max, 1000,
@@ -279,7 +280,7 @@
     NUMBER("core", "pause_ms", KEY_MS, core.pause_ms, 100, MINUTE, 1000,
 	"a longer gap between ticks counts as a pause of the process"),
     NUMBER("core", "resend_ms", KEY_MS, core.resend_ms, 50, MINUTE, 500,
-	"a forwarded call without a word from its home is sent again"),
+	"a forwarded call without a word is sent again; doubles twice"),
 
     NUMBER("log", "level", KEY_LEVEL, log.level, 0, 0, JJ_LOG_INFO,
 	"events of this level and graver ones"),
