A held call is asked for again where its slot moves, and known answers wait for nothing

Ruled out: bookings that run twice by the repeat: the earlier home knows its open calls and refusals, its witness refuses an old epoch (Suspicion.* and the ledger's models hold). Change: the earlier home is asked again with the doubling waits; a slot with a record of the key does not count as settling.

--- a/src/core/calls.c
+++ b/src/core/calls.c
@@ -64,6 +64,8 @@
 static bool is_doubted(const jj_calls_t *, const jj_name_t *, jj_ms_t, jj_ms_t);
 static bool is_home_here(const jj_calls_t *, const waiting_t *);
 static void begin_here(jj_calls_t *, waiting_t *, jj_ms_t, jj_actions_t *);
+static void
+ask_earlier_home(jj_calls_t *, waiting_t *, jj_ms_t, jj_actions_t *);
 static jj_ms_t resend_wait(const jj_calls_t *, const waiting_t *);
 static void send_call(waiting_t *, jj_ms_t, jj_actions_t *);
 static void end_waiting(
@@ -352,22 +354,13 @@
 	    jj_name_equal(&home, &calls->settings.name);
 }
 
-/**
- * What was never sent begins at this VM. What was sent may be running at its
- * earlier home, whose word this VM gets as its successor: it waits for that.
- */
+/** What was never sent begins at this VM, once its slot has settled. */
 static void
 begin_here(
     jj_calls_t *calls, waiting_t *waiting, jj_ms_t now, jj_actions_t *out)
 {
-	jj_call_answer_t answer;
-
 	if (!jj_name_is_empty(&waiting->sent_to)) {
-		if (jj_ledger_recall(
-			calls->ledger, &waiting->call, now, &answer))
-			end_waiting(calls, waiting, &answer, out);
-		else
-			waiting->resend_ms = now + calls->settings.resend_ms;
+		ask_earlier_home(calls, waiting, now, out);
 		return;
 	}
 	if (jj_ledger_is_settling(calls->ledger, &waiting->call.key, now)) {
@@ -384,6 +377,25 @@
 	free_waiting(calls, waiting);
 }
 
+/**
+ * What was sent may be running at its earlier home, and this VM gets its word
+ * as the successor. But the call may have been lost on its way: then nobody
+ * says anything until the earlier home is asked once more.
+ */
+static void
+ask_earlier_home(
+    jj_calls_t *calls, waiting_t *waiting, jj_ms_t now, jj_actions_t *out)
+{
+	jj_call_answer_t answer;
+
+	if (jj_ledger_recall(calls->ledger, &waiting->call, now, &answer)) {
+		end_waiting(calls, waiting, &answer, out);
+		return;
+	}
+	waiting->resend_ms = now + resend_wait(calls, waiting);
+	send_call(waiting, now, out);
+}
+
 /** The home in the own domain, any live VM in another one. */
 static bool
 choose_next_vm(const jj_calls_t *calls, const waiting_t *waiting, jj_ms_t now,
--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -118,8 +118,7 @@
 }
 
 bool
-jj_ledger_is_settling(
-    const jj_ledger_t *ledger, const jj_hash_t *key, jj_ms_t now)
+jj_ledger_is_settling(jj_ledger_t *ledger, const jj_hash_t *key, jj_ms_t now)
 {
 	uint32_t slot = jj_ledger_slot(key);
 	const jj_ledger_part_t *part = &ledger->parts[slot];
@@ -127,7 +126,8 @@
 	    ledger->settings.takeover_ms + ledger->settings.ack_timeout_ms;
 
 	return jj_ledger_is_home(ledger, slot) && part->complete &&
-	    !part->synced && now - part->entered_ms < most_ms;
+	    !part->synced && now - part->entered_ms < most_ms &&
+	    jj_ledger_records_find(ledger->records, key, now) == NULL;
 }
 
 jj_ms_t
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -77,13 +77,14 @@
 bool jj_ledger_home(
     const jj_ledger_t *ledger, const jj_hash_t *key, jj_name_t *home);
 /**
- * True at the key's home from the start of an epoch until its witness has
- * been told all, at most for as long as it takes to replace a witness that
- * does not answer: takeover_ms until it is lost, ack_timeout_ms for the new
- * table and the next one. A call may wait for that.
+ * True at the key's home, when it has no record of the key, from the start of
+ * an epoch until its witness has been told all, at most for as long as it
+ * takes to replace a witness that does not answer: takeover_ms until it is
+ * lost, ack_timeout_ms for the new table and the next one. A call may wait
+ * for that.
  */
-bool jj_ledger_is_settling(
-    const jj_ledger_t *ledger, const jj_hash_t *key, jj_ms_t now);
+bool
+jj_ledger_is_settling(jj_ledger_t *ledger, const jj_hash_t *key, jj_ms_t now);
 /** When this VM learned of the key's slot's present epoch; 0: of none. */
 jj_ms_t jj_ledger_home_since(const jj_ledger_t *ledger, const jj_hash_t *key);
 
--- a/tests/core/suspicion_test.cc
+++ b/tests/core/suspicion_test.cc
@@ -179,6 +179,49 @@
 	pair.expect_no_second_run();
 }
 
+/*
+ * The messages that carried calls to their home were lost, and the home hands
+ * its slots to this VM and stops. Nobody answers of itself what never came:
+ * the earlier home must be asked again, or the callers wait for the 20 s that
+ * their bookings have.
+ */
+TEST(Suspicion, ACallThatNeverCameIsNotWaitedForWhenItsSlotMovesHere)
+{
+	Pair pair;
+	jj_event_t leave = {};
+
+	leave.kind = JJ_EVENT_LEAVE;
+	pair.world.cut_vms = true;
+	pair.call_all(pair.entry, 1);
+	pair.run(10);
+	pair.world.cut_vms = false;
+	pair.world.handle(pair.other, leave);
+	pair.run(5000);
+	EXPECT_EQ(pair.entry.call_answers.size(), (size_t)KEYS);
+	EXPECT_EQ(Pair::count(pair.entry, JJ_CALL_NOT_RUN), 0);
+	pair.expect_no_second_run();
+}
+
+/*
+ * A booking that was confirmed is asked for again while its home tells a new
+ * witness: what is known is told at once, it needs no witness.
+ */
+TEST(Suspicion, WhatIsKnownIsToldByAHomeThatSettles)
+{
+	Pair pair;
+
+	pair.call_all(pair.entry, 1);
+	pair.run(1000);
+	pair.world.message_ms = 400;
+	pair.world.restart(pair.other, 77);
+	while (pair.entry.losses.empty())
+		pair.run(1);
+	pair.run(300); /* the new table is in force */
+	pair.call_all(pair.entry, 1000);
+	pair.run(50);
+	EXPECT_EQ(Pair::count(pair.entry, JJ_CALL_REPLAYED), KEYS);
+}
+
 /*
  * The new witness never answers: what waits for it is refused when it could
  * have been replaced, not at the end of the booking's 20 s, and what comes
