Tests of suspicion and ends without their twins

No behaviour and no assertion changed: what three VMs, a slow link and a replaced VM are is said once.

--- a/src/core/core_news.h
+++ b/src/core/core_news.h
@@ -40,7 +40,7 @@
  * silence is suspected after.
  */
 bool jj_core_is_unheard(const jj_core_t *core, jj_ms_t now);
-/** A process that fell silent: its batch claims may be taken over. */
+/** Processes that are lost (member.h): their batch claims may be taken over. */
 void jj_core_notice_lost_vms(jj_core_t *core, jj_ms_t now, jj_actions_t *out);
 
 #endif
--- a/tests/core/inline_model_test.cc
+++ b/tests/core/inline_model_test.cc
@@ -27,15 +27,58 @@
 	EVENTS
 };
 
-class Results : public InlineWorld
+/** Three VMs; the second one takes the job and is cut off or frozen. */
+class ThreeVms : public InlineWorld
 {
       public:
-	Results() : a(add_vm("a")), b(add_vm("b")), c(add_vm("c"))
+	ThreeVms() : a(add_vm("a")), b(add_vm("b")), c(add_vm("c"))
 	{
 		(void)b.submit("j", ITEMS);
 		pass(300);
 		EXPECT_EQ(size_t(ITEMS), b.items.size());
 	}
+	void
+	TestBody() override
+	{
+	}
+	std::string wrong;
+
+      protected:
+	InlineVm &a;
+	InlineVm &b;
+	InlineVm &c;
+	bool is_cut = false;
+
+	void
+	set_cut(bool to)
+	{
+		is_cut = to;
+		b.blind = to;
+		if (to) {
+			dead.insert(b.writer);
+			b.holds = [](const jj_platform_call_t &) {
+				return true;
+			};
+			return;
+		}
+		dead.erase(b.writer);
+		b.holds = nullptr;
+		b.release();
+	}
+	void
+	set_frozen(bool to)
+	{
+		b.frozen = to;
+		if (to)
+			dead.insert(b.writer);
+		else
+			dead.erase(b.writer);
+	}
+};
+
+class Results : public ThreeVms
+{
+      public:
 	/** False when it can't happen now: nothing would be new. */
 	bool
 	happen(int event)
@@ -78,44 +121,10 @@
 		look();
 		return true;
 	}
-	void
-	TestBody() override
-	{
-	}
-	std::string wrong;
 
       private:
-	InlineVm &a;
-	InlineVm &b;
-	InlineVm &c;
-	bool is_cut = false;
 	std::map<jj_ms_t, uint32_t> read_by; /**< most that was read by then */
 
-	void
-	set_cut(bool to)
-	{
-		is_cut = to;
-		b.blind = to;
-		if (to) {
-			dead.insert(b.writer);
-			b.holds = [](const jj_platform_call_t &) {
-				return true;
-			};
-			return;
-		}
-		dead.erase(b.writer);
-		b.holds = nullptr;
-		b.release();
-	}
-	void
-	set_frozen(bool to)
-	{
-		b.frozen = to;
-		if (to)
-			dead.insert(b.writer);
-		else
-			dead.erase(b.writer);
-	}
 	static bool
 	finish_one(InlineVm &vm)
 	{
@@ -220,15 +229,9 @@
 	E_EVENTS
 };
 
-class Ending : public InlineWorld
+class Ending : public ThreeVms
 {
       public:
-	Ending() : a(add_vm("a")), b(add_vm("b")), c(add_vm("c"))
-	{
-		(void)b.submit("j", ITEMS);
-		elapse(300);
-		EXPECT_EQ(size_t(ITEMS), b.items.size());
-	}
 	/** False when it can't happen now: nothing would be new. */
 	bool
 	happen(int event)
@@ -282,47 +285,13 @@
 			set_frozen(false);
 		elapse(12000);
 	}
-	void
-	TestBody() override
-	{
-	}
-	std::string wrong;
 	bool ended = false;
 
       private:
-	InlineVm &a;
-	InlineVm &b;
-	InlineVm &c;
-	bool is_cut = false;
 	jj_ms_t ended_ms = 0;
 	jj_ms_t disturbed_ms = 0; /**< b was cut or frozen until then */
 	std::vector<std::pair<InlineVm *, uint64_t>> ends; /**< asked for */
 
-	void
-	set_cut(bool to)
-	{
-		is_cut = to;
-		b.blind = to;
-		if (to) {
-			dead.insert(b.writer);
-			b.holds = [](const jj_platform_call_t &) {
-				return true;
-			};
-			return;
-		}
-		dead.erase(b.writer);
-		b.holds = nullptr;
-		b.release();
-	}
-	void
-	set_frozen(bool to)
-	{
-		b.frozen = to;
-		if (to)
-			dead.insert(b.writer);
-		else
-			dead.erase(b.writer);
-	}
 	void
 	end_at(InlineVm &vm)
 	{
--- a/tests/core/member_test.cc
+++ b/tests/core/member_test.cc
@@ -115,6 +115,14 @@
 				    frozen.count(link.first.second) == 0)
 					drain_due(link.first);
 	}
+	/** Messages take longer and longer: 300 ms more each second. */
+	void
+	slow_down(jj_ms_t to_ms)
+	{
+		for (; delay_ms < to_ms; delay_ms += 300)
+			run(1000);
+		delay_ms = to_ms;
+	}
 	/** Only what was under way for long enough; the rest stays. */
 	void
 	drain_due(const std::pair<std::string, std::string> &link)
@@ -245,9 +253,7 @@
 		net.start("a1", "sala-a", 1);
 		net.start("a2", "sala-a", 2);
 		net.run(1500);
-		for (; net.delay_ms < delay_ms; net.delay_ms += 300)
-			net.run(1000);
-		net.delay_ms = delay_ms;
+		net.slow_down(delay_ms);
 		for (int i = 0; i < 300; i++) {
 			net.run(100);
 			ASSERT_TRUE(net.live("a2", "a1")) << i;
@@ -267,9 +273,7 @@
 		net.start("a1", "sala-a", 1);
 		net.start("a2", "sala-a", 2);
 		net.run(1500);
-		for (; net.delay_ms < delay_ms; net.delay_ms += 300)
-			net.run(1000);
-		net.delay_ms = delay_ms;
+		net.slow_down(delay_ms);
 		net.run(10000);
 		ASSERT_TRUE(net.live("a2", "a1"));
 		net.frozen["a1"] = true;
--- a/tests/core/suspicion_test.cc
+++ b/tests/core/suspicion_test.cc
@@ -49,6 +49,15 @@
 		for (int i = 0; i < keys; i++)
 			world.call(at, first + (uint64_t)i, key(i));
 	}
+	/** A new process in the other VM's place, noticed so long ago, ms. */
+	void
+	replace_other(jj_ms_t ago)
+	{
+		world.restart(other, 77);
+		while (entry.losses.empty())
+			run(1);
+		run(ago);
+	}
 	static int
 	count(const WorldCore &at, jj_call_outcome_t outcome)
 	{
@@ -167,10 +176,7 @@
 	Pair pair;
 
 	pair.world.message_ms = 200;
-	pair.world.restart(pair.other, 77);
-	while (pair.entry.losses.empty())
-		pair.run(1);
-	pair.run(300); /* the new table is in force */
+	pair.replace_other(300); /* the new table is in force */
 	pair.call_all(pair.entry, 1);
 	pair.run(3000);
 	/* Four slots (about as many keys) move at a time for balance; what
@@ -213,10 +219,7 @@
 	pair.call_all(pair.entry, 1);
 	pair.run(1000);
 	pair.world.message_ms = 400;
-	pair.world.restart(pair.other, 77);
-	while (pair.entry.losses.empty())
-		pair.run(1);
-	pair.run(300); /* the new table is in force */
+	pair.replace_other(300); /* the new table is in force */
 	pair.call_all(pair.entry, 1000);
 	pair.run(50);
 	EXPECT_EQ(Pair::count(pair.entry, JJ_CALL_REPLAYED), KEYS);
@@ -232,10 +235,7 @@
 	Pair pair;
 	const jj_ms_t settle_ms = LOST_MS + 1000;
 
-	pair.world.restart(pair.other, 77);
-	while (pair.entry.losses.empty())
-		pair.run(1);
-	pair.run(20);
+	pair.replace_other(20);
 	pair.entry.cut_from_platform = true;
 	pair.other.frozen = true;
 	pair.call_all(pair.entry, 1, 1);
