A platform's answer is read while it keeps coming

What callers saw: 503 from a restarted VM that had no configuration and asked the platform for it again and again.

Cause: a call to the platform had one time limit (1 s as deployed) for its whole answer, whatever its size, the link and the speed of the VM. A configuration that takes longer to read was thrown away and asked for anew, without an end.

Fix: the limit is one of silence: until the answer begins, then from one piece to the next. A platform that does not answer is noticed as fast as before; an answer that keeps coming has 30 s. A cut answer is logged as platform_answer_cut.

Test: Pieces/PlatformPace.IsReadWhileItKeepsComing, 1 of 3 rows red before (AllCome: no answer at 1.5 s, though pieces came each 0.4 s).

--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -61,6 +61,8 @@
 	jj_http_head_t head;
 	GString *lines; /**< of the head */
 	bool head_told;
+	TAILQ_ENTRY(transfer) link; /**< of those that end when silent */
+	jj_ms_t silent_ms; /**< ends then if nothing comes before */
 } transfer_t;
 
 typedef struct command {
@@ -81,6 +83,8 @@
 	int wakeup; /**< written to when a command is posted */
 	jj_ms_t due_ms; /**< libcurl wants to be called; JJ_MS_NEVER: not */
 	GHashTable *transfers; /**< by number; the thread's own */
+	TAILQ_HEAD(, transfer) limited; /**< those that end when silent */
+	jj_ms_t looked_ms; /**< what had come by then was read */
 	atomic_uint_fast64_t last_number;
 };
 
@@ -97,6 +101,8 @@
 static void cancel_transfer(jj_http_client_t *, uint64_t);
 static void resume_transfer(jj_http_client_t *, uint64_t);
 static void finish_done(jj_http_client_t *);
+static void end_silent(jj_http_client_t *);
+static void note_piece(transfer_t *);
 static void end_transfer(jj_http_client_t *, transfer_t *, jj_http_end_t);
 static void free_transfer(transfer_t *);
 static transfer_t *prepare_transfer(const jj_http_request_t *);
@@ -121,6 +127,7 @@
 	client->pool = jj_runtime_create_pool();
 	client->lock = jj_runtime_create_mutex(client->pool);
 	client->transfers = g_hash_table_new(g_int64_hash, g_int64_equal);
+	TAILQ_INIT(&client->limited);
 	client->poller = epoll_create1(EPOLL_CLOEXEC);
 	client->wakeup = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	client->due_ms = JJ_MS_NEVER;
@@ -279,6 +286,7 @@
 	while (take_commands(client)) {
 		wait_for_events(client);
 		finish_done(client);
+		end_silent(client);
 		gather(client);
 	}
 	for (;;) {
@@ -301,6 +309,8 @@
 	int flags;
 	int i;
 
+	if (count < EVENTS_MAX)
+		client->looked_ms = jj_monotonic_now();
 	for (i = 0; i < count; i++) {
 		if (events[i].data.fd == client->wakeup) {
 			(void)eventfd_read(client->wakeup, &posted);
@@ -325,15 +335,21 @@
 static int
 wait_ms(const jj_http_client_t *client)
 {
+	const transfer_t *transfer;
+	jj_ms_t due = client->due_ms;
 	jj_ms_t now;
 
-	if (client->due_ms == JJ_MS_NEVER)
+	TAILQ_FOREACH(transfer, &client->limited, link)
+	{
+		if (due == JJ_MS_NEVER || transfer->silent_ms < due)
+			due = transfer->silent_ms;
+	}
+	if (due == JJ_MS_NEVER)
 		return POLL_MS;
 	now = jj_monotonic_now();
-	if (client->due_ms <= now)
+	if (due <= now)
 		return 0;
-	return client->due_ms - now < POLL_MS ? (int)(client->due_ms - now)
-					      : POLL_MS;
+	return due - now < POLL_MS ? (int)(due - now) : POLL_MS;
 }
 
 static void
@@ -374,6 +390,11 @@
 {
 	(void)g_hash_table_insert(
 	    client->transfers, &transfer->number, transfer);
+	if (transfer->request.begin_ms > 0) {
+		transfer->silent_ms =
+		    jj_monotonic_now() + transfer->request.begin_ms;
+		TAILQ_INSERT_TAIL(&client->limited, transfer, link);
+	}
 	if (curl_multi_add_handle(client->multi, transfer->easy) != CURLM_OK)
 		end_transfer(client, transfer, JJ_HTTP_NOT_SENT);
 }
@@ -414,6 +435,31 @@
 	}
 }
 
+/** A process that had no time to read what came does not count as silence. */
+static void
+end_silent(jj_http_client_t *client)
+{
+	transfer_t *transfer;
+	transfer_t *next;
+
+	for (transfer = TAILQ_FIRST(&client->limited); transfer != NULL;
+	     transfer = next) {
+		next = TAILQ_NEXT(transfer, link);
+		if (transfer->silent_ms <= client->looked_ms)
+			end_transfer(client, transfer,
+			    classify(transfer->easy, CURLE_OPERATION_TIMEDOUT));
+	}
+}
+
+/** Of the head or the body. */
+static void
+note_piece(transfer_t *transfer)
+{
+	if (transfer->request.begin_ms > 0)
+		transfer->silent_ms =
+		    jj_monotonic_now() + transfer->request.silence_ms;
+}
+
 /**
  * Tells whether bytes may have reached the server. "Not sent" is a promise
  * to the caller that nothing ran, so it is only said when there was no
@@ -448,6 +494,8 @@
 {
 	(void)curl_multi_remove_handle(client->multi, transfer->easy);
 	(void)g_hash_table_remove(client->transfers, &transfer->number);
+	if (transfer->request.begin_ms > 0)
+		TAILQ_REMOVE(&client->limited, transfer, link);
 	if (end == JJ_HTTP_COMPLETE)
 		tell_head(transfer);
 	transfer->request.on_end(transfer->request.ctx, end, &transfer->head);
@@ -610,6 +658,7 @@
 	char line[256];
 	char number[32] = "";
 
+	note_piece(transfer);
 	(void)snprintf(line, sizeof(line), "%.*s", (int)length, data);
 	line[strcspn(line, "\r\n")] = '\0';
 	if (strncmp(line, "HTTP/", 5) == 0) {
@@ -673,6 +722,7 @@
 	transfer_t *transfer = ctx;
 	size_t length = size * count;
 
+	note_piece(transfer);
 	tell_head(transfer);
 	if (transfer->request.on_data(transfer->request.ctx, data, length) ==
 	    JJ_HTTP_PAUSE)
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -50,6 +50,8 @@
 	const void *body;
 	size_t body_size;
 	jj_ms_t timeout_ms; /**< whole request; 0: none */
+	jj_ms_t begin_ms; /**< until an answer begins; 0: no such limit */
+	jj_ms_t silence_ms; /**< between its pieces, if begin_ms is set */
 	/**
 	 * A connection of its own, never a reused one. libcurl repeats a
 	 * request by itself when a reused connection closes before the first
--- a/src/adapters/platform.c
+++ b/src/adapters/platform.c
@@ -14,6 +14,8 @@
 
 /** Largest answer kept, bytes: a list with values may be large. */
 #define ANSWER_MAX (64U << 20)
+/** Longest time for an answer whose pieces keep coming, ms. */
+#define ANSWER_MOST_MS 30000
 
 struct jj_platform {
 	const jj_platform_wire_t *wire;
@@ -95,7 +97,10 @@
 		request.headers[i] = written->headers[i];
 	request.body = written->body.data;
 	request.body_size = written->body.size;
-	request.timeout_ms = platform->timeout_ms + call->wait_ms;
+	/* How long a whole answer takes depends on its size and the link. */
+	request.timeout_ms = call->wait_ms + ANSWER_MOST_MS;
+	request.begin_ms = call->wait_ms + platform->timeout_ms;
+	request.silence_ms = platform->timeout_ms;
 	request.once = written->once;
 	request.ctx = exchange;
 	request.on_data = on_data;
@@ -167,6 +172,11 @@
 {
 	jj_platform_result_t *result = &exchange->result;
 
+	if (end == JJ_HTTP_TIMEOUT && exchange->answer.bytes.size > 0)
+		jj_log(JJ_LOG_WARN, "platform_answer_cut",
+		    "key=%s op=%d bytes=%zu silence_ms=%lld", exchange->key,
+		    (int)result->op, exchange->answer.bytes.size,
+		    (long long)exchange->platform->timeout_ms);
 	if (exchange->too_large)
 		jj_log(JJ_LOG_WARN, "platform_answer_too_large",
 		    "key=%s op=%d most_bytes=%u", exchange->key,
--- a/src/adapters/platform.h
+++ b/src/adapters/platform.h
@@ -57,7 +57,8 @@
  * @param wire how calls are spoken.
  * @param address IP:PORT of the platform.
  * @param client_name what the platform counts our calls under.
- * @param timeout_ms of each call; a watch waits longer by its own wait.
+ * @param timeout_ms until the answer of a call begins, a watch waits longer by
+ * its own wait; and from one piece of the answer to the next.
  */
 jj_platform_t *jj_platform_create(const jj_platform_wire_t *wire,
     const char *address, const char *client_name, jj_ms_t timeout_ms,
--- a/src/adapters/settings.c
+++ b/src/adapters/settings.c
@@ -157,7 +157,8 @@
     TEXT("platform", "address", KEY_ADDRESS, platform.address, true,
 	"the platform's object API"),
     NUMBER("platform", "timeout_ms", KEY_MS, platform.timeout_ms, 50, MINUTE,
-	2000, "one call; it answers in milliseconds, so 2 s is an outage"),
+	2000,
+	"silence that ends a call; answers begin in ms: 2 s is an outage"),
     TEXT("platform", "client", KEY_NAME, platform.client, false,
 	"how calls are signed; absent: the VM's name"),
 
--- /dev/null
+++ b/tests/adapters/platform_test.cc
@@ -0,0 +1,130 @@
+/**
+ * @file platform_test.cc
+ * @brief How long the answer of a platform call is waited for.
+ */
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+
+#include "tests/adapters/loopback.h"
+
+extern "C" {
+#include "adapters/platform.h"
+}
+
+namespace
+{
+
+/** Far beyond what anything here takes, ms. */
+constexpr int LIMIT_MS = 20000;
+/** Time limit of the calls here, ms. */
+constexpr int TIMEOUT_MS = 1500;
+/** Between two pieces of an answer, ms. */
+constexpr int PACE_MS = 400;
+
+/** Waits for one result. */
+class Result
+{
+      public:
+	static void
+	take(void *ctx, jj_platform_result_t *result)
+	{
+		auto *self = static_cast<Result *>(ctx);
+		std::lock_guard<std::mutex> guard(self->lock);
+
+		self->outcome = result->outcome;
+		self->has_ended = true;
+		self->changed.notify_all();
+		jj_platform_result_clear(result);
+	}
+	jj_platform_outcome_t
+	wait()
+	{
+		std::unique_lock<std::mutex> guard(lock);
+
+		EXPECT_TRUE(
+		    changed.wait_for(guard, std::chrono::milliseconds(LIMIT_MS),
+			[this] { return has_ended; }));
+		return outcome;
+	}
+
+      private:
+	std::mutex lock;
+	std::condition_variable changed;
+	bool has_ended = false;
+	jj_platform_outcome_t outcome = JJ_PLATFORM_OK;
+};
+
+struct PaceCase {
+	const char *name;
+	int pieces; /**< that come, of as many as the answer has */
+	jj_platform_outcome_t outcome;
+};
+
+class PlatformPace : public ::testing::TestWithParam<PaceCase>
+{
+      protected:
+	static constexpr int PIECES = 8;
+	Mute server;
+	Result result;
+	jj_platform_t *platform =
+	    jj_platform_create(&jj_platform_own_wire, server.address.c_str(),
+		"verona-1", TIMEOUT_MS, Result::take, &result);
+
+	~PlatformPace() override
+	{
+		jj_platform_destroy(platform);
+	}
+	void
+	list()
+	{
+		jj_platform_call_t call = {};
+
+		call.op = JJ_PLATFORM_LIST;
+		(void)snprintf(call.key, sizeof(call.key), "config/");
+		jj_platform_start(platform, &call);
+		ASSERT_TRUE(server.accept_one(LIMIT_MS));
+		(void)read_until(server.last(), "\r\n\r\n");
+	}
+	void
+	say(const std::string &text) const
+	{
+		EXPECT_EQ(static_cast<ssize_t>(text.size()),
+		    send(
+			server.last(), text.data(), text.size(), MSG_NOSIGNAL));
+	}
+	/** True while the connection stays open for the time between pieces. */
+	bool
+	stays_open() const
+	{
+		pollfd closed = {server.last(), POLLRDHUP, 0};
+
+		return poll(&closed, 1, PACE_MS) == 0;
+	}
+};
+
+/* Guards against a large configuration on a slow link that is never read. */
+TEST_P(PlatformPace, IsReadWhileItKeepsComing)
+{
+	const std::string body =
+	    "{\"items\":[],\"revision\":7,\"padding\":\"xxxxxxxxxxxxxxxxxxx\"}";
+	const size_t part = (body.size() + PIECES - 1) / PIECES;
+
+	list();
+	for (int i = 0; i < GetParam().pieces; i++) {
+		if (i == 0)
+			say("HTTP/1.1 200 OK\r\nContent-Length: " +
+			    std::to_string(body.size()) + "\r\n\r\n");
+		ASSERT_TRUE(stays_open()) << i;
+		say(body.substr((size_t)i * part, part));
+	}
+	EXPECT_EQ(GetParam().outcome, result.wait());
+}
+
+INSTANTIATE_TEST_SUITE_P(Pieces, PlatformPace,
+    ::testing::Values(PaceCase{"NoneComes", 0, JJ_PLATFORM_UNKNOWN},
+	PaceCase{"StopsMidway", 3, JJ_PLATFORM_UNKNOWN},
+	PaceCase{"AllCome", 8, JJ_PLATFORM_OK}),
+    [](const auto &one) { return one.param.name; });
+
+} // namespace
