A VM that is behind refuses what it has no route for with 503, and says so

A 404 is final, so callers did not come back. Operators had one line of the moment in which a VM refused the version, then nothing.

Cause: "no route" was judged by the version in force alone, also while another VM was known to have a newer one, or one had come that can't be read.

Fix: while a newer configuration is known of, a request or a job without a route gets 503 with a time to come back: it has not run, and the newest configuration may have a route for it. Routes of the version in force are served as before. config_behind says for how long, which version is in force, which one others have, whether one can't be read and whether the platform answers; it is logged after news_ms and then each time after twice as long.

Tests, red before: Newest/ConfigBehind.RefusesWithATimeToComeBack (2 of 3 rows: 404), .IsLoggedLessAndLessOften (1 of 3 rows: no line).

--- a/src/core/action.h
+++ b/src/core/action.h
@@ -51,7 +51,7 @@
 	JJ_GIVE_UP_QUARANTINED, /**< it crashes backend servers */
 	JJ_GIVE_UP_BROKEN, /**< the server failed in mid answer */
 	JJ_GIVE_UP_STOPPING, /**< this VM is leaving */
-	JJ_GIVE_UP_NO_CONFIG, /**< no configuration known yet */
+	JJ_GIVE_UP_NO_CONFIG, /**< none known yet, or not the newest one */
 	JJ_GIVE_UP_CANCELLED,
 	JJ_GIVE_UP_NO_SERVICE, /**< the configuration has no such service */
 } jj_give_up_t;
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -106,12 +106,13 @@
 {
 	const jj_route_t *route =
 	    jj_routes_match(&gateway->routes, job->host, job->path);
-	bool is_unknown = gateway->routes.version == 0 ||
-	    (route != NULL && route->backend_count == 0);
+	bool is_batch = route != NULL && route->kind == JJ_ROUTE_BATCH;
+	bool is_unknown = (route != NULL && route->backend_count == 0) ||
+	    (!is_batch && jj_gateway_is_behind(gateway));
 	jj_action_t *action;
 
 	enter(gateway, now, out);
-	if (!is_unknown && route != NULL && route->kind == JJ_ROUTE_BATCH) {
+	if (is_batch && !is_unknown) {
 		job->submitted_unix_ms =
 		    gateway->port.unix_ms(gateway->port.ctx);
 		jj_inline_submit(
--- a/src/core/gateway_config.c
+++ b/src/core/gateway_config.c
@@ -28,6 +28,7 @@
  */
 #define SENDS_MOST 4
 
+static void log_behind(jj_gateway_t *, jj_ms_t, jj_actions_t *);
 static jj_ms_t wait_ms(const jj_gateway_t *);
 static void await(jj_gateway_t *, jj_ms_t);
 static void ask(jj_gateway_t *, jj_ms_t, jj_actions_t *);
@@ -49,6 +50,7 @@
 		    "from=%s bytes=%zu in_force=%llu why=%.150s", from,
 		    object->size, (unsigned long long)gateway->routes.version,
 		    why);
+		gateway->config.unreadable = true;
 		return false;
 	}
 	/*
@@ -70,6 +72,7 @@
 		    (unsigned long long)routes.version, routes.unreadable, why);
 	jj_routes_clear(&gateway->routes);
 	gateway->routes = routes;
+	gateway->config.unreadable = false;
 	jj_bytes_free(&gateway->config_object);
 	gateway->config_object = jj_bytes_copy(object->data, object->size);
 	gateway->port.on_routes(gateway->port.ctx, &gateway->routes);
@@ -108,15 +111,48 @@
 		    &message->body.config.document, message->from.text);
 }
 
+bool
+jj_gateway_is_behind(const jj_gateway_t *gateway)
+{
+	return gateway->routes.version == 0 || gateway->config.unreadable ||
+	    gateway->config.heard > gateway->routes.version;
+}
+
 void
 jj_gateway_tick_config(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
+	log_behind(gateway, now, out);
 	if (gateway->config.awaited <= gateway->routes.version ||
 	    now < gateway->config.ask_ms)
 		return;
 	ask(gateway, now, out);
 }
 
+/** After the time in which news is due, then each time after twice as long. */
+static void
+log_behind(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_gateway_config_t *config = &gateway->config;
+	bool was_behind = config->behind;
+
+	config->behind = jj_gateway_is_behind(gateway);
+	if (!config->behind)
+		return;
+	if (!was_behind) {
+		config->behind_ms = now;
+		config->log_ms = now + gateway->settings.news_ms;
+	}
+	if (now < config->log_ms)
+		return;
+	config->log_ms = now + (now - config->behind_ms);
+	jj_actions_add_event(out, "config_behind",
+	    "in_force=%llu heard=%llu unreadable=%d for_ms=%lld "
+	    "platform_reached=%d",
+	    (unsigned long long)gateway->routes.version,
+	    (unsigned long long)config->heard, config->unreadable,
+	    (long long)(now - config->behind_ms), gateway->unreached_ms == 0);
+}
+
 static jj_ms_t
 wait_ms(const jj_gateway_t *gateway)
 {
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -66,12 +66,12 @@
 
 	gateway->now = now;
 	gateway->out = out;
-	if (gateway->routes.version == 0) {
-		refuse(gateway, request, JJ_GIVE_UP_NO_CONFIG, out);
-		return;
-	}
 	if (route == NULL || route->kind == JJ_ROUTE_BATCH) {
-		refuse(gateway, request, JJ_GIVE_UP_NO_SERVICE, out);
+		/* The newest configuration may have a route for it. */
+		refuse(gateway, request,
+		    jj_gateway_is_behind(gateway) ? JJ_GIVE_UP_NO_CONFIG
+						  : JJ_GIVE_UP_NO_SERVICE,
+		    out);
 		return;
 	}
 	if (route->backend_count == 0) {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -99,6 +99,10 @@
 typedef struct {
 	uint64_t heard; /**< newest version that another VM has */
 	uint64_t awaited; /**< not here yet if it is above that in force */
+	bool unreadable; /**< a newer one than that in force can't be read */
+	bool behind; /**< the one in force, if any, is not the newest known */
+	jj_ms_t behind_ms; /**< since when */
+	jj_ms_t log_ms; /**< that is logged; not before */
 	jj_ms_t ask_ms; /**< for it; not before */
 	jj_ms_t ask_again_ms; /**< from one ask to the next */
 	jj_ms_t sends_ms; /**< documents are counted from then */
@@ -268,6 +272,8 @@
 /** Takes a newer configuration; tells the neighbours when it is one. */
 bool jj_gateway_take_config(
     jj_gateway_t *gateway, const jj_bytes_t *object, const char *from);
+/** True while a newer one than that in force is known of, or none is. */
+bool jj_gateway_is_behind(const jj_gateway_t *gateway);
 /** Another VM has that version. */
 void jj_gateway_hear_config(jj_gateway_t *gateway, const jj_name_t *from,
     uint64_t version, jj_ms_t now);
--- a/tests/core/gateway_config_test.cc
+++ b/tests/core/gateway_config_test.cc
@@ -14,6 +14,8 @@
 class ConfigSpread : public GatewayFleet
 {
       protected:
+	std::map<uint64_t, jj_give_up_t> refused; /**< by request */
+
 	ConfigSpread() : GatewayFleet(VMS)
 	{
 	}
@@ -47,6 +49,13 @@
 		return most;
 	}
 	void
+	take(const std::string &, const jj_action_t &action) override
+	{
+		if (action.kind == JJ_ACTION_ANSWER)
+			refused[action.body.answer.request] =
+			    action.body.answer.reason;
+	}
+	void
 	expect_all_have(uint64_t version)
 	{
 		for (const auto &vm : vms)
@@ -108,4 +117,73 @@
 	EXPECT_LE(documents(), 4U * VMS);
 }
 
+struct BehindCase {
+	const char *name;
+	const char *seen; /**< at verona-1, of the platform; or NULL */
+	uint64_t elsewhere; /**< in force at verona-2; or 0 */
+	jj_give_up_t reason; /**< of a request without a route */
+	int status; /**< of a job without a route */
+};
+
+class ConfigBehind : public ConfigSpread,
+		     public ::testing::WithParamInterface<BehindCase>
+{
+      protected:
+	/** In force everywhere without the route of jobs. */
+	ConfigBehind()
+	{
+		routes.erase(routes.begin());
+		see_config("verona-1", 8);
+		run(NEWS_MS);
+		vms["verona-2"].deaf = true;
+	}
+	void
+	expect_refused(jj_give_up_t reason, int status)
+	{
+		uint64_t request = begin("verona-1", "/none/1");
+		uint64_t job = submit("verona-1", "a");
+
+		ASSERT_EQ(1U, refused.count(request));
+		EXPECT_EQ(reason, refused[request]);
+		EXPECT_EQ(status, vms["verona-1"].answers[job]);
+		EXPECT_EQ(0U, refused.count(begin("verona-1", "/online/1")));
+	}
+};
+
+/* Guards against a 404 for a route that only the newest configuration has. */
+TEST_P(ConfigBehind, RefusesWithATimeToComeBack)
+{
+	const BehindCase &one = GetParam();
+
+	if (one.elsewhere > 0)
+		see_config("verona-2", one.elsewhere);
+	if (one.seen != nullptr)
+		see("verona-1", 1, "config/main", one.seen);
+	run(2 * FLEET_STEP_MS);
+	expect_refused(one.reason, one.status);
+	see_config("verona-1", 30);
+	expect_refused(JJ_GIVE_UP_NO_SERVICE, 404);
+}
+
+/* Guards against a VM that stays behind without a line in its log. */
+TEST_P(ConfigBehind, IsLoggedLessAndLessOften)
+{
+	const BehindCase &one = GetParam();
+
+	if (one.seen != nullptr)
+		see("verona-1", 1, "config/main", one.seen);
+	run(NEWS_MS / 2);
+	EXPECT_EQ(0, vms["verona-1"].events["config_behind"]);
+	run(8 * NEWS_MS);
+	EXPECT_EQ(one.seen != nullptr ? 4 : 0,
+	    vms["verona-1"].events["config_behind"]);
+}
+
+INSTANTIATE_TEST_SUITE_P(Newest, ConfigBehind,
+    ::testing::Values(
+	BehindCase{"IsInForce", nullptr, 0, JJ_GIVE_UP_NO_SERVICE, 404},
+	BehindCase{"IsElsewhere", nullptr, 9, JJ_GIVE_UP_NO_CONFIG, 503},
+	BehindCase{"CannotBeRead", "?", 0, JJ_GIVE_UP_NO_CONFIG, 503}),
+    [](const auto &one) { return one.param.name; });
+
 } // namespace
