A look at a server that is dying is made again until it shows the death

What callers saw: a request that kills each engine that runs it killed three (PoisonFailure.CrashingRequestCostsTwoEnginesAtMost, in KNOWN-RED.txt).

Cause: when an attempt breaks, its VM looks at the server's health before the core receives the break. A process that is dying still takes connections for some ms and cuts the look as well. Such a look shows nothing, and none followed: the break counted as one of the network. The VM that looks at that server each 0.5 s found the death later and told of it, but had no requests there, so it counted against nobody. After the 0.5 s for which a request that broke twice is held it went to a third engine.

Fix: a look that is cut off after an attempt broke there is made again each 20 ms until it ends otherwise, 0.5 s at most.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 # What of the daemon is tested by itself.
 DAEMON_PARTS := $(B)/src/daemon/relay.o $(B)/src/daemon/sse.o \
 	$(B)/src/daemon/assembler.o $(B)/src/daemon/attempt_end.o \
-	$(B)/src/daemon/stream_relay.o
+	$(B)/src/daemon/stream_relay.o $(B)/src/daemon/health.o
 PLATFORM_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
 SYSTEM_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/system/*.cc))
 EXAMPLES := $(patsubst examples/%.c,$(B)/example-%,$(wildcard examples/*.c))
--- a/src/daemon/health.c
+++ b/src/daemon/health.c
@@ -2,6 +2,7 @@
  * @file health.c
  * @brief Looks after backend servers: is the process alive, how loaded is it.
  */
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,11 +11,14 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "adapters/monotonic.h"
 #include "adapters/runtime.h"
 #include "daemon/health.h"
 
 /** A server that does not answer a look in this time is held for down. */
 #define LOOK_TIMEOUT_MS 500
+/** Longest time in which a look that was cut off is made again. */
+#define CUT_MOST_MS 500
 /** Largest answer to a look, bytes. */
 #define LOOK_MAX 2048
 
@@ -29,6 +33,8 @@
 	uint64_t boot; /**< of the process last seen, 0: none yet */
 	uint64_t looks; /**< looks begun so far */
 	bool looking; /**< the last of them is under way */
+	bool cut; /**< it was cut off after an attempt broke there */
+	jj_ms_t cut_ms; /**< the first that was */
 	char address[JJ_NAME_MAX + 1];
 	STAILQ_HEAD(, held) held;
 } record_t;
@@ -47,6 +53,7 @@
 	apr_pool_t *pool;
 	apr_thread_mutex_t *lock; /**< guards records */
 	GHashTable *records;
+	atomic_bool has_cut; /**< a record may be cut */
 };
 
 static record_t *find_record(jj_health_watch_t *, const jj_name_t *);
@@ -56,6 +63,7 @@
 static void on_end(void *, jj_http_end_t, const jj_http_head_t *);
 static jj_health_t
 judge(look_t *, jj_http_end_t, const jj_http_head_t *, uint64_t *);
+static void note_cut(jj_health_watch_t *, record_t *, bool);
 static void tell_load(const look_t *, const json_t *);
 static void release(jj_health_watch_t *, const jj_name_t *);
 static void free_record(void *);
@@ -125,6 +133,43 @@
 	jj_health_watch_look(watch, server, address, false);
 }
 
+bool
+jj_health_watch_has_cut(const jj_health_watch_t *watch)
+{
+	return atomic_load(&watch->has_cut);
+}
+
+void
+jj_health_watch_look_again(jj_health_watch_t *watch)
+{
+	jj_name_t server = {""};
+	char address[JJ_NAME_MAX + 1];
+	GHashTableIter iterator;
+	gpointer key;
+	gpointer value;
+	record_t *record;
+
+	if (!atomic_load(&watch->has_cut))
+		return;
+	atomic_store(&watch->has_cut, false);
+	(void)apr_thread_mutex_lock(watch->lock);
+	g_hash_table_iter_init(&iterator, watch->records);
+	while (g_hash_table_iter_next(&iterator, &key, &value)) {
+		record = value;
+		if (!record->cut)
+			continue;
+		atomic_store(&watch->has_cut, true);
+		if (record->looking)
+			continue;
+		record->looking = true;
+		record->looks++;
+		jj_name_set(&server, key);
+		memcpy(address, record->address, sizeof(address));
+		start_look(watch, &server, address, false);
+	}
+	(void)apr_thread_mutex_unlock(watch->lock);
+}
+
 static record_t *
 find_record(jj_health_watch_t *watch, const jj_name_t *server)
 {
@@ -213,6 +258,7 @@
 	(void)apr_thread_mutex_lock(look->watch->lock);
 	record = find_record(look->watch, &look->server);
 	record->looking = false;
+	note_cut(look->watch, record, end == JJ_HTTP_BROKEN);
 	*boot = record->boot;
 	if (seen != 0) {
 		if (record->boot != 0 && record->boot != seen)
@@ -228,6 +274,24 @@
 	return health;
 }
 
+/**
+ * A process that is dying still takes connections for some ms. Its death must
+ * count against what broke there before that is sent to a third server.
+ */
+static void
+note_cut(jj_health_watch_t *watch, record_t *record, bool was_cut)
+{
+	jj_ms_t now = jj_monotonic_now();
+
+	if (!record->cut && was_cut && !STAILQ_EMPTY(&record->held)) {
+		record->cut = true;
+		record->cut_ms = now;
+		atomic_store(&watch->has_cut, true);
+	} else if (!was_cut || now - record->cut_ms >= CUT_MOST_MS) {
+		record->cut = false;
+	}
+}
+
 static void
 tell_load(const look_t *look, const json_t *json)
 {
--- a/src/daemon/health.h
+++ b/src/daemon/health.h
@@ -44,4 +44,9 @@
 void jj_health_watch_hold(jj_health_watch_t *watch, const jj_name_t *server,
     const char *address, void *held);
 
+/** True while a look was cut off and has to be made again soon. */
+bool jj_health_watch_has_cut(const jj_health_watch_t *watch);
+/** Makes the looks again that were cut off after an attempt broke there. */
+void jj_health_watch_look_again(jj_health_watch_t *watch);
+
 #endif
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -96,6 +96,7 @@
 	jj_batch_share_t shares[JJ_NODE_SERVICES_MAX]; /**< the batch loop's */
 	uint32_t share_count;
 	jj_ms_t next_look; /**< at servers' health; the control loop's own */
+	jj_ms_t again_look; /**< at those whose last one was cut off */
 	jj_ms_t next_upload_tick; /**< the batch loop's own */
 };
 
--- a/src/daemon/node_control.c
+++ b/src/daemon/node_control.c
@@ -12,6 +12,8 @@
 
 /** Health and load of a server are looked at this often by its steward. */
 #define LOOK_MS 500
+/** Until a look at a server that may be dying is made again. */
+#define LOOK_AGAIN_MS 20
 /** Of so many turns one looks at a leaving server: did it come back? */
 #define LEAVING_TURNS 10
 /** Timeout of an attempt whose service is no longer configured, ms. */
@@ -227,6 +229,8 @@
 	const jj_node_t *node = ctx;
 	jj_ms_t next = jj_core_next(node->core);
 
+	if (jj_health_watch_has_cut(node->health) && node->again_look < next)
+		next = node->again_look;
 	return next < node->next_look ? next : node->next_look;
 }
 
@@ -237,6 +241,10 @@
 	jj_event_t event = {.kind = JJ_EVENT_TICK};
 
 	step(node, &event, now);
+	if (now >= node->again_look) {
+		node->again_look = now + LOOK_AGAIN_MS;
+		jj_health_watch_look_again(node->health);
+	}
 	if (now >= node->next_look) {
 		node->next_look = now + LOOK_MS;
 		look_at_servers(node, now);
