A head that comes early does not shorten the wait for its body

The time left never shrinks by a piece that comes.

No platform that this project speaks to does so; found in review.

--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -451,13 +451,17 @@
 	}
 }
 
-/** Of the head or the body. */
+/** A head may come long before its body: it does not shorten the time left. */
 static void
 note_piece(transfer_t *transfer)
 {
-	if (transfer->request.begin_ms > 0)
-		transfer->silent_ms =
-		    jj_monotonic_now() + transfer->request.silence_ms;
+	jj_ms_t silent_ms;
+
+	if (transfer->request.begin_ms == 0)
+		return;
+	silent_ms = jj_monotonic_now() + transfer->request.silence_ms;
+	if (silent_ms > transfer->silent_ms)
+		transfer->silent_ms = silent_ms;
 }
 
 /**
--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -20,8 +20,7 @@
 
 static void note_failure(jj_dispatch_t *, jj_entry_t *,
     const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
-static void
-note_break(jj_entry_t *, const jj_name_t *, bool, jj_ms_t, jj_actions_t *);
+static void note_break(jj_entry_t *, bool, jj_ms_t, jj_actions_t *);
 static void
 retry_or_give_up(jj_dispatch_t *, jj_entry_t *, bool, jj_ms_t, jj_actions_t *);
 
@@ -53,7 +52,7 @@
 	    event->kind != JJ_BACKEND_NOT_SENT;
 	/* A stream that could not be resumed had broken before. */
 	if (event->kind == JJ_BACKEND_BROKEN || entry->resuming)
-		note_break(entry, &entry->avoid, died, now, out);
+		note_break(entry, died, now, out);
 	if (entry->team == NULL) {
 		jj_dispatch_give_up(dispatch, entry,
 		    began ? JJ_GIVE_UP_BROKEN : JJ_GIVE_UP_OVERLOADED, now,
@@ -204,8 +203,7 @@
  * servers has killed its third before the first death is known (story 27).
  */
 static void
-note_break(jj_entry_t *entry, const jj_name_t *server, bool died, jj_ms_t now,
-    jj_actions_t *out)
+note_break(jj_entry_t *entry, bool died, jj_ms_t now, jj_actions_t *out)
 {
 	entry->suspect = true;
 	entry->breaks++;
@@ -218,7 +216,7 @@
 	    "request=%016llx fingerprint=%016llx server=%s attempt=%u "
 	    "breaks=%u died=%d hold_ms=%lld",
 	    (unsigned long long)entry->request.request,
-	    (unsigned long long)entry->request.fingerprint, server->text,
+	    (unsigned long long)entry->request.fingerprint, entry->avoid.text,
 	    entry->attempt, entry->breaks, died,
 	    entry->hold_until_ms > now ? (long long)(entry->hold_until_ms - now)
 				       : 0LL);
