Own interface: a service that only a newer configuration has is refused with 503

It now answers 503 no_configuration with a time to come back, until it has the newest version that it has heard of.

Test: Newest/UnknownService.IsRefusedByTheNewestConfigurationOnly, 1 of 2 rows red before (404).

--- a/src/core/core_requests.c
+++ b/src/core/core_requests.c
@@ -29,7 +29,12 @@
 	}
 	service = jj_config_service(core->config, request.service.text);
 	if (service == NULL) {
-		refuse_request(out, event, JJ_GIVE_UP_NO_SERVICE);
+		/* The newest configuration may have it. */
+		refuse_request(out, event,
+		    jj_member_newest_config(core->member) >
+			    jj_config_version(core->config)
+			? JJ_GIVE_UP_NO_CONFIG
+			: JJ_GIVE_UP_NO_SERVICE);
 		return;
 	}
 	request.idempotent = service->idempotent;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -190,6 +190,18 @@
 	memcpy(member->loads, loads, count * sizeof(*loads));
 }
 
+uint64_t
+jj_member_newest_config(const jj_member_t *member)
+{
+	uint64_t newest = 0;
+	size_t i;
+
+	for (i = 0; i < member->peer_count; i++)
+		if (member->peers[i].info.config_version > newest)
+			newest = member->peers[i].info.config_version;
+	return newest;
+}
+
 void
 jj_member_note_config(
     jj_member_t *member, const jj_name_t *name, uint64_t version)
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -93,6 +93,8 @@
  * when that is not known any more.
  */
 jj_ms_t jj_member_ack_time(const jj_member_t *member, uint64_t ack);
+/** The newest version of a configuration that another VM has; 0: none. */
+uint64_t jj_member_newest_config(const jj_member_t *member);
 /** A VM said by other means than a heartbeat which configuration it has. */
 void jj_member_note_config(
     jj_member_t *member, const jj_name_t *name, uint64_t version);
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -179,6 +179,54 @@
 	EXPECT_EQ(JJ_CALL_DONE, entry.call_answers[0].second);
 }
 
+struct UnknownCase {
+	const char *name;
+	uint64_t elsewhere; /**< version that another VM reports */
+	jj_give_up_t reason;
+};
+
+class UnknownService : public ::testing::TestWithParam<UnknownCase>
+{
+};
+
+/* Guards against a 404 for a service that only the newest configuration has. */
+TEST_P(UnknownService, IsRefusedByTheNewestConfigurationOnly)
+{
+	World world(1, 2);
+	WorldCore &entry = world.at(0, 1);
+	jj_message_t heartbeat = {};
+	jj_event_t event = {};
+
+	world.run_until(6000);
+	world.patch(world.at(0, 0), 0, kServices);
+	world.run_until(8000);
+	heartbeat.kind = JJ_MESSAGE_HEARTBEAT;
+	(void)jj_name_set(&heartbeat.from, world.at(0, 0).name.c_str());
+	heartbeat.incarnation = 1;
+	heartbeat.sequence = 1U << 30;
+	heartbeat.body.heartbeat.domain =
+	    jj_member_find(jj_core_member(entry.core), &heartbeat.from)->domain;
+	heartbeat.body.heartbeat.config_version = GetParam().elsewhere;
+	event.kind = JJ_EVENT_MESSAGE;
+	event.body.message = &heartbeat;
+	world.handle(entry, event);
+	event = {};
+	event.kind = JJ_EVENT_REQUEST;
+	event.body.request.request.request = 1;
+	(void)jj_name_set(&event.body.request.request.service, "nowhere");
+	event.body.request.request.deadline_ms = world.now + 4000;
+	event.body.request.path = "/v1/completions";
+	event.body.request.trace = "";
+	world.handle(entry, event);
+	ASSERT_EQ(1u, entry.given_up.count(1));
+	EXPECT_EQ(GetParam().reason, entry.given_up[1]);
+}
+
+INSTANTIATE_TEST_SUITE_P(Newest, UnknownService,
+    ::testing::Values(UnknownCase{"IsInForce", 1, JJ_GIVE_UP_NO_SERVICE},
+	UnknownCase{"IsElsewhere", 99, JJ_GIVE_UP_NO_CONFIG}),
+    [](const auto &one) { return std::string(one.param.name); });
+
 /** One VM's word, to some, that a request crashed two engines. */
 static void
 tell_two_crashes(World &world, const WorldCore &from,
