--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -435,7 +435,7 @@
 	}
 }
 
-/** A process that had no time to read what came does not count as silence. */
+/** Time in which this process read nothing does not count as silence. */
 static void
 end_silent(jj_http_client_t *client)
 {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -102,7 +102,7 @@
 	bool unreadable; /**< a newer one than that in force can't be read */
 	bool behind; /**< the one in force, if any, is not the newest known */
 	jj_ms_t behind_ms; /**< since when */
-	jj_ms_t log_ms; /**< that is logged; not before */
+	jj_ms_t log_ms; /**< config_behind is logged; not before */
 	jj_ms_t ask_ms; /**< for it; not before */
 	jj_ms_t ask_again_ms; /**< from one ask to the next */
 	jj_ms_t sends_ms; /**< documents are counted from then */
