Health: one function begins a look

Looks and looks made again each marked a look as begun and counted it; the address was copied under the lock that guards it. No change of behaviour: HealthWatch.*, PoisonFailure.* and AnswerFailure.* pass, HealthWatch.* under the thread sanitizer, too.

--- a/src/daemon/health.c
+++ b/src/daemon/health.c
@@ -57,6 +57,7 @@
 };
 
 static record_t *find_record(jj_health_watch_t *, const jj_name_t *);
+static bool begin_look(record_t *);
 static void
 start_look(jj_health_watch_t *, const jj_name_t *, const char *, bool);
 static jj_http_flow_t on_data(void *, const char *, size_t);
@@ -103,11 +104,8 @@
 
 	(void)apr_thread_mutex_lock(watch->lock);
 	record = find_record(watch, server);
-	start = !record->looking;
+	start = begin_look(record);
 	(void)snprintf(record->address, sizeof(record->address), "%s", address);
-	if (start)
-		record->looks++;
-	record->looking = true;
 	(void)apr_thread_mutex_unlock(watch->lock);
 	if (start)
 		start_look(watch, server, address, with_load);
@@ -143,7 +141,6 @@
 jj_health_watch_look_again(jj_health_watch_t *watch)
 {
 	jj_name_t server = {""};
-	char address[JJ_NAME_MAX + 1];
 	GHashTableIter iterator;
 	gpointer key;
 	gpointer value;
@@ -159,13 +156,10 @@
 		if (!record->cut)
 			continue;
 		atomic_store(&watch->has_cut, true);
-		if (record->looking)
+		if (!begin_look(record))
 			continue;
-		record->looking = true;
-		record->looks++;
 		jj_name_set(&server, key);
-		memcpy(address, record->address, sizeof(address));
-		start_look(watch, &server, address, false);
+		start_look(watch, &server, record->address, false);
 	}
 	(void)apr_thread_mutex_unlock(watch->lock);
 }
@@ -184,6 +178,17 @@
 	return record;
 }
 
+/** False while one is under way. */
+static bool
+begin_look(record_t *record)
+{
+	if (record->looking)
+		return false;
+	record->looking = true;
+	record->looks++;
+	return true;
+}
+
 static void
 start_look(jj_health_watch_t *watch, const jj_name_t *server,
     const char *address, bool with_load)
