Tests: each fleet of processes locks ports of its own

Seen: programs of system tests that run side by side fail in ways that have nothing to do with the code under test.

Cause: a program chose its ports from a place given by its process number, 50 places for all, and went on into the next place after 400 ports. A port was only bound and closed again before it was chosen, so until its process listened another program chose it as well. A VM then talked to an engine, a platform or a VM of another fleet.

Evidence: in two failed runs an engine was dead though the VMs of its fleet had not sent it anything (422, run=not_run); in the others a process was never seen to listen or a fleet never became ready, with listen_failed in one log.

Fix: a fleet takes ports from blocks of 100, each held by a lock on a file until the fleet ends. A lock ends with its program. No check, bound or wait of a test changes.

--- a/Makefile
+++ b/Makefile
@@ -99,7 +99,7 @@
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
 
 # The soak and the figures under failure: real processes, not in CI.
-HARNESS := $(B)/tests/system/harness.o
+HARNESS := $(B)/tests/system/harness.o $(B)/tests/system/ports.o
 $(B)/soak: $(patsubst %.cc,$(B)/%.o,$(wildcard tests/soak/*.cc)) $(HARNESS) \
 	$(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest $(PKG_LIBS)
--- a/tests/system/harness.cc
+++ b/tests/system/harness.cc
@@ -1,9 +1,7 @@
 /*
  * Starts, steers and ends the processes of the failure tests.
  */
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
 #include <spawn.h>
@@ -31,11 +29,6 @@
 namespace
 {
 
-/* Below the ports that the kernel gives to outgoing connections, so that no
- * connection takes the port of a process that is to be restarted. */
-constexpr int PORT_LEAST = 10000;
-constexpr int PORT_COUNT = 20000;
-constexpr int PORTS_PER_PROCESS = 400;
 constexpr int POLL_MS = 5;
 constexpr size_t CHILDREN_MAX = 1024;
 constexpr size_t LOG_TAIL = 4000;
@@ -82,35 +75,6 @@
 	}
 }
 
-bool
-is_free(int port)
-{
-	sockaddr_in address = {};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	bool is_bound;
-
-	address.sin_family = AF_INET;
-	address.sin_port = htons(static_cast<uint16_t>(port));
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	is_bound = bind(fd, reinterpret_cast<sockaddr *>(&address),
-		       sizeof(address)) == 0;
-	close(fd);
-	return is_bound;
-}
-
-/* Test processes that run side by side begin at places of their own. */
-std::string
-choose_address()
-{
-	static std::atomic<int> next{getpid() * PORTS_PER_PROCESS % PORT_COUNT};
-	int port;
-
-	do {
-		port = PORT_LEAST + next++ % PORT_COUNT;
-	} while (!is_free(port));
-	return "127.0.0.1:" + std::to_string(port);
-}
-
 std::string
 read_file(const std::string &path)
 {
@@ -847,10 +811,10 @@
 fleet_t::add_standin(standin_t &standin, const std::string &name,
     const std::string &program, strings_t arguments)
 {
-	std::string control = choose_address();
+	std::string control = ports.choose_address();
 
 	standin.name = name;
-	standin.address = choose_address();
+	standin.address = ports.choose_address();
 	standin.control = "http://" + control + "/control";
 	arguments.insert(arguments.end(),
 	    {"--listen", standin.address, "--control", control});
@@ -888,13 +852,13 @@
 fleet_t::add_vm(const std::string &domain, int number)
 {
 	std::unique_ptr<vm_t> vm = std::make_unique<vm_t>();
-	std::string callers = choose_address();
-	std::string operators = choose_address();
+	std::string callers = ports.choose_address();
+	std::string operators = ports.choose_address();
 	std::string path;
 
 	vm->name = domain + "-" + std::to_string(number);
 	vm->domain = domain;
-	vm->neighbours = choose_address();
+	vm->neighbours = ports.choose_address();
 	vm->callers = "http://" + callers;
 	vm->operators = "http://" + operators;
 	path = folder + "/" + vm->name;
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -22,6 +22,8 @@
 #include <gtest/gtest.h>
 #include <jansson.h>
 
+#include "tests/system/ports.h"
+
 namespace harness
 {
 
@@ -194,6 +196,8 @@
 /* A fleet in service: started, configured, and ended with the object. */
 class fleet_t
 {
+	ports_t ports; /* before the processes that listen there */
+
       public:
 	standin_t platform;
 	std::vector<standin_t> engines;
