Log: attempt_broken shows that the look at its server was cut off

died=0 in that line did not tell a server that answered its look from one that cut it off while it died. No decision changes.

--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -64,6 +64,7 @@
 	jj_ms_t retry_after_ms; /**< the server's, of a refusal */
 	bool relayed; /**< part of the answer is at the caller already */
 	bool resumable; /**< its server can go on with the stream */
+	bool look_cut; /**< the look at its server was cut off, too */
 } jj_backend_event_t;
 
 typedef struct {
--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -20,7 +20,8 @@
 
 static void note_failure(jj_dispatch_t *, jj_entry_t *,
     const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
-static void note_break(jj_entry_t *, bool, jj_ms_t, jj_actions_t *);
+static void note_break(
+    jj_entry_t *, const jj_backend_event_t *, bool, jj_ms_t, jj_actions_t *);
 static void
 retry_or_give_up(jj_dispatch_t *, jj_entry_t *, bool, jj_ms_t, jj_actions_t *);
 
@@ -52,7 +53,7 @@
 	    event->kind != JJ_BACKEND_NOT_SENT;
 	/* A stream that could not be resumed had broken before. */
 	if (event->kind == JJ_BACKEND_BROKEN || entry->resuming)
-		note_break(entry, died, now, out);
+		note_break(entry, event, died, now, out);
 	if (entry->team == NULL) {
 		jj_dispatch_give_up(dispatch, entry,
 		    began ? JJ_GIVE_UP_BROKEN : JJ_GIVE_UP_OVERLOADED, now,
@@ -203,7 +204,8 @@
  * servers has killed its third before the first death is known (story 27).
  */
 static void
-note_break(jj_entry_t *entry, bool died, jj_ms_t now, jj_actions_t *out)
+note_break(jj_entry_t *entry, const jj_backend_event_t *event, bool died,
+    jj_ms_t now, jj_actions_t *out)
 {
 	entry->suspect = true;
 	entry->breaks++;
@@ -214,10 +216,10 @@
 		entry->hold_until_ms = now + CRASH_SPREAD_MS;
 	jj_actions_add_event(out, "attempt_broken",
 	    "request=%016llx fingerprint=%016llx server=%s attempt=%u "
-	    "breaks=%u died=%d hold_ms=%lld",
+	    "breaks=%u died=%d look_cut=%d hold_ms=%lld",
 	    (unsigned long long)entry->request.request,
 	    (unsigned long long)entry->request.fingerprint, entry->avoid.text,
-	    entry->attempt, entry->breaks, died,
+	    entry->attempt, entry->breaks, died, event->look_cut,
 	    entry->hold_until_ms > now ? (long long)(entry->hold_until_ms - now)
 				       : 0LL);
 }
--- a/src/daemon/health.c
+++ b/src/daemon/health.c
@@ -131,6 +131,17 @@
 	jj_health_watch_look(watch, server, address, false);
 }
 
+bool
+jj_health_watch_is_cut(jj_health_watch_t *watch, const jj_name_t *server)
+{
+	bool is_cut;
+
+	(void)apr_thread_mutex_lock(watch->lock);
+	is_cut = find_record(watch, server)->cut;
+	(void)apr_thread_mutex_unlock(watch->lock);
+	return is_cut;
+}
+
 bool
 jj_health_watch_has_cut(const jj_health_watch_t *watch)
 {
--- a/src/daemon/health.h
+++ b/src/daemon/health.h
@@ -44,6 +44,8 @@
 void jj_health_watch_hold(jj_health_watch_t *watch, const jj_name_t *server,
     const char *address, void *held);
 
+/** True when the last look at this server was cut off and is made again. */
+bool jj_health_watch_is_cut(jj_health_watch_t *watch, const jj_name_t *server);
 /** True while a look was cut off and has to be made again soon. */
 bool jj_health_watch_has_cut(const jj_health_watch_t *watch);
 /** Makes the looks again that were cut off after an attempt broke there. */
--- a/src/daemon/node_control.c
+++ b/src/daemon/node_control.c
@@ -139,6 +139,8 @@
 	jj_node_t *node = ctx;
 	event_task_t *task = held;
 
+	task->event.body.backend.event.look_cut =
+	    jj_health_watch_is_cut(node->health, &task->server);
 	jj_loop_post(node->control, &task->task);
 }
 
