A request whose server is dying waits until its death is known

Cause: when an attempt broke and the look at its server was cut off as well, the request was sent on in the same moment and killed its second engine before the first death was known. Both deaths became known together with the answer, and the caller's resend reached a VM that knew of neither. The same held for a VM that knew of the first death only: it ran the resend at once.

Fix: a first break whose look was cut off is held until a look shows the server. If it died, news of it spread for 30 ms as after any known death; if it lives, the request goes on at once; after 0.5 s it goes on in any case. A request that is a suspect when it comes is held for 30 ms, in which news of another death arrive. An answer is never delayed, and a request whose server answers the look is sent on as before.

Tests: DispatchTest.ABreakAtADyingServerWaitsForItsDeath, .ABreakAtALivingServerIsSentOnAtOnce, .ABreakAtAnUnknownServerIsSentOnAfterAWhile, .ASuspectWaitsForNewsOfAnotherDeath.

--- a/src/core/core_news.c
+++ b/src/core/core_news.c
@@ -99,6 +99,9 @@
 	jj_fleet_note(core->fleet, &event->body.server.server,
 	    event->body.server.state, event->body.server.boot, now, out,
 	    &is_news);
+	if (event->body.server.state == JJ_SERVER_UP)
+		jj_dispatch_note_alive(
+		    core->dispatch, &event->body.server.server, now, out);
 	if (!is_news)
 		return;
 	news.body.server.server = event->body.server.server;
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -98,7 +98,8 @@
 		    dispatch, request, JJ_GIVE_UP_QUARANTINED, now, out);
 	else {
 		entry = add_entry(dispatch, request, service);
-		entry->suspect = verdict == JJ_QUARANTINE_SUSPECT;
+		if (verdict == JJ_QUARANTINE_SUSPECT)
+			jj_dispatch_mark_suspect(entry, now);
 		if (request->class_of == JJ_CLASS_BATCH)
 			jj_dispatch_begin_batch(dispatch, entry, now, out);
 		else
@@ -198,6 +199,7 @@
 	jj_dispatch_report_crash(
 	    dispatch, view, boot, suspects, count, now, out);
 	view->broken_count = 0;
+	jj_dispatch_end_look(dispatch, view, true, now);
 	for (entry = TAILQ_FIRST(&dispatch->entries); entry != NULL;
 	     entry = next) {
 		next = TAILQ_NEXT(entry, all_link);
@@ -209,6 +211,20 @@
 	jj_dispatch_tell_loads(dispatch, now, out);
 }
 
+void
+jj_dispatch_note_alive(jj_dispatch_t *dispatch, const jj_name_t *server,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_service_queue_t *service;
+	jj_server_view_t *view =
+	    jj_dispatch_find_view(dispatch, server, &service);
+
+	if (view == NULL || !view->awaited)
+		return;
+	jj_dispatch_end_look(dispatch, view, false, now);
+	jj_dispatch_pump(dispatch, service, now, out);
+}
+
 void
 jj_dispatch_take_loads(jj_dispatch_t *dispatch, const jj_name_t *from,
     const jj_load_t *loads, uint32_t count, jj_ms_t now)
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -106,6 +106,9 @@
  * suspects; adds the crash report for the neighbours. */
 void jj_dispatch_take_crash(jj_dispatch_t *dispatch, const jj_name_t *server,
     uint64_t boot, jj_ms_t now, jj_actions_t *out);
+/** A look was answered by the server. */
+void jj_dispatch_note_alive(jj_dispatch_t *dispatch, const jj_name_t *server,
+    jj_ms_t now, jj_actions_t *out);
 /** A neighbour's loads. */
 void jj_dispatch_take_loads(jj_dispatch_t *dispatch, const jj_name_t *from,
     const jj_load_t *loads, uint32_t count, jj_ms_t now);
--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -8,7 +8,7 @@
 
 /* A death is noticed and told within this. */
 #define CRASH_WAIT_MS 500
-/* The word of a death is with all VMs, also abroad, after so long. */
+/* News of a death are with all VMs, also abroad, after so long. */
 #define CRASH_SPREAD_MS 30
 #define DEFAULT_ATTEMPTS 3
 /* A server's own Retry-After is believed up to this. */
@@ -29,10 +29,11 @@
 jj_dispatch_take_failure(jj_dispatch_t *dispatch, jj_entry_t *entry,
     const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
 {
+	jj_server_view_t *view = entry->server;
 	/* What a dead server ran is bounded by its slots: no retry storm. */
 	bool died = entry->resuming
 	    ? event->kind == JJ_BACKEND_NOT_SENT
-	    : event->kind == JJ_BACKEND_BROKEN && !entry->server->up;
+	    : event->kind == JJ_BACKEND_BROKEN && !view->up;
 	bool charged = event->kind != JJ_BACKEND_LEAVING && !died;
 	bool began = event->kind != JJ_BACKEND_NOT_SENT &&
 	    event->kind != JJ_BACKEND_REFUSED &&
@@ -41,7 +42,7 @@
 	if (jj_dispatch_resume(dispatch, entry, event, now, out))
 		return;
 	note_failure(dispatch, entry, event, now, out);
-	entry->avoid = entry->server->name;
+	entry->avoid = view->name;
 	jj_dispatch_leave_server(dispatch, entry);
 	entry->may_have_run |= began;
 	/*
@@ -54,6 +55,7 @@
 	/* A stream that could not be resumed had broken before. */
 	if (event->kind == JJ_BACKEND_BROKEN || entry->resuming)
 		note_break(entry, event, died, now, out);
+	view->awaited |= entry->awaits_look;
 	if (entry->team == NULL) {
 		jj_dispatch_give_up(dispatch, entry,
 		    began ? JJ_GIVE_UP_BROKEN : JJ_GIVE_UP_OVERLOADED, now,
@@ -111,6 +113,30 @@
 	return count;
 }
 
+void
+jj_dispatch_mark_suspect(jj_entry_t *entry, jj_ms_t now)
+{
+	entry->suspect = true;
+	entry->hold_until_ms = now + CRASH_SPREAD_MS;
+}
+
+void
+jj_dispatch_end_look(
+    jj_dispatch_t *dispatch, jj_server_view_t *view, bool died, jj_ms_t now)
+{
+	jj_entry_t *entry;
+
+	view->awaited = false;
+	TAILQ_FOREACH(entry, &dispatch->entries, all_link)
+	{
+		if (!entry->awaits_look ||
+		    !jj_name_equal(&entry->avoid, &view->name))
+			continue;
+		entry->awaits_look = false;
+		entry->hold_until_ms = died ? now + CRASH_SPREAD_MS : now;
+	}
+}
+
 /** Live VMs of the own domain, and for its speaker those known abroad. */
 static size_t
 list_hearers(
@@ -201,7 +227,8 @@
  * A break may be the sign of a crash that nobody has told yet: until it has
  * completed somewhere, the request runs as a suspect. One that broke twice
  * waits for the word on those servers: sent on at once, a request that kills
- * servers has killed its third before the first death is known (story 27).
+ * servers has killed its third before the first death is known (story 27). So
+ * does one whose server cut off the look after it as well.
  */
 static void
 note_break(jj_entry_t *entry, const jj_backend_event_t *event, bool died,
@@ -209,7 +236,8 @@
 {
 	entry->suspect = true;
 	entry->breaks++;
-	if (entry->breaks > 1)
+	entry->awaits_look = event->look_cut && !died && entry->breaks == 1;
+	if (entry->breaks > 1 || entry->awaits_look)
 		entry->hold_until_ms = now + CRASH_WAIT_MS;
 	/* By then a resend of it at another VM is a suspect there, too. */
 	else if (died)
--- a/src/core/dispatch_queue.h
+++ b/src/core/dispatch_queue.h
@@ -68,7 +68,8 @@
 	uint32_t attempt; /**< number of the newest attempt, from 1 */
 	uint32_t failures; /**< attempts that failed, but for leaving servers */
 	uint32_t breaks; /**< attempts whose connection broke */
-	jj_ms_t hold_until_ms; /**< not sent again before that */
+	jj_ms_t hold_until_ms; /**< not sent before that */
+	bool awaits_look; /**< it is held until a look shows `avoid` */
 	jj_ms_t queued_ms; /**< when it was queued last */
 	bool suspect; /**< may crash servers */
 	bool may_have_run;
--- a/src/core/dispatch_send.c
+++ b/src/core/dispatch_send.c
@@ -170,7 +170,7 @@
 	}
 	if (verdict == JJ_QUARANTINE_SUSPECT && !entry->suspect) {
 		jj_service_queue_remove(service, entry);
-		entry->suspect = true;
+		jj_dispatch_mark_suspect(entry, now);
 		jj_service_queue_add(service, entry, false, now);
 		return true;
 	}
--- a/src/core/dispatch_server.h
+++ b/src/core/dispatch_server.h
@@ -70,6 +70,7 @@
 	uint64_t *prefixes; /**< table by hash; NULL until first used */
 	jj_broken_t *broken; /**< JJ_BROKEN_MAX; NULL until first used */
 	uint32_t broken_count;
+	bool awaited; /**< a request waits for a look at it */
 } jj_server_view_t;
 
 typedef TAILQ_HEAD(jj_server_views, jj_server_view) jj_server_views_t;
--- a/tests/core/dispatch_test.cc
+++ b/tests/core/dispatch_test.cc
@@ -371,6 +371,34 @@
 		Drain();
 	}
 
+	// The connection broke, and so did that of the look at its server.
+	void
+	BreakWithItsLook(uint64_t request, uint32_t attempt)
+	{
+		jj_backend_event_t event = {};
+
+		event.request = request;
+		event.attempt = attempt;
+		event.kind = JJ_BACKEND_BROKEN;
+		event.look_cut = true;
+		jj_dispatch_take_event(dispatch, &event, now, &out);
+		Drain();
+	}
+
+	// A request whose fingerprint has a strike is struck once more.
+	void
+	Strike(uint64_t fingerprint, const std::string &server)
+	{
+		jj_crash_t crash = {};
+
+		crash.server = Name(server);
+		crash.boot = 7;
+		crash.suspects[0] = fingerprint;
+		crash.suspect_count = 1;
+		jj_quarantine_take_crash(tested_quarantine, &crash, now, &out);
+		Drain();
+	}
+
 	void
 	Tick(jj_ms_t passed)
 	{
@@ -731,6 +759,67 @@
 	EXPECT_EQ(3, StartsOf(2));
 }
 
+/* Guards against a second attempt before the first server's death is known. */
+TEST_F(DispatchTest, ABreakAtADyingServerWaitsForItsDeath)
+{
+	Build(3, 8);
+	BeginOnline(1);
+	BreakWithItsLook(1, 1);
+	Tick(100);
+	ASSERT_EQ(1, StartsOf(1));
+	Crash(starts[0].server.back() - '0', 7);
+	Tick(20);
+	EXPECT_EQ(1, StartsOf(1));
+	Tick(10);
+	EXPECT_EQ(2, StartsOf(1));
+}
+
+/* Guards against a wait for the death of a server that lives. */
+TEST_F(DispatchTest, ABreakAtALivingServerIsSentOnAtOnce)
+{
+	Build(3, 8);
+	BeginOnline(1);
+	BreakWithItsLook(1, 1);
+	ASSERT_EQ(1, StartsOf(1));
+	jj_name_t other = Name("server-other");
+	jj_dispatch_note_alive(dispatch, &other, now, &out);
+	Drain();
+	EXPECT_EQ(1, StartsOf(1));
+	jj_name_t first = Name(starts[0].server);
+	jj_dispatch_note_alive(dispatch, &first, now, &out);
+	Drain();
+	EXPECT_EQ(2, StartsOf(1));
+}
+
+/* Guards against a wait without an end for a look that shows nothing. */
+TEST_F(DispatchTest, ABreakAtAnUnknownServerIsSentOnAfterAWhile)
+{
+	Build(3, 8);
+	BeginOnline(1);
+	BreakWithItsLook(1, 1);
+	Tick(400);
+	EXPECT_EQ(1, StartsOf(1));
+	Tick(100);
+	EXPECT_EQ(2, StartsOf(1));
+}
+
+/* Guards against a resend that is ahead of the news of the second death. */
+TEST_F(DispatchTest, ASuspectWaitsForNewsOfAnotherDeath)
+{
+	Build(3, 8);
+	Strike(1001, "server-8");
+	Strike(1002, "server-8");
+	BeginOnline(1);
+	BeginOnline(2);
+	EXPECT_EQ(0u, starts.size());
+	Strike(1001, "server-9");
+	Tick(30);
+	ASSERT_NE(nullptr, AnswerOf(1));
+	EXPECT_EQ(JJ_GIVE_UP_QUARANTINED, AnswerOf(1)->reason);
+	EXPECT_EQ(JJ_RUN_NOT_RUN, AnswerOf(1)->run);
+	EXPECT_EQ(1, StartsOf(2));
+}
+
 // Story 27: two VMs each run one suspect on the same server. It dies, and
 // the innocent one has its second strike: refused for an hour.
 TEST_F(DispatchTest, SuspectsKeepToServersOfTheirSteward)
