Tests: batch VMs that are out of touch for a moment

Provokes what BatchFailure.ResentJobIsOneJob once showed: two VMs of a domain that called each other silent ran each other's items. The test cuts them off from each other until both have logged vm_silent, before and while a job's items run.

--- a/tests/system/batch_failure_test.cc
+++ b/tests/system/batch_failure_test.cc
@@ -86,6 +86,57 @@
 	EXPECT_EQ(fleet.streams_started(), 40);
 }
 
+/* The VM's log has this event of its neighbour. */
+bool
+has_event(const vm_t &vm, const std::string &event, const vm_t &peer)
+{
+	std::stringstream lines(vm.process->log_text());
+	std::string line;
+
+	while (std::getline(lines, line)) {
+		if (line.find("event=" + event + " ") != std::string::npos &&
+		    line.find(" peer=" + peer.name + " ") != std::string::npos)
+			return true;
+	}
+	return false;
+}
+
+/* Guards against items run twice by VMs that called each other silent. */
+TEST(BatchFailure, VmsOutOfTouchRunEachItemOnce)
+{
+	static const struct {
+		const char *name;
+		bool before; /* the job is submitted while they are cut off */
+	} cases[] = {{"before the job", true}, {"while items run", false}};
+
+	for (const auto &row : cases) {
+		SCOPED_TRACE(row.name);
+		fleet_options_t options = batch_options();
+		options.engine_options = {"--step-ms", "40"};
+		fleet_t fleet(options);
+		const vm_t &one = fleet.vm(0, 0);
+		const vm_t &other = fleet.vm(0, 1);
+		strings_t prompts = make_prompts("entry", 40);
+		std::string file = one.upload(prompts, 8);
+		std::string id;
+
+		if (row.before)
+			fleet.cut(one, other, true);
+		id = one.submit(file, "month-12").text("id");
+		wait_started(fleet, 2);
+		if (!row.before)
+			fleet.cut(one, other, true);
+		wait_until("each calls the other silent", [&] {
+			return has_event(one, "vm_silent", other) &&
+			    has_event(other, "vm_silent", one);
+		});
+		fleet.cut(one, other, false);
+		fleet.wait_job(fleet.vm(1, 0), id);
+		expect_results(fleet.vm(0, 1).results(id), prompts, 8);
+		EXPECT_EQ(fleet.streams_started(), 40);
+	}
+}
+
 /*
  * The platform stores what it is sent, but its answers are lost: of the
  * upload, the submission, the claims and the results. Each retry meets its
