Tests: the relay's test reads what it was told under the lock

Seen: the thread sanitizer reported a race in Relay.ASecondRunNeverFollowsTheBytesOfAFirst in 3 of 59 runs, six programs side by side. The test read the newest event without the lock while the relay's thread added a token of the first attempt. The same token, when it came between the event that was waited for and the waiter, would have hidden that event.

The test now takes the event of the second attempt out of the list under the lock; what it expects of it is unchanged. No report in 24 whole runs of test-adapters under the thread sanitizer afterwards, run without the suppression of on_poll; none of on_poll either.

--- a/tests/adapters/relay_test.cc
+++ b/tests/adapters/relay_test.cc
@@ -185,11 +185,16 @@
 	/* The core has not heard of it, and has the request sent again. */
 	jj_relay_cancel(relay, 1, 1);
 	send(2);
-	wait_for([this] {
-		return !told.empty() && told.back().attempt == 2 &&
-		    told.back().kind == JJ_BACKEND_BROKEN;
+	Told refused = {};
+	/* Tokens of the first attempt may still be told. */
+	wait_for([this, &refused] {
+		for (const Told &one : told) {
+			if (one.attempt == 2 && one.kind == JJ_BACKEND_BROKEN)
+				refused = one;
+		}
+		return refused.attempt == 2;
 	});
-	EXPECT_TRUE(told.back().relayed) << "the core learns that it had begun";
+	EXPECT_TRUE(refused.relayed) << "the core learns that it had begun";
 	EXPECT_EQ(1U, runs.size()) << "the second run is not even sent";
 	jj_exchange_t taken;
 	bool relayed = false;
