--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -8,7 +8,7 @@
 
 /* A death is noticed and told within this. */
 #define CRASH_WAIT_MS 500
-/* News of a death are with all VMs, also abroad, after so long. */
+/* News of a death is with all VMs, also abroad, after so long. */
 #define CRASH_SPREAD_MS 30
 #define DEFAULT_ATTEMPTS 3
 /* A server's own Retry-After is believed up to this. */
--- a/src/core/dispatch_state.h
+++ b/src/core/dispatch_state.h
@@ -86,7 +86,7 @@
     jj_ms_t now, jj_actions_t *out);
 /** Frees the place of a request at its server. */
 void jj_dispatch_leave_server(jj_dispatch_t *dispatch, jj_entry_t *entry);
-/** It may crash servers: held until news of a death have spread. */
+/** It may crash servers: held until news of another death has spread. */
 void jj_dispatch_mark_suspect(jj_entry_t *entry, jj_ms_t now);
 /** A look showed this server: ends the wait for it. */
 void jj_dispatch_end_look(
