An upload is held by each thread that uses it

Cause: the connection's thread marked the upload complete, started the write to the platform and then looked whether it can be answered, without a reference. The bulk client's thread, with the platform's answer, had answered and freed it. A caller that hung up could use it in the same way.

Evidence: the kernel's line, MHD-worker general protection fault at the first instruction of pthread_mutex_lock, three times, and VMs that end without a line of their own at the first upload.

Fix: a call names its upload by number; each use looks it up and holds it.

--- a/src/daemon/node_uploads.c
+++ b/src/daemon/node_uploads.c
@@ -31,6 +31,7 @@
 
 static upload_t *create_upload(jj_node_t *, jj_http_call_t *);
 static upload_t *hold_upload(jj_node_t *, uint64_t);
+static upload_t *hold_upload_of(jj_node_t *, const jj_http_call_t *);
 static void release_upload(upload_t *);
 static void carry_out(jj_node_t *, jj_actions_t *);
 static void answer_when_ended(jj_node_t *, upload_t *);
@@ -49,7 +50,7 @@
 {
 	jj_node_t *node = ctx;
 	jj_actions_t actions = TAILQ_HEAD_INITIALIZER(actions);
-	upload_t *upload = jj_http_call_context(call);
+	upload_t *upload = hold_upload_of(node, call);
 	size_t taken;
 
 	if (upload == NULL)
@@ -62,6 +63,7 @@
 		taken = size; /* thrown away: the answer is decided */
 	(void)apr_thread_mutex_unlock(upload->lock);
 	carry_out(node, &actions);
+	release_upload(upload);
 	return taken;
 }
 
@@ -69,7 +71,7 @@
 jj_node_finish_upload(jj_node_t *node, jj_http_call_t *call)
 {
 	jj_actions_t actions = TAILQ_HEAD_INITIALIZER(actions);
-	upload_t *upload = jj_http_call_context(call);
+	upload_t *upload = hold_upload_of(node, call);
 
 	if (upload == NULL)
 		upload = create_upload(node, call);
@@ -80,12 +82,13 @@
 	(void)apr_thread_mutex_unlock(upload->lock);
 	carry_out(node, &actions);
 	answer_when_ended(node, upload);
+	release_upload(upload);
 }
 
 void
 jj_node_drop_upload(jj_node_t *node, jj_http_call_t *call)
 {
-	upload_t *upload = jj_http_call_context(call);
+	upload_t *upload = hold_upload_of(node, call);
 	bool answered;
 
 	if (upload == NULL)
@@ -94,10 +97,11 @@
 	answered = upload->answered;
 	upload->answered = true;
 	(void)apr_thread_mutex_unlock(upload->lock);
-	if (answered)
-		return;
-	jj_http_call_end(call, true);
-	forget_upload(node, upload);
+	if (!answered) {
+		jj_http_call_end(call, true);
+		forget_upload(node, upload);
+	}
+	release_upload(upload);
 }
 
 void
@@ -157,6 +161,7 @@
 	g_ptr_array_free(all, TRUE);
 }
 
+/** A new one, held. */
 static upload_t *
 create_upload(jj_node_t *node, jj_http_call_t *call)
 {
@@ -170,11 +175,11 @@
 	upload->token = jj_node_next_number(node);
 	upload->lock =
 	    node->upload_shards[upload->token % JJ_NODE_UPLOAD_SHARDS];
-	upload->references = 1;
+	upload->references = 2; /* the table's and the caller's */
 	upload->call = call;
 	upload->intake = jj_intake_create(
 	    &settings, upload->token, team != NULL ? team : "default");
-	jj_http_call_set_context(call, upload);
+	jj_http_call_set_context(call, (void *)(uintptr_t)upload->token);
 	(void)apr_thread_mutex_lock(node->upload_lock);
 	(void)g_hash_table_insert(node->uploads, &upload->token, upload);
 	(void)apr_thread_mutex_unlock(node->upload_lock);
@@ -197,6 +202,14 @@
 	return upload;
 }
 
+/** NULL when it has none yet, or when it was answered. */
+static upload_t *
+hold_upload_of(jj_node_t *node, const jj_http_call_t *call)
+{
+	return hold_upload(
+	    node, (uint64_t)(uintptr_t)jj_http_call_context(call));
+}
+
 static void
 release_upload(upload_t *upload)
 {
--- a/tests/system/batch_failure_test.cc
+++ b/tests/system/batch_failure_test.cc
@@ -86,6 +86,28 @@
 	EXPECT_EQ(fleet.streams_started(), 40);
 }
 
+/* Guards against a VM that uses an upload after its answer freed it. */
+TEST(BatchFailure, UploadsSideBySideAreAllAnswered)
+{
+	fleet_options_t options;
+	std::vector<std::future<void>> callers;
+
+	options.domains = 1;
+	options.vms = 1;
+	fleet_t fleet(options);
+	const vm_t &vm = fleet.vm(0, 0);
+	strings_t prompts = make_prompts("entry", 3);
+	for (int caller = 0; caller < 16; caller++) {
+		callers.push_back(std::async(std::launch::async, [&] {
+			for (int i = 0; i < 60; i++)
+				EXPECT_NE(vm.upload(prompts, 2), "");
+		}));
+	}
+	for (std::future<void> &caller : callers)
+		caller.get();
+	EXPECT_TRUE(vm.process->is_alive());
+}
+
 /* The VM's log has this event of its neighbour. */
 bool
 has_event(const vm_t &vm, const std::string &event, const vm_t &peer)
