Readers of results are not used after they were freed

The class of the fault before: the control loop frees a reader when its results end, while a caller that hangs up, or has room again, reaches it through the call on another thread. The call's pointer is now read and cleared under results_lock.

--- a/src/daemon/node_results.c
+++ b/src/daemon/node_results.c
@@ -28,7 +28,8 @@
 static void
 take_answer(jj_node_t *, jj_pending_t *, int, jj_ms_t, const jj_bytes_t *);
 static void take_chunk(jj_node_t *, reader_t *, const jj_bytes_t *);
-static void end_reader(reader_t *, bool);
+static void end_reader(jj_node_t *, reader_t *, bool);
+static void free_reader(jj_node_t *, reader_t *);
 
 bool
 jj_node_is_results(const jj_http_call_t *call)
@@ -54,12 +55,14 @@
 void
 jj_node_resume_results(jj_node_t *node, jj_http_call_t *call)
 {
-	reader_t *reader = jj_http_call_context(call);
+	reader_t *reader;
 	bool go_on;
 
 	(void)apr_thread_mutex_lock(node->results_lock);
-	go_on = reader->waiting;
-	reader->waiting = false;
+	reader = jj_http_call_context(call);
+	go_on = reader != NULL && reader->waiting;
+	if (go_on)
+		reader->waiting = false;
 	(void)apr_thread_mutex_unlock(node->results_lock);
 	if (go_on)
 		ask(node, reader);
@@ -81,13 +84,14 @@
     jj_ms_t retry_after_ms, const jj_bytes_t *body)
 {
 	reader_t *reader = pending->detail;
+	jj_http_call_t *call;
 
 	if (status == 200 || status == 204) {
 		take_chunk(node, reader, body);
 		return;
 	}
 	if (status == 410 && reader->begun) {
-		end_reader(reader, false);
+		end_reader(node, reader, false);
 		return;
 	}
 	if (status == 503 && reader->begun && reader->tries < CHUNK_TRIES) {
@@ -96,11 +100,12 @@
 		return;
 	}
 	if (reader->begun) {
-		end_reader(reader, true);
+		end_reader(node, reader, true);
 		return;
 	}
-	jj_answer_json(reader->call, status, body, retry_after_ms);
-	free(reader);
+	call = reader->call;
+	free_reader(node, reader);
+	jj_answer_json(call, status, body, retry_after_ms);
 }
 
 static void
@@ -120,7 +125,7 @@
 		(void)jj_http_call_write(
 		    reader->call, body->data, body->size, true);
 	if (jj_http_call_is_gone(reader->call)) {
-		end_reader(reader, true);
+		end_reader(node, reader, true);
 		return;
 	}
 	/* Asked before the wait is declared: on_room may come in between. */
@@ -135,8 +140,20 @@
 }
 
 static void
-end_reader(reader_t *reader, bool broken)
+end_reader(jj_node_t *node, reader_t *reader, bool broken)
 {
-	jj_http_call_end(reader->call, broken);
+	jj_http_call_t *call = reader->call;
+
+	free_reader(node, reader);
+	jj_http_call_end(call, broken);
+}
+
+/** The caller may go away, or read on, on another thread meanwhile. */
+static void
+free_reader(jj_node_t *node, reader_t *reader)
+{
+	(void)apr_thread_mutex_lock(node->results_lock);
+	jj_http_call_set_context(reader->call, NULL);
+	(void)apr_thread_mutex_unlock(node->results_lock);
 	free(reader);
 }
