--- a/tests/core/dispatch_test.cc
+++ b/tests/core/dispatch_test.cc
@@ -357,7 +357,8 @@
 
 	void
 	Event(uint64_t request, uint32_t attempt, jj_backend_kind_t kind,
-	    bool relayed = false, uint32_t tokens = 1, bool resumable = false)
+	    bool relayed = false, uint32_t tokens = 1, bool resumable = false,
+	    bool look_cut = false)
 	{
 		jj_backend_event_t event = {};
 
@@ -367,6 +368,7 @@
 		event.tokens = tokens;
 		event.relayed = relayed;
 		event.resumable = resumable;
+		event.look_cut = look_cut;
 		jj_dispatch_take_event(dispatch, &event, now, &out);
 		Drain();
 	}
@@ -375,17 +377,11 @@
 	void
 	BreakWithItsLook(uint64_t request, uint32_t attempt)
 	{
-		jj_backend_event_t event = {};
-
-		event.request = request;
-		event.attempt = attempt;
-		event.kind = JJ_BACKEND_BROKEN;
-		event.look_cut = true;
-		jj_dispatch_take_event(dispatch, &event, now, &out);
-		Drain();
+		Event(
+		    request, attempt, JJ_BACKEND_BROKEN, false, 1, false, true);
 	}
 
-	// A request whose fingerprint has a strike is struck once more.
+	// A neighbour's report of a death that this request may have caused.
 	void
 	Strike(uint64_t fingerprint, const std::string &server)
 	{
