Items: begun ones first, then those with time to spare

Cause: items were sent in the order of their due times. With more items than slots each is begun when it can only just be in time, cut in the next peak of online requests, and late after it. Preemption took the newest run, which may be an item that is nearly done. Now items that have run go first, then those that can be cut for as long as they run, then the others. An item that has run least is preempted. TIGHT_FACTOR: of 6.6 s between peaks 3.8 s are left to batch, so an item needs about twice its run time.

--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -21,18 +21,36 @@
 #define STALL_DOUBLINGS_MAX 4
 /** Weight of a new sample in the moving average of an item's run time. */
 #define ITEM_MEAN_WEIGHT 0.1
+/**
+ * An item that is cut in each peak needs about this many times its run time
+ * until it is done.
+ */
+#define TIGHT_FACTOR 2
 /**
  * The gateway does not limit the attempts of an item; its job counts the
  * failures.
  */
 #define ATTEMPTS_UNLIMITED UINT32_MAX
 
+/** The order in which waiting items are sent. */
+typedef enum {
+	RANK_BEGUN, /**< has run before and can still end in time */
+	RANK_NEW, /**< can end in time even if it is cut again and again */
+	RANK_TIGHT, /**< can end in time if it is not cut */
+	RANK_OVERDUE,
+	RANK_END,
+} rank_t;
+
 static void
-send_items(jj_gateway_t *, bool, const jj_name_t **, jj_ms_t, jj_actions_t *);
+send_items(jj_gateway_t *, rank_t, const jj_name_t **, jj_ms_t, jj_actions_t *);
+static rank_t
+rank_of(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static void
 route_item(const jj_gateway_t *, jj_gateway_entry_t *, const jj_route_t *);
 static bool
 is_overdue(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
+static bool loses_less(const jj_gateway_t *, const jj_gateway_entry_t *,
+    const jj_gateway_entry_t *, jj_ms_t);
 static jj_ms_t total_run_ms(const jj_gateway_entry_t *, jj_ms_t);
 
 uint64_t
@@ -134,29 +152,31 @@
 }
 
 /**
- * Sends items that can still finish in time first, those with the earliest due
- * time before the others. An overdue item is worth a tenth, and run first it
- * would delay the next one past its due time: in a backlog all items would be
- * overdue.
+ * Sends items in the order of rank_t, and of their due times within a rank. An
+ * overdue item is worth a tenth, and run first it would delay the next one past
+ * its due time: in a backlog all items would be overdue. With more items than
+ * slots, slots are best spent on items that will be whole in time: those that
+ * have run, then those with time to spare.
  */
 void
 jj_gateway_send_waiting_items(
     jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
 	const jj_name_t *full = NULL;
+	rank_t rank;
 
 	if (gateway->leaving)
 		return;
-	send_items(gateway, false, &full, now, out);
-	send_items(gateway, true, &full, now, out);
+	for (rank = RANK_BEGUN; rank < RANK_END; rank++)
+		send_items(gateway, rank, &full, now, out);
 }
 
 /**
- * Sends either the overdue items or the others.
+ * Sends the items of one rank.
  * @param full a service without free slots, or NULL; kept between calls.
  */
 static void
-send_items(jj_gateway_t *gateway, bool overdue, const jj_name_t **full,
+send_items(jj_gateway_t *gateway, rank_t rank, const jj_name_t **full,
     jj_ms_t now, jj_actions_t *out)
 {
 	jj_gateway_entry_t *entry;
@@ -177,7 +197,7 @@
 			continue;
 		if (*full != NULL && jj_name_equal(*full, &entry->service))
 			continue;
-		if (is_overdue(gateway, entry, now) != overdue)
+		if (rank_of(gateway, entry, now) != rank)
 			continue;
 		server = jj_slots_choose_batch(
 		    gateway->slots, &entry->service, NULL, now);
@@ -206,6 +226,20 @@
 		entry->service = *service;
 }
 
+static rank_t
+rank_of(
+    const jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	if (is_overdue(gateway, entry, now))
+		return RANK_OVERDUE;
+	if (entry->ran_ms > 0)
+		return RANK_BEGUN;
+	return now + TIGHT_FACTOR * (jj_ms_t)gateway->mean_item_ms >
+		entry->due_ms
+	    ? RANK_TIGHT
+	    : RANK_NEW;
+}
+
 /**
  * True when the item would end after its due time if it takes as long as items
  * do on average.
@@ -251,12 +285,8 @@
 		if (entry->class_of != JJ_CLASS_BATCH ||
 		    entry->server != server)
 			continue;
-		if (chosen == NULL)
+		if (chosen == NULL || loses_less(gateway, entry, chosen, now))
 			chosen = entry;
-		if (!is_overdue(gateway, entry, now))
-			continue;
-		chosen = entry;
-		break;
 	}
 	if (chosen == NULL)
 		return false;
@@ -264,6 +294,18 @@
 	return true;
 }
 
+/** True when an item loses less than another one if it is preempted. */
+static bool
+loses_less(const jj_gateway_t *gateway, const jj_gateway_entry_t *entry,
+    const jj_gateway_entry_t *other, jj_ms_t now)
+{
+	bool is_late = is_overdue(gateway, entry, now);
+
+	if (is_late != is_overdue(gateway, other, now))
+		return is_late;
+	return total_run_ms(entry, now) < total_run_ms(other, now);
+}
+
 void
 jj_gateway_preempt_item(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
     const char *why, jj_ms_t now, jj_actions_t *out)
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -299,7 +299,7 @@
     jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now);
 /**
  * Preempts an item of this VM at that server, an overdue one if there is one,
- * else the newest; false when there is none.
+ * else the one that has run least; false when there is none.
  */
 bool jj_gateway_preempt(jj_gateway_t *gateway, jj_slot_server_t *server,
     const char *why, jj_ms_t now, jj_actions_t *out);
