--- a/src/adapters/platform.c
+++ b/src/adapters/platform.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "adapters/log.h"
+#include "adapters/metrics.h"
 #include "adapters/platform.h"
 #include "adapters/monotonic.h"
 #include "adapters/trace.h"
@@ -37,6 +38,7 @@
 	jj_span_t span; /**< trace span of the call */
 } exchange_t;
 
+static void count_call(const jj_platform_call_t *);
 static jj_http_flow_t on_data(void *, const char *, size_t);
 static void on_end(void *, jj_http_end_t, const jj_http_head_t *);
 static void read_answer(exchange_t *, jj_http_end_t, const jj_http_head_t *);
@@ -106,6 +108,7 @@
 	request.on_data = on_data;
 	request.on_end = on_end;
 	(void)atomic_fetch_add(&platform->calls, 1);
+	count_call(call);
 	(void)jj_http_client_start(platform->http, &request);
 	jj_bytes_free(&encoded->body);
 	free(encoded);
@@ -141,6 +144,21 @@
 	}
 }
 
+/** Counts a call by what it does to which kind of object. */
+static void
+count_call(const jj_platform_call_t *call)
+{
+	char kind[64];
+
+	(void)snprintf(kind, sizeof(kind), "%s %.*s%s",
+	    jj_platform_op_name(call->op), (int)strcspn(call->key, "/"),
+	    call->key, call->stale ? " stale" : "");
+	jj_counter_add(
+	    jj_metrics_counter("jujube_platform_calls_by_kind_total",
+		"Calls to the platform, by operation and kind.", "kind", kind),
+	    1);
+}
+
 static jj_http_flow_t
 on_data(void *ctx, const char *data, size_t size)
 {
--- a/src/adapters/settings.c
+++ b/src/adapters/settings.c
@@ -182,6 +182,11 @@
 
     NUMBER("member", "heartbeat_ms", KEY_MS, core.member.heartbeat_ms, 50,
 	MINUTE, 500, "interval of heartbeats to each VM of the domain"),
+    NUMBER("member", "heartbeat_vms", KEY_U32, core.member.heartbeat_vms, 0,
+	100000, 80,
+	"for each so many VMs of the domain, two heartbeat_ms make the interval "
+	"of heartbeats and suspect_ms is added to the time until a VM is "
+	"suspected; 0: never"),
     NUMBER("member", "suspect_ms", KEY_MS, core.member.suspect_ms, 200,
 	10 * MINUTE, 2000,
 	"time without heartbeats until a VM is suspected: 3 lost in a row"),
--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -108,6 +108,7 @@
 static const field_t heartbeat_fields[] = {
     ENUM(jj_message_t, body.heartbeat.state, JJ_VM_LEAVING),
     TEXT(jj_message_t, body.heartbeat.domain.text),
+    TEXT(jj_message_t, body.heartbeat.failure_domain.text),
     TEXT(jj_message_t, body.heartbeat.address),
     FIELD(FIELD_U64, jj_message_t, body.heartbeat.config_version),
     FIELD(FIELD_U64, jj_message_t, body.heartbeat.slots_version),
@@ -284,7 +285,9 @@
 static const field_t job_page_fields[] = {
     FIELD(FIELD_U64, jj_message_t, body.job_page.operation),
     TEXT(jj_message_t, body.job_page.job),
+    TEXT(jj_message_t, body.job_page.item),
     FIELD(FIELD_U32, jj_message_t, body.job_page.after),
+    FIELD(FIELD_U32, jj_message_t, body.job_page.total),
     BYTES(jj_message_t, body.job_page.page, JJ_WIRE_BYTES_MAX),
 };
 LAYOUT(job_page_layout, jj_message_t, job_page_fields);
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -208,6 +208,15 @@
 								 : "none";
 }
 
+const char *
+jj_platform_op_name(jj_platform_op_t op)
+{
+	static const char *const names[] = {"get", "create", "update", "delete",
+	    "list", "watch", "vms", "set_status"};
+
+	return names[op];
+}
+
 const char *
 jj_object_name(const char *key)
 {
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -18,6 +18,8 @@
  * off, ms.
  */
 #define VM_GONE_MS 30000
+/** Interval between checks for unreachable VMs, ms. */
+#define UNREACHABLE_CHECK_MS 50
 /**
  * Interval between ticks of all modules when idle; BUSY_TICK_MS applies while
  * requests are in progress, ms.
@@ -64,8 +66,9 @@
 
 	gateway->settings = *settings;
 	gateway->port = *port;
+	gateway->settings.member.failure_domain = settings->domain;
 	gateway->random = settings->seed;
-	gateway->member = jj_member_create(&settings->member);
+	gateway->member = jj_member_create(&gateway->settings.member);
 	gateway->quarantine = jj_quarantine_create(&settings->quarantine);
 	gateway->slots = jj_slots_create(&settings->slots);
 	gateway->settings.jobs.relay_wait_ms =
@@ -77,6 +80,8 @@
 	TAILQ_INIT(&gateway->waiting);
 	TAILQ_INIT(&gateway->borrowed);
 	TAILQ_INIT(&gateway->calls_for_peers);
+	gateway->vm_places =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	init_mirrors(gateway);
 	jj_member_set_state(gateway->member, JJ_VM_SERVING);
 	return gateway;
@@ -104,6 +109,7 @@
 	jj_member_destroy(gateway->member);
 	jj_routes_clear(&gateway->routes);
 	jj_bytes_free(&gateway->config_object);
+	g_hash_table_destroy(gateway->vm_places);
 	free(gateway->vms);
 	free(gateway);
 }
@@ -438,18 +444,21 @@
 static bool
 has_unreachable_peers(void *ctx)
 {
-	const jj_gateway_t *gateway = ctx;
+	jj_gateway_t *gateway = ctx;
 	const jj_member_info_t *info;
 	size_t i;
 
-	for (i = 0; i < gateway->vm_count; i++) {
+	if (gateway->now < gateway->next_unreachable_ms)
+		return gateway->has_unreachable;
+	gateway->next_unreachable_ms = gateway->now + UNREACHABLE_CHECK_MS;
+	gateway->has_unreachable = false;
+	for (i = 0; i < gateway->vm_count && !gateway->has_unreachable; i++) {
 		info = jj_member_find(gateway->member, &gateway->vms[i].name);
-		if (info != NULL && !info->live &&
+		gateway->has_unreachable = info != NULL && !info->live &&
 		    info->heard_ms != JJ_MS_NEVER &&
-		    gateway->now - info->heard_ms < VM_GONE_MS)
-			return true;
+		    gateway->now - info->heard_ms < VM_GONE_MS;
 	}
-	return false;
+	return gateway->has_unreachable;
 }
 
 /**
--- a/src/core/gateway_relay.c
+++ b/src/core/gateway_relay.c
@@ -35,6 +35,11 @@
  * readers rely on it.
  */
 #define STATES_INTERVAL_MS 400
+/**
+ * Interval in a large region, ms. There readers' VMs query the VM that runs the
+ * job, and reports only count tokens and show who runs a new job.
+ */
+#define RARE_STATES_INTERVAL_MS 5000
 
 /** Numbers of the watches in messages between VMs. */
 enum {
@@ -44,10 +49,12 @@
 };
 
 static void report_states(jj_gateway_t *, jj_ms_t, jj_actions_t *);
+static bool is_region_large(const jj_gateway_t *);
+static jj_ms_t states_interval(const jj_gateway_t *);
 static void send_states(jj_gateway_t *, const jj_name_t *,
     const jj_job_progress_t *, uint32_t, jj_actions_t *);
 static jj_mirror_duty_t choose_duty(const jj_gateway_t *);
-static void count_vms(jj_gateway_t *);
+static void assign_servers(jj_gateway_t *);
 static void relay_events(jj_gateway_t *, uint32_t, uint64_t, uint64_t,
     const jj_platform_item_t *, size_t);
 static json_t *encode(const jj_platform_item_t *, size_t);
@@ -63,7 +70,10 @@
 	if (now < gateway->next_duty_check_ms)
 		return;
 	gateway->next_duty_check_ms = now + DUTY_CHECK_MS;
-	count_vms(gateway);
+	assign_servers(gateway);
+	jj_inline_set_intervals(gateway->jobs, states_interval(gateway),
+	    jj_member_interval(gateway->member) -
+		gateway->settings.member.heartbeat_ms);
 	duty = choose_duty(gateway);
 	if (duty != gateway->config_mirror.duty)
 		jj_actions_add_event(out, "watch_duty", "duty=%s",
@@ -119,6 +129,8 @@
 static void
 report_states(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
+	jj_inline_counts_t counts = jj_inline_counts(gateway->jobs);
+	uint64_t begun = counts.accepted + counts.takeovers;
 	jj_job_progress_t *states;
 	jj_member_info_t *infos;
 	uint32_t count;
@@ -126,9 +138,11 @@
 	size_t vms;
 	size_t i;
 
-	if (now < gateway->next_job_states_ms)
+	if (now < gateway->next_job_states_ms &&
+	    (!is_region_large(gateway) || begun == gateway->reported_jobs))
 		return;
-	gateway->next_job_states_ms = now + STATES_INTERVAL_MS;
+	gateway->reported_jobs = begun;
+	gateway->next_job_states_ms = now + states_interval(gateway);
 	count = jj_inline_list_states(gateway->jobs, NULL, 0);
 	if (count == 0)
 		return;
@@ -143,6 +157,21 @@
 	free(states);
 }
 
+/** True when heartbeats are so rare that reports can't be relied on. */
+static bool
+is_region_large(const jj_gateway_t *gateway)
+{
+	return jj_member_interval(gateway->member) >
+	    gateway->settings.member.heartbeat_ms;
+}
+
+static jj_ms_t
+states_interval(const jj_gateway_t *gateway)
+{
+	return is_region_large(gateway) ? RARE_STATES_INTERVAL_MS
+					: STATES_INTERVAL_MS;
+}
+
 /** Sends as many states as one message holds. */
 static void
 send_states(jj_gateway_t *gateway, const jj_name_t *to,
@@ -160,23 +189,33 @@
 	    message->body.job_states.states, states, count * sizeof(states[0]));
 }
 
-/** Counts the live VMs of this failure domain, and those of all others. */
+/**
+ * Counts the live VMs of this failure domain and those of all others, and
+ * chooses which servers each of them uses.
+ */
 static void
-count_vms(jj_gateway_t *gateway)
+assign_servers(jj_gateway_t *gateway)
 {
+	jj_slot_user_t *users =
+	    jj_alloc((gateway->vm_count + 1) * sizeof(*users));
+	size_t count = 0;
 	uint32_t local = 1;
-	uint32_t remote = 0;
 	size_t i;
 
+	users[count].name = gateway->settings.name;
+	users[count++].domain = gateway->settings.domain;
 	for (i = 0; i < gateway->vm_count; i++) {
 		const jj_gateway_vm_t *vm = &gateway->vms[i];
 
-		if (jj_gateway_is_local(gateway, vm))
-			local++;
-		else if (jj_member_is_live(gateway->member, &vm->name))
-			remote++;
+		if (!jj_member_is_live(gateway->member, &vm->name))
+			continue;
+		local += jj_gateway_is_local(gateway, vm);
+		users[count].name = vm->name;
+		users[count++].domain = vm->domain;
 	}
-	jj_slots_set_vms(gateway->slots, local, remote);
+	jj_slots_set_vms(gateway->slots, local, (uint32_t)count - local);
+	jj_slots_set_users(gateway->slots, users, count);
+	free(users);
 }
 
 static jj_mirror_duty_t
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -5,6 +5,8 @@
 #ifndef JJ_CORE_GATEWAY_STATE_H
 #define JJ_CORE_GATEWAY_STATE_H
 
+#include <glib.h>
+
 #include "core/gateway.h"
 #include "core/mirror.h"
 
@@ -163,9 +165,13 @@
 	bool local_loads_changed;
 	bool remote_loads_changed;
 	jj_ms_t next_stale_check_ms;
+	bool has_unreachable; /**< some VM was unreachable at the last check */
+	jj_ms_t next_unreachable_ms; /**< next check */
 	/** next choice of the VM that relays watches */
 	jj_ms_t next_duty_check_ms;
 	jj_ms_t next_job_states_ms; /**< next report of job states */
+	/** jobs accepted and taken over at the last report */
+	uint64_t reported_jobs;
 	jj_gateway_config_t config;
 	jj_ms_t next_vms_ms;
 	bool vms_polling;
@@ -178,8 +184,13 @@
 	char vms_after[JJ_OBJECT_KEY_MAX + 1];
 	/** the list that is being read has this VM's entry */
 	bool vms_have_self;
+	/** the list is read only after this VM's entry was written */
+	bool vms_fresh;
+	bool vms_reading_fresh; /**< the list that is being read was begun so */
 	size_t vm_count;
 	jj_gateway_vm_t *vms; /**< owned */
+	/** places in `vms` by name, counted from 1 */
+	GHashTable *vm_places;
 	bool retired; /**< the order to retire this VM was answered */
 	/** calls that other VMs make for this VM */
 	struct jj_gateway_peer_calls borrowed;
@@ -403,17 +414,20 @@
  */
 size_t
 jj_gateway_list_others(const jj_gateway_t *gateway, jj_member_info_t **infos);
+/**
+ * Adds a VM or updates its failure domain.
+ * @param version of its entry; 0: known by a heartbeat.
+ */
+void jj_gateway_note_vm(jj_gateway_t *gateway, const jj_name_t *name,
+    const jj_name_t *domain, uint64_t version);
 /** True for a live VM of this VM's failure domain, other than itself. */
 bool
 jj_gateway_is_local(const jj_gateway_t *gateway, const jj_gateway_vm_t *vm);
-/** Lists those of them in this VM's failure domain; @p infos likewise. */
-size_t
-jj_gateway_list_local(const jj_gateway_t *gateway, jj_member_info_t **infos);
 /**
- * How many VMs of the region rank before this one for an item, by rendezvous
- * hashing.
+ * How many live VMs of the region rank before this one for an item, by
+ * rendezvous hashing; counted up to @p limit.
  */
-uint32_t jj_gateway_rank(void *gateway, const char *item);
+uint32_t jj_gateway_rank(void *gateway, const char *item, uint32_t limit);
 /** True when no other VM of the region is live. */
 bool jj_gateway_is_alone(const jj_gateway_t *gateway);
 /** True when that VM is in this one's failure domain. */
--- a/src/core/gateway_updates.c
+++ b/src/core/gateway_updates.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "core/gateway_state.h"
 #include "core/crash_history.h"
 
@@ -23,7 +25,15 @@
 static void take_heartbeat(jj_gateway_t *, const jj_message_t *, jj_ms_t);
 static void
 take_states(jj_gateway_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
-static void send_loads(jj_gateway_t *, bool, jj_actions_t *);
+static bool forget_if_stale(void *, const jj_name_t *);
+static void send_loads_to_all(jj_gateway_t *, jj_actions_t *);
+static void send_loads_to_domain(jj_gateway_t *, jj_actions_t *);
+static void send_loads_to_users(jj_gateway_t *, jj_actions_t *);
+static void
+send_loads(const jj_name_t *, const jj_load_t *, uint32_t, jj_actions_t *);
+static void
+add_load(GHashTable *, const jj_name_t *, const jj_load_t *, jj_actions_t *);
+static bool are_heartbeats_enough(const jj_gateway_t *);
 static jj_ms_t remote_interval(const jj_gateway_t *);
 
 void
@@ -123,15 +133,11 @@
 void
 jj_gateway_report_loads(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
-	/*
-	 * Heartbeats carry all loads: a separate report is only useful when it
-	 * comes before the next heartbeat.
-	 */
-	if (remote_interval(gateway) >= gateway->settings.member.heartbeat_ms)
+	if (are_heartbeats_enough(gateway))
 		gateway->remote_loads_changed = false;
 	if (gateway->remote_loads_changed &&
 	    now >= gateway->next_remote_loads_ms) {
-		send_loads(gateway, true, out);
+		send_loads_to_all(gateway, out);
 		gateway->remote_loads_changed = false;
 		gateway->local_loads_changed = false;
 		gateway->next_local_loads_ms =
@@ -139,7 +145,10 @@
 		gateway->next_remote_loads_ms = now + remote_interval(gateway);
 	} else if (gateway->local_loads_changed &&
 	    now >= gateway->next_local_loads_ms) {
-		send_loads(gateway, false, out);
+		if (are_heartbeats_enough(gateway))
+			send_loads_to_users(gateway, out);
+		else
+			send_loads_to_domain(gateway, out);
 		gateway->local_loads_changed = false;
 		gateway->next_local_loads_ms =
 		    now + gateway->settings.tell_near_ms;
@@ -150,30 +159,11 @@
 jj_gateway_drop_stale_loads(
     jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
-	jj_slot_server_t *server;
-	const jj_member_info_t *info;
-	jj_name_t vm;
-	size_t i;
-
+	(void)out;
 	if (now < gateway->next_stale_check_ms)
 		return;
 	gateway->next_stale_check_ms = now + STALE_CHECK_MS;
-	for (server = jj_slots_first(gateway->slots); server != NULL;
-	     server = TAILQ_NEXT(server, link)) {
-		for (i = server->neighbour_count; i-- > 0;) {
-			vm = server->neighbours[i].vm;
-			info = jj_member_find(gateway->member, &vm);
-			if (info != NULL && info->live)
-				continue;
-			jj_actions_add_event(out, "loads_forgotten",
-			    "peer=%s heard_ms_ago=%lld", vm.text,
-			    jj_ms_ago(
-				info != NULL ? info->heard_ms : JJ_MS_NEVER,
-				gateway->now));
-			jj_slots_forget_neighbour(gateway->slots, &vm);
-			break;
-		}
-	}
+	jj_slots_forget_neighbours(gateway->slots, forget_if_stale, gateway);
 }
 
 void
@@ -202,6 +192,8 @@
 
 	jj_slots_take_loads(gateway->slots, &message->from, heartbeat->loads,
 	    heartbeat->load_count, true);
+	jj_gateway_note_vm(
+	    gateway, &message->from, &heartbeat->failure_domain, 0);
 	jj_gateway_note_peer_config(
 	    gateway, &message->from, heartbeat->config_version, now);
 }
@@ -217,27 +209,122 @@
 	    (jj_ms_t)(1 + gateway->vm_count / VMS_PER_INTERVAL);
 }
 
+/**
+ * True when load reports to the whole region would come no earlier than
+ * heartbeats, which carry all loads.
+ */
+static bool
+are_heartbeats_enough(const jj_gateway_t *gateway)
+{
+	return remote_interval(gateway) >=
+	    gateway->settings.member.heartbeat_ms;
+}
+
+static bool
+forget_if_stale(void *ctx, const jj_name_t *vm)
+{
+	jj_gateway_t *gateway = ctx;
+	const jj_member_info_t *info = jj_member_find(gateway->member, vm);
+
+	if (info != NULL && info->live)
+		return false;
+	jj_actions_add_event(gateway->out, "loads_forgotten",
+	    "peer=%s heard_ms_ago=%lld", vm->text,
+	    jj_ms_ago(
+		info != NULL ? info->heard_ms : JJ_MS_NEVER, gateway->now));
+	return true;
+}
+
 static void
-send_loads(jj_gateway_t *gateway, bool remote, jj_actions_t *out)
+send_loads_to_all(jj_gateway_t *gateway, jj_actions_t *out)
 {
 	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
 	jj_member_info_t *infos;
-	size_t vms = remote ? jj_gateway_list_others(gateway, &infos)
-			    : jj_gateway_list_local(gateway, &infos);
+	size_t vms = jj_gateway_list_others(gateway, &infos);
 	uint32_t count;
 	size_t i;
 
 	while ((count = jj_slots_take_changes(gateway->slots,
-		    remote ? JJ_SLOTS_SCOPE_ALL : JJ_SLOTS_SCOPE_DOMAIN, loads,
-		    JJ_MESSAGE_LOADS_MAX)) > 0) {
-		for (i = 0; i < vms; i++) {
-			jj_message_t *message = jj_actions_add_message(
-			    out, &infos[i].name, JJ_MESSAGE_LOAD);
-
-			message->body.load.count = count;
-			memcpy(message->body.load.loads, loads,
-			    count * sizeof(loads[0]));
-		}
+		    JJ_SLOTS_SCOPE_ALL, loads, JJ_MESSAGE_LOADS_MAX)) > 0) {
+		for (i = 0; i < vms; i++)
+			send_loads(&infos[i].name, loads, count, out);
 	}
 	free(infos);
 }
+
+static void
+send_loads_to_domain(jj_gateway_t *gateway, jj_actions_t *out)
+{
+	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
+	uint32_t count;
+	size_t i;
+
+	while ((count = jj_slots_take_changes(gateway->slots,
+		    JJ_SLOTS_SCOPE_DOMAIN, loads, JJ_MESSAGE_LOADS_MAX)) > 0) {
+		for (i = 0; i < gateway->vm_count; i++)
+			if (jj_gateway_is_local(gateway, &gateway->vms[i]))
+				send_loads(
+				    &gateway->vms[i].name, loads, count, out);
+	}
+}
+
+static void
+send_loads(const jj_name_t *to, const jj_load_t *loads, uint32_t count,
+    jj_actions_t *out)
+{
+	jj_message_t *message =
+	    jj_actions_add_message(out, to, JJ_MESSAGE_LOAD);
+
+	message->body.load.count = count;
+	memcpy(message->body.load.loads, loads, count * sizeof(loads[0]));
+}
+
+/**
+ * Sends each changed load to the VMs that use that server, in whichever failure
+ * domain it is.
+ */
+static void
+send_loads_to_users(jj_gateway_t *gateway, jj_actions_t *out)
+{
+	size_t max_count = gateway->vm_count + 1;
+	const jj_name_t **users = jj_alloc(max_count * sizeof(void *));
+	jj_load_t loads[JJ_MESSAGE_LOADS_MAX];
+	const jj_slot_server_t *server;
+	GHashTable *messages;
+	uint32_t count;
+	size_t user_count;
+	uint32_t i;
+	size_t j;
+
+	while ((count = jj_slots_take_changes(gateway->slots,
+		    JJ_SLOTS_SCOPE_DOMAIN, loads, JJ_MESSAGE_LOADS_MAX)) > 0) {
+		messages = g_hash_table_new(g_str_hash, g_str_equal);
+		for (i = 0; i < count; i++) {
+			server =
+			    jj_slots_find_hash(gateway->slots, loads[i].server);
+			user_count = server == NULL
+			    ? 0
+			    : jj_slots_list_users(
+				  gateway->slots, server, users, max_count);
+			for (j = 0; j < user_count; j++)
+				add_load(messages, users[j], &loads[i], out);
+		}
+		g_hash_table_destroy(messages);
+	}
+	free(users);
+}
+
+/** Adds a load to the message to that VM, which is created if need be. */
+static void
+add_load(GHashTable *messages, const jj_name_t *to, const jj_load_t *load,
+    jj_actions_t *out)
+{
+	jj_message_t *message = g_hash_table_lookup(messages, to->text);
+
+	if (message == NULL) {
+		message = jj_actions_add_message(out, to, JJ_MESSAGE_LOAD);
+		(void)g_hash_table_insert(
+		    messages, (gpointer)to->text, message);
+	}
+	message->body.load.loads[message->body.load.count++] = *load;
+}
--- a/src/core/gateway_vms.c
+++ b/src/core/gateway_vms.c
@@ -33,8 +33,10 @@
 static void
 take_registered(jj_gateway_t *, const jj_platform_result_t *, jj_ms_t);
 static void take_vm(jj_gateway_t *, const jj_platform_item_t *);
-static void
-note_vm(jj_gateway_t *, const jj_name_t *, const jj_name_t *, uint64_t);
+static jj_gateway_vm_t *find_vm(const jj_gateway_t *, const jj_name_t *);
+static jj_gateway_vm_t *add_vm(jj_gateway_t *, const jj_name_t *);
+static void index_vms(jj_gateway_t *);
+static jj_ms_t poll_interval(const jj_gateway_t *);
 static void begin_list(jj_gateway_t *);
 static void end_list(jj_gateway_t *, jj_ms_t);
 static void remove_gone(jj_gateway_t *, jj_ms_t);
@@ -44,9 +46,13 @@
 void
 jj_gateway_tick_vms(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
+	/* The first list waits for the entry, but not for long. */
 	if (!gateway->registered && !gateway->registering &&
-	    now >= gateway->next_register_ms)
+	    now >= gateway->next_register_ms) {
+		if (gateway->next_register_ms == 0)
+			gateway->next_vms_ms = now + ALONE_POLL_MS;
 		start_register(gateway, out);
+	}
 	if (!gateway->vms_polling && now >= gateway->next_vms_ms)
 		start_list(gateway, out);
 }
@@ -92,20 +98,12 @@
 }
 
 uint32_t
-jj_gateway_rank(void *ctx, const char *item)
+jj_gateway_rank(void *ctx, const char *item, uint32_t limit)
 {
 	const jj_gateway_t *gateway = ctx;
-	uint64_t hash = jj_hash_bytes(item, strlen(item), 0);
-	uint64_t own = jj_rendezvous_weight(gateway->settings.name.text, hash);
-	jj_member_info_t *others;
-	size_t count = jj_gateway_list_others(gateway, &others);
-	uint32_t rank = 0;
-	size_t i;
 
-	for (i = 0; i < count; i++)
-		rank += jj_rendezvous_weight(others[i].name.text, hash) > own;
-	free(others);
-	return rank;
+	return jj_member_rank(
+	    gateway->member, jj_hash_bytes(item, strlen(item), 0), limit);
 }
 
 size_t
@@ -133,25 +131,6 @@
 	    jj_member_is_live(gateway->member, &vm->name);
 }
 
-size_t
-jj_gateway_list_local(const jj_gateway_t *gateway, jj_member_info_t **infos)
-{
-	jj_member_info_t *list =
-	    jj_alloc((gateway->vm_count + 1) * sizeof(*list));
-	size_t count = 0;
-	size_t i;
-
-	for (i = 0; i < gateway->vm_count; i++) {
-		const jj_gateway_vm_t *vm = &gateway->vms[i];
-
-		if (jj_gateway_is_local(gateway, vm))
-			list[count++] =
-			    *jj_member_find(gateway->member, &vm->name);
-	}
-	*infos = list;
-	return count;
-}
-
 bool
 jj_gateway_is_alone(const jj_gateway_t *gateway)
 {
@@ -164,13 +143,10 @@
 bool
 jj_gateway_is_in_domain(const jj_gateway_t *gateway, const jj_name_t *name)
 {
-	size_t i;
+	const jj_gateway_vm_t *vm = find_vm(gateway, name);
 
-	for (i = 0; i < gateway->vm_count; i++)
-		if (jj_name_equal(&gateway->vms[i].name, name))
-			return jj_name_equal(
-			    &gateway->vms[i].domain, &gateway->settings.domain);
-	return false;
+	return vm != NULL &&
+	    jj_name_equal(&vm->domain, &gateway->settings.domain);
 }
 
 void
@@ -222,6 +198,9 @@
 		gateway->registered = true;
 		gateway->registered_ms = now;
 		gateway->register_version = result->version;
+		gateway->vms_fresh = false;
+		if (gateway->vms_after[0] == '\0')
+			gateway->next_vms_ms = now;
 		return;
 	}
 	gateway->next_register_ms = now + gateway->settings.backoff_most_ms;
@@ -246,7 +225,10 @@
 	(void)snprintf(
 	    call->after, sizeof(call->after), "%s", gateway->vms_after);
 	call->values = true;
-	call->stale = true;
+	if (gateway->vms_after[0] == '\0')
+		gateway->vms_reading_fresh =
+		    gateway->registered && !gateway->vms_fresh;
+	call->stale = !gateway->vms_reading_fresh;
 }
 
 static void
@@ -265,11 +247,13 @@
 	for (i = 0; i < result->item_count; i++)
 		take_vm(gateway, &result->items[i]);
 	gateway->vms_after[0] = '\0';
-	gateway->next_vms_ms = now +
-	    (jj_gateway_is_alone(gateway) ? ALONE_POLL_MS
-					  : gateway->settings.vms_poll_ms);
 	if (!result->more || result->item_count == 0) {
+		gateway->vms_fresh =
+		    gateway->vms_fresh || gateway->vms_reading_fresh;
 		end_list(gateway, now);
+		gateway->next_vms_ms = now;
+		if (gateway->vms_fresh || !gateway->registered)
+			gateway->next_vms_ms += poll_interval(gateway);
 		return;
 	}
 	gateway->next_vms_ms = now;
@@ -306,28 +290,75 @@
 	(void)jj_name_set(&group, region);
 	(void)jj_name_set(&zone, domain);
 	jj_member_add_vm(gateway->member, &name, &group, address);
-	note_vm(gateway, &name, &zone, item->version);
+	jj_gateway_note_vm(gateway, &name, &zone, item->version);
 }
 
-static void
-note_vm(jj_gateway_t *gateway, const jj_name_t *name, const jj_name_t *domain,
-    uint64_t version)
+/**
+ * Heartbeats show new VMs to all that they know, and a new VM reads the list
+ * after it has written its entry: of two VMs that start at once, at least one
+ * finds the other. So only the speaker reads the list often, to remove entries
+ * of VMs that are gone, and the others take turns.
+ */
+static jj_ms_t
+poll_interval(const jj_gateway_t *gateway)
+{
+	jj_ms_t poll_ms = gateway->settings.vms_poll_ms;
+
+	if (jj_gateway_is_alone(gateway))
+		return ALONE_POLL_MS;
+	if (jj_member_is_speaker(gateway->member))
+		return poll_ms;
+	return poll_ms * (jj_ms_t)(1 + gateway->vm_count);
+}
+
+static jj_gateway_vm_t *
+find_vm(const jj_gateway_t *gateway, const jj_name_t *name)
+{
+	size_t place = GPOINTER_TO_SIZE(
+	    g_hash_table_lookup(gateway->vm_places, name->text));
+
+	return place > 0 ? &gateway->vms[place - 1] : NULL;
+}
+
+static jj_gateway_vm_t *
+add_vm(jj_gateway_t *gateway, const jj_name_t *name)
 {
 	jj_gateway_vm_t *vm;
+
+	gateway->vms = jj_realloc(
+	    gateway->vms, (gateway->vm_count + 1) * sizeof(*gateway->vms));
+	vm = &gateway->vms[gateway->vm_count++];
+	memset(vm, 0, sizeof(*vm));
+	vm->name = *name;
+	vm->unreachable_since_ms = JJ_MS_NEVER;
+	(void)g_hash_table_replace(gateway->vm_places, g_strdup(name->text),
+	    GSIZE_TO_POINTER(gateway->vm_count));
+	return vm;
+}
+
+static void
+index_vms(jj_gateway_t *gateway)
+{
 	size_t i;
 
+	g_hash_table_remove_all(gateway->vm_places);
 	for (i = 0; i < gateway->vm_count; i++)
-		if (jj_name_equal(&gateway->vms[i].name, name))
-			break;
-	if (i == gateway->vm_count) {
-		gateway->vms = jj_realloc(gateway->vms,
-		    (gateway->vm_count + 1) * sizeof(*gateway->vms));
-		gateway->vm_count++;
-		memset(&gateway->vms[i], 0, sizeof(gateway->vms[i]));
-	}
-	vm = &gateway->vms[i];
-	vm->name = *name;
+		(void)g_hash_table_replace(gateway->vm_places,
+		    g_strdup(gateway->vms[i].name.text),
+		    GSIZE_TO_POINTER(i + 1));
+}
+
+void
+jj_gateway_note_vm(jj_gateway_t *gateway, const jj_name_t *name,
+    const jj_name_t *domain, uint64_t version)
+{
+	jj_gateway_vm_t *vm = find_vm(gateway, name);
+
+	if (vm == NULL)
+		vm = add_vm(gateway, name);
 	vm->domain = *domain;
+	if (version == 0)
+		return;
 	vm->listed = true;
 	/* A new process of that name wrote the entry. */
 	if (vm->version != version)
@@ -373,6 +404,7 @@
 		gateway->vms[kept++] = *vm;
 	}
 	gateway->vm_count = kept;
+	index_vms(gateway);
 	remove_gone(gateway, now);
 }
 
--- a/src/core/inline.h
+++ b/src/core/inline.h
@@ -43,9 +43,9 @@
 	bool (*is_live)(void *ctx, const char *writer);
 	/**
 	 * Number of VMs that have priority over this one to take a lost job
-	 * over.
+	 * over; counted up to @p limit.
 	 */
-	uint32_t (*rank)(void *ctx, const char *id);
+	uint32_t (*rank)(void *ctx, const char *id, uint32_t limit);
 	/**
 	 * False when this VM receives no heartbeats at all: it may itself be
 	 * the one that is disconnected.
@@ -163,6 +163,14 @@
 void jj_inline_take_ended(
     jj_inline_t *jobs, const char *id, jj_ms_t now, jj_actions_t *out);
 
+/**
+ * Sets intervals that depend on the number of VMs.
+ * @param report_ms interval between the reports of other VMs about their jobs.
+ * @param skew_ms how much later than another VM this one may notice that they
+ * are disconnected, beyond what takeover_ms covers.
+ */
+void
+jj_inline_set_intervals(jj_inline_t *jobs, jj_ms_t report_ms, jj_ms_t skew_ms);
 /** Sets whether this VM polls the open entries, and for whom. */
 void jj_inline_set_duty(jj_inline_t *jobs, jj_mirror_duty_t duty, jj_ms_t now);
 /** Handles a poll result of the open entries that a relay forwarded. */
--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -65,7 +65,7 @@
 	jj_inline_op_t *op = jj_inline_add_op(jobs, JJ_OP_READ, operation, id,
 	    now + wait_ms + jobs->settings.read_ms, now);
 	bool is_open = jj_inline_find_open(jobs, id) != NULL ||
-	    jj_inline_find_peer_state(jobs, id, now) != NULL;
+	    jj_inline_is_reported(jobs, id, now);
 
 	jobs->now_ms = now;
 	op->after = after;
@@ -154,11 +154,19 @@
 	jj_ms_t next = op->until_ms;
 	size_t i;
 
+	if (op->kind == JJ_OP_ITEM && op->peer_ms != 0 && !op->peer_failed)
+		return op->peer_ms < next ? op->peer_ms : next;
 	if (op->kind == JJ_OP_READ && op->get.token == 0 &&
-	    op->get.due_ms == JJ_MS_NEVER && op->query_ms < next)
+	    op->get.due_ms == JJ_MS_NEVER && op->query_ms < next &&
+	    (op->peer_ms == 0 || op->peer_failed))
 		next = op->query_ms;
-	if (op->kind == JJ_OP_READ && op->peer_ms != 0 && op->get.token == 0 &&
-	    op->get.due_ms == JJ_MS_NEVER && op->peer_ms < next)
+	if (op->kind == JJ_OP_READ && op->peer_ms == 0 && op->get.token == 0 &&
+	    op->get.due_ms == JJ_MS_NEVER && op->next_peer_ms != 0 &&
+	    op->next_peer_ms < next)
+		next = op->next_peer_ms;
+	if (op->kind == JJ_OP_READ && op->peer_ms != 0 && !op->peer_failed &&
+	    op->get.token == 0 && op->get.due_ms == JJ_MS_NEVER &&
+	    op->peer_ms < next)
 		next = op->peer_ms;
 	for (i = 0; i < sizeof(calls) / sizeof(calls[0]); i++)
 		if (calls[i]->token == 0 && calls[i]->due_ms < next)
@@ -277,8 +285,8 @@
 }
 
 /**
- * True when the report of the VM that runs the job suffices as an answer:
- * nothing is new. A report is valid for less time than the one within which a
+ * True when the VM that runs the job suffices as a source of the answer: its
+ * report shows that nothing is new, or it is queried. A report is valid for less time than the one within which a
  * position read at one VM has to be known at all of them.
  */
 static bool
@@ -288,9 +296,12 @@
 	const jj_peer_state_t *peer_state =
 	    jj_inline_find_peer_state(jobs, op->id, now);
 
-	if (peer_state == NULL || op->checks_job ||
-	    op->get.due_ms != JJ_MS_NEVER)
+	if (op->checks_job || op->get.due_ms != JJ_MS_NEVER)
 		return false;
+	if (peer_state == NULL)
+		return jobs->report_interval_ms >
+		    jobs->settings.state_fresh_ms &&
+		    jj_inline_poll_peer(jobs, op, now, out);
 	if (op->after < peer_state->state.shown) {
 		if (jj_inline_query_peer(jobs, op, now, out))
 			return true;
@@ -458,6 +469,21 @@
 	return write_page(jobs, &published, after, published.total);
 }
 
+bool
+jj_inline_has_nothing_new(
+    const jj_inline_t *jobs, const jj_inline_run_t *run, uint32_t after)
+{
+	return may_answer(jobs, run) && after >= run->published;
+}
+
+void
+jj_inline_answer_nothing_new(
+    jj_inline_t *jobs, jj_inline_op_t *op, uint32_t total, jj_actions_t *out)
+{
+	log_read(op, "peer", op->after, out);
+	answer_page(jobs, op, NULL, total, out);
+}
+
 /**
  * Logs where an answer came from: this VM's run, a peer's report, the platform.
  */
@@ -519,6 +545,9 @@
 		jj_inline_answer(jobs, op, 503, NULL, out);
 		return;
 	}
+	if (op->load.call.token == 0 &&
+	    jj_inline_query_peer_item(jobs, op, now, out))
+		return;
 	jj_inline_step_load(jobs, &op->load, now, out);
 }
 
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -117,7 +117,7 @@
 	{
 		if (!entry->ended && jj_name_equal(&entry->route, route) &&
 		    jj_inline_find_run(jobs, entry->id) == NULL &&
-		    jj_inline_find_peer_state(jobs, entry->id, now) == NULL)
+		    !jj_inline_is_reported(jobs, entry->id, now))
 			tokens += entry->tokens;
 	}
 	TAILQ_FOREACH(run, &jobs->runs, link)
@@ -370,7 +370,8 @@
 static bool
 is_takeover_due(jj_inline_t *jobs, jj_open_entry_t *entry, jj_ms_t now)
 {
-	jj_ms_t delay_ms = jobs->settings.takeover_ms;
+	uint32_t limit;
+	jj_ms_t delay_ms = jobs->settings.takeover_ms + jobs->silence_skew_ms;
 
 	if (entry->owner[0] != '\0' &&
 	    jobs->port.is_live(jobs->port.ctx, entry->owner)) {
@@ -391,8 +392,9 @@
 		delay_ms = 0;
 	if (now - entry->lost_ms < delay_ms)
 		return false;
-	delay_ms += RANK_DELAY_MS * jobs->port.rank(jobs->port.ctx, entry->id);
-	return now - entry->lost_ms >= delay_ms;
+	limit =
+	    (uint32_t)((now - entry->lost_ms - delay_ms) / RANK_DELAY_MS) + 1;
+	return jobs->port.rank(jobs->port.ctx, entry->id, limit) < limit;
 }
 
 static void
--- a/src/core/inline_ownership.c
+++ b/src/core/inline_ownership.c
@@ -63,10 +63,12 @@
 {
 	jj_platform_call_t *call;
 
+	if (TAILQ_EMPTY(&jobs->runs))
+		return;
 	if (jobs->port.misses_any_heartbeat(jobs->port.ctx))
 		jobs->heartbeat_missing_ms = now;
-	if (TAILQ_EMPTY(&jobs->runs) || jobs->check.token != 0 ||
-	    !jobs->mirror.listed || now - jobs->check_ms < CHECK_INTERVAL_MS ||
+	if (jobs->check.token != 0 || !jobs->mirror.listed ||
+	    now - jobs->check_ms < CHECK_INTERVAL_MS ||
 	    (jobs->checked_ms >= jobs->heartbeat_missing_ms &&
 		jobs->checked_ms >= jobs->foreign_write_ms))
 		return;
--- a/src/core/inline_peer_states.c
+++ b/src/core/inline_peer_states.c
@@ -14,11 +14,14 @@
 
 /** Reports are dropped after state_fresh_ms times this. */
 #define KEEP_FACTOR 4
+/** Reports count for the token limit for this many of their intervals. */
+#define TOKENS_FACTOR 2
 
 static jj_peer_state_t *find(const jj_inline_t *, uint64_t);
 static void store_state(
     jj_inline_t *, const jj_name_t *, const jj_job_progress_t *, jj_ms_t);
 static void drop_old(jj_inline_t *, jj_ms_t);
+static jj_ms_t tokens_valid_ms(const jj_inline_t *);
 
 uint64_t
 jj_inline_hash(const char *text)
@@ -83,6 +86,28 @@
 	return peer_state;
 }
 
+const jj_peer_state_t *
+jj_inline_find_old_peer_state(const jj_inline_t *jobs, const char *id)
+{
+	return find(jobs, jj_inline_hash(id));
+}
+
+bool
+jj_inline_is_reported(const jj_inline_t *jobs, const char *id, jj_ms_t now)
+{
+	const jj_peer_state_t *peer_state = find(jobs, jj_inline_hash(id));
+
+	return peer_state != NULL &&
+	    now - peer_state->reported_at_ms <= tokens_valid_ms(jobs);
+}
+
+void
+jj_inline_set_intervals(jj_inline_t *jobs, jj_ms_t report_ms, jj_ms_t skew_ms)
+{
+	jobs->report_interval_ms = report_ms;
+	jobs->silence_skew_ms = skew_ms;
+}
+
 uint64_t
 jj_inline_peer_tokens(
     const jj_inline_t *jobs, const jj_name_t *route, jj_ms_t now)
@@ -94,8 +119,7 @@
 	TAILQ_FOREACH(peer_state, &jobs->peer_states, link)
 	{
 		if (peer_state->state.route == hash &&
-		    now - peer_state->reported_at_ms <=
-			jobs->settings.state_fresh_ms)
+		    now - peer_state->reported_at_ms <= tokens_valid_ms(jobs))
 			tokens += peer_state->state.tokens;
 	}
 	return tokens;
@@ -152,17 +176,28 @@
 	}
 }
 
+static jj_ms_t
+tokens_valid_ms(const jj_inline_t *jobs)
+{
+	jj_ms_t valid_ms = TOKENS_FACTOR * jobs->report_interval_ms;
+
+	return valid_ms > jobs->settings.state_fresh_ms
+	    ? valid_ms
+	    : jobs->settings.state_fresh_ms;
+}
+
 static void
 drop_old(jj_inline_t *jobs, jj_ms_t now)
 {
+	jj_ms_t keep_ms = KEEP_FACTOR * jobs->settings.state_fresh_ms;
 	jj_peer_state_t *peer_state;
 	jj_peer_state_t *next;
 
 	for (peer_state = TAILQ_FIRST(&jobs->peer_states); peer_state != NULL;
 	     peer_state = next) {
 		next = TAILQ_NEXT(peer_state, link);
-		if (now - peer_state->reported_at_ms <=
-		    KEEP_FACTOR * jobs->settings.state_fresh_ms)
+		if (now - peer_state->reported_at_ms <= keep_ms ||
+		    now - peer_state->reported_at_ms <= tokens_valid_ms(jobs))
 			continue;
 		TAILQ_REMOVE(&jobs->peer_states, peer_state, link);
 		free(peer_state);
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -187,6 +187,8 @@
 	jj_inline_call_t get;
 	/** Wait for the peer's answer until then; 0: not queried yet. */
 	jj_ms_t peer_ms;
+	jj_ms_t next_peer_ms; /**< it is not queried before */
+	bool peer_failed; /**< it could not answer: query the platform */
 	bool checks_job; /**< no result found: check that the job exists */
 
 	/* of an item's body */
@@ -211,6 +213,10 @@
 	struct jj_inline_op_list ops;
 	uint64_t last_token;
 	bool leaving;
+	/** interval between the reports of other VMs about their jobs */
+	jj_ms_t report_interval_ms;
+	/** two VMs notice each other's silence at most so long apart */
+	jj_ms_t silence_skew_ms;
 	jj_ms_t now_ms; /**< time of the current step, or the last one */
 	/** Heartbeats of some VM were missing then: see inline_ownership.c. */
 	jj_ms_t heartbeat_missing_ms;
@@ -252,6 +258,15 @@
 /** Queries that VM once for the results; true while its answer is awaited. */
 bool jj_inline_query_peer(
     jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out);
+/** The same for the body of an item. */
+bool jj_inline_query_peer_item(
+    jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out);
+/**
+ * Queries that VM again and again until there are results or the reader's wait
+ * is over. False when it is not known, not live or did not answer.
+ */
+bool jj_inline_poll_peer(
+    jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now, jj_actions_t *out);
 
 /* Callers' operations (inline_op.c). */
 /**
@@ -261,6 +276,12 @@
  */
 jj_bytes_t jj_inline_page_of_run(const jj_inline_t *jobs,
     const jj_inline_run_t *run, uint32_t after, size_t max_bytes);
+/** True when the run is known to have no results from @p after on yet. */
+bool jj_inline_has_nothing_new(
+    const jj_inline_t *jobs, const jj_inline_run_t *run, uint32_t after);
+/** Answers a read that there are no results from its position on yet. */
+void jj_inline_answer_nothing_new(
+    jj_inline_t *jobs, jj_inline_op_t *op, uint32_t total, jj_actions_t *out);
 
 /* Open entries (inline_open.c). */
 void jj_inline_init_open(jj_inline_t *jobs);
@@ -282,6 +303,12 @@
 /** The last report about a job, or NULL when there is none or it is too old. */
 const jj_peer_state_t *
 jj_inline_find_peer_state(const jj_inline_t *jobs, const char *id, jj_ms_t now);
+/** The last report about a job, however old, or NULL when there is none. */
+const jj_peer_state_t *
+jj_inline_find_old_peer_state(const jj_inline_t *jobs, const char *id);
+/** True when reports about a job count for the token limit of its route. */
+bool
+jj_inline_is_reported(const jj_inline_t *jobs, const char *id, jj_ms_t now);
 /** Tokens of the route's jobs at other VMs, by reports that are still valid. */
 uint64_t jj_inline_peer_tokens(
     const jj_inline_t *jobs, const jj_name_t *route, jj_ms_t now);
--- a/src/core/inline_watchdog.c
+++ b/src/core/inline_watchdog.c
@@ -274,7 +274,7 @@
 		return "write_under_way";
 	if (now < entry->retry_ms)
 		return "write_failed";
-	if (jobs->port.rank(jobs->port.ctx, entry->id) > 0)
+	if (jobs->port.rank(jobs->port.ctx, entry->id, 1) > 0)
 		return "not_chosen";
 	return entry->owner[0] == '\0' ? "look" : "owner_not_lost_yet";
 }
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -14,13 +14,15 @@
  * process.
  */
 #define PAUSE_ROUNDS 2
+/** Interval between checks for VMs without heartbeats, ms. */
+#define CHECK_INTERVAL_MS 50
 /** Initial capacity of the table of VMs. */
 #define PEERS_INITIAL 64
 
 static jj_peer_t *find_peer(const jj_member_t *, const jj_name_t *);
 static jj_peer_t *
 add_peer(jj_member_t *, const jj_name_t *, const jj_name_t *, const char *);
-static void remove_peer(jj_member_t *, size_t);
+static void remove_peer(jj_member_t *, jj_peer_t *);
 static jj_peer_t *learn_sender(jj_member_t *, const jj_message_t *);
 static bool accept_heartbeat(
     jj_member_t *, jj_peer_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
@@ -29,11 +31,12 @@
 static bool
 is_sign_of_life(const jj_member_t *, const jj_peer_t *, jj_ms_t, jj_ms_t);
 static bool is_newer(const jj_peer_t *, jj_ms_t);
-static void
-note_sign_of_life(jj_peer_t *, const char *, jj_ms_t, jj_ms_t, jj_actions_t *);
+static void note_sign_of_life(
+    jj_member_t *, jj_peer_t *, const char *, jj_ms_t, jj_ms_t, jj_actions_t *);
 static void log_silence(const jj_peer_t *, jj_ms_t, jj_actions_t *);
 static void reset_stats(jj_peer_t *);
 static void note_tick_gap(jj_member_t *, jj_ms_t);
+static void note_peer_gaps(jj_member_t *);
 static void discount_pause(jj_member_t *, jj_ms_t);
 static void check_silence(jj_member_t *, jj_ms_t, jj_actions_t *);
 
@@ -53,7 +56,9 @@
 	member->self.state = JJ_VM_STARTING;
 	(void)snprintf(member->self.address, sizeof(member->self.address), "%s",
 	    settings->address);
+	member->self.failure_domain = settings->failure_domain;
 	member->ticked_ms = JJ_MS_NEVER;
+	member->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	return member;
 }
 
@@ -62,6 +67,9 @@
 {
 	if (member == NULL)
 		return;
+	g_hash_table_destroy(member->by_name);
+	while (member->peer_count > 0)
+		free(member->peers[--member->peer_count]);
 	free(member->peers);
 	free(member->loads);
 	free(member);
@@ -83,7 +91,7 @@
 	if (peer != NULL && peer->info.live)
 		return;
 	if (peer != NULL && !jj_name_equal(&peer->info.domain, domain)) {
-		remove_peer(member, (size_t)(peer - member->peers));
+		remove_peer(member, peer);
 		peer = NULL;
 	}
 	if (peer == NULL) {
@@ -156,14 +164,47 @@
 void
 jj_member_tick(jj_member_t *member, jj_ms_t now, jj_actions_t *out)
 {
+	bool to_domain;
+
 	note_tick_gap(member, now);
 	discount_pause(member, now);
 	member->ticked_ms = now;
-	check_silence(member, now, out);
+	if (now >= member->next_check_ms) {
+		note_peer_gaps(member);
+		check_silence(member, now, out);
+		member->next_check_ms = now + CHECK_INTERVAL_MS;
+	}
 	if (now < member->next_ms)
 		return;
 	member->next_ms = now + member->settings.heartbeat_ms;
-	jj_member_send_round(member, now, out);
+	to_domain = now >= member->next_domain_ms;
+	if (to_domain)
+		member->next_domain_ms = now + jj_member_interval(member);
+	jj_member_send_round(member, to_domain, now, out);
+}
+
+jj_ms_t
+jj_member_interval(const jj_member_t *member)
+{
+	uint32_t vms = member->settings.heartbeat_vms;
+	size_t factor = 0;
+
+	if (vms > 0)
+		factor = 2 * member->domain_peer_count / vms;
+	return member->settings.heartbeat_ms *
+	    (jj_ms_t)(factor > 1 ? factor : 1);
+}
+
+jj_ms_t
+jj_member_suspect_ms(const jj_member_t *member, const jj_peer_t *peer)
+{
+	const jj_member_settings_t *settings = &member->settings;
+	size_t factor = 1;
+
+	if (settings->heartbeat_vms > 0 &&
+	    jj_name_equal(&peer->info.domain, &member->self.domain))
+		factor += member->domain_peer_count / settings->heartbeat_vms;
+	return settings->suspect_ms * (jj_ms_t)factor;
 }
 
 jj_ms_t
@@ -178,6 +219,7 @@
 	member->self.state = state;
 	/* Notifies neighbours of a planned stop at once. */
 	member->next_ms = 0;
+	member->next_domain_ms = 0;
 }
 
 void
@@ -208,8 +250,8 @@
 	size_t i;
 
 	for (i = 0; i < member->peer_count; i++)
-		if (member->peers[i].info.config_version > newest)
-			newest = member->peers[i].info.config_version;
+		if (member->peers[i]->info.config_version > newest)
+			newest = member->peers[i]->info.config_version;
 	return newest;
 }
 
@@ -266,7 +308,7 @@
 	size_t i;
 
 	for (i = 0; i < member->peer_count; i++)
-		if (jj_name_equal(&member->peers[i].info.domain, domain))
+		if (jj_name_equal(&member->peers[i]->info.domain, domain))
 			return true;
 	return false;
 }
@@ -276,8 +318,8 @@
 {
 	size_t i;
 
-	for (i = 0; i < member->peer_count; i++) {
-		jj_peer_t *peer = &member->peers[i];
+	for (i = 0; member->has_arrivals && i < member->peer_count; i++) {
+		jj_peer_t *peer = member->peers[i];
 
 		if (!peer->arrival_pending)
 			continue;
@@ -285,6 +327,7 @@
 		*name = peer->info.name;
 		return true;
 	}
+	member->has_arrivals = false;
 	return false;
 }
 
@@ -298,7 +341,7 @@
 	size_t i;
 
 	for (i = 0; i < member->peer_count; i++) {
-		const jj_member_info_t *info = &member->peers[i].info;
+		const jj_member_info_t *info = &member->peers[i]->info;
 
 		if (!jj_name_equal(&info->domain, domain) ||
 		    !jj_member_is_serving(info))
@@ -329,7 +372,7 @@
 	size_t i;
 
 	for (i = 0; i < member->peer_count && i < most; i++)
-		infos[i] = member->peers[i].info;
+		infos[i] = member->peers[i]->info;
 	return i;
 }
 
@@ -348,7 +391,7 @@
 		found = true;
 	}
 	for (i = 0; i < member->peer_count; i++) {
-		const jj_member_info_t *info = &member->peers[i].info;
+		const jj_member_info_t *info = &member->peers[i]->info;
 		uint64_t weight;
 
 		if (!jj_name_equal(&info->domain, domain) ||
@@ -364,6 +407,23 @@
 	return found;
 }
 
+uint32_t
+jj_member_rank(const jj_member_t *member, uint64_t item, uint32_t limit)
+{
+	uint64_t own = jj_rendezvous_weight(member->self.name.text, item);
+	uint32_t rank = 0;
+	size_t i;
+
+	for (i = 0; i < member->peer_count && rank < limit; i++) {
+		const jj_member_info_t *info = &member->peers[i]->info;
+
+		rank += jj_rendezvous_weight(info->name.text, item) > own &&
+		    jj_member_is_serving(info) &&
+		    jj_name_equal(&info->domain, &member->self.domain);
+	}
+	return rank;
+}
+
 bool
 jj_member_is_speaker(const jj_member_t *member)
 {
@@ -372,7 +432,7 @@
 	if (!jj_member_is_serving(&member->self))
 		return false;
 	for (i = 0; i < member->peer_count; i++) {
-		const jj_member_info_t *info = &member->peers[i].info;
+		const jj_member_info_t *info = &member->peers[i]->info;
 
 		if (jj_name_equal(&info->domain, &member->self.domain) &&
 		    jj_member_is_serving(info) &&
@@ -398,12 +458,7 @@
 static jj_peer_t *
 find_peer(const jj_member_t *member, const jj_name_t *name)
 {
-	size_t i;
-
-	for (i = 0; i < member->peer_count; i++)
-		if (jj_name_equal(&member->peers[i].info.name, name))
-			return (jj_peer_t *)&member->peers[i];
-	return NULL;
+	return g_hash_table_lookup(member->by_name, name->text);
 }
 
 static jj_peer_t *
@@ -416,11 +471,11 @@
 	if (member->peer_count == member->peer_capacity) {
 		member->peer_capacity =
 		    2 * member->peer_capacity + PEERS_INITIAL;
-		member->peers = jj_realloc(member->peers,
-		    member->peer_capacity * sizeof(*member->peers));
+		member->peers = jj_realloc(
+		    member->peers, member->peer_capacity * sizeof(void *));
 	}
 	for (; at < member->peer_count; at++) {
-		const jj_member_info_t *info = &member->peers[at].info;
+		const jj_member_info_t *info = &member->peers[at]->info;
 		int order = strcmp(info->domain.text, domain->text);
 
 		if (order == 0)
@@ -428,10 +483,13 @@
 		if (order > 0)
 			break;
 	}
-	peer = &member->peers[at];
-	memmove(peer + 1, peer, (member->peer_count - at) * sizeof(*peer));
+	peer = jj_alloc(sizeof(*peer));
+	memmove(&member->peers[at + 1], &member->peers[at],
+	    (member->peer_count - at) * sizeof(void *));
+	member->peers[at] = peer;
 	member->peer_count++;
-	memset(peer, 0, sizeof(*peer));
+	member->domain_peer_count +=
+	    jj_name_equal(domain, &member->self.domain);
 	peer->info.name = *name;
 	peer->info.domain = *domain;
 	peer->info.heard_ms = JJ_MS_NEVER;
@@ -441,16 +499,24 @@
 	reset_stats(peer);
 	(void)snprintf(
 	    peer->info.address, sizeof(peer->info.address), "%s", address);
+	(void)g_hash_table_insert(member->by_name, peer->info.name.text, peer);
 	return peer;
 }
 
 static void
-remove_peer(jj_member_t *member, size_t at)
+remove_peer(jj_member_t *member, jj_peer_t *peer)
 {
-	jj_peer_t *peer = &member->peers[at];
+	size_t at = 0;
 
+	while (member->peers[at] != peer)
+		at++;
+	(void)g_hash_table_remove(member->by_name, peer->info.name.text);
+	member->domain_peer_count -=
+	    jj_name_equal(&peer->info.domain, &member->self.domain);
 	member->peer_count--;
-	memmove(peer, peer + 1, (member->peer_count - at) * sizeof(*peer));
+	memmove(&member->peers[at], &member->peers[at + 1],
+	    (member->peer_count - at) * sizeof(void *));
+	free(peer);
 }
 
 /*
@@ -460,9 +526,15 @@
 static jj_peer_t *
 learn_sender(jj_member_t *member, const jj_message_t *message)
 {
-	jj_member_add_vm(member, &message->from,
-	    &message->body.heartbeat.domain, message->body.heartbeat.address);
-	return find_peer(member, &message->from);
+	const jj_heartbeat_t *heartbeat = &message->body.heartbeat;
+	jj_peer_t *peer;
+
+	jj_member_add_vm(
+	    member, &message->from, &heartbeat->domain, heartbeat->address);
+	peer = find_peer(member, &message->from);
+	if (peer != NULL)
+		peer->info.failure_domain = heartbeat->failure_domain;
+	return peer;
 }
 
 static bool
@@ -478,7 +550,8 @@
 	if (is_sign_of_life(member, peer, written, now)) {
 		if (is_newer(peer, written))
 			peer->acked_ms = written;
-		note_sign_of_life(peer, "heartbeat", peer->acked_ms, now, out);
+		note_sign_of_life(
+		    member, peer, "heartbeat", peer->acked_ms, now, out);
 	} else {
 		peer->log_stats.ignored_heartbeats++;
 		jj_member_send_probe(member, peer, now, out);
@@ -507,13 +580,14 @@
 is_sign_of_life(const jj_member_t *member, const jj_peer_t *peer,
     jj_ms_t written, jj_ms_t now)
 {
+	jj_ms_t suspect_ms = jj_member_suspect_ms(member, peer);
+
 	if (written == JJ_MS_NEVER)
 		return false;
-	if (now - written <= member->settings.suspect_ms)
+	if (now - written <= suspect_ms)
 		return true;
 	return peer->info.live && is_newer(peer, written) &&
-	    now - written <=
-	    JJ_MEMBER_ACK_AGE_FACTOR * member->settings.suspect_ms;
+	    now - written <= JJ_MEMBER_ACK_AGE_FACTOR * suspect_ms;
 }
 
 static bool
@@ -541,6 +615,7 @@
 		    (unsigned long long)peer->info.incarnation);
 		peer->info.incarnation = message->incarnation;
 		peer->arrival_pending = true;
+		member->has_arrivals = true;
 		peer->info.state = JJ_VM_STARTING;
 		peer->info.config_version = 0;
 		peer->info.slots_version = 0;
@@ -549,7 +624,7 @@
 	}
 	if (message->sequence > peer->sequence)
 		peer->sequence = message->sequence;
-	note_sign_of_life(peer, "echo", peer->probed_ms, now, out);
+	note_sign_of_life(member, peer, "echo", peer->probed_ms, now, out);
 }
 
 /**
@@ -558,8 +633,8 @@
  * answers.
  */
 static void
-note_sign_of_life(jj_peer_t *peer, const char *sign, jj_ms_t asked, jj_ms_t now,
-    jj_actions_t *out)
+note_sign_of_life(jj_member_t *member, jj_peer_t *peer, const char *sign,
+    jj_ms_t asked, jj_ms_t now, jj_actions_t *out)
 {
 	if (!peer->info.live)
 		jj_actions_add_event(out, "vm_live",
@@ -576,6 +651,7 @@
 		return;
 	peer->info.live = true;
 	peer->arrival_pending = true;
+	member->has_arrivals = true;
 }
 
 /*
@@ -607,15 +683,20 @@
 static void
 note_tick_gap(jj_member_t *member, jj_ms_t now)
 {
-	jj_ms_t gap;
+	if (member->ticked_ms != JJ_MS_NEVER &&
+	    now - member->ticked_ms > member->gap_ms)
+		member->gap_ms = now - member->ticked_ms;
+}
+
+static void
+note_peer_gaps(jj_member_t *member)
+{
 	size_t i;
 
-	if (member->ticked_ms == JJ_MS_NEVER)
-		return;
-	gap = now - member->ticked_ms;
 	for (i = 0; i < member->peer_count; i++)
-		if (member->peers[i].log_stats.gap_ms < gap)
-			member->peers[i].log_stats.gap_ms = gap;
+		if (member->peers[i]->log_stats.gap_ms < member->gap_ms)
+			member->peers[i]->log_stats.gap_ms = member->gap_ms;
+	member->gap_ms = 0;
 }
 
 /*
@@ -635,7 +716,7 @@
 		return;
 	gap = now - member->ticked_ms;
 	for (i = 0; i < member->peer_count; i++) {
-		jj_peer_t *peer = &member->peers[i];
+		jj_peer_t *peer = member->peers[i];
 
 		if (peer->info.live)
 			peer->info.heard_ms += gap;
@@ -650,17 +731,18 @@
 	size_t i;
 
 	for (i = member->peer_count; i-- > 0;) {
-		jj_peer_t *peer = &member->peers[i];
+		jj_peer_t *peer = member->peers[i];
 
 		if (peer->last_contact_ms == JJ_MS_NEVER)
 			peer->last_contact_ms = now;
 		if (peer->info.live &&
-		    now - peer->info.heard_ms >= member->settings.suspect_ms) {
+		    now - peer->info.heard_ms >=
+			jj_member_suspect_ms(member, peer)) {
 			peer->info.live = false;
 			log_silence(peer, now, out);
 		}
 		if (!peer->info.live &&
 		    now - peer->last_contact_ms >= member->settings.forget_ms)
-			remove_peer(member, i);
+			remove_peer(member, peer);
 	}
 }
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -19,6 +19,10 @@
  * VM that is live stays live while its heartbeats acknowledge newer and newer
  * messages, however long they are in transit (JJ_MEMBER_ACK_AGE_FACTOR).
  *
+ * In a domain of more than heartbeat_vms VMs the interval of heartbeats, and the
+ * time until a VM is suspected, grow with the number of VMs, so that a VM sends
+ * and receives about the same number of heartbeats a second.
+ *
  * Missing heartbeats make a VM a suspect: it gets no new work. They do not
  * prove that it failed: its work is taken over only after lost_ms without a
  * heartbeat, or when its process was replaced.
@@ -42,7 +46,15 @@
 	jj_incarnation_t incarnation;
 	/** address under which neighbours reach this VM */
 	char address[JJ_NAME_MAX + 1];
+	jj_name_t failure_domain; /**< reported in heartbeats */
 	jj_ms_t heartbeat_ms; /**< interval between heartbeats; default 500 */
+	/**
+	 * From so many other VMs in the domain on, the interval between
+	 * heartbeats is twice heartbeat_ms for each so many of them, and the
+	 * time until a VM is suspected is longer by suspect_ms for each; 0:
+	 * they stay as they are.
+	 */
+	uint32_t heartbeat_vms;
 	/** time without heartbeat until a VM is suspected; default 2000 */
 	jj_ms_t suspect_ms;
 	/**
@@ -60,6 +72,7 @@
 typedef struct {
 	jj_name_t name;
 	jj_name_t domain;
+	jj_name_t failure_domain; /**< empty: no heartbeat yet */
 	char address[JJ_NAME_MAX + 1];
 	jj_incarnation_t incarnation; /**< 0: not verified by a probe yet */
 	bool live; /**< sent a sign of life within suspect_ms */
@@ -114,6 +127,8 @@
  * checks for VMs that sent none.
  */
 void jj_member_tick(jj_member_t *member, jj_ms_t now, jj_actions_t *out);
+/** Interval between heartbeats to the own domain, by its size. */
+jj_ms_t jj_member_interval(const jj_member_t *member);
 /** Time of the next tick. */
 jj_ms_t jj_member_next(const jj_member_t *member);
 /** Sets the state that the next heartbeats report. */
@@ -163,6 +178,12 @@
  */
 bool jj_member_choose(const jj_member_t *member, const jj_name_t *domain,
     uint64_t item, jj_name_t *chosen);
+/**
+ * How many live VMs of this VM's domain have a greater rendezvous weight for an
+ * item than it has; counted up to @p limit.
+ */
+uint32_t
+jj_member_rank(const jj_member_t *member, uint64_t item, uint32_t limit);
 /** True when this VM is the speaker of its domain. */
 bool jj_member_is_speaker(const jj_member_t *member);
 /**
--- a/src/core/member_signal.c
+++ b/src/core/member_signal.c
@@ -47,7 +47,8 @@
 }
 
 void
-jj_member_send_round(jj_member_t *member, jj_ms_t now, jj_actions_t *out)
+jj_member_send_round(
+    jj_member_t *member, bool to_domain, jj_ms_t now, jj_actions_t *out)
 {
 	jj_round_t *round =
 	    &member->rounds[member->round_count % JJ_MEMBER_ROUNDS_MAX];
@@ -56,8 +57,8 @@
 	round->sequence = member->sequence + 1;
 	round->sent_ms = now;
 	member->round_count++;
-	for (i = 0; i < member->peer_count; i++) {
-		const jj_peer_t *peer = &member->peers[i];
+	for (i = 0; to_domain && i < member->peer_count; i++) {
+		const jj_peer_t *peer = member->peers[i];
 
 		if (jj_name_equal(&peer->info.domain, &member->self.domain))
 			send_heartbeat(member, peer, out);
@@ -112,6 +113,7 @@
 
 	heartbeat->state = member->self.state;
 	heartbeat->domain = member->self.domain;
+	heartbeat->failure_domain = member->self.failure_domain;
 	memcpy(heartbeat->address, member->self.address,
 	    sizeof(heartbeat->address));
 	heartbeat->config_version = member->self.config_version;
@@ -137,11 +139,11 @@
 	size_t end;
 
 	for (start = 0; start < member->peer_count; start = end) {
-		const jj_name_t *domain = &member->peers[start].info.domain;
+		const jj_name_t *domain = &member->peers[start]->info.domain;
 
 		end = start;
 		while (end < member->peer_count &&
-		    jj_name_equal(&member->peers[end].info.domain, domain))
+		    jj_name_equal(&member->peers[end]->info.domain, domain))
 			end++;
 		if (!jj_name_equal(domain, &member->self.domain))
 			send_to_domain(member, start, end, now, out);
@@ -165,7 +167,7 @@
 
 	JJ_INVARIANT(start < end);
 	while (speaker < end &&
-	    !jj_member_is_serving(&member->peers[speaker].info))
+	    !jj_member_is_serving(&member->peers[speaker]->info))
 		speaker++;
 	/*
 	 * The two domains must not settle on different pairs of speakers: the
@@ -174,17 +176,17 @@
 	 */
 	if (speaker > start && speaker < end)
 		jj_member_send_probe(member,
-		    &member->peers[start + rotation % (speaker - start)], now,
+		    member->peers[start + rotation % (speaker - start)], now,
 		    out);
 	if (speaker == end)
 		speaker = start + rotation % (end - start);
-	send_heartbeat(member, &member->peers[speaker], out);
+	send_heartbeat(member, member->peers[speaker], out);
 	/*
 	 * That VM may not know this one as its domain's speaker and then sends
 	 * no heartbeats; a probe shows that it is live all the same.
 	 */
-	info = &member->peers[speaker].info;
+	info = &member->peers[speaker]->info;
 	if (info->heard_ms == JJ_MS_NEVER ||
 	    now - info->heard_ms >= probe_after_ms)
-		jj_member_send_probe(member, &member->peers[speaker], now, out);
+		jj_member_send_probe(member, member->peers[speaker], now, out);
 }
--- a/src/core/member_state.h
+++ b/src/core/member_state.h
@@ -5,6 +5,8 @@
 #ifndef JJ_CORE_MEMBER_STATE_H
 #define JJ_CORE_MEMBER_STATE_H
 
+#include <glib.h>
+
 #include "core/member.h"
 
 /** Number of heartbeat rounds whose sequence and time are kept. */
@@ -58,24 +60,34 @@
 	uint64_t sequence;
 	uint64_t nonce_count;
 	jj_ms_t ticked_ms; /**< JJ_MS_NEVER before the first tick */
+	jj_ms_t gap_ms; /**< longest gap between ticks since the last check */
+	jj_ms_t next_check_ms; /**< next check for VMs without heartbeats */
 	jj_ms_t next_ms;
+	jj_ms_t next_domain_ms; /**< next round to the own domain */
 	jj_round_t rounds[JJ_MEMBER_ROUNDS_MAX];
 	uint64_t round_count;
 	uint32_t load_count;
 	jj_load_t *loads; /**< owned */
 	size_t peer_count;
 	size_t peer_capacity; /**< that fit into the array */
-	jj_peer_t *peers; /**< owned; ordered by domain and name */
+	size_t domain_peer_count; /**< of them, in the own domain */
+	jj_peer_t **peers; /**< owned; ordered by domain and name */
+	GHashTable *by_name; /**< index of the peers */
+	bool has_arrivals; /**< some peer may have arrival_pending set */
 };
 
+/** Time without heartbeat until that VM is suspected. */
+jj_ms_t jj_member_suspect_ms(const jj_member_t *member, const jj_peer_t *peer);
+
 /** True when the VM may be given work: live and not leaving. */
 bool jj_member_is_serving(const jj_member_info_t *info);
 
 /**
- * Sends a round of heartbeats, also to other domains when this VM is the
- * speaker.
+ * Sends a round of heartbeats: to the own domain when @p to_domain is set, and
+ * to other domains when this VM is the speaker.
  */
-void jj_member_send_round(jj_member_t *member, jj_ms_t now, jj_actions_t *out);
+void jj_member_send_round(
+    jj_member_t *member, bool to_domain, jj_ms_t now, jj_actions_t *out);
 /**
  * Probes a VM, at most once per heartbeat_ms. The same nonce is sent again
  * while an echo may still come in time.
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -12,7 +12,7 @@
 #include "core/platform_call.h"
 
 /** Protocol version; messages of another version are dropped and counted. */
-#define JJ_MESSAGE_VERSION 2
+#define JJ_MESSAGE_VERSION 3
 /** Maximum bytes of documents, bodies and events in one message. */
 #define JJ_MESSAGE_BYTES_MAX (4 * 1048576)
 /** Maximum servers in one message of changed loads. */
@@ -23,6 +23,8 @@
 #define JJ_MESSAGE_RECORDS_MAX 64
 /** Size of a job id in a message, with its NUL. */
 #define JJ_MESSAGE_JOB_ID_SIZE 128
+/** Size of an item's id in a message, with its NUL. */
+#define JJ_MESSAGE_ITEM_ID_SIZE 128
 /** Maximum jobs in one message of job states. */
 #define JJ_MESSAGE_JOB_STATES_MAX 64
 /** Maximum server crashes that are kept and sent per request. */
@@ -68,7 +70,7 @@
 	 */
 	JJ_MESSAGE_BORROW,
 	JJ_MESSAGE_BORROW_RESULT, /**< the result of such a call */
-	/** requests results of a job of the receiver, for a reader */
+	/** requests results or an item of the receiver's job, for a reader */
 	JJ_MESSAGE_JOB_READ,
 	/** the results, or none: read them from the platform */
 	JJ_MESSAGE_JOB_PAGE,
@@ -93,6 +95,7 @@
 typedef struct {
 	jj_vm_state_t state;
 	jj_name_t domain;
+	jj_name_t failure_domain;
 	/** IP:PORT that neighbours connect to */
 	char address[JJ_NAME_MAX + 1];
 	uint64_t config_version;
@@ -298,10 +301,18 @@
 			/** operation of the requesting VM */
 			uint64_t operation;
 			char job[JJ_MESSAGE_JOB_ID_SIZE];
+			/** read this item's body; empty: read results */
+			char item[JJ_MESSAGE_ITEM_ID_SIZE];
 			uint32_t after;
 			/**
-			 * Of the answer: the page as readers get it; empty:
-			 * none.
+			 * Of an answer without a page: items of the job, when
+			 * it has no results from `after` on yet; 0: the sender
+			 * can't tell. Of an item: 1 when `page` is its body.
+			 */
+			uint32_t total;
+			/**
+			 * Of the answer: the page as readers get it, or the
+			 * body of the item; empty: none.
 			 */
 			jj_bytes_t page;
 		} job_page; /**< also JOB_READ, without a page */
--- a/src/core/platform_call.h
+++ b/src/core/platform_call.h
@@ -36,6 +36,9 @@
 	JJ_PLATFORM_SET_STATUS, /**< put the object's status */
 } jj_platform_op_t;
 
+/** Short name of a call, for logs and metrics. */
+const char *jj_platform_op_name(jj_platform_op_t op);
+
 /** One platform call. */
 typedef struct {
 	jj_owner_t owner;
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -53,7 +53,7 @@
 static void set_info(jj_slots_t *, jj_slot_server_t *, const jj_slot_info_t *);
 static jj_slot_server_t *replace_server(
     jj_slots_t *, jj_slot_server_t *, const jj_slot_info_t *, jj_ms_t);
-static void unlist(jj_slot_server_t *, jj_ms_t);
+static void unlist(jj_slots_t *, jj_slot_server_t *, jj_ms_t);
 static void classify_missing(jj_slots_t *, jj_ms_t);
 static bool is_missing(const jj_slot_server_t *, jj_ms_t);
 static uint64_t hash_of(const jj_slot_info_t *);
@@ -70,6 +70,8 @@
 	slots->near_vms = 1;
 	TAILQ_INIT(&slots->servers);
 	slots->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	slots->neighbours = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, jj_slots_free_vm);
 	return slots;
 }
 
@@ -83,6 +85,8 @@
 	while ((server = TAILQ_FIRST(&slots->servers)) != NULL)
 		remove_server(slots, server);
 	g_hash_table_destroy(slots->by_hash);
+	g_hash_table_destroy(slots->neighbours);
+	free(slots->users);
 	free(slots);
 }
 
@@ -99,8 +103,9 @@
 		if (!server->has_old_start)
 			server->old_start_ms = now;
 		server->has_old_start = true;
+		slots->has_old_starts = true;
 		server->old_start_info = *info;
-		unlist(server, now);
+		unlist(slots, server, now);
 		return JJ_SLOTS_OLD_START;
 	}
 	if (info->started_ms > server->info.started_ms) {
@@ -122,15 +127,20 @@
 {
 	jj_slot_server_t *server;
 	jj_slot_info_t old_start_info;
+	bool has_old_starts = false;
 
+	if (!slots->has_old_starts)
+		return NULL;
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
+		has_old_starts = has_old_starts || server->has_old_start;
 		if (!server->has_old_start ||
 		    now - server->old_start_ms < OLD_START_ACCEPT_MS)
 			continue;
 		old_start_info = server->old_start_info;
 		return replace_server(slots, server, &old_start_info, now);
 	}
+	slots->has_old_starts = has_old_starts;
 	return NULL;
 }
 
@@ -143,7 +153,7 @@
 	{
 		if (!server->listed)
 			continue;
-		unlist(server, JJ_MS_NEVER);
+		unlist(slots, server, JJ_MS_NEVER);
 	}
 }
 
@@ -155,7 +165,7 @@
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
 		if (!server->listed && server->unlisted_ms == JJ_MS_NEVER)
-			unlist(server, until);
+			unlist(slots, server, until);
 	}
 	classify_missing(slots, now);
 }
@@ -173,7 +183,7 @@
 	 * For a server that is missing already, the deadline is not extended.
 	 */
 	if (server->listed || until < server->relist_until_ms)
-		unlist(server, until);
+		unlist(slots, server, until);
 	classify_missing(slots, now);
 }
 
@@ -182,15 +192,20 @@
 {
 	jj_slot_server_t *server;
 	jj_slot_server_t *next;
+	bool has_unlisted = false;
 
+	if (!slots->has_unlisted)
+		return;
 	for (server = TAILQ_FIRST(&slots->servers); server != NULL;
 	     server = next) {
 		next = TAILQ_NEXT(server, link);
+		has_unlisted = has_unlisted || !server->listed;
 		if (!server->listed && now >= server->unlisted_ms &&
 		    now >= server->relist_until_ms && !server->has_old_start &&
 		    server->online + server->batch == 0)
 			remove_server(slots, server);
 	}
+	slots->has_unlisted = has_unlisted;
 }
 
 jj_slot_server_t *
@@ -345,6 +360,7 @@
 	jj_slot_server_t *server = jj_alloc(sizeof(*server));
 
 	server->hash = hash_of(info);
+	server->used = true;
 	TAILQ_INSERT_TAIL(&slots->servers, server, link);
 	(void)g_hash_table_replace(slots->by_hash, &server->hash, server);
 	set_info(slots, server, info);
@@ -369,13 +385,14 @@
 	server->replaced = true;
 	server->replaced_ms = now;
 	server->has_old_start = false;
-	unlist(server, now);
+	unlist(slots, server, now);
 	return add_server(slots, info);
 }
 
 static void
-unlist(jj_slot_server_t *server, jj_ms_t until)
+unlist(jj_slots_t *slots, jj_slot_server_t *server, jj_ms_t until)
 {
+	slots->has_unlisted = true;
 	server->listed = false;
 	server->unlisted_ms = until;
 	server->relist_until_ms = until;
@@ -440,6 +457,6 @@
 	TAILQ_REMOVE(&slots->servers, server, link);
 	if (jj_slots_find_hash(slots, server->hash) == server)
 		(void)g_hash_table_remove(slots->by_hash, &server->hash);
-	free(server->neighbours);
+	jj_slots_clear_neighbours(slots, server);
 	free(server);
 }
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -16,7 +16,9 @@
  * loads would all choose the same server at once, so each considers only some
  * of the servers: of its own domain a few chosen at random for each request, of
  * other domains a fixed few, so that a remote server is assigned to two VMs of
- * other domains.
+ * other domains. In a large failure domain each VM uses a subset of the domain's
+ * servers (slots_subset.c), and changes of its loads go only to the VMs that use
+ * the same server.
  */
 #ifndef JJ_CORE_SLOTS_H
 #define JJ_CORE_SLOTS_H
@@ -42,13 +44,37 @@
 	bool draining; /**< accepts no new requests */
 } jj_slot_info_t;
 
+struct jj_slot_server;
+
+/** Another VM that has requests at servers. */
+typedef struct {
+	jj_name_t name;
+	size_t server_count;
+	struct jj_slot_server **servers; /**< owned; where it has requests */
+} jj_slot_vm_t;
+
 /** Load of one neighbour at a server. */
 typedef struct {
-	jj_name_t vm;
+	jj_slot_vm_t *vm;
 	uint32_t online;
 	uint32_t batch;
 } jj_slot_neighbour_t;
 
+/** A live VM and its failure domain. */
+typedef struct {
+	jj_name_t name;
+	jj_name_t domain;
+} jj_slot_user_t;
+
+/** Which VMs of its failure domain use a server. */
+typedef struct {
+	size_t first_vm; /**< index of the domain's first VM */
+	uint32_t vms; /**< VMs of the domain; 0: not known */
+	uint32_t position; /**< of the server among those of its service */
+	uint32_t servers; /**< of the same service and domain */
+	uint32_t subset; /**< how many of them each VM uses */
+} jj_slot_subset_t;
+
 /**
  * The VMs that a load report goes to. Those of this failure domain get reports
  * more often.
@@ -69,6 +95,8 @@
 	jj_slot_info_t info;
 	uint64_t hash; /**< hash of its id and its start time */
 	bool local; /**< in this VM's failure domain */
+	bool used; /**< of a local server: in this VM's subset */
+	jj_slot_subset_t subset;
 	bool listed; /**< the platform's list contains it */
 	jj_ms_t unlisted_ms; /**< when not listed: no new requests from this
 				  time */
@@ -172,6 +200,18 @@
  * domain, this VM included, and @p far in others.
  */
 void jj_slots_set_vms(jj_slots_t *slots, uint32_t near, uint32_t far);
+/**
+ * Chooses which servers of its failure domain each VM uses.
+ * @param users the live VMs of all failure domains, this VM included.
+ */
+void jj_slots_set_users(
+    jj_slots_t *slots, const jj_slot_user_t *users, size_t count);
+/**
+ * Lists the other VMs that use a server of their failure domain.
+ * @return how many; the names are valid until the next jj_slots_set_users().
+ */
+size_t jj_slots_list_users(const jj_slots_t *slots,
+    const jj_slot_server_t *server, const jj_name_t **names, size_t max_count);
 /** The first server; iterate with TAILQ_NEXT. */
 jj_slot_server_t *jj_slots_first(const jj_slots_t *slots);
 
@@ -237,6 +277,9 @@
     const jj_load_t *loads, uint32_t count, bool whole);
 /** Removes the loads of a neighbour that is gone. */
 void jj_slots_forget_neighbour(jj_slots_t *slots, const jj_name_t *vm);
+/** Removes the loads of the neighbours for which @p is_gone is true. */
+void jj_slots_forget_neighbours(jj_slots_t *slots,
+    bool (*is_gone)(void *ctx, const jj_name_t *vm), void *ctx);
 /**
  * Loads of this VM that changed since the last report to this scope; marks them
  * as reported.
--- a/src/core/slots_choose.c
+++ b/src/core/slots_choose.c
@@ -59,13 +59,27 @@
 #define SAMPLE_SHARES 2
 #define SAMPLE_MIN 3
 
+/*
+ * When the servers that this VM uses are full, a request considers this many of
+ * the others, chosen at random. Their loads are known only from heartbeats: the
+ * one that seems emptiest would be chosen by all VMs.
+ */
+#define OTHERS_SAMPLE 3
+
+/** Shares of the servers that one choice considers, 0 to 1. */
+typedef struct {
+	double assigned; /**< of those that this VM uses */
+	double others;
+} shares_t;
+
 static jj_slot_server_t *choose_server(
-    jj_slots_t *, const jj_slots_criteria_t *, jj_ms_t, double, bool *);
+    jj_slots_t *, const jj_slots_criteria_t *, jj_ms_t, shares_t, bool *);
 static bool is_full(const jj_slots_t *, const jj_slot_server_t *);
 static bool is_soon_enough(
     const jj_slot_server_t *, const jj_slots_criteria_t *, double, double);
 static double mean_service_time(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static double sample_share(const jj_slots_t *, const jj_name_t *);
+static double others_share(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static double random_value(const jj_slots_t *, const jj_slot_server_t *);
 static bool is_assigned(const jj_slots_t *, const jj_slot_server_t *);
 static bool has_assigned(const jj_slots_t *, const jj_name_t *, jj_ms_t);
@@ -80,15 +94,19 @@
 jj_slots_choose_online(jj_slots_t *slots, const jj_slots_criteria_t *criteria,
     jj_ms_t now, bool *full)
 {
+	shares_t shares = {sample_share(slots, criteria->service), 0};
 	jj_slot_server_t *best;
 
 	slots->sequence++;
-	best = choose_server(
-	    slots, criteria, now, sample_share(slots, criteria->service), full);
-	/* The sampled servers were full or none was up: consider all. */
-	if (best == NULL || jj_slot_server_taken(best) >= best->info.slots)
-		best = choose_server(slots, criteria, now, 1, full);
-	return best;
+	best = choose_server(slots, criteria, now, shares, full);
+	if (best != NULL && jj_slot_server_taken(best) < best->info.slots)
+		return best;
+	shares = (shares_t){1, others_share(slots, criteria->service, now)};
+	best = choose_server(slots, criteria, now, shares, full);
+	if (best != NULL || shares.others >= 1)
+		return best;
+	shares.others = 1;
+	return choose_server(slots, criteria, now, shares, full);
 }
 
 jj_slot_server_t *
@@ -154,13 +172,12 @@
 }
 
 /**
- * The cheapest of the sampled servers, each of which is in the sample with
- * probability @p share; with 1 of all servers, also those assigned to other
- * VMs.
+ * The cheapest of the sampled servers, each of which is in the sample with the
+ * probability that @p shares gives.
  */
 static jj_slot_server_t *
 choose_server(jj_slots_t *slots, const jj_slots_criteria_t *criteria,
-    jj_ms_t now, double share, bool *full)
+    jj_ms_t now, shares_t shares, bool *full)
 {
 	double best_ms = fastest(slots, criteria->service, now);
 	double service_ms = mean_service_time(slots, criteria->service, now);
@@ -176,8 +193,8 @@
 
 		if (!is_candidate(server, criteria->service, NULL, now))
 			continue;
-		if (share < 1 &&
-		    (value >= share || !is_assigned(slots, server)))
+		if (value >= (is_assigned(slots, server) ? shares.assigned
+							 : shares.others))
 			continue;
 		if (is_full(slots, server) ||
 		    !is_soon_enough(server, criteria, best_ms, service_ms)) {
@@ -240,22 +257,41 @@
 	return best_ms + wait_ms <= within;
 }
 
-/** Share of the servers that one request considers. */
+/** Share of the servers that this VM uses which one request considers. */
 static double
 sample_share(const jj_slots_t *slots, const jj_name_t *service)
 {
 	const jj_slot_server_t *server;
 	double sample = SAMPLE_MIN;
 	uint32_t count = 0;
+	uint32_t used = 0;
 
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
-		count += server->local &&
-		    jj_name_equal(&server->info.service, service);
+		if (!server->local ||
+		    !jj_name_equal(&server->info.service, service))
+			continue;
+		count++;
+		used += server->used;
 	}
 	if (SAMPLE_SHARES * (double)count / slots->near_vms > sample)
 		sample = SAMPLE_SHARES * (double)count / slots->near_vms;
-	return count > 0 && sample < count ? sample / count : 1;
+	return used > 0 && sample < used ? sample / used : 1;
+}
+
+/** Share of the servers that this VM does not use, when the used are full. */
+static double
+others_share(const jj_slots_t *slots, const jj_name_t *service, jj_ms_t now)
+{
+	const jj_slot_server_t *server;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		count += is_candidate(server, service, NULL, now) &&
+		    !is_assigned(slots, server);
+	}
+	return count > OTHERS_SAMPLE ? (double)OTHERS_SAMPLE / count : 1;
 }
 
 /** A random number from 0 to 1, different for each server and request. */
@@ -268,11 +304,13 @@
 	return (double)(hash & 0xffff) / 0x10000;
 }
 
-/** False for a server of another domain that is assigned to other VMs. */
+/** False for a server that is left to other VMs. */
 static bool
 is_assigned(const jj_slots_t *slots, const jj_slot_server_t *server)
 {
-	if (server->local || slots->far_vms < REMOTE_VMS_UNASSIGNED_MAX)
+	if (server->local)
+		return server->used;
+	if (slots->far_vms < REMOTE_VMS_UNASSIGNED_MAX)
 		return true;
 	return jj_rendezvous_weight(slots->settings.name.text, server->hash) %
 	    slots->far_vms <
--- a/src/core/slots_state.h
+++ b/src/core/slots_state.h
@@ -17,10 +17,20 @@
 	struct jj_slot_list servers;
 	GHashTable *by_hash; /**< index by hash, to look up loads of other
 				  VMs */
+	GHashTable *neighbours; /**< VMs with requests, by name; owned */
+	size_t user_count;
+	jj_slot_user_t *users; /**< owned; by domain and hash of the name */
+	bool has_unlisted; /**< some server may not be listed */
+	bool has_old_starts; /**< some server may have has_old_start set */
 	uint64_t sequence; /**< sequence number of the choice; varies equal
 				costs */
 	uint32_t near_vms; /**< VMs that choose among this domain's servers */
 	uint32_t far_vms; /**< VMs of other domains */
 };
 
+/** Removes the load of all neighbours at a server. */
+void jj_slots_clear_neighbours(jj_slots_t *slots, jj_slot_server_t *server);
+/** Frees a jj_slot_vm_t. */
+void jj_slots_free_vm(void *memory);
+
 #endif
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -86,6 +86,7 @@
 
 		beat.state = JJ_VM_LEAVING;
 		jj_name_set(&beat.domain, "sala-verona");
+		jj_name_set(&beat.failure_domain, "verona");
 		strcpy(beat.address, "10.0.1.11:7400");
 		beat.config_version = UINT64_MAX;
 		beat.slots_version = 7;
@@ -227,9 +228,15 @@
 		memset(m->body.job_page.job, 'j', JJ_MESSAGE_JOB_ID_SIZE - 1);
 		m->body.job_page.after = UINT32_MAX;
 	}},
+    {"JobItemRead", JJ_MESSAGE_JOB_READ,
+	[](jj_message_t *m) {
+		memset(m->body.job_page.job, 'j', JJ_MESSAGE_JOB_ID_SIZE - 1);
+		memset(m->body.job_page.item, 'i', JJ_MESSAGE_ITEM_ID_SIZE - 1);
+	}},
     {"JobPage", JJ_MESSAGE_JOB_PAGE,
 	[](jj_message_t *m) {
 		m->body.job_page.operation = 1;
+		m->body.job_page.total = UINT32_MAX;
 		memset(m->body.job_page.job, 'j', JJ_MESSAGE_JOB_ID_SIZE - 1);
 		m->body.job_page.page = jj_bytes_from_text("{\"total\":1}");
 	}},
@@ -405,69 +412,69 @@
 	return all;
 }
 
-static const std::string load_head("\x96\x02\x06\xa1"
+static const std::string load_head("\x96\x03\x06\xa1"
 				   "a\x01\x01\x91\xdc",
     9);
 static const std::string empty_load("\x94\x00\x00\x00\x00", 5);
-static const std::string config_head("\x96\x02\x05\xa1"
+static const std::string config_head("\x96\x03\x05\xa1"
 				     "a\x01\x01\x92\x01\xc6",
     10);
 
-/* [2, PROBE, "a", 1, 1, [5]] and malformed variants. */
+/* [3, PROBE, "a", 1, 1, [5]] and malformed variants. */
 static const BytesCase bytes_cases[] = {
     {"Whole",
-	"\x96\x02\x02\xa1"
+	"\x96\x03\x02\xa1"
 	"a\x01\x01\x91\x05",
 	JJ_WIRE_OK},
     {"OtherVersion",
-	"\x96\x03\x02\xa1"
+	"\x96\x04\x02\xa1"
 	"a\x01\x01\x91\x05",
 	JJ_WIRE_OTHER_VERSION},
     {"OlderVersion",
-	"\x96\x01\x02\xa1"
+	"\x96\x02\x02\xa1"
 	"a\x01\x01\x91\x05",
 	JJ_WIRE_OTHER_VERSION},
     {"OtherVersionOtherShape", "\x96\x7f\xc0", JJ_WIRE_OTHER_VERSION},
     {"Empty", "", JJ_WIRE_MALFORMED},
     {"NoArray", "GET / HTTP/1.1\r\n\r\n", JJ_WIRE_MALFORMED},
     {"UnknownKind",
-	"\x96\x02\x7f\xa1"
+	"\x96\x03\x7f\xa1"
 	"a\x01\x01\x91\x05",
 	JJ_WIRE_MALFORMED},
     {"KindZero",
-	std::string("\x96\x02\x00\xa1"
+	std::string("\x96\x03\x00\xa1"
 		    "a\x01\x01\x91\x05",
 	    9),
 	JJ_WIRE_MALFORMED},
-    {"NobodyFrom", "\x96\x02\x02\xa0\x01\x01\x91\x05", JJ_WIRE_MALFORMED},
+    {"NobodyFrom", "\x96\x03\x02\xa0\x01\x01\x91\x05", JJ_WIRE_MALFORMED},
     {"NulInName",
-	std::string("\x96\x02\x02\xa2"
+	std::string("\x96\x03\x02\xa2"
 		    "a\0\x01\x01\x91\x05",
 	    10),
 	JJ_WIRE_MALFORMED},
     {"LongName",
-	"\x96\x02\x02\xd9\x40" + std::string(64, 'a') + "\x01\x01\x91\x05",
+	"\x96\x03\x02\xd9\x40" + std::string(64, 'a') + "\x01\x01\x91\x05",
 	JJ_WIRE_MALFORMED},
     {"IncarnationZero",
-	std::string("\x96\x02\x02\xa1"
+	std::string("\x96\x03\x02\xa1"
 		    "a\x00\x01\x91\x05",
 	    9),
 	JJ_WIRE_MALFORMED},
     {"NegativeNonce",
-	"\x96\x02\x02\xa1"
+	"\x96\x03\x02\xa1"
 	"a\x01\x01\x91\xff",
 	JJ_WIRE_MALFORMED},
     {"ExtraField",
-	"\x96\x02\x02\xa1"
+	"\x96\x03\x02\xa1"
 	"a\x01\x01\x92\x05\x05",
 	JJ_WIRE_MALFORMED},
     {"TextForNumber",
-	"\x96\x02\x02\xa1"
+	"\x96\x03\x02\xa1"
 	"a\x01\x01\x91\xa1"
 	"5",
 	JJ_WIRE_MALFORMED},
     {"EnumBeyond",
-	"\x96\x02\x10\xa1"
+	"\x96\x03\x10\xa1"
 	"a\x01\x01\x93\xa1"
 	"b\x01\x03",
 	JJ_WIRE_MALFORMED},
@@ -475,7 +482,7 @@
 	load_head + std::string("\x00\x80", 2) + repeat(empty_load, 128),
 	JJ_WIRE_OK},
     {"LoadByName",
-	std::string("\x96\x02\x06\xa1"
+	std::string("\x96\x03\x06\xa1"
 		    "a\x01\x01\x91\x91\x94\xa1"
 		    "b\x00\x00\x00",
 	    15),
@@ -527,11 +534,11 @@
 		std::string bytes;
 	} cases[] = {
 	    {"InBody",
-		std::string("\x96\x02\x0c\xa1"
+		std::string("\x96\x03\x0c\xa1"
 			    "a\x01\x01\xdd\x00\x40\x00\x00",
 		    12)},
 	    {"Nested",
-		std::string("\x96\x02\x0c\xa1"
+		std::string("\x96\x03\x0c\xa1"
 			    "a\x01\x01\xdd\x00\x40\x00\x00"
 			    "\xdd\x00\x40\x00\x00",
 		    17)},
--- a/tests/core/inline_world.h
+++ b/tests/core/inline_world.h
@@ -6,6 +6,7 @@
 #ifndef JJ_TESTS_CORE_INLINE_WORLD_H
 #define JJ_TESTS_CORE_INLINE_WORLD_H
 
+#include <algorithm>
 #include <cstdio>
 #include <list>
 #include <map>
@@ -203,7 +204,7 @@
 
 /** VMs that are not lost take jobs over in the order of their creation. */
 inline uint32_t
-rank(void *ctx, const char *)
+rank(void *ctx, const char *, uint32_t limit)
 {
 	uint32_t before = 0;
 
@@ -212,7 +213,7 @@
 			break;
 		before += vm(ctx)->world.lost_writers.count(other->writer) == 0;
 	}
-	return before;
+	return std::min(before, limit);
 }
 
 /** Heartbeats are missing while any VM is lost, or by order of the test. */
