Requests: at the step into a peak the servers of other VMs are not free

Cause: a request that finds the servers of its VM full considers three others, whose loads are as old as the last heartbeat, up to 2.4 s: they seem free at the start of a peak, and "a free slot always qualifies" passes by the check that a request can be in time. Now the rise of the mean load at the own servers is added to what is known of the others. Subsets.OthersAreTakenForFullAtTheStepIntoAPeak fails without it. LOAD_SMOOTHING_MS: the mean age of loads in heartbeats that come every 2.4 s, and the time to the next one.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -214,7 +214,7 @@
 		update_heartbeat_loads(gateway);
 	jj_member_set_versions(gateway->member, gateway->routes.version, 0);
 	jj_member_tick(gateway->member, now, out);
-	jj_gateway_drop_stale_loads(gateway, now, out);
+	jj_gateway_drop_stale_loads(gateway, now);
 	jj_gateway_tick_config(gateway, now, out);
 	jj_gateway_tick_vms(gateway, now, out);
 	jj_quarantine_tick(gateway->quarantine, now);
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -354,8 +354,7 @@
 /** The loads of this VM have changed. */
 void jj_gateway_mark_loads_changed(jj_gateway_t *gateway);
 /** Drops the loads that unreachable VMs reported. */
-void jj_gateway_drop_stale_loads(
-    jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+void jj_gateway_drop_stale_loads(jj_gateway_t *gateway, jj_ms_t now);
 void
 jj_gateway_notify_job_ended(void *gateway, const char *writer, const char *id);
 
--- a/src/core/gateway_updates.c
+++ b/src/core/gateway_updates.c
@@ -156,10 +156,8 @@
 }
 
 void
-jj_gateway_drop_stale_loads(
-    jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+jj_gateway_drop_stale_loads(jj_gateway_t *gateway, jj_ms_t now)
 {
-	(void)out;
 	if (now < gateway->next_stale_check_ms)
 		return;
 	gateway->next_stale_check_ms = now + STALE_CHECK_MS;
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -72,6 +72,8 @@
 	slots->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	slots->neighbours = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, jj_slots_free_vm);
+	slots->mean_loads =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
 	return slots;
 }
 
@@ -86,6 +88,7 @@
 		remove_server(slots, server);
 	g_hash_table_destroy(slots->by_hash);
 	g_hash_table_destroy(slots->neighbours);
+	g_hash_table_destroy(slots->mean_loads);
 	free(slots->users);
 	free(slots);
 }
--- a/src/core/slots_choose.c
+++ b/src/core/slots_choose.c
@@ -66,6 +66,12 @@
  */
 #define OTHERS_SAMPLE 3
 
+/*
+ * Time over which the mean load of the servers that this VM uses is smoothed,
+ * ms; about the age of what it knows of the others.
+ */
+#define LOAD_SMOOTHING_MS 2000
+
 /** Shares of the servers that one choice considers, 0 to 1. */
 typedef struct {
 	double assigned; /**< of those that this VM uses */
@@ -74,9 +80,11 @@
 
 static jj_slot_server_t *choose_server(
     jj_slots_t *, const jj_slots_criteria_t *, jj_ms_t, shares_t, bool *);
+static uint32_t load_rise(jj_slots_t *, const jj_name_t *, jj_ms_t);
+static uint32_t unreported(const jj_slots_t *, const jj_slot_server_t *);
 static bool is_full(const jj_slots_t *, const jj_slot_server_t *);
-static bool is_soon_enough(
-    const jj_slot_server_t *, const jj_slots_criteria_t *, double, double);
+static bool is_soon_enough(const jj_slots_t *, const jj_slot_server_t *,
+    const jj_slots_criteria_t *, double, double);
 static double mean_service_time(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static double sample_share(const jj_slots_t *, const jj_name_t *);
 static double others_share(const jj_slots_t *, const jj_name_t *, jj_ms_t);
@@ -98,6 +106,7 @@
 	jj_slot_server_t *best;
 
 	slots->sequence++;
+	slots->load_rise = load_rise(slots, criteria->service, now);
 	best = choose_server(slots, criteria, now, shares, full);
 	if (best != NULL && jj_slot_server_taken(best) < best->info.slots)
 		return best;
@@ -197,7 +206,8 @@
 							 : shares.others))
 			continue;
 		if (is_full(slots, server) ||
-		    !is_soon_enough(server, criteria, best_ms, service_ms)) {
+		    !is_soon_enough(
+			slots, server, criteria, best_ms, service_ms)) {
 			*full = true;
 			continue;
 		}
@@ -225,10 +235,62 @@
 static bool
 is_full(const jj_slots_t *slots, const jj_slot_server_t *server)
 {
-	return server->online + server->others_online >=
+	return server->online + server->others_online +
+	    unreported(slots, server) >=
 	    server->info.slots + slots->settings.queue_most;
 }
 
+/**
+ * By how much the mean number of online requests at the servers that this VM
+ * uses has risen lately.
+ */
+static uint32_t
+load_rise(jj_slots_t *slots, const jj_name_t *service, jj_ms_t now)
+{
+	const jj_slot_server_t *server;
+	jj_mean_load_t *smoothed;
+	double weight;
+	double mean = 0;
+	double rise;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		if (!is_candidate(server, service, NULL, now) ||
+		    !is_assigned(slots, server))
+			continue;
+		mean += server->online + server->others_online;
+		count++;
+	}
+	if (count == 0)
+		return 0;
+	mean /= count;
+	smoothed = g_hash_table_lookup(slots->mean_loads, service->text);
+	if (smoothed == NULL) {
+		smoothed = jj_alloc(sizeof(*smoothed));
+		*smoothed = (jj_mean_load_t){mean, now};
+		(void)g_hash_table_insert(
+		    slots->mean_loads, g_strdup(service->text), smoothed);
+	}
+	rise = mean - smoothed->value;
+	weight = (double)(now - smoothed->updated_ms);
+	smoothed->value += rise * weight / (weight + LOAD_SMOOTHING_MS);
+	smoothed->updated_ms = now;
+	return rise > 0 ? (uint32_t)rise : 0;
+}
+
+/**
+ * Online requests that a server probably has beyond those known. The loads of
+ * servers that this VM does not use come with heartbeats: at the start of a
+ * peak they seem free, and all VMs would send there what finds no slot at their
+ * own servers.
+ */
+static uint32_t
+unreported(const jj_slots_t *slots, const jj_slot_server_t *server)
+{
+	return is_assigned(slots, server) ? 0 : slots->load_rise;
+}
+
 /**
  * Guards against a queue in which all requests are late: a server works in
  * order of arrival, so with more requests than slots each would wait behind
@@ -238,10 +300,11 @@
  * for a late answer, and no request is refused for it.
  */
 static bool
-is_soon_enough(const jj_slot_server_t *server,
+is_soon_enough(const jj_slots_t *slots, const jj_slot_server_t *server,
     const jj_slots_criteria_t *criteria, double best_ms, double service_ms)
 {
-	uint32_t online = server->online + server->others_online;
+	uint32_t online =
+	    server->online + server->others_online + unreported(slots, server);
 	double within = (double)criteria->first_within_ms;
 	double own_service_ms =
 	    server->service_ms > 0 ? server->service_ms : service_ms;
@@ -354,12 +417,12 @@
 static double
 cost_of(const jj_slots_t *slots, const jj_slot_server_t *server, double best_ms)
 {
-	uint32_t online = server->online + server->others_online;
-	uint32_t taken = jj_slot_server_taken(server);
+	uint32_t extra = unreported(slots, server);
+	uint32_t online = server->online + server->others_online + extra;
+	uint32_t taken = jj_slot_server_taken(server) + extra;
 	uint32_t limit = server->info.slots;
 	double cost;
 
-	(void)slots;
 	if (taken < limit)
 		cost = 0.1 * (double)taken / (double)limit;
 	else if (server->batch > 0)
@@ -367,7 +430,7 @@
 	else if (server->others_batch > 0)
 		cost = COST_CANCEL_OTHER;
 	else
-		cost = 1.0 + (double)(online - limit);
+		cost = 1.0 + (double)online - limit;
 	cost += COST_OPEN_CONNECT *
 	    (server->open_connects > 1 ? server->open_connects - 1 : 0);
 	cost += slowness(server, best_ms) - 1;
--- a/src/core/slots_state.h
+++ b/src/core/slots_state.h
@@ -11,6 +11,12 @@
 
 TAILQ_HEAD(jj_slot_list, jj_slot_server);
 
+/** Mean online requests at the servers of a service that this VM uses. */
+typedef struct {
+	double value; /**< smoothed */
+	jj_ms_t updated_ms;
+} jj_mean_load_t;
+
 /** The servers of all services, as this VM knows them. */
 struct jj_slots {
 	jj_slots_settings_t settings;
@@ -24,6 +30,9 @@
 	bool has_old_starts; /**< some server may have has_old_start set */
 	uint64_t sequence; /**< sequence number of the choice; varies equal
 				costs */
+	GHashTable *mean_loads; /**< jj_mean_load_t by service; owned */
+	/** by how much the mean load of the service in question has risen */
+	uint32_t load_rise;
 	uint32_t near_vms; /**< VMs that choose among this domain's servers */
 	uint32_t far_vms; /**< VMs of other domains */
 };
--- a/tests/core/large_fleet_test.cc
+++ b/tests/core/large_fleet_test.cc
@@ -271,6 +271,53 @@
 	jj_slots_destroy(slots);
 }
 
+/*
+ * The step into a peak: the servers that this VM uses have filled up within a
+ * second, and the last heartbeats show the others as they were before. Guards
+ * against requests that are sent there and wait behind those of other VMs,
+ * where a refusal would bring them back in time.
+ */
+TEST_F(Subsets, OthersAreTakenForFullAtTheStepIntoAPeak)
+{
+	jj_slots_t *slots = create("verona-0");
+	jj_name_t service = name_of("ordini");
+	jj_slots_criteria_t criteria = {&service, nullptr, 225};
+	jj_name_t vm = name_of("verona-1");
+	jj_slot_server_t *server;
+	bool full;
+
+	fill(slots, 31, 50);
+	jj_slots_set_vms(slots, 50, 200);
+	for (jj_ms_t now = 1000; now < 30000; now += 1000) {
+		jj_slots_tick(slots, now);
+		for (server = jj_slots_first(slots); server != nullptr;
+		     server = TAILQ_NEXT(server, link)) {
+			jj_load_t load = {server->hash, 2, 0, 0};
+
+			jj_slots_take_loads(slots, &vm, &load, 1, false);
+			jj_slots_note_first(server, 50, now);
+			jj_slots_note_service_time(server, 720);
+		}
+		EXPECT_NE(nullptr,
+		    jj_slots_choose_online(slots, &criteria, now, &full));
+	}
+	for (server = jj_slots_first(slots); server != nullptr;
+	     server = TAILQ_NEXT(server, link)) {
+		jj_load_t load = {server->hash, 9, 0, 0};
+
+		if (server->used)
+			jj_slots_take_loads(slots, &vm, &load, 1, false);
+	}
+	EXPECT_EQ(
+	    nullptr, jj_slots_choose_online(slots, &criteria, 30000, &full));
+	EXPECT_TRUE(full);
+	/* Heartbeats have come meanwhile, and the others are free. */
+	for (jj_ms_t now = 31000; now < 40000; now += 1000)
+		server = jj_slots_choose_online(slots, &criteria, now, &full);
+	EXPECT_NE(nullptr, server);
+	jj_slots_destroy(slots);
+}
+
 /** A VM that reads a job of another one, whose reports are rare. */
 class RareReports : public InlineWorld
 {
