Large regions: one parser of process names, less state, fewer repeated steps

Found by reading the change again; decisions stay as they are. - jj_writer_split() serves the three places that took NAME/HEX16 apart. - A choice of a server looks once at whether each server is this VM's; the rise of the load is passed on in place of being kept. It hashed up to five times for each remote server. - Gone: the failure domain in jj_member_info_t, which nobody read; jj_slots_forget_neighbour(), which only a test still called (it now calls jj_slots_forget_neighbours(), its assertions unchanged); a copy of jj_dispatch_hash_server(). Remote servers are no longer searched for this VM. - next_query() says when a read acts next. One thing changes there: after a failed query, or a report that came while queries were being repeated, the time of the next query lay in the past, and the VM ticked each millisecond until the reader's wait was over.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -411,16 +411,15 @@
 is_live(void *ctx, const char *writer)
 {
 	const jj_gateway_t *gateway = ctx;
-	const char *slash = strrchr(writer, '/');
 	const jj_member_info_t *info;
-	jj_name_t name = {""};
+	jj_name_t name;
+	const char *incarnation = jj_writer_split(writer, &name);
 
-	if (slash == NULL || (size_t)(slash - writer) > JJ_NAME_MAX)
+	if (incarnation == NULL)
 		return false;
-	memcpy(name.text, writer, (size_t)(slash - writer));
 	info = jj_member_find(gateway->member, &name);
 	return info != NULL && info->live &&
-	    info->incarnation == strtoull(slash + 1, NULL, 16);
+	    info->incarnation == strtoull(incarnation, NULL, 16);
 }
 
 static bool
--- a/src/core/gateway_updates.c
+++ b/src/core/gateway_updates.c
@@ -168,14 +168,11 @@
 jj_gateway_notify_job_ended(void *ctx, const char *writer, const char *id)
 {
 	jj_gateway_t *gateway = ctx;
-	const char *slash = strrchr(writer, '/');
-	jj_name_t name = {""};
+	jj_name_t name;
 	jj_message_t *message;
 
-	if (slash == NULL || (size_t)(slash - writer) > JJ_NAME_MAX)
-		return;
-	memcpy(name.text, writer, (size_t)(slash - writer));
-	if (jj_member_find(gateway->member, &name) == NULL)
+	if (jj_writer_split(writer, &name) == NULL ||
+	    jj_member_find(gateway->member, &name) == NULL)
 		return;
 	message =
 	    jj_actions_add_message(gateway->out, &name, JJ_MESSAGE_JOB_ENDED);
--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -18,6 +18,7 @@
 /** Maximum bytes of one page of results; readers accept up to 1 MB. */
 #define PAGE_BYTES_MAX 900000
 
+static jj_ms_t next_query(const jj_inline_op_t *);
 static void step_read(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
 static bool
 serve_from_run(jj_inline_t *, jj_inline_op_t *, jj_ms_t, jj_actions_t *);
@@ -157,23 +158,27 @@
 	if (op->kind == JJ_OP_ITEM && op->peer_ms != 0 && !op->peer_failed)
 		return op->peer_ms < next ? op->peer_ms : next;
 	if (op->kind == JJ_OP_READ && op->get.token == 0 &&
-	    op->get.due_ms == JJ_MS_NEVER && op->query_ms < next &&
-	    (op->peer_ms == 0 || op->peer_failed))
-		next = op->query_ms;
-	if (op->kind == JJ_OP_READ && op->peer_ms == 0 && op->get.token == 0 &&
-	    op->get.due_ms == JJ_MS_NEVER && op->next_peer_ms != 0 &&
-	    op->next_peer_ms < next)
-		next = op->next_peer_ms;
-	if (op->kind == JJ_OP_READ && op->peer_ms != 0 && !op->peer_failed &&
-	    op->get.token == 0 && op->get.due_ms == JJ_MS_NEVER &&
-	    op->peer_ms < next)
-		next = op->peer_ms;
+	    op->get.due_ms == JJ_MS_NEVER && next_query(op) < next)
+		next = next_query(op);
 	for (i = 0; i < sizeof(calls) / sizeof(calls[0]); i++)
 		if (calls[i]->token == 0 && calls[i]->due_ms < next)
 			next = calls[i]->due_ms;
 	return next;
 }
 
+/** When a read without a call under way queries a VM or the platform next. */
+static jj_ms_t
+next_query(const jj_inline_op_t *op)
+{
+	if (op->peer_failed)
+		return op->query_ms;
+	if (op->peer_ms != 0)
+		return op->peer_ms;
+	return op->next_peer_ms != 0 && op->next_peer_ms < op->query_ms
+	    ? op->next_peer_ms
+	    : op->query_ms;
+}
+
 jj_inline_op_t *
 jj_inline_add_op(jj_inline_t *jobs, jj_inline_op_kind_t kind,
     uint64_t operation, const char *id, jj_ms_t until_ms, jj_ms_t now)
@@ -286,8 +291,9 @@
 
 /**
  * True when the VM that runs the job suffices as a source of the answer: its
- * report shows that nothing is new, or it is queried. A report is valid for less time than the one within which a
- * position read at one VM has to be known at all of them.
+ * report shows that nothing is new, or it is queried. A report is valid for less
+ * time than the one within which a position read at one VM has to be known at
+ * all of them.
  */
 static bool
 serve_from_peer_state(
@@ -302,6 +308,7 @@
 		return jobs->report_interval_ms >
 		    jobs->settings.state_fresh_ms &&
 		    jj_inline_poll_peer(jobs, op, now, out);
+	op->next_peer_ms = 0;
 	if (op->after < peer_state->state.shown) {
 		if (jj_inline_query_peer(jobs, op, now, out))
 			return true;
--- a/src/core/inline_peer.c
+++ b/src/core/inline_peer.c
@@ -214,20 +214,15 @@
 	const jj_open_entry_t *entry = jj_inline_find_open(jobs, id);
 	const jj_peer_state_t *peer_state =
 	    jj_inline_find_old_peer_state(jobs, id);
-	const char *slash;
 
-	memset(owner, 0, sizeof(*owner));
-	if (entry == NULL && peer_state != NULL)
-		*owner = peer_state->vm;
-	if (entry == NULL)
-		return !jj_name_is_empty(owner);
-	slash = strrchr(entry->owner, '/');
-	if (slash == NULL || (size_t)(slash - entry->owner) > JJ_NAME_MAX ||
-	    strcmp(entry->owner, jobs->settings.writer) == 0 ||
-	    !jobs->port.is_live(jobs->port.ctx, entry->owner))
+	if (entry != NULL)
+		return jj_writer_split(entry->owner, owner) != NULL &&
+		    strcmp(entry->owner, jobs->settings.writer) != 0 &&
+		    jobs->port.is_live(jobs->port.ctx, entry->owner);
+	if (peer_state == NULL)
 		return false;
-	memcpy(owner->text, entry->owner, (size_t)(slash - entry->owner));
-	return true;
+	*owner = peer_state->vm;
+	return !jj_name_is_empty(owner);
 }
 
 /**
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -56,7 +56,6 @@
 	member->self.state = JJ_VM_STARTING;
 	(void)snprintf(member->self.address, sizeof(member->self.address), "%s",
 	    settings->address);
-	member->self.failure_domain = settings->failure_domain;
 	member->ticked_ms = JJ_MS_NEVER;
 	member->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	return member;
@@ -526,15 +525,9 @@
 static jj_peer_t *
 learn_sender(jj_member_t *member, const jj_message_t *message)
 {
-	const jj_heartbeat_t *heartbeat = &message->body.heartbeat;
-	jj_peer_t *peer;
-
-	jj_member_add_vm(
-	    member, &message->from, &heartbeat->domain, heartbeat->address);
-	peer = find_peer(member, &message->from);
-	if (peer != NULL)
-		peer->info.failure_domain = heartbeat->failure_domain;
-	return peer;
+	jj_member_add_vm(member, &message->from,
+	    &message->body.heartbeat.domain, message->body.heartbeat.address);
+	return find_peer(member, &message->from);
 }
 
 static bool
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -72,7 +72,6 @@
 typedef struct {
 	jj_name_t name;
 	jj_name_t domain;
-	jj_name_t failure_domain; /**< empty: no heartbeat yet */
 	char address[JJ_NAME_MAX + 1];
 	jj_incarnation_t incarnation; /**< 0: not verified by a probe yet */
 	bool live; /**< sent a sign of life within suspect_ms */
--- a/src/core/member_signal.c
+++ b/src/core/member_signal.c
@@ -113,7 +113,7 @@
 
 	heartbeat->state = member->self.state;
 	heartbeat->domain = member->self.domain;
-	heartbeat->failure_domain = member->self.failure_domain;
+	heartbeat->failure_domain = member->settings.failure_domain;
 	memcpy(heartbeat->address, member->self.address,
 	    sizeof(heartbeat->address));
 	heartbeat->config_version = member->self.config_version;
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -72,7 +72,7 @@
 	uint32_t vms; /**< VMs of the domain; 0: not known */
 	uint32_t position; /**< of the server among those of its service */
 	uint32_t servers; /**< of the same service and domain */
-	uint32_t subset; /**< how many of them each VM uses */
+	uint32_t size; /**< how many of them each VM uses */
 } jj_slot_subset_t;
 
 /**
@@ -275,8 +275,6 @@
  */
 void jj_slots_take_loads(jj_slots_t *slots, const jj_name_t *from,
     const jj_load_t *loads, uint32_t count, bool whole);
-/** Removes the loads of a neighbour that is gone. */
-void jj_slots_forget_neighbour(jj_slots_t *slots, const jj_name_t *vm);
 /** Removes the loads of the neighbours for which @p is_gone is true. */
 void jj_slots_forget_neighbours(jj_slots_t *slots,
     bool (*is_gone)(void *ctx, const jj_name_t *vm), void *ctx);
--- a/src/core/slots_choose.c
+++ b/src/core/slots_choose.c
@@ -72,18 +72,24 @@
  */
 #define LOAD_SMOOTHING_MS 2000
 
-/** Shares of the servers that one choice considers, 0 to 1. */
+/** What one choice considers. */
 typedef struct {
-	double assigned; /**< of those that this VM uses */
-	double others;
-} shares_t;
+	double assigned_share; /**< of the servers that this VM uses, 0 to 1 */
+	double others_share; /**< of the others */
+	/**
+	 * Online requests that each of the others probably has beyond those
+	 * known. Their loads come with heartbeats: at the start of a peak they
+	 * seem free, and all VMs would send there what finds no slot at their
+	 * own servers.
+	 */
+	uint32_t others_unreported;
+} sample_t;
 
 static jj_slot_server_t *choose_server(
-    jj_slots_t *, const jj_slots_criteria_t *, jj_ms_t, shares_t, bool *);
+    jj_slots_t *, const jj_slots_criteria_t *, jj_ms_t, sample_t, bool *);
 static uint32_t load_rise(jj_slots_t *, const jj_name_t *, jj_ms_t);
-static uint32_t unreported(const jj_slots_t *, const jj_slot_server_t *);
-static bool is_full(const jj_slots_t *, const jj_slot_server_t *);
-static bool is_soon_enough(const jj_slots_t *, const jj_slot_server_t *,
+static bool is_full(const jj_slots_t *, const jj_slot_server_t *, uint32_t);
+static bool is_soon_enough(const jj_slot_server_t *, uint32_t,
     const jj_slots_criteria_t *, double, double);
 static double mean_service_time(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static double sample_share(const jj_slots_t *, const jj_name_t *);
@@ -92,7 +98,7 @@
 static bool is_assigned(const jj_slots_t *, const jj_slot_server_t *);
 static bool has_assigned(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static bool has_free_slot(const jj_slots_t *, const jj_slot_server_t *);
-static double cost_of(const jj_slots_t *, const jj_slot_server_t *, double);
+static double cost_of(const jj_slot_server_t *, uint32_t, double);
 static double fastest(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static double slowness(const jj_slot_server_t *, double);
 static bool is_candidate(
@@ -102,20 +108,21 @@
 jj_slots_choose_online(jj_slots_t *slots, const jj_slots_criteria_t *criteria,
     jj_ms_t now, bool *full)
 {
-	shares_t shares = {sample_share(slots, criteria->service), 0};
+	sample_t sample = {sample_share(slots, criteria->service), 0,
+	    load_rise(slots, criteria->service, now)};
 	jj_slot_server_t *best;
 
 	slots->sequence++;
-	slots->load_rise = load_rise(slots, criteria->service, now);
-	best = choose_server(slots, criteria, now, shares, full);
+	best = choose_server(slots, criteria, now, sample, full);
 	if (best != NULL && jj_slot_server_taken(best) < best->info.slots)
 		return best;
-	shares = (shares_t){1, others_share(slots, criteria->service, now)};
-	best = choose_server(slots, criteria, now, shares, full);
-	if (best != NULL || shares.others >= 1)
+	sample.assigned_share = 1;
+	sample.others_share = others_share(slots, criteria->service, now);
+	best = choose_server(slots, criteria, now, sample, full);
+	if (best != NULL || sample.others_share >= 1)
 		return best;
-	shares.others = 1;
-	return choose_server(slots, criteria, now, shares, full);
+	sample.others_share = 1;
+	return choose_server(slots, criteria, now, sample, full);
 }
 
 jj_slot_server_t *
@@ -182,11 +189,11 @@
 
 /**
  * The cheapest of the sampled servers, each of which is in the sample with the
- * probability that @p shares gives.
+ * probability that @p sample gives.
  */
 static jj_slot_server_t *
 choose_server(jj_slots_t *slots, const jj_slots_criteria_t *criteria,
-    jj_ms_t now, shares_t shares, bool *full)
+    jj_ms_t now, sample_t sample, bool *full)
 {
 	double best_ms = fastest(slots, criteria->service, now);
 	double service_ms = mean_service_time(slots, criteria->service, now);
@@ -198,24 +205,28 @@
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
 		double value = random_value(slots, server);
+		uint32_t extra;
+		bool assigned;
 		double cost;
 
 		if (!is_candidate(server, criteria->service, NULL, now))
 			continue;
-		if (value >= (is_assigned(slots, server) ? shares.assigned
-							 : shares.others))
+		assigned = is_assigned(slots, server);
+		extra = assigned ? 0 : sample.others_unreported;
+		if (value >=
+		    (assigned ? sample.assigned_share : sample.others_share))
 			continue;
-		if (is_full(slots, server) ||
+		if (is_full(slots, server, extra) ||
 		    !is_soon_enough(
-			slots, server, criteria, best_ms, service_ms)) {
+			server, extra, criteria, best_ms, service_ms)) {
 			*full = true;
 			continue;
 		}
-		cost = cost_of(slots, server, best_ms);
+		cost = cost_of(server, extra, best_ms);
 		if (criteria->avoid != NULL &&
 		    jj_name_equal(&server->info.id, criteria->avoid))
 			cost += COST_AVOIDED;
-		if (!is_assigned(slots, server))
+		if (!assigned)
 			cost += COST_REMOTE;
 		/*
 		 * Equal costs get a random difference, so that VMs choose
@@ -233,10 +244,9 @@
 }
 
 static bool
-is_full(const jj_slots_t *slots, const jj_slot_server_t *server)
+is_full(const jj_slots_t *slots, const jj_slot_server_t *server, uint32_t extra)
 {
-	return server->online + server->others_online +
-	    unreported(slots, server) >=
+	return server->online + server->others_online + extra >=
 	    server->info.slots + slots->settings.queue_most;
 }
 
@@ -279,18 +289,6 @@
 	return rise > 0 ? (uint32_t)rise : 0;
 }
 
-/**
- * Online requests that a server probably has beyond those known. The loads of
- * servers that this VM does not use come with heartbeats: at the start of a
- * peak they seem free, and all VMs would send there what finds no slot at their
- * own servers.
- */
-static uint32_t
-unreported(const jj_slots_t *slots, const jj_slot_server_t *server)
-{
-	return is_assigned(slots, server) ? 0 : slots->load_rise;
-}
-
 /**
  * Guards against a queue in which all requests are late: a server works in
  * order of arrival, so with more requests than slots each would wait behind
@@ -300,11 +298,10 @@
  * for a late answer, and no request is refused for it.
  */
 static bool
-is_soon_enough(const jj_slots_t *slots, const jj_slot_server_t *server,
+is_soon_enough(const jj_slot_server_t *server, uint32_t extra,
     const jj_slots_criteria_t *criteria, double best_ms, double service_ms)
 {
-	uint32_t online =
-	    server->online + server->others_online + unreported(slots, server);
+	uint32_t online = server->online + server->others_online + extra;
 	double within = (double)criteria->first_within_ms;
 	double own_service_ms =
 	    server->service_ms > 0 ? server->service_ms : service_ms;
@@ -415,9 +412,8 @@
 }
 
 static double
-cost_of(const jj_slots_t *slots, const jj_slot_server_t *server, double best_ms)
+cost_of(const jj_slot_server_t *server, uint32_t extra, double best_ms)
 {
-	uint32_t extra = unreported(slots, server);
 	uint32_t online = server->online + server->others_online + extra;
 	uint32_t taken = jj_slot_server_taken(server) + extra;
 	uint32_t limit = server->info.slots;
--- a/src/core/slots_loads.c
+++ b/src/core/slots_loads.c
@@ -31,17 +31,6 @@
 		(void)g_hash_table_remove(slots->neighbours, vm->name.text);
 }
 
-void
-jj_slots_forget_neighbour(jj_slots_t *slots, const jj_name_t *name)
-{
-	jj_slot_vm_t *vm = find_vm(slots, name, false);
-
-	if (vm == NULL)
-		return;
-	clear_loads(vm);
-	(void)g_hash_table_remove(slots->neighbours, vm->name.text);
-}
-
 void
 jj_slots_forget_neighbours(
     jj_slots_t *slots, bool (*is_gone)(void *, const jj_name_t *), void *ctx)
--- a/src/core/slots_state.h
+++ b/src/core/slots_state.h
@@ -31,8 +31,6 @@
 	uint64_t sequence; /**< sequence number of the choice; varies equal
 				costs */
 	GHashTable *mean_loads; /**< jj_mean_load_t by service; owned */
-	/** by how much the mean load of the service in question has risen */
-	uint32_t load_rise;
 	uint32_t near_vms; /**< VMs that choose among this domain's servers */
 	uint32_t far_vms; /**< VMs of other domains */
 };
--- a/src/core/slots_subset.c
+++ b/src/core/slots_subset.c
@@ -24,7 +24,6 @@
 static int compare_users(const void *, const void *);
 static int compare_servers(const void *, const void *);
 static bool is_same_group(const jj_slot_server_t *, const jj_slot_server_t *);
-static uint64_t hash_of(const jj_name_t *);
 static jj_slot_subset_t domain_of(const jj_slots_t *, const jj_name_t *);
 static bool is_user(const jj_slot_subset_t *, uint32_t);
 static bool is_used(const jj_slots_t *, const jj_slot_server_t *);
@@ -65,17 +64,18 @@
 			end++;
 		subset = domain_of(slots, &servers[start]->info.domain);
 		subset.servers = (uint32_t)(end - start);
-		subset.subset = subset.servers;
+		subset.size = subset.servers;
 		if (subset.vms > SERVER_VMS)
-			subset.subset =
+			subset.size =
 			    (subset.servers * SERVER_VMS + subset.vms - 1) /
 			    subset.vms;
-		if (subset.subset < SUBSET_MIN)
-			subset.subset = SUBSET_MIN;
+		if (subset.size < SUBSET_MIN)
+			subset.size = SUBSET_MIN;
 		for (i = start; i < end; i++) {
 			subset.position = (uint32_t)(i - start);
 			servers[i]->subset = subset;
-			servers[i]->used = is_used(slots, servers[i]);
+			if (servers[i]->local)
+				servers[i]->used = is_used(slots, servers[i]);
 		}
 	}
 	free(servers);
@@ -105,8 +105,8 @@
 {
 	const jj_slot_user_t *left = a;
 	const jj_slot_user_t *right = b;
-	uint64_t left_hash = hash_of(&left->name);
-	uint64_t right_hash = hash_of(&right->name);
+	uint64_t left_hash = jj_dispatch_hash_server(&left->name);
+	uint64_t right_hash = jj_dispatch_hash_server(&right->name);
 	int order = strcmp(left->domain.text, right->domain.text);
 
 	if (order != 0)
@@ -140,12 +140,6 @@
 	    jj_name_equal(&a->info.service, &b->info.service);
 }
 
-static uint64_t
-hash_of(const jj_name_t *name)
-{
-	return jj_hash_bytes(name->text, strlen(name->text), 0);
-}
-
 /** The VMs of a failure domain. */
 static jj_slot_subset_t
 domain_of(const jj_slots_t *slots, const jj_name_t *domain)
@@ -171,9 +165,10 @@
 	    (uint32_t)((uint64_t)vm * subset->servers / subset->vms);
 
 	return (subset->position + subset->servers - first) % subset->servers <
-	    subset->subset;
+	    subset->size;
 }
 
+/** True for a local server in this VM's subset, and while that is unknown. */
 static bool
 is_used(const jj_slots_t *slots, const jj_slot_server_t *server)
 {
@@ -184,5 +179,5 @@
 		if (jj_name_equal(&slots->users[subset->first_vm + i].name,
 			&slots->settings.name))
 			return is_user(subset, i);
-	return server->local;
+	return true;
 }
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -152,6 +152,18 @@
 	return a->low == b->low && a->high == b->high;
 }
 
+const char *
+jj_writer_split(const char *writer, jj_name_t *name)
+{
+	const char *slash = strrchr(writer, '/');
+
+	memset(name, 0, sizeof(*name));
+	if (slash == NULL || (size_t)(slash - writer) > JJ_NAME_MAX)
+		return NULL;
+	memcpy(name->text, writer, (size_t)(slash - writer));
+	return slash + 1;
+}
+
 uint64_t
 jj_rendezvous_weight(const char *node, uint64_t item)
 {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -85,6 +85,11 @@
 /** True when both hashes are the same. */
 bool jj_hash_equal(const jj_hash_t *a, const jj_hash_t *b);
 
+/**
+ * Splits the name of a process, NAME/HEX16.
+ * @return the text of its incarnation; NULL when it is no such name.
+ */
+const char *jj_writer_split(const char *writer, jj_name_t *name);
 /**
  * Weight of @p node for @p item in rendezvous (highest random weight) hashing:
  * the node with the greatest weight is chosen, so that only the items of a node
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -376,7 +376,12 @@
 	jj_slots_take_loads(slots, &vm, &load, 1, true);
 	EXPECT_EQ(0U, first->others_online + first->others_batch);
 	EXPECT_EQ(1U, second->others_online);
-	jj_slots_forget_neighbour(slots, &vm);
+	jj_slots_forget_neighbours(
+	    slots,
+	    [](void *ctx, const jj_name_t *name) {
+		    return jj_name_equal(name, static_cast<jj_name_t *>(ctx));
+	    },
+	    &vm);
 	EXPECT_EQ(0U, second->others_online);
 }
 
