--- a/tests/core/large_fleet_test.cc
+++ b/tests/core/large_fleet_test.cc
@@ -365,6 +365,19 @@
 	EXPECT_EQ(reads, platform.reads);
 }
 
+/* Guards against a VM that ticks each millisecond while a reader waits. */
+TEST_F(RareReports, AReportDuringRepeatedQueriesLeavesNoTimeInThePast)
+{
+	(void)a.submit("j", 2);
+	pass(300);
+	(void)b.read("j", 0, 2000);
+	exchange();
+	pass(300);
+	a.report_states(b);
+	pass(200);
+	EXPECT_LE(now, jj_inline_next(b.jobs));
+}
+
 struct SilentCase {
 	const char *name;
 	bool is_lost; /**< the owner is known to be lost, else only silent */
