--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -33,7 +33,7 @@
 /** State while the headers of a request are searched for a key. */
 typedef struct {
 	const char *name; /**< of the header */
-	const char *value; /**< of the first one, or NULL */
+	char *value; /**< of the first one, or NULL; owned */
 	size_t count;
 } key_search_t;
 
@@ -319,6 +319,7 @@
 	if (found != NULL)
 		*team = found->name;
 	(void)apr_thread_mutex_unlock(node->lock);
+	g_free(key.value);
 	return access;
 }
 
@@ -329,8 +330,9 @@
 
 	if (strcasecmp(name, key->name) != 0)
 		return;
+	/* libmicrohttpd keeps the spaces after a value. */
 	if (key->count++ == 0)
-		key->value = value;
+		key->value = g_strchomp(g_strdup(value));
 }
 
 static bool
