--- a/src/core/team/allowance.c
+++ b/src/core/team/allowance.c
@@ -20,6 +20,8 @@
 #define HOME_TIMEOUT_MS 500
 /** Without a grant a team counts as metered no longer than this, ms. */
 #define METERED_MAX_MS 2000
+/** Requests that all VMs together admit beyond their shares. */
+#define SHARE_EXTRA 10.0
 /** Part of an equal share for a VM that the home has never answered. */
 #define UNKNOWN_SHARE 0.5
 /** How many requests a share allows is rounded anew after this time, ms. */
@@ -277,7 +279,8 @@
 	entry->share = share_at(entry, now);
 	entry->share_ms = JJ_MS_NEVER;
 	most = jj_allowance_window_limit(limit) * entry->share *
-	    JJ_ALLOWANCE_DIVIDED_FACTOR;
+		JJ_ALLOWANCE_DIVIDED_FACTOR +
+	    SHARE_EXTRA / (vms > 0 ? vms : 1);
 	if (now >= entry->rounding_until_ms) {
 		entry->rounding_until_ms = now + SHARE_ROUND_MS;
 		entry->rounding =
--- a/src/core/team/allowance_home.c
+++ b/src/core/team/allowance_home.c
@@ -18,7 +18,7 @@
 /** Requests beyond that: a small team's few requests come unevenly. */
 #define LIMIT_EXTRA 8
 /** The same for each side of a network cut. */
-#define SIDE_EXTRA 4
+#define SIDE_EXTRA 6
 /** The same for a process that has just started. */
 #define START_EXTRA 4
 /** A credit covers the requests of this time, ms. */
@@ -142,7 +142,8 @@
 	most = window_limit(home, team, &limit, now);
 	used = count_used(home, team, now);
 	left = available(team, vm, most, used, now);
-	team->metered = used >= METERED_PART * most;
+	/* Shares are estimates, so a divided team gets no credits. */
+	team->metered = team->divided || used >= METERED_PART * most;
 	update_share(team, vm);
 	memset(grant, 0, sizeof(*grant));
 	grant->team = use->team;
@@ -412,12 +413,14 @@
 	    1000;
 	double asked_per_s =
 	    jj_usage_window_recent(&team->asked, DEMAND_SLICES, now) / seconds;
+	double rate = limit->rate_per_s *
+	    (team->divided && team->part < 1 ? team->part : 1);
 	double admit = 1 + METERED_GAIN * (METERED_TARGET - part);
 
 	if (part >= 1 || admit <= 0)
 		return 0;
 	if (asked_per_s > 0)
-		admit *= limit->rate_per_s / asked_per_s;
+		admit *= rate / asked_per_s;
 	return admit < 1 ? (uint32_t)(admit * JJ_TEAM_SHARE_UNIT)
 			 : JJ_TEAM_SHARE_UNIT;
 }
--- a/src/core/team/usage_window.c
+++ b/src/core/team/usage_window.c
@@ -55,14 +55,11 @@
 
 	(void)jj_usage_window_sum(window, now);
 	window->sum += count;
-	/* From the oldest slice on; the newest one takes the remainder. */
-	for (i = JJ_USAGE_SLICES; i > 0; i--) {
-		uint32_t part = count / i;
-
-		window->slices[(window->last + JJ_USAGE_SLICES + 1 - i) %
-		    JJ_USAGE_SLICES] += part;
-		count -= part;
-	}
+	/* From the oldest slice on. */
+	for (i = 0; i < JJ_USAGE_SLICES; i++)
+		window->slices[(window->last + 1 + i) % JJ_USAGE_SLICES] +=
+		    (uint64_t)count * (i + 1) / JJ_USAGE_SLICES -
+		    (uint64_t)count * i / JJ_USAGE_SLICES;
 }
 
 void
