Allowances: a divided home admits its spare requests, too

Cause: a home on one side of a cut metered small teams by the rate of its estimated part alone; of a team with 3 requests a second 21% were refused in a calm cut of three sides.

Change: the requests that each side may admit beyond its part count in the probability, as they do in its limit.

--- a/src/core/team/allowance_home.c
+++ b/src/core/team/allowance_home.c
@@ -413,12 +413,14 @@
 	    1000;
 	double asked_per_s =
 	    jj_usage_window_recent(&team->asked, DEMAND_SLICES, now) / seconds;
-	double rate = limit->rate_per_s *
-	    (team->divided && team->part < 1 ? team->part : 1);
+	double rate = limit->rate_per_s;
 	double admit = 1 + METERED_GAIN * (METERED_TARGET - part);
 
 	if (part >= 1 || admit <= 0)
 		return 0;
+	if (team->divided && team->part < 1)
+		rate = rate * team->part +
+		    1000.0 * SIDE_EXTRA / JJ_USAGE_WINDOW_MS;
 	if (asked_per_s > 0)
 		admit *= rate / asked_per_s;
 	return admit < 1 ? (uint32_t)(admit * JJ_TEAM_SHARE_UNIT)
