Allowances: smaller reserves, so that a heal stays within the limit

Sides have 4 instead of 6, the whole 6 instead of 8, and a metered team stays so for 4 s without news.

--- a/src/core/team/allowance.c
+++ b/src/core/team/allowance.c
@@ -19,9 +19,9 @@
 /** A home that leaves a report unanswered for so long is unreachable, ms. */
 #define HOME_TIMEOUT_MS 500
 /** Without a grant a team counts as metered no longer than this, ms. */
-#define METERED_MAX_MS 2000
+#define METERED_MAX_MS 4000
 /** Requests that all VMs together admit beyond their shares. */
-#define SHARE_EXTRA 10.0
+#define SHARE_EXTRA 8.0
 /** Part of an equal share for a VM that the home has never answered. */
 #define UNKNOWN_SHARE 0.5
 /** How many requests a share allows is rounded anew after this time, ms. */
--- a/src/core/team/allowance_home.c
+++ b/src/core/team/allowance_home.c
@@ -16,9 +16,9 @@
  */
 #define LIMIT_FACTOR 1.03
 /** Requests beyond that: a small team's few requests come unevenly. */
-#define LIMIT_EXTRA 8
+#define LIMIT_EXTRA 6
 /** The same for each side of a network cut. */
-#define SIDE_EXTRA 6
+#define SIDE_EXTRA 4
 /** The same for a process that has just started. */
 #define START_EXTRA 4
 /** A credit covers the requests of this time, ms. */
