Queue: requests of a higher priority get a free slot first

Cause: the priority of routes was read and used nowhere, and teams have one that goes before it. Change: retries that wait for a slot are ordered by priority, within one last in, first out as before.

--- a/src/core/gateway_queue.c
+++ b/src/core/gateway_queue.c
@@ -8,7 +8,8 @@
  * it has nearly all its time left, so that its retry is served in time. A
  * retry, or a request that comes a second time because its VM failed, has used
  * up that time and often its attempts. It waits here, in the gateway's queue,
- * for a slot that no new request needs; the queue is served last in, first out,
+ * for a slot that no new request needs; the queue is served by priority, and
+ * within one last in, first out,
  * and a request is refused when it finds no slot for long. Thus servers with
  * slots for 70 of 100 requests serve 70 of them in time; a single queue for
  * all requests served none in time.
@@ -38,6 +39,7 @@
  */
 #define QUEUE_MAX_MS 1500
 
+static void insert_by_priority(jj_gateway_t *, jj_gateway_entry_t *);
 static bool
 may_find_slot(const jj_gateway_entry_t *, const jj_name_t *, jj_ms_t);
 
@@ -92,6 +94,7 @@
 	if (entry->queued)
 		return true;
 	entry->queued = true;
+	insert_by_priority(gateway, entry);
 	gateway->queued_count++;
 	jj_actions_add_event(out, "request_in_line",
 	    "request=%s until_ms=%lld in_line=%u", entry->id,
@@ -99,6 +102,30 @@
 	return true;
 }
 
+/**
+ * Puts an entry behind the queued ones of higher priority, before those of the
+ * same one.
+ */
+static void
+insert_by_priority(jj_gateway_t *gateway, jj_gateway_entry_t *entry)
+{
+	jj_gateway_entry_t *other;
+	jj_gateway_entry_t *last = NULL;
+
+	TAILQ_REMOVE(&gateway->waiting, entry, link);
+	TAILQ_FOREACH(other, &gateway->waiting, link)
+	{
+		if (other->class_of != JJ_CLASS_ONLINE)
+			break;
+		if (other->queued && other->priority < entry->priority)
+			last = other;
+	}
+	if (last != NULL)
+		TAILQ_INSERT_AFTER(&gateway->waiting, last, entry, link);
+	else
+		TAILQ_INSERT_HEAD(&gateway->waiting, entry, link);
+}
+
 void
 jj_gateway_send_queued(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -396,6 +396,9 @@
 	entry->client_retry =
 	    jj_gateway_is_client_retry(gateway, route, request);
 	entry->queue_until_ms = jj_gateway_queue_deadline(request, now);
+	entry->priority = jj_team_priority(
+	    jj_teams_find(gateway->routes.teams, request->team.text),
+	    route->priority);
 	entry->fingerprint = request->fingerprint;
 	LIST_INSERT_HEAD(&gateway->buckets[entry->request % JJ_GATEWAY_BUCKETS],
 	    entry, bucket);
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -33,6 +33,7 @@
 	bool client_retry; /**< retry of a caller, here or at another VM */
 	jj_ms_t queue_until_ms; /**< a retry waits for a free slot until then */
 	bool queued; /**< waits in the queue */
+	uint32_t priority; /**< 0 is the highest */
 	/** job of an item; lives longer than the entry */
 	const jj_inline_job_t *job;
 	/**
--- a/src/core/team/team.c
+++ b/src/core/team/team.c
@@ -203,6 +203,14 @@
 	return size > 0 && text[0] != ' ' && text[size - 1] != ' ';
 }
 
+uint32_t
+jj_team_priority(const jj_team_entry_t *team, uint32_t route_priority)
+{
+	return team != NULL && team->priority != JJ_TEAM_PRIORITY_NONE
+	    ? team->priority
+	    : route_priority;
+}
+
 uint64_t
 jj_team_hash(const char *name)
 {
--- a/src/core/team/team.h
+++ b/src/core/team/team.h
@@ -71,6 +71,8 @@
 jj_teams_find_hash(const jj_teams_t *teams, uint64_t hash);
 /** True for a text that a header can carry unchanged. */
 bool jj_team_is_header_value(const char *text);
+/** A team's own priority goes before its route's; @p team may be NULL. */
+uint32_t jj_team_priority(const jj_team_entry_t *team, uint32_t route_priority);
 /** Identifies a team in messages. */
 uint64_t jj_team_hash(const char *name);
 
--- a/tests/core/gateway_queue_test.cc
+++ b/tests/core/gateway_queue_test.cc
@@ -63,6 +63,21 @@
 	EXPECT_EQ(1U, attempts(request));
 }
 
+/* Guards against a request that waits behind a less urgent one. */
+TEST_F(GatewayLine, AFreeSlotGoesToTheHighestPriority)
+{
+	routes[0].priority = 1;
+	see(1, "config/main", "9");
+	uint64_t urgent = begin("/again/1", 0, 4000);
+	uint64_t urgent_retry = begin("/again/1", 0, 3000);
+	uint64_t later = begin("/once/1", 0, 3000);
+
+	(void)urgent;
+	report_event(running[0], JJ_BACKEND_DONE, 200, true);
+	EXPECT_EQ(1U, attempts(urgent_retry));
+	EXPECT_EQ(0U, attempts(later));
+}
+
 /*
  * A free slot goes to the request that came last. The others are refused long
  * before their time is over, and may find a slot elsewhere.
--- a/tests/core/team/team_test.cc
+++ b/tests/core/team/team_test.cc
@@ -159,6 +159,34 @@
 	NameCase{"Utf8", "caf\xc3\xa9", false}),
     [](const auto &info) { return std::string(info.param.name); });
 
+struct PriorityCase {
+	const char *name;
+	uint32_t route;
+	uint32_t team;
+	uint32_t priority;
+};
+
+class TeamPriority : public ::testing::TestWithParam<PriorityCase>
+{
+};
+
+/* Guards against a team whose own priority has no effect. */
+TEST_P(TeamPriority, GoesBeforeTheRoutes)
+{
+	jj_team_entry_t team = {};
+
+	team.priority = GetParam().team;
+	EXPECT_EQ(
+	    GetParam().priority, jj_team_priority(&team, GetParam().route));
+	EXPECT_EQ(
+	    GetParam().route, jj_team_priority(nullptr, GetParam().route));
+}
+
+INSTANTIATE_TEST_SUITE_P(Priorities, TeamPriority,
+    ::testing::Values(PriorityCase{"NoneOfItsOwn", 2, JJ_TEAM_PRIORITY_NONE, 2},
+	PriorityCase{"Higher", 2, 0, 0}, PriorityCase{"Lower", 0, 3, 3}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 /* Guards against a team that finds another team's job under the same id. */
 TEST(TeamScope, KeepsJobsApart)
 {
