Allowances: meter a team later, unless requests of some VMs are unknown

Change: metered from 0.8 of the limit on with a target of 0.92, in place of 0.65 and 0.8; these stay in a cut and for ten seconds after a start.

--- a/src/core/team/allowance_home.c
+++ b/src/core/team/allowance_home.c
@@ -14,7 +14,7 @@
  * The limit that the home keeps is a little above the team's, as counts are
  * rounded up to whole slices of the window.
  */
-#define LIMIT_FACTOR 1.03
+#define LIMIT_FACTOR 1.05
 /** Requests beyond that: a small team's few requests come unevenly. */
 #define LIMIT_EXTRA 6
 /** The same for each side of a network cut. */
@@ -23,16 +23,21 @@
 #define START_EXTRA 4
 /** A credit covers the requests of this time, ms. */
 #define CREDIT_MS 1000
-/** A team is metered from this part of its limit on. */
-#define METERED_PART 0.65
+/**
+ * A team is metered from this part of its limit on, gets its rate at the
+ * target, and twice its rate where metering begins.
+ */
+#define METERED_PART 0.8
+#define METERED_TARGET 0.92
+/** The same while requests of some VMs, or before the start, are unknown. */
+#define CAREFUL_PART 0.65
+#define CAREFUL_TARGET 0.8
 /** A credit is at most the remaining limit divided by this. */
 #define CREDIT_DIVISOR 4
-/** The part of the limit that a metered team is steered to, ... */
-#define METERED_TARGET 0.8
-/** ... and how strongly: at METERED_PART it gets twice its rate. */
-#define METERED_GAIN (1 / (METERED_TARGET - METERED_PART))
 /** Requests a second are counted over so many slices of the window. */
 #define DEMAND_SLICES 5
+/** A process is taken as just started for this time, ms. */
+#define CAREFUL_MS (2 * JJ_USAGE_WINDOW_MS)
 /** Reports of all VMs have come within this time, ms. */
 #define REPORTS_MS 1200
 /** Notices that a team is metered are repeated after this time, ms. */
@@ -95,7 +100,7 @@
 static uint32_t choose_credit(const vm_t *, double);
 static void update_share(team_t *, vm_t *);
 static uint32_t
-admit_ppm(team_t *, const jj_allowance_limit_t *, double, jj_ms_t);
+admit_ppm(team_t *, const jj_allowance_limit_t *, double, bool, jj_ms_t);
 static uint32_t retry_ms(const jj_allowance_limit_t *, double, double);
 static void
 notify(jj_allowance_home_t *, team_t *, const jj_team_grant_t *, jj_ms_t);
@@ -132,6 +137,7 @@
 	double most;
 	double used;
 	double left;
+	bool is_careful;
 
 	if (!home->port.limit_of(home->port.ctx, use->team, &limit))
 		return false;
@@ -143,7 +149,9 @@
 	used = count_used(home, team, now);
 	left = available(team, vm, most, used, now);
 	/* Shares are estimates, so a divided team gets no credits. */
-	team->metered = team->divided || used >= METERED_PART * most;
+	is_careful = team->divided || now - home->started_ms < CAREFUL_MS;
+	team->metered = team->divided ||
+	    used >= (is_careful ? CAREFUL_PART : METERED_PART) * most;
 	update_share(team, vm);
 	memset(grant, 0, sizeof(*grant));
 	grant->team = use->team;
@@ -154,7 +162,8 @@
 	grant->used = (uint32_t)used;
 	grant->retry_ms = retry_ms(&limit, most, used);
 	grant->metered = team->metered;
-	grant->admit_ppm = admit_ppm(team, &limit, used / most, now);
+	grant->admit_ppm =
+	    admit_ppm(team, &limit, used / most, is_careful, now);
 	vm->granted_end = use->total + grant->credit;
 	vm->granted_until_ms = now + grant->valid_ms;
 	if (team->metered)
@@ -372,7 +381,7 @@
 	 * gets its rate from the start on, and no more.
 	 */
 	since_start = limit->rate_per_s * (double)age / 1000 +
-	    limit->burst / 2 + START_EXTRA;
+	    limit->burst / 4 + START_EXTRA;
 	if (age < JJ_USAGE_WINDOW_MS && since_start < most)
 		most = since_start;
 	return most;
@@ -405,8 +414,8 @@
  * @param part of the limit that is used.
  */
 static uint32_t
-admit_ppm(
-    team_t *team, const jj_allowance_limit_t *limit, double part, jj_ms_t now)
+admit_ppm(team_t *team, const jj_allowance_limit_t *limit, double part,
+    bool is_careful, jj_ms_t now)
 {
 	double seconds = (double)(DEMAND_SLICES * JJ_USAGE_SLICE_MS +
 			     now % JJ_USAGE_SLICE_MS) /
@@ -414,7 +423,9 @@
 	double asked_per_s =
 	    jj_usage_window_recent(&team->asked, DEMAND_SLICES, now) / seconds;
 	double rate = limit->rate_per_s;
-	double admit = 1 + METERED_GAIN * (METERED_TARGET - part);
+	double target = is_careful ? CAREFUL_TARGET : METERED_TARGET;
+	double begin = is_careful ? CAREFUL_PART : METERED_PART;
+	double admit = 1 + (target - part) / (target - begin);
 
 	if (part >= 1 || admit <= 0)
 		return 0;
