Allowances: after a cut heals, count only recent requests, and stay careful

Change: at most a window's worth, spread over it; a home is careful for ten seconds after a cut as after a start.

--- a/src/core/team/allowance_home.c
+++ b/src/core/team/allowance_home.c
@@ -36,7 +36,7 @@
 #define CREDIT_DIVISOR 4
 /** Requests a second are counted over so many slices of the window. */
 #define DEMAND_SLICES 5
-/** A process is taken as just started for this time, ms. */
+/** After a start or a cut, a home is careful for this time, ms. */
 #define CAREFUL_MS (2 * JJ_USAGE_WINDOW_MS)
 /** Reports of all VMs have come within this time, ms. */
 #define REPORTS_MS 1200
@@ -74,6 +74,8 @@
 	bool metered;
 	bool moved; /**< another VM was its home before */
 	bool divided; /**< some VMs are unreachable */
+	/** not all requests of the window are known before */
+	jj_ms_t careful_until_ms;
 	/** part of the limit that the reachable VMs have while divided */
 	double part;
 } team_t;
@@ -149,7 +151,7 @@
 	used = count_used(home, team, now);
 	left = available(team, vm, most, used, now);
 	/* Shares are estimates, so a divided team gets no credits. */
-	is_careful = team->divided || now - home->started_ms < CAREFUL_MS;
+	is_careful = now < team->careful_until_ms;
 	team->metered = team->divided ||
 	    used >= (is_careful ? CAREFUL_PART : METERED_PART) * most;
 	update_share(team, vm);
@@ -229,6 +231,7 @@
 		    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
 		team->since_ms = now;
 		team->notice_ms = JJ_MS_NEVER;
+		team->careful_until_ms = home->started_ms + CAREFUL_MS;
 		(void)g_hash_table_insert(home->teams, &team->team, team);
 	}
 	if (use->moved && now - team->since_ms < REPORTS_MS)
@@ -256,14 +259,10 @@
 		return vm;
 	vm = jj_alloc(sizeof(*vm));
 	vm->name = *name;
-	vm->total = use->moved ? use->total : use->total - use->recent;
+	vm->total = use->total - use->recent;
 	vm->share = use->share;
 	vm->kept_share = (double)use->share / JJ_TEAM_SHARE_UNIT;
 	vm->report_ms = now;
-	if (use->moved) {
-		jj_usage_window_add_spread(&vm->window, use->recent, now);
-		jj_usage_window_add_spread(&team->window, use->recent, now);
-	}
 	(void)g_hash_table_insert(team->vms, vm->name.text, vm);
 	return vm;
 }
@@ -273,13 +272,19 @@
 {
 	double elapsed = use->elapsed_ms > 0 ? use->elapsed_ms : 1;
 	/* A smaller total is of a new process. */
-	uint64_t count =
-	    use->total >= vm->total ? use->total - vm->total : use->recent;
+	bool is_same = use->total >= vm->total;
+	uint64_t count = is_same ? use->total - vm->total : use->recent;
 
-	if (count > UINT32_MAX)
+	/* Requests reported to other homes meanwhile are not all recent. */
+	if (count > use->recent)
 		count = use->recent;
-	jj_usage_window_add(&team->window, (uint32_t)count, now);
-	jj_usage_window_add(&vm->window, (uint32_t)count, now);
+	if (use->moved) {
+		jj_usage_window_add_spread(&team->window, (uint32_t)count, now);
+		jj_usage_window_add_spread(&vm->window, (uint32_t)count, now);
+	} else {
+		jj_usage_window_add(&team->window, (uint32_t)count, now);
+		jj_usage_window_add(&vm->window, (uint32_t)count, now);
+	}
 	jj_usage_window_add(&team->asked, use->asked, now);
 	vm->total = use->total;
 	vm->granted_until_ms = 0;
@@ -302,6 +307,7 @@
 		team->divided = false;
 		return;
 	}
+	team->careful_until_ms = now + CAREFUL_MS;
 	begins = !team->divided;
 	team->divided = true;
 	team->part = 0;
