Teams: log a team's use over all VMs while it is near its limit

Its home writes one line each 5 s, so that operators see usage and credits of all VMs in one place, not only the refusals of one VM.

--- a/src/adapters/neighbours.c
+++ b/src/adapters/neighbours.c
@@ -52,6 +52,8 @@
 #define TOO_LARGE_LOG_MS 10000
 /** Messages received per round, so that sending is not starved. */
 #define RECEIVE_BATCH_MAX 256
+/** The pause between reads grows by itself once for each so many VMs. */
+#define PAUSE_VMS 80
 
 typedef struct outgoing {
 	STAILQ_ENTRY(outgoing) link;
@@ -93,6 +95,7 @@
 static void set_kind_totals(jj_message_kind_t, const jj_neighbours_counts_t *);
 static void drop_too_large(jj_neighbours_t *, const char *, jj_message_kind_t);
 static void *APR_THREAD_FUNC run(apr_thread_t *, void *);
+static jj_ms_t receive_pause(const jj_neighbours_t *);
 static bool wait_for_messages(jj_neighbours_t *, bool, long);
 static bool send_queued(jj_neighbours_t *);
 static void send_one(jj_neighbours_t *, const outgoing_t *);
@@ -313,12 +316,24 @@
 		if (wait_for_messages(neighbours, true, POLL_MS)) {
 			receive_batch(neighbours);
 			receive_from_ms =
-			    jj_monotonic_now() + neighbours->receive_pause_ms;
+			    jj_monotonic_now() + receive_pause(neighbours);
 		}
 	}
 	return NULL;
 }
 
+/**
+ * Time until received messages are read again. It grows with the number of
+ * VMs: each wake-up costs the same, however many messages it reads.
+ */
+static jj_ms_t
+receive_pause(const jj_neighbours_t *neighbours)
+{
+	guint vms = g_hash_table_size(neighbours->connections);
+
+	return neighbours->receive_pause_ms * (jj_ms_t)(1 + vms / PAUSE_VMS);
+}
+
 /**
  * Waits for messages to send, and with @p receiving for received ones.
  * @return true if there are received messages.
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -166,6 +166,7 @@
 	uint32_t live_vms; /**< of the region, with this one */
 	jj_ms_t next_live_vms_ms; /**< next count */
 	jj_ms_t next_team_log_ms; /**< no refusal is logged before */
+	jj_ms_t next_usage_log_ms; /**< next log of metered teams */
 	uint32_t unlogged_refusals;
 
 	bool leaving;
--- a/src/core/gateway_teams.c
+++ b/src/core/gateway_teams.c
@@ -13,6 +13,8 @@
 
 /** Interval between counts of the live VMs, ms. */
 #define LIVE_VMS_MS 200
+/** Interval between log lines about teams that are metered here, ms. */
+#define USAGE_LOG_MS 5000
 /** A home is reachable for so many intervals after its last heartbeat. */
 #define HEARTBEATS 2
 /** A VM without heartbeats for so long is taken as gone, not as cut off, ms. */
@@ -22,6 +24,7 @@
 
 static void log_refusal(jj_gateway_t *, const jj_team_entry_t *,
     const jj_allowance_decision_t *, jj_ms_t, jj_actions_t *);
+static void log_usage(void *, const jj_team_usage_t *);
 static void create_home(jj_gateway_t *, jj_ms_t);
 static void home_of(void *, uint64_t, jj_name_t *);
 static bool limit_of(void *, uint64_t, jj_allowance_limit_t *);
@@ -65,11 +68,16 @@
 void
 jj_gateway_tick_teams(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
-	(void)out;
+	gateway->out = out;
 	if (gateway->allowance_home == NULL)
 		create_home(gateway, now);
 	jj_allowance_tick(gateway->allowance, now);
 	jj_allowance_home_tick(gateway->allowance_home, now);
+	if (now >= gateway->next_usage_log_ms) {
+		gateway->next_usage_log_ms = now + USAGE_LOG_MS;
+		jj_allowance_home_each(
+		    gateway->allowance_home, now, log_usage, gateway);
+	}
 	if (now < gateway->next_live_vms_ms)
 		return;
 	gateway->next_live_vms_ms = now + LIVE_VMS_MS;
@@ -136,6 +144,22 @@
 	gateway->unlogged_refusals = 0;
 }
 
+/** Logs the use of a team over all VMs while it is near its limit. */
+static void
+log_usage(void *ctx, const jj_team_usage_t *usage)
+{
+	jj_gateway_t *gateway = ctx;
+	const jj_team_entry_t *team =
+	    jj_teams_find_hash(gateway->routes.teams, usage->team);
+
+	if (!usage->metered || team == NULL)
+		return;
+	jj_actions_add_event(gateway->out, "team_metered",
+	    "team=%s rate=%g burst=%g used=%u credits=%u vms=%u",
+	    team->name.text, team->rate_per_s, team->burst, usage->used,
+	    usage->out, usage->vms);
+}
+
 static void
 create_home(jj_gateway_t *gateway, jj_ms_t now)
 {
--- a/src/core/team/allowance_home.c
+++ b/src/core/team/allowance_home.c
@@ -213,7 +213,7 @@
 		team_t *team = value;
 		jj_team_usage_t usage = {team->team,
 		    count_used(home, team, now), count_credits(team, NULL, now),
-		    team->metered};
+		    g_hash_table_size(team->vms), team->metered};
 
 		take(ctx, &usage);
 	}
--- a/src/core/team/allowance_home.h
+++ b/src/core/team/allowance_home.h
@@ -47,6 +47,7 @@
 	uint64_t team;
 	uint32_t used; /**< requests of all reporting VMs in the window */
 	uint32_t out; /**< credits that VMs still hold */
+	uint32_t vms; /**< that have reported about it lately */
 	bool metered;
 } jj_team_usage_t;
 
--- a/tests/core/gateway_teams_test.cc
+++ b/tests/core/gateway_teams_test.cc
@@ -139,6 +139,22 @@
 	EXPECT_TRUE(ended.empty());
 }
 
+/* Guards against a team near its limit that operators can't see. */
+TEST_F(TeamFleet, AMeteredTeamIsLoggedAtItsHome)
+{
+	int lines = 0;
+
+	run(6000);
+	(void)press("limited", 11000, 1);
+	for (const auto &vm : vms) {
+		auto found = vm.second.events.find("team_metered");
+
+		lines += found != vm.second.events.end() ? found->second : 0;
+	}
+	EXPECT_GE(lines, 1);
+	EXPECT_LE(lines, 3);
+}
+
 /* Guards against a log that grows with each refused request. */
 TEST_F(TeamFleet, RefusalsAreLoggedOnceInAWhile)
 {
