Allowances: announce only what refuses, reports in one pass

Cause: while any VM is unreachable, which lasts 30 s after one has gone, each home announced each of its teams to all VMs every second, though none was refused anything; and a VM with many active teams walked them once for each report. Change: no announcement while all requests are admitted; VMs that announced that they leave are not missed; reports are sent in one pass.

--- a/src/core/gateway_teams.c
+++ b/src/core/gateway_teams.c
@@ -27,6 +27,7 @@
 static void log_usage(void *, const jj_team_usage_t *);
 static void create_home(jj_gateway_t *, jj_ms_t);
 static void home_of(void *, uint64_t, jj_name_t *);
+static void send_report(void *, const jj_name_t *, const jj_team_use_t *);
 static bool limit_of(void *, uint64_t, jj_allowance_limit_t *);
 static bool is_reachable(void *, const jj_name_t *);
 static bool misses_vms(void *);
@@ -88,21 +89,10 @@
 void
 jj_gateway_report_teams(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
-	const jj_name_t *self = &gateway->settings.name;
-	jj_message_t *message;
-	jj_team_use_t use;
-	jj_name_t home;
+	jj_allowance_port_t port = {gateway, home_of, send_report};
 
-	while (jj_allowance_next_report(
-	    gateway->allowance, home_of, gateway, now, &home, &use)) {
-		if (jj_name_equal(&home, self)) {
-			take_use(gateway, self, &use, now, out);
-			continue;
-		}
-		message = find_message(out, &home, JJ_MESSAGE_TEAM_USE);
-		message->body.team_use.uses[message->body.team_use.count++] =
-		    use;
-	}
+	gateway->out = out;
+	jj_allowance_report(gateway->allowance, &port, now);
 }
 
 void
@@ -179,6 +169,20 @@
 		*home = gateway->settings.name;
 }
 
+static void
+send_report(void *ctx, const jj_name_t *home, const jj_team_use_t *use)
+{
+	jj_gateway_t *gateway = ctx;
+	jj_message_t *message;
+
+	if (jj_name_equal(home, &gateway->settings.name)) {
+		take_use(gateway, home, use, gateway->now, gateway->out);
+		return;
+	}
+	message = find_message(gateway->out, home, JJ_MESSAGE_TEAM_USE);
+	message->body.team_use.uses[message->body.team_use.count++] = *use;
+}
+
 static bool
 limit_of(void *ctx, uint64_t hash, jj_allowance_limit_t *limit)
 {
@@ -213,7 +217,8 @@
 
 	for (i = 0; i < gateway->vm_count; i++) {
 		info = jj_member_find(gateway->member, &gateway->vms[i].name);
-		if (info != NULL && info->heard_ms != JJ_MS_NEVER &&
+		if (info != NULL && info->state != JJ_VM_LEAVING &&
+		    info->heard_ms != JJ_MS_NEVER &&
 		    gateway->now - info->heard_ms < GONE_MS &&
 		    !comes_on_time(gateway, info))
 			return true;
--- a/src/core/team/allowance.c
+++ b/src/core/team/allowance.c
@@ -139,12 +139,13 @@
 	jj_usage_window_undo(&entry->window);
 }
 
-bool
-jj_allowance_next_report(jj_allowance_t *allowance,
-    void (*home_of)(void *ctx, uint64_t team, jj_name_t *home), void *ctx,
-    jj_ms_t now, jj_name_t *home, jj_team_use_t *use)
+void
+jj_allowance_report(
+    jj_allowance_t *allowance, const jj_allowance_port_t *port, jj_ms_t now)
 {
 	GHashTableIter iterator;
+	jj_team_use_t use;
+	jj_name_t home;
 	gpointer value;
 
 	g_hash_table_iter_init(&iterator, allowance->teams);
@@ -153,11 +154,10 @@
 
 		if (!is_report_due(entry, now))
 			continue;
-		home_of(ctx, entry->team, home);
-		fill_report(entry, home, now, use);
-		return true;
+		port->home_of(port->ctx, entry->team, &home);
+		fill_report(entry, &home, now, &use);
+		port->send(port->ctx, &home, &use);
 	}
-	return false;
 }
 
 void
--- a/src/core/team/allowance.h
+++ b/src/core/team/allowance.h
@@ -56,14 +56,18 @@
     bool home_reachable, jj_ms_t now);
 /** An admitted request ended without having reached a server. */
 void jj_allowance_refund(jj_allowance_t *allowance, uint64_t team);
-/**
- * Takes the next report that is due; false when there is none. The caller
- * sends it to the home of its team.
- * @param home_of names the home of a team.
- */
-bool jj_allowance_next_report(jj_allowance_t *allowance,
-    void (*home_of)(void *ctx, uint64_t team, jj_name_t *home), void *ctx,
-    jj_ms_t now, jj_name_t *home, jj_team_use_t *use);
+/** Where reports go. */
+typedef struct {
+	void *ctx;
+	/** Names the home of a team. */
+	void (*home_of)(void *ctx, uint64_t team, jj_name_t *home);
+	void (*send)(
+	    void *ctx, const jj_name_t *home, const jj_team_use_t *use);
+} jj_allowance_port_t;
+
+/** Sends the reports that are due to the homes of their teams. */
+void jj_allowance_report(
+    jj_allowance_t *allowance, const jj_allowance_port_t *port, jj_ms_t now);
 /** Takes a grant of a team's home. */
 void jj_allowance_take_grant(jj_allowance_t *allowance, const jj_name_t *home,
     const jj_team_grant_t *grant, jj_ms_t now);
--- a/src/core/team/allowance_home.c
+++ b/src/core/team/allowance_home.c
@@ -150,8 +150,8 @@
 	most = window_limit(home, team, &limit, now);
 	used = count_used(home, team, now);
 	left = available(team, vm, most, used, now);
-	/* Shares are estimates, so a divided team gets no credits. */
 	is_careful = now < team->careful_until_ms;
+	/* Shares are estimates, so a divided team gets no credits. */
 	team->metered = team->divided ||
 	    used >= (is_careful ? CAREFUL_PART : METERED_PART) * most;
 	update_share(team, vm);
@@ -168,7 +168,7 @@
 	    admit_ppm(team, &limit, used / most, is_careful, now);
 	vm->granted_end = use->total + grant->credit;
 	vm->granted_until_ms = now + grant->valid_ms;
-	if (team->metered)
+	if (team->metered && grant->admit_ppm < JJ_TEAM_SHARE_UNIT)
 		notify(home, team, grant, now);
 	return true;
 }
@@ -478,7 +478,7 @@
 }
 
 /**
- * Tells all VMs that the team is metered. Those without a request of it so far
+ * Announces to all VMs that not all requests are admitted. Those without a request of it so far
  * would admit the first ones on trust.
  */
 static void
@@ -486,7 +486,6 @@
     jj_ms_t now)
 {
 	jj_team_grant_t notice = *grant;
-
 	jj_ms_t spacing = grant->admit_ppm < team->notice_ppm / 2
 	    ? NOTICE_DROP_MS
 	    : NOTICE_MS;
--- a/tests/core/team/allowance_fleet.h
+++ b/tests/core/team/allowance_fleet.h
@@ -256,14 +256,19 @@
 	void
 	report(Vm &vm)
 	{
-		jj_team_use_t use;
-		jj_name_t home;
+		jj_allowance_port_t port = {&vm, choose_home, send_report};
+
+		if (vm.up)
+			jj_allowance_report(vm.allowance, &port, now);
+	}
+	static void
+	send_report(void *ctx, const jj_name_t *, const jj_team_use_t *use)
+	{
+		Vm *vm = static_cast<Vm *>(ctx);
+		AllowanceFleet *fleet = vm->fleet;
 
-		while (vm.up &&
-		    jj_allowance_next_report(
-			vm.allowance, choose_home, &vm, now, &home, &use))
-			send({vm.number, home_for(vm), now + DELAY_MS, false,
-			    use, {}});
+		fleet->send({vm->number, fleet->home_for(*vm),
+		    fleet->now + DELAY_MS, false, *use, {}});
 	}
 	static void
 	choose_home(void *ctx, uint64_t, jj_name_t *home)
