--- a/src/core/gateway_teams.c
+++ b/src/core/gateway_teams.c
@@ -147,7 +147,7 @@
 	jj_actions_add_event(gateway->out, "team_metered",
 	    "team=%s rate=%g burst=%g used=%u credits=%u vms=%u",
 	    team->name.text, team->rate_per_s, team->burst, usage->used,
-	    usage->out, usage->vms);
+	    usage->credits, usage->vms);
 }
 
 static void
--- a/src/core/team/allowance.c
+++ b/src/core/team/allowance.c
@@ -50,7 +50,7 @@
 	uint64_t credit_end; /**< may admit while `total` is below */
 	jj_ms_t credit_until_ms;
 	uint32_t credit; /**< at the last grant */
-	uint64_t trust_end; /**< the same, without a credit */
+	uint64_t trust_end; /**< as credit_end, without a credit; 0: not set */
 	jj_ms_t metered_until_ms;
 	uint32_t admit_ppm; /**< of a metered team */
 	double rounding; /**< 0 to 1, added to what the share allows */
@@ -166,8 +166,7 @@
 {
 	team_t *entry = g_hash_table_lookup(allowance->teams, &grant->team);
 
-	/* A team without requests here needs to know only that it is metered.
-	 */
+	/* Of a team without requests here, only a notice matters. */
 	if (entry == NULL) {
 		if (!grant->notice)
 			return;
--- a/src/core/team/allowance_home.h
+++ b/src/core/team/allowance_home.h
@@ -46,7 +46,7 @@
 typedef struct {
 	uint64_t team;
 	uint32_t used; /**< requests of all reporting VMs in the window */
-	uint32_t out; /**< credits that VMs still hold */
+	uint32_t credits; /**< that VMs still hold */
 	uint32_t vms; /**< that have reported about it lately */
 	bool metered;
 } jj_team_usage_t;
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -43,6 +43,7 @@
 static void on_writable(void *, jj_http_call_t *);
 static void on_ready(void *, jj_http_call_t *);
 static void on_operator(void *, jj_http_call_t *);
+static bool allow_caller(jj_gateway_node_t *, jj_http_call_t *, jj_name_t *);
 static jj_access_t
 check_access(jj_gateway_node_t *, jj_http_call_t *, jj_name_t *);
 static void find_key(void *, const char *, const char *);
@@ -175,13 +176,19 @@
 {
 	jj_gateway_node_t *node = ctx;
 	jj_name_t team;
-	jj_access_t access;
 
-	if (atomic_load(&node->rejecting))
-		return false;
-	access = check_access(node, call, &team);
+	return !atomic_load(&node->rejecting) &&
+	    !allow_caller(node, call, &team);
+}
+
+/** Finds the caller's team; answers the call when it proves none. */
+static bool
+allow_caller(jj_gateway_node_t *node, jj_http_call_t *call, jj_name_t *team)
+{
+	jj_access_t access = check_access(node, call, team);
+
 	if (access == JJ_ACCESS_GRANTED)
-		return false;
+		return true;
 	if (access == JJ_ACCESS_DENIED && !atomic_load(&node->may_be_behind)) {
 		jj_counter_add(jj_metrics_counter("jujube_keys_refused_total",
 				   "Requests without a valid key.", NULL, NULL),
@@ -191,7 +198,7 @@
 		answer(
 		    node, call, 503, UNKNOWN_KEY_RETRY_MS, "text/plain", NULL);
 	}
-	return true;
+	return false;
 }
 
 static void
@@ -211,10 +218,8 @@
 		return;
 	}
 	/* Keys that were taken away while the body came count, too. */
-	if (check_access(node, call, &team) != JJ_ACCESS_GRANTED) {
-		answer(node, call, 401, 0, "text/plain", NULL);
+	if (!allow_caller(node, call, &team))
 		return;
-	}
 	node->deployment->read_call(call, &read);
 	scope_job(&team, read.job, sizeof(read.job));
 	switch (read.kind) {
