--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -47,6 +47,14 @@
 
 		objects[key] = {spec, ++revision};
 	}
+	/** Number of calls that did not wait for changes. */
+	size_t
+	calls()
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		return call_count;
+	}
 	/** All that was ever written, in one text. */
 	std::string
 	history()
@@ -66,6 +74,7 @@
 	std::mutex lock;
 	std::map<std::string, Object> objects;
 	uint64_t revision = 0;
+	size_t call_count = 0;
 	std::string written;
 	jj_http_server_t *server;
 
@@ -89,6 +98,7 @@
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(50));
 		std::lock_guard<std::mutex> guard(lock);
+		call_count += watch == nullptr;
 		if (method == "GET" && key.find('/') == std::string::npos)
 			text = list(key, watch);
 		else if (method == "GET")
--- a/tests/platform/keys_test.cc
+++ b/tests/platform/keys_test.cc
@@ -340,6 +340,21 @@
 	    send("GET", "/api/lots/job-1?after=0", key_header("key-1-of-ice")));
 }
 
+/* Guards against wrong keys that load the platform or the servers. */
+TEST_F(Keys, UnknownOnesCostNoCalls)
+{
+	size_t received = server.received().size();
+	size_t calls = store.calls();
+
+	for (int i = 0; i < 300; i++)
+		EXPECT_EQ(401,
+		    send("GET", "/r/x",
+			key_header("wrong-" + std::to_string(i))));
+	EXPECT_EQ(received, server.received().size());
+	/* The list of VMs may be read meanwhile, each few seconds. */
+	EXPECT_LE(store.calls(), calls + 2);
+}
+
 /* Guards against a key that is served after it was taken away. */
 TEST_F(Keys, TakenAwayAreRefused)
 {
