Front: no search for a key where the configuration has no teams

Every request searched its headers for a key and matched its route, twice, also on deployments without teams, and the kind of call was parsed while the lock of the routes was held. The check now ends at once without teams, and parses before it takes the lock. What callers get is unchanged: without a table jj_teams_check() grants each of them no team.

--- a/src/core/route.h
+++ b/src/core/route.h
@@ -73,7 +73,8 @@
 /** Builds the index that jj_routes_match() needs. */
 void jj_routes_build_index(jj_routes_t *routes);
 /**
- * Copies a table with its own index; the teams are shared. @p to is overwritten, not freed.
+ * Copies a table with its own index; the teams are shared. @p to is overwritten,
+ * not freed.
  */
 void jj_routes_copy(jj_routes_t *to, const jj_routes_t *from);
 /** Frees what the table owns and empties it. */
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -303,17 +303,22 @@
 	const jj_team_entry_t *found = NULL;
 	const jj_route_t *route;
 	jj_access_t access;
+	bool is_on_job = is_job_call(node, call);
 	bool optional;
 
 	memset(team, 0, sizeof(*team));
 	if (node->settings->listen_ready[0] == '\0' &&
 	    strcmp(path, node->deployment->ready_path) == 0)
 		return JJ_ACCESS_GRANTED;
-	jj_http_call_each_header(call, find_key, &key);
 	(void)apr_thread_mutex_lock(node->lock);
+	if (node->routes.teams == NULL) {
+		(void)apr_thread_mutex_unlock(node->lock);
+		return JJ_ACCESS_GRANTED;
+	}
+	jj_http_call_each_header(call, find_key, &key);
 	if (host == NULL) {
 		optional = false;
-	} else if (is_job_call(node, call)) {
+	} else if (is_on_job) {
 		optional = jj_routes_has_anonymous_jobs(&node->routes, host);
 	} else {
 		route = jj_routes_match(&node->routes, host, path);
