--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -440,6 +440,14 @@
 
 	call->method = strdup(method);
 	call->path = strdup(url);
+	if (port->on_headers != NULL) {
+		jj_http_call_retain(call);
+		call->passed_to_port = true;
+		if (port->on_headers(port->ctx, call))
+			return MHD_YES;
+		call->passed_to_port = false;
+		jj_http_call_release(call);
+	}
 	call->is_upload =
 	    port->takes_upload != NULL && port->takes_upload(port->ctx, call);
 	return MHD_YES;
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -59,6 +59,11 @@
 	void (*on_disconnect)(void *ctx, jj_http_call_t *call);
 	/** A full stream buffer has free capacity again. NULL: ignored. */
 	void (*on_writable)(void *ctx, jj_http_call_t *call);
+	/**
+	 * The headers of a request were received. True when the port has
+	 * answered it; its body is then discarded. NULL: never.
+	 */
+	bool (*on_headers)(void *ctx, jj_http_call_t *call);
 } jj_http_port_t;
 
 /** Limits of a server; the settings explain the reason for each. */
--- a/src/adapters/neighbours.c
+++ b/src/adapters/neighbours.c
@@ -478,7 +478,7 @@
 	(void)apr_thread_mutex_lock(neighbours->lock);
 	neighbours->counts.received++;
 	neighbours->counts.received_bytes += zmq_msg_size(part);
-	if (outcome == JJ_WIRE_OTHER_VERSION)
+	if (outcome == JJ_WIRE_OTHER_VERSION || outcome == JJ_WIRE_OTHER_KIND)
 		neighbours->counts.other_version++;
 	else if (outcome != JJ_WIRE_OK)
 		neighbours->counts.malformed++;
--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -86,7 +86,7 @@
 static bool check_structure(const uint8_t *, size_t);
 static bool read_value_header(const uint8_t *, size_t, size_t *, size_t *);
 static size_t read_length(const uint8_t *, size_t);
-static bool unpack_message(const msgpack_object *, jj_message_t *);
+static jj_wire_outcome_t unpack_message(const msgpack_object *, jj_message_t *);
 static bool unpack_struct(const msgpack_object *, const layout_t *, char *);
 static bool unpack_field(const msgpack_object *, const field_t *, char *);
 static bool unpack_unsigned(const msgpack_object *, uint64_t, uint64_t *);
@@ -316,6 +316,43 @@
 };
 LAYOUT(job_states_layout, jj_message_t, job_states_fields);
 
+static const field_t team_use_fields[] = {
+    FIELD(FIELD_U64, jj_team_use_t, team),
+    FIELD(FIELD_U64, jj_team_use_t, total),
+    FIELD(FIELD_U32, jj_team_use_t, recent),
+    FIELD(FIELD_U32, jj_team_use_t, asked),
+    FIELD(FIELD_U32, jj_team_use_t, elapsed_ms),
+    FIELD(FIELD_U32, jj_team_use_t, share),
+    FIELD(FIELD_BOOL, jj_team_use_t, moved),
+};
+LAYOUT(team_use_layout, jj_team_use_t, team_use_fields);
+
+static const field_t team_uses_fields[] = {
+    ARRAY(FIELD_ARRAY, jj_message_t, body.team_use.uses, body.team_use.count,
+	JJ_MESSAGE_TEAMS_MAX, &team_use_layout),
+};
+LAYOUT(team_uses_layout, jj_message_t, team_uses_fields);
+
+static const field_t team_grant_fields[] = {
+    FIELD(FIELD_U64, jj_team_grant_t, team),
+    FIELD(FIELD_U64, jj_team_grant_t, total),
+    FIELD(FIELD_U32, jj_team_grant_t, credit),
+    FIELD(FIELD_U32, jj_team_grant_t, valid_ms),
+    FIELD(FIELD_U32, jj_team_grant_t, share),
+    FIELD(FIELD_U32, jj_team_grant_t, used),
+    FIELD(FIELD_U32, jj_team_grant_t, retry_ms),
+    FIELD(FIELD_BOOL, jj_team_grant_t, metered),
+    FIELD(FIELD_U32, jj_team_grant_t, admit_ppm),
+    FIELD(FIELD_BOOL, jj_team_grant_t, notice),
+};
+LAYOUT(team_grant_layout, jj_team_grant_t, team_grant_fields);
+
+static const field_t team_grants_fields[] = {
+    ARRAY(FIELD_ARRAY, jj_message_t, body.team_grant.grants,
+	body.team_grant.count, JJ_MESSAGE_TEAMS_MAX, &team_grant_layout),
+};
+LAYOUT(team_grants_layout, jj_message_t, team_grants_fields);
+
 static const field_t jobs_fields[] = {
     FIELD(FIELD_U64, jj_message_t, body.jobs.revision),
     BYTES(jj_message_t, body.jobs.events, JJ_WIRE_BYTES_MAX),
@@ -350,6 +387,8 @@
     [JJ_MESSAGE_BORROW_RESULT] = &lent_layout,
     [JJ_MESSAGE_JOB_READ] = &job_page_layout,
     [JJ_MESSAGE_JOB_PAGE] = &job_page_layout,
+    [JJ_MESSAGE_TEAM_USE] = &team_uses_layout,
+    [JJ_MESSAGE_TEAM_GRANT] = &team_grants_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
@@ -408,9 +447,8 @@
 		return JJ_WIRE_MALFORMED;
 	msgpack_unpacked_init(&unpacked);
 	if (msgpack_unpack_next(&unpacked, data, size, &offset) ==
-		MSGPACK_UNPACK_SUCCESS &&
-	    unpack_message(&unpacked.data, out))
-		outcome = JJ_WIRE_OK;
+	    MSGPACK_UNPACK_SUCCESS)
+		outcome = unpack_message(&unpacked.data, out);
 	msgpack_unpacked_destroy(&unpacked);
 	if (outcome != JJ_WIRE_OK) {
 		jj_message_clear(out);
@@ -429,6 +467,8 @@
 		return "malformed";
 	case JJ_WIRE_OTHER_VERSION:
 		return "other_version";
+	case JJ_WIRE_OTHER_KIND:
+		return "other_kind";
 	case JJ_WIRE_TOO_LARGE:
 		return "too_large";
 	}
@@ -618,26 +658,28 @@
 	return length;
 }
 
-static bool
+static jj_wire_outcome_t
 unpack_message(const msgpack_object *object, jj_message_t *out)
 {
 	const msgpack_object *parts = object->via.array.ptr;
 	uint64_t kind;
 
-	if (!unpack_unsigned(&parts[1], JJ_MESSAGE_KIND_END - 1, &kind))
-		return false;
-	if (kind == 0 || body_layouts[kind] == NULL)
-		return false;
-	out->kind = (jj_message_kind_t)kind;
+	if (!unpack_unsigned(&parts[1], UINT64_MAX, &kind) || kind == 0)
+		return JJ_WIRE_MALFORMED;
 	if (!unpack_field(&parts[2], &from_field, (char *)out))
-		return false;
+		return JJ_WIRE_MALFORMED;
 	if (!unpack_unsigned(&parts[3], UINT64_MAX, &out->incarnation))
-		return false;
+		return JJ_WIRE_MALFORMED;
 	if (!unpack_unsigned(&parts[4], UINT64_MAX, &out->sequence))
-		return false;
+		return JJ_WIRE_MALFORMED;
 	if (jj_name_is_empty(&out->from) || out->incarnation == 0)
-		return false;
-	return unpack_struct(&parts[5], body_layouts[kind], (char *)out);
+		return JJ_WIRE_MALFORMED;
+	if (kind >= JJ_MESSAGE_KIND_END || body_layouts[kind] == NULL)
+		return JJ_WIRE_OTHER_KIND;
+	out->kind = (jj_message_kind_t)kind;
+	return unpack_struct(&parts[5], body_layouts[kind], (char *)out)
+	    ? JJ_WIRE_OK
+	    : JJ_WIRE_MALFORMED;
 }
 
 static bool
@@ -645,8 +687,9 @@
 {
 	size_t i;
 
+	/* A newer build may append fields, which are ignored. */
 	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != layout->field_count)
+	    object->via.array.size < layout->field_count)
 		return false;
 	for (i = 0; i < layout->field_count; i++) {
 		if (!unpack_field(
--- a/src/adapters/wire.h
+++ b/src/adapters/wire.h
@@ -3,7 +3,9 @@
  * @brief Strict msgpack encoding and decoding of messages between VMs.
  *
  * A message is the array [version, kind, from, incarnation, sequence, body];
- * the body is an array of the kind's fields in a fixed order.
+ * the body is an array of the kind's fields in a fixed order. A newer build may
+ * append fields and add kinds: both are ignored here, so that the VMs of two
+ * builds in a row understand each other during an upgrade.
  */
 #ifndef JJ_ADAPTERS_WIRE_H
 #define JJ_ADAPTERS_WIRE_H
@@ -17,6 +19,7 @@
 	JJ_WIRE_OK,
 	JJ_WIRE_MALFORMED, /**< not a message, or a field out of bounds */
 	JJ_WIRE_OTHER_VERSION, /**< from another JJ_MESSAGE_VERSION */
+	JJ_WIRE_OTHER_KIND, /**< of a kind that this build does not know */
 	JJ_WIRE_TOO_LARGE, /**< more than JJ_WIRE_BYTES_MAX bytes */
 } jj_wire_outcome_t;
 
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -14,7 +14,7 @@
 {
 	static const char *const names[] = {"none", "no_server", "overloaded",
 	    "deadline", "retries", "quarantined", "broken", "stopping",
-	    "no_config", "cancelled", "no_service"};
+	    "no_config", "cancelled", "no_service", "team_limit"};
 
 	return names[reason];
 }
@@ -202,6 +202,8 @@
 	    [JJ_MESSAGE_BORROW_RESULT] = "lent",
 	    [JJ_MESSAGE_JOB_READ] = "job_read",
 	    [JJ_MESSAGE_JOB_PAGE] = "job_page",
+	    [JJ_MESSAGE_TEAM_USE] = "team_use",
+	    [JJ_MESSAGE_TEAM_GRANT] = "team_grant",
 	};
 
 	return kind < JJ_MESSAGE_KIND_END && names[kind] != NULL ? names[kind]
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -76,6 +76,8 @@
 	gateway->settings.jobs.relay_timeout_ms =
 	    settings->news_ms * RELAY_FRESH_TENTHS / 10;
 	gateway->jobs = jj_inline_create(&gateway->settings.jobs, &jobs);
+	gateway->allowance = jj_allowance_create(settings->seed);
+	gateway->live_vms = 1;
 	TAILQ_INIT(&gateway->sent);
 	TAILQ_INIT(&gateway->waiting);
 	TAILQ_INIT(&gateway->borrowed);
@@ -104,6 +106,8 @@
 		jj_gateway_free_entry(gateway, entry);
 	jj_actions_clear(&unused);
 	jj_gateway_free_peer_calls(gateway);
+	jj_allowance_destroy(gateway->allowance);
+	jj_allowance_home_destroy(gateway->allowance_home);
 	jj_slots_destroy(gateway->slots);
 	jj_quarantine_destroy(gateway->quarantine);
 	jj_member_destroy(gateway->member);
@@ -223,6 +227,7 @@
 	jj_gateway_expire_borrowed(gateway, now, out);
 	jj_inline_tick(gateway->jobs, now, out);
 	jj_gateway_tick_relay(gateway, now, out);
+	jj_gateway_tick_teams(gateway, now, out);
 	end_step(gateway, now, out);
 }
 
@@ -273,6 +278,14 @@
 	return gateway->routes.version > 0;
 }
 
+bool
+jj_gateway_may_be_behind(const jj_gateway_t *gateway)
+{
+	return jj_gateway_is_config_stale(gateway) ||
+	    (gateway->platform_unreachable_ms != 0 &&
+		jj_gateway_is_alone(gateway));
+}
+
 void
 jj_gateway_learn_vm(jj_gateway_t *gateway, const jj_name_t *name,
     const jj_name_t *domain, const char *address)
@@ -532,6 +545,7 @@
 	jj_gateway_send_queued(gateway, now, out);
 	jj_gateway_send_waiting_items(gateway, now, out);
 	jj_gateway_report_loads(gateway, now, out);
+	jj_gateway_report_teams(gateway, now, out);
 	jj_gateway_borrow_calls(gateway, now, out);
 	TAILQ_FOREACH(action, out, link)
 	{
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -87,6 +87,7 @@
 	char id[JJ_GATEWAY_ID_MAX + 1]; /**< id given by the caller, for logs */
 	const char *host;
 	const char *path;
+	jj_name_t team; /**< of the caller; empty: none */
 	/** how long the caller waits in all, 0: not given */
 	jj_ms_t budget_ms;
 	uint64_t fingerprint; /**< hash of path and body */
@@ -134,6 +135,11 @@
 bool jj_gateway_find_attempt(const jj_gateway_t *gateway, uint64_t request,
     jj_ms_t now, jj_gateway_attempt_t *start);
 
+/**
+ * True when a key that this VM does not know may be in a newer version of the
+ * configuration than the one in force.
+ */
+bool jj_gateway_may_be_behind(const jj_gateway_t *gateway);
 /** Takes a job's submission; answers 404 or 503 when no route accepts it. */
 void jj_gateway_submit(jj_gateway_t *gateway, uint64_t operation,
     jj_inline_job_t *job, jj_ms_t now, jj_actions_t *out);
--- a/src/core/gateway_config.c
+++ b/src/core/gateway_config.c
@@ -44,6 +44,7 @@
 {
 	jj_routes_t routes = {0};
 	char why[200] = "";
+	const char *problem;
 
 	if (!gateway->port.read_routes(
 		gateway->port.ctx, object, &routes, why, sizeof(why))) {
@@ -63,14 +64,19 @@
 		return false;
 	}
 	jj_actions_add_event(gateway->out, "config_in_force",
-	    "version=%llu before=%llu from=%s routes=%zu bytes=%zu",
+	    "version=%llu before=%llu from=%s routes=%zu teams=%zu bytes=%zu",
 	    (unsigned long long)routes.version,
 	    (unsigned long long)gateway->routes.version, from,
-	    routes.route_count, object->size);
+	    routes.route_count, jj_teams_count(routes.teams), object->size);
 	if (routes.unreadable > 0)
 		jj_actions_add_event(gateway->out, "routes_unreadable",
 		    "version=%llu count=%zu last=%.150s",
 		    (unsigned long long)routes.version, routes.unreadable, why);
+	if (jj_teams_problems(routes.teams, &problem) > 0)
+		jj_actions_add_event(gateway->out, "teams_unsound",
+		    "version=%llu count=%zu first=\"%s\"",
+		    (unsigned long long)routes.version,
+		    jj_teams_problems(routes.teams, &problem), problem);
 	jj_routes_clear(&gateway->routes);
 	gateway->routes = routes;
 	gateway->config.unreadable = false;
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -26,8 +26,8 @@
 has_stalled(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static jj_gateway_entry_t *add_entry(
     jj_gateway_t *, const jj_gateway_request_t *, const jj_route_t *, jj_ms_t);
-static void refuse(
-    jj_gateway_t *, const jj_gateway_request_t *, jj_failure_t, jj_actions_t *);
+static void refuse(jj_gateway_t *, const jj_gateway_request_t *, jj_failure_t,
+    jj_ms_t, jj_actions_t *);
 static bool
 check_entry(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static const jj_name_t *
@@ -66,6 +66,8 @@
 	const jj_route_t *route =
 	    jj_routes_match(&gateway->routes, request->host, request->path);
 	jj_gateway_entry_t *entry;
+	uint64_t charged_team;
+	jj_ms_t retry_after_ms;
 
 	gateway->now = now;
 	gateway->out = out;
@@ -74,19 +76,27 @@
 		refuse(gateway, request,
 		    jj_gateway_is_config_stale(gateway) ? JJ_FAILURE_NO_CONFIG
 							: JJ_FAILURE_NO_SERVICE,
-		    out);
+		    0, out);
 		return;
 	}
 	if (route->backend_count == 0) {
-		refuse(gateway, request, JJ_FAILURE_NO_SERVER, out);
+		refuse(gateway, request, JJ_FAILURE_NO_SERVER, 0, out);
 		return;
 	}
 	if (jj_quarantine_check(gateway->quarantine, request->fingerprint,
 		now) == JJ_QUARANTINE_REFUSED) {
-		refuse(gateway, request, JJ_FAILURE_QUARANTINED, out);
+		refuse(gateway, request, JJ_FAILURE_QUARANTINED, 0, out);
+		return;
+	}
+	if (!jj_gateway_admit(
+		gateway, request, now, &charged_team, &retry_after_ms, out)) {
+		refuse(gateway, request, JJ_FAILURE_TEAM_LIMIT, retry_after_ms,
+		    out);
+		jj_gateway_step(gateway, now, out);
 		return;
 	}
 	entry = add_entry(gateway, request, route, now);
+	entry->charged_team = charged_team;
 	jj_gateway_dispatch(gateway, entry, now, out);
 	jj_gateway_step(gateway, now, out);
 }
@@ -223,6 +233,8 @@
 {
 	jj_action_t *action = jj_actions_add(out, JJ_ACTION_ANSWER);
 
+	if (entry->charged_team != 0 && !entry->may_have_run)
+		jj_allowance_refund(gateway->allowance, entry->charged_team);
 	action->body.answer.request = entry->request;
 	action->body.answer.reason = reason;
 	action->body.answer.run =
@@ -392,17 +404,21 @@
 	return entry;
 }
 
+/** @param retry_after_ms 0: as usual for that reason. */
 static void
 refuse(jj_gateway_t *gateway, const jj_gateway_request_t *request,
-    jj_failure_t reason, jj_actions_t *out)
+    jj_failure_t reason, jj_ms_t retry_after_ms, jj_actions_t *out)
 {
 	jj_action_t *action = jj_actions_add(out, JJ_ACTION_ANSWER);
 
 	action->body.answer.request = request->request;
 	action->body.answer.reason = reason;
 	action->body.answer.run = JJ_RUN_NOT_RUN;
-	action->body.answer.retry_after_ms =
-	    choose_retry_after_ms(gateway, reason);
+	action->body.answer.retry_after_ms = retry_after_ms > 0
+	    ? retry_after_ms
+	    : choose_retry_after_ms(gateway, reason);
+	if (reason == JJ_FAILURE_TEAM_LIMIT)
+		return;
 	jj_actions_add_event(out, "request_refused",
 	    "request=%s reason=%s host=%s path=%.60s config=%llu", request->id,
 	    jj_failure_name(reason), request->host, request->path,
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -9,6 +9,7 @@
 
 #include "core/gateway.h"
 #include "core/mirror.h"
+#include "core/team/allowance_home.h"
 
 #define JJ_GATEWAY_BUCKETS 1024
 
@@ -45,6 +46,8 @@
 	/** of an item: attempts that stalled before a first event */
 	uint32_t stalls;
 	uint64_t fingerprint;
+	/** team whose allowance it was taken from, 0: none */
+	uint64_t charged_team;
 
 	uint32_t attempt; /**< number of the current attempt */
 	jj_slot_server_t *server; /**< server of the current attempt, or NULL */
@@ -156,6 +159,14 @@
 	jj_gateway_budget_t budgets[JJ_GATEWAY_BUDGETS];
 	uint64_t last_item; /**< number of the last item's request */
 
+	jj_allowance_t *allowance;
+	/** this VM as the home of some teams; NULL until the first tick */
+	jj_allowance_home_t *allowance_home;
+	uint32_t live_vms; /**< of the region, with this one */
+	jj_ms_t next_live_vms_ms; /**< next count */
+	jj_ms_t next_team_log_ms; /**< no refusal is logged before */
+	uint32_t unlogged_refusals;
+
 	bool leaving;
 	jj_ms_t last_tick_ms;
 	/** next load report to this failure domain */
@@ -321,6 +332,23 @@
 /** A pseudo-random number, to spread load. */
 uint64_t jj_gateway_random(jj_gateway_t *gateway);
 
+/* Rate limits of teams (gateway_teams.c). */
+/**
+ * Takes a request from its team's allowance; false when it is over the limit.
+ * @param charged the team, 0: it has no limit.
+ */
+bool
+jj_gateway_admit(jj_gateway_t *gateway, const jj_gateway_request_t *request,
+    jj_ms_t now, uint64_t *charged, jj_ms_t *retry_after_ms, jj_actions_t *out);
+void
+jj_gateway_tick_teams(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Reports admitted requests to the homes of their teams. */
+void
+jj_gateway_report_teams(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Takes a report or a grant of another VM. */
+void jj_gateway_take_team_message(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
+
 /* Configuration (gateway_config.c). */
 /**
  * Puts a newer configuration in force and announces its version to neighbours;
--- a/src/core/inline_job.c
+++ b/src/core/inline_job.c
@@ -75,13 +75,18 @@
 jj_inline_job_encode(const jj_inline_job_t *job)
 {
 	json_t *items = json_array();
+	json_t *root;
 	size_t i;
 
 	for (i = 0; i < job->item_count; i++)
 		(void)json_array_append_new(items, encode_item(&job->items[i]));
-	return jj_json_take_bytes(json_pack("{s:s,s:s,s:s,s:I,s:o}", "id",
-	    job->id, "host", job->host, "path", job->path, "submitted_unix_ms",
-	    (json_int_t)job->submitted_unix_ms, "items", items));
+	root = json_pack("{s:s,s:s,s:s,s:I,s:o}", "id", job->id, "host",
+	    job->host, "path", job->path, "submitted_unix_ms",
+	    (json_int_t)job->submitted_unix_ms, "items", items);
+	if (!jj_name_is_empty(&job->team))
+		(void)json_object_set_new(
+		    root, "team", json_string(job->team.text));
+	return jj_json_take_bytes(root);
 }
 
 bool
@@ -89,6 +94,7 @@
 {
 	json_t *root = json_loadb(text, size, 0, NULL);
 	const json_t *items = json_object_get(root, "items");
+	const char *team = json_string_value(json_object_get(root, "team"));
 	const json_t *entry;
 	bool valid;
 	size_t i;
@@ -100,6 +106,7 @@
 	job->path = copy_text(json_object_get(root, "path"));
 	job->submitted_unix_ms = (int64_t)json_integer_value(
 	    json_object_get(root, "submitted_unix_ms"));
+	valid = valid && (team == NULL || jj_name_set(&job->team, team));
 	valid = valid && job->host != NULL && job->path != NULL &&
 	    json_array_size(items) > 0 &&
 	    json_array_size(items) <= JJ_INLINE_ITEMS_MAX;
--- a/src/core/inline_job.h
+++ b/src/core/inline_job.h
@@ -43,6 +43,7 @@
 
 typedef struct {
 	char id[JJ_INLINE_ID_MAX + 1];
+	jj_name_t team; /**< that submitted it; empty: none */
 	char *host; /**< of the submission; selects the route */
 	char *path; /**< selects the route, too */
 	int64_t submitted_unix_ms;
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -103,6 +103,20 @@
 	return valid;
 }
 
+jj_name_t
+jj_inline_account(const jj_route_t *route, const jj_name_t *team)
+{
+	char text[2 * JJ_NAME_MAX + 2];
+	jj_name_t account = route->name;
+
+	if (jj_name_is_empty(team))
+		return account;
+	(void)snprintf(
+	    text, sizeof(text), "%s@%s", route->name.text, team->text);
+	jj_name_set_truncated(&account, text);
+	return account;
+}
+
 uint64_t
 jj_inline_open_tokens(
     const jj_inline_t *jobs, const jj_name_t *route, jj_ms_t now)
--- a/src/core/inline_run.c
+++ b/src/core/inline_run.c
@@ -412,7 +412,7 @@
 	run->retention_ms = JJ_MS_NEVER;
 	if (route == NULL)
 		return;
-	run->route = route->name;
+	run->route = jj_inline_account(route, &run->job.team);
 	if (age < 0)
 		age = 0;
 	run->due_ms = now - age + route->run_due_ms;
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -294,7 +294,12 @@
  * Decodes an open entry, all but id, version and links; false when malformed.
  */
 bool jj_inline_decode_open(jj_open_entry_t *entry, const jj_bytes_t *value);
-/** Tokens waiting on a route, as far as this VM knows. */
+/**
+ * Name under which waiting tokens are counted: a route's limit holds for each
+ * team by itself.
+ */
+jj_name_t jj_inline_account(const jj_route_t *route, const jj_name_t *team);
+/** Tokens waiting on an account, as far as this VM knows. */
 uint64_t jj_inline_open_tokens(
     const jj_inline_t *jobs, const jj_name_t *route, jj_ms_t now);
 
--- a/src/core/inline_submit.c
+++ b/src/core/inline_submit.c
@@ -13,7 +13,8 @@
 
 #include "core/inline_state.h"
 
-static bool fits(const jj_inline_t *, const jj_route_t *, uint64_t, jj_ms_t);
+static bool fits(const jj_inline_t *, const jj_route_t *, const jj_name_t *,
+    uint64_t, jj_ms_t);
 static void start_job(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
 static void start_open(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
 static void start_check(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
@@ -33,13 +34,15 @@
 	const jj_inline_run_t *run = jj_inline_find_run(jobs, job->id);
 	bool is_known =
 	    run != NULL || jj_inline_find_open(jobs, job->id) != NULL;
-	bool has_capacity = is_known || fits(jobs, route, job->tokens, now);
+	jj_name_t account = jj_inline_account(route, &job->team);
+	bool has_capacity =
+	    is_known || fits(jobs, route, &account, job->tokens, now);
 	jj_inline_op_t *op = jj_inline_add_op(jobs, JJ_OP_SUBMIT, operation,
 	    job->id, now + jobs->settings.submit_ms, now);
 
 	op->job = *job;
 	memset(job, 0, sizeof(*job));
-	op->route = route->name;
+	op->route = account;
 	op->run_due_ms = now + route->run_due_ms;
 	op->retention_ms = now + route->retention_ms;
 	if (run != NULL && run->state != JJ_RUN_LOADING) {
@@ -100,11 +103,11 @@
 }
 
 static bool
-fits(const jj_inline_t *jobs, const jj_route_t *route, uint64_t tokens,
-    jj_ms_t now)
+fits(const jj_inline_t *jobs, const jj_route_t *route, const jj_name_t *account,
+    uint64_t tokens, jj_ms_t now)
 {
 	return route->max_waiting_tokens == 0 ||
-	    jj_inline_open_tokens(jobs, &route->name, now) + tokens <=
+	    jj_inline_open_tokens(jobs, account, now) + tokens <=
 	    route->max_waiting_tokens;
 }
 
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -33,6 +33,8 @@
 #define JJ_MESSAGE_CRASH_HISTORY_MAX 48
 /** Maximum fingerprints in one crash report. */
 #define JJ_MESSAGE_SUSPECTS_MAX 64
+/** Maximum teams in one message about allowances. */
+#define JJ_MESSAGE_TEAMS_MAX 32
 
 typedef enum {
 	JJ_MESSAGE_HEARTBEAT = 1,
@@ -74,6 +76,9 @@
 	JJ_MESSAGE_JOB_READ,
 	/** the results, or none: read them from the platform */
 	JJ_MESSAGE_JOB_PAGE,
+	/** to the home of a team: requests that the sender admitted */
+	JJ_MESSAGE_TEAM_USE,
+	JJ_MESSAGE_TEAM_GRANT, /**< by the home: requests it may admit */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -235,6 +240,38 @@
 	uint32_t shown; /**< results available to readers */
 } jj_job_progress_t;
 
+/** Requests of a team that a VM admitted, for the team's home. */
+typedef struct {
+	uint64_t team; /**< jj_team_hash of its name */
+	uint64_t total; /**< admitted since the sender's process started */
+	uint32_t recent; /**< of these, in the last window */
+	uint32_t asked; /**< admitted and refused since the last report */
+	uint32_t elapsed_ms; /**< since that report */
+	/** the sender's share of the limit, in 1/JJ_TEAM_SHARE_UNIT */
+	uint32_t share;
+	/** the sender reported to another home before */
+	bool moved;
+} jj_team_use_t;
+
+/** One, in units of shares. */
+#define JJ_TEAM_SHARE_UNIT 1000000
+
+/** How many requests of a team a VM may admit. */
+typedef struct {
+	uint64_t team;
+	uint64_t total; /**< of the report that it answers */
+	uint32_t credit; /**< requests beyond that total */
+	uint32_t valid_ms; /**< the credit expires after this time */
+	uint32_t share; /**< as in the report */
+	uint32_t used; /**< requests of all VMs in the last window */
+	uint32_t retry_ms; /**< for refused callers */
+	/** near the limit: admit each request with probability admit_ppm */
+	bool metered;
+	uint32_t admit_ppm; /**< in millionths */
+	/** sent to all VMs when the team is metered; answers no report */
+	bool notice;
+} jj_team_grant_t;
+
 /** A request that was on servers when they crashed; see quarantine.h. */
 typedef struct {
 	uint64_t fingerprint;
@@ -317,6 +354,14 @@
 			jj_bytes_t page;
 		} job_page; /**< also JOB_READ, without a page */
 		jj_relay_update_t relay;
+		struct {
+			uint32_t count;
+			jj_team_use_t uses[JJ_MESSAGE_TEAMS_MAX];
+		} team_use;
+		struct {
+			uint32_t count;
+			jj_team_grant_t grants[JJ_MESSAGE_TEAMS_MAX];
+		} team_grant;
 		struct {
 			/**
 			 * As ack_sequence of a heartbeat: shows how old this
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -82,6 +82,7 @@
 	memset(to, 0, sizeof(*to));
 	to->version = from->version;
 	to->unreadable = from->unreadable;
+	to->teams = jj_teams_retain(from->teams);
 	for (i = 0; i < from->route_count; i++)
 		jj_routes_add(to, &from->routes[i]);
 	jj_routes_build_index(to);
@@ -96,6 +97,7 @@
 		jj_route_clear(&routes->routes[i]);
 	free(routes->routes);
 	free(routes->index);
+	jj_teams_release(routes->teams);
 	memset(routes, 0, sizeof(*routes));
 }
 
@@ -145,6 +147,21 @@
 	return NULL;
 }
 
+bool
+jj_routes_has_anonymous_jobs(const jj_routes_t *routes, const char *host)
+{
+	size_t i;
+
+	for (i = 0; i < routes->route_count; i++) {
+		const jj_route_t *route = &routes->routes[i];
+
+		if (route->kind == JJ_ROUTE_BATCH && route->anonymous &&
+		    strcasecmp(route->host, host) == 0)
+			return true;
+	}
+	return false;
+}
+
 const jj_route_t *
 jj_routes_find(const jj_routes_t *routes, const char *name)
 {
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -9,6 +9,7 @@
 #ifndef JJ_CORE_ROUTE_H
 #define JJ_CORE_ROUTE_H
 
+#include "core/team/team.h"
 #include "core/types.h"
 
 /** Which requests of a route may be repeated. */
@@ -31,6 +32,7 @@
 	char *host;
 	char *prefix; /**< begins and ends with '/' */
 	jj_route_kind_t kind;
+	bool anonymous; /**< serves callers without a key, too */
 	bool resumable; /**< a stream may be resumed at another server */
 	/** maximum number of servers that one request is sent to */
 	uint32_t attempts;
@@ -62,13 +64,17 @@
 	uint32_t *index; /**< hash table: index in `routes` plus 1, 0: empty */
 	size_t index_size; /**< a power of two */
 	size_t longest_prefix; /**< bytes */
+	/** of the same version; NULL: callers need no key */
+	jj_teams_t *teams;
 } jj_routes_t;
 
 /** Adds a copy of @p route; call jj_routes_build_index() after the last one. */
 void jj_routes_add(jj_routes_t *routes, const jj_route_t *route);
 /** Builds the index that jj_routes_match() needs. */
 void jj_routes_build_index(jj_routes_t *routes);
-/** Copies a table with its own index; @p to is overwritten, not freed. */
+/**
+ * Copies a table with its own index; the teams are shared. @p to is overwritten, not freed.
+ */
 void jj_routes_copy(jj_routes_t *to, const jj_routes_t *from);
 /** Frees what the table owns and empties it. */
 void jj_routes_clear(jj_routes_t *routes);
@@ -83,6 +89,8 @@
  */
 const jj_route_t *
 jj_routes_match(const jj_routes_t *routes, const char *host, const char *path);
+/** True when some batch route of @p host serves callers without a key. */
+bool jj_routes_has_anonymous_jobs(const jj_routes_t *routes, const char *host);
 /** The route of that name, or NULL. */
 const jj_route_t *jj_routes_find(const jj_routes_t *routes, const char *name);
 /** Picks a service of the route by weight; @p random is any number. */
--- a/src/daemon/gateway_events.c
+++ b/src/daemon/gateway_events.c
@@ -283,6 +283,8 @@
 	atomic_store(&node->ownerless_jobs, health.ownerless);
 	atomic_store(&node->idle, jj_gateway_is_idle(node->core));
 	atomic_store(&node->ready, jj_gateway_is_ready(node->core));
+	atomic_store(
+	    &node->may_be_behind, jj_gateway_may_be_behind(node->core));
 }
 
 static void
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -16,6 +16,10 @@
 /** Bit that is set in a call's context when it waits for an operation. */
 #define CONTEXT_OPERATION (UINT64_C(1) << 63)
 
+/** Retry-After for a key that may be in a newer configuration, ms. */
+#define UNKNOWN_KEY_RETRY_MS 500
+/** How callers prove their team, as RFC 9110 requires with a 401. */
+#define AUTHENTICATE "ApiKey realm=\"jujubeswitch\""
 /** Retry-After while this VM stops, ms; short, as other VMs are not busy. */
 #define STOPPING_RETRY_MS 10
 
@@ -26,13 +30,26 @@
 	const char *connection; /**< value of Connection, or NULL */
 } header_copy_t;
 
+/** State while the headers of a request are searched for a key. */
+typedef struct {
+	const char *name; /**< of the header */
+	const char *value; /**< of the first one, or NULL */
+	size_t count;
+} key_search_t;
+
+static bool on_headers(void *, jj_http_call_t *);
 static void on_request(void *, jj_http_call_t *);
 static void on_caller_disconnect(void *, jj_http_call_t *);
 static void on_writable(void *, jj_http_call_t *);
 static void on_ready(void *, jj_http_call_t *);
 static void on_operator(void *, jj_http_call_t *);
-static void forward(jj_gateway_node_t *, jj_http_call_t *);
-static void submit(jj_gateway_node_t *, jj_http_call_t *);
+static jj_access_t
+check_access(jj_gateway_node_t *, jj_http_call_t *, jj_name_t *);
+static void find_key(void *, const char *, const char *);
+static void scope_job(const jj_name_t *, char *, size_t);
+static bool is_job_call(jj_gateway_node_t *, jj_http_call_t *);
+static void forward(jj_gateway_node_t *, jj_http_call_t *, const jj_name_t *);
+static void submit(jj_gateway_node_t *, jj_http_call_t *, const jj_name_t *);
 static void start_operation(jj_gateway_node_t *, jj_http_call_t *,
     jj_gateway_operation_t, const jj_front_call_t *, jj_inline_job_t *);
 static bool
@@ -53,10 +70,11 @@
 	    settings->callers.connections, settings->callers.header_bytes,
 	    settings->callers.body_bytes, settings->callers.stream_bytes,
 	    settings->callers.idle_ms};
-	jj_http_port_t callers = {
-	    node, on_request, NULL, NULL, on_caller_disconnect, on_writable};
-	jj_http_port_t ready = {node, on_ready, NULL, NULL, NULL, NULL};
-	jj_http_port_t operators = {node, on_operator, NULL, NULL, NULL, NULL};
+	jj_http_port_t callers = {node, on_request, NULL, NULL,
+	    on_caller_disconnect, on_writable, on_headers};
+	jj_http_port_t ready = {node, on_ready, NULL, NULL, NULL, NULL, NULL};
+	jj_http_port_t operators = {
+	    node, on_operator, NULL, NULL, NULL, NULL, NULL};
 
 	limits.address = settings->listen_operators;
 	node->operators = jj_http_server_create(&limits, &operators);
@@ -127,6 +145,9 @@
 	exchange.body = jj_bytes_copy(item->body.data, item->body.size);
 	jj_stream_exchange_add_header(&exchange, "Host", job->host);
 	jj_stream_exchange_add_header(&exchange, names->request_id, item->id);
+	if (!jj_name_is_empty(&job->team))
+		jj_stream_exchange_add_header(
+		    &exchange, names->team, job->team.text);
 	for (i = 0; i < item->header_count; i++) {
 		colon = strchr(item->headers[i], ':');
 		if (colon == NULL)
@@ -138,6 +159,8 @@
 		if (strcasecmp(name, names->request_id) != 0 &&
 		    strcasecmp(name, names->deadline_ms) != 0 &&
 		    strcasecmp(name, names->target) != 0 &&
+		    strcasecmp(name, names->key) != 0 &&
+		    strcasecmp(name, names->team) != 0 &&
 		    strcasecmp(name, "Host") != 0 &&
 		    !jj_stream_relay_is_hop_header(name))
 			jj_stream_exchange_add_header(&exchange, name, colon);
@@ -146,11 +169,37 @@
 	jj_stream_relay_add(node->relay, &exchange);
 }
 
+/** Refuses a caller without a valid key before its body is read. */
+static bool
+on_headers(void *ctx, jj_http_call_t *call)
+{
+	jj_gateway_node_t *node = ctx;
+	jj_name_t team;
+	jj_access_t access;
+
+	if (atomic_load(&node->rejecting))
+		return false;
+	access = check_access(node, call, &team);
+	if (access == JJ_ACCESS_GRANTED)
+		return false;
+	if (access == JJ_ACCESS_DENIED && !atomic_load(&node->may_be_behind)) {
+		jj_counter_add(jj_metrics_counter("jujube_keys_refused_total",
+				   "Requests without a valid key.", NULL, NULL),
+		    1);
+		answer(node, call, 401, 0, "text/plain", NULL);
+	} else {
+		answer(
+		    node, call, 503, UNKNOWN_KEY_RETRY_MS, "text/plain", NULL);
+	}
+	return true;
+}
+
 static void
 on_request(void *ctx, jj_http_call_t *call)
 {
 	jj_gateway_node_t *node = ctx;
 	jj_front_call_t read;
+	jj_name_t team;
 
 	/*
 	 * Callers keep using open connections until this process exits, which
@@ -161,7 +210,13 @@
 		answer(node, call, 503, STOPPING_RETRY_MS, "text/plain", NULL);
 		return;
 	}
+	/* Keys that were taken away while the body came count, too. */
+	if (check_access(node, call, &team) != JJ_ACCESS_GRANTED) {
+		answer(node, call, 401, 0, "text/plain", NULL);
+		return;
+	}
 	node->deployment->read_call(call, &read);
+	scope_job(&team, read.job, sizeof(read.job));
 	switch (read.kind) {
 	case JJ_FRONT_READ_RESULTS:
 		start_operation(
@@ -182,7 +237,7 @@
 			node->deployment->ready_path) == 0)
 			answer_ready(node, call);
 		else
-			forward(node, call);
+			forward(node, call, &team);
 		break;
 	}
 }
@@ -233,8 +288,74 @@
 	jj_bytes_free(&text);
 }
 
+/** Finds the caller's team by its key; empty when it needs none. */
+static jj_access_t
+check_access(jj_gateway_node_t *node, jj_http_call_t *call, jj_name_t *team)
+{
+	key_search_t key = {node->deployment->headers.key, NULL, 0};
+	const char *host = jj_http_call_header(call, "Host");
+	const char *path = jj_http_call_path(call);
+	const jj_team_entry_t *found = NULL;
+	const jj_route_t *route;
+	jj_access_t access;
+	bool optional;
+
+	memset(team, 0, sizeof(*team));
+	if (node->settings->listen_ready[0] == '\0' &&
+	    strcmp(path, node->deployment->ready_path) == 0)
+		return JJ_ACCESS_GRANTED;
+	jj_http_call_each_header(call, find_key, &key);
+	(void)apr_thread_mutex_lock(node->lock);
+	if (host == NULL) {
+		optional = false;
+	} else if (is_job_call(node, call)) {
+		optional = jj_routes_has_anonymous_jobs(&node->routes, host);
+	} else {
+		route = jj_routes_match(&node->routes, host, path);
+		optional = route != NULL && route->anonymous;
+	}
+	access = jj_teams_check(
+	    node->routes.teams, optional, key.value, key.count, &found);
+	if (found != NULL)
+		*team = found->name;
+	(void)apr_thread_mutex_unlock(node->lock);
+	return access;
+}
+
 static void
-forward(jj_gateway_node_t *node, jj_http_call_t *call)
+find_key(void *ctx, const char *name, const char *value)
+{
+	key_search_t *key = ctx;
+
+	if (strcasecmp(name, key->name) != 0)
+		return;
+	if (key->count++ == 0)
+		key->value = value;
+}
+
+static bool
+is_job_call(jj_gateway_node_t *node, jj_http_call_t *call)
+{
+	jj_front_call_t read;
+
+	node->deployment->read_call(call, &read);
+	free(read.item);
+	return read.kind != JJ_FRONT_FORWARD;
+}
+
+/** A call reaches only jobs of the caller's team. */
+static void
+scope_job(const jj_name_t *team, char *id, size_t size)
+{
+	char caller_id[JJ_INLINE_ID_MAX + 1];
+
+	(void)snprintf(caller_id, sizeof(caller_id), "%s", id);
+	if (caller_id[0] != '\0')
+		jj_team_scope_id(team, caller_id, id, size);
+}
+
+static void
+forward(jj_gateway_node_t *node, jj_http_call_t *call, const jj_name_t *team)
 {
 	const jj_front_headers_t *names = &node->deployment->headers;
 	const char *host = jj_http_call_header(call, "Host");
@@ -252,12 +373,13 @@
 		return;
 	}
 	if (is_job_submission(node, call, host)) {
-		submit(node, call);
+		submit(node, call, team);
 		return;
 	}
 	request.request = jj_gateway_node_next_number(node);
 	(void)snprintf(
 	    request.id, sizeof(request.id), "%s", id != NULL ? id : "");
+	request.team = *team;
 	request.host = host;
 	request.path = jj_http_call_path(call);
 	request.budget_ms = budget != NULL ? strtol(budget, NULL, 10) : 0;
@@ -271,6 +393,9 @@
 	exchange.last_id =
 	    last != NULL ? strtoll(last, NULL, 10) : JJ_EVENT_NO_ID;
 	jj_http_call_each_header(call, copy_header, &copy);
+	if (!jj_name_is_empty(team))
+		jj_stream_exchange_add_header(
+		    &exchange, names->team, team->text);
 	jj_http_call_set_context(call, (void *)(uintptr_t)request.request);
 	jj_stream_relay_add(node->relay, &exchange);
 	jj_gateway_post_request(node, &request);
@@ -286,6 +411,8 @@
 	if (jj_stream_relay_is_hop_header(name) ||
 	    strcasecmp(name, names->deadline_ms) == 0 ||
 	    strcasecmp(name, names->target) == 0 ||
+	    strcasecmp(name, names->key) == 0 ||
+	    strcasecmp(name, names->team) == 0 ||
 	    strcasecmp(name, names->last_event_id) == 0 ||
 	    is_listed(copy->connection, name))
 		return;
@@ -326,14 +453,17 @@
 }
 
 static void
-submit(jj_gateway_node_t *node, jj_http_call_t *call)
+submit(jj_gateway_node_t *node, jj_http_call_t *call, const jj_name_t *team)
 {
 	jj_inline_job_t job;
 
-	if (node->deployment->read_job(call, &job))
-		start_operation(node, call, JJ_GATEWAY_SUBMIT, NULL, &job);
-	else
+	if (!node->deployment->read_job(call, &job)) {
 		answer(node, call, 400, 0, "text/plain", NULL);
+		return;
+	}
+	job.team = *team;
+	scope_job(team, job.id, sizeof(job.id));
+	start_operation(node, call, JJ_GATEWAY_SUBMIT, NULL, &job);
 }
 
 /** Posts an operation and adds its call to those that wait. */
@@ -379,6 +509,10 @@
 		head.fields[count].name = "Retry-After";
 		head.fields[count++].value = seconds;
 	}
+	if (status == 401) {
+		head.fields[count].name = "WWW-Authenticate";
+		head.fields[count++].value = AUTHENTICATE;
+	}
 	if (atomic_load(&node->leaving)) {
 		head.fields[count].name = "Connection";
 		head.fields[count++].value = "close";
@@ -392,6 +526,8 @@
 {
 	if (given->run != JJ_RUN_NOT_RUN)
 		return given->reason == JJ_FAILURE_DEADLINE ? 504 : 502;
+	if (given->reason == JJ_FAILURE_TEAM_LIMIT)
+		return 429;
 	return given->reason == JJ_FAILURE_NO_SERVICE ? 404 : 503;
 }
 
--- a/src/daemon/gateway_node.h
+++ b/src/daemon/gateway_node.h
@@ -53,6 +53,7 @@
 	atomic_bool leaving;
 	atomic_bool rejecting; /**< new requests could not complete in time */
 	atomic_bool idle;
+	atomic_bool may_be_behind; /**< jj_gateway_may_be_behind() */
 	atomic_uint stalled_jobs; /**< see jj_inline_health_t */
 	atomic_uint ownerless_jobs;
 } jj_gateway_node_t;
--- a/src/daemon/node_callers.c
+++ b/src/daemon/node_callers.c
@@ -49,7 +49,7 @@
 	    settings->callers.body_bytes, settings->callers.stream_bytes,
 	    settings->callers.idle_ms};
 	jj_http_port_t port = {node, on_request, is_upload, jj_node_feed_upload,
-	    on_caller_disconnect, on_writable};
+	    on_caller_disconnect, on_writable, NULL};
 
 	node->callers = jj_http_server_create(&limits, &port);
 	return node->callers != NULL;
--- a/src/daemon/node_operators.c
+++ b/src/daemon/node_operators.c
@@ -35,7 +35,7 @@
 	    settings->callers.header_bytes, JJ_OBJECT_VALUE_MAX,
 	    settings->callers.stream_bytes, settings->callers.idle_ms};
 	jj_http_port_t port = {
-	    node, on_request, NULL, NULL, on_operator_gone, NULL};
+	    node, on_request, NULL, NULL, on_operator_gone, NULL, NULL};
 
 	node->operators = jj_http_server_create(&limits, &port);
 	return node->operators != NULL;
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -240,6 +240,21 @@
 		memset(m->body.job_page.job, 'j', JJ_MESSAGE_JOB_ID_SIZE - 1);
 		m->body.job_page.page = jj_bytes_from_text("{\"total\":1}");
 	}},
+    {"TeamUse", JJ_MESSAGE_TEAM_USE,
+	[](jj_message_t *m) {
+		m->body.team_use.count = JJ_MESSAGE_TEAMS_MAX;
+		for (uint32_t i = 0; i < m->body.team_use.count; i++)
+			m->body.team_use.uses[i] = {UINT64_MAX - i, i,
+			    UINT32_MAX, i, i + 1, JJ_TEAM_SHARE_UNIT, true};
+	}},
+    {"TeamGrant", JJ_MESSAGE_TEAM_GRANT,
+	[](jj_message_t *m) {
+		m->body.team_grant.count = JJ_MESSAGE_TEAMS_MAX;
+		for (uint32_t i = 0; i < m->body.team_grant.count; i++)
+			m->body.team_grant.grants[i] = {UINT64_MAX - i, i,
+			    UINT32_MAX, i, i + 1, i + 2, i + 3, true,
+			    JJ_TEAM_SHARE_UNIT, true};
+	}},
     {"Yield", JJ_MESSAGE_YIELD,
 	[](jj_message_t *m) { m->body.yield = UINT64_MAX; }},
     {"JobEnded", JJ_MESSAGE_JOB_ENDED,
@@ -344,6 +359,69 @@
 INSTANTIATE_TEST_SUITE_P(Kinds, WireKind, testing::ValuesIn(kind_cases),
     [](const auto &info) { return std::string(info.param.name); });
 
+struct EarlierCase {
+	const char *name;
+	jj_message_kind_t kind;
+	const char *hex;
+};
+
+/** Messages as the build of commit 954dc8e writes them. */
+const EarlierCase earlier_cases[] = {
+    {"HEARTBEAT", JJ_MESSAGE_HEARTBEAT,
+	"960301a87665726f6e612d31cf1122334455667788099801a46e6f72"
+	"64a67665726f6e61ad31302e302e302e313a373430300c0005929407"
+	"0102009408030401"},
+    {"PROBE", JJ_MESSAGE_PROBE,
+	"960302a87665726f6e612d31cf112233445566778809914d"},
+    {"CONFIG", JJ_MESSAGE_CONFIG,
+	"960305a87665726f6e612d31cf112233445566778809920cc4027b7d"},
+    {"LOAD", JJ_MESSAGE_LOAD,
+	"960306a87665726f6e612d31cf112233445566778809919294070102"
+	"009408030401"},
+    {"YIELD", JJ_MESSAGE_YIELD,
+	"960313a87665726f6e612d31cf1122334455667788099108"},
+    {"RELAY", JJ_MESSAGE_RELAY,
+	"960315a87665726f6e612d31cf11223344556677880994020007c402"
+	"5b5d"},
+    {"JOB_STATES", JJ_MESSAGE_JOB_STATES,
+	"960316a87665726f6e612d31cf112233445566778809920391950102"
+	"030405"},
+    {"JOB_READ", JJ_MESSAGE_JOB_READ,
+	"96031aa87665726f6e612d31cf1122334455667788099600a26a31a0"
+	"0300c400"},
+    {"BORROW", JJ_MESSAGE_BORROW,
+	"960318a87665726f6e612d31cf112233445566778809950400ad6261"
+	"7463682d6f70656e2f6a3106c400"},
+};
+
+class WireEarlier : public testing::TestWithParam<EarlierCase>
+{
+};
+
+/*
+ * Guards against VMs of two builds that take each other for unreachable during
+ * an upgrade.
+ */
+TEST_P(WireEarlier, BuildIsUnderstoodAndUnderstands)
+{
+	std::string bytes;
+	jj_message_t message;
+
+	for (const char *at = GetParam().hex; *at != '\0'; at += 2)
+		bytes.push_back(
+		    (char)std::stoi(std::string(at, 2), nullptr, 16));
+	ASSERT_EQ(
+	    JJ_WIRE_OK, jj_wire_decode(bytes.data(), bytes.size(), &message));
+	EXPECT_EQ(GetParam().kind, message.kind);
+	EXPECT_STREQ("verona-1", message.from.text);
+	EXPECT_EQ(bytes, to_string(jj_wire_encode(&message)))
+	    << "the earlier build would not read it";
+	jj_message_clear(&message);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, WireEarlier, testing::ValuesIn(earlier_cases),
+    [](const auto &info) { return std::string(info.param.name); });
+
 TEST(Wire, HasARowForEveryKind)
 {
 	for (int kind = 1; kind < JJ_MESSAGE_KIND_END; kind++) {
@@ -437,9 +515,12 @@
     {"OtherVersionOtherShape", "\x96\x7f\xc0", JJ_WIRE_OTHER_VERSION},
     {"Empty", "", JJ_WIRE_MALFORMED},
     {"NoArray", "GET / HTTP/1.1\r\n\r\n", JJ_WIRE_MALFORMED},
+    /* Of a newer build: understood as far as this one knows it. */
     {"UnknownKind",
 	"\x96\x03\x7f\xa1"
 	"a\x01\x01\x91\x05",
+	JJ_WIRE_OTHER_KIND},
+    {"UnknownKindFromNobody", "\x96\x03\x7f\xa0\x01\x01\x91\x05",
 	JJ_WIRE_MALFORMED},
     {"KindZero",
 	std::string("\x96\x03\x00\xa1"
@@ -467,6 +548,10 @@
     {"ExtraField",
 	"\x96\x03\x02\xa1"
 	"a\x01\x01\x92\x05\x05",
+	JJ_WIRE_OK},
+    {"MissingField",
+	"\x96\x03\x02\xa1"
+	"a\x01\x01\x90",
 	JJ_WIRE_MALFORMED},
     {"TextForNumber",
 	"\x96\x03\x02\xa1"
--- /dev/null
+++ b/tests/core/gateway_teams_test.cc
@@ -0,0 +1,157 @@
+/**
+ * @file gateway_teams_test.cc
+ * @brief Teams in whole gateways: one team that sends many times its usual
+ * through all VMs, and teams that share few slots.
+ */
+#include <map>
+#include <string>
+
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "core/team/usage_window.h"
+}
+#include "tests/core/gateway_fleet.h"
+
+namespace
+{
+
+constexpr double RATE_PER_S = 20;
+constexpr double BURST = 20;
+
+/** Reads a configuration "VERSION": two teams, of which one has a limit. */
+bool
+read_with_teams(void *ctx, const jj_bytes_t *object, jj_routes_t *routes,
+    char *why, size_t why_size)
+{
+	jj_team_entry_t team = {};
+
+	if (!read_routes(ctx, object, routes, why, why_size))
+		return false;
+	routes->teams = jj_teams_create();
+	team.usable = true;
+	jj_name_set(&team.name, "free");
+	(void)jj_teams_add(routes->teams, &team);
+	jj_name_set(&team.name, "limited");
+	team.rate_per_s = RATE_PER_S;
+	team.burst = BURST;
+	(void)jj_teams_add(routes->teams, &team);
+	return true;
+}
+
+class TeamFleet : public GatewayFleet
+{
+      protected:
+	std::map<uint64_t, jj_answer_t> ended;
+	size_t sent = 0;
+
+	TeamFleet() : GatewayFleet(3, 1, read_with_teams)
+	{
+	}
+	void
+	take(const std::string &, const jj_action_t &action) override
+	{
+		sent += action.kind == JJ_ACTION_BACKEND_START;
+		if (action.kind == JJ_ACTION_ANSWER)
+			ended[action.body.answer.request] = action.body.answer;
+	}
+	uint64_t
+	ask(const std::string &vm, const char *team)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_gateway_request_t request = {};
+
+		request.request = ++last;
+		request.host = "h";
+		request.path = "/online/1";
+		jj_name_set(&request.team, team);
+		request.budget_ms = 4000;
+		request.fingerprint = last;
+		jj_gateway_begin(vms[vm].gateway, &request, now, &out);
+		carry_out(vm, &out);
+		return last;
+	}
+	/** The request's server answers at once. */
+	void
+	finish(const std::string &vm, uint64_t request)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_backend_event_t event = {};
+		jj_bytes_t text = {};
+
+		event.request = request;
+		event.attempt = 1;
+		event.kind = JJ_BACKEND_DONE;
+		jj_gateway_take_backend_event(
+		    vms[vm].gateway, &event, 200, &text, now, &out);
+		carry_out(vm, &out);
+	}
+	/** Asks @p per_step times a step, round robin; returns how many ran. */
+	size_t
+	press(const char *team, jj_ms_t ms, int per_step)
+	{
+		size_t ran = 0;
+
+		for (jj_ms_t until = now + ms; now < until;
+		     run(FLEET_STEP_MS)) {
+			for (int i = 0; i < per_step; i++) {
+				std::string vm =
+				    "verona-" + std::to_string(1 + last % 3);
+				uint64_t request = ask(vm, team);
+
+				if (ended.count(request) != 0)
+					continue;
+				ran++;
+				finish(vm, request);
+			}
+		}
+		return ran;
+	}
+};
+
+/*
+ * Pattern: one team sends ten times its limit through all VMs at once. Guards
+ * against a limit that holds for each VM by itself.
+ */
+TEST_F(TeamFleet, HotTeamIsHeldToItsLimitOverAllVms)
+{
+	size_t ran;
+
+	run(6000);
+	ran = press("limited", JJ_USAGE_WINDOW_MS, 1);
+	EXPECT_LE((double)ran,
+	    (RATE_PER_S * JJ_USAGE_WINDOW_MS / 1000 + BURST) * 1.1 + 20);
+	EXPECT_GE((double)ran, RATE_PER_S * JJ_USAGE_WINDOW_MS / 1000);
+	for (const auto &answer : ended) {
+		EXPECT_EQ(JJ_FAILURE_TEAM_LIMIT, answer.second.reason);
+		EXPECT_EQ(JJ_RUN_NOT_RUN, answer.second.run);
+		EXPECT_GT(answer.second.retry_after_ms, 0);
+	}
+}
+
+/* Guards against a team without a limit that pays for another team's load. */
+TEST_F(TeamFleet, TeamWithoutALimitIsNotRefused)
+{
+	run(6000);
+	(void)press("limited", 2000, 2);
+	ended.clear();
+	(void)press("free", 1000, 1);
+	EXPECT_TRUE(ended.empty());
+}
+
+/* Guards against a log that grows with each refused request. */
+TEST_F(TeamFleet, RefusalsAreLoggedOnceInAWhile)
+{
+	run(6000);
+	(void)press("limited", 2000, 5);
+	ASSERT_GT(ended.size(), 1000U);
+	for (const auto &vm : vms) {
+		const auto &events = vm.second.events;
+		auto found = events.find("team_over_limit");
+
+		EXPECT_LE(found != events.end() ? found->second : 0, 21);
+		EXPECT_EQ(0U, events.count("request_refused"));
+	}
+}
+
+} // namespace
