Watches: log failures, and show the age of each table

Callers' requests were sent to servers that had said that they leave. Logs did not tell a lost watch from one whose changes were dropped or that was retried slowly: platform_unreached names the first failed call of any kind only.

watch_failed and watch_recovered name the table, how long the call took and how long ago the platform last confirmed the table; jujube_table_age_ms shows it at any time, request_sent the age of the list of servers it rests on.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -36,6 +36,8 @@
 #define BUSY_TICK_MS 25
 
 static void init_mirrors(jj_gateway_t *);
+static bool take_mirror_result(
+    jj_gateway_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
 static void begin_list(void *);
 static void end_list(void *, jj_ms_t);
 static void take_config_object(void *, const jj_platform_item_t *);
@@ -193,9 +195,7 @@
 		jj_gateway_answer_borrower(gateway, result, out);
 	else if (result->owner == JJ_OWNER_INLINE)
 		jj_inline_take_result(gateway->jobs, result, now, out);
-	else if (!jj_mirror_take_result(&gateway->config_mirror, result, now) &&
-	    !jj_mirror_take_result(&gateway->servers_mirror, result, now) &&
-	    !jj_mirror_take_result(&gateway->retire_mirror, result, now))
+	else if (!take_mirror_result(gateway, result, now, out))
 		(void)jj_gateway_take_vms(gateway, result, now, out);
 	end_step(gateway, now, out);
 }
@@ -319,6 +319,21 @@
 	return gateway->member;
 }
 
+jj_ms_t
+jj_gateway_table_time(const jj_gateway_t *gateway, jj_table_t table)
+{
+	switch (table) {
+	case JJ_TABLE_CONFIG:
+		return gateway->config_mirror.confirmed_ms;
+	case JJ_TABLE_SERVERS:
+		return gateway->servers_mirror.confirmed_ms;
+	case JJ_TABLE_JOBS:
+		return jj_inline_table_time(gateway->jobs);
+	default:
+		return gateway->retire_mirror.confirmed_ms;
+	}
+}
+
 uint32_t
 jj_gateway_in_flight(const jj_gateway_t *gateway, jj_class_t class_of)
 {
@@ -381,6 +396,20 @@
 	jj_mirror_init(&gateway->retire_mirror, &settings, &retire);
 }
 
+static bool
+take_mirror_result(jj_gateway_t *gateway, const jj_platform_result_t *result,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_mirror_t *const mirrors[] = {&gateway->config_mirror,
+	    &gateway->servers_mirror, &gateway->retire_mirror};
+	size_t i;
+
+	for (i = 0; i < sizeof(mirrors) / sizeof(mirrors[0]); i++)
+		if (jj_mirror_take_result(mirrors[i], result, now, out))
+			return true;
+	return false;
+}
+
 static void
 begin_list(void *ctx)
 {
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -176,6 +176,20 @@
 const jj_member_t *jj_gateway_member(const jj_gateway_t *gateway);
 uint32_t jj_gateway_in_flight(const jj_gateway_t *gateway, jj_class_t class_of);
 uint32_t jj_gateway_waiting_items(const jj_gateway_t *gateway);
+/** A table of this VM that follows the platform. */
+typedef enum {
+	JJ_TABLE_CONFIG,
+	JJ_TABLE_SERVERS,
+	JJ_TABLE_JOBS,
+	JJ_TABLE_RETIREMENTS,
+	JJ_TABLE_COUNT
+} jj_table_t;
+
+/**
+ * Time of the last answer of the platform, own or relayed, that showed that
+ * the table is complete; JJ_MS_NEVER if there was none.
+ */
+jj_ms_t jj_gateway_table_time(const jj_gateway_t *gateway, jj_table_t table);
 /** Counts the open jobs that make no progress. */
 jj_inline_health_t jj_gateway_job_health(const jj_gateway_t *gateway);
 
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -289,10 +289,12 @@
 	action->body.start.server = server->info.id;
 	jj_actions_add_event(out,
 	    entry->class_of == JJ_CLASS_ONLINE ? "request_sent" : "item_sent",
-	    "request=%s server=%s attempt=%u own=%u+%u others=%u+%u slots=%u",
+	    "request=%s server=%s attempt=%u own=%u+%u others=%u+%u slots=%u "
+	    "list_ms_ago=%lld",
 	    entry->id, server->info.id.text, entry->attempt, server->online,
 	    server->batch, server->others_online, server->others_batch,
-	    server->info.slots);
+	    server->info.slots,
+	    jj_ms_ago(gateway->servers_mirror.confirmed_ms, now));
 }
 
 void
--- a/src/core/inline.c
+++ b/src/core/inline.c
@@ -77,7 +77,7 @@
 	jj_inline_op_t *next_op;
 
 	jobs->now_ms = now;
-	if (jj_mirror_take_result(&jobs->mirror, result, now)) {
+	if (jj_mirror_take_result(&jobs->mirror, result, now, out)) {
 		jobs->next_scan_ms = now;
 		jj_inline_scan_open(jobs, now, out);
 		return;
--- a/src/core/inline.h
+++ b/src/core/inline.h
@@ -230,5 +230,7 @@
 } jj_inline_health_t;
 
 jj_inline_health_t jj_inline_health(const jj_inline_t *jobs);
+/** See jj_gateway_table_time(), of the open jobs. */
+jj_ms_t jj_inline_table_time(const jj_inline_t *jobs);
 
 #endif
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -156,6 +156,12 @@
 	jj_mirror_set_duty(&jobs->mirror, duty, now);
 }
 
+jj_ms_t
+jj_inline_table_time(const jj_inline_t *jobs)
+{
+	return jobs->mirror.confirmed_ms;
+}
+
 void
 jj_inline_take_relay(jj_inline_t *jobs, uint64_t from, uint64_t to,
     const jj_platform_item_t *items, size_t count, jj_ms_t now,
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -13,8 +13,11 @@
 static uint64_t current_token(const jj_mirror_t *);
 static void take_list(jj_mirror_t *, const jj_platform_result_t *, jj_ms_t);
 static void take_events(jj_mirror_t *, const jj_platform_result_t *, jj_ms_t);
-static void take_failure(jj_mirror_t *, jj_ms_t);
+static void take_failure(
+    jj_mirror_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
 static void take_success(jj_mirror_t *);
+static void log_recovery(const jj_mirror_t *, jj_ms_t, jj_actions_t *);
+static int name_length(const jj_mirror_t *);
 static void start_list(jj_mirror_t *);
 static void abandon_call(jj_mirror_t *);
 static void apply(jj_mirror_t *, uint64_t, const jj_platform_item_t *, size_t);
@@ -30,6 +33,7 @@
 	mirror->settings = *settings;
 	mirror->port = *port;
 	mirror->relayed_ms = JJ_MS_NEVER;
+	mirror->confirmed_ms = JJ_MS_NEVER;
 }
 
 void
@@ -50,6 +54,7 @@
 	if (!mirror->active || mirror->polling || now < due_ms(mirror))
 		return;
 	mirror->polling = true;
+	mirror->polled_ms = now;
 	call = jj_actions_add_platform(out, settings->owner,
 	    mirror->listed ? JJ_PLATFORM_WATCH : JJ_PLATFORM_LIST,
 	    current_token(mirror));
@@ -95,6 +100,7 @@
 		return;
 	}
 	mirror->relayed_ms = now;
+	mirror->confirmed_ms = now;
 	/*
 	 * The platform answers the relay, and this VM may have no call of its
 	 * own that would reset its failures.
@@ -127,12 +133,13 @@
 		return false;
 	}
 	apply(mirror, result->version, result->items, result->item_count);
+	mirror->confirmed_ms = now;
 	return true;
 }
 
 bool
-jj_mirror_take_result(
-    jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now)
+jj_mirror_take_result(jj_mirror_t *mirror, const jj_platform_result_t *result,
+    jj_ms_t now, jj_actions_t *out)
 {
 	if ((result->token & ((UINT64_C(1) << TOKEN_BITS) - 1)) !=
 	    mirror->settings.token)
@@ -142,6 +149,7 @@
 	mirror->polling = false;
 	switch (result->outcome) {
 	case JJ_PLATFORM_OK:
+		log_recovery(mirror, now, out);
 		take_success(mirror);
 		if (result->op == JJ_PLATFORM_LIST)
 			take_list(mirror, result, now);
@@ -149,12 +157,13 @@
 			take_events(mirror, result, now);
 		break;
 	case JJ_PLATFORM_GAP:
+		log_recovery(mirror, now, out);
 		take_success(mirror);
 		start_list(mirror);
 		mirror->next_ms = now;
 		break;
 	default:
-		take_failure(mirror, now);
+		take_failure(mirror, result, now, out);
 		break;
 	}
 	return true;
@@ -197,6 +206,7 @@
 		return;
 	mirror->after[0] = '\0';
 	mirror->listed = true;
+	mirror->confirmed_ms = now;
 	port->end_list(port->ctx, now);
 }
 
@@ -208,6 +218,7 @@
 	uint64_t from = mirror->since;
 
 	apply(mirror, result->version, result->items, result->item_count);
+	mirror->confirmed_ms = now;
 	if (mirror->duty == JJ_MIRROR_RELAY && port->relay != NULL)
 		port->relay(port->ctx, mirror->settings.token, from,
 		    result->version, result->items, result->item_count);
@@ -278,7 +289,8 @@
  * each refused call has its price.
  */
 static void
-take_failure(jj_mirror_t *mirror, jj_ms_t now)
+take_failure(jj_mirror_t *mirror, const jj_platform_result_t *result,
+    jj_ms_t now, jj_actions_t *out)
 {
 	jj_ms_t wait = mirror->settings.backoff_ms;
 	uint32_t i;
@@ -292,6 +304,15 @@
 		wait = mirror->settings.backoff_most_ms;
 	mirror->failures++;
 	mirror->next_ms = now + wait;
+	jj_actions_add_event(out, "watch_failed",
+	    "watch=%.*s op=%s outcome=%d after_ms=%lld revision=%llu "
+	    "confirmed_ms_ago=%lld failures=%u again_ms=%lld",
+	    name_length(mirror), mirror->settings.prefix,
+	    jj_platform_op_name(result->op), (int)result->outcome,
+	    (long long)(now - mirror->polled_ms),
+	    (unsigned long long)mirror->since,
+	    jj_ms_ago(mirror->confirmed_ms, now), mirror->failures,
+	    (long long)wait);
 }
 
 static void
@@ -300,6 +321,25 @@
 	mirror->failures = 0;
 }
 
+static void
+log_recovery(const jj_mirror_t *mirror, jj_ms_t now, jj_actions_t *out)
+{
+	if (mirror->failures == 0)
+		return;
+	jj_actions_add_event(out, "watch_recovered",
+	    "watch=%.*s revision=%llu confirmed_ms_ago=%lld failures=%u",
+	    name_length(mirror), mirror->settings.prefix,
+	    (unsigned long long)mirror->since,
+	    jj_ms_ago(mirror->confirmed_ms, now), mirror->failures);
+}
+
+/** Length of the prefix without its slash. */
+static int
+name_length(const jj_mirror_t *mirror)
+{
+	return (int)strcspn(mirror->settings.prefix, "/");
+}
+
 /** Abandons the pending call, as a watch may wait for long. */
 static void
 abandon_call(jj_mirror_t *mirror)
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -60,6 +60,9 @@
 	jj_mirror_duty_t duty;
 	jj_ms_t relayed_ms; /**< last relayed poll; JJ_MS_NEVER: none */
 	bool polling; /**< a call is pending */
+	jj_ms_t polled_ms; /**< start of the last call */
+	/** last answer that showed that the table is complete; or JJ_MS_NEVER */
+	jj_ms_t confirmed_ms;
 	/** Number of calls whose results are ignored. */
 	uint32_t calls_dropped;
 	bool listed; /**< the listing is complete; now watching */
@@ -93,8 +96,8 @@
 void jj_mirror_tick(jj_mirror_t *mirror, jj_ms_t now, jj_actions_t *out);
 jj_ms_t jj_mirror_next(const jj_mirror_t *mirror);
 /** Handles the result of a call; false when it is not a call of this mirror. */
-bool jj_mirror_take_result(
-    jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now);
+bool jj_mirror_take_result(jj_mirror_t *mirror,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out);
 /** True when the listing is complete and the last call succeeded. */
 bool jj_mirror_is_current(const jj_mirror_t *mirror);
 
--- a/src/daemon/gateway_events.c
+++ b/src/daemon/gateway_events.c
@@ -272,6 +272,7 @@
 {
 	jj_inline_health_t health;
 	jj_action_t *action;
+	int table;
 
 	while ((action = TAILQ_FIRST(actions)) != NULL) {
 		TAILQ_REMOVE(actions, action, link);
@@ -281,6 +282,9 @@
 	health = jj_gateway_job_health(node->core);
 	atomic_store(&node->stalled_jobs, health.stalled);
 	atomic_store(&node->ownerless_jobs, health.ownerless);
+	for (table = 0; table < JJ_TABLE_COUNT; table++)
+		atomic_store(&node->table_times[table],
+		    jj_gateway_table_time(node->core, (jj_table_t)table));
 	atomic_store(&node->idle, jj_gateway_is_idle(node->core));
 	atomic_store(&node->ready, jj_gateway_is_ready(node->core));
 	atomic_store(
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -107,6 +107,22 @@
 void
 jj_gateway_update_metrics(jj_gateway_node_t *node)
 {
+	static const char *const tables[JJ_TABLE_COUNT] = {
+	    "config", "servers", "jobs", "retirements"};
+	jj_ms_t now = jj_monotonic_now();
+	jj_ms_t confirmed;
+	int i;
+
+	for (i = 0; i < JJ_TABLE_COUNT; i++) {
+		confirmed = atomic_load(&node->table_times[i]);
+		if (confirmed != JJ_MS_NEVER)
+			jj_gauge_set(
+			    jj_metrics_gauge("jujube_table_age_ms",
+				"Time since the platform last confirmed a "
+				"table, ms.",
+				"table", tables[i]),
+			    now - confirmed);
+	}
 	jj_neighbours_update_metrics(node->neighbours);
 	jj_metrics_set_total("jujube_platform_calls_total",
 	    "Calls to the platform.", jj_platform_calls(node->platform));
--- a/src/daemon/gateway_node.h
+++ b/src/daemon/gateway_node.h
@@ -56,6 +56,8 @@
 	atomic_bool may_be_behind; /**< jj_gateway_may_be_behind() */
 	atomic_uint stalled_jobs; /**< see jj_inline_health_t */
 	atomic_uint ownerless_jobs;
+	/** see jj_gateway_table_time() */
+	atomic_int_fast64_t table_times[JJ_TABLE_COUNT];
 } jj_gateway_node_t;
 
 /** Creates and starts all parts; logs and returns NULL on failure. */
--- a/tests/core/mirror_test.cc
+++ b/tests/core/mirror_test.cc
@@ -24,6 +24,7 @@
 	std::map<std::string, uint64_t> table;
 	std::map<std::string, uint64_t> listing;
 	int relayed = 0;
+	std::vector<std::string> events; /**< log lines, NAME TEXT */
 	uint64_t token = 0; /**< of the last call */
 
 	Mirror()
@@ -107,7 +108,9 @@
 	    uint64_t version, std::vector<jj_platform_item_t> items = {},
 	    bool more = false)
 	{
+		jj_actions_t logged = TAILQ_HEAD_INITIALIZER(logged);
 		jj_platform_result_t result = {};
+		const jj_action_t *action;
 
 		result.token = token;
 		result.op = op;
@@ -116,7 +119,14 @@
 		result.items = items.data();
 		result.item_count = items.size();
 		result.more = more;
-		EXPECT_TRUE(jj_mirror_take_result(&mirror, &result, now));
+		EXPECT_TRUE(
+		    jj_mirror_take_result(&mirror, &result, now, &logged));
+		TAILQ_FOREACH(action, &logged, link)
+		{
+			events.push_back(std::string(action->body.event.name) +
+			    " " + action->body.event.detail);
+		}
+		jj_actions_clear(&logged);
 	}
 	/** Delivers the result of a watch call that another module sent. */
 	void
@@ -351,6 +361,24 @@
 	EXPECT_EQ(1U, table.size());
 }
 
+/* A table that is stale because its watch is unanswered must show in logs. */
+TEST_F(MirrorFailure, AFailedWatchIsLoggedWithTheAgeOfItsTable)
+{
+	list(50);
+	EXPECT_EQ("watch 50 20000", tick(0));
+	EXPECT_EQ("", tick(21000));
+	answer(JJ_PLATFORM_WATCH, JJ_PLATFORM_UNKNOWN, 0);
+	EXPECT_EQ("watch 50 20000", tick(100));
+	answer(JJ_PLATFORM_WATCH, JJ_PLATFORM_OK, 60, {item("s/a", 60)});
+	EXPECT_EQ((std::vector<std::string>{
+		      "watch_failed watch=s op=watch outcome=6 after_ms=21000 "
+		      "revision=50 confirmed_ms_ago=21000 failures=1 "
+		      "again_ms=100",
+		      "watch_recovered watch=s revision=50 "
+		      "confirmed_ms_ago=21100 failures=1"}),
+	    events);
+}
+
 /* Outdated changes arrive late, by a repeated message or a long poll. */
 TEST_F(MirrorFailure, OutdatedChangesAreIgnored)
 {
