Watches: wait no longer than changes may take

Callers saw: requests of removed routes run and new ones refused (CONFIG), requests sent to servers that had said that they leave (DRAIN), for up to 21 s after the platform had been silent for some seconds.

Cause: a watch that starts while the platform is silent, or whose answer is lost, gets none. It was waited for to its end, 20 s, and 1 s more, whatever else showed that the platform was back. All VMs begin new watches at the same moment, after each change, so an outage that follows a change takes those of all VMs, and none is left to tell the others. VMs that rely on a relay had such a watch of their own and could not replace a lost relay.

Now a watch waits for news_ms at most, and after a failure for as long as a relay's calls, so a VM knows within about that time that a watch was lost and that the platform is back. This holds for configuration, servers, open jobs and orders to retire a VM.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -35,6 +35,7 @@
 #define RELAY_FRESH_TENTHS 7
 #define BUSY_TICK_MS 25
 
+static jj_ms_t watch_wait_ms(const jj_gateway_settings_t *);
 static void init_mirrors(jj_gateway_t *);
 static bool take_mirror_result(
     jj_gateway_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
@@ -77,6 +78,7 @@
 	    settings->news_ms / RELAY_POLLS_PER_PERIOD;
 	gateway->settings.jobs.relay_timeout_ms =
 	    settings->news_ms * RELAY_FRESH_TENTHS / 10;
+	gateway->settings.jobs.mirror_wait_ms = watch_wait_ms(settings);
 	gateway->jobs = jj_inline_create(&gateway->settings.jobs, &jobs);
 	gateway->allowance = jj_allowance_create(settings->seed);
 	gateway->live_vms = 1;
@@ -361,12 +363,24 @@
 	return gateway->random;
 }
 
+/**
+ * A watch that waits longer than changes may take would, if the platform does
+ * not answer it, keep them away for longer than that.
+ */
+static jj_ms_t
+watch_wait_ms(const jj_gateway_settings_t *settings)
+{
+	return settings->watch_wait_ms < settings->news_ms
+	    ? settings->watch_wait_ms
+	    : settings->news_ms;
+}
+
 static void
 init_mirrors(jj_gateway_t *gateway)
 {
 	const jj_gateway_settings_t *from = &gateway->settings;
 	jj_mirror_settings_t settings = {JJ_OWNER_GATEWAY, TOKEN_CONFIG, "",
-	    from->watch_wait_ms, 0, from->backoff_ms, from->backoff_most_ms,
+	    watch_wait_ms(from), 0, from->backoff_ms, from->backoff_most_ms,
 	    from->news_ms / RELAY_POLLS_PER_PERIOD,
 	    from->news_ms * RELAY_FRESH_TENTHS / 10};
 	jj_mirror_port_t config = {gateway, begin_list, take_config_object,
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -62,7 +62,8 @@
 	bool serves; /**< false: this VM accepts and runs no requests */
 	uint64_t seed;
 	jj_ms_t news_ms; /**< time within which each VM has to know a change */
-	jj_ms_t watch_wait_ms; /**< longest time that one watch call waits */
+	/** longest time that one watch call waits; news_ms if that is less */
+	jj_ms_t watch_wait_ms;
 	jj_ms_t spacing_ms; /**< pause between an update and the next watch */
 	jj_ms_t backoff_ms;
 	jj_ms_t backoff_most_ms;
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -61,7 +61,8 @@
 	(void)snprintf(call->key, sizeof(call->key), "%s", settings->prefix);
 	if (mirror->listed) {
 		call->version = mirror->since;
-		call->wait_ms = mirror->duty == JJ_MIRROR_RELAY
+		call->wait_ms =
+		    mirror->duty == JJ_MIRROR_RELAY || mirror->failures > 0
 		    ? settings->relay_wait_ms
 		    : settings->wait_ms;
 		return;
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -6,7 +6,8 @@
  * watch that returned events the next one is delayed, so that events close
  * together cost one call. When the platform no longer has the history since the
  * last call, the table is listed again. Calls that fail, or whose answer is
- * malformed, are retried with exponential backoff.
+ * malformed, are retried with exponential backoff, and wait for less time: a
+ * platform that was silent is soon known to be back.
  *
  * Where many VMs keep the same table, one of them, the relay, polls and
  * forwards the result of each poll, with events or without; its polls are
@@ -23,11 +24,17 @@
 	jj_owner_t owner; /**< owner of its platform calls */
 	uint64_t token; /**< token of its calls, in the low bits */
 	char prefix[64]; /**< ends with '/' */
-	jj_ms_t wait_ms; /**< longest wait of one watch call */
+	/**
+	 * Longest wait of one watch call. A call that the platform does not
+	 * answer is noticed after this and the call's timeout only, so changes
+	 * may be that late.
+	 */
+	jj_ms_t wait_ms;
 	jj_ms_t spacing_ms; /**< delay from events to the next call */
 	jj_ms_t backoff_ms; /**< delay after a first failure; doubles */
 	jj_ms_t backoff_most_ms;
-	jj_ms_t relay_wait_ms; /**< like wait_ms, for a relay's calls */
+	/** like wait_ms, for a relay's calls and for those after a failure */
+	jj_ms_t relay_wait_ms;
 	/** A listener polls after this long without a relayed poll. */
 	jj_ms_t relay_timeout_ms;
 } jj_mirror_settings_t;
