Core: a lost watch of the configuration is noticed in time

The own interface has the fault of the gateways' watches: the speakers' watches waited 20 s, and one whose answer is lost was waited for to its end. If those of all domains are lost and the VM that took a patch ends, no VM learns of it for up to 21 s; callers are served by the older configuration.

The watch of config/ waits 2 s now: with the call's timeout (1 s) and the delay after a failure (1 s) a change that comes 3 s after the platform is back is in force in time. 12 calls a second at the target size in place of 1.2. Watches of jobs/ keep 20 s, as workers also list all jobs.

ConfigFailure.IsInForceInTimeThoughAllWatchesWereLost fails before this change.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -20,8 +20,16 @@
 #define TOKEN_WATCH_CONFIG UINT64_C(0xC0)
 #define TOKEN_WATCH_JOBS UINT64_C(0xC1)
 #define TOKEN_VMS UINT64_C(0xC2)
-/** How long the platform may wait before it answers a watch, ms. */
-#define WATCH_WAIT_MS 20000
+/**
+ * How long the platform may wait before it answers a watch of `jobs/`, ms.
+ * Workers also list all jobs, so a lost watch only delays them.
+ */
+#define WATCH_JOBS_WAIT_MS 20000
+/**
+ * The same for `config/`, ms. A lost watch is noticed only after this and the
+ * call's timeout, and a patch must be in force within 3 s.
+ */
+#define WATCH_CONFIG_WAIT_MS 2000
 /** Minimum time between polls of `jobs/`, ms: a busy prefix costs 2 calls/s. */
 #define WATCH_JOBS_SPACING_MS 500
 /**
@@ -70,10 +78,11 @@
 {
 	jj_core_t *core = jj_alloc(sizeof(*core));
 	jj_watch_settings_t config_watch = {JJ_OWNER_MEMBER, TOKEN_WATCH_CONFIG,
-	    "config/", WATCH_WAIT_MS, WATCH_CONFIG_SPACING_MS,
+	    "config/", WATCH_CONFIG_WAIT_MS, WATCH_CONFIG_SPACING_MS,
 	    WATCH_BACKOFF_MS};
 	jj_watch_settings_t jobs_watch = {JJ_OWNER_MEMBER, TOKEN_WATCH_JOBS,
-	    "jobs/", WATCH_WAIT_MS, WATCH_JOBS_SPACING_MS, WATCH_BACKOFF_MS};
+	    "jobs/", WATCH_JOBS_WAIT_MS, WATCH_JOBS_SPACING_MS,
+	    WATCH_BACKOFF_MS};
 
 	core->settings = *settings;
 	jj_watch_init(&core->config_watch, &config_watch);
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -101,6 +101,31 @@
 	}
 }
 
+/*
+ * Guards against a configuration that no VM reads because the watches of all
+ * of them were lost while the platform was silent. The VM that took the patch
+ * has ended, so none announces the version.
+ */
+TEST(ConfigFailure, IsInForceInTimeThoughAllWatchesWereLost)
+{
+	World world(3, 2);
+
+	world.run_until(6000);
+	world.patch(world.at(0, 1), 0, kServices);
+	world.run_until(9000);
+	world.silence_platform();
+	world.run_until(9500);
+	world.restore_platform();
+	world.run_until(12500);
+	std::string stored = world.platform.objects["config/current"].value;
+	size_t digit = stored.find("\"version\":1") + strlen("\"version\":");
+	ASSERT_LT(digit, stored.size()) << stored;
+	stored[digit] = '2';
+	world.platform.put("config/current", stored);
+	world.run_until(12500 + kInForceMs);
+	EXPECT_LE(last_adoption(world, 2, ""), 12500 + kInForceMs);
+}
+
 INSTANTIATE_TEST_SUITE_P(Cuts, ConfigSpread,
     ::testing::Values(SpreadCase{"calm", 3, 3, 200, false, false, false},
 	SpreadCase{"cut_from_platform", 3, 3, 200, true, false, false},
--- a/tests/core/core_world.h
+++ b/tests/core/core_world.h
@@ -155,6 +155,20 @@
 		event.body.patch.patch.size = text.size();
 		handle(at, event);
 	}
+	/** The platform answers no call from now on, nor those that wait. */
+	void
+	silence_platform()
+	{
+		silent = true;
+		for (auto &watch : watches)
+			lose_answer(watch.core, watch.call, watch.until);
+		watches.clear();
+	}
+	void
+	restore_platform()
+	{
+		silent = false;
+	}
 	void
 	call(WorldCore &at, uint64_t number, const std::string &key)
 	{
@@ -194,6 +208,7 @@
 	std::priority_queue<Event> events;
 	uint64_t order = 0;
 	std::vector<Watch> watches;
+	bool silent = false; /**< the platform answers no call */
 	/** Keys of calls, by the VM that runs them and the run number there. */
 	std::map<std::pair<std::string, uint64_t>, std::string> run_keys;
 
@@ -351,7 +366,11 @@
 		at.platform_calls++;
 		schedule(platform_ms, [this, core, own]() mutable {
 			if (core->cut_from_platform) {
-				answer_down(core, own);
+				answer_failure(core, own, JJ_PLATFORM_DOWN);
+				return;
+			}
+			if (silent) {
+				lose_answer(core, own, now + own.wait_ms);
 				return;
 			}
 			if (own.op == JJ_PLATFORM_WATCH) {
@@ -369,15 +388,26 @@
 			schedule(own.wait_ms + platform_ms + 1,
 			    [this] { answer_watches(); });
 	}
+	/** A call without an answer fails this long after its wait, ms. */
+	static constexpr jj_ms_t ANSWER_TIMEOUT_MS = 1000;
+	void
+	lose_answer(WorldCore *core, jj_platform_call_t call, jj_ms_t end_ms)
+	{
+		schedule(end_ms + ANSWER_TIMEOUT_MS - now,
+		    [this, core, call]() mutable {
+			    answer_failure(core, call, JJ_PLATFORM_UNKNOWN);
+		    });
+	}
 	void
-	answer_down(WorldCore *core, jj_platform_call_t &call)
+	answer_failure(WorldCore *core, jj_platform_call_t &call,
+	    jj_platform_outcome_t outcome)
 	{
 		jj_platform_result_t result = {};
 
 		result.owner = call.owner;
 		result.token = call.token;
 		result.op = call.op;
-		result.outcome = JJ_PLATFORM_DOWN;
+		result.outcome = outcome;
 		answer(core, &result);
 		jj_platform_call_clear(&call);
 	}
