Configuration: requests to other VMs repeat at a bounded interval

A VM that gets no configuration from the platform requests it from others. The interval between its requests doubled without a bound, so after some seconds in which its link lost large messages the next request was 5, then 10 s away, and callers were served by the older configuration meanwhile. Found while looking for other waits that exceed the time in which changes are due.

The interval ends at 4/6 of news_ms. AVmWhoseDocumentsWereLostHasItInTimeAfterwards fails before this change.

--- a/src/core/gateway_config.c
+++ b/src/core/gateway_config.c
@@ -22,6 +22,11 @@
  * that time, so that there are three of them within news_ms.
  */
 #define WAIT_DIVISOR 6
+/**
+ * Longest interval between such requests, in units of the first one: less than
+ * news_ms, so that a VM that was unreachable has the document soon afterwards.
+ */
+#define REQUEST_INTERVAL_MAX 4
 /**
  * Maximum number of documents that one VM sends within that time. A VM that
  * gets none requests it from another one: with each round five times as many
@@ -199,7 +204,9 @@
 	config->next_document_request_ms = now + config->request_interval_ms;
 	if (!choose_holder(gateway, &holder))
 		return;
-	config->request_interval_ms *= 2;
+	if (config->request_interval_ms <
+	    wait_ms(gateway) * REQUEST_INTERVAL_MAX)
+		config->request_interval_ms *= 2;
 	message =
 	    jj_actions_add_message(out, &holder, JJ_MESSAGE_CONFIG_REQUEST);
 	message->body.config.version = gateway->routes.version;
--- a/tests/core/gateway_config_test.cc
+++ b/tests/core/gateway_config_test.cc
@@ -108,6 +108,22 @@
 		EXPECT_EQ(9U, version_of("verona-" + std::to_string(i))) << i;
 }
 
+/*
+ * Guards against a VM that requests a configuration ever more rarely: its link
+ * loses large messages for a while, and the platform does not answer it.
+ */
+TEST_F(ConfigSpread, AVmWhoseDocumentsWereLostHasItInTimeAfterwards)
+{
+	vms["verona-2"].cut = JJ_PLATFORM_UNKNOWN;
+	vms["verona-2"].loses_documents = true;
+	see_config("verona-12", 9);
+	run(3 * NEWS_MS);
+	ASSERT_EQ(7U, version_of("verona-2"));
+	vms["verona-2"].loses_documents = false;
+	run(NEWS_MS);
+	expect_all_have(9);
+}
+
 /*
  * Versions in quick succession: the newest is in force, older documents are not
  * sent.
--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -30,6 +30,8 @@
 	/** outcome of its platform calls */
 	jj_platform_outcome_t cut = JJ_PLATFORM_OK;
 	bool loses_messages = false; /**< messages to this VM are lost */
+	/** configurations to this VM are lost, smaller messages arrive */
+	bool loses_documents = false;
 	/** answers to submissions, by operation */
 	std::map<uint64_t, int> answers;
 	std::map<std::string, int> events; /**< number of log lines, by name */
@@ -113,6 +115,14 @@
 			}
 		}
 	}
+	static bool
+	is_document(const jj_action_t &action)
+	{
+		const jj_message_t *message = action.body.send.message;
+
+		return message->kind == JJ_MESSAGE_CONFIG &&
+		    message->body.config.document.size > 0;
+	}
 	void
 	deliver()
 	{
@@ -123,7 +133,9 @@
 			jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
 			std::string to = message.second->body.send.to.text;
 
-			if (vms.count(to) == 1 && !vms[to].loses_messages) {
+			if (vms.count(to) == 1 && !vms[to].loses_messages &&
+			    !(vms[to].loses_documents &&
+				is_document(*message.second))) {
 				jj_gateway_take_message(vms[to].gateway,
 				    message.second->body.send.message, now,
 				    &out);
@@ -141,11 +153,7 @@
 		while ((action = TAILQ_FIRST(out)) != nullptr) {
 			TAILQ_REMOVE(out, action, link);
 			if (action->kind == JJ_ACTION_SEND) {
-				const jj_message_t *message =
-				    action->body.send.message;
-
-				if (message->kind == JJ_MESSAGE_CONFIG &&
-				    message->body.config.document.size > 0)
+				if (is_document(*action))
 					vm.documents.push_back(now);
 				messages.push_back({name, action});
 				continue;
