--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -74,7 +74,7 @@
 	gateway->member = jj_member_create(&gateway->settings.member);
 	gateway->quarantine = jj_quarantine_create(&settings->quarantine);
 	gateway->slots = jj_slots_create(&settings->slots);
-	gateway->settings.jobs.relay_wait_ms =
+	gateway->settings.jobs.short_wait_ms =
 	    settings->news_ms / RELAY_POLLS_PER_PERIOD;
 	gateway->settings.jobs.relay_timeout_ms =
 	    settings->news_ms * RELAY_FRESH_TENTHS / 10;
--- a/src/core/inline.h
+++ b/src/core/inline.h
@@ -113,7 +113,7 @@
 	jj_ms_t mirror_wait_ms; /**< longest wait of one watch call */
 	/** Delay from changes of open entries to the next watch. */
 	jj_ms_t mirror_spacing_ms;
-	jj_ms_t relay_wait_ms; /**< see core/mirror.h */
+	jj_ms_t short_wait_ms; /**< see core/mirror.h */
 	jj_ms_t relay_timeout_ms;
 	/** A VM's report of its jobs is valid for this long. */
 	jj_ms_t state_fresh_ms;
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -43,7 +43,7 @@
 	jj_mirror_settings_t settings = {JJ_OWNER_INLINE, TOKEN_MIRROR,
 	    JJ_INLINE_OPEN, jobs->settings.mirror_wait_ms,
 	    jobs->settings.mirror_spacing_ms, jobs->settings.retry_ms,
-	    jobs->settings.retry_most_ms, jobs->settings.relay_wait_ms,
+	    jobs->settings.retry_most_ms, jobs->settings.short_wait_ms,
 	    jobs->settings.relay_timeout_ms};
 	jj_mirror_port_t port = {
 	    jobs, begin_list, take_entry, drop_entry, end_list, relay};
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -63,7 +63,7 @@
 		call->version = mirror->since;
 		call->wait_ms =
 		    mirror->duty == JJ_MIRROR_RELAY || mirror->failures > 0
-		    ? settings->relay_wait_ms
+		    ? settings->short_wait_ms
 		    : settings->wait_ms;
 		return;
 	}
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -34,7 +34,7 @@
 	jj_ms_t backoff_ms; /**< delay after a first failure; doubles */
 	jj_ms_t backoff_most_ms;
 	/** like wait_ms, for a relay's calls and for those after a failure */
-	jj_ms_t relay_wait_ms;
+	jj_ms_t short_wait_ms;
 	/** A listener polls after this long without a relayed poll. */
 	jj_ms_t relay_timeout_ms;
 } jj_mirror_settings_t;
