--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -106,6 +106,15 @@
 	const jj_inline_item_t *item;
 } jj_gateway_attempt_t;
 
+/** A table of this VM that follows the platform. */
+typedef enum {
+	JJ_TABLE_CONFIG,
+	JJ_TABLE_SERVERS,
+	JJ_TABLE_JOBS,
+	JJ_TABLE_RETIREMENTS,
+	JJ_TABLE_COUNT
+} jj_table_t;
+
 typedef struct jj_gateway jj_gateway_t;
 
 jj_gateway_t *jj_gateway_create(
@@ -177,15 +186,6 @@
 const jj_member_t *jj_gateway_member(const jj_gateway_t *gateway);
 uint32_t jj_gateway_in_flight(const jj_gateway_t *gateway, jj_class_t class_of);
 uint32_t jj_gateway_waiting_items(const jj_gateway_t *gateway);
-/** A table of this VM that follows the platform. */
-typedef enum {
-	JJ_TABLE_CONFIG,
-	JJ_TABLE_SERVERS,
-	JJ_TABLE_JOBS,
-	JJ_TABLE_RETIREMENTS,
-	JJ_TABLE_COUNT
-} jj_table_t;
-
 /**
  * Time of the last answer of the platform, own or relayed, that showed that
  * the table is complete; JJ_MS_NEVER if there was none.
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -20,6 +20,7 @@
 #define COALESCE_MS 5
 
 static void fill_settings(const jj_gateway_node_t *, jj_gateway_settings_t *);
+static void update_table_ages(jj_gateway_node_t *);
 static void create_core(jj_gateway_node_t *);
 static bool create_adapters(jj_gateway_node_t *);
 static bool
@@ -106,6 +107,25 @@
 
 void
 jj_gateway_update_metrics(jj_gateway_node_t *node)
+{
+	update_table_ages(node);
+	jj_neighbours_update_metrics(node->neighbours);
+	jj_metrics_set_total("jujube_platform_calls_total",
+	    "Calls to the platform.", jj_platform_calls(node->platform));
+	if (node->callers != NULL)
+		jj_gauge_set(jj_metrics_gauge("jujube_open_requests",
+				 "Calls not answered yet.", NULL, NULL),
+		    jj_http_server_open_count(node->callers));
+	jj_gauge_set(jj_metrics_gauge("jujube_stalled_jobs",
+			 "Jobs of this VM without a step for 3 s.", NULL, NULL),
+	    atomic_load(&node->stalled_jobs));
+	jj_gauge_set(jj_metrics_gauge("jujube_ownerless_jobs",
+			 "Open jobs without a live VM for 3 s.", NULL, NULL),
+	    atomic_load(&node->ownerless_jobs));
+}
+
+static void
+update_table_ages(jj_gateway_node_t *node)
 {
 	static const char *const tables[JJ_TABLE_COUNT] = {
 	    "config", "servers", "jobs", "retirements"};
@@ -123,19 +143,6 @@
 				"table", tables[i]),
 			    now - confirmed);
 	}
-	jj_neighbours_update_metrics(node->neighbours);
-	jj_metrics_set_total("jujube_platform_calls_total",
-	    "Calls to the platform.", jj_platform_calls(node->platform));
-	if (node->callers != NULL)
-		jj_gauge_set(jj_metrics_gauge("jujube_open_requests",
-				 "Calls not answered yet.", NULL, NULL),
-		    jj_http_server_open_count(node->callers));
-	jj_gauge_set(jj_metrics_gauge("jujube_stalled_jobs",
-			 "Jobs of this VM without a step for 3 s.", NULL, NULL),
-	    atomic_load(&node->stalled_jobs));
-	jj_gauge_set(jj_metrics_gauge("jujube_ownerless_jobs",
-			 "Open jobs without a live VM for 3 s.", NULL, NULL),
-	    atomic_load(&node->ownerless_jobs));
 }
 
 static void
@@ -144,9 +151,12 @@
 	jj_gateway_settings_t settings;
 	jj_gateway_port_t port = {
 	    node, read_routes, read_server, write_page, unix_ms, on_routes};
+	int table;
 
 	fill_settings(node, &settings);
 	node->core = jj_gateway_create(&settings, &port);
+	for (table = 0; table < JJ_TABLE_COUNT; table++)
+		atomic_init(&node->table_times[table], JJ_MS_NEVER);
 }
 
 /** Times come from the settings file, the other values from this VM. */
