Tests: outages of the platform in series, seeded

Outages of some or all VMs begin and end at random and overlap; changes of servers and configuration come all the while.

--- a/tests/core/gateway_outage_test.cc
+++ b/tests/core/gateway_outage_test.cc
@@ -2,6 +2,8 @@
  * @file gateway_outage_test.cc
  * @brief Changes after an outage of the platform that answered no call.
  */
+#include <random>
+
 #include "tests/core/gateway_fleet.h"
 
 namespace
@@ -220,4 +222,118 @@
 	Outage{"RelayFor6s", 6, 1, 6000, false}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/** Outages of some or all VMs in series, which overlap, and changes. */
+class OutageSeries : public OutageFleet
+{
+      protected:
+	static constexpr jj_ms_t STEP_MS = 50;
+	struct Due {
+		jj_ms_t at;
+		uint64_t change;
+		std::string vm;
+	};
+	std::mt19937 random;
+	std::map<std::string, jj_ms_t> reached; /**< since when, by VM */
+	std::vector<Due> due;
+	uint64_t changes = 0;
+
+	void
+	TestBody() override
+	{
+	}
+	bool
+	happens(uint32_t one_in)
+	{
+		return random() % one_in == 0;
+	}
+	void
+	start_or_end_outages()
+	{
+		bool all = happens(2);
+		bool also_waiting = happens(2);
+
+		for (auto &vm : vms) {
+			if (!all && happens(2))
+				continue;
+			if (vm.second.cut == JJ_PLATFORM_OK) {
+				silence(vm.first, also_waiting);
+				reached[vm.first] = JJ_MS_NEVER;
+			} else {
+				vm.second.cut = JJ_PLATFORM_OK;
+				reached[vm.first] = now;
+			}
+		}
+	}
+	void
+	change_both_tables()
+	{
+		changes++;
+		change("servers/n" + std::to_string(changes), "verona ready");
+		change("config/main", std::to_string(100 + changes));
+		for (auto &vm : vms)
+			due.push_back({now + NEWS_MS, changes, vm.first});
+	}
+	/** True when the VM reached the platform for long enough before. */
+	bool
+	must_know(const Due &change) const
+	{
+		jj_ms_t since = reached.at(change.vm);
+
+		return since != JJ_MS_NEVER &&
+		    since + SETTLED_MS <= change.at - NEWS_MS;
+	}
+	void
+	check_due()
+	{
+		while (!due.empty() && due.front().at <= now) {
+			Due change = due.front();
+
+			due.erase(due.begin());
+			if (!must_know(change))
+				continue;
+			EXPECT_LE(100 + change.change, version_of(change.vm))
+			    << change.vm << " at " << now;
+			EXPECT_NE(nullptr,
+			    jj_slots_find(
+				jj_gateway_slots(vms[change.vm].gateway),
+				("n" + std::to_string(change.change)).c_str()))
+			    << change.vm << " at " << now;
+		}
+	}
+
+      public:
+	OutageSeries(uint32_t seed, int count)
+	    : OutageFleet(count), random(seed)
+	{
+		for (auto &vm : vms)
+			reached[vm.first] = now - SETTLED_MS;
+	}
+	/** @return how many changes were made. */
+	uint64_t
+	play(jj_ms_t length_ms)
+	{
+		for (jj_ms_t end = now + length_ms;
+		     now < end && !HasFailure();) {
+			if (happens(60))
+				start_or_end_outages();
+			if (happens(20))
+				change_both_tables();
+			live(STEP_MS);
+			check_due();
+		}
+		return changes;
+	}
+};
+
+/* Guards against changes that are lost in outages that overlap. */
+TEST(GatewayOutageSeries, ChangesAreSeenInTimeBetweenThem)
+{
+	for (uint32_t seed = 1; seed <= 60 && !HasFailure(); seed++) {
+		SCOPED_TRACE("seed " + std::to_string(seed));
+		OutageSeries fleet(seed, seed % 2 == 0 ? 3 : 6);
+
+		EXPECT_LT(20U, fleet.play(60000));
+	}
+}
+
 } // namespace
