--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -128,7 +128,7 @@
 update_table_ages(jj_gateway_node_t *node)
 {
 	static const char *const tables[JJ_TABLE_COUNT] = {
-	    "config", "servers", "jobs", "retirements"};
+	    "config", "servers", "jobs", "retire_orders"};
 	jj_ms_t now = jj_monotonic_now();
 	jj_ms_t confirmed;
 	int i;
