--- a/tests/core/gateway_outage_test.cc
+++ b/tests/core/gateway_outage_test.cc
@@ -2,6 +2,7 @@
  * @file gateway_outage_test.cc
  * @brief Changes after an outage of the platform that answered no call.
  */
+#include <algorithm>
 #include <random>
 
 #include "tests/core/gateway_fleet.h"
@@ -88,11 +89,8 @@
 	bool
 	has_changes(const jj_platform_call_t &call) const
 	{
-		return !history.empty() &&
-		    std::any_of(history.begin(), history.end(),
-			[&](const Change &change) {
-				return is_new(change, call);
-			});
+		return std::any_of(history.begin(), history.end(),
+		    [&](const Change &change) { return is_new(change, call); });
 	}
 	static bool
 	is_new(const Change &change, const jj_platform_call_t &call)
@@ -138,9 +136,9 @@
 	}
 	/** Changes both tables, so that all VMs begin new watches at once. */
 	void
-	change_tables(const char *version)
+	change_tables()
 	{
-		change("config/main", version);
+		change("config/main", "8");
 		change("servers/s2", "verona ready");
 		live(FLEET_STEP_MS);
 	}
@@ -180,7 +178,7 @@
 		int i;
 
 		live(1000);
-		change_tables("8");
+		change_tables();
 		for (i = 1; i <= GetParam().silenced; i++)
 			silence("verona-" + std::to_string(i),
 			    GetParam().also_waiting);
@@ -190,16 +188,20 @@
 	}
 };
 
-/* Guards against VMs that follow neither servers nor configurations because
- * they wait for the answer to a watch that was lost in an outage. */
+/*
+ * Guards against VMs that follow neither servers nor configurations because
+ * they wait for the answer to a watch that was lost in an outage.
+ */
 TEST_P(GatewayOutage, ChangesAreSeenInTimeAfterIt)
 {
 	pass_outage();
 	expect_changes_within(NEWS_MS);
 }
 
-/* Guards against listeners that can't replace a lost relay because a watch of
- * their own was lost in an earlier outage. */
+/*
+ * Guards against listeners that can't replace a lost relay because a watch of
+ * their own was lost in an earlier outage.
+ */
 TEST_P(GatewayOutage, ChangesAreSeenInTimeWhenARelayIsLostAfterIt)
 {
 	pass_outage();
