Tests: one line above each new test of a failure

The fixture's mirror_wait_ms goes: jj_gateway_create() sets it since the wait of a watch depends on news_ms. Assertions are unchanged.

--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -101,11 +101,7 @@
 	}
 }
 
-/*
- * Guards against a configuration that no VM reads because the watches of all
- * of them were lost while the platform was silent. The VM that took the patch
- * has ended, so none announces the version.
- */
+/* Guards against a configuration that no VM reads, as all watches were lost. */
 TEST(ConfigFailure, IsInForceInTimeThoughAllWatchesWereLost)
 {
 	World world(3, 2);
--- a/tests/core/gateway_config_test.cc
+++ b/tests/core/gateway_config_test.cc
@@ -108,10 +108,7 @@
 		EXPECT_EQ(9U, version_of("verona-" + std::to_string(i))) << i;
 }
 
-/*
- * Guards against a VM that requests a configuration ever more rarely: its link
- * loses large messages for a while, and the platform does not answer it.
- */
+/* Guards against a VM that requests a configuration ever more rarely. */
 TEST_F(ConfigSpread, AVmWhoseDocumentsWereLostHasItInTimeAfterwards)
 {
 	vms["verona-2"].cut = JJ_PLATFORM_UNKNOWN;
--- a/tests/core/gateway_helpers.h
+++ b/tests/core/gateway_helpers.h
@@ -143,7 +143,6 @@
 	settings.jobs.orphan_ms = 5000;
 	settings.jobs.read_ms = 1500;
 	settings.jobs.keep_ms = 1000;
-	settings.jobs.mirror_wait_ms = 20000;
 	settings.jobs.mirror_spacing_ms = 100;
 	settings.jobs.state_fresh_ms = 850;
 	snprintf(
--- a/tests/core/gateway_outage_test.cc
+++ b/tests/core/gateway_outage_test.cc
@@ -188,20 +188,14 @@
 	}
 };
 
-/*
- * Guards against VMs that follow neither servers nor configurations because
- * they wait for the answer to a watch that was lost in an outage.
- */
+/* Guards against VMs that wait long for a watch that an outage lost. */
 TEST_P(GatewayOutage, ChangesAreSeenInTimeAfterIt)
 {
 	pass_outage();
 	expect_changes_within(NEWS_MS);
 }
 
-/*
- * Guards against listeners that can't replace a lost relay because a watch of
- * their own was lost in an earlier outage.
- */
+/* Guards against a lost relay whose listeners wait for a lost watch. */
 TEST_P(GatewayOutage, ChangesAreSeenInTimeWhenARelayIsLostAfterIt)
 {
 	pass_outage();
