Gateway: the times of watches are worked out in one place

Those of the jobs' table and those of the other tables were worked out from news_ms twice, in jj_gateway_create() and init_mirrors(). Behaviour is the same: 210 tests of gateways, configuration, jobs and mirrors pass.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -35,7 +35,7 @@
 #define RELAY_FRESH_TENTHS 7
 #define BUSY_TICK_MS 25
 
-static jj_ms_t watch_wait_ms(const jj_gateway_settings_t *);
+static void set_watch_times(jj_gateway_settings_t *);
 static void init_mirrors(jj_gateway_t *);
 static bool take_mirror_result(
     jj_gateway_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
@@ -74,11 +74,7 @@
 	gateway->member = jj_member_create(&gateway->settings.member);
 	gateway->quarantine = jj_quarantine_create(&settings->quarantine);
 	gateway->slots = jj_slots_create(&settings->slots);
-	gateway->settings.jobs.short_wait_ms =
-	    settings->news_ms / RELAY_POLLS_PER_PERIOD;
-	gateway->settings.jobs.relay_timeout_ms =
-	    settings->news_ms * RELAY_FRESH_TENTHS / 10;
-	gateway->settings.jobs.mirror_wait_ms = watch_wait_ms(settings);
+	set_watch_times(&gateway->settings);
 	gateway->jobs = jj_inline_create(&gateway->settings.jobs, &jobs);
 	gateway->allowance = jj_allowance_create(settings->seed);
 	gateway->live_vms = 1;
@@ -364,15 +360,20 @@
 }
 
 /**
- * A watch that waits longer than changes may take would, if the platform does
- * not answer it, keep them away for longer than that.
+ * Sets the times of all watches, those of jobs too. A watch that waits longer
+ * than changes may take would, if the platform does not answer it, keep them
+ * away for longer than that.
  */
-static jj_ms_t
-watch_wait_ms(const jj_gateway_settings_t *settings)
+static void
+set_watch_times(jj_gateway_settings_t *settings)
 {
-	return settings->watch_wait_ms < settings->news_ms
+	jj_inline_settings_t *times = &settings->jobs;
+
+	times->mirror_wait_ms = settings->watch_wait_ms < settings->news_ms
 	    ? settings->watch_wait_ms
 	    : settings->news_ms;
+	times->short_wait_ms = settings->news_ms / RELAY_POLLS_PER_PERIOD;
+	times->relay_timeout_ms = settings->news_ms * RELAY_FRESH_TENTHS / 10;
 }
 
 static void
@@ -380,9 +381,9 @@
 {
 	const jj_gateway_settings_t *from = &gateway->settings;
 	jj_mirror_settings_t settings = {JJ_OWNER_GATEWAY, TOKEN_CONFIG, "",
-	    watch_wait_ms(from), 0, from->backoff_ms, from->backoff_most_ms,
-	    from->news_ms / RELAY_POLLS_PER_PERIOD,
-	    from->news_ms * RELAY_FRESH_TENTHS / 10};
+	    from->jobs.mirror_wait_ms, 0, from->backoff_ms,
+	    from->backoff_most_ms, from->jobs.short_wait_ms,
+	    from->jobs.relay_timeout_ms};
 	jj_mirror_port_t config = {gateway, begin_list, take_config_object,
 	    ignore_removed, end_list, jj_gateway_relay_objects};
 	jj_mirror_port_t servers = {gateway, jj_gateway_begin_servers,
