Gateway: a failed attempt is logged with the content's fingerprint

BUDGET: copies of one request crash server after server. attempt_failed did not tell whether several failures had one content, so the hypotheses of docs/incidents/requests-that-crash-servers.md could not be told apart. No change of logic.

--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -595,10 +595,11 @@
 	note_server(gateway, entry, event, now);
 	jj_actions_add_event(out, "attempt_failed",
 	    "request=%s server=%s attempt=%u kind=%s first=%d relayed=%d "
-	    "after_ms=%lld",
+	    "after_ms=%lld fingerprint=%016llx",
 	    entry->id, entry->server->info.id.text, entry->attempt,
 	    name_of_kind(event->kind), entry->first_seen, entry->relayed,
-	    (long long)(now - entry->sent_ms));
+	    (long long)(now - entry->sent_ms),
+	    (unsigned long long)entry->fingerprint);
 	jj_gateway_leave_server(gateway, entry);
 	if (entry->class_of == JJ_CLASS_BATCH) {
 		entry->not_before_ms =
