--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -207,7 +207,7 @@
 	/** The VM's watch of that token returns an object. */
 	void
 	see(const std::string &name, uint64_t token, const char *key,
-	    const char *text)
+	    const char *text, bool gone = false)
 	{
 		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
 		jj_platform_item_t item = {};
@@ -215,7 +215,9 @@
 
 		snprintf(item.key, sizeof(item.key), "%s", key);
 		item.version = ++platform.revision;
-		item.value = jj_bytes_from_text(text);
+		item.deleted = gone;
+		if (!gone)
+			item.value = jj_bytes_from_text(text);
 		result.owner = JJ_OWNER_GATEWAY;
 		result.token = token;
 		result.op = JJ_PLATFORM_WATCH;
@@ -227,7 +229,8 @@
 		carry_out(name, &out);
 	}
 	uint64_t
-	begin(const std::string &name, const char *path)
+	begin(
+	    const std::string &name, const char *path, uint64_t fingerprint = 0)
 	{
 		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
 		jj_gateway_request_t request = {};
@@ -236,7 +239,7 @@
 		request.host = "h";
 		request.path = path;
 		request.budget_ms = 4000;
-		request.fingerprint = last;
+		request.fingerprint = fingerprint != 0 ? fingerprint : last;
 		jj_gateway_begin(vms[name].gateway, &request, now, &out);
 		carry_out(name, &out);
 		return last;
