--- a/src/adapters/deployment.h
+++ b/src/adapters/deployment.h
@@ -40,6 +40,8 @@
 	const char *not_run; /**< a server reports that it didn't run it */
 	const char *stamp; /**< proves that the answer is the server's */
 	const char *last_event_id; /**< a stream resumes after this event */
+	/** of a resumed stream: request id of the attempt that began it */
+	const char *resumes;
 	const char *key; /**< key of the caller's team; never passed on */
 	const char *team; /**< name of that team; only this system sets it */
 } jj_front_headers_t;
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -92,6 +92,10 @@
 	/** how long the caller waits in all, 0: not given */
 	jj_ms_t budget_ms;
 	uint64_t fingerprint; /**< hash of path and body */
+	bool resumed; /**< the caller has the events of an earlier attempt */
+	/** id of the attempt that brought the first of them; empty: not given
+	 */
+	char resumes[JJ_GATEWAY_ID_MAX + 1];
 } jj_gateway_request_t;
 
 /** Target and limits of an attempt, for the adapter that sends it. */
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -300,11 +300,12 @@
 	action->body.start.server = server->info.id;
 	jj_actions_add_event(out,
 	    entry->class_of == JJ_CLASS_ONLINE ? "request_sent" : "item_sent",
-	    "request=%s server=%s attempt=%u own=%u+%u others=%u+%u slots=%u "
-	    "list_ms_ago=%lld",
-	    entry->id, server->info.id.text, entry->attempt, server->online,
-	    server->batch, server->others_online, server->others_batch,
-	    server->info.slots,
+	    "request=%s server=%s software=%s attempt=%u resumes=%s "
+	    "own=%u+%u others=%u+%u slots=%u list_ms_ago=%lld",
+	    entry->id, server->info.id.text, server->info.version.text,
+	    entry->attempt, entry->resumed ? entry->resumes : "no",
+	    server->online, server->batch, server->others_online,
+	    server->others_batch, server->info.slots,
 	    jj_ms_ago(gateway->servers_mirror.confirmed_ms, now));
 }
 
@@ -406,6 +407,9 @@
 		budget = route->timeout_ms;
 	entry->request = request->request;
 	(void)snprintf(entry->id, sizeof(entry->id), "%s", request->id);
+	entry->resumed = request->resumed;
+	(void)snprintf(
+	    entry->resumes, sizeof(entry->resumes), "%s", request->resumes);
 	entry->class_of = JJ_CLASS_ONLINE;
 	entry->service = *jj_route_pick(route, jj_gateway_random(gateway));
 	entry->streams = route->kind == JJ_ROUTE_STREAM;
--- a/src/core/gateway_servers.c
+++ b/src/core/gateway_servers.c
@@ -121,9 +121,10 @@
 	jj_actions_add_event(gateway->out,
 	    learned < JJ_SLOTS_RESTARTED && info->draining ? "server_draining"
 							   : events[learned],
-	    "server=%s service=%s domain=%s address=%s version=%llu "
+	    "server=%s service=%s software=%s domain=%s address=%s "
+	    "version=%llu "
 	    "started=%lld before=%lld draining=%d",
-	    info->id.text, info->service.text, info->domain.text, info->address,
-	    (unsigned long long)item->version, (long long)info->started_ms,
-	    (long long)before, info->draining);
+	    info->id.text, info->service.text, info->version.text,
+	    info->domain.text, info->address, (unsigned long long)item->version,
+	    (long long)info->started_ms, (long long)before, info->draining);
 }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -20,6 +20,10 @@
 	TAILQ_ENTRY(jj_gateway_entry) link; /**< in `sent` or `waiting` */
 	uint64_t request;
 	char id[JJ_GATEWAY_ID_MAX + 1];
+	bool resumed; /**< the caller has the events of an earlier attempt */
+	/** id of the attempt that brought the first of them; empty: not given
+	 */
+	char resumes[JJ_GATEWAY_ID_MAX + 1];
 	jj_class_t class_of;
 	jj_name_t service; /**< empty: an item that has no route now */
 	bool streams;
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -38,6 +38,7 @@
 	/** Unix time of the start of its process, ms; 0: not known. */
 	int64_t started_ms;
 	jj_name_t service;
+	jj_name_t version; /**< of its software; empty: not known */
 	jj_name_t domain;
 	char address[JJ_NAME_MAX + 1]; /**< IP:PORT */
 	uint32_t slots; /**< number of requests it runs at once */
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -374,6 +374,7 @@
 	const char *id = jj_http_call_header(call, names->request_id);
 	const char *budget = jj_http_call_header(call, names->deadline_ms);
 	const char *last = jj_http_call_header(call, names->last_event_id);
+	const char *resumes = jj_http_call_header(call, names->resumes);
 	const jj_bytes_t *body = jj_http_call_body(call);
 	jj_stream_exchange_t exchange = {0};
 	jj_gateway_request_t request = {0};
@@ -396,6 +397,9 @@
 	request.path = jj_http_call_path(call);
 	request.budget_ms = budget != NULL ? strtol(budget, NULL, 10) : 0;
 	request.fingerprint = fingerprint_of(call);
+	request.resumed = last != NULL;
+	(void)snprintf(request.resumes, sizeof(request.resumes), "%s",
+	    resumes != NULL ? resumes : "");
 	exchange.request = request.request;
 	exchange.call = call;
 	exchange.id = strdup(id != NULL ? id : "");
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -51,7 +51,7 @@
 		jj_stream_relay_port_t port = {this, on_event};
 
 		deployment.headers = {"X-Id", "X-Deadline", "X-Target",
-		    "X-Not-Run", "X-Stamp", "Last-Event-Id", "X-Key", "X-Team"};
+		    "X-Not-Run", "X-Stamp", "Last-Event-Id", "Resumes", "X-Key", "X-Team"};
 		front = jj_http_server_create(&limits, &front_port);
 		relay = jj_stream_relay_create(&deployment, &port);
 	}
--- a/tests/core/gateway_helpers.h
+++ b/tests/core/gateway_helpers.h
@@ -64,7 +64,8 @@
 
 /**
  * Reads "DOMAIN ready" or "DOMAIN draining", then optionally its start in s
- * from now, "places=N" or "service=NAME".
+ * from now, "places=N", "service=NAME" or
+ * "version=NAME".
  */
 inline bool
 read_server(void *, const char *id, const jj_bytes_t *object,
@@ -91,6 +92,9 @@
 	info->slots = 2;
 	if (text.find("places=") != std::string::npos)
 		info->slots = (uint32_t)atoi(&text[text.find('=') + 1]);
+	if (text.find("version=") != std::string::npos)
+		jj_name_set(
+		    &info->version, text.substr(text.find('=') + 1).c_str());
 	info->draining = text.find("draining") != std::string::npos;
 	return true;
 }
