--- a/tests/core/gateway_fixture.h
+++ b/tests/core/gateway_fixture.h
@@ -203,6 +203,13 @@
 	uint64_t
 	begin(const char *path, uint64_t fingerprint = 0,
 	    jj_ms_t budget_ms = 4000)
+	{
+		return begin_resumed(path, nullptr, fingerprint, budget_ms);
+	}
+	/** @param resumes request that began the stream, or nullptr. */
+	uint64_t
+	begin_resumed(const char *path, const char *resumes,
+	    uint64_t fingerprint = 0, jj_ms_t budget_ms = 4000)
 	{
 		jj_gateway_request_t request = {};
 
@@ -213,6 +220,9 @@
 		request.budget_ms = budget_ms;
 		request.fingerprint =
 		    fingerprint != 0 ? fingerprint : 1000 + last;
+		request.resumed = resumes != nullptr;
+		snprintf(request.resumes, sizeof(request.resumes), "%s",
+		    resumes != nullptr ? resumes : "");
 		jj_gateway_begin(gateway, &request, now, &out);
 		run_actions();
 		return last;
--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -229,13 +229,17 @@
 		carry_out(name, &out);
 	}
 	uint64_t
-	begin(
-	    const std::string &name, const char *path, uint64_t fingerprint = 0)
+	begin(const std::string &name, const char *path,
+	    uint64_t fingerprint = 0, const char *resumes = nullptr)
 	{
 		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
 		jj_gateway_request_t request = {};
 
 		request.request = ++last;
+		snprintf(request.id, sizeof(request.id), "r%d", (int)last);
+		request.resumed = resumes != nullptr;
+		snprintf(request.resumes, sizeof(request.resumes), "%s",
+		    resumes != nullptr ? resumes : "");
 		request.host = "h";
 		request.path = path;
 		request.budget_ms = 4000;
--- /dev/null
+++ b/tests/core/gateway_versions_test.cc
@@ -0,0 +1,335 @@
+/**
+ * @file gateway_versions_test.cc
+ * @brief Streams and items go on only at servers of the software version that
+ * began them.
+ */
+#include "tests/core/gateway_fixture.h"
+#include "tests/core/gateway_fleet.h"
+
+namespace
+{
+
+constexpr int WATCH_SERVERS = 2;
+
+/** Servers a1, a2, ... of version A and b1, b2, ... of version B. */
+class GatewayVersions : public Gateway
+{
+      protected:
+	GatewayVersions()
+	{
+		for (const char *id : {"a1", "a2", "b1", "b2"})
+			list(id);
+		see(WATCH_SERVERS, "servers/s1", "", true);
+	}
+	void
+	list(const char *id, bool gone = false)
+	{
+		see(WATCH_SERVERS, (std::string("servers/") + id).c_str(),
+		    (std::string("verona ready version=") + id[0]).c_str(),
+		    gone);
+	}
+	/** The current attempt breaks after its first event. */
+	void
+	interrupt(uint64_t request)
+	{
+		report_event(request, JJ_BACKEND_FIRST, 200, true);
+		report_event(request, JJ_BACKEND_BROKEN, 0, true);
+	}
+	char
+	version(uint64_t request, size_t attempt)
+	{
+		return outcomes[request].servers.at(attempt)[0];
+	}
+};
+
+/*
+ * Guards against a stream that goes on at another software version than the one
+ * that began it, in one answer.
+ */
+TEST_F(GatewayVersions, AStreamGoesOnAtItsVersionInOneAnswer)
+{
+	for (int i = 0; i < 20; i++) {
+		uint64_t request = begin("/again/s");
+
+		ASSERT_EQ(1U, attempts(request)) << i;
+		interrupt(request);
+		ASSERT_EQ(2U, attempts(request)) << i;
+		EXPECT_EQ(version(request, 0), version(request, 1)) << i;
+		report_event(request, JJ_BACKEND_DONE);
+		tick(4000);
+	}
+}
+
+/*
+ * Guards against a stream passed to another software version as none of its own
+ * is left: it ends.
+ */
+TEST_F(GatewayVersions, AStreamEndsWhenNoServerOfItsVersionIsLeft)
+{
+	uint64_t request = begin("/again/s");
+	std::string other = outcomes[request].servers[0];
+
+	other[1] = other[1] == '1' ? '2' : '1';
+	list(other.c_str(), true);
+	interrupt(request);
+	EXPECT_EQ(1U, attempts(request));
+	EXPECT_EQ(1, outcomes[request].answers);
+}
+
+/*
+ * Guards against a stream that began nowhere held to the version of a server
+ * that failed it.
+ */
+TEST_F(GatewayVersions, AStreamWithoutAnEventMayBeginAtAnyVersion)
+{
+	uint64_t request = begin("/again/s");
+	std::string other = outcomes[request].servers[0];
+
+	other[1] = other[1] == '1' ? '2' : '1';
+	list(other.c_str(), true);
+	report_event(request, JJ_BACKEND_BROKEN);
+	ASSERT_EQ(2U, attempts(request));
+	EXPECT_NE(version(request, 0), version(request, 1));
+}
+
+/** Three VMs and servers of two versions. */
+class GatewayVersionsFleet : public GatewayFleet
+{
+      protected:
+	struct Attempt {
+		std::string vm;
+		uint32_t number;
+		std::string server;
+	};
+	std::map<uint64_t, Attempt> attempts; /**< the last one, by request */
+	std::map<uint64_t, jj_answer_t> given;
+
+	GatewayVersionsFleet()
+	{
+		routes.push_back(
+		    make_route("again", "/again/", JJ_ROUTE_STREAM));
+		routes.back().resumable = true;
+		routes.back().attempts = 1;
+		for (const char *vm : {"verona-1", "verona-2", "verona-3"})
+			see_config(vm, 8);
+		for (const char *id : {"a1", "a2", "a3", "b1", "b2", "b3"})
+			list(id);
+		unlist("s1");
+		run(1000);
+	}
+	void
+	list(const char *id)
+	{
+		std::string text = std::string("verona ready version=") + id[0];
+
+		platform.put(std::string("servers/") + id, text);
+		for (auto &vm : vms)
+			see(vm.first, WATCH_SERVERS,
+			    (std::string("servers/") + id).c_str(),
+			    text.c_str());
+	}
+	void
+	unlist(const char *id)
+	{
+		platform.objects.erase(std::string("servers/") + id);
+		for (auto &vm : vms)
+			see(vm.first, WATCH_SERVERS,
+			    (std::string("servers/") + id).c_str(), "", true);
+	}
+	void
+	take(const std::string &vm, const jj_action_t &action) override
+	{
+		const jj_backend_start_t &start = action.body.start;
+
+		if (action.kind == JJ_ACTION_BACKEND_START)
+			attempts[start.request] = {
+			    vm, start.attempt, start.server.text};
+		if (action.kind == JJ_ACTION_ANSWER)
+			given[action.body.answer.request] = action.body.answer;
+	}
+	void
+	report(uint64_t request, jj_backend_kind_t kind)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_backend_event_t event = {};
+		jj_bytes_t text = {};
+		const Attempt attempt = attempts[request];
+
+		event.request = request;
+		event.attempt = attempt.number;
+		event.kind = kind;
+		event.relayed = true;
+		jj_gateway_take_backend_event(
+		    vms[attempt.vm].gateway, &event, 200, &text, now, &out);
+		carry_out(attempt.vm, &out);
+	}
+	/** Begins a stream and returns it after its first event. */
+	uint64_t
+	begin_stream(const std::string &vm, uint64_t content = 0)
+	{
+		uint64_t request = begin(vm, "/again/s", content);
+
+		EXPECT_EQ(1U, attempts.count(request));
+		report(request, JJ_BACKEND_FIRST);
+		run(100);
+		return request;
+	}
+	/** The caller takes the stream up; returns its version, or '-'. */
+	char
+	take_up(const std::string &vm, const std::string &resumes,
+	    uint64_t content = 0)
+	{
+		uint64_t request =
+		    begin(vm, "/again/s", content, resumes.c_str());
+		char version = '-';
+
+		run(500);
+		if (attempts.count(request) == 1) {
+			version = attempts[request].server[0];
+			report(request, JJ_BACKEND_DONE);
+		} else if (given.count(request) == 1)
+			EXPECT_EQ(JJ_RUN_NOT_RUN, given[request].run);
+		else
+			ADD_FAILURE() << "neither sent nor answered";
+		return version;
+	}
+	void
+	restart(const std::string &vm)
+	{
+		jj_gateway_destroy(vms[vm].gateway);
+		vms[vm] = FleetVm();
+		create(vm, 100 + (jj_incarnation_t)now);
+	}
+	static std::string
+	id_of(uint64_t request)
+	{
+		return "r" + std::to_string(request);
+	}
+};
+
+/*
+ * Guards against a stream that its caller takes up at another software version,
+ * at any VM, also when the VM that began it was killed.
+ */
+TEST_F(GatewayVersionsFleet, ACallerTakesAStreamUpAtItsVersion)
+{
+	const struct {
+		const char *name;
+		const char *vm;
+		bool restarted; /**< the VM that began it, since then */
+		bool by_content; /**< the caller does not name its request */
+	} cases[] = {
+	    {"the same VM", "verona-1", false, false},
+	    {"another VM", "verona-2", false, false},
+	    {"the third VM", "verona-3", false, false},
+	    {"the same VM, by content", "verona-1", false, true},
+	    {"another VM, by content", "verona-3", false, true},
+	    {"another VM after a kill", "verona-2", true, false},
+	    {"the same VM after a kill", "verona-1", true, false},
+	};
+
+	for (const auto &row : cases)
+		for (int i = 0; i < 6; i++) {
+			uint64_t content = 5000 + last;
+			uint64_t request = begin_stream("verona-1", content);
+			char began = attempts[request].server[0];
+
+			if (row.restarted) {
+				restart("verona-1");
+				run(3000);
+			} else
+				report(request, JJ_BACKEND_BROKEN);
+			EXPECT_EQ(began,
+			    take_up(row.vm,
+				row.by_content ? "" : id_of(request), content))
+			    << row.name << " " << i;
+			run(1000);
+		}
+}
+
+/*
+ * Guards against a stream that goes on anywhere as nobody knows which software
+ * version began it.
+ */
+TEST_F(GatewayVersionsFleet, AStreamOfUnknownVersionIsRefused)
+{
+	for (int i = 0; i < 6; i++)
+		EXPECT_EQ('-', take_up("verona-2", "lost"));
+}
+
+/*
+ * Guards against streams refused where only one software version has served for
+ * a while.
+ */
+TEST_F(GatewayVersionsFleet, AStreamOfUnknownVersionGoesOnWhereThereIsOne)
+{
+	for (const char *id : {"b1", "b2", "b3"})
+		unlist(id);
+	EXPECT_EQ('-', take_up("verona-2", "lost"))
+	    << "a stream of the other version may be as old";
+	for (int i = 0; i < 40; i++) {
+		for (auto &vm : vms)
+			see(vm.first, WATCH_SERVERS, "servers/a1",
+			    "verona ready version=a");
+		run(1000);
+	}
+	for (int i = 0; i < 6; i++)
+		EXPECT_EQ('a', take_up("verona-2", "lost"));
+}
+
+/*
+ * Guards against a VM that is cut off and takes the servers that it knows for
+ * all there are.
+ */
+TEST_F(GatewayVersionsFleet, ACutOffVmGoesOnWithNoStreamOfUnknownVersion)
+{
+	for (const char *id : {"b1", "b2", "b3"})
+		unlist(id);
+	for (int i = 0; i < 40; i++) {
+		for (auto &vm : vms)
+			see(vm.first, WATCH_SERVERS, "servers/a1",
+			    "verona ready version=a");
+		run(1000);
+	}
+	vms["verona-2"].loses_messages = true;
+	vms["verona-2"].cut = JJ_PLATFORM_UNKNOWN;
+	run(4000);
+	for (int i = 0; i < 6; i++)
+		EXPECT_EQ('-', take_up("verona-2", "lost"));
+}
+
+/*
+ * Guards against streams lost to their callers as the VMs that knew their
+ * versions were killed together.
+ */
+TEST_F(GatewayVersionsFleet, MostStreamsGoOnAfterTwoOfThreeVmsWereKilled)
+{
+	std::map<uint64_t, char> began;
+	size_t taken_up = 0;
+
+	for (int i = 0; i < 24; i++) {
+		uint64_t request =
+		    begin_stream("verona-" + std::to_string(i % 3 + 1));
+
+		began[request] = attempts[request].server[0];
+		if (i % 6 == 5) {
+			restart("verona-1");
+			restart("verona-2");
+			run(3000);
+			for (const auto &stream : began) {
+				char version =
+				    take_up("verona-2", id_of(stream.first));
+
+				EXPECT_TRUE(
+				    version == '-' || version == stream.second);
+				taken_up += version == stream.second;
+			}
+			began.clear();
+			restart("verona-3");
+			run(3000);
+		}
+	}
+	EXPECT_GE(taken_up, 12U);
+}
+
+} // namespace
