--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -355,6 +355,35 @@
 };
 LAYOUT(team_grants_layout, jj_message_t, team_grants_fields);
 
+static const field_t origin_fields[] = {
+    FIELD(FIELD_U64, jj_stream_origin_t, id),
+    FIELD(FIELD_U64, jj_stream_origin_t, content),
+    FIELD(FIELD_U64, jj_stream_origin_t, software),
+    FIELD(FIELD_I64, jj_stream_origin_t, keep_ms),
+};
+LAYOUT(origin_layout, jj_stream_origin_t, origin_fields);
+
+static const field_t origins_fields[] = {
+    ARRAY(FIELD_ARRAY, jj_message_t, body.origins.origins, body.origins.count,
+	JJ_MESSAGE_ORIGINS_MAX, &origin_layout),
+};
+LAYOUT(origins_layout, jj_message_t, origins_fields);
+
+static const field_t origin_query_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.origin_query.request),
+    FIELD(FIELD_U64, jj_message_t, body.origin_query.id),
+    FIELD(FIELD_U64, jj_message_t, body.origin_query.content),
+    TEXT(jj_message_t, body.origin_query.service.text),
+};
+LAYOUT(origin_query_layout, jj_message_t, origin_query_fields);
+
+static const field_t origin_reply_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.origin_reply.request),
+    FIELD(FIELD_U64, jj_message_t, body.origin_reply.software),
+    FIELD(FIELD_U64, jj_message_t, body.origin_reply.sole),
+};
+LAYOUT(origin_reply_layout, jj_message_t, origin_reply_fields);
+
 static const field_t jobs_fields[] = {
     FIELD(FIELD_U64, jj_message_t, body.jobs.revision),
     BYTES(jj_message_t, body.jobs.events, JJ_WIRE_BYTES_MAX),
@@ -391,6 +420,9 @@
     [JJ_MESSAGE_JOB_PAGE] = &job_page_layout,
     [JJ_MESSAGE_TEAM_USE] = &team_uses_layout,
     [JJ_MESSAGE_TEAM_GRANT] = &team_grants_layout,
+    [JJ_MESSAGE_STREAM_ORIGINS] = &origins_layout,
+    [JJ_MESSAGE_ORIGIN_QUERY] = &origin_query_layout,
+    [JJ_MESSAGE_ORIGIN_REPLY] = &origin_reply_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -14,7 +14,8 @@
 {
 	static const char *const names[] = {"none", "no_server", "overloaded",
 	    "deadline", "retries", "quarantined", "broken", "stopping",
-	    "no_config", "cancelled", "no_service", "team_limit", "suspect"};
+	    "no_config", "cancelled", "no_service", "team_limit", "suspect",
+	    "no_origin"};
 
 	return names[reason];
 }
@@ -204,6 +205,9 @@
 	    [JJ_MESSAGE_JOB_PAGE] = "job_page",
 	    [JJ_MESSAGE_TEAM_USE] = "team_use",
 	    [JJ_MESSAGE_TEAM_GRANT] = "team_grant",
+	    [JJ_MESSAGE_STREAM_ORIGINS] = "stream_origins",
+	    [JJ_MESSAGE_ORIGIN_QUERY] = "origin_query",
+	    [JJ_MESSAGE_ORIGIN_REPLY] = "origin_reply",
 	};
 
 	return kind < JJ_MESSAGE_KIND_END && names[kind] != NULL ? names[kind]
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -67,6 +67,8 @@
 	uint32_t tokens;
 	jj_ms_t retry_after_ms; /**< Retry-After that came with a refusal */
 	bool relayed; /**< the caller has received part of the answer */
+	/** gateway: software version of the events so far, 0: no event */
+	uint64_t software;
 	bool resumable; /**< the server can resume the stream */
 	bool probe_cut; /**< the health probe of the server was cut off, too */
 } jj_backend_event_t;
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -77,6 +77,8 @@
 	set_watch_times(&gateway->settings);
 	gateway->jobs = jj_inline_create(&gateway->settings.jobs, &jobs);
 	gateway->allowance = jj_allowance_create(settings->seed);
+	gateway->origins = jj_stream_origins_create();
+	gateway->servers_since_ms = JJ_MS_NEVER;
 	gateway->live_vms = 1;
 	TAILQ_INIT(&gateway->sent);
 	TAILQ_INIT(&gateway->waiting);
@@ -106,6 +108,7 @@
 		jj_gateway_free_entry(gateway, entry);
 	jj_actions_clear(&unused);
 	jj_gateway_free_peer_calls(gateway);
+	jj_stream_origins_destroy(gateway->origins);
 	jj_allowance_destroy(gateway->allowance);
 	jj_allowance_home_destroy(gateway->allowance_home);
 	jj_slots_destroy(gateway->slots);
@@ -223,6 +226,7 @@
 	jj_gateway_tick_crashes(gateway, now, out);
 	jj_gateway_tick_servers(gateway, now, out);
 	jj_gateway_check_times(gateway, now, out);
+	jj_gateway_tick_origins(gateway, now, out);
 	jj_gateway_expire_borrowed(gateway, now, out);
 	jj_inline_tick(gateway->jobs, now, out);
 	jj_gateway_tick_relay(gateway, now, out);
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -106,6 +106,8 @@
 	jj_ms_t connect_ms;
 	bool streams; /**< the answer is an event stream */
 	bool repeatable; /**< may be resumed at another server */
+	uint64_t software; /**< software version of the server */
+	bool restarts; /**< the output so far is dropped */
 	const jj_inline_job_t *job; /**< job of the item, else NULL */
 	const jj_inline_item_t *item;
 } jj_gateway_attempt_t;
--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -17,6 +17,10 @@
  * take the slot that it was removed from, ms.
  */
 #define PREEMPTED_DELAY_MS 40
+/**
+ * An item waits this long for a slot at the software version of its output, ms.
+ */
+#define VERSION_WAIT_MS 3000
 /** Maximum number of times that the limit for a first event doubles. */
 #define STALL_DOUBLINGS_MAX 4
 /** Weight of a new sample in the moving average of an item's run time. */
@@ -45,6 +49,8 @@
 send_items(jj_gateway_t *, rank_t, const jj_name_t **, jj_ms_t, jj_actions_t *);
 static rank_t
 rank_of(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
+static jj_slot_server_t *
+choose_server(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t);
 static void
 route_item(const jj_gateway_t *, jj_gateway_entry_t *, const jj_route_t *);
 static bool
@@ -201,16 +207,47 @@
 			continue;
 		if (rank_of(gateway, entry, now) != rank)
 			continue;
-		server = jj_slots_choose_batch(
-		    gateway->slots, &entry->service, NULL, now);
+		server = choose_server(gateway, entry, now);
 		if (server == NULL) {
-			*full = &entry->service;
+			if (entry->software == 0 ||
+			    jj_slots_choose_batch(gateway->slots,
+				&entry->service, 0, now) == NULL)
+				*full = &entry->service;
 			continue;
 		}
 		jj_gateway_send(gateway, entry, server, now, out);
 	}
 }
 
+/**
+ * An item goes on at the software version that its output is from. When that is
+ * gone, or has no slot for too long, the output is dropped and it begins anew.
+ */
+static jj_slot_server_t *
+choose_server(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	const jj_name_t *service;
+	jj_slot_server_t *server = jj_slots_choose_batch(
+	    gateway->slots, &entry->service, entry->software, now);
+
+	if (server != NULL || entry->software == 0)
+		return server;
+	service = jj_slots_service_of(gateway->slots, entry->software);
+	if (service != NULL && jj_name_equal(service, &entry->service) &&
+	    now - entry->left_ms < VERSION_WAIT_MS)
+		return NULL;
+	server = jj_slots_choose_batch(gateway->slots, &entry->service, 0, now);
+	if (server == NULL || server->software == entry->software)
+		return server;
+	jj_actions_add_event(gateway->out, "item_begins_anew",
+	    "request=%s software=%s waited_ms=%lld", entry->id,
+	    server->info.version.text, (long long)(now - entry->left_ms));
+	entry->software = 0;
+	entry->restarts = true;
+	entry->ran_ms = 0;
+	return server;
+}
+
 /**
  * Sets the item's service by the configuration in force, which may have moved
  * or removed the route since the item began; empty while there is no route.
--- /dev/null
+++ b/src/core/gateway_origins.c
@@ -0,0 +1,375 @@
+/**
+ * @file gateway_origins.c
+ * @brief At which software version a stream that a caller takes up began.
+ *
+ * The VM that began a stream tells two others, one of them of its own failure
+ * domain, so that the caller can take it up elsewhere when that VM is lost. A
+ * VM that does not know a stream asks the others. Only if nobody knows it, and
+ * one version alone has served for longer than a stream lasts, is it of that
+ * one; otherwise it is refused.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "core/gateway_state.h"
+
+/** A caller may take a stream up this long after its deadline, ms. */
+#define KEEP_AFTER_MS 5000
+/** How long the answers of other VMs are waited for, ms. */
+#define REPLY_WAIT_MS 150
+/** Up to so many other VMs are asked all, else half of it in each part. */
+#define ASKED_MAX 8
+/** Other VMs that are told of a stream: in this failure domain, and outside. */
+#define TOLD_NEAR 1
+#define TOLD_FAR 1
+/** No stream lasts longer than this, ms. */
+#define STREAM_MAX_MS 20000
+/** A list of servers that was confirmed within this time is complete, ms. */
+#define LIST_FRESH_MS 3000
+/** A server that came and went in a longer gap may have been missed, ms. */
+#define LIST_GAP_MS 4000
+
+static void
+ask_others(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
+static size_t
+pick_vms(const jj_gateway_t *, uint64_t, size_t, size_t, jj_member_info_t *);
+static size_t pick_best(const jj_member_info_t *, size_t, uint64_t);
+static void
+take_query(jj_gateway_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
+static void
+take_reply(jj_gateway_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
+static void
+decide(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
+static void resume_at(
+    jj_gateway_t *, jj_gateway_entry_t *, uint64_t, jj_ms_t, jj_actions_t *);
+static bool has_one_service(const jj_route_t *);
+static bool has_backend(const jj_route_t *, const jj_name_t *);
+static uint64_t sole_software(const jj_gateway_t *, const jj_name_t *, jj_ms_t);
+static uint64_t merge(uint64_t, uint64_t);
+static void flush(jj_gateway_t *, jj_actions_t *);
+static void add_origin(GHashTable *, const jj_name_t *,
+    const jj_stream_origin_t *, jj_actions_t *);
+
+uint64_t
+jj_gateway_origin_id(const char *request)
+{
+	return request[0] != '\0' ? jj_hash_bytes(request, strlen(request), 0)
+				  : 0;
+}
+
+void
+jj_gateway_note_stream_begun(
+    jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	jj_stream_origin_t origin = {entry->origin_id, entry->fingerprint,
+	    entry->software, entry->deadline_ms - now + KEEP_AFTER_MS};
+
+	if (!entry->streams || !entry->repeatable)
+		return;
+	jj_stream_origins_add(gateway->origins, &origin, now);
+	if (gateway->new_origin_count == JJ_MESSAGE_ORIGINS_MAX)
+		flush(gateway, gateway->out);
+	gateway->new_origins[gateway->new_origin_count++] = origin;
+}
+
+void
+jj_gateway_resume(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const jj_route_t *route, jj_ms_t now, jj_actions_t *out)
+{
+	entry->known_software = jj_stream_origins_find(
+	    gateway->origins, entry->origin_id, entry->fingerprint, now);
+	entry->sole_software = has_one_service(route)
+	    ? sole_software(gateway, &entry->service, now)
+	    : JJ_SOFTWARE_MIXED;
+	/* Another stream with the same content may be known elsewhere. */
+	if (entry->known_software == 0 || entry->origin_id == 0)
+		ask_others(gateway, entry, now, out);
+	if (entry->replies_due == 0)
+		decide(gateway, entry, now, out);
+}
+
+void
+jj_gateway_take_origin_message(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out)
+{
+	uint32_t i;
+
+	switch (message->kind) {
+	case JJ_MESSAGE_STREAM_ORIGINS:
+		for (i = 0; i < message->body.origins.count; i++)
+			jj_stream_origins_add(gateway->origins,
+			    &message->body.origins.origins[i], now);
+		break;
+	case JJ_MESSAGE_ORIGIN_QUERY:
+		take_query(gateway, message, now, out);
+		break;
+	default:
+		take_reply(gateway, message, now, out);
+		break;
+	}
+}
+
+void
+jj_gateway_tick_origins(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_ms_t confirmed_ms = gateway->servers_mirror.confirmed_ms;
+	jj_gateway_entry_t *entry;
+	jj_gateway_entry_t *next;
+
+	flush(gateway, out);
+	jj_stream_origins_tick(gateway->origins, now);
+	if (confirmed_ms == JJ_MS_NEVER || now - confirmed_ms > LIST_GAP_MS)
+		gateway->servers_since_ms = JJ_MS_NEVER;
+	else if (gateway->servers_since_ms == JJ_MS_NEVER)
+		gateway->servers_since_ms = now;
+	/* Online requests are ahead of all items in the list. */
+	for (entry = TAILQ_FIRST(&gateway->waiting);
+	     gateway->asking_count > 0 && entry != NULL &&
+	     entry->class_of == JJ_CLASS_ONLINE;
+	     entry = next) {
+		next = TAILQ_NEXT(entry, link);
+		if (entry->replies_due > 0 && now >= entry->reply_until_ms)
+			decide(gateway, entry, now, out);
+	}
+}
+
+/** Asks the VMs that may have been told, all of them in a small fleet. */
+static void
+ask_others(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_member_info_t asked[ASKED_MAX];
+	jj_message_t *message;
+	size_t count = pick_vms(
+	    gateway, entry->fingerprint, ASKED_MAX / 2, ASKED_MAX / 2, asked);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		message = jj_actions_add_message(
+		    out, &asked[i].name, JJ_MESSAGE_ORIGIN_QUERY);
+		message->body.origin_query.request = entry->request;
+		message->body.origin_query.id = entry->origin_id;
+		message->body.origin_query.content = entry->fingerprint;
+		message->body.origin_query.service = entry->service;
+	}
+	entry->replies_due = (uint32_t)count;
+	entry->reply_until_ms = now + REPLY_WAIT_MS;
+	gateway->asking_count += count > 0;
+	entry->was_asked = count > 0;
+}
+
+/**
+ * Chooses live VMs by rendezvous hashing of the content: up to @p near of this
+ * failure domain and @p far of others; all others if they are no more than
+ * that in sum.
+ */
+static size_t
+pick_vms(const jj_gateway_t *gateway, uint64_t content, size_t near, size_t far,
+    jj_member_info_t *picked)
+{
+	jj_member_info_t *infos;
+	size_t left = jj_gateway_list_others(gateway, &infos);
+	size_t count = 0;
+	size_t best;
+	bool is_near;
+	bool takes_all = left <= near + far;
+
+	while (left > 0 && near + far > 0) {
+		best = pick_best(infos, left, content);
+		is_near = jj_gateway_is_in_domain(gateway, &infos[best].name);
+		if (takes_all || (is_near ? near : far) > 0) {
+			picked[count++] = infos[best];
+			if (!takes_all)
+				*(is_near ? &near : &far) -= 1;
+		}
+		infos[best] = infos[--left];
+	}
+	free(infos);
+	return count;
+}
+
+static size_t
+pick_best(const jj_member_info_t *infos, size_t count, uint64_t content)
+{
+	size_t best = 0;
+	size_t i;
+
+	for (i = 1; i < count; i++)
+		if (jj_rendezvous_weight(infos[i].name.text, content) >
+		    jj_rendezvous_weight(infos[best].name.text, content))
+			best = i;
+	return best;
+}
+
+static void
+take_query(jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_message_t *reply = jj_actions_add_message(
+	    out, &message->from, JJ_MESSAGE_ORIGIN_REPLY);
+
+	reply->body.origin_reply.request = message->body.origin_query.request;
+	reply->body.origin_reply.software = jj_stream_origins_find(
+	    gateway->origins, message->body.origin_query.id,
+	    message->body.origin_query.content, now);
+	reply->body.origin_reply.sole =
+	    sole_software(gateway, &message->body.origin_query.service, now);
+}
+
+static void
+take_reply(jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_gateway_entry_t *entry =
+	    jj_gateway_find_entry(gateway, message->body.origin_reply.request);
+
+	if (entry == NULL || entry->replies_due == 0)
+		return;
+	entry->known_software =
+	    merge(entry->known_software, message->body.origin_reply.software);
+	entry->sole_software =
+	    merge(entry->sole_software, message->body.origin_reply.sole);
+	entry->was_answered = true;
+	entry->replies_due--;
+	if (entry->replies_due == 0 ||
+	    (entry->origin_id != 0 && entry->known_software != 0))
+		decide(gateway, entry, now, out);
+}
+
+/** Sends the request on, or refuses it, with what is known now. */
+static void
+decide(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
+    jj_actions_t *out)
+{
+	uint64_t software = entry->known_software;
+	/* A VM that hears of nobody may have missed other versions. */
+	bool is_informed = entry->was_answered || !entry->was_asked;
+
+	if (software == 0 && is_informed)
+		software = entry->sole_software;
+	gateway->asking_count -= entry->was_asked;
+	entry->was_asked = false;
+	entry->replies_due = 0;
+	jj_actions_add_event(out, "stream_taken_up",
+	    "request=%s resumes=%s known=%d sole=%d answered=%d", entry->id,
+	    entry->resumes, entry->known_software != 0,
+	    entry->sole_software != 0, entry->was_answered);
+	if (software == 0 || software == JJ_SOFTWARE_MIXED) {
+		jj_gateway_give_up(gateway, entry, JJ_FAILURE_NO_ORIGIN, out);
+		return;
+	}
+	resume_at(gateway, entry, software, now, out);
+}
+
+static void
+resume_at(jj_gateway_t *gateway, jj_gateway_entry_t *entry, uint64_t software,
+    jj_ms_t now, jj_actions_t *out)
+{
+	const jj_name_t *service =
+	    jj_slots_service_of(gateway->slots, software);
+	const jj_route_t *route =
+	    jj_routes_find(&gateway->routes, entry->route.text);
+
+	if (service == NULL || route == NULL || !has_backend(route, service)) {
+		jj_gateway_give_up(gateway, entry, JJ_FAILURE_NO_SERVER, out);
+		return;
+	}
+	entry->service = *service;
+	entry->software = software;
+	jj_gateway_dispatch(gateway, entry, now, out);
+}
+
+static bool
+has_one_service(const jj_route_t *route)
+{
+	uint32_t i;
+
+	for (i = 1; i < route->backend_count; i++)
+		if (!jj_name_equal(&route->backends[i].service,
+			&route->backends[0].service))
+			return false;
+	return true;
+}
+
+static bool
+has_backend(const jj_route_t *route, const jj_name_t *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < route->backend_count; i++)
+		if (jj_name_equal(&route->backends[i].service, service))
+			return true;
+	return false;
+}
+
+/**
+ * The only software version of a service for longer than a stream lasts, 0 when
+ * that is not known, or JJ_SOFTWARE_MIXED.
+ */
+static uint64_t
+sole_software(
+    const jj_gateway_t *gateway, const jj_name_t *service, jj_ms_t now)
+{
+	jj_ms_t confirmed_ms = gateway->servers_mirror.confirmed_ms;
+	uint64_t software = jj_slots_sole_software(
+	    gateway->slots, service, now - STREAM_MAX_MS);
+
+	if (software == JJ_SOFTWARE_MIXED)
+		return software;
+	if (confirmed_ms == JJ_MS_NEVER || now - confirmed_ms > LIST_FRESH_MS ||
+	    gateway->servers_since_ms == JJ_MS_NEVER ||
+	    now - gateway->servers_since_ms < STREAM_MAX_MS)
+		return 0;
+	return software;
+}
+
+/** What two VMs know together. */
+static uint64_t
+merge(uint64_t a, uint64_t b)
+{
+	if (a == 0 || b == 0)
+		return a | b;
+	return a == b ? a : JJ_SOFTWARE_MIXED;
+}
+
+/** Tells other VMs of the streams that began since the last time. */
+static void
+flush(jj_gateway_t *gateway, jj_actions_t *out)
+{
+	jj_member_info_t told[TOLD_NEAR + TOLD_FAR];
+	GHashTable *messages;
+	size_t count;
+	uint32_t i;
+	size_t k;
+
+	if (gateway->new_origin_count == 0)
+		return;
+	messages = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (i = 0; i < gateway->new_origin_count; i++) {
+		count = pick_vms(gateway, gateway->new_origins[i].content,
+		    TOLD_NEAR, TOLD_FAR, told);
+		for (k = 0; k < count; k++)
+			add_origin(messages, &told[k].name,
+			    &gateway->new_origins[i], out);
+	}
+	g_hash_table_destroy(messages);
+	gateway->new_origin_count = 0;
+}
+
+/** Adds a stream to the message to that VM, which is created if need be. */
+static void
+add_origin(GHashTable *messages, const jj_name_t *to,
+    const jj_stream_origin_t *origin, jj_actions_t *out)
+{
+	jj_message_t *message = g_hash_table_lookup(messages, to->text);
+
+	if (message == NULL) {
+		message =
+		    jj_actions_add_message(out, to, JJ_MESSAGE_STREAM_ORIGINS);
+		(void)g_hash_table_insert(
+		    messages, g_strdup(to->text), message);
+	}
+	message->body.origins.origins[message->body.origins.count++] = *origin;
+}
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -103,7 +103,10 @@
 	}
 	entry = add_entry(gateway, request, route, now);
 	entry->charged_team = charged_team;
-	jj_gateway_dispatch(gateway, entry, now, out);
+	if (request->resumed && entry->streams)
+		jj_gateway_resume(gateway, entry, route, now, out);
+	else
+		jj_gateway_dispatch(gateway, entry, now, out);
 	jj_gateway_step(gateway, now, out);
 }
 
@@ -122,6 +125,8 @@
 	    entry->attempt != event->attempt)
 		return;
 	entry->relayed = entry->relayed || event->relayed;
+	if (event->software != 0 && !entry->restarts)
+		entry->software = event->software;
 	if (event->kind != JJ_BACKEND_NOT_SENT &&
 	    event->kind != JJ_BACKEND_BROKEN &&
 	    event->kind != JJ_BACKEND_TIMEOUT)
@@ -179,6 +184,8 @@
 	start->connect_ms = gateway->settings.connect_ms;
 	start->streams = entry->streams;
 	start->repeatable = entry->repeatable;
+	start->software = entry->server->software;
+	start->restarts = entry->restarts;
 	if (entry->class_of == JJ_CLASS_BATCH)
 		start->item =
 		    jj_inline_find_item(gateway->jobs, request, &start->job);
@@ -204,6 +211,7 @@
 {
 	if (entry->server != NULL)
 		jj_gateway_leave_server(gateway, entry);
+	gateway->asking_count -= entry->was_asked;
 	jj_gateway_dequeue(gateway, entry);
 	TAILQ_REMOVE(&gateway->waiting, entry, link);
 	LIST_REMOVE(entry, bucket);
@@ -221,7 +229,7 @@
 {
 	jj_slots_criteria_t criteria = {&entry->service,
 	    server_to_avoid(gateway, entry),
-	    jj_gateway_first_event_limit(entry)};
+	    jj_gateway_first_event_limit(entry), entry->software};
 	jj_slot_server_t *server;
 	bool full;
 
@@ -266,6 +274,7 @@
 jj_gateway_leave_server(jj_gateway_t *gateway, jj_gateway_entry_t *entry)
 {
 	TAILQ_REMOVE(&gateway->sent, entry, link);
+	entry->left_ms = gateway->now;
 	if (entry->first_seen)
 		entry->ran_ms += gateway->now - entry->sent_ms;
 	entry->first_seen = false;
@@ -411,6 +420,9 @@
 	(void)snprintf(
 	    entry->resumes, sizeof(entry->resumes), "%s", request->resumes);
 	entry->class_of = JJ_CLASS_ONLINE;
+	entry->route = route->name;
+	entry->origin_id = jj_gateway_origin_id(
+	    request->resumed ? request->resumes : request->id);
 	entry->service = *jj_route_pick(route, jj_gateway_random(gateway));
 	entry->streams = route->kind == JJ_ROUTE_STREAM;
 	entry->repeatable = jj_route_is_repeatable(route);
@@ -541,11 +553,14 @@
 take_progress(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
     const jj_backend_event_t *event, jj_ms_t now)
 {
-	(void)gateway;
 	entry->last_event_ms = now;
 	if (event->kind != JJ_BACKEND_FIRST || entry->first_seen)
 		return;
 	entry->first_seen = true;
+	entry->restarts = false;
+	entry->software = entry->server->software;
+	if (entry->first_ms == 0 && entry->class_of == JJ_CLASS_ONLINE)
+		jj_gateway_note_stream_begun(gateway, entry, now);
 	entry->attempt_first_ms = now;
 	if (entry->first_ms == 0)
 		entry->first_ms = now;
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -10,6 +10,7 @@
 #include "core/crash_evidence.h"
 #include "core/gateway.h"
 #include "core/mirror.h"
+#include "core/stream_origins.h"
 #include "core/team/allowance_home.h"
 
 #define JJ_GATEWAY_BUCKETS 1024
@@ -25,6 +26,19 @@
 	 */
 	char resumes[JJ_GATEWAY_ID_MAX + 1];
 	jj_class_t class_of;
+	jj_name_t route; /**< of a caller's request */
+	/** software version that its events are from; 0: no event yet */
+	uint64_t software;
+	/** an item's output so far is dropped when it is sent again */
+	bool restarts;
+	uint64_t origin_id; /**< see jj_stream_origin_t.id */
+	/** of a resumed stream: what is known of its beginning */
+	uint64_t known_software;
+	uint64_t sole_software; /**< the only one that has served, or 0 */
+	bool was_asked; /**< other VMs were asked, not decided yet */
+	bool was_answered; /**< at least one of them answered */
+	uint32_t replies_due; /**< waits for so many answers of other VMs */
+	jj_ms_t reply_until_ms;
 	jj_name_t service; /**< empty: an item that has no route now */
 	bool streams;
 	bool repeatable;
@@ -59,6 +73,7 @@
 
 	uint32_t attempt; /**< number of the current attempt */
 	jj_slot_server_t *server; /**< server of the current attempt, or NULL */
+	jj_ms_t left_ms; /**< when the last attempt ended */
 	jj_name_t last_server; /**< server of the last attempt */
 	uint64_t last_server_hash; /**< hash of that server's process */
 	jj_ms_t sent_ms;
@@ -221,6 +236,14 @@
 	jj_ms_t borrow_pause_until_ms; /**< no call is borrowed before */
 	jj_crash_evidence_t crash_evidence;
 
+	jj_stream_origins_t *origins;
+	/** streams that began here, of which no other VM was told yet */
+	uint32_t new_origin_count;
+	jj_stream_origin_t new_origins[JJ_MESSAGE_ORIGINS_MAX];
+	uint32_t asking_count; /**< streams that wait for other VMs' answers */
+	/** all servers were listed since then; JJ_MS_NEVER: not known */
+	jj_ms_t servers_since_ms;
+
 	jj_actions_t *out; /**< actions of the current step, for callbacks */
 	jj_ms_t now; /**< time of the current step, for callbacks */
 };
@@ -320,6 +343,25 @@
 /** Time after which a suspect request may be sent again, ms. */
 jj_ms_t jj_gateway_verdict_ms(void);
 
+/* Software versions of streams (gateway_origins.c). */
+/** Hash of the id of a request that began a stream; 0: no id. */
+uint64_t jj_gateway_origin_id(const char *request);
+/** Remembers, here and at other VMs, where a stream began. */
+void jj_gateway_note_stream_begun(
+    jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now);
+/**
+ * Sends a stream that its caller takes up to a server of the software version
+ * that began it, perhaps after other VMs were asked, or refuses it.
+ */
+void jj_gateway_resume(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const jj_route_t *route, jj_ms_t now, jj_actions_t *out);
+/** Takes what another VM knows or asks of a stream. */
+void jj_gateway_take_origin_message(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
+/** Tells other VMs of new streams; ends the wait for their answers. */
+void
+jj_gateway_tick_origins(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+
 /* Items (gateway_items.c). */
 uint64_t jj_gateway_begin_item(void *gateway, const jj_inline_job_t *job,
     const jj_inline_item_t *item, const jj_route_t *route, jj_ms_t due_ms,
--- a/src/core/gateway_updates.c
+++ b/src/core/gateway_updates.c
@@ -97,6 +97,11 @@
 	case JJ_MESSAGE_TEAM_GRANT:
 		jj_gateway_take_team_message(gateway, message, now, out);
 		break;
+	case JJ_MESSAGE_STREAM_ORIGINS:
+	case JJ_MESSAGE_ORIGIN_QUERY:
+	case JJ_MESSAGE_ORIGIN_REPLY:
+		jj_gateway_take_origin_message(gateway, message, now, out);
+		break;
 	case JJ_MESSAGE_JOB_ENDED:
 		jj_inline_take_ended(
 		    gateway->jobs, message->body.job_ended, now, out);
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -33,6 +33,8 @@
 #define JJ_MESSAGE_CRASH_HISTORY_MAX 48
 /** Maximum fingerprints in one crash report. */
 #define JJ_MESSAGE_SUSPECTS_MAX 64
+/** Maximum number of streams in one message. */
+#define JJ_MESSAGE_ORIGINS_MAX 32
 /** Maximum teams in one message about allowances. */
 #define JJ_MESSAGE_TEAMS_MAX 32
 
@@ -79,6 +81,10 @@
 	/** to the home of a team: requests that the sender admitted */
 	JJ_MESSAGE_TEAM_USE,
 	JJ_MESSAGE_TEAM_GRANT, /**< by the home: requests it may admit */
+	/** software versions at which streams began (stream_origins.h) */
+	JJ_MESSAGE_STREAM_ORIGINS,
+	JJ_MESSAGE_ORIGIN_QUERY, /**< requests that of one stream */
+	JJ_MESSAGE_ORIGIN_REPLY,
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -284,6 +290,18 @@
 	    deaths[JJ_MESSAGE_CRASHES_MAX]; /**< hashes of server and boot */
 } jj_crash_record_t;
 
+/** Several software versions, as opposed to one. */
+#define JJ_SOFTWARE_MIXED UINT64_MAX
+
+/** At which software version a stream began. */
+typedef struct {
+	/** hash of the id of the request that brought its first event, or 0 */
+	uint64_t id;
+	uint64_t content; /**< fingerprint of its requests */
+	uint64_t software; /**< jj_slots_software() of the server */
+	jj_ms_t keep_ms; /**< how long it may be taken up */
+} jj_stream_origin_t;
+
 /** A message with its header. */
 typedef struct {
 	jj_message_kind_t kind;
@@ -365,6 +383,25 @@
 			uint32_t count;
 			jj_team_grant_t grants[JJ_MESSAGE_TEAMS_MAX];
 		} team_grant;
+		struct {
+			uint32_t count;
+			jj_stream_origin_t origins[JJ_MESSAGE_ORIGINS_MAX];
+		} origins;
+		struct {
+			uint64_t request; /**< number that the sender gave */
+			uint64_t id; /**< as in jj_stream_origin_t */
+			uint64_t content;
+			jj_name_t service;
+		} origin_query;
+		struct {
+			uint64_t request; /**< as in the query */
+			uint64_t software; /**< 0: not known */
+			/**
+			 * the only version that has served for long, 0: not
+			 * known, or JJ_SOFTWARE_MIXED
+			 */
+			uint64_t sole;
+		} origin_reply;
 		struct {
 			/**
 			 * As ack_sequence of a heartbeat: shows how old this
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -57,6 +57,8 @@
 static void classify_missing(jj_slots_t *, jj_ms_t);
 static bool is_missing(const jj_slot_server_t *, jj_ms_t);
 static uint64_t hash_of(const jj_slot_info_t *);
+static uint64_t software_of(const jj_slot_info_t *);
+static void forget_server(jj_slots_t *, jj_slot_server_t *, jj_ms_t);
 static void remove_server(jj_slots_t *, jj_slot_server_t *);
 static bool is_complete(const jj_slot_server_t *);
 
@@ -206,7 +208,7 @@
 		if (!server->listed && now >= server->unlisted_ms &&
 		    now >= server->relist_until_ms && !server->has_old_start &&
 		    server->online + server->batch == 0)
-			remove_server(slots, server);
+			forget_server(slots, server, now);
 	}
 	slots->has_unlisted = has_unlisted;
 }
@@ -230,6 +232,47 @@
 	return g_hash_table_lookup(slots->by_hash, &hash);
 }
 
+const jj_name_t *
+jj_slots_service_of(const jj_slots_t *slots, uint64_t software)
+{
+	const jj_slot_server_t *server;
+
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		if (server->software == software && is_complete(server) &&
+		    server->listed && !server->info.draining)
+			return &server->info.service;
+	}
+	return NULL;
+}
+
+uint64_t
+jj_slots_sole_software(
+    const jj_slots_t *slots, const jj_name_t *service, jj_ms_t since_ms)
+{
+	const jj_removed_software_t *removed;
+	const jj_slot_server_t *server;
+	uint64_t software = 0;
+	uint32_t i;
+
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		if (!jj_name_equal(&server->info.service, service))
+			continue;
+		if (software != 0 && server->software != software)
+			return JJ_SOFTWARE_MIXED;
+		software = server->software;
+	}
+	for (i = 0; i < slots->removed_count && software != 0; i++) {
+		removed = &slots->removed[i];
+		if (removed->removed_ms >= since_ms &&
+		    removed->software != software &&
+		    jj_name_equal(&removed->service, service))
+			return JJ_SOFTWARE_MIXED;
+	}
+	return software;
+}
+
 void
 jj_slots_set_vms(jj_slots_t *slots, uint32_t near, uint32_t far)
 {
@@ -375,6 +418,7 @@
     jj_slots_t *slots, jj_slot_server_t *server, const jj_slot_info_t *info)
 {
 	server->info = *info;
+	server->software = software_of(info);
 	server->local = jj_name_equal(&info->domain, &slots->settings.domain);
 	server->listed = true;
 	server->has_old_start = false;
@@ -454,6 +498,38 @@
 	return jj_hash_bytes(&info->started_ms, sizeof(info->started_ms), hash);
 }
 
+/** What two services run differs, even under the same version. */
+static uint64_t
+software_of(const jj_slot_info_t *info)
+{
+	return jj_hash_bytes(info->version.text, strlen(info->version.text),
+	    jj_hash_bytes(info->service.text, strlen(info->service.text), 0));
+}
+
+/** Removes a server and remembers its software version. */
+static void
+forget_server(jj_slots_t *slots, jj_slot_server_t *server, jj_ms_t now)
+{
+	jj_removed_software_t *oldest = &slots->removed[0];
+	jj_removed_software_t *removed = NULL;
+	uint32_t i;
+
+	for (i = 0; i < slots->removed_count && removed == NULL; i++) {
+		if (slots->removed[i].software == server->software)
+			removed = &slots->removed[i];
+		if (slots->removed[i].removed_ms < oldest->removed_ms)
+			oldest = &slots->removed[i];
+	}
+	if (removed == NULL && slots->removed_count < JJ_REMOVED_SOFTWARE_MAX)
+		removed = &slots->removed[slots->removed_count++];
+	if (removed == NULL)
+		removed = oldest;
+	removed->service = server->info.service;
+	removed->software = server->software;
+	removed->removed_ms = now;
+	remove_server(slots, server);
+}
+
 static void
 remove_server(jj_slots_t *slots, jj_slot_server_t *server)
 {
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -95,6 +95,7 @@
 	TAILQ_ENTRY(jj_slot_server) link;
 	jj_slot_info_t info;
 	uint64_t hash; /**< hash of its id and its start time */
+	uint64_t software; /**< hash of its service and software version */
 	bool local; /**< in this VM's failure domain */
 	bool used; /**< of a local server: in this VM's subset */
 	jj_slot_subset_t subset;
@@ -228,6 +229,7 @@
 	 * JJ_MS_NEVER: no limit. A free slot always qualifies.
 	 */
 	jj_ms_t first_within_ms;
+	uint64_t software; /**< only this software version; 0: any */
 } jj_slots_criteria_t;
 
 /**
@@ -236,9 +238,24 @@
  */
 jj_slot_server_t *jj_slots_choose_online(jj_slots_t *slots,
     const jj_slots_criteria_t *criteria, jj_ms_t now, bool *full);
-/** The server for a batch item, or NULL when none has capacity. */
+/**
+ * The server for a batch item, or NULL when none has capacity.
+ * @param software only this software version; 0: any.
+ */
 jj_slot_server_t *jj_slots_choose_batch(jj_slots_t *slots,
-    const jj_name_t *service, const jj_name_t *avoid, jj_ms_t now);
+    const jj_name_t *service, uint64_t software, jj_ms_t now);
+/**
+ * The service of a software version that has a server for new requests, be it
+ * full or in a cool-down; NULL when it has none.
+ */
+const jj_name_t *
+jj_slots_service_of(const jj_slots_t *slots, uint64_t software);
+/**
+ * The software version that all servers of a service had since @p since_ms;
+ * 0 when there is no server, JJ_SOFTWARE_MIXED when there were several.
+ */
+uint64_t jj_slots_sole_software(
+    const jj_slots_t *slots, const jj_name_t *service, jj_ms_t since_ms);
 /** Number of requests there, of all VMs and classes. */
 uint32_t jj_slot_server_taken(const jj_slot_server_t *server);
 /** True when new requests may be sent there. */
--- a/src/core/slots_choose.c
+++ b/src/core/slots_choose.c
@@ -96,13 +96,14 @@
 static double others_share(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static double random_value(const jj_slots_t *, const jj_slot_server_t *);
 static bool is_assigned(const jj_slots_t *, const jj_slot_server_t *);
-static bool has_assigned(const jj_slots_t *, const jj_name_t *, jj_ms_t);
+static bool
+has_assigned(const jj_slots_t *, const jj_name_t *, uint64_t, jj_ms_t);
 static bool has_free_slot(const jj_slots_t *, const jj_slot_server_t *);
 static double cost_of(const jj_slot_server_t *, uint32_t, double);
 static double fastest(const jj_slots_t *, const jj_name_t *, jj_ms_t);
 static double slowness(const jj_slot_server_t *, double);
-static bool is_candidate(
-    const jj_slot_server_t *, const jj_name_t *, const jj_name_t *, jj_ms_t);
+static bool is_candidate(const jj_slot_server_t *, const jj_name_t *, jj_ms_t);
+static bool is_of_software(const jj_slot_server_t *, uint64_t);
 
 jj_slot_server_t *
 jj_slots_choose_online(jj_slots_t *slots, const jj_slots_criteria_t *criteria,
@@ -126,20 +127,21 @@
 }
 
 jj_slot_server_t *
-jj_slots_choose_batch(jj_slots_t *slots, const jj_name_t *service,
-    const jj_name_t *avoid, jj_ms_t now)
+jj_slots_choose_batch(
+    jj_slots_t *slots, const jj_name_t *service, uint64_t software, jj_ms_t now)
 {
 	jj_slot_server_t *best = NULL;
 	jj_slot_server_t *server;
 	double best_free = 0;
 	double best_ms = fastest(slots, service, now);
-	bool all = !has_assigned(slots, service, now);
+	bool all = !has_assigned(slots, service, software, now);
 
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
 		double free_slots;
 
-		if (!is_candidate(server, service, avoid, now) ||
+		if (!is_candidate(server, service, now) ||
+		    !is_of_software(server, software) ||
 		    !(all || is_assigned(slots, server)) ||
 		    server->open_connects > 1 ||
 		    now < server->crowded_until_ms ||
@@ -180,7 +182,7 @@
 	*taken = 0;
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
-		if (!is_candidate(server, service, NULL, now))
+		if (!is_candidate(server, service, now))
 			continue;
 		*total += server->info.slots;
 		*taken += jj_slot_server_taken(server);
@@ -209,7 +211,8 @@
 		bool assigned;
 		double cost;
 
-		if (!is_candidate(server, criteria->service, NULL, now))
+		if (!is_candidate(server, criteria->service, now) ||
+		    !is_of_software(server, criteria->software))
 			continue;
 		assigned = is_assigned(slots, server);
 		extra = assigned ? 0 : sample.others_unreported;
@@ -266,7 +269,7 @@
 
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
-		if (!is_candidate(server, service, NULL, now) ||
+		if (!is_candidate(server, service, now) ||
 		    !is_assigned(slots, server))
 			continue;
 		mean += server->online + server->others_online;
@@ -348,7 +351,7 @@
 
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
-		count += is_candidate(server, service, NULL, now) &&
+		count += is_candidate(server, service, now) &&
 		    !is_assigned(slots, server);
 	}
 	return count > OTHERS_SAMPLE ? (double)OTHERS_SAMPLE / count : 1;
@@ -382,13 +385,15 @@
  * wait for ever although servers are idle.
  */
 static bool
-has_assigned(const jj_slots_t *slots, const jj_name_t *service, jj_ms_t now)
+has_assigned(const jj_slots_t *slots, const jj_name_t *service,
+    uint64_t software, jj_ms_t now)
 {
 	const jj_slot_server_t *server;
 
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
-		if (is_candidate(server, service, NULL, now) &&
+		if (is_candidate(server, service, now) &&
+		    is_of_software(server, software) &&
 		    is_assigned(slots, server))
 			return true;
 	}
@@ -446,7 +451,7 @@
 
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
-		if (!is_candidate(server, service, NULL, now) ||
+		if (!is_candidate(server, service, now) ||
 		    server->first_ms == 0)
 			continue;
 		if (best == 0 || server->first_ms < best)
@@ -466,7 +471,7 @@
 
 	TAILQ_FOREACH(server, &slots->servers, link)
 	{
-		if (!is_candidate(server, service, NULL, now) ||
+		if (!is_candidate(server, service, now) ||
 		    server->service_ms == 0)
 			continue;
 		sum += server->service_ms;
@@ -492,10 +497,15 @@
 }
 
 static bool
-is_candidate(const jj_slot_server_t *server, const jj_name_t *service,
-    const jj_name_t *avoid, jj_ms_t now)
+is_candidate(
+    const jj_slot_server_t *server, const jj_name_t *service, jj_ms_t now)
 {
 	return jj_slot_server_is_up(server, now) &&
-	    jj_name_equal(&server->info.service, service) &&
-	    (avoid == NULL || !jj_name_equal(&server->info.id, avoid));
+	    jj_name_equal(&server->info.service, service);
+}
+
+static bool
+is_of_software(const jj_slot_server_t *server, uint64_t software)
+{
+	return software == 0 || server->software == software;
 }
--- a/src/core/slots_state.h
+++ b/src/core/slots_state.h
@@ -17,6 +17,15 @@
 	jj_ms_t updated_ms;
 } jj_mean_load_t;
 
+/** A software version of which a server was removed. */
+typedef struct {
+	jj_name_t service;
+	uint64_t software;
+	jj_ms_t removed_ms; /**< of the last one */
+} jj_removed_software_t;
+
+#define JJ_REMOVED_SOFTWARE_MAX 64
+
 /** The servers of all services, as this VM knows them. */
 struct jj_slots {
 	jj_slots_settings_t settings;
@@ -31,6 +40,8 @@
 	uint64_t sequence; /**< sequence number of the choice; varies equal
 				costs */
 	GHashTable *mean_loads; /**< jj_mean_load_t by service; owned */
+	uint32_t removed_count;
+	jj_removed_software_t removed[JJ_REMOVED_SOFTWARE_MAX];
 	uint32_t near_vms; /**< VMs that choose among this domain's servers */
 	uint32_t far_vms; /**< VMs of other domains */
 };
--- a/src/daemon/answers.c
+++ b/src/daemon/answers.c
@@ -28,6 +28,8 @@
 	"Backend servers failed the request and it is not tried again."},
     {JJ_FAILURE_QUARANTINED, 422, "quarantined",
 	"This request crashed backend servers and is refused for a time."},
+    {JJ_FAILURE_NO_ORIGIN, 503, "unknown_stream",
+	"It is not known which software version began this stream."},
     {JJ_FAILURE_SUSPECT, 503, "suspect",
 	"Several servers broke off this request; whether it crashes them will "
 	"be known shortly."},
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -29,6 +29,8 @@
 	uint64_t transfer; /**< its number at the HTTP client */
 	bool begun; /**< the answer's head was sent to the caller */
 	int64_t last_id; /**< of the last event forwarded */
+	/** software version of the forwarded events; 0: not known */
+	uint64_t software;
 	jj_bytes_t text; /**< of a batch item: its output so far */
 	bool has_text; /**< an event had data, if only an empty text */
 } entry_t;
@@ -48,6 +50,9 @@
 	uint32_t attempt;
 	bool streams; /**< the route has streamed answers */
 	bool resumes; /**< resumes after an event that was forwarded */
+	uint64_t software; /**< software version of the server */
+	/** of the events forwarded so far; 0: there is none */
+	uint64_t begun_software;
 	char *id; /**< request id, which the server must echo; owned */
 	answer_kind_t kind;
 	int status;
@@ -77,6 +82,7 @@
 static char *read_header(const char **, char **);
 static void check_head(attempt_t *);
 static jj_http_flow_t on_data(void *, const char *, size_t);
+static void drop_output(entry_t *);
 static void receive_events(attempt_t *, entry_t *, const char *, size_t);
 static void forward_event(attempt_t *, entry_t *, const jj_stream_event_t *);
 static void receive_body(attempt_t *, const char *, size_t);
@@ -192,10 +198,27 @@
 		(void)apr_thread_mutex_unlock(relay->lock);
 		return;
 	}
+	if (start->restarts)
+		drop_output(entry);
+	if (entry->last_id != JJ_EVENT_NO_ID && entry->software == 0)
+		entry->software = start->software;
 	attempt = jj_alloc(sizeof(*attempt));
 	attempt->relay = relay;
 	attempt->request = request;
 	attempt->attempt = number;
+	attempt->software = start->software;
+	attempt->begun_software = entry->software;
+	/*
+	 * An event may have been forwarded while the core, which had not heard
+	 * of it, chose a server of another version.
+	 */
+	if (entry->software != 0 && entry->software != start->software) {
+		entry->attempt = 0;
+		(void)apr_thread_mutex_unlock(relay->lock);
+		post_event(attempt, JJ_BACKEND_REFUSED, 0, false, NULL);
+		free_attempt(attempt);
+		return;
+	}
 	attempt->streams = start->streams;
 	attempt->resumes = entry->last_id != JJ_EVENT_NO_ID;
 	attempt->id = strdup(entry->exchange.id);
@@ -434,6 +457,16 @@
 	return flow;
 }
 
+/** Drops the output of a batch item, which begins anew. */
+static void
+drop_output(entry_t *entry)
+{
+	jj_bytes_free(&entry->text);
+	entry->has_text = false;
+	entry->last_id = entry->exchange.last_id;
+	entry->software = 0;
+}
+
 static void
 receive_events(
     attempt_t *attempt, entry_t *entry, const char *data, size_t size)
@@ -454,6 +487,8 @@
     attempt_t *attempt, entry_t *entry, const jj_stream_event_t *event)
 {
 	entry->last_id = attempt->events.last_id;
+	entry->software = attempt->software;
+	attempt->begun_software = attempt->software;
 	if (entry->exchange.call == NULL) {
 		jj_stream_event_append_data(
 		    event, !entry->has_text, &entry->text);
@@ -646,6 +681,7 @@
 	event.kind = kind;
 	event.retry_after_ms = retry_after_ms;
 	event.relayed = relayed;
+	event.software = attempt->begun_software;
 	attempt->relay->port.on_event(
 	    attempt->relay->port.ctx, &event, attempt->status, text);
 }
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -29,12 +29,14 @@
 };
 
 /** A caller, a relay and a server whose answer the test writes. */
-class StreamRelay : public ::testing::TestWithParam<LongCase>
+class StreamRelayFixture : public ::testing::Test
 {
       protected:
 	std::mutex lock;
 	std::condition_variable changed;
 	jj_http_call_t *caller = nullptr;
+	bool streams = false; /**< the route has streamed answers */
+	uint64_t software = 0; /**< of the last event */
 	int ended = -1; /**< how the attempt ended */
 	UnresponsiveServer server;
 	std::string front_address = free_address();
@@ -42,7 +44,7 @@
 	jj_http_server_t *front;
 	jj_stream_relay_t *relay;
 
-	StreamRelay()
+	StreamRelayFixture()
 	{
 		jj_http_limits_t limits = {
 		    front_address.c_str(), 1, 100, 16384, 65536, 65536, 60000};
@@ -51,11 +53,12 @@
 		jj_stream_relay_port_t port = {this, on_event};
 
 		deployment.headers = {"X-Id", "X-Deadline", "X-Target",
-		    "X-Not-Run", "X-Stamp", "Last-Event-Id", "Resumes", "X-Key", "X-Team"};
+		    "X-Not-Run", "X-Stamp", "Last-Event-Id", "Resumes", "X-Key",
+		    "X-Team"};
 		front = jj_http_server_create(&limits, &front_port);
 		relay = jj_stream_relay_create(&deployment, &port);
 	}
-	~StreamRelay() override
+	~StreamRelayFixture() override
 	{
 		jj_stream_relay_destroy(relay);
 		jj_http_server_destroy(front);
@@ -63,7 +66,7 @@
 	static void
 	on_caller(void *ctx, jj_http_call_t *call)
 	{
-		auto *self = static_cast<StreamRelay *>(ctx);
+		auto *self = static_cast<StreamRelayFixture *>(ctx);
 		std::lock_guard<std::mutex> guard(self->lock);
 
 		self->caller = call;
@@ -72,9 +75,12 @@
 	static void
 	on_event(void *ctx, const jj_backend_event_t *event, int, jj_bytes_t *)
 	{
-		auto *self = static_cast<StreamRelay *>(ctx);
+		auto *self = static_cast<StreamRelayFixture *>(ctx);
 		std::lock_guard<std::mutex> guard(self->lock);
 
+		self->software = event->software;
+		if (event->kind == JJ_BACKEND_FIRST)
+			return;
 		self->ended = event->kind;
 		self->changed.notify_all();
 	}
@@ -91,7 +97,6 @@
 	start(const std::string &id)
 	{
 		jj_stream_exchange_t exchange = {};
-		jj_gateway_attempt_t start = {};
 
 		exchange.request = 1;
 		exchange.call = caller;
@@ -101,14 +106,29 @@
 		exchange.last_id = JJ_EVENT_NO_ID;
 		jj_stream_exchange_add_header(&exchange, "X-Id", id.c_str());
 		jj_stream_relay_add(relay, &exchange);
+		attempt(1, 7);
+	}
+	/** Sends an attempt to the server, which has that software version. */
+	void
+	attempt(uint32_t number, uint64_t software)
+	{
+		jj_gateway_attempt_t start = {};
+
 		jj_name_set(&start.server, "s1");
+		start.streams = streams;
+		start.software = software;
 		snprintf(start.address, sizeof(start.address), "%s",
 		    server.address.c_str());
 		start.budget_ms = WAIT_LIMIT_MS;
-		jj_stream_relay_start(relay, 1, 1, &start);
+		jj_stream_relay_start(relay, 1, number, &start);
 	}
 };
 
+class StreamRelay : public StreamRelayFixture,
+		    public ::testing::WithParamInterface<LongCase>
+{
+};
+
 /*
  * Guards against fixed-size buffers: a truncated request id, whose answer was
  * dropped as it did not match, and lost or truncated headers.
@@ -143,6 +163,38 @@
 	(void)close(fd);
 }
 
+/*
+ * Guards against events of two software versions in one answer, as an event was
+ * forwarded that the core had not heard of when it chose the next server.
+ */
+TEST_F(StreamRelayFixture, AStreamIsNotSentToAnotherVersion)
+{
+	const std::string head =
+	    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	    "X-Id: i\r\nX-Stamp: s\r\n\r\nid: 0\ndata: a\n\n";
+	int fd = send_request(front_address);
+
+	streams = true;
+	wait_for([this] { return caller != nullptr; });
+	start("i");
+	ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
+	(void)read_until(server.last(), "\r\n\r\n");
+	ASSERT_EQ((ssize_t)head.size(),
+	    send(server.last(), head.data(), head.size(), MSG_NOSIGNAL));
+	(void)read_until(fd, "data: a\n\n");
+	jj_stream_relay_cancel(relay, 1, 1);
+	attempt(2, 8);
+	wait_for([this] { return ended >= 0; });
+	EXPECT_EQ(JJ_BACKEND_REFUSED, ended);
+	EXPECT_EQ(7U, software);
+	EXPECT_FALSE(server.accept_one(100));
+	attempt(3, 7);
+	ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
+	EXPECT_NE(std::string::npos,
+	    read_until(server.last(), "\r\n\r\n").find("Last-Event-Id: 0"));
+	(void)close(fd);
+}
+
 INSTANTIATE_TEST_SUITE_P(Answers, StreamRelay,
     ::testing::Values(LongCase{"Usual", 16, 3, 10},
 	LongCase{"LongId", 100, 3, 10}, LongCase{"ManyHeaders", 16, 60, 10},
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -249,6 +249,26 @@
 			m->body.team_use.uses[i] = {UINT64_MAX - i, i,
 			    UINT32_MAX, i, i + 1, JJ_TEAM_SHARE_UNIT, true};
 	}},
+    {"StreamOrigins", JJ_MESSAGE_STREAM_ORIGINS,
+	[](jj_message_t *m) {
+		m->body.origins.count = JJ_MESSAGE_ORIGINS_MAX;
+		for (uint32_t i = 0; i < m->body.origins.count; i++)
+			m->body.origins.origins[i] = {
+			    UINT64_MAX - i, i, UINT64_MAX, 1000 + i};
+	}},
+    {"OriginQuery", JJ_MESSAGE_ORIGIN_QUERY,
+	[](jj_message_t *m) {
+		m->body.origin_query.request = 1;
+		m->body.origin_query.id = UINT64_MAX;
+		m->body.origin_query.content = 2;
+		jj_name_set(&m->body.origin_query.service, "ordini");
+	}},
+    {"OriginReply", JJ_MESSAGE_ORIGIN_REPLY,
+	[](jj_message_t *m) {
+		m->body.origin_reply.request = 1;
+		m->body.origin_reply.software = UINT64_MAX;
+		m->body.origin_reply.sole = 3;
+	}},
     {"TeamGrant", JJ_MESSAGE_TEAM_GRANT,
 	[](jj_message_t *m) {
 		m->body.team_grant.count = JJ_MESSAGE_TEAMS_MAX;
--- a/tests/core/gateway_versions_test.cc
+++ b/tests/core/gateway_versions_test.cc
@@ -20,6 +20,7 @@
 		for (const char *id : {"a1", "a2", "b1", "b2"})
 			list(id);
 		see(WATCH_SERVERS, "servers/s1", "", true);
+		tick(4000);
 	}
 	void
 	list(const char *id, bool gone = false)
@@ -35,6 +36,25 @@
 		report_event(request, JJ_BACKEND_FIRST, 200, true);
 		report_event(request, JJ_BACKEND_BROKEN, 0, true);
 	}
+	/** Submits a job of one item; returns the item's request. */
+	uint64_t
+	submit_item(int number)
+	{
+		submit(("job" + std::to_string(number)).c_str(), 1);
+		tick(100);
+		return (UINT64_C(1) << 62) + ++items;
+	}
+	int items = 0;
+	/** True when the item's output so far is dropped. */
+	bool
+	restarts(uint64_t request)
+	{
+		jj_gateway_attempt_t start = {};
+
+		EXPECT_TRUE(
+		    jj_gateway_find_attempt(gateway, request, now, &start));
+		return start.restarts;
+	}
 	char
 	version(uint64_t request, size_t attempt)
 	{
@@ -92,6 +112,55 @@
 	EXPECT_NE(version(request, 0), version(request, 1));
 }
 
+/*
+ * Guards against an item whose output goes on at another software version after
+ * it was preempted.
+ */
+TEST_F(GatewayVersions, APreemptedItemGoesOnAtItsVersion)
+{
+	for (int i = 0; i < 10; i++) {
+		uint64_t item = submit_item(i);
+		std::vector<uint64_t> online;
+
+		report_event(item, JJ_BACKEND_FIRST);
+		while (outcomes[item].cancelled.empty() && online.size() < 16)
+			online.push_back(begin("/once/o"));
+		ASSERT_EQ(1U, outcomes[item].cancelled.size()) << i;
+		for (uint64_t request : online)
+			if (attempts(request) == 1)
+				report_event(request, JJ_BACKEND_DONE);
+		tick(50);
+		ASSERT_EQ(2U, attempts(item)) << i;
+		EXPECT_EQ(version(item, 0), version(item, 1)) << i;
+		EXPECT_FALSE(restarts(item)) << i;
+		report_event(item, JJ_BACKEND_DONE);
+	}
+}
+
+/*
+ * Guards against an item lost, or joined from two software versions, when no
+ * server of its version is left: it begins anew.
+ */
+TEST_F(GatewayVersions, AnItemWhoseVersionIsGoneBeginsAnew)
+{
+	uint64_t item = submit_item(1);
+	std::string server = outcomes[item].servers[0];
+	std::string other = server;
+
+	other[1] = other[1] == '1' ? '2' : '1';
+	report_event(item, JJ_BACKEND_FIRST);
+	list(other.c_str(), true);
+	list(server.c_str(), true);
+	tick(2500);
+	report_event(item, JJ_BACKEND_BROKEN);
+	tick(1000);
+	ASSERT_EQ(2U, attempts(item));
+	EXPECT_NE(version(item, 0), version(item, 1));
+	EXPECT_TRUE(restarts(item));
+	report_event(item, JJ_BACKEND_FIRST);
+	EXPECT_FALSE(restarts(item));
+}
+
 /** Three VMs and servers of two versions. */
 class GatewayVersionsFleet : public GatewayFleet
 {
@@ -159,6 +228,12 @@
 		event.attempt = attempt.number;
 		event.kind = kind;
 		event.relayed = true;
+		/* As the relay does: the version that its events are from. */
+		if (kind == JJ_BACKEND_FIRST)
+			event.software = jj_slots_find(
+			    jj_gateway_slots(vms[attempt.vm].gateway),
+			    attempt.server.c_str())
+					     ->software;
 		jj_gateway_take_backend_event(
 		    vms[attempt.vm].gateway, &event, 200, &text, now, &out);
 		carry_out(attempt.vm, &out);
@@ -200,6 +275,14 @@
 		vms[vm] = FleetVm();
 		create(vm, 100 + (jj_incarnation_t)now);
 	}
+	/** Each VM's watch shows that its list of servers is complete. */
+	void
+	confirm_list()
+	{
+		for (auto &vm : vms)
+			see(vm.first, WATCH_SERVERS, "servers/a1",
+			    "verona ready version=a");
+	}
 	static std::string
 	id_of(uint64_t request)
 	{
@@ -268,13 +351,13 @@
 	EXPECT_EQ('-', take_up("verona-2", "lost"))
 	    << "a stream of the other version may be as old";
 	for (int i = 0; i < 40; i++) {
-		for (auto &vm : vms)
-			see(vm.first, WATCH_SERVERS, "servers/a1",
-			    "verona ready version=a");
+		confirm_list();
 		run(1000);
 	}
-	for (int i = 0; i < 6; i++)
+	for (int i = 0; i < 6; i++) {
+		confirm_list();
 		EXPECT_EQ('a', take_up("verona-2", "lost"));
+	}
 }
 
 /*
@@ -286,9 +369,7 @@
 	for (const char *id : {"b1", "b2", "b3"})
 		unlist(id);
 	for (int i = 0; i < 40; i++) {
-		for (auto &vm : vms)
-			see(vm.first, WATCH_SERVERS, "servers/a1",
-			    "verona ready version=a");
+		confirm_list();
 		run(1000);
 	}
 	vms["verona-2"].loses_messages = true;
@@ -332,4 +413,27 @@
 	EXPECT_GE(taken_up, 12U);
 }
 
+/*
+ * Guards against a stream that is taken up twice and loses its version at the
+ * second try.
+ */
+TEST_F(GatewayVersionsFleet, AStreamTakenUpTwiceStaysAtItsVersion)
+{
+	for (int i = 0; i < 10; i++) {
+		uint64_t request = begin_stream("verona-1");
+		char began = attempts[request].server[0];
+		uint64_t second;
+
+		report(request, JJ_BACKEND_BROKEN);
+		second =
+		    begin("verona-2", "/again/s", 0, id_of(request).c_str());
+		run(100);
+		ASSERT_EQ(1U, attempts.count(second));
+		report(second, JJ_BACKEND_FIRST);
+		report(second, JJ_BACKEND_BROKEN);
+		run(100);
+		EXPECT_EQ(began, take_up("verona-3", id_of(request)));
+	}
+}
+
 } // namespace
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -83,7 +83,7 @@
 		if (avoid != nullptr)
 			jj_name_set(&name, avoid);
 		jj_slots_criteria_t wish = {
-		    &service, avoid != nullptr ? &name : nullptr, within};
+		    &service, avoid != nullptr ? &name : nullptr, within, 0};
 		server = jj_slots_choose_online(slots, &wish, now, &full);
 		return server != nullptr ? server->info.id.text : "";
 	}
@@ -91,7 +91,7 @@
 	batch(jj_ms_t now = 1000)
 	{
 		jj_slot_server_t *server =
-		    jj_slots_choose_batch(slots, &service, nullptr, now);
+		    jj_slots_choose_batch(slots, &service, 0, now);
 
 		return server != nullptr ? server->info.id.text : "";
 	}
@@ -209,8 +209,8 @@
 	fill(busy, 0, 4);
 	EXPECT_EQ("s2", online(nullptr, 1300))
 	    << "a batch item can be cancelled";
-	EXPECT_EQ(dark,
-	    jj_slots_choose_batch(slots, &dark->info.service, nullptr, 1300));
+	EXPECT_EQ(
+	    dark, jj_slots_choose_batch(slots, &dark->info.service, 0, 1300));
 	for (int i = 0; i < 4; i++)
 		jj_slots_remove(busy, JJ_CLASS_BATCH);
 	fill(busy, 4, 0);
--- a/tests/platform/entries_test.cc
+++ b/tests/platform/entries_test.cc
@@ -63,11 +63,14 @@
 	ASSERT_TRUE(read(entry("state", "\"draining\""), &info));
 	EXPECT_STREQ("i-1", info.id.text);
 	EXPECT_STREQ("s", info.service.text);
+	EXPECT_STREQ("v1", info.version.text);
 	EXPECT_STREQ("z", info.domain.text);
 	EXPECT_STREQ("10.0.0.9:80", info.address);
 	EXPECT_EQ(8U, info.slots);
 	EXPECT_EQ(1768922969619, info.started_ms);
 	EXPECT_TRUE(info.draining);
+	ASSERT_TRUE(read(entry("version", ""), &info));
+	EXPECT_STREQ("", info.version.text) << "an entry without a version";
 	ASSERT_TRUE(read(entry("born", ""), &info));
 	EXPECT_EQ(0, info.started_ms) << "an entry without a start time";
 	EXPECT_TRUE(read(entry("more", "[{}]"), &info))
@@ -113,6 +116,8 @@
 	    "address"},
 	EntryCase{"NoZone", "zone", "", "zone"},
 	EntryCase{"ZoneIsNull", "zone", "null", "zone"},
+	EntryCase{"VersionIsNumber", "version", "1", "version"},
+	EntryCase{"VersionIsNull", "version", "null", "version"},
 	EntryCase{"NoSlots", "slots", "", "slots"},
 	EntryCase{"SlotsIsText", "slots", "\"8\"", "slots"},
 	EntryCase{"SlotsIsZero", "slots", "0", "slots"},
