--- a/src/core/gateway_queue.c
+++ b/src/core/gateway_queue.c
@@ -78,8 +78,12 @@
 jj_ms_t
 jj_gateway_first_event_limit(const jj_gateway_entry_t *entry)
 {
-	/* A request that may have run is not abandoned because of a queue. */
-	if (entry->target_ms <= 0 || entry->may_have_run)
+	/*
+	 * A request that may have run, or a stream that has begun, is not
+	 * abandoned because of a queue.
+	 */
+	if (entry->target_ms <= 0 || entry->may_have_run ||
+	    entry->software != 0)
 		return JJ_MS_NEVER;
 	return entry->client_retry ? 0 : entry->target_ms * TARGET_QUARTERS / 4;
 }
