--- a/tests/core/gateway_crash_test.cc
+++ b/tests/core/gateway_crash_test.cc
@@ -4,6 +4,7 @@
  * that end for other reasons.
  */
 #include <functional>
+#include <random>
 #include <set>
 
 #include "tests/core/gateway_fixture.h"
@@ -22,6 +23,8 @@
 constexpr size_t CRASHES = 3;
 constexpr size_t RETRIES = 3;
 constexpr uint64_t POISON = 77;
+/** Number of series of disturbances; more are played by hand. */
+constexpr unsigned SERIES_SEEDS = 60;
 
 /** How a server ends under a request. */
 enum class End {
@@ -525,4 +528,91 @@
 	EXPECT_EQ(1U, finished) << "it is tried until its retention ends";
 }
 
+/**
+ * Copies of a content that crashes servers, while VMs are cut off and killed one
+ * at a time.
+ */
+class CrashSeries : public GatewayCrashFleet,
+		    public ::testing::WithParamInterface<unsigned>
+{
+      protected:
+	std::mt19937 random;
+	/** until when a VM does not count as in touch */
+	std::map<std::string, jj_ms_t> disturbed;
+	size_t reached_in_touch = 0;
+
+	uint32_t
+	draw(uint32_t below)
+	{
+		return random() % below;
+	}
+	std::string
+	any_vm()
+	{
+		return "verona-" + std::to_string(1 + draw(3));
+	}
+	void
+	take(const std::string &vm, const jj_action_t &action) override
+	{
+		GatewayCrashFleet::take(vm, action);
+		reached_in_touch += action.kind == JJ_ACTION_BACKEND_START &&
+		    reached.size() > CRASHES && now > disturbed[vm] &&
+		    now > reached[CRASHES - 1] + STABLE_MS;
+	}
+	void
+	set_cut(const std::string &vm, bool is_cut)
+	{
+		vms[vm].loses_messages = vms[vm].loses_sent = is_cut;
+		if (is_cut) {
+			cut.insert(vm);
+			disturbed[vm] = JJ_MS_NEVER;
+			return;
+		}
+		cut.erase(vm);
+		disturbed[vm] = now + STABLE_MS;
+		for (int i = 1; i <= server_count; i++) {
+			std::string key = "servers/n" + std::to_string(i);
+
+			see(vm, WATCH_SERVERS, key.c_str(), "verona ready",
+			    platform.objects.count(key) == 0);
+		}
+	}
+	void
+	play_series(unsigned seed)
+	{
+		std::string isolated;
+
+		random.seed(seed);
+		for (int i = 0; i < 40; i++) {
+			std::string vm = any_vm();
+
+			if (draw(6) == 0 && cut.empty()) {
+				isolated = any_vm();
+				set_cut(isolated, true);
+			} else if (draw(3) == 0 && !cut.empty()) {
+				set_cut(isolated, false);
+			} else if (draw(12) == 0 && cut.count(vm) == 0) {
+				restart(vm);
+				disturbed[vm] = now + STABLE_MS;
+			}
+			send(any_vm(), any_vm(),
+			    draw(2) == 0 ? "/online/p" : "/again/p");
+			play(100 + draw(1500));
+		}
+	}
+};
+
+/*
+ * Guards against a content that crashes servers again and again where the VMs
+ * that saw its crashes are cut off and killed.
+ */
+TEST_P(CrashSeries, FewServersAreReachedAfterTheThirdCrash)
+{
+	play_series(GetParam());
+	EXPECT_LE(reached_in_touch, RETRIES) << reached.size();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Seeds, CrashSeries, ::testing::Range(1U, SERIES_SEEDS + 1));
+
 } // namespace
