Gateway: a server that stays listed did not crash

In a large fleet most evidence concerns servers whose answers this VM does not see; it was kept for five minutes and displaced newer evidence. A crashed server's entry is removed within seconds, so evidence ends once a list that was confirmed all the time still has the server. The relay's check of versions is a function of its own.

--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -24,6 +24,11 @@
 #define UNREACHABLE_WINDOW_MS 3000
 /** Time until it is known that a crashed server is no longer listed, ms. */
 #define VERDICT_MS 2500
+/**
+ * The platform removes the entry of a server that is silent within this time,
+ * ms.
+ */
+#define ENTRY_LAPSE_MS 8000
 /** Evidence that was neither confirmed nor refuted is dropped after, ms. */
 #define EVIDENCE_KEEP_MS 300000
 /** Number of other VMs that are told of an unanswered attempt. */
@@ -37,10 +42,13 @@
 typedef enum {
 	FATE_OPEN,
 	FATE_CRASHED,
-	FATE_LEFT, /**< it announced that it leaves */
+	/** it announced that it leaves, or is still listed long afterwards */
+	FATE_NO_CRASH,
 } fate_t;
 
 static fate_t fate_of(const jj_gateway_t *, const jj_unanswered_t *, jj_ms_t);
+static bool is_listed_since(const jj_gateway_t *, const jj_slot_server_t *,
+    const jj_unanswered_t *, jj_ms_t);
 static void report_crash(
     jj_gateway_t *, const jj_name_t *, uint64_t, jj_ms_t, jj_actions_t *);
 static void
@@ -154,7 +162,7 @@
 			    attempt.server_hash, now, out);
 			i = 0;
 			break;
-		case FATE_LEFT:
+		case FATE_NO_CRASH:
 			jj_crash_evidence_drop_server(
 			    evidence, attempt.server_hash, now);
 			i = 0;
@@ -218,17 +226,30 @@
 
 	/* A server that was gone here before another VM's attempt had left. */
 	if (server == NULL)
-		return attempt->from_peer ? FATE_LEFT : FATE_CRASHED;
+		return attempt->from_peer ? FATE_NO_CRASH : FATE_CRASHED;
 	if (server->replaced)
 		return FATE_CRASHED;
-	if (server->info.draining)
-		return FATE_LEFT;
+	if (server->info.draining ||
+	    is_listed_since(gateway, server, attempt, now))
+		return FATE_NO_CRASH;
 	return !server->listed && !server->has_old_start &&
 		now >= server->unlisted_ms
 	    ? FATE_CRASHED
 	    : FATE_OPEN;
 }
 
+/** The entry of a server that had crashed would have been removed by now. */
+static bool
+is_listed_since(const jj_gateway_t *gateway, const jj_slot_server_t *server,
+    const jj_unanswered_t *attempt, jj_ms_t now)
+{
+	jj_ms_t since_ms = gateway->servers_since_ms;
+
+	return server->listed && since_ms != JJ_MS_NEVER &&
+	    now - since_ms > ENTRY_LAPSE_MS &&
+	    now - attempt->ms > ENTRY_LAPSE_MS;
+}
+
 /** Counts a crash against all contents that ended without an answer there. */
 static void
 report_crash(jj_gateway_t *gateway, const jj_name_t *server,
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -241,7 +241,10 @@
 	uint32_t new_origin_count;
 	jj_stream_origin_t new_origins[JJ_MESSAGE_ORIGINS_MAX];
 	uint32_t asking_count; /**< streams that wait for other VMs' answers */
-	/** all servers were listed since then; JJ_MS_NEVER: not known */
+	/**
+	 * the list of servers was confirmed all the time since then;
+	 * JJ_MS_NEVER: not known
+	 */
 	jj_ms_t servers_since_ms;
 
 	jj_actions_t *out; /**< actions of the current step, for callbacks */
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -82,7 +82,7 @@
 static char *read_header(const char **, char **);
 static void check_head(attempt_t *);
 static jj_http_flow_t on_data(void *, const char *, size_t);
-static void drop_output(entry_t *);
+static bool prepare_output(entry_t *, const jj_gateway_attempt_t *);
 static void receive_events(attempt_t *, entry_t *, const char *, size_t);
 static void forward_event(attempt_t *, entry_t *, const jj_stream_event_t *);
 static void receive_body(attempt_t *, const char *, size_t);
@@ -191,6 +191,7 @@
 	attempt_t *attempt;
 	entry_t *entry;
 	size_t count = 0;
+	bool fits;
 
 	(void)apr_thread_mutex_lock(relay->lock);
 	entry = find(relay, request);
@@ -198,21 +199,14 @@
 		(void)apr_thread_mutex_unlock(relay->lock);
 		return;
 	}
-	if (start->restarts)
-		drop_output(entry);
-	if (entry->last_id != JJ_EVENT_NO_ID && entry->software == 0)
-		entry->software = start->software;
+	fits = prepare_output(entry, start);
 	attempt = jj_alloc(sizeof(*attempt));
 	attempt->relay = relay;
 	attempt->request = request;
 	attempt->attempt = number;
 	attempt->software = start->software;
 	attempt->begun_software = entry->software;
-	/*
-	 * An event may have been forwarded while the core, which had not heard
-	 * of it, chose a server of another version.
-	 */
-	if (entry->software != 0 && entry->software != start->software) {
+	if (!fits) {
 		entry->attempt = 0;
 		(void)apr_thread_mutex_unlock(relay->lock);
 		post_event(attempt, JJ_BACKEND_REFUSED, 0, false, NULL);
@@ -457,14 +451,25 @@
 	return flow;
 }
 
-/** Drops the output of a batch item, which begins anew. */
-static void
-drop_output(entry_t *entry)
-{
-	jj_bytes_free(&entry->text);
-	entry->has_text = false;
-	entry->last_id = entry->exchange.last_id;
-	entry->software = 0;
+/**
+ * Prepares an exchange for its next attempt.
+ * @return false when the events so far are from another software version: one
+ * may have been forwarded that the core had not heard of when it chose a server.
+ */
+static bool
+prepare_output(entry_t *entry, const jj_gateway_attempt_t *start)
+{
+	if (start->restarts) {
+		jj_bytes_free(&entry->text);
+		entry->has_text = false;
+		entry->last_id = entry->exchange.last_id;
+		entry->software = 0;
+	}
+	if (entry->last_id == JJ_EVENT_NO_ID)
+		return true;
+	if (entry->software == 0)
+		entry->software = start->software;
+	return entry->software == start->software;
 }
 
 static void
--- a/tests/core/gateway_crash_test.cc
+++ b/tests/core/gateway_crash_test.cc
@@ -189,6 +189,27 @@
 	}
 }
 
+/*
+ * Guards against lost answers that count as crashes when their servers leave
+ * without notice much later.
+ */
+TEST_F(GatewayCrash, AServerThatLeavesLongAfterALostAnswerDidNotCrash)
+{
+	for (int copy = 0; copy < 4; copy++) {
+		uint64_t request = begin("/once/o", 600);
+
+		ASSERT_EQ(1U, attempts(request)) << copy;
+		report_event(request, JJ_BACKEND_BROKEN);
+		for (int s = 0; s < 15; s++) {
+			run(1000);
+			see(WATCH_SERVERS, "servers/other", "mantova ready");
+		}
+		replace(outcomes[request].servers[0]);
+		run(STABLE_MS);
+	}
+	EXPECT_EQ(1U, attempts(begin("/once/o", 600)));
+}
+
 /*
  * Guards against forty innocent requests refused after the server crashed that
  * they ran on, beside the one that crashed it.
