--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -171,18 +171,18 @@
 {
 	jj_member_info_t *infos;
 	size_t left = jj_gateway_list_others(gateway, &infos);
+	size_t wanted[2] = {far, near};
+	bool takes_all = left <= near + far;
 	size_t count = 0;
 	size_t best;
 	bool is_near;
-	bool takes_all = left <= near + far;
 
-	while (left > 0 && near + far > 0) {
+	while (left > 0 && count < near + far) {
 		best = pick_best(infos, left, content);
 		is_near = jj_gateway_is_in_domain(gateway, &infos[best].name);
-		if (takes_all || (is_near ? near : far) > 0) {
+		if (takes_all || wanted[is_near] > 0) {
 			picked[count++] = infos[best];
-			if (!takes_all)
-				*(is_near ? &near : &far) -= 1;
+			wanted[is_near] -= wanted[is_near] > 0;
 		}
 		infos[best] = infos[--left];
 	}
@@ -244,7 +244,7 @@
     jj_actions_t *out)
 {
 	uint64_t software = entry->known_software;
-	/* A VM that hears of nobody may have missed other versions. */
+	/* A VM that hears from no other one may have missed versions. */
 	bool is_informed = entry->was_answered || !entry->was_asked;
 
 	if (software == 0 && is_informed)
