--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -750,6 +750,8 @@
 
 	if (reason == JJ_FAILURE_SUSPECT)
 		return jj_gateway_verdict_ms();
+	if (reason == JJ_FAILURE_QUARANTINED)
+		return gateway->settings.quarantine.quarantine_ms;
 	if (reason != JJ_FAILURE_OVERLOADED || mean < min_ms)
 		return min_ms;
 	return mean + (jj_ms_t)(jj_gateway_random(gateway) % (uint64_t)mean);
--- a/tests/core/gateway_crash_test.cc
+++ b/tests/core/gateway_crash_test.cc
@@ -23,6 +23,8 @@
 constexpr size_t CRASHES = 3;
 constexpr size_t RETRIES = 3;
 constexpr uint64_t POISON = 77;
+/** Time for which describe_gateway() has a content refused. */
+constexpr jj_ms_t QUARANTINE_MS = 600000;
 /** Number of series of disturbances; more are played by hand. */
 constexpr unsigned SERIES_SEEDS = 60;
 
@@ -134,6 +136,7 @@
 	EXPECT_LE(reached.size(), CRASHES + RETRIES);
 	expect_end(begin(GetParam().path, POISON), JJ_FAILURE_QUARANTINED,
 	    JJ_RUN_NOT_RUN);
+	EXPECT_EQ(QUARANTINE_MS, outcomes[last].answer.retry_after_ms);
 }
 
 /*
