Gateway: unanswered attempts have a kind of message of their own

A VM of the build before reads a report of a crash and ignores a field that says that it is not confirmed: during an upgrade it would count lost answers as crashes. Kinds that it does not know are dropped. The choice of a VM by rendezvous hashing is in one place.

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -227,8 +227,6 @@
 static const field_t crash_fields[] = {
     TEXT(jj_message_t, body.crash.server.text),
     FIELD(FIELD_U64, jj_message_t, body.crash.boot),
-    FIELD(FIELD_BOOL, jj_message_t, body.crash.unconfirmed),
-    FIELD(FIELD_BOOL, jj_message_t, body.crash.silent),
     ARRAY(FIELD_ARRAY, jj_message_t, body.crash.suspects,
 	body.crash.suspect_count, JJ_MESSAGE_SUSPECTS_MAX, &suspect_layout),
 };
@@ -355,6 +353,14 @@
 };
 LAYOUT(team_grants_layout, jj_message_t, team_grants_fields);
 
+static const field_t unanswered_fields[] = {
+    TEXT(jj_message_t, body.unanswered.server.text),
+    FIELD(FIELD_U64, jj_message_t, body.unanswered.boot),
+    FIELD(FIELD_BOOL, jj_message_t, body.unanswered.silent),
+    FIELD(FIELD_U64, jj_message_t, body.unanswered.fingerprint),
+};
+LAYOUT(unanswered_layout, jj_message_t, unanswered_fields);
+
 static const field_t origin_fields[] = {
     FIELD(FIELD_U64, jj_stream_origin_t, id),
     FIELD(FIELD_U64, jj_stream_origin_t, content),
@@ -423,6 +429,7 @@
     [JJ_MESSAGE_STREAM_ORIGINS] = &origins_layout,
     [JJ_MESSAGE_ORIGIN_QUERY] = &origin_query_layout,
     [JJ_MESSAGE_ORIGIN_REPLY] = &origin_reply_layout,
+    [JJ_MESSAGE_UNANSWERED] = &unanswered_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -208,6 +208,7 @@
 	    [JJ_MESSAGE_STREAM_ORIGINS] = "stream_origins",
 	    [JJ_MESSAGE_ORIGIN_QUERY] = "origin_query",
 	    [JJ_MESSAGE_ORIGIN_REPLY] = "origin_reply",
+	    [JJ_MESSAGE_UNANSWERED] = "unanswered",
 	};
 
 	return kind < JJ_MESSAGE_KIND_END && names[kind] != NULL ? names[kind]
--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -126,23 +126,22 @@
 }
 
 void
-jj_gateway_take_crash_message(jj_gateway_t *gateway,
-    const jj_message_t *message, jj_ms_t now, jj_actions_t *out)
+jj_gateway_take_unanswered(
+    jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now)
 {
-	const jj_crash_t *crash = &message->body.crash;
-	jj_unanswered_t attempt = {
-	    0, crash->server, crash->boot, now, crash->silent, true};
-	uint32_t i;
+	jj_unanswered_t attempt = {message->body.unanswered.fingerprint,
+	    message->body.unanswered.server, message->body.unanswered.boot, now,
+	    message->body.unanswered.silent, true};
 
-	if (crash->unconfirmed) {
-		for (i = 0; i < crash->suspect_count; i++) {
-			attempt.fingerprint = crash->suspects[i];
-			jj_crash_evidence_add(
-			    &gateway->crash_evidence, &attempt);
-		}
-		return;
-	}
+	jj_crash_evidence_add(&gateway->crash_evidence, &attempt);
+}
+
+void
+jj_gateway_take_crash(jj_gateway_t *gateway, const jj_crash_t *crash,
+    jj_ms_t now, jj_actions_t *out)
+{
 	jj_quarantine_take_crash(gateway->quarantine, crash, now, out);
+	/* The attempts there that this VM knows of have ended with it. */
 	report_crash(gateway, &crash->server, crash->boot, now, out);
 }
 
@@ -291,26 +290,20 @@
 {
 	jj_member_info_t *infos;
 	size_t count = jj_gateway_list_others(gateway, &infos);
-	jj_crash_t crash = {.server = attempt->server,
-	    .boot = attempt->server_hash,
-	    .unconfirmed = true,
-	    .silent = attempt->silent};
+	jj_message_t *message;
+	size_t told;
 	size_t best;
-	size_t i;
-	size_t k;
-
-	crash.suspects[crash.suspect_count++] = attempt->fingerprint;
-	for (i = 0; i < count && i < HOLDERS; i++) {
-		best = i;
-		for (k = i + 1; k < count; k++)
-			if (jj_rendezvous_weight(
-				infos[k].name.text, attempt->fingerprint) >
-			    jj_rendezvous_weight(
-				infos[best].name.text, attempt->fingerprint))
-				best = k;
-		jj_actions_add_message(out, &infos[best].name, JJ_MESSAGE_CRASH)
-		    ->body.crash = crash;
-		infos[best] = infos[i];
+
+	for (told = 0; told < HOLDERS && count > 0; told++) {
+		best =
+		    jj_gateway_first_ranked(infos, count, attempt->fingerprint);
+		message = jj_actions_add_message(
+		    out, &infos[best].name, JJ_MESSAGE_UNANSWERED);
+		message->body.unanswered.server = attempt->server;
+		message->body.unanswered.boot = attempt->server_hash;
+		message->body.unanswered.silent = attempt->silent;
+		message->body.unanswered.fingerprint = attempt->fingerprint;
+		infos[best] = infos[--count];
 	}
 	free(infos);
 }
--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -35,7 +35,6 @@
 ask_others(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static size_t
 pick_vms(const jj_gateway_t *, uint64_t, size_t, size_t, jj_member_info_t *);
-static size_t pick_best(const jj_member_info_t *, size_t, uint64_t);
 static void
 take_query(jj_gateway_t *, const jj_message_t *, jj_ms_t, jj_actions_t *);
 static void
@@ -178,7 +177,7 @@
 	bool is_near;
 
 	while (left > 0 && count < near + far) {
-		best = pick_best(infos, left, content);
+		best = jj_gateway_first_ranked(infos, left, content);
 		is_near = jj_gateway_is_in_domain(gateway, &infos[best].name);
 		if (takes_all || wanted[is_near] > 0) {
 			picked[count++] = infos[best];
@@ -190,19 +189,6 @@
 	return count;
 }
 
-static size_t
-pick_best(const jj_member_info_t *infos, size_t count, uint64_t content)
-{
-	size_t best = 0;
-	size_t i;
-
-	for (i = 1; i < count; i++)
-		if (jj_rendezvous_weight(infos[i].name.text, content) >
-		    jj_rendezvous_weight(infos[best].name.text, content))
-			best = i;
-	return best;
-}
-
 static void
 take_query(jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now,
     jj_actions_t *out)
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -325,9 +325,12 @@
     jj_gateway_t *gateway, const jj_slot_server_t *server, jj_ms_t now);
 /** Records that a copy of that content was answered. */
 void jj_gateway_note_completed(jj_gateway_t *gateway, uint64_t fingerprint);
-/** Takes another VM's report of a crash, or of an unanswered attempt. */
-void jj_gateway_take_crash_message(jj_gateway_t *gateway,
-    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
+/** Takes an unanswered attempt of another VM. */
+void jj_gateway_take_unanswered(
+    jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now);
+/** Takes another VM's report of a crash. */
+void jj_gateway_take_crash(jj_gateway_t *gateway, const jj_crash_t *crash,
+    jj_ms_t now, jj_actions_t *out);
 /** Decides which of the servers with unanswered attempts have crashed. */
 void
 jj_gateway_tick_crashes(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
@@ -509,6 +512,9 @@
  */
 size_t
 jj_gateway_list_others(const jj_gateway_t *gateway, jj_member_info_t **infos);
+/** The VM that ranks first for @p key by rendezvous hashing; @p count > 0. */
+size_t jj_gateway_first_ranked(
+    const jj_member_info_t *infos, size_t count, uint64_t key);
 /**
  * Adds a VM or updates its failure domain.
  * @param version of its entry; 0: known by a heartbeat.
--- a/src/core/gateway_updates.c
+++ b/src/core/gateway_updates.c
@@ -55,7 +55,10 @@
 		    message->body.load.loads, message->body.load.count, false);
 		break;
 	case JJ_MESSAGE_CRASH:
-		jj_gateway_take_crash_message(gateway, message, now, out);
+		jj_gateway_take_crash(gateway, &message->body.crash, now, out);
+		break;
+	case JJ_MESSAGE_UNANSWERED:
+		jj_gateway_take_unanswered(gateway, message, now);
 		break;
 	case JJ_MESSAGE_CRASH_HISTORY:
 		(void)jj_crash_history_take(
--- a/src/core/gateway_vms.c
+++ b/src/core/gateway_vms.c
@@ -124,6 +124,25 @@
 	return kept;
 }
 
+size_t
+jj_gateway_first_ranked(
+    const jj_member_info_t *infos, size_t count, uint64_t key)
+{
+	uint64_t best_weight = 0;
+	uint64_t weight;
+	size_t best = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		weight = jj_rendezvous_weight(infos[i].name.text, key);
+		if (weight < best_weight)
+			continue;
+		best = i;
+		best_weight = weight;
+	}
+	return best;
+}
+
 bool
 jj_gateway_is_local(const jj_gateway_t *gateway, const jj_gateway_vm_t *vm)
 {
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -85,6 +85,8 @@
 	JJ_MESSAGE_STREAM_ORIGINS,
 	JJ_MESSAGE_ORIGIN_QUERY, /**< requests that of one stream */
 	JJ_MESSAGE_ORIGIN_REPLY,
+	/** an attempt of the sender that ended without an answer */
+	JJ_MESSAGE_UNANSWERED,
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -213,9 +215,6 @@
 typedef struct {
 	jj_name_t server;
 	uint64_t boot; /**< which run of the server crashed */
-	/** its requests ended without an answer; it may still be alive */
-	bool unconfirmed;
-	bool silent; /**< of an unconfirmed crash: no connection broke */
 	uint32_t suspect_count;
 	uint64_t suspects[JJ_MESSAGE_SUSPECTS_MAX]; /**< fingerprints */
 } jj_crash_t;
@@ -383,6 +382,12 @@
 			uint32_t count;
 			jj_team_grant_t grants[JJ_MESSAGE_TEAMS_MAX];
 		} team_grant;
+		struct {
+			jj_name_t server;
+			uint64_t boot; /**< as in jj_crash_t */
+			bool silent; /**< its connection did not break */
+			uint64_t fingerprint;
+		} unanswered;
 		struct {
 			uint32_t count;
 			jj_stream_origin_t origins[JJ_MESSAGE_ORIGINS_MAX];
