Gateway: whether a route allows a service is asked in one place

gateway_origins.c had the loop of jj_route_allows() again. A comment named a function that does not exist. No change of behaviour; 241 tests of gateways, versions, crashes and routes hold, the whole test-core was not run again.

--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -44,7 +44,6 @@
 static void resume_at(
     jj_gateway_t *, jj_gateway_entry_t *, uint64_t, jj_ms_t, jj_actions_t *);
 static bool has_one_service(const jj_route_t *);
-static bool has_backend(const jj_route_t *, const jj_name_t *);
 static uint64_t sole_software(const jj_gateway_t *, const jj_name_t *, jj_ms_t);
 static uint64_t merge(uint64_t, uint64_t);
 static void flush(jj_gateway_t *, jj_actions_t *);
@@ -258,7 +257,8 @@
 	const jj_route_t *route =
 	    jj_routes_find(&gateway->routes, entry->route.text);
 
-	if (service == NULL || route == NULL || !has_backend(route, service)) {
+	if (service == NULL || route == NULL ||
+	    !jj_route_allows(route, service)) {
 		jj_gateway_give_up(gateway, entry, JJ_FAILURE_NO_SERVER, out);
 		return;
 	}
@@ -279,17 +279,6 @@
 	return true;
 }
 
-static bool
-has_backend(const jj_route_t *route, const jj_name_t *service)
-{
-	uint32_t i;
-
-	for (i = 0; i < route->backend_count; i++)
-		if (jj_name_equal(&route->backends[i].service, service))
-			return true;
-	return false;
-}
-
 /**
  * The only software version of a service for longer than a stream lasts, 0 when
  * that is not known, or JJ_SOFTWARE_MIXED.
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -297,7 +297,7 @@
 	/** hash of the id of the request that brought its first event, or 0 */
 	uint64_t id;
 	uint64_t content; /**< fingerprint of its requests */
-	uint64_t software; /**< jj_slots_software() of the server */
+	uint64_t software; /**< as in jj_slot_server_t */
 	jj_ms_t keep_ms; /**< how long it may be taken up */
 } jj_stream_origin_t;
 
