Gateway: the shared parts of a prompt are read and logged

The logs of the incident can't tell what requests at a crashed server had in common. Requests and items now carry the hashes of the parts of their prompt that others share (up to 32, the last one of the prompt left out), and an attempt that ends without an answer names them: attempt_prompt, once for each attempt_failed that may have run. No decision changes.

--- a/src/adapters/deployment.h
+++ b/src/adapters/deployment.h
@@ -12,6 +12,7 @@
 #include "adapters/http_server.h"
 #include "adapters/platform.h"
 #include "core/inline.h"
+#include "core/prompt.h"
 #include "core/route.h"
 #include "core/slots.h"
 
@@ -42,6 +43,7 @@
 	const char *last_event_id; /**< a stream resumes after this event */
 	/** of a resumed stream: request id of the attempt that began it */
 	const char *resumes;
+	const char *prompt; /**< parts of the prompt, see read_prompt */
 	const char *key; /**< key of the caller's team; never passed on */
 	const char *team; /**< name of that team; only this system sets it */
 } jj_front_headers_t;
@@ -63,6 +65,8 @@
 	void (*read_call)(const jj_http_call_t *call, jj_front_call_t *read);
 	/** Decodes a job submission; false when malformed. */
 	bool (*read_job)(const jj_http_call_t *call, jj_inline_job_t *job);
+	/** Reads the shared parts of a prompt from its header's value. */
+	void (*read_prompt)(const char *text, jj_prompt_t *prompt);
 	jj_bytes_t (*write_page)(const jj_inline_page_t *page);
 } jj_deployment_t;
 
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -15,6 +15,7 @@
 
 #include "core/inline.h"
 #include "core/member.h"
+#include "core/prompt.h"
 #include "core/quarantine.h"
 #include "core/route.h"
 #include "core/slots.h"
@@ -39,6 +40,9 @@
 	    jj_slot_info_t *info, char *why, size_t why_size);
 	jj_bytes_t (*write_page)(void *ctx, const jj_inline_page_t *page);
 	int64_t (*unix_ms)(void *ctx);
+	/** Reads the shared parts of an item's prompt. */
+	void (*read_prompt)(
+	    void *ctx, const jj_inline_item_t *item, jj_prompt_t *prompt);
 	/** A new version of the routes is in force; valid during the call. */
 	void (*on_routes)(void *ctx, const jj_routes_t *routes);
 } jj_gateway_port_t;
@@ -92,6 +96,7 @@
 	/** how long the caller waits in all, 0: not given */
 	jj_ms_t budget_ms;
 	uint64_t fingerprint; /**< hash of path and body */
+	jj_prompt_t prompt;
 	bool resumed; /**< the caller has the events of an earlier attempt */
 	/** id of the attempt that brought the first of them; empty: not given
 	 */
--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -85,6 +85,7 @@
 	entry->fingerprint =
 	    jj_hash_bytes(item->body.data != NULL ? item->body.data : "",
 		item->body.size, seed);
+	gateway->port.read_prompt(gateway->port.ctx, item, &entry->prompt);
 	LIST_INSERT_HEAD(&gateway->buckets[entry->request % JJ_GATEWAY_BUCKETS],
 	    entry, bucket);
 	jj_gateway_add_waiting_item(gateway, entry);
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -23,6 +23,8 @@
 #define SILENT_MS 1000
 /** Weight of a new sample in the moving average of a request's service time. */
 #define MEAN_WEIGHT 0.05
+/** Maximum parts of a prompt that one log line names. */
+#define LOGGED_PARTS_MAX 7
 
 static bool
 has_stalled(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
@@ -54,6 +56,7 @@
     const jj_backend_event_t *, int, jj_bytes_t *, jj_ms_t, jj_actions_t *);
 static void note_server(
     jj_gateway_t *, jj_gateway_entry_t *, const jj_backend_event_t *, jj_ms_t);
+static void log_prompt(const jj_gateway_entry_t *, jj_actions_t *);
 static void
 retry(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static void
@@ -439,6 +442,7 @@
 	    jj_teams_find(gateway->routes.teams, request->team.text),
 	    route->priority);
 	entry->fingerprint = request->fingerprint;
+	entry->prompt = request->prompt;
 	LIST_INSERT_HEAD(&gateway->buckets[entry->request % JJ_GATEWAY_BUCKETS],
 	    entry, bucket);
 	TAILQ_INSERT_HEAD(&gateway->waiting, entry, link);
@@ -643,6 +647,8 @@
 	    name_of_kind(event->kind), entry->first_seen, entry->relayed,
 	    (long long)(now - entry->sent_ms),
 	    (unsigned long long)entry->fingerprint);
+	if (!not_run && entry->prompt.count > 0)
+		log_prompt(entry, out);
 	jj_gateway_leave_server(gateway, entry);
 	if (entry->class_of == JJ_CLASS_BATCH) {
 		entry->not_before_ms =
@@ -657,6 +663,23 @@
 		jj_gateway_give_up(gateway, entry, JJ_FAILURE_BROKEN, out);
 }
 
+/** Names the parts that an unanswered request shares with others. */
+static void
+log_prompt(const jj_gateway_entry_t *entry, jj_actions_t *out)
+{
+	char parts[LOGGED_PARTS_MAX * 17 + 1];
+	size_t size = 0;
+	uint32_t i;
+
+	for (i = 0; i < entry->prompt.count && i < LOGGED_PARTS_MAX; i++)
+		size += (size_t)snprintf(parts + size, sizeof(parts) - size,
+		    "%s%016llx", i > 0 ? "," : "",
+		    (unsigned long long)entry->prompt.ids[i]);
+	jj_actions_add_event(out, "attempt_prompt",
+	    "request=%s server=%s parts=%u ids=%s", entry->id,
+	    entry->last_server.text, entry->prompt.count, parts);
+}
+
 static void
 retry(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
     jj_actions_t *out)
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -68,6 +68,7 @@
 	/** of an item: attempts that stalled before a first event */
 	uint32_t stalls;
 	uint64_t fingerprint;
+	jj_prompt_t prompt;
 	/** team whose allowance it was taken from, 0: none */
 	uint64_t charged_team;
 
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -375,6 +375,7 @@
 	const char *budget = jj_http_call_header(call, names->deadline_ms);
 	const char *last = jj_http_call_header(call, names->last_event_id);
 	const char *resumes = jj_http_call_header(call, names->resumes);
+	const char *prompt = jj_http_call_header(call, names->prompt);
 	const jj_bytes_t *body = jj_http_call_body(call);
 	jj_stream_exchange_t exchange = {0};
 	jj_gateway_request_t request = {0};
@@ -397,6 +398,8 @@
 	request.path = jj_http_call_path(call);
 	request.budget_ms = budget != NULL ? strtol(budget, NULL, 10) : 0;
 	request.fingerprint = fingerprint_of(call);
+	if (prompt != NULL)
+		node->deployment->read_prompt(prompt, &request.prompt);
 	request.resumed = last != NULL;
 	(void)snprintf(request.resumes, sizeof(request.resumes), "%s",
 	    resumes != NULL ? resumes : "");
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "adapters/log.h"
 #include "adapters/metrics.h"
@@ -29,6 +30,7 @@
     void *, const char *, const jj_bytes_t *, jj_slot_info_t *, char *, size_t);
 static jj_bytes_t write_page(void *, const jj_inline_page_t *);
 static int64_t unix_ms(void *);
+static void read_prompt(void *, const jj_inline_item_t *, jj_prompt_t *);
 static void on_routes(void *, const jj_routes_t *);
 
 jj_gateway_node_t *
@@ -149,8 +151,8 @@
 create_core(jj_gateway_node_t *node)
 {
 	jj_gateway_settings_t settings;
-	jj_gateway_port_t port = {
-	    node, read_routes, read_server, write_page, unix_ms, on_routes};
+	jj_gateway_port_t port = {node, read_routes, read_server, write_page,
+	    unix_ms, read_prompt, on_routes};
 	int table;
 
 	fill_settings(node, &settings);
@@ -244,6 +246,24 @@
 	return (int64_t)(jj_unix_now_ns() / 1000000);
 }
 
+static void
+read_prompt(void *ctx, const jj_inline_item_t *item, jj_prompt_t *prompt)
+{
+	const jj_gateway_node_t *node = ctx;
+	const char *name = node->deployment->headers.prompt;
+	size_t length = strlen(name);
+	size_t i;
+
+	for (i = 0; i < item->header_count; i++) {
+		if (strncasecmp(item->headers[i], name, length) != 0 ||
+		    item->headers[i][length] != ':')
+			continue;
+		node->deployment->read_prompt(
+		    item->headers[i] + length + 1, prompt);
+		return;
+	}
+}
+
 static void
 on_routes(void *ctx, const jj_routes_t *routes)
 {
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -53,8 +53,8 @@
 		jj_stream_relay_port_t port = {this, on_event};
 
 		deployment.headers = {"X-Id", "X-Deadline", "X-Target",
-		    "X-Not-Run", "X-Stamp", "Last-Event-Id", "Resumes", "X-Key",
-		    "X-Team"};
+		    "X-Not-Run", "X-Stamp", "Last-Event-Id", "Resumes",
+		    "X-Prompt", "X-Key", "X-Team"};
 		front = jj_http_server_create(&limits, &front_port);
 		relay = jj_stream_relay_create(&deployment, &port);
 	}
--- a/tests/core/gateway_fixture.h
+++ b/tests/core/gateway_fixture.h
@@ -71,7 +71,7 @@
 		jj_gateway_settings_t settings =
 		    describe_gateway("verona-1", 1);
 		jj_gateway_port_t port = {&routes, read_routes, read_server,
-		    write_page, unix_ms, on_routes};
+		    write_page, unix_ms, read_prompt, on_routes};
 
 		jj_gateway_destroy(gateway);
 		for (auto &watch : watches)
--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -53,6 +53,7 @@
 	jj_ms_t now = 1000;
 	uint64_t last = 0;
 	int count;
+	jj_prompt_t prompt = {}; /**< of the requests that begin() sends */
 	uint32_t queue_most; /**< online requests that may wait at a server */
 	decltype(jj_gateway_port_t::read_routes) reader;
 
@@ -84,7 +85,7 @@
 		jj_gateway_settings_t settings =
 		    describe_gateway(name.c_str(), incarnation);
 		jj_gateway_port_t port = {&routes, reader, read_server,
-		    write_page, unix_ms, on_routes};
+		    write_page, unix_ms, read_prompt, on_routes};
 
 		settings.serves = true;
 		settings.member.seed = incarnation;
@@ -246,6 +247,7 @@
 		request.path = path;
 		request.budget_ms = 4000;
 		request.fingerprint = fingerprint != 0 ? fingerprint : last;
+		request.prompt = prompt;
 		jj_gateway_begin(vms[name].gateway, &request, now, &out);
 		carry_out(name, &out);
 		return last;
--- a/tests/core/gateway_helpers.h
+++ b/tests/core/gateway_helpers.h
@@ -111,6 +111,22 @@
 	return UNIX_MS;
 }
 
+/** Reads "prompt:ID,ID,..." of decimal ids, all of them shared parts. */
+inline void
+read_prompt(void *, const jj_inline_item_t *item, jj_prompt_t *prompt)
+{
+	for (size_t i = 0; i < item->header_count; i++) {
+		std::string header = item->headers[i];
+
+		if (header.compare(0, 7, "prompt:") != 0)
+			continue;
+		for (size_t at = 6; at != std::string::npos;
+		     at = header.find(',', at + 1))
+			prompt->ids[prompt->count++] =
+			    strtoull(&header[at + 1], nullptr, 10);
+	}
+}
+
 inline void
 on_routes(void *, const jj_routes_t *)
 {
--- a/tests/platform/front_test.cc
+++ b/tests/platform/front_test.cc
@@ -184,4 +184,51 @@
 	jj_http_server_destroy(server);
 }
 
+struct PromptCase {
+	const char *name;
+	const char *text;
+	std::vector<const char *> ids; /**< of the shared parts */
+};
+
+class FrontPrompt : public ::testing::TestWithParam<PromptCase>
+{
+};
+
+/* Guards against parts that two requests share and that are read as others. */
+TEST_P(FrontPrompt, HasTheIdsOfItsSharedParts)
+{
+	jj_prompt_t prompt = {};
+
+	jj_deployment_find("objects")->read_prompt(GetParam().text, &prompt);
+	ASSERT_EQ(GetParam().ids.size(), prompt.count);
+	for (uint32_t i = 0; i < prompt.count; i++)
+		EXPECT_EQ(jj_hash_bytes(
+			      GetParam().ids[i], strlen(GetParam().ids[i]), 0),
+		    prompt.ids[i])
+		    << i;
+}
+
+INSTANTIATE_TEST_SUITE_P(Values, FrontPrompt,
+    ::testing::Values(PromptCase{"None", "", {}},
+	PromptCase{"OwnPartOnly", "5c1e07a2:800", {}},
+	PromptCase{"Shared", "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+	    {"5c1e07a2", "91bd3f06"}},
+	PromptCase{"Spaces", "5c1e07a2:800, 91bd3f06:410,\te4:2",
+	    {"5c1e07a2", "91bd3f06"}},
+	PromptCase{"WithoutTokens", "a,b:1,c", {"a", "b"}},
+	PromptCase{"EmptyParts", ",,", {"", ""}}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+/* Guards against more parts than a request has room for. */
+TEST(FrontPromptBound, FurtherPartsAreIgnored)
+{
+	jj_prompt_t prompt = {};
+	std::string text;
+
+	for (int i = 0; i < 3 * JJ_PROMPT_PARTS_MAX; i++)
+		text += std::to_string(i) + ":10,";
+	jj_deployment_find("objects")->read_prompt(text.c_str(), &prompt);
+	EXPECT_EQ(JJ_PROMPT_PARTS_MAX, (int)prompt.count);
+}
+
 } // namespace
