--- /dev/null
+++ b/tests/core/crash_fleet.h
@@ -0,0 +1,132 @@
+/**
+ * @file crash_fleet.h
+ * @brief A test fixture with gateways whose servers crash under some requests.
+ */
+#ifndef TESTS_CORE_CRASH_FLEET_H
+#define TESTS_CORE_CRASH_FLEET_H
+
+#include <functional>
+#include <set>
+
+#include "tests/core/gateway_fleet.h"
+
+/** Token of the watch of the servers. */
+constexpr int WATCH_SERVERS = 2;
+/** Silence after which the platform removes a server's entry. */
+constexpr jj_ms_t LAPSE_MS = 1200;
+
+class CrashFleet : public GatewayFleet
+{
+      protected:
+	struct Attempt {
+		std::string vm;
+		uint64_t request;
+		uint32_t number;
+		std::string server;
+	};
+	std::vector<Attempt> open;
+	std::multimap<jj_ms_t, std::function<void()>> due;
+	std::vector<jj_ms_t> reached; /**< when a request reached a server */
+	std::set<std::string> cut; /**< VMs that learn nothing */
+	const char *entry_text = "verona ready"; /**< of a server */
+	int server_count = 0;
+
+	explicit CrashFleet(int count = 3) : GatewayFleet(count)
+	{
+	}
+	void
+	add_server()
+	{
+		std::string key = "servers/n" + std::to_string(++server_count);
+
+		platform.put(key, entry_text);
+		announce(key, false);
+	}
+	void
+	announce(const std::string &key, bool gone)
+	{
+		for (auto &vm : vms)
+			if (cut.count(vm.first) == 0)
+				see(vm.first, 2, key.c_str(), entry_text, gone);
+	}
+	/** Runs the fleet and what is due. */
+	void
+	play(jj_ms_t ms)
+	{
+		for (jj_ms_t until = now + ms; now < until;) {
+			run(FLEET_STEP_MS);
+			while (!due.empty() && due.begin()->first <= now) {
+				auto step = due.begin()->second;
+
+				due.erase(due.begin());
+				step();
+			}
+		}
+	}
+	bool
+	end_attempt(const std::string &vm, uint64_t request)
+	{
+		for (auto it = open.begin(); it != open.end(); ++it)
+			if (it->vm == vm && it->request == request) {
+				open.erase(it);
+				return true;
+			}
+		return false;
+	}
+	void
+	report(const Attempt &attempt, jj_backend_kind_t kind)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_backend_event_t event = {};
+		jj_bytes_t text = jj_bytes_from_text("t");
+
+		event.request = attempt.request;
+		event.attempt = attempt.number;
+		event.kind = kind;
+		jj_gateway_take_backend_event(
+		    vms[attempt.vm].gateway, &event, 200, &text, now, &out);
+		jj_bytes_free(&text);
+		carry_out(attempt.vm, &out);
+	}
+	void
+	crash(const std::string &server)
+	{
+		std::vector<Attempt> attempts = open;
+		std::string key = "servers/" + server;
+
+		for (const Attempt &attempt : attempts) {
+			if (attempt.server != server ||
+			    !end_attempt(attempt.vm, attempt.request))
+				continue;
+			report(attempt, JJ_BACKEND_BROKEN);
+		}
+		due.emplace(now + LAPSE_MS, [this, key]() {
+			platform.objects.erase(key);
+			announce(key, true);
+			add_server();
+		});
+	}
+	/** The VM ends and starts again without what it knew. */
+	void
+	restart(const std::string &vm)
+	{
+		jj_gateway_destroy(vms[vm].gateway);
+		vms[vm] = FleetVm();
+		for (size_t i = 0; i < open.size();)
+			if (open[i].vm == vm)
+				open.erase(open.begin() + (long)i);
+			else
+				i++;
+		create(vm, 100 + (jj_incarnation_t)now);
+	}
+	/** VMs that get no messages and read no lists. */
+	void
+	cut_off(const std::set<std::string> &names)
+	{
+		cut = names;
+		for (auto &vm : vms)
+			vm.second.loses_messages = !names.empty();
+	}
+};
+
+#endif
--- a/tests/core/gateway_crash_test.cc
+++ b/tests/core/gateway_crash_test.cc
@@ -3,20 +3,15 @@
  * @brief Requests and items that crash the servers they run on, and servers
  * that end for other reasons.
  */
-#include <functional>
 #include <random>
 #include <set>
 
+#include "tests/core/crash_fleet.h"
 #include "tests/core/gateway_fixture.h"
-#include "tests/core/gateway_fleet.h"
 
 namespace
 {
 
-/** Tokens of the watches. */
-constexpr int WATCH_SERVERS = 2;
-/** Silence after which the platform removes a server's entry. */
-constexpr jj_ms_t LAPSE_MS = 1200;
 /** Time after which no more than `RETRIES` copies may reach a server. */
 constexpr jj_ms_t STABLE_MS = 3000;
 /** Servers that a request crashes before that time begins. */
@@ -255,28 +250,17 @@
 }
 
 /** Three VMs, and servers that crash under one content. */
-class GatewayCrashFleet : public GatewayFleet
+class GatewayCrashFleet : public CrashFleet
 {
       protected:
-	struct Attempt {
-		std::string vm;
-		uint64_t request;
-		uint32_t number;
-		std::string server;
-	};
 	/** A copy of the content, and the VM that its caller tries next. */
 	struct Copy {
 		std::string vm;
 		std::string next;
 	};
-	std::vector<Attempt> open;
 	std::map<uint64_t, Copy> copies;
-	std::multimap<jj_ms_t, std::function<void()>> due;
-	std::vector<jj_ms_t> reached; /**< when a copy reached a server */
-	std::set<std::string> cut; /**< VMs that learn nothing */
 	bool cured = false; /**< no server crashes any more */
 	size_t finished = 0;
-	int server_count = 0;
 
 	GatewayCrashFleet()
 	{
@@ -291,36 +275,6 @@
 		play(1000);
 	}
 	void
-	add_server()
-	{
-		std::string key = "servers/n" + std::to_string(++server_count);
-
-		platform.put(key, "verona ready");
-		announce(key, false);
-	}
-	void
-	announce(const std::string &key, bool gone)
-	{
-		for (auto &vm : vms)
-			if (cut.count(vm.first) == 0)
-				see(vm.first, 2, key.c_str(), "verona ready",
-				    gone);
-	}
-	/** Runs the fleet and what is due. */
-	void
-	play(jj_ms_t ms)
-	{
-		for (jj_ms_t until = now + ms; now < until;) {
-			run(FLEET_STEP_MS);
-			while (!due.empty() && due.begin()->first <= now) {
-				auto step = due.begin()->second;
-
-				due.erase(due.begin());
-				step();
-			}
-		}
-	}
-	void
 	take(const std::string &vm, const jj_action_t &action) override
 	{
 		const jj_backend_start_t &start = action.body.start;
@@ -364,31 +318,6 @@
 		paths[last + 1] = path;
 		begin(vm, path, POISON);
 	}
-	bool
-	end_attempt(const std::string &vm, uint64_t request)
-	{
-		for (auto it = open.begin(); it != open.end(); ++it)
-			if (it->vm == vm && it->request == request) {
-				open.erase(it);
-				return true;
-			}
-		return false;
-	}
-	void
-	report(const Attempt &attempt, jj_backend_kind_t kind)
-	{
-		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
-		jj_backend_event_t event = {};
-		jj_bytes_t text = jj_bytes_from_text("t");
-
-		event.request = attempt.request;
-		event.attempt = attempt.number;
-		event.kind = kind;
-		jj_gateway_take_backend_event(
-		    vms[attempt.vm].gateway, &event, 200, &text, now, &out);
-		jj_bytes_free(&text);
-		carry_out(attempt.vm, &out);
-	}
 	void
 	finish(const Attempt &attempt)
 	{
@@ -399,45 +328,6 @@
 			finished++;
 		});
 	}
-	void
-	crash(const std::string &server)
-	{
-		std::vector<Attempt> attempts = open;
-		std::string key = "servers/" + server;
-
-		for (const Attempt &attempt : attempts) {
-			if (attempt.server != server ||
-			    !end_attempt(attempt.vm, attempt.request))
-				continue;
-			report(attempt, JJ_BACKEND_BROKEN);
-		}
-		due.emplace(now + LAPSE_MS, [this, key]() {
-			platform.objects.erase(key);
-			announce(key, true);
-			add_server();
-		});
-	}
-	/** The VM ends and starts again without what it knew. */
-	void
-	restart(const std::string &vm)
-	{
-		jj_gateway_destroy(vms[vm].gateway);
-		vms[vm] = FleetVm();
-		for (size_t i = 0; i < open.size();)
-			if (open[i].vm == vm)
-				open.erase(open.begin() + (long)i);
-			else
-				i++;
-		create(vm, 100 + (jj_incarnation_t)now);
-	}
-	/** VMs that get no messages and read no lists. */
-	void
-	cut_off(const std::set<std::string> &names)
-	{
-		cut = names;
-		for (auto &vm : vms)
-			vm.second.loses_messages = !names.empty();
-	}
 	/** Copies that reached a server in touch after the third crash. */
 	size_t
 	retries() const
