--- a/tests/core/crash_fleet.h
+++ b/tests/core/crash_fleet.h
@@ -92,7 +92,6 @@
 	crash(const std::string &server)
 	{
 		std::vector<Attempt> attempts = open;
-		std::string key = "servers/" + server;
 
 		for (const Attempt &attempt : attempts) {
 			if (attempt.server != server ||
@@ -100,6 +99,14 @@
 				continue;
 			report(attempt, JJ_BACKEND_BROKEN);
 		}
+		remove_server(server);
+	}
+	/** Its entry lapses, and another server starts. */
+	void
+	remove_server(const std::string &server)
+	{
+		std::string key = "servers/" + server;
+
 		due.emplace(now + LAPSE_MS, [this, key]() {
 			platform.objects.erase(key);
 			announce(key, true);
