Gateway: a part of a prompt that crashes servers is refused

Cause: crashes were counted against the content of a request, path and body. What these requests share is a part of the prompt, which nothing read.

Change: a crash counts against those parts of a request's prompt that no completed answer has had. After three crashes of different server processes without one, the part is refused, with a Retry-After until the next probe; one completed answer anywhere clears it. The evidence of an attempt has its parts beside its content; all VMs are told of crashes by part, a VM that knows a part to be sound says so, and an attempt that ends after its server was reported is counted at once. The three kinds of messages are new: older VMs drop them. None is sent while no server crashes.

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -361,6 +361,35 @@
 };
 LAYOUT(unanswered_layout, jj_message_t, unanswered_fields);
 
+static const field_t unanswered_parts_fields[] = {
+    FIELD(FIELD_U64, jj_message_t, body.unanswered_parts.boot),
+    FIELD(FIELD_U64, jj_message_t, body.unanswered_parts.fingerprint),
+    ARRAY(FIELD_ARRAY, jj_message_t, body.unanswered_parts.parts,
+	body.unanswered_parts.count, JJ_UNANSWERED_PARTS_MAX, &suspect_layout),
+};
+LAYOUT(unanswered_parts_layout, jj_message_t, unanswered_parts_fields);
+
+static const field_t part_crashes_entry_fields[] = {
+    FIELD(FIELD_U64, jj_part_crashes_t, part),
+    FIELD(FIELD_I64, jj_part_crashes_t, age_ms),
+    ARRAY(FIELD_ARRAY, jj_part_crashes_t, servers, count, JJ_PART_CRASHES_MAX,
+	&suspect_layout),
+};
+LAYOUT(part_crashes_entry_layout, jj_part_crashes_t, part_crashes_entry_fields);
+
+static const field_t part_crashes_fields[] = {
+    ARRAY(FIELD_ARRAY, jj_message_t, body.part_crashes.entries,
+	body.part_crashes.count, JJ_MESSAGE_PARTS_MAX,
+	&part_crashes_entry_layout),
+};
+LAYOUT(part_crashes_layout, jj_message_t, part_crashes_fields);
+
+static const field_t parts_completed_fields[] = {
+    ARRAY(FIELD_ARRAY, jj_message_t, body.parts_completed.parts,
+	body.parts_completed.count, JJ_MESSAGE_PARTS_MAX, &suspect_layout),
+};
+LAYOUT(parts_completed_layout, jj_message_t, parts_completed_fields);
+
 static const field_t origin_fields[] = {
     FIELD(FIELD_U64, jj_stream_origin_t, id),
     FIELD(FIELD_U64, jj_stream_origin_t, content),
@@ -430,6 +459,9 @@
     [JJ_MESSAGE_ORIGIN_QUERY] = &origin_query_layout,
     [JJ_MESSAGE_ORIGIN_REPLY] = &origin_reply_layout,
     [JJ_MESSAGE_UNANSWERED] = &unanswered_layout,
+    [JJ_MESSAGE_UNANSWERED_PARTS] = &unanswered_parts_layout,
+    [JJ_MESSAGE_PART_CRASHES] = &part_crashes_layout,
+    [JJ_MESSAGE_PARTS_COMPLETED] = &parts_completed_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -15,7 +15,7 @@
 	static const char *const names[] = {"none", "no_server", "overloaded",
 	    "deadline", "retries", "quarantined", "broken", "stopping",
 	    "no_config", "cancelled", "no_service", "team_limit", "suspect",
-	    "no_origin"};
+	    "crashing_part", "no_origin"};
 
 	return names[reason];
 }
@@ -209,6 +209,9 @@
 	    [JJ_MESSAGE_ORIGIN_QUERY] = "origin_query",
 	    [JJ_MESSAGE_ORIGIN_REPLY] = "origin_reply",
 	    [JJ_MESSAGE_UNANSWERED] = "unanswered",
+	    [JJ_MESSAGE_UNANSWERED_PARTS] = "unanswered_parts",
+	    [JJ_MESSAGE_PART_CRASHES] = "part_crashes",
+	    [JJ_MESSAGE_PARTS_COMPLETED] = "parts_completed",
 	};
 
 	return kind < JJ_MESSAGE_KIND_END && names[kind] != NULL ? names[kind]
--- a/src/core/action.h
+++ b/src/core/action.h
@@ -61,6 +61,8 @@
 	JJ_FAILURE_TEAM_LIMIT, /**< the team has used up its rate */
 	/** it may have crashed several servers; known within seconds */
 	JJ_FAILURE_SUSPECT,
+	/** a part of its prompt crashes servers */
+	JJ_FAILURE_CRASHING_PART,
 	/** nobody knows which software version began the stream */
 	JJ_FAILURE_NO_ORIGIN,
 } jj_failure_t;
--- a/src/core/crash_evidence.c
+++ b/src/core/crash_evidence.c
@@ -41,7 +41,7 @@
 		attempt = &evidence->attempts[i];
 		count += attempt->server_hash == server_hash &&
 		    attempt->ms >= since_ms && !attempt->silent &&
-		    !attempt->from_peer;
+		    !attempt->complete && !attempt->from_peer;
 	}
 	return count;
 }
@@ -57,10 +57,11 @@
 
 	for (i = 0; i < evidence->count; i++) {
 		if (attempts[i].fingerprint != fingerprint ||
-		    attempts[i].ms < since_ms)
+		    attempts[i].complete || attempts[i].ms < since_ms)
 			continue;
 		for (k = 0; k < i; k++)
 			if (attempts[k].fingerprint == fingerprint &&
+			    !attempts[k].complete &&
 			    attempts[k].ms >= since_ms &&
 			    attempts[k].server_hash == attempts[i].server_hash)
 				break;
@@ -69,6 +70,25 @@
 	return count;
 }
 
+void
+jj_crash_evidence_add_parts(jj_crash_evidence_t *evidence, uint64_t server_hash,
+    uint64_t fingerprint, const uint64_t *parts, uint32_t count)
+{
+	jj_unanswered_t *attempt;
+	uint32_t i;
+
+	for (i = evidence->count; i > 0; i--) {
+		attempt = &evidence->attempts[i - 1];
+		if (!attempt->from_peer ||
+		    attempt->server_hash != server_hash ||
+		    attempt->fingerprint != fingerprint)
+			continue;
+		attempt->part_count = count;
+		memcpy(attempt->parts, parts, count * sizeof(parts[0]));
+		return;
+	}
+}
+
 void
 jj_crash_evidence_drop_request(
     jj_crash_evidence_t *evidence, uint64_t fingerprint)
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -16,7 +16,7 @@
 
 #define JJ_CRASH_EVIDENCE_MAX 256
 
-/** An attempt that ended without an answer. */
+/** An attempt that ended without an answer, or without the proof of one. */
 typedef struct {
 	uint64_t fingerprint; /**< of its request, see quarantine.h */
 	jj_name_t server;
@@ -24,7 +24,14 @@
 	jj_ms_t ms; /**< when it ended */
 	/** no event came, and the connection did not break */
 	bool silent;
+	/** its answer seemed complete, see jj_backend_event_t.unframed */
+	bool complete;
 	bool from_peer; /**< another VM's attempt */
+	jj_name_t peer;
+	jj_incarnation_t incarnation; /**< of that VM's process */
+	/** parts of its prompt that may have crashed the server */
+	uint32_t part_count;
+	uint64_t parts[JJ_UNANSWERED_PARTS_MAX];
 } jj_unanswered_t;
 
 /** Zero-initialized it is empty. */
@@ -42,6 +49,10 @@
  */
 uint32_t jj_crash_evidence_count_servers(const jj_crash_evidence_t *evidence,
     uint64_t fingerprint, jj_ms_t since_ms);
+/** Adds the parts of the prompt of another VM's attempt. */
+void
+jj_crash_evidence_add_parts(jj_crash_evidence_t *evidence, uint64_t server_hash,
+    uint64_t fingerprint, const uint64_t *parts, uint32_t count);
 /** The content was answered: it does not crash servers. */
 void jj_crash_evidence_drop_request(
     jj_crash_evidence_t *evidence, uint64_t fingerprint);
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -69,6 +69,11 @@
 	bool relayed; /**< the caller has received part of the answer */
 	/** gateway: software version of the events so far, 0: no event */
 	uint64_t software;
+	/**
+	 * gateway: the answer had no length and ended with its connection, as
+	 * it also does when the server crashes
+	 */
+	bool unframed;
 	bool resumable; /**< the server can resume the stream */
 	bool probe_cut; /**< the health probe of the server was cut off, too */
 } jj_backend_event_t;
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -73,6 +73,8 @@
 	gateway->random = settings->seed;
 	gateway->member = jj_member_create(&gateway->settings.member);
 	gateway->quarantine = jj_quarantine_create(&settings->quarantine);
+	gateway->crash_parts =
+	    jj_crash_parts_create(settings->quarantine.quarantine_ms);
 	gateway->slots = jj_slots_create(&settings->slots);
 	set_watch_times(&gateway->settings);
 	gateway->jobs = jj_inline_create(&gateway->settings.jobs, &jobs);
@@ -112,6 +114,7 @@
 	jj_allowance_destroy(gateway->allowance);
 	jj_allowance_home_destroy(gateway->allowance_home);
 	jj_slots_destroy(gateway->slots);
+	jj_crash_parts_destroy(gateway->crash_parts);
 	jj_quarantine_destroy(gateway->quarantine);
 	jj_member_destroy(gateway->member);
 	jj_routes_clear(&gateway->routes);
@@ -224,6 +227,7 @@
 	jj_gateway_tick_vms(gateway, now, out);
 	jj_quarantine_tick(gateway->quarantine, now);
 	jj_gateway_tick_crashes(gateway, now, out);
+	jj_gateway_tick_parts(gateway, now, out);
 	jj_gateway_tick_servers(gateway, now, out);
 	jj_gateway_check_times(gateway, now, out);
 	jj_gateway_tick_origins(gateway, now, out);
--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -9,6 +9,7 @@
  * is not known yet to a few, as the VM that made them may end before.
  */
 #include <stdlib.h>
+#include <string.h>
 
 #include "core/gateway_state.h"
 
@@ -53,6 +54,12 @@
     jj_gateway_t *, const jj_name_t *, uint64_t, jj_ms_t, jj_actions_t *);
 static void
 tell_holders(jj_gateway_t *, const jj_unanswered_t *, jj_actions_t *);
+static void
+confirm_answers(jj_gateway_t *, uint64_t, jj_ms_t, jj_ms_t, jj_actions_t *);
+static void select_parts(
+    const jj_gateway_t *, const jj_prompt_t *, jj_ms_t, jj_unanswered_t *);
+static void note_crash(jj_gateway_t *, uint64_t, jj_ms_t);
+static bool has_crashed(const jj_gateway_t *, uint64_t, jj_ms_t);
 static uint32_t count_suspicions(jj_gateway_t *, uint64_t, jj_ms_t);
 static uint32_t count_refused(jj_gateway_t *, const jj_crash_t *, jj_ms_t);
 
@@ -81,8 +88,11 @@
     jj_actions_t *out)
 {
 	const jj_slot_server_t *server = entry->server;
-	jj_unanswered_t attempt = {entry->fingerprint, server->info.id,
-	    server->hash, now, silent, false};
+	jj_unanswered_t attempt = {.fingerprint = entry->fingerprint,
+	    .server = server->info.id,
+	    .server_hash = server->hash,
+	    .ms = now,
+	    .silent = silent};
 
 	/*
 	 * A server that leaves ends its last requests. Its entry may be removed
@@ -92,8 +102,10 @@
 	    (!silent && !server->listed && now >= server->unlisted_ms &&
 		!server->replaced))
 		return;
+	select_parts(gateway, &entry->prompt, now, &attempt);
 	jj_crash_evidence_add(&gateway->crash_evidence, &attempt);
-	if (jj_crash_evidence_count_breaks(&gateway->crash_evidence,
+	if (has_crashed(gateway, server->hash, now) ||
+	    jj_crash_evidence_count_breaks(&gateway->crash_evidence,
 		server->hash, now - CRASH_WINDOW_MS) > 1)
 		report_crash(gateway, &server->info.id, server->hash, now, out);
 	else
@@ -110,28 +122,54 @@
 }
 
 void
-jj_gateway_note_alive(
-    jj_gateway_t *gateway, const jj_slot_server_t *server, jj_ms_t now)
+jj_gateway_note_alive(jj_gateway_t *gateway, const jj_slot_server_t *server,
+    jj_ms_t now, jj_actions_t *out)
 {
-	if (gateway->crash_evidence.count > 0)
-		jj_crash_evidence_drop_server(&gateway->crash_evidence,
-		    server->hash, now - CRASH_WINDOW_MS);
+	if (gateway->crash_evidence.count == 0)
+		return;
+	confirm_answers(gateway, server->hash, now - CRASH_WINDOW_MS, now, out);
+	jj_crash_evidence_drop_server(
+	    &gateway->crash_evidence, server->hash, now - CRASH_WINDOW_MS);
 }
 
 void
-jj_gateway_note_completed(jj_gateway_t *gateway, uint64_t fingerprint)
+jj_gateway_note_completed(jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, bool unframed, jj_ms_t now,
+    jj_actions_t *out)
 {
-	jj_quarantine_clear(gateway->quarantine, fingerprint);
-	jj_crash_evidence_drop_request(&gateway->crash_evidence, fingerprint);
+	jj_unanswered_t attempt = {.fingerprint = entry->fingerprint,
+	    .server = entry->server->info.id,
+	    .server_hash = entry->server->hash,
+	    .ms = now,
+	    .complete = true};
+
+	if (unframed && !entry->server->info.draining) {
+		select_parts(gateway, &entry->prompt, now, &attempt);
+		jj_crash_evidence_add(&gateway->crash_evidence, &attempt);
+		if (has_crashed(gateway, attempt.server_hash, now))
+			report_crash(gateway, &attempt.server,
+			    attempt.server_hash, now, out);
+		return;
+	}
+	jj_quarantine_clear(gateway->quarantine, entry->fingerprint);
+	jj_crash_evidence_drop_request(
+	    &gateway->crash_evidence, entry->fingerprint);
+	jj_gateway_note_parts_completed(gateway, &entry->prompt, now, out);
 }
 
 void
 jj_gateway_take_unanswered(
     jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now)
 {
-	jj_unanswered_t attempt = {message->body.unanswered.fingerprint,
-	    message->body.unanswered.server, message->body.unanswered.boot, now,
-	    message->body.unanswered.silent, true};
+	jj_unanswered_t attempt = {
+	    .fingerprint = message->body.unanswered.fingerprint,
+	    .server = message->body.unanswered.server,
+	    .server_hash = message->body.unanswered.boot,
+	    .ms = now,
+	    .silent = message->body.unanswered.silent,
+	    .from_peer = true,
+	    .peer = message->from,
+	    .incarnation = message->incarnation};
 
 	jj_crash_evidence_add(&gateway->crash_evidence, &attempt);
 }
@@ -162,6 +200,8 @@
 			i = 0;
 			break;
 		case FATE_NO_CRASH:
+			confirm_answers(
+			    gateway, attempt.server_hash, now, now, out);
 			jj_crash_evidence_drop_server(
 			    evidence, attempt.server_hash, now);
 			i = 0;
@@ -174,14 +214,17 @@
 }
 
 jj_failure_t
-jj_gateway_check_content(
-    jj_gateway_t *gateway, uint64_t fingerprint, bool is_retry, jj_ms_t now)
+jj_gateway_check_request(jj_gateway_t *gateway, uint64_t fingerprint,
+    const jj_prompt_t *prompt, bool is_retry, jj_ms_t now)
 {
 	uint32_t suspicions;
+	jj_ms_t wait_ms;
 
 	if (jj_quarantine_check(gateway->quarantine, fingerprint, now) ==
 	    JJ_QUARANTINE_REFUSED)
 		return JJ_FAILURE_QUARANTINED;
+	if (!jj_gateway_may_send_parts(gateway, prompt, now, &wait_ms))
+		return JJ_FAILURE_CRASHING_PART;
 	if (gateway->crash_evidence.count == 0)
 		return JJ_FAILURE_NONE;
 	suspicions = count_suspicions(gateway, fingerprint, now);
@@ -197,7 +240,10 @@
     jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
 {
 	jj_ms_t last_ms;
+	jj_ms_t wait_ms;
 
+	if (!jj_gateway_may_send_parts(gateway, &entry->prompt, now, &wait_ms))
+		return true;
 	if (jj_quarantine_check(gateway->quarantine, entry->fingerprint, now) !=
 	    JJ_QUARANTINE_REFUSED)
 		return gateway->crash_evidence.count > 0 &&
@@ -260,11 +306,15 @@
 	 * replaced under the same id.
 	 */
 	jj_crash_t crash = {.server = *server, .boot = server_hash};
-	bool is_own = jj_crash_evidence_take(&gateway->crash_evidence, &crash);
-	uint32_t refused = count_refused(gateway, &crash, now);
+	bool is_own;
+	uint32_t refused;
 	size_t count;
 	size_t i;
 
+	jj_gateway_report_part_crashes(gateway, server_hash, now, out);
+	note_crash(gateway, server_hash, now);
+	is_own = jj_crash_evidence_take(&gateway->crash_evidence, &crash);
+	refused = count_refused(gateway, &crash, now);
 	if (crash.suspect_count == 0)
 		return;
 	jj_actions_add_event(out, "server_crashed",
@@ -303,11 +353,82 @@
 		message->body.unanswered.boot = attempt->server_hash;
 		message->body.unanswered.silent = attempt->silent;
 		message->body.unanswered.fingerprint = attempt->fingerprint;
+		if (attempt->part_count > 0) {
+			message = jj_actions_add_message(out, &infos[best].name,
+			    JJ_MESSAGE_UNANSWERED_PARTS);
+			message->body.unanswered_parts.boot =
+			    attempt->server_hash;
+			message->body.unanswered_parts.fingerprint =
+			    attempt->fingerprint;
+			message->body.unanswered_parts.count =
+			    attempt->part_count;
+			memcpy(message->body.unanswered_parts.parts,
+			    attempt->parts, sizeof(attempt->parts));
+		}
 		infos[best] = infos[--count];
 	}
 	free(infos);
 }
 
+/** The server lives: answers that ended there by then were complete. */
+static void
+confirm_answers(jj_gateway_t *gateway, uint64_t server_hash, jj_ms_t until_ms,
+    jj_ms_t now, jj_actions_t *out)
+{
+	const jj_unanswered_t *attempt;
+	jj_prompt_t prompt;
+	uint32_t i;
+
+	for (i = 0; i < gateway->crash_evidence.count; i++) {
+		attempt = &gateway->crash_evidence.attempts[i];
+		if (!attempt->complete || attempt->server_hash != server_hash ||
+		    attempt->ms > until_ms)
+			continue;
+		jj_quarantine_clear(gateway->quarantine, attempt->fingerprint);
+		prompt.count = attempt->part_count;
+		memcpy(prompt.ids, attempt->parts, sizeof(attempt->parts));
+		jj_gateway_note_parts_completed(gateway, &prompt, now, out);
+	}
+}
+
+/** Keeps those parts of a prompt that may have crashed the server. */
+static void
+select_parts(const jj_gateway_t *gateway, const jj_prompt_t *prompt,
+    jj_ms_t now, jj_unanswered_t *attempt)
+{
+	jj_prompt_t suspects;
+
+	jj_crash_parts_select(gateway->crash_parts, prompt, now, &suspects);
+	attempt->part_count = suspects.count < JJ_UNANSWERED_PARTS_MAX
+	    ? suspects.count
+	    : JJ_UNANSWERED_PARTS_MAX;
+	memcpy(attempt->parts, suspects.ids,
+	    attempt->part_count * sizeof(attempt->parts[0]));
+}
+
+static void
+note_crash(jj_gateway_t *gateway, uint64_t server_hash, jj_ms_t now)
+{
+	if (has_crashed(gateway, server_hash, now))
+		return;
+	gateway->crashes[gateway->next_crash] =
+	    (jj_gateway_crash_t){server_hash, now};
+	gateway->next_crash = (gateway->next_crash + 1) % JJ_GATEWAY_CRASHES;
+}
+
+/** The process was reported to have crashed not long ago. */
+static bool
+has_crashed(const jj_gateway_t *gateway, uint64_t server_hash, jj_ms_t now)
+{
+	uint32_t i;
+
+	for (i = 0; i < JJ_GATEWAY_CRASHES; i++)
+		if (gateway->crashes[i].server_hash == server_hash)
+			return now - gateway->crashes[i].ms <
+			    UNREACHABLE_WINDOW_MS;
+	return false;
+}
+
 /** Crashes of a content, and servers at which it ended not long ago. */
 static uint32_t
 count_suspicions(jj_gateway_t *gateway, uint64_t fingerprint, jj_ms_t now)
--- a/src/core/gateway_queue.c
+++ b/src/core/gateway_queue.c
@@ -136,6 +136,7 @@
 	const jj_name_t *full = NULL;
 	jj_gateway_entry_t *entry;
 	jj_gateway_entry_t *next;
+	jj_failure_t reason;
 	uint32_t before;
 
 	/*
@@ -147,6 +148,12 @@
 		next = TAILQ_NEXT(entry, link);
 		if (!entry->queued || !may_find_slot(entry, full, now))
 			continue;
+		reason = jj_gateway_check_request(
+		    gateway, entry->fingerprint, &entry->prompt, false, now);
+		if (reason != JJ_FAILURE_NONE) {
+			jj_gateway_give_up(gateway, entry, reason, out);
+			continue;
+		}
 		before = gateway->queued_count;
 		jj_gateway_dispatch(gateway, entry, now, out);
 		if (gateway->queued_count == before)
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -63,7 +63,8 @@
 cancel_attempt(jj_gateway_t *, jj_gateway_entry_t *, jj_actions_t *);
 static void
 log_end(const jj_gateway_entry_t *, const char *, jj_ms_t, jj_actions_t *);
-static jj_ms_t choose_retry_after_ms(jj_gateway_t *, jj_failure_t);
+static jj_ms_t
+choose_retry_after_ms(jj_gateway_t *, jj_failure_t, const jj_prompt_t *);
 static const char *name_of_kind(jj_backend_kind_t);
 
 void
@@ -91,8 +92,8 @@
 		refuse(gateway, request, JJ_FAILURE_NO_SERVER, 0, out);
 		return;
 	}
-	reason =
-	    jj_gateway_check_content(gateway, request->fingerprint, false, now);
+	reason = jj_gateway_check_request(
+	    gateway, request->fingerprint, &request->prompt, false, now);
 	if (reason != JJ_FAILURE_NONE) {
 		refuse(gateway, request, reason, 0, out);
 		return;
@@ -133,7 +134,7 @@
 	if (event->kind != JJ_BACKEND_NOT_SENT &&
 	    event->kind != JJ_BACKEND_BROKEN &&
 	    event->kind != JJ_BACKEND_TIMEOUT)
-		jj_gateway_note_alive(gateway, entry->server, now);
+		jj_gateway_note_alive(gateway, entry->server, now, out);
 	switch (event->kind) {
 	case JJ_BACKEND_FIRST:
 	case JJ_BACKEND_TOKENS:
@@ -262,7 +263,7 @@
 	action->body.answer.run =
 	    entry->may_have_run ? JJ_RUN_UNKNOWN : JJ_RUN_NOT_RUN;
 	action->body.answer.retry_after_ms =
-	    choose_retry_after_ms(gateway, reason);
+	    choose_retry_after_ms(gateway, reason, &entry->prompt);
 	jj_actions_add_event(out, "request_given_up",
 	    "request=%s reason=%s may_have_run=%d relayed=%d tries=%u sent=%u "
 	    "server=%s after_ms=%lld",
@@ -305,6 +306,9 @@
 	entry->last_event_ms = now;
 	entry->first_seen = false;
 	entry->crowded = false;
+	if (jj_crash_parts_count(gateway->crash_parts) > 0)
+		jj_crash_parts_note_probe(
+		    gateway->crash_parts, &entry->prompt, now);
 	jj_slots_add(server, entry->class_of);
 	jj_gateway_mark_loads_changed(gateway);
 	action->body.start.request = entry->request;
@@ -462,7 +466,7 @@
 	action->body.answer.run = JJ_RUN_NOT_RUN;
 	action->body.answer.retry_after_ms = retry_after_ms > 0
 	    ? retry_after_ms
-	    : choose_retry_after_ms(gateway, reason);
+	    : choose_retry_after_ms(gateway, reason, &request->prompt);
 	if (reason == JJ_FAILURE_TEAM_LIMIT)
 		return;
 	jj_actions_add_event(out, "request_refused",
@@ -583,7 +587,8 @@
 	if (!entry->first_seen)
 		jj_slots_note_first(entry->server, now - entry->sent_ms, now);
 	if (event->kind == JJ_BACKEND_DONE)
-		jj_gateway_note_completed(gateway, entry->fingerprint);
+		jj_gateway_note_completed(
+		    gateway, entry, event->unframed, now, out);
 	if (entry->class_of == JJ_CLASS_ONLINE)
 		note_service_time(gateway, entry, now);
 	log_end(entry, event->kind == JJ_BACKEND_DONE ? "done" : "rejected",
@@ -695,8 +700,8 @@
 		    out);
 		return;
 	}
-	reason = jj_gateway_check_content(
-	    gateway, entry->fingerprint, entry->may_have_run, now);
+	reason = jj_gateway_check_request(gateway, entry->fingerprint,
+	    &entry->prompt, entry->may_have_run, now);
 	if (reason != JJ_FAILURE_NONE) {
 		jj_gateway_give_up(gateway, entry, reason, out);
 		return;
@@ -766,11 +771,18 @@
  * so the delays are spread between once and twice the mean service time.
  */
 static jj_ms_t
-choose_retry_after_ms(jj_gateway_t *gateway, jj_failure_t reason)
+choose_retry_after_ms(
+    jj_gateway_t *gateway, jj_failure_t reason, const jj_prompt_t *prompt)
 {
 	jj_ms_t min_ms = gateway->settings.retry_after_ms;
 	jj_ms_t mean = (jj_ms_t)gateway->mean_service_ms;
+	jj_ms_t wait_ms;
 
+	if (reason == JJ_FAILURE_CRASHING_PART) {
+		(void)jj_gateway_may_send_parts(
+		    gateway, prompt, gateway->now, &wait_ms);
+		return wait_ms > min_ms ? wait_ms : min_ms;
+	}
 	if (reason == JJ_FAILURE_SUSPECT)
 		return jj_gateway_verdict_ms();
 	if (reason == JJ_FAILURE_QUARANTINED)
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "core/crash_evidence.h"
+#include "core/crash_parts.h"
 #include "core/gateway.h"
 #include "core/mirror.h"
 #include "core/stream_origins.h"
@@ -128,6 +129,21 @@
 	jj_ms_t unreachable_since_ms;
 } jj_gateway_vm_t;
 
+/** A part that other VMs suspect and this VM knows to be sound. */
+typedef struct {
+	uint64_t part;
+	jj_ms_t due_ms; /**< told then, unless another VM has */
+} jj_gateway_sound_part_t;
+
+/** A server process that was reported to have crashed. */
+typedef struct {
+	uint64_t server_hash; /**< 0: none */
+	jj_ms_t ms;
+} jj_gateway_crash_t;
+
+/** Number of crashes that are remembered for attempts that end later. */
+#define JJ_GATEWAY_CRASHES 32
+
 /** What is known of other VMs' configurations (gateway_config.c). */
 typedef struct {
 	uint64_t newest_version; /**< newest version that another VM has */
@@ -236,6 +252,12 @@
 	bool lender_answered; /**< its last result was an answer */
 	jj_ms_t borrow_pause_until_ms; /**< no call is borrowed before */
 	jj_crash_evidence_t crash_evidence;
+	jj_crash_parts_t *crash_parts;
+	uint32_t sound_count;
+	jj_gateway_sound_part_t sound_parts[JJ_MESSAGE_PARTS_MAX];
+	/** the latest ones, in a ring */
+	jj_gateway_crash_t crashes[JJ_GATEWAY_CRASHES];
+	uint32_t next_crash; /**< place of the next one in the ring */
 
 	jj_stream_origins_t *origins;
 	/** streams that began here, of which no other VM was told yet */
@@ -322,10 +344,16 @@
 void jj_gateway_note_unreachable(jj_gateway_t *gateway,
     const jj_slot_server_t *server, jj_ms_t now, jj_actions_t *out);
 /** Records a sign of life of a server. */
-void jj_gateway_note_alive(
-    jj_gateway_t *gateway, const jj_slot_server_t *server, jj_ms_t now);
-/** Records that a copy of that content was answered. */
-void jj_gateway_note_completed(jj_gateway_t *gateway, uint64_t fingerprint);
+void jj_gateway_note_alive(jj_gateway_t *gateway,
+    const jj_slot_server_t *server, jj_ms_t now, jj_actions_t *out);
+/**
+ * Records that the current attempt was answered, which shows that neither its
+ * content nor the parts of its prompt crash servers.
+ * @param unframed the server may as well have crashed: what becomes of it tells.
+ */
+void jj_gateway_note_completed(jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, bool unframed, jj_ms_t now,
+    jj_actions_t *out);
 /** Takes an unanswered attempt of another VM. */
 void jj_gateway_take_unanswered(
     jj_gateway_t *gateway, const jj_message_t *message, jj_ms_t now);
@@ -336,11 +364,13 @@
 void
 jj_gateway_tick_crashes(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 /**
- * Why a request with that content may not be sent, or JJ_FAILURE_NONE.
+ * Why a request with that content and prompt may not be sent, or
+ * JJ_FAILURE_NONE.
  * @param is_retry a server has failed it in the same answer.
  */
-jj_failure_t jj_gateway_check_content(
-    jj_gateway_t *gateway, uint64_t fingerprint, bool is_retry, jj_ms_t now);
+jj_failure_t
+jj_gateway_check_request(jj_gateway_t *gateway, uint64_t fingerprint,
+    const jj_prompt_t *prompt, bool is_retry, jj_ms_t now);
 /**
  * True for an item that may crash the next server, too. It is not refused, as
  * an accepted item has to be tried until its retention ends, but tried rarely.
@@ -350,6 +380,30 @@
 /** Time after which a suspect request may be sent again, ms. */
 jj_ms_t jj_gateway_verdict_ms(void);
 
+/* Parts of prompts that crash servers (gateway_parts.c). */
+/** Records that an answer with these parts was completed. */
+void jj_gateway_note_parts_completed(jj_gateway_t *gateway,
+    const jj_prompt_t *prompt, jj_ms_t now, jj_actions_t *out);
+/** Counts a crash against the parts of all attempts known to have ended there.
+ */
+void jj_gateway_report_part_crashes(jj_gateway_t *gateway, uint64_t server_hash,
+    jj_ms_t now, jj_actions_t *out);
+/** Sends a VM that became live the crashes that it may not know. */
+void jj_gateway_send_part_history(
+    jj_gateway_t *gateway, const jj_name_t *to, jj_ms_t now, jj_actions_t *out);
+/** Takes what another VM knows of parts. */
+void jj_gateway_take_parts_message(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
+/** Tells other VMs of parts that are sound; drops expired entries. */
+void
+jj_gateway_tick_parts(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/**
+ * True when a request with these parts may be sent.
+ * @param wait_ms else set to the time until that may change.
+ */
+bool jj_gateway_may_send_parts(jj_gateway_t *gateway, const jj_prompt_t *prompt,
+    jj_ms_t now, jj_ms_t *wait_ms);
+
 /* Software versions of streams (gateway_origins.c). */
 /** Hash of the id of a request that began a stream; 0: no id. */
 uint64_t jj_gateway_origin_id(const char *request);
--- a/src/core/gateway_updates.c
+++ b/src/core/gateway_updates.c
@@ -60,7 +60,15 @@
 	case JJ_MESSAGE_UNANSWERED:
 		jj_gateway_take_unanswered(gateway, message, now);
 		break;
+	case JJ_MESSAGE_UNANSWERED_PARTS:
+	case JJ_MESSAGE_PART_CRASHES:
+	case JJ_MESSAGE_PARTS_COMPLETED:
+		jj_gateway_take_parts_message(gateway, message, now, out);
+		break;
 	case JJ_MESSAGE_CRASH_HISTORY:
+		if (message->body.struck.asks)
+			jj_gateway_send_part_history(
+			    gateway, &message->from, now, out);
 		(void)jj_crash_history_take(
 		    gateway->quarantine, message, now, out);
 		break;
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -33,6 +33,12 @@
 #define JJ_MESSAGE_CRASH_HISTORY_MAX 48
 /** Maximum fingerprints in one crash report. */
 #define JJ_MESSAGE_SUSPECTS_MAX 64
+/** Maximum server crashes that are kept and sent per part of a prompt. */
+#define JJ_PART_CRASHES_MAX 8
+/** Maximum parts of prompts in one message. */
+#define JJ_MESSAGE_PARTS_MAX 32
+/** Maximum parts of an unanswered attempt that are kept and sent. */
+#define JJ_UNANSWERED_PARTS_MAX 8
 /** Maximum number of streams in one message. */
 #define JJ_MESSAGE_ORIGINS_MAX 32
 /** Maximum teams in one message about allowances. */
@@ -87,6 +93,12 @@
 	JJ_MESSAGE_ORIGIN_REPLY,
 	/** an attempt of the sender that ended without an answer */
 	JJ_MESSAGE_UNANSWERED,
+	/** parts of the prompt of such an attempt, right after it */
+	JJ_MESSAGE_UNANSWERED_PARTS,
+	/** servers that crashed under parts of prompts (crash_parts.h) */
+	JJ_MESSAGE_PART_CRASHES,
+	/** answers with these parts were completed: they crash no servers */
+	JJ_MESSAGE_PARTS_COMPLETED,
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -289,6 +301,14 @@
 	    deaths[JJ_MESSAGE_CRASHES_MAX]; /**< hashes of server and boot */
 } jj_crash_record_t;
 
+/** Server processes that crashed while they answered a part of a prompt. */
+typedef struct {
+	uint64_t part;
+	jj_ms_t age_ms; /**< time since the last crash by the sender's clock */
+	uint32_t count;
+	uint64_t servers[JJ_PART_CRASHES_MAX]; /**< hashes as in jj_crash_t */
+} jj_part_crashes_t;
+
 /** Several software versions, as opposed to one. */
 #define JJ_SOFTWARE_MIXED UINT64_MAX
 
@@ -388,6 +408,20 @@
 			bool silent; /**< its connection did not break */
 			uint64_t fingerprint;
 		} unanswered;
+		struct {
+			uint64_t boot; /**< as in the attempt */
+			uint64_t fingerprint;
+			uint32_t count;
+			uint64_t parts[JJ_UNANSWERED_PARTS_MAX];
+		} unanswered_parts;
+		struct {
+			uint32_t count;
+			jj_part_crashes_t entries[JJ_MESSAGE_PARTS_MAX];
+		} part_crashes;
+		struct {
+			uint32_t count;
+			uint64_t parts[JJ_MESSAGE_PARTS_MAX];
+		} parts_completed;
 		struct {
 			uint32_t count;
 			jj_stream_origin_t origins[JJ_MESSAGE_ORIGINS_MAX];
--- a/src/daemon/answers.c
+++ b/src/daemon/answers.c
@@ -30,6 +30,9 @@
 	"This request crashed backend servers and is refused for a time."},
     {JJ_FAILURE_NO_ORIGIN, 503, "unknown_stream",
 	"It is not known which software version began this stream."},
+    {JJ_FAILURE_CRASHING_PART, 503, "crashing_part",
+	"A part of this request's prompt crashed backend servers and is refused "
+	"for a time."},
     {JJ_FAILURE_SUSPECT, 503, "suspect",
 	"Several servers broke off this request; whether it crashes them will "
 	"be known shortly."},
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -274,6 +274,28 @@
 		m->body.unanswered.silent = true;
 		m->body.unanswered.fingerprint = 1;
 	}},
+    {"UnansweredParts", JJ_MESSAGE_UNANSWERED_PARTS,
+	[](jj_message_t *m) {
+		m->body.unanswered_parts.boot = UINT64_MAX;
+		m->body.unanswered_parts.fingerprint = 1;
+		m->body.unanswered_parts.count = JJ_UNANSWERED_PARTS_MAX;
+		for (uint32_t i = 0; i < JJ_UNANSWERED_PARTS_MAX; i++)
+			m->body.unanswered_parts.parts[i] = UINT64_MAX - i;
+	}},
+    {"PartCrashes", JJ_MESSAGE_PART_CRASHES,
+	[](jj_message_t *m) {
+		m->body.part_crashes.count = JJ_MESSAGE_PARTS_MAX;
+		for (uint32_t i = 0; i < JJ_MESSAGE_PARTS_MAX; i++) {
+			m->body.part_crashes.entries[i] = {
+			    UINT64_MAX - i, i, 2, {i, UINT64_MAX}};
+		}
+	}},
+    {"PartsCompleted", JJ_MESSAGE_PARTS_COMPLETED,
+	[](jj_message_t *m) {
+		m->body.parts_completed.count = JJ_MESSAGE_PARTS_MAX;
+		for (uint32_t i = 0; i < JJ_MESSAGE_PARTS_MAX; i++)
+			m->body.parts_completed.parts[i] = UINT64_MAX - i;
+	}},
     {"TeamGrant", JJ_MESSAGE_TEAM_GRANT,
 	[](jj_message_t *m) {
 		m->body.team_grant.count = JJ_MESSAGE_TEAMS_MAX;
