Tests: most new connections go to one VM

Nine tenths of all first attempts at one VM for 6 s, then at another, with 1.3 times the load: from the third second on, requests are served at the first attempt at least three quarters as often as before (6 VMs with 12 servers, 9 with 18, 60 with 100; 0.3 to 0.7 of what the servers can do). So is a team at 0.8 of its limit that has been at another VM. Not shown: the listen queue and the processor of one VM.

--- a/tests/core/gateway_teams_test.cc
+++ b/tests/core/gateway_teams_test.cc
@@ -155,6 +155,36 @@
 	EXPECT_LE(lines, 3);
 }
 
+/*
+ * Guards against a team within its limit that is refused as most of its requests
+ * come at a VM that had few of them: at each VM in turn.
+ */
+TEST_F(TeamFleet, ATeamWithinItsLimitIsServedAtAnyVm)
+{
+	constexpr jj_ms_t GAP_MS = (jj_ms_t)(1000 / (0.8 * RATE_PER_S));
+	constexpr jj_ms_t CROWDED_MS = 6000;
+	constexpr jj_ms_t STABLE_MS = 3000;
+	size_t asked = 0;
+	size_t ran = 0;
+
+	run(6000);
+	for (int i = 0; i < 100; i++, run(GAP_MS))
+		finish("verona-1", ask("verona-1", "limited"));
+	for (const char *vm : {"verona-3", "verona-2", "verona-1"}) {
+		for (jj_ms_t from = now; now < from + CROWDED_MS; run(GAP_MS)) {
+			uint64_t request = ask(vm, "limited");
+
+			if (ended.count(request) == 0)
+				finish(vm, request);
+			if (now < from + STABLE_MS)
+				continue;
+			asked++;
+			ran += ended.count(request) == 0;
+		}
+	}
+	EXPECT_GE((double)ran, 0.75 * (double)asked);
+}
+
 /* Guards against a log that grows with each refused request. */
 TEST_F(TeamFleet, RefusalsAreLoggedOnceInAWhile)
 {
--- a/tests/core/load_world.h
+++ b/tests/core/load_world.h
@@ -45,6 +45,7 @@
 struct LoadSecond {
 	int asked = 0;
 	int in_target = 0; /**< first event within the target */
+	int first_try = 0; /**< first event without a refusal before */
 	int again = 0; /**< refused, then within the target after the retry */
 	int late = 0;
 	int refused = 0; /**< refused without a further retry */
@@ -82,6 +83,9 @@
 	std::map<jj_ms_t, LoadSecond> seconds;
 	jj_ms_t start_ms = 0; /**< start time of the load */
 	double arrivals_due = 0; /**< number of arrivals that are due */
+	/** VM that gets `crowd_share` of the first attempts, besides its own */
+	std::string crowded_vm;
+	double crowd_share = 0;
 
 	explicit LoadWorld(const LoadShape &of, uint64_t seed = 1)
 	    : GatewayFleet(of.vms, of.queue_most), shape(of), random(seed)
@@ -155,6 +159,7 @@
 				continue;
 			all.asked += second.second.asked;
 			all.in_target += second.second.in_target;
+			all.first_try += second.second.first_try;
 			all.again += second.second.again;
 			all.late += second.second.late;
 			all.refused += second.second.refused;
@@ -228,6 +233,10 @@
 
 		caller.vm = "verona-" +
 		    std::to_string(1 + random() % (uint64_t)shape.vms);
+		if (crowd_share > 0 && caller.retries == 0 &&
+		    std::uniform_real_distribution<>(0, 1)(random) <
+			crowd_share)
+			caller.vm = crowded_vm;
 		caller.attempt = now;
 		request.request = ++last;
 		request.host = "h";
@@ -354,6 +363,7 @@
 			return;
 		Caller &caller = found->second;
 		caller.first = true;
+		second_of(caller).first_try += !caller.refused;
 		if (now - caller.begun <= shape.target_ms)
 			second_of(caller).in_target++;
 		else if (caller.refused &&
--- a/tests/core/overload_test.cc
+++ b/tests/core/overload_test.cc
@@ -97,4 +97,57 @@
 	EXPECT_GE(sum / SEEDS, 0.85);
 }
 
+struct CrowdCase {
+	const char *name;
+	int vms;
+	int servers;
+	uint32_t slots;
+	double load; /**< share of the limit */
+};
+
+class Crowd : public ::testing::TestWithParam<CrowdCase>
+{
+};
+
+/*
+ * Guards against a VM that refuses what the fleet has slots for, as the load
+ * balancer gives it most new connections: at first one VM, then another.
+ */
+TEST_P(Crowd, AVmWithMostNewConnectionsServesThem)
+{
+	LoadShape shape;
+	LoadSecond before;
+
+	shape.vms = GetParam().vms;
+	shape.servers = GetParam().servers;
+	shape.slots = GetParam().slots;
+	shape.service_ms = 200;
+	LoadWorld world(shape, 1);
+
+	world.load(6000, GetParam().load * shape.limit());
+	before = world.sum(2, 6);
+	world.crowd_share = 0.9;
+	for (const char *vm : {"verona-1", "verona-2"}) {
+		world.crowded_vm = vm;
+		world.load(6000, 1.3 * GetParam().load * shape.limit());
+	}
+	for (int from : {9, 15}) {
+		LoadSecond crowded = world.sum(from, from + 3);
+
+		EXPECT_GE((double)crowded.first_try / crowded.asked,
+		    0.75 * before.first_try / before.asked)
+		    << from << "\n"
+		    << world.table();
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, Crowd,
+    ::testing::Values(CrowdCase{"SixHalf", 6, 12, 8, 0.5},
+	CrowdCase{"SixMost", 6, 12, 8, 0.7},
+	CrowdCase{"NineMost", 9, 18, 8, 0.7},
+	CrowdCase{"SixtyThird", 60, 100, 4, 0.3},
+	CrowdCase{"SixtyHalf", 60, 100, 4, 0.5},
+	CrowdCase{"SixtyMost", 60, 100, 4, 0.7}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
