Gateway: parts beside a refused one are not blamed

A rare part was refused as requests with it and with a part that crashes servers were on their way when that one was refused: their crashes counted against both. Now a crash counts against the refused parts of a prompt alone, if it has any. PartsBesideARefusedOneAreNotBlamed fails without this.

--- a/src/core/crash_parts.c
+++ b/src/core/crash_parts.c
@@ -112,9 +112,17 @@
 jj_crash_parts_select(const jj_crash_parts_t *parts, const jj_prompt_t *prompt,
     jj_ms_t now, jj_prompt_t *suspects)
 {
+	const suspect_t *suspect;
 	uint32_t i;
 
 	suspects->count = 0;
+	for (i = 0; i < prompt->count; i++) {
+		suspect = find_suspect(parts, prompt->ids[i]);
+		if (suspect != NULL && is_refused(parts, suspect))
+			suspects->ids[suspects->count++] = prompt->ids[i];
+	}
+	if (suspects->count > 0)
+		return;
 	for (i = 0; i < prompt->count; i++)
 		if (find_completed(parts, prompt->ids[i]) == NULL)
 			suspects->ids[suspects->count++] = prompt->ids[i];
--- a/src/core/crash_parts.h
+++ b/src/core/crash_parts.h
@@ -42,9 +42,9 @@
 void jj_crash_parts_complete(jj_crash_parts_t *parts, const jj_prompt_t *prompt,
     jj_ms_t now, jj_prompt_t *cleared);
 /**
- * Selects the parts that may have crashed the server of a request: those
- * without a completed answer, or, if all have one, those whose last one is long
- * ago.
+ * Selects the parts that may have crashed the server of a request: those that
+ * are refused, or else those without a completed answer, or, if all have one,
+ * those whose last one is long ago.
  */
 void jj_crash_parts_select(const jj_crash_parts_t *parts,
     const jj_prompt_t *prompt, jj_ms_t now, jj_prompt_t *suspects);
