Gateway: a crash report ends when the server lives; tests share their series

A server that was reported to have crashed and answers later is no longer taken for crashed: a broken connection there is judged like any other. A crash before the last completed answer with a part does not count against the part, also where a VM that was cut off for long reports it. Terms in comments of prompt parts.

--- a/src/core/crash_parts.c
+++ b/src/core/crash_parts.c
@@ -144,7 +144,8 @@
 	bool is_new = false;
 	uint32_t i;
 
-	if (completed != NULL && is_recent(completed, now))
+	if (completed != NULL &&
+	    (is_recent(completed, now) || completed->last_ms > at_ms))
 		return true;
 	suspect = find_suspect(parts, crashes->part);
 	if (suspect == NULL)
--- a/src/core/crash_parts.h
+++ b/src/core/crash_parts.h
@@ -51,7 +51,7 @@
 /**
  * Counts crashes against a part; each server process counts once.
  * @return true when nothing was counted because the part is known to be sound:
- * an answer with it was completed not long ago.
+ * an answer with it was completed since, or not long ago.
  */
 bool jj_crash_parts_take(jj_crash_parts_t *parts,
     const jj_part_crashes_t *crashes, jj_ms_t now, jj_actions_t *out);
--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -59,6 +59,7 @@
 static void select_parts(
     const jj_gateway_t *, const jj_prompt_t *, jj_ms_t, jj_unanswered_t *);
 static void note_crash(jj_gateway_t *, uint64_t, jj_ms_t);
+static void forget_crash(jj_gateway_t *, uint64_t, jj_ms_t);
 static bool has_crashed(const jj_gateway_t *, uint64_t, jj_ms_t);
 static uint32_t count_suspicions(jj_gateway_t *, uint64_t, jj_ms_t);
 static uint32_t count_refused(jj_gateway_t *, const jj_crash_t *, jj_ms_t);
@@ -127,6 +128,7 @@
 jj_gateway_note_alive(jj_gateway_t *gateway, const jj_slot_server_t *server,
     jj_ms_t now, jj_actions_t *out)
 {
+	forget_crash(gateway, server->hash, now - CRASH_WINDOW_MS);
 	if (gateway->crash_evidence.count == 0)
 		return;
 	confirm_answers(gateway, server->hash, now - CRASH_WINDOW_MS, now, out);
@@ -428,6 +430,18 @@
 	gateway->next_crash = (gateway->next_crash + 1) % JJ_GATEWAY_CRASHES;
 }
 
+/** The process lived after a crash that was reported by then. */
+static void
+forget_crash(jj_gateway_t *gateway, uint64_t server_hash, jj_ms_t until_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < JJ_GATEWAY_CRASHES; i++)
+		if (gateway->crashes[i].server_hash == server_hash &&
+		    gateway->crashes[i].ms <= until_ms)
+			gateway->crashes[i].server_hash = 0;
+}
+
 /** The process was reported to have crashed not long ago. */
 static bool
 has_crashed(const jj_gateway_t *gateway, uint64_t server_hash, jj_ms_t now)
--- a/src/core/gateway_parts.c
+++ b/src/core/gateway_parts.c
@@ -1,12 +1,13 @@
 /**
  * @file gateway_parts.c
- * @brief Parts of prompts that crash servers: what the VMs tell each other, and
+ * @brief Parts of prompts that crash servers: the messages between VMs, and
  * which requests are refused.
  *
- * Requests with such a part come through any VM, so crashes are told to all
- * VMs, by those that had attempts at the server. A VM that has seen an answer
- * with a part completed says so when it is told of a crash, and when it sees one
- * after crashes. Nothing is sent while no server crashes.
+ * Requests with such a part come through any VM, so crashes are reported to all
+ * VMs, by those that had attempts at the server. A VM that knows an answer with a
+ * part to have completed reports that when it receives a crash of the part, and
+ * when an answer completes after crashes. Nothing is sent while no server
+ * crashes.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -14,8 +15,9 @@
 #include "core/gateway_state.h"
 
 /**
- * VMs that know that a part is sound say so one after the other, at this
- * interval in the order of their ranks, until one of them has, ms.
+ * VMs that know that a part is sound report it one after the other, in the order
+ * of their ranks at this interval, ms. After the first report the others send
+ * none.
  */
 #define SOUND_INTERVAL_MS 5
 /** Rank after which VMs no longer wait for each other. */
@@ -25,7 +27,8 @@
 /** Maximum entries of one VM's history. */
 #define HISTORY_MAX ((size_t)2 * JJ_MESSAGE_PARTS_MAX)
 
-static bool is_told_by_sender(const jj_gateway_t *, const jj_unanswered_t *);
+static bool
+is_reported_by_sender(const jj_gateway_t *, const jj_unanswered_t *);
 static void
 count_crash(jj_gateway_t *, const jj_part_crashes_t *, jj_ms_t, jj_actions_t *);
 static void add_sound(jj_gateway_t *, uint64_t, jj_ms_t);
@@ -50,7 +53,7 @@
     bool is_witness, jj_ms_t now, jj_actions_t *out)
 {
 	const jj_crash_evidence_t *evidence = &gateway->crash_evidence;
-	jj_part_crashes_t told[JJ_MESSAGE_PARTS_MAX];
+	jj_part_crashes_t reports[JJ_MESSAGE_PARTS_MAX];
 	const jj_unanswered_t *attempt;
 	jj_prompt_t prompt;
 	jj_prompt_t suspects;
@@ -74,12 +77,12 @@
 
 			count_crash(gateway, &crash, now, out);
 			if ((is_witness ||
-				!is_told_by_sender(gateway, attempt)) &&
+				!is_reported_by_sender(gateway, attempt)) &&
 			    count < JJ_MESSAGE_PARTS_MAX)
-				told[count++] = crash;
+				reports[count++] = crash;
 		}
 	}
-	send_crashes(gateway, NULL, told, count, out);
+	send_crashes(gateway, NULL, reports, count, out);
 }
 
 void
@@ -169,7 +172,8 @@
 
 /** The VM that made the attempt still runs, and reports its crashes itself. */
 static bool
-is_told_by_sender(const jj_gateway_t *gateway, const jj_unanswered_t *attempt)
+is_reported_by_sender(
+    const jj_gateway_t *gateway, const jj_unanswered_t *attempt)
 {
 	const jj_member_info_t *info;
 
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -133,7 +133,7 @@
 /** A part that other VMs suspect and this VM knows to be sound. */
 typedef struct {
 	uint64_t part;
-	jj_ms_t due_ms; /**< told then, unless another VM has */
+	jj_ms_t due_ms; /**< reported then, unless another VM has */
 } jj_gateway_sound_part_t;
 
 /** A server process that was reported to have crashed. */
@@ -142,7 +142,7 @@
 	jj_ms_t ms;
 } jj_gateway_crash_t;
 
-/** Number of crashes that are remembered for attempts that end later. */
+/** Number of crashes that are kept for attempts that end later. */
 #define JJ_GATEWAY_CRASHES 32
 
 /** What is known of other VMs' configurations (gateway_config.c). */
@@ -399,7 +399,7 @@
 /** Takes what another VM knows of parts. */
 void jj_gateway_take_parts_message(jj_gateway_t *gateway,
     const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
-/** Tells other VMs of parts that are sound; drops expired entries. */
+/** Reports sound parts to the other VMs; drops expired entries. */
 void
 jj_gateway_tick_parts(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 /**
--- a/tests/core/crash_fleet.h
+++ b/tests/core/crash_fleet.h
@@ -6,6 +6,7 @@
 #define TESTS_CORE_CRASH_FLEET_H
 
 #include <functional>
+#include <random>
 #include <set>
 
 #include "tests/core/gateway_fleet.h"
@@ -14,6 +15,8 @@
 constexpr int WATCH_SERVERS = 2;
 /** Silence after which the platform removes a server's entry. */
 constexpr jj_ms_t LAPSE_MS = 1200;
+/** Time without a disturbance after which a VM counts as in touch. */
+constexpr jj_ms_t IN_TOUCH_MS = 3000;
 
 class CrashFleet : public GatewayFleet
 {
@@ -30,6 +33,9 @@
 	std::set<std::string> cut; /**< VMs that learn nothing */
 	const char *entry_text = "verona ready"; /**< of a server */
 	int server_count = 0;
+	std::mt19937 random; /**< of series of disturbances */
+	/** until when a VM does not count as in touch */
+	std::map<std::string, jj_ms_t> disturbed;
 
 	explicit CrashFleet(int count = 3) : GatewayFleet(count)
 	{
@@ -149,6 +155,25 @@
 		for (auto &vm : vms)
 			vm.second.loses_messages = !names.empty();
 	}
+	uint32_t
+	draw(uint32_t below)
+	{
+		return random() % below;
+	}
+	/** Cuts a VM off from the other VMs and from the lists, or ends that. */
+	void
+	set_cut(const std::string &vm, bool is_cut)
+	{
+		vms[vm].loses_messages = vms[vm].loses_sent = is_cut;
+		if (is_cut) {
+			cut.insert(vm);
+			disturbed[vm] = JJ_MS_NEVER;
+			return;
+		}
+		cut.erase(vm);
+		disturbed[vm] = now + IN_TOUCH_MS;
+		read_servers(vm);
+	}
 };
 
 #endif
--- a/tests/core/gateway_crash_test.cc
+++ b/tests/core/gateway_crash_test.cc
@@ -446,16 +446,8 @@
 		    public ::testing::WithParamInterface<unsigned>
 {
       protected:
-	std::mt19937 random;
-	/** until when a VM does not count as in touch */
-	std::map<std::string, jj_ms_t> disturbed;
 	size_t reached_in_touch = 0;
 
-	uint32_t
-	draw(uint32_t below)
-	{
-		return random() % below;
-	}
 	std::string
 	any_vm()
 	{
@@ -470,19 +462,6 @@
 		    now > reached[CRASHES - 1] + STABLE_MS;
 	}
 	void
-	set_cut(const std::string &vm, bool is_cut)
-	{
-		vms[vm].loses_messages = vms[vm].loses_sent = is_cut;
-		if (is_cut) {
-			cut.insert(vm);
-			disturbed[vm] = JJ_MS_NEVER;
-			return;
-		}
-		cut.erase(vm);
-		disturbed[vm] = now + STABLE_MS;
-		read_servers(vm);
-	}
-	void
 	play_series(unsigned seed)
 	{
 		std::string isolated;
--- a/tests/core/gateway_prompt_test.cc
+++ b/tests/core/gateway_prompt_test.cc
@@ -443,16 +443,8 @@
 		     public ::testing::WithParamInterface<unsigned>
 {
       protected:
-	std::mt19937 random;
-	/** until when a VM does not count as in touch */
-	std::map<std::string, jj_ms_t> disturbed;
 	size_t late_in_touch = 0;
 
-	uint32_t
-	draw(uint32_t below)
-	{
-		return random() % below;
-	}
 	void
 	take(const std::string &vm, const jj_action_t &action) override
 	{
@@ -464,19 +456,6 @@
 		    now > crashes[CRASHES - 1] + STABLE_MS;
 	}
 	void
-	set_cut(const std::string &vm, bool is_cut)
-	{
-		vms[vm].loses_messages = vms[vm].loses_sent = is_cut;
-		if (is_cut) {
-			cut.insert(vm);
-			disturbed[vm] = JJ_MS_NEVER;
-			return;
-		}
-		cut.erase(vm);
-		disturbed[vm] = now + STABLE_MS;
-		read_servers(vm);
-	}
-	void
 	restart_one(const std::string &vm)
 	{
 		restart(vm);
