Gateway: the wait for a refused part is one value

Whether a prompt may be sent and for how long not were a flag and an out parameter, which two of three callers threw away.

--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -222,12 +222,11 @@
     const jj_prompt_t *prompt, bool is_retry, jj_ms_t now)
 {
 	uint32_t suspicions;
-	jj_ms_t wait_ms;
 
 	if (jj_quarantine_check(gateway->quarantine, fingerprint, now) ==
 	    JJ_QUARANTINE_REFUSED)
 		return JJ_FAILURE_QUARANTINED;
-	if (!jj_gateway_may_send_parts(gateway, prompt, now, &wait_ms))
+	if (jj_gateway_parts_wait(gateway, prompt, now) > 0)
 		return JJ_FAILURE_CRASHING_PART;
 	if (gateway->crash_evidence.count == 0)
 		return JJ_FAILURE_NONE;
@@ -244,9 +243,8 @@
     jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
 {
 	jj_ms_t last_ms;
-	jj_ms_t wait_ms;
 
-	if (!jj_gateway_may_send_parts(gateway, &entry->prompt, now, &wait_ms))
+	if (jj_gateway_parts_wait(gateway, &entry->prompt, now) > 0)
 		return true;
 	if (jj_quarantine_check(gateway->quarantine, entry->fingerprint, now) !=
 	    JJ_QUARANTINE_REFUSED)
--- a/src/core/gateway_parts.c
+++ b/src/core/gateway_parts.c
@@ -152,25 +152,25 @@
 		send_completed(gateway, &due, out);
 }
 
-bool
-jj_gateway_may_send_parts(jj_gateway_t *gateway, const jj_prompt_t *prompt,
-    jj_ms_t now, jj_ms_t *wait_ms)
+jj_ms_t
+jj_gateway_parts_wait(
+    const jj_gateway_t *gateway, const jj_prompt_t *prompt, jj_ms_t now)
 {
 	uint64_t probed;
+	jj_ms_t wait_ms;
 
 	switch (jj_crash_parts_check(
-	    gateway->crash_parts, prompt, now, wait_ms, &probed)) {
-	case JJ_PARTS_ALLOWED:
-		return true;
-	case JJ_PARTS_PROBE:
-		if (jj_member_rank(gateway->member, probed, 1) == 0)
-			return true;
-		*wait_ms = PROBE_RETRY_MS;
-		break;
+	    gateway->crash_parts, prompt, now, &wait_ms, &probed)) {
 	case JJ_PARTS_REFUSED:
+		return wait_ms;
+	case JJ_PARTS_PROBE:
+		return jj_member_rank(gateway->member, probed, 1) == 0
+		    ? 0
+		    : PROBE_RETRY_MS;
+	case JJ_PARTS_ALLOWED:
 		break;
 	}
-	return false;
+	return 0;
 }
 
 /** The VM that made the attempt still runs, and reports its crashes itself. */
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -787,8 +787,7 @@
 	jj_ms_t wait_ms;
 
 	if (reason == JJ_FAILURE_CRASHING_PART) {
-		(void)jj_gateway_may_send_parts(
-		    gateway, prompt, gateway->now, &wait_ms);
+		wait_ms = jj_gateway_parts_wait(gateway, prompt, gateway->now);
 		return wait_ms > min_ms ? wait_ms : min_ms;
 	}
 	if (reason == JJ_FAILURE_SUSPECT)
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -402,12 +402,9 @@
 /** Reports sound parts to the other VMs; drops expired entries. */
 void
 jj_gateway_tick_parts(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
-/**
- * True when a request with these parts may be sent.
- * @param wait_ms else set to the time until that may change.
- */
-bool jj_gateway_may_send_parts(jj_gateway_t *gateway, const jj_prompt_t *prompt,
-    jj_ms_t now, jj_ms_t *wait_ms);
+/** Time until a request with these parts may be sent; 0: now. */
+jj_ms_t jj_gateway_parts_wait(
+    const jj_gateway_t *gateway, const jj_prompt_t *prompt, jj_ms_t now);
 
 /* Software versions of streams (gateway_origins.c). */
 /** Hash of the id of a request that began a stream; 0: no id. */
