Gateway: one function sends a message to all other VMs

The loop over the other VMs stood four times: for servers that accept no connection, crashes, crashes of parts and sound parts. It fills one message now and copies it. The history of parts, which goes to one VM, no longer shares a function with the reports to all.

--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -68,19 +68,12 @@
 jj_gateway_notify_unreachable(
     jj_gateway_t *gateway, const jj_slot_server_t *server)
 {
-	jj_member_info_t *infos;
-	size_t count = jj_gateway_list_others(gateway, &infos);
-	jj_message_t *message;
-	size_t i;
+	jj_message_t message = {.kind = JJ_MESSAGE_SERVER_STATE};
 
-	for (i = 0; i < count; i++) {
-		message = jj_actions_add_message(
-		    gateway->out, &infos[i].name, JJ_MESSAGE_SERVER_STATE);
-		message->body.server.server = server->info.id;
-		message->body.server.boot = server->hash;
-		message->body.server.state = JJ_SERVER_DOWN;
-	}
-	free(infos);
+	message.body.server.server = server->info.id;
+	message.body.server.boot = server->hash;
+	message.body.server.state = JJ_SERVER_DOWN;
+	jj_gateway_send_to_others(gateway, &message, gateway->out);
 }
 
 void
@@ -310,7 +303,7 @@
 report_crash(jj_gateway_t *gateway, const jj_name_t *server,
     uint64_t server_hash, bool is_witness, jj_ms_t now, jj_actions_t *out)
 {
-	jj_member_info_t *infos;
+	jj_message_t message = {.kind = JJ_MESSAGE_CRASH};
 	/*
 	 * The report names the process that crashed, which may have been
 	 * replaced under the same id.
@@ -318,8 +311,6 @@
 	jj_crash_t crash = {.server = *server, .boot = server_hash};
 	bool is_own;
 	uint32_t refused;
-	size_t count;
-	size_t i;
 
 	jj_gateway_report_part_crashes(
 	    gateway, server_hash, is_witness, now, out);
@@ -335,11 +326,8 @@
 	if (!is_own && !is_witness &&
 	    count_refused(gateway, &crash, now) == refused)
 		return;
-	count = jj_gateway_list_others(gateway, &infos);
-	for (i = 0; i < count; i++)
-		jj_actions_add_message(out, &infos[i].name, JJ_MESSAGE_CRASH)
-		    ->body.crash = crash;
-	free(infos);
+	message.body.crash = crash;
+	jj_gateway_send_to_others(gateway, &message, out);
 }
 
 /**
--- a/src/core/gateway_parts.c
+++ b/src/core/gateway_parts.c
@@ -9,7 +9,6 @@
  * when an answer completes after crashes. Nothing is sent while no server
  * crashes.
  */
-#include <stdlib.h>
 #include <string.h>
 
 #include "core/gateway_state.h"
@@ -34,8 +33,6 @@
 static void add_sound(jj_gateway_t *, uint64_t, jj_ms_t);
 static void remove_sound(jj_gateway_t *, const jj_prompt_t *);
 static void send_completed(jj_gateway_t *, const jj_prompt_t *, jj_actions_t *);
-static void send_crashes(jj_gateway_t *, const jj_name_t *,
-    const jj_part_crashes_t *, size_t, jj_actions_t *);
 
 void
 jj_gateway_note_parts_completed(jj_gateway_t *gateway,
@@ -53,11 +50,12 @@
     bool is_witness, jj_ms_t now, jj_actions_t *out)
 {
 	const jj_crash_evidence_t *evidence = &gateway->crash_evidence;
-	jj_part_crashes_t reports[JJ_MESSAGE_PARTS_MAX];
+	jj_message_t message = {.kind = JJ_MESSAGE_PART_CRASHES};
+	jj_part_crashes_t *reports = message.body.part_crashes.entries;
 	const jj_unanswered_t *attempt;
 	jj_prompt_t prompt;
 	jj_prompt_t suspects;
-	size_t count = 0;
+	uint32_t count = 0;
 	uint32_t i;
 	uint32_t k;
 
@@ -85,7 +83,9 @@
 				reports[count++] = crash;
 		}
 	}
-	send_crashes(gateway, NULL, reports, count, out);
+	message.body.part_crashes.count = count;
+	if (count > 0)
+		jj_gateway_send_to_others(gateway, &message, out);
 }
 
 void
@@ -93,10 +93,22 @@
     jj_gateway_t *gateway, const jj_name_t *to, jj_ms_t now, jj_actions_t *out)
 {
 	jj_part_crashes_t list[HISTORY_MAX];
+	size_t count =
+	    jj_crash_parts_list(gateway->crash_parts, now, list, HISTORY_MAX);
+	jj_message_t *message;
+	size_t sent;
+	size_t part;
 
-	send_crashes(gateway, to, list,
-	    jj_crash_parts_list(gateway->crash_parts, now, list, HISTORY_MAX),
-	    out);
+	for (sent = 0; sent < count; sent += part) {
+		part = count - sent < JJ_MESSAGE_PARTS_MAX
+		    ? count - sent
+		    : JJ_MESSAGE_PARTS_MAX;
+		message =
+		    jj_actions_add_message(out, to, JJ_MESSAGE_PART_CRASHES);
+		message->body.part_crashes.count = (uint32_t)part;
+		memcpy(message->body.part_crashes.entries, list + sent,
+		    part * sizeof(list[0]));
+	}
 }
 
 void
@@ -233,49 +245,10 @@
 send_completed(
     jj_gateway_t *gateway, const jj_prompt_t *prompt, jj_actions_t *out)
 {
-	jj_member_info_t *infos;
-	size_t count = jj_gateway_list_others(gateway, &infos);
-	jj_message_t *message;
-	size_t i;
+	jj_message_t message = {.kind = JJ_MESSAGE_PARTS_COMPLETED};
 
-	for (i = 0; i < count; i++) {
-		message = jj_actions_add_message(
-		    out, &infos[i].name, JJ_MESSAGE_PARTS_COMPLETED);
-		message->body.parts_completed.count = prompt->count;
-		memcpy(message->body.parts_completed.parts, prompt->ids,
-		    prompt->count * sizeof(prompt->ids[0]));
-	}
-	free(infos);
-}
-
-/** @param to NULL: all other VMs. */
-static void
-send_crashes(jj_gateway_t *gateway, const jj_name_t *to,
-    const jj_part_crashes_t *crashes, size_t count, jj_actions_t *out)
-{
-	jj_member_info_t *infos = NULL;
-	jj_message_t *message;
-	size_t vms = 1;
-	size_t sent;
-	size_t part;
-	size_t i;
-
-	if (count == 0)
-		return;
-	if (to == NULL)
-		vms = jj_gateway_list_others(gateway, &infos);
-	for (i = 0; i < vms; i++) {
-		for (sent = 0; sent < count; sent += part) {
-			part = count - sent < JJ_MESSAGE_PARTS_MAX
-			    ? count - sent
-			    : JJ_MESSAGE_PARTS_MAX;
-			message = jj_actions_add_message(out,
-			    to != NULL ? to : &infos[i].name,
-			    JJ_MESSAGE_PART_CRASHES);
-			message->body.part_crashes.count = (uint32_t)part;
-			memcpy(message->body.part_crashes.entries,
-			    crashes + sent, part * sizeof(crashes[0]));
-		}
-	}
-	free(infos);
+	message.body.parts_completed.count = prompt->count;
+	memcpy(message.body.parts_completed.parts, prompt->ids,
+	    prompt->count * sizeof(prompt->ids[0]));
+	jj_gateway_send_to_others(gateway, &message, out);
 }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -569,6 +569,12 @@
  */
 size_t
 jj_gateway_list_others(const jj_gateway_t *gateway, jj_member_info_t **infos);
+/**
+ * Sends a message to these VMs.
+ * @param message its kind and a body that owns no memory.
+ */
+void jj_gateway_send_to_others(const jj_gateway_t *gateway,
+    const jj_message_t *message, jj_actions_t *out);
 /** The VM that ranks first for @p key by rendezvous hashing; @p count > 0. */
 size_t jj_gateway_first_ranked(
     const jj_member_info_t *infos, size_t count, uint64_t key);
--- a/src/core/gateway_vms.c
+++ b/src/core/gateway_vms.c
@@ -124,6 +124,20 @@
 	return kept;
 }
 
+void
+jj_gateway_send_to_others(
+    const jj_gateway_t *gateway, const jj_message_t *message, jj_actions_t *out)
+{
+	jj_member_info_t *infos;
+	size_t count = jj_gateway_list_others(gateway, &infos);
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		jj_actions_add_message(out, &infos[i].name, message->kind)
+		    ->body = message->body;
+	free(infos);
+}
+
 size_t
 jj_gateway_first_ranked(
     const jj_member_info_t *infos, size_t count, uint64_t key)
