Gateway: reported crashes are kept with the rest of the evidence

What a broken connection and an unanswered attempt are is written once each there, and so is the conversion of an attempt's parts.

--- a/src/core/crash_evidence.c
+++ b/src/core/crash_evidence.c
@@ -15,8 +15,19 @@
 
 static void drop_selected(jj_crash_evidence_t *, const selection_t *);
 static bool is_selected(const jj_unanswered_t *, const selection_t *);
+static bool is_break(const jj_unanswered_t *, uint64_t, jj_ms_t);
+static bool is_unanswered(const jj_unanswered_t *, uint64_t, jj_ms_t);
 static void add_suspect(jj_crash_t *, uint64_t);
 
+jj_prompt_t
+jj_unanswered_prompt(const jj_unanswered_t *attempt)
+{
+	jj_prompt_t prompt = {.count = attempt->part_count};
+
+	memcpy(prompt.ids, attempt->parts, sizeof(attempt->parts));
+	return prompt;
+}
+
 void
 jj_crash_evidence_add(
     jj_crash_evidence_t *evidence, const jj_unanswered_t *attempt)
@@ -33,16 +44,12 @@
 jj_crash_evidence_count_breaks(
     const jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t since_ms)
 {
-	const jj_unanswered_t *attempt;
 	uint32_t count = 0;
 	uint32_t i;
 
-	for (i = 0; i < evidence->count; i++) {
-		attempt = &evidence->attempts[i];
-		count += attempt->server_hash == server_hash &&
-		    attempt->ms >= since_ms && !attempt->silent &&
-		    !attempt->complete && !attempt->from_peer;
-	}
+	for (i = 0; i < evidence->count; i++)
+		count += !evidence->attempts[i].from_peer &&
+		    is_break(&evidence->attempts[i], server_hash, since_ms);
 	return count;
 }
 
@@ -50,16 +57,11 @@
 jj_crash_evidence_has_break(
     const jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t since_ms)
 {
-	const jj_unanswered_t *attempt;
 	uint32_t i;
 
-	for (i = 0; i < evidence->count; i++) {
-		attempt = &evidence->attempts[i];
-		if (attempt->server_hash == server_hash &&
-		    attempt->ms >= since_ms && !attempt->silent &&
-		    !attempt->complete)
+	for (i = 0; i < evidence->count; i++)
+		if (is_break(&evidence->attempts[i], server_hash, since_ms))
 			return true;
-	}
 	return false;
 }
 
@@ -73,14 +75,12 @@
 	uint32_t k;
 
 	for (i = 0; i < evidence->count; i++) {
-		if (attempts[i].fingerprint != fingerprint ||
-		    attempts[i].complete || attempts[i].ms < since_ms)
+		if (!is_unanswered(&attempts[i], fingerprint, since_ms))
 			continue;
 		for (k = 0; k < i; k++)
-			if (attempts[k].fingerprint == fingerprint &&
-			    !attempts[k].complete &&
-			    attempts[k].ms >= since_ms &&
-			    attempts[k].server_hash == attempts[i].server_hash)
+			if (attempts[k].server_hash ==
+				attempts[i].server_hash &&
+			    is_unanswered(&attempts[k], fingerprint, since_ms))
 				break;
 		count += k == i;
 	}
@@ -134,6 +134,40 @@
 		drop_selected(evidence, &selection);
 }
 
+void
+jj_crash_evidence_note_crash(
+    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t now)
+{
+	evidence->crashes[evidence->next_crash] =
+	    (jj_reported_crash_t){server_hash, now};
+	evidence->next_crash =
+	    (evidence->next_crash + 1) % JJ_CRASH_EVIDENCE_CRASHES;
+}
+
+void
+jj_crash_evidence_forget_crash(
+    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t until_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < JJ_CRASH_EVIDENCE_CRASHES; i++)
+		if (evidence->crashes[i].server_hash == server_hash &&
+		    evidence->crashes[i].ms <= until_ms)
+			evidence->crashes[i].server_hash = 0;
+}
+
+bool
+jj_crash_evidence_has_crashed(
+    const jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t since_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < JJ_CRASH_EVIDENCE_CRASHES; i++)
+		if (evidence->crashes[i].server_hash == server_hash)
+			return evidence->crashes[i].ms > since_ms;
+	return false;
+}
+
 bool
 jj_crash_evidence_take(jj_crash_evidence_t *evidence, jj_crash_t *crash)
 {
@@ -173,6 +207,23 @@
 	    (selection->until_ms == 0 || attempt->ms <= selection->until_ms);
 }
 
+/** The attempt's connection to that process broke. */
+static bool
+is_break(const jj_unanswered_t *attempt, uint64_t server_hash, jj_ms_t since_ms)
+{
+	return attempt->server_hash == server_hash && attempt->ms >= since_ms &&
+	    !attempt->silent && !attempt->complete;
+}
+
+/** The attempt was of that content and had no answer. */
+static bool
+is_unanswered(
+    const jj_unanswered_t *attempt, uint64_t fingerprint, jj_ms_t since_ms)
+{
+	return attempt->fingerprint == fingerprint && attempt->ms >= since_ms &&
+	    !attempt->complete;
+}
+
 /** Copies of one content may have run at the server at the same time. */
 static void
 add_suspect(jj_crash_t *crash, uint64_t fingerprint)
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -13,8 +13,11 @@
 #define JJ_CORE_CRASH_EVIDENCE_H
 
 #include "core/message.h"
+#include "core/prompt.h"
 
 #define JJ_CRASH_EVIDENCE_MAX 256
+/** Number of crashes that are kept for attempts that end later. */
+#define JJ_CRASH_EVIDENCE_CRASHES 32
 
 /** An attempt that ended without an answer, or without the proof of one. */
 typedef struct {
@@ -34,12 +37,24 @@
 	uint64_t parts[JJ_UNANSWERED_PARTS_MAX];
 } jj_unanswered_t;
 
+/** A server process that was reported to have crashed. */
+typedef struct {
+	uint64_t server_hash; /**< 0: none */
+	jj_ms_t ms;
+} jj_reported_crash_t;
+
 /** Zero-initialized it is empty. */
 typedef struct {
 	uint32_t count;
 	jj_unanswered_t attempts[JJ_CRASH_EVIDENCE_MAX]; /**< oldest first */
+	/** the latest reports, in a ring */
+	jj_reported_crash_t crashes[JJ_CRASH_EVIDENCE_CRASHES];
+	uint32_t next_crash; /**< place of the next one in the ring */
 } jj_crash_evidence_t;
 
+/** The parts of the attempt's prompt that may have crashed the server. */
+jj_prompt_t jj_unanswered_prompt(const jj_unanswered_t *attempt);
+
 void jj_crash_evidence_add(
     jj_crash_evidence_t *evidence, const jj_unanswered_t *attempt);
 /** Number of this VM's connections to that process that broke since then. */
@@ -64,6 +79,15 @@
     jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t alive_ms);
 /** Drops attempts that ended before that time. */
 void jj_crash_evidence_expire(jj_crash_evidence_t *evidence, jj_ms_t before_ms);
+/** The process was reported to have crashed. */
+void jj_crash_evidence_note_crash(
+    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t now);
+/** The process lived after a crash that was reported by then. */
+void jj_crash_evidence_forget_crash(
+    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t until_ms);
+/** True when the process was reported to have crashed since then. */
+bool jj_crash_evidence_has_crashed(const jj_crash_evidence_t *evidence,
+    uint64_t server_hash, jj_ms_t since_ms);
 /**
  * The process has crashed: moves its attempts into a report.
  * @param crash its server and boot are set, suspects are added.
--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -58,8 +58,6 @@
 confirm_answers(jj_gateway_t *, uint64_t, jj_ms_t, jj_ms_t, jj_actions_t *);
 static void select_parts(
     const jj_gateway_t *, const jj_prompt_t *, jj_ms_t, jj_unanswered_t *);
-static void note_crash(jj_gateway_t *, uint64_t, jj_ms_t);
-static void forget_crash(jj_gateway_t *, uint64_t, jj_ms_t);
 static bool has_crashed(const jj_gateway_t *, uint64_t, jj_ms_t);
 static uint32_t count_suspicions(jj_gateway_t *, uint64_t, jj_ms_t);
 static uint32_t count_refused(jj_gateway_t *, const jj_crash_t *, jj_ms_t);
@@ -121,7 +119,8 @@
 jj_gateway_note_alive(jj_gateway_t *gateway, const jj_slot_server_t *server,
     jj_ms_t now, jj_actions_t *out)
 {
-	forget_crash(gateway, server->hash, now - CRASH_WINDOW_MS);
+	jj_crash_evidence_forget_crash(
+	    &gateway->crash_evidence, server->hash, now - CRASH_WINDOW_MS);
 	if (gateway->crash_evidence.count == 0)
 		return;
 	confirm_answers(gateway, server->hash, now - CRASH_WINDOW_MS, now, out);
@@ -314,7 +313,9 @@
 
 	jj_gateway_report_part_crashes(
 	    gateway, server_hash, is_witness, now, out);
-	note_crash(gateway, server_hash, now);
+	if (!has_crashed(gateway, server_hash, now))
+		jj_crash_evidence_note_crash(
+		    &gateway->crash_evidence, server_hash, now);
 	is_own = jj_crash_evidence_take(&gateway->crash_evidence, &crash);
 	refused = count_refused(gateway, &crash, now);
 	if (crash.suspect_count == 0)
@@ -385,8 +386,7 @@
 		    attempt->ms > until_ms)
 			continue;
 		jj_quarantine_clear(gateway->quarantine, attempt->fingerprint);
-		prompt.count = attempt->part_count;
-		memcpy(prompt.ids, attempt->parts, sizeof(attempt->parts));
+		prompt = jj_unanswered_prompt(attempt);
 		jj_gateway_note_parts_completed(gateway, &prompt, now, out);
 	}
 }
@@ -406,39 +406,12 @@
 	    attempt->part_count * sizeof(attempt->parts[0]));
 }
 
-static void
-note_crash(jj_gateway_t *gateway, uint64_t server_hash, jj_ms_t now)
-{
-	if (has_crashed(gateway, server_hash, now))
-		return;
-	gateway->crashes[gateway->next_crash] =
-	    (jj_gateway_crash_t){server_hash, now};
-	gateway->next_crash = (gateway->next_crash + 1) % JJ_GATEWAY_CRASHES;
-}
-
-/** The process lived after a crash that was reported by then. */
-static void
-forget_crash(jj_gateway_t *gateway, uint64_t server_hash, jj_ms_t until_ms)
-{
-	uint32_t i;
-
-	for (i = 0; i < JJ_GATEWAY_CRASHES; i++)
-		if (gateway->crashes[i].server_hash == server_hash &&
-		    gateway->crashes[i].ms <= until_ms)
-			gateway->crashes[i].server_hash = 0;
-}
-
 /** The process was reported to have crashed not long ago. */
 static bool
 has_crashed(const jj_gateway_t *gateway, uint64_t server_hash, jj_ms_t now)
 {
-	uint32_t i;
-
-	for (i = 0; i < JJ_GATEWAY_CRASHES; i++)
-		if (gateway->crashes[i].server_hash == server_hash)
-			return now - gateway->crashes[i].ms <
-			    UNREACHABLE_WINDOW_MS;
-	return false;
+	return jj_crash_evidence_has_crashed(
+	    &gateway->crash_evidence, server_hash, now - UNREACHABLE_WINDOW_MS);
 }
 
 /** Crashes of a content, and servers at which it ended not long ago. */
--- a/src/core/gateway_parts.c
+++ b/src/core/gateway_parts.c
@@ -64,9 +64,7 @@
 		if (attempt->server_hash != server_hash ||
 		    attempt->part_count == 0)
 			continue;
-		prompt.count = attempt->part_count;
-		memcpy(prompt.ids, attempt->parts,
-		    attempt->part_count * sizeof(attempt->parts[0]));
+		prompt = jj_unanswered_prompt(attempt);
 		jj_crash_parts_select(
 		    gateway->crash_parts, &prompt, now, &suspects);
 		for (k = 0; k < suspects.count; k++) {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -136,15 +136,6 @@
 	jj_ms_t due_ms; /**< reported then, unless another VM has */
 } jj_gateway_sound_part_t;
 
-/** A server process that was reported to have crashed. */
-typedef struct {
-	uint64_t server_hash; /**< 0: none */
-	jj_ms_t ms;
-} jj_gateway_crash_t;
-
-/** Number of crashes that are kept for attempts that end later. */
-#define JJ_GATEWAY_CRASHES 32
-
 /** What is known of other VMs' configurations (gateway_config.c). */
 typedef struct {
 	uint64_t newest_version; /**< newest version that another VM has */
@@ -256,9 +247,6 @@
 	jj_crash_parts_t *crash_parts;
 	uint32_t sound_count;
 	jj_gateway_sound_part_t sound_parts[JJ_MESSAGE_PARTS_MAX];
-	/** the latest ones, in a ring */
-	jj_gateway_crash_t crashes[JJ_GATEWAY_CRASHES];
-	uint32_t next_crash; /**< place of the next one in the ring */
 
 	jj_stream_origins_t *origins;
 	/** streams that began here, of which no other VM was told yet */
