Tests: fleets with crashing servers are set up in one place

Routes, servers and the time after which a VM counts as in touch stood in both users of the fixture; a restart marks the VM as disturbed by itself.

--- a/tests/core/crash_fleet.h
+++ b/tests/core/crash_fleet.h
@@ -16,7 +16,7 @@
 /** Silence after which the platform removes a server's entry. */
 constexpr jj_ms_t LAPSE_MS = 1200;
 /** Time without a disturbance after which a VM counts as in touch. */
-constexpr jj_ms_t IN_TOUCH_MS = 3000;
+constexpr jj_ms_t STABLE_MS = 3000;
 
 class CrashFleet : public GatewayFleet
 {
@@ -31,14 +31,25 @@
 	std::multimap<jj_ms_t, std::function<void()>> due;
 	std::vector<jj_ms_t> reached; /**< when a request reached a server */
 	std::set<std::string> cut; /**< VMs that learn nothing */
-	const char *entry_text = "verona ready"; /**< of a server */
+	const char *entry_text; /**< of a server */
 	int server_count = 0;
 	std::mt19937 random; /**< of series of disturbances */
 	/** until when a VM does not count as in touch */
 	std::map<std::string, jj_ms_t> disturbed;
 
-	explicit CrashFleet(int count = 3) : GatewayFleet(count)
+	/** Three VMs and twelve servers. */
+	explicit CrashFleet(const char *entry_text = "verona ready")
+	    : entry_text(entry_text)
 	{
+		routes.push_back(
+		    make_route("again", "/again/", JJ_ROUTE_STREAM));
+		routes.back().resumable = true;
+		routes.back().attempts = 2;
+		for (const char *vm : {"verona-1", "verona-2", "verona-3"})
+			see_config(vm, 8);
+		for (int i = 0; i < 12; i++)
+			add_server();
+		play(1000);
 	}
 	void
 	add_server()
@@ -133,6 +144,7 @@
 			else
 				i++;
 		create(vm, 100 + (jj_incarnation_t)now);
+		disturbed[vm] = now + STABLE_MS;
 	}
 	/** The VM reads the list of servers anew. */
 	void
@@ -171,7 +183,7 @@
 			return;
 		}
 		cut.erase(vm);
-		disturbed[vm] = now + IN_TOUCH_MS;
+		disturbed[vm] = now + STABLE_MS;
 		read_servers(vm);
 	}
 };
--- a/tests/core/gateway_crash_test.cc
+++ b/tests/core/gateway_crash_test.cc
@@ -12,9 +12,7 @@
 namespace
 {
 
-/** Time after which no more than `RETRIES` copies may reach a server. */
-constexpr jj_ms_t STABLE_MS = 3000;
-/** Servers that a request crashes before that time begins. */
+/** Servers that a request crashes before few copies may reach a server. */
 constexpr size_t CRASHES = 3;
 constexpr size_t RETRIES = 3;
 constexpr uint64_t POISON = 77;
@@ -262,18 +260,6 @@
 	bool cured = false; /**< no server crashes any more */
 	size_t finished = 0;
 
-	GatewayCrashFleet()
-	{
-		routes.push_back(
-		    make_route("again", "/again/", JJ_ROUTE_STREAM));
-		routes.back().resumable = true;
-		routes.back().attempts = 2;
-		for (const char *vm : {"verona-1", "verona-2", "verona-3"})
-			see_config(vm, 8);
-		for (int i = 0; i < 12; i++)
-			add_server();
-		play(1000);
-	}
 	void
 	take(const std::string &vm, const jj_action_t &action) override
 	{
@@ -477,7 +463,6 @@
 				set_cut(isolated, false);
 			} else if (draw(12) == 0 && cut.count(vm) == 0) {
 				restart(vm);
-				disturbed[vm] = now + STABLE_MS;
 			}
 			send(any_vm(), any_vm(),
 			    draw(2) == 0 ? "/online/p" : "/again/p");
--- a/tests/core/gateway_prompt_test.cc
+++ b/tests/core/gateway_prompt_test.cc
@@ -11,8 +11,7 @@
 namespace
 {
 
-/** Time after the fifth crash from which few requests may reach servers. */
-constexpr jj_ms_t STABLE_MS = 3000;
+/** Requests that may reach servers later than STABLE_MS after so many crashes. */
 constexpr size_t CRASHES = 5;
 constexpr size_t RETRIES = 3;
 /** Number of series of disturbances; more are played by hand. */
@@ -54,18 +53,8 @@
 	bool unframed = false; /**< answers end with their connection */
 	jj_answer_t answered = {}; /**< the last refusal */
 
-	PromptFleet()
+	PromptFleet() : CrashFleet("verona ready places=8")
 	{
-		entry_text = "verona ready places=8";
-		routes.push_back(
-		    make_route("again", "/again/", JJ_ROUTE_STREAM));
-		routes.back().resumable = true;
-		routes.back().attempts = 2;
-		for (const char *vm : {"verona-1", "verona-2", "verona-3"})
-			see_config(vm, 8);
-		for (int i = 0; i < 12; i++)
-			add_server();
-		play(1000);
 	}
 	void
 	take(const std::string &vm, const jj_action_t &action) override
@@ -458,12 +447,6 @@
 		    now > crashes[CRASHES - 1] + STABLE_MS;
 	}
 	void
-	restart_one(const std::string &vm)
-	{
-		restart(vm);
-		disturbed[vm] = now + STABLE_MS;
-	}
-	void
 	disturb()
 	{
 		std::string vm = name_of((int)draw(3));
@@ -473,10 +456,10 @@
 		} else if (draw(3) == 0 && !cut.empty()) {
 			set_cut(std::string(*cut.begin()), false);
 		} else if (draw(12) == 0 && cut.count(vm) == 0) {
-			restart_one(vm);
+			restart(vm);
 		} else if (draw(40) == 0 && cut.empty()) {
 			for (int i = 0; i < 3; i++)
-				restart_one(name_of(i));
+				restart(name_of(i));
 		}
 	}
 	void
