--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -236,10 +236,7 @@
 	}
 };
 
-/*
- * Guards against a crash that is taken for the end of an answer, and against a
- * broken answer that looks complete to its caller.
- */
+/* Guards against a crash or a broken answer that looks complete. */
 TEST_P(AnswerEnd, IsWholeOnlyWhereTheAnswerIs)
 {
 	int fd = send_request(front_address);
--- a/tests/core/gateway_prompt_test.cc
+++ b/tests/core/gateway_prompt_test.cc
@@ -212,10 +212,7 @@
 	PromptCase{"AgainSilent", "/again/p", End::SILENT}),
     [](const auto &info) { return info.param.name; });
 
-/*
- * Guards against requests that crash one server after another as they share
- * only a part of their prompts.
- */
+/* Guards against requests that crash servers and share only a part. */
 TEST_P(PromptEnds, APartThatCrashesServersIsRefusedAndItsNeighboursAreNot)
 {
 	end = GetParam().end;
@@ -236,10 +233,7 @@
 	EXPECT_GE(served_share(), 0.9);
 }
 
-/*
- * Guards against parts that crash servers again and again as the VM that saw it
- * was cut off from all others.
- */
+/* Guards against crashes that are lost as their VM was cut off. */
 TEST_F(PromptFleet, CrashesThatACutOffVmSawCountWhenItIsBack)
 {
 	cut_off({"verona-2"});
@@ -256,10 +250,7 @@
 	EXPECT_GE(served_share(), 0.5);
 }
 
-/*
- * Guards against crashes that count for nothing as the VM that saw them ended
- * before it knew that they were crashes.
- */
+/* Guards against crashes that are lost as their VM was killed. */
 TEST_F(PromptFleet, CrashesThatAKilledVmSawCountAtTheOthers)
 {
 	for (int i = 0; i < 5; i++) {
@@ -273,9 +264,7 @@
 	EXPECT_GE(served_share(), 0.5);
 }
 
-/*
- * Guards against a VM that lets a refused part through as it has just started.
- */
+/* Guards against a VM that has just started and refuses nothing. */
 TEST_F(PromptFleet, AVmThatStartsLearnsWhichPartsAreRefused)
 {
 	size_t before;
@@ -291,10 +280,7 @@
 	EXPECT_EQ(before, reached.size());
 }
 
-/*
- * Guards against parts that crash servers again from the start as all VMs were
- * restarted. VMs that started less than STABLE_MS ago do not count.
- */
+/* Guards against crashes anew from the start after all VMs restarted. */
 TEST_F(PromptFleet, AfterARestartOfAllVmsFewServersAreReached)
 {
 	jj_ms_t restarted;
@@ -310,10 +296,7 @@
 	    << reached.size();
 }
 
-/*
- * Guards against sound requests refused as their rare parts were at crashed
- * servers: one completed answer anywhere clears a part.
- */
+/* Guards against rare sound parts that are refused with a crashing one. */
 TEST_F(PromptFleet, APartWithACompletedAnswerIsNotRefused)
 {
 	for (int i = 0; i < 12; i++) {
@@ -330,10 +313,7 @@
 	}
 }
 
-/*
- * Guards against rare parts refused as they come together with one that is
- * refused: requests with it that were on their way crash their servers, too.
- */
+/* Guards against rare parts blamed for a part that is refused already. */
 TEST_F(PromptFleet, PartsBesideARefusedOneAreNotBlamed)
 {
 	end = End::SILENT;
@@ -353,10 +333,7 @@
 	EXPECT_EQ(JJ_FAILURE_NONE, answered.reason);
 }
 
-/*
- * Guards against refusals without an end: a part that no longer crashes servers
- * is found sound by a probe.
- */
+/* Guards against refusals without an end. */
 TEST_F(PromptFleet, APartThatIsSoundAgainIsServedAfterAProbe)
 {
 	send_mixed(6);
@@ -374,9 +351,7 @@
 	EXPECT_EQ(4U, finished_poisons);
 }
 
-/*
- * Guards against probes that crash servers without end: they become rarer.
- */
+/* Guards against probes that crash servers without end. */
 TEST_F(PromptFleet, ProbesOfAPartThatCrashesServersBecomeRare)
 {
 	send_mixed(6);
@@ -387,10 +362,7 @@
 	EXPECT_LE(retries(), RETRIES) << reached.size();
 }
 
-/*
- * Guards against callers that come back too early, or are held: a refusal is
- * given at once, with the time until it ends, and has not run.
- */
+/* Guards against callers that are held, or told to come back too early. */
 TEST_F(PromptFleet, ARefusalIsGivenAtOnceWithItsTime)
 {
 	send_mixed(10);
@@ -401,10 +373,7 @@
 	EXPECT_GE(answered.retry_after_ms, 1000);
 }
 
-/*
- * Guards against items that crash one server after another by a part of their
- * prompts, and against items given up that crash no server.
- */
+/* Guards against items that crash servers, and items never tried again. */
 TEST_F(PromptFleet, ItemsWithAPartThatCrashesServersAreHeldBack)
 {
 	for (int i = 0; i < 10; i++) {
@@ -485,10 +454,7 @@
 	}
 };
 
-/*
- * Guards against a part that crashes servers again and again where the VMs that
- * saw its crashes are cut off, killed and restarted.
- */
+/* Guards against crashes without end while VMs are cut off and restarted. */
 TEST_P(PromptSeries, FewServersAreReachedAfterTheFifthCrash)
 {
 	play_series(GetParam());
--- a/tests/core/gateway_teams_test.cc
+++ b/tests/core/gateway_teams_test.cc
@@ -155,10 +155,7 @@
 	EXPECT_LE(lines, 3);
 }
 
-/*
- * Guards against a team within its limit that is refused as most of its requests
- * come at a VM that had few of them: at each VM in turn.
- */
+/* Guards against a team refused within its limit at another VM. */
 TEST_F(TeamFleet, ATeamWithinItsLimitIsServedAtAnyVm)
 {
 	constexpr jj_ms_t GAP_MS = (jj_ms_t)(1000 / (0.8 * RATE_PER_S));
--- a/tests/core/overload_test.cc
+++ b/tests/core/overload_test.cc
@@ -109,10 +109,7 @@
 {
 };
 
-/*
- * Guards against a VM that refuses what the fleet has slots for, as the load
- * balancer gives it most new connections: at first one VM, then another.
- */
+/* Guards against a VM with most new connections that refuses them. */
 TEST_P(Crowd, AVmWithMostNewConnectionsServesThem)
 {
 	LoadShape shape;
