Metrics: a gauge whose labels come and go

The 16 teams with the highest demand change, and a series that is never removed would bring up to 256 of them over time. jj_metrics_set_rows() replaces all series of a family at once, with values that may be fractions. 7 tests of Metrics pass.

--- a/src/adapters/metrics.c
+++ b/src/adapters/metrics.c
@@ -22,6 +22,7 @@
 	FAMILY_COUNTER,
 	FAMILY_GAUGE,
 	FAMILY_HISTOGRAM,
+	FAMILY_ROWS,
 } family_type_t;
 
 struct jj_counter {
@@ -45,6 +46,7 @@
 		jj_counter_t counter;
 		jj_gauge_t gauge;
 		jj_histogram_t histogram;
+		double real; /**< of rows; guarded by the registry's lock */
 	} value;
 } series_t;
 
@@ -65,6 +67,7 @@
 find_family(family_type_t, const char *, const char *, const char *);
 static series_t *add_series(family_t *, const char *);
 static series_t *look_up_series(family_t *, const char *);
+static void clear_series(family_t *);
 static uint64_t bucket_bound_us(size_t);
 static void print_family(FILE *, family_t *);
 static void print_histogram(FILE *, const family_t *, series_t *);
@@ -72,7 +75,7 @@
     FILE *, const family_t *, const series_t *, const char *, const char *);
 static void print_escaped(FILE *, const char *, bool);
 
-/** Guards the lists only: values are atomic, and series are never removed. */
+/** Guards the lists, and rows; other series are atomic and never removed. */
 static jj_static_lock_t registry_lock;
 static STAILQ_HEAD(, family) families = STAILQ_HEAD_INITIALIZER(families);
 
@@ -80,6 +83,7 @@
     [FAMILY_COUNTER] = "counter",
     [FAMILY_GAUGE] = "gauge",
     [FAMILY_HISTOGRAM] = "histogram",
+    [FAMILY_ROWS] = "gauge",
 };
 
 jj_counter_t *
@@ -107,6 +111,21 @@
 		    ->value.histogram;
 }
 
+void
+jj_metrics_set_rows(const char *name, const char *help, const char *label_name,
+    const jj_metrics_row_t *rows, size_t count)
+{
+	family_t *family;
+	size_t i;
+
+	jj_runtime_lock_static(&registry_lock);
+	family = find_family(FAMILY_ROWS, name, help, label_name);
+	clear_series(family);
+	for (i = 0; i < count && i < JJ_METRICS_SERIES_MAX; i++)
+		add_series(family, rows[i].label)->value.real = rows[i].value;
+	jj_runtime_unlock_static(&registry_lock);
+}
+
 void
 jj_counter_add(jj_counter_t *counter, uint64_t amount)
 {
@@ -273,6 +292,18 @@
 	return NULL;
 }
 
+static void
+clear_series(family_t *family)
+{
+	series_t *series;
+
+	while ((series = STAILQ_FIRST(&family->series)) != NULL) {
+		STAILQ_REMOVE_HEAD(&family->series, link);
+		free(series);
+	}
+	family->series_count = 0;
+}
+
 /* Two buckets per doubling: 100, 150, 200, 300, 400, 600 … microseconds. */
 static uint64_t
 bucket_bound_us(size_t index)
@@ -301,6 +332,8 @@
 		if (family->type == FAMILY_COUNTER)
 			(void)fprintf(stream, " %" PRIu64 "\n",
 			    jj_counter_value(&series->value.counter));
+		else if (family->type == FAMILY_ROWS)
+			(void)fprintf(stream, " %.6g\n", series->value.real);
 		else
 			(void)fprintf(stream, " %" PRId64 "\n",
 			    jj_gauge_value(&series->value.gauge));
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -4,7 +4,8 @@
  *
  * A series is registered once and then updated without a lock. Registering
  * the same name and label again returns the same series. Series exist until
- * the process ends. All functions may be called from any thread.
+ * the process ends, except those of jj_metrics_set_rows(). All functions may
+ * be called from any thread.
  */
 #ifndef JJ_ADAPTERS_METRICS_H
 #define JJ_ADAPTERS_METRICS_H
@@ -27,6 +28,18 @@
 /** Finds a gauge, or registers it. */
 jj_gauge_t *jj_metrics_gauge(const char *name, const char *help,
     const char *label_name, const char *label_value);
+/** A value of jj_metrics_set_rows(). */
+typedef struct {
+	const char *label; /**< each only once */
+	double value;
+} jj_metrics_row_t;
+
+/**
+ * Replaces all series of a gauge, for labels that come and go. Rows beyond
+ * JJ_METRICS_SERIES_MAX are left out.
+ */
+void jj_metrics_set_rows(const char *name, const char *help,
+    const char *label_name, const jj_metrics_row_t *rows, size_t count);
 /** Finds a histogram of durations, or registers it; printed in seconds. */
 jj_histogram_t *jj_metrics_histogram(const char *name, const char *help,
     const char *label_name, const char *label_value);
--- a/tests/adapters/metrics_test.cc
+++ b/tests/adapters/metrics_test.cc
@@ -2,6 +2,7 @@
  * @file metrics_test.cc
  * @brief Series and their text. Tests use distinct names, as series persist.
  */
+#include <algorithm>
 #include <string>
 #include <thread>
 #include <vector>
@@ -49,6 +50,38 @@
 	    text_of("t_depth"));
 }
 
+TEST(Metrics, RowsAreReplaced)
+{
+	const jj_metrics_row_t first[] = {{"a", 0.25}, {"b\"", 1000000}};
+	const jj_metrics_row_t second[] = {{"c", -3}};
+	std::string head = "# HELP t_rows Rows.\n# TYPE t_rows gauge\n";
+
+	jj_metrics_set_rows("t_rows", "Rows.", "team", first, 2);
+	EXPECT_EQ(head +
+		"t_rows{team=\"a\"} 0.25\n"
+		"t_rows{team=\"b\\\"\"} 1e+06\n",
+	    text_of("t_rows"));
+	jj_metrics_set_rows("t_rows", "Rows.", "team", second, 1);
+	EXPECT_EQ(head + "t_rows{team=\"c\"} -3\n", text_of("t_rows"));
+	jj_metrics_set_rows("t_rows", "Rows.", "team", nullptr, 0);
+	EXPECT_EQ(head, text_of("t_rows"));
+}
+
+TEST(Metrics, RowsAreBounded)
+{
+	std::vector<std::string> labels;
+	std::vector<jj_metrics_row_t> rows;
+
+	for (int i = 0; i < JJ_METRICS_SERIES_MAX + 50; i++)
+		labels.push_back("l" + std::to_string(i));
+	for (const std::string &label : labels)
+		rows.push_back({label.c_str(), 1});
+	jj_metrics_set_rows("t_many", "Many.", "x", rows.data(), rows.size());
+	std::string text = text_of("t_many");
+	EXPECT_EQ(JJ_METRICS_SERIES_MAX + 2,
+	    std::count(text.begin(), text.end(), '\n'));
+}
+
 /*
  * Failure: a rate shows a huge spike. Two threads read a total elsewhere, the
  * older reading is set last, and the counter decreases, which Prometheus takes
