Gateway: a server's own error counts as no answer in time

An answer of 500 and the like (JJ_BACKEND_REJECTED with a 5xx status) was recorded as a first event: it reset the server's failures, ended its cool-down and added a wait of a few ms to its mean wait, and a service time of nearly zero to its mean. A server that fails at once was rated the fastest one. Such an answer now only shows that the connection works. It causes no cool-down, as a single error may be the request's own fault. Answers with a 4xx status count as before, and an item with a 500 still fails.

--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -50,7 +50,8 @@
 	JJ_BACKEND_TOKENS, /**< `tokens` more tokens */
 	JJ_BACKEND_DONE,
 	/**
-	 * A permanent refusal (4xx) that is relayed to the caller. When it
+	 * A permanent refusal (4xx), or an error of the server (500 and the
+	 * like), that is relayed to the caller. When it
 	 * answers an attempt to resume a stream, the attempt has failed.
 	 */
 	JJ_BACKEND_REJECTED,
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -46,6 +46,7 @@
 wait_limit(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static void
 note_crowded(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
+static bool is_server_error(const jj_backend_event_t *, int);
 static void
 note_service_time(jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static void take_failure(jj_gateway_t *, jj_gateway_entry_t *,
@@ -590,13 +591,16 @@
     jj_actions_t *out)
 {
 	jj_inline_item_end_t end = JJ_INLINE_DONE;
+	bool is_error = is_server_error(event, status);
 
-	if (!entry->first_seen)
+	if (is_error)
+		jj_slots_note_error(entry->server);
+	else if (!entry->first_seen)
 		jj_slots_note_first(entry->server, now - entry->sent_ms, now);
 	if (event->kind == JJ_BACKEND_DONE)
 		jj_gateway_note_completed(
 		    gateway, entry, event->unframed, now, out);
-	if (entry->class_of == JJ_CLASS_ONLINE)
+	if (entry->class_of == JJ_CLASS_ONLINE && !is_error)
 		note_service_time(gateway, entry, now);
 	log_end(entry, event->kind == JJ_BACKEND_DONE ? "done" : "rejected",
 	    now, out);
@@ -615,6 +619,16 @@
 	jj_gateway_free_entry(gateway, entry);
 }
 
+/**
+ * True for an answer with the server's own error. It may come at once, so its
+ * time tells nothing about the speed of the server.
+ */
+static bool
+is_server_error(const jj_backend_event_t *event, int status)
+{
+	return event->kind == JJ_BACKEND_REJECTED && status >= 500;
+}
+
 /**
  * Records the service time, without the wait for a slot if a first event shows
  * when that ended.
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -338,6 +338,13 @@
 		    ((double)wait_ms + 1 - server->first_ms);
 }
 
+void
+jj_slots_note_error(jj_slot_server_t *server)
+{
+	if (server->open_connects > 0)
+		server->open_connects -= 1;
+}
+
 void
 jj_slots_note_service_time(jj_slot_server_t *server, jj_ms_t service_ms)
 {
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -270,6 +270,11 @@
 /** Records a first event that came after @p wait_ms. */
 void
 jj_slots_note_first(jj_slot_server_t *server, jj_ms_t wait_ms, jj_ms_t now);
+/**
+ * Records an answer with an error of the server: its connection works, and
+ * nothing else is known.
+ */
+void jj_slots_note_error(jj_slot_server_t *server);
 /** Records the service time of an online request that has ended. */
 void jj_slots_note_service_time(jj_slot_server_t *server, jj_ms_t service_ms);
 /**
