Gateway: servers that fail their requests are avoided

With gateway.avoid_failing (off by default) each VM takes the answers of its own attempts and the reports of other VMs, and a sequential test (CUSUM) decides whether a server fails far more often than the other servers of its service. Two failures of different contents are enough while the service fails hardly any. A content that fails at a second server is evidence against neither. At most a third of the servers of a service is avoided, and none while the others fail, too. One VM at a time, chosen by rendezvous hashing, sends one request at a time to an avoided server; three successive answers end the avoidance. Observations travel in a new kind of message, at once on a failure; without failures none is sent.

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -391,6 +391,22 @@
 };
 LAYOUT(parts_completed_layout, jj_message_t, parts_completed_fields);
 
+static const field_t outcome_fields[] = {
+    FIELD(FIELD_U64, jj_server_outcome_t, server),
+    FIELD(FIELD_U32, jj_server_outcome_t, successes),
+    FIELD(FIELD_BOOL, jj_server_outcome_t, failing),
+    FIELD(FIELD_BOOL, jj_server_outcome_t, recovered),
+    ARRAY(FIELD_ARRAY, jj_server_outcome_t, contents, count,
+	JJ_OUTCOME_CONTENTS_MAX, &suspect_layout),
+};
+LAYOUT(outcome_layout, jj_server_outcome_t, outcome_fields);
+
+static const field_t outcomes_fields[] = {
+    ARRAY(FIELD_ARRAY, jj_message_t, body.outcomes.servers, body.outcomes.count,
+	JJ_MESSAGE_OUTCOMES_MAX, &outcome_layout),
+};
+LAYOUT(outcomes_layout, jj_message_t, outcomes_fields);
+
 static const field_t origin_fields[] = {
     FIELD(FIELD_U64, jj_stream_origin_t, id),
     FIELD(FIELD_U64, jj_stream_origin_t, content),
@@ -463,6 +479,7 @@
     [JJ_MESSAGE_UNANSWERED_PARTS] = &unanswered_parts_layout,
     [JJ_MESSAGE_PART_CRASHES] = &part_crashes_layout,
     [JJ_MESSAGE_PARTS_COMPLETED] = &parts_completed_layout,
+    [JJ_MESSAGE_SERVER_OUTCOMES] = &outcomes_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -212,6 +212,7 @@
 	    [JJ_MESSAGE_UNANSWERED_PARTS] = "unanswered_parts",
 	    [JJ_MESSAGE_PART_CRASHES] = "part_crashes",
 	    [JJ_MESSAGE_PARTS_COMPLETED] = "parts_completed",
+	    [JJ_MESSAGE_SERVER_OUTCOMES] = "server_outcomes",
 	};
 
 	return kind < JJ_MESSAGE_KIND_END && names[kind] != NULL ? names[kind]
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -80,6 +80,8 @@
 	gateway->jobs = jj_inline_create(&gateway->settings.jobs, &jobs);
 	gateway->allowance = jj_allowance_create(settings->seed);
 	gateway->origins = jj_stream_origins_create();
+	if (settings->avoid_failing)
+		gateway->outcomes = jj_outcomes_create();
 	gateway->servers_since_ms = JJ_MS_NEVER;
 	gateway->live_vms = 1;
 	TAILQ_INIT(&gateway->sent);
@@ -110,6 +112,7 @@
 		jj_gateway_free_entry(gateway, entry);
 	jj_actions_clear(&unused);
 	jj_gateway_free_peer_calls(gateway);
+	jj_outcomes_destroy(gateway->outcomes);
 	jj_stream_origins_destroy(gateway->origins);
 	jj_allowance_destroy(gateway->allowance);
 	jj_allowance_home_destroy(gateway->allowance_home);
@@ -239,6 +242,7 @@
 	jj_inline_tick(gateway->jobs, now, out);
 	jj_gateway_tick_relay(gateway, now, out);
 	jj_gateway_tick_teams(gateway, now, out);
+	jj_gateway_tick_outcomes(gateway, now, out);
 	end_step(gateway, now, out);
 }
 
@@ -603,6 +607,7 @@
 	jj_gateway_send_waiting_items(gateway, now, out);
 	jj_gateway_report_loads(gateway, now, out);
 	jj_gateway_report_teams(gateway, now, out);
+	jj_gateway_report_outcomes(gateway, now, out);
 	jj_gateway_borrow_calls(gateway, now, out);
 	TAILQ_FOREACH(action, out, link)
 	{
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -15,6 +15,7 @@
 
 #include "core/inline.h"
 #include "core/member.h"
+#include "core/outcome/outcome.h"
 #include "core/prompt.h"
 #include "core/quarantine.h"
 #include "core/route.h"
@@ -84,6 +85,8 @@
 	jj_ms_t retry_after_ms; /**< retry delay sent to refused callers */
 	/** servers tried before a request is refused */
 	uint32_t connect_tries;
+	/** avoid servers that fail the requests that they get */
+	bool avoid_failing;
 } jj_gateway_settings_t;
 
 /** What the gateway needs to know of a caller's request. */
@@ -194,6 +197,8 @@
 jj_gateway_address(const jj_gateway_t *gateway, const jj_name_t *name);
 const jj_routes_t *jj_gateway_routes(const jj_gateway_t *gateway);
 const jj_slots_t *jj_gateway_slots(const jj_gateway_t *gateway);
+/** Observed behaviour of servers; NULL unless failing servers are avoided. */
+jj_outcomes_t *jj_gateway_outcomes(const jj_gateway_t *gateway);
 const jj_member_t *jj_gateway_member(const jj_gateway_t *gateway);
 uint32_t jj_gateway_in_flight(const jj_gateway_t *gateway, jj_class_t class_of);
 uint32_t jj_gateway_waiting_items(const jj_gateway_t *gateway);
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -47,12 +47,13 @@
 static void
 note_crowded(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static bool is_server_error(const jj_backend_event_t *, int);
+static bool is_server_failure(int);
 static void
 note_service_time(jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static void take_failure(jj_gateway_t *, jj_gateway_entry_t *,
     const jj_backend_event_t *, bool, jj_ms_t, jj_actions_t *);
-static void take_progress(
-    jj_gateway_t *, jj_gateway_entry_t *, const jj_backend_event_t *, jj_ms_t);
+static void take_progress(jj_gateway_t *, jj_gateway_entry_t *,
+    const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
 static void take_end(jj_gateway_t *, jj_gateway_entry_t *,
     const jj_backend_event_t *, int, jj_bytes_t *, jj_ms_t, jj_actions_t *);
 static void note_server(
@@ -139,13 +140,16 @@
 	switch (event->kind) {
 	case JJ_BACKEND_FIRST:
 	case JJ_BACKEND_TOKENS:
-		take_progress(gateway, entry, event, now);
+		take_progress(gateway, entry, event, now, out);
 		return;
 	case JJ_BACKEND_DONE:
 	case JJ_BACKEND_REJECTED:
 		take_end(gateway, entry, event, status, text, now, out);
 		break;
 	default:
+		if (event->kind == JJ_BACKEND_FAILED &&
+		    is_server_failure(status))
+			jj_gateway_note_outcome(gateway, entry, true, now, out);
 		take_failure(gateway, entry, event, false, now, out);
 		break;
 	}
@@ -312,6 +316,10 @@
 		jj_crash_parts_note_probe(
 		    gateway->crash_parts, &entry->prompt, now);
 	jj_slots_add(server, entry->class_of);
+	server->probe_due = false;
+	if (server->avoided)
+		jj_actions_add_event(out, "server_probed",
+		    "request=%s server=%s", entry->id, server->info.id.text);
 	jj_gateway_mark_loads_changed(gateway);
 	action->body.start.request = entry->request;
 	action->body.start.attempt = entry->attempt;
@@ -566,7 +574,7 @@
 
 static void
 take_progress(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
-    const jj_backend_event_t *event, jj_ms_t now)
+    const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
 {
 	entry->last_event_ms = now;
 	entry->silence_noted = false;
@@ -582,6 +590,7 @@
 		entry->first_ms = now;
 	entry->may_have_run = true;
 	jj_slots_note_first(entry->server, now - entry->sent_ms, now);
+	jj_gateway_note_outcome(gateway, entry, false, now, out);
 }
 
 /** Ends a request whose whole answer was relayed, or an item. */
@@ -597,6 +606,8 @@
 		jj_slots_note_error(entry->server);
 	else if (!entry->first_seen)
 		jj_slots_note_first(entry->server, now - entry->sent_ms, now);
+	if (is_error || !entry->first_seen)
+		jj_gateway_note_outcome(gateway, entry, is_error, now, out);
 	if (event->kind == JJ_BACKEND_DONE)
 		jj_gateway_note_completed(
 		    gateway, entry, event->unframed, now, out);
@@ -629,6 +640,13 @@
 	return event->kind == JJ_BACKEND_REJECTED && status >= 500;
 }
 
+/** 504 also says that the request's time budget is used up. */
+static bool
+is_server_failure(int status)
+{
+	return status >= 500 && status != 504;
+}
+
 /**
  * Records the service time, without the wait for a slot if a first event shows
  * when that ended.
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -259,6 +259,13 @@
 	 */
 	jj_ms_t servers_since_ms;
 
+	/** NULL: failing servers are not avoided */
+	jj_outcomes_t *outcomes;
+	/** reports of outcomes that may be sent before the interval is over */
+	uint32_t outcome_burst;
+	jj_ms_t next_outcomes_ms; /**< next regular report of outcomes */
+	jj_ms_t next_outcomes_log_ms; /**< no report is logged before */
+
 	jj_actions_t *out; /**< actions of the current step, for callbacks */
 	jj_ms_t now; /**< time of the current step, for callbacks */
 };
@@ -394,6 +401,21 @@
 jj_ms_t jj_gateway_parts_wait(
     const jj_gateway_t *gateway, const jj_prompt_t *prompt, jj_ms_t now);
 
+/* Servers that fail their requests (gateway_outcomes.c). */
+/** Records whether the server of the current attempt answered or failed. */
+void
+jj_gateway_note_outcome(jj_gateway_t *gateway, const jj_gateway_entry_t *entry,
+    bool failed, jj_ms_t now, jj_actions_t *out);
+/** Takes another VM's observations. */
+void jj_gateway_take_outcomes(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
+/** Decides which servers are avoided and probed. */
+void
+jj_gateway_tick_outcomes(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Reports outcomes to the other VMs, when that is due. */
+void jj_gateway_report_outcomes(
+    jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+
 /* Software versions of streams (gateway_origins.c). */
 /** Hash of the id of a request that began a stream; 0: no id. */
 uint64_t jj_gateway_origin_id(const char *request);
--- a/src/core/gateway_updates.c
+++ b/src/core/gateway_updates.c
@@ -108,6 +108,9 @@
 	case JJ_MESSAGE_TEAM_GRANT:
 		jj_gateway_take_team_message(gateway, message, now, out);
 		break;
+	case JJ_MESSAGE_SERVER_OUTCOMES:
+		jj_gateway_take_outcomes(gateway, message, now, out);
+		break;
 	case JJ_MESSAGE_STREAM_ORIGINS:
 	case JJ_MESSAGE_ORIGIN_QUERY:
 	case JJ_MESSAGE_ORIGIN_REPLY:
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -43,6 +43,10 @@
 #define JJ_MESSAGE_ORIGINS_MAX 32
 /** Maximum teams in one message about allowances. */
 #define JJ_MESSAGE_TEAMS_MAX 32
+/** Maximum servers in one message of outcomes. */
+#define JJ_MESSAGE_OUTCOMES_MAX 32
+/** Maximum contents that failed at a server in one message. */
+#define JJ_OUTCOME_CONTENTS_MAX 4
 
 typedef enum {
 	JJ_MESSAGE_HEARTBEAT = 1,
@@ -99,6 +103,8 @@
 	JJ_MESSAGE_PART_CRASHES,
 	/** answers with these parts were completed: they crash no servers */
 	JJ_MESSAGE_PARTS_COMPLETED,
+	/** answers of servers under suspicion (outcome/outcome.h) */
+	JJ_MESSAGE_SERVER_OUTCOMES,
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -322,6 +328,16 @@
 	jj_ms_t keep_ms; /**< how long it may be taken up */
 } jj_stream_origin_t;
 
+/** Answers of a server that the sender has not reported before. */
+typedef struct {
+	uint64_t server; /**< as jj_slot_server_t.hash */
+	uint32_t successes; /**< of attempts sent since the first failure */
+	bool failing; /**< the sender avoids the server */
+	bool recovered; /**< probes of the sender succeeded */
+	uint32_t count; /**< failures */
+	uint64_t contents[JJ_OUTCOME_CONTENTS_MAX]; /**< their fingerprints */
+} jj_server_outcome_t;
+
 /** A message with its header. */
 typedef struct {
 	jj_message_kind_t kind;
@@ -427,6 +443,10 @@
 			uint32_t count;
 			jj_stream_origin_t origins[JJ_MESSAGE_ORIGINS_MAX];
 		} origins;
+		struct {
+			uint32_t count;
+			jj_server_outcome_t servers[JJ_MESSAGE_OUTCOMES_MAX];
+		} outcomes;
 		struct {
 			uint64_t request; /**< number that the sender gave */
 			uint64_t id; /**< as in jj_stream_origin_t */
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -121,6 +121,9 @@
 					     of each scope */
 	size_t neighbour_count;
 	jj_slot_neighbour_t *neighbours; /**< owned */
+	/** fails most requests that it answers (gateway_outcomes.c) */
+	bool avoided;
+	bool probe_due; /**< while avoided: gets one request of this VM */
 	uint32_t failures; /**< consecutive failures */
 	jj_ms_t answered_ms; /**< time of the last first event or answer */
 	jj_ms_t rest_until_ms; /**< cool-down: no new requests before this
--- a/src/core/slots_choose.c
+++ b/src/core/slots_choose.c
@@ -142,7 +142,7 @@
 
 		if (!is_candidate(server, service, now) ||
 		    !is_of_software(server, software) ||
-		    !(all || is_assigned(slots, server)) ||
+		    !(all || is_assigned(slots, server)) || server->avoided ||
 		    server->open_connects > 1 ||
 		    now < server->crowded_until_ms ||
 		    !has_free_slot(slots, server))
@@ -214,6 +214,11 @@
 		if (!is_candidate(server, criteria->service, now) ||
 		    !is_of_software(server, criteria->software))
 			continue;
+		if (server->avoided) {
+			/* A probe. */
+			*full = false;
+			return server;
+		}
 		assigned = is_assigned(slots, server);
 		extra = assigned ? 0 : sample.others_unreported;
 		if (value >=
@@ -501,6 +506,7 @@
     const jj_slot_server_t *server, const jj_name_t *service, jj_ms_t now)
 {
 	return jj_slot_server_is_up(server, now) &&
+	    (!server->avoided || server->probe_due) &&
 	    jj_name_equal(&server->info.service, service);
 }
 
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -296,6 +296,13 @@
 		for (uint32_t i = 0; i < JJ_MESSAGE_PARTS_MAX; i++)
 			m->body.parts_completed.parts[i] = UINT64_MAX - i;
 	}},
+    {"ServerOutcomes", JJ_MESSAGE_SERVER_OUTCOMES,
+	[](jj_message_t *m) {
+		m->body.outcomes.count = JJ_MESSAGE_OUTCOMES_MAX;
+		for (uint32_t i = 0; i < JJ_MESSAGE_OUTCOMES_MAX; i++)
+			m->body.outcomes.servers[i] = {UINT64_MAX - i, i, true,
+			    i % 2 == 0, 2, {UINT64_MAX, i}};
+	}},
     {"TeamGrant", JJ_MESSAGE_TEAM_GRANT,
 	[](jj_message_t *m) {
 		m->body.team_grant.count = JJ_MESSAGE_TEAMS_MAX;
--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -10,6 +10,7 @@
 #define TESTS_CORE_GATEWAY_FLEET_H
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -57,11 +58,15 @@
 	jj_prompt_t prompt = {}; /**< of the requests that begin() sends */
 	uint32_t queue_most; /**< online requests that may wait at a server */
 	decltype(jj_gateway_port_t::read_routes) reader;
+	/** changes the settings of each gateway before it is created */
+	std::function<void(jj_gateway_settings_t *)> adjust;
 
 	explicit GatewayFleet(int count = 3, uint32_t queue_most = 1,
 	    decltype(jj_gateway_port_t::read_routes) reader = read_routes,
-	    const std::string &config = "7")
-	    : count(count), queue_most(queue_most), reader(reader)
+	    const std::string &config = "7",
+	    std::function<void(jj_gateway_settings_t *)> adjust = nullptr)
+	    : count(count), queue_most(queue_most), reader(reader),
+	      adjust(std::move(adjust))
 	{
 		routes.push_back(
 		    make_route("batch", "/batch/", JJ_ROUTE_BATCH));
@@ -91,6 +96,8 @@
 		settings.serves = true;
 		settings.member.seed = incarnation;
 		settings.slots.queue_most = queue_most;
+		if (adjust)
+			adjust(&settings);
 		vms[name].gateway = jj_gateway_create(&settings, &port);
 		for (int i = 1; i <= count; i++) {
 			jj_name_t other;
--- a/tests/core/load_world.h
+++ b/tests/core/load_world.h
@@ -32,6 +32,9 @@
 	jj_ms_t budget_ms = 5000;
 	int retries = 1; /**< retries per caller */
 	bool has_target = true; /**< the configuration contains the target */
+	uint32_t attempts = 2; /**< attempts that the route allows */
+	/** changes the settings of each gateway */
+	std::function<void(jj_gateway_settings_t *)> adjust;
 
 	/** Requests per second that all slots can serve. */
 	double
@@ -49,7 +52,7 @@
 	int again = 0; /**< refused, then within the target after the retry */
 	int late = 0;
 	int refused = 0; /**< refused without a further retry */
-	int lost = 0; /**< no answer in time, or a broken one */
+	int lost = 0; /**< no answer in time, a broken one or an error */
 };
 
 class LoadWorld : public GatewayFleet
@@ -73,8 +76,11 @@
 	struct Engine {
 		bool up = true;
 		std::list<Run> runs; /**< in order of arrival */
+		double failing = 0; /**< share that is answered 500 at once */
+		int arrivals = 0;
 	};
 
+	using GatewayFleet::vms;
 	LoadShape shape;
 	std::mt19937_64 random;
 	std::map<std::string, Engine> engines;
@@ -88,12 +94,13 @@
 	double crowd_share = 0;
 
 	explicit LoadWorld(const LoadShape &of, uint64_t seed = 1)
-	    : GatewayFleet(of.vms, of.queue_most), shape(of), random(seed)
+	    : GatewayFleet(of.vms, of.queue_most, read_routes, "7", of.adjust),
+	      shape(of), random(seed)
 	{
 		for (auto &route : routes) {
 			route.target_ms =
 			    shape.has_target ? shape.target_ms : 0;
-			route.attempts = 2;
+			route.attempts = shape.attempts;
 			route.resumable = true;
 		}
 		platform.put("config/main", "9");
@@ -262,6 +269,13 @@
 			pending_events.push_back({run, JJ_BACKEND_NOT_SENT});
 			return;
 		}
+		engine.arrivals++;
+		if (engine.failing > 0 &&
+		    std::uniform_real_distribution<>(0, 1)(random) <
+			engine.failing) {
+			pending_events.push_back({run, JJ_BACKEND_REJECTED});
+			return;
+		}
 		engine.runs.push_back(run);
 	}
 	void
@@ -347,11 +361,19 @@
 			note_first(run.request);
 		if (kind == JJ_BACKEND_DONE)
 			callers.erase(run.request);
+		if (kind == JJ_BACKEND_REJECTED &&
+		    callers.count(run.request) > 0) {
+			second_of(callers[run.request]).lost++;
+			callers.erase(run.request);
+		}
 		event.request = run.request;
 		event.attempt = run.attempt;
 		event.kind = kind;
 		jj_gateway_take_backend_event(vms[run.vm].gateway, &event,
-		    kind == JJ_BACKEND_DONE ? 200 : 0, &text, now, &out);
+		    kind == JJ_BACKEND_DONE	      ? 200
+			: kind == JJ_BACKEND_REJECTED ? 500
+						      : 0,
+		    &text, now, &out);
 		carry_out(run.vm, &out);
 	}
 	void
