--- a/tests/core/crash_fleet.h
+++ b/tests/core/crash_fleet.h
@@ -80,11 +80,14 @@
 			}
 		}
 	}
+	/** @param number of the attempt; 0: the current one, whichever it is */
 	bool
-	end_attempt(const std::string &vm, uint64_t request)
+	end_attempt(
+	    const std::string &vm, uint64_t request, uint32_t number = 0)
 	{
 		for (auto it = open.begin(); it != open.end(); ++it)
-			if (it->vm == vm && it->request == request) {
+			if (it->vm == vm && it->request == request &&
+			    (number == 0 || it->number == number)) {
 				open.erase(it);
 				return true;
 			}
