Gateway: a reset of connections is no crash; wrong crashes are withdrawn

Cause: two breaks at one server within 300 ms were taken for a crash of it. A reset of all connections of a VM gives that at many servers at once, so parts without a completed answer were refused after three of them, contents after two.

- Breaks at one server count as a crash only when no connection to another server broke at that moment (300 ms before, 100 ms after).
Breaks at several servers are a suspicion: a removed entry or a later start confirms it, or a refused connection once the network works again and at most two servers of that moment are left.
- A crash is withdrawn when the process answers afterwards: at once by an event of an attempt from before it, else when the server is still listed with the same start 2.5 s after an answer.
All VMs are told (SERVER_STATE, up) and take the crash back from parts and contents, also refused ones.
- An item waits for a refused part no longer than its retention / 4.
Before, it waited for a probe that only the VM ranked first for the part sends, even if that VM had no request with it.
- A probe that an online request preempts shows nothing and is not counted; each one prolonged the wait for the next probe thirty times.

--- a/src/core/crash_evidence.c
+++ b/src/core/crash_evidence.c
@@ -29,15 +29,30 @@
 }
 
 void
-jj_crash_evidence_add(
-    jj_crash_evidence_t *evidence, const jj_unanswered_t *attempt)
+jj_crash_evidence_add(jj_crash_evidence_t *evidence,
+    const jj_unanswered_t *attempt, jj_ms_t moment_ms)
 {
+	jj_unanswered_t *added;
+	jj_unanswered_t *other;
+	uint32_t i;
+
 	if (evidence->count == JJ_CRASH_EVIDENCE_MAX) {
 		evidence->count--;
 		memmove(evidence->attempts, evidence->attempts + 1,
 		    evidence->count * sizeof(evidence->attempts[0]));
 	}
-	evidence->attempts[evidence->count++] = *attempt;
+	added = &evidence->attempts[evidence->count++];
+	*added = *attempt;
+	if (!is_break(added, added->server_hash, 0))
+		return;
+	for (i = 0; i + 1 < evidence->count; i++) {
+		other = &evidence->attempts[i];
+		if (other->server_hash == added->server_hash ||
+		    !is_break(other, other->server_hash, added->ms - moment_ms))
+			continue;
+		other->correlated = true;
+		added->correlated = true;
+	}
 }
 
 uint32_t
@@ -65,6 +80,53 @@
 	return false;
 }
 
+bool
+jj_crash_evidence_is_correlated(
+    const jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t since_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < evidence->count; i++)
+		if (evidence->attempts[i].correlated &&
+		    is_break(&evidence->attempts[i], server_hash, since_ms))
+			return true;
+	return false;
+}
+
+uint32_t
+jj_crash_evidence_count_broken(
+    const jj_crash_evidence_t *evidence, jj_ms_t since_ms, jj_ms_t until_ms)
+{
+	const jj_unanswered_t *attempts = evidence->attempts;
+	uint32_t count = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < evidence->count; i++) {
+		if (attempts[i].ms > until_ms ||
+		    !is_break(&attempts[i], attempts[i].server_hash, since_ms))
+			continue;
+		for (k = 0; k < i; k++)
+			if (attempts[k].ms <= until_ms &&
+			    is_break(&attempts[k], attempts[i].server_hash,
+				since_ms))
+				break;
+		count += k == i;
+	}
+	return count;
+}
+
+void
+jj_crash_evidence_note_unreachable(
+    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t since_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < evidence->count; i++)
+		if (is_break(&evidence->attempts[i], server_hash, since_ms))
+			evidence->attempts[i].unreachable = true;
+}
+
 uint32_t
 jj_crash_evidence_count_servers(
     const jj_crash_evidence_t *evidence, uint64_t fingerprint, jj_ms_t since_ms)
@@ -134,14 +196,36 @@
 		drop_selected(evidence, &selection);
 }
 
-void
+jj_reported_crash_t *
 jj_crash_evidence_note_crash(
-    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t now)
+    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t ms)
 {
-	evidence->crashes[evidence->next_crash] =
-	    (jj_reported_crash_t){server_hash, now};
-	evidence->next_crash =
-	    (evidence->next_crash + 1) % JJ_CRASH_EVIDENCE_CRASHES;
+	jj_reported_crash_t *crash =
+	    jj_crash_evidence_find_crash(evidence, server_hash);
+
+	if (crash == NULL) {
+		crash = &evidence->crashes[evidence->next_crash];
+		evidence->next_crash =
+		    (evidence->next_crash + 1) % JJ_CRASH_EVIDENCE_CRASHES;
+		if (evidence->crash_count < JJ_CRASH_EVIDENCE_CRASHES)
+			evidence->crash_count++;
+	} else if (crash->due_ms == 0 && crash->ms >= ms) {
+		return crash;
+	}
+	*crash = (jj_reported_crash_t){.server_hash = server_hash, .ms = ms};
+	return crash;
+}
+
+jj_reported_crash_t *
+jj_crash_evidence_find_crash(
+    jj_crash_evidence_t *evidence, uint64_t server_hash)
+{
+	uint32_t i;
+
+	for (i = 0; i < evidence->crash_count; i++)
+		if (evidence->crashes[i].server_hash == server_hash)
+			return &evidence->crashes[i];
+	return NULL;
 }
 
 void
@@ -150,10 +234,10 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < JJ_CRASH_EVIDENCE_CRASHES; i++)
+	for (i = 0; i < evidence->crash_count; i++)
 		if (evidence->crashes[i].server_hash == server_hash &&
 		    evidence->crashes[i].ms <= until_ms)
-			evidence->crashes[i].server_hash = 0;
+			evidence->crashes[i].lived = true;
 }
 
 bool
@@ -162,9 +246,10 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < JJ_CRASH_EVIDENCE_CRASHES; i++)
+	for (i = 0; i < evidence->crash_count; i++)
 		if (evidence->crashes[i].server_hash == server_hash)
-			return evidence->crashes[i].ms > since_ms;
+			return !evidence->crashes[i].lived &&
+			    evidence->crashes[i].ms > since_ms;
 	return false;
 }
 
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -16,8 +16,11 @@
 #include "core/prompt.h"
 
 #define JJ_CRASH_EVIDENCE_MAX 256
-/** Number of crashes that are kept for attempts that end later. */
-#define JJ_CRASH_EVIDENCE_CRASHES 32
+/**
+ * Number of crashes that are kept, for attempts that end later and for servers
+ * that answer afterwards.
+ */
+#define JJ_CRASH_EVIDENCE_CRASHES 256
 
 /** An attempt that ended without an answer, or without the proof of one. */
 typedef struct {
@@ -29,6 +32,10 @@
 	bool silent;
 	/** its answer seemed complete, see jj_backend_event_t.unframed */
 	bool complete;
+	/** connections to other processes broke at the same moment */
+	bool correlated;
+	/** the process accepted no connection afterwards */
+	bool unreachable;
 	bool from_peer; /**< another VM's attempt */
 	jj_name_t peer;
 	jj_incarnation_t incarnation; /**< of that VM's process */
@@ -41,6 +48,11 @@
 typedef struct {
 	uint64_t server_hash; /**< 0: none */
 	jj_ms_t ms;
+	bool lived; /**< something that calls itself by its id lived later */
+	/** when a request that was sent afterwards was answered; 0: not yet */
+	jj_ms_t answered_ms;
+	/** the other VMs are told then that it did not crash; 0: it did */
+	jj_ms_t due_ms;
 } jj_reported_crash_t;
 
 /** Zero-initialized it is empty. */
@@ -49,20 +61,38 @@
 	jj_unanswered_t attempts[JJ_CRASH_EVIDENCE_MAX]; /**< oldest first */
 	/** the latest reports, in a ring */
 	jj_reported_crash_t crashes[JJ_CRASH_EVIDENCE_CRASHES];
+	uint32_t crash_count; /**< places of the ring that were used */
 	uint32_t next_crash; /**< place of the next one in the ring */
 } jj_crash_evidence_t;
 
 /** The parts of the attempt's prompt that may have crashed the server. */
 jj_prompt_t jj_unanswered_prompt(const jj_unanswered_t *attempt);
 
-void jj_crash_evidence_add(
-    jj_crash_evidence_t *evidence, const jj_unanswered_t *attempt);
+/**
+ * Adds an attempt.
+ * @param moment_ms connections to several processes that break within this time
+ * are correlated.
+ */
+void jj_crash_evidence_add(jj_crash_evidence_t *evidence,
+    const jj_unanswered_t *attempt, jj_ms_t moment_ms);
 /** Number of this VM's connections to that process that broke since then. */
 uint32_t jj_crash_evidence_count_breaks(const jj_crash_evidence_t *evidence,
     uint64_t server_hash, jj_ms_t since_ms);
 /** True when any VM's connection to that process broke since then. */
 bool jj_crash_evidence_has_break(const jj_crash_evidence_t *evidence,
     uint64_t server_hash, jj_ms_t since_ms);
+/**
+ * True when a connection to that process broke since then at the same moment as
+ * one to another process.
+ */
+bool jj_crash_evidence_is_correlated(const jj_crash_evidence_t *evidence,
+    uint64_t server_hash, jj_ms_t since_ms);
+/** Number of processes to which a connection broke in that time. */
+uint32_t jj_crash_evidence_count_broken(
+    const jj_crash_evidence_t *evidence, jj_ms_t since_ms, jj_ms_t until_ms);
+/** The process accepts no connection; its breaks since then may be crashes. */
+void jj_crash_evidence_note_unreachable(
+    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t since_ms);
 /** Number of servers at which that content ended without an answer since then.
  */
 uint32_t jj_crash_evidence_count_servers(const jj_crash_evidence_t *evidence,
@@ -79,9 +109,12 @@
     jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t alive_ms);
 /** Drops attempts that ended before that time. */
 void jj_crash_evidence_expire(jj_crash_evidence_t *evidence, jj_ms_t before_ms);
-/** The process was reported to have crashed. */
-void jj_crash_evidence_note_crash(
-    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t now);
+/** The process was reported to have crashed at that time. */
+jj_reported_crash_t *jj_crash_evidence_note_crash(
+    jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t ms);
+/** The report of that crash, or NULL. */
+jj_reported_crash_t *jj_crash_evidence_find_crash(
+    jj_crash_evidence_t *evidence, uint64_t server_hash);
 /** The process lived after a crash that was reported by then. */
 void jj_crash_evidence_forget_crash(
     jj_crash_evidence_t *evidence, uint64_t server_hash, jj_ms_t until_ms);
--- a/src/core/crash_parts.c
+++ b/src/core/crash_parts.c
@@ -64,6 +64,8 @@
 static suspect_t *add_suspect(jj_crash_parts_t *, uint64_t);
 static void drop_suspect(jj_crash_parts_t *, suspect_t *);
 static bool add_crash(suspect_t *, uint64_t);
+static bool remove_crash(suspect_t *, uint64_t);
+static jj_ms_t tried_since(const suspect_t *);
 static bool is_refused(const jj_crash_parts_t *, const suspect_t *);
 static jj_ms_t probe_due(const jj_crash_parts_t *, const suspect_t *);
 static completed_t *find_completed(const jj_crash_parts_t *, uint64_t);
@@ -206,11 +208,12 @@
 	return verdict;
 }
 
-void
+bool
 jj_crash_parts_note_probe(
     jj_crash_parts_t *parts, const jj_prompt_t *prompt, jj_ms_t now)
 {
 	suspect_t *suspect;
+	bool is_probe = false;
 	uint32_t i;
 
 	for (i = 0; i < prompt->count; i++) {
@@ -219,9 +222,75 @@
 			continue;
 		suspect->probe_ms = now;
 		suspect->probes++;
+		is_probe = true;
+	}
+	return is_probe;
+}
+
+void
+jj_crash_parts_cancel_probe(jj_crash_parts_t *parts, const jj_prompt_t *prompt)
+{
+	suspect_t *suspect;
+	uint32_t i;
+
+	for (i = 0; i < prompt->count; i++) {
+		suspect = find_suspect(parts, prompt->ids[i]);
+		if (suspect == NULL || suspect->probe_ms == 0)
+			continue;
+		suspect->probe_ms = 0;
+		if (suspect->probes > 0)
+			suspect->probes--;
 	}
 }
 
+jj_ms_t
+jj_crash_parts_tried(
+    const jj_crash_parts_t *parts, const jj_prompt_t *prompt, uint64_t *part)
+{
+	const suspect_t *suspect;
+	jj_ms_t tried_ms = 0;
+	uint32_t i;
+
+	*part = 0;
+	for (i = 0; i < prompt->count; i++) {
+		suspect = find_suspect(parts, prompt->ids[i]);
+		if (suspect == NULL || !is_refused(parts, suspect) ||
+		    tried_since(suspect) < tried_ms)
+			continue;
+		tried_ms = tried_since(suspect);
+		*part = suspect->id;
+	}
+	return tried_ms;
+}
+
+uint32_t
+jj_crash_parts_withdraw(
+    jj_crash_parts_t *parts, uint64_t server, jj_actions_t *out)
+{
+	suspect_t *suspect;
+	suspect_t *next;
+	uint32_t count = 0;
+
+	for (suspect = TAILQ_FIRST(&parts->queue); suspect != NULL;
+	     suspect = next) {
+		next = TAILQ_NEXT(suspect, link);
+		if (!remove_crash(suspect, server))
+			continue;
+		count++;
+		jj_actions_add_event(out, "part_crash_withdrawn",
+		    "part=%016llx crashes=%u refused=%d server=%016llx",
+		    (unsigned long long)suspect->id, suspect->crash_count,
+		    is_refused(parts, suspect), (unsigned long long)server);
+		if (suspect->crash_count == 0) {
+			drop_suspect(parts, suspect);
+		} else if (!is_refused(parts, suspect)) {
+			suspect->probes = 0;
+			suspect->probe_ms = 0;
+		}
+	}
+	return count;
+}
+
 uint32_t
 jj_crash_parts_probes(const jj_crash_parts_t *parts, uint64_t part)
 {
@@ -313,6 +382,30 @@
 	return true;
 }
 
+/** False when the crash was not counted. */
+static bool
+remove_crash(suspect_t *suspect, uint64_t server)
+{
+	uint32_t i;
+
+	for (i = 0; i < suspect->crash_count; i++)
+		if (suspect->crashes[i] == server)
+			break;
+	if (i == suspect->crash_count)
+		return false;
+	suspect->crash_count--;
+	memmove(suspect->crashes + i, suspect->crashes + i + 1,
+	    (suspect->crash_count - i) * sizeof(suspect->crashes[0]));
+	return true;
+}
+
+static jj_ms_t
+tried_since(const suspect_t *suspect)
+{
+	return suspect->probe_ms > suspect->last_ms ? suspect->probe_ms
+						    : suspect->last_ms;
+}
+
 static bool
 is_refused(const jj_crash_parts_t *parts, const suspect_t *suspect)
 {
@@ -324,14 +417,12 @@
 static jj_ms_t
 probe_due(const jj_crash_parts_t *parts, const suspect_t *suspect)
 {
-	jj_ms_t since = suspect->probe_ms > suspect->last_ms ? suspect->probe_ms
-							     : suspect->last_ms;
 	jj_ms_t wait_ms = PROBE_FIRST_MS;
 	uint32_t i;
 
 	for (i = 0; i < suspect->probes && wait_ms < parts->probe_most_ms; i++)
 		wait_ms *= PROBE_GROWTH;
-	return since +
+	return tried_since(suspect) +
 	    (wait_ms < parts->probe_most_ms ? wait_ms : parts->probe_most_ms);
 }
 
--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -11,13 +11,24 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/crash_history.h"
 #include "core/gateway_state.h"
 
 /**
- * Connections that break within this time at one server belong to one crash;
- * what a server sent before it crashed is read within it, ms.
+ * Connections that break within this time belong to one event; what a server
+ * sent before it crashed is read within it, ms.
  */
 #define CRASH_WINDOW_MS 300
+/**
+ * Breaks at one server are a crash unless connections to other servers break
+ * within this time, ms.
+ */
+#define SETTLE_MS 100
+/**
+ * Servers that may crash at one moment. If connections broke at more of them, a
+ * refused connection may be the network's fault, and the list tells.
+ */
+#define CRASHES_AT_ONCE 2
 /**
  * A server that accepts no connection this long after a connection broke there
  * has crashed, ms.
@@ -39,15 +50,31 @@
 /** How often a quarantined item is tried until its retention ends. */
 #define ITEM_PROBES 3
 
+/**
+ * Interval at which VMs that see a process live withdraw its crash, in the order
+ * of their ranks, ms. After the first one the others send none.
+ */
+#define WITHDRAW_INTERVAL_MS 5
+/** Rank after which VMs no longer wait for each other. */
+#define WITHDRAW_RANKS_MAX 64
+
 /** What is known of the process at which an attempt ended. */
 typedef enum {
 	FATE_OPEN,
 	FATE_CRASHED,
+	FATE_OBSERVED, /**< it crashed by what this VM alone has seen */
 	/** it announced that it leaves, or is still listed long afterwards */
 	FATE_NO_CRASH,
 } fate_t;
 
 static fate_t fate_of(const jj_gateway_t *, const jj_unanswered_t *, jj_ms_t);
+static bool
+has_broken_alone(const jj_gateway_t *, const jj_unanswered_t *, jj_ms_t);
+static bool
+is_refusal_of_crashed(const jj_gateway_t *, const jj_unanswered_t *, jj_ms_t);
+static void tick_withdrawals(jj_gateway_t *, jj_ms_t, jj_actions_t *);
+static void withdraw_crash(jj_gateway_t *, const jj_name_t *, uint64_t,
+    const char *, jj_ms_t, jj_actions_t *);
 static bool is_listed_since(const jj_gateway_t *, const jj_slot_server_t *,
     const jj_unanswered_t *, jj_ms_t);
 static void report_crash(
@@ -95,10 +122,9 @@
 		!server->replaced))
 		return;
 	select_parts(gateway, &entry->prompt, now, &attempt);
-	jj_crash_evidence_add(&gateway->crash_evidence, &attempt);
-	if (has_crashed(gateway, server->hash, now) ||
-	    jj_crash_evidence_count_breaks(&gateway->crash_evidence,
-		server->hash, now - CRASH_WINDOW_MS) > 1)
+	jj_crash_evidence_add(
+	    &gateway->crash_evidence, &attempt, CRASH_WINDOW_MS);
+	if (has_crashed(gateway, server->hash, now))
 		report_crash(
 		    gateway, &server->info.id, server->hash, true, now, out);
 	else
@@ -109,8 +135,12 @@
 jj_gateway_note_unreachable(jj_gateway_t *gateway,
     const jj_slot_server_t *server, jj_ms_t now, jj_actions_t *out)
 {
-	if (jj_crash_evidence_has_break(&gateway->crash_evidence, server->hash,
-		now - UNREACHABLE_WINDOW_MS))
+	jj_crash_evidence_t *evidence = &gateway->crash_evidence;
+	jj_ms_t since_ms = now - UNREACHABLE_WINDOW_MS;
+
+	jj_crash_evidence_note_unreachable(evidence, server->hash, since_ms);
+	if (jj_crash_evidence_has_break(evidence, server->hash, since_ms) &&
+	    !jj_crash_evidence_is_correlated(evidence, server->hash, since_ms))
 		report_crash(
 		    gateway, &server->info.id, server->hash, true, now, out);
 }
@@ -128,6 +158,101 @@
 	    &gateway->crash_evidence, server->hash, now - CRASH_WINDOW_MS);
 }
 
+/*
+ * An event of an attempt from before the crash can only be by the same process.
+ * A later attempt may have reached its successor under the same id, which the
+ * list shows soon.
+ */
+void
+jj_gateway_note_answered(jj_gateway_t *gateway, const jj_gateway_entry_t *entry,
+    jj_ms_t now, jj_actions_t *out)
+{
+	jj_slot_server_t *server = entry->server;
+	jj_reported_crash_t *crash = jj_crash_evidence_find_crash(
+	    &gateway->crash_evidence, server->hash);
+
+	server->alive_ms = now;
+	gateway->answered_ms = now;
+	if (crash == NULL || crash->due_ms != 0 ||
+	    now - crash->ms <= CRASH_WINDOW_MS)
+		return;
+	if (entry->sent_ms > crash->ms) {
+		if (crash->answered_ms == 0)
+			crash->answered_ms = now;
+		return;
+	}
+	crash->due_ms = now +
+	    (jj_ms_t)jj_member_rank(
+		gateway->member, server->hash, WITHDRAW_RANKS_MAX) *
+		WITHDRAW_INTERVAL_MS;
+	withdraw_crash(
+	    gateway, &server->info.id, server->hash, "answered", now, out);
+}
+
+void
+jj_gateway_take_server_up(jj_gateway_t *gateway,
+    const jj_server_notice_t *notice, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_slot_server_t *server =
+	    jj_slots_find_hash(gateway->slots, notice->boot);
+	jj_reported_crash_t *crash = jj_crash_evidence_find_crash(
+	    &gateway->crash_evidence, notice->boot);
+
+	/* What this VM knows of the end of the process may be newer. */
+	if (server != NULL &&
+	    (server->replaced || jj_gateway_is_server_gone(server, now)))
+		return;
+	if (crash != NULL)
+		crash->server_hash = 0;
+	withdraw_crash(
+	    gateway, &notice->server, notice->boot, "told", now, out);
+}
+
+void
+jj_gateway_note_reported_crashes(jj_gateway_t *gateway,
+    const uint64_t *server_hashes, uint32_t count, jj_ms_t age_ms, jj_ms_t now)
+{
+	const jj_slot_server_t *server;
+	jj_reported_crash_t *crash;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		crash = jj_crash_evidence_note_crash(
+		    &gateway->crash_evidence, server_hashes[i], now - age_ms);
+		server = jj_slots_find_hash(gateway->slots, server_hashes[i]);
+		if (server != NULL && crash->answered_ms == 0 &&
+		    server->alive_ms > crash->ms + CRASH_WINDOW_MS)
+			crash->answered_ms = server->alive_ms;
+	}
+}
+
+void
+jj_gateway_take_crash_history(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out)
+{
+	const jj_crash_record_t *entry;
+	const jj_slot_server_t *server;
+	uint64_t id;
+	uint32_t i;
+	uint32_t k;
+
+	(void)jj_crash_history_take(gateway->quarantine, message, now, out);
+	if (message->body.struck.count == 0)
+		return;
+	for (server = jj_slots_first(gateway->slots); server != NULL;
+	     server = TAILQ_NEXT(server, link)) {
+		id = jj_quarantine_crash_id(&server->info.id, server->hash);
+		for (i = 0; i < message->body.struck.count; i++) {
+			entry = &message->body.struck.entries[i];
+			for (k = 0; k < entry->death_count; k++)
+				if (entry->deaths[k] == id)
+					jj_gateway_note_reported_crashes(
+					    gateway, &server->hash, 1,
+					    entry->age_ms, now);
+		}
+	}
+}
+
 void
 jj_gateway_note_completed(jj_gateway_t *gateway,
     const jj_gateway_entry_t *entry, bool unframed, jj_ms_t now,
@@ -141,7 +266,8 @@
 
 	if (unframed && !entry->server->info.draining) {
 		select_parts(gateway, &entry->prompt, now, &attempt);
-		jj_crash_evidence_add(&gateway->crash_evidence, &attempt);
+		jj_crash_evidence_add(
+		    &gateway->crash_evidence, &attempt, CRASH_WINDOW_MS);
 		if (has_crashed(gateway, attempt.server_hash, now))
 			report_crash(gateway, &attempt.server,
 			    attempt.server_hash, false, now, out);
@@ -167,7 +293,8 @@
 	    .peer = message->from,
 	    .incarnation = message->incarnation};
 
-	jj_crash_evidence_add(&gateway->crash_evidence, &attempt);
+	jj_crash_evidence_add(
+	    &gateway->crash_evidence, &attempt, CRASH_WINDOW_MS);
 }
 
 void
@@ -184,15 +311,20 @@
 {
 	jj_crash_evidence_t *evidence = &gateway->crash_evidence;
 	jj_unanswered_t attempt;
+	fate_t fate;
 	uint32_t i = 0;
 
+	tick_withdrawals(gateway, now, out);
 	jj_crash_evidence_expire(evidence, now - EVIDENCE_KEEP_MS);
 	while (i < evidence->count) {
 		attempt = evidence->attempts[i];
-		switch (fate_of(gateway, &attempt, now)) {
+		fate = fate_of(gateway, &attempt, now);
+		switch (fate) {
 		case FATE_CRASHED:
+		case FATE_OBSERVED:
 			report_crash(gateway, &attempt.server,
-			    attempt.server_hash, false, now, out);
+			    attempt.server_hash, fate == FATE_OBSERVED, now,
+			    out);
 			i = 0;
 			break;
 		case FATE_NO_CRASH:
@@ -215,6 +347,7 @@
 {
 	uint32_t suspicions;
 
+	jj_gateway_tick_crashes(gateway, now, gateway->out);
 	if (jj_quarantine_check(gateway->quarantine, fingerprint, now) ==
 	    JJ_QUARANTINE_REFUSED)
 		return JJ_FAILURE_QUARANTINED;
@@ -234,9 +367,10 @@
 jj_gateway_is_item_held_back(
     jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
 {
+	jj_ms_t most_ms = entry->retention_ms / (ITEM_PROBES + 1);
 	jj_ms_t last_ms;
 
-	if (jj_gateway_parts_wait(gateway, &entry->prompt, now) > 0)
+	if (jj_gateway_is_item_waiting_for_part(gateway, entry, most_ms, now))
 		return true;
 	if (jj_quarantine_check(gateway->quarantine, entry->fingerprint, now) !=
 	    JJ_QUARANTINE_REFUSED)
@@ -245,9 +379,9 @@
 		    SUSPICIOUS_BREAKS;
 	last_ms =
 	    jj_quarantine_last_crash(gateway->quarantine, entry->fingerprint);
-	if (entry->tries > 0 && entry->sent_ms > last_ms)
-		last_ms = entry->sent_ms;
-	return now - last_ms < entry->retention_ms / (ITEM_PROBES + 1);
+	if (entry->tries > 0 && entry->held_from_ms > last_ms)
+		last_ms = entry->held_from_ms;
+	return now - last_ms < most_ms;
 }
 
 bool
@@ -278,8 +412,113 @@
 	if (server->info.draining ||
 	    is_listed_since(gateway, server, attempt, now))
 		return FATE_NO_CRASH;
-	return jj_gateway_is_server_gone(server, now) ? FATE_CRASHED
-						      : FATE_OPEN;
+	if (jj_gateway_is_server_gone(server, now))
+		return FATE_CRASHED;
+	return has_broken_alone(gateway, attempt, now) ||
+		is_refusal_of_crashed(gateway, attempt, now)
+	    ? FATE_OBSERVED
+	    : FATE_OPEN;
+}
+
+/**
+ * Several connections of this VM broke there, and none to another server. A
+ * reset of this VM's connections breaks those to all servers.
+ */
+static bool
+has_broken_alone(
+    const jj_gateway_t *gateway, const jj_unanswered_t *attempt, jj_ms_t now)
+{
+	const jj_crash_evidence_t *evidence = &gateway->crash_evidence;
+	jj_ms_t since_ms = attempt->ms - CRASH_WINDOW_MS;
+
+	return now - attempt->ms >= SETTLE_MS &&
+	    now - attempt->ms < UNREACHABLE_WINDOW_MS &&
+	    jj_crash_evidence_count_breaks(
+		evidence, attempt->server_hash, since_ms) > 1 &&
+	    !jj_crash_evidence_is_correlated(
+		evidence, attempt->server_hash, since_ms);
+}
+
+/**
+ * A server whose connections broke together with those to others accepts no
+ * connection, while the network works and nearly all of the others have
+ * answered.
+ */
+static bool
+is_refusal_of_crashed(
+    const jj_gateway_t *gateway, const jj_unanswered_t *attempt, jj_ms_t now)
+{
+	return attempt->unreachable &&
+	    now - attempt->ms < UNREACHABLE_WINDOW_MS &&
+	    gateway->answered_ms > attempt->ms &&
+	    jj_crash_evidence_count_broken(&gateway->crash_evidence,
+		attempt->ms - CRASH_WINDOW_MS,
+		attempt->ms + CRASH_WINDOW_MS) <= CRASHES_AT_ONCE;
+}
+
+/**
+ * Withdraws crashes of processes that answered later requests and are still
+ * listed with the same start; tells the other VMs of withdrawn crashes.
+ */
+static void
+tick_withdrawals(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_crash_evidence_t *evidence = &gateway->crash_evidence;
+	jj_message_t message = {.kind = JJ_MESSAGE_SERVER_STATE};
+	const jj_slot_server_t *server;
+	jj_reported_crash_t *crash;
+	uint32_t i;
+
+	for (i = 0; i < evidence->crash_count; i++) {
+		crash = &evidence->crashes[i];
+		if (crash->server_hash == 0 ||
+		    (crash->due_ms == 0 && crash->answered_ms == 0))
+			continue;
+		server = jj_slots_find_hash(gateway->slots, crash->server_hash);
+		if (server == NULL || !server->listed) {
+			crash->answered_ms = 0;
+			crash->due_ms = 0;
+			continue;
+		}
+		if (crash->due_ms == 0 &&
+		    now - crash->answered_ms >= VERDICT_MS) {
+			crash->due_ms = now +
+			    (jj_ms_t)jj_member_rank(gateway->member,
+				server->hash, WITHDRAW_RANKS_MAX) *
+				WITHDRAW_INTERVAL_MS;
+			withdraw_crash(gateway, &server->info.id, server->hash,
+			    "answered", now, out);
+		}
+		if (crash->due_ms == 0 || now < crash->due_ms)
+			continue;
+		message.body.server.server = server->info.id;
+		message.body.server.boot = server->hash;
+		message.body.server.state = JJ_SERVER_UP;
+		jj_gateway_send_to_others(gateway, &message, out);
+		crash->server_hash = 0;
+	}
+}
+
+/** The process lives: nothing that was counted for its crash stays. */
+static void
+withdraw_crash(jj_gateway_t *gateway, const jj_name_t *server,
+    uint64_t server_hash, const char *why, jj_ms_t now, jj_actions_t *out)
+{
+	uint32_t parts =
+	    jj_crash_parts_withdraw(gateway->crash_parts, server_hash, out);
+	uint32_t contents = jj_quarantine_withdraw(
+	    gateway->quarantine, server, server_hash, out);
+
+	jj_crash_evidence_forget_crash(
+	    &gateway->crash_evidence, server_hash, now);
+	confirm_answers(gateway, server_hash, now - CRASH_WINDOW_MS, now, out);
+	jj_crash_evidence_drop_server(
+	    &gateway->crash_evidence, server_hash, now - CRASH_WINDOW_MS);
+	if (parts + contents > 0)
+		jj_actions_add_event(out, "crash_withdrawn",
+		    "server=%s process=%016llx why=%s parts=%u contents=%u",
+		    server->text, (unsigned long long)server_hash, why, parts,
+		    contents);
 }
 
 /** The entry of a server that had crashed would have been removed by now. */
--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -78,6 +78,7 @@
 	entry->repeatable = true;
 	entry->max_attempts = ATTEMPTS_UNLIMITED;
 	entry->begun_ms = gateway->now;
+	entry->held_from_ms = gateway->now;
 	entry->give_up_ms = retention_ms;
 	entry->deadline_ms = retention_ms;
 	entry->due_ms = due_ms;
@@ -358,6 +359,7 @@
 	    "request=%s server=%s for=%s ran_ms=%lld", entry->id,
 	    entry->server->info.id.text, why,
 	    (long long)(now - entry->sent_ms));
+	jj_gateway_cancel_probe(gateway, entry);
 	jj_gateway_leave_server(gateway, entry);
 	TAILQ_REMOVE(&gateway->waiting, entry, link);
 	entry->not_before_ms = now + PREEMPTED_DELAY_MS;
--- a/src/core/gateway_parts.c
+++ b/src/core/gateway_parts.c
@@ -29,6 +29,8 @@
 static bool
 is_reported_by_sender(const jj_gateway_t *, const jj_unanswered_t *);
 static void
+take_crash(jj_gateway_t *, const jj_part_crashes_t *, jj_ms_t, jj_actions_t *);
+static void
 count_crash(jj_gateway_t *, const jj_part_crashes_t *, jj_ms_t, jj_actions_t *);
 static void add_sound(jj_gateway_t *, uint64_t, jj_ms_t);
 static void remove_sound(jj_gateway_t *, const jj_prompt_t *);
@@ -127,7 +129,7 @@
 		break;
 	case JJ_MESSAGE_PART_CRASHES:
 		for (i = 0; i < message->body.part_crashes.count; i++)
-			count_crash(gateway,
+			take_crash(gateway,
 			    &message->body.part_crashes.entries[i], now, out);
 		break;
 	case JJ_MESSAGE_PARTS_COMPLETED:
@@ -183,6 +185,39 @@
 	return 0;
 }
 
+/*
+ * An item goes on to be tried even when no other request probes its part. VMs
+ * do so one after the other, as each sees at once what the one before lost.
+ */
+bool
+jj_gateway_is_item_waiting_for_part(const jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, jj_ms_t most_ms, jj_ms_t now)
+{
+	jj_ms_t since_ms = entry->held_from_ms;
+	jj_ms_t tried_ms;
+	uint64_t part;
+	uint32_t vms = gateway->live_vms > 0 ? gateway->live_vms : 1;
+	uint32_t rank;
+
+	if (jj_gateway_parts_wait(gateway, &entry->prompt, now) == 0)
+		return false;
+	tried_ms =
+	    jj_crash_parts_tried(gateway->crash_parts, &entry->prompt, &part);
+	if (tried_ms > since_ms)
+		since_ms = tried_ms;
+	rank = jj_member_rank(gateway->member, part, vms);
+	return now - since_ms < most_ms / 2 + most_ms / 2 * rank / vms;
+}
+
+void
+jj_gateway_cancel_probe(jj_gateway_t *gateway, jj_gateway_entry_t *entry)
+{
+	if (entry->is_probe)
+		jj_crash_parts_cancel_probe(
+		    gateway->crash_parts, &entry->prompt);
+	entry->is_probe = false;
+}
+
 /** The VM that made the attempt still runs, and reports its crashes itself. */
 static bool
 is_reported_by_sender(
@@ -197,6 +232,16 @@
 	    info->incarnation == attempt->incarnation;
 }
 
+/** Another VM's report. */
+static void
+take_crash(jj_gateway_t *gateway, const jj_part_crashes_t *crash, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_gateway_note_reported_crashes(
+	    gateway, crash->servers, crash->count, crash->age_ms, now);
+	count_crash(gateway, crash, now, out);
+}
+
 static void
 count_crash(jj_gateway_t *gateway, const jj_part_crashes_t *crash, jj_ms_t now,
     jj_actions_t *out)
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -135,6 +135,11 @@
 	    event->kind != JJ_BACKEND_BROKEN &&
 	    event->kind != JJ_BACKEND_TIMEOUT)
 		jj_gateway_note_alive(gateway, entry->server, now, out);
+	if (event->kind == JJ_BACKEND_FIRST ||
+	    event->kind == JJ_BACKEND_TOKENS ||
+	    event->kind == JJ_BACKEND_REJECTED ||
+	    (event->kind == JJ_BACKEND_DONE && !event->unframed))
+		jj_gateway_note_answered(gateway, entry, now, out);
 	switch (event->kind) {
 	case JJ_BACKEND_FIRST:
 	case JJ_BACKEND_TOKENS:
@@ -307,8 +312,9 @@
 	entry->first_seen = false;
 	entry->silence_noted = false;
 	entry->crowded = false;
+	entry->is_probe = false;
 	if (jj_crash_parts_count(gateway->crash_parts) > 0)
-		jj_crash_parts_note_probe(
+		entry->is_probe = jj_crash_parts_note_probe(
 		    gateway->crash_parts, &entry->prompt, now);
 	jj_slots_add(server, entry->class_of);
 	jj_gateway_mark_loads_changed(gateway);
@@ -662,6 +668,8 @@
 	    (unsigned long long)entry->fingerprint);
 	if (!not_run && entry->prompt.count > 0)
 		log_prompt(entry, out);
+	if (!not_run)
+		entry->held_from_ms = now;
 	jj_gateway_leave_server(gateway, entry);
 	if (entry->class_of == JJ_CLASS_BATCH) {
 		entry->not_before_ms =
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -91,6 +91,9 @@
 	uint32_t crowded_tries; /**< attempts that were crowded */
 	bool relayed; /**< part of the answer was relayed to the caller */
 	bool may_have_run; /**< true if any attempt may have run */
+	bool is_probe; /**< this attempt tries a refused part */
+	/** of an item: since when it may wait because of a part or its content */
+	jj_ms_t held_from_ms;
 } jj_gateway_entry_t;
 
 TAILQ_HEAD(jj_gateway_entries, jj_gateway_entry);
@@ -244,6 +247,7 @@
 	bool lender_answered; /**< its last result was an answer */
 	jj_ms_t borrow_pause_until_ms; /**< no call is borrowed before */
 	jj_crash_evidence_t crash_evidence;
+	jj_ms_t answered_ms; /**< time of the last event of any server */
 	jj_crash_parts_t *crash_parts;
 	uint32_t sound_count;
 	jj_gateway_sound_part_t sound_parts[JJ_MESSAGE_PARTS_MAX];
@@ -319,8 +323,8 @@
     jj_gateway_t *gateway, const jj_slot_server_t *server);
 /**
  * Records that the current attempt ends without an answer. Several connections
- * that break at one server at one moment mean that it crashed; otherwise what
- * becomes of the server tells.
+ * that break at one server alone at one moment mean that it crashed; otherwise
+ * what becomes of the server tells.
  * @param silent no event came, and the connection did not break.
  */
 void jj_gateway_note_unanswered(jj_gateway_t *gateway,
@@ -335,6 +339,25 @@
 /** Records a sign of life of a server. */
 void jj_gateway_note_alive(jj_gateway_t *gateway,
     const jj_slot_server_t *server, jj_ms_t now, jj_actions_t *out);
+/**
+ * Records an event that the server wrote for the current attempt, or the end of
+ * its answer. A crash of that process that was reported before is withdrawn.
+ */
+void jj_gateway_note_answered(jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, jj_ms_t now, jj_actions_t *out);
+/** Another VM says that the process lived after its crash was reported. */
+void jj_gateway_take_server_up(jj_gateway_t *gateway,
+    const jj_server_notice_t *notice, jj_ms_t now, jj_actions_t *out);
+/**
+ * Records crashes that another VM reports, as the processes may answer
+ * afterwards.
+ * @param age_ms time since the last of them.
+ */
+void jj_gateway_note_reported_crashes(jj_gateway_t *gateway,
+    const uint64_t *server_hashes, uint32_t count, jj_ms_t age_ms, jj_ms_t now);
+/** The same for crashes of contents; takes another VM's list. */
+void jj_gateway_take_crash_history(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
 /**
  * Records that the current attempt was answered, which shows that neither its
  * content nor the parts of its prompt crash servers.
@@ -390,6 +413,14 @@
 /** Reports sound parts to the other VMs; drops expired entries. */
 void
 jj_gateway_tick_parts(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/**
+ * The current attempt ends without having shown anything of the parts of its
+ * prompt.
+ */
+void jj_gateway_cancel_probe(jj_gateway_t *gateway, jj_gateway_entry_t *entry);
+/** True when an item has to wait for a probe of one of its parts. */
+bool jj_gateway_is_item_waiting_for_part(const jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, jj_ms_t most_ms, jj_ms_t now);
 /** Time until a request with these parts may be sent; 0: now. */
 jj_ms_t jj_gateway_parts_wait(
     const jj_gateway_t *gateway, const jj_prompt_t *prompt, jj_ms_t now);
--- a/src/core/gateway_updates.c
+++ b/src/core/gateway_updates.c
@@ -9,7 +9,6 @@
 #include <glib.h>
 
 #include "core/gateway_state.h"
-#include "core/crash_history.h"
 
 /**
  * Interval between checks for VMs that no longer send heartbeats, ms; the
@@ -69,10 +68,14 @@
 		if (message->body.struck.asks)
 			jj_gateway_send_part_history(
 			    gateway, &message->from, now, out);
-		(void)jj_crash_history_take(
-		    gateway->quarantine, message, now, out);
+		jj_gateway_take_crash_history(gateway, message, now, out);
 		break;
 	case JJ_MESSAGE_SERVER_STATE:
+		if (message->body.server.state == JJ_SERVER_UP) {
+			jj_gateway_take_server_up(
+			    gateway, &message->body.server, now, out);
+			break;
+		}
 		server = jj_slots_find_hash(
 		    gateway->slots, message->body.server.boot);
 		if (server != NULL &&
--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -59,6 +59,9 @@
 static void move_last_crash(jj_quarantine_t *, suspect_t *, jj_ms_t);
 static bool count_crash(jj_quarantine_t *, uint64_t, const server_crash_t *,
     bool, const char *, jj_actions_t *);
+static uint32_t withdraw_from(
+    jj_quarantine_t *, struct suspect_queue *, uint64_t, jj_actions_t *);
+static void insert_suspect(jj_quarantine_t *, suspect_t *);
 static size_t list_queue(const jj_quarantine_t *, const struct suspect_queue *,
     jj_ms_t, jj_crash_record_t *, size_t);
 static jj_crash_record_t describe(const suspect_t *, jj_ms_t);
@@ -132,13 +135,28 @@
 	server_crash_t server_crash = {0, now};
 	uint32_t i;
 
-	server_crash.id = jj_hash_bytes(
-	    crash->server.text, strlen(crash->server.text), crash->boot);
+	server_crash.id = jj_quarantine_crash_id(&crash->server, crash->boot);
 	for (i = 0; i < crash->suspect_count; i++)
 		(void)count_crash(quarantine, crash->suspects[i], &server_crash,
 		    crash->boot != 0, crash->server.text, out);
 }
 
+uint32_t
+jj_quarantine_withdraw(jj_quarantine_t *quarantine, const jj_name_t *server,
+    uint64_t boot, jj_actions_t *out)
+{
+	uint64_t id = jj_quarantine_crash_id(server, boot);
+
+	return withdraw_from(quarantine, &quarantine->suspects, id, out) +
+	    withdraw_from(quarantine, &quarantine->refused, id, out);
+}
+
+uint64_t
+jj_quarantine_crash_id(const jj_name_t *server, uint64_t boot)
+{
+	return jj_hash_bytes(server->text, strlen(server->text), boot);
+}
+
 size_t
 jj_quarantine_list(const jj_quarantine_t *quarantine, jj_ms_t now,
     jj_crash_record_t *entries, size_t max_count)
@@ -340,6 +358,10 @@
 	if (is_counted(suspect, server_crash, boot_known))
 		return false;
 	if (suspect->refused) {
+		/* It counts when crashes before it are withdrawn. */
+		if (suspect->crash_count < CRASHES_MAX)
+			suspect->crashes[suspect->crash_count++] =
+			    *server_crash;
 		move_last_crash(quarantine, suspect, server_crash->at_ms);
 		return false;
 	}
@@ -360,6 +382,61 @@
 	return true;
 }
 
+static uint32_t
+withdraw_from(jj_quarantine_t *quarantine, struct suspect_queue *queue,
+    uint64_t id, jj_actions_t *out)
+{
+	suspect_t *suspect;
+	suspect_t *next;
+	uint32_t count = 0;
+	uint32_t kept;
+	uint32_t i;
+
+	for (suspect = TAILQ_FIRST(queue); suspect != NULL; suspect = next) {
+		next = TAILQ_NEXT(suspect, queue);
+		kept = 0;
+		for (i = 0; i < suspect->crash_count; i++)
+			if (suspect->crashes[i].id != id)
+				suspect->crashes[kept++] = suspect->crashes[i];
+		if (kept == suspect->crash_count)
+			continue;
+		suspect->crash_count = kept;
+		count++;
+		jj_actions_add_event(out, "request_crash_withdrawn",
+		    "fingerprint=%016llx strikes=%u death=%016llx",
+		    (unsigned long long)suspect->fingerprint, kept,
+		    (unsigned long long)id);
+		if (kept == 0) {
+			drop_suspect(quarantine, suspect);
+		} else if (suspect->refused &&
+		    kept < quarantine->settings.strikes) {
+			TAILQ_REMOVE(queue, suspect, queue);
+			suspect->refused = false;
+			insert_suspect(quarantine, suspect);
+		}
+	}
+	return count;
+}
+
+/** Inserts a suspect in the order of the last crashes. */
+static void
+insert_suspect(jj_quarantine_t *quarantine, suspect_t *suspect)
+{
+	suspect_t *before;
+
+	TAILQ_FOREACH_REVERSE(
+	    before, &quarantine->suspects, suspect_queue, queue)
+	{
+		if (before->last_crash_ms <= suspect->last_crash_ms)
+			break;
+	}
+	if (before != NULL)
+		TAILQ_INSERT_AFTER(
+		    &quarantine->suspects, before, suspect, queue);
+	else
+		TAILQ_INSERT_HEAD(&quarantine->suspects, suspect, queue);
+}
+
 static size_t
 list_queue(const jj_quarantine_t *quarantine, const struct suspect_queue *queue,
     jj_ms_t now, jj_crash_record_t *entries, size_t max_count)
--- a/src/core/quarantine.h
+++ b/src/core/quarantine.h
@@ -58,6 +58,14 @@
 bool jj_quarantine_take_history(jj_quarantine_t *quarantine,
     const jj_crash_record_t *entries, size_t count, jj_ms_t now,
     jj_actions_t *out);
+/**
+ * The process did not crash: it no longer counts against any request.
+ * @return number of requests that it was counted against.
+ */
+uint32_t jj_quarantine_withdraw(jj_quarantine_t *quarantine,
+    const jj_name_t *server, uint64_t boot, jj_actions_t *out);
+/** The crash of that process in jj_crash_record_t.deaths. */
+uint64_t jj_quarantine_crash_id(const jj_name_t *server, uint64_t boot);
 /** Number of crashes counted against a request. */
 uint32_t jj_quarantine_strikes(
     const jj_quarantine_t *quarantine, uint64_t fingerprint, jj_ms_t now);
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -123,6 +123,7 @@
 	jj_slot_neighbour_t *neighbours; /**< owned */
 	uint32_t failures; /**< consecutive failures */
 	jj_ms_t answered_ms; /**< time of the last first event or answer */
+	jj_ms_t alive_ms; /**< time of the last event of its own; 0: none */
 	jj_ms_t rest_until_ms; /**< cool-down: no new requests before this
 				    time */
 	jj_ms_t crowded_until_ms; /**< no batch items before: it is fuller
--- a/tests/core/gateway_reset_test.cc
+++ b/tests/core/gateway_reset_test.cc
@@ -185,11 +185,18 @@
 /* Guards against a crash that is missed, or counted at live servers, too. */
 TEST_F(ResetFleet, AServerThatCrashesDuringAResetIsTheOnlyOneCounted)
 {
+	std::string server;
+
 	load(20);
-	crashed.insert(open[0].server);
-	crash(open[0].server);
+	send("verona-1", {FIRST, POISON});
+	server = server_of(last);
+	crashed.insert(server);
+	crash(server);
 	reset({"verona-1", "verona-2", "verona-3"});
-	play(ITEM_MS);
+	for (int i = 0; i < 10; i++) {
+		send(name_of(i), {FIRST, USUAL});
+		play(ITEM_MS / 10);
+	}
 	for (auto &vm : vms)
 		EXPECT_EQ(1, vm.second.events["part_suspected"]) << vm.first;
 	EXPECT_EQ(0, count("part_refused"));
