--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -126,6 +126,7 @@
 	bool probe_due; /**< while avoided: gets one request of this VM */
 	uint32_t failures; /**< consecutive failures */
 	jj_ms_t answered_ms; /**< time of the last first event or answer */
+	jj_ms_t alive_ms; /**< time of the last event of its own; 0: none */
 	jj_ms_t rest_until_ms; /**< cool-down: no new requests before this
 				    time */
 	jj_ms_t crowded_until_ms; /**< no batch items before: it is fuller
