Tests: wrong crashes are withdrawn, items with a refused part are tried

Each fails without its guard: withdrawal of parts, of contents, by later answers, by lists of a VM that was cut off; the check for a successor under the same id; a refused connection as proof; the limit of an item's wait; the preempted probe. An item's wait is spread by the number of VMs known, as the count of live ones is kept only where teams are.

--- a/src/core/gateway_parts.c
+++ b/src/core/gateway_parts.c
@@ -196,7 +196,7 @@
 	jj_ms_t since_ms = entry->held_from_ms;
 	jj_ms_t tried_ms;
 	uint64_t part;
-	uint32_t vms = gateway->live_vms > 0 ? gateway->live_vms : 1;
+	uint32_t vms = (uint32_t)gateway->vm_count + 1;
 	uint32_t rank;
 
 	if (jj_gateway_parts_wait(gateway, &entry->prompt, now) == 0)
--- a/tests/core/gateway_prompt_test.cc
+++ b/tests/core/gateway_prompt_test.cc
@@ -214,7 +214,8 @@
 	cured = true;
 	send_mixed(20);
 	for (int kind : {JJ_MESSAGE_UNANSWERED, JJ_MESSAGE_UNANSWERED_PARTS,
-		 JJ_MESSAGE_PART_CRASHES, JJ_MESSAGE_PARTS_COMPLETED})
+		 JJ_MESSAGE_PART_CRASHES, JJ_MESSAGE_PARTS_COMPLETED,
+		 JJ_MESSAGE_SERVER_STATE})
 		for (auto &vm : vms)
 			EXPECT_EQ(0U, vm.second.sent[kind]) << kind;
 }
--- a/tests/core/gateway_reset_test.cc
+++ b/tests/core/gateway_reset_test.cc
@@ -204,41 +204,209 @@
 	expect_served();
 }
 
+/* Guards against crashes that are missed as two servers end at one moment. */
+TEST_F(ResetFleet, TwoServersThatCrashAtOneMomentAreBothCounted)
+{
+	std::set<std::string> servers;
+
+	load(20);
+	while (servers.size() < 2) {
+		send("verona-1", {FIRST, POISON});
+		servers.insert(server_of(last));
+	}
+	for (const std::string &server : servers) {
+		crashed.insert(server);
+		crash(server);
+	}
+	for (int i = 0; i < 10; i++) {
+		send(name_of(i), {FIRST, USUAL});
+		play(ITEM_MS / 10);
+	}
+	for (auto &vm : vms)
+		EXPECT_EQ(2, vm.second.events["part_suspected"]) << vm.first;
+}
+
+/** What happens between reports of crashes and the servers' next answers. */
+struct WithdrawalCase {
+	const char *name;
+	const char *ends; /**< VM that ends */
+	const char *loses; /**< VM that gets no messages for a while */
+	bool idle; /**< no other request runs at the servers */
+};
+
+class Withdrawals : public ResetFleet,
+		    public ::testing::WithParamInterface<WithdrawalCase>
+{
+      protected:
+	static constexpr uint64_t CONTENT = 5000;
+
+	/** Three servers in turn count as crashed, as seen by verona-1 alone. */
+	void
+	report_crashes(bool idle)
+	{
+		for (int i = 0; i < 3; i++) {
+			std::string server;
+
+			prompt.count = 2;
+			prompt.ids[0] = FIRST;
+			prompt.ids[1] = RARE;
+			/* After two crashes the content is refused. */
+			begin("verona-1", "/online/p", i < 2 ? CONTENT : 0);
+			server = server_of(last);
+			for (int k = 0; k < 60 &&
+			     (count_open("verona-1", server) < 2 ||
+				 (!idle && count_open("verona-2", server) < 1));
+			     k++)
+				send(name_of(idle ? 0 : k % 2), {FIRST, RARE});
+			play(50);
+			reset({"verona-1"}, server);
+			play(450);
+		}
+		EXPECT_GE(count("part_suspected") + count("part_refused"), 3);
+	}
+	void
+	expect_content_served()
+	{
+		for (int vm = 0; vm < 3; vm++) {
+			answered = {};
+			begin(name_of(vm), "/online/p", CONTENT);
+			EXPECT_EQ(JJ_FAILURE_NONE, answered.reason) << vm;
+		}
+	}
+};
+
+INSTANTIATE_TEST_SUITE_P(Cases, Withdrawals,
+    ::testing::Values(WithdrawalCase{"Streams", "", "", false},
+	WithdrawalCase{"LaterAnswers", "", "", true},
+	WithdrawalCase{"WitnessEnds", "verona-1", "", false},
+	WithdrawalCase{"SeerEnds", "verona-2", "", true},
+	WithdrawalCase{"LostMessages", "", "verona-3", false}),
+    [](const auto &info) { return info.param.name; });
+
 /*
  * Guards against refusals of parts and contents because of servers that answer
  * afterwards.
  */
-TEST_F(ResetFleet, CrashesOfServersThatGoOnAreWithdrawnAtAllVms)
+TEST_P(Withdrawals, CrashesOfServersThatGoOnAreWithdrawnAtAllVms)
 {
-	constexpr uint64_t CONTENT = 5000;
+	const WithdrawalCase &row = GetParam();
 
 	service_ms = 3900;
-	for (int i = 0; i < 3; i++) {
-		std::string server;
-
-		prompt.count = 2;
-		prompt.ids[0] = FIRST;
-		prompt.ids[1] = RARE;
-		begin("verona-1", "/online/p", CONTENT);
-		server = server_of(last);
-		for (int k = 0; k < 60 &&
-		     (count_open("verona-1", server) < 2 ||
-			 count_open("verona-2", server) < 1);
-		     k++)
-			send(name_of(k % 2), {FIRST, RARE});
-		play(50);
-		reset({"verona-1"}, server);
-		play(450);
-	}
-	EXPECT_GE(count("server_crashed"), 1);
-	EXPECT_GE(count("part_suspected"), 3);
+	if (row.loses[0] != '\0')
+		due.emplace(now + 1400,
+		    [this, row]() { vms[row.loses].loses_messages = true; });
+	report_crashes(row.idle);
+	if (row.ends[0] != '\0')
+		restart(row.ends);
 	play(500);
+	if (row.loses[0] != '\0')
+		vms[row.loses].loses_messages = false;
+	if (row.idle || row.loses[0] != '\0') {
+		service_ms = SERVICE_MS;
+		for (int i = 0; i < 30; i++) {
+			send(name_of(i), {FIRST, USUAL});
+			send(name_of(i + 1), {FIRST, USUAL});
+			play(100);
+		}
+	}
 	expect_served();
-	for (int vm = 0; vm < 3; vm++) {
-		answered = {};
-		begin(name_of(vm), "/online/p", CONTENT);
-		EXPECT_EQ(JJ_FAILURE_NONE, answered.reason) << vm;
+	expect_content_served();
+}
+
+/* Guards against wrong crashes that a VM tells which was cut off and ends. */
+TEST_F(Withdrawals, CrashesThatACutOffVmToldAreWithdrawn)
+{
+	service_ms = 3900;
+	set_cut("verona-1", true);
+	play(STABLE_MS);
+	report_crashes(false);
+	set_cut("verona-1", false);
+	play(1000);
+	EXPECT_GE(vms["verona-3"].events["part_refused"], 1);
+	restart("verona-1");
+	service_ms = SERVICE_MS;
+	for (int i = 0; i < 30; i++) {
+		send(name_of(i), {FIRST, USUAL});
+		send(name_of(i + 1), {FIRST, USUAL});
+		play(100);
+	}
+	expect_served();
+	expect_content_served();
+}
+
+/* Guards against a crash withdrawn because of the server's successor. */
+TEST_F(Withdrawals, AnAnswerOfTheNextProcessUnderTheIdWithdrawsNothing)
+{
+	std::set<std::string> servers;
+
+	service_ms = 3900;
+	report_crashes(true);
+	service_ms = SERVICE_MS;
+	for (int i = 0; i < 10; i++) {
+		send(name_of(i), {FIRST, USUAL});
+		send(name_of(i + 1), {FIRST, USUAL});
+		play(100);
+	}
+	for (int i = 0; i <= server_count; i++) {
+		std::string key =
+		    i == 0 ? "servers/s1" : "servers/n" + std::to_string(i);
+
+		for (auto &vm : vms)
+			see(vm.first, WATCH_SERVERS, key.c_str(),
+			    "verona ready -1");
 	}
+	play(ITEM_MS);
+	EXPECT_EQ(0, count("part_crash_withdrawn"));
+	EXPECT_EQ(0, count("request_crash_withdrawn"));
+}
+
+/** Items with a part that is refused because of servers that did crash. */
+class RefusedItems : public ResetFleet,
+		     public ::testing::WithParamInterface<int>
+{
+      protected:
+	void
+	refuse_part()
+	{
+		service_ms = SERVICE_MS;
+		cured = false;
+		for (int i = 0; i < 8; i++) {
+			send(name_of(i), {FIRST, POISON});
+			play(250);
+		}
+		play(STABLE_MS);
+		cured = true;
+		EXPECT_GE(count("part_refused"), 3);
+		EXPECT_EQ(0U, finished_poisons);
+	}
+};
+
+INSTANTIATE_TEST_SUITE_P(Vms, RefusedItems, ::testing::Values(0, 1, 2));
+
+/* Guards against an item that waits for a probe that no VM sends. */
+TEST_P(RefusedItems, AnItemIsTriedThoughNoOtherVmSendsAProbe)
+{
+	refuse_part();
+	submit(name_of(GetParam()), "item", "1,66");
+	play(routes[0].retention_ms / 4);
+	EXPECT_EQ(1U, finished_poisons);
+}
+
+/* Guards against a probe that an online request preempts and that counts. */
+TEST_P(RefusedItems, APreemptedItemIsTriedAgainSoon)
+{
+	std::string vm = name_of(GetParam());
+
+	refuse_part();
+	service_ms = 1000;
+	submit(vm, "item", "1,66");
+	for (int i = 0; i < 100 && count("item_sent") == 0; i++)
+		play(200);
+	for (int i = 0; i < 200 && count("item_cut") == 0; i++)
+		send(vm, {FIRST, USUAL});
+	ASSERT_EQ(1, count("item_cut"));
+	play(ITEM_MS);
+	EXPECT_EQ(1U, finished_poisons);
 }
 
 } // namespace
