--- a/tests/core/quarantine_test.cc
+++ b/tests/core/quarantine_test.cc
@@ -114,6 +114,36 @@
 	EXPECT_EQ(check(POISON), JJ_QUARANTINE_REFUSED);
 }
 
+/* Guards against refusals by crashes that were none, and lost true ones. */
+TEST_F(Quarantine, AWithdrawnCrashCountsForNoRequest)
+{
+	jj_name_t server = {};
+
+	crash("e1", 1, {POISON, 1});
+	crash("e2", 2, {POISON});
+	crash("e3", 3, {POISON});
+	now += 10;
+	crash("e4", 4, {2});
+	EXPECT_EQ(JJ_QUARANTINE_REFUSED, check(POISON));
+	(void)jj_name_set(&server, "e1");
+	EXPECT_EQ(0U, jj_quarantine_withdraw(quarantine, &server, 9, &out));
+	EXPECT_EQ(2U, jj_quarantine_withdraw(quarantine, &server, 1, &out));
+	EXPECT_EQ(0U, jj_quarantine_withdraw(quarantine, &server, 1, &out));
+	EXPECT_EQ(JJ_QUARANTINE_CLEAN, check(1));
+	EXPECT_EQ(JJ_QUARANTINE_REFUSED, check(POISON)) << "two are left";
+	(void)jj_name_set(&server, "e2");
+	EXPECT_EQ(1U, jj_quarantine_withdraw(quarantine, &server, 2, &out));
+	EXPECT_EQ(JJ_QUARANTINE_SUSPECT, check(POISON));
+	EXPECT_EQ(1U, jj_quarantine_strikes(quarantine, POISON, now));
+	now += 600000 - 10;
+	jj_quarantine_tick(quarantine, now);
+	EXPECT_EQ(0U, jj_quarantine_strikes(quarantine, POISON, now));
+	EXPECT_EQ(1U, jj_quarantine_strikes(quarantine, 2, now));
+	crash("e5", 5, {POISON});
+	crash("e6", 6, {POISON});
+	EXPECT_EQ(JJ_QUARANTINE_REFUSED, check(POISON));
+}
+
 /*
  * Two VMs connect again after a network partition. Each has seen one crash of
  * its own and both have seen a third: none counts twice, and a request is
