Gateway: a server's error is sent again elsewhere; tests of failures

With gateway.avoid_failing a request that may be repeated goes to another server after an error (500 and the like) while its route's attempts allow it. The relay keeps the answer and forwards it with its status and stamp when the request is abandoned; the last attempt's error is forwarded as before. A request that is not repeatable, and a route with one attempt, are served as before.

The usual failure rate of a service now counts the failures of all VMs and takes the other VMs to have as many successes as this one: with a VM's own failures alone, a service whose requests fail at each server had servers avoided by VMs that only knew of them from reports. A recovery is reported three times, as a lost report left a VM avoiding a server for 15 s.

--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -116,6 +116,12 @@
 	bool repeatable; /**< may be resumed at another server */
 	uint64_t software; /**< software version of the server */
 	bool restarts; /**< the output so far is dropped */
+	/**
+	 * A server's error (500 and the like) ends the attempt, not the
+	 * request: the answer is kept until another attempt has begun to
+	 * answer, or is forwarded when the request is abandoned.
+	 */
+	bool retries_errors;
 	const jj_inline_job_t *job; /**< job of the item, else NULL */
 	const jj_inline_item_t *item;
 } jj_gateway_attempt_t;
--- a/src/core/gateway_outcomes.c
+++ b/src/core/gateway_outcomes.c
@@ -13,6 +13,8 @@
 /** Interval between further reports, ms, for each VMS_PER_INTERVAL VMs. */
 #define REPORT_INTERVAL_MS 100
 #define VMS_PER_INTERVAL 12
+/** Interval between counts of the live VMs, ms. */
+#define COUNT_VMS_MS 1000
 /** Interval between log lines of reports, ms. */
 #define LOG_INTERVAL_MS 1000
 
@@ -53,8 +55,8 @@
 		report = &message->body.outcomes.servers[i];
 		server = jj_slots_find_hash(gateway->slots, report->server);
 		if (server != NULL)
-			jj_outcomes_take_report(
-			    gateway->outcomes, report, service_of(server), now);
+			jj_outcomes_take_report(gateway->outcomes, report,
+			    service_of(server), server->avoided, now);
 	}
 	jj_gateway_tick_outcomes(gateway, now, out);
 }
@@ -63,10 +65,18 @@
 jj_gateway_tick_outcomes(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
 	jj_slot_server_t *server;
+	jj_member_info_t *infos;
+	size_t count;
 	bool failing;
 
 	if (gateway->outcomes == NULL)
 		return;
+	if (now >= gateway->next_outcome_vms_ms) {
+		gateway->next_outcome_vms_ms = now + COUNT_VMS_MS;
+		count = jj_gateway_list_others(gateway, &infos);
+		free(infos);
+		jj_outcomes_set_vms(gateway->outcomes, (uint32_t)count + 1);
+	}
 	jj_outcomes_tick(gateway->outcomes, now);
 	for (server = jj_slots_first(gateway->slots); server != NULL;
 	     server = TAILQ_NEXT(server, link)) {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -68,6 +68,8 @@
 	jj_ms_t retention_ms;
 	/** of an item: attempts that stalled before a first event */
 	uint32_t stalls;
+	/** of an item: attempts that a server answered with an error */
+	uint32_t errors;
 	uint64_t fingerprint;
 	jj_prompt_t prompt;
 	/** team whose allowance it was taken from, 0: none */
@@ -264,6 +266,7 @@
 	/** reports of outcomes that may be sent before the interval is over */
 	uint32_t outcome_burst;
 	jj_ms_t next_outcomes_ms; /**< next regular report of outcomes */
+	jj_ms_t next_outcome_vms_ms; /**< next count of the live VMs */
 	jj_ms_t next_outcomes_log_ms; /**< no report is logged before */
 
 	jj_actions_t *out; /**< actions of the current step, for callbacks */
--- a/src/core/outcome/outcome.c
+++ b/src/core/outcome/outcome.c
@@ -18,12 +18,17 @@
 #define USUAL_WEIGHT 30.0
 /** Log likelihood ratio above which a server is failing. */
 #define FAILING_EVIDENCE 8.0
+/**
+ * A failing server's failures weigh less when others begin to fail, too. Below
+ * this evidence it is not avoided any more.
+ */
+#define KEPT_EVIDENCE (FAILING_EVIDENCE / 3)
 /** Different contents that must have failed at a failing server. */
 #define CONTENTS_MIN 2
 /** When the other servers fail so often, none of them is avoided. */
 #define COMMON_RATE 0.2
 /** Time constant of the failure rates, ms. */
-#define RATE_MS 2000
+#define RATE_MS 700
 /** Evidence without a further failure is dropped after this time, ms. */
 #define EVIDENCE_MS 5000
 /** A server without a further failure is no longer avoided, ms. */
@@ -34,6 +39,8 @@
 #define PROBE_TURN_MS 1000
 /** Successive answers after which a server is no longer avoided. */
 #define PROBES_NEEDED 3
+/** How often a recovery is reported, as reports may be lost. */
+#define RECOVERED_REPORTS 3
 /** Contents that failed lately and are kept. */
 #define CONTENTS_MAX 256
 /** Answers whose weight is below this are forgotten. */
@@ -59,7 +66,7 @@
 	uint64_t server;
 	uint64_t service;
 	rate_t rate; /**< of this VM's attempts */
-	rate_t counted; /**< of these, in the rate of the service */
+	rate_t counted; /**< its part of the rate of the service */
 	double evidence; /**< log likelihood ratio, at least 0 */
 	uint32_t contents; /**< different contents in the evidence */
 	jj_ms_t since_ms; /**< first failure of the evidence */
@@ -69,6 +76,7 @@
 	uint32_t successes; /**< successive ones, while failing */
 	jj_server_outcome_t unreported;
 	bool is_urgent; /**< its changes are to be reported at once */
+	uint32_t repeats; /**< of the report that it has recovered */
 } server_t;
 
 struct jj_outcomes {
@@ -77,9 +85,11 @@
 	content_t contents[CONTENTS_MAX];
 	uint32_t next_content; /**< the oldest one */
 	uint32_t suspects; /**< servers with evidence */
+	uint32_t vms;
 };
 
 static server_t *find_server(jj_outcomes_t *, uint64_t, uint64_t, jj_ms_t);
+static void count_answer(jj_outcomes_t *, server_t *, bool, jj_ms_t);
 static void note_failure(jj_outcomes_t *, server_t *, uint64_t, jj_ms_t);
 static bool note_successes(jj_outcomes_t *, server_t *, uint32_t, jj_ms_t);
 static void withdraw(jj_outcomes_t *, uint64_t, jj_ms_t);
@@ -89,7 +99,7 @@
 static bool is_expired(const server_t *, jj_ms_t);
 static bool has_changes(const server_t *);
 static void age(rate_t *, jj_ms_t);
-static void add(rate_t *, bool, jj_ms_t);
+static void add(rate_t *, bool, uint32_t, jj_ms_t);
 
 jj_outcomes_t *
 jj_outcomes_create(void)
@@ -98,6 +108,7 @@
 
 	outcomes->servers =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
+	outcomes->vms = 1;
 	outcomes->services =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, free, free);
 	return outcomes;
@@ -113,29 +124,24 @@
 	free(outcomes);
 }
 
+void
+jj_outcomes_set_vms(jj_outcomes_t *outcomes, uint32_t vms)
+{
+	outcomes->vms = vms > 0 ? vms : 1;
+}
+
 void
 jj_outcomes_note(
     jj_outcomes_t *outcomes, const jj_outcome_t *outcome, jj_ms_t now)
 {
 	server_t *server =
 	    find_server(outcomes, outcome->server, outcome->service, now);
-	rate_t *service =
-	    g_hash_table_lookup(outcomes->services, &outcome->service);
 	jj_server_outcome_t *unreported;
-	uint64_t *key;
 
 	unreported = &server->unreported;
-	if (service == NULL) {
-		key = jj_alloc(sizeof(*key));
-		*key = outcome->service;
-		service = jj_alloc(sizeof(*service));
-		(void)g_hash_table_insert(outcomes->services, key, service);
-	}
-	add(&server->rate, outcome->failed, now);
-	if (!outcome->avoided) {
-		add(&server->counted, outcome->failed, now);
-		add(service, outcome->failed, now);
-	}
+	add(&server->rate, outcome->failed, 1, now);
+	if (!outcome->avoided)
+		count_answer(outcomes, server, outcome->failed, now);
 	if (outcome->failed) {
 		note_failure(outcomes, server, outcome->content, now);
 		if (unreported->count < JJ_OUTCOME_CONTENTS_MAX)
@@ -150,20 +156,24 @@
 		return;
 	unreported->successes++;
 	if (note_successes(outcomes, server, 1, now)) {
-		unreported->recovered = true;
+		server->repeats = RECOVERED_REPORTS;
 		server->is_urgent = true;
 	}
 }
 
 void
 jj_outcomes_take_report(jj_outcomes_t *outcomes,
-    const jj_server_outcome_t *report, uint64_t service, jj_ms_t now)
+    const jj_server_outcome_t *report, uint64_t service, bool avoided,
+    jj_ms_t now)
 {
 	server_t *server = find_server(outcomes, report->server, service, now);
 	uint32_t i;
 
-	for (i = 0; i < report->count && i < JJ_OUTCOME_CONTENTS_MAX; i++)
+	for (i = 0; i < report->count && i < JJ_OUTCOME_CONTENTS_MAX; i++) {
+		if (!avoided)
+			count_answer(outcomes, server, true, now);
 		note_failure(outcomes, server, report->contents[i], now);
+	}
 	if (server->evidence > 0)
 		(void)note_successes(outcomes, server, report->successes, now);
 	if (report->recovered) {
@@ -218,9 +228,12 @@
 		reports[count] = server->unreported;
 		reports[count].server = server->server;
 		reports[count].failing = server->failing;
+		reports[count].recovered = server->repeats > 0;
 		count++;
 		memset(&server->unreported, 0, sizeof(server->unreported));
 		server->is_urgent = false;
+		if (server->repeats > 0)
+			server->repeats--;
 	}
 	return count;
 }
@@ -228,10 +241,17 @@
 bool
 jj_outcomes_is_failing(jj_outcomes_t *outcomes, uint64_t hash, jj_ms_t now)
 {
-	const server_t *server = g_hash_table_lookup(outcomes->servers, &hash);
+	server_t *server = g_hash_table_lookup(outcomes->servers, &hash);
+	double usual;
 
-	return server != NULL && server->failing && !is_expired(server, now) &&
-	    usual_rate(outcomes, server, now) < COMMON_RATE;
+	if (server == NULL || !server->failing || is_expired(server, now))
+		return false;
+	usual = usual_rate(outcomes, server, now);
+	if (usual < COMMON_RATE &&
+	    server->contents * log(FAILING_RATE / usual) >= KEPT_EVIDENCE)
+		return true;
+	clear_evidence(outcomes, server);
+	return false;
 }
 
 uint64_t
@@ -325,6 +345,26 @@
 	return server;
 }
 
+/** Counts an answer in the rate of the service. */
+static void
+count_answer(
+    jj_outcomes_t *outcomes, server_t *server, bool failed, jj_ms_t now)
+{
+	rate_t *service =
+	    g_hash_table_lookup(outcomes->services, &server->service);
+	uint32_t weight = failed ? 1 : outcomes->vms;
+	uint64_t *key;
+
+	if (service == NULL) {
+		key = jj_alloc(sizeof(*key));
+		*key = server->service;
+		service = jj_alloc(sizeof(*service));
+		(void)g_hash_table_insert(outcomes->services, key, service);
+	}
+	add(&server->counted, failed, weight, now);
+	add(service, failed, weight, now);
+}
+
 static void
 note_failure(
     jj_outcomes_t *outcomes, server_t *server, uint64_t content, jj_ms_t now)
@@ -337,6 +377,7 @@
 		return;
 	server->failed_ms = now;
 	server->successes = 0;
+	server->repeats = 0;
 	if (usual >= FAILING_RATE)
 		return;
 	if (server->evidence == 0) {
@@ -471,8 +512,8 @@
 static bool
 has_changes(const server_t *server)
 {
-	return server->is_urgent || server->unreported.count > 0 ||
-	    server->unreported.successes > 0;
+	return server->is_urgent || server->repeats > 0 ||
+	    server->unreported.count > 0 || server->unreported.successes > 0;
 }
 
 static void
@@ -488,9 +529,9 @@
 }
 
 static void
-add(rate_t *rate, bool failed, jj_ms_t now)
+add(rate_t *rate, bool failed, uint32_t weight, jj_ms_t now)
 {
 	age(rate, now);
-	rate->failures += failed;
-	rate->answers += 1;
+	rate->failures += failed ? weight : 0;
+	rate->answers += weight;
 }
--- a/src/core/outcome/outcome.h
+++ b/src/core/outcome/outcome.h
@@ -39,12 +39,21 @@
 jj_outcomes_t *jj_outcomes_create(void);
 void jj_outcomes_destroy(jj_outcomes_t *outcomes);
 
+/**
+ * Sets the number of live VMs. Failures of all VMs are known, successes only of
+ * this VM: it takes the others to have as many.
+ */
+void jj_outcomes_set_vms(jj_outcomes_t *outcomes, uint32_t vms);
 /** Takes an outcome of this VM's own attempts. */
 void jj_outcomes_note(
     jj_outcomes_t *outcomes, const jj_outcome_t *outcome, jj_ms_t now);
-/** Takes another VM's report about a server of @p service. */
+/**
+ * Takes another VM's report about a server of @p service.
+ * @param avoided this VM avoids the server.
+ */
 void jj_outcomes_take_report(jj_outcomes_t *outcomes,
-    const jj_server_outcome_t *report, uint64_t service, jj_ms_t now);
+    const jj_server_outcome_t *report, uint64_t service, bool avoided,
+    jj_ms_t now);
 /** True when other VMs should know at once what this VM observed. */
 bool jj_outcomes_is_urgent(const jj_outcomes_t *outcomes);
 /** True when there is anything to report. */
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -100,6 +100,8 @@
 	jj_http_call_t *call = NULL;
 	bool relayed = false;
 
+	if (jj_stream_relay_forward_error(node->relay, given->request))
+		return;
 	if (!jj_stream_relay_take(
 		node->relay, given->request, &call, &relayed) ||
 	    call == NULL)
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -22,9 +22,13 @@
 /** The server stops at its deadline; we cancel this much later, ms. */
 #define DEADLINE_GRACE_MS 500
 
+typedef struct attempt attempt_t;
+
 /** An exchange and how much of its answer was forwarded. */
 typedef struct {
 	jj_stream_exchange_t exchange;
+	/** a complete answer with a server's error, or NULL; owned */
+	attempt_t *error;
 	uint32_t attempt; /**< number of the current one, 0: none */
 	uint64_t transfer; /**< its number at the HTTP client */
 	bool begun; /**< the answer's head was sent to the caller */
@@ -44,11 +48,12 @@
 } answer_kind_t;
 
 /** One attempt at a server; freed when its transfer ends. */
-typedef struct {
+struct attempt {
 	jj_stream_relay_t *relay;
 	uint64_t request;
 	uint32_t attempt;
 	bool streams; /**< the route has streamed answers */
+	bool retries_errors; /**< a server's error is not final */
 	bool resumes; /**< resumes after an event that was forwarded */
 	uint64_t software; /**< software version of the server */
 	/** of the events forwarded so far; 0: there is none */
@@ -63,7 +68,7 @@
 	jj_buffer_t body; /**< of an answer that is not streamed */
 	bool first_reported;
 	jj_ms_t progress_reported_ms;
-} attempt_t;
+};
 
 struct jj_stream_relay {
 	const jj_deployment_t *deployment;
@@ -95,6 +100,7 @@
 static void on_end(void *, jj_http_end_t, const jj_http_head_t *);
 static jj_backend_kind_t classify_end(const attempt_t *, jj_http_end_t);
 static jj_backend_kind_t classify_status(const attempt_t *);
+static bool is_retried_error(const attempt_t *);
 static void finish_answer(attempt_t *, entry_t *, jj_bytes_t *);
 static void
 post_event(attempt_t *, jj_backend_kind_t, jj_ms_t, bool, jj_bytes_t *);
@@ -215,6 +221,7 @@
 		return;
 	}
 	attempt->streams = start->streams;
+	attempt->retries_errors = start->retries_errors;
 	attempt->resumes = entry->last_id != JJ_EVENT_NO_ID;
 	attempt->id = strdup(entry->exchange.id);
 	jj_event_stream_begin(&attempt->events, entry->last_id);
@@ -284,6 +291,26 @@
 	return entry != NULL;
 }
 
+bool
+jj_stream_relay_forward_error(jj_stream_relay_t *relay, uint64_t request)
+{
+	bool forwarded = false;
+	entry_t *entry;
+
+	(void)apr_thread_mutex_lock(relay->lock);
+	entry = find(relay, request);
+	if (entry != NULL && entry->error != NULL && !entry->begun &&
+	    entry->exchange.call != NULL) {
+		forwarded = true;
+		if (entry->attempt != 0)
+			jj_http_client_cancel(relay->client, entry->transfer);
+		send_unstreamed(entry->error, entry);
+		(void)g_hash_table_remove(relay->table, &request);
+	}
+	(void)apr_thread_mutex_unlock(relay->lock);
+	return forwarded;
+}
+
 void
 jj_stream_relay_resume(jj_stream_relay_t *relay, uint64_t request)
 {
@@ -325,6 +352,8 @@
 	/* On a forced stop, the call can no longer be answered. */
 	if (entry->exchange.call != NULL)
 		jj_http_call_release(entry->exchange.call);
+	if (entry->error != NULL)
+		free_attempt(entry->error);
 	clear_exchange(&entry->exchange);
 	jj_bytes_free(&entry->text);
 	free(entry);
@@ -599,7 +628,9 @@
 	jj_backend_kind_t kind = classify_end(attempt, end);
 	jj_bytes_t text = {NULL, 0};
 	bool is_current = false;
+	bool is_kept = false;
 	bool relayed = false;
+	attempt_t ended;
 	entry_t *entry;
 
 	(void)apr_thread_mutex_lock(relay->lock);
@@ -611,11 +642,31 @@
 		if (kind == JJ_BACKEND_DONE || kind == JJ_BACKEND_REJECTED)
 			finish_answer(attempt, entry, &text);
 	}
+	ended = *attempt;
+	if (is_current && kind == JJ_BACKEND_FAILED &&
+	    is_retried_error(attempt) && entry->exchange.call != NULL) {
+		if (entry->error != NULL)
+			free_attempt(entry->error);
+		entry->error = attempt;
+		is_kept = true;
+	}
 	(void)apr_thread_mutex_unlock(relay->lock);
+	/* A kept attempt may be freed by another thread now. */
 	if (is_current)
-		post_event(attempt, kind, head->retry_after_ms, relayed, &text);
+		post_event(&ended, kind, head->retry_after_ms, relayed, &text);
 	jj_bytes_free(&text);
-	free_attempt(attempt);
+	if (!is_kept)
+		free_attempt(attempt);
+}
+
+/** True for a server's own error after which the request is sent again. */
+static bool
+is_retried_error(const attempt_t *attempt)
+{
+	return attempt->retries_errors && attempt->kind == ANSWER_UNSTREAMED &&
+	    !attempt->not_run &&
+	    (attempt->status == 500 || attempt->status == 501 ||
+		attempt->status > 504);
 }
 
 /** Ends the caller's answer, or returns the output of a batch item. */
@@ -675,7 +726,8 @@
 	case 504:
 		return JJ_BACKEND_FAILED;
 	default:
-		return JJ_BACKEND_REJECTED;
+		return is_retried_error(attempt) ? JJ_BACKEND_FAILED
+						 : JJ_BACKEND_REJECTED;
 	}
 }
 
--- a/src/daemon/stream_relay.h
+++ b/src/daemon/stream_relay.h
@@ -73,6 +73,11 @@
  */
 bool jj_stream_relay_take(jj_stream_relay_t *relay, uint64_t request,
     jj_http_call_t **call, bool *relayed);
+/**
+ * Forwards the last server's error that was kept while the request was sent
+ * again; false when there is none.
+ */
+bool jj_stream_relay_forward_error(jj_stream_relay_t *relay, uint64_t request);
 /** Resumes a paused answer once the caller's buffer has free space. */
 void jj_stream_relay_resume(jj_stream_relay_t *relay, uint64_t request);
 /** True for hop-by-hop headers, which must not be forwarded. */
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -36,6 +36,7 @@
 	std::condition_variable changed;
 	jj_http_call_t *caller = nullptr;
 	bool streams = false; /**< the route has streamed answers */
+	bool retries_errors = false; /**< errors are not final */
 	uint64_t software = 0; /**< of the last event */
 	int ended = -1; /**< how the attempt ended */
 	bool unframed = false; /**< it ended with its connection */
@@ -118,6 +119,7 @@
 
 		jj_name_set(&start.server, "s1");
 		start.streams = streams;
+		start.retries_errors = retries_errors;
 		start.software = software;
 		snprintf(start.address, sizeof(start.address), "%s",
 		    server.address.c_str());
@@ -198,6 +200,53 @@
 }
 
 /** How a server ends an answer, and what that is taken for. */
+/*
+ * An error that is not final is forwarded as it was when the request is
+ * abandoned, and only then; the next attempt's answer replaces it.
+ */
+TEST_F(StreamRelayFixture, AnErrorIsForwardedUnlessSentAgain)
+{
+	const std::string error =
+	    "HTTP/1.1 500 Error\r\nX-Id: i\r\nX-Stamp: s\r\n"
+	    "Content-Length: 5\r\n\r\nfails";
+
+	streams = true;
+	for (bool is_final : {false, true}) {
+		int fd = send_request(front_address);
+
+		retries_errors = true;
+		wait_for([this] { return caller != nullptr; });
+		start("i");
+		for (uint32_t number = 1; number <= 2; number++) {
+			ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
+			(void)read_until(server.last(), "\r\n\r\n");
+			ASSERT_EQ((ssize_t)error.size(),
+			    send(server.last(), error.data(), error.size(),
+				MSG_NOSIGNAL));
+			wait_for([this] { return ended >= 0; });
+			EXPECT_EQ(is_final && number == 2 ? JJ_BACKEND_REJECTED
+							  : JJ_BACKEND_FAILED,
+			    ended);
+			if (number == 2)
+				break;
+			EXPECT_TRUE(jj_stream_relay_has(relay, 1));
+			ended = -1;
+			retries_errors = !is_final;
+			attempt(2, 7);
+		}
+		EXPECT_EQ(!is_final, jj_stream_relay_forward_error(relay, 1));
+		std::string answer = read_until(fd, "fails");
+		EXPECT_EQ(0U, answer.find("HTTP/1.1 500"));
+		EXPECT_NE(std::string::npos, answer.find("X-Stamp: s"));
+		EXPECT_FALSE(jj_stream_relay_has(relay, 1));
+		EXPECT_FALSE(jj_stream_relay_forward_error(relay, 1));
+		(void)close(fd);
+		std::lock_guard<std::mutex> guard(lock);
+		caller = nullptr;
+		ended = -1;
+	}
+}
+
 struct EndCase {
 	const char *name;
 	bool streams;
--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -133,7 +133,7 @@
 		return message->kind == JJ_MESSAGE_CONFIG &&
 		    message->body.config.document.size > 0;
 	}
-	void
+	virtual void
 	deliver()
 	{
 		std::deque<std::pair<std::string, jj_action_t *>> batch;
--- a/tests/core/load_world.h
+++ b/tests/core/load_world.h
@@ -92,6 +92,8 @@
 	/** VM that gets `crowd_share` of the first attempts, besides its own */
 	std::string crowded_vm;
 	double crowd_share = 0;
+	/** share of the requests that each server answers with 500 */
+	double bad_requests = 0;
 
 	explicit LoadWorld(const LoadShape &of, uint64_t seed = 1)
 	    : GatewayFleet(of.vms, of.queue_most, read_routes, "7", of.adjust),
@@ -270,14 +272,42 @@
 			return;
 		}
 		engine.arrivals++;
-		if (engine.failing > 0 &&
-		    std::uniform_real_distribution<>(0, 1)(random) <
-			engine.failing) {
-			pending_events.push_back({run, JJ_BACKEND_REJECTED});
+		if (request_fails(action.request) ||
+		    (engine.failing > 0 &&
+			std::uniform_real_distribution<>(0, 1)(random) <
+			    engine.failing)) {
+			pending_events.push_back({run,
+			    retries_errors(vm, action.request)
+				? JJ_BACKEND_FAILED
+				: JJ_BACKEND_REJECTED});
 			return;
 		}
 		engine.runs.push_back(run);
 	}
+	bool
+	retries_errors(const std::string &vm, uint64_t request)
+	{
+		jj_gateway_attempt_t attempt;
+
+		return jj_gateway_find_attempt(
+			   vms[vm].gateway, request, now, &attempt) &&
+		    attempt.retries_errors;
+	}
+	static int
+	status_of(jj_backend_kind_t kind)
+	{
+		if (kind == JJ_BACKEND_DONE)
+			return 200;
+		return kind == JJ_BACKEND_REJECTED || kind == JJ_BACKEND_FAILED
+		    ? 500
+		    : 0;
+	}
+	bool
+	request_fails(uint64_t request) const
+	{
+		return (double)(jj_hash_bytes(&request, sizeof(request), 0) %
+			   10000) < bad_requests * 10000;
+	}
 	void
 	cancel(const std::string &vm, uint64_t request, uint32_t attempt)
 	{
@@ -370,10 +400,7 @@
 		event.attempt = run.attempt;
 		event.kind = kind;
 		jj_gateway_take_backend_event(vms[run.vm].gateway, &event,
-		    kind == JJ_BACKEND_DONE	      ? 200
-			: kind == JJ_BACKEND_REJECTED ? 500
-						      : 0,
-		    &text, now, &out);
+		    status_of(kind), &text, now, &out);
 		carry_out(run.vm, &out);
 	}
 	void
--- a/tests/core/outcomes_load_test.cc
+++ b/tests/core/outcomes_load_test.cc
@@ -82,6 +82,7 @@
 	double max_unserved;
 	double max_arrivals;
 	int seeds;
+	uint32_t attempts;
 };
 
 class OutcomesLoad : public ::testing::TestWithParam<LoadCase>
@@ -101,8 +102,11 @@
 	double messages = 0;
 
 	for (int seed = 1; seed <= row.seeds; seed++) {
-		Result result = run(make_shape(row.vms, row.servers),
-		    row.failing, row.share, row.load, seed);
+		LoadShape shape = make_shape(row.vms, row.servers);
+
+		shape.attempts = row.attempts;
+		Result result =
+		    run(shape, row.failing, row.share, row.load, seed);
 
 		unserved += result.unserved / row.seeds;
 		busiest += result.busiest / row.seeds;
@@ -116,14 +120,252 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleets, OutcomesLoad,
-    ::testing::Values(LoadCase{"Calm", 12, 24, 2, 1, 0.6, 0.01, 0.3, 6},
-	LoadCase{"Busy", 12, 24, 2, 1, 0.9, 0.01, 0.3, 24},
-	LoadCase{"PartCalm", 12, 24, 2, 0.45, 0.6, 0.01, 0.5, 6},
-	LoadCase{"PartBusy", 12, 24, 2, 0.45, 0.9, 0.01, 0.5, 24},
-	LoadCase{"ManyVms", 60, 72, 6, 1, 0.6, 0.01, 0.3, 2},
-	LoadCase{"ManyVmsBusy", 60, 72, 6, 1, 0.9, 0.01, 0.3, 2}),
+    ::testing::Values(LoadCase{"Calm", 12, 24, 2, 1, 0.6, 0.01, 0.3, 6, 1},
+	LoadCase{"Busy", 12, 24, 2, 1, 0.9, 0.01, 0.3, 24, 1},
+	LoadCase{"TwoAttempts", 12, 24, 2, 1, 0.6, 0.001, 0.3, 6, 2},
+	LoadCase{"PartTwoAttempts", 12, 24, 2, 0.45, 0.6, 0.001, 0.5, 6, 2},
+	LoadCase{"PartCalm", 12, 24, 2, 0.45, 0.6, 0.01, 0.5, 6, 1},
+	LoadCase{"PartBusy", 12, 24, 2, 0.45, 0.9, 0.01, 0.5, 24, 1},
+	LoadCase{"ManyVms", 60, 72, 6, 1, 0.6, 0.01, 0.3, 2, 1},
+	LoadCase{"ManyVmsBusy", 60, 72, 6, 1, 0.9, 0.01, 0.3, 2, 1}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/** A world in which reports of outcomes are lost, late or duplicated. */
+class Disturbed : public LoadWorld
+{
+      public:
+	using LoadWorld::LoadWorld;
+	bool loses_reports = false;
+	bool delays_reports = false; /**< by up to 300 ms, some twice */
+	bool is_split = false; /**< the first half of the VMs and the second */
+	using GatewayFleet::create;
+	using GatewayFleet::platform;
+	using GatewayFleet::see;
+
+	void
+	deliver() override
+	{
+		std::deque<std::pair<std::string, jj_action_t *>> all;
+
+		all.swap(messages);
+		for (auto &message : all) {
+			jj_message_t *of = message.second->body.send.message;
+			bool is_report = of->kind == JJ_MESSAGE_SERVER_OUTCOMES;
+
+			if ((is_split &&
+				half(message.first) !=
+				    half(message.second->body.send.to.text)) ||
+			    (loses_reports && is_report)) {
+				jj_action_free(message.second);
+			} else if (delays_reports && is_report) {
+				delay(message.first, of,
+				    message.second->body.send.to);
+				if (random() % 2 == 0)
+					delay(message.first, of,
+					    message.second->body.send.to);
+				jj_action_free(message.second);
+			} else {
+				messages.push_back(message);
+			}
+		}
+		while (!late.empty() && late.begin()->first <= now) {
+			messages.push_back(late.begin()->second);
+			late.erase(late.begin());
+		}
+		GatewayFleet::deliver();
+	}
+	/** How many VMs avoid a server. */
+	int
+	avoiding(const char *id)
+	{
+		int avoiding = 0;
+
+		for (auto &vm : vms)
+			avoiding += jj_slots_find(
+			    jj_gateway_slots(vm.second.gateway), id)
+					->avoided;
+		return avoiding;
+	}
+	~Disturbed() override
+	{
+		for (auto &message : late)
+			jj_action_free(message.second.second);
+	}
+
+      private:
+	std::multimap<jj_ms_t, std::pair<std::string, jj_action_t *>> late;
+
+	bool
+	half(const std::string &vm) const
+	{
+		return std::stoi(vm.substr(vm.find('-') + 1)) <= shape.vms / 2;
+	}
+	void
+	delay(const std::string &from, const jj_message_t *message,
+	    const jj_name_t &to)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_action_t *action;
+
+		*jj_actions_add_message(&out, &to, message->kind) = *message;
+		action = TAILQ_FIRST(&out);
+		late.insert({now + (jj_ms_t)(random() % 300), {from, action}});
+	}
+};
+
+struct DisturbedCase {
+	const char *name;
+	void (*disturb)(Disturbed &);
+	double max_unserved; /**< while two servers fail for 5 s */
+	int min_avoiding; /**< VMs that avoid them after 2 s */
+	jj_ms_t readmitted_ms;
+};
+
+class OutcomesDisturbed : public ::testing::TestWithParam<DisturbedCase>
+{
+};
+
+/* What a VM knows is lost, late or doubled, or does not reach the others. */
+TEST_P(OutcomesDisturbed, FailingServersAreAvoidedAndReadmitted)
+{
+	LoadShape shape = make_shape(12, 24);
+	Disturbed world(shape, 1);
+	LoadSecond sum;
+
+	world.load(3000, 0.6 * shape.limit());
+	world.engines["s1"].failing = world.engines["s2"].failing = 1;
+	GetParam().disturb(world);
+	world.load(2000, 0.6 * shape.limit());
+	EXPECT_GE(world.avoiding("s1"), GetParam().min_avoiding);
+	EXPECT_GE(world.avoiding("s2"), GetParam().min_avoiding);
+	world.load(3000, 0.6 * shape.limit());
+	world.engines["s1"].failing = world.engines["s2"].failing = 0;
+	world.engines["s1"].arrivals = 0;
+	world.load(GetParam().readmitted_ms, 0.6 * shape.limit());
+	EXPECT_EQ(0, world.avoiding("s1"));
+	EXPECT_EQ(0, world.avoiding("s2"));
+	EXPECT_GT(world.engines["s1"].arrivals, 10);
+	sum = world.sum(3, 8);
+	EXPECT_LE((double)sum.lost / sum.asked, GetParam().max_unserved)
+	    << world.table();
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, OutcomesDisturbed,
+    ::testing::Values(DisturbedCase{"ReportsAreLost",
+			  [](Disturbed &world) { world.loses_reports = true; },
+			  0.10, 6, 16000},
+	DisturbedCase{"ReportsAreLateDoubledAndOutOfOrder",
+	    [](Disturbed &world) { world.delays_reports = true; }, 0.05, 6,
+	    16000},
+	DisturbedCase{"NetworkPartition",
+	    [](Disturbed &world) { world.is_split = true; }, 0.03, 12, 8000},
+	DisturbedCase{"VmsThatKnowAreNotHeardAnyMore",
+	    [](Disturbed &world) {
+		    world.load(300, 0.6 * world.shape.limit());
+		    for (int i = 1; i <= 4; i++)
+			    world.vms["verona-" + std::to_string(i)]
+				.loses_sent = true;
+	    },
+	    0.03, 12, 8000}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+/* No state of an earlier process of a VM is needed or used. */
+TEST(OutcomesLoadFailure, AllVmsRestart)
+{
+	LoadShape shape = make_shape(12, 24);
+	Disturbed world(shape, 1);
+
+	world.load(3000, 0.6 * shape.limit());
+	world.engines["s1"].failing = 1;
+	world.load(1000, 0.6 * shape.limit());
+	EXPECT_EQ(12, world.avoiding("s1"));
+	for (int i = 1; i <= shape.vms; i++) {
+		std::string name = "verona-" + std::to_string(i);
+
+		jj_gateway_destroy(world.vms[name].gateway);
+		world.vms[name] = FleetVm();
+		world.create(name, (jj_incarnation_t)(100 + i));
+	}
+	for (auto &engine : world.engines)
+		engine.second.runs.clear();
+	world.callers.clear();
+	world.load(50, 0);
+	EXPECT_EQ(0, world.avoiding("s1"));
+	world.load(3000, 0.6 * shape.limit());
+	EXPECT_EQ(12, world.avoiding("s1"));
+}
+
+/* A new process under an old id starts without its predecessor's failures. */
+TEST(OutcomesLoadFailure, ServerRestartsUnderItsOldId)
+{
+	LoadShape shape = make_shape(6, 12);
+	Disturbed world(shape, 1);
+
+	world.load(3000, 0.6 * shape.limit());
+	world.engines["s1"].failing = 1;
+	world.load(1000, 0.6 * shape.limit());
+	EXPECT_EQ(6, world.avoiding("s1"));
+	world.engines["s1"].failing = 0;
+	world.engines["s1"].arrivals = 0;
+	for (auto &vm : world.vms)
+		world.see(vm.first, 2, "servers/s1", "verona ready 5");
+	world.load(500, 0.6 * shape.limit());
+	EXPECT_EQ(0, world.avoiding("s1"));
+	EXPECT_GE(world.engines["s1"].arrivals, 2);
+}
+
+/* A VM without this part gets no better, and does not harm the others. */
+TEST(OutcomesLoadFailure, AVmWithoutThisPart)
+{
+	LoadShape shape = make_shape(12, 24);
+	LoadSecond sum;
+
+	shape.adjust = [](jj_gateway_settings_t *settings) {
+		settings->avoid_failing =
+		    strcmp(settings->name.text, "verona-1") != 0;
+	};
+	Disturbed world(shape, 1);
+	world.load(3000, 0.6 * shape.limit());
+	world.engines["s1"].failing = world.engines["s2"].failing = 1;
+	world.load(5000, 0.6 * shape.limit());
+	EXPECT_EQ(11, world.avoiding("s1"));
+	sum = world.sum(3, 8);
+	EXPECT_LE((double)sum.lost / sum.asked, 1.0 / 12);
+}
+
+/*
+ * Requests that fail at each server are no reason to avoid one. When many of
+ * them begin suddenly, a few servers may be avoided for a moment.
+ */
+TEST(OutcomesLoadFailure, RequestsThatFailEverywhere)
+{
+	struct {
+		double share;
+		double max_at_first; /**< share of the servers, for 3 s */
+		double max_later;
+	} rows[] = {
+	    {0.01, 0, 0}, {0.05, 0, 0}, {0.2, 0.08, 0.005}, {0.5, 0.08, 0}};
+
+	for (auto &row : rows) {
+		LoadShape shape = make_shape(12, 24);
+		Disturbed world(shape, 1);
+		double at_first = 0;
+		double later = 0;
+
+		world.load(3000, 0.6 * shape.limit());
+		world.bad_requests = row.share;
+		for (int i = 0; i < 40; i++) {
+			world.load(250, 0.6 * shape.limit());
+			for (auto &engine : world.engines)
+				(i < 12 ? at_first : later) +=
+				    world.avoiding(engine.first.c_str());
+		}
+		EXPECT_LE(at_first / 12 / (12 * 24), row.max_at_first)
+		    << row.share;
+		EXPECT_LE(later / 28 / (12 * 24), row.max_later) << row.share;
+	}
+}
+
 /* When all servers fail, none of them is at fault alone. */
 TEST(OutcomesLoadFailure, AllServersFail)
 {
