--- a/tests/core/gateway_outcomes_test.cc
+++ b/tests/core/gateway_outcomes_test.cc
@@ -11,7 +11,11 @@
 class GatewayOutcomes : public GatewayFleet
 {
       protected:
-	GatewayOutcomes() : GatewayFleet(1)
+	explicit GatewayOutcomes(bool avoids = false)
+	    : GatewayFleet(1, 1, read_routes, "7",
+		  [avoids](jj_gateway_settings_t *settings) {
+			  settings->avoid_failing = avoids;
+		  })
 	{
 	}
 	std::vector<jj_backend_start_t> starts;
@@ -95,6 +99,62 @@
 	ErrorCase{"Item422", true, 422, true}),
     [](const auto &info) { return std::string(info.param.name); });
 
+struct AgainCase {
+	const char *name;
+	bool is_item;
+	bool resumable; /**< the route may be run again */
+	uint32_t attempts; /**< of the route */
+	uint32_t sent; /**< attempts of a request that always fails */
+};
+
+class GatewayAgain : public GatewayOutcomes,
+		     public ::testing::WithParamInterface<AgainCase>
+{
+      protected:
+	GatewayAgain() : GatewayOutcomes(true)
+	{
+	}
+};
+
+/* An error ends a request that may not run again, or has no attempt left. */
+TEST_P(GatewayAgain, ErrorsAreSentAgainWhereAllowed)
+{
+	jj_gateway_attempt_t attempt;
+
+	routes[1].resumable = GetParam().resumable;
+	routes[1].attempts = GetParam().attempts;
+	platform.put("config/main", "9");
+	see_config("verona-1", 9);
+	if (GetParam().is_item)
+		(void)submit("verona-1", "job");
+	else
+		(void)begin("verona-1", "/online/x");
+	run(10);
+	for (uint32_t sent = 1; sent < GetParam().sent; sent++) {
+		ASSERT_EQ(sent, starts.size());
+		ASSERT_TRUE(jj_gateway_find_attempt(vms["verona-1"].gateway,
+		    starts.back().request, now, &attempt));
+		EXPECT_TRUE(attempt.retries_errors);
+		end(starts.back(), JJ_BACKEND_FAILED, 500);
+		run(2000);
+	}
+	ASSERT_EQ(GetParam().sent, starts.size());
+	ASSERT_TRUE(jj_gateway_find_attempt(
+	    vms["verona-1"].gateway, starts.back().request, now, &attempt));
+	EXPECT_FALSE(attempt.retries_errors);
+	end(starts.back(), JJ_BACKEND_REJECTED, 500);
+	run(2000);
+	EXPECT_EQ(GetParam().sent, starts.size());
+	EXPECT_FALSE(server()->avoided);
+}
+
+INSTANTIATE_TEST_SUITE_P(Routes, GatewayAgain,
+    ::testing::Values(AgainCase{"OneAttempt", false, true, 1, 1},
+	AgainCase{"TwoAttempts", false, true, 2, 2},
+	AgainCase{"NotRepeatable", false, false, 3, 1},
+	AgainCase{"Item", true, false, 1, 3}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 /* A single error may be the request's own: its server is chosen again. */
 TEST_F(GatewayOutcomes, AnErrorAloneCausesNoCooldown)
 {
