Soak: hot teams, and servers that fail or are slow

Three kinds of events: a team that sends about seven times its usual load for 3 to 8 s, an engine or service that answers 45% or all of its requests with 500, and one that is several times slower. The checks are the same; a run of only failing or slow servers counts as one with faults of services, as these delay a cancel on its way.

--- a/tests/soak/context.h
+++ b/tests/soak/context.h
@@ -46,6 +46,7 @@
 	history_t &history;
 	verdicts_t &verdicts;
 	std::atomic<bool> stop{false};
+	std::atomic<int> hot_team{-1}; /* its number; -1: none */
 	/* Incremented at each stop and each start of a VM: odd while down. */
 	std::vector<std::atomic<int>> transitions;
 	/* Crashes of engines that were not killed as a fault, by domain. */
--- a/tests/soak/injector.cc
+++ b/tests/soak/injector.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "tests/soak/injector.h"
+#include "tests/soak/traffic.h"
 
 namespace soak
 {
@@ -151,6 +152,11 @@
 	case fault_kind_t::SERVICE:
 		return fleet.services[fault.target % fleet.services.size()]
 		    .name;
+	case fault_kind_t::FAILING:
+	case fault_kind_t::SLOW:
+		return server_of(fault).name;
+	case fault_kind_t::HOT_TEAM:
+		return "teams";
 	default:
 		return std::string("platform ") + fault_name(fault.kind);
 	}
@@ -211,6 +217,19 @@
 	case fault_kind_t::SERVICE:
 		begin_service_fault(fault);
 		break;
+	case fault_kind_t::HOT_TEAM:
+		context.hot_team =
+		    static_cast<int>(fault.target % ONLINE_TEAMS);
+		break;
+	case fault_kind_t::FAILING:
+		set_server_fault(fault,
+		    fault.variant % 2 == 0 ? "{\"fail_share\":1}"
+					   : "{\"fail_share\":0.45}");
+		break;
+	case fault_kind_t::SLOW:
+		set_server_fault(fault,
+		    is_engine(fault) ? "{\"slow\":5}" : "{\"delay_ms\":700}");
+		break;
 	case fault_kind_t::NONE:
 	case fault_kind_t::POISON:
 		break;
@@ -245,6 +264,13 @@
 		fleet.services[fault.target % fleet.services.size()].fault(
 		    "{\"refuse\":false,\"delay_ms\":0,\"run_then_503\":0,"
 		    "\"run_then_break\":0,\"run_then_hang\":0}");
+	else if (fault.kind == fault_kind_t::HOT_TEAM)
+		context.hot_team = -1;
+	else if (fault.kind == fault_kind_t::FAILING ||
+	    fault.kind == fault_kind_t::SLOW)
+		set_server_fault(fault,
+		    is_engine(fault) ? "{\"fail_share\":0,\"slow\":1}"
+				     : "{\"fail_share\":0,\"delay_ms\":0}");
 	if (fault.kind == fault_kind_t::ENGINE_KILL || is_replacement(fault)) {
 		fleet.engines[engine].process->kill();
 		fleet.engines[engine].process->start();
@@ -318,6 +344,30 @@
 	    faults[fault.variant % (sizeof(faults) / sizeof(faults[0]))]);
 }
 
+bool
+injector_t::is_engine(const fault_t &fault) const
+{
+	return fault.target % (fleet.engines.size() + fleet.services.size()) <
+	    fleet.engines.size();
+}
+
+const harness::standin_t &
+injector_t::server_of(const fault_t &fault) const
+{
+	size_t number =
+	    fault.target % (fleet.engines.size() + fleet.services.size());
+
+	return is_engine(fault) ? fleet.engines[number]
+				: fleet.services[number - fleet.engines.size()];
+}
+
+/* Not checked, as in begin_leaving(): the server may have crashed. */
+void
+injector_t::set_server_fault(const fault_t &fault, const std::string &json)
+{
+	harness::call("POST", server_of(fault).control + "/fault", json);
+}
+
 /* Cuts one VM, or with an even variant its whole domain, off the platform. */
 void
 injector_t::cut_platform(const fault_t &fault, bool cut)
--- a/tests/soak/injector.h
+++ b/tests/soak/injector.h
@@ -63,6 +63,9 @@
 	void begin_leaving(const fault_t &, bool leaving);
 	void begin_replacement(const fault_t &);
 	void begin_service_fault(const fault_t &);
+	const harness::standin_t &server_of(const fault_t &) const;
+	bool is_engine(const fault_t &) const;
+	void set_server_fault(const fault_t &, const std::string &json);
 	void cut_platform(const fault_t &, bool cut);
 	void cut_domain(const fault_t &, bool cut);
 	void watch_stops(long now_ms);
--- a/tests/soak/options.cc
+++ b/tests/soak/options.cc
@@ -65,7 +65,7 @@
 {
 	for (const char *kind :
 	    {"kill", "stop", "freeze", "cut", "platform_cut", "outage",
-		"slow_platform", "leaving", "service"}) {
+		"slow_platform", "leaving", "service", "failing", "slow"}) {
 		if (includes(kind))
 			return false;
 	}
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -1,6 +1,8 @@
 /*
  * Generates the faults of a run.
  */
+#include <algorithm>
+#include <functional>
 #include <random>
 
 #include "tests/soak/schedule.h"
@@ -37,11 +39,20 @@
     {fault_kind_t::POISON, "poison", 0, 0, 0},
 };
 
+/* Drawn by random numbers of their own, so that a seed keeps the others. */
+const fault_spec_t LOAD_FAULT_SPECS[] = {
+    {fault_kind_t::HOT_TEAM, "hot_team", 1, 3000, 8000},
+    {fault_kind_t::FAILING, "failing", 2, 500, 8000},
+    {fault_kind_t::SLOW, "slow", 2, 500, 6000},
+};
+
 /* Faults begin when traffic already runs; the last ones have time to act. */
 constexpr long NO_FAULTS_BEGIN_MS = 2000;
 constexpr long NO_FAULTS_END_MS = 2000;
 constexpr long GAP_MIN_MS = 400;
 constexpr long GAP_MAX_MS = 2400;
+constexpr long LOAD_GAP_MIN_MS = 2000;
+constexpr long LOAD_GAP_MAX_MS = 8000;
 
 /* std::uniform_int_distribution differs between libraries, so that a seed
  * would give other faults elsewhere; this function does not. */
@@ -59,17 +70,43 @@
 	return options.includes(spec.name) ? spec.weight : 0;
 }
 
-const fault_spec_t &
-draw_fault_spec(const options_t &options, std::mt19937_64 &random, int total)
+const fault_spec_t *
+find_spec(const std::function<bool(const fault_spec_t &)> &matches)
 {
-	long at = draw(random, 0, total - 1);
-
 	for (const fault_spec_t &spec : FAULT_SPECS) {
-		at -= weight_of(options, spec);
-		if (at < 0)
-			return spec;
+		if (matches(spec))
+			return &spec;
+	}
+	for (const fault_spec_t &spec : LOAD_FAULT_SPECS) {
+		if (matches(spec))
+			return &spec;
+	}
+	return nullptr;
+}
+
+template <size_t N>
+void
+add_faults(const options_t &options, unsigned long seed,
+    const fault_spec_t (&specs)[N], long gap_min_ms, long gap_max_ms,
+    std::vector<fault_t> &faults)
+{
+	std::mt19937_64 random(seed);
+	long end_ms = options.seconds * 1000 - NO_FAULTS_END_MS;
+	long at_ms = NO_FAULTS_BEGIN_MS;
+	int total = 0;
+
+	for (const fault_spec_t &spec : specs)
+		total += weight_of(options, spec);
+	while (total > 0 && at_ms < end_ms) {
+		long at = draw(random, 0, total - 1);
+		const fault_spec_t *spec = specs;
+		while ((at -= weight_of(options, *spec)) >= 0)
+			spec++;
+		long lasts_ms = draw(random, spec->min_ms, spec->max_ms);
+		faults.push_back(
+		    {at_ms, lasts_ms, spec->kind, random(), random()});
+		at_ms += draw(random, gap_min_ms, gap_max_ms);
 	}
-	return FAULT_SPECS[0];
 }
 
 } // namespace
@@ -77,21 +114,17 @@
 const char *
 fault_name(fault_kind_t kind)
 {
-	for (const fault_spec_t &spec : FAULT_SPECS) {
-		if (spec.kind == kind)
-			return spec.name;
-	}
-	return "";
+	return find_spec([kind](const fault_spec_t &spec) {
+		return spec.kind == kind;
+	})->name;
 }
 
 bool
 is_fault_kind(const std::string &name)
 {
-	for (const fault_spec_t &spec : FAULT_SPECS) {
-		if (name == spec.name)
-			return true;
-	}
-	return false;
+	return find_spec([&name](const fault_spec_t &spec) {
+		return name == spec.name;
+	}) != nullptr;
 }
 
 std::string
@@ -99,30 +132,26 @@
 {
 	std::string names;
 
-	for (const fault_spec_t &spec : FAULT_SPECS)
+	(void)find_spec([&names](const fault_spec_t &spec) {
 		names += (names.empty() ? "" : ", ") + std::string(spec.name);
+		return false;
+	});
 	return names;
 }
 
 std::vector<fault_t>
 plan_faults(const options_t &options)
 {
-	std::mt19937_64 random(options.seed);
 	std::vector<fault_t> faults;
-	long end_ms = options.seconds * 1000 - NO_FAULTS_END_MS;
-	long at_ms = NO_FAULTS_BEGIN_MS;
-	int total = 0;
 
-	for (const fault_spec_t &spec : FAULT_SPECS)
-		total += weight_of(options, spec);
-	while (total > 0 && at_ms < end_ms) {
-		const fault_spec_t &spec =
-		    draw_fault_spec(options, random, total);
-		long lasts_ms = draw(random, spec.min_ms, spec.max_ms);
-		faults.push_back(
-		    {at_ms, lasts_ms, spec.kind, random(), random()});
-		at_ms += draw(random, GAP_MIN_MS, GAP_MAX_MS);
-	}
+	add_faults(
+	    options, options.seed, FAULT_SPECS, GAP_MIN_MS, GAP_MAX_MS, faults);
+	add_faults(options, ~options.seed, LOAD_FAULT_SPECS, LOAD_GAP_MIN_MS,
+	    LOAD_GAP_MAX_MS, faults);
+	std::stable_sort(faults.begin(), faults.end(),
+	    [](const fault_t &one, const fault_t &other) {
+		    return one.at_ms < other.at_ms;
+	    });
 	return faults;
 }
 
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -28,6 +28,9 @@
 	SERVICE, /* calls run, but their answers fail */
 	NONE, /* for a run without faults */
 	POISON, /* prompts that crash engines: see batch_traffic.cc */
+	HOT_TEAM, /* sends many times its usual load */
+	FAILING, /* a server answers a part or all of its requests with 500 */
+	SLOW, /* a server is several times slower */
 };
 
 struct fault_t {
--- a/tests/soak/traffic.cc
+++ b/tests/soak/traffic.cc
@@ -18,6 +18,7 @@
 constexpr int CALL_TRIES = 8;
 constexpr long STATUS_TIMEOUT_MS = 1000;
 constexpr int PATCH_TRIES = 5;
+constexpr int HOT_CALLERS = 6;
 
 /* The text of a streamed answer; sets whole if it contains the end. */
 std::string
@@ -127,6 +128,24 @@
 		duplicate.join();
 }
 
+void
+send_online(caller_t &caller, int number, int team)
+{
+	std::string prompt = caller.name + " asks " + std::to_string(number);
+	bool streamed = caller.chance(50);
+	int tokens = static_cast<int>(caller.draw(2, 24));
+	const harness::vm_t &vm = caller.pick_vm();
+	vm_request_t request = make_completion(prompt, tokens, streamed);
+
+	request.url = vm.callers + "/v1/completions";
+	request.headers = {"Jujube-Deadline-Ms: 6000",
+	    "Jujube-Team: shop-" + std::to_string(team)};
+	if (caller.chance(DISCONNECT_PERCENT))
+		request.timeout_ms = DISCONNECT_MS;
+	check_online_answer(caller.context, send_to_vm(caller, vm, request),
+	    prompt, tokens, streamed);
+}
+
 /* A patch whose name is its team, key and operator, to find it later. */
 vm_request_t
 make_patch(const std::string &name, long version)
@@ -149,23 +168,23 @@
 call_online(caller_t &caller)
 {
 	for (int i = 0; !caller.context.stop; i++) {
-		std::string prompt = caller.name + " asks " + std::to_string(i);
-		bool streamed = caller.chance(50);
-		int tokens = static_cast<int>(caller.draw(2, 24));
-		const harness::vm_t &vm = caller.pick_vm();
-		vm_request_t request =
-		    make_completion(prompt, tokens, streamed);
-		request.url = vm.callers + "/v1/completions";
-		request.headers = {"Jujube-Deadline-Ms: 6000",
-		    "Jujube-Team: shop-" + std::to_string(i % 3)};
-		if (caller.chance(DISCONNECT_PERCENT))
-			request.timeout_ms = DISCONNECT_MS;
-		check_online_answer(caller.context,
-		    send_to_vm(caller, vm, request), prompt, tokens, streamed);
+		send_online(caller, i, i % ONLINE_TEAMS);
 		caller.pause(50, 250);
 	}
 }
 
+void
+call_as_hot_team(caller_t &caller)
+{
+	for (int i = 0; !caller.context.stop; i++) {
+		int team = caller.context.hot_team;
+		if (team >= 0)
+			send_online(caller, i, team);
+		else
+			caller.pause(50, 50);
+	}
+}
+
 void
 call_service(caller_t &caller)
 {
@@ -238,6 +257,7 @@
 		void (*work)(caller_t &);
 	} rows[] = {
 	    {"online", shape.online_callers, call_online},
+	    {"hot", HOT_CALLERS, call_as_hot_team},
 	    {"service", shape.call_callers, call_service},
 	    {"batch", shape.batch_callers, submit_jobs},
 	    {"operator", 3, patch_config},
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -12,8 +12,13 @@
 namespace soak
 {
 
+/* Teams whose requests call_online() sends in turn. */
+constexpr int ONLINE_TEAMS = 3;
+
 /* Online completions, half of them streamed. */
 void call_online(caller_t &caller);
+/* The same of the hot team alone, while there is one, and without pauses. */
+void call_as_hot_team(caller_t &caller);
 /* Non-idempotent calls, each with its own key. */
 void call_service(caller_t &caller);
 /* Batch jobs: upload, submission, status, some cancels. */
