--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -121,6 +121,9 @@
 					     of each scope */
 	size_t neighbour_count;
 	jj_slot_neighbour_t *neighbours; /**< owned */
+	/** fails most requests that it answers (gateway_outcomes.c) */
+	bool avoided;
+	bool probe_due; /**< while avoided: gets one request of this VM */
 	uint32_t failures; /**< consecutive failures */
 	jj_ms_t answered_ms; /**< time of the last first event or answer */
 	jj_ms_t rest_until_ms; /**< cool-down: no new requests before this
@@ -270,6 +273,11 @@
 /** Records a first event that came after @p wait_ms. */
 void
 jj_slots_note_first(jj_slot_server_t *server, jj_ms_t wait_ms, jj_ms_t now);
+/**
+ * Records an answer with an error of the server: its connection works, and
+ * nothing else is known.
+ */
+void jj_slots_note_error(jj_slot_server_t *server);
 /** Records the service time of an online request that has ended. */
 void jj_slots_note_service_time(jj_slot_server_t *server, jj_ms_t service_ms);
 /**
