Make: all parts of `sanitized` run, also after a failure

make stopped at the first part that failed. Each part now runs, and the target fails at the end if any did.

--- a/Makefile
+++ b/Makefile
@@ -128,15 +128,18 @@
 # What runs under the sanitizers: the core (its threads are the adapters'
 # business), the adapters, and real processes on the paths with most threads.
 SANITIZED_SYSTEM ?= BatchFailure.*:OnceFailure.*:AnswerFailure.*
+# Every part runs, also after a failure of one before it.
 sanitized: all $(B)/test-core $(B)/test-adapters $(B)/test-system
+	rc=0; \
 	TSAN_OPTIONS="suppressions=scripts/tsan.supp history_size=7" \
-	    $(B)/test-adapters
+	    $(B)/test-adapters || rc=1; \
 	$(if $(findstring thread,$(SAN)),,$(B)/test-core \
-	    --gtest_filter=-*Model*)
+	    --gtest_filter=-*Model* || rc=1;) \
 	JUJUBE_BIN=$(B) JUJUBE_PATIENCE=4 \
 	    TSAN_OPTIONS="suppressions=scripts/tsan.supp" \
 	    scripts/run-shards $(B)/test-system 4 \
-	    --gtest_filter='$(SANITIZED_SYSTEM)'
+	    --gtest_filter='$(SANITIZED_SYSTEM)' || rc=1; \
+	exit $$rc
 
 check-bench: $(B)/jujube-bench
 	$(B)/jujube-bench --messages
