Gateway: operators see how servers fail their requests

A VM that avoids failing servers lists the servers of which it saw recent answers: metrics jujube_server_failure_rate and jujube_server_avoided by server, GET /v1/outcomes at the operators' address, `jujubectl outcomes`. A server can be failing and not avoided, when too many others are, so the list says both.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	$(B)/src/daemon/assembler.o $(B)/src/daemon/attempt_end.o \
 	$(B)/src/daemon/stream_relay.o $(B)/src/daemon/health.o \
 	$(B)/src/daemon/gateway_node.o $(B)/src/daemon/gateway_front.o \
-	$(B)/src/daemon/gateway_events.o
+	$(B)/src/daemon/gateway_events.o $(B)/src/daemon/gateway_views.o
 PLATFORM_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
 SYSTEM_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/system/*.cc))
 EXAMPLES := $(patsubst examples/%.c,$(B)/example-%,$(wildcard examples/*.c))
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -122,6 +122,16 @@
 	const jj_inline_item_t *item;
 } jj_gateway_attempt_t;
 
+/** What this VM observed of a server. */
+typedef struct {
+	jj_name_t server; /**< its id */
+	double failure_rate; /**< of this VM's recent attempts, 0 to 1 */
+	double answers; /**< recent attempts, weighted by age */
+	bool failing; /**< fails far more often than others of its service */
+	bool avoided; /**< failing, and few enough others are avoided */
+	jj_ms_t since_ms; /**< how long it is failing */
+} jj_gateway_outcome_t;
+
 /** A table of this VM that follows the platform. */
 typedef enum {
 	JJ_TABLE_CONFIG,
@@ -212,4 +222,9 @@
 /** Counts the open jobs that make no progress. */
 jj_inline_health_t jj_gateway_job_health(const jj_gateway_t *gateway);
 
+/* Views for operators (gateway_views.c); empty when the part is off. */
+/** Servers with recent answers: avoided ones first, then by failure rate. */
+size_t jj_gateway_list_outcomes(const jj_gateway_t *gateway,
+    jj_gateway_outcome_t *rows, size_t max_count, jj_ms_t now);
+
 #endif
--- a/src/ctl/ctl_show.c
+++ b/src/ctl/ctl_show.c
@@ -48,6 +48,16 @@
     {NULL, NULL},
 };
 
+static const jj_ctl_column_t outcome_columns[] = {
+    {"SERVER", "server"},
+    {"FAILURE_RATE", "failure_rate"},
+    {"ANSWERS", "answers"},
+    {"FAILING", "failing"},
+    {"AVOIDED", "avoided"},
+    {"SINCE_MS", "since_ms"},
+    {NULL, NULL},
+};
+
 static const jj_ctl_column_t slot_columns[] = {
     {"SLOT", "slot"},
     {"EPOCH", "epoch"},
@@ -62,6 +72,9 @@
 static jj_ctl_exit_t show_status(const jj_ctl_t *, char **);
 static jj_ctl_exit_t show_vms(const jj_ctl_t *, char **);
 static jj_ctl_exit_t show_servers(const jj_ctl_t *, char **);
+static jj_ctl_exit_t show_outcomes(const jj_ctl_t *, char **);
+static jj_ctl_exit_t show_view(
+    const jj_ctl_t *, const char *, const char *, const jj_ctl_column_t *);
 static jj_ctl_exit_t show_ledger(const jj_ctl_t *, char **);
 static jj_ctl_exit_t release_slot(const jj_ctl_t *, char **);
 static jj_ctl_exit_t drain(const jj_ctl_t *, char **);
@@ -76,6 +89,8 @@
 	show_vms},
     {NULL, "servers", "", "backend servers as known to this VM", 0, 0, NULL,
 	show_servers},
+    {NULL, "outcomes", "", "how often servers fail this VM's requests", 0, 0,
+	NULL, show_outcomes},
     {"ledger", "status", "", "homes and witnesses of idempotency keys", 0, 0,
 	NULL, show_ledger},
     {"ledger", "release", "SLOT",
@@ -116,6 +131,32 @@
 	return show_part(ctl, "servers", server_columns);
 }
 
+static jj_ctl_exit_t
+show_outcomes(const jj_ctl_t *ctl, char **arguments)
+{
+	(void)arguments;
+	return show_view(
+	    ctl, "/v1/outcomes", "gateway.avoid_failing", outcome_columns);
+}
+
+/** Prints a view of a VM that serves routes. */
+static jj_ctl_exit_t
+show_view(const jj_ctl_t *ctl, const char *path, const char *name,
+    const jj_ctl_column_t *columns)
+{
+	json_t *view;
+	jj_ctl_exit_t outcome =
+	    jj_ctl_get(ctl, jj_ctl_operators_address(ctl), path, &view);
+
+	if (outcome == JJ_CTL_OK) {
+		if (!json_is_true(json_object_get(view, "enabled")))
+			warnx("%s is off at this VM", name);
+		jj_ctl_print_rows(ctl, json_object_get(view, "rows"), columns);
+	}
+	json_decref(view);
+	return outcome;
+}
+
 static jj_ctl_exit_t
 show_ledger(const jj_ctl_t *ctl, char **arguments)
 {
--- a/src/daemon/gateway_events.c
+++ b/src/daemon/gateway_events.c
@@ -285,6 +285,7 @@
 	for (table = 0; table < JJ_TABLE_COUNT; table++)
 		atomic_store(&node->table_times[table],
 		    jj_gateway_table_time(node->core, (jj_table_t)table));
+	jj_gateway_take_views(node, now);
 	atomic_store(&node->idle, jj_gateway_is_idle(node->core));
 	atomic_store(&node->ready, jj_gateway_is_ready(node->core));
 	atomic_store(
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -281,15 +281,21 @@
 on_operator(void *ctx, jj_http_call_t *call)
 {
 	jj_gateway_node_t *node = ctx;
+	const char *path = jj_http_call_path(call);
+	const char *type = "application/json";
 	jj_bytes_t text;
 
-	if (strcmp(jj_http_call_path(call), "/metrics") != 0) {
+	if (strcmp(path, "/metrics") == 0) {
+		jj_gateway_update_metrics(node);
+		text = jj_metrics_text();
+		type = "text/plain; version=0.0.4";
+	} else if (strcmp(path, "/v1/outcomes") == 0) {
+		text = jj_gateway_write_outcomes(node);
+	} else {
 		answer_ready(node, call);
 		return;
 	}
-	jj_gateway_update_metrics(node);
-	text = jj_metrics_text();
-	answer(node, call, 200, 0, "text/plain; version=0.0.4", &text);
+	answer(node, call, 200, 0, type, &text);
 	jj_bytes_free(&text);
 }
 
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -21,8 +21,7 @@
 #define COALESCE_MS 5
 
 static void fill_settings(const jj_gateway_node_t *, jj_gateway_settings_t *);
-static void
-resolve_switches(const jj_gateway_node_t *, jj_gateway_settings_t *);
+static void resolve_switches(jj_gateway_node_t *);
 static void update_table_ages(jj_gateway_node_t *);
 static void create_core(jj_gateway_node_t *);
 static bool create_adapters(jj_gateway_node_t *);
@@ -98,6 +97,7 @@
 	jj_loop_destroy(node->loop);
 	jj_gateway_destroy(node->core);
 	jj_routes_clear(&node->routes);
+	free(node->views);
 	g_hash_table_destroy(node->pending);
 	apr_pool_destroy(node->pool);
 	free(node);
@@ -113,6 +113,7 @@
 jj_gateway_update_metrics(jj_gateway_node_t *node)
 {
 	update_table_ages(node);
+	jj_gateway_set_view_metrics(node);
 	jj_neighbours_update_metrics(node->neighbours);
 	jj_metrics_set_total("jujube_platform_calls_total",
 	    "Calls to the platform.", jj_platform_calls(node->platform));
@@ -157,6 +158,7 @@
 	    unix_ms, read_prompt, on_routes};
 	int table;
 
+	resolve_switches(node);
 	fill_settings(node, &settings);
 	node->core = jj_gateway_create(&settings, &port);
 	for (table = 0; table < JJ_TABLE_COUNT; table++)
@@ -176,7 +178,8 @@
 	core->incarnation = node->incarnation;
 	core->seed = node->incarnation ^ 1;
 	core->serves = !settings->gateway_idle;
-	resolve_switches(node, core);
+	core->fair_shares = node->switches.fair_shares;
+	core->avoid_failing = node->switches.avoid_failing;
 	core->member = settings->core.member;
 	core->member.incarnation = node->incarnation;
 	core->member.seed = node->incarnation ^ 2;
@@ -201,26 +204,27 @@
 }
 
 static void
-resolve_switches(const jj_gateway_node_t *node, jj_gateway_settings_t *core)
+resolve_switches(jj_gateway_node_t *node)
 {
 	const jj_settings_t *settings = node->settings;
 	const jj_contracts_t *contracts = &settings->platform.contracts;
-	jj_gateway_switches_t required = {false, false};
+	jj_gateway_switches_t *switches = &node->switches;
 	const char *shares_origin, *avoid_origin;
 	size_t i;
 
 	for (i = 0; i < contracts->count; i++)
 		node->deployment->read_contract(
-		    contracts->names[i].text, &required);
-	core->fair_shares = jj_settings_resolve_switch(
-	    settings->fair_shares, required.fair_shares, &shares_origin);
-	core->avoid_failing = jj_settings_resolve_switch(
-	    settings->avoid_failing, required.avoid_failing, &avoid_origin);
+		    contracts->names[i].text, switches);
+	switches->fair_shares = jj_settings_resolve_switch(
+	    settings->fair_shares, switches->fair_shares, &shares_origin);
+	switches->avoid_failing = jj_settings_resolve_switch(
+	    settings->avoid_failing, switches->avoid_failing, &avoid_origin);
 	jj_log(JJ_LOG_INFO, "switches_resolved",
 	    "fair_shares=%s fair_shares_by=%s avoid_failing=%s "
 	    "avoid_failing_by=%s contracts=%zu",
-	    core->fair_shares ? "on" : "off", shares_origin,
-	    core->avoid_failing ? "on" : "off", avoid_origin, contracts->count);
+	    switches->fair_shares ? "on" : "off", shares_origin,
+	    switches->avoid_failing ? "on" : "off", avoid_origin,
+	    contracts->count);
 }
 
 static bool
--- a/src/daemon/gateway_node.h
+++ b/src/daemon/gateway_node.h
@@ -30,6 +30,8 @@
 	JJ_GATEWAY_END_JOB,
 } jj_gateway_operation_t;
 
+typedef struct jj_gateway_views jj_gateway_views_t;
+
 typedef struct {
 	const jj_settings_t *settings;
 	const jj_deployment_t *deployment;
@@ -45,9 +47,12 @@
 	jj_http_server_t *operators;
 
 	apr_pool_t *pool; /**< owns the lock below */
-	apr_thread_mutex_t *lock; /**< guards pending and routes */
+	apr_thread_mutex_t *lock; /**< guards pending, routes and views */
 	GHashTable *pending; /**< calls that wait, by operation */
 	jj_routes_t routes; /**< a copy for the callers' threads */
+	jj_gateway_views_t *views; /**< for operators; NULL: none taken yet */
+	jj_ms_t next_views_ms; /**< only for the loop */
+	jj_gateway_switches_t switches;
 	atomic_uint_fast64_t last_number;
 	atomic_bool ready;
 	atomic_bool leaving;
@@ -104,6 +109,14 @@
 /** Adds the exchange of an item that is sent for the first time. */
 void jj_gateway_add_item(jj_gateway_node_t *node, uint64_t request,
     const jj_inline_job_t *job, const jj_inline_item_t *item);
+/* Views for operators (gateway_views.c). */
+/** Takes a snapshot when one is due; only for the loop. */
+void jj_gateway_take_views(jj_gateway_node_t *node, jj_ms_t now);
+/** Sets the metrics of the latest snapshot. */
+void jj_gateway_set_view_metrics(jj_gateway_node_t *node);
+/** Writes the latest snapshot as JSON, with its age. */
+jj_bytes_t jj_gateway_write_outcomes(jj_gateway_node_t *node);
+
 /** Updates gauges and totals before a scrape. */
 void jj_gateway_update_metrics(jj_gateway_node_t *node);
 
