--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -84,6 +84,8 @@
 	jj_ms_t retry_after_ms; /**< retry delay sent to refused callers */
 	/** servers tried before a request is refused */
 	uint32_t connect_tries;
+	/** scarce slots are divided fairly among teams or routes */
+	bool fair_shares;
 } jj_gateway_settings_t;
 
 /** What the gateway needs to know of a caller's request. */
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -43,6 +43,8 @@
 #define JJ_MESSAGE_ORIGINS_MAX 32
 /** Maximum teams in one message about allowances. */
 #define JJ_MESSAGE_TEAMS_MAX 32
+/** Maximum groups in one message about shares; the rest is added up. */
+#define JJ_MESSAGE_SHARES_MAX 32
 
 typedef enum {
 	JJ_MESSAGE_HEARTBEAT = 1,
@@ -99,6 +101,9 @@
 	JJ_MESSAGE_PART_CRASHES,
 	/** answers with these parts were completed: they crash no servers */
 	JJ_MESSAGE_PARTS_COMPLETED,
+	/** to the home of a service: demand of its groups (share/share.h) */
+	JJ_MESSAGE_SHARE_DEMAND,
+	JJ_MESSAGE_SHARE_LEVEL, /**< by the home: the shares of the groups */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -292,6 +297,40 @@
 	bool notice;
 } jj_team_grant_t;
 
+/** Demand of one group of requests. */
+typedef struct {
+	uint64_t group;
+	uint32_t slot_ms; /**< slot time asked for in the interval */
+} jj_share_group_t;
+
+/** Demand that a VM has seen since its last report. */
+typedef struct {
+	jj_name_t service;
+	uint32_t elapsed_ms; /**< since that report */
+	bool contended; /**< the sender has seen a shortage itself */
+	uint32_t rest_groups; /**< groups that are not listed */
+	uint32_t rest_slot_ms; /**< their demand */
+	uint32_t count;
+	jj_share_group_t groups[JJ_MESSAGE_SHARES_MAX]; /**< highest demand */
+} jj_share_demand_t;
+
+/** Share of one group that asks for more than its share. */
+typedef struct {
+	uint64_t group;
+	uint32_t admit_ppm; /**< part of its requests, in millionths */
+	uint32_t demand; /**< of all VMs, thousandths of a slot */
+} jj_share_grant_t;
+
+/** Shares of a service's groups; those that are not listed have no limit. */
+typedef struct {
+	jj_name_t service;
+	uint32_t valid_ms;
+	uint32_t interval_ms; /**< between reports */
+	uint32_t rest_ppm; /**< as admit_ppm, for groups that are not listed */
+	uint32_t count;
+	jj_share_grant_t groups[JJ_MESSAGE_SHARES_MAX];
+} jj_share_level_t;
+
 /** A request that was on servers when they crashed; see quarantine.h. */
 typedef struct {
 	uint64_t fingerprint;
@@ -403,6 +442,8 @@
 			uint32_t count;
 			jj_team_grant_t grants[JJ_MESSAGE_TEAMS_MAX];
 		} team_grant;
+		jj_share_demand_t share_demand;
+		jj_share_level_t share_level;
 		struct {
 			jj_name_t server;
 			uint64_t boot; /**< as in jj_crash_t */
