Shares: scarce slots are divided fairly among teams or routes

Cause: the queue knows priorities but not senders, so a hot team takes the other teams' slots in proportion to its load. Change: while a service is contended its home adds up the demand in slot time that the VMs report, divides the slots by weighted max-min fairness and sends back the admitted part of each group over its share. Requests beyond a share take only slots that others do not need; groups over their shares do not wait at servers. Off by default (gateway.fair_shares).

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -353,6 +353,38 @@
 };
 LAYOUT(team_grants_layout, jj_message_t, team_grants_fields);
 
+static const field_t share_group_fields[] = {
+    FIELD(FIELD_U64, jj_share_group_t, group),
+    FIELD(FIELD_U32, jj_share_group_t, demand),
+};
+LAYOUT(share_group_layout, jj_share_group_t, share_group_fields);
+
+static const field_t share_demand_fields[] = {
+    TEXT(jj_message_t, body.share_demand.service.text),
+    FIELD(FIELD_BOOL, jj_message_t, body.share_demand.contended),
+    FIELD(FIELD_U32, jj_message_t, body.share_demand.rest_groups),
+    FIELD(FIELD_U32, jj_message_t, body.share_demand.rest_demand),
+    ARRAY(FIELD_ARRAY, jj_message_t, body.share_demand.groups,
+	body.share_demand.count, JJ_MESSAGE_SHARES_MAX, &share_group_layout),
+};
+LAYOUT(share_demand_layout, jj_message_t, share_demand_fields);
+
+static const field_t share_grant_fields[] = {
+    FIELD(FIELD_U64, jj_share_grant_t, group),
+    FIELD(FIELD_U32, jj_share_grant_t, admit),
+    FIELD(FIELD_U32, jj_share_grant_t, demand),
+};
+LAYOUT(share_grant_layout, jj_share_grant_t, share_grant_fields);
+
+static const field_t share_level_fields[] = {
+    TEXT(jj_message_t, body.share_level.service.text),
+    FIELD(FIELD_U32, jj_message_t, body.share_level.valid_ms),
+    FIELD(FIELD_U32, jj_message_t, body.share_level.rest_admit),
+    ARRAY(FIELD_ARRAY, jj_message_t, body.share_level.groups,
+	body.share_level.count, JJ_MESSAGE_SHARES_MAX, &share_grant_layout),
+};
+LAYOUT(share_level_layout, jj_message_t, share_level_fields);
+
 static const field_t unanswered_fields[] = {
     TEXT(jj_message_t, body.unanswered.server.text),
     FIELD(FIELD_U64, jj_message_t, body.unanswered.boot),
@@ -463,6 +495,8 @@
     [JJ_MESSAGE_UNANSWERED_PARTS] = &unanswered_parts_layout,
     [JJ_MESSAGE_PART_CRASHES] = &part_crashes_layout,
     [JJ_MESSAGE_PARTS_COMPLETED] = &parts_completed_layout,
+    [JJ_MESSAGE_SHARE_DEMAND] = &share_demand_layout,
+    [JJ_MESSAGE_SHARE_LEVEL] = &share_level_layout,
 };
 
 static const field_t from_field = TEXT(jj_message_t, from.text);
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -15,7 +15,7 @@
 	static const char *const names[] = {"none", "no_server", "overloaded",
 	    "deadline", "retries", "quarantined", "broken", "stopping",
 	    "no_config", "cancelled", "no_service", "team_limit", "suspect",
-	    "crashing_part", "no_origin"};
+	    "crashing_part", "no_origin", "over_share"};
 
 	return names[reason];
 }
@@ -212,6 +212,8 @@
 	    [JJ_MESSAGE_UNANSWERED_PARTS] = "unanswered_parts",
 	    [JJ_MESSAGE_PART_CRASHES] = "part_crashes",
 	    [JJ_MESSAGE_PARTS_COMPLETED] = "parts_completed",
+	    [JJ_MESSAGE_SHARE_DEMAND] = "share_demand",
+	    [JJ_MESSAGE_SHARE_LEVEL] = "share_level",
 	};
 
 	return kind < JJ_MESSAGE_KIND_END && names[kind] != NULL ? names[kind]
--- a/src/core/action.h
+++ b/src/core/action.h
@@ -65,6 +65,8 @@
 	JJ_FAILURE_CRASHING_PART,
 	/** nobody knows which software version began the stream */
 	JJ_FAILURE_NO_ORIGIN,
+	/** no slot is free, and its group has more than its fair share */
+	JJ_FAILURE_OVER_SHARE,
 } jj_failure_t;
 
 /** Whether a request was run, as its final answer states it. */
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -79,6 +79,11 @@
 	set_watch_times(&gateway->settings);
 	gateway->jobs = jj_inline_create(&gateway->settings.jobs, &jobs);
 	gateway->allowance = jj_allowance_create(settings->seed);
+	if (settings->fair_shares) {
+		gateway->shares = jj_shares_create(settings->seed);
+		gateway->share_home = jj_share_home_create();
+		gateway->share_vms = 1;
+	}
 	gateway->origins = jj_stream_origins_create();
 	gateway->servers_since_ms = JJ_MS_NEVER;
 	gateway->live_vms = 1;
@@ -113,6 +118,8 @@
 	jj_stream_origins_destroy(gateway->origins);
 	jj_allowance_destroy(gateway->allowance);
 	jj_allowance_home_destroy(gateway->allowance_home);
+	jj_shares_destroy(gateway->shares);
+	jj_share_home_destroy(gateway->share_home);
 	jj_slots_destroy(gateway->slots);
 	jj_crash_parts_destroy(gateway->crash_parts);
 	jj_quarantine_destroy(gateway->quarantine);
@@ -239,6 +246,7 @@
 	jj_inline_tick(gateway->jobs, now, out);
 	jj_gateway_tick_relay(gateway, now, out);
 	jj_gateway_tick_teams(gateway, now, out);
+	jj_gateway_tick_shares(gateway, now, out);
 	end_step(gateway, now, out);
 }
 
@@ -246,7 +254,9 @@
 jj_gateway_next(const jj_gateway_t *gateway)
 {
 	bool busy = gateway->counts[JJ_CLASS_ONLINE] > 0 ||
-	    gateway->counts[JJ_CLASS_BATCH] > 0;
+	    gateway->counts[JJ_CLASS_BATCH] > 0 ||
+	    (gateway->shares != NULL &&
+		jj_shares_is_contended(gateway->shares, gateway->last_tick_ms));
 	jj_ms_t next = gateway->last_tick_ms + (busy ? BUSY_TICK_MS : TICK_MS);
 
 	next = earlier(next, jj_mirror_next(&gateway->retire_mirror));
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -18,6 +18,7 @@
 #include "core/prompt.h"
 #include "core/quarantine.h"
 #include "core/route.h"
+#include "core/share/share.h"
 #include "core/slots.h"
 
 /** Longest id that a caller may give a request, bytes. */
@@ -197,6 +198,8 @@
 const jj_routes_t *jj_gateway_routes(const jj_gateway_t *gateway);
 const jj_slots_t *jj_gateway_slots(const jj_gateway_t *gateway);
 const jj_member_t *jj_gateway_member(const jj_gateway_t *gateway);
+/** The fair shares, for jj_shares_list(); NULL when they are off. */
+const jj_shares_t *jj_gateway_shares(const jj_gateway_t *gateway);
 uint32_t jj_gateway_in_flight(const jj_gateway_t *gateway, jj_class_t class_of);
 uint32_t jj_gateway_waiting_items(const jj_gateway_t *gateway);
 /**
--- a/src/core/gateway_queue.c
+++ b/src/core/gateway_queue.c
@@ -40,6 +40,7 @@
 #define QUEUE_MAX_MS 1500
 
 static void insert_by_priority(jj_gateway_t *, jj_gateway_entry_t *);
+static bool goes_before(const jj_gateway_entry_t *, const jj_gateway_entry_t *);
 static bool
 may_find_slot(const jj_gateway_entry_t *, const jj_name_t *, jj_ms_t);
 
@@ -82,8 +83,12 @@
 	 * A request that may have run, or a stream that has begun, is not
 	 * abandoned because of a queue.
 	 */
-	if (entry->target_ms <= 0 || entry->may_have_run ||
-	    entry->software != 0)
+	if (entry->may_have_run || entry->software != 0)
+		return JJ_MS_NEVER;
+	/* Of a group that asks for too much, none waits at a server. */
+	if (entry->share.limited)
+		return 0;
+	if (entry->target_ms <= 0)
 		return JJ_MS_NEVER;
 	return entry->client_retry ? 0 : entry->target_ms * TARGET_QUARTERS / 4;
 }
@@ -107,8 +112,8 @@
 }
 
 /**
- * Puts an entry behind the queued ones of higher priority, before those of the
- * same one.
+ * Puts an entry behind the queued ones that go before it, before those of the
+ * same rank.
  */
 static void
 insert_by_priority(jj_gateway_t *gateway, jj_gateway_entry_t *entry)
@@ -121,7 +126,7 @@
 	{
 		if (other->class_of != JJ_CLASS_ONLINE)
 			break;
-		if (other->queued && other->priority < entry->priority)
+		if (other->queued && goes_before(other, entry))
 			last = other;
 	}
 	if (last != NULL)
@@ -130,6 +135,15 @@
 		TAILQ_INSERT_HEAD(&gateway->waiting, entry, link);
 }
 
+/** Requests within their share go first, then those of higher priority. */
+static bool
+goes_before(const jj_gateway_entry_t *entry, const jj_gateway_entry_t *other)
+{
+	if (entry->over_share != other->over_share)
+		return other->over_share;
+	return entry->priority < other->priority;
+}
+
 void
 jj_gateway_send_queued(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -107,6 +107,7 @@
 	}
 	entry = add_entry(gateway, request, route, now);
 	entry->charged_team = charged_team;
+	jj_gateway_count_share(gateway, entry, &request->team, now);
 	if (request->resumed && entry->streams)
 		jj_gateway_resume(gateway, entry, route, now, out);
 	else
@@ -233,17 +234,23 @@
 {
 	jj_slots_criteria_t criteria = {&entry->service,
 	    server_to_avoid(gateway, entry),
-	    jj_gateway_first_event_limit(entry), entry->software};
+	    jj_gateway_first_event_limit(entry), entry->software,
+	    entry->over_share};
+	jj_failure_t reason;
 	jj_slot_server_t *server;
 	bool full;
 
 	server = jj_slots_choose_online(gateway->slots, &criteria, now, &full);
+	if (full)
+		jj_gateway_note_shortage(gateway, &entry->service, now);
 	if (server == NULL && full &&
 	    jj_gateway_enqueue(gateway, entry, now, out))
 		return;
 	if (server == NULL) {
-		jj_gateway_give_up(gateway, entry,
-		    full ? JJ_FAILURE_OVERLOADED : JJ_FAILURE_NO_SERVER, out);
+		reason = full ? JJ_FAILURE_OVERLOADED : JJ_FAILURE_NO_SERVER;
+		if (full && entry->share.limited)
+			reason = JJ_FAILURE_OVER_SHARE;
+		jj_gateway_give_up(gateway, entry, reason, out);
 		return;
 	}
 	preempt_if_full(gateway, server, now, out);
@@ -264,6 +271,11 @@
 	    entry->may_have_run ? JJ_RUN_UNKNOWN : JJ_RUN_NOT_RUN;
 	action->body.answer.retry_after_ms =
 	    choose_retry_after_ms(gateway, reason, &entry->prompt);
+	if (reason == JJ_FAILURE_OVER_SHARE) {
+		action->body.answer.retry_after_ms =
+		    entry->share.retry_after_ms;
+		jj_gateway_log_over_share(gateway, entry, out);
+	}
 	jj_actions_add_event(out, "request_given_up",
 	    "request=%s reason=%s may_have_run=%d relayed=%d tries=%u sent=%u "
 	    "server=%s after_ms=%lld",
@@ -299,6 +311,8 @@
 	TAILQ_INSERT_TAIL(&gateway->sent, entry, link);
 	entry->attempt++;
 	entry->tries++;
+	if (entry->attempt == 1)
+		jj_gateway_note_share_sent(gateway, entry, now);
 	entry->server = server;
 	entry->last_server = server->info.id;
 	entry->last_server_hash = server->hash;
@@ -627,6 +641,7 @@
 	    entry->first_seen ? entry->attempt_first_ms : entry->sent_ms;
 
 	jj_slots_note_service_time(entry->server, now - since);
+	jj_gateway_note_share_end(gateway, entry, now - since, now);
 	gateway->mean_service_ms +=
 	    MEAN_WEIGHT * ((double)(now - since) - gateway->mean_service_ms);
 }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -11,6 +11,8 @@
 #include "core/crash_parts.h"
 #include "core/gateway.h"
 #include "core/mirror.h"
+#include "core/share/share.h"
+#include "core/share/share_home.h"
 #include "core/stream_origins.h"
 #include "core/team/allowance_home.h"
 
@@ -72,6 +74,10 @@
 	jj_prompt_t prompt;
 	/** team whose allowance it was taken from, 0: none */
 	uint64_t charged_team;
+	/** group that shares the service's slots; 0: not counted */
+	uint64_t share_group;
+	bool over_share; /**< takes only a slot that others do not need */
+	jj_share_decision_t share;
 
 	uint32_t attempt; /**< number of the current attempt */
 	jj_slot_server_t *server; /**< server of the current attempt, or NULL */
@@ -191,6 +197,14 @@
 	jj_ms_t next_usage_log_ms; /**< next log of metered teams */
 	uint32_t unlogged_refusals;
 
+	/** fair shares of scarce slots; NULL: each request is served alike */
+	jj_shares_t *shares;
+	jj_share_home_t *share_home; /**< NULL with `shares` */
+	uint32_t share_vms; /**< live VMs of the region, with this one */
+	jj_ms_t next_share_vms_ms; /**< next count */
+	jj_ms_t next_share_log_ms; /**< no refusal is logged before */
+	uint32_t unlogged_share_refusals;
+
 	bool leaving;
 	jj_ms_t last_tick_ms;
 	/** next load report to this failure domain */
@@ -465,6 +479,32 @@
 void jj_gateway_take_team_message(jj_gateway_t *gateway,
     const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
 
+/** VMs of the region whose heartbeats are late, but not by @p gone_ms. */
+uint32_t
+jj_gateway_count_missing_vms(const jj_gateway_t *gateway, jj_ms_t gone_ms);
+
+/* Fair shares of scarce slots (gateway_shares.c). */
+/** Counts a caller's request and decides whether it is within its share. */
+void jj_gateway_count_share(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const jj_name_t *team, jj_ms_t now);
+/** A request is sent to a server for the first time. */
+void jj_gateway_note_share_sent(
+    jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now);
+/** A request has ended that occupied its slot for so long. */
+void jj_gateway_note_share_end(jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, jj_ms_t slot_ms, jj_ms_t now);
+/** A request of that service found no slot. */
+void jj_gateway_note_shortage(
+    jj_gateway_t *gateway, const jj_name_t *service, jj_ms_t now);
+/** Logs a request that is refused because it is beyond its share. */
+void jj_gateway_log_over_share(
+    jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_actions_t *out);
+void
+jj_gateway_tick_shares(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Takes a report, or the shares that a home sends. */
+void jj_gateway_take_share_message(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
+
 /* Configuration (gateway_config.c). */
 /**
  * Puts a newer configuration in force and announces its version to neighbours;
--- a/src/core/gateway_teams.c
+++ b/src/core/gateway_teams.c
@@ -211,19 +211,24 @@
 static bool
 misses_vms(void *ctx)
 {
-	const jj_gateway_t *gateway = ctx;
+	return jj_gateway_count_missing_vms(ctx, GONE_MS) > 0;
+}
+
+uint32_t
+jj_gateway_count_missing_vms(const jj_gateway_t *gateway, jj_ms_t gone_ms)
+{
 	const jj_member_info_t *info;
+	uint32_t count = 0;
 	size_t i;
 
 	for (i = 0; i < gateway->vm_count; i++) {
 		info = jj_member_find(gateway->member, &gateway->vms[i].name);
-		if (info != NULL && info->state != JJ_VM_LEAVING &&
+		count += info != NULL && info->state != JJ_VM_LEAVING &&
 		    info->heard_ms != JJ_MS_NEVER &&
-		    gateway->now - info->heard_ms < GONE_MS &&
-		    !comes_on_time(gateway, info))
-			return true;
+		    gateway->now - info->heard_ms < gone_ms &&
+		    !comes_on_time(gateway, info);
 	}
-	return false;
+	return count;
 }
 
 static bool
--- a/src/core/gateway_updates.c
+++ b/src/core/gateway_updates.c
@@ -108,6 +108,10 @@
 	case JJ_MESSAGE_TEAM_GRANT:
 		jj_gateway_take_team_message(gateway, message, now, out);
 		break;
+	case JJ_MESSAGE_SHARE_DEMAND:
+	case JJ_MESSAGE_SHARE_LEVEL:
+		jj_gateway_take_share_message(gateway, message, now, out);
+		break;
 	case JJ_MESSAGE_STREAM_ORIGINS:
 	case JJ_MESSAGE_ORIGIN_QUERY:
 	case JJ_MESSAGE_ORIGIN_REPLY:
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -44,7 +44,7 @@
 /** Maximum teams in one message about allowances. */
 #define JJ_MESSAGE_TEAMS_MAX 32
 /** Maximum groups in one message about shares; the rest is added up. */
-#define JJ_MESSAGE_SHARES_MAX 32
+#define JJ_MESSAGE_SHARES_MAX 128
 
 typedef enum {
 	JJ_MESSAGE_HEARTBEAT = 1,
@@ -297,36 +297,40 @@
 	bool notice;
 } jj_team_grant_t;
 
+/** Unit of demand in messages: parts of a request slot. */
+#define JJ_SHARE_SLOT_UNIT 1000
+
 /** Demand of one group of requests. */
 typedef struct {
 	uint64_t group;
-	uint32_t slot_ms; /**< slot time asked for in the interval */
+	uint32_t demand; /**< slots asked for, in 1/JJ_SHARE_SLOT_UNIT */
 } jj_share_group_t;
 
-/** Demand that a VM has seen since its last report. */
+/** What the groups of a service ask the sender for at present. */
 typedef struct {
 	jj_name_t service;
-	uint32_t elapsed_ms; /**< since that report */
 	bool contended; /**< the sender has seen a shortage itself */
 	uint32_t rest_groups; /**< groups that are not listed */
-	uint32_t rest_slot_ms; /**< their demand */
+	uint32_t rest_demand; /**< of these, as in jj_share_group_t */
 	uint32_t count;
-	jj_share_group_t groups[JJ_MESSAGE_SHARES_MAX]; /**< highest demand */
+	jj_share_group_t groups[JJ_MESSAGE_SHARES_MAX]; /**< the largest */
 } jj_share_demand_t;
 
+/** One, in units of admitted parts. */
+#define JJ_SHARE_UNIT 1000000
+
 /** Share of one group that asks for more than its share. */
 typedef struct {
 	uint64_t group;
-	uint32_t admit_ppm; /**< part of its requests, in millionths */
-	uint32_t demand; /**< of all VMs, thousandths of a slot */
+	uint32_t admit; /**< part of its requests, in 1/JJ_SHARE_UNIT */
+	uint32_t demand; /**< of all VMs, as in jj_share_group_t */
 } jj_share_grant_t;
 
-/** Shares of a service's groups; those that are not listed have no limit. */
+/** Shares of a service's groups. */
 typedef struct {
 	jj_name_t service;
 	uint32_t valid_ms;
-	uint32_t interval_ms; /**< between reports */
-	uint32_t rest_ppm; /**< as admit_ppm, for groups that are not listed */
+	uint32_t rest_admit; /**< for groups that are not listed */
 	uint32_t count;
 	jj_share_grant_t groups[JJ_MESSAGE_SHARES_MAX];
 } jj_share_level_t;
--- a/src/core/share/share.h
+++ b/src/core/share/share.h
@@ -28,9 +28,6 @@
  */
 #define JJ_SHARE_GROUPS_MAX 10240
 
-/** Unit of fractions in messages: one. */
-#define JJ_SHARE_UNIT 1000000
-
 /** What a request counts for. */
 typedef struct {
 	const jj_name_t *service;
@@ -41,6 +38,7 @@
 /** Decision about one request. */
 typedef struct {
 	bool within; /**< within the share of its group */
+	bool limited; /**< its group asks for more than its share */
 	/**
 	 * of a request that is refused for its share: when the group is
 	 * expected to have room, ms
@@ -69,13 +67,14 @@
 typedef struct {
 	void *ctx;
 	/**
-	 * Slots that the VMs which this one reaches may use, how many are taken
-	 * by online requests, and how many VMs share them, with this one.
+	 * Part of a service's slots that online requests of all VMs take, and
+	 * the number of slots that are this VM's when it divides by itself.
 	 */
-	void (*capacity)(void *ctx, const jj_name_t *service, double *slots,
-	    double *online, uint32_t *vms);
+	void (*slots_of)(void *ctx, const jj_name_t *service, double *taken,
+	    double *own_slots);
 	/** Sends a report to the service's home. */
 	void (*report)(void *ctx, const jj_share_demand_t *demand);
+	jj_ms_t interval_ms; /**< between reports */
 } jj_share_port_t;
 
 jj_shares_t *jj_shares_create(uint64_t seed);
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -230,6 +230,8 @@
 	 */
 	jj_ms_t first_within_ms;
 	uint64_t software; /**< only this software version; 0: any */
+	/** leaves some slots of the server to other requests */
+	bool leaves_spare;
 } jj_slots_criteria_t;
 
 /**
--- a/src/core/team/team.h
+++ b/src/core/team/team.h
@@ -22,6 +22,8 @@
 	double burst; /**< requests beyond that */
 	/** 0 is the highest; goes before the priority of the route */
 	uint32_t priority;
+	/** of its fair share of scarce slots; 0: as 1 */
+	double weight;
 	/** false: described in a way that can't be used; gets no service */
 	bool usable;
 } jj_team_entry_t;
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -545,7 +545,8 @@
 {
 	if (given->run != JJ_RUN_NOT_RUN)
 		return given->reason == JJ_FAILURE_DEADLINE ? 504 : 502;
-	if (given->reason == JJ_FAILURE_TEAM_LIMIT)
+	if (given->reason == JJ_FAILURE_TEAM_LIMIT ||
+	    given->reason == JJ_FAILURE_OVER_SHARE)
 		return 429;
 	return given->reason == JJ_FAILURE_NO_SERVICE ? 404 : 503;
 }
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -304,6 +304,29 @@
 			    UINT32_MAX, i, i + 1, i + 2, i + 3, true,
 			    JJ_TEAM_SHARE_UNIT, true};
 	}},
+    {"ShareDemand", JJ_MESSAGE_SHARE_DEMAND,
+	[](jj_message_t *m) {
+		auto &demand = m->body.share_demand;
+
+		jj_name_set(&demand.service, "ordini");
+		demand.contended = true;
+		demand.rest_groups = 1;
+		demand.rest_demand = UINT32_MAX;
+		demand.count = JJ_MESSAGE_SHARES_MAX;
+		for (uint32_t i = 0; i < demand.count; i++)
+			demand.groups[i] = {UINT64_MAX - i, i};
+	}},
+    {"ShareLevel", JJ_MESSAGE_SHARE_LEVEL,
+	[](jj_message_t *m) {
+		auto &level = m->body.share_level;
+
+		jj_name_set(&level.service, "ordini");
+		level.valid_ms = UINT32_MAX;
+		level.rest_admit = JJ_SHARE_UNIT;
+		level.count = JJ_MESSAGE_SHARES_MAX;
+		for (uint32_t i = 0; i < level.count; i++)
+			level.groups[i] = {UINT64_MAX - i, i, UINT32_MAX};
+	}},
     {"Yield", JJ_MESSAGE_YIELD,
 	[](jj_message_t *m) { m->body.yield = UINT64_MAX; }},
     {"JobEnded", JJ_MESSAGE_JOB_ENDED,
--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -12,6 +12,8 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
+#include <set>
 
 #include <gtest/gtest.h>
 
@@ -57,11 +59,18 @@
 	jj_prompt_t prompt = {}; /**< of the requests that begin() sends */
 	uint32_t queue_most; /**< online requests that may wait at a server */
 	decltype(jj_gateway_port_t::read_routes) reader;
+	bool fair_shares; /**< of the VMs that create() starts */
+	/** messages between these VMs and the others are lost */
+	std::set<std::string> cut_off;
+	/** part of the messages that come twice, or up to 20 steps late */
+	double disorder = 0;
+	std::mt19937_64 disorder_random;
 
 	explicit GatewayFleet(int count = 3, uint32_t queue_most = 1,
 	    decltype(jj_gateway_port_t::read_routes) reader = read_routes,
-	    const std::string &config = "7")
-	    : count(count), queue_most(queue_most), reader(reader)
+	    const std::string &config = "7", bool fair_shares = false)
+	    : count(count), queue_most(queue_most), reader(reader),
+	      fair_shares(fair_shares)
 	{
 		routes.push_back(
 		    make_route("batch", "/batch/", JJ_ROUTE_BATCH));
@@ -91,6 +100,7 @@
 		settings.serves = true;
 		settings.member.seed = incarnation;
 		settings.slots.queue_most = queue_most;
+		settings.fair_shares = fair_shares;
 		vms[name].gateway = jj_gateway_create(&settings, &port);
 		for (int i = 1; i <= count; i++) {
 			jj_name_t other;
@@ -136,18 +146,34 @@
 			jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
 			std::string to = message.second->body.send.to.text;
 
+			if (is_disordered() && disorder_random() % 20 != 0) {
+				messages.push_back(message);
+				continue;
+			}
 			if (vms.count(to) == 1 && !vms[to].loses_messages &&
+			    cut_off.count(message.first) == cut_off.count(to) &&
 			    !vms[message.first].loses_sent &&
 			    !(vms[to].loses_documents &&
 				is_document(*message.second))) {
 				jj_gateway_take_message(vms[to].gateway,
 				    message.second->body.send.message, now,
 				    &out);
+				if (is_disordered())
+					jj_gateway_take_message(vms[to].gateway,
+					    message.second->body.send.message,
+					    now, &out);
 				carry_out(to, &out);
 			}
 			jj_action_free(message.second);
 		}
 	}
+	bool
+	is_disordered()
+	{
+		return disorder > 0 &&
+		    std::uniform_real_distribution<>(0, 1)(disorder_random) <
+		    disorder;
+	}
 	void
 	carry_out(const std::string &name, jj_actions_t *out)
 	{
--- a/tests/core/load_world.h
+++ b/tests/core/load_world.h
@@ -12,6 +12,7 @@
 #define TESTS_CORE_LOAD_WORLD_H
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <list>
 #include <random>
@@ -32,6 +33,9 @@
 	jj_ms_t budget_ms = 5000;
 	int retries = 1; /**< retries per caller */
 	bool has_target = true; /**< the configuration contains the target */
+	bool fair_shares = false;
+	int teams = 0; /**< 0: callers have no team */
+	double zipf = 1.2; /**< exponent of the teams' loads; 0: all equal */
 
 	/** Requests per second that all slots can serve. */
 	double
@@ -60,6 +64,7 @@
 		jj_ms_t attempt = 0; /**< when the current attempt was sent */
 		std::string vm;
 		int retries = 0;
+		int team = 0;
 		bool refused = false;
 		bool first = false;
 	};
@@ -75,20 +80,33 @@
 		std::list<Run> runs; /**< in order of arrival */
 	};
 
+	using GatewayFleet::create;
+	using GatewayFleet::cut_off;
+	using GatewayFleet::disorder;
+	using GatewayFleet::fair_shares;
+	using GatewayFleet::now;
+	using GatewayFleet::vms;
+
 	LoadShape shape;
 	std::mt19937_64 random;
 	std::map<std::string, Engine> engines;
 	std::map<uint64_t, Caller> callers;
 	std::multimap<jj_ms_t, Caller> retrying;
-	std::map<jj_ms_t, LoadSecond> seconds;
+	/** by second and team */
+	std::map<std::pair<int, int>, LoadSecond> seconds;
 	jj_ms_t start_ms = 0; /**< start time of the load */
 	double arrivals_due = 0; /**< number of arrivals that are due */
 	/** VM that gets `crowd_share` of the first attempts, besides its own */
 	std::string crowded_vm;
 	double crowd_share = 0;
+	int hot_team = -1; /**< it sends hot_times its usual load */
+	double hot_times = 1;
+	double busy_ms = 0; /**< time that slots were taken, over all slots */
 
 	explicit LoadWorld(const LoadShape &of, uint64_t seed = 1)
-	    : GatewayFleet(of.vms, of.queue_most), shape(of), random(seed)
+	    : GatewayFleet(
+		  of.vms, of.queue_most, read_routes, "7", of.fair_shares),
+	      shape(of), random(seed)
 	{
 		for (auto &route : routes) {
 			route.target_ms =
@@ -134,6 +152,44 @@
 		for (const Run &run : runs)
 			deliver(run, JJ_BACKEND_BROKEN);
 	}
+	/** Ends a VM with its requests; create() starts it again. */
+	void
+	kill(const std::string &name)
+	{
+		for (auto &engine : engines)
+			engine.second.runs.remove_if(
+			    [&](const Run &run) { return run.vm == name; });
+		for (auto at = callers.begin(); at != callers.end();) {
+			if (at->second.vm != name) {
+				++at;
+				continue;
+			}
+			second_of(at->second).lost += !at->second.first;
+			at = callers.erase(at);
+		}
+		jj_gateway_destroy(vms[name].gateway);
+		vms.erase(name);
+	}
+	/** Number of log lines of that name at all VMs. */
+	int
+	count_events(const char *name)
+	{
+		int count = 0;
+
+		for (auto &vm : vms)
+			count += vm.second.events[name];
+		return count;
+	}
+	/** Number of messages of a kind that all VMs have sent. */
+	size_t
+	count_sent(int kind)
+	{
+		size_t count = 0;
+
+		for (auto &vm : vms)
+			count += vm.second.sent[kind];
+		return count;
+	}
 	/**
 	 * Runs a load of @p rate requests per second for @p ms milliseconds.
 	 */
@@ -148,14 +204,30 @@
 			run(FLEET_STEP_MS);
 		}
 	}
-	/** Sums the results of the seconds from..to of the load. */
+	/** Part of the load that a team usually sends. */
+	double
+	usual_share(int team) const
+	{
+		double sum = 0;
+
+		for (int i = 0; i < shape.teams; i++)
+			sum += std::pow(i + 1, -shape.zipf);
+		return std::pow(team + 1, -shape.zipf) / sum;
+	}
+	/**
+	 * Sums the results of the seconds from..to of the load, of one team, or
+	 * of all but one.
+	 */
 	LoadSecond
-	sum(int from, int to) const
+	sum(int from, int to, int team = -1, int but = -1) const
 	{
 		LoadSecond all;
 
 		for (auto &second : seconds) {
-			if (second.first < from || second.first >= to)
+			if (second.first.first < from ||
+			    second.first.first >= to ||
+			    (team >= 0 && second.first.second != team) ||
+			    (but >= 0 && second.first.second == but))
 				continue;
 			all.asked += second.second.asked;
 			all.in_target += second.second.in_target;
@@ -172,14 +244,15 @@
 	{
 		std::string text =
 		    "second asked in_aim again late refused lost\n";
+		int end = seconds.empty() ? 0 : seconds.rbegin()->first.first;
 
-		for (auto &second : seconds) {
-			const LoadSecond &of = second.second;
+		for (int second = 0; second <= end; second++) {
+			LoadSecond of = sum(second, second + 1);
 			char line[100];
 
 			snprintf(line, sizeof(line), "%d %d %d %d %d %d %d\n",
-			    (int)second.first, of.asked, of.in_target, of.again,
-			    of.late, of.refused, of.lost);
+			    second, of.asked, of.in_target, of.again, of.late,
+			    of.refused, of.lost);
 			text += line;
 		}
 		return text;
@@ -206,15 +279,30 @@
 	{
 		std::exponential_distribution<double> gap(1.0);
 
+		if (hot_team >= 0)
+			rate *= 1 + (hot_times - 1) * usual_share(hot_team);
 		for (arrivals_due += rate * FLEET_STEP_MS / 1000.0;
 		     arrivals_due > 0; arrivals_due -= gap(random)) {
 			Caller caller;
 
 			caller.begun = now;
+			if (shape.teams > 0)
+				caller.team = pick_team();
 			second_of(caller).asked++;
 			send(caller);
 		}
 	}
+	int
+	pick_team()
+	{
+		std::vector<double> loads;
+
+		for (int i = 0; i < shape.teams; i++)
+			loads.push_back(std::pow(i + 1, -shape.zipf) *
+			    (i == hot_team ? hot_times : 1));
+		return std::discrete_distribution<int>(
+		    loads.begin(), loads.end())(random);
+	}
 	void
 	send_retries()
 	{
@@ -231,8 +319,10 @@
 		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
 		jj_gateway_request_t request = {};
 
-		caller.vm = "verona-" +
-		    std::to_string(1 + random() % (uint64_t)shape.vms);
+		do
+			caller.vm = "verona-" +
+			    std::to_string(1 + random() % (uint64_t)shape.vms);
+		while (vms.count(caller.vm) == 0);
 		if (crowd_share > 0 && caller.retries == 0 &&
 		    std::uniform_real_distribution<>(0, 1)(random) <
 			crowd_share)
@@ -243,6 +333,9 @@
 		request.path = "/online/1";
 		request.budget_ms = caller.begun + shape.budget_ms - now;
 		request.fingerprint = last;
+		if (shape.teams > 0)
+			jj_name_set(&request.team,
+			    ("team-" + std::to_string(caller.team)).c_str());
 		callers[last] = caller;
 		jj_gateway_begin(vms[caller.vm].gateway, &request, now, &out);
 		carry_out(caller.vm, &out);
@@ -250,7 +343,8 @@
 	LoadSecond &
 	second_of(const Caller &caller)
 	{
-		return seconds[(caller.begun - start_ms) / 1000];
+		return seconds[{
+		    (int)((caller.begun - start_ms) / 1000), caller.team}];
 	}
 	void
 	start(const std::string &vm, const jj_backend_start_t &action)
@@ -310,7 +404,8 @@
 		for (auto &engine : engines)
 			serve_at(engine.second, events);
 		for (auto &event : events)
-			deliver(event.first, event.second);
+			if (vms.count(event.first.vm) > 0)
+				deliver(event.first, event.second);
 	}
 	void
 	serve_at(Engine &engine,
@@ -321,6 +416,7 @@
 		for (auto run = engine.runs.begin();
 		     run != engine.runs.end() && running < shape.slots;) {
 			running++;
+			busy_ms += FLEET_STEP_MS;
 			if (run->began == 0)
 				run->began = now;
 			if (!run->first &&
