--- a/src/core/message.h
+++ b/src/core/message.h
@@ -47,6 +47,8 @@
 #define JJ_MESSAGE_OUTCOMES_MAX 32
 /** Maximum contents that failed at a server in one message. */
 #define JJ_OUTCOME_CONTENTS_MAX 4
+/** Maximum groups in one message about shares; the rest is added up. */
+#define JJ_MESSAGE_SHARES_MAX 128
 
 typedef enum {
 	JJ_MESSAGE_HEARTBEAT = 1,
@@ -105,6 +107,9 @@
 	JJ_MESSAGE_PARTS_COMPLETED,
 	/** answers of servers under suspicion (outcome/outcome.h) */
 	JJ_MESSAGE_SERVER_OUTCOMES,
+	/** to the home of a service: demand of its groups (share/share.h) */
+	JJ_MESSAGE_SHARE_DEMAND,
+	JJ_MESSAGE_SHARE_LEVEL, /**< by the home: the shares of the groups */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -298,6 +303,44 @@
 	bool notice;
 } jj_team_grant_t;
 
+/** Unit of demand in messages: parts of a request slot. */
+#define JJ_SHARE_SLOT_UNIT 1000
+
+/** Demand of one group of requests. */
+typedef struct {
+	uint64_t group;
+	uint32_t demand; /**< slots asked for, in 1/JJ_SHARE_SLOT_UNIT */
+} jj_share_group_t;
+
+/** What the groups of a service ask the sender for at present. */
+typedef struct {
+	jj_name_t service;
+	bool contended; /**< the sender has seen a shortage itself */
+	uint32_t rest_groups; /**< groups that are not listed */
+	uint32_t rest_demand; /**< of these, as in jj_share_group_t */
+	uint32_t count;
+	jj_share_group_t groups[JJ_MESSAGE_SHARES_MAX]; /**< the largest */
+} jj_share_demand_t;
+
+/** One, in units of admitted parts. */
+#define JJ_SHARE_UNIT 1000000
+
+/** Share of one group that asks for more than its share. */
+typedef struct {
+	uint64_t group;
+	uint32_t admit; /**< part of its requests, in 1/JJ_SHARE_UNIT */
+	uint32_t demand; /**< of all VMs, as in jj_share_group_t */
+} jj_share_grant_t;
+
+/** Shares of a service's groups. */
+typedef struct {
+	jj_name_t service;
+	uint32_t valid_ms;
+	uint32_t rest_admit; /**< for groups that are not listed */
+	uint32_t count;
+	jj_share_grant_t groups[JJ_MESSAGE_SHARES_MAX];
+} jj_share_level_t;
+
 /** A request that was on servers when they crashed; see quarantine.h. */
 typedef struct {
 	uint64_t fingerprint;
@@ -419,6 +462,8 @@
 			uint32_t count;
 			jj_team_grant_t grants[JJ_MESSAGE_TEAMS_MAX];
 		} team_grant;
+		jj_share_demand_t share_demand;
+		jj_share_level_t share_level;
 		struct {
 			jj_name_t server;
 			uint64_t boot; /**< as in jj_crash_t */
--- a/tests/core/gateway_outcomes_test.cc
+++ b/tests/core/gateway_outcomes_test.cc
@@ -12,7 +12,7 @@
 {
       protected:
 	explicit GatewayOutcomes(bool avoids = false)
-	    : GatewayFleet(1, 1, read_routes, "7",
+	    : GatewayFleet(1, 1, read_routes, "7", false,
 		  [avoids](jj_gateway_settings_t *settings) {
 			  settings->avoid_failing = avoids;
 		  })
