Gateway: a crash is not withdrawn by a replaced process; tests of partitions

A process that the list shows to be replaced withdraws nothing, and a withdrawal waits for an expired entry to return before the other VMs are told. Tests: one, two and three VMs that reach neither servers nor each other; an entry that expires and returns.

--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -173,7 +173,7 @@
 
 	server->alive_ms = now;
 	gateway->answered_ms = now;
-	if (crash == NULL || crash->due_ms != 0 ||
+	if (crash == NULL || crash->due_ms != 0 || server->replaced ||
 	    now - crash->ms <= CRASH_WINDOW_MS)
 		return;
 	if (entry->sent_ms > crash->ms) {
@@ -475,11 +475,14 @@
 		    (crash->due_ms == 0 && crash->answered_ms == 0))
 			continue;
 		server = jj_slots_find_hash(gateway->slots, crash->server_hash);
-		if (server == NULL || !server->listed) {
+		if (server == NULL || server->replaced) {
 			crash->answered_ms = 0;
 			crash->due_ms = 0;
 			continue;
 		}
+		/* An entry that has expired may come back. */
+		if (!server->listed)
+			continue;
 		if (crash->due_ms == 0 &&
 		    now - crash->answered_ms >= VERDICT_MS) {
 			crash->due_ms = now +
--- a/tests/core/gateway_reset_test.cc
+++ b/tests/core/gateway_reset_test.cc
@@ -162,20 +162,22 @@
 	expect_served();
 }
 
-/* Guards against crashes that a VM concludes which is cut off from servers. */
-TEST_F(ResetFleet, AVmThatReachesNoServerCountsNoCrash)
+/* Guards against crashes that VMs conclude which are cut off from all others. */
+TEST_P(ResetCases, VmsThatReachNoServerCountNoCrash)
 {
 	load(20);
-	set_cut("verona-2", true);
-	dark.insert("verona-2");
-	reset({"verona-2"});
+	dark = GetParam().vms;
+	for (const std::string &vm : dark)
+		set_cut(vm, true);
+	reset(dark);
 	for (int i = 0; i < 30; i++) {
-		send("verona-2", {FIRST, RARE});
-		send("verona-1", {FIRST, USUAL});
+		for (int vm = 0; vm < 3; vm++)
+			send(name_of(vm), {FIRST, vm == 0 ? RARE : USUAL});
 		play(100);
 	}
 	dark.clear();
-	set_cut("verona-2", false);
+	for (const std::string &vm : GetParam().vms)
+		set_cut(vm, false);
 	play(ITEM_MS);
 	expect_no_crash();
 	EXPECT_EQ(3U, finished_poisons) << "items";
@@ -334,6 +336,33 @@
 	expect_content_served();
 }
 
+/* Guards against a removed entry as proof while the process goes on. */
+TEST_F(Withdrawals, ACrashIsWithdrawnWhenTheEntryOfALiveServerReturns)
+{
+	std::string server;
+	std::string key;
+
+	service_ms = 3900;
+	for (int i = 0; i < 40; i++)
+		send(name_of(i % 2), {FIRST, RARE});
+	play(50);
+	for (const Attempt &attempt : open)
+		if (attempt.vm == "verona-1" &&
+		    count_open("verona-2", attempt.server) > 0)
+			server = attempt.server;
+	key = "servers/" + server;
+	reset({"verona-1"}, server);
+	play(SERVICE_MS);
+	platform.objects.erase(key);
+	announce(key, true);
+	play(1000);
+	EXPECT_EQ(3, count("part_suspected"));
+	platform.put(key, entry_text);
+	announce(key, false);
+	play(500);
+	EXPECT_EQ(3, count("part_crash_withdrawn"));
+}
+
 /* Guards against a crash withdrawn because of the server's successor. */
 TEST_F(Withdrawals, AnAnswerOfTheNextProcessUnderTheIdWithdrawsNothing)
 {
