--- a/tests/core/gateway_reset_test.cc
+++ b/tests/core/gateway_reset_test.cc
@@ -421,6 +421,19 @@
 	EXPECT_EQ(1U, finished_poisons);
 }
 
+/* Guards against the same where items are kept for hours. */
+TEST_P(RefusedItems, AnItemThatIsKeptLongIsTriedAtTheNextProbe)
+{
+	routes[0].retention_ms = 14400000;
+	for (int vm = 0; vm < 3; vm++)
+		see_config(name_of(vm), 9);
+	refuse_part();
+	submit(name_of(GetParam()), "item", "1,66");
+	/* The second probe is due 30 s after the first one. */
+	play(30000 + 2 * ITEM_MS);
+	EXPECT_EQ(1U, finished_poisons);
+}
+
 /* Guards against a probe that an online request preempts and that counts. */
 TEST_P(RefusedItems, APreemptedItemIsTriedAgainSoon)
 {
