Gateway: items are tried again by their job alone

Jobs already try an item that a server failed again, within the attempts of its route. The retry of items after an error in the gateway came on top of that: a route with one attempt had three. It is removed; requests of callers are sent again as before.

--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -23,8 +23,6 @@
 #define SILENT_MS 1000
 /** Weight of a new sample in the moving average of a request's service time. */
 #define MEAN_WEIGHT 0.05
-/** Servers' errors after which the next one fails an item. */
-#define ITEM_ERRORS_MAX 2
 /** Maximum parts of a prompt that one log line names. */
 #define LOGGED_PARTS_MAX 7
 
@@ -150,10 +148,8 @@
 		break;
 	default:
 		if (event->kind == JJ_BACKEND_FAILED &&
-		    is_server_failure(status)) {
-			entry->errors++;
+		    is_server_failure(status))
 			jj_gateway_note_outcome(gateway, entry, true, now, out);
-		}
 		take_failure(gateway, entry, event, false, now, out);
 		break;
 	}
@@ -200,9 +196,8 @@
 	start->software = entry->server->software;
 	start->restarts = entry->restarts;
 	start->retries_errors = gateway->outcomes != NULL &&
-	    (entry->class_of == JJ_CLASS_BATCH ? entry->errors < ITEM_ERRORS_MAX
-					       : entry->repeatable &&
-			entry->sent_attempts + 1 < entry->max_attempts);
+	    entry->class_of == JJ_CLASS_ONLINE && entry->repeatable &&
+	    entry->sent_attempts + 1 < entry->max_attempts;
 	if (entry->class_of == JJ_CLASS_BATCH)
 		start->item =
 		    jj_inline_find_item(gateway->jobs, request, &start->job);
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -68,8 +68,6 @@
 	jj_ms_t retention_ms;
 	/** of an item: attempts that stalled before a first event */
 	uint32_t stalls;
-	/** of an item: attempts that a server answered with an error */
-	uint32_t errors;
 	uint64_t fingerprint;
 	jj_prompt_t prompt;
 	/** team whose allowance it was taken from, 0: none */
