--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -83,6 +83,7 @@
 		gateway->shares = jj_shares_create(settings->seed);
 		gateway->share_home = jj_share_home_create();
 		gateway->share_vms = 1;
+		gateway->share_reach = 1;
 	}
 	gateway->origins = jj_stream_origins_create();
 	gateway->servers_since_ms = JJ_MS_NEVER;
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -235,7 +235,7 @@
 	jj_slots_criteria_t criteria = {&entry->service,
 	    server_to_avoid(gateway, entry),
 	    jj_gateway_first_event_limit(entry), entry->software,
-	    entry->over_share};
+	    jj_gateway_spare_part(gateway, entry)};
 	jj_failure_t reason;
 	jj_slot_server_t *server;
 	bool full;
--- a/src/core/gateway_shares.c
+++ b/src/core/gateway_shares.c
@@ -20,6 +20,17 @@
  * would wait as long as at full load.
  */
 #define DIVIDED_PART 0.95
+/**
+ * Part of a server's slots that requests beyond their shares may take. VMs send
+ * to the same slot before they know of each other: with all slots, 0.09 of the
+ * other requests of an overloaded service were late.
+ */
+#define FREE_PART 0.75
+/**
+ * VMs that do not see each other's requests keep this reserve, so that the
+ * queues from the time before they noticed become shorter.
+ */
+#define CUT_OFF_FACTOR 0.85
 /** Slots of a VM that is cut off are not divided for so long, ms. */
 #define GONE_MS 10000
 /** Interval between counts of the live VMs, ms. */
@@ -34,7 +45,7 @@
 static void announce(void *, const jj_share_level_t *);
 static jj_share_home_port_t home_port(jj_gateway_t *);
 static jj_ms_t interval_ms(const jj_gateway_t *);
-static double divided_slots(const jj_gateway_t *, uint32_t);
+static void count_vms(jj_gateway_t *);
 static jj_share_key_t key_of(const jj_gateway_t *, const jj_gateway_entry_t *);
 
 void
@@ -55,6 +66,16 @@
 	entry->over_share = entry->share.limited && !entry->share.within;
 }
 
+/**
+ * VMs that are cut off use their part of the slots; this one does not see when.
+ */
+double
+jj_gateway_spare_part(
+    const jj_gateway_t *gateway, const jj_gateway_entry_t *entry)
+{
+	return entry->over_share ? 1 - FREE_PART * gateway->share_reach : 0;
+}
+
 void
 jj_gateway_note_share_sent(
     jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
@@ -118,16 +139,13 @@
 	jj_share_port_t port = {
 	    gateway, slots_of, send_report, interval_ms(gateway)};
 	jj_share_home_port_t home = home_port(gateway);
-	jj_member_info_t *infos;
 
 	gateway->out = out;
 	if (gateway->shares == NULL)
 		return;
 	if (now >= gateway->next_share_vms_ms) {
 		gateway->next_share_vms_ms = now + COUNT_VMS_MS;
-		gateway->share_vms =
-		    1 + (uint32_t)jj_gateway_list_others(gateway, &infos);
-		free(infos);
+		count_vms(gateway);
 	}
 	jj_shares_tick(gateway->shares, &port, now);
 	jj_share_home_tick(gateway->share_home, &home, now);
@@ -182,9 +200,9 @@
 		total += server->info.slots;
 		online += server->online + server->others_online;
 	}
+	total *= gateway->share_reach;
 	*taken = total > 0 ? online / total : 0;
-	*own_slots =
-	    divided_slots(gateway, (uint32_t)total) / gateway->share_vms;
+	*own_slots = DIVIDED_PART * total / gateway->share_vms;
 }
 
 /**
@@ -211,17 +229,22 @@
 				service, &server->neighbours[i].vm->name))
 				other += server->neighbours[i].online;
 	}
-	return divided_slots(gateway, total) - other;
+	return DIVIDED_PART * total * gateway->share_reach - other;
 }
 
-/** The slots of the VMs that this one reaches; the others use theirs. */
-static double
-divided_slots(const jj_gateway_t *gateway, uint32_t total)
+static void
+count_vms(jj_gateway_t *gateway)
 {
-	double live = gateway->share_vms;
-
-	return DIVIDED_PART * total * live /
-	    (live + jj_gateway_count_missing_vms(gateway, GONE_MS));
+	jj_member_info_t *infos;
+	uint32_t missing = jj_gateway_count_missing_vms(gateway, GONE_MS);
+
+	gateway->share_vms =
+	    1 + (uint32_t)jj_gateway_list_others(gateway, &infos);
+	free(infos);
+	gateway->share_reach =
+	    gateway->share_vms / (double)(gateway->share_vms + missing);
+	if (missing > 0)
+		gateway->share_reach *= CUT_OFF_FACTOR;
 }
 
 static void
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -201,6 +201,8 @@
 	jj_shares_t *shares;
 	jj_share_home_t *share_home; /**< NULL with `shares` */
 	uint32_t share_vms; /**< live VMs of the region, with this one */
+	double
+	    share_reach; /**< part of the region's VMs that are not cut off */
 	jj_ms_t next_share_vms_ms; /**< next count */
 	jj_ms_t next_share_log_ms; /**< no refusal is logged before */
 	uint32_t unlogged_share_refusals;
@@ -487,6 +489,9 @@
 /** Counts a caller's request and decides whether it is within its share. */
 void jj_gateway_count_share(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
     const jj_name_t *team, jj_ms_t now);
+/** Part of a server's slots that a request leaves to others, 0 to 1. */
+double jj_gateway_spare_part(
+    const jj_gateway_t *gateway, const jj_gateway_entry_t *entry);
 /** A request is sent to a server for the first time. */
 void jj_gateway_note_share_sent(
     jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now);
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -230,8 +230,8 @@
 	 */
 	jj_ms_t first_within_ms;
 	uint64_t software; /**< only this software version; 0: any */
-	/** leaves some slots of the server to other requests */
-	bool leaves_spare;
+	/** part of a server's slots that is left to other requests, 0 to 1 */
+	double spare_part;
 } jj_slots_criteria_t;
 
 /**
--- a/src/core/slots_choose.c
+++ b/src/core/slots_choose.c
@@ -66,13 +66,6 @@
  */
 #define OTHERS_SAMPLE 3
 
-/*
- * A request that leaves spare slots leaves a server's slots divided by this.
- * With none left, 0.09 of the other requests of an overloaded service were late
- * or refused, as VMs send to the same slot before they know of each other.
- */
-#define SPARE_DIVISOR 4
-
 /*
  * Time over which the mean load of the servers that this VM uses is smoothed,
  * ms; about the age of what it knows of the others.
@@ -317,8 +310,7 @@
 	    server->service_ms > 0 ? server->service_ms : service_ms;
 	double wait_ms;
 
-	if (criteria->leaves_spare)
-		online += server->info.slots / SPARE_DIVISOR;
+	online += (uint32_t)(criteria->spare_part * server->info.slots);
 	if (online < server->info.slots ||
 	    criteria->first_within_ms == JJ_MS_NEVER)
 		return true;
