--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -123,6 +123,16 @@
 	const jj_inline_item_t *item;
 } jj_gateway_attempt_t;
 
+/** A group of requests that slots are shared among. */
+typedef struct {
+	/** of a team, else of a route; empty: all further groups together */
+	jj_name_t name;
+	/* At this VM, requests per second: */
+	double share; /**< within the share of the group */
+	double demand; /**< that arrive */
+	double served; /**< that are sent to servers */
+} jj_gateway_share_t;
+
 /** What this VM observed of a server. */
 typedef struct {
 	jj_name_t server; /**< its id */
@@ -226,6 +236,9 @@
 jj_inline_health_t jj_gateway_job_health(const jj_gateway_t *gateway);
 
 /* Views for operators (gateway_views.c); empty when the part is off. */
+/** Groups with the highest demand first; in the last row, all further ones. */
+size_t jj_gateway_list_shares(const jj_gateway_t *gateway,
+    jj_gateway_share_t *rows, size_t max_count, jj_ms_t now);
 /** Servers with recent answers: avoided ones first, then by failure rate. */
 size_t jj_gateway_list_outcomes(const jj_gateway_t *gateway,
     jj_gateway_outcome_t *rows, size_t max_count, jj_ms_t now);
--- a/src/ctl/ctl_show.c
+++ b/src/ctl/ctl_show.c
@@ -48,6 +48,14 @@
     {NULL, NULL},
 };
 
+static const jj_ctl_column_t share_columns[] = {
+    {"TEAM", "team"},
+    {"SHARE_PER_S", "share_per_s"},
+    {"DEMAND_PER_S", "demand_per_s"},
+    {"SERVED_PER_S", "served_per_s"},
+    {NULL, NULL},
+};
+
 static const jj_ctl_column_t outcome_columns[] = {
     {"SERVER", "server"},
     {"FAILURE_RATE", "failure_rate"},
@@ -72,6 +80,7 @@
 static jj_ctl_exit_t show_status(const jj_ctl_t *, char **);
 static jj_ctl_exit_t show_vms(const jj_ctl_t *, char **);
 static jj_ctl_exit_t show_servers(const jj_ctl_t *, char **);
+static jj_ctl_exit_t show_shares(const jj_ctl_t *, char **);
 static jj_ctl_exit_t show_outcomes(const jj_ctl_t *, char **);
 static jj_ctl_exit_t show_view(
     const jj_ctl_t *, const char *, const char *, const jj_ctl_column_t *);
@@ -89,6 +98,8 @@
 	show_vms},
     {NULL, "servers", "", "backend servers as known to this VM", 0, 0, NULL,
 	show_servers},
+    {NULL, "shares", "", "teams' shares of scarce slots at this VM", 0, 0, NULL,
+	show_shares},
     {NULL, "outcomes", "", "how often servers fail this VM's requests", 0, 0,
 	NULL, show_outcomes},
     {"ledger", "status", "", "homes and witnesses of idempotency keys", 0, 0,
@@ -131,6 +142,14 @@
 	return show_part(ctl, "servers", server_columns);
 }
 
+static jj_ctl_exit_t
+show_shares(const jj_ctl_t *ctl, char **arguments)
+{
+	(void)arguments;
+	return show_view(
+	    ctl, "/v1/shares", "gateway.fair_shares", share_columns);
+}
+
 static jj_ctl_exit_t
 show_outcomes(const jj_ctl_t *ctl, char **arguments)
 {
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -289,8 +289,10 @@
 		jj_gateway_update_metrics(node);
 		text = jj_metrics_text();
 		type = "text/plain; version=0.0.4";
+	} else if (strcmp(path, "/v1/shares") == 0) {
+		text = jj_gateway_write_view(node, JJ_GATEWAY_VIEW_SHARES);
 	} else if (strcmp(path, "/v1/outcomes") == 0) {
-		text = jj_gateway_write_outcomes(node);
+		text = jj_gateway_write_view(node, JJ_GATEWAY_VIEW_OUTCOMES);
 	} else {
 		answer_ready(node, call);
 		return;
--- a/src/daemon/gateway_node.h
+++ b/src/daemon/gateway_node.h
@@ -30,6 +30,12 @@
 	JJ_GATEWAY_END_JOB,
 } jj_gateway_operation_t;
 
+/** What operators can look at besides metrics. */
+typedef enum {
+	JJ_GATEWAY_VIEW_SHARES,
+	JJ_GATEWAY_VIEW_OUTCOMES,
+} jj_gateway_view_t;
+
 typedef struct jj_gateway_views jj_gateway_views_t;
 
 typedef struct {
@@ -114,8 +120,9 @@
 void jj_gateway_take_views(jj_gateway_node_t *node, jj_ms_t now);
 /** Sets the metrics of the latest snapshot. */
 void jj_gateway_set_view_metrics(jj_gateway_node_t *node);
-/** Writes the latest snapshot as JSON, with its age. */
-jj_bytes_t jj_gateway_write_outcomes(jj_gateway_node_t *node);
+/** Writes a view of the latest snapshot as JSON, with its age. */
+jj_bytes_t
+jj_gateway_write_view(jj_gateway_node_t *node, jj_gateway_view_t kind);
 
 /** Updates gauges and totals before a scrape. */
 void jj_gateway_update_metrics(jj_gateway_node_t *node);
--- a/tests/platform/views_test.cc
+++ b/tests/platform/views_test.cc
@@ -1,6 +1,6 @@
 /**
  * @file views_test.cc
- * @brief What operators of an entry VM see of servers' outcomes.
+ * @brief What operators of an entry VM see of shares and of servers' outcomes.
  */
 #include <string>
 
@@ -52,18 +52,21 @@
 	}
 };
 
-TEST_F(ViewsOn, ShowServers)
+TEST_F(ViewsOn, ShowTeamsAndServers)
 {
+	std::string shares = ask_until("/v1/shares", R"("team":"fish")");
 	std::string outcomes = ask_until("/v1/outcomes", R"("server":"s1")");
 	std::string metrics =
-	    ask_until("/metrics", R"(jujube_server_avoided{server="s1"} 0)");
+	    ask_until("/metrics", R"(jujube_share_demand_per_s{team="fish"} )");
 
+	EXPECT_NE(std::string::npos, shares.find(R"("enabled":true)"));
+	EXPECT_NE(std::string::npos, shares.find(R"("vm":"vm-1")"));
 	EXPECT_NE(std::string::npos, outcomes.find(R"("avoided":false)"));
 	EXPECT_NE(std::string::npos,
 	    metrics.find("jujube_server_failure_rate{server=\"s1\"} 0\n"));
 	EXPECT_NE(std::string::npos,
 	    metrics.find("jujube_server_avoided{server=\"s1\"} 0\n"));
-	for (const std::string &text : {outcomes, metrics, read_log()})
+	for (const std::string &text : {shares, outcomes, metrics, read_log()})
 		EXPECT_EQ(std::string::npos, text.find("key-of-fish"));
 	EXPECT_NE(std::string::npos,
 	    read_log().find("fair_shares=on fair_shares_by=contracts "
@@ -72,7 +75,7 @@
 
 TEST_F(Views, AreEmptyWhenSwitchedOff)
 {
-	for (const char *path : {"/v1/outcomes"}) {
+	for (const char *path : {"/v1/shares", "/v1/outcomes"}) {
 		std::string got = ask(path);
 
 		EXPECT_NE(std::string::npos, got.find(R"("enabled":false)"))
