--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -71,8 +71,9 @@
 
 	explicit GatewayFleet(int count = 3, uint32_t queue_most = 1,
 	    decltype(jj_gateway_port_t::read_routes) reader = read_routes,
-	    const std::string &config = "7", bool fair_shares = false,
-	    std::function<void(jj_gateway_settings_t *)> adjust = nullptr)
+	    const std::string &config = "7",
+	    std::function<void(jj_gateway_settings_t *)> adjust = nullptr,
+	    bool fair_shares = false)
 	    : count(count), queue_most(queue_most), reader(reader),
 	      adjust(std::move(adjust)), fair_shares(fair_shares)
 	{
--- a/tests/core/load_world.h
+++ b/tests/core/load_world.h
@@ -111,8 +111,8 @@
 	double busy_ms = 0; /**< time that slots were taken, over all slots */
 
 	explicit LoadWorld(const LoadShape &of, uint64_t seed = 1)
-	    : GatewayFleet(of.vms, of.queue_most, read_routes, "7",
-		  of.fair_shares, of.adjust),
+	    : GatewayFleet(of.vms, of.queue_most, read_routes, "7", of.adjust,
+		  of.fair_shares),
 	      shape(of), random(seed)
 	{
 		for (auto &route : routes) {
