--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -15,9 +15,11 @@
 
 #include "core/inline.h"
 #include "core/member.h"
+#include "core/outcome/outcome.h"
 #include "core/prompt.h"
 #include "core/quarantine.h"
 #include "core/route.h"
+#include "core/share/share.h"
 #include "core/slots.h"
 
 /** Longest id that a caller may give a request, bytes. */
@@ -117,10 +119,36 @@
 	bool repeatable; /**< may be resumed at another server */
 	uint64_t software; /**< software version of the server */
 	bool restarts; /**< the output so far is dropped */
+	/**
+	 * A server's error (500 and the like) ends the attempt, not the
+	 * request: the answer is kept until another attempt has begun to
+	 * answer, or is forwarded when the request is abandoned.
+	 */
+	bool retries_errors;
 	const jj_inline_job_t *job; /**< job of the item, else NULL */
 	const jj_inline_item_t *item;
 } jj_gateway_attempt_t;
 
+/** A group of requests that slots are shared among. */
+typedef struct {
+	/** of a team, else of a route; empty: all further groups together */
+	jj_name_t name;
+	/* At this VM, requests per second: */
+	double share; /**< within the share of the group */
+	double demand; /**< that arrive */
+	double served; /**< that are sent to servers */
+} jj_gateway_share_t;
+
+/** What this VM observed of a server. */
+typedef struct {
+	jj_name_t server; /**< its id */
+	double failure_rate; /**< of this VM's recent attempts, 0 to 1 */
+	double answers; /**< recent attempts, weighted by age */
+	bool failing; /**< fails far more often than others of its service */
+	bool avoided; /**< failing, and few enough others are avoided */
+	jj_ms_t since_ms; /**< how long it is failing */
+} jj_gateway_outcome_t;
+
 /** A table of this VM that follows the platform. */
 typedef enum {
 	JJ_TABLE_CONFIG,
@@ -198,7 +226,11 @@
 jj_gateway_address(const jj_gateway_t *gateway, const jj_name_t *name);
 const jj_routes_t *jj_gateway_routes(const jj_gateway_t *gateway);
 const jj_slots_t *jj_gateway_slots(const jj_gateway_t *gateway);
+/** Observed behaviour of servers; NULL unless failing servers are avoided. */
+jj_outcomes_t *jj_gateway_outcomes(const jj_gateway_t *gateway);
 const jj_member_t *jj_gateway_member(const jj_gateway_t *gateway);
+/** The fair shares, for jj_shares_list(); NULL when they are off. */
+const jj_shares_t *jj_gateway_shares(const jj_gateway_t *gateway);
 uint32_t jj_gateway_in_flight(const jj_gateway_t *gateway, jj_class_t class_of);
 uint32_t jj_gateway_waiting_items(const jj_gateway_t *gateway);
 /**
@@ -209,4 +241,12 @@
 /** Counts the open jobs that make no progress. */
 jj_inline_health_t jj_gateway_job_health(const jj_gateway_t *gateway);
 
+/* Views for operators (gateway_views.c); empty when the part is off. */
+/** Groups with the highest demand first; in the last row, all further ones. */
+size_t jj_gateway_list_shares(const jj_gateway_t *gateway,
+    jj_gateway_share_t *rows, size_t max_count, jj_ms_t now);
+/** Servers with recent answers: avoided ones first, then by failure rate. */
+size_t jj_gateway_list_outcomes(const jj_gateway_t *gateway,
+    jj_gateway_outcome_t *rows, size_t max_count, jj_ms_t now);
+
 #endif
--- a/src/core/gateway_parts.c
+++ b/src/core/gateway_parts.c
@@ -23,12 +23,20 @@
 #define SOUND_RANKS_MAX 64
 /** Retry delay of requests while another VM may send a probe, ms. */
 #define PROBE_RETRY_MS 1000
+/**
+ * VMs whose items wait for a probe send it one after the other, in the order of
+ * their ranks at this interval, as the first one may have no request with the
+ * part, ms. Until then it is known whether a probe crashed its server.
+ */
+#define PROBE_HANDOVER_MS 5000
 /** Maximum entries of one VM's history. */
 #define HISTORY_MAX ((size_t)2 * JJ_MESSAGE_PARTS_MAX)
 
 static bool
 is_reported_by_sender(const jj_gateway_t *, const jj_unanswered_t *);
 static void
+take_crash(jj_gateway_t *, const jj_part_crashes_t *, jj_ms_t, jj_actions_t *);
+static void
 count_crash(jj_gateway_t *, const jj_part_crashes_t *, jj_ms_t, jj_actions_t *);
 static void add_sound(jj_gateway_t *, uint64_t, jj_ms_t);
 static void remove_sound(jj_gateway_t *, const jj_prompt_t *);
@@ -127,7 +135,7 @@
 		break;
 	case JJ_MESSAGE_PART_CRASHES:
 		for (i = 0; i < message->body.part_crashes.count; i++)
-			count_crash(gateway,
+			take_crash(gateway,
 			    &message->body.part_crashes.entries[i], now, out);
 		break;
 	case JJ_MESSAGE_PARTS_COMPLETED:
@@ -183,6 +191,46 @@
 	return 0;
 }
 
+/*
+ * An item goes on to be tried even when no other request probes its part, and
+ * however rare probes have become. VMs do so one after the other, as each learns
+ * of the server that the one before lost.
+ */
+bool
+jj_gateway_is_item_waiting_for_part(const jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, jj_ms_t most_ms, jj_ms_t now)
+{
+	jj_ms_t since_ms = entry->held_from_ms;
+	jj_ms_t tried_ms;
+	jj_ms_t wait_ms;
+	uint64_t part;
+	uint64_t probed;
+	uint32_t vms = (uint32_t)gateway->vm_count + 1;
+	uint32_t rank;
+
+	if (jj_gateway_parts_wait(gateway, &entry->prompt, now) == 0)
+		return false;
+	tried_ms =
+	    jj_crash_parts_tried(gateway->crash_parts, &entry->prompt, &part);
+	if (tried_ms > since_ms)
+		since_ms = tried_ms;
+	rank = jj_member_rank(gateway->member, part, vms);
+	if (jj_crash_parts_check(gateway->crash_parts, &entry->prompt,
+		now - (jj_ms_t)rank * PROBE_HANDOVER_MS, &wait_ms,
+		&probed) != JJ_PARTS_REFUSED)
+		return false;
+	return now - since_ms < most_ms / 2 + most_ms / 2 * rank / vms;
+}
+
+void
+jj_gateway_cancel_probe(jj_gateway_t *gateway, jj_gateway_entry_t *entry)
+{
+	if (entry->is_probe)
+		jj_crash_parts_cancel_probe(
+		    gateway->crash_parts, &entry->prompt);
+	entry->is_probe = false;
+}
+
 /** The VM that made the attempt still runs, and reports its crashes itself. */
 static bool
 is_reported_by_sender(
@@ -197,6 +245,16 @@
 	    info->incarnation == attempt->incarnation;
 }
 
+/** Another VM's report. */
+static void
+take_crash(jj_gateway_t *gateway, const jj_part_crashes_t *crash, jj_ms_t now,
+    jj_actions_t *out)
+{
+	jj_gateway_note_reported_crashes(
+	    gateway, crash->servers, crash->count, crash->age_ms, now);
+	count_crash(gateway, crash, now, out);
+}
+
 static void
 count_crash(jj_gateway_t *gateway, const jj_part_crashes_t *crash, jj_ms_t now,
     jj_actions_t *out)
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -47,12 +47,13 @@
 static void
 note_crowded(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static bool is_server_error(const jj_backend_event_t *, int);
+static bool is_server_failure(int);
 static void
 note_service_time(jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static void take_failure(jj_gateway_t *, jj_gateway_entry_t *,
     const jj_backend_event_t *, bool, jj_ms_t, jj_actions_t *);
-static void take_progress(
-    jj_gateway_t *, jj_gateway_entry_t *, const jj_backend_event_t *, jj_ms_t);
+static void take_progress(jj_gateway_t *, jj_gateway_entry_t *,
+    const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
 static void take_end(jj_gateway_t *, jj_gateway_entry_t *,
     const jj_backend_event_t *, int, jj_bytes_t *, jj_ms_t, jj_actions_t *);
 static void note_server(
@@ -108,6 +109,7 @@
 	}
 	entry = add_entry(gateway, request, route, now);
 	entry->charged_team = charged_team;
+	jj_gateway_count_share(gateway, entry, &request->team, now);
 	if (request->resumed && entry->streams)
 		jj_gateway_resume(gateway, entry, route, now, out);
 	else
@@ -136,16 +138,24 @@
 	    event->kind != JJ_BACKEND_BROKEN &&
 	    event->kind != JJ_BACKEND_TIMEOUT)
 		jj_gateway_note_alive(gateway, entry->server, now, out);
+	if (event->kind == JJ_BACKEND_FIRST ||
+	    event->kind == JJ_BACKEND_TOKENS ||
+	    event->kind == JJ_BACKEND_REJECTED ||
+	    (event->kind == JJ_BACKEND_DONE && !event->unframed))
+		jj_gateway_note_answered(gateway, entry, now, out);
 	switch (event->kind) {
 	case JJ_BACKEND_FIRST:
 	case JJ_BACKEND_TOKENS:
-		take_progress(gateway, entry, event, now);
+		take_progress(gateway, entry, event, now, out);
 		return;
 	case JJ_BACKEND_DONE:
 	case JJ_BACKEND_REJECTED:
 		take_end(gateway, entry, event, status, text, now, out);
 		break;
 	default:
+		if (event->kind == JJ_BACKEND_FAILED &&
+		    is_server_failure(status))
+			jj_gateway_note_outcome(gateway, entry, true, now, out);
 		take_failure(gateway, entry, event, false, now, out);
 		break;
 	}
@@ -191,6 +201,9 @@
 	start->repeatable = entry->repeatable;
 	start->software = entry->server->software;
 	start->restarts = entry->restarts;
+	start->retries_errors = gateway->outcomes != NULL &&
+	    entry->class_of == JJ_CLASS_ONLINE && entry->repeatable &&
+	    entry->sent_attempts + 1 < entry->max_attempts;
 	if (entry->class_of == JJ_CLASS_BATCH)
 		start->item =
 		    jj_inline_find_item(gateway->jobs, request, &start->job);
@@ -234,17 +247,23 @@
 {
 	jj_slots_criteria_t criteria = {&entry->service,
 	    server_to_avoid(gateway, entry),
-	    jj_gateway_first_event_limit(entry), entry->software};
+	    jj_gateway_first_event_limit(entry), entry->software,
+	    jj_gateway_spare_part(gateway, entry)};
+	jj_failure_t reason;
 	jj_slot_server_t *server;
 	bool full;
 
 	server = jj_slots_choose_online(gateway->slots, &criteria, now, &full);
+	if (full)
+		jj_gateway_note_shortage(gateway, &entry->service, now);
 	if (server == NULL && full &&
 	    jj_gateway_enqueue(gateway, entry, now, out))
 		return;
 	if (server == NULL) {
-		jj_gateway_give_up(gateway, entry,
-		    full ? JJ_FAILURE_OVERLOADED : JJ_FAILURE_NO_SERVER, out);
+		reason = full ? JJ_FAILURE_OVERLOADED : JJ_FAILURE_NO_SERVER;
+		if (full && entry->share.limited)
+			reason = JJ_FAILURE_OVER_SHARE;
+		jj_gateway_give_up(gateway, entry, reason, out);
 		return;
 	}
 	preempt_if_full(gateway, server, now, out);
@@ -265,6 +284,11 @@
 	    entry->may_have_run ? JJ_RUN_UNKNOWN : JJ_RUN_NOT_RUN;
 	action->body.answer.retry_after_ms =
 	    choose_retry_after_ms(gateway, reason, &entry->prompt);
+	if (reason == JJ_FAILURE_OVER_SHARE) {
+		action->body.answer.retry_after_ms =
+		    entry->share.retry_after_ms;
+		jj_gateway_log_over_share(gateway, entry, out);
+	}
 	jj_actions_add_event(out, "request_given_up",
 	    "request=%s reason=%s may_have_run=%d relayed=%d tries=%u sent=%u "
 	    "server=%s after_ms=%lld",
@@ -300,6 +324,8 @@
 	TAILQ_INSERT_TAIL(&gateway->sent, entry, link);
 	entry->attempt++;
 	entry->tries++;
+	if (entry->attempt == 1)
+		jj_gateway_note_share_sent(gateway, entry, now);
 	entry->server = server;
 	entry->last_server = server->info.id;
 	entry->last_server_hash = server->hash;
@@ -308,10 +334,15 @@
 	entry->first_seen = false;
 	entry->silence_noted = false;
 	entry->crowded = false;
+	entry->is_probe = false;
 	if (jj_crash_parts_count(gateway->crash_parts) > 0)
-		jj_crash_parts_note_probe(
+		entry->is_probe = jj_crash_parts_note_probe(
 		    gateway->crash_parts, &entry->prompt, now);
 	jj_slots_add(server, entry->class_of);
+	server->probe_due = false;
+	if (server->avoided)
+		jj_actions_add_event(out, "server_probed",
+		    "request=%s server=%s", entry->id, server->info.id.text);
 	jj_gateway_mark_loads_changed(gateway);
 	action->body.start.request = entry->request;
 	action->body.start.attempt = entry->attempt;
@@ -566,7 +597,7 @@
 
 static void
 take_progress(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
-    const jj_backend_event_t *event, jj_ms_t now)
+    const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
 {
 	entry->last_event_ms = now;
 	entry->silence_noted = false;
@@ -582,6 +613,7 @@
 		entry->first_ms = now;
 	entry->may_have_run = true;
 	jj_slots_note_first(entry->server, now - entry->sent_ms, now);
+	jj_gateway_note_outcome(gateway, entry, false, now, out);
 }
 
 /** Ends a request whose whole answer was relayed, or an item. */
@@ -597,6 +629,8 @@
 		jj_slots_note_error(entry->server);
 	else if (!entry->first_seen)
 		jj_slots_note_first(entry->server, now - entry->sent_ms, now);
+	if (is_error || !entry->first_seen)
+		jj_gateway_note_outcome(gateway, entry, is_error, now, out);
 	if (event->kind == JJ_BACKEND_DONE)
 		jj_gateway_note_completed(
 		    gateway, entry, event->unframed, now, out);
@@ -629,6 +663,13 @@
 	return event->kind == JJ_BACKEND_REJECTED && status >= 500;
 }
 
+/** 504 also says that the request's time budget is used up. */
+static bool
+is_server_failure(int status)
+{
+	return status >= 500 && status != 504;
+}
+
 /**
  * Records the service time, without the wait for a slot if a first event shows
  * when that ended.
@@ -641,6 +682,7 @@
 	    entry->first_seen ? entry->attempt_first_ms : entry->sent_ms;
 
 	jj_slots_note_service_time(entry->server, now - since);
+	jj_gateway_note_share_end(gateway, entry, now - since, now);
 	gateway->mean_service_ms +=
 	    MEAN_WEIGHT * ((double)(now - since) - gateway->mean_service_ms);
 }
@@ -676,6 +718,8 @@
 	    (unsigned long long)entry->fingerprint);
 	if (!not_run && entry->prompt.count > 0)
 		log_prompt(entry, out);
+	if (!not_run)
+		entry->held_from_ms = now;
 	jj_gateway_leave_server(gateway, entry);
 	if (entry->class_of == JJ_CLASS_BATCH) {
 		entry->not_before_ms =
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -11,6 +11,8 @@
 #include "core/crash_parts.h"
 #include "core/gateway.h"
 #include "core/mirror.h"
+#include "core/share/share.h"
+#include "core/share/share_home.h"
 #include "core/stream_origins.h"
 #include "core/team/allowance_home.h"
 
@@ -72,6 +74,10 @@
 	jj_prompt_t prompt;
 	/** team whose allowance it was taken from, 0: none */
 	uint64_t charged_team;
+	/** group that shares the service's slots; 0: not counted */
+	uint64_t share_group;
+	bool over_share; /**< takes only a slot that others do not need */
+	jj_share_decision_t share;
 
 	uint32_t attempt; /**< number of the current attempt */
 	jj_slot_server_t *server; /**< server of the current attempt, or NULL */
@@ -91,6 +97,9 @@
 	uint32_t crowded_tries; /**< attempts that were crowded */
 	bool relayed; /**< part of the answer was relayed to the caller */
 	bool may_have_run; /**< true if any attempt may have run */
+	bool is_probe; /**< this attempt tries a refused part */
+	/** of an item: since when it may wait because of a part or its content */
+	jj_ms_t held_from_ms;
 } jj_gateway_entry_t;
 
 TAILQ_HEAD(jj_gateway_entries, jj_gateway_entry);
@@ -191,6 +200,16 @@
 	jj_ms_t next_usage_log_ms; /**< next log of metered teams */
 	uint32_t unlogged_refusals;
 
+	/** fair shares of scarce slots; NULL: each request is served alike */
+	jj_shares_t *shares;
+	jj_share_home_t *share_home; /**< NULL with `shares` */
+	uint32_t share_vms; /**< live VMs of the region, with this one */
+	double
+	    share_reach; /**< part of the region's VMs that are not cut off */
+	jj_ms_t next_share_vms_ms; /**< next count */
+	jj_ms_t next_share_log_ms; /**< no refusal is logged before */
+	uint32_t unlogged_share_refusals;
+
 	bool leaving;
 	jj_ms_t last_tick_ms;
 	/** next load report to this failure domain */
@@ -244,6 +263,7 @@
 	bool lender_answered; /**< its last result was an answer */
 	jj_ms_t borrow_pause_until_ms; /**< no call is borrowed before */
 	jj_crash_evidence_t crash_evidence;
+	jj_ms_t answered_ms; /**< time of the last event of any server */
 	jj_crash_parts_t *crash_parts;
 	uint32_t sound_count;
 	jj_gateway_sound_part_t sound_parts[JJ_MESSAGE_PARTS_MAX];
@@ -259,6 +279,14 @@
 	 */
 	jj_ms_t servers_since_ms;
 
+	/** NULL: failing servers are not avoided */
+	jj_outcomes_t *outcomes;
+	/** reports of outcomes that may be sent before the interval is over */
+	uint32_t outcome_burst;
+	jj_ms_t next_outcomes_ms; /**< next regular report of outcomes */
+	jj_ms_t next_outcome_vms_ms; /**< next count of the live VMs */
+	jj_ms_t next_outcomes_log_ms; /**< no report is logged before */
+
 	jj_actions_t *out; /**< actions of the current step, for callbacks */
 	jj_ms_t now; /**< time of the current step, for callbacks */
 };
@@ -319,8 +347,8 @@
     jj_gateway_t *gateway, const jj_slot_server_t *server);
 /**
  * Records that the current attempt ends without an answer. Several connections
- * that break at one server at one moment mean that it crashed; otherwise what
- * becomes of the server tells.
+ * that break at one server alone at one moment mean that it crashed; otherwise
+ * what becomes of the server tells.
  * @param silent no event came, and the connection did not break.
  */
 void jj_gateway_note_unanswered(jj_gateway_t *gateway,
@@ -335,6 +363,25 @@
 /** Records a sign of life of a server. */
 void jj_gateway_note_alive(jj_gateway_t *gateway,
     const jj_slot_server_t *server, jj_ms_t now, jj_actions_t *out);
+/**
+ * Records an event that the server wrote for the current attempt, or the end of
+ * its answer. A crash of that process that was reported before is withdrawn.
+ */
+void jj_gateway_note_answered(jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, jj_ms_t now, jj_actions_t *out);
+/** Another VM says that the process lived after its crash was reported. */
+void jj_gateway_take_server_up(jj_gateway_t *gateway,
+    const jj_server_notice_t *notice, jj_ms_t now, jj_actions_t *out);
+/**
+ * Records crashes that another VM reports, as the processes may answer
+ * afterwards.
+ * @param age_ms time since the last of them.
+ */
+void jj_gateway_note_reported_crashes(jj_gateway_t *gateway,
+    const uint64_t *server_hashes, uint32_t count, jj_ms_t age_ms, jj_ms_t now);
+/** The same for crashes of contents; takes another VM's list. */
+void jj_gateway_take_crash_history(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
 /**
  * Records that the current attempt was answered, which shows that neither its
  * content nor the parts of its prompt crash servers.
@@ -390,10 +437,33 @@
 /** Reports sound parts to the other VMs; drops expired entries. */
 void
 jj_gateway_tick_parts(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/**
+ * The current attempt ends without having shown anything of the parts of its
+ * prompt.
+ */
+void jj_gateway_cancel_probe(jj_gateway_t *gateway, jj_gateway_entry_t *entry);
+/** True when an item has to wait for a probe of one of its parts. */
+bool jj_gateway_is_item_waiting_for_part(const jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, jj_ms_t most_ms, jj_ms_t now);
 /** Time until a request with these parts may be sent; 0: now. */
 jj_ms_t jj_gateway_parts_wait(
     const jj_gateway_t *gateway, const jj_prompt_t *prompt, jj_ms_t now);
 
+/* Servers that fail their requests (gateway_outcomes.c). */
+/** Records whether the server of the current attempt answered or failed. */
+void
+jj_gateway_note_outcome(jj_gateway_t *gateway, const jj_gateway_entry_t *entry,
+    bool failed, jj_ms_t now, jj_actions_t *out);
+/** Takes another VM's observations. */
+void jj_gateway_take_outcomes(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
+/** Decides which servers are avoided and probed. */
+void
+jj_gateway_tick_outcomes(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Reports outcomes to the other VMs, when that is due. */
+void jj_gateway_report_outcomes(
+    jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+
 /* Software versions of streams (gateway_origins.c). */
 /** Hash of the id of a request that began a stream; 0: no id. */
 uint64_t jj_gateway_origin_id(const char *request);
@@ -465,6 +535,35 @@
 void jj_gateway_take_team_message(jj_gateway_t *gateway,
     const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
 
+/** VMs of the region whose heartbeats are late, but not by @p gone_ms. */
+uint32_t
+jj_gateway_count_missing_vms(const jj_gateway_t *gateway, jj_ms_t gone_ms);
+
+/* Fair shares of scarce slots (gateway_shares.c). */
+/** Counts a caller's request and decides whether it is within its share. */
+void jj_gateway_count_share(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const jj_name_t *team, jj_ms_t now);
+/** Part of a server's slots that a request leaves to others, 0 to 1. */
+double jj_gateway_spare_part(
+    const jj_gateway_t *gateway, const jj_gateway_entry_t *entry);
+/** A request is sent to a server for the first time. */
+void jj_gateway_note_share_sent(
+    jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now);
+/** A request has ended that occupied its slot for so long. */
+void jj_gateway_note_share_end(jj_gateway_t *gateway,
+    const jj_gateway_entry_t *entry, jj_ms_t slot_ms, jj_ms_t now);
+/** A request of that service found no slot. */
+void jj_gateway_note_shortage(
+    jj_gateway_t *gateway, const jj_name_t *service, jj_ms_t now);
+/** Logs a request that is refused because it is beyond its share. */
+void jj_gateway_log_over_share(
+    jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_actions_t *out);
+void
+jj_gateway_tick_shares(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/** Takes a report, or the shares that a home sends. */
+void jj_gateway_take_share_message(jj_gateway_t *gateway,
+    const jj_message_t *message, jj_ms_t now, jj_actions_t *out);
+
 /* Configuration (gateway_config.c). */
 /**
  * Puts a newer configuration in force and announces its version to neighbours;
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -43,6 +43,12 @@
 #define JJ_MESSAGE_ORIGINS_MAX 32
 /** Maximum teams in one message about allowances. */
 #define JJ_MESSAGE_TEAMS_MAX 32
+/** Maximum servers in one message of outcomes. */
+#define JJ_MESSAGE_OUTCOMES_MAX 32
+/** Maximum contents that failed at a server in one message. */
+#define JJ_OUTCOME_CONTENTS_MAX 4
+/** Maximum groups in one message about shares; the rest is added up. */
+#define JJ_MESSAGE_SHARES_MAX 128
 
 typedef enum {
 	JJ_MESSAGE_HEARTBEAT = 1,
@@ -99,6 +105,11 @@
 	JJ_MESSAGE_PART_CRASHES,
 	/** answers with these parts were completed: they crash no servers */
 	JJ_MESSAGE_PARTS_COMPLETED,
+	/** answers of servers under suspicion (outcome/outcome.h) */
+	JJ_MESSAGE_SERVER_OUTCOMES,
+	/** to the home of a service: demand of its groups (share/share.h) */
+	JJ_MESSAGE_SHARE_DEMAND,
+	JJ_MESSAGE_SHARE_LEVEL, /**< by the home: the shares of the groups */
 	JJ_MESSAGE_KIND_END,
 } jj_message_kind_t;
 
@@ -292,6 +303,44 @@
 	bool notice;
 } jj_team_grant_t;
 
+/** Unit of demand in messages: parts of a request slot. */
+#define JJ_SHARE_SLOT_UNIT 1000
+
+/** Demand of one group of requests. */
+typedef struct {
+	uint64_t group;
+	uint32_t demand; /**< slots asked for, in 1/JJ_SHARE_SLOT_UNIT */
+} jj_share_group_t;
+
+/** What the groups of a service ask the sender for at present. */
+typedef struct {
+	jj_name_t service;
+	bool contended; /**< the sender has seen a shortage itself */
+	uint32_t rest_groups; /**< groups that are not listed */
+	uint32_t rest_demand; /**< of these, as in jj_share_group_t */
+	uint32_t count;
+	jj_share_group_t groups[JJ_MESSAGE_SHARES_MAX]; /**< the largest */
+} jj_share_demand_t;
+
+/** One, in units of admitted parts. */
+#define JJ_SHARE_UNIT 1000000
+
+/** Share of one group that asks for more than its share. */
+typedef struct {
+	uint64_t group;
+	uint32_t admit; /**< part of its requests, in 1/JJ_SHARE_UNIT */
+	uint32_t demand; /**< of all VMs, as in jj_share_group_t */
+} jj_share_grant_t;
+
+/** Shares of a service's groups. */
+typedef struct {
+	jj_name_t service;
+	uint32_t valid_ms;
+	uint32_t rest_admit; /**< for groups that are not listed */
+	uint32_t count;
+	jj_share_grant_t groups[JJ_MESSAGE_SHARES_MAX];
+} jj_share_level_t;
+
 /** A request that was on servers when they crashed; see quarantine.h. */
 typedef struct {
 	uint64_t fingerprint;
@@ -322,6 +371,16 @@
 	jj_ms_t keep_ms; /**< how long it may be taken up */
 } jj_stream_origin_t;
 
+/** Answers of a server that the sender has not reported before. */
+typedef struct {
+	uint64_t server; /**< as jj_slot_server_t.hash */
+	uint32_t successes; /**< of attempts sent since the first failure */
+	bool failing; /**< the sender avoids the server */
+	bool recovered; /**< probes of the sender succeeded */
+	uint32_t count; /**< failures */
+	uint64_t contents[JJ_OUTCOME_CONTENTS_MAX]; /**< their fingerprints */
+} jj_server_outcome_t;
+
 /** A message with its header. */
 typedef struct {
 	jj_message_kind_t kind;
@@ -403,6 +462,8 @@
 			uint32_t count;
 			jj_team_grant_t grants[JJ_MESSAGE_TEAMS_MAX];
 		} team_grant;
+		jj_share_demand_t share_demand;
+		jj_share_level_t share_level;
 		struct {
 			jj_name_t server;
 			uint64_t boot; /**< as in jj_crash_t */
@@ -427,6 +488,10 @@
 			uint32_t count;
 			jj_stream_origin_t origins[JJ_MESSAGE_ORIGINS_MAX];
 		} origins;
+		struct {
+			uint32_t count;
+			jj_server_outcome_t servers[JJ_MESSAGE_OUTCOMES_MAX];
+		} outcomes;
 		struct {
 			uint64_t request; /**< number that the sender gave */
 			uint64_t id; /**< as in jj_stream_origin_t */
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -121,8 +121,12 @@
 					     of each scope */
 	size_t neighbour_count;
 	jj_slot_neighbour_t *neighbours; /**< owned */
+	/** fails most requests that it answers (gateway_outcomes.c) */
+	bool avoided;
+	bool probe_due; /**< while avoided: gets one request of this VM */
 	uint32_t failures; /**< consecutive failures */
 	jj_ms_t answered_ms; /**< time of the last first event or answer */
+	jj_ms_t alive_ms; /**< time of the last event of its own; 0: none */
 	jj_ms_t rest_until_ms; /**< cool-down: no new requests before this
 				    time */
 	jj_ms_t crowded_until_ms; /**< no batch items before: it is fuller
@@ -230,6 +234,8 @@
 	 */
 	jj_ms_t first_within_ms;
 	uint64_t software; /**< only this software version; 0: any */
+	/** part of a server's slots that is left to other requests, 0 to 1 */
+	double spare_part;
 } jj_slots_criteria_t;
 
 /**
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -100,6 +100,8 @@
 	jj_http_call_t *call = NULL;
 	bool relayed = false;
 
+	if (jj_stream_relay_forward_error(node->relay, given->request))
+		return;
 	if (!jj_stream_relay_take(
 		node->relay, given->request, &call, &relayed) ||
 	    call == NULL)
@@ -281,15 +283,23 @@
 on_operator(void *ctx, jj_http_call_t *call)
 {
 	jj_gateway_node_t *node = ctx;
+	const char *path = jj_http_call_path(call);
+	const char *type = "application/json";
 	jj_bytes_t text;
 
-	if (strcmp(jj_http_call_path(call), "/metrics") != 0) {
+	if (strcmp(path, "/metrics") == 0) {
+		jj_gateway_update_metrics(node);
+		text = jj_metrics_text();
+		type = "text/plain; version=0.0.4";
+	} else if (strcmp(path, "/v1/shares") == 0) {
+		text = jj_gateway_write_view(node, JJ_GATEWAY_VIEW_SHARES);
+	} else if (strcmp(path, "/v1/outcomes") == 0) {
+		text = jj_gateway_write_view(node, JJ_GATEWAY_VIEW_OUTCOMES);
+	} else {
 		answer_ready(node, call);
 		return;
 	}
-	jj_gateway_update_metrics(node);
-	text = jj_metrics_text();
-	answer(node, call, 200, 0, "text/plain; version=0.0.4", &text);
+	answer(node, call, 200, 0, type, &text);
 	jj_bytes_free(&text);
 }
 
@@ -545,7 +555,8 @@
 {
 	if (given->run != JJ_RUN_NOT_RUN)
 		return given->reason == JJ_FAILURE_DEADLINE ? 504 : 502;
-	if (given->reason == JJ_FAILURE_TEAM_LIMIT)
+	if (given->reason == JJ_FAILURE_TEAM_LIMIT ||
+	    given->reason == JJ_FAILURE_OVER_SHARE)
 		return 429;
 	return given->reason == JJ_FAILURE_NO_SERVICE ? 404 : 503;
 }
