Tests: failures of shares are held to the goal

The bounds of six cases were set after the measurement. The goal of the work is 0.95 of the others' requests in time; a fleet with VMs of an earlier version is to be better than one without shares.

--- a/tests/core/share_load_test.cc
+++ b/tests/core/share_load_test.cc
@@ -172,74 +172,85 @@
 	void (*fail)(LoadWorld &); /**< with the peak, or NULL */
 	/** in the peak, after two seconds of it, or NULL */
 	void (*fail_later)(LoadWorld &);
-	double others; /**< share of the others in time, from then on */
 };
 
 class ShareFailure : public ::testing::TestWithParam<FailureCase>
 {
 };
 
-TEST_P(ShareFailure, OthersAreServed)
+/** Part of the others' requests in time from a second after the failure on. */
+double
+others_in_time(const FailureCase &failure, bool fair_shares)
 {
 	double others = 0;
 
 	for (int seed = 1; seed <= SEEDS; seed++) {
-		LoadWorld world(shape_of(true), (uint64_t)seed);
+		LoadWorld world(shape_of(fair_shares), (uint64_t)seed);
 		double rate = USUAL * world.shape.limit();
 
-		if (GetParam().prepare != nullptr)
-			GetParam().prepare(world);
+		if (failure.prepare != nullptr)
+			failure.prepare(world);
 		world.load(3000, rate);
 		world.hot_team = HOT_TEAM;
 		world.hot_times = 40;
-		if (GetParam().fail != nullptr)
-			GetParam().fail(world);
+		if (failure.fail != nullptr)
+			failure.fail(world);
 		world.load(2000, rate);
-		if (GetParam().fail_later != nullptr)
-			GetParam().fail_later(world);
+		if (failure.fail_later != nullptr)
+			failure.fail_later(world);
 		world.load(6000, rate);
 		world.hot_team = -1;
 		world.load(5000, 0.2 * rate);
 		others += in_time(world.sum(6, 11, -1, HOT_TEAM)) / SEEDS;
 	}
-	printf("%s %.3f\n", GetParam().name, others);
-	EXPECT_GE(others, GetParam().others);
+	return others;
+}
+
+TEST_P(ShareFailure, OthersAreServed)
+{
+	EXPECT_GE(others_in_time(GetParam(), true), 0.95);
 }
 
 INSTANTIATE_TEST_SUITE_P(Cases, ShareFailure,
     ::testing::Values(
 	/* The VM that divides the slots ends during a peak. */
 	FailureCase{"HomeEnds", nullptr, nullptr,
-	    [](LoadWorld &world) { world.kill(home_of(world)); }, 0.85},
+	    [](LoadWorld &world) { world.kill(home_of(world)); }},
 	/* All messages to and from the home are lost. */
 	FailureCase{"HomeIsCutOff", nullptr, nullptr,
-	    [](LoadWorld &world) { world.cut_off = {home_of(world)}; }, 0.8},
+	    [](LoadWorld &world) { world.cut_off = {home_of(world)}; }},
 	/* A third of the VMs is cut off as the peak begins. */
 	FailureCase{"PartitionWithThePeak", nullptr,
 	    [](LoadWorld &world) {
 		    world.cut_off = {
 			"verona-1", "verona-2", "verona-3", "verona-4"};
 	    },
-	    nullptr, 0.8},
+	    nullptr},
 	/* All VMs restart during a peak. */
-	FailureCase{"AllVmsRestart", nullptr, nullptr, restart_all, 0.7},
+	FailureCase{"AllVmsRestart", nullptr, nullptr, restart_all},
 	/* Messages come twice, late and out of order. */
 	FailureCase{"Disorder", nullptr,
-	    [](LoadWorld &world) { world.disorder = 0.2; }, nullptr, 0.8},
-	/* A third of the VMs has no shares. */
-	FailureCase{"OlderVms",
-	    [](LoadWorld &world) {
-		    world.fair_shares = false;
-		    for (int i = 1; i <= 4; i++) {
-			    std::string name = "verona-" + std::to_string(i);
-
-			    world.kill(name);
-			    world.create(name, 100 + i);
-		    }
-	    },
-	    nullptr, nullptr, 0.5}),
+	    [](LoadWorld &world) { world.disorder = 0.2; }, nullptr}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/* VMs of an earlier version admit whoever asks; the others' shares still help. */
+TEST(ShareFailureMixed, AThirdOfTheVmsHasNoShares)
+{
+	FailureCase none = {"None", nullptr, nullptr, nullptr};
+	FailureCase mixed = none;
+
+	mixed.prepare = [](LoadWorld &world) {
+		world.fair_shares = false;
+		for (int i = 1; i <= 4; i++) {
+			std::string name = "verona-" + std::to_string(i);
+
+			world.kill(name);
+			world.create(name, 100 + i);
+		}
+	};
+	EXPECT_GT(others_in_time(mixed, true), others_in_time(none, false));
+}
+
 /* No request is refused for its share before demand has been counted. */
 TEST(ShareRestart, NoneIsRefusedBeforeDemandIsCounted)
 {
