--- a/src/core/gateway_crashes.c
+++ b/src/core/gateway_crashes.c
@@ -5,8 +5,11 @@
  *
  * An attempt that ends without an answer is evidence of a crash once its
  * server's process is known to have ended without having announced it
- * (crash_evidence.h). Crashes are told to all VMs, attempts whose server's fate
- * is not known yet to a few, as the VM that made them may end before.
+ * (crash_evidence.h). Connections that break at several servers at one moment
+ * are more likely a fault of this VM's network, so they are only a suspicion; a
+ * crash that proves wrong is withdrawn. Crashes are told to all VMs, attempts
+ * whose server's fate is not known yet to a few, as the VM that made them may
+ * end before.
  */
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -61,7 +61,10 @@
 	JJ_MESSAGE_SLOTS, /**< newest slot table, as stored */
 	/** a backend server crashed with these requests on it */
 	JJ_MESSAGE_CRASH,
-	JJ_MESSAGE_SERVER_STATE, /**< a backend server is leaving or down */
+	/**
+	 * a backend server is leaving or down, or lived after a reported crash
+	 */
+	JJ_MESSAGE_SERVER_STATE,
 	JJ_MESSAGE_JOBS, /**< job events of the speaker's watch */
 	JJ_MESSAGE_VMS, /**< the platform's VM list, body as in JOBS */
 	/**
