Tests: the suite of operators' views has a name of its own

gateway_servers_test.cc has a suite GatewayViews already, and GoogleTest fails tests of one suite with two fixtures; it shows only in one program.

--- a/tests/core/gateway_views_test.cc
+++ b/tests/core/gateway_views_test.cc
@@ -27,12 +27,12 @@
 }
 
 /** One VM with two servers, of which s1 fails each request. */
-class GatewayViews : public GatewayFleet
+class OperatorViews : public GatewayFleet
 {
       protected:
 	std::vector<jj_backend_start_t> starts;
 
-	GatewayViews()
+	OperatorViews()
 	    : GatewayFleet(
 		  0, 1, read_teams, "7", [](jj_gateway_settings_t *settings) {
 			  settings->avoid_failing = true;
@@ -80,7 +80,7 @@
 	}
 };
 
-TEST_F(GatewayViews, AvoidedServersAreListedFirst)
+TEST_F(OperatorViews, AvoidedServersAreListedFirst)
 {
 	jj_gateway_outcome_t rows[8];
 
@@ -98,7 +98,7 @@
 }
 
 /* Guards against metrics whose number grows with the teams. */
-TEST_F(GatewayViews, TeamsBeyondTheBoundAreAddedUp)
+TEST_F(OperatorViews, TeamsBeyondTheBoundAreAddedUp)
 {
 	jj_gateway_share_t rows[17];
 	double demand = 0;
