--- a/Makefile
+++ b/Makefile
@@ -114,8 +114,9 @@
 figures: all $(B)/figures
 	JUJUBE_BIN=$(B) $(B)/figures
 
+# Tests run in virtual time, so shards compete for nothing but the processor.
 test-core: $(B)/test-core
-	$(B)/test-core
+	scripts/run-shards $(B)/test-core 4
 test-adapters: $(B)/test-adapters
 	$(B)/test-adapters
 # In four processes side by side; each test waits for most of its time.
@@ -133,7 +134,7 @@
 	rc=0; \
 	TSAN_OPTIONS="suppressions=scripts/tsan.supp history_size=7" \
 	    $(B)/test-adapters || rc=1; \
-	$(if $(findstring thread,$(SAN)),,$(B)/test-core \
+	$(if $(findstring thread,$(SAN)),,scripts/run-shards $(B)/test-core 4 \
 	    --gtest_filter=-*Model* || rc=1;) \
 	JUJUBE_BIN=$(B) JUJUBE_PATIENCE=4 \
 	    TSAN_OPTIONS="suppressions=scripts/tsan.supp" \
