--- a/src/core/gateway_shares.c
+++ b/src/core/gateway_shares.c
@@ -39,6 +39,8 @@
 #define LOG_MS 100
 
 static double weight_of(void *, uint64_t);
+static bool
+has_slots(const jj_gateway_t *, const jj_slot_server_t *, const jj_name_t *);
 static void slots_of(void *, const jj_name_t *, double *, double *);
 static double home_slots(void *, const jj_name_t *);
 static void send_report(void *, const jj_share_demand_t *);
@@ -184,6 +186,15 @@
 	return team != NULL && team->weight > 0 ? team->weight : 1;
 }
 
+/** True for a server whose slots the service can use now. */
+static bool
+has_slots(const jj_gateway_t *gateway, const jj_slot_server_t *server,
+    const jj_name_t *service)
+{
+	return jj_slot_server_is_up(server, gateway->now) &&
+	    jj_name_equal(&server->info.service, service);
+}
+
 static void
 slots_of(void *ctx, const jj_name_t *service, double *taken, double *own_slots)
 {
@@ -194,8 +205,7 @@
 
 	for (server = jj_slots_first(gateway->slots); server != NULL;
 	     server = TAILQ_NEXT(server, link)) {
-		if (!jj_slot_server_is_up(server, gateway->now) ||
-		    !jj_name_equal(&server->info.service, service))
+		if (!has_slots(gateway, server, service))
 			continue;
 		total += server->info.slots;
 		online += server->online + server->others_online;
@@ -220,8 +230,7 @@
 
 	for (server = jj_slots_first(gateway->slots); server != NULL;
 	     server = TAILQ_NEXT(server, link)) {
-		if (!jj_slot_server_is_up(server, gateway->now) ||
-		    !jj_name_equal(&server->info.service, service))
+		if (!has_slots(gateway, server, service))
 			continue;
 		total += server->info.slots;
 		for (i = 0; i < server->neighbour_count; i++)
