--- a/src/adapters/deployment.h
+++ b/src/adapters/deployment.h
@@ -48,6 +48,12 @@
 	const char *team; /**< name of that team; only this system sets it */
 } jj_front_headers_t;
 
+/** Switches of the gateway that a deployment may turn on. */
+typedef struct {
+	bool fair_shares; /**< see jj_gateway_settings_t */
+	bool avoid_failing; /**< see jj_gateway_settings_t */
+} jj_gateway_switches_t;
+
 typedef struct {
 	const char *form; /**< value of the setting platform.form */
 	const jj_platform_codec_t *store; /**< codec of the object store */
@@ -68,6 +74,9 @@
 	/** Reads the shared parts of a prompt from its header's value. */
 	void (*read_prompt)(const char *text, jj_prompt_t *prompt);
 	jj_bytes_t (*write_page)(const jj_inline_page_t *page);
+	/** Turns on what a contract requires; unknown contracts are ignored. */
+	void (*read_contract)(
+	    const char *name, jj_gateway_switches_t *switches);
 } jj_deployment_t;
 
 /** Finds the deployment by its platform.form; NULL if unknown. */
--- a/src/adapters/settings.c
+++ b/src/adapters/settings.c
@@ -39,6 +39,8 @@
 	KEY_ADDRESS,
 	KEY_PATH,
 	KEY_LEVEL,
+	KEY_SWITCH,
+	KEY_CONTRACTS,
 } key_type_t;
 
 /** One key of the file. */
@@ -112,6 +114,8 @@
 static bool read_number(const jj_toml_node_t *, const setting_t *, char *);
 static void store_number(const setting_t *, double, char *);
 static bool read_text(const jj_toml_node_t *, const setting_t *, char *);
+static bool read_switch(const jj_toml_node_t *, jj_switch_t *);
+static bool read_contracts(const jj_toml_node_t *, jj_contracts_t *);
 static bool is_name(const char *, size_t);
 static bool is_address(const char *, size_t);
 static bool
@@ -165,6 +169,8 @@
 	"call time-out without data; replies start in ms: 2 s is an outage"),
     TEXT("platform", "client", KEY_NAME, platform.client, false,
 	"client name that signs platform calls; absent: the VM's name"),
+    TEXT("platform", "contracts", KEY_CONTRACTS, platform.contracts, false,
+	"parts of the platform's rules that are in force; unknown are ignored"),
 
     NUMBER("callers", "connections", KEY_U32, callers.connections, 16, 100000,
 	4000, "maximum number at once; each uses up to about 40 KB"),
@@ -315,6 +321,12 @@
 
     NUMBER("gateway", "idle", KEY_BOOL, gateway_idle, 0, 1, 0,
 	"standby: this VM neither accepts nor runs requests"),
+    TEXT("gateway", "fair_shares", KEY_SWITCH, fair_shares, false,
+	"scarce slots are divided fairly among teams, else routes; absent: "
+	"`platform.contracts` decides"),
+    TEXT("gateway", "avoid_failing", KEY_SWITCH, avoid_failing, false,
+	"servers that fail much of what they get are avoided; absent: "
+	"`platform.contracts` decides"),
     NUMBER("gateway", "reserve", KEY_U32, gateway.slots.reserve, 0, 64, 1,
 	"request slots of a server that batch leaves free for online"),
     NUMBER("gateway", "queue_most", KEY_U32, gateway.slots.queue_most, 0, 1000,
@@ -457,6 +469,18 @@
 	    settings);
 }
 
+bool
+jj_settings_resolve_switch(
+    jj_switch_t given, bool required, const char **origin)
+{
+	if (given != JJ_SWITCH_ABSENT) {
+		*origin = "settings";
+		return given == JJ_SWITCH_ON;
+	}
+	*origin = required ? "contracts" : "default";
+	return required;
+}
+
 void
 jj_settings_clear(jj_settings_t *settings)
 {
@@ -618,6 +642,10 @@
 		return read_number(node, key, field);
 	case KEY_BOOL:
 		return jj_toml_get_boolean(node, (bool *)field);
+	case KEY_SWITCH:
+		return read_switch(node, (jj_switch_t *)(void *)field);
+	case KEY_CONTRACTS:
+		return read_contracts(node, (jj_contracts_t *)(void *)field);
 	default:
 		return read_text(node, key, field);
 	}
@@ -688,6 +716,37 @@
 	return true;
 }
 
+static bool
+read_switch(const jj_toml_node_t *node, jj_switch_t *field)
+{
+	bool value;
+
+	if (!jj_toml_get_boolean(node, &value))
+		return false;
+	*field = value ? JJ_SWITCH_ON : JJ_SWITCH_OFF;
+	return true;
+}
+
+/* Any short text is valid: a platform may have contracts not known here. */
+static bool
+read_contracts(const jj_toml_node_t *node, jj_contracts_t *field)
+{
+	const char *text;
+	size_t size, i;
+
+	if (jj_toml_type(node) != JJ_TOML_ARRAY ||
+	    jj_toml_count(node) > JJ_SETTINGS_CONTRACTS_MAX)
+		return false;
+	for (i = 0; i < jj_toml_count(node); i++) {
+		if (!jj_toml_get_text(jj_toml_at(node, i), &text, &size) ||
+		    size == 0 || size > JJ_NAME_MAX || strlen(text) != size)
+			return false;
+		memcpy(field->names[i].text, text, size + 1);
+	}
+	field->count = i;
+	return true;
+}
+
 /* Names are used in platform keys, log lines and metric labels. */
 static bool
 is_name(const char *text, size_t size)
@@ -862,6 +921,7 @@
 		    key->minimum, key->maximum);
 		break;
 	case KEY_BOOL:
+	case KEY_SWITCH:
 		(void)snprintf(text, size, "true or false");
 		break;
 	case KEY_NAME:
@@ -880,6 +940,11 @@
 		(void)snprintf(
 		    text, size, "\"error\", \"warn\", \"info\" or \"debug\"");
 		break;
+	case KEY_CONTRACTS:
+		(void)snprintf(text, size,
+		    "an array of at most %d strings of 1 to %d bytes",
+		    JJ_SETTINGS_CONTRACTS_MAX, JJ_NAME_MAX);
+		break;
 	}
 }
 
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -18,9 +18,24 @@
 
 /** Longest path in the settings, bytes. */
 #define JJ_SETTINGS_PATH_MAX 255
+/** Most contracts that a settings file may list. */
+#define JJ_SETTINGS_CONTRACTS_MAX 64
 /** Buffer size that holds every message of jj_settings_load, bytes. */
 #define JJ_SETTINGS_ERROR_MAX 512
 
+/** A boolean that may be absent from the file; its default depends on others. */
+typedef enum {
+	JJ_SWITCH_ABSENT,
+	JJ_SWITCH_OFF,
+	JJ_SWITCH_ON,
+} jj_switch_t;
+
+/** The parts of the platform's rules that are in force, by its names. */
+typedef struct {
+	size_t count;
+	jj_name_t names[JJ_SETTINGS_CONTRACTS_MAX];
+} jj_contracts_t;
+
 /** A VM to contact at start; the platform's list names the others. */
 typedef struct {
 	jj_name_t name;
@@ -55,6 +70,7 @@
 		jj_ms_t timeout_ms; /**< of one call */
 		jj_name_t client; /**< Jujube-Client; default: VM's name */
 		jj_name_t form; /**< API dialect; empty: our own */
+		jj_contracts_t contracts;
 	} platform;
 
 	jj_neighbour_seed_t *neighbours; /**< owned */
@@ -98,6 +114,9 @@
 	jj_core_settings_t core;
 	jj_gateway_settings_t gateway; /**< of a VM that serves routes */
 	bool gateway_idle; /**< neither accepts nor runs requests */
+	/* See the fields of the same names in jj_gateway_settings_t. */
+	jj_switch_t fair_shares;
+	jj_switch_t avoid_failing;
 	jj_batch_settings_t batch;
 	jj_intake_settings_t intake;
 	jj_jobs_settings_t jobs;
@@ -113,6 +132,12 @@
 /** The same from text; @p name is used as the file name in @p error_text. */
 bool jj_settings_parse(jj_settings_t *settings, const char *text, size_t size,
     const char *name, char *error_text, size_t error_text_size);
+/**
+ * Value of a switch: that of the file, else whether a contract requires it.
+ * @param origin which of them decided, for the log.
+ */
+bool jj_settings_resolve_switch(
+    jj_switch_t given, bool required, const char **origin);
 /** Frees the memory owned by the settings and zeroes them. */
 void jj_settings_clear(jj_settings_t *settings);
 
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -64,6 +64,10 @@
 	char servers_prefix[64];
 	char retire_prefix[64]; /**< of orders to drain a VM; "": none */
 	bool serves; /**< false: this VM accepts and runs no requests */
+	/** scarce slots are divided fairly among teams, else routes */
+	bool fair_shares;
+	/** servers that fail much of what they get are avoided */
+	bool avoid_failing;
 	uint64_t seed;
 	jj_ms_t news_ms; /**< time within which each VM has to know a change */
 	/** longest time that one watch call waits; news_ms if that is less */
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -21,6 +21,8 @@
 #define COALESCE_MS 5
 
 static void fill_settings(const jj_gateway_node_t *, jj_gateway_settings_t *);
+static void
+resolve_switches(const jj_gateway_node_t *, jj_gateway_settings_t *);
 static void update_table_ages(jj_gateway_node_t *);
 static void create_core(jj_gateway_node_t *);
 static bool create_adapters(jj_gateway_node_t *);
@@ -174,6 +176,7 @@
 	core->incarnation = node->incarnation;
 	core->seed = node->incarnation ^ 1;
 	core->serves = !settings->gateway_idle;
+	resolve_switches(node, core);
 	core->member = settings->core.member;
 	core->member.incarnation = node->incarnation;
 	core->member.seed = node->incarnation ^ 2;
@@ -197,6 +200,29 @@
 		    "%s", deployment->retire_prefix);
 }
 
+static void
+resolve_switches(const jj_gateway_node_t *node, jj_gateway_settings_t *core)
+{
+	const jj_settings_t *settings = node->settings;
+	const jj_contracts_t *contracts = &settings->platform.contracts;
+	jj_gateway_switches_t required = {false, false};
+	const char *shares_origin, *avoid_origin;
+	size_t i;
+
+	for (i = 0; i < contracts->count; i++)
+		node->deployment->read_contract(
+		    contracts->names[i].text, &required);
+	core->fair_shares = jj_settings_resolve_switch(
+	    settings->fair_shares, required.fair_shares, &shares_origin);
+	core->avoid_failing = jj_settings_resolve_switch(
+	    settings->avoid_failing, required.avoid_failing, &avoid_origin);
+	jj_log(JJ_LOG_INFO, "switches_resolved",
+	    "fair_shares=%s fair_shares_by=%s avoid_failing=%s "
+	    "avoid_failing_by=%s contracts=%zu",
+	    core->fair_shares ? "on" : "off", shares_origin,
+	    core->avoid_failing ? "on" : "off", avoid_origin, contracts->count);
+}
+
 static bool
 create_adapters(jj_gateway_node_t *node)
 {
--- a/tests/adapters/settings_test.cc
+++ b/tests/adapters/settings_test.cc
@@ -49,6 +49,9 @@
 	EXPECT_STREQ("verona-1", settings.core.ledger.name.text);
 	EXPECT_STREQ("sala-verona", settings.core.dispatch.domain.text);
 	EXPECT_STREQ("127.0.0.1:7400", settings.core.member.address);
+	EXPECT_EQ(0U, settings.platform.contracts.count);
+	EXPECT_EQ(JJ_SWITCH_ABSENT, settings.fair_shares);
+	EXPECT_EQ(JJ_SWITCH_ABSENT, settings.avoid_failing);
 	jj_settings_clear(&settings);
 }
 
@@ -60,6 +63,9 @@
 	ASSERT_TRUE(parse(required_keys +
 		"log.level = \"debug\"\ntrace.share = 1\n"
 		"batch.chunks = 0\nplatform.client = \"x\"\n"
+		"platform.contracts = [\"a\", \"b c\"]\n"
+		"gateway.fair_shares = true\n"
+		"gateway.avoid_failing = false\n"
 		"[[servers]]\nname = \"ordini-1\"\ndomain = \"sala-verona\"\n"
 		"service = \"servizio-ordini\"\naddress = \"10.0.0.1:80\"\n"
 		"checks_fence = true\n"
@@ -71,6 +77,11 @@
 	EXPECT_DOUBLE_EQ(1, settings.trace.share);
 	EXPECT_EQ(0U, settings.batch.chunks);
 	EXPECT_STREQ("x", settings.platform.client.text);
+	ASSERT_EQ(2U, settings.platform.contracts.count);
+	EXPECT_STREQ("a", settings.platform.contracts.names[0].text);
+	EXPECT_STREQ("b c", settings.platform.contracts.names[1].text);
+	EXPECT_EQ(JJ_SWITCH_ON, settings.fair_shares);
+	EXPECT_EQ(JJ_SWITCH_OFF, settings.avoid_failing);
 	ASSERT_EQ(1U, settings.server_count);
 	EXPECT_STREQ("servizio-ordini", settings.servers[0].service.text);
 	EXPECT_TRUE(settings.servers[0].checks_fence);
@@ -88,6 +99,16 @@
 static const std::string seed = "[[neighbours]]\nname = \"b\"\n"
 				"domain = \"d\"\naddress = \"10.0.0.1:1\"\n";
 
+static std::string
+many_contracts(int count)
+{
+	std::string text;
+
+	for (int i = 0; i < count; i++)
+		text += "\"c\", ";
+	return text;
+}
+
 static const FaultCase fault_cases[] = {
     {"NotToml", "name = \n", "t.toml:1: "},
     {"NotUtf8", "name = \"\xff\"\n", "t.toml:1: "},
@@ -144,6 +165,22 @@
 	"must be a path"},
     {"Level", required_keys + "log.level = \"loud\"\n",
 	"key 'log.level' = 'loud': must be \"error\", \"warn\""},
+    {"TextForSwitch", required_keys + "gateway.fair_shares = \"on\"\n",
+	"t.toml:7: key 'gateway.fair_shares' = 'on': must be true or false"},
+    {"ContractsAreText", required_keys + "platform.contracts = \"a\"\n",
+	"t.toml:7: key 'platform.contracts' = 'a': must be an array of at "
+	"most 64 strings of 1 to 63 bytes"},
+    {"ContractIsNumber", required_keys + "platform.contracts = [\"a\", 1]\n",
+	"t.toml:7: key 'platform.contracts' = [ 'a', 1 ]: must be an array"},
+    {"ContractTooLong",
+	required_keys + "platform.contracts = [\"" + std::string(64, 'a') +
+	    "\"]\n",
+	"must be an array of at most 64 strings of 1 to 63 bytes"},
+    {"ContractEmpty", required_keys + "platform.contracts = [\"\"]\n",
+	"must be an array of at most 64 strings of 1 to 63 bytes"},
+    {"TooManyContracts",
+	required_keys + "platform.contracts = [" + many_contracts(65) + "]\n",
+	"must be an array of at most 64 strings of 1 to 63 bytes"},
     {"Twins", required_keys + seed + seed,
 	"t.toml:12: key 'neighbours.name' = 'b': must be unique"},
     {"Relation", required_keys + "[batch]\ncheckpoint_ms = 8000\n",
@@ -170,6 +207,43 @@
 INSTANTIATE_TEST_SUITE_P(Faults, SettingsFault, testing::ValuesIn(fault_cases),
     [](const auto &info) { return std::string(info.param.name); });
 
+TEST(Settings, MostContractsAreRead)
+{
+	jj_settings_t settings;
+	std::string error_text;
+
+	ASSERT_TRUE(parse(required_keys + "platform.contracts = [" +
+		many_contracts(64) + "]\n",
+	    &settings, &error_text))
+	    << error_text;
+	EXPECT_EQ(64U, settings.platform.contracts.count);
+	jj_settings_clear(&settings);
+}
+
+TEST(Settings, SwitchOfTheFileTakesPrecedence)
+{
+	const struct {
+		jj_switch_t given;
+		bool required;
+		bool value;
+		const char *origin;
+	} cases[] = {
+	    {JJ_SWITCH_ABSENT, false, false, "default"},
+	    {JJ_SWITCH_ABSENT, true, true, "contracts"},
+	    {JJ_SWITCH_OFF, true, false, "settings"},
+	    {JJ_SWITCH_ON, false, true, "settings"},
+	};
+
+	for (const auto &row : cases) {
+		const char *origin = "";
+
+		EXPECT_EQ(row.value,
+		    jj_settings_resolve_switch(
+			row.given, row.required, &origin));
+		EXPECT_STREQ(row.origin, origin);
+	}
+}
+
 TEST(Settings, MissingFileIsReported)
 {
 	char error_text[JJ_SETTINGS_ERROR_MAX];
