Stored results: read back with NUL

Cause: results are written as JSON strings, a NUL as \u0000, and read by json_loadb() without JSON_ALLOW_NUL. The answer to the write, each read of the segment and each takeover counted as no answer, without a log line.

--- a/src/core/batch_record.c
+++ b/src/core/batch_record.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "core/batch_record.h"
+#include "core/json_text.h"
 
 /** Bytes reserved in an object for all but its results. */
 #define OBJECT_SLACK 1024
@@ -73,7 +74,7 @@
 bool
 jj_out_count(const jj_bytes_t *value, jj_result_counts_t *counts)
 {
-	json_t *document = json_loadb(value->data, value->size, 0, NULL);
+	json_t *document = jj_json_load_stored(value->data, value->size);
 	json_t *results = json_object_get(document, "results");
 	bool known = json_is_array(results);
 	json_t *result;
@@ -124,7 +125,7 @@
 jj_chunk_record_decode(
     jj_chunk_record_t *record, const jj_bytes_t *value, uint64_t version)
 {
-	json_t *document = json_loadb(value->data, value->size, 0, NULL);
+	json_t *document = jj_json_load_stored(value->data, value->size);
 	const char *state = string_of(document, "state");
 	int i;
 
@@ -315,7 +316,7 @@
 replace_result(jj_item_result_t *result)
 {
 	json_t *document =
-	    json_loadb(result->text.data, result->text.size, 0, NULL);
+	    jj_json_load_stored(result->text.data, result->text.size);
 	jj_item_result_t replacement = jj_result_error(
 	    string_of(document, "custom_id"), "result_too_large",
 	    "the chunk's results exceed what the platform stores", "run");
--- a/src/core/inline_job.c
+++ b/src/core/inline_job.c
@@ -219,7 +219,7 @@
 bool
 jj_inline_segment_decode(jj_inline_segment_t *segment, const jj_bytes_t *text)
 {
-	json_t *root = json_loadb(text->data, text->size, 0, NULL);
+	json_t *root = jj_json_load_stored(text->data, text->size);
 	bool valid;
 
 	memset(segment, 0, sizeof(*segment));
--- a/src/core/inline_publish.c
+++ b/src/core/inline_publish.c
@@ -179,9 +179,15 @@
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
 {
 	jj_inline_segment_t stored;
-
-	if (result->outcome == JJ_PLATFORM_OK &&
-	    jj_inline_segment_decode(&stored, &result->value)) {
+	bool is_read = result->outcome == JJ_PLATFORM_OK &&
+	    jj_inline_segment_decode(&stored, &result->value);
+
+	if (result->outcome == JJ_PLATFORM_OK && !is_read)
+		jj_actions_add_event(out, "results_unreadable",
+		    "job=%s segment=%u version=%llu bytes=%zu", run->id,
+		    run->segment_number, (unsigned long long)result->version,
+		    result->value.size);
+	if (is_read) {
 		jj_inline_segment_clear(&run->segment);
 		run->segment = stored;
 		run->segment_version = result->version;
--- a/src/core/json_text.c
+++ b/src/core/json_text.c
@@ -7,6 +7,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+json_t *
+jj_json_load_stored(const char *text, size_t size)
+{
+	return json_loadb(text, size, JSON_ALLOW_NUL, NULL);
+}
+
 jj_bytes_t
 jj_json_take_bytes(json_t *object)
 {
--- a/src/core/json_text.h
+++ b/src/core/json_text.h
@@ -9,6 +9,11 @@
 
 #include "core/types.h"
 
+/**
+ * Parses JSON that this system or its store wrote; NULL when malformed. Strings
+ * may contain NUL, as the output of a backend server may.
+ */
+json_t *jj_json_load_stored(const char *text, size_t size);
 /** Compact text of an object; releases its reference. */
 jj_bytes_t jj_json_take_bytes(json_t *object);
 /**
--- a/src/core/operation.c
+++ b/src/core/operation.c
@@ -10,6 +10,8 @@
 
 #include <jansson.h>
 
+#include "core/json_text.h"
+
 /* Constants of splitmix64. */
 #define SPLITMIX_STEP 0x9e3779b97f4a7c15u
 #define SPLITMIX_FIRST 0xbf58476d1ce4e5b9u
@@ -57,7 +59,7 @@
 
 	if (value->size == 0)
 		return false;
-	object = json_loadb(value->data, value->size, 0, NULL);
+	object = jj_json_load_stored(value->data, value->size);
 	own = text_is(object, "writer", writer) &&
 	    text_is(object, "operation", operation);
 	json_decref(object);
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -137,6 +137,22 @@
 		    << object.first;
 }
 
+/* Guards against a stored result that hides all results of its job. */
+TEST_F(InlineFailure, AResultWithANulIsListed)
+{
+	const std::string text("a\0b", 3);
+
+	(void)a.submit("j", 2);
+	pass(100);
+	(void)a.finish("j-0", text);
+	pass(600);
+	(void)a.finish("j-1", "eins");
+	pass(2000);
+	EXPECT_EQ("2 0: j-0=" + text + " j-1=eins",
+	    b.answer(b.read("j", 0)).body);
+	EXPECT_FALSE(platform.has("batch-open/j"));
+}
+
 TEST_F(Inline, RefusesWhatDoesNotFitTheRoute)
 {
 	EXPECT_EQ(202, a.answer(a.submit("j", 9, 100)).status);
--- a/tests/platform/objects_test.cc
+++ b/tests/platform/objects_test.cc
@@ -126,6 +126,15 @@
 	    "Down", JJ_PLATFORM_CREATE, 503, "", JJ_PLATFORM_DOWN, 0, 0, ""},
 	ReadCase{"Error", JJ_PLATFORM_CREATE, 500, "", JJ_PLATFORM_UNKNOWN, 0,
 	    0, ""},
+	/* The output of a server may have any character. */
+	ReadCase{"NulInAValue", JJ_PLATFORM_GET, 200,
+	    "{\"metadata\":{\"name\":\"x\",\"revision\":7},"
+	    "\"spec\":{\"a\":\"b\\u0000c\"}}",
+	    JJ_PLATFORM_OK, 7, 0, "{\"a\":\"b\\u0000c\"}"},
+	ReadCase{"NulInAName", JJ_PLATFORM_LIST, 200,
+	    "{\"items\":[{\"metadata\":{\"name\":\"x\\u0000y\","
+	    "\"revision\":7},\"spec\":{}}],\"at\":530}",
+	    JJ_PLATFORM_OK, 530, 0, ""},
 	/* Without the object in the body, a 200 doesn't prove success. */
 	ReadCase{"Truncated", JJ_PLATFORM_UPDATE, 200,
 	    "{\"metadata\":", JJ_PLATFORM_UNKNOWN, 0, 0, ""},
