Event streams: only UTF-8 text without NUL is an event

Cause: an event's data was taken as it came, put into the JSON of the job's results, and jj_json_take_bytes() asserts that any JSON can be written.

Change: an event that is not UTF-8, or has a NUL, ends the answer like one out of sequence does, for items and for callers' streams; the run goes on elsewhere after the last sound event. The same function overflowed where a caller's Last-Event-Id was 2^63 - 1.

--- a/src/core/event_stream.c
+++ b/src/core/event_stream.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "core/event_stream.h"
 
 /** One line of an event. */
@@ -18,6 +20,7 @@
 static size_t find_event_end(const char *, size_t);
 static void read_fields(jj_stream_event_t *);
 static bool is_field(const line_t *, const char *, const char **, size_t *);
+static bool is_text(const jj_stream_event_t *);
 static bool
 is_in_sequence(const jj_event_stream_t *, const jj_stream_event_t *);
 
@@ -66,7 +69,7 @@
 	piece->raw = next_byte;
 	piece->raw_size = end;
 	read_fields(piece);
-	if (!is_in_sequence(stream, piece)) {
+	if (!is_text(piece) || !is_in_sequence(stream, piece)) {
 		stream->ended = true;
 		return JJ_EVENT_OUT_OF_SEQUENCE;
 	}
@@ -195,6 +198,17 @@
 	return true;
 }
 
+/**
+ * An event stream is UTF-8 (WHATWG HTML, Server-sent events), and a model's
+ * output has no NUL. Other bytes are not the server's answer, and a job's
+ * results, which are stored as JSON, can't hold them.
+ */
+static bool
+is_text(const jj_stream_event_t *piece)
+{
+	return g_utf8_validate(piece->raw, (gssize)piece->raw_size, NULL);
+}
+
 /**
  * Guards against joining a run with another one's events: a server that
  * restarted the run instead of resuming it, a second run after the first, or
@@ -210,5 +224,5 @@
 		return false;
 	if (stream->last_id == JJ_EVENT_NO_ID)
 		return piece->id <= 1;
-	return piece->id == stream->last_id + 1;
+	return piece->id - 1 == stream->last_id;
 }
--- a/src/core/event_stream.h
+++ b/src/core/event_stream.h
@@ -3,9 +3,9 @@
  * @brief Splits a byte stream into complete server-sent events, in order.
  *
  * A stream may end in the middle of an event, resume at another server, or
- * contain foreign bytes. Only complete events with consecutive ids are
- * returned, so a caller gets the output of one run without a gap, a repeat or
- * foreign data, whichever server sent it.
+ * contain foreign bytes. Only complete events of UTF-8 text with consecutive ids
+ * are returned, so a caller gets the output of one run without a gap, a repeat
+ * or foreign data, whichever server sent it.
  */
 #ifndef JJ_CORE_EVENT_STREAM_H
 #define JJ_CORE_EVENT_STREAM_H
@@ -29,7 +29,8 @@
 typedef enum {
 	JJ_EVENT_INCOMPLETE, /**< no complete event yet: feed more bytes */
 	JJ_EVENT_COMPLETE,
-	JJ_EVENT_OUT_OF_SEQUENCE, /**< not the next event: stop here */
+	/** not the next event, or not text: stop here */
+	JJ_EVENT_OUT_OF_SEQUENCE,
 } jj_event_result_t;
 
 /** State of one stream; to be zeroed, then begun. */
--- a/tests/core/event_stream_test.cc
+++ b/tests/core/event_stream_test.cc
@@ -23,14 +23,14 @@
 	bool rest;
 };
 
-class EventStream : public ::testing::TestWithParam<StreamCase>
+class EventStreamFailure : public ::testing::Test
 {
       protected:
 	jj_event_stream_t stream = {};
 	std::string passed;
 	jj_event_result_t found = JJ_EVENT_INCOMPLETE;
 
-	~EventStream() override
+	~EventStreamFailure() override
 	{
 		jj_event_stream_clear(&stream);
 	}
@@ -46,6 +46,11 @@
 	}
 };
 
+class EventStream : public EventStreamFailure,
+		    public ::testing::WithParamInterface<StreamCase>
+{
+};
+
 TEST_P(EventStream, ReturnsEventsInSequence)
 {
 	jj_event_stream_begin(&stream, GetParam().last_id);
@@ -92,10 +97,31 @@
 	    JJ_EVENT_INCOMPLETE, false},
 	StreamCase{"CarriageReturns", -1, "id:0\r\ndata:a\r\n\r\n",
 	    "id:0\r\ndata:a\r\n\r\n", JJ_EVENT_INCOMPLETE, false},
+	StreamCase{"NotUtf8", -1, E0 "id: 1\ndata: \x9b\xff\n\n" E2, E0,
+	    JJ_EVENT_OUT_OF_SEQUENCE, true},
+	StreamCase{"Overlong", -1, E0 "id: 1\ndata: \xc0\xaf\n\n", E0,
+	    JJ_EVENT_OUT_OF_SEQUENCE, true},
+	StreamCase{"Surrogate", -1, E0 "id: 1\ndata: \xed\xa0\x80\n\n", E0,
+	    JJ_EVENT_OUT_OF_SEQUENCE, true},
+	StreamCase{"CommentNotUtf8", -1, E0 ": \xff\n\n" E1, E0,
+	    JJ_EVENT_OUT_OF_SEQUENCE, true},
+	StreamCase{"Utf8", -1, E0 "id: 1\ndata: \xe2\x82\xac\n\n",
+	    E0 "id: 1\ndata: \xe2\x82\xac\n\n", JJ_EVENT_INCOMPLETE, false},
+	StreamCase{"LastId", INT64_MAX, E0, "", JJ_EVENT_OUT_OF_SEQUENCE,
+	    true},
 	StreamCase{"Garbage", -1, "\x01\x02 zz\n\n", "\x01\x02 zz\n\n",
 	    JJ_EVENT_INCOMPLETE, false}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/* Guards against bytes that are no text in the output of a run. */
+TEST_F(EventStreamFailure, AnEventWithANulIsNotReturned)
+{
+	jj_event_stream_begin(&stream, JJ_EVENT_NO_ID);
+	feed(E0 + std::string("id: 1\ndata: \x12\0x\n\n", 17) + E2);
+	EXPECT_EQ(E0, passed);
+	EXPECT_EQ(JJ_EVENT_OUT_OF_SEQUENCE, found);
+}
+
 TEST(EventPiece, JoinsItsDataByLineFeeds)
 {
 	const char raw[] = "id: 4\ndata: one\ndata:two\n\n";
