Submissions: bytes that can't be stored or sent are refused with a reason

Cause: what jj_inline_job_encode() writes was not checked when it was read.

Change: jj_platform_read_job() checks what is stored and later sent, and says what is wrong in the 400: UTF-8; ids that are no object name (a slash or a query names another object of the store); line ends in items' ids, paths and headers (they begin headers of their own at a server); a '#' in a path (the rest is not sent); two items with one id (one is published without end); tokens out of range.

Result: FrontSubmission, 23 rows.

--- a/src/adapters/deployment.h
+++ b/src/adapters/deployment.h
@@ -69,8 +69,13 @@
 	bool (*read_server)(const char *id, const jj_bytes_t *object,
 	    jj_slot_info_t *info, char *why, size_t why_size);
 	void (*read_call)(const jj_http_call_t *call, jj_front_call_t *read);
-	/** Decodes a job submission; false when malformed. */
-	bool (*read_job)(const jj_http_call_t *call, jj_inline_job_t *job);
+	/**
+	 * Decodes a job submission.
+	 * @return NULL, or what is wrong with it, for its caller; then @p job
+	 * is empty.
+	 */
+	const char *(*read_job)(
+	    const jj_http_call_t *call, jj_inline_job_t *job);
 	/** Reads the shared parts of a prompt from its header's value. */
 	void (*read_prompt)(const char *text, jj_prompt_t *prompt);
 	jj_bytes_t (*write_page)(const jj_inline_page_t *page);
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -485,9 +485,13 @@
 submit(jj_gateway_node_t *node, jj_http_call_t *call, const jj_name_t *team)
 {
 	jj_inline_job_t job;
+	const char *problem = node->deployment->read_job(call, &job);
+	jj_bytes_t text;
 
-	if (!node->deployment->read_job(call, &job)) {
-		answer(node, call, 400, 0, "text/plain", NULL);
+	if (problem != NULL) {
+		text = jj_bytes_from_text(problem);
+		answer(node, call, 400, 0, "text/plain", &text);
+		jj_bytes_free(&text);
 		return;
 	}
 	job.team = *team;
--- a/tests/platform/front_test.cc
+++ b/tests/platform/front_test.cc
@@ -17,7 +17,10 @@
 namespace
 {
 
-/** Answers a call with the id of its item, or else that of its job. */
+/**
+ * Answers a call with the id of its item, or else that of its job, or with what
+ * is wrong with a submission.
+ */
 void
 on_call(void *, jj_http_call_t *call)
 {
@@ -25,12 +28,14 @@
 	    200, "text/plain", {{nullptr, nullptr}}, nullptr, 0};
 	jj_inline_job_t job = {};
 	jj_front_call_t read;
+	const char *problem = nullptr;
 
 	jj_platform_read_call(call, &read);
 	if (read.kind == JJ_FRONT_FORWARD)
-		(void)jj_platform_read_job(call, &job);
+		problem = jj_platform_read_job(call, &job);
 	std::string text = "[";
-	text += read.kind == JJ_FRONT_FORWARD ? job.id
+	text += problem != nullptr	      ? problem
+	    : read.kind == JJ_FRONT_FORWARD   ? job.id
 	    : read.item != nullptr	      ? read.item
 					      : read.job;
 	text += "]";
@@ -118,6 +123,84 @@
 	JobCase{"Longer", 127, false}, JobCase{"Long", 1000, false}),
     [](const auto &info) { return std::string(info.param.name); });
 
+struct SubmissionCase {
+	const char *name;
+	const char *id; /**< value of the header */
+	const char *path;
+	const char *items;
+	const char *problem; /**< part of what is answered; empty: accepted */
+};
+
+class FrontSubmission : public ::testing::TestWithParam<SubmissionCase>
+{
+};
+
+/*
+ * Guards against submissions that end the VM when they are stored, that reach
+ * another object of the store, or that put headers into requests to servers.
+ */
+TEST_P(FrontSubmission, IsAcceptedOrSaysWhatIsWrong)
+{
+	std::string body = std::string("{\"items\":") + GetParam().items + "}";
+	std::string got = send_and_read_id(std::string("POST ") +
+	    GetParam().path + " HTTP/1.1\r\nHost: x\r\n" +
+	    "X-Jujubeswitch-Request-Id: " + GetParam().id +
+	    "\r\nContent-Length: " + std::to_string(body.size()) +
+	    "\r\n\r\n" + body);
+
+	if (GetParam().problem[0] == '\0')
+		EXPECT_EQ(GetParam().id, got);
+	else
+		EXPECT_NE(std::string::npos, got.find(GetParam().problem))
+		    << got;
+}
+
+#define ITEM_HEAD "[{\"id\":\"a\",\"path\":\"/b/1\""
+#define ITEM ITEM_HEAD "}]"
+
+INSTANTIATE_TEST_SUITE_P(Bytes, FrontSubmission,
+    ::testing::Values(SubmissionCase{"Sound", "j-1", "/b/x", ITEM, ""},
+	SubmissionCase{"SoundUtf8", "j-1", "/b/caf%C3%A9", ITEM, ""},
+	SubmissionCase{
+	    "PathNotUtf8", "j-1", "/b/caf%E9", ITEM, "the path is not UTF-8"},
+	SubmissionCase{"PathOverlong", "j-1", "/b/%C0%AF", ITEM, "the path"},
+	SubmissionCase{"PathSurrogate", "j-1", "/b/%ED%A0%80", ITEM, "path"},
+	SubmissionCase{"IdNotUtf8", "j\xe9", "/b/", ITEM, "visible ASCII"},
+	SubmissionCase{"IdOfAnotherObject", "../servers/s", "/b/", ITEM,
+	    "visible ASCII"},
+	SubmissionCase{"IdWithQuery", "j?watch=1", "/b/", ITEM, "visible"},
+	SubmissionCase{"IdWithQuote", "j\"", "/b/", ITEM, "visible ASCII"},
+	SubmissionCase{"NoItems", "j", "/b/", "[]", "items"},
+	SubmissionCase{"NoArray", "j", "/b/", "3", "items"},
+	SubmissionCase{"ItemNotUtf8", "j", "/b/",
+	    "[{\"id\":\"a\xe9\",\"path\":\"/b/1\"}]", "JSON"},
+	SubmissionCase{"ItemWithNul", "j", "/b/",
+	    "[{\"id\":\"a\\u0000\",\"path\":\"/b/1\"}]", "JSON"},
+	SubmissionCase{"LoneSurrogate", "j", "/b/",
+	    "[{\"id\":\"\\ud800\",\"path\":\"/b/1\"}]", "JSON"},
+	SubmissionCase{"ItemIdWithLineEnd", "j", "/b/",
+	    "[{\"id\":\"a\\r\\nX: y\",\"path\":\"/b/1\"}]", "an id"},
+	SubmissionCase{"SameItemTwice", "j", "/b/",
+	    "[{\"id\":\"a\",\"path\":\"/b/1\"},"
+	    "{\"id\":\"a\",\"path\":\"/b/1\"}]",
+	    "same id"},
+	SubmissionCase{"PathWithLineEnd", "j", "/b/",
+	    "[{\"id\":\"a\",\"path\":\"/b/1 HTTP/1.1\\r\\nX: y\"}]",
+	    "a path"},
+	SubmissionCase{"PathWithFragment", "j", "/b/",
+	    "[{\"id\":\"a\",\"path\":\"/b/1#2\"}]", "a path"},
+	SubmissionCase{"HeaderValueWithLineEnd", "j", "/b/",
+	    ITEM_HEAD ",\"headers\":{\"X-A\":\"b\\nX-C: d\"}}]", "header"},
+	SubmissionCase{"HeaderNameWithColon", "j", "/b/",
+	    ITEM_HEAD ",\"headers\":{\"X-A: b\\r\\nX-C\":\"d\"}}]", "header"},
+	SubmissionCase{"SoundHeader", "j", "/b/",
+	    ITEM_HEAD ",\"headers\":{\"X-A\":\"b c\"}}]", ""},
+	SubmissionCase{"NegativeTokens", "j", "/b/",
+	    ITEM_HEAD ",\"tokens\":-1}]", "tokens"},
+	SubmissionCase{"TokensBeyond", "j", "/b/",
+	    ITEM_HEAD ",\"tokens\":9223372036854775807}]", "tokens"}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 struct Outcome {
 	std::mutex lock;
 	std::condition_variable changed;
