Batch records: deeply nested bodies are stored as text

A backend server's answer that nests 2048 levels made the record of its whole chunk unreadable: parsed, it was put into a record that nests deeper than readers allow.

Change: a body that nests deeper than 1024 levels is stored as text, as one that is not JSON.

Result: StoredBody.CanBeReadBack/Nested failed before and passes.

--- a/src/core/batch_record.c
+++ b/src/core/batch_record.c
@@ -12,12 +12,18 @@
 
 /** Bytes reserved in an object for all but its results. */
 #define OBJECT_SLACK 1024
+/**
+ * Maximum depth of a body that is stored as JSON. A record adds a few levels,
+ * and a reader refuses more than JSON_PARSER_MAX_DEPTH (2048).
+ */
+#define BODY_DEPTH_MAX 1024
 
 static const char *const state_names[] = {"running", "released", "done"};
 
 static void text_format(jj_buffer_t *, const char *, ...)
     __attribute__((format(printf, 2, 3)));
 static json_t *body_decode(const jj_bytes_t *);
+static bool is_deeper_than(json_t *, uint32_t);
 static json_t *body_repair(const jj_bytes_t *);
 static jj_item_result_t result_encode(json_t *, jj_result_kind_t);
 static jj_result_kind_t result_kind(const json_t *);
@@ -226,6 +232,10 @@
 	if (body == NULL || body->data == NULL)
 		return json_null();
 	decoded = json_loadb(body->data, body->size, JSON_DECODE_ANY, NULL);
+	if (decoded != NULL && is_deeper_than(decoded, BODY_DEPTH_MAX)) {
+		json_decref(decoded);
+		decoded = NULL;
+	}
 	if (decoded == NULL)
 		decoded = json_stringn(body->data, body->size);
 	if (decoded == NULL)
@@ -233,6 +243,30 @@
 	return decoded;
 }
 
+static bool
+is_deeper_than(json_t *value, uint32_t depth)
+{
+	const char *key;
+	json_t *inner;
+	size_t i;
+
+	if (!json_is_array(value) && !json_is_object(value))
+		return false;
+	if (depth == 0)
+		return true;
+	json_array_foreach(value, i, inner)
+	{
+		if (is_deeper_than(inner, depth - 1))
+			return true;
+	}
+	json_object_foreach(value, key, inner)
+	{
+		if (is_deeper_than(inner, depth - 1))
+			return true;
+	}
+	return false;
+}
+
 /* Replaces each byte that is not ASCII by '?', as the body is not UTF-8. */
 static json_t *
 body_repair(const jj_bytes_t *body)
--- a/tests/core/batch_record_test.cc
+++ b/tests/core/batch_record_test.cc
@@ -61,7 +61,8 @@
 	BodyCase{"Text", "plain"}, BodyCase{"Nul", std::string("a\0b", 3)},
 	BodyCase{"NotUtf8", "a\xff\xc0\x80z"},
 	BodyCase{"LoneSurrogate", "{\"a\":\"\\ud800\"}"},
-	BodyCase{"NumberOutOfRange", "[1e999,99999999999999999999]"}),
+	BodyCase{"NumberOutOfRange", "[1e999,99999999999999999999]"},
+	BodyCase{"Nested", std::string(2048, '[') + std::string(2048, ']')}),
     [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
