Submissions: a job that is stored is accepted only with its open entry

Cause: a resend where no tokens fit only looked for the object; only the entry makes a VM run the job.

Change: the resend creates the entry, too, and answers 202 when both exist.

Result: AHalfStoredJobThatIsSentAgainToAFullRouteRuns and AHalfStoredJobIsNotAcceptedBeforeItsEntryExists failed before and pass.

--- a/src/core/inline_submit.c
+++ b/src/core/inline_submit.c
@@ -6,7 +6,9 @@
  * Both writes are creates under the job's id, so that a resend, to this or any
  * VM, finds the first one's objects and gets the same answer. They are sent in
  * parallel; the order in which they take effect does not matter, as neither an
- * entry without a job nor a job without an entry runs anything.
+ * entry without a job nor a job without an entry runs anything. A VM that is
+ * killed may leave either of them alone, so only both are an accepted job: each
+ * resend completes what is missing.
  */
 #include <stdio.h>
 #include <string.h>
@@ -201,12 +203,22 @@
 		strcmp(stored.owner, jobs->settings.writer) == 0);
 }
 
+/**
+ * A job that is stored was admitted by the VM that stored it. Its open entry
+ * may be missing, so it is created before the job is answered 202; an entry that
+ * exists is left as it is.
+ */
 static void
 take_check(jj_inline_t *jobs, jj_inline_op_t *op,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
 {
 	if (result->outcome == JJ_PLATFORM_OK) {
-		jj_inline_answer(jobs, op, 202, NULL, out);
+		jj_inline_end_call(&op->get);
+		op->job_stored = true;
+		op->job_version = result->version;
+		op->may_be_stored = true;
+		jj_inline_schedule_call(&op->create_open, now);
+		jj_inline_step_submit(jobs, op, now, out);
 	} else if (result->outcome == JJ_PLATFORM_ABSENT) {
 		jj_actions_add_event(out, "job_over_limit",
 		    "job=%s tokens=%llu waiting=%llu route=%s", op->id,
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -148,8 +148,8 @@
 	pass(600);
 	(void)a.finish("j-1", "eins");
 	pass(2000);
-	EXPECT_EQ("2 0: j-0=" + text + " j-1=eins",
-	    b.answer(b.read("j", 0)).body);
+	EXPECT_EQ(
+	    "2 0: j-0=" + text + " j-1=eins", b.answer(b.read("j", 0)).body);
 	EXPECT_FALSE(platform.has("batch-open/j"));
 }
 
@@ -698,6 +698,49 @@
 	EXPECT_EQ(1U, stored("j").size());
 }
 
+/*
+ * Guards against a job that is answered 202 and never runs: its VM was killed
+ * after it had stored the job and before it stored the open entry, and the
+ * resend comes where no more tokens fit.
+ */
+TEST_F(InlineFailure, AHalfStoredJobThatIsSentAgainToAFullRouteRuns)
+{
+	a.defers = [](const jj_platform_call_t &call) {
+		return call.op == JJ_PLATFORM_CREATE &&
+		    strncmp(call.key, "batch-open/", 11) == 0;
+	};
+	(void)a.submit("j", 1);
+	ASSERT_TRUE(platform.has("batch-jobs/j"));
+	a.paused = true;
+	lost_writers.insert(a.writer);
+	ASSERT_EQ(202, b.answer(b.submit("full", 10, 100)).status);
+	uint64_t resend = b.submit("j", 1);
+	pass(500);
+	EXPECT_EQ(202, b.answer(resend).status);
+	EXPECT_TRUE(platform.has("batch-open/j"));
+	EXPECT_TRUE(b.finish("j-0", "x"));
+	pass(1000);
+	EXPECT_EQ("1 0: j-0=x", b.answer(b.read("j", 0)).body);
+}
+
+/* The same when the store doesn't answer the resend for a while. */
+TEST_F(InlineFailure, AHalfStoredJobIsNotAcceptedBeforeItsEntryExists)
+{
+	(void)a.submit("j", 1);
+	platform.objects.erase("batch-open/j");
+	a.paused = true;
+	lost_writers.insert(a.writer);
+	ASSERT_EQ(202, b.answer(b.submit("full", 10, 100)).status);
+	b.defers = [](const jj_platform_call_t &call) {
+		return call.op == JJ_PLATFORM_CREATE;
+	};
+	uint64_t resend = b.submit("j", 1);
+	pass(500);
+	EXPECT_EQ(0, b.answer(resend).status);
+	pass(3000);
+	EXPECT_EQ(504, b.answer(resend).status) << "it may be stored";
+}
+
 /* Another VM takes a job over when the first in rank does not get to it. */
 TEST_F(InlineFailure, AnotherVmTakesOverWhenTheFirstInRankDoesNot)
 {
