Orphaned entries: the job is looked for once more after the deletion

A job that came during the deletion found the entry and was answered 202; one that came to that VM within seconds was answered 202 as known. Neither was ever run.

Change: after the deletion the job object is read once more; if it is there, the entry is created again. A run whose job never came is no accepted job: it is neither answered 202 nor read from.

--- a/src/core/inline_op.c
+++ b/src/core/inline_op.c
@@ -333,8 +333,9 @@
 {
 	const jj_open_entry_t *entry = jj_inline_find_open(jobs, run->id);
 
-	if (run->state != JJ_RUN_RUNNING && run->state != JJ_RUN_CLOSING &&
-	    run->state != JJ_RUN_CLOSED)
+	if (jj_inline_is_orphan(run) ||
+	    (run->state != JJ_RUN_RUNNING && run->state != JJ_RUN_CLOSING &&
+		run->state != JJ_RUN_CLOSED))
 		return false;
 	if (!jj_inline_is_current(jobs, run))
 		return false;
--- a/src/core/inline_run.c
+++ b/src/core/inline_run.c
@@ -34,6 +34,10 @@
 static void take_loaded(jj_inline_t *, jj_inline_run_t *,
     const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
 static void handle_missing_job(jj_inline_t *, jj_inline_run_t *, jj_ms_t);
+static void check_dropped_job(jj_inline_run_t *, jj_ms_t);
+static void start_reopen(jj_inline_t *, jj_inline_run_t *, jj_actions_t *);
+static void take_reopened(jj_inline_t *, jj_inline_run_t *,
+    const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
 static void close_run(jj_inline_t *, jj_inline_run_t *, jj_ms_t);
 static bool is_all_published(const jj_inline_run_t *);
 static void
@@ -52,6 +56,24 @@
 	return NULL;
 }
 
+jj_inline_run_t *
+jj_inline_find_accepted(jj_inline_t *jobs, const char *id)
+{
+	jj_inline_run_t *run = jj_inline_find_run(jobs, id);
+
+	if (run == NULL || run->state != JJ_RUN_CLOSED ||
+	    !jj_inline_is_orphan(run))
+		return run;
+	jj_inline_drop_run(jobs, run);
+	return NULL;
+}
+
+bool
+jj_inline_is_orphan(const jj_inline_run_t *run)
+{
+	return run->absent_ms != JJ_MS_NEVER;
+}
+
 jj_inline_run_t *
 jj_inline_adopt(jj_inline_t *jobs, const jj_open_entry_t *entry, jj_ms_t now)
 {
@@ -75,7 +97,7 @@
 void
 jj_inline_adopt_job(jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now)
 {
-	jj_inline_run_t *run = jj_inline_find_run(jobs, op->id);
+	jj_inline_run_t *run = jj_inline_find_accepted(jobs, op->id);
 
 	if (run != NULL)
 		return;
@@ -151,7 +173,7 @@
 		return;
 	run->handing_over = true;
 	cancel_items(jobs, run);
-	if (run->state == JJ_RUN_LOADING) {
+	if (run->state == JJ_RUN_LOADING && !run->entry_dropped) {
 		jj_inline_end_call(&run->load.call);
 		begin_closing(run, now);
 		return;
@@ -215,6 +237,10 @@
 		if (jj_inline_is_due(&run->close, now) && run->write.token == 0)
 			step_close(jobs, run, out);
 		break;
+	case JJ_RUN_REOPENING:
+		if (jj_inline_is_due(&run->close, now))
+			start_reopen(jobs, run, out);
+		break;
 	case JJ_RUN_CLOSED:
 		if (now - run->closed_ms >= jobs->settings.keep_ms)
 			jj_inline_drop_run(jobs, run);
@@ -231,7 +257,10 @@
 		return true;
 	}
 	if (result->token == run->close.token) {
-		take_close(jobs, run, result, now, out);
+		if (run->state == JJ_RUN_REOPENING)
+			take_reopened(jobs, run, result, now, out);
+		else
+			take_close(jobs, run, result, now, out);
 		return true;
 	}
 	return jj_inline_take_publish(jobs, run, result, now, out);
@@ -528,7 +557,10 @@
 		    "job=%s results=%u of=%zu ended=%d handed_over=%d", run->id,
 		    run->published, run->job.item_count, run->ended,
 		    run->handing_over);
-		close_run(jobs, run, now);
+		if (jj_inline_is_orphan(run) && !run->handing_over)
+			check_dropped_job(run, now);
+		else
+			close_run(jobs, run, now);
 		break;
 	case JJ_PLATFORM_CONFLICT:
 		if (jj_inline_decode_open(&now_stored, &result->value) &&
@@ -580,6 +612,13 @@
 		handle_missing_job(jobs, run, now);
 		return;
 	}
+	if (run->entry_dropped) {
+		jj_inline_clear_load(&run->load);
+		run->state = JJ_RUN_REOPENING;
+		jj_inline_schedule_call(&run->close, now);
+		return;
+	}
+	run->absent_ms = JJ_MS_NEVER;
 	if (loaded == JJ_LOAD_DONE &&
 	    jj_inline_job_decode(
 		&run->job, run->load.text.data, run->load.text.size)) {
@@ -600,6 +639,10 @@
 static void
 handle_missing_job(jj_inline_t *jobs, jj_inline_run_t *run, jj_ms_t now)
 {
+	if (run->entry_dropped) {
+		close_run(jobs, run, now);
+		return;
+	}
 	if (run->absent_ms == JJ_MS_NEVER)
 		run->absent_ms = now;
 	if (now - run->absent_ms < jobs->settings.orphan_ms) {
@@ -607,6 +650,61 @@
 		jj_inline_back_off(jobs, &run->load.call, now);
 		return;
 	}
-	run->ended = true;
 	begin_closing(run, now);
 }
+
+/**
+ * The job may have come while its entry was being deleted: whoever stored it
+ * found the entry, and answered 202.
+ */
+static void
+check_dropped_job(jj_inline_run_t *run, jj_ms_t now)
+{
+	run->entry_dropped = true;
+	run->state = JJ_RUN_LOADING;
+	jj_inline_schedule_call(&run->load.call, now);
+}
+
+static void
+start_reopen(jj_inline_t *jobs, jj_inline_run_t *run, jj_actions_t *out)
+{
+	jj_platform_call_t *call =
+	    jj_inline_start_call(jobs, &run->close, JJ_PLATFORM_CREATE, out);
+
+	(void)snprintf(
+	    call->key, sizeof(call->key), "%s%s", JJ_INLINE_OPEN, run->id);
+	call->value = jj_inline_encode_open(jobs->settings.writer, &run->route,
+	    run->tokens, run->total, run->ended);
+}
+
+static void
+take_reopened(jj_inline_t *jobs, jj_inline_run_t *run,
+    const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
+{
+	jj_open_entry_t stored = {0};
+
+	if (result->outcome != JJ_PLATFORM_OK &&
+	    result->outcome != JJ_PLATFORM_CONFLICT) {
+		jj_inline_back_off(jobs, &run->close, now);
+		return;
+	}
+	jj_inline_end_call(&run->close);
+	if (result->outcome == JJ_PLATFORM_CONFLICT &&
+	    (!jj_inline_decode_open(&stored, &result->value) ||
+		strcmp(stored.owner, jobs->settings.writer) != 0)) {
+		/* Another VM accepted the job after the deletion. */
+		jj_inline_drop_run(jobs, run);
+		return;
+	}
+	jj_actions_add_event(out, "job_reopened", "job=%s version=%llu",
+	    run->id, (unsigned long long)result->version);
+	run->open_version = result->version;
+	run->entry_dropped = false;
+	run->absent_ms = JJ_MS_NEVER;
+	if (run->handing_over) {
+		begin_closing(run, now);
+		return;
+	}
+	run->state = JJ_RUN_LOADING;
+	jj_inline_schedule_call(&run->load.call, now);
+}
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -90,6 +90,8 @@
 	JJ_RUN_CATCHING_UP, /**< reads the published results */
 	JJ_RUN_RUNNING,
 	JJ_RUN_CLOSING, /**< deletes or hands over its open entry */
+	/** creates its open entry again, see entry_dropped */
+	JJ_RUN_REOPENING,
 	JJ_RUN_CLOSED, /**< kept in memory for its readers */
 } jj_inline_run_state_t;
 
@@ -112,6 +114,11 @@
 	jj_ms_t retention_ms;
 	/** Job object missing since; JJ_MS_NEVER: not missing. */
 	jj_ms_t absent_ms;
+	/**
+	 * Its open entry was deleted as the job object is missing; that object
+	 * is read once more.
+	 */
+	bool entry_dropped;
 	/** Without a route since; JJ_MS_NEVER: has one. */
 	jj_ms_t no_route_ms;
 	jj_ms_t closed_ms;
@@ -350,6 +357,13 @@
 void jj_inline_adopt_job(jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now);
 /** Drops a job that another VM owns now. */
 void jj_inline_drop_run(jj_inline_t *jobs, jj_inline_run_t *run);
+/** True while its open entry exists, or did, without a job object. */
+bool jj_inline_is_orphan(const jj_inline_run_t *run);
+/**
+ * The run of a job here, or NULL; drops a closed one whose job never came, so
+ * that the job may still be accepted.
+ */
+jj_inline_run_t *jj_inline_find_accepted(jj_inline_t *jobs, const char *id);
 void jj_inline_end_run(jj_inline_run_t *run, jj_inline_t *jobs, jj_ms_t now);
 /** A job's open entry was deleted. */
 void jj_inline_note_missing_entry(jj_inline_t *jobs, const char *id);
--- a/src/core/inline_submit.c
+++ b/src/core/inline_submit.c
@@ -33,7 +33,7 @@
 jj_inline_submit(jj_inline_t *jobs, uint64_t operation, jj_inline_job_t *job,
     const jj_route_t *route, jj_ms_t now, jj_actions_t *out)
 {
-	const jj_inline_run_t *run = jj_inline_find_run(jobs, job->id);
+	const jj_inline_run_t *run = jj_inline_find_accepted(jobs, job->id);
 	bool is_known =
 	    run != NULL || jj_inline_find_open(jobs, job->id) != NULL;
 	jj_name_t account = jj_inline_account(route, &job->team);
@@ -47,7 +47,8 @@
 	op->route = account;
 	op->run_due_ms = now + route->run_due_ms;
 	op->retention_ms = now + route->retention_ms;
-	if (run != NULL && run->state != JJ_RUN_LOADING) {
+	if (run != NULL && run->state != JJ_RUN_LOADING &&
+	    !jj_inline_is_orphan(run)) {
 		jj_inline_answer(jobs, op, 202, NULL, out);
 		return;
 	}
--- a/src/core/inline_watchdog.c
+++ b/src/core/inline_watchdog.c
@@ -230,6 +230,8 @@
 						     : "job_read";
 	case JJ_RUN_CLOSING:
 		return run->handing_over ? "entry_release" : "entry_delete";
+	case JJ_RUN_REOPENING:
+		return "entry_create";
 	case JJ_RUN_CATCHING_UP:
 		return name_write(jobs, run);
 	default:
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -741,6 +741,88 @@
 	EXPECT_EQ(504, b.answer(resend).status) << "it may be stored";
 }
 
+/** An open entry without its job: the VM was killed between the two writes. */
+class OrphanedEntry : public InlineFailure
+{
+      protected:
+	OrphanedEntry()
+	{
+		platform.put("batch-open/j",
+		    R"({"owner":")" + a.writer +
+			R"(","route":"notturno","tokens":10,"total":1,)"
+			R"("ended":false})");
+		pass(200);
+	}
+	void
+	expect_runs_once()
+	{
+		pass(2000);
+		EXPECT_EQ(1U, a.items.size() + b.items.size());
+		a.finish_all("x");
+		b.finish_all("x");
+		pass(2000);
+		EXPECT_EQ("1 0: j-0=x", b.answer(b.read("j", 0)).body);
+		EXPECT_FALSE(platform.has("batch-open/j"));
+	}
+};
+
+/* Guards against an entry that counts for its route without end. */
+TEST_F(OrphanedEntry, IsDeleted)
+{
+	pass(8000);
+	EXPECT_FALSE(platform.has("batch-open/j"));
+	EXPECT_EQ(404, a.answer(a.read("j", 0)).status);
+	EXPECT_EQ(404, b.answer(b.read("j", 0)).status);
+	pass(2000);
+	EXPECT_TRUE(jj_inline_is_idle(a.jobs));
+}
+
+/*
+ * Guards against a job that is answered 202 and never runs: it comes while its
+ * orphaned entry is being deleted.
+ */
+TEST_F(OrphanedEntry, AJobThatComesDuringTheDeletionRuns)
+{
+	a.defers = [](const jj_platform_call_t &call) {
+		return call.op == JJ_PLATFORM_DELETE;
+	};
+	pass(6500);
+	ASSERT_EQ(1U, a.deferred.size());
+	for (InlineVm *vm : {&a, &b})
+		EXPECT_EQ(202, vm->answer(vm->submit("j", 1)).status);
+	a.defers = nullptr;
+	a.release();
+	expect_runs_once();
+}
+
+/* Guards against the same at the VM that has just deleted the entry. */
+TEST_F(OrphanedEntry, AJobThatComesAfterTheDeletionRuns)
+{
+	for (int i = 0; i < 200 && platform.has("batch-open/j"); i++)
+		pass(50);
+	ASSERT_FALSE(platform.has("batch-open/j"));
+	EXPECT_EQ(202, a.answer(a.submit("j", 1)).status);
+	expect_runs_once();
+}
+
+/* Guards against a job that is left behind when its VM stops meanwhile. */
+TEST_F(OrphanedEntry, AJobThatComesWhileItsVmStopsRuns)
+{
+	a.defers = [](const jj_platform_call_t &call) {
+		return call.op == JJ_PLATFORM_DELETE;
+	};
+	pass(6500);
+	EXPECT_EQ(202, b.answer(b.submit("j", 1)).status);
+	a.defers = nullptr;
+	a.release();
+	jj_inline_leave(a.jobs, now, &a.out);
+	a.run_actions();
+	pass(500);
+	EXPECT_TRUE(jj_inline_is_idle(a.jobs));
+	lost_writers.insert(a.writer);
+	expect_runs_once();
+}
+
 /* Another VM takes a job over when the first in rank does not get to it. */
 TEST_F(InlineFailure, AnotherVmTakesOverWhenTheFirstInRankDoesNot)
 {
--- a/tests/platform/front_test.cc
+++ b/tests/platform/front_test.cc
@@ -34,10 +34,10 @@
 	if (read.kind == JJ_FRONT_FORWARD)
 		problem = jj_platform_read_job(call, &job);
 	std::string text = "[";
-	text += problem != nullptr	      ? problem
-	    : read.kind == JJ_FRONT_FORWARD   ? job.id
-	    : read.item != nullptr	      ? read.item
-					      : read.job;
+	text += problem != nullptr	    ? problem
+	    : read.kind == JJ_FRONT_FORWARD ? job.id
+	    : read.item != nullptr	    ? read.item
+					    : read.job;
 	text += "]";
 	free(read.item);
 	jj_inline_job_clear(&job);
@@ -145,8 +145,8 @@
 	std::string got = send_and_read_id(std::string("POST ") +
 	    GetParam().path + " HTTP/1.1\r\nHost: x\r\n" +
 	    "X-Jujubeswitch-Request-Id: " + GetParam().id +
-	    "\r\nContent-Length: " + std::to_string(body.size()) +
-	    "\r\n\r\n" + body);
+	    "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	    body);
 
 	if (GetParam().problem[0] == '\0')
 		EXPECT_EQ(GetParam().id, got);
@@ -166,8 +166,8 @@
 	SubmissionCase{"PathOverlong", "j-1", "/b/%C0%AF", ITEM, "the path"},
 	SubmissionCase{"PathSurrogate", "j-1", "/b/%ED%A0%80", ITEM, "path"},
 	SubmissionCase{"IdNotUtf8", "j\xe9", "/b/", ITEM, "visible ASCII"},
-	SubmissionCase{"IdOfAnotherObject", "../servers/s", "/b/", ITEM,
-	    "visible ASCII"},
+	SubmissionCase{
+	    "IdOfAnotherObject", "../servers/s", "/b/", ITEM, "visible ASCII"},
 	SubmissionCase{"IdWithQuery", "j?watch=1", "/b/", ITEM, "visible"},
 	SubmissionCase{"IdWithQuote", "j\"", "/b/", ITEM, "visible ASCII"},
 	SubmissionCase{"NoItems", "j", "/b/", "[]", "items"},
@@ -185,8 +185,7 @@
 	    "{\"id\":\"a\",\"path\":\"/b/1\"}]",
 	    "same id"},
 	SubmissionCase{"PathWithLineEnd", "j", "/b/",
-	    "[{\"id\":\"a\",\"path\":\"/b/1 HTTP/1.1\\r\\nX: y\"}]",
-	    "a path"},
+	    "[{\"id\":\"a\",\"path\":\"/b/1 HTTP/1.1\\r\\nX: y\"}]", "a path"},
 	SubmissionCase{"PathWithFragment", "j", "/b/",
 	    "[{\"id\":\"a\",\"path\":\"/b/1#2\"}]", "a path"},
 	SubmissionCase{"HeaderValueWithLineEnd", "j", "/b/",
