Answers without end are ended

Bytes that are no answer may come without end, in a head or a body. Comments (events without data) were read, forwarded and taken for progress until the request's time was over; a trailer likewise; an item's output grew in memory without a bound.

Change: JJ_HTTP_ABORT lets a receiver end its transfer. Bounds: 256 KB for all header lines of an answer, for an event, and for events without data in a row; 4 MB for an item's output; 16 MB for all bodies that a VM receives, beyond which none may exceed 1 MB. Only events are progress.

--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -37,8 +37,15 @@
 #define BATCHING_PAUSE_US 2000
 /** Default connect timeout, milliseconds; VMs are a few ms apart. */
 #define CONNECT_TIMEOUT_MS 1000L
+/**
+ * Maximum bytes of all header lines of an answer, with those of informational
+ * answers and of a trailer.
+ */
+#define HEAD_BYTES_MAX 262144
 /** Idle connections that a client keeps for reuse. */
 #define IDLE_CONNECTIONS 512L
+/** Upper bound of a Retry-After, seconds. */
+#define RETRY_AFTER_MAX_S 86400
 /** TCP keep-alive: idle time before a probe and between probes, seconds. */
 #define KEEPALIVE_S 1L
 /** Unanswered keep-alive probes after which a connection is broken. */
@@ -60,6 +67,7 @@
 	jj_http_request_t request; /**< only ctx and callbacks stay valid */
 	jj_http_head_t head;
 	GString *lines; /**< header lines of the response */
+	size_t head_bytes; /**< of all header lines so far */
 	bool head_delivered;
 	TAILQ_ENTRY(transfer) link; /**< in the client's idle_limited */
 	jj_ms_t idle_deadline_ms; /**< timed out then, unless data arrives */
@@ -111,6 +119,7 @@
 static int on_socket_created(void *, curl_socket_t, curlsocktype);
 static void set_body(transfer_t *, const jj_http_request_t *);
 static jj_http_end_t classify_result(CURL *, CURLcode);
+static jj_ms_t read_seconds(const char *);
 static size_t on_header(char *, size_t, size_t, void *);
 static size_t on_body(char *, size_t, size_t, void *);
 static void append_line(GString *, const char *, size_t);
@@ -664,6 +673,18 @@
 	(void)snprintf(target, target_size, "%s", line);
 }
 
+/** Seconds with an optional fraction, as ms; 0 for what is no such number. */
+static jj_ms_t
+read_seconds(const char *text)
+{
+	double seconds = g_ascii_strtod(text, NULL);
+
+	if (!(seconds > 0))
+		return 0;
+	return seconds < RETRY_AFTER_MAX_S ? (jj_ms_t)(seconds * 1000)
+					   : (jj_ms_t)RETRY_AFTER_MAX_S * 1000;
+}
+
 static size_t
 on_header(char *data, size_t size, size_t count, void *ctx)
 {
@@ -673,6 +694,10 @@
 	char line[256];
 	char retry_after[32] = "";
 
+	/* Any other value than the length ends the transfer. */
+	transfer->head_bytes += length;
+	if (transfer->head_bytes > HEAD_BYTES_MAX)
+		return 0;
 	extend_idle_deadline(transfer);
 	(void)snprintf(line, sizeof(line), "%.*s", (int)length, data);
 	line[strcspn(line, "\r\n")] = '\0';
@@ -695,8 +720,7 @@
 	copy_header(head->boot, sizeof(head->boot), "Jujube-Boot:", line);
 	copy_header(retry_after, sizeof(retry_after), "Retry-After:", line);
 	if (retry_after[0] != '\0')
-		head->retry_after_ms =
-		    (jj_ms_t)(g_ascii_strtod(retry_after, NULL) * 1000);
+		head->retry_after_ms = read_seconds(retry_after);
 	if (strncasecmp(line, "Jujube-Leaving:", 15) == 0)
 		head->leaving = true;
 	return length;
@@ -739,8 +763,13 @@
 
 	extend_idle_deadline(transfer);
 	deliver_head(transfer);
-	if (transfer->request.on_data(transfer->request.ctx, data, length) ==
-	    JJ_HTTP_PAUSE)
+	switch (
+	    transfer->request.on_data(transfer->request.ctx, data, length)) {
+	case JJ_HTTP_PAUSE:
 		return CURL_WRITEFUNC_PAUSE;
-	return length;
+	case JJ_HTTP_ABORT:
+		return 0;
+	default:
+		return length;
+	}
 }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -39,6 +39,7 @@
 typedef enum {
 	JJ_HTTP_CONSUMED,
 	JJ_HTTP_PAUSE, /**< not consumed: deliver again after a resume */
+	JJ_HTTP_ABORT, /**< close the connection; the transfer ends as broken */
 } jj_http_flow_t;
 
 /** One request; the client copies what it needs. */
--- a/src/core/event_stream.c
+++ b/src/core/event_stream.c
@@ -30,6 +30,7 @@
 	stream->size = 0;
 	stream->start = 0;
 	stream->last_id = last_id;
+	stream->idle_size = 0;
 	stream->ended = false;
 }
 
@@ -69,7 +70,9 @@
 	piece->raw = next_byte;
 	piece->raw_size = end;
 	read_fields(piece);
-	if (!is_text(piece) || !is_in_sequence(stream, piece)) {
+	stream->idle_size = piece->has_data ? 0 : stream->idle_size + end;
+	if (!is_text(piece) || !is_in_sequence(stream, piece) ||
+	    end > JJ_EVENT_SIZE_MAX || stream->idle_size > JJ_EVENT_SIZE_MAX) {
 		stream->ended = true;
 		return JJ_EVENT_OUT_OF_SEQUENCE;
 	}
--- a/src/core/event_stream.h
+++ b/src/core/event_stream.h
@@ -12,7 +12,10 @@
 
 #include "core/types.h"
 
-/** Maximum size of an incomplete event that is buffered, bytes. */
+/**
+ * Maximum size of an event, and of all events without data between two with
+ * data, bytes.
+ */
 #define JJ_EVENT_SIZE_MAX 262144
 /** Id of an event without an id; as last_id: no event yet. */
 #define JJ_EVENT_NO_ID INT64_C(-1)
@@ -40,6 +43,7 @@
 	size_t capacity; /**< allocated bytes */
 	size_t start; /**< leading bytes that were returned already */
 	int64_t last_id; /**< id of the last event returned */
+	size_t idle_size; /**< bytes of events without data since then */
 	bool ended; /**< an event out of sequence was found */
 } jj_event_stream_t;
 
--- a/src/core/job_read.c
+++ b/src/core/job_read.c
@@ -175,8 +175,7 @@
 		jj_job_operation_read(operation, out);
 		return;
 	}
-	object =
-	    jj_json_load_stored(result->value.data, result->value.size);
+	object = jj_json_load_stored(result->value.data, result->value.size);
 	if (json_is_array(json_object_get(object, "results")))
 		jj_job_operation_answer(jobs, operation, 200,
 		    write_lines(operation, json_object_get(object, "results")),
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -449,6 +449,8 @@
 			flow = receive_stream(attempt, entry, data, size);
 		else
 			receive_body(attempt, data, size);
+		if (attempt->too_large || attempt->sse.too_long)
+			flow = JJ_HTTP_ABORT;
 	}
 	(void)apr_thread_mutex_unlock(shard->lock);
 	if (flow == JJ_HTTP_CONSUMED)
@@ -600,10 +602,10 @@
 classify_end(
     const attempt_t *attempt, jj_http_end_t end, const jj_http_head_t *head)
 {
-	if (end != JJ_HTTP_COMPLETE)
-		return jj_attempt_kind_of_end(end);
 	if (attempt->too_large)
 		return JJ_BACKEND_FAILED;
+	if (end != JJ_HTTP_COMPLETE)
+		return jj_attempt_kind_of_end(end);
 	return classify_status(attempt, head);
 }
 
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -17,6 +17,14 @@
 
 /** Largest answer that is no stream, bytes. */
 #define ANSWER_MAX (16U << 20)
+/**
+ * Bytes of all unfinished answers that are no streams; beyond, an answer may
+ * have no more than ANSWER_SHARE_MAX.
+ */
+#define ANSWERS_MAX (16U << 20)
+#define ANSWER_SHARE_MAX (1U << 20)
+/** Largest output of an item, bytes; the store holds less. */
+#define ITEM_TEXT_MAX (4U << 20)
 /** Interval of progress reports, by which the core detects a stall, ms. */
 #define PROGRESS_REPORT_MS 250
 /** The server stops at its deadline; we cancel this much later, ms. */
@@ -66,6 +74,8 @@
 	char *header_lines; /**< header lines of the answer; owned */
 	jj_event_stream_t events;
 	jj_buffer_t body; /**< of an answer that is not streamed */
+	/** last_id of `events` at the last progress report */
+	int64_t reported_id;
 	bool first_reported;
 	jj_ms_t progress_reported_ms;
 };
@@ -77,6 +87,7 @@
 	apr_pool_t *pool;
 	apr_thread_mutex_t *lock; /**< guards the table and its entries */
 	GHashTable *table; /**< entry_t by request */
+	size_t buffered; /**< bytes of bodies that are being received */
 	bool close_connections; /**< answers have Connection: close */
 };
 
@@ -91,6 +102,7 @@
 static bool prepare_output(entry_t *, const jj_gateway_attempt_t *);
 static void receive_events(attempt_t *, entry_t *, const char *, size_t);
 static void forward_event(attempt_t *, entry_t *, const jj_stream_event_t *);
+static void append_output(attempt_t *, entry_t *, const jj_stream_event_t *);
 static void receive_body(attempt_t *, const char *, size_t);
 static void begin_answer(attempt_t *, entry_t *);
 static void send_unstreamed(attempt_t *, entry_t *);
@@ -225,6 +237,7 @@
 	attempt->resumes = entry->last_id != JJ_EVENT_NO_ID;
 	attempt->id = strdup(entry->exchange.id);
 	jj_event_stream_begin(&attempt->events, entry->last_id);
+	attempt->reported_id = entry->last_id;
 	(void)snprintf(deadline, sizeof(deadline), "%s: %lld",
 	    names->deadline_ms, (long long)start->budget_ms);
 	(void)snprintf(target, sizeof(target), "%s: %s", names->target,
@@ -476,7 +489,7 @@
 		else if (attempt->kind == ANSWER_STREAM)
 			receive_events(attempt, entry, data, size);
 		if (attempt->kind == ANSWER_INVALID)
-			jj_http_client_cancel(relay->client, entry->transfer);
+			flow = JJ_HTTP_ABORT;
 	}
 	(void)apr_thread_mutex_unlock(relay->lock);
 	if (flow == JJ_HTTP_CONSUMED && attempt->kind == ANSWER_STREAM)
@@ -528,9 +541,7 @@
 	entry->software = attempt->software;
 	attempt->begun_software = attempt->software;
 	if (entry->exchange.call == NULL) {
-		jj_stream_event_append_data(
-		    event, !entry->has_text, &entry->text);
-		entry->has_text = entry->has_text || event->has_data;
+		append_output(attempt, entry, event);
 		return;
 	}
 	if (!entry->begun)
@@ -539,13 +550,39 @@
 	    entry->exchange.call, event->raw, event->raw_size, true);
 }
 
+/**
+ * An output without end would use up all memory. Nothing of it can be stored,
+ * so the run begins anew.
+ */
+static void
+append_output(
+    attempt_t *attempt, entry_t *entry, const jj_stream_event_t *event)
+{
+	jj_stream_event_append_data(event, !entry->has_text, &entry->text);
+	entry->has_text = entry->has_text || event->has_data;
+	if (entry->text.size <= ITEM_TEXT_MAX)
+		return;
+	jj_bytes_free(&entry->text);
+	entry->has_text = false;
+	entry->last_id = JJ_EVENT_NO_ID;
+	entry->software = 0;
+	attempt->kind = ANSWER_INVALID;
+}
+
 static void
 receive_body(attempt_t *attempt, const char *data, size_t size)
 {
-	if (attempt->body.bytes.size + size > ANSWER_MAX)
+	jj_stream_relay_t *relay = attempt->relay;
+	size_t total = attempt->body.bytes.size + size;
+
+	if (total > ANSWER_MAX ||
+	    (total > ANSWER_SHARE_MAX &&
+		relay->buffered + size > ANSWERS_MAX)) {
 		attempt->kind = ANSWER_INVALID;
-	else
-		jj_buffer_append(&attempt->body, data, size);
+		return;
+	}
+	relay->buffered += size;
+	jj_buffer_append(&attempt->body, data, size);
 }
 
 static void
@@ -634,6 +671,7 @@
 	entry_t *entry;
 
 	(void)apr_thread_mutex_lock(relay->lock);
+	relay->buffered -= attempt->body.bytes.size;
 	entry = find(relay, attempt->request);
 	if (entry != NULL && entry->attempt == attempt->attempt) {
 		is_current = true;
@@ -748,20 +786,25 @@
 	    attempt->relay->port.ctx, &event, attempt->status, text);
 }
 
-/** Reports the first event at once, later ones at intervals. */
+/**
+ * Reports the first event at once, later ones at intervals. Bytes that are no
+ * event are no progress.
+ */
 static void
 report_progress(attempt_t *attempt)
 {
 	jj_ms_t now;
 
-	if (attempt->events.last_id == JJ_EVENT_NO_ID)
+	if (attempt->events.last_id == attempt->reported_id)
 		return;
 	now = jj_monotonic_now();
 	if (!attempt->first_reported) {
 		attempt->first_reported = true;
+		attempt->reported_id = attempt->events.last_id;
 		attempt->progress_reported_ms = now;
 		post_event(attempt, JJ_BACKEND_FIRST, 0, false, NULL);
 	} else if (now - attempt->progress_reported_ms >= PROGRESS_REPORT_MS) {
+		attempt->reported_id = attempt->events.last_id;
 		attempt->progress_reported_ms = now;
 		post_event(attempt, JJ_BACKEND_TOKENS, 0, false, NULL);
 	}
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -40,6 +40,7 @@
 	uint64_t software = 0; /**< of the last event */
 	int ended = -1; /**< how the attempt ended */
 	bool unframed = false; /**< it ended with its connection */
+	int progress = 0; /**< reports of events after the first one */
 	UnresponsiveServer server;
 	std::string front_address = free_address();
 	jj_deployment_t deployment = {};
@@ -81,7 +82,9 @@
 		std::lock_guard<std::mutex> guard(self->lock);
 
 		self->software = event->software;
-		if (event->kind == JJ_BACKEND_FIRST)
+		self->progress += event->kind == JJ_BACKEND_TOKENS;
+		if (event->kind == JJ_BACKEND_FIRST ||
+		    event->kind == JJ_BACKEND_TOKENS)
 			return;
 		self->ended = event->kind;
 		self->unframed = event->unframed;
@@ -353,6 +356,144 @@
 	    false}),
     [](const auto &info) { return std::string(info.param.name); });
 
+struct EndlessCase {
+	const char *name;
+	bool streams;
+	const char *begin; /**< sent once */
+	const char *repeated; /**< then sent until the connection ends */
+};
+
+class EndlessAnswer : public StreamRelayFixture,
+		      public ::testing::WithParamInterface<EndlessCase>
+{
+      protected:
+	/** Bytes after which an answer must have been ended. */
+	static constexpr size_t BYTES_MAX = 64U << 20;
+	size_t sent = 0;
+
+	/** Sends until the connection ends; false if it does not. */
+	bool
+	send_endlessly()
+	{
+		std::string block;
+		std::string begin = GetParam().begin;
+		timeval limit = {5, 0};
+
+		while (block.size() < 65536)
+			block += GetParam().repeated;
+		(void)setsockopt(server.last(), SOL_SOCKET, SO_SNDTIMEO, &limit,
+		    sizeof(limit));
+		(void)send(
+		    server.last(), begin.data(), begin.size(), MSG_NOSIGNAL);
+		while (sent < BYTES_MAX) {
+			ssize_t size = send(server.last(), block.data(),
+			    block.size(), MSG_NOSIGNAL);
+
+			if (size < 0)
+				return errno != EAGAIN;
+			sent += (size_t)size;
+		}
+		return false;
+	}
+	void
+	expect_end()
+	{
+		streams = GetParam().streams;
+		start("i");
+		ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
+		(void)read_until(server.last(), "\r\n\r\n");
+		EXPECT_TRUE(send_endlessly()) << sent;
+		wait_for([this] { return ended >= 0; });
+		EXPECT_EQ(JJ_BACKEND_BROKEN, ended);
+	}
+};
+
+/* Guards against bytes without end that hold a request, or fill the memory. */
+TEST_P(EndlessAnswer, IsEndedForACaller)
+{
+	int fd = send_request(front_address);
+
+	wait_for([this] { return caller != nullptr; });
+	expect_end();
+	EXPECT_TRUE(jj_stream_relay_has(relay, 1)) << "it may be sent again";
+	(void)close(fd);
+}
+
+/* The same for an item of a job. */
+TEST_P(EndlessAnswer, IsEndedForAnItem)
+{
+	expect_end();
+	EXPECT_TRUE(jj_stream_relay_has(relay, 1));
+}
+
+/* Guards against an output without end that fills the memory. */
+TEST_F(StreamRelayFixture, AnItemsOutputIsBounded)
+{
+	std::string data(60000, 'x');
+	std::string head = ANSWER_HEAD "\r\n";
+
+	streams = true;
+	start("i");
+	ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
+	(void)read_until(server.last(), "\r\n\r\n");
+	(void)send(server.last(), head.data(), head.size(), MSG_NOSIGNAL);
+	for (int id = 0; id < 1000; id++) {
+		std::string event =
+		    "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+
+		if (send(server.last(), event.data(), event.size(),
+			MSG_NOSIGNAL) < 0)
+			break;
+	}
+	wait_for([this] { return ended >= 0; });
+	EXPECT_EQ(JJ_BACKEND_BROKEN, ended);
+	attempt(2, 7);
+	ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
+	EXPECT_EQ(std::string::npos,
+	    read_until(server.last(), "\r\n\r\n").find("Last-Event-Id"))
+	    << "it begins anew";
+}
+
+/* Guards against a server that looks busy while it sends no events. */
+TEST_F(StreamRelayFixture, BytesThatAreNoEventAreNoProgress)
+{
+	const std::string head = ANSWER_HEAD "\r\n" EVENT;
+
+	streams = true;
+	start("i");
+	ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
+	(void)read_until(server.last(), "\r\n\r\n");
+	(void)send(server.last(), head.data(), head.size(), MSG_NOSIGNAL);
+	for (int i = 0; i < 10; i++) {
+		(void)usleep(60000);
+		(void)send(server.last(), ":\n\n", 3, MSG_NOSIGNAL);
+	}
+	server.close_last();
+	wait_for([this] { return ended >= 0; });
+	EXPECT_EQ(0, progress);
+}
+
+#define CHUNKED ANSWER_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+
+INSTANTIATE_TEST_SUITE_P(Places, EndlessAnswer,
+    ::testing::Values(EndlessCase{"NoHead", true, "", "garbage "},
+	EndlessCase{"NoHeadLines", true, "", "garbage\r\n"},
+	EndlessCase{"EmptyLines", true, "", "\r\n"},
+	EndlessCase{"StatusLine", true, "HTTP/1.1 200 ", "x"},
+	EndlessCase{"HeaderLine", true, "HTTP/1.1 200 OK\r\nX-A: ", "x"},
+	EndlessCase{"HeaderLines", true, ANSWER_HEAD, "X-A: b\r\n"},
+	EndlessCase{
+	    "InformationalHeads", true, "", "HTTP/1.1 103 Early\r\n\r\n"},
+	EndlessCase{"StreamLine", true, ANSWER_HEAD "\r\n" EVENT, "x"},
+	EndlessCase{"StreamLines", true, ANSWER_HEAD "\r\n" EVENT, "data: x\n"},
+	EndlessCase{"Comments", true, ANSWER_HEAD "\r\n" EVENT, ":\n\n"},
+	EndlessCase{
+	    "Trailer", true, CHUNKED "f\r\n" EVENT "\r\n0\r\n", "X-A: b\r\n"},
+	EndlessCase{"ChunkSize", true, CHUNKED "f\r\n" EVENT "\r\n", "0"},
+	EndlessCase{"Body", false, ANSWER_HEAD "\r\n", "x"},
+	EndlessCase{"BodyOfChunks", false, CHUNKED, "8\r\nxxxxxxxx\r\n"}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 INSTANTIATE_TEST_SUITE_P(Answers, StreamRelay,
     ::testing::Values(LongCase{"Usual", 16, 3, 10},
 	LongCase{"LongId", 100, 3, 10}, LongCase{"ManyHeaders", 16, 60, 10},
