Items of the own interface: no content is refused for crashes

Change: for items the quarantine's refusal is a suspicion: one such item at a server at a time. Its runs are bounded by item_attempts, as for any run that breaks.

Result: DispatchTest.AnItemIsSentThoughServersCrashedUnderItsContent failed before and passes; the tests of dispatch and batch pass.

--- a/src/core/batch.h
+++ b/src/core/batch.h
@@ -46,7 +46,6 @@
 	JJ_ITEM_OUTCOME_UNKNOWN, /**< may have run; idempotent: retried */
 	JJ_ITEM_WITHDRAWN, /**< cancelled in favour of online requests; retried
 				without counting as an attempt */
-	JJ_ITEM_POISON, /**< crashes backend servers; recorded as failed */
 } jj_item_outcome_t;
 
 typedef struct jj_batch jj_batch_t;
--- a/src/core/batch_items.c
+++ b/src/core/batch_items.c
@@ -450,11 +450,6 @@
 			body != NULL && body->data != NULL ? body->data : "",
 			"unknown"));
 		break;
-	case JJ_ITEM_POISON:
-		set_result(batch, chunk, index,
-		    jj_result_error(custom_id(item), "quarantined",
-			"it crashes backend servers", "unknown"));
-		break;
 	case JJ_ITEM_NOT_RUN:
 		end_not_run(batch, chunk, index, now);
 		break;
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -78,8 +78,7 @@
 
 	jj_dispatch_refresh(dispatch, now);
 	service = jj_dispatch_find_service(dispatch, request->service.text);
-	verdict = jj_quarantine_check(
-	    dispatch->quarantine, request->fingerprint, now);
+	verdict = jj_dispatch_check_content(dispatch, request, now);
 	if (dispatch->leaving)
 		jj_dispatch_refuse(
 		    dispatch, request, JJ_FAILURE_STOPPING, now, out);
@@ -108,6 +107,19 @@
 	}
 }
 
+jj_quarantine_verdict_t
+jj_dispatch_check_content(
+    const jj_dispatch_t *dispatch, const jj_request_t *request, jj_ms_t now)
+{
+	jj_quarantine_verdict_t verdict = jj_quarantine_check(
+	    dispatch->quarantine, request->fingerprint, now);
+
+	return request->class_of == JJ_CLASS_BATCH &&
+		verdict == JJ_QUARANTINE_REFUSED
+	    ? JJ_QUARANTINE_SUSPECT
+	    : verdict;
+}
+
 void
 jj_dispatch_take_event(jj_dispatch_t *dispatch, const jj_backend_event_t *event,
     jj_ms_t now, jj_actions_t *out)
--- a/src/core/dispatch_failure.c
+++ b/src/core/dispatch_failure.c
@@ -289,8 +289,8 @@
 	    (entry->may_have_run && !entry->request.idempotent))
 		jj_dispatch_give_up(
 		    dispatch, entry, JJ_FAILURE_BROKEN, now, out);
-	else if (jj_quarantine_check(dispatch->quarantine,
-		     entry->request.fingerprint, now) == JJ_QUARANTINE_REFUSED)
+	else if (jj_dispatch_check_content(dispatch, &entry->request, now) ==
+	    JJ_QUARANTINE_REFUSED)
 		jj_dispatch_give_up(
 		    dispatch, entry, JJ_FAILURE_QUARANTINED, now, out);
 	else if (now + (jj_ms_t)service->fast_answer_ms >
--- a/src/core/dispatch_resume.c
+++ b/src/core/dispatch_resume.c
@@ -56,8 +56,8 @@
 	if (!view->up ||
 	    !jj_fleet_takes_work(dispatch->fleet, &view->name, now))
 		return false;
-	if (jj_quarantine_check(dispatch->quarantine,
-		entry->request.fingerprint, now) == JJ_QUARANTINE_REFUSED)
+	if (jj_dispatch_check_content(dispatch, &entry->request, now) ==
+	    JJ_QUARANTINE_REFUSED)
 		return false;
 	return jj_retry_budget_take(&entry->service->budget, now);
 }
--- a/src/core/dispatch_send.c
+++ b/src/core/dispatch_send.c
@@ -171,8 +171,8 @@
     jj_dispatch_t *dispatch, jj_entry_t *entry, jj_ms_t now, jj_actions_t *out)
 {
 	jj_service_queue_t *service = entry->service;
-	jj_quarantine_verdict_t verdict = jj_quarantine_check(
-	    dispatch->quarantine, entry->request.fingerprint, now);
+	jj_quarantine_verdict_t verdict =
+	    jj_dispatch_check_content(dispatch, &entry->request, now);
 	jj_server_view_t *view;
 
 	/* A neighbour's crash report may have arrived while it was queued. */
--- a/src/core/dispatch_state.h
+++ b/src/core/dispatch_state.h
@@ -96,6 +96,13 @@
     jj_ms_t now, jj_actions_t *out);
 /** Releases the request slot of a request at its server. */
 void jj_dispatch_release_slot(jj_dispatch_t *dispatch, jj_entry_t *entry);
+/**
+ * The verdict on a request's content. An item of a job is never refused, as it
+ * is still owed whatever crashed under it, but it runs as one suspect per
+ * server.
+ */
+jj_quarantine_verdict_t jj_dispatch_check_content(
+    const jj_dispatch_t *dispatch, const jj_request_t *request, jj_ms_t now);
 /**
  * Marks the request as one that may crash servers, and defers it until reports
  * of other crashes have reached this VM.
--- a/src/daemon/node_finish.c
+++ b/src/daemon/node_finish.c
@@ -152,17 +152,11 @@
 outcome_of(const jj_answer_t *answer)
 {
 	/* An unsent item may be retried, even if it is non-idempotent. */
-	if (answer->run == JJ_RUN_NOT_RUN &&
-	    answer->reason != JJ_FAILURE_QUARANTINED)
+	if (answer->run == JJ_RUN_NOT_RUN)
 		return JJ_ITEM_NOT_RUN;
-	switch (answer->reason) {
-	case JJ_FAILURE_QUARANTINED:
-		return JJ_ITEM_POISON;
-	case JJ_FAILURE_OVERLOADED:
-		return JJ_ITEM_WITHDRAWN;
-	default:
-		return JJ_ITEM_OUTCOME_UNKNOWN;
-	}
+	return answer->reason == JJ_FAILURE_OVERLOADED
+	    ? JJ_ITEM_WITHDRAWN
+	    : JJ_ITEM_OUTCOME_UNKNOWN;
 }
 
 static void
--- a/tests/core/dispatch_test.cc
+++ b/tests/core/dispatch_test.cc
@@ -1125,6 +1125,21 @@
 	EXPECT_EQ(2u, cancels[0]);
 }
 
+/* Guards against a sound item that fails as two servers crashed under it. */
+TEST_F(DispatchTest, AnItemIsSentThoughServersCrashedUnderItsContent)
+{
+	Build(4, 8);
+	for (const char *server : {"server-0", "server-1"})
+		ReportCrash(1001, server);
+	BeginBatch(1);
+	ASSERT_EQ(1u, starts.size());
+	EXPECT_EQ(nullptr, AnswerOf(1));
+	Event(1, 1, JJ_BACKEND_BROKEN);
+	Tick(CRASH_PROPAGATION_MS);
+	ASSERT_NE(nullptr, AnswerOf(1)) << "its job sends it again";
+	EXPECT_NE(JJ_FAILURE_QUARANTINED, AnswerOf(1)->reason);
+}
+
 // Story 31: a neighbour stalls after it reported a hundred requests in flight.
 // That report would keep a healthy server full for ever.
 TEST_F(DispatchTest, SilentNeighboursLoadLapses)
