Requests: ids of events and time budgets are checked

A Last-Event-Id that is no event's id was sent on as another one ("abc" as 0, "" as 2^63 - 1); a request's target with a '#' reached the server without the rest; a time budget near 2^63 ms overflowed.

The stand-in server of the entry VM's tests sent a NUL after its event, which ended each item there as broken; it sends the event alone.

--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -2,6 +2,7 @@
  * @file gateway_front.c
  * @brief The HTTP interface of a VM that serves routes of a deployment.
  */
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,8 @@
 
 /** Retry-After for a key that may be in a newer configuration, ms. */
 #define UNKNOWN_KEY_RETRY_MS 500
+/** Upper bound of the time that a caller says it waits, ms. */
+#define BUDGET_MAX_MS 86400000
 /** How callers prove their team, as RFC 9110 requires with a 401. */
 #define AUTHENTICATE "ApiKey realm=\"jujubeswitch\""
 /** Retry-After while this VM stops, ms; short, as other VMs are not busy. */
@@ -55,6 +58,8 @@
     jj_gateway_operation_t, const jj_front_call_t *, jj_inline_job_t *);
 static bool
 is_job_submission(jj_gateway_node_t *, jj_http_call_t *, const char *);
+static jj_ms_t read_budget(const char *);
+static bool read_event_id(const char *, int64_t *);
 static void copy_header(void *, const char *, const char *);
 static bool is_listed(const char *, const char *);
 static uint64_t fingerprint_of(const jj_http_call_t *);
@@ -392,7 +397,8 @@
 	header_copy_t copy = {
 	    node, &exchange, jj_http_call_header(call, "Connection")};
 
-	if (host == NULL) {
+	if (host == NULL || !read_event_id(last, &exchange.last_id) ||
+	    strchr(jj_http_call_uri(call), '#') != NULL) {
 		answer(node, call, 400, 0, "text/plain", NULL);
 		return;
 	}
@@ -406,7 +412,7 @@
 	request.team = *team;
 	request.host = host;
 	request.path = jj_http_call_path(call);
-	request.budget_ms = budget != NULL ? strtol(budget, NULL, 10) : 0;
+	request.budget_ms = read_budget(budget);
 	request.fingerprint = fingerprint_of(call);
 	if (prompt != NULL)
 		node->deployment->read_prompt(prompt, &request.prompt);
@@ -419,8 +425,6 @@
 	exchange.method = strdup(jj_http_call_method(call));
 	exchange.uri = strdup(jj_http_call_uri(call));
 	exchange.body = jj_bytes_copy(body->data, body->size);
-	exchange.last_id =
-	    last != NULL ? strtoll(last, NULL, 10) : JJ_EVENT_NO_ID;
 	jj_http_call_each_header(call, copy_header, &copy);
 	if (!jj_name_is_empty(team))
 		jj_stream_exchange_add_header(
@@ -430,6 +434,36 @@
 	jj_gateway_post_request(node, &request);
 }
 
+/** 0: none, or no such time. */
+static jj_ms_t
+read_budget(const char *text)
+{
+	long budget_ms = text != NULL ? strtol(text, NULL, 10) : 0;
+
+	if (budget_ms < 0)
+		return 0;
+	return budget_ms < BUDGET_MAX_MS ? budget_ms : BUDGET_MAX_MS;
+}
+
+/**
+ * Reads the id of the event after which a stream resumes.
+ * @param id set to JJ_EVENT_NO_ID when there is none.
+ * @return false when it is no event's id.
+ */
+static bool
+read_event_id(const char *text, int64_t *id)
+{
+	char *end;
+
+	*id = JJ_EVENT_NO_ID;
+	if (text == NULL)
+		return true;
+	errno = 0;
+	*id = strtoll(text, &end, 10);
+	end += strspn(end, " \t");
+	return end > text && *end == '\0' && errno == 0 && *id >= 0;
+}
+
 /** Copies end-to-end headers, except those that this VM sets itself. */
 static void
 copy_header(void *ctx, const char *name, const char *value)
--- a/tests/platform/entry_vm.h
+++ b/tests/platform/entry_vm.h
@@ -90,7 +90,7 @@
 			std::lock_guard<std::mutex> guard(self->lock);
 			self->requests.push_back(text);
 		}
-		jj_http_call_answer(call, &head, "id: 0\ndata: a\n\n", 16);
+		jj_http_call_answer(call, &head, "id: 0\ndata: a\n\n", 15);
 	}
 };
 
