Outputs of items: nothing is kept after an output was dropped

An item's output beyond 4 MB is dropped and its run begins anew, but events of the same read that followed were kept: the next run would have gone on after them, without what had been dropped.

Change: no event is taken once an answer is found invalid. An own-interface answer that is cut at its limit is no sign of a crash. The log line of store answers that can't be used is platform_answer_unusable, as it is also written for statuses that tell nothing.

EndlessAnswer/Comments had failed once beside other work: its caller did not read, and the fixture resumed no paused transfer; both are in the test now.

--- a/src/adapters/platform.c
+++ b/src/adapters/platform.c
@@ -214,7 +214,7 @@
 		exchange->platform->codec->read(result, exchange->key, head,
 		    exchange->answer.bytes.data, exchange->answer.bytes.size);
 	if (end == JJ_HTTP_COMPLETE && result->outcome == JJ_PLATFORM_UNKNOWN)
-		jj_log(JJ_LOG_WARN, "platform_answer_unreadable",
+		jj_log(JJ_LOG_WARN, "platform_answer_unusable",
 		    "key=%s op=%d status=%d bytes=%zu", exchange->key,
 		    (int)result->op, head->status, exchange->answer.bytes.size);
 }
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -522,7 +522,8 @@
 	jj_backend_kind_t kind = classify_end(attempt, end, head);
 	jj_backend_answer_t answer = {0};
 	bool is_current = false;
-	bool suspect = end == JJ_HTTP_BROKEN || end == JJ_HTTP_NOT_SENT;
+	bool suspect = !attempt->too_large &&
+	    (end == JJ_HTTP_BROKEN || end == JJ_HTTP_NOT_SENT);
 	shard_t *shard;
 	entry_t *entry;
 
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -523,12 +523,14 @@
     attempt_t *attempt, entry_t *entry, const char *data, size_t size)
 {
 	jj_stream_event_t event;
-	jj_event_result_t result;
+	jj_event_result_t result = JJ_EVENT_COMPLETE;
 
 	jj_event_stream_feed(&attempt->events, data, size);
-	while ((result = jj_event_stream_next(&attempt->events, &event)) ==
-	    JJ_EVENT_COMPLETE)
-		forward_event(attempt, entry, &event);
+	while (attempt->kind == ANSWER_STREAM && result == JJ_EVENT_COMPLETE) {
+		result = jj_event_stream_next(&attempt->events, &event);
+		if (result == JJ_EVENT_COMPLETE)
+			forward_event(attempt, entry, &event);
+	}
 	if (result == JJ_EVENT_OUT_OF_SEQUENCE)
 		attempt->kind = ANSWER_INVALID;
 }
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <string>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -52,7 +53,7 @@
 		jj_http_limits_t limits = {
 		    front_address.c_str(), 1, 100, 16384, 65536, 65536, 60000};
 		jj_http_port_t front_port = {this, on_caller, nullptr, nullptr,
-		    nullptr, nullptr, nullptr};
+		    nullptr, on_writable, nullptr};
 		jj_stream_relay_port_t port = {this, on_event};
 
 		deployment.headers = {"X-Id", "X-Deadline", "X-Target",
@@ -76,6 +77,12 @@
 		self->changed.notify_all();
 	}
 	static void
+	on_writable(void *ctx, jj_http_call_t *)
+	{
+		jj_stream_relay_resume(
+		    static_cast<StreamRelayFixture *>(ctx)->relay, 1);
+	}
+	static void
 	on_event(void *ctx, const jj_backend_event_t *event, int, jj_bytes_t *)
 	{
 		auto *self = static_cast<StreamRelayFixture *>(ctx);
@@ -412,10 +419,14 @@
 TEST_P(EndlessAnswer, IsEndedForACaller)
 {
 	int fd = send_request(front_address);
+	/* A caller that does not read would pause the transfer. */
+	std::thread reader([fd] { (void)read_to_end(fd); });
 
 	wait_for([this] { return caller != nullptr; });
 	expect_end();
 	EXPECT_TRUE(jj_stream_relay_has(relay, 1)) << "it may be sent again";
+	(void)shutdown(fd, SHUT_RDWR);
+	reader.join();
 	(void)close(fd);
 }
 
@@ -426,10 +437,21 @@
 	EXPECT_TRUE(jj_stream_relay_has(relay, 1));
 }
 
-/* Guards against an output without end that fills the memory. */
-TEST_F(StreamRelayFixture, AnItemsOutputIsBounded)
+class OutputWithoutEnd : public StreamRelayFixture,
+			 public ::testing::WithParamInterface<size_t>
+{
+};
+
+INSTANTIATE_TEST_SUITE_P(
+    EventSizes, OutputWithoutEnd, ::testing::Values(500, 5000, 60000));
+
+/*
+ * Guards against an item's output that fills the memory, and against one that
+ * goes on after a part of it was dropped.
+ */
+TEST_P(OutputWithoutEnd, OfAnItemIsEndedAndBeginsAnew)
 {
-	std::string data(60000, 'x');
+	std::string data(GetParam(), 'x');
 	std::string head = ANSWER_HEAD "\r\n";
 
 	streams = true;
@@ -437,7 +459,7 @@
 	ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
 	(void)read_until(server.last(), "\r\n\r\n");
 	(void)send(server.last(), head.data(), head.size(), MSG_NOSIGNAL);
-	for (int id = 0; id < 1000; id++) {
+	for (size_t id = 0; id < (64U << 20) / GetParam(); id++) {
 		std::string event =
 		    "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
 
