Tests: each order of a submission's writes, a kill and resends

InlineModel.WhatIsAcceptedIsRun plays each sequence of five events around a submission: its two writes take effect, its VM is killed, the job comes again at two others, the route fills up, an orphaned entry is deleted.

--- a/tests/core/inline_model_test.cc
+++ b/tests/core/inline_model_test.cc
@@ -424,4 +424,191 @@
 	RecordProperty("orders", run_count);
 }
 
+/** Events around a submission whose VM may be killed between its writes. */
+enum AcceptEvent {
+	A_STORE_JOB, /**< the create of the job object takes effect */
+	A_STORE_ENTRY, /**< that of the open entry does */
+	A_KILL, /**< the VM; its calls may still take effect */
+	A_RESEND, /**< the submission comes again, elsewhere */
+	A_RESEND_TO_THIRD,
+	A_FILL, /**< no more tokens fit the route */
+	A_SHORT_WAIT,
+	A_LONG_WAIT, /**< long enough for an orphaned entry to be deleted */
+	A_EVENTS
+};
+
+/** The first of three VMs gets a submission; its creates wait. */
+class Accepting : public InlineWorld
+{
+      public:
+	Accepting() : a(add_vm("a")), b(add_vm("b")), c(add_vm("c"))
+	{
+		pass(100);
+		a.defers = [](const jj_platform_call_t &call) {
+			return call.op == JJ_PLATFORM_CREATE;
+		};
+		submit(a);
+	}
+	void
+	TestBody() override
+	{
+	}
+	/** False when the event is impossible now, or has no effect. */
+	bool
+	apply(int event)
+	{
+		switch (event) {
+		case A_STORE_JOB:
+			return take_effect("batch-jobs/");
+		case A_STORE_ENTRY:
+			return take_effect("batch-open/");
+		case A_KILL:
+			if (a.paused)
+				return false;
+			a.paused = true;
+			lost_writers.insert(a.writer);
+			return true;
+		case A_RESEND:
+			submit(b);
+			break;
+		case A_RESEND_TO_THIRD:
+			submit(c);
+			break;
+		case A_FILL:
+			if (is_full)
+				return false;
+			is_full = true;
+			(void)c.submit("full", 10, 100);
+			break;
+		case A_SHORT_WAIT:
+			pass(300);
+			break;
+		default:
+			pass(7000);
+			break;
+		}
+		note_items();
+		return true;
+	}
+	/** All calls take effect, all items end; returns what is wrong. */
+	std::string
+	end()
+	{
+		(void)take_effect("batch-jobs/");
+		(void)take_effect("batch-open/");
+		a.defers = nullptr;
+		if (!a.paused)
+			a.release();
+		for (int i = 0; i < 60; i++) {
+			pass(200);
+			note_items();
+			for (InlineVm *vm : {&a, &b, &c})
+				if (!vm->paused)
+					vm->finish_all("t");
+		}
+		for (auto &sent : submissions) {
+			int status = sent.first->answer(sent.second).status;
+
+			accepted = accepted || status == 202;
+			is_open = is_open || (status != 429 && status != 503);
+		}
+		if (accepted && stored("j").size() != (size_t)ITEMS)
+			return "accepted, " +
+			    std::to_string(stored("j").size()) + " results";
+		if (!is_open && has_run)
+			return "refused, and has run";
+		return "";
+	}
+	bool accepted = false;
+
+      private:
+	InlineVm &a;
+	InlineVm &b;
+	InlineVm &c;
+	bool is_full = false;
+	bool has_run = false;
+	bool is_open = false; /**< not all submissions were refused */
+	std::vector<std::pair<InlineVm *, uint64_t>> submissions;
+
+	void
+	submit(InlineVm &vm)
+	{
+		submissions.push_back({&vm, vm.submit("j", ITEMS)});
+	}
+	/** Executes the first VM's waiting calls of that kind. */
+	bool
+	take_effect(const std::string &kind)
+	{
+		std::list<jj_action_t *> others;
+		std::list<jj_action_t *> chosen;
+
+		for (jj_action_t *action : a.deferred)
+			(kind.compare(0, kind.size(), action->body.platform.key,
+			     kind.size()) == 0
+				? chosen
+				: others)
+			    .push_back(action);
+		if (chosen.empty())
+			return false;
+		a.deferred = chosen;
+		if (!a.paused) {
+			a.release();
+		} else {
+			for (jj_action_t *action : a.deferred) {
+				jj_platform_result_t result =
+				    platform.execute(action->body.platform);
+				jj_platform_result_clear(&result);
+				jj_action_free(action);
+			}
+			a.deferred.clear();
+		}
+		a.deferred.insert(
+		    a.deferred.end(), others.begin(), others.end());
+		return true;
+	}
+	void
+	note_items()
+	{
+		for (InlineVm *vm : {&a, &b, &c})
+			for (auto &item : vm->items)
+				has_run = has_run ||
+				    item.second.compare(0, 2, "j-") == 0;
+	}
+};
+
+/*
+ * Guards against jobs that are answered 202 and never run, and against refused
+ * ones that run: a VM is killed at any moment of a submission, and the job comes
+ * again at others, at a full route or while an orphaned entry is deleted. Plays
+ * each sequence of five such events.
+ */
+TEST(InlineModel, WhatIsAcceptedIsRun)
+{
+	constexpr int DEPTH = 5;
+	int sequences = 1;
+	int with_kill = 0;
+
+	for (int i = 0; i < DEPTH; i++)
+		sequences *= A_EVENTS;
+	for (int code = 0; code < sequences && !::testing::Test::HasFailure();
+	     code++) {
+		Accepting world;
+		std::string sequence;
+		bool killed = false;
+		bool possible = true;
+
+		for (int i = 0, rest = code; i < DEPTH && possible;
+		     i++, rest /= A_EVENTS) {
+			sequence += " " + std::to_string(rest % A_EVENTS);
+			killed = killed || rest % A_EVENTS == A_KILL;
+			possible = world.apply(rest % A_EVENTS);
+		}
+		if (!possible)
+			continue;
+		EXPECT_EQ("", world.end()) << "events" << sequence;
+		with_kill += killed && world.accepted;
+	}
+	EXPECT_GT(with_kill, 1000);
+}
+
 } // namespace
