--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -445,10 +445,7 @@
 INSTANTIATE_TEST_SUITE_P(
     EventSizes, OutputWithoutEnd, ::testing::Values(500, 5000, 60000));
 
-/*
- * Guards against an item's output that fills the memory, and against one that
- * goes on after a part of it was dropped.
- */
+/* Guards against an item's output that fills the memory, or loses a part. */
 TEST_P(OutputWithoutEnd, OfAnItemIsEndedAndBeginsAnew)
 {
 	std::string data(GetParam(), 'x');
--- a/tests/core/inline_model_test.cc
+++ b/tests/core/inline_model_test.cc
@@ -576,12 +576,7 @@
 	}
 };
 
-/*
- * Guards against jobs that are answered 202 and never run, and against refused
- * ones that run: a VM is killed at any moment of a submission, and the job comes
- * again at others, at a full route or while an orphaned entry is deleted. Plays
- * each sequence of five such events.
- */
+/* Guards against accepted jobs that never run, and refused ones that do. */
 TEST(InlineModel, WhatIsAcceptedIsRun)
 {
 	constexpr int DEPTH = 5;
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -698,11 +698,7 @@
 	EXPECT_EQ(1U, stored("j").size());
 }
 
-/*
- * Guards against a job that is answered 202 and never runs: its VM was killed
- * after it had stored the job and before it stored the open entry, and the
- * resend comes where no more tokens fit.
- */
+/* Guards against a 202 for a stored job without an open entry. */
 TEST_F(InlineFailure, AHalfStoredJobThatIsSentAgainToAFullRouteRuns)
 {
 	a.defers = [](const jj_platform_call_t &call) {
@@ -777,10 +773,7 @@
 	EXPECT_TRUE(jj_inline_is_idle(a.jobs));
 }
 
-/*
- * Guards against a job that is answered 202 and never runs: it comes while its
- * orphaned entry is being deleted.
- */
+/* Guards against a 202 for a job whose orphaned entry is being deleted. */
 TEST_F(OrphanedEntry, AJobThatComesDuringTheDeletionRuns)
 {
 	a.defers = [](const jj_platform_call_t &call) {
--- a/tests/platform/front_test.cc
+++ b/tests/platform/front_test.cc
@@ -135,10 +135,7 @@
 {
 };
 
-/*
- * Guards against submissions that end the VM when they are stored, that reach
- * another object of the store, or that put headers into requests to servers.
- */
+/* Guards against submissions that can't be stored or sent as they are. */
 TEST_P(FrontSubmission, IsAcceptedOrSaysWhatIsWrong)
 {
 	std::string body = std::string("{\"items\":") + GetParam().items + "}";
