--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -442,8 +442,8 @@
 {
 };
 
-INSTANTIATE_TEST_SUITE_P(
-    EventSizes, OutputWithoutEnd, ::testing::Values(500, 5000, 60000));
+INSTANTIATE_TEST_SUITE_P(EventSizes, OutputWithoutEnd,
+    ::testing::Values(2000, 3000, 4000, 5000, 60000));
 
 /* Guards against an item's output that fills the memory, or loses a part. */
 TEST_P(OutputWithoutEnd, OfAnItemIsEndedAndBeginsAnew)
