Open entries: one check whether a stored one is this process's own

Reading the change again: the reopening of a dropped entry repeated the check of a submission whose create conflicts. jj_inline_is_own_entry() serves both; no change of behaviour.

--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -103,6 +103,16 @@
 	return valid;
 }
 
+bool
+jj_inline_is_own_entry(
+    const jj_inline_t *jobs, const jj_platform_result_t *result)
+{
+	jj_open_entry_t stored = {0};
+
+	return jj_inline_decode_open(&stored, &result->value) &&
+	    strcmp(stored.owner, jobs->settings.writer) == 0;
+}
+
 jj_name_t
 jj_inline_account(const jj_route_t *route, const jj_name_t *team)
 {
--- a/src/core/inline_run.c
+++ b/src/core/inline_run.c
@@ -681,8 +681,6 @@
 take_reopened(jj_inline_t *jobs, jj_inline_run_t *run,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out)
 {
-	jj_open_entry_t stored = {0};
-
 	if (result->outcome != JJ_PLATFORM_OK &&
 	    result->outcome != JJ_PLATFORM_CONFLICT) {
 		jj_inline_back_off(jobs, &run->close, now);
@@ -690,8 +688,7 @@
 	}
 	jj_inline_end_call(&run->close);
 	if (result->outcome == JJ_PLATFORM_CONFLICT &&
-	    (!jj_inline_decode_open(&stored, &result->value) ||
-		strcmp(stored.owner, jobs->settings.writer) != 0)) {
+	    !jj_inline_is_own_entry(jobs, result)) {
 		/* Another VM accepted the job after the deletion. */
 		jj_inline_drop_run(jobs, run);
 		return;
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -301,6 +301,9 @@
  * Decodes an open entry, all but id, version and links; false when malformed.
  */
 bool jj_inline_decode_open(jj_open_entry_t *entry, const jj_bytes_t *value);
+/** True when the stored entry that the result contains is of this process. */
+bool jj_inline_is_own_entry(
+    const jj_inline_t *jobs, const jj_platform_result_t *result);
 /**
  * Name under which waiting tokens are counted: a route's limit holds for each
  * team by itself.
--- a/src/core/inline_submit.c
+++ b/src/core/inline_submit.c
@@ -185,8 +185,6 @@
 take_open(jj_inline_t *jobs, jj_inline_op_t *op,
     const jj_platform_result_t *result, jj_ms_t now)
 {
-	jj_open_entry_t stored = {0};
-
 	if (result->outcome != JJ_PLATFORM_OK &&
 	    result->outcome != JJ_PLATFORM_CONFLICT) {
 		jj_inline_back_off(jobs, &op->create_open, now);
@@ -200,8 +198,7 @@
 	 * was lost.
 	 */
 	op->owns_entry = result->outcome == JJ_PLATFORM_OK ||
-	    (jj_inline_decode_open(&stored, &result->value) &&
-		strcmp(stored.owner, jobs->settings.writer) == 0);
+	    jj_inline_is_own_entry(jobs, result);
 }
 
 /**
