--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -99,6 +99,8 @@
 	const char *host;
 	const char *path;
 	jj_name_t team; /**< of the caller; empty: none */
+	/** version of the configuration that its key was looked up in */
+	uint64_t key_version;
 	/** how long the caller waits in all, 0: not given */
 	jj_ms_t budget_ms;
 	uint64_t fingerprint; /**< hash of path and body */
--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -79,6 +79,7 @@
 	entry->max_attempts = ATTEMPTS_UNLIMITED;
 	entry->begun_ms = gateway->now;
 	entry->give_up_ms = retention_ms;
+	entry->team = job->team;
 	entry->deadline_ms = retention_ms;
 	entry->due_ms = due_ms;
 	entry->fingerprint =
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -350,11 +350,14 @@
 	jj_actions_add_event(out,
 	    entry->class_of == JJ_CLASS_ONLINE ? "request_sent" : "item_sent",
 	    "request=%s server=%s software=%s attempt=%u resumes=%s "
+	    "team=%s key_version=%llu route_version=%llu "
 	    "own=%u+%u others=%u+%u slots=%u list_ms_ago=%lld",
 	    entry->id, server->info.id.text, server->info.version.text,
 	    entry->attempt, entry->resumed ? entry->resumes : "no",
-	    server->online, server->batch, server->others_online,
-	    server->others_batch, server->info.slots,
+	    entry->team.text, (unsigned long long)entry->key_version,
+	    (unsigned long long)entry->routed_version, server->online,
+	    server->batch, server->others_online, server->others_batch,
+	    server->info.slots,
 	    jj_ms_ago(gateway->servers_mirror.confirmed_ms, now));
 }
 
@@ -466,6 +469,9 @@
 	    entry->resumes, sizeof(entry->resumes), "%s", request->resumes);
 	entry->class_of = JJ_CLASS_ONLINE;
 	entry->route = route->name;
+	entry->team = request->team;
+	entry->key_version = request->key_version;
+	entry->routed_version = gateway->routes.version;
 	entry->origin_id = jj_gateway_origin_id(
 	    request->resumed ? request->resumes : request->id);
 	entry->service = *jj_route_pick(route, jj_gateway_random(gateway));
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -30,6 +30,9 @@
 	char resumes[JJ_GATEWAY_ID_MAX + 1];
 	jj_class_t class_of;
 	jj_name_t route; /**< of a caller's request */
+	jj_name_t team; /**< of the caller, or of an item's job; empty: none */
+	/** version that its key was looked up in; 0: an item */
+	uint64_t key_version;
 	/** software version that its events are from; 0: no event yet */
 	uint64_t software;
 	/** an item's output so far is dropped when it is sent again */
@@ -62,8 +65,7 @@
 	 * of an item: random number that selects one of its route's services
 	 */
 	uint64_t route_random;
-	/** of an item: version of the configuration that its service is from */
-	uint64_t routed_version;
+	uint64_t routed_version; /**< version that its service is from */
 	jj_ms_t due_ms; /**< of an item: due time of its job */
 	jj_ms_t not_before_ms; /**< of an item: not sent before this time */
 	/** of an item: attempts that stalled before a first event */
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -46,13 +46,15 @@
 static void on_writable(void *, jj_http_call_t *);
 static void on_ready(void *, jj_http_call_t *);
 static void on_operator(void *, jj_http_call_t *);
-static bool allow_caller(jj_gateway_node_t *, jj_http_call_t *, jj_name_t *);
+static bool
+allow_caller(jj_gateway_node_t *, jj_http_call_t *, jj_name_t *, uint64_t *);
 static jj_access_t
-check_access(jj_gateway_node_t *, jj_http_call_t *, jj_name_t *);
+check_access(jj_gateway_node_t *, jj_http_call_t *, jj_name_t *, uint64_t *);
 static void find_key(void *, const char *, const char *);
 static void scope_job(const jj_name_t *, char *, size_t);
 static bool is_job_call(jj_gateway_node_t *, jj_http_call_t *);
-static void forward(jj_gateway_node_t *, jj_http_call_t *, const jj_name_t *);
+static void
+forward(jj_gateway_node_t *, jj_http_call_t *, const jj_name_t *, uint64_t);
 static void submit(jj_gateway_node_t *, jj_http_call_t *, const jj_name_t *);
 static void start_operation(jj_gateway_node_t *, jj_http_call_t *,
     jj_gateway_operation_t, const jj_front_call_t *, jj_inline_job_t *);
@@ -182,17 +184,22 @@
 on_headers(void *ctx, jj_http_call_t *call)
 {
 	jj_gateway_node_t *node = ctx;
+	uint64_t version;
 	jj_name_t team;
 
 	return !atomic_load(&node->rejecting) &&
-	    !allow_caller(node, call, &team);
+	    !allow_caller(node, call, &team, &version);
 }
 
-/** Finds the caller's team; answers the call when it proves none. */
+/**
+ * Finds the caller's team; answers the call when it proves none.
+ * @param version set to that of the configuration that was looked in.
+ */
 static bool
-allow_caller(jj_gateway_node_t *node, jj_http_call_t *call, jj_name_t *team)
+allow_caller(jj_gateway_node_t *node, jj_http_call_t *call, jj_name_t *team,
+    uint64_t *version)
 {
-	jj_access_t access = check_access(node, call, team);
+	jj_access_t access = check_access(node, call, team, version);
 
 	if (access == JJ_ACCESS_GRANTED)
 		return true;
@@ -213,6 +220,7 @@
 {
 	jj_gateway_node_t *node = ctx;
 	jj_front_call_t read;
+	uint64_t version;
 	jj_name_t team;
 
 	/*
@@ -225,7 +233,7 @@
 		return;
 	}
 	/* Keys that were taken away while the body came count, too. */
-	if (!allow_caller(node, call, &team))
+	if (!allow_caller(node, call, &team, &version))
 		return;
 	node->deployment->read_call(call, &read);
 	scope_job(&team, read.job, sizeof(read.job));
@@ -249,7 +257,7 @@
 			node->deployment->ready_path) == 0)
 			answer_ready(node, call);
 		else
-			forward(node, call, &team);
+			forward(node, call, &team, version);
 		break;
 	}
 }
@@ -310,7 +318,8 @@
 
 /** Finds the caller's team by its key; empty when it needs none. */
 static jj_access_t
-check_access(jj_gateway_node_t *node, jj_http_call_t *call, jj_name_t *team)
+check_access(jj_gateway_node_t *node, jj_http_call_t *call, jj_name_t *team,
+    uint64_t *version)
 {
 	key_search_t key = {node->deployment->headers.key, NULL, 0};
 	const char *host = jj_http_call_header(call, "Host");
@@ -322,10 +331,12 @@
 	bool optional;
 
 	memset(team, 0, sizeof(*team));
+	*version = 0;
 	if (node->settings->listen_ready[0] == '\0' &&
 	    strcmp(path, node->deployment->ready_path) == 0)
 		return JJ_ACCESS_GRANTED;
 	(void)apr_thread_mutex_lock(node->lock);
+	*version = node->routes.version;
 	if (node->routes.teams == NULL) {
 		(void)apr_thread_mutex_unlock(node->lock);
 		return JJ_ACCESS_GRANTED;
@@ -382,7 +393,8 @@
 }
 
 static void
-forward(jj_gateway_node_t *node, jj_http_call_t *call, const jj_name_t *team)
+forward(jj_gateway_node_t *node, jj_http_call_t *call, const jj_name_t *team,
+    uint64_t version)
 {
 	const jj_front_headers_t *names = &node->deployment->headers;
 	const char *host = jj_http_call_header(call, "Host");
@@ -410,6 +422,7 @@
 	(void)snprintf(
 	    request.id, sizeof(request.id), "%s", id != NULL ? id : "");
 	request.team = *team;
+	request.key_version = version;
 	request.host = host;
 	request.path = jj_http_call_path(call);
 	request.budget_ms = read_budget(budget);
