--- a/tests/platform/entry_vm.h
+++ b/tests/platform/entry_vm.h
@@ -124,6 +124,7 @@
 	std::string operators = free_address();
 	std::string contracts = "[]"; /**< of the platform */
 	jj_settings_t settings = {};
+	jj_deployment_t deployment = *jj_deployment_find("objects");
 	jj_gateway_node *node = nullptr;
 	std::string answers; /**< all that callers received */
 
@@ -148,18 +149,27 @@
 		ASSERT_TRUE(
 		    jj_settings_load(&settings, file.c_str(), why, sizeof(why)))
 		    << why;
-		store.put("servers/s1",
-		    R"({"service":"s","zone":"d","state":"ready","slots":8,)"
-		    R"("address":")" +
-			server.address + "\"}");
+		list_server("s1", "s", server);
 		store.put("config/main",
 		    config_of(1, R"("key-1-of-ice","key-2-of-ice")"));
-		node = jj_gateway_node_create(
-		    &settings, jj_deployment_find("objects"));
+		node = jj_gateway_node_create(&settings, &deployment);
 		ASSERT_NE(nullptr, node);
+		wait_until_serving();
+	}
+	virtual void
+	wait_until_serving()
+	{
 		wait_for_status("GET", "/r/x", "key-of-fish", 200);
 	}
 	void
+	list_server(const std::string &id, const std::string &service,
+	    const RecordingServer &listed)
+	{
+		store.put("servers/" + id,
+		    R"({"zone":"d","state":"ready","slots":8,"service":")" +
+			service + R"(","address":")" + listed.address + "\"}");
+	}
+	void
 	TearDown() override
 	{
 		if (node != nullptr)
@@ -172,11 +182,22 @@
 	send(const std::string &method, const std::string &path,
 	    const std::string &headers, const std::string &body = "")
 	{
-		int fd = send_request(callers,
+		return read_status(start(method, path, headers, body));
+	}
+	/** Sends a call; returns the socket to read the answer from. */
+	int
+	start(const std::string &method, const std::string &path,
+	    const std::string &headers, const std::string &body = "")
+	{
+		return send_request(callers,
 		    method + " " + path + " HTTP/1.1\r\nHost: h\r\n" + headers +
 			"Connection: close\r\nContent-Length: " +
 			std::to_string(body.size()) + "\r\n\r\n" + body);
-		std::string got = read_until(fd, "no such text");
+	}
+	int
+	read_status(int fd)
+	{
+		std::string got = read_to_end(fd);
 
 		(void)close(fd);
 		answers += got;
