Calls are decided by one version of the configuration

What callers saw: a request ran at a server without the team of its key (UNASKED), outside its team's limit, share and priority; a caller without any valid key was served, too. A job sent in that moment was accepted for no team, and one that had been accepted was answered 404.

Cause: a callers' thread looked the key up in its copy of the routes; the loop, later, routed and limited the request by its own. At a start the copy was empty, which was taken for a deployment without teams, and the request was granted; by the time the loop came to it the first configuration was in force. At a change the team was of one version and the route of the next.

Fix: a version of the routes is shared by references and never copied. A call takes one reference and all that is decided of it is decided by that version: key, team, kind of call, route, limits, priority, and the service at which a stream goes on. The loop no longer reads its own version for a call. Without a configuration nothing is granted or denied: 503. When a newer version is in force by then, a route that the older one lacks is answered 503, not 404, and a key is denied only if no newer version was known before its version was read.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -61,12 +61,14 @@
     const jj_gateway_settings_t *settings, const jj_gateway_port_t *port)
 {
 	jj_gateway_t *gateway = jj_alloc(sizeof(*gateway));
+	jj_routes_t no_routes = {0};
 	jj_inline_port_t jobs = {gateway, is_live, jj_gateway_rank,
 	    has_live_peers, has_unreachable_peers, platform_regained_ms,
 	    find_route, unix_ms, jj_gateway_begin_item, jj_gateway_cancel_item,
 	    jj_gateway_is_item_sent, write_page, jj_gateway_relay_jobs,
 	    jj_gateway_notify_job_ended};
 
+	gateway->routes = jj_routes_share(&no_routes);
 	gateway->settings = *settings;
 	gateway->port = *port;
 	gateway->settings.member.failure_domain = settings->domain;
@@ -128,7 +130,7 @@
 	jj_crash_parts_destroy(gateway->crash_parts);
 	jj_quarantine_destroy(gateway->quarantine);
 	jj_member_destroy(gateway->member);
-	jj_routes_clear(&gateway->routes);
+	jj_routes_release(gateway->routes);
 	jj_bytes_free(&gateway->config_object);
 	g_hash_table_destroy(gateway->vm_places);
 	free(gateway->vms);
@@ -137,13 +139,13 @@
 
 void
 jj_gateway_submit(jj_gateway_t *gateway, uint64_t operation,
-    jj_inline_job_t *job, jj_ms_t now, jj_actions_t *out)
+    jj_inline_job_t *job, const jj_routes_t *routes, jj_ms_t now,
+    jj_actions_t *out)
 {
-	const jj_route_t *route =
-	    jj_routes_match(&gateway->routes, job->host, job->path);
+	const jj_route_t *route = jj_routes_match(routes, job->host, job->path);
 	bool is_batch = route != NULL && route->kind == JJ_ROUTE_BATCH;
 	bool is_unknown = (route != NULL && route->backend_count == 0) ||
-	    (!is_batch && jj_gateway_is_config_stale(gateway));
+	    (!is_batch && jj_gateway_is_outdated(gateway, routes));
 	jj_action_t *action;
 
 	begin_step(gateway, now, out);
@@ -157,7 +159,7 @@
 	}
 	jj_actions_add_event(out, "job_without_route",
 	    "job=%s host=%s path=%s version=%llu", job->id, job->host,
-	    job->path, (unsigned long long)gateway->routes.version);
+	    job->path, (unsigned long long)routes->version);
 	action = jj_actions_add(out, JJ_ACTION_JOB_ANSWER);
 	action->body.job.operation = operation;
 	action->body.job.status = is_unknown ? 503 : 404;
@@ -235,7 +237,7 @@
 	jj_mirror_tick(&gateway->servers_mirror, now, out);
 	if (jj_member_next(gateway->member) <= now)
 		update_heartbeat_loads(gateway);
-	jj_member_set_versions(gateway->member, gateway->routes.version, 0);
+	jj_member_set_versions(gateway->member, gateway->routes->version, 0);
 	jj_member_tick(gateway->member, now, out);
 	jj_gateway_drop_stale_loads(gateway, now);
 	jj_gateway_tick_config(gateway, now, out);
@@ -301,7 +303,7 @@
 bool
 jj_gateway_is_ready(const jj_gateway_t *gateway)
 {
-	return gateway->routes.version > 0;
+	return gateway->routes->version > 0;
 }
 
 bool
@@ -330,7 +332,7 @@
 const jj_routes_t *
 jj_gateway_routes(const jj_gateway_t *gateway)
 {
-	return &gateway->routes;
+	return gateway->routes;
 }
 
 const jj_slots_t *
@@ -553,7 +555,7 @@
 find_route(void *ctx, const char *host, const char *path)
 {
 	const jj_gateway_t *gateway = ctx;
-	const jj_route_t *route = jj_routes_match(&gateway->routes, host, path);
+	const jj_route_t *route = jj_routes_match(gateway->routes, host, path);
 
 	return route != NULL && route->backend_count > 0 ? route : NULL;
 }
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -45,7 +45,7 @@
 	/** Reads the shared parts of an item's prompt. */
 	void (*read_prompt)(
 	    void *ctx, const jj_inline_item_t *item, jj_prompt_t *prompt);
-	/** A new version of the routes is in force; valid during the call. */
+	/** A new version of the routes is in force; retained if it is kept. */
 	void (*on_routes)(void *ctx, const jj_routes_t *routes);
 } jj_gateway_port_t;
 
@@ -98,9 +98,12 @@
 	char id[JJ_GATEWAY_ID_MAX + 1]; /**< id given by the caller, for logs */
 	const char *host;
 	const char *path;
-	jj_name_t team; /**< of the caller; empty: none */
-	/** version of the configuration that its key was looked up in */
-	uint64_t key_version;
+	/**
+	 * version of the configuration that decides it, also if a newer one is
+	 * in force by now
+	 */
+	const jj_routes_t *routes;
+	jj_name_t team; /**< of the caller by that version; empty: none */
 	/** how long the caller waits in all, 0: not given */
 	jj_ms_t budget_ms;
 	uint64_t fingerprint; /**< hash of path and body */
@@ -195,9 +198,13 @@
  * configuration than the one in force.
  */
 bool jj_gateway_may_be_behind(const jj_gateway_t *gateway);
-/** Takes a job's submission; answers 404 or 503 when no route accepts it. */
+/**
+ * Takes a job's submission; answers 404 or 503 when no route accepts it.
+ * @param routes the version by which its caller's team was found.
+ */
 void jj_gateway_submit(jj_gateway_t *gateway, uint64_t operation,
-    jj_inline_job_t *job, jj_ms_t now, jj_actions_t *out);
+    jj_inline_job_t *job, const jj_routes_t *routes, jj_ms_t now,
+    jj_actions_t *out);
 /**
  * The inline jobs, for reads, cancellations and other operations; call
  * jj_gateway_step() afterwards.
--- a/src/core/gateway_config.c
+++ b/src/core/gateway_config.c
@@ -55,7 +55,7 @@
 		gateway->port.ctx, object, &routes, why, sizeof(why))) {
 		jj_actions_add_event(gateway->out, "config_unreadable",
 		    "from=%s bytes=%zu in_force=%llu why=%.150s", from,
-		    object->size, (unsigned long long)gateway->routes.version,
+		    object->size, (unsigned long long)gateway->routes->version,
 		    why);
 		gateway->config.unreadable = true;
 		return false;
@@ -64,14 +64,14 @@
 	 * Guards against a return to an older version, which may come late from
 	 * a stale read, a neighbour that is behind or an interrupted watch.
 	 */
-	if (routes.version <= gateway->routes.version) {
+	if (routes.version <= gateway->routes->version) {
 		jj_routes_clear(&routes);
 		return false;
 	}
 	jj_actions_add_event(gateway->out, "config_in_force",
 	    "version=%llu before=%llu from=%s routes=%zu teams=%zu bytes=%zu",
 	    (unsigned long long)routes.version,
-	    (unsigned long long)gateway->routes.version, from,
+	    (unsigned long long)gateway->routes->version, from,
 	    routes.route_count, jj_teams_count(routes.teams), object->size);
 	if (routes.unreadable > 0)
 		jj_actions_add_event(gateway->out, "routes_unreadable",
@@ -82,12 +82,12 @@
 		    "version=%llu count=%zu first=\"%s\"",
 		    (unsigned long long)routes.version,
 		    jj_teams_problems(routes.teams, &problem), problem);
-	jj_routes_clear(&gateway->routes);
-	gateway->routes = routes;
+	jj_routes_release(gateway->routes);
+	gateway->routes = jj_routes_share(&routes);
 	gateway->config.unreadable = false;
 	jj_bytes_free(&gateway->config_object);
 	gateway->config_object = jj_bytes_copy(object->data, object->size);
-	gateway->port.on_routes(gateway->port.ctx, &gateway->routes);
+	gateway->port.on_routes(gateway->port.ctx, gateway->routes);
 	start_wait(gateway, gateway->now);
 	announce_version(gateway);
 	return true;
@@ -101,7 +101,7 @@
 	if (version <= gateway->config.newest_version)
 		return;
 	gateway->config.newest_version = version;
-	if (gateway->config.awaited_version <= gateway->routes.version)
+	if (gateway->config.awaited_version <= gateway->routes->version)
 		start_wait(gateway, now);
 }
 
@@ -112,13 +112,13 @@
 	uint64_t version = message->body.config.version;
 
 	if (message->kind == JJ_MESSAGE_CONFIG_REQUEST) {
-		if (version < gateway->routes.version)
+		if (version < gateway->routes->version)
 			send_document(gateway, &message->from, now, out);
 		return;
 	}
 	jj_gateway_note_peer_config(gateway, &message->from, version, now);
 	if (message->body.config.document.size > 0 &&
-	    version > gateway->routes.version)
+	    version > gateway->routes->version)
 		(void)jj_gateway_take_config(gateway,
 		    &message->body.config.document, message->from.text);
 }
@@ -126,15 +126,22 @@
 bool
 jj_gateway_is_config_stale(const jj_gateway_t *gateway)
 {
-	return gateway->routes.version == 0 || gateway->config.unreadable ||
-	    gateway->config.newest_version > gateway->routes.version;
+	return gateway->routes->version == 0 || gateway->config.unreadable ||
+	    gateway->config.newest_version > gateway->routes->version;
+}
+
+bool
+jj_gateway_is_outdated(const jj_gateway_t *gateway, const jj_routes_t *routes)
+{
+	return routes->version < gateway->routes->version ||
+	    jj_gateway_is_config_stale(gateway);
 }
 
 void
 jj_gateway_tick_config(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
 {
 	log_stale_config(gateway, now, out);
-	if (gateway->config.awaited_version <= gateway->routes.version ||
+	if (gateway->config.awaited_version <= gateway->routes->version ||
 	    now < gateway->config.next_document_request_ms)
 		return;
 	request_document(gateway, now, out);
@@ -160,7 +167,7 @@
 	jj_actions_add_event(out, "config_behind",
 	    "in_force=%llu heard=%llu unreadable=%d for_ms=%lld "
 	    "platform_reached=%d",
-	    (unsigned long long)gateway->routes.version,
+	    (unsigned long long)gateway->routes->version,
 	    (unsigned long long)config->newest_version, config->unreadable,
 	    (long long)(now - config->stale_since_ms),
 	    gateway->platform_unreachable_ms == 0);
@@ -182,14 +189,14 @@
 {
 	jj_gateway_config_t *config = &gateway->config;
 
-	if (config->awaited_version > gateway->routes.version ||
-	    config->newest_version <= gateway->routes.version)
+	if (config->awaited_version > gateway->routes->version ||
+	    config->newest_version <= gateway->routes->version)
 		return;
 	config->awaited_version = config->newest_version;
 	config->request_interval_ms = wait_ms(gateway);
 	config->next_document_request_ms = now;
 	/* No need to wait for the platform while it is unreachable. */
-	if (gateway->routes.version > 0 &&
+	if (gateway->routes->version > 0 &&
 	    gateway->platform_unreachable_ms == 0)
 		config->next_document_request_ms += config->request_interval_ms;
 }
@@ -209,10 +216,10 @@
 		config->request_interval_ms *= 2;
 	message =
 	    jj_actions_add_message(out, &holder, JJ_MESSAGE_CONFIG_REQUEST);
-	message->body.config.version = gateway->routes.version;
+	message->body.config.version = gateway->routes->version;
 	jj_actions_add_event(out, "config_asked",
 	    "peer=%s version=%llu heard=%llu again_ms=%lld", holder.text,
-	    (unsigned long long)gateway->routes.version,
+	    (unsigned long long)gateway->routes->version,
 	    (unsigned long long)config->newest_version,
 	    (long long)config->request_interval_ms);
 }
@@ -238,7 +245,7 @@
 			2);
 
 		if (!infos[i].live ||
-		    infos[i].config_version <= gateway->routes.version)
+		    infos[i].config_version <= gateway->routes->version)
 			continue;
 		if (jj_gateway_is_in_domain(gateway, &infos[i].name))
 			weight |= UINT64_C(1) << 63;
@@ -261,11 +268,11 @@
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		if (infos[i].config_version >= gateway->routes.version)
+		if (infos[i].config_version >= gateway->routes->version)
 			continue;
 		message = jj_actions_add_message(
 		    gateway->out, &infos[i].name, JJ_MESSAGE_CONFIG);
-		message->body.config.version = gateway->routes.version;
+		message->body.config.version = gateway->routes->version;
 	}
 	free(infos);
 }
@@ -286,13 +293,13 @@
 	if (config->window_sends >= DOCUMENTS_MAX) {
 		jj_actions_add_event(out, "config_not_sent",
 		    "peer=%s version=%llu sends=%u", to->text,
-		    (unsigned long long)gateway->routes.version,
+		    (unsigned long long)gateway->routes->version,
 		    config->window_sends);
 		return;
 	}
 	config->window_sends++;
 	message = jj_actions_add_message(out, to, JJ_MESSAGE_CONFIG);
-	message->body.config.version = gateway->routes.version;
+	message->body.config.version = gateway->routes->version;
 	message->body.config.document = jj_bytes_copy(
 	    gateway->config_object.data, gateway->config_object.size);
 }
--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -197,9 +197,9 @@
 		if (entry->class_of != JJ_CLASS_BATCH ||
 		    now < entry->not_before_ms)
 			continue;
-		if (entry->routed_version != gateway->routes.version)
+		if (entry->routed_version != gateway->routes->version)
 			route_item(gateway, entry,
-			    jj_routes_match(&gateway->routes, entry->job->host,
+			    jj_routes_match(gateway->routes, entry->job->host,
 				entry->job->path));
 		if (jj_name_is_empty(&entry->service))
 			continue;
@@ -259,7 +259,7 @@
 	const jj_name_t *service =
 	    route != NULL ? jj_route_pick(route, entry->route_random) : NULL;
 
-	entry->routed_version = gateway->routes.version;
+	entry->routed_version = gateway->routes->version;
 	memset(&entry->service, 0, sizeof(entry->service));
 	if (service != NULL)
 		entry->service = *service;
--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -255,7 +255,7 @@
 	const jj_name_t *service =
 	    jj_slots_service_of(gateway->slots, software);
 	const jj_route_t *route =
-	    jj_routes_find(&gateway->routes, entry->route.text);
+	    jj_routes_find(entry->routes, entry->route.text);
 
 	if (service == NULL || route == NULL ||
 	    !jj_route_allows(route, service)) {
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -74,7 +74,7 @@
     jj_ms_t now, jj_actions_t *out)
 {
 	const jj_route_t *route =
-	    jj_routes_match(&gateway->routes, request->host, request->path);
+	    jj_routes_match(request->routes, request->host, request->path);
 	jj_gateway_entry_t *entry;
 	jj_failure_t reason;
 	uint64_t charged_team;
@@ -85,8 +85,9 @@
 	if (route == NULL || route->kind == JJ_ROUTE_BATCH) {
 		/* A newer configuration may have a route for it. */
 		refuse(gateway, request,
-		    jj_gateway_is_config_stale(gateway) ? JJ_FAILURE_NO_CONFIG
-							: JJ_FAILURE_NO_SERVICE,
+		    jj_gateway_is_outdated(gateway, request->routes)
+			? JJ_FAILURE_NO_CONFIG
+			: JJ_FAILURE_NO_SERVICE,
 		    0, out);
 		return;
 	}
@@ -234,6 +235,7 @@
 	TAILQ_REMOVE(&gateway->waiting, entry, link);
 	LIST_REMOVE(entry, bucket);
 	gateway->counts[entry->class_of]--;
+	jj_routes_release(entry->routes);
 	free(entry);
 }
 
@@ -350,12 +352,12 @@
 	jj_actions_add_event(out,
 	    entry->class_of == JJ_CLASS_ONLINE ? "request_sent" : "item_sent",
 	    "request=%s server=%s software=%s attempt=%u resumes=%s "
-	    "team=%s key_version=%llu route_version=%llu "
+	    "team=%s config=%llu in_force=%llu "
 	    "own=%u+%u others=%u+%u slots=%u list_ms_ago=%lld",
 	    entry->id, server->info.id.text, server->info.version.text,
 	    entry->attempt, entry->resumed ? entry->resumes : "no",
-	    entry->team.text, (unsigned long long)entry->key_version,
-	    (unsigned long long)entry->routed_version, server->online,
+	    entry->team.text, (unsigned long long)entry->routed_version,
+	    (unsigned long long)gateway->routes->version, server->online,
 	    server->batch, server->others_online, server->others_batch,
 	    server->info.slots,
 	    jj_ms_ago(gateway->servers_mirror.confirmed_ms, now));
@@ -470,8 +472,8 @@
 	entry->class_of = JJ_CLASS_ONLINE;
 	entry->route = route->name;
 	entry->team = request->team;
-	entry->key_version = request->key_version;
-	entry->routed_version = gateway->routes.version;
+	entry->routes = jj_routes_retain(request->routes);
+	entry->routed_version = request->routes->version;
 	entry->origin_id = jj_gateway_origin_id(
 	    request->resumed ? request->resumes : request->id);
 	entry->service = *jj_route_pick(route, jj_gateway_random(gateway));
@@ -487,7 +489,7 @@
 	    jj_gateway_is_client_retry(gateway, route, request);
 	entry->queue_until_ms = jj_gateway_queue_deadline(request, now);
 	entry->priority = jj_team_priority(
-	    jj_teams_find(gateway->routes.teams, request->team.text),
+	    jj_teams_find(request->routes->teams, request->team.text),
 	    route->priority);
 	entry->fingerprint = request->fingerprint;
 	entry->prompt = request->prompt;
@@ -516,7 +518,7 @@
 	jj_actions_add_event(out, "request_refused",
 	    "request=%s reason=%s host=%s path=%.60s config=%llu", request->id,
 	    jj_failure_name(reason), request->host, request->path,
-	    (unsigned long long)gateway->routes.version);
+	    (unsigned long long)request->routes->version);
 }
 
 /**
--- a/src/core/gateway_shares.c
+++ b/src/core/gateway_shares.c
@@ -114,9 +114,6 @@
 jj_gateway_log_over_share(
     jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_actions_t *out)
 {
-	const jj_team_entry_t *team =
-	    jj_teams_find_hash(gateway->routes.teams, entry->share_group);
-
 	if (gateway->now < gateway->next_share_log_ms) {
 		gateway->unlogged_share_refusals++;
 		return;
@@ -124,9 +121,8 @@
 	jj_actions_add_event(out, "over_share",
 	    "request=%s team=%s route=%s service=%s basis=%s share=%.2f "
 	    "demand=%.2f age_ms=%lld retry_ms=%lld unlogged=%u",
-	    entry->id, team != NULL ? team->name.text : "", entry->route.text,
-	    entry->service.text, entry->share.basis, entry->share.share,
-	    entry->share.demand,
+	    entry->id, entry->team.text, entry->route.text, entry->service.text,
+	    entry->share.basis, entry->share.share, entry->share.demand,
 	    entry->share.age_ms == JJ_MS_NEVER ? -1LL
 					       : (long long)entry->share.age_ms,
 	    (long long)entry->share.retry_after_ms,
@@ -181,7 +177,7 @@
 {
 	const jj_gateway_t *gateway = ctx;
 	const jj_team_entry_t *team =
-	    jj_teams_find_hash(gateway->routes.teams, group);
+	    jj_teams_find_hash(gateway->routes->teams, group);
 
 	return team != NULL && team->weight > 0 ? team->weight : 1;
 }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -31,8 +31,8 @@
 	jj_class_t class_of;
 	jj_name_t route; /**< of a caller's request */
 	jj_name_t team; /**< of the caller, or of an item's job; empty: none */
-	/** version that its key was looked up in; 0: an item */
-	uint64_t key_version;
+	/** of a caller's request: the version that decides it; retained */
+	const jj_routes_t *routes;
 	/** software version that its events are from; 0: no event yet */
 	uint64_t software;
 	/** an item's output so far is dropped when it is sent again */
@@ -168,7 +168,7 @@
 	jj_quarantine_t *quarantine;
 	jj_slots_t *slots;
 	jj_inline_t *jobs;
-	jj_routes_t routes;
+	const jj_routes_t *routes; /**< in force; version 0: none yet */
 	/** the configuration as stored, for neighbours */
 	jj_bytes_t config_object;
 	jj_mirror_t config_mirror;
@@ -559,6 +559,9 @@
  * force.
  */
 bool jj_gateway_is_config_stale(const jj_gateway_t *gateway);
+/** True when a newer version than @p routes is in force or known. */
+bool
+jj_gateway_is_outdated(const jj_gateway_t *gateway, const jj_routes_t *routes);
 /** Notes that another VM has that version. */
 void jj_gateway_note_peer_config(jj_gateway_t *gateway, const jj_name_t *from,
     uint64_t version, jj_ms_t now);
--- a/src/core/gateway_teams.c
+++ b/src/core/gateway_teams.c
@@ -45,7 +45,7 @@
     jj_ms_t now, uint64_t *charged, jj_ms_t *retry_after_ms, jj_actions_t *out)
 {
 	const jj_team_entry_t *team =
-	    jj_teams_find(gateway->routes.teams, request->team.text);
+	    jj_teams_find(request->routes->teams, request->team.text);
 	jj_allowance_decision_t decision;
 	jj_allowance_limit_t limit;
 	jj_name_t home;
@@ -140,7 +140,7 @@
 {
 	jj_gateway_t *gateway = ctx;
 	const jj_team_entry_t *team =
-	    jj_teams_find_hash(gateway->routes.teams, usage->team);
+	    jj_teams_find_hash(gateway->routes->teams, usage->team);
 
 	if (!usage->metered || team == NULL)
 		return;
@@ -188,7 +188,7 @@
 {
 	const jj_gateway_t *gateway = ctx;
 	const jj_team_entry_t *team =
-	    jj_teams_find_hash(gateway->routes.teams, hash);
+	    jj_teams_find_hash(gateway->routes->teams, hash);
 
 	if (team == NULL || team->rate_per_s <= 0)
 		return false;
--- a/src/core/gateway_views.c
+++ b/src/core/gateway_views.c
@@ -85,15 +85,15 @@
 name_group(const jj_gateway_t *gateway, uint64_t group, jj_name_t *name)
 {
 	const jj_team_entry_t *team =
-	    jj_teams_find_hash(gateway->routes.teams, group);
+	    jj_teams_find_hash(gateway->routes->teams, group);
 	size_t i;
 
 	if (team != NULL) {
 		*name = team->name;
 		return true;
 	}
-	for (i = 0; i < gateway->routes.route_count; i++) {
-		*name = gateway->routes.routes[i].name;
+	for (i = 0; i < gateway->routes->route_count; i++) {
+		*name = gateway->routes->routes[i].name;
 		if (jj_team_hash(name->text) == group)
 			return true;
 	}
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -2,6 +2,7 @@
  * @file route.c
  * @brief Routes: which service answers a host and a path, under which limits.
  */
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -15,6 +16,13 @@
 /** Minimum number of index slots for each route. */
 #define INDEX_SLOTS_PER_ROUTE 2
 
+/** A table that threads share. */
+typedef struct {
+	jj_routes_t routes; /**< first, as references point to it */
+	atomic_uint references;
+} shared_routes_t;
+
+static bool has_anonymous_jobs(const jj_routes_t *, const char *);
 static uint64_t hash_key(const char *, const char *, size_t);
 static const jj_route_t *
 find_prefix(const jj_routes_t *, const char *, const char *, size_t);
@@ -74,18 +82,36 @@
 	}
 }
 
+const jj_routes_t *
+jj_routes_share(jj_routes_t *routes)
+{
+	shared_routes_t *shared = jj_alloc(sizeof(*shared));
+
+	shared->routes = *routes;
+	atomic_init(&shared->references, 1);
+	memset(routes, 0, sizeof(*routes));
+	return &shared->routes;
+}
+
+const jj_routes_t *
+jj_routes_retain(const jj_routes_t *routes)
+{
+	shared_routes_t *shared = (shared_routes_t *)(uintptr_t)routes;
+
+	if (shared != NULL)
+		(void)atomic_fetch_add(&shared->references, 1);
+	return routes;
+}
+
 void
-jj_routes_copy(jj_routes_t *to, const jj_routes_t *from)
+jj_routes_release(const jj_routes_t *routes)
 {
-	size_t i;
+	shared_routes_t *shared = (shared_routes_t *)(uintptr_t)routes;
 
-	memset(to, 0, sizeof(*to));
-	to->version = from->version;
-	to->unreadable = from->unreadable;
-	to->teams = jj_teams_retain(from->teams);
-	for (i = 0; i < from->route_count; i++)
-		jj_routes_add(to, &from->routes[i]);
-	jj_routes_build_index(to);
+	if (shared == NULL || atomic_fetch_sub(&shared->references, 1) != 1)
+		return;
+	jj_routes_clear(&shared->routes);
+	free(shared);
 }
 
 void
@@ -147,19 +173,29 @@
 	return NULL;
 }
 
-bool
-jj_routes_has_anonymous_jobs(const jj_routes_t *routes, const char *host)
+jj_access_t
+jj_routes_check_call(
+    const jj_routes_t *routes, const jj_routes_call_t *call, jj_name_t *team)
 {
-	size_t i;
-
-	for (i = 0; i < routes->route_count; i++) {
-		const jj_route_t *route = &routes->routes[i];
-
-		if (route->kind == JJ_ROUTE_BATCH && route->anonymous &&
-		    strcasecmp(route->host, host) == 0)
-			return true;
+	const jj_team_entry_t *found = NULL;
+	const jj_route_t *route;
+	jj_access_t access;
+	bool optional = false;
+
+	memset(team, 0, sizeof(*team));
+	if (routes->version == 0)
+		return JJ_ACCESS_UNCLEAR;
+	if (call->host != NULL && call->on_job) {
+		optional = has_anonymous_jobs(routes, call->host);
+	} else if (call->host != NULL) {
+		route = jj_routes_match(routes, call->host, call->path);
+		optional = route != NULL && route->anonymous;
 	}
-	return false;
+	access = jj_teams_check(
+	    routes->teams, optional, call->key, call->key_count, &found);
+	if (found != NULL)
+		*team = found->name;
+	return access;
 }
 
 const jj_route_t *
@@ -213,6 +249,22 @@
 	    (route->kind == JJ_ROUTE_STREAM && route->resumable);
 }
 
+/** True when some batch route of the host serves callers without a key. */
+static bool
+has_anonymous_jobs(const jj_routes_t *routes, const char *host)
+{
+	size_t i;
+
+	for (i = 0; i < routes->route_count; i++) {
+		const jj_route_t *route = &routes->routes[i];
+
+		if (route->kind == JJ_ROUTE_BATCH && route->anonymous &&
+		    strcasecmp(route->host, host) == 0)
+			return true;
+	}
+	return false;
+}
+
 /** Hashes a host and a prefix; the case of the host is ignored. */
 static uint64_t
 hash_key(const char *host, const char *prefix, size_t length)
--- a/src/core/route.h
+++ b/src/core/route.h
@@ -3,8 +3,9 @@
  * @brief Routes: which service answers a host and a path, under which limits.
  *
  * A table is one numbered version of the configuration, read as a whole and
- * never changed afterwards. A request keeps a copy of its route, so that a
- * newer table does not affect requests in progress.
+ * never changed afterwards. Threads share it by references. All that is decided
+ * of a call is decided by one table: a team of one version with a route of
+ * another was never allowed by any configuration.
  */
 #ifndef JJ_CORE_ROUTE_H
 #define JJ_CORE_ROUTE_H
@@ -72,11 +73,12 @@
 void jj_routes_add(jj_routes_t *routes, const jj_route_t *route);
 /** Builds the index that jj_routes_match() needs. */
 void jj_routes_build_index(jj_routes_t *routes);
-/**
- * Copies a table with its own index; the teams are shared. @p to is overwritten,
- * not freed.
- */
-void jj_routes_copy(jj_routes_t *to, const jj_routes_t *from);
+/** Moves a table to where threads can share it; returns the first reference. */
+const jj_routes_t *jj_routes_share(jj_routes_t *routes);
+/** Adds a reference to a shared table; NULL is passed through. */
+const jj_routes_t *jj_routes_retain(const jj_routes_t *routes);
+/** Drops a reference; NULL is ignored. */
+void jj_routes_release(const jj_routes_t *routes);
 /** Frees what the table owns and empties it. */
 void jj_routes_clear(jj_routes_t *routes);
 /** Adds a service to a route that jj_route_clear() frees. */
@@ -90,8 +92,22 @@
  */
 const jj_route_t *
 jj_routes_match(const jj_routes_t *routes, const char *host, const char *path);
-/** True when some batch route of @p host serves callers without a key. */
-bool jj_routes_has_anonymous_jobs(const jj_routes_t *routes, const char *host);
+/** What a call sends that tells who may make it. */
+typedef struct {
+	const char *host; /**< or NULL */
+	const char *path;
+	bool on_job; /**< reads or ends a job */
+	const char *key; /**< or NULL */
+	size_t key_count; /**< how many keys it sends */
+} jj_routes_call_t;
+
+/**
+ * Decides whether a call may be made; nothing is granted or denied without a
+ * configuration.
+ * @param team the caller's; empty when it needs none.
+ */
+jj_access_t jj_routes_check_call(
+    const jj_routes_t *routes, const jj_routes_call_t *call, jj_name_t *team);
 /** The route of that name, or NULL. */
 const jj_route_t *jj_routes_find(const jj_routes_t *routes, const char *name);
 /** Picks a service of the route by weight; @p random is any number. */
--- a/src/core/team/team.h
+++ b/src/core/team/team.h
@@ -91,7 +91,8 @@
 typedef enum {
 	JJ_ACCESS_GRANTED, /**< of a team, or no team is needed */
 	JJ_ACCESS_DENIED, /**< no key, or no valid one */
-	JJ_ACCESS_UNCLEAR, /**< the configuration is unsound at this key */
+	/** no configuration is known, or it is unsound at this key */
+	JJ_ACCESS_UNCLEAR,
 } jj_access_t;
 
 /**
--- a/src/daemon/gateway_events.c
+++ b/src/daemon/gateway_events.c
@@ -28,6 +28,7 @@
 	event_kind_t kind;
 	uint64_t number; /**< of a request or an operation */
 	jj_gateway_request_t request;
+	const jj_routes_t *routes; /**< by which a call is decided, or NULL */
 	char *host;
 	char *path;
 	jj_backend_event_t backend;
@@ -66,6 +67,7 @@
 	event->path = strdup(request->path);
 	event->request.host = event->host;
 	event->request.path = event->path;
+	event->routes = jj_routes_retain(request->routes);
 	jj_loop_post(node->loop, &event->task);
 }
 
@@ -114,20 +116,29 @@
 	jj_loop_post(node->loop, &event->task);
 }
 
+void
+jj_gateway_post_submission(jj_gateway_node_t *node, uint64_t operation,
+    jj_inline_job_t *job, const jj_routes_t *routes)
+{
+	event_t *event = create_event(EVENT_OPERATION);
+
+	event->operation = JJ_GATEWAY_SUBMIT;
+	event->number = operation;
+	event->job = *job;
+	memset(job, 0, sizeof(*job));
+	event->routes = jj_routes_retain(routes);
+	jj_loop_post(node->loop, &event->task);
+}
+
 void
 jj_gateway_post_operation(jj_gateway_node_t *node, jj_gateway_operation_t kind,
-    uint64_t operation, const jj_front_call_t *call, jj_inline_job_t *job)
+    uint64_t operation, const jj_front_call_t *call)
 {
 	event_t *event = create_event(EVENT_OPERATION);
 
 	event->operation = kind;
 	event->number = operation;
-	if (call != NULL)
-		event->call = *call;
-	if (job != NULL) {
-		event->job = *job;
-		memset(job, 0, sizeof(*job));
-	}
+	event->call = *call;
 	jj_loop_post(node->loop, &event->task);
 }
 
@@ -235,8 +246,8 @@
 	jj_inline_t *jobs;
 
 	if (event->operation == JJ_GATEWAY_SUBMIT) {
-		jj_gateway_submit(
-		    node->core, event->number, &event->job, now, out);
+		jj_gateway_submit(node->core, event->number, &event->job,
+		    event->routes, now, out);
 		return;
 	}
 	jobs = jj_gateway_jobs(node->core, now, out);
@@ -256,6 +267,7 @@
 {
 	free(event->host);
 	free(event->path);
+	jj_routes_release(event->routes);
 	jj_bytes_free(&event->text);
 	if (event->message != NULL) {
 		jj_message_clear(event->message);
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -26,6 +26,12 @@
 /** Retry-After while this VM stops, ms; short, as other VMs are not busy. */
 #define STOPPING_RETRY_MS 10
 
+/** A caller, by the one version of the configuration that decides its call. */
+typedef struct {
+	const jj_routes_t *routes; /**< that version; a reference */
+	jj_name_t team; /**< empty: none */
+} caller_t;
+
 /** State while the headers of a request are copied to its exchange. */
 typedef struct {
 	jj_gateway_node_t *node;
@@ -46,20 +52,20 @@
 static void on_writable(void *, jj_http_call_t *);
 static void on_ready(void *, jj_http_call_t *);
 static void on_operator(void *, jj_http_call_t *);
-static bool
-allow_caller(jj_gateway_node_t *, jj_http_call_t *, jj_name_t *, uint64_t *);
+static bool allow_caller(jj_gateway_node_t *, jj_http_call_t *, caller_t *);
 static jj_access_t
-check_access(jj_gateway_node_t *, jj_http_call_t *, jj_name_t *, uint64_t *);
+check_access(const jj_gateway_node_t *, jj_http_call_t *, caller_t *);
+static const jj_routes_t *take_routes(jj_gateway_node_t *);
 static void find_key(void *, const char *, const char *);
 static void scope_job(const jj_name_t *, char *, size_t);
-static bool is_job_call(jj_gateway_node_t *, jj_http_call_t *);
-static void
-forward(jj_gateway_node_t *, jj_http_call_t *, const jj_name_t *, uint64_t);
-static void submit(jj_gateway_node_t *, jj_http_call_t *, const jj_name_t *);
+static bool is_job_call(const jj_gateway_node_t *, jj_http_call_t *);
+static void forward(jj_gateway_node_t *, jj_http_call_t *, const caller_t *);
+static void submit(jj_gateway_node_t *, jj_http_call_t *, const caller_t *);
+static uint64_t add_pending(jj_gateway_node_t *, jj_http_call_t *);
 static void start_operation(jj_gateway_node_t *, jj_http_call_t *,
-    jj_gateway_operation_t, const jj_front_call_t *, jj_inline_job_t *);
+    jj_gateway_operation_t, const jj_front_call_t *);
 static bool
-is_job_submission(jj_gateway_node_t *, jj_http_call_t *, const char *);
+is_job_submission(const jj_routes_t *, jj_http_call_t *, const char *);
 static jj_ms_t read_budget(const char *);
 static bool read_event_id(const char *, int64_t *);
 static void copy_header(void *, const char *, const char *);
@@ -184,26 +190,33 @@
 on_headers(void *ctx, jj_http_call_t *call)
 {
 	jj_gateway_node_t *node = ctx;
-	uint64_t version;
-	jj_name_t team;
+	caller_t caller;
 
-	return !atomic_load(&node->rejecting) &&
-	    !allow_caller(node, call, &team, &version);
+	if (atomic_load(&node->rejecting))
+		return false;
+	if (!allow_caller(node, call, &caller))
+		return true;
+	jj_routes_release(caller.routes);
+	return false;
 }
 
 /**
  * Finds the caller's team; answers the call when it proves none.
- * @param version set to that of the configuration that was looked in.
+ * @param caller its routes are to be released if it is allowed.
  */
 static bool
-allow_caller(jj_gateway_node_t *node, jj_http_call_t *call, jj_name_t *team,
-    uint64_t *version)
+allow_caller(jj_gateway_node_t *node, jj_http_call_t *call, caller_t *caller)
 {
-	jj_access_t access = check_access(node, call, team, version);
+	/* Read first: the routes are then at least as new. */
+	bool may_be_behind = atomic_load(&node->may_be_behind);
+	jj_access_t access;
 
+	caller->routes = take_routes(node);
+	access = check_access(node, call, caller);
 	if (access == JJ_ACCESS_GRANTED)
 		return true;
-	if (access == JJ_ACCESS_DENIED && !atomic_load(&node->may_be_behind)) {
+	jj_routes_release(caller->routes);
+	if (access == JJ_ACCESS_DENIED && !may_be_behind) {
 		jj_counter_add(jj_metrics_counter("jujube_keys_refused_total",
 				   "Requests without a valid key.", NULL, NULL),
 		    1);
@@ -220,8 +233,7 @@
 {
 	jj_gateway_node_t *node = ctx;
 	jj_front_call_t read;
-	uint64_t version;
-	jj_name_t team;
+	caller_t caller;
 
 	/*
 	 * Callers keep using open connections until this process exits, which
@@ -233,20 +245,19 @@
 		return;
 	}
 	/* Keys that were taken away while the body came count, too. */
-	if (!allow_caller(node, call, &team, &version))
+	if (!allow_caller(node, call, &caller))
 		return;
 	node->deployment->read_call(call, &read);
-	scope_job(&team, read.job, sizeof(read.job));
+	scope_job(&caller.team, read.job, sizeof(read.job));
 	switch (read.kind) {
 	case JJ_FRONT_READ_RESULTS:
-		start_operation(
-		    node, call, JJ_GATEWAY_READ_RESULTS, &read, NULL);
+		start_operation(node, call, JJ_GATEWAY_READ_RESULTS, &read);
 		break;
 	case JJ_FRONT_READ_ITEM:
-		start_operation(node, call, JJ_GATEWAY_READ_ITEM, &read, NULL);
+		start_operation(node, call, JJ_GATEWAY_READ_ITEM, &read);
 		break;
 	case JJ_FRONT_END_JOB:
-		start_operation(node, call, JJ_GATEWAY_END_JOB, &read, NULL);
+		start_operation(node, call, JJ_GATEWAY_END_JOB, &read);
 		break;
 	case JJ_FRONT_MALFORMED:
 		answer(node, call, 400, 0, "text/plain", NULL);
@@ -257,9 +268,10 @@
 			node->deployment->ready_path) == 0)
 			answer_ready(node, call);
 		else
-			forward(node, call, &team, version);
+			forward(node, call, &caller);
 		break;
 	}
+	jj_routes_release(caller.routes);
 }
 
 static void
@@ -318,47 +330,39 @@
 
 /** Finds the caller's team by its key; empty when it needs none. */
 static jj_access_t
-check_access(jj_gateway_node_t *node, jj_http_call_t *call, jj_name_t *team,
-    uint64_t *version)
+check_access(
+    const jj_gateway_node_t *node, jj_http_call_t *call, caller_t *caller)
 {
 	key_search_t key = {node->deployment->headers.key, NULL, 0};
-	const char *host = jj_http_call_header(call, "Host");
-	const char *path = jj_http_call_path(call);
-	const jj_team_entry_t *found = NULL;
-	const jj_route_t *route;
+	jj_routes_call_t request = {jj_http_call_header(call, "Host"),
+	    jj_http_call_path(call), is_job_call(node, call), NULL, 0};
 	jj_access_t access;
-	bool is_on_job = is_job_call(node, call);
-	bool optional;
 
-	memset(team, 0, sizeof(*team));
-	*version = 0;
 	if (node->settings->listen_ready[0] == '\0' &&
-	    strcmp(path, node->deployment->ready_path) == 0)
-		return JJ_ACCESS_GRANTED;
-	(void)apr_thread_mutex_lock(node->lock);
-	*version = node->routes.version;
-	if (node->routes.teams == NULL) {
-		(void)apr_thread_mutex_unlock(node->lock);
+	    strcmp(request.path, node->deployment->ready_path) == 0) {
+		memset(&caller->team, 0, sizeof(caller->team));
 		return JJ_ACCESS_GRANTED;
 	}
 	jj_http_call_each_header(call, find_key, &key);
-	if (host == NULL) {
-		optional = false;
-	} else if (is_on_job) {
-		optional = jj_routes_has_anonymous_jobs(&node->routes, host);
-	} else {
-		route = jj_routes_match(&node->routes, host, path);
-		optional = route != NULL && route->anonymous;
-	}
-	access = jj_teams_check(
-	    node->routes.teams, optional, key.value, key.count, &found);
-	if (found != NULL)
-		*team = found->name;
-	(void)apr_thread_mutex_unlock(node->lock);
+	request.key = key.value;
+	request.key_count = key.count;
+	access = jj_routes_check_call(caller->routes, &request, &caller->team);
 	g_free(key.value);
 	return access;
 }
 
+/** Adds a reference to the version that is in force. */
+static const jj_routes_t *
+take_routes(jj_gateway_node_t *node)
+{
+	const jj_routes_t *routes;
+
+	(void)apr_thread_mutex_lock(node->lock);
+	routes = jj_routes_retain(node->routes);
+	(void)apr_thread_mutex_unlock(node->lock);
+	return routes;
+}
+
 static void
 find_key(void *ctx, const char *name, const char *value)
 {
@@ -372,7 +376,7 @@
 }
 
 static bool
-is_job_call(jj_gateway_node_t *node, jj_http_call_t *call)
+is_job_call(const jj_gateway_node_t *node, jj_http_call_t *call)
 {
 	jj_front_call_t read;
 
@@ -393,8 +397,7 @@
 }
 
 static void
-forward(jj_gateway_node_t *node, jj_http_call_t *call, const jj_name_t *team,
-    uint64_t version)
+forward(jj_gateway_node_t *node, jj_http_call_t *call, const caller_t *caller)
 {
 	const jj_front_headers_t *names = &node->deployment->headers;
 	const char *host = jj_http_call_header(call, "Host");
@@ -414,15 +417,15 @@
 		answer(node, call, 400, 0, "text/plain", NULL);
 		return;
 	}
-	if (is_job_submission(node, call, host)) {
-		submit(node, call, team);
+	if (is_job_submission(caller->routes, call, host)) {
+		submit(node, call, caller);
 		return;
 	}
 	request.request = jj_gateway_node_next_number(node);
 	(void)snprintf(
 	    request.id, sizeof(request.id), "%s", id != NULL ? id : "");
-	request.team = *team;
-	request.key_version = version;
+	request.routes = caller->routes;
+	request.team = caller->team;
 	request.host = host;
 	request.path = jj_http_call_path(call);
 	request.budget_ms = read_budget(budget);
@@ -439,9 +442,9 @@
 	exchange.uri = strdup(jj_http_call_uri(call));
 	exchange.body = jj_bytes_copy(body->data, body->size);
 	jj_http_call_each_header(call, copy_header, &copy);
-	if (!jj_name_is_empty(team))
+	if (!jj_name_is_empty(&caller->team))
 		jj_stream_exchange_add_header(
-		    &exchange, names->team, team->text);
+		    &exchange, names->team, caller->team.text);
 	jj_http_call_set_context(call, (void *)(uintptr_t)request.request);
 	jj_stream_relay_add(node->relay, &exchange);
 	jj_gateway_post_request(node, &request);
@@ -514,22 +517,18 @@
 /** True when the call submits a job to a batch route. */
 static bool
 is_job_submission(
-    jj_gateway_node_t *node, jj_http_call_t *call, const char *host)
+    const jj_routes_t *routes, jj_http_call_t *call, const char *host)
 {
 	const jj_route_t *route;
-	bool is_batch;
 
 	if (strcmp(jj_http_call_method(call), "POST") != 0)
 		return false;
-	(void)apr_thread_mutex_lock(node->lock);
-	route = jj_routes_match(&node->routes, host, jj_http_call_path(call));
-	is_batch = route != NULL && route->kind == JJ_ROUTE_BATCH;
-	(void)apr_thread_mutex_unlock(node->lock);
-	return is_batch;
+	route = jj_routes_match(routes, host, jj_http_call_path(call));
+	return route != NULL && route->kind == JJ_ROUTE_BATCH;
 }
 
 static void
-submit(jj_gateway_node_t *node, jj_http_call_t *call, const jj_name_t *team)
+submit(jj_gateway_node_t *node, jj_http_call_t *call, const caller_t *caller)
 {
 	jj_inline_job_t job;
 	const char *problem = node->deployment->read_job(call, &job);
@@ -541,16 +540,15 @@
 		jj_bytes_free(&text);
 		return;
 	}
-	job.team = *team;
-	scope_job(team, job.id, sizeof(job.id));
-	start_operation(node, call, JJ_GATEWAY_SUBMIT, NULL, &job);
+	job.team = caller->team;
+	scope_job(&job.team, job.id, sizeof(job.id));
+	jj_gateway_post_submission(
+	    node, add_pending(node, call), &job, caller->routes);
 }
 
-/** Posts an operation and adds its call to those that wait. */
-static void
-start_operation(jj_gateway_node_t *node, jj_http_call_t *call,
-    jj_gateway_operation_t kind, const jj_front_call_t *read,
-    jj_inline_job_t *job)
+/** Adds a call to those that wait; returns the number of its operation. */
+static uint64_t
+add_pending(jj_gateway_node_t *node, jj_http_call_t *call)
 {
 	uint64_t operation = jj_gateway_node_next_number(node);
 	gint64 *key = g_new(gint64, 1);
@@ -561,7 +559,14 @@
 	(void)apr_thread_mutex_lock(node->lock);
 	(void)g_hash_table_insert(node->pending, key, call);
 	(void)apr_thread_mutex_unlock(node->lock);
-	jj_gateway_post_operation(node, kind, operation, read, job);
+	return operation;
+}
+
+static void
+start_operation(jj_gateway_node_t *node, jj_http_call_t *call,
+    jj_gateway_operation_t kind, const jj_front_call_t *read)
+{
+	jj_gateway_post_operation(node, kind, add_pending(node, call), read);
 }
 
 static uint64_t
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -96,7 +96,7 @@
 	jj_platform_destroy(node->platform);
 	jj_loop_destroy(node->loop);
 	jj_gateway_destroy(node->core);
-	jj_routes_clear(&node->routes);
+	jj_routes_release(node->routes);
 	free(node->views);
 	g_hash_table_destroy(node->pending);
 	apr_pool_destroy(node->pool);
@@ -161,6 +161,7 @@
 	resolve_switches(node);
 	fill_settings(node, &settings);
 	node->core = jj_gateway_create(&settings, &port);
+	node->routes = jj_routes_retain(jj_gateway_routes(node->core));
 	for (table = 0; table < JJ_TABLE_COUNT; table++)
 		atomic_init(&node->table_times[table], JJ_MS_NEVER);
 }
@@ -298,14 +299,12 @@
 on_routes(void *ctx, const jj_routes_t *routes)
 {
 	jj_gateway_node_t *node = ctx;
-	jj_routes_t copy;
 
 	jj_gauge_set(jj_metrics_gauge("jujube_config_version",
 			 "Version of the configuration in force.", NULL, NULL),
 	    (int64_t)routes->version);
-	jj_routes_copy(&copy, routes);
 	(void)apr_thread_mutex_lock(node->lock);
-	jj_routes_clear(&node->routes);
-	node->routes = copy;
+	jj_routes_release(node->routes);
+	node->routes = jj_routes_retain(routes);
 	(void)apr_thread_mutex_unlock(node->lock);
 }
--- a/src/daemon/gateway_node.h
+++ b/src/daemon/gateway_node.h
@@ -55,7 +55,7 @@
 	apr_pool_t *pool; /**< owns the lock below */
 	apr_thread_mutex_t *lock; /**< guards pending, routes and views */
 	GHashTable *pending; /**< calls that wait, by operation */
-	jj_routes_t routes; /**< a copy for the callers' threads */
+	const jj_routes_t *routes; /**< in force; a reference */
 	jj_gateway_views_t *views; /**< for operators; NULL: none taken yet */
 	jj_ms_t next_views_ms; /**< only for the loop */
 	jj_gateway_switches_t switches;
@@ -85,7 +85,7 @@
 uint64_t jj_gateway_node_next_number(jj_gateway_node_t *node);
 
 /* Posting to the loop (gateway_events.c). */
-/** @param request its strings are copied. */
+/** @param request its strings are copied, its routes retained. */
 void jj_gateway_post_request(
     jj_gateway_node_t *node, const jj_gateway_request_t *request);
 void
@@ -94,10 +94,13 @@
     void *node, const jj_backend_event_t *event, int status, jj_bytes_t *text);
 void jj_gateway_post_message(void *node, jj_message_t *message);
 void jj_gateway_post_platform(void *node, jj_platform_result_t *result);
-/** @param job of a submission, whose ownership moves; else NULL. */
+/** Posts a submission; the ownership of @p job moves, @p routes is retained. */
+void jj_gateway_post_submission(jj_gateway_node_t *node, uint64_t operation,
+    jj_inline_job_t *job, const jj_routes_t *routes);
+/** Posts another operation; the ownership of what @p call holds moves. */
 void
 jj_gateway_post_operation(jj_gateway_node_t *node, jj_gateway_operation_t kind,
-    uint64_t operation, const jj_front_call_t *call, jj_inline_job_t *job);
+    uint64_t operation, const jj_front_call_t *call);
 /** The caller that waits for an operation disconnected. */
 void jj_gateway_post_abandon(jj_gateway_node_t *node, uint64_t operation);
 void jj_gateway_post_leave(jj_gateway_node_t *node);
--- a/tests/core/gateway_borrow_test.cc
+++ b/tests/core/gateway_borrow_test.cc
@@ -101,6 +101,7 @@
 	request.host = "h";
 	request.path = "/online/1";
 	request.budget_ms = 4000;
+	request.routes = jj_gateway_routes(gateway);
 	jj_gateway_begin(gateway, &request, now, &out);
 	carry_out("verona-1", &out);
 	event.request = 1;
--- a/tests/core/gateway_teams_test.cc
+++ b/tests/core/gateway_teams_test.cc
@@ -67,6 +67,7 @@
 		jj_name_set(&request.team, team);
 		request.budget_ms = 4000;
 		request.fingerprint = last;
+		request.routes = jj_gateway_routes(vms[vm].gateway);
 		jj_gateway_begin(vms[vm].gateway, &request, now, &out);
 		carry_out(vm, &out);
 		return last;
--- a/tests/core/gateway_views_test.cc
+++ b/tests/core/gateway_views_test.cc
@@ -116,6 +116,7 @@
 			jj_name_set(&request.team, team.c_str());
 			request.budget_ms = 4000;
 			request.fingerprint = last;
+			request.routes = jj_gateway_routes(gateway());
 			jj_gateway_begin(gateway(), &request, now, &out);
 			carry_out("verona-1", &out);
 		}
--- a/tests/core/load_world.h
+++ b/tests/core/load_world.h
@@ -344,6 +344,7 @@
 			jj_name_set(&request.team,
 			    ("team-" + std::to_string(caller.team)).c_str());
 		callers[last] = caller;
+		request.routes = jj_gateway_routes(vms[caller.vm].gateway);
 		jj_gateway_begin(vms[caller.vm].gateway, &request, now, &out);
 		carry_out(caller.vm, &out);
 	}
