Calls that come before the first configuration are counted

The metric jujube_callers_deferred_total counts them, and keys that are unclear; the Retry-After before the first configuration is gateway.retry_after_ms again, as the core's was.

--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -55,6 +55,8 @@
 static bool allow_caller(jj_gateway_node_t *, jj_http_call_t *, caller_t *);
 static jj_access_t
 check_access(const jj_gateway_node_t *, jj_http_call_t *, caller_t *);
+static void
+defer_caller(jj_gateway_node_t *, jj_http_call_t *, const jj_routes_t *);
 static const jj_routes_t *take_routes(jj_gateway_node_t *);
 static void find_key(void *, const char *, const char *);
 static void scope_job(const jj_name_t *, char *, size_t);
@@ -215,19 +217,36 @@
 	access = check_access(node, call, caller);
 	if (access == JJ_ACCESS_GRANTED)
 		return true;
-	jj_routes_release(caller->routes);
 	if (access == JJ_ACCESS_DENIED && !may_be_behind) {
 		jj_counter_add(jj_metrics_counter("jujube_keys_refused_total",
 				   "Requests without a valid key.", NULL, NULL),
 		    1);
 		answer(node, call, 401, 0, "text/plain", NULL);
 	} else {
-		answer(
-		    node, call, 503, UNKNOWN_KEY_RETRY_MS, "text/plain", NULL);
+		defer_caller(node, call, caller->routes);
 	}
+	jj_routes_release(caller->routes);
 	return false;
 }
 
+/** Answers a caller whose team this VM may know later. */
+static void
+defer_caller(
+    jj_gateway_node_t *node, jj_http_call_t *call, const jj_routes_t *routes)
+{
+	bool has_config = routes->version > 0;
+
+	jj_counter_add(
+	    jj_metrics_counter("jujube_callers_deferred_total",
+		"Calls answered 503 as their team is not known yet.", "reason",
+		has_config ? "key_unclear" : "no_configuration"),
+	    1);
+	answer(node, call, 503,
+	    has_config ? UNKNOWN_KEY_RETRY_MS
+		       : node->settings->gateway.retry_after_ms,
+	    "text/plain", NULL);
+}
+
 static void
 on_request(void *ctx, jj_http_call_t *call)
 {
