Items keep their attempts while no version has their route

What callers saw: an item of a job was listed as given up after its first failed run, though its route allows more. It failed while the configuration in force had no usable route for its job: the route was removed for a while, or its service could not be read.

Cause: the item was begun by the version that had its route; when it failed, the number of runs was read from the version in force, and no route was taken for a route with one run.

Fix: a job keeps the number of runs of the last version that had its route. Its items wait until a version has it again, or the end of their retention, as those that had not begun did already.

--- a/src/core/inline_run.c
+++ b/src/core/inline_run.c
@@ -312,7 +312,10 @@
 	i = (size_t)(item - run->items);
 	route =
 	    jobs->port.find_route(jobs->port.ctx, run->job.host, run->job.path);
-	attempts = route != NULL && route->attempts > 0 ? route->attempts : 1;
+	/* A removed route may be configured again: its items keep theirs. */
+	if (route != NULL)
+		run->attempts = route->attempts;
+	attempts = run->attempts > 0 ? run->attempts : 1;
 	if (end == JJ_INLINE_FAILED && ++item->failures < attempts) {
 		item->state = JJ_ITEM_IDLE;
 		item->retry_at_ms = now + item_backoff_ms(jobs, item->failures);
@@ -462,6 +465,8 @@
 		return;
 	if (run->retention_ms == JJ_MS_NEVER)
 		set_due(jobs, run, route, now);
+	if (route != NULL)
+		run->attempts = route->attempts;
 	for (i = 0; i < run->job.item_count; i++) {
 		if (now >= run->retention_ms)
 			give_up_item(jobs, run, i, now);
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -112,6 +112,8 @@
 	bool handing_over;
 	jj_ms_t due_ms;
 	jj_ms_t retention_ms;
+	/** Runs of an item that may fail, by the last version with its route. */
+	uint32_t attempts;
 	/** Job object missing since; JJ_MS_NEVER: not missing. */
 	jj_ms_t absent_ms;
 	/**
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -193,6 +193,25 @@
 	EndCase{"Refused", JJ_INLINE_REFUSED, 1}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/* Guards against items given up early as a version lacks their route. */
+TEST_F(InlineFailure, AnItemThatFailsWithoutARouteKeepsItsAttempts)
+{
+	(void)a.submit("j", 1);
+	pass(100);
+	route.host = const_cast<char *>("other.example");
+	ASSERT_TRUE(a.finish("j-0", "", JJ_INLINE_FAILED));
+	pass(1000);
+	EXPECT_TRUE(stored("j").empty());
+	route.host = const_cast<char *>("ordini.example");
+	for (int run = 2; run <= 3; run++) {
+		pass(1000);
+		EXPECT_TRUE(stored("j").empty());
+		ASSERT_TRUE(a.finish("j-0", "", JJ_INLINE_FAILED)) << run;
+	}
+	pass(1000);
+	EXPECT_EQ("1 0: j-0!", a.answer(a.read("j", 0)).body);
+}
+
 /* The retry delay must stay at seconds, also on a route with many attempts. */
 TEST_F(InlineFailure, AnItemThatFailsOftenRestsForSeconds)
 {
