Jobs wait for the list of open jobs before it is decided whether they fit

What callers saw: a VM that had just started accepted jobs beyond the tokens that may wait on their route: 202 where 429 is due. Each VM that started could accept the whole limit once more.

Cause: the tokens that wait on a route are summed from the list of open jobs. Until that list was read, none were known, and that was taken for a route without waiting jobs.

Fix: a job of a route with a limit is decided when the list is there. It waits for 0.5 s and is then refused with 503, with nothing stored. Jobs of routes without a limit, and jobs that this VM knows already, don't wait. Jobs that wait are decided one after the other, each with those that were accepted before.

--- a/src/core/inline.c
+++ b/src/core/inline.c
@@ -75,11 +75,15 @@
 	jj_inline_run_t *next_run;
 	jj_inline_op_t *op;
 	jj_inline_op_t *next_op;
+	bool was_listed = jj_inline_is_listed(jobs);
 
 	jobs->now_ms = now;
 	if (jj_mirror_take_result(&jobs->mirror, result, now, out)) {
 		jobs->next_scan_ms = now;
 		jj_inline_scan_open(jobs, now, out);
+		/* Jobs that waited for the list can be decided now. */
+		if (!was_listed && jj_inline_is_listed(jobs))
+			step_ops(jobs, now, out);
 		return;
 	}
 	if (jj_inline_take_check(jobs, result, now, out) ||
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -151,7 +151,7 @@
 	}
 	TAILQ_FOREACH(op, &jobs->ops, link)
 	{
-		if (op->kind == JJ_OP_SUBMIT &&
+		if (op->kind == JJ_OP_SUBMIT && !op->undecided &&
 		    jj_name_equal(&op->route, route) &&
 		    jj_inline_find_run(jobs, op->id) == NULL &&
 		    jj_inline_find_open(jobs, op->id) == NULL)
@@ -166,6 +166,12 @@
 	jj_mirror_set_duty(&jobs->mirror, duty, now);
 }
 
+bool
+jj_inline_is_listed(const jj_inline_t *jobs)
+{
+	return jobs->mirror.confirmed_ms != JJ_MS_NEVER;
+}
+
 jj_ms_t
 jj_inline_table_time(const jj_inline_t *jobs)
 {
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -175,6 +175,9 @@
 	uint32_t parts;
 	uint32_t parts_done;
 	jj_name_t route;
+	uint64_t max_waiting_tokens; /**< 0: no limit */
+	/** It is not decided yet whether it fits: its tokens don't count. */
+	bool undecided;
 	jj_ms_t run_due_ms;
 	jj_ms_t retention_ms;
 	jj_inline_call_t create_job;
@@ -311,6 +314,8 @@
  * team by itself.
  */
 jj_name_t jj_inline_account(const jj_route_t *route, const jj_name_t *team);
+/** True when the open jobs have been listed, if only once. */
+bool jj_inline_is_listed(const jj_inline_t *jobs);
 /** Tokens waiting on an account, as far as this VM knows. */
 uint64_t jj_inline_open_tokens(
     const jj_inline_t *jobs, const jj_name_t *route, jj_ms_t now);
--- a/src/core/inline_submit.c
+++ b/src/core/inline_submit.c
@@ -15,8 +15,13 @@
 
 #include "core/inline_state.h"
 
-static bool fits(const jj_inline_t *, const jj_route_t *, const jj_name_t *,
-    uint64_t, jj_ms_t);
+/** A job waits this long for the list of the open jobs, ms. */
+#define LIST_WAIT_MS 500
+
+static bool can_decide(const jj_inline_t *, const jj_inline_op_t *);
+static void decide(jj_inline_t *, jj_inline_op_t *, jj_ms_t);
+static bool is_known(const jj_inline_t *, const jj_inline_op_t *);
+static bool fits(const jj_inline_t *, const jj_inline_op_t *, jj_ms_t);
 static void start_job(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
 static void start_open(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
 static void start_check(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
@@ -34,17 +39,14 @@
     const jj_route_t *route, jj_ms_t now, jj_actions_t *out)
 {
 	const jj_inline_run_t *run = jj_inline_find_accepted(jobs, job->id);
-	bool is_known =
-	    run != NULL || jj_inline_find_open(jobs, job->id) != NULL;
-	jj_name_t account = jj_inline_account(route, &job->team);
-	bool has_capacity =
-	    is_known || fits(jobs, route, &account, job->tokens, now);
 	jj_inline_op_t *op = jj_inline_add_op(jobs, JJ_OP_SUBMIT, operation,
 	    job->id, now + jobs->settings.submit_ms, now);
 
 	op->job = *job;
 	memset(job, 0, sizeof(*job));
-	op->route = account;
+	op->route = jj_inline_account(route, &op->job.team);
+	op->max_waiting_tokens = route->max_waiting_tokens;
+	op->undecided = true;
 	op->run_due_ms = now + route->run_due_ms;
 	op->retention_ms = now + route->retention_ms;
 	if (run != NULL && run->state != JJ_RUN_LOADING &&
@@ -52,19 +54,12 @@
 		jj_inline_answer(jobs, op, 202, NULL, out);
 		return;
 	}
-	if (jobs->leaving && !is_known) {
+	if (jobs->leaving && !is_known(jobs, op)) {
 		jj_inline_answer(jobs, op, 503, NULL, out);
 		return;
 	}
-	if (!has_capacity) {
-		op->checks_job = true;
-		jj_inline_schedule_call(&op->get, now);
-	} else {
-		op->text = jj_inline_job_encode(&op->job);
-		op->parts = jj_inline_count_parts(op->text.size);
-		jj_inline_schedule_call(&op->create_job, now);
-		jj_inline_schedule_call(&op->create_open, now);
-	}
+	if (!can_decide(jobs, op))
+		op->until_ms = now + LIST_WAIT_MS;
 	jj_inline_step_submit(jobs, op, now, out);
 }
 
@@ -76,6 +71,8 @@
 		fail_submit(jobs, op, out);
 		return;
 	}
+	if (op->undecided && can_decide(jobs, op))
+		decide(jobs, op, now);
 	if (jj_inline_is_due(&op->get, now))
 		start_check(jobs, op, out);
 	if (jj_inline_is_due(&op->create_job, now))
@@ -105,13 +102,45 @@
 	return true;
 }
 
+/** Without a list of the open jobs, it is not known what the route holds. */
+static bool
+can_decide(const jj_inline_t *jobs, const jj_inline_op_t *op)
+{
+	return jj_inline_is_listed(jobs) || op->max_waiting_tokens == 0 ||
+	    is_known(jobs, op);
+}
+
+/** Decides whether the job is stored, or only accepted if it is already. */
+static void
+decide(jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now)
+{
+	if (is_known(jobs, op) || fits(jobs, op, now)) {
+		op->text = jj_inline_job_encode(&op->job);
+		op->parts = jj_inline_count_parts(op->text.size);
+		jj_inline_schedule_call(&op->create_job, now);
+		jj_inline_schedule_call(&op->create_open, now);
+	} else {
+		op->checks_job = true;
+		jj_inline_schedule_call(&op->get, now);
+	}
+	op->until_ms = op->started_ms + jobs->settings.submit_ms;
+	op->undecided = false;
+}
+
+static bool
+is_known(const jj_inline_t *jobs, const jj_inline_op_t *op)
+{
+	return jj_inline_find_run(jobs, op->id) != NULL ||
+	    jj_inline_find_open(jobs, op->id) != NULL;
+}
+
+/** True when the route has room for an undecided job. */
 static bool
-fits(const jj_inline_t *jobs, const jj_route_t *route, const jj_name_t *account,
-    uint64_t tokens, jj_ms_t now)
+fits(const jj_inline_t *jobs, const jj_inline_op_t *op, jj_ms_t now)
 {
-	return route->max_waiting_tokens == 0 ||
-	    jj_inline_open_tokens(jobs, account, now) + tokens <=
-	    route->max_waiting_tokens;
+	return op->max_waiting_tokens == 0 ||
+	    jj_inline_open_tokens(jobs, &op->route, now) + op->job.tokens <=
+	    op->max_waiting_tokens;
 }
 
 static void
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -165,6 +165,81 @@
 	    << "a resend of an accepted job always fits";
 }
 
+/** A VM that has started beside others and has not read the list of jobs. */
+class UnlistedVm : public InlineFailure
+{
+      protected:
+	InlineVm &c = add_vm("c");
+
+	UnlistedVm()
+	{
+		c.defers = [](const jj_platform_call_t &call) {
+			return call.op == JJ_PLATFORM_LIST;
+		};
+	}
+	void
+	read_list()
+	{
+		c.defers = nullptr;
+		c.release();
+	}
+};
+
+/* Guards against jobs over the route's limit at VMs that have just started. */
+TEST_F(UnlistedVm, AcceptsNothingOverTheLimit)
+{
+	ASSERT_EQ(202, a.answer(a.submit("j", 9, 100)).status);
+	pass(100);
+	uint64_t submit = c.submit("k", 2, 100);
+	EXPECT_EQ(0, c.answer(submit).status);
+	EXPECT_FALSE(platform.has("batch-jobs/k"));
+	read_list();
+	EXPECT_EQ(429, c.answer(submit).status);
+	EXPECT_FALSE(platform.has("batch-jobs/k"));
+}
+
+/* Guards against jobs that fit, refused for others that wait as they do. */
+TEST_F(UnlistedVm, AcceptsWhatFits)
+{
+	ASSERT_EQ(202, a.answer(a.submit("j", 2, 100)).status);
+	pass(100);
+	uint64_t first = c.submit("k", 6, 100);
+	uint64_t second = c.submit("l", 6, 100);
+	read_list();
+	EXPECT_EQ(202, c.answer(first).status);
+	EXPECT_EQ(429, c.answer(second).status);
+}
+
+/* Guards against a refusal of an accepted job that is sent again. */
+TEST_F(UnlistedVm, AcceptsAResendOfAnAcceptedJob)
+{
+	ASSERT_EQ(202, a.answer(a.submit("j", 9, 100)).status);
+	pass(100);
+	uint64_t resend = c.submit("j", 9, 100);
+	read_list();
+	EXPECT_EQ(202, c.answer(resend).status);
+	pass(500);
+	EXPECT_TRUE(c.items.empty()) << "the job runs elsewhere";
+}
+
+/* Guards against a caller that waits for ever, and a job that runs later. */
+TEST_F(UnlistedVm, RefusesForNowWithoutAList)
+{
+	uint64_t submit = c.submit("k", 1);
+	pass(600);
+	EXPECT_EQ(503, c.answer(submit).status);
+	read_list();
+	pass(500);
+	EXPECT_FALSE(platform.has("batch-jobs/k"));
+	EXPECT_TRUE(c.items.empty());
+}
+
+TEST_F(UnlistedVm, AcceptsJobsOfARouteWithoutALimit)
+{
+	route.max_waiting_tokens = 0;
+	EXPECT_EQ(202, c.answer(c.submit("k", 2, 100)).status);
+}
+
 struct EndCase {
 	const char *name;
 	jj_inline_item_end_t how;
