Log stream_taken_up: one version, several, or not known

sole=1 stood both for a service of one software version and for one of several, known=1 for a stream of one and of several. Both say none, one or mixed now.

--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -46,6 +46,7 @@
 static bool has_one_service(const jj_route_t *);
 static uint64_t sole_software(const jj_gateway_t *, const jj_name_t *, jj_ms_t);
 static uint64_t merge(uint64_t, uint64_t);
+static const char *count_of(uint64_t);
 static void flush(jj_gateway_t *, jj_actions_t *);
 static void add_origin(GHashTable *, const jj_name_t *,
     const jj_stream_origin_t *, jj_actions_t *);
@@ -238,9 +239,9 @@
 	entry->was_asked = false;
 	entry->replies_due = 0;
 	jj_actions_add_event(out, "stream_taken_up",
-	    "request=%s resumes=%s known=%d sole=%d answered=%d", entry->id,
-	    entry->resumes, entry->known_software != 0,
-	    entry->sole_software != 0, entry->was_answered);
+	    "request=%s resumes=%s known=%s sole=%s answered=%d", entry->id,
+	    entry->resumes, count_of(entry->known_software),
+	    count_of(entry->sole_software), entry->was_answered);
 	if (software == 0 || software == JJ_SOFTWARE_MIXED) {
 		jj_gateway_give_up(gateway, entry, JJ_FAILURE_NO_ORIGIN, out);
 		return;
@@ -309,6 +310,15 @@
 	return a == b ? a : JJ_SOFTWARE_MIXED;
 }
 
+/** How many software versions that is, for the log. */
+static const char *
+count_of(uint64_t software)
+{
+	if (software == 0)
+		return "none";
+	return software == JJ_SOFTWARE_MIXED ? "mixed" : "one";
+}
+
 /** Tells other VMs of the streams that began since the last time. */
 static void
 flush(jj_gateway_t *gateway, jj_actions_t *out)
