Tests: streams that are taken up after all VMs were killed at once

Both versions in service, the old one just gone, two kills of all VMs, a list that a relay hands over, a release that one VM does not see: no stream goes on at another software version.

--- a/tests/core/gateway_fleet.h
+++ b/tests/core/gateway_fleet.h
@@ -58,6 +58,8 @@
 	uint64_t last = 0;
 	int count;
 	jj_prompt_t prompt = {}; /**< of the requests that begin() sends */
+	jj_ms_t budget_ms =
+	    4000; /**< of those requests: how long callers wait */
 	uint32_t queue_most; /**< online requests that may wait at a server */
 	decltype(jj_gateway_port_t::read_routes) reader;
 	/** changes the settings of each gateway before it is created */
@@ -280,7 +282,7 @@
 		    resumes != nullptr ? resumes : "");
 		request.host = "h";
 		request.path = path;
-		request.budget_ms = 4000;
+		request.budget_ms = budget_ms;
 		request.fingerprint = fingerprint != 0 ? fingerprint : last;
 		request.prompt = prompt;
 		request.routes = jj_gateway_routes(vms[name].gateway);
--- /dev/null
+++ b/tests/core/gateway_versions_restart_test.cc
@@ -0,0 +1,279 @@
+/**
+ * @file gateway_versions_restart_test.cc
+ * @brief Streams that callers take up after all VMs, or most of them, were
+ * killed at once.
+ */
+#include "tests/core/gateway_versions_fleet.h"
+
+namespace
+{
+
+class VersionsRestart : public GatewayVersionsFleet
+{
+      protected:
+	struct Stream {
+		std::string id; /**< of the request that began it */
+		char version;
+		uint64_t content;
+	};
+	std::vector<Stream> streams;
+
+	explicit VersionsRestart(int count = 3) : GatewayVersionsFleet(count)
+	{
+	}
+	std::string
+	vm(int number) const
+	{
+		return "verona-" + std::to_string(number);
+	}
+	/** The watches of VMs that reach the platform return nothing new. */
+	void
+	confirm()
+	{
+		for (auto &vm : vms)
+			if (vm.second.cut == JJ_PLATFORM_OK)
+				confirm(vm.first);
+	}
+	void
+	confirm(const std::string &name)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_platform_result_t result = {};
+
+		result.owner = JJ_OWNER_GATEWAY;
+		result.token = WATCH_SERVERS;
+		result.op = JJ_PLATFORM_WATCH;
+		result.version = platform.revision;
+		jj_gateway_take_platform(vms[name].gateway, &result, now, &out);
+		carry_out(name, &out);
+	}
+	/** Time passes while the platform answers. */
+	void
+	wait(jj_ms_t ms)
+	{
+		for (jj_ms_t until = now + ms; now < until;) {
+			confirm();
+			run(until - now < 500 ? until - now : 500);
+		}
+	}
+	void
+	list_all(char version)
+	{
+		for (char number : {'1', '2', '3'})
+			list((std::string(1, version) + number).c_str());
+	}
+	void
+	unlist_all(char version)
+	{
+		for (char number : {'1', '2', '3'})
+			unlist((std::string(1, version) + number).c_str());
+	}
+	void
+	begin_streams(int each)
+	{
+		uint64_t request;
+		uint64_t content;
+
+		for (int i = 1; i <= count; i++)
+			for (int k = 0; k < each; k++) {
+				content = 7000 + last;
+				request = begin_stream(vm(i), content);
+				streams.push_back({id_of(request),
+				    attempts[request].server[0], content});
+			}
+	}
+	/** Begins a stream of that version, of which no other VM knows yet. */
+	uint64_t
+	begin_at(const std::string &name, char version)
+	{
+		for (int i = 0; i < 50; i++) {
+			uint64_t request = begin(name, "/again/s");
+
+			if (attempts.count(request) == 0)
+				continue;
+			if (attempts[request].server[0] == version) {
+				report(request, JJ_BACKEND_FIRST);
+				return request;
+			}
+			report(request, JJ_BACKEND_DONE);
+		}
+		ADD_FAILURE() << "no server of " << version;
+		return 0;
+	}
+	/** All VMs but the last @p spared ones. */
+	void
+	kill_all(jj_ms_t down_ms, int spared = 0)
+	{
+		for (int i = 1; i <= count - spared; i++)
+			kill(vm(i));
+		if (down_ms > 0)
+			wait(down_ms);
+		for (int i = 1; i <= count - spared; i++)
+			start(vm(i));
+	}
+	/** Callers come to all VMs; returns how many streams went on. */
+	int
+	take_up_all(const char *when)
+	{
+		int taken_up = 0;
+
+		for (const Stream &stream : streams)
+			for (int i = 1; i <= count; i++)
+				for (bool is_named : {true, false}) {
+					char version = take_up(vm(i),
+					    is_named ? stream.id : "",
+					    stream.content);
+
+					EXPECT_TRUE(version == '-' ||
+					    version == stream.version)
+					    << when << ", " << stream.id
+					    << " of " << stream.version
+					    << " at " << vm(i)
+					    << (is_named ? "" : ", not named")
+					    << ": " << version;
+					taken_up += version == stream.version;
+				}
+		return taken_up;
+	}
+};
+
+/*
+ * Guards against streams joined from two software versions after all VMs were
+ * killed at once, with servers of both versions in service.
+ */
+TEST_F(VersionsRestart, OfTwoVersionsNothingIsJoined)
+{
+	for (jj_ms_t after_ms : {200, 1000, 3000}) {
+		streams.clear();
+		begin_streams(2);
+		kill_all(500);
+		wait(after_ms);
+		take_up_all("both are in service");
+		wait(5000);
+	}
+}
+
+/*
+ * Guards against streams that go on at the new software version as the servers
+ * of the old one left just before or while all VMs were down.
+ */
+TEST_F(VersionsRestart, WithTheOldVersionJustGoneNothingIsJoined)
+{
+	for (bool is_down : {false, true})
+		for (jj_ms_t after_ms : {200, 2000, 8000}) {
+			streams.clear();
+			begin_streams(1);
+			if (!is_down)
+				unlist_all('a');
+			for (int i = 1; i <= count; i++)
+				kill(vm(i));
+			if (is_down)
+				unlist_all('a');
+			run(300);
+			for (int i = 1; i <= count; i++)
+				start(vm(i));
+			wait(after_ms);
+			take_up_all("the old version is gone");
+			list_all('a');
+			wait(1000);
+		}
+}
+
+/*
+ * Guards against streams that go on at another software version after a second
+ * kill of all VMs, before the first one's time is over.
+ */
+TEST_F(VersionsRestart, AfterTwoKillsNothingIsJoined)
+{
+	begin_streams(1);
+	unlist_all('a');
+	kill_all(300);
+	wait(6000);
+	begin_streams(1);
+	take_up_all("once");
+	kill_all(300);
+	wait(11000);
+	take_up_all("twice");
+	wait(4000);
+	take_up_all("later");
+}
+
+/*
+ * Guards against callers that name no request refused on calm days, when two
+ * software versions are in service.
+ */
+TEST_F(VersionsRestart, ContentTellsWhenNothingWasLost)
+{
+	wait(25000);
+	for (int i = 0; i < 10; i++) {
+		uint64_t content = 900 + i;
+		uint64_t request = begin_stream(vm(1 + i % 3), content);
+		char began = attempts[request].server[0];
+
+		report(request, JJ_BACKEND_BROKEN);
+		for (int k = 1; k <= 3; k++)
+			EXPECT_EQ(began, take_up(vm(k), "", content));
+	}
+}
+
+/** Six VMs, of which one relays the list of servers to the others. */
+class VersionsRestartRelay : public VersionsRestart
+{
+      protected:
+	VersionsRestartRelay() : VersionsRestart(6)
+	{
+	}
+};
+
+/*
+ * Guards against a relayed list of servers that has a VM that has just started
+ * take a version for the only one.
+ */
+TEST_F(VersionsRestartRelay, ARelayedListIsNoEvidence)
+{
+	wait(25000);
+	begin_streams(1);
+	unlist_all('a');
+	/* The VM that relays keeps running. */
+	for (int i = 2; i <= 6; i++)
+		kill(vm(i));
+	run(300);
+	for (int i = 2; i <= 6; i++)
+		start(vm(i));
+	for (int k = 0; k < 5; k++) {
+		for (int i = 0; i < 4; i++) {
+			confirm(vm(1));
+			run(500);
+		}
+		take_up_all("the list is relayed");
+	}
+}
+
+/*
+ * Guards against a release that the remaining VM does not see, as it does not
+ * reach the platform, while all others are killed.
+ */
+TEST_F(VersionsRestartRelay, AReleaseThatOneVmDoesNotSee)
+{
+	for (jj_ms_t cut_ms : {100, 1000, 2500, 6000}) {
+		streams.clear();
+		list_all('a');
+		unlist_all('b');
+		wait(40000);
+		vms[vm(6)].cut = JJ_PLATFORM_UNKNOWN;
+		list_all('b');
+		unlist_all('a');
+		count = 5;
+		begin_streams(2);
+		count = 6;
+		kill_all(100, 1);
+		run(cut_ms);
+		take_up_all("one VM has not seen the release");
+		vms[vm(6)].cut = JJ_PLATFORM_OK;
+		for (const auto &change : missed[vm(6)])
+			show(vm(6), change.first, change.second);
+		missed.clear();
+	}
+}
+
+} // namespace
