Streams of unknown version: another VM's list, too, shows one version

A VM takes a stream that nobody knows for one of the only software version that has served. Its list may be 3 s old: it went on at the version that this VM knew when servers of another one had come meanwhile, streams had begun there at other VMs, and these were killed. Other VMs' answers did not count: one that has just started answered 0 (not known for long enough), though it saw another version, and a VM that was left alone needed no answer.

Answers now name the version that the sender sees, and separately whether it has missed none; what differs is mixed. Without another VM's list, unless no other VM is known, the stream is refused.

Red before: AnOldListIsNoEvidenceWhereOthersSeeAnotherVersion and AVmThatIsLeftAloneGoesOnWithNoUnknownStream (streams of b went on at a).

A VM of the release before sends a shorter answer, which is dropped as malformed: such a stream is then refused.

--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -5,8 +5,8 @@
  * The VM that began a stream tells two others, one of them of its own failure
  * domain, so that the caller can take it up elsewhere when that VM is lost. A
  * VM that does not know a stream asks the others. Only if nobody knows it, and
- * one version alone has served for longer than a stream lasts, is it of that
- * one; otherwise it is refused.
+ * one version alone has served for longer than a stream lasts by the lists of
+ * servers of at least two VMs, is it of that one; otherwise it is refused.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -44,9 +44,11 @@
 static void resume_at(
     jj_gateway_t *, jj_gateway_entry_t *, uint64_t, jj_ms_t, jj_actions_t *);
 static bool has_one_service(const jj_route_t *);
-static uint64_t sole_software(const jj_gateway_t *, const jj_name_t *, jj_ms_t);
+static uint64_t seen_software(const jj_gateway_t *, const jj_name_t *, jj_ms_t);
+static bool has_seen_all(const jj_gateway_t *, jj_ms_t);
 static uint64_t merge(uint64_t, uint64_t);
 static const char *count_of(uint64_t);
+static uint64_t sole_software(const jj_gateway_t *, const jj_gateway_entry_t *);
 static void flush(jj_gateway_t *, jj_actions_t *);
 static void add_origin(GHashTable *, const jj_name_t *,
     const jj_stream_origin_t *, jj_actions_t *);
@@ -80,8 +82,9 @@
 	entry->known_software = jj_stream_origins_find(
 	    gateway->origins, entry->origin_id, entry->fingerprint, now);
 	entry->sole_software = has_one_service(route)
-	    ? sole_software(gateway, &entry->service, now)
+	    ? seen_software(gateway, &entry->service, now)
 	    : JJ_SOFTWARE_MIXED;
+	entry->sole_is_sure = has_seen_all(gateway, now);
 	/* Another stream with the same content may be known elsewhere. */
 	if (entry->known_software == 0 || entry->origin_id == 0)
 		ask_others(gateway, entry, now, out);
@@ -201,7 +204,8 @@
 	    gateway->origins, message->body.origin_query.id,
 	    message->body.origin_query.content, now);
 	reply->body.origin_reply.sole =
-	    sole_software(gateway, &message->body.origin_query.service, now);
+	    seen_software(gateway, &message->body.origin_query.service, now);
+	reply->body.origin_reply.sole_is_sure = has_seen_all(gateway, now);
 }
 
 static void
@@ -217,7 +221,11 @@
 	    merge(entry->known_software, message->body.origin_reply.software);
 	entry->sole_software =
 	    merge(entry->sole_software, message->body.origin_reply.sole);
+	entry->sole_is_sure =
+	    entry->sole_is_sure || message->body.origin_reply.sole_is_sure;
 	entry->was_answered = true;
+	entry->has_other_list =
+	    entry->has_other_list || message->body.origin_reply.sole != 0;
 	entry->replies_due--;
 	if (entry->replies_due == 0 ||
 	    (entry->origin_id != 0 && entry->known_software != 0))
@@ -230,18 +238,16 @@
     jj_actions_t *out)
 {
 	uint64_t software = entry->known_software;
-	/* A VM that hears from no other one may have missed versions. */
-	bool is_informed = entry->was_answered || !entry->was_asked;
 
-	if (software == 0 && is_informed)
-		software = entry->sole_software;
+	if (software == 0)
+		software = sole_software(gateway, entry);
 	gateway->asking_count -= entry->was_asked;
 	entry->was_asked = false;
 	entry->replies_due = 0;
 	jj_actions_add_event(out, "stream_taken_up",
 	    "request=%s resumes=%s known=%s sole=%s answered=%d", entry->id,
 	    entry->resumes, count_of(entry->known_software),
-	    count_of(entry->sole_software), entry->was_answered);
+	    count_of(sole_software(gateway, entry)), entry->was_answered);
 	if (software == 0 || software == JJ_SOFTWARE_MIXED) {
 		jj_gateway_give_up(gateway, entry, JJ_FAILURE_NO_ORIGIN, out);
 		return;
@@ -281,24 +287,48 @@
 }
 
 /**
- * The only software version of a service for longer than a stream lasts, 0 when
- * that is not known, or JJ_SOFTWARE_MIXED.
+ * The only software version that the stream's service had for longer than a
+ * stream lasts, 0 when that is not known, or JJ_SOFTWARE_MIXED. A VM whose list
+ * is some seconds old may have missed the newest version, so another VM has to
+ * have read the list, too.
+ */
+static uint64_t
+sole_software(const jj_gateway_t *gateway, const jj_gateway_entry_t *entry)
+{
+	if (entry->sole_software == JJ_SOFTWARE_MIXED)
+		return JJ_SOFTWARE_MIXED;
+	return entry->sole_is_sure &&
+		(entry->has_other_list || jj_member_count(gateway->member) == 0)
+	    ? entry->sole_software
+	    : 0;
+}
+
+/**
+ * The only software version of a service that this VM saw within the time that
+ * a stream lasts, 0 when it saw none, or JJ_SOFTWARE_MIXED.
  */
 static uint64_t
-sole_software(
+seen_software(
     const jj_gateway_t *gateway, const jj_name_t *service, jj_ms_t now)
 {
 	jj_ms_t confirmed_ms = gateway->servers_mirror.confirmed_ms;
-	uint64_t software = jj_slots_sole_software(
-	    gateway->slots, service, now - STREAM_MAX_MS);
 
-	if (software == JJ_SOFTWARE_MIXED)
-		return software;
-	if (confirmed_ms == JJ_MS_NEVER || now - confirmed_ms > LIST_FRESH_MS ||
-	    gateway->servers_since_ms == JJ_MS_NEVER ||
-	    now - gateway->servers_since_ms < STREAM_MAX_MS)
+	if (confirmed_ms == JJ_MS_NEVER || now - confirmed_ms >= STREAM_MAX_MS)
 		return 0;
-	return software;
+	return jj_slots_sole_software(
+	    gateway->slots, service, now - STREAM_MAX_MS);
+}
+
+/** True when no server was missed for longer than a stream lasts. */
+static bool
+has_seen_all(const jj_gateway_t *gateway, jj_ms_t now)
+{
+	jj_ms_t confirmed_ms = gateway->servers_mirror.confirmed_ms;
+
+	return confirmed_ms != JJ_MS_NEVER &&
+	    now - confirmed_ms <= LIST_FRESH_MS &&
+	    gateway->servers_since_ms != JJ_MS_NEVER &&
+	    now - gateway->servers_since_ms >= STREAM_MAX_MS;
 }
 
 /** What two VMs know together. */
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -40,7 +40,10 @@
 	uint64_t origin_id; /**< see jj_stream_origin_t.id */
 	/** of a resumed stream: what is known of its beginning */
 	uint64_t known_software;
-	uint64_t sole_software; /**< the only one that has served, or 0 */
+	uint64_t sole_software; /**< the only one that VMs have seen, or 0 */
+	/** one of these VMs has missed none for as long as a stream lasts */
+	bool sole_is_sure;
+	bool has_other_list; /**< another VM has seen it in its list */
 	bool was_asked; /**< other VMs were asked, not decided yet */
 	bool was_answered; /**< at least one of them answered */
 	uint32_t replies_due; /**< waits for so many answers of other VMs */
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -505,10 +505,12 @@
 			uint64_t request; /**< as in the query */
 			uint64_t software; /**< 0: not known */
 			/**
-			 * the only version that has served for long, 0: not
-			 * known, or JJ_SOFTWARE_MIXED
+			 * the only version that the sender has seen, 0: none,
+			 * or JJ_SOFTWARE_MIXED
 			 */
 			uint64_t sole;
+			/** it has missed none for as long as a stream lasts */
+			bool sole_is_sure;
 		} origin_reply;
 		struct {
 			/**
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -266,6 +266,7 @@
 		m->body.origin_reply.request = 1;
 		m->body.origin_reply.software = UINT64_MAX;
 		m->body.origin_reply.sole = 3;
+		m->body.origin_reply.sole_is_sure = true;
 	}},
     {"Unanswered", JJ_MESSAGE_UNANSWERED,
 	[](jj_message_t *m) {
--- a/tests/core/gateway_versions_restart_test.cc
+++ b/tests/core/gateway_versions_restart_test.cc
@@ -198,6 +198,55 @@
 	take_up_all("later");
 }
 
+/*
+ * Guards against a VM whose list of servers is some seconds old: it takes the
+ * version that it knows for the one that began a stream, as the other VMs have
+ * just started and know no better.
+ */
+TEST_F(VersionsRestart, AnOldListIsNoEvidenceWhereOthersSeeAnotherVersion)
+{
+	jj_ms_t cut_at;
+
+	unlist_all('b');
+	wait(40000);
+	vms[vm(3)].cut = JJ_PLATFORM_UNKNOWN;
+	cut_at = now;
+	list_all('b');
+	unlist_all('a');
+	for (int k = 0; k < 4; k++) {
+		uint64_t request = begin_at(vm(1), 'b');
+
+		streams.push_back({id_of(request), 'b', request});
+	}
+	kill_all(0, 1);
+	run(300);
+	for (const Stream &stream : streams)
+		EXPECT_EQ('-', take_up(vm(3), stream.id, stream.content))
+		    << now - cut_at << " ms after the last list";
+}
+
+/*
+ * Guards against a VM that is left alone and takes the software version that it
+ * knows for that of streams that began at other VMs meanwhile.
+ */
+TEST_F(VersionsRestart, AVmThatIsLeftAloneGoesOnWithNoUnknownStream)
+{
+	uint64_t request;
+
+	unlist_all('b');
+	wait(40000);
+	vms[vm(3)].cut = JJ_PLATFORM_UNKNOWN;
+	list_all('b');
+	unlist_all('a');
+	request = begin_at(vm(1), 'b');
+	kill(vm(1));
+	kill(vm(2));
+	for (int i = 0; i < 5; i++) {
+		run(400);
+		EXPECT_EQ('-', take_up(vm(3), id_of(request), request));
+	}
+}
+
 /*
  * Guards against callers that name no request refused on calm days, when two
  * software versions are in service.
