Streams of unknown version: as old as their callers may wait

One software version had to be the only one for 20 s. A stream whose route's time limit is longer, or whose caller waits for longer and takes it up again and again, may have begun at a version that left before: after a restart of all VMs it went on at the new one.

The time now follows the route's time limit, the longest wait that callers of the route have sent and what is left of the caller's own; 20 s at least. Questions to other VMs name it.

Red before: LongStreamsAreNotTakenForOnesOfTheNewVersion and StreamsOfPatientCallersAreNotTakenForNewOnes, 25 s after the restart, streams of a at b.

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -458,6 +458,7 @@
     FIELD(FIELD_U64, jj_message_t, body.origin_query.id),
     FIELD(FIELD_U64, jj_message_t, body.origin_query.content),
     TEXT(jj_message_t, body.origin_query.service.text),
+    FIELD(FIELD_I64, jj_message_t, body.origin_query.stream_ms),
 };
 LAYOUT(origin_query_layout, jj_message_t, origin_query_fields);
 
--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -24,8 +24,13 @@
 /** Other VMs that are told of a stream: in this failure domain, and outside. */
 #define TOLD_NEAR 1
 #define TOLD_FAR 1
-/** No stream lasts longer than this, ms. */
-#define STREAM_MAX_MS 20000
+/**
+ * A stream may last this long, ms; longer where its route's time limit or a
+ * caller's wait is longer.
+ */
+#define STREAM_MIN_MS 20000
+/** Longest time that another VM's question may be about, ms. */
+#define STREAM_MAX_MS 86400000
 /** A list of servers that was confirmed within this time is complete, ms. */
 #define LIST_FRESH_MS 3000
 /** A server that came and went in a longer gap may have been missed, ms. */
@@ -44,8 +49,11 @@
 static void resume_at(
     jj_gateway_t *, jj_gateway_entry_t *, uint64_t, jj_ms_t, jj_actions_t *);
 static bool has_one_service(const jj_route_t *);
-static uint64_t seen_software(const jj_gateway_t *, const jj_name_t *, jj_ms_t);
-static bool has_seen_all(const jj_gateway_t *, jj_ms_t);
+static uint64_t
+seen_software(const jj_gateway_t *, const jj_name_t *, jj_ms_t, jj_ms_t);
+static bool has_seen_all(const jj_gateway_t *, jj_ms_t, jj_ms_t);
+static jj_ms_t longest_stream(
+    const jj_gateway_t *, const jj_gateway_entry_t *, const jj_route_t *);
 static uint64_t merge(uint64_t, uint64_t);
 static const char *count_of(uint64_t);
 static uint64_t sole_software(const jj_gateway_t *, const jj_gateway_entry_t *);
@@ -79,12 +87,13 @@
 jj_gateway_resume(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
     const jj_route_t *route, jj_ms_t now, jj_actions_t *out)
 {
+	entry->stream_ms = longest_stream(gateway, entry, route);
 	entry->known_software = jj_stream_origins_find(
 	    gateway->origins, entry->origin_id, entry->fingerprint, now);
 	entry->sole_software = has_one_service(route)
-	    ? seen_software(gateway, &entry->service, now)
+	    ? seen_software(gateway, &entry->service, entry->stream_ms, now)
 	    : JJ_SOFTWARE_MIXED;
-	entry->sole_is_sure = has_seen_all(gateway, now);
+	entry->sole_is_sure = has_seen_all(gateway, entry->stream_ms, now);
 	/* Another stream with the same content may be known elsewhere. */
 	if (entry->known_software == 0 || entry->origin_id == 0)
 		ask_others(gateway, entry, now, out);
@@ -155,6 +164,7 @@
 		message->body.origin_query.id = entry->origin_id;
 		message->body.origin_query.content = entry->fingerprint;
 		message->body.origin_query.service = entry->service;
+		message->body.origin_query.stream_ms = entry->stream_ms;
 	}
 	entry->replies_due = (uint32_t)count;
 	entry->reply_until_ms = now + REPLY_WAIT_MS;
@@ -198,14 +208,18 @@
 {
 	jj_message_t *reply = jj_actions_add_message(
 	    out, &message->from, JJ_MESSAGE_ORIGIN_REPLY);
+	jj_ms_t stream_ms = message->body.origin_query.stream_ms;
 
+	if (stream_ms < STREAM_MIN_MS || stream_ms > STREAM_MAX_MS)
+		stream_ms = STREAM_MAX_MS;
 	reply->body.origin_reply.request = message->body.origin_query.request;
 	reply->body.origin_reply.software = jj_stream_origins_find(
 	    gateway->origins, message->body.origin_query.id,
 	    message->body.origin_query.content, now);
-	reply->body.origin_reply.sole =
-	    seen_software(gateway, &message->body.origin_query.service, now);
-	reply->body.origin_reply.sole_is_sure = has_seen_all(gateway, now);
+	reply->body.origin_reply.sole = seen_software(
+	    gateway, &message->body.origin_query.service, stream_ms, now);
+	reply->body.origin_reply.sole_is_sure =
+	    has_seen_all(gateway, stream_ms, now);
 }
 
 static void
@@ -304,31 +318,50 @@
 }
 
 /**
- * The only software version of a service that this VM saw within the time that
- * a stream lasts, 0 when it saw none, or JJ_SOFTWARE_MIXED.
+ * The only software version of a service that this VM saw in the last
+ * @p stream_ms, 0 when it saw none, or JJ_SOFTWARE_MIXED.
  */
 static uint64_t
-seen_software(
-    const jj_gateway_t *gateway, const jj_name_t *service, jj_ms_t now)
+seen_software(const jj_gateway_t *gateway, const jj_name_t *service,
+    jj_ms_t stream_ms, jj_ms_t now)
 {
 	jj_ms_t confirmed_ms = gateway->servers_mirror.confirmed_ms;
 
-	if (confirmed_ms == JJ_MS_NEVER || now - confirmed_ms >= STREAM_MAX_MS)
+	if (confirmed_ms == JJ_MS_NEVER || now - confirmed_ms >= stream_ms)
 		return 0;
-	return jj_slots_sole_software(
-	    gateway->slots, service, now - STREAM_MAX_MS);
+	return jj_slots_sole_software(gateway->slots, service, now - stream_ms);
 }
 
-/** True when no server was missed for longer than a stream lasts. */
+/** True when this VM missed no server in the last @p stream_ms. */
 static bool
-has_seen_all(const jj_gateway_t *gateway, jj_ms_t now)
+has_seen_all(const jj_gateway_t *gateway, jj_ms_t stream_ms, jj_ms_t now)
 {
 	jj_ms_t confirmed_ms = gateway->servers_mirror.confirmed_ms;
 
 	return confirmed_ms != JJ_MS_NEVER &&
 	    now - confirmed_ms <= LIST_FRESH_MS &&
 	    gateway->servers_since_ms != JJ_MS_NEVER &&
-	    now - gateway->servers_since_ms >= STREAM_MAX_MS;
+	    now - gateway->servers_since_ms >= stream_ms;
+}
+
+/**
+ * How long ago a stream that is taken up may have begun, ms. Its caller has
+ * used up part of its wait, and other callers of the route have sent theirs.
+ */
+static jj_ms_t
+longest_stream(const jj_gateway_t *gateway, const jj_gateway_entry_t *entry,
+    const jj_route_t *route)
+{
+	jj_ms_t longest_ms = STREAM_MIN_MS;
+	jj_ms_t budget_ms = jj_gateway_longest_budget(gateway, &route->name);
+
+	if (route->timeout_ms > longest_ms)
+		longest_ms = route->timeout_ms;
+	if (budget_ms > longest_ms)
+		longest_ms = budget_ms;
+	if (entry->deadline_ms - entry->begun_ms > longest_ms)
+		longest_ms = entry->deadline_ms - entry->begun_ms;
+	return longest_ms;
 }
 
 /** What two VMs know together. */
--- a/src/core/gateway_queue.c
+++ b/src/core/gateway_queue.c
@@ -56,7 +56,7 @@
 	    &gateway->budgets[jj_dispatch_hash_server(&route->name) %
 		JJ_GATEWAY_BUDGETS];
 
-	if (request->budget_ms <= 0 || route->target_ms <= 0)
+	if (request->budget_ms <= 0)
 		return false;
 	if (!jj_name_equal(&seen->route, &route->name)) {
 		seen->route = route->name;
@@ -64,10 +64,21 @@
 	}
 	if (request->budget_ms > seen->max_budget_ms)
 		seen->max_budget_ms = request->budget_ms;
-	return seen->max_budget_ms - request->budget_ms >
+	return route->target_ms > 0 &&
+	    seen->max_budget_ms - request->budget_ms >
 	    route->target_ms / NEW_DIVISOR;
 }
 
+jj_ms_t
+jj_gateway_longest_budget(const jj_gateway_t *gateway, const jj_name_t *route)
+{
+	const jj_gateway_budget_t *seen =
+	    &gateway
+		 ->budgets[jj_dispatch_hash_server(route) % JJ_GATEWAY_BUDGETS];
+
+	return jj_name_equal(&seen->route, route) ? seen->max_budget_ms : 0;
+}
+
 jj_ms_t
 jj_gateway_queue_deadline(const jj_gateway_request_t *request, jj_ms_t now)
 {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -38,6 +38,8 @@
 	/** an item's output so far is dropped when it is sent again */
 	bool restarts;
 	uint64_t origin_id; /**< see jj_stream_origin_t.id */
+	/** of a resumed stream: how long ago it may have begun, ms */
+	jj_ms_t stream_ms;
 	/** of a resumed stream: what is known of its beginning */
 	uint64_t known_software;
 	uint64_t sole_software; /**< the only one that VMs have seen, or 0 */
@@ -322,6 +324,9 @@
 /** True for a request whose caller has used up part of its time before. */
 bool jj_gateway_is_client_retry(jj_gateway_t *gateway, const jj_route_t *route,
     const jj_gateway_request_t *request);
+/** The longest wait that callers of a route have sent; 0: not known. */
+jj_ms_t
+jj_gateway_longest_budget(const jj_gateway_t *gateway, const jj_name_t *route);
 /** Until when a retry waits in the queue at most. */
 jj_ms_t
 jj_gateway_queue_deadline(const jj_gateway_request_t *request, jj_ms_t now);
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -500,6 +500,8 @@
 			uint64_t id; /**< as in jj_stream_origin_t */
 			uint64_t content;
 			jj_name_t service;
+			/** how long ago the stream may have begun, ms */
+			jj_ms_t stream_ms;
 		} origin_query;
 		struct {
 			uint64_t request; /**< as in the query */
@@ -509,7 +511,7 @@
 			 * or JJ_SOFTWARE_MIXED
 			 */
 			uint64_t sole;
-			/** it has missed none for as long as a stream lasts */
+			/** it has missed none in the query's stream_ms */
 			bool sole_is_sure;
 		} origin_reply;
 		struct {
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -260,6 +260,7 @@
 		m->body.origin_query.id = UINT64_MAX;
 		m->body.origin_query.content = 2;
 		jj_name_set(&m->body.origin_query.service, "ordini");
+		m->body.origin_query.stream_ms = 60000;
 	}},
     {"OriginReply", JJ_MESSAGE_ORIGIN_REPLY,
 	[](jj_message_t *m) {
--- a/tests/core/gateway_versions_fleet.h
+++ b/tests/core/gateway_versions_fleet.h
@@ -125,13 +125,13 @@
 	/** The caller takes the stream up; returns its version, or '-'. */
 	char
 	take_up(const std::string &vm, const std::string &resumes,
-	    uint64_t content = 0)
+	    uint64_t content = 0, jj_ms_t wait_ms = 500)
 	{
 		uint64_t request =
 		    begin(vm, "/again/s", content, resumes.c_str());
 		char version = '-';
 
-		run(500);
+		run(wait_ms);
 		if (attempts.count(request) == 1) {
 			version = attempts[request].server[0];
 			report(request, JJ_BACKEND_DONE);
--- a/tests/core/gateway_versions_restart_test.cc
+++ b/tests/core/gateway_versions_restart_test.cc
@@ -15,11 +15,13 @@
 		std::string id; /**< of the request that began it */
 		char version;
 		uint64_t content;
+		jj_ms_t until_ms; /**< until then its caller waits */
 	};
 	std::vector<Stream> streams;
 
 	explicit VersionsRestart(int count = 3) : GatewayVersionsFleet(count)
 	{
+		budget_ms = 15000;
 	}
 	std::string
 	vm(int number) const
@@ -79,7 +81,8 @@
 				content = 7000 + last;
 				request = begin_stream(vm(i), content);
 				streams.push_back({id_of(request),
-				    attempts[request].server[0], content});
+				    attempts[request].server[0], content,
+				    now + budget_ms});
 			}
 	}
 	/** Begins a stream of that version, of which no other VM knows yet. */
@@ -111,29 +114,32 @@
 		for (int i = 1; i <= count - spared; i++)
 			start(vm(i));
 	}
-	/** Callers come to all VMs; returns how many streams went on. */
-	int
+	/** Callers that still wait come to all VMs. */
+	void
 	take_up_all(const char *when)
 	{
-		int taken_up = 0;
-
 		for (const Stream &stream : streams)
 			for (int i = 1; i <= count; i++)
-				for (bool is_named : {true, false}) {
-					char version = take_up(vm(i),
-					    is_named ? stream.id : "",
-					    stream.content);
+				for (bool is_named : {true, false})
+					take_up_one(
+					    stream, vm(i), is_named, when);
+	}
+	bool
+	take_up_one(const Stream &stream, const std::string &name,
+	    bool is_named, const char *when)
+	{
+		char version;
 
-					EXPECT_TRUE(version == '-' ||
-					    version == stream.version)
-					    << when << ", " << stream.id
-					    << " of " << stream.version
-					    << " at " << vm(i)
-					    << (is_named ? "" : ", not named")
-					    << ": " << version;
-					taken_up += version == stream.version;
-				}
-		return taken_up;
+		if (now >= stream.until_ms || vms.count(name) == 0)
+			return false;
+		confirm();
+		version = take_up(
+		    name, is_named ? stream.id : "", stream.content, 200);
+		EXPECT_TRUE(version == '-' || version == stream.version)
+		    << when << ", " << stream.id << " of " << stream.version
+		    << " at " << name << (is_named ? "" : ", not named") << ": "
+		    << version << " at " << now;
+		return version == stream.version;
 	}
 };
 
@@ -216,7 +222,8 @@
 	for (int k = 0; k < 4; k++) {
 		uint64_t request = begin_at(vm(1), 'b');
 
-		streams.push_back({id_of(request), 'b', request});
+		streams.push_back(
+		    {id_of(request), 'b', request, now + budget_ms});
 	}
 	kill_all(0, 1);
 	run(300);
@@ -247,6 +254,43 @@
 	}
 }
 
+/*
+ * Guards against streams that outlive the time for which a software version has
+ * to be the only one: their callers wait for longer than most.
+ */
+TEST_F(VersionsRestart, LongStreamsAreNotTakenForOnesOfTheNewVersion)
+{
+	routes.back().timeout_ms = 60000;
+	for (int i = 1; i <= count; i++)
+		see_config(vm(i), 9);
+	budget_ms = 60000;
+	begin_streams(1);
+	unlist_all('a');
+	kill_all(500);
+	wait(25000);
+	take_up_all("25 s later");
+	wait(32000);
+	confirm();
+	EXPECT_EQ('b', take_up(vm(1), "lost"));
+}
+
+/*
+ * Guards against the same where callers wait for longer than the time limit of
+ * one answer: they take the stream up again and again.
+ */
+TEST_F(VersionsRestart, StreamsOfPatientCallersAreNotTakenForNewOnes)
+{
+	budget_ms = 60000;
+	begin_streams(1);
+	unlist_all('a');
+	kill_all(500);
+	wait(3000);
+	for (int i = 1; i <= count; i++)
+		report(begin_at(vm(i), 'b'), JJ_BACKEND_DONE);
+	wait(22000);
+	take_up_all("25 s later");
+}
+
 /*
  * Guards against callers that name no request refused on calm days, when two
  * software versions are in service.
