Jobs: only a batch route says when they are due and where they run

Cause: the job's route was looked up by host and path alone.

Fix: both look-ups are one function, which returns batch routes with a known service only. Items wait while no version has one, as for a removed route.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -48,7 +48,6 @@
 static bool has_live_peers(void *);
 static bool has_unreachable_peers(void *);
 static jj_ms_t platform_regained_ms(void *);
-static const jj_route_t *find_route(void *, const char *, const char *);
 static int64_t unix_ms(void *);
 static jj_bytes_t write_page(void *, const jj_inline_page_t *);
 static jj_ms_t earlier(jj_ms_t, jj_ms_t);
@@ -64,9 +63,9 @@
 	jj_routes_t no_routes = {0};
 	jj_inline_port_t jobs = {gateway, is_live, jj_gateway_rank,
 	    has_live_peers, has_unreachable_peers, platform_regained_ms,
-	    find_route, unix_ms, jj_gateway_begin_item, jj_gateway_cancel_item,
-	    jj_gateway_is_item_sent, write_page, jj_gateway_relay_jobs,
-	    jj_gateway_notify_job_ended};
+	    jj_gateway_job_route, unix_ms, jj_gateway_begin_item,
+	    jj_gateway_cancel_item, jj_gateway_is_item_sent, write_page,
+	    jj_gateway_relay_jobs, jj_gateway_notify_job_ended};
 
 	gateway->routes = jj_routes_share(&no_routes);
 	gateway->settings = *settings;
@@ -547,19 +546,6 @@
 	return gateway->has_unreachable;
 }
 
-/**
- * NULL while no backend of the route is known: its items wait for a later
- * version of the configuration.
- */
-static const jj_route_t *
-find_route(void *ctx, const char *host, const char *path)
-{
-	const jj_gateway_t *gateway = ctx;
-	const jj_route_t *route = jj_routes_match(gateway->routes, host, path);
-
-	return route != NULL && route->backend_count > 0 ? route : NULL;
-}
-
 static int64_t
 unix_ms(void *ctx)
 {
--- a/src/core/gateway_items.c
+++ b/src/core/gateway_items.c
@@ -59,6 +59,18 @@
     const jj_gateway_entry_t *, jj_ms_t);
 static jj_ms_t total_run_ms(const jj_gateway_entry_t *, jj_ms_t);
 
+const jj_route_t *
+jj_gateway_job_route(void *ctx, const char *host, const char *path)
+{
+	const jj_gateway_t *gateway = ctx;
+	const jj_route_t *route = jj_routes_match(gateway->routes, host, path);
+
+	return route != NULL && route->kind == JJ_ROUTE_BATCH &&
+		route->backend_count > 0
+	    ? route
+	    : NULL;
+}
+
 uint64_t
 jj_gateway_begin_item(void *ctx, const jj_inline_job_t *job,
     const jj_inline_item_t *item, const jj_route_t *route, jj_ms_t due_ms,
@@ -199,8 +211,8 @@
 			continue;
 		if (entry->routed_version != gateway->routes->version)
 			route_item(gateway, entry,
-			    jj_routes_match(gateway->routes, entry->job->host,
-				entry->job->path));
+			    jj_gateway_job_route(
+				gateway, entry->job->host, entry->job->path));
 		if (jj_name_is_empty(&entry->service))
 			continue;
 		if (*full != NULL && jj_name_equal(*full, &entry->service))
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -475,6 +475,13 @@
 jj_gateway_tick_origins(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 
 /* Items (gateway_items.c). */
+/**
+ * The route of a job by the version in force. NULL while that has no batch
+ * route there, or none whose service is known: the items wait for a later
+ * version.
+ */
+const jj_route_t *
+jj_gateway_job_route(void *gateway, const char *host, const char *path);
 uint64_t jj_gateway_begin_item(void *gateway, const jj_inline_job_t *job,
     const jj_inline_item_t *item, const jj_route_t *route, jj_ms_t due_ms,
     jj_ms_t retention_ms);
--- a/tests/core/gateway_items_test.cc
+++ b/tests/core/gateway_items_test.cc
@@ -80,6 +80,21 @@
 	EXPECT_EQ(std::vector<std::string>{"t1"}, servers());
 }
 
+/* Guards against items that are run by a route that takes no jobs. */
+TEST_F(GatewayItemFailure, WaitsWhileItsRouteTakesNoJobs)
+{
+	routes[2].kind = JJ_ROUTE_IDEMPOTENT;
+	move_route();
+	list_server("servers/s2", "verona ready service=altri");
+	list_server("servers/s1", "verona ready places=2");
+	tick(500);
+	EXPECT_TRUE(servers().empty());
+	routes[2].kind = JJ_ROUTE_BATCH;
+	see(1, "config/main", "9");
+	tick(200);
+	EXPECT_EQ(std::vector<std::string>{"s2"}, servers());
+}
+
 /* Guards against items that are still sent although their route was removed. */
 TEST_F(GatewayItemFailure, WaitsWhileItsRouteIsRemoved)
 {
