--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -299,12 +299,14 @@
 on_routes(void *ctx, const jj_routes_t *routes)
 {
 	jj_gateway_node_t *node = ctx;
+	const jj_routes_t *before;
 
 	jj_gauge_set(jj_metrics_gauge("jujube_config_version",
 			 "Version of the configuration in force.", NULL, NULL),
 	    (int64_t)routes->version);
 	(void)apr_thread_mutex_lock(node->lock);
-	jj_routes_release(node->routes);
+	before = node->routes;
 	node->routes = jj_routes_retain(routes);
 	(void)apr_thread_mutex_unlock(node->lock);
+	jj_routes_release(before);
 }
