--- a/tests/platform/entry_vm.h
+++ b/tests/platform/entry_vm.h
@@ -119,7 +119,9 @@
       protected:
 	FakeStore store;
 	RecordingServer server;
-	std::string log_file = ::testing::TempDir() + "/entry_vm.log";
+	std::string files =
+	    ::testing::TempDir() + "/entry_vm." + std::to_string(getpid());
+	std::string log_file = files + ".log";
 	std::string callers = free_address();
 	std::string operators = free_address();
 	std::string contracts = "[]"; /**< of the platform */
@@ -131,7 +133,7 @@
 	void
 	SetUp() override
 	{
-		std::string file = ::testing::TempDir() + "/entry_vm.toml";
+		std::string file = files + ".toml";
 		char why[JJ_SETTINGS_ERROR_MAX];
 
 		std::ofstream(file)
@@ -176,6 +178,8 @@
 			jj_gateway_node_destroy(node);
 		jj_log_close();
 		jj_settings_clear(&settings);
+		(void)remove(log_file.c_str());
+		(void)remove((files + ".toml").c_str());
 	}
 	/** Sends a call and returns its status. */
 	int
