Callers that name no request: content tells only while nothing is lost

A caller that names no request is recognised by the content. After a restart of all VMs what was known of its stream is lost; if another stream with the same content began at the new software version meanwhile, it went on there. The same happened when the VM that began a stream was lost within 25 ms.

Content now counts only if this VM and all that were asked remember what they knew for as long as a stream lasts, all have answered, and no VM has gone within that time, or if the version is the only one anyway. Otherwise the stream is refused.

Red before: ANewerStreamWithTheSameContentIsNotTakenForIt, NorIfTheVmsThatKnewItAreGone.

--- a/src/adapters/wire.c
+++ b/src/adapters/wire.c
@@ -467,6 +467,7 @@
     FIELD(FIELD_U64, jj_message_t, body.origin_reply.software),
     FIELD(FIELD_U64, jj_message_t, body.origin_reply.sole),
     FIELD(FIELD_BOOL, jj_message_t, body.origin_reply.sole_is_sure),
+    FIELD(FIELD_BOOL, jj_message_t, body.origin_reply.remembers_all),
 };
 LAYOUT(origin_reply_layout, jj_message_t, origin_reply_fields);
 
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -90,6 +90,7 @@
 	if (settings->avoid_failing)
 		gateway->outcomes = jj_outcomes_create();
 	gateway->servers_since_ms = JJ_MS_NEVER;
+	gateway->origins_since_ms = JJ_MS_NEVER;
 	gateway->live_vms = 1;
 	TAILQ_INIT(&gateway->sent);
 	TAILQ_INIT(&gateway->waiting);
--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -7,6 +7,10 @@
  * VM that does not know a stream asks the others. Only if nobody knows it, and
  * one version alone has served for longer than a stream lasts by the lists of
  * servers of at least two VMs, is it of that one; otherwise it is refused.
+ *
+ * A caller that does not name the request that began the stream is recognised by
+ * the content. Another stream may have the same content, so that counts only
+ * while no VM that may know of streams is missing, silent or started recently.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -52,6 +56,10 @@
 static uint64_t
 seen_software(const jj_gateway_t *, const jj_name_t *, jj_ms_t, jj_ms_t);
 static bool has_seen_all(const jj_gateway_t *, jj_ms_t, jj_ms_t);
+static uint64_t
+choose_software(const jj_gateway_t *, const jj_gateway_entry_t *);
+static bool remembers_all(const jj_gateway_t *, jj_ms_t, jj_ms_t);
+static bool is_any_vm_missing(const jj_gateway_t *, jj_ms_t, jj_ms_t);
 static jj_ms_t longest_stream(
     const jj_gateway_t *, const jj_gateway_entry_t *, const jj_route_t *);
 static uint64_t merge(uint64_t, uint64_t);
@@ -94,6 +102,9 @@
 	    ? seen_software(gateway, &entry->service, entry->stream_ms, now)
 	    : JJ_SOFTWARE_MIXED;
 	entry->sole_is_sure = has_seen_all(gateway, entry->stream_ms, now);
+	entry->is_memory_whole =
+	    remembers_all(gateway, entry->stream_ms, now) &&
+	    !is_any_vm_missing(gateway, entry->stream_ms, now);
 	/* Another stream with the same content may be known elsewhere. */
 	if (entry->known_software == 0 || entry->origin_id == 0)
 		ask_others(gateway, entry, now, out);
@@ -130,6 +141,8 @@
 	jj_gateway_entry_t *next;
 
 	flush(gateway, out);
+	if (gateway->origins_since_ms == JJ_MS_NEVER)
+		gateway->origins_since_ms = now;
 	jj_stream_origins_tick(gateway->origins, now);
 	if (confirmed_ms == JJ_MS_NEVER || now - confirmed_ms > LIST_GAP_MS)
 		gateway->servers_since_ms = JJ_MS_NEVER;
@@ -220,6 +233,8 @@
 	    gateway, &message->body.origin_query.service, stream_ms, now);
 	reply->body.origin_reply.sole_is_sure =
 	    has_seen_all(gateway, stream_ms, now);
+	reply->body.origin_reply.remembers_all =
+	    remembers_all(gateway, stream_ms, now);
 }
 
 static void
@@ -237,6 +252,8 @@
 	    merge(entry->sole_software, message->body.origin_reply.sole);
 	entry->sole_is_sure =
 	    entry->sole_is_sure || message->body.origin_reply.sole_is_sure;
+	entry->is_memory_whole =
+	    entry->is_memory_whole && message->body.origin_reply.remembers_all;
 	entry->was_answered = true;
 	entry->has_other_list =
 	    entry->has_other_list || message->body.origin_reply.sole != 0;
@@ -251,10 +268,8 @@
 decide(jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now,
     jj_actions_t *out)
 {
-	uint64_t software = entry->known_software;
+	uint64_t software = choose_software(gateway, entry);
 
-	if (software == 0)
-		software = sole_software(gateway, entry);
 	gateway->asking_count -= entry->was_asked;
 	entry->was_asked = false;
 	entry->replies_due = 0;
@@ -269,6 +284,21 @@
 	resume_at(gateway, entry, software, now, out);
 }
 
+/** The software version to go on at; 0 or JJ_SOFTWARE_MIXED: not known. */
+static uint64_t
+choose_software(const jj_gateway_t *gateway, const jj_gateway_entry_t *entry)
+{
+	uint64_t known = entry->known_software;
+	uint64_t sole = sole_software(gateway, entry);
+
+	if (known == 0 || known == sole)
+		return sole;
+	if (entry->origin_id != 0 ||
+	    (entry->is_memory_whole && entry->replies_due == 0))
+		return known;
+	return 0;
+}
+
 static void
 resume_at(jj_gateway_t *gateway, jj_gateway_entry_t *entry, uint64_t software,
     jj_ms_t now, jj_actions_t *out)
@@ -344,6 +374,34 @@
 	    now - gateway->servers_since_ms >= stream_ms;
 }
 
+/** True when this VM knows what it was told of streams so long ago. */
+static bool
+remembers_all(const jj_gateway_t *gateway, jj_ms_t stream_ms, jj_ms_t now)
+{
+	return stream_ms <= jj_stream_origins_keep_ms() &&
+	    gateway->origins_since_ms != JJ_MS_NEVER &&
+	    now - gateway->origins_since_ms >= stream_ms;
+}
+
+/** True when a VM that may know a stream can't be asked. */
+static bool
+is_any_vm_missing(const jj_gateway_t *gateway, jj_ms_t stream_ms, jj_ms_t now)
+{
+	size_t count = jj_member_count(gateway->member);
+	jj_member_info_t *infos = jj_alloc((count + 1) * sizeof(*infos));
+	bool is_missing = false;
+	size_t i;
+
+	count = jj_member_list_all(gateway->member, infos, count);
+	for (i = 0; i < count && !is_missing; i++)
+		is_missing =
+		    !jj_member_is_live(gateway->member, &infos[i].name) &&
+		    infos[i].heard_ms != JJ_MS_NEVER &&
+		    now - infos[i].heard_ms < stream_ms;
+	free(infos);
+	return is_missing;
+}
+
 /**
  * How long ago a stream that is taken up may have begun, ms. Its caller has
  * used up part of its wait, and other callers of the route have sent theirs.
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -46,6 +46,8 @@
 	/** one of these VMs has missed none for as long as a stream lasts */
 	bool sole_is_sure;
 	bool has_other_list; /**< another VM has seen it in its list */
+	/** no VM that may know of streams of this age is missing or young */
+	bool is_memory_whole;
 	bool was_asked; /**< other VMs were asked, not decided yet */
 	bool was_answered; /**< at least one of them answered */
 	uint32_t replies_due; /**< waits for so many answers of other VMs */
@@ -271,6 +273,7 @@
 	jj_gateway_sound_part_t sound_parts[JJ_MESSAGE_PARTS_MAX];
 
 	jj_stream_origins_t *origins;
+	jj_ms_t origins_since_ms; /**< first tick; JJ_MS_NEVER: none yet */
 	/** streams that began here, of which no other VM was told yet */
 	uint32_t new_origin_count;
 	jj_stream_origin_t new_origins[JJ_MESSAGE_ORIGINS_MAX];
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -513,6 +513,8 @@
 			uint64_t sole;
 			/** it has missed none in the query's stream_ms */
 			bool sole_is_sure;
+			/** it forgot no stream that it knew in stream_ms */
+			bool remembers_all;
 		} origin_reply;
 		struct {
 			/**
--- a/src/core/stream_origins.c
+++ b/src/core/stream_origins.c
@@ -117,6 +117,12 @@
 		drop_stream(origins, stream);
 }
 
+jj_ms_t
+jj_stream_origins_keep_ms(void)
+{
+	return KEEP_MAX_MS;
+}
+
 size_t
 jj_stream_origins_count(const jj_stream_origins_t *origins)
 {
--- a/src/core/stream_origins.h
+++ b/src/core/stream_origins.h
@@ -30,6 +30,8 @@
     uint64_t content, jj_ms_t now);
 /** Drops expired streams; cheap, call it regularly. */
 void jj_stream_origins_tick(jj_stream_origins_t *origins, jj_ms_t now);
+/** Longest time for which another VM's stream is kept, ms. */
+jj_ms_t jj_stream_origins_keep_ms(void);
 size_t jj_stream_origins_count(const jj_stream_origins_t *origins);
 
 #endif
--- a/tests/adapters/wire_test.cc
+++ b/tests/adapters/wire_test.cc
@@ -268,6 +268,7 @@
 		m->body.origin_reply.software = UINT64_MAX;
 		m->body.origin_reply.sole = 3;
 		m->body.origin_reply.sole_is_sure = true;
+		m->body.origin_reply.remembers_all = true;
 	}},
     {"Unanswered", JJ_MESSAGE_UNANSWERED,
 	[](jj_message_t *m) {
--- a/tests/core/gateway_versions_restart_test.cc
+++ b/tests/core/gateway_versions_restart_test.cc
@@ -3,11 +3,16 @@
  * @brief Streams that callers take up after all VMs, or most of them, were
  * killed at once.
  */
+#include <random>
+
 #include "tests/core/gateway_versions_fleet.h"
 
 namespace
 {
 
+/** Number of series; more are played by hand. */
+constexpr unsigned RESTART_SEEDS = 40;
+
 class VersionsRestart : public GatewayVersionsFleet
 {
       protected:
@@ -291,6 +296,53 @@
 	take_up_all("25 s later");
 }
 
+/*
+ * Guards against a stream that goes on at another software version, as its
+ * caller names no request, what was known of it is lost, and another stream with
+ * the same content has begun.
+ */
+TEST_F(VersionsRestart, ANewerStreamWithTheSameContentIsNotTakenForIt)
+{
+	unlist_all('b');
+	begin_streams(2);
+	kill_all(500);
+	run(1000);
+	list_all('b');
+	unlist_all('a');
+	wait(3000);
+	for (const Stream &stream : streams) {
+		uint64_t request = begin_stream(vm(1), stream.content);
+
+		ASSERT_EQ('b', attempts[request].server[0]);
+		report(request, JJ_BACKEND_DONE);
+	}
+	take_up_all("there is a newer stream");
+	wait(8000);
+	take_up_all("later");
+}
+
+/*
+ * Guards against the same where only the VMs that knew the older stream were
+ * killed, and have not come back.
+ */
+TEST_F(VersionsRestart, NorIfTheVmsThatKnewItAreGone)
+{
+	uint64_t request;
+
+	unlist_all('b');
+	wait(30000);
+	request = begin(vm(1), "/again/s", 77);
+	ASSERT_EQ('a', attempts[request].server[0]);
+	report(request, JJ_BACKEND_FIRST);
+	kill(vm(1));
+	list_all('b');
+	unlist_all('a');
+	wait(4000);
+	report(begin_stream(vm(2), 77), JJ_BACKEND_DONE);
+	for (int i = 2; i <= 3; i++)
+		EXPECT_EQ('-', take_up(vm(i), "", 77));
+}
+
 /*
  * Guards against callers that name no request refused on calm days, when two
  * software versions are in service.
@@ -369,4 +421,132 @@
 	}
 }
 
+/** Kills of all or most VMs, releases and cuts in overlapping series. */
+class RestartSeries : public VersionsRestart,
+		      public ::testing::WithParamInterface<unsigned>
+{
+      protected:
+	std::mt19937 random;
+	std::vector<std::string> ids;
+	int listed = 3;
+	size_t taken_up = 0;
+
+	uint32_t
+	draw(size_t below)
+	{
+		return random() % (uint32_t)below;
+	}
+	void
+	replace(size_t index, char version)
+	{
+		std::string old = ids[index];
+
+		ids[index] = std::string(1, version) + std::to_string(++listed);
+		list(ids[index].c_str());
+		unlist(old.c_str());
+	}
+	void
+	begin_one()
+	{
+		uint64_t content = 5000 + draw(20);
+		std::string name = vm(1 + (int)draw(3));
+		uint64_t request;
+
+		if (vms.count(name) == 0)
+			return;
+		request = begin(name, "/again/s", content);
+		if (attempts.count(request) == 0)
+			return;
+		report(request, JJ_BACKEND_FIRST);
+		streams.push_back({id_of(request), attempts[request].server[0],
+		    content, now + budget_ms});
+		run(5 * draw(10));
+		if (vms.count(name) == 1)
+			report(request, JJ_BACKEND_DONE);
+	}
+	void
+	disturb()
+	{
+		size_t spared = draw(3);
+		std::string name;
+
+		switch (draw(40)) {
+		case 0:
+			for (int i = 1; i <= 3; i++)
+				if (i > (int)spared && vms.count(vm(i)) == 1)
+					kill(vm(i));
+			wait(100 + draw(2000));
+			break;
+		case 1:
+		case 2:
+			for (size_t i = 0; i < ids.size(); i++)
+				replace(i, 'b');
+			break;
+		case 3:
+			for (size_t i = 0; i < ids.size(); i++)
+				replace(i, 'a');
+			break;
+		case 4:
+		case 5:
+		case 6:
+			replace(draw(ids.size()), "ab"[draw(2)]);
+			break;
+		case 7:
+			name = vm(1 + (int)draw(3));
+			if (vms.count(name) == 1)
+				vms[name].cut = JJ_PLATFORM_UNKNOWN;
+			break;
+		case 8:
+		case 9:
+			for (auto &each : vms) {
+				each.second.cut = JJ_PLATFORM_OK;
+				for (const auto &change : missed[each.first])
+					show(each.first, change.first,
+					    change.second);
+			}
+			missed.clear();
+			break;
+		default:
+			break;
+		}
+		for (int i = 1; i <= 3; i++)
+			if (vms.count(vm(i)) == 0 && draw(4) > 0)
+				start(vm(i));
+	}
+	void
+	play(unsigned seed)
+	{
+		random.seed(seed);
+		ids = {"a1", "a2", "a3", "b1", "b2", "b3"};
+		for (int i = 0; i < 250 && !HasFailure(); i++) {
+			confirm();
+			begin_one();
+			if (streams.empty())
+				continue;
+			if (draw(2) == 0)
+				taken_up +=
+				    take_up_one(streams[draw(streams.size())],
+					vm(1 + (int)draw(3)), draw(2) == 0,
+					"series");
+			disturb();
+			run(50 + draw(300));
+			if (streams.size() > 40)
+				streams.erase(streams.begin());
+		}
+	}
+};
+
+/*
+ * Guards against streams of two versions where kills of all VMs meet releases
+ * and VMs that do not reach the platform.
+ */
+TEST_P(RestartSeries, NothingIsJoined)
+{
+	play(GetParam());
+	EXPECT_GT(taken_up, 5U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Seeds, RestartSeries, ::testing::Range(1U, RESTART_SEEDS + 1));
+
 } // namespace
