Software versions of a service: one that a server changed in place counts

A server's entry that has no start of its process may change its software version under the same id. The version before was forgotten at once, and the new one taken for the only one of the last 20 s.

Red before: Slots.AServerThatChangesItsSoftwareHadBothVersions (one version instead of several).

--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -59,6 +59,8 @@
 static uint64_t hash_of(const jj_slot_info_t *);
 static uint64_t software_of(const jj_slot_info_t *);
 static void forget_server(jj_slots_t *, jj_slot_server_t *, jj_ms_t);
+static void
+note_removed_software(jj_slots_t *, const jj_slot_server_t *, jj_ms_t);
 static void remove_server(jj_slots_t *, jj_slot_server_t *);
 static bool is_complete(const jj_slot_server_t *);
 
@@ -117,6 +119,9 @@
 		replace_server(slots, server, info, now);
 		return JJ_SLOTS_RESTARTED;
 	}
+	/* An entry without a start may be that of a later process. */
+	if (server->software != software_of(info))
+		note_removed_software(slots, server, now);
 	set_info(slots, server, info);
 	return JJ_SLOTS_KNOWN;
 }
@@ -513,9 +518,17 @@
 	    jj_hash_bytes(info->service.text, strlen(info->service.text), 0));
 }
 
-/** Removes a server and remembers its software version. */
 static void
 forget_server(jj_slots_t *slots, jj_slot_server_t *server, jj_ms_t now)
+{
+	note_removed_software(slots, server, now);
+	remove_server(slots, server);
+}
+
+/** Remembers until when a server of this software version was there. */
+static void
+note_removed_software(
+    jj_slots_t *slots, const jj_slot_server_t *server, jj_ms_t now)
 {
 	jj_removed_software_t *oldest = &slots->removed[0];
 	jj_removed_software_t *removed = NULL;
@@ -534,7 +547,6 @@
 	removed->service = server->info.service;
 	removed->software = server->software;
 	removed->removed_ms = now;
-	remove_server(slots, server);
 }
 
 static void
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -343,6 +343,26 @@
 	EXPECT_EQ(0U, chosen.count(""));
 }
 
+/*
+ * Guards against a software version that is taken for the only one as a server
+ * has another one under the same id, without the start of its process.
+ */
+TEST_F(Slots, AServerThatChangesItsSoftwareHadBothVersions)
+{
+	jj_slot_info_t info = {};
+
+	jj_name_set(&info.id, "s1");
+	jj_name_set(&info.service, "ordini");
+	jj_name_set(&info.version, "v1");
+	(void)jj_slots_update(slots, &info, 1000);
+	jj_name_set(&info.version, "v2");
+	EXPECT_EQ(JJ_SLOTS_KNOWN, jj_slots_update(slots, &info, 3000));
+	EXPECT_EQ(
+	    JJ_SOFTWARE_MIXED, jj_slots_sole_software(slots, &service, 2000));
+	EXPECT_EQ(jj_slots_find(slots, "s1")->software,
+	    jj_slots_sole_software(slots, &service, 3001));
+}
+
 TEST_F(Slots, NeighboursAreToldWhatTheyDoNotKnow)
 {
 	jj_load_t loads[4];
