Callers that name no request: a VM that is cut off may begin streams

A VM without a sign of life for as long as a stream lasts was taken for one that has ended. One that no message reaches still serves callers; a caller that names no request and comes to another VM was sent to the version of a newer stream with the same content. Each known VM of the region that is not live counts now, unless it said that it was leaving.

--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -383,10 +383,14 @@
 	    now - gateway->origins_since_ms >= stream_ms;
 }
 
-/** True when a VM that may know a stream can't be asked. */
+/**
+ * True when a VM of the region that may know a stream can't be asked. One that
+ * is cut off still begins streams; one that has left does not.
+ */
 static bool
 is_any_vm_missing(const jj_gateway_t *gateway, jj_ms_t stream_ms, jj_ms_t now)
 {
+	const jj_name_t *region = &gateway->settings.member.domain;
 	size_t count = jj_member_count(gateway->member);
 	jj_member_info_t *infos = jj_alloc((count + 1) * sizeof(*infos));
 	bool is_missing = false;
@@ -394,10 +398,10 @@
 
 	count = jj_member_list_all(gateway->member, infos, count);
 	for (i = 0; i < count && !is_missing; i++)
-		is_missing =
+		is_missing = jj_name_equal(&infos[i].domain, region) &&
 		    !jj_member_is_live(gateway->member, &infos[i].name) &&
-		    infos[i].heard_ms != JJ_MS_NEVER &&
-		    now - infos[i].heard_ms < stream_ms;
+		    !(infos[i].state == JJ_VM_LEAVING &&
+			now - infos[i].heard_ms >= stream_ms);
 	free(infos);
 	return is_missing;
 }
--- a/tests/core/gateway_versions_restart_test.cc
+++ b/tests/core/gateway_versions_restart_test.cc
@@ -92,10 +92,10 @@
 	}
 	/** Begins a stream of that version, of which no other VM knows yet. */
 	uint64_t
-	begin_at(const std::string &name, char version)
+	begin_at(const std::string &name, char version, uint64_t content = 0)
 	{
 		for (int i = 0; i < 50; i++) {
-			uint64_t request = begin(name, "/again/s");
+			uint64_t request = begin(name, "/again/s", content);
 
 			if (attempts.count(request) == 0)
 				continue;
@@ -361,6 +361,23 @@
 	}
 }
 
+/*
+ * Guards against a VM that no message reaches taken for one that has ended: it
+ * still begins streams, and its callers come to other VMs.
+ */
+TEST_F(VersionsRestart, AVmThatIsCutOffForLongMayStillBeginStreams)
+{
+	uint64_t request;
+
+	vms[vm(1)].loses_messages = vms[vm(1)].loses_sent = true;
+	wait(30000);
+	request = begin_at(vm(1), 'a', 77);
+	report(request, JJ_BACKEND_BROKEN);
+	report(begin_at(vm(2), 'b', 77), JJ_BACKEND_DONE);
+	for (int i = 2; i <= 3; i++)
+		EXPECT_EQ('-', take_up(vm(i), "", 77));
+}
+
 /** Six VMs, of which one relays the list of servers to the others. */
 class VersionsRestartRelay : public VersionsRestart
 {
