Tests: the store in memory can hold its answers back

Reads of objects of one kind wait until the test lets them go, so that VMs start without a configuration for as long as a test needs. A call is kept with all that its answer depends on, as its connection may be gone by then.

--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <jansson.h>
 
@@ -35,6 +36,7 @@
 	}
 	~FakeStore()
 	{
+		release();
 		jj_http_server_destroy(server);
 	}
 	FakeStore(const FakeStore &) = delete;
@@ -47,6 +49,27 @@
 
 		objects[key] = {spec, ++revision};
 	}
+	/** Reads of objects of that kind wait until release(). */
+	void
+	hold(const std::string &kind)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		held_kind = kind;
+	}
+	void
+	release()
+	{
+		std::vector<Question> waiting;
+
+		{
+			std::lock_guard<std::mutex> guard(lock);
+			held_kind.clear();
+			waiting.swap(held);
+		}
+		for (const Question &question : waiting)
+			answer(question);
+	}
 	/** Number of calls that did not wait for changes. */
 	size_t
 	calls()
@@ -70,8 +93,20 @@
 		uint64_t revision;
 	};
 
+	/** A call, as far as it is needed to answer it later. */
+	struct Question {
+		jj_http_call_t *call;
+		std::string method;
+		std::string key;
+		bool watches;
+		uint64_t since; /**< of a watch */
+		std::string body;
+	};
+
 	static constexpr auto PREFIX = "/api/objects/";
 	std::mutex lock;
+	std::string held_kind; /**< "": none */
+	std::vector<Question> held;
 	std::map<std::string, Object> objects;
 	uint64_t revision = 0;
 	size_t call_count = 0;
@@ -81,34 +116,57 @@
 	static void
 	on_call(void *ctx, jj_http_call_t *call)
 	{
-		static_cast<FakeStore *>(ctx)->answer(call);
+		auto *store = static_cast<FakeStore *>(ctx);
+		const char *watch = jj_http_call_query(call, "watch");
+		const jj_bytes_t *body = jj_http_call_body(call);
+		Question question = {call, jj_http_call_method(call),
+		    jj_http_call_path(call) + strlen(PREFIX), watch != nullptr,
+		    watch != nullptr ? std::stoull(watch) : 0,
+		    std::string(
+			body->data != nullptr ? body->data : "", body->size)};
+
+		if (store->keep(question))
+			return;
+		if (question.watches)
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(50));
+		store->answer(question);
+	}
+	/** True if the call waits for release(). */
+	bool
+	keep(const Question &question)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		const std::string &key = question.key;
+
+		if (question.method != "GET" || held_kind.empty() ||
+		    key.substr(0, key.find('/')) != held_kind)
+			return false;
+		held.push_back(question);
+		return true;
 	}
 	void
-	answer(jj_http_call_t *call)
+	answer(const Question &question)
 	{
-		std::string key = jj_http_call_path(call) + strlen(PREFIX);
-		std::string method = jj_http_call_method(call);
-		const char *watch = jj_http_call_query(call, "watch");
-		const jj_bytes_t *body = jj_http_call_body(call);
+		const std::string &method = question.method;
+		const std::string &key = question.key;
 		jj_http_answer_t head = {
 		    200, "application/json", {{nullptr, nullptr}}, nullptr, 0};
 		std::string text;
 
-		if (watch != nullptr)
-			std::this_thread::sleep_for(
-			    std::chrono::milliseconds(50));
 		std::lock_guard<std::mutex> guard(lock);
-		call_count += watch == nullptr;
+		call_count += !question.watches;
 		if (method == "GET" && key.find('/') == std::string::npos)
-			text = list(key, watch);
+			text = list(key, question.watches, question.since);
 		else if (method == "GET")
 			head.status = get(key, &text);
 		else if (method == "DELETE")
 			head.status = objects.erase(key) > 0 ? 200 : 404;
 		else
-			head.status = write(key, method == "POST",
-			    std::string(body->data, body->size), &text);
-		jj_http_call_answer(call, &head, text.data(), text.size());
+			head.status =
+			    write(key, method == "POST", question.body, &text);
+		jj_http_call_answer(
+		    question.call, &head, text.data(), text.size());
 	}
 	std::string
 	describe(const std::string &key, const Object &object)
@@ -119,25 +177,22 @@
 		    object.spec + "}";
 	}
 	std::string
-	list(const std::string &kind, const char *watch)
+	list(const std::string &kind, bool watches, uint64_t since)
 	{
-		uint64_t since = watch != nullptr ? std::stoull(watch) : 0;
 		std::string items;
 
 		for (const auto &object : objects) {
 			if (object.first.rfind(kind + "/", 0) != 0 ||
-			    (watch != nullptr &&
-				object.second.revision <= since))
+			    (watches && object.second.revision <= since))
 				continue;
 			std::string text =
 			    describe(object.first, object.second);
 
 			items += (items.empty() ? "" : ",") +
-			    (watch != nullptr ? R"({"object":)" + text + "}"
-					      : text);
+			    (watches ? R"({"object":)" + text + "}" : text);
 		}
-		return (watch != nullptr ? R"({"events":[)" : R"({"items":[)") +
-		    items + R"(],"at":)" + std::to_string(revision) + "}";
+		return (watches ? R"({"events":[)" : R"({"items":[)") + items +
+		    R"(],"at":)" + std::to_string(revision) + "}";
 	}
 	int
 	get(const std::string &key, std::string *text)
