Tests: limit, priority and service of a stream are of the call's version

With the limit's and the service's look-up undone both tests fail (5 of 20 requests admitted in place of 20; the stream is given up).

--- a/tests/core/gateway_teams_test.cc
+++ b/tests/core/gateway_teams_test.cc
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
+#include "core/gateway_state.h"
 #include "core/team/usage_window.h"
 }
 #include "tests/core/gateway_fleet.h"
@@ -198,4 +199,75 @@
 	}
 }
 
+/** Reads a configuration "VERSION": from 8 on, the team has a limit. */
+bool
+read_with_later_limit(void *ctx, const jj_bytes_t *object, jj_routes_t *routes,
+    char *why, size_t why_size)
+{
+	jj_team_entry_t team = {};
+
+	if (!read_routes(ctx, object, routes, why, why_size))
+		return false;
+	routes->teams = jj_teams_create();
+	team.usable = true;
+	jj_name_set(&team.name, "ice");
+	team.priority = routes->version < 8 ? 3 : 1;
+	team.rate_per_s = routes->version < 8 ? 0 : 1;
+	team.burst = 1;
+	(void)jj_teams_add(routes->teams, &team);
+	return true;
+}
+
+class TeamVersions : public GatewayFleet
+{
+      protected:
+	TeamVersions() : GatewayFleet(1, 1, read_with_later_limit)
+	{
+		see("verona-1", 2, "servers/s1", "verona ready places=90");
+	}
+	/** Begins requests by a version; returns how many are in progress. */
+	size_t
+	begin_by(const jj_routes_t *version, uint32_t priority, int count)
+	{
+		jj_gateway_t *gateway = vms["verona-1"].gateway;
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		size_t begun = 0;
+
+		for (int i = 0; i < count; i++) {
+			jj_gateway_request_t request = {};
+			const jj_gateway_entry_t *entry;
+
+			request.request = ++last;
+			request.host = "h";
+			request.path = "/online/1";
+			request.routes = version;
+			jj_name_set(&request.team, "ice");
+			request.budget_ms = 4000;
+			request.fingerprint = last;
+			jj_gateway_begin(gateway, &request, now, &out);
+			entry = jj_gateway_find_entry(gateway, last);
+			if (entry == nullptr)
+				continue;
+			begun++;
+			EXPECT_EQ(priority, entry->priority);
+		}
+		carry_out("verona-1", &out);
+		return begun;
+	}
+};
+
+/* Guards against a team of one version with the limit of another. */
+TEST_F(TeamVersions, LimitAndPriorityAreOfTheCallsVersion)
+{
+	const jj_routes_t *before =
+	    jj_routes_retain(jj_gateway_routes(vms["verona-1"].gateway));
+
+	see_config("verona-1", 8);
+	ASSERT_EQ(8U, version_of("verona-1"));
+	EXPECT_EQ(20U, begin_by(before, 3, 20));
+	EXPECT_GT(
+	    20U, begin_by(jj_gateway_routes(vms["verona-1"].gateway), 1, 20));
+	jj_routes_release(before);
+}
+
 } // namespace
--- a/tests/core/gateway_versions_test.cc
+++ b/tests/core/gateway_versions_test.cc
@@ -287,6 +287,23 @@
 	EXPECT_GE(taken_up, 12U);
 }
 
+/* Guards against a stream lost as its route goes while other VMs are asked. */
+TEST_F(GatewayVersionsFleet, AStreamTakenUpBeforeAChangeGoesOn)
+{
+	uint64_t request;
+
+	(void)begin_stream("verona-1", 5);
+	run(30000);
+	(void)begin_stream("verona-1", 5);
+	request = begin("verona-2", "/again/s", 5, "");
+	ASSERT_EQ(0U, attempts.count(request)) << "other VMs are asked";
+	routes.pop_back();
+	see_config("verona-2", 9);
+	run(500);
+	EXPECT_EQ(1U, attempts.count(request));
+	EXPECT_EQ(0U, given.count(request));
+}
+
 /*
  * Guards against a stream that is taken up twice and loses its version at the
  * second try.
