--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -33,7 +33,7 @@
  * caller's wait is longer.
  */
 #define STREAM_MIN_MS 20000
-/** Longest time that another VM's question may be about, ms. */
+/** Longest time that the query of another VM may ask for, ms. */
 #define STREAM_MAX_MS 86400000
 /** A list of servers that was confirmed within this time is complete, ms. */
 #define LIST_FRESH_MS 3000
@@ -374,7 +374,7 @@
 	    now - gateway->servers_since_ms >= stream_ms;
 }
 
-/** True when this VM knows what it was told of streams so long ago. */
+/** True when this VM has forgotten no stream of the last @p stream_ms. */
 static bool
 remembers_all(const jj_gateway_t *gateway, jj_ms_t stream_ms, jj_ms_t now)
 {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -43,10 +43,10 @@
 	/** of a resumed stream: what is known of its beginning */
 	uint64_t known_software;
 	uint64_t sole_software; /**< the only one that VMs have seen, or 0 */
-	/** one of these VMs has missed none for as long as a stream lasts */
+	/** one of these VMs missed no version for as long as a stream lasts */
 	bool sole_is_sure;
 	bool has_other_list; /**< another VM has seen it in its list */
-	/** no VM that may know of streams of this age is missing or young */
+	/** no VM that may know of streams of this age is missing or new */
 	bool is_memory_whole;
 	bool was_asked; /**< other VMs were asked, not decided yet */
 	bool was_answered; /**< at least one of them answered */
--- a/tests/core/gateway_access_test.cc
+++ b/tests/core/gateway_access_test.cc
@@ -793,10 +793,7 @@
 	}
 };
 
-/*
- * Guards against a request at a server, or a job, with the team of one version
- * of the configuration and the route of another, or of none.
- */
+/* Guards against a team of one version with the route of another. */
 TEST_P(AccessSeries, EachCallIsDecidedByOneVersion)
 {
 	play(GetParam());
--- a/tests/core/gateway_versions_restart_test.cc
+++ b/tests/core/gateway_versions_restart_test.cc
@@ -156,10 +156,7 @@
 	}
 };
 
-/*
- * Guards against streams joined from two software versions after all VMs were
- * killed at once, with servers of both versions in service.
- */
+/* Guards against streams joined after a kill of all VMs in a mixed fleet. */
 TEST_F(VersionsRestart, OfTwoVersionsNothingIsJoined)
 {
 	for (jj_ms_t after_ms : {200, 1000, 3000}) {
@@ -172,10 +169,7 @@
 	}
 }
 
-/*
- * Guards against streams that go on at the new software version as the servers
- * of the old one left just before or while all VMs were down.
- */
+/* Guards against streams that go on at the next version after a kill. */
 TEST_F(VersionsRestart, WithTheOldVersionJustGoneNothingIsJoined)
 {
 	for (bool is_down : {false, true})
@@ -198,10 +192,7 @@
 		}
 }
 
-/*
- * Guards against streams that go on at another software version after a second
- * kill of all VMs, before the first one's time is over.
- */
+/* Guards against streams joined after two kills of all VMs. */
 TEST_F(VersionsRestart, AfterTwoKillsNothingIsJoined)
 {
 	begin_streams(1);
@@ -217,11 +208,7 @@
 	take_up_all("later");
 }
 
-/*
- * Guards against a VM whose list of servers is some seconds old: it takes the
- * version that it knows for the one that began a stream, as the other VMs have
- * just started and know no better.
- */
+/* Guards against a version chosen by a list that is some seconds old. */
 TEST_F(VersionsRestart, AnOldListIsNoEvidenceWhereOthersSeeAnotherVersion)
 {
 	jj_ms_t cut_at;
@@ -245,10 +232,7 @@
 		    << now - cut_at << " ms after the last list";
 }
 
-/*
- * Guards against a VM that is left alone and takes the software version that it
- * knows for that of streams that began at other VMs meanwhile.
- */
+/* Guards against a version chosen by the only VM that is left. */
 TEST_F(VersionsRestart, AVmThatIsLeftAloneGoesOnWithNoUnknownStream)
 {
 	uint64_t request;
@@ -267,10 +251,7 @@
 	}
 }
 
-/*
- * Guards against streams that outlive the time for which a software version has
- * to be the only one: their callers wait for longer than most.
- */
+/* Guards against streams that last longer than the versions are known. */
 TEST_F(VersionsRestart, LongStreamsAreNotTakenForOnesOfTheNewVersion)
 {
 	routes.back().timeout_ms = 60000;
@@ -287,10 +268,7 @@
 	EXPECT_EQ('b', take_up(vm(1), "lost"));
 }
 
-/*
- * Guards against the same where callers wait for longer than the time limit of
- * one answer: they take the stream up again and again.
- */
+/* Guards against the same where callers resume again and again. */
 TEST_F(VersionsRestart, StreamsOfPatientCallersAreNotTakenForNewOnes)
 {
 	budget_ms = 60000;
@@ -304,11 +282,7 @@
 	take_up_all("25 s later");
 }
 
-/*
- * Guards against a stream that goes on at another software version, as its
- * caller names no request, what was known of it is lost, and another stream with
- * the same content has begun.
- */
+/* Guards against a stream taken for a newer one of the same content. */
 TEST_F(VersionsRestart, ANewerStreamWithTheSameContentIsNotTakenForIt)
 {
 	unlist_all('b');
@@ -329,10 +303,7 @@
 	take_up_all("later");
 }
 
-/*
- * Guards against the same where only the VMs that knew the older stream were
- * killed, and have not come back.
- */
+/* Guards against the same where only the VMs that knew it are lost. */
 TEST_F(VersionsRestart, NorIfTheVmsThatKnewItAreGone)
 {
 	uint64_t request;
@@ -351,10 +322,7 @@
 		EXPECT_EQ('-', take_up(vm(i), "", 77));
 }
 
-/*
- * Guards against callers that name no request refused on calm days, when two
- * software versions are in service.
- */
+/* Guards against callers refused on calm days as they name no request. */
 TEST_F(VersionsRestart, ContentTellsWhenNothingWasLost)
 {
 	wait(25000);
@@ -369,10 +337,7 @@
 	}
 }
 
-/*
- * Guards against a VM that no message reaches taken for one that has ended: it
- * still begins streams, and its callers come to other VMs.
- */
+/* Guards against a cut-off VM taken for one that begins no streams. */
 TEST_F(VersionsRestart, AVmThatIsCutOffForLongMayStillBeginStreams)
 {
 	uint64_t request;
@@ -395,10 +360,7 @@
 	}
 };
 
-/*
- * Guards against a relayed list of servers that has a VM that has just started
- * take a version for the only one.
- */
+/* Guards against a relayed list taken for all that a new VM has missed. */
 TEST_F(VersionsRestartRelay, ARelayedListIsNoEvidence)
 {
 	wait(25000);
@@ -419,10 +381,7 @@
 	}
 }
 
-/*
- * Guards against a release that the remaining VM does not see, as it does not
- * reach the platform, while all others are killed.
- */
+/* Guards against a release that the only VM that is left did not see. */
 TEST_F(VersionsRestartRelay, AReleaseThatOneVmDoesNotSee)
 {
 	for (jj_ms_t cut_ms : {100, 1000, 2500, 6000}) {
@@ -571,10 +530,7 @@
 	}
 };
 
-/*
- * Guards against streams of two versions where kills of all VMs meet releases
- * and VMs that do not reach the platform or each other.
- */
+/* Guards against streams joined where kills, releases and cuts overlap. */
 TEST_P(RestartSeries, NothingIsJoined)
 {
 	play(GetParam());
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -343,10 +343,7 @@
 	EXPECT_EQ(0U, chosen.count(""));
 }
 
-/*
- * Guards against a software version that is taken for the only one as a server
- * has another one under the same id, without the start of its process.
- */
+/* Guards against a version taken for the only one after a server changed. */
 TEST_F(Slots, AServerThatChangesItsSoftwareHadBothVersions)
 {
 	jj_slot_info_t info = {};
--- a/tests/system/access_failure_test.cc
+++ b/tests/system/access_failure_test.cc
@@ -518,10 +518,7 @@
 	}
 };
 
-/*
- * Guards against a request at a server without the team of its key by one
- * version, and against calls granted or denied without a configuration.
- */
+/* Guards against requests at servers without the team of their key. */
 TEST_F(AccessFailure, NoStartAndNoChangeLetsACallPassItsTeam)
 {
 	size_t received;
