Tests: random numbers of one call are drawn in statements of their own

The order in which arguments are evaluated isn't specified: from the right on x86-64, from the left on arm64, so a seed was another series there.

--- a/tests/core/gateway_prompt_test.cc
+++ b/tests/core/gateway_prompt_test.cc
@@ -288,11 +288,16 @@
 			uint64_t other = 100 + draw(20);
 
 			disturb();
-			for (uint32_t k = draw(8); k > 0; k--)
-				send(name_of((int)draw(3)),
-				    {FIRST, draw(2) == 0 ? SECOND : other});
-			send(name_of((int)draw(3)), {FIRST, other, POISON},
-			    draw(2) == 0 ? "/online/p" : "/again/p");
+			for (uint32_t k = draw(8); k > 0; k--) {
+				uint64_t part = draw(2) == 0 ? SECOND : other;
+				std::string vm = name_of((int)draw(3));
+
+				send(vm, {FIRST, part});
+			}
+			const char *path =
+			    draw(2) == 0 ? "/online/p" : "/again/p";
+			std::string vm = name_of((int)draw(3));
+			send(vm, {FIRST, other, POISON}, path);
 			play(100 + draw(900));
 		}
 	}
--- a/tests/core/gateway_versions_restart_test.cc
+++ b/tests/core/gateway_versions_restart_test.cc
@@ -456,6 +456,7 @@
 	{
 		size_t spared = draw(3);
 		std::string name;
+		char version;
 
 		switch (draw(40)) {
 		case 0:
@@ -476,7 +477,8 @@
 		case 4:
 		case 5:
 		case 6:
-			replace(draw(ids.size()), "ab"[draw(2)]);
+			version = "ab"[draw(2)];
+			replace(draw(ids.size()), version);
 			break;
 		case 7:
 			name = vm(1 + (int)draw(3));
@@ -508,6 +510,15 @@
 				start(vm(i));
 	}
 	void
+	take_up_any()
+	{
+		bool is_named = draw(2) == 0;
+		std::string name = vm(1 + (int)draw(3));
+		const auto &stream = streams[draw(streams.size())];
+
+		taken_up += take_up_one(stream, name, is_named, "series");
+	}
+	void
 	play(unsigned seed)
 	{
 		random.seed(seed);
@@ -518,10 +529,7 @@
 			if (streams.empty())
 				continue;
 			if (draw(2) == 0)
-				taken_up +=
-				    take_up_one(streams[draw(streams.size())],
-					vm(1 + (int)draw(3)), draw(2) == 0,
-					"series");
+				take_up_any();
 			disturb();
 			run(50 + draw(300));
 			if (streams.size() > 40)
