Logs: how an attempt's answer ended, and how its end is found

The HTTP client reads the framing of an answer's head (RFC 9112, 6.3); nothing is decided by it yet. test-adapters: 535 passed.

--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -20,6 +20,7 @@
 #include <glib.h>
 
 #include "adapters/http_client.h"
+#include "adapters/http_framing.h"
 #include "adapters/log.h"
 #include "adapters/monotonic.h"
 #include "adapters/runtime.h"
@@ -69,6 +70,8 @@
 	GString *lines; /**< header lines of the response */
 	size_t head_bytes; /**< of all header lines so far */
 	bool head_delivered;
+	jj_http_framing_t framing; /**< of the current head */
+	bool is_http10;
 	TAILQ_ENTRY(transfer) link; /**< in the client's idle_limited */
 	jj_ms_t idle_deadline_ms; /**< timed out then, unless data arrives */
 } transfer_t;
@@ -119,7 +122,11 @@
 static int on_socket_created(void *, curl_socket_t, curlsocktype);
 static void set_body(transfer_t *, const jj_http_request_t *);
 static jj_http_end_t classify_result(CURL *, CURLcode);
+static const char *name_result(CURLcode);
 static jj_ms_t read_seconds(const char *);
+static void begin_head(transfer_t *, const char *);
+static void end_head(transfer_t *);
+static void take_header(transfer_t *, const char *);
 static size_t on_header(char *, size_t, size_t, void *);
 static size_t on_body(char *, size_t, size_t, void *);
 static void append_line(GString *, const char *, size_t);
@@ -127,6 +134,15 @@
 static void
 push_command(jj_http_client_t *, command_kind_t, uint64_t, transfer_t *);
 
+const char *
+jj_http_body_name(jj_http_body_t body)
+{
+	static const char *const names[] = {
+	    "unknown", "length", "chunks", "close", "invalid"};
+
+	return names[body];
+}
+
 jj_http_client_t *
 jj_http_client_create(void)
 {
@@ -441,6 +457,7 @@
 		    message->easy_handle, CURLINFO_PRIVATE, &transfer);
 		end =
 		    classify_result(message->easy_handle, message->data.result);
+		transfer->head.ended = name_result(message->data.result);
 		end_transfer(client, transfer, end);
 	}
 }
@@ -511,9 +528,35 @@
 	return JJ_HTTP_BROKEN;
 }
 
+static const char *
+name_result(CURLcode result)
+{
+	switch (result) {
+	case CURLE_OK:
+		return "complete";
+	case CURLE_GOT_NOTHING:
+	case CURLE_PARTIAL_FILE:
+		return "closed";
+	case CURLE_RECV_ERROR:
+	case CURLE_SEND_ERROR:
+		return "reset";
+	case CURLE_COULDNT_CONNECT:
+		return "not_connected";
+	case CURLE_OPERATION_TIMEDOUT:
+		return "timeout";
+	case CURLE_WRITE_ERROR:
+		return "aborted";
+	default:
+		return "invalid";
+	}
+}
+
 static void
 end_transfer(jj_http_client_t *client, transfer_t *transfer, jj_http_end_t end)
 {
+	if (transfer->head.ended == NULL)
+		transfer->head.ended =
+		    end == JJ_HTTP_TIMEOUT ? "timeout" : "cancelled";
 	(void)curl_multi_remove_handle(client->multi, transfer->easy);
 	(void)g_hash_table_remove(client->transfers, &transfer->number);
 	if (transfer->request.begin_ms > 0)
@@ -689,10 +732,9 @@
 on_header(char *data, size_t size, size_t count, void *ctx)
 {
 	transfer_t *transfer = ctx;
-	jj_http_head_t *head = &transfer->head;
 	size_t length = size * count;
+	size_t text = length;
 	char line[256];
-	char retry_after[32] = "";
 
 	/* Any other value than the length ends the transfer. */
 	transfer->head_bytes += length;
@@ -701,18 +743,62 @@
 	extend_idle_deadline(transfer);
 	(void)snprintf(line, sizeof(line), "%.*s", (int)length, data);
 	line[strcspn(line, "\r\n")] = '\0';
+	while (text > 0 && (data[text - 1] == '\n' || data[text - 1] == '\r'))
+		text--;
+	if (transfer->head.body != JJ_HTTP_BODY_UNKNOWN)
+		return length; /* of the trailer */
 	if (strncmp(line, "HTTP/", 5) == 0) {
-		long status = 0;
-
-		(void)curl_easy_getinfo(
-		    transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-		memset(head, 0, sizeof(*head));
-		head->status = (int)status;
-		(void)g_string_truncate(transfer->lines, 0);
-		return length;
+		begin_head(transfer, line);
+	} else if (text == 0) {
+		end_head(transfer);
+	} else {
+		jj_http_framing_take_line(&transfer->framing, data, text);
+		append_line(transfer->lines, data, text);
+		take_header(transfer, line);
 	}
-	if (!transfer->head_delivered)
-		append_line(transfer->lines, data, length);
+	return length;
+}
+
+static void
+begin_head(transfer_t *transfer, const char *line)
+{
+	long status = 0;
+
+	(void)curl_easy_getinfo(
+	    transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+	memset(&transfer->head, 0, sizeof(transfer->head));
+	memset(&transfer->framing, 0, sizeof(transfer->framing));
+	transfer->head.status = (int)status;
+	transfer->is_http10 = strncmp(line, "HTTP/1.0", 8) == 0;
+	(void)g_string_truncate(transfer->lines, 0);
+}
+
+static void
+end_head(transfer_t *transfer)
+{
+	const jj_http_framing_t *framing = &transfer->framing;
+	jj_http_head_t *head = &transfer->head;
+
+	if (head->status < 200)
+		return;
+	if (!jj_http_framing_is_valid(framing) ||
+	    (framing->has_chunks && transfer->is_http10))
+		head->body = JJ_HTTP_BODY_INVALID;
+	else if (framing->has_chunks)
+		head->body = JJ_HTTP_BODY_CHUNKS;
+	else if (framing->has_length || head->status == 204 ||
+	    head->status == 304)
+		head->body = JJ_HTTP_BODY_LENGTH;
+	else
+		head->body = JJ_HTTP_BODY_CLOSE;
+}
+
+static void
+take_header(transfer_t *transfer, const char *line)
+{
+	jj_http_head_t *head = &transfer->head;
+	char retry_after[32] = "";
+
 	copy_header(head->content_type, sizeof(head->content_type),
 	    "Content-Type:", line);
 	copy_header(head->etag, sizeof(head->etag), "ETag:", line);
@@ -723,17 +809,11 @@
 		head->retry_after_ms = read_seconds(retry_after);
 	if (strncasecmp(line, "Jujube-Leaving:", 15) == 0)
 		head->leaving = true;
-	return length;
 }
 
 static void
 append_line(GString *lines, const char *data, size_t length)
 {
-	while (length > 0 &&
-	    (data[length - 1] == '\n' || data[length - 1] == '\r'))
-		length--;
-	if (length == 0)
-		return;
 	(void)g_string_append_len(lines, data, (gssize)length);
 	(void)g_string_append_c(lines, '\n');
 }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -23,9 +23,20 @@
 	JJ_HTTP_CANCELLED,
 } jj_http_end_t;
 
+/** How the end of an answer's body is found. */
+typedef enum {
+	JJ_HTTP_BODY_UNKNOWN, /**< the end of the head was not received */
+	JJ_HTTP_BODY_LENGTH, /**< by its length; 0 where the status says so */
+	JJ_HTTP_BODY_CHUNKS, /**< by the last chunk */
+	JJ_HTTP_BODY_CLOSE, /**< the connection is closed there */
+	JJ_HTTP_BODY_INVALID, /**< the headers contradict each other */
+} jj_http_body_t;
+
 /** Status and those headers of an answer that are used here. */
 typedef struct {
 	int status;
+	jj_http_body_t body;
+	const char *ended; /**< how the transfer ended, for logs; static */
 	char content_type[96];
 	char etag[40];
 	char stream[64]; /**< Jujube-Stream */
@@ -75,6 +86,9 @@
 
 typedef struct jj_http_client jj_http_client_t;
 
+/** Name of that way for logs. */
+const char *jj_http_body_name(jj_http_body_t body);
+
 /** Starts the client's thread; NULL if libcurl or the thread fails. */
 jj_http_client_t *jj_http_client_create(void);
 /** Cancels all requests (their on_end runs) and stops the thread. */
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -75,6 +75,12 @@
 	 * it also does when the server crashes
 	 */
 	bool unframed;
+	/** gateway, for logs: how the attempt's connection ended; static */
+	const char *ended;
+	/** gateway, for logs: how the end of its body is found; static */
+	const char *framing;
+	uint32_t events; /**< gateway: complete events of the attempt */
+	int64_t after; /**< gateway: event after which it was resumed, or -1 */
 	bool resumable; /**< the server can resume the stream */
 	bool probe_cut; /**< the health probe of the server was cut off, too */
 } jj_backend_event_t;
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -25,6 +25,8 @@
 #define MEAN_WEIGHT 0.05
 /** Maximum parts of a prompt that one log line names. */
 #define LOGGED_PARTS_MAX 7
+/** Fields of a log line on how an answer ended, bytes. */
+#define ANSWER_TEXT_SIZE 128
 
 static bool
 has_stalled(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
@@ -63,8 +65,9 @@
 retry(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static void
 cancel_attempt(jj_gateway_t *, jj_gateway_entry_t *, jj_actions_t *);
-static void
-log_end(const jj_gateway_entry_t *, const char *, jj_ms_t, jj_actions_t *);
+static void log_end(const jj_gateway_entry_t *, const char *,
+    const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
+static void describe_answer(const jj_backend_event_t *, char *, size_t);
 static jj_ms_t
 choose_retry_after_ms(jj_gateway_t *, jj_failure_t, const jj_prompt_t *);
 static const char *name_of_kind(jj_backend_kind_t);
@@ -171,7 +174,7 @@
 
 	if (entry == NULL)
 		return;
-	log_end(entry, "caller_gone", now, out);
+	log_end(entry, "caller_gone", NULL, now, out);
 	note_if_silent(gateway, entry, now, out);
 	cancel_attempt(gateway, entry, out);
 	jj_gateway_free_entry(gateway, entry);
@@ -645,7 +648,7 @@
 	if (entry->class_of == JJ_CLASS_ONLINE && !is_error)
 		note_service_time(gateway, entry, now);
 	log_end(entry, event->kind == JJ_BACKEND_DONE ? "done" : "rejected",
-	    now, out);
+	    event, now, out);
 	if (entry->class_of == JJ_CLASS_BATCH) {
 		uint64_t request = entry->request;
 
@@ -701,6 +704,7 @@
     jj_actions_t *out)
 {
 	bool was_sent = event->kind != JJ_BACKEND_NOT_SENT;
+	char answer[ANSWER_TEXT_SIZE];
 	bool not_run = event->kind == JJ_BACKEND_NOT_SENT ||
 	    event->kind == JJ_BACKEND_REFUSED ||
 	    event->kind == JJ_BACKEND_LEAVING;
@@ -717,13 +721,14 @@
 	if (event->kind == JJ_BACKEND_NOT_SENT)
 		jj_gateway_note_unreachable(gateway, entry->server, now, out);
 	note_server(gateway, entry, event, now);
+	describe_answer(event, answer, sizeof(answer));
 	jj_actions_add_event(out, "attempt_failed",
 	    "request=%s server=%s attempt=%u kind=%s first=%d relayed=%d "
-	    "after_ms=%lld fingerprint=%016llx",
+	    "after_ms=%lld fingerprint=%016llx%s",
 	    entry->id, entry->server->info.id.text, entry->attempt,
 	    name_of_kind(event->kind), entry->first_seen, entry->relayed,
 	    (long long)(now - entry->sent_ms),
-	    (unsigned long long)entry->fingerprint);
+	    (unsigned long long)entry->fingerprint, answer);
 	if (!not_run && entry->prompt.count > 0)
 		log_prompt(entry, out);
 	jj_gateway_leave_server(gateway, entry);
@@ -821,19 +826,38 @@
 	action->body.cancel.attempt = entry->attempt;
 }
 
+/** @param event the end of the last attempt, or NULL. */
 static void
-log_end(const jj_gateway_entry_t *entry, const char *outcome, jj_ms_t now,
-    jj_actions_t *out)
+log_end(const jj_gateway_entry_t *entry, const char *outcome,
+    const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
 {
+	char answer[ANSWER_TEXT_SIZE];
+
+	describe_answer(event, answer, sizeof(answer));
 	jj_actions_add_event(out,
 	    entry->class_of == JJ_CLASS_ONLINE ? "request_ended" : "item_ended",
 	    "request=%s outcome=%s server=%s attempt=%u first_ms=%lld "
-	    "took_ms=%lld",
+	    "took_ms=%lld%s",
 	    entry->id, outcome, entry->last_server.text, entry->attempt,
 	    entry->first_ms == 0
 		? -1LL
 		: (long long)(entry->first_ms - entry->begun_ms),
-	    (long long)(now - entry->begun_ms));
+	    (long long)(now - entry->begun_ms), answer);
+}
+
+/**
+ * Writes how the answer of an attempt ended, as fields of a log line; nothing
+ * if @p event is NULL or the attempt got no answer.
+ */
+static void
+describe_answer(const jj_backend_event_t *event, char *text, size_t size)
+{
+	text[0] = '\0';
+	if (event == NULL || event->ended == NULL)
+		return;
+	(void)snprintf(text, size,
+	    " ended=%s framing=%s events=%u resumed_after=%lld", event->ended,
+	    event->framing, event->events, (long long)event->after);
 }
 
 /**
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -71,6 +71,11 @@
 	int status;
 	bool not_run; /**< the server reported that it did not run it */
 	bool framed; /**< the answer has a length or chunks */
+	jj_http_body_t body_end; /**< how the end of its body is found */
+	const char *ended; /**< how its transfer ended; static */
+	uint32_t event_count; /**< complete events */
+	int64_t
+	    after; /**< event after which it was resumed, or JJ_EVENT_NO_ID */
 	char *header_lines; /**< header lines of the answer; owned */
 	jj_event_stream_t events;
 	jj_buffer_t body; /**< of an answer that is not streamed */
@@ -235,6 +240,7 @@
 	attempt->streams = start->streams;
 	attempt->retries_errors = start->retries_errors;
 	attempt->resumes = entry->last_id != JJ_EVENT_NO_ID;
+	attempt->after = entry->last_id;
 	attempt->id = strdup(entry->exchange.id);
 	jj_event_stream_begin(&attempt->events, entry->last_id);
 	attempt->reported_id = entry->last_id;
@@ -539,6 +545,7 @@
 forward_event(
     attempt_t *attempt, entry_t *entry, const jj_stream_event_t *event)
 {
+	attempt->event_count++;
 	entry->last_id = attempt->events.last_id;
 	entry->software = attempt->software;
 	attempt->begun_software = attempt->software;
@@ -672,6 +679,8 @@
 	attempt_t ended;
 	entry_t *entry;
 
+	attempt->body_end = head->body;
+	attempt->ended = head->ended;
 	(void)apr_thread_mutex_lock(relay->lock);
 	relay->buffered -= attempt->body.bytes.size;
 	entry = find(relay, attempt->request);
@@ -784,6 +793,10 @@
 	event.relayed = relayed;
 	event.software = attempt->begun_software;
 	event.unframed = kind == JJ_BACKEND_DONE && !attempt->framed;
+	event.ended = attempt->ended;
+	event.framing = jj_http_body_name(attempt->body_end);
+	event.events = attempt->event_count;
+	event.after = attempt->after;
 	attempt->relay->port.on_event(
 	    attempt->relay->port.ctx, &event, attempt->status, text);
 }
