HTTP client: an answer is complete only where its end was received

Callers saw a 200 with an empty or short body that was framed as whole, and items listed as done without the rest of their output. libcurl reports a connection that closes inside the head, after the status line, as a complete transfer without a body; it takes the last of two lengths, a length beside chunks, the digits before other bytes, and does not know a header whose name ends with a space. The client now ends such a transfer as broken: the empty line after the head must have come, and all header lines must agree on where the body ends (RFC 9112, 5.1, 5.2, 6.1, 6.3). It concerns all users of the client: both relays, the store, health probes and orders.

--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -121,7 +121,7 @@
 static void set_keepalive(CURL *);
 static int on_socket_created(void *, curl_socket_t, curlsocktype);
 static void set_body(transfer_t *, const jj_http_request_t *);
-static jj_http_end_t classify_result(CURL *, CURLcode);
+static jj_http_end_t classify_result(const transfer_t *, CURLcode);
 static const char *name_result(CURLcode);
 static jj_ms_t read_seconds(const char *);
 static void begin_head(transfer_t *, const char *);
@@ -455,8 +455,7 @@
 			continue;
 		(void)curl_easy_getinfo(
 		    message->easy_handle, CURLINFO_PRIVATE, &transfer);
-		end =
-		    classify_result(message->easy_handle, message->data.result);
+		end = classify_result(transfer, message->data.result);
 		transfer->head.ended = name_result(message->data.result);
 		end_transfer(client, transfer, end);
 	}
@@ -478,7 +477,7 @@
 		if (transfer->idle_deadline_ms <= client->last_read_ms)
 			end_transfer(client, transfer,
 			    classify_result(
-				transfer->easy, CURLE_OPERATION_TIMEDOUT));
+				transfer, CURLE_OPERATION_TIMEDOUT));
 	}
 }
 
@@ -505,13 +504,17 @@
  * no connection was established.
  */
 static jj_http_end_t
-classify_result(CURL *easy, CURLcode result)
+classify_result(const transfer_t *transfer, CURLcode result)
 {
+	CURL *easy = transfer->easy;
 	curl_off_t ready_us = 0;
 	long request_size = 0;
 
+	/* libcurl takes an answer for complete that ends inside its head. */
 	if (result == CURLE_OK)
-		return JJ_HTTP_COMPLETE;
+		return transfer->head.body == JJ_HTTP_BODY_UNKNOWN
+		    ? JJ_HTTP_BROKEN
+		    : JJ_HTTP_COMPLETE;
 	(void)curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &ready_us);
 	(void)curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
 	/*
@@ -751,6 +754,9 @@
 		begin_head(transfer, line);
 	} else if (text == 0) {
 		end_head(transfer);
+		/* Nobody knows where such an answer ends. */
+		if (transfer->head.body == JJ_HTTP_BODY_INVALID)
+			return 0;
 	} else {
 		jj_http_framing_take_line(&transfer->framing, data, text);
 		append_line(transfer->lines, data, text);
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -16,7 +16,12 @@
 
 /** How a request ended. */
 typedef enum {
-	JJ_HTTP_COMPLETE, /**< complete by HTTP's framing */
+	/**
+	 * Complete by HTTP's framing: the head and the end of the body were
+	 * received. If `body` is JJ_HTTP_BODY_CLOSE, the connection was closed
+	 * and not reset, which a sender that failed may do as well.
+	 */
+	JJ_HTTP_COMPLETE,
 	JJ_HTTP_NOT_SENT, /**< no connection: no byte was sent */
 	JJ_HTTP_BROKEN, /**< failed after bytes may have been sent */
 	JJ_HTTP_TIMEOUT, /**< not complete in time after bytes were sent */
--- a/tests/adapters/http_client_test.cc
+++ b/tests/adapters/http_client_test.cc
@@ -147,6 +147,12 @@
 	    {"half an answer", true, head + "ab", true, LIMIT_MS,
 		JJ_HTTP_BROKEN},
 	    {"closed without a word", true, "", true, LIMIT_MS, JJ_HTTP_BROKEN},
+	    {"closed inside its head", true, "HTTP/1.1 200 OK\r\nETag: \"1",
+		true, LIMIT_MS, JJ_HTTP_BROKEN},
+	    {"two lengths", true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n" + head.substr(17) +
+		    "abcd",
+		false, LIMIT_MS, JJ_HTTP_BROKEN},
 	    {"silence", true, "", false, 200, JJ_HTTP_TIMEOUT},
 	};
 
