Items: an answer that ends with its connection is confirmed by the next one

An item was listed as done with part of its output: its first run was broken off, and the attempt that resumed it got a whole head, neither length nor chunks, no event, and a close. An attempt that resumes was done without an event however it ended; a server with nothing left answers so, but so does one that breaks off.

The end of a stream without length or chunks now counts for an item once two attempts in a row find it after the same event, or the next one ends by its last chunk or length with nothing left. A resumed attempt that brings no event and is closed is broken, for callers, too. A caller's stream that brought events is ended as before: it can't wait.

The row OfAnItemIsJudgedAlike of a stream that is closed between events now wants the doubt, not the end.

--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -49,6 +49,12 @@
 	JJ_BACKEND_FIRST, /**< first token, or the head of an answer */
 	JJ_BACKEND_TOKENS, /**< `tokens` more tokens */
 	JJ_BACKEND_DONE,
+	/**
+	 * gateway: the answer to an item ended between two events with its
+	 * connection, without a length or chunks. The item is resumed there:
+	 * if nothing follows, it is done.
+	 */
+	JJ_BACKEND_UNCONFIRMED,
 	/**
 	 * A permanent refusal (4xx), or an error of the server (500 and the
 	 * like), that is relayed to the caller. When it
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -60,6 +60,9 @@
     const jj_backend_event_t *, int, jj_bytes_t *, jj_ms_t, jj_actions_t *);
 static void note_server(
     jj_gateway_t *, jj_gateway_entry_t *, const jj_backend_event_t *, jj_ms_t);
+static void take_unconfirmed(jj_gateway_t *, jj_gateway_entry_t *,
+    const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
+static void requeue_item(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t);
 static void log_prompt(const jj_gateway_entry_t *, jj_actions_t *);
 static void
 retry(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
@@ -156,6 +159,9 @@
 	case JJ_BACKEND_REJECTED:
 		take_end(gateway, entry, event, status, text, now, out);
 		break;
+	case JJ_BACKEND_UNCONFIRMED:
+		take_unconfirmed(gateway, entry, event, now, out);
+		break;
 	default:
 		if (event->kind == JJ_BACKEND_FAILED &&
 		    is_server_failure(status))
@@ -731,20 +737,43 @@
 	    (unsigned long long)entry->fingerprint, answer);
 	if (!not_run && entry->prompt.count > 0)
 		log_prompt(entry, out);
-	jj_gateway_leave_server(gateway, entry);
 	if (entry->class_of == JJ_CLASS_BATCH) {
-		entry->not_before_ms =
-		    not_run ? now : now + gateway->settings.retry_after_ms;
-		TAILQ_REMOVE(&gateway->waiting, entry, link);
-		jj_gateway_add_waiting_item(gateway, entry);
+		requeue_item(gateway, entry,
+		    not_run ? now : now + gateway->settings.retry_after_ms);
 		return;
 	}
+	jj_gateway_leave_server(gateway, entry);
 	if (not_run || entry->repeatable)
 		retry(gateway, entry, now, out);
 	else
 		jj_gateway_give_up(gateway, entry, JJ_FAILURE_BROKEN, out);
 }
 
+/** Resumes an item elsewhere to learn whether its output goes on. */
+static void
+take_unconfirmed(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
+    const jj_backend_event_t *event, jj_ms_t now, jj_actions_t *out)
+{
+	char answer[ANSWER_TEXT_SIZE];
+
+	describe_answer(event, answer, sizeof(answer));
+	jj_actions_add_event(out, "item_unconfirmed",
+	    "request=%s server=%s attempt=%u%s", entry->id,
+	    entry->server->info.id.text, entry->attempt, answer);
+	jj_gateway_note_completed(gateway, entry, event->unframed, now, out);
+	requeue_item(gateway, entry, now);
+}
+
+static void
+requeue_item(
+    jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t not_before_ms)
+{
+	jj_gateway_leave_server(gateway, entry);
+	entry->not_before_ms = not_before_ms;
+	TAILQ_REMOVE(&gateway->waiting, entry, link);
+	jj_gateway_add_waiting_item(gateway, entry);
+}
+
 /** Names the parts that an unanswered request shares with others. */
 static void
 log_prompt(const jj_gateway_entry_t *entry, jj_actions_t *out)
@@ -891,8 +920,8 @@
 name_of_kind(jj_backend_kind_t kind)
 {
 	static const char *const names[] = {"not_sent", "refused",
-	    "other_instance", "first", "tokens", "done", "rejected", "failed",
-	    "broken", "timeout", "cancelled"};
+	    "other_instance", "first", "tokens", "done", "unconfirmed",
+	    "rejected", "failed", "broken", "timeout", "cancelled"};
 
 	return names[kind];
 }
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -45,6 +45,8 @@
 	uint64_t software;
 	jj_bytes_t text; /**< of a batch item: its output so far */
 	bool has_text; /**< an event had data, if only an empty text */
+	bool has_closed; /**< an answer ended with its connection */
+	int64_t closed_after; /**< after that event */
 } entry_t;
 
 /** How an answer is handled, as its head decides. */
@@ -70,7 +72,6 @@
 	answer_kind_t kind;
 	int status;
 	bool not_run; /**< the server reported that it did not run it */
-	bool framed; /**< the answer has a length or chunks */
 	jj_http_body_t body_end; /**< how the end of its body is found */
 	const char *ended; /**< how its transfer ended; static */
 	uint32_t event_count; /**< complete events */
@@ -116,6 +117,7 @@
 static void free_fields(GArray *);
 static void on_end(void *, jj_http_end_t, const jj_http_head_t *);
 static jj_backend_kind_t classify_end(const attempt_t *, jj_http_end_t);
+static jj_backend_kind_t classify_close(const attempt_t *, entry_t *);
 static jj_backend_kind_t classify_status(const attempt_t *);
 static bool is_retried_error(const attempt_t *);
 static void finish_answer(attempt_t *, entry_t *, jj_bytes_t *);
@@ -408,6 +410,7 @@
 	attempt_t *attempt = ctx;
 
 	attempt->status = head->status;
+	attempt->body_end = head->body;
 	attempt->header_lines = strdup(head->lines);
 	check_head(attempt);
 }
@@ -464,9 +467,6 @@
 			attempt->kind = ANSWER_INVALID;
 		if (strcasecmp(line, names->stamp) == 0)
 			has_stamp = true;
-		if (strcasecmp(line, "Content-Length") == 0 ||
-		    strcasecmp(line, "Transfer-Encoding") == 0)
-			attempt->framed = true;
 		if (strcasecmp(line, names->not_run) == 0)
 			attempt->not_run = strcmp(value, "0") != 0;
 		g_free(line);
@@ -516,6 +516,7 @@
 		entry->has_text = false;
 		entry->last_id = entry->exchange.last_id;
 		entry->software = 0;
+		entry->has_closed = false;
 	}
 	if (entry->last_id == JJ_EVENT_NO_ID)
 		return true;
@@ -545,7 +546,7 @@
 forward_event(
     attempt_t *attempt, entry_t *entry, const jj_stream_event_t *event)
 {
-	attempt->event_count++;
+	attempt->event_count += event->id != JJ_EVENT_NO_ID;
 	entry->last_id = attempt->events.last_id;
 	entry->software = attempt->software;
 	attempt->begun_software = attempt->software;
@@ -575,6 +576,7 @@
 	entry->has_text = false;
 	entry->last_id = JJ_EVENT_NO_ID;
 	entry->software = 0;
+	entry->has_closed = false;
 	attempt->kind = ANSWER_INVALID;
 }
 
@@ -688,6 +690,9 @@
 		is_current = true;
 		entry->attempt = 0;
 		relayed = entry->begun;
+		if (kind == JJ_BACKEND_DONE && attempt->kind == ANSWER_STREAM &&
+		    attempt->body_end == JJ_HTTP_BODY_CLOSE)
+			kind = classify_close(attempt, entry);
 		if (kind == JJ_BACKEND_DONE || kind == JJ_BACKEND_REJECTED)
 			finish_answer(attempt, entry, &text);
 	}
@@ -747,12 +752,33 @@
 		return jj_attempt_kind_of_end(end);
 	if (attempt->kind == ANSWER_STREAM)
 		return jj_event_stream_has_incomplete(&attempt->events) ||
-			(!attempt->first_reported && !attempt->resumes)
+			(attempt->event_count == 0 && !attempt->resumes)
 		    ? JJ_BACKEND_BROKEN
 		    : JJ_BACKEND_DONE;
 	return classify_status(attempt);
 }
 
+/**
+ * A stream that ended between two events, with its connection: the server may
+ * have failed there. Where another attempt can tell, the end counts once two
+ * attempts in a row found it after the same event. A caller's stream that
+ * brought events isn't kept waiting for that.
+ */
+static jj_backend_kind_t
+classify_close(const attempt_t *attempt, entry_t *entry)
+{
+	bool is_item = entry->exchange.call == NULL;
+	bool is_confirmed =
+	    entry->has_closed && entry->closed_after == entry->last_id;
+
+	entry->has_closed = true;
+	entry->closed_after = entry->last_id;
+	if (is_confirmed || (!is_item && attempt->event_count > 0))
+		return JJ_BACKEND_DONE;
+	return attempt->event_count > 0 ? JJ_BACKEND_UNCONFIRMED
+					: JJ_BACKEND_BROKEN;
+}
+
 /**
  * Only the server's own statement (421 or the not-run header) proves that it
  * did not run a request. A status that implies it to the caller without that
@@ -792,7 +818,9 @@
 	event.retry_after_ms = retry_after_ms;
 	event.relayed = relayed;
 	event.software = attempt->begun_software;
-	event.unframed = kind == JJ_BACKEND_DONE && !attempt->framed;
+	event.unframed =
+	    (kind == JJ_BACKEND_DONE || kind == JJ_BACKEND_UNCONFIRMED) &&
+	    attempt->body_end == JJ_HTTP_BODY_CLOSE;
 	event.ended = attempt->ended;
 	event.framing = jj_http_body_name(attempt->body_end);
 	event.events = attempt->event_count;
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -41,6 +41,8 @@
 	uint64_t software = 0; /**< of the last event */
 	int ended = -1; /**< how the attempt ended */
 	bool unframed = false; /**< it ended with its connection */
+	std::string output; /**< of the item, when it is done */
+	int64_t last_id = JJ_EVENT_NO_ID; /**< event to resume after */
 	int progress = 0; /**< reports of events after the first one */
 	UnresponsiveServer server;
 	std::string front_address = free_address();
@@ -83,7 +85,8 @@
 		    static_cast<StreamRelayFixture *>(ctx)->relay, 1);
 	}
 	static void
-	on_event(void *ctx, const jj_backend_event_t *event, int, jj_bytes_t *)
+	on_event(
+	    void *ctx, const jj_backend_event_t *event, int, jj_bytes_t *text)
 	{
 		auto *self = static_cast<StreamRelayFixture *>(ctx);
 		std::lock_guard<std::mutex> guard(self->lock);
@@ -94,6 +97,8 @@
 		    event->kind == JJ_BACKEND_TOKENS)
 			return;
 		self->ended = event->kind;
+		if (text != nullptr && text->size > 0)
+			self->output.assign(text->data, text->size);
 		self->unframed = event->unframed;
 		self->changed.notify_all();
 	}
@@ -116,7 +121,7 @@
 		exchange.id = strdup(id.c_str());
 		exchange.method = strdup("GET");
 		exchange.uri = strdup("/x");
-		exchange.last_id = JJ_EVENT_NO_ID;
+		exchange.last_id = last_id;
 		jj_stream_exchange_add_header(&exchange, "X-Id", id.c_str());
 		jj_stream_relay_add(relay, &exchange);
 		attempt(1, 7);
@@ -136,6 +141,26 @@
 		start.budget_ms = WAIT_LIMIT_MS;
 		jj_stream_relay_start(relay, 1, number, &start);
 	}
+	/** Answers the attempt that was started, closes; returns its end. */
+	int
+	answer_and_close(const std::string &answer, bool resets = false)
+	{
+		linger reset = {1, 0};
+
+		ended = -1;
+		if (!server.accept_one(WAIT_LIMIT_MS))
+			return -1;
+		(void)read_until(server.last(), "\r\n\r\n");
+		EXPECT_EQ((ssize_t)answer.size(),
+		    send(server.last(), answer.data(), answer.size(),
+			MSG_NOSIGNAL));
+		if (resets)
+			(void)setsockopt(server.last(), SOL_SOCKET, SO_LINGER,
+			    &reset, sizeof(reset));
+		server.close_last();
+		wait_for([this] { return ended >= 0; });
+		return ended;
+	}
 };
 
 class StreamRelay : public StreamRelayFixture,
@@ -274,23 +299,12 @@
 {
       protected:
 	void
-	end_answer()
+	end_answer(jj_backend_kind_t kind)
 	{
-		linger reset = {1, 0};
-
 		streams = GetParam().streams;
 		start("i");
-		ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
-		(void)read_until(server.last(), "\r\n\r\n");
-		ASSERT_EQ((ssize_t)strlen(GetParam().answer),
-		    send(server.last(), GetParam().answer,
-			strlen(GetParam().answer), MSG_NOSIGNAL));
-		if (GetParam().resets)
-			(void)setsockopt(server.last(), SOL_SOCKET, SO_LINGER,
-			    &reset, sizeof(reset));
-		server.close_last();
-		wait_for([this] { return ended >= 0; });
-		EXPECT_EQ(GetParam().kind, ended);
+		EXPECT_EQ(kind,
+		    answer_and_close(GetParam().answer, GetParam().resets));
 		EXPECT_EQ(GetParam().unframed, unframed);
 	}
 };
@@ -301,7 +315,7 @@
 	int fd = send_request(front_address);
 
 	wait_for([this] { return caller != nullptr; });
-	end_answer();
+	end_answer(GetParam().kind);
 	if (GetParam().kind != JJ_BACKEND_DONE) {
 		EXPECT_TRUE(jj_stream_relay_has(relay, 1));
 	} else if (GetParam().streams) {
@@ -314,10 +328,12 @@
 	(void)close(fd);
 }
 
-/* The same for an item of a job. */
+/* The same for an item of a job, which an end by a close leaves in doubt. */
 TEST_P(AnswerEnd, OfAnItemIsJudgedAlike)
 {
-	end_answer();
+	end_answer(GetParam().streams && GetParam().unframed
+		? JJ_BACKEND_UNCONFIRMED
+		: GetParam().kind);
 }
 
 INSTANTIATE_TEST_SUITE_P(Ends, AnswerEnd,
@@ -339,6 +355,8 @@
 	    JJ_BACKEND_BROKEN, false},
 	EndCase{"StreamInAHeaderLine", true, "HTTP/1.1 200 OK\r\nX-Id", false,
 	    JJ_BACKEND_BROKEN, false},
+	EndCase{"StreamAfterItsStamp", true, ANSWER_HEAD "Transfer-En", false,
+	    JJ_BACKEND_BROKEN, false},
 	EndCase{
 	    "StreamBeforeAnyByte", true, "", false, JJ_BACKEND_BROKEN, false},
 	EndCase{"StreamInChunks", true,
@@ -360,9 +378,158 @@
 	    false},
 	EndCase{"ShorterThanItsLength", false,
 	    ANSWER_HEAD "Content-Length: 3\r\n\r\nok", false, JJ_BACKEND_BROKEN,
-	    false}),
+	    false},
+	EndCase{"TwoLengths", false,
+	    ANSWER_HEAD "Content-Length: 5\r\nContent-Length: 2\r\n\r\nok",
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"ListOfLengths", false,
+	    ANSWER_HEAD "Content-Length: 2, 5\r\n\r\nok", false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"LengthIsNoNumber", false,
+	    ANSWER_HEAD "Content-Length: 2x\r\n\r\nok", false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"LengthIsNegative", false,
+	    ANSWER_HEAD "Content-Length: -2\r\n\r\nok", false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"LengthBeyond64Bits", false,
+	    ANSWER_HEAD "Content-Length: 18446744073709551618\r\n\r\nok", false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"LengthAndChunks", false,
+	    ANSWER_HEAD "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+			"\r\n2\r\nok\r\n0\r\n\r\n",
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"OtherCoding", false,
+	    ANSWER_HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n"
+			"2\r\nok\r\n0\r\n\r\n",
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"SpaceBeforeTheColon", false,
+	    ANSWER_HEAD "Content-Length : 1\r\n\r\nok", false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"FoldedLine", false,
+	    ANSWER_HEAD "X-A: b\r\n c\r\nContent-Length: 2\r\n\r\nok", false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"ChunksInHttp10", false,
+	    "HTTP/1.0 200 OK\r\nX-Id: i\r\nX-Stamp: s\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	    false, JJ_BACKEND_BROKEN, false}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+struct CutCase {
+	const char *name;
+	bool streams;
+	int64_t last_id; /**< event to resume after */
+	const char *answer;
+};
+
+class CutAnswer : public StreamRelayFixture,
+		  public ::testing::WithParamInterface<CutCase>
+{
+      protected:
+	void
+	expect_broken_at_each_byte()
+	{
+		std::string answer = GetParam().answer;
+		uint32_t number = 1;
+
+		streams = GetParam().streams;
+		last_id = GetParam().last_id;
+		start("i");
+		for (size_t size = 0; size < answer.size(); size++) {
+			ASSERT_EQ(JJ_BACKEND_BROKEN,
+			    answer_and_close(answer.substr(0, size)))
+			    << size;
+			attempt(++number, 7);
+		}
+		EXPECT_LE(JJ_BACKEND_DONE, answer_and_close(answer));
+		EXPECT_FALSE(jj_stream_relay_has(relay, 1));
+	}
+};
+
+/* Guards against an answer that ends early and is framed as whole. */
+TEST_P(CutAnswer, IsBrokenAtEachByte)
+{
+	int fd = send_request(front_address);
+
+	wait_for([this] { return caller != nullptr; });
+	expect_broken_at_each_byte();
+	(void)close(fd);
+}
+
+/* The same for an item of a job. */
+TEST_P(CutAnswer, OfAnItemIsBrokenAtEachByte)
+{
+	expect_broken_at_each_byte();
+}
+
+#define CHUNKS "Transfer-Encoding: chunked\r\n\r\n"
+
+/* The last chunk has been received before its last line feed. */
+INSTANTIATE_TEST_SUITE_P(Places, CutAnswer,
+    ::testing::Values(CutCase{"Length", false, JJ_EVENT_NO_ID,
+			  ANSWER_HEAD "Content-Length: 12\r\n\r\nabcdefghijkl"},
+	CutCase{"NoBytes", false, JJ_EVENT_NO_ID,
+	    ANSWER_HEAD "Content-Length: 0\r\n\r\n"},
+	CutCase{"Chunks", false, JJ_EVENT_NO_ID,
+	    ANSWER_HEAD CHUNKS "2\r\nok\r\n0\r\n\r"},
+	CutCase{"AfterAnInterimHead", false, JJ_EVENT_NO_ID,
+	    "HTTP/1.1 103 Early\r\n\r\n" ANSWER_HEAD
+	    "Content-Length: 2\r\n\r\nok"},
+	CutCase{"Error", true, JJ_EVENT_NO_ID,
+	    "HTTP/1.1 404 Not Found\r\nX-Id: i\r\nX-Stamp: s\r\n"
+	    "Content-Length: 2\r\n\r\nno"},
+	CutCase{
+	    "ResumedWithNothingLeft", true, 8, ANSWER_HEAD CHUNKS "0\r\n\r"},
+	CutCase{"ResumedWithLengthZero", true, 8,
+	    ANSWER_HEAD "Content-Length: 0\r\n\r\n"}),
     [](const auto &info) { return std::string(info.param.name); });
 
+struct DoubtCase {
+	const char *name;
+	const char *second; /**< the answer of the attempt that resumes */
+	int kind; /**< of its end */
+	const char *output;
+};
+
+class ItemInDoubt : public StreamRelayFixture,
+		    public ::testing::WithParamInterface<DoubtCase>
+{
+};
+
+/* Guards against an item that is done where its server closed half-way. */
+TEST_P(ItemInDoubt, IsResumedWhereItsAnswerWasClosed)
+{
+	streams = true;
+	start("i");
+	EXPECT_EQ(
+	    JJ_BACKEND_UNCONFIRMED, answer_and_close(ANSWER_HEAD "\r\n" EVENT));
+	attempt(2, 7);
+	EXPECT_EQ(GetParam().kind, answer_and_close(GetParam().second));
+	EXPECT_EQ(GetParam().output, output);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, ItemInDoubt,
+    ::testing::Values(DoubtCase{"NothingLeft", ANSWER_HEAD CHUNKS "0\r\n\r\n",
+			  JJ_BACKEND_DONE, "a"},
+	DoubtCase{
+	    "ClosedAtTheSameEvent", ANSWER_HEAD "\r\n", JJ_BACKEND_DONE, "a"},
+	DoubtCase{"OneMoreEvent",
+	    ANSWER_HEAD CHUNKS "f\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n",
+	    JJ_BACKEND_DONE, "a\nb"},
+	DoubtCase{"OneMoreEventAndClosed", ANSWER_HEAD "\r\nid: 1\ndata: b\n\n",
+	    JJ_BACKEND_UNCONFIRMED, ""},
+	DoubtCase{
+	    "CutInItsHead", ANSWER_HEAD "Transfer-En", JJ_BACKEND_BROKEN, ""}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+/* Guards against an item that is done as a resumed attempt brought nothing. */
+TEST_F(StreamRelayFixture, AnEmptyResumedAnswerThatIsClosedIsNoEnd)
+{
+	streams = true;
+	last_id = 8;
+	start("i");
+	EXPECT_EQ(JJ_BACKEND_BROKEN, answer_and_close(ANSWER_HEAD "\r\n"));
+}
+
 struct EndlessCase {
 	const char *name;
 	bool streams;
--- a/tests/core/gateway_items_test.cc
+++ b/tests/core/gateway_items_test.cc
@@ -128,6 +128,20 @@
 	EXPECT_EQ((std::vector<std::string>{"s1", "t1"}), servers());
 }
 
+/* Guards against an item that waits, or is done, where its end is in doubt. */
+TEST_F(GatewayItemFailure, IsResumedAtOnceWhenItsEndIsUnconfirmed)
+{
+	list_server("servers/s1", "verona ready");
+	tick(200);
+	ASSERT_EQ(std::vector<std::string>{"s1"}, servers());
+	report_event(outcomes.begin()->first, JJ_BACKEND_UNCONFIRMED);
+	tick(1);
+	EXPECT_EQ((std::vector<std::string>{"s1", "s1"}), servers());
+	report_event(outcomes.begin()->first, JJ_BACKEND_DONE);
+	tick(1000);
+	EXPECT_EQ(2U, servers().size());
+}
+
 /*
  * Guards against an item that never ends, as each first event comes later than
  * the time after which a stalled stream is moved.
