Relay: an answer with a stamp must name its request

PROTOCOL.md: servers echo the request id in their answers, and the id tells an extra answer. One that has a stamp and no id was taken for the answer to the request that was sent; a sound server loses nothing. Requests without an id, of which a server says that it did not run them, are not concerned.

--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -442,8 +442,9 @@
 
 /**
  * Guards against bytes that are not a valid answer to this request: a late
- * answer to another one (its echoed id differs), a body that a proxy has
- * encoded, a success without the server's stamp. None may reach the caller.
+ * answer to another one (its echoed id differs or is missing), a body that a
+ * proxy has encoded, a success without the server's stamp. None may reach the
+ * caller.
  */
 static void
 check_head(attempt_t *attempt)
@@ -451,6 +452,7 @@
 	const jj_front_headers_t *names = &attempt->relay->deployment->headers;
 	const char *cursor = attempt->header_lines;
 	bool has_stamp = false;
+	bool has_id = false;
 	char *value;
 	char *line;
 
@@ -459,9 +461,11 @@
 	    ? ANSWER_STREAM
 	    : ANSWER_UNSTREAMED;
 	while ((line = read_header(&cursor, &value)) != NULL) {
-		if (strcasecmp(line, names->request_id) == 0 &&
-		    strcmp(value, attempt->id) != 0)
-			attempt->kind = ANSWER_INVALID;
+		if (strcasecmp(line, names->request_id) == 0) {
+			has_id = true;
+			if (strcmp(value, attempt->id) != 0)
+				attempt->kind = ANSWER_INVALID;
+		}
 		if (strcasecmp(line, "Content-Encoding") == 0 &&
 		    strcasecmp(value, "identity") != 0)
 			attempt->kind = ANSWER_INVALID;
@@ -473,6 +477,8 @@
 	}
 	if (attempt->status >= 200 && attempt->status < 300 && !has_stamp)
 		attempt->kind = ANSWER_INVALID;
+	if (has_stamp && !has_id && attempt->id[0] != '\0')
+		attempt->kind = ANSWER_INVALID;
 }
 
 static jj_http_flow_t
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -411,6 +411,9 @@
 	EndCase{"ChunksInHttp10", false,
 	    "HTTP/1.0 200 OK\r\nX-Id: i\r\nX-Stamp: s\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"WithoutItsId", false,
+	    "HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
 	    false, JJ_BACKEND_BROKEN, false}),
     [](const auto &info) { return std::string(info.param.name); });
 
