--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -691,9 +691,16 @@
 static void
 set_body(transfer_t *transfer, const jj_http_request_t *request)
 {
-	bool has_body = strcmp(request->method, "POST") == 0 ||
-	    strcmp(request->method, "PUT") == 0;
-
+	bool has_body = request->body_size > 0 ||
+	    strcmp(request->method, "POST") == 0 ||
+	    strcmp(request->method, "PUT") == 0 ||
+	    strcmp(request->method, "PATCH") == 0;
+
+	/* Otherwise libcurl waits for a body that such an answer lacks. */
+	if (strcmp(request->method, "HEAD") == 0) {
+		(void)curl_easy_setopt(transfer->easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
 	if (!has_body)
 		return;
 	transfer->body = jj_alloc(request->body_size + 1);
--- a/tests/adapters/http_client_test.cc
+++ b/tests/adapters/http_client_test.cc
@@ -173,6 +173,58 @@
 	}
 }
 
+/* Guards against a request that reaches a server without its body. */
+TEST_F(HttpClient, EachMethodKeepsItsBody)
+{
+	struct {
+		const char *method;
+		std::string body;
+		const char *length; /**< header, or empty */
+	} cases[] = {
+	    {"POST", "a=b", "Content-Length: 3\r\n"},
+	    {"POST", "", "Content-Length: 0\r\n"},
+	    {"PUT", std::string("a\0b", 3), "Content-Length: 3\r\n"},
+	    {"PUT", "", "Content-Length: 0\r\n"},
+	    {"PATCH", "a=b", "Content-Length: 3\r\n"},
+	    {"PATCH", "", "Content-Length: 0\r\n"},
+	    {"DELETE", "a=b", "Content-Length: 3\r\n"},
+	    {"DELETE", "", ""},
+	    {"GET", "a=b", "Content-Length: 3\r\n"},
+	    {"GET", "", ""},
+	    {"OPTIONS", "a=b", "Content-Length: 3\r\n"},
+	    {"REPORT", "a=b", "Content-Length: 3\r\n"},
+	    {"HEAD", "", ""},
+	};
+
+	for (const auto &one : cases) {
+		UnresponsiveServer server;
+		Outcome outcome;
+		jj_http_request_t request =
+		    outcome.describe(server.address, LIMIT_MS);
+		std::string end = "\r\n\r\n" + one.body;
+		std::string got;
+
+		request.method = one.method;
+		request.body = one.body.data();
+		request.body_size = one.body.size();
+		(void)jj_http_client_start(client, &request);
+		ASSERT_TRUE(server.accept_one(LIMIT_MS)) << one.method;
+		got = read_until(server.last(), end);
+		EXPECT_EQ(0U, got.find(std::string(one.method) + " / HTTP/1.1"))
+		    << got;
+		EXPECT_NE(std::string::npos, got.find(one.length)) << got;
+		EXPECT_EQ(*one.length == '\0',
+		    got.find("Content-Length") == std::string::npos)
+		    << got;
+		EXPECT_EQ(got.size() - end.size(), got.find(end)) << got;
+		send_text(server.last(),
+		    std::string(
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n") +
+			(strcmp(one.method, "HEAD") == 0 ? "" : "ok"));
+		EXPECT_EQ(JJ_HTTP_COMPLETE, outcome.wait()) << one.method;
+	}
+}
+
 /*
  * On small VMs each piece of a stream caused a check of all other open
  * requests, which took a tenth of the CPU time. The client now waits for
