HTTP server: a request target with spaces is refused

RFC 9112, 3: a target has no whitespace. The HTTP library takes all up to the last space of a request line for the target, another recipient what stands before the first one, and such a target was sent on. The two new rows of InnerRequest were red before (200, and the inner request ran).

--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -12,6 +12,7 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include <glib.h>
 #include <microhttpd.h>
 
 #include "adapters/http_framing.h"
@@ -108,6 +109,7 @@
 static void *prepare_call(void *, const char *, struct MHD_Connection *);
 static enum MHD_Result begin_call(jj_http_call_t *, const char *, const char *);
 static int check_head(const jj_http_call_t *, const char *);
+static bool is_target(const char *);
 static enum MHD_Result take_head_field(
     void *, enum MHD_ValueKind, const char *, size_t, const char *, size_t);
 static enum MHD_Result reject_head(jj_http_call_t *, int);
@@ -464,12 +466,23 @@
 	(void)MHD_get_connection_values_n(
 	    call->connection, MHD_HEADER_KIND, take_head_field, &head);
 	if (!jj_http_framing_is_valid(&head.framing) || head.hosts > 1 ||
+	    !is_target(call->uri) ||
 	    (head.framing.has_chunks &&
 		strcmp(version, MHD_HTTP_VERSION_1_1) != 0))
 		return MHD_HTTP_BAD_REQUEST;
 	return 0;
 }
 
+/** False if spaces or control characters are in a request's target. */
+static bool
+is_target(const char *uri)
+{
+	for (; *uri != '\0'; uri++)
+		if (*uri == ' ' || g_ascii_iscntrl(*uri))
+			return false;
+	return true;
+}
+
 static enum MHD_Result
 take_head_field(void *ctx, enum MHD_ValueKind kind, const char *name,
     size_t name_size, const char *value, size_t value_size)
