HTTP client: only the first line of a head is its status line

A header line that begins like a status line made the client forget all that it had read of the head: another request's id, or one of two lengths. libcurl takes such a line for a header. It is now no valid name. An answer that ends with its connection is logged as closed.

--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -72,6 +72,7 @@
 	bool head_delivered;
 	jj_http_framing_t framing; /**< of the current head */
 	bool is_http10;
+	bool in_head; /**< between a status line and the empty line */
 	TAILQ_ENTRY(transfer) link; /**< in the client's idle_limited */
 	jj_ms_t idle_deadline_ms; /**< timed out then, unless data arrives */
 } transfer_t;
@@ -122,7 +123,7 @@
 static int on_socket_created(void *, curl_socket_t, curlsocktype);
 static void set_body(transfer_t *, const jj_http_request_t *);
 static jj_http_end_t classify_result(const transfer_t *, CURLcode);
-static const char *name_result(CURLcode);
+static const char *name_result(const jj_http_head_t *, CURLcode);
 static jj_ms_t read_seconds(const char *);
 static void begin_head(transfer_t *, const char *);
 static void end_head(transfer_t *);
@@ -456,7 +457,8 @@
 		(void)curl_easy_getinfo(
 		    message->easy_handle, CURLINFO_PRIVATE, &transfer);
 		end = classify_result(transfer, message->data.result);
-		transfer->head.ended = name_result(message->data.result);
+		transfer->head.ended =
+		    name_result(&transfer->head, message->data.result);
 		end_transfer(client, transfer, end);
 	}
 }
@@ -532,11 +534,14 @@
 }
 
 static const char *
-name_result(CURLcode result)
+name_result(const jj_http_head_t *head, CURLcode result)
 {
 	switch (result) {
 	case CURLE_OK:
-		return "complete";
+		return head->body == JJ_HTTP_BODY_UNKNOWN ||
+			head->body == JJ_HTTP_BODY_CLOSE
+		    ? "closed"
+		    : "complete";
 	case CURLE_GOT_NOTHING:
 	case CURLE_PARTIAL_FILE:
 		return "closed";
@@ -757,9 +762,10 @@
 		text--;
 	if (transfer->head.body != JJ_HTTP_BODY_UNKNOWN)
 		return length; /* of the trailer */
-	if (strncmp(line, "HTTP/", 5) == 0) {
+	if (!transfer->in_head) {
 		begin_head(transfer, line);
 	} else if (text == 0) {
+		transfer->in_head = false;
 		end_head(transfer);
 		/* Nobody knows where such an answer ends. */
 		if (transfer->head.body == JJ_HTTP_BODY_INVALID)
@@ -782,6 +788,7 @@
 	memset(&transfer->head, 0, sizeof(transfer->head));
 	memset(&transfer->framing, 0, sizeof(transfer->framing));
 	transfer->head.status = (int)status;
+	transfer->in_head = true;
 	transfer->is_http10 = strncmp(line, "HTTP/1.0", 8) == 0;
 	(void)g_string_truncate(transfer->lines, 0);
 }
