--- a/Makefile
+++ b/Makefile
@@ -172,6 +172,9 @@
 	clang-format -i $(FORMAT_FILES)
 check-format:
 	clang-format --dry-run -Werror $(FORMAT_FILES)
+# A seed is the same series wherever it runs.
+check-draws:
+	scripts/check-draws $(FORMAT_FILES)
 TIDY_FILES := $(wildcard src/*/*.c src/*/*/*.c platform/*.c standins/*/*.c bench/*.c bench/*/*.c)
 check-tidy:
 	printf '%s\n' $(TIDY_FILES) | xargs -P 6 -n 4 sh -c \
@@ -204,6 +207,6 @@
 	rm -rf build
 
 .PHONY: docs plots slopes bench-hop bench-control soak figures bench sanitized check-bench fuzz all check demo test-core test-adapters test-system format \
-	check-format check-tidy clean
+	check-format check-draws check-tidy clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
