HTTP server: the state of a call is read under its lock

A call's state and whether its caller is gone are guarded by the call's lock; the thread of libmicrohttpd read both without it when a piece of a body came, while another thread answered the call or stopped the server.

No caller is known to have seen it: a stale state passes one more piece to an upload that was answered. Both are now read together under the lock.

--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -392,15 +392,21 @@
     void **memory)
 {
 	jj_http_call_t *call = *memory;
+	bool disconnected;
+	bool reading;
 
 	(void)version;
 	(void)ctx;
 	(void)connection;
 	if (call->path == NULL)
 		return begin_call(call, url, method);
-	if (call->disconnected)
+	(void)apr_thread_mutex_lock(call->lock);
+	disconnected = call->disconnected;
+	reading = call->state == CALL_READING;
+	(void)apr_thread_mutex_unlock(call->lock);
+	if (disconnected)
 		return MHD_NO;
-	if (*size > 0 && call->state == CALL_READING)
+	if (*size > 0 && reading)
 		return call->is_upload ? pass_upload(call, data, size)
 				       : collect_body(call, data, size);
 	if (*size > 0) {
--- a/tests/adapters/http_server_test.cc
+++ b/tests/adapters/http_server_test.cc
@@ -2,6 +2,7 @@
  * @file http_server_test.cc
  * @brief Calls answered after their server was destroyed; large heads; methods.
  */
+#include <atomic>
 #include <cstring>
 #include <future>
 #include <string>
@@ -139,3 +140,43 @@
 	}
 	jj_http_server_destroy(server);
 }
+
+/* Guards against a race of an answer with an upload that still arrives. */
+TEST(HttpServer, AnUploadIsDiscardedAfterAnAnswer)
+{
+	using begun_t = std::atomic<std::promise<jj_http_call_t *> *>;
+	static const std::string body(20000, 'b');
+	std::string address = free_address();
+	jj_http_limits_t limits = {
+	    address.c_str(), 1, 10, 8192, 1000, 1000, 60000};
+	begun_t begun{nullptr};
+	jj_http_port_t port = {};
+
+	port.ctx = &begun;
+	port.takes_upload = [](void *, const jj_http_call_t *) { return true; };
+	port.on_upload = [](void *ctx, jj_http_call_t *call, const char *,
+			     size_t) -> size_t {
+		auto promise = static_cast<begun_t *>(ctx)->exchange(nullptr);
+
+		if (promise != nullptr)
+			promise->set_value(call);
+		return 1;
+	};
+	jj_http_server_t *server = jj_http_server_create(&limits, &port);
+	ASSERT_NE(nullptr, server);
+	for (int i = 0; i < 20; i++) {
+		std::promise<jj_http_call_t *> promise;
+
+		begun = &promise;
+		int fd = send_request(address,
+		    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+			std::to_string(body.size()) + "\r\n\r\n" + body);
+		jj_http_call_answer(
+		    promise.get_future().get(), &answer, "early", 5);
+		std::string text = read_until(fd, "\r\n\r\nearly");
+		EXPECT_NE(std::string::npos, text.find("\r\n\r\nearly"))
+		    << text;
+		(void)close(fd);
+	}
+	jj_http_server_destroy(server);
+}
