jujubectl: an answer counts only where its end was received

VMs send a length or chunks, so an answer that has neither is incomplete. Headers are now those of the last head alone, not of informational answers or of a trailer.

The test binary links jujubectl's objects except main.o.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,8 @@
 	$(B)/src/daemon/stream_relay.o $(B)/src/daemon/health.o \
 	$(B)/src/daemon/gateway_node.o $(B)/src/daemon/gateway_front.o \
 	$(B)/src/daemon/gateway_events.o $(B)/src/daemon/gateway_views.o
+# All of jujubectl but its main function.
+CTL_PARTS := $(filter-out $(B)/src/ctl/main.o,$(CTL_OBJ))
 PLATFORM_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
 SYSTEM_TESTS := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/system/*.cc))
 EXAMPLES := $(patsubst examples/%.c,$(B)/example-%,$(wildcard examples/*.c))
@@ -96,7 +98,7 @@
 $(B)/test-core: $(CORE_TESTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
 $(B)/test-adapters: $(ADAPTER_TESTS) $(PLATFORM_TESTS) $(PLATFORM_OBJ) \
-	$(DAEMON_PARTS) $(LIB)
+	$(DAEMON_PARTS) $(CTL_PARTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
 $(B)/test-system: $(SYSTEM_TESTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
--- a/src/ctl/ctl_http.c
+++ b/src/ctl/ctl_http.c
@@ -8,6 +8,7 @@
 
 #include <curl/curl.h>
 
+#include "adapters/http_framing.h"
 #include "ctl/ctl_http.h"
 
 /** Maximum time to connect to a VM, ms. */
@@ -23,6 +24,10 @@
 	const jj_ctl_request_t *request;
 	jj_ctl_response_t *response;
 	bool shows_progress;
+	jj_http_framing_t framing; /**< of the current head */
+	bool is_http10;
+	bool has_head; /**< the end of the head was received */
+	bool has_end; /**< the head tells where the body ends */
 } transfer_t;
 
 static struct curl_slist *build_headers(const jj_ctl_request_t *);
@@ -30,6 +35,9 @@
 static void set_body(transfer_t *);
 static void record_result(transfer_t *, CURLcode, const char *);
 static size_t on_header(char *, size_t, size_t, void *);
+static void begin_head(transfer_t *, const char *, size_t);
+static bool end_head(transfer_t *);
+static void take_header(transfer_t *, const char *, size_t);
 static size_t on_body(char *, size_t, size_t, void *);
 static size_t on_read(char *, size_t, size_t, void *);
 static int on_progress(void *, curl_off_t, curl_off_t, curl_off_t, curl_off_t);
@@ -38,7 +46,8 @@
 void
 jj_ctl_http_send(const jj_ctl_request_t *request, jj_ctl_response_t *response)
 {
-	transfer_t transfer = {curl_easy_init(), request, response, false};
+	transfer_t transfer = {
+	    .curl = curl_easy_init(), .request = request, .response = response};
 	char why[CURL_ERROR_SIZE] = "";
 	struct curl_slist *headers = build_headers(request);
 	char *url =
@@ -150,10 +159,15 @@
 	(void)curl_easy_getinfo(
 	    transfer->curl, CURLINFO_RESPONSE_CODE, &response->status);
 	(void)curl_easy_getinfo(transfer->curl, CURLINFO_REQUEST_SIZE, &sent);
-	(void)g_strlcpy(response->why,
-	    why[0] != '\0' ? why : curl_easy_strerror(code),
-	    sizeof(response->why));
-	if (code == CURLE_OK)
+	if (why[0] == '\0')
+		why = curl_easy_strerror(code);
+	/* libcurl takes an answer for complete that ends inside its head. */
+	if (code == CURLE_OK && !transfer->has_end)
+		why = "the connection was closed before the answer's end";
+	else if (!jj_http_framing_is_valid(&transfer->framing))
+		why = "the answer's headers contradict each other";
+	(void)g_strlcpy(response->why, why, sizeof(response->why));
+	if (code == CURLE_OK && transfer->has_end)
 		response->result = JJ_CTL_HTTP_COMPLETE;
 	else if (sent == 0)
 		response->result = JJ_CTL_HTTP_NOT_SENT;
@@ -165,17 +179,71 @@
 on_header(char *line, size_t size, size_t count, void *ctx)
 {
 	transfer_t *transfer = ctx;
+	size_t text;
+
+	size *= count;
+	text = size;
+	while (text > 0 && (line[text - 1] == '\n' || line[text - 1] == '\r'))
+		text--;
+	if (transfer->has_head)
+		return size; /* of the trailer */
+	if (text >= 5 && strncmp(line, "HTTP/", 5) == 0)
+		begin_head(transfer, line, text);
+	else if (text > 0)
+		take_header(transfer, line, text);
+	else if (!end_head(transfer))
+		return 0; /* ends the transfer */
+	return size;
+}
+
+static void
+begin_head(transfer_t *transfer, const char *line, size_t size)
+{
+	jj_ctl_response_t *response = transfer->response;
+
+	memset(&transfer->framing, 0, sizeof(transfer->framing));
+	transfer->is_http10 = size >= 8 && strncmp(line, "HTTP/1.0", 8) == 0;
+	response->etag[0] = '\0';
+	response->content_type[0] = '\0';
+	response->retry_after_ms = 0;
+}
+
+/**
+ * A VM sends a length or chunks; a body that ends with its connection may lack
+ * its end. False if the headers contradict each other.
+ */
+static bool
+end_head(transfer_t *transfer)
+{
+	jj_http_framing_t *framing = &transfer->framing;
+	long status = 0;
+
+	(void)curl_easy_getinfo(
+	    transfer->curl, CURLINFO_RESPONSE_CODE, &status);
+	if (status < 200)
+		return true;
+	if (framing->has_chunks && transfer->is_http10)
+		framing->invalid = true;
+	transfer->has_head = true;
+	transfer->has_end = jj_http_framing_is_valid(framing) &&
+	    (framing->has_length || framing->has_chunks || status == 204 ||
+		status == 304);
+	return jj_http_framing_is_valid(framing);
+}
+
+static void
+take_header(transfer_t *transfer, const char *line, size_t size)
+{
 	jj_ctl_response_t *response = transfer->response;
 	char seconds[16];
 
-	size *= count;
+	jj_http_framing_take_line(&transfer->framing, line, size);
 	(void)read_header(
 	    line, size, "ETag:", response->etag, sizeof(response->etag));
 	(void)read_header(line, size, "Content-Type:", response->content_type,
 	    sizeof(response->content_type));
 	if (read_header(line, size, "Retry-After:", seconds, sizeof(seconds)))
 		response->retry_after_ms = 1000 * (jj_ms_t)atol(seconds);
-	return size;
 }
 
 static size_t
