Store: a value without length and a list without its array are unknown

In the native codec a value (an object, the list of VMs) whose answer has neither length nor chunks was taken for whole where its connection was closed, so a value that is cut was read as the object. A 200 to a list or a watch whose JSON has no array counted as an empty list: all objects would be missing. Both are now unknown outcomes, which are asked again. A list that is closed without a length may stay: its JSON tells its end.

PlatformEnd: 4 of its 18 rows (ValueWithoutLength, VmsWithoutLength, NoList, NoEvents) failed before, with JJ_PLATFORM_OK; now none.

--- a/src/adapters/platform_wire.c
+++ b/src/adapters/platform_wire.c
@@ -109,7 +109,12 @@
 	}
 	if (result->outcome != JJ_PLATFORM_OK)
 		return;
-	if (result->op == JJ_PLATFORM_GET || result->op == JJ_PLATFORM_VMS)
+	if (result->op != JJ_PLATFORM_GET && result->op != JJ_PLATFORM_VMS)
+		return;
+	/* A value may be any bytes, so it does not tell that it was cut. */
+	if (head->body == JJ_HTTP_BODY_CLOSE)
+		result->outcome = JJ_PLATFORM_UNKNOWN;
+	else
 		result->value = jj_bytes_copy(body, size);
 }
 
@@ -129,14 +134,17 @@
 	size_t i;
 
 	root = json_loadb(text, size, 0, NULL);
-	if (root == NULL)
+	array = json_object_get(
+	    root, result->op == JJ_PLATFORM_LIST ? "items" : "events");
+	/* A gap has a revision only. */
+	if (root == NULL ||
+	    (result->outcome == JJ_PLATFORM_OK && !json_is_array(array))) {
+		json_decref(root);
 		return false;
+	}
 	result->version =
 	    (uint64_t)json_integer_value(json_object_get(root, "revision"));
 	result->more = json_is_true(json_object_get(root, "more"));
-	array = json_object_get(root, "items");
-	if (array == NULL)
-		array = json_object_get(root, "events");
 	if (json_array_size(array) > 0)
 		result->items =
 		    jj_alloc(json_array_size(array) * sizeof(*result->items));
--- a/tests/adapters/platform_test.cc
+++ b/tests/adapters/platform_test.cc
@@ -1,6 +1,6 @@
 /**
  * @file platform_test.cc
- * @brief Timeouts of the answer to a platform call.
+ * @brief Timeouts of the answer to a platform call, and its end.
  */
 #include <chrono>
 #include <condition_variable>
@@ -127,4 +127,80 @@
 	PaceCase{"AllCome", 8, JJ_PLATFORM_OK}),
     [](const auto &one) { return one.param.name; });
 
+struct EndCase {
+	const char *name;
+	jj_platform_op_t op;
+	const char *answer; /**< sent, then the connection is closed */
+	jj_platform_outcome_t outcome;
+};
+
+class PlatformEnd : public ::testing::TestWithParam<EndCase>
+{
+};
+
+/* Guards against an outcome that is read from an answer without its end. */
+TEST_P(PlatformEnd, IsKnownFromAWholeAnswer)
+{
+	const std::string answer = std::string("HTTP/1.1 ") + GetParam().answer;
+	UnresponsiveServer server;
+	Result result;
+	jj_platform_t *platform = jj_platform_create(&jj_platform_native_codec,
+	    server.address.c_str(), "verona-1", LIMIT_MS, Result::take,
+	    &result);
+	jj_platform_call_t call = {};
+
+	call.op = GetParam().op;
+	(void)snprintf(call.key, sizeof(call.key), "jobs/a");
+	jj_platform_start(platform, &call);
+	ASSERT_TRUE(server.accept_one(LIMIT_MS));
+	(void)read_until(server.last(), "\r\n\r\n");
+	(void)send(server.last(), answer.data(), answer.size(), MSG_NOSIGNAL);
+	(void)shutdown(server.last(), SHUT_RDWR);
+	EXPECT_EQ(GetParam().outcome, result.wait());
+	jj_platform_destroy(platform);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, PlatformEnd,
+    ::testing::Values(
+	EndCase{"Value", JJ_PLATFORM_GET,
+	    "200 OK\r\nContent-Length: 2\r\n\r\n{}", JJ_PLATFORM_OK},
+	EndCase{"Absent", JJ_PLATFORM_GET,
+	    "404 Not Found\r\nContent-Length: 0\r\n\r\n", JJ_PLATFORM_ABSENT},
+	EndCase{"Gap", JJ_PLATFORM_WATCH,
+	    "410 Gone\r\nContent-Length: 14\r\n\r\n{\"revision\":7}",
+	    JJ_PLATFORM_GAP},
+	EndCase{"AbsentCutInItsHead", JJ_PLATFORM_GET, "404 Not Found\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ValueCutInItsHead", JJ_PLATFORM_GET, "200 OK\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"CreatedCutInItsHead", JJ_PLATFORM_CREATE, "201 Created\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"UpdatedCutInItsHead", JJ_PLATFORM_UPDATE,
+	    "200 OK\r\nETag: \"7", JJ_PLATFORM_UNKNOWN},
+	EndCase{"ConflictCutInItsHead", JJ_PLATFORM_UPDATE,
+	    "412 Precondition Failed\r\n", JJ_PLATFORM_UNKNOWN},
+	EndCase{"DeletedCutInItsHead", JJ_PLATFORM_DELETE, "204 No Content\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"GapCutInItsHead", JJ_PLATFORM_WATCH, "410 Gone\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ValueWithTwoLengths", JJ_PLATFORM_GET,
+	    "200 OK\r\nContent-Length: 9\r\nContent-Length: 2\r\n\r\n{}",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ValueWithoutLength", JJ_PLATFORM_GET, "200 OK\r\n\r\n{}",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"VmsWithoutLength", JJ_PLATFORM_VMS, "200 OK\r\n\r\n{}",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ListWithoutLength", JJ_PLATFORM_LIST,
+	    "200 OK\r\n\r\n{\"items\":[],\"revision\":7}", JJ_PLATFORM_OK},
+	EndCase{"ListCutShort", JJ_PLATFORM_LIST, "200 OK\r\n\r\n{\"items\":[]",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ListFollowedByMore", JJ_PLATFORM_LIST,
+	    "200 OK\r\n\r\n{\"items\":[]}{", JJ_PLATFORM_UNKNOWN},
+	EndCase{"NoList", JJ_PLATFORM_LIST,
+	    "200 OK\r\nContent-Length: 2\r\n\r\n{}", JJ_PLATFORM_UNKNOWN},
+	EndCase{"NoEvents", JJ_PLATFORM_WATCH,
+	    "200 OK\r\nContent-Length: 14\r\n\r\n{\"revision\":7}",
+	    JJ_PLATFORM_UNKNOWN}),
+    [](const auto &one) { return one.param.name; });
+
 } // namespace
