Relay: each attempt of the own interface has its own connection

A caller got the answer to another request (MIXED). Connections to servers of the own interface were kept for idempotent requests; a server that answers a request a second time after the next one was sent on that connection had its late answer read as that of the next request, and the real one was dropped. HTTP/1.1 answers have no number, so only a connection of its own tells them apart. Attempts now use new connections, as the other relay and non-idempotent calls do already. Health probes, orders and the object store were not concerned: they use a connection each.

ALateAnswerIsNotThatOfTheNextRequest before: the second request ended with the body "first", not "other". Cost: one connection for each idempotent request of the own interface; not measured.

--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -29,10 +29,6 @@
 	uint64_t request;
 	uint32_t attempt;
 	jj_name_t server;
-	/**
-	 * Non-idempotent; the status alone does not prove that it ran or not.
-	 */
-	bool at_most_once;
 	bool streams; /**< the answer is a stream of server-sent events */
 	bool assembles; /**< the stream is assembled into one answer */
 	bool first_reported;
@@ -78,7 +74,7 @@
 static entry_t *lock_entry(jj_relay_t *, uint64_t, shard_t **);
 static void free_entry(void *);
 static attempt_t *
-create_attempt(jj_relay_t *, entry_t *, const jj_backend_start_t *, bool);
+create_attempt(jj_relay_t *, entry_t *, const jj_backend_start_t *);
 static void reset_stream(entry_t *);
 static void start_request(shard_t *, entry_t *, attempt_t *, jj_ms_t);
 static void reject_second_run(jj_relay_t *, const jj_backend_start_t *);
@@ -201,7 +197,7 @@
 		is_second_run = entry->begun && start->resume_from == 0;
 	}
 	if (entry != NULL && !is_second_run) {
-		attempt = create_attempt(relay, entry, start, idempotent);
+		attempt = create_attempt(relay, entry, start);
 		start_request(shard, entry, attempt, timeout_ms);
 	}
 	(void)apr_thread_mutex_unlock(shard->lock);
@@ -319,8 +315,8 @@
 }
 
 static attempt_t *
-create_attempt(jj_relay_t *relay, entry_t *entry,
-    const jj_backend_start_t *start, bool idempotent)
+create_attempt(
+    jj_relay_t *relay, entry_t *entry, const jj_backend_start_t *start)
 {
 	attempt_t *attempt = jj_alloc(sizeof(*attempt));
 	const jj_exchange_t *exchange = &entry->exchange;
@@ -331,7 +327,6 @@
 	attempt->request = start->request;
 	attempt->attempt = start->attempt;
 	attempt->server = start->server;
-	attempt->at_most_once = !idempotent;
 	attempt->assembles = entry->assembler != NULL;
 	attempt->streams =
 	    exchange->is_model && (exchange->streams || attempt->assembles);
@@ -400,7 +395,8 @@
 		request.body_size = strlen(resume);
 	}
 	request.timeout_ms = timeout_ms;
-	request.once = attempt->at_most_once;
+	/* A late second answer would be read as that of the next request. */
+	request.once = true;
 	request.ctx = attempt;
 	request.on_head = on_head;
 	request.on_data = on_data;
--- a/tests/adapters/relay_test.cc
+++ b/tests/adapters/relay_test.cc
@@ -23,11 +23,18 @@
 /** Time limit of each wait; the awaited events take milliseconds. */
 const int kWaitLimitMs = 10000;
 
+void
+send_text(int fd, const std::string &text)
+{
+	(void)send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
 /** An event that the relay reported. */
 struct Reported {
 	jj_backend_kind_t kind;
 	uint32_t attempt;
 	bool relayed;
+	std::string body; /**< of its answer */
 };
 
 /** A backend server and a front server for callers, joined by a relay. */
@@ -100,13 +107,16 @@
 	}
 	static void
 	on_event(void *ctx, const jj_backend_event_t *event,
-	    jj_backend_answer_t *, const jj_name_t *, bool)
+	    jj_backend_answer_t *answer, const jj_name_t *, bool)
 	{
 		auto *self = static_cast<Relay *>(ctx);
 		std::lock_guard<std::mutex> guard(self->lock);
 
 		self->reported.push_back(
-		    {event->kind, event->attempt, event->relayed});
+		    {event->kind, event->attempt, event->relayed, ""});
+		if (answer != nullptr && answer->body.size > 0)
+			self->reported.back().body.assign(
+			    answer->body.data, answer->body.size);
 		self->changed.notify_all();
 	}
 	static void
@@ -122,6 +132,32 @@
 		ASSERT_TRUE(changed.wait_for(
 		    guard, std::chrono::milliseconds(kWaitLimitMs), condition));
 	}
+	/** Adds an exchange whose answer is no stream. */
+	void
+	add_call(uint64_t request)
+	{
+		jj_exchange_t exchange = {};
+
+		exchange.request = request;
+		exchange.kind = JJ_EXCHANGE_ITEM;
+		exchange.path = jj_bytes_from_text("/");
+		exchange.body = jj_bytes_from_text("{}");
+		jj_relay_add(relay, &exchange);
+	}
+	/** Waits for the end of an attempt. */
+	Reported
+	wait_for_end()
+	{
+		Reported last = {};
+
+		wait_for([this, &last] {
+			if (!reported.empty())
+				last = reported.back();
+			return !reported.empty() &&
+			    last.kind != JJ_BACKEND_FIRST;
+		});
+		return last;
+	}
 	/** Adds the exchange of the waiting caller to the relay. */
 	void
 	add()
@@ -247,4 +283,38 @@
 	(void)close(caller);
 }
 
+/* Guards against a second, late answer that is taken for the next one's. */
+TEST_F(Relay, ALateAnswerIsNotThatOfTheNextRequest)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+	const std::string late = head + "first";
+	const std::string own = head + "other";
+	UnresponsiveServer server;
+
+	add_call(1);
+	add_call(2);
+	start.attempt = 1;
+	jj_relay_start(relay, &start, server.address.c_str(), 60000, true);
+	ASSERT_TRUE(server.accept_one(kWaitLimitMs));
+	int first = server.last();
+	(void)read_until(first, "\r\n\r\n{}");
+	send_text(first, late);
+	EXPECT_EQ("first", wait_for_end().body);
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		reported.clear();
+	}
+	start.request = 2;
+	jj_relay_start(relay, &start, server.address.c_str(), 60000, true);
+	/* Empty once the connection is closed. */
+	if (!read_until(first, "\r\n\r\n{}").empty()) {
+		send_text(first, late);
+	} else {
+		ASSERT_TRUE(server.accept_one(kWaitLimitMs));
+		(void)read_until(server.last(), "\r\n\r\n{}");
+		send_text(server.last(), own);
+	}
+	EXPECT_EQ("other", wait_for_end().body);
+}
+
 } // namespace
