Store: each call of the native codec has its own connection

Reads and lists of the native store kept their connections. A store that answers a call a second time, after the next one was sent on that connection, had the late answer read as the value of another object. Each call now uses a new connection, as writes and the other codec do.

ALateAnswerIsNotThatOfTheNextCall before: the read of jobs/b ended with "1", the value of jobs/a. Cost: one connection for each read or list; not measured. The number of calls does not change.

--- a/src/adapters/platform.h
+++ b/src/adapters/platform.h
@@ -21,7 +21,7 @@
 	char path[1024]; /**< with the query string */
 	char headers[2][128]; /**< "Name: value" or empty */
 	jj_bytes_t body; /**< owned */
-	/** On a new connection, so that libcurl never repeats it. */
+	/** On a new connection: never repeated, nor given a late answer. */
 	bool new_connection;
 } jj_platform_request_t;
 
--- a/src/adapters/platform_wire.c
+++ b/src/adapters/platform_wire.c
@@ -43,12 +43,11 @@
 		(void)snprintf(request->headers[1], sizeof(request->headers[1]),
 		    "If-Match: \"%llu\"", (unsigned long long)call->version);
 	/*
-	 * If libcurl repeated a conditional write that had taken effect, the
-	 * second attempt would get a conflict. A new connection prevents that,
-	 * so the core is notified of each attempt.
+	 * On a reused connection, libcurl may repeat a conditional write that
+	 * had taken effect, which then gets a conflict, and a late second
+	 * answer is read as that of the next call.
 	 */
-	request->new_connection = call->op != JJ_PLATFORM_GET &&
-	    call->op != JJ_PLATFORM_LIST && call->op != JJ_PLATFORM_VMS;
+	request->new_connection = true;
 }
 
 static const char *
--- a/tests/adapters/platform_test.cc
+++ b/tests/adapters/platform_test.cc
@@ -26,6 +26,8 @@
 class Result
 {
       public:
+	std::string value;
+
 	static void
 	take(void *ctx, jj_platform_result_t *result)
 	{
@@ -33,6 +35,9 @@
 		std::lock_guard<std::mutex> guard(self->lock);
 
 		self->outcome = result->outcome;
+		self->value.assign(
+		    result->value.data != nullptr ? result->value.data : "",
+		    result->value.size);
 		self->has_ended = true;
 		self->changed.notify_all();
 		jj_platform_result_clear(result);
@@ -45,6 +50,7 @@
 		EXPECT_TRUE(
 		    changed.wait_for(guard, std::chrono::milliseconds(LIMIT_MS),
 			[this] { return has_ended; }));
+		has_ended = false;
 		return outcome;
 	}
 
@@ -203,4 +209,42 @@
 	    JJ_PLATFORM_UNKNOWN}),
     [](const auto &one) { return one.param.name; });
 
+/* Guards against a second, late answer that is read as another object. */
+TEST(PlatformReads, ALateAnswerIsNotThatOfTheNextCall)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+	UnresponsiveServer server;
+	Result result;
+	jj_platform_t *platform = jj_platform_create(&jj_platform_native_codec,
+	    server.address.c_str(), "verona-1", LIMIT_MS, Result::take,
+	    &result);
+	jj_platform_call_t call = {};
+	auto answer = [&](int fd, const char *value) {
+		const std::string text = head + value;
+
+		(void)send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+	};
+
+	call.op = JJ_PLATFORM_GET;
+	(void)snprintf(call.key, sizeof(call.key), "jobs/a");
+	jj_platform_start(platform, &call);
+	ASSERT_TRUE(server.accept_one(LIMIT_MS));
+	int first = server.last();
+	(void)read_until(first, "\r\n\r\n");
+	answer(first, "1");
+	(void)result.wait();
+	(void)snprintf(call.key, sizeof(call.key), "jobs/b");
+	jj_platform_start(platform, &call);
+	/* Empty once the connection is closed. */
+	if (!read_until(first, "\r\n\r\n").empty()) {
+		answer(first, "1");
+	} else {
+		ASSERT_TRUE(server.accept_one(LIMIT_MS));
+		answer(server.last(), "2");
+	}
+	EXPECT_EQ(JJ_PLATFORM_OK, result.wait());
+	EXPECT_EQ("2", result.value);
+	jj_platform_destroy(platform);
+}
+
 } // namespace
