Relay: an answer closed without a length must tell its own end

A caller of the own interface, or an item, got part of an answer framed as whole: a body that has neither length nor chunks was taken for whole where its connection was closed. It is now whole if it is a JSON object or array (services answer JSON, docs/interfaces/SERVICE.md), else the attempt is broken. A stream is judged by its end mark, as before. A service whose answers are no JSON must send a length or chunks.

AnAnswerWithoutItsEndIsBroken before: three of its eight rows (half of the JSON, no JSON, no body) ended as done, not broken. The rows of a head that is cut and of a last chunk that lacks were green already.

--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -12,6 +12,7 @@
 
 #include "adapters/monotonic.h"
 #include "adapters/runtime.h"
+#include "core/json_text.h"
 #include "daemon/assembler.h"
 #include "daemon/attempt_end.h"
 #include "daemon/relay.h"
@@ -91,6 +92,7 @@
 static bool assemble_answer(attempt_t *, entry_t *);
 static jj_backend_kind_t
 classify_end(const attempt_t *, jj_http_end_t, const jj_http_head_t *);
+static bool is_json(const jj_buffer_t *);
 static jj_backend_kind_t
 classify_status(const attempt_t *, const jj_http_head_t *);
 static void post_event(attempt_t *, jj_backend_kind_t, uint32_t, jj_ms_t,
@@ -599,11 +601,30 @@
 classify_end(
     const attempt_t *attempt, jj_http_end_t end, const jj_http_head_t *head)
 {
+	jj_backend_kind_t kind;
+
 	if (attempt->too_large)
 		return JJ_BACKEND_FAILED;
 	if (end != JJ_HTTP_COMPLETE)
 		return jj_attempt_kind_of_end(end);
-	return classify_status(attempt, head);
+	kind = classify_status(attempt, head);
+	/* A stream is checked for its end mark. */
+	if ((kind == JJ_BACKEND_DONE || kind == JJ_BACKEND_REJECTED) &&
+	    head->body == JJ_HTTP_BODY_CLOSE && !attempt->streams &&
+	    !is_json(&attempt->body))
+		return JJ_BACKEND_BROKEN;
+	return kind;
+}
+
+/** True for a whole object or array: it tells its own end. */
+static bool
+is_json(const jj_buffer_t *body)
+{
+	json_t *json = jj_json_load_stored(body->bytes.data, body->bytes.size);
+	bool is_whole = json != NULL;
+
+	json_decref(json);
+	return is_whole;
 }
 
 /**
--- a/tests/adapters/relay_test.cc
+++ b/tests/adapters/relay_test.cc
@@ -317,4 +317,48 @@
 	EXPECT_EQ("other", wait_for_end().body);
 }
 
+struct CallEndCase {
+	const char *name;
+	const char *answer; /**< after the status line; then a close */
+	jj_backend_kind_t kind;
+};
+
+/* Guards against an answer that is passed on without its end. */
+TEST_F(Relay, AnAnswerWithoutItsEndIsBroken)
+{
+	const CallEndCase cases[] = {
+	    {"length", "Content-Length: 2\r\n\r\n{}", JJ_BACKEND_DONE},
+	    {"chunks", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		JJ_BACKEND_DONE},
+	    {"cut in its head", "X-A: b\r\n", JJ_BACKEND_BROKEN},
+	    {"no last chunk", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+		JJ_BACKEND_BROKEN},
+	    {"whole JSON", "\r\n{}", JJ_BACKEND_DONE},
+	    {"half of the JSON", "\r\n{\"a\":", JJ_BACKEND_BROKEN},
+	    {"no JSON", "\r\n12", JJ_BACKEND_BROKEN},
+	    {"no length, no body", "\r\n", JJ_BACKEND_BROKEN},
+	};
+
+	start.attempt = 1;
+	for (const CallEndCase &one : cases) {
+		const std::string text =
+		    std::string("HTTP/1.1 200 OK\r\n") + one.answer;
+		UnresponsiveServer server;
+
+		{
+			std::lock_guard<std::mutex> guard(lock);
+			reported.clear();
+		}
+		add_call(start.request);
+		jj_relay_start(
+		    relay, &start, server.address.c_str(), 60000, false);
+		ASSERT_TRUE(server.accept_one(kWaitLimitMs));
+		(void)read_until(server.last(), "\r\n\r\n{}");
+		send_text(server.last(), text);
+		(void)shutdown(server.last(), SHUT_RDWR);
+		EXPECT_EQ(one.kind, wait_for_end().kind) << one.name;
+		start.request++;
+	}
+}
+
 } // namespace
