jujubectl: a submission whose upload has no file id has failed

`batch submit` ended with exit 0 and "nothing was submitted" where the answer to its upload was whole and had no id, e.g. an empty body. It now ends with exit 1.

--- a/src/ctl/ctl_submit.c
+++ b/src/ctl/ctl_submit.c
@@ -97,8 +97,11 @@
 	(void)fclose(request.upload);
 	id = g_strdup(json_string_value(json_object_get(answer, "id")));
 	json_decref(answer);
-	if (id == NULL)
+	if (id == NULL) {
 		warnx("nothing was submitted");
+		if (*outcome == JJ_CTL_OK)
+			*outcome = JJ_CTL_FAILED;
+	}
 	return id;
 }
 
--- a/tests/adapters/ctl_http_test.cc
+++ b/tests/adapters/ctl_http_test.cc
@@ -9,7 +9,7 @@
 #include "tests/adapters/loopback.h"
 
 extern "C" {
-#include "ctl/ctl_api.h"
+#include "ctl/ctl_batch.h"
 }
 
 namespace
@@ -96,4 +96,27 @@
 	    false}),
     [](const auto &one) { return std::string(one.param.name); });
 
+/* Guards against a success of a submission whose upload has no file id. */
+TEST(CtlSubmit, FailsWithoutAFileId)
+{
+	const std::string text = STATUS + LENGTH + "\r\nnull";
+	UnresponsiveServer server;
+	std::string path = ::testing::TempDir() + "items." + server.address;
+	char *arguments[] = {path.data(), nullptr};
+	jj_ctl_t ctl = {};
+	FILE *file = fopen(path.c_str(), "w");
+
+	ASSERT_NE(nullptr, file);
+	(void)fputs("{}\n", file);
+	(void)fclose(file);
+	ctl.callers = server.address.c_str();
+	auto outcome = std::async(std::launch::async,
+	    [&] { return jj_ctl_job_submit(&ctl, arguments); });
+	EXPECT_TRUE(server.accept_one(LIMIT_MS));
+	(void)read_until(server.last(), "{}\n");
+	(void)send(server.last(), text.data(), text.size(), MSG_NOSIGNAL);
+	EXPECT_EQ(JJ_CTL_FAILED, outcome.get());
+	(void)unlink(path.c_str());
+}
+
 } // namespace
