--- a/src/adapters/platform_wire.c
+++ b/src/adapters/platform_wire.c
@@ -43,12 +43,11 @@
 		(void)snprintf(request->headers[1], sizeof(request->headers[1]),
 		    "If-Match: \"%llu\"", (unsigned long long)call->version);
 	/*
-	 * If libcurl repeated a conditional write that had taken effect, the
-	 * second attempt would get a conflict. A new connection prevents that,
-	 * so the core is notified of each attempt.
+	 * On a reused connection, libcurl may repeat a conditional write that
+	 * had taken effect, which then gets a conflict, and a late second
+	 * answer is read as that of the next call.
 	 */
-	request->new_connection = call->op != JJ_PLATFORM_GET &&
-	    call->op != JJ_PLATFORM_LIST && call->op != JJ_PLATFORM_VMS;
+	request->new_connection = true;
 }
 
 static const char *
@@ -109,7 +108,12 @@
 	}
 	if (result->outcome != JJ_PLATFORM_OK)
 		return;
-	if (result->op == JJ_PLATFORM_GET || result->op == JJ_PLATFORM_VMS)
+	if (result->op != JJ_PLATFORM_GET && result->op != JJ_PLATFORM_VMS)
+		return;
+	/* A value may be any bytes, so it does not tell that it was cut. */
+	if (head->body == JJ_HTTP_BODY_CLOSE)
+		result->outcome = JJ_PLATFORM_UNKNOWN;
+	else
 		result->value = jj_bytes_copy(body, size);
 }
 
@@ -129,14 +133,17 @@
 	size_t i;
 
 	root = json_loadb(text, size, 0, NULL);
-	if (root == NULL)
+	array = json_object_get(
+	    root, result->op == JJ_PLATFORM_LIST ? "items" : "events");
+	/* A gap has a revision only. */
+	if (root == NULL ||
+	    (result->outcome == JJ_PLATFORM_OK && !json_is_array(array))) {
+		json_decref(root);
 		return false;
+	}
 	result->version =
 	    (uint64_t)json_integer_value(json_object_get(root, "revision"));
 	result->more = json_is_true(json_object_get(root, "more"));
-	array = json_object_get(root, "items");
-	if (array == NULL)
-		array = json_object_get(root, "events");
 	if (json_array_size(array) > 0)
 		result->items =
 		    jj_alloc(json_array_size(array) * sizeof(*result->items));
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -12,6 +12,7 @@
 
 #include "adapters/monotonic.h"
 #include "adapters/runtime.h"
+#include "core/json_text.h"
 #include "daemon/assembler.h"
 #include "daemon/attempt_end.h"
 #include "daemon/relay.h"
@@ -29,10 +30,6 @@
 	uint64_t request;
 	uint32_t attempt;
 	jj_name_t server;
-	/**
-	 * Non-idempotent; the status alone does not prove that it ran or not.
-	 */
-	bool at_most_once;
 	bool streams; /**< the answer is a stream of server-sent events */
 	bool assembles; /**< the stream is assembled into one answer */
 	bool first_reported;
@@ -78,7 +75,7 @@
 static entry_t *lock_entry(jj_relay_t *, uint64_t, shard_t **);
 static void free_entry(void *);
 static attempt_t *
-create_attempt(jj_relay_t *, entry_t *, const jj_backend_start_t *, bool);
+create_attempt(jj_relay_t *, entry_t *, const jj_backend_start_t *);
 static void reset_stream(entry_t *);
 static void start_request(shard_t *, entry_t *, attempt_t *, jj_ms_t);
 static void reject_second_run(jj_relay_t *, const jj_backend_start_t *);
@@ -95,6 +92,7 @@
 static bool assemble_answer(attempt_t *, entry_t *);
 static jj_backend_kind_t
 classify_end(const attempt_t *, jj_http_end_t, const jj_http_head_t *);
+static bool is_json(const jj_buffer_t *);
 static jj_backend_kind_t
 classify_status(const attempt_t *, const jj_http_head_t *);
 static void post_event(attempt_t *, jj_backend_kind_t, uint32_t, jj_ms_t,
@@ -201,7 +199,7 @@
 		is_second_run = entry->begun && start->resume_from == 0;
 	}
 	if (entry != NULL && !is_second_run) {
-		attempt = create_attempt(relay, entry, start, idempotent);
+		attempt = create_attempt(relay, entry, start);
 		start_request(shard, entry, attempt, timeout_ms);
 	}
 	(void)apr_thread_mutex_unlock(shard->lock);
@@ -319,8 +317,8 @@
 }
 
 static attempt_t *
-create_attempt(jj_relay_t *relay, entry_t *entry,
-    const jj_backend_start_t *start, bool idempotent)
+create_attempt(
+    jj_relay_t *relay, entry_t *entry, const jj_backend_start_t *start)
 {
 	attempt_t *attempt = jj_alloc(sizeof(*attempt));
 	const jj_exchange_t *exchange = &entry->exchange;
@@ -331,7 +329,6 @@
 	attempt->request = start->request;
 	attempt->attempt = start->attempt;
 	attempt->server = start->server;
-	attempt->at_most_once = !idempotent;
 	attempt->assembles = entry->assembler != NULL;
 	attempt->streams =
 	    exchange->is_model && (exchange->streams || attempt->assembles);
@@ -400,7 +397,8 @@
 		request.body_size = strlen(resume);
 	}
 	request.timeout_ms = timeout_ms;
-	request.once = attempt->at_most_once;
+	/* A late second answer would be read as that of the next request. */
+	request.once = true;
 	request.ctx = attempt;
 	request.on_head = on_head;
 	request.on_data = on_data;
@@ -603,11 +601,30 @@
 classify_end(
     const attempt_t *attempt, jj_http_end_t end, const jj_http_head_t *head)
 {
+	jj_backend_kind_t kind;
+
 	if (attempt->too_large)
 		return JJ_BACKEND_FAILED;
 	if (end != JJ_HTTP_COMPLETE)
 		return jj_attempt_kind_of_end(end);
-	return classify_status(attempt, head);
+	kind = classify_status(attempt, head);
+	/* A stream is checked for its end mark. */
+	if ((kind == JJ_BACKEND_DONE || kind == JJ_BACKEND_REJECTED) &&
+	    head->body == JJ_HTTP_BODY_CLOSE && !attempt->streams &&
+	    !is_json(&attempt->body))
+		return JJ_BACKEND_BROKEN;
+	return kind;
+}
+
+/** True for a whole object or array: it tells its own end. */
+static bool
+is_json(const jj_buffer_t *body)
+{
+	json_t *json = jj_json_load_stored(body->bytes.data, body->bytes.size);
+	bool is_whole = json != NULL;
+
+	json_decref(json);
+	return is_whole;
 }
 
 /**
--- a/tests/adapters/platform_test.cc
+++ b/tests/adapters/platform_test.cc
@@ -1,6 +1,6 @@
 /**
  * @file platform_test.cc
- * @brief Timeouts of the answer to a platform call.
+ * @brief Timeouts of the answer to a platform call, and its end.
  */
 #include <chrono>
 #include <condition_variable>
@@ -26,6 +26,8 @@
 class Result
 {
       public:
+	std::string value;
+
 	static void
 	take(void *ctx, jj_platform_result_t *result)
 	{
@@ -33,6 +35,9 @@
 		std::lock_guard<std::mutex> guard(self->lock);
 
 		self->outcome = result->outcome;
+		self->value.assign(
+		    result->value.data != nullptr ? result->value.data : "",
+		    result->value.size);
 		self->has_ended = true;
 		self->changed.notify_all();
 		jj_platform_result_clear(result);
@@ -45,6 +50,7 @@
 		EXPECT_TRUE(
 		    changed.wait_for(guard, std::chrono::milliseconds(LIMIT_MS),
 			[this] { return has_ended; }));
+		has_ended = false;
 		return outcome;
 	}
 
@@ -127,4 +133,118 @@
 	PaceCase{"AllCome", 8, JJ_PLATFORM_OK}),
     [](const auto &one) { return one.param.name; });
 
+struct EndCase {
+	const char *name;
+	jj_platform_op_t op;
+	const char *answer; /**< sent, then the connection is closed */
+	jj_platform_outcome_t outcome;
+};
+
+class PlatformEnd : public ::testing::TestWithParam<EndCase>
+{
+};
+
+/* Guards against an outcome that is read from an answer without its end. */
+TEST_P(PlatformEnd, IsKnownFromAWholeAnswer)
+{
+	const std::string answer = std::string("HTTP/1.1 ") + GetParam().answer;
+	UnresponsiveServer server;
+	Result result;
+	jj_platform_t *platform = jj_platform_create(&jj_platform_native_codec,
+	    server.address.c_str(), "verona-1", LIMIT_MS, Result::take,
+	    &result);
+	jj_platform_call_t call = {};
+
+	call.op = GetParam().op;
+	(void)snprintf(call.key, sizeof(call.key), "jobs/a");
+	jj_platform_start(platform, &call);
+	ASSERT_TRUE(server.accept_one(LIMIT_MS));
+	(void)read_until(server.last(), "\r\n\r\n");
+	(void)send(server.last(), answer.data(), answer.size(), MSG_NOSIGNAL);
+	(void)shutdown(server.last(), SHUT_RDWR);
+	EXPECT_EQ(GetParam().outcome, result.wait());
+	jj_platform_destroy(platform);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, PlatformEnd,
+    ::testing::Values(
+	EndCase{"Value", JJ_PLATFORM_GET,
+	    "200 OK\r\nContent-Length: 2\r\n\r\n{}", JJ_PLATFORM_OK},
+	EndCase{"Absent", JJ_PLATFORM_GET,
+	    "404 Not Found\r\nContent-Length: 0\r\n\r\n", JJ_PLATFORM_ABSENT},
+	EndCase{"Gap", JJ_PLATFORM_WATCH,
+	    "410 Gone\r\nContent-Length: 14\r\n\r\n{\"revision\":7}",
+	    JJ_PLATFORM_GAP},
+	EndCase{"AbsentCutInItsHead", JJ_PLATFORM_GET, "404 Not Found\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ValueCutInItsHead", JJ_PLATFORM_GET, "200 OK\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"CreatedCutInItsHead", JJ_PLATFORM_CREATE, "201 Created\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"UpdatedCutInItsHead", JJ_PLATFORM_UPDATE,
+	    "200 OK\r\nETag: \"7", JJ_PLATFORM_UNKNOWN},
+	EndCase{"ConflictCutInItsHead", JJ_PLATFORM_UPDATE,
+	    "412 Precondition Failed\r\n", JJ_PLATFORM_UNKNOWN},
+	EndCase{"DeletedCutInItsHead", JJ_PLATFORM_DELETE, "204 No Content\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"GapCutInItsHead", JJ_PLATFORM_WATCH, "410 Gone\r\n",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ValueWithTwoLengths", JJ_PLATFORM_GET,
+	    "200 OK\r\nContent-Length: 9\r\nContent-Length: 2\r\n\r\n{}",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ValueWithoutLength", JJ_PLATFORM_GET, "200 OK\r\n\r\n{}",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"VmsWithoutLength", JJ_PLATFORM_VMS, "200 OK\r\n\r\n{}",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ListWithoutLength", JJ_PLATFORM_LIST,
+	    "200 OK\r\n\r\n{\"items\":[],\"revision\":7}", JJ_PLATFORM_OK},
+	EndCase{"ListCutShort", JJ_PLATFORM_LIST, "200 OK\r\n\r\n{\"items\":[]",
+	    JJ_PLATFORM_UNKNOWN},
+	EndCase{"ListFollowedByMore", JJ_PLATFORM_LIST,
+	    "200 OK\r\n\r\n{\"items\":[]}{", JJ_PLATFORM_UNKNOWN},
+	EndCase{"NoList", JJ_PLATFORM_LIST,
+	    "200 OK\r\nContent-Length: 2\r\n\r\n{}", JJ_PLATFORM_UNKNOWN},
+	EndCase{"NoEvents", JJ_PLATFORM_WATCH,
+	    "200 OK\r\nContent-Length: 14\r\n\r\n{\"revision\":7}",
+	    JJ_PLATFORM_UNKNOWN}),
+    [](const auto &one) { return one.param.name; });
+
+/* Guards against a second, late answer that is read as another object. */
+TEST(PlatformReads, ALateAnswerIsNotThatOfTheNextCall)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+	UnresponsiveServer server;
+	Result result;
+	jj_platform_t *platform = jj_platform_create(&jj_platform_native_codec,
+	    server.address.c_str(), "verona-1", LIMIT_MS, Result::take,
+	    &result);
+	jj_platform_call_t call = {};
+	auto answer = [&](int fd, const char *value) {
+		const std::string text = head + value;
+
+		(void)send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+	};
+
+	call.op = JJ_PLATFORM_GET;
+	(void)snprintf(call.key, sizeof(call.key), "jobs/a");
+	jj_platform_start(platform, &call);
+	ASSERT_TRUE(server.accept_one(LIMIT_MS));
+	int first = server.last();
+	(void)read_until(first, "\r\n\r\n");
+	answer(first, "1");
+	(void)result.wait();
+	(void)snprintf(call.key, sizeof(call.key), "jobs/b");
+	jj_platform_start(platform, &call);
+	/* Empty once the connection is closed. */
+	if (!read_until(first, "\r\n\r\n").empty()) {
+		answer(first, "1");
+	} else {
+		ASSERT_TRUE(server.accept_one(LIMIT_MS));
+		answer(server.last(), "2");
+	}
+	EXPECT_EQ(JJ_PLATFORM_OK, result.wait());
+	EXPECT_EQ("2", result.value);
+	jj_platform_destroy(platform);
+}
+
 } // namespace
