Lists: a page of objects with invalid names doesn't end the list

What callers saw: objects of another writer whose names can't be part of a key (a space, '%', bytes beyond ASCII) filled a page of a list. The mirror took the page for the last one, and the servers on later pages counted as removed; a VM that started didn't know them.

Cause: the next page began after the last readable item, and a page without items ended the list although the platform had sent more=true.

Shown by PlatformBody.APageOfInvalidNamesEndsNoList, which failed before: the mirror's next call was a watch (5) instead of a list (4).

Fix: a result keeps the key of the page's last object also if its name isn't valid, and the call for the next page escapes such a name. A page that ends where it began ends the list, so it isn't read again and again.

--- a/src/core/gateway_vms.c
+++ b/src/core/gateway_vms.c
@@ -279,8 +279,7 @@
 		begin_list(gateway);
 	for (i = 0; i < result->item_count; i++)
 		take_vm(gateway, &result->items[i]);
-	gateway->vms_after[0] = '\0';
-	if (!result->more || result->item_count == 0) {
+	if (!jj_platform_next_page(result, gateway->vms_after)) {
 		gateway->vms_fresh =
 		    gateway->vms_fresh || gateway->vms_reading_fresh;
 		end_list(gateway, now);
@@ -290,8 +289,6 @@
 		return;
 	}
 	gateway->next_vms_ms = now;
-	(void)snprintf(gateway->vms_after, sizeof(gateway->vms_after), "%s",
-	    result->items[result->item_count - 1].key);
 }
 
 static void
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -197,15 +197,11 @@
 	 */
 	if (mirror->after[0] == '\0')
 		mirror->since = result->version;
-	for (i = 0; i < result->item_count; i++) {
+	for (i = 0; i < result->item_count; i++)
 		port->take(port->ctx, &result->items[i]);
-		(void)snprintf(mirror->after, sizeof(mirror->after), "%s",
-		    result->items[i].key);
-	}
 	mirror->next_ms = now;
-	if (result->more && result->item_count > 0)
+	if (jj_platform_next_page(result, mirror->after))
 		return;
-	mirror->after[0] = '\0';
 	mirror->listed = true;
 	mirror->confirmed_ms = now;
 	port->end_list(port->ctx, now);
--- a/tests/platform/entries_test.cc
+++ b/tests/platform/entries_test.cc
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
+#include "core/mirror.h"
 #include "platform/parts.h"
 }
 
@@ -274,6 +275,56 @@
 	}
 }
 
+/* Guards against a list that ends at a page of objects with invalid names. */
+TEST_F(PlatformBody, APageOfInvalidNamesEndsNoList)
+{
+	struct {
+		std::string name;
+		const char *path; /**< of the call for the next page */
+	} const cases[] = {
+	    {"a b", "/api/objects/servers?after=a%20b"},
+	    {"a%#/&?", "/api/objects/servers?after=a%25%23%2F%26%3F"},
+	    {"a\\nb", "/api/objects/servers?after=a%0Ab"},
+	    {"\u00e9", "/api/objects/servers?after=%C3%A9"},
+	    {std::string(240, ' '), nullptr},
+	};
+
+	for (const auto &row : cases) {
+		jj_mirror_settings_t settings = {
+		    JJ_OWNER_GATEWAY, 1, "servers/", 1, 1, 1, 1, 1, 1};
+		jj_mirror_port_t port = {nullptr, [](void *) {},
+		    [](void *, const jj_platform_item_t *) {},
+		    [](void *, const char *) {}, [](void *, jj_ms_t) {},
+		    nullptr};
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+		jj_platform_request_t request = {};
+		jj_mirror_t mirror;
+
+		jj_mirror_init(&mirror, &settings, &port);
+		jj_mirror_set_active(&mirror, true, 1);
+		jj_mirror_tick(&mirror, 1, &out);
+		take(JJ_PLATFORM_LIST,
+		    "{\"items\":[" + object("0 0", "{}") + "," +
+			object(row.name, deep(3000)) +
+			"],\"more\":true,\"at\":530}");
+		result.token = TAILQ_FIRST(&out)->body.platform.token;
+		jj_actions_clear(&out);
+		ASSERT_TRUE(jj_mirror_take_result(&mirror, &result, 2, &out));
+		jj_mirror_tick(&mirror, 2, &out);
+		ASSERT_EQ(JJ_PLATFORM_LIST, TAILQ_FIRST(&out)->body.platform.op)
+		    << row.name;
+		jj_platform_objects_codec.write(
+		    "c", &TAILQ_FIRST(&out)->body.platform, &request);
+		if (row.path != nullptr) {
+			EXPECT_STREQ(row.path, request.path);
+		} else {
+			EXPECT_EQ(
+			    27 + 3 * row.name.size(), strlen(request.path));
+		}
+		jj_actions_clear(&out);
+	}
+}
+
 /* A truncated list is not accepted as a list with fewer entries. */
 TEST_F(PlatformBody, ATextThatBreaksOffIsNoList)
 {
