jujubectl: only the first line of a head is its status line

The same as in the HTTP client: a header line that begins like a status line made it forget what it had read of the head.

--- a/src/ctl/ctl_http.c
+++ b/src/ctl/ctl_http.c
@@ -26,6 +26,7 @@
 	bool shows_progress;
 	jj_http_framing_t framing; /**< of the current head */
 	bool is_http10;
+	bool in_head; /**< between a status line and the empty line */
 	bool has_head; /**< the end of the head was received */
 	bool has_end; /**< the head tells where the body ends */
 } transfer_t;
@@ -187,7 +188,7 @@
 		text--;
 	if (transfer->has_head)
 		return size; /* of the trailer */
-	if (text >= 5 && strncmp(line, "HTTP/", 5) == 0)
+	if (!transfer->in_head)
 		begin_head(transfer, line, text);
 	else if (text > 0)
 		take_header(transfer, line, text);
@@ -202,6 +203,7 @@
 	jj_ctl_response_t *response = transfer->response;
 
 	memset(&transfer->framing, 0, sizeof(transfer->framing));
+	transfer->in_head = true;
 	transfer->is_http10 = size >= 8 && strncmp(line, "HTTP/1.0", 8) == 0;
 	response->etag[0] = '\0';
 	response->content_type[0] = '\0';
@@ -218,6 +220,7 @@
 	jj_http_framing_t *framing = &transfer->framing;
 	long status = 0;
 
+	transfer->in_head = false;
 	(void)curl_easy_getinfo(
 	    transfer->curl, CURLINFO_RESPONSE_CODE, &status);
 	if (status < 200)
