Tests: crowds of callers that stay inside no limit

One VM of the platform's form, started as a process on loopback, a store and a server of the test, and crowds of 1 to 80 callers. Checked: the process lives, its memory stays under that of the smallest machine (110 MB, and half of it afterwards), its descriptors under the connections of the settings and 100, an ordinary request is answered beside the crowd and after it, refusals that a head decides come after the head, connections end.

--- a/Makefile
+++ b/Makefile
@@ -103,7 +103,7 @@
 $(B)/test-system: $(SYSTEM_TESTS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
 
-# The soak and the figures under failure: real processes, not in CI.
+# Crowds, the soak and the figures under failure: real processes.
 HARNESS := $(B)/tests/system/harness.o $(B)/tests/system/ports.o
 $(B)/soak: $(patsubst %.cc,$(B)/%.o,$(wildcard tests/soak/*.cc)) $(HARNESS) \
 	$(LIB)
@@ -111,6 +111,12 @@
 $(B)/figures: $(patsubst %.cc,$(B)/%.o,$(wildcard tests/figures/*.cc)) \
 	$(HARNESS) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
+$(B)/test-crowd: $(patsubst %.cc,$(B)/%.o,$(wildcard tests/crowd/*.cc)) \
+	$(HARNESS) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(PKG_LIBS)
+# One test at a time: memory and descriptors of a process are checked.
+test-crowd: all $(B)/test-crowd
+	JUJUBE_BIN=$(B) $(B)/test-crowd
 soak: all $(B)/soak
 	JUJUBE_BIN=$(B) scripts/soak
 figures: all $(B)/figures
@@ -208,7 +214,8 @@
 clean:
 	rm -rf build
 
-.PHONY: docs plots slopes bench-hop bench-control soak figures bench sanitized check-bench fuzz all check demo test-core test-adapters test-system format \
+.PHONY: docs plots slopes bench-hop bench-control soak figures bench sanitized check-bench fuzz all check demo test-core test-adapters test-system test-crowd \
+	format \
 	check-format check-draws check-tidy clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/tests/system/harness.cc
+++ b/tests/system/harness.cc
@@ -14,6 +14,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -446,6 +447,29 @@
 	return pid > 0;
 }
 
+long
+process_t::status_kb(const std::string &key) const
+{
+	std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+	std::string line;
+
+	while (std::getline(file, line))
+		if (line.rfind(key + ":", 0) == 0)
+			return std::stol(line.substr(key.size() + 1));
+	return 0;
+}
+
+size_t
+process_t::descriptor_count() const
+{
+	std::error_code error;
+	std::filesystem::directory_iterator files(
+	    "/proc/" + std::to_string(pid) + "/fd", error);
+
+	return (size_t)std::distance(
+	    files, std::filesystem::directory_iterator());
+}
+
 std::string
 process_t::log_text() const
 {
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -130,6 +130,10 @@
 	 * a signal. */
 	int wait_exit();
 	bool is_alive();
+	/* A value of /proc/PID/status in kB, such as "VmRSS"; 0: not running. */
+	long status_kb(const std::string &key) const;
+	/* Open file descriptors. */
+	size_t descriptor_count() const;
 	std::string log_text() const;
 	std::string log_tail(size_t bytes) const;
 
