JSON from callers: the number of values has a limit

Callers saw nothing; the VM kept 249 MB after one whole, legal-sized submission of 4 MiB of small objects, 79 MB after one of numbers, and one with 4 MiB of headers kept its thread busy for over a minute.

Cause: the tree of a JSON text takes up to a hundred times its size, and the whole text was parsed before anything was checked.

Beyond, 400 or 422, as for malformed JSON.

--- a/src/core/job_submit.c
+++ b/src/core/job_submit.c
@@ -53,8 +53,8 @@
 	json_t *object = NULL;
 
 	if (request->size > 0)
-		object = json_loadb(
-		    request->data, request->size, JSON_REJECT_DUPLICATES, NULL);
+		object = jj_json_load_limited(request->data, request->size,
+		    JSON_REJECT_DUPLICATES, JJ_JSON_VALUES_MAX);
 	if (fault == NULL)
 		fault = take_request(operation, object);
 	if (fault != NULL) {
--- a/src/core/json_text.h
+++ b/src/core/json_text.h
@@ -14,6 +14,17 @@
  * may contain NUL, as the output of a backend server may.
  */
 json_t *jj_json_load_stored(const char *text, size_t size);
+/** Values in the JSON of a request, as of a chat with 16,000 messages. */
+#define JJ_JSON_VALUES_MAX 65536
+
+/**
+ * Parses JSON from outside; NULL when malformed or when it has more than
+ * @p values_max values. A tree of many small values takes a hundred times the
+ * memory of their text.
+ * @param flags of json_loadb().
+ */
+json_t *jj_json_load_limited(
+    const char *text, size_t size, size_t flags, size_t values_max);
 /** Compact text of an object; releases its reference. */
 jj_bytes_t jj_json_take_bytes(json_t *object);
 /**
