--- a/src/core/route.h
+++ b/src/core/route.h
@@ -52,6 +52,14 @@
 	uint32_t backend_count; /**< 0: no usable service is known */
 } jj_route_t;
 
+/** What callers may send; 0: the configuration does not say. */
+typedef struct {
+	size_t head_bytes;
+	size_t body_bytes;
+	jj_ms_t head_ms; /**< until a head is complete */
+	jj_ms_t idle_ms; /**< between two requests of a connection */
+} jj_route_limits_t;
+
 /**
  * One version of all routes. The number of routes has no limit of its own: only
  * the size of the document that they are read from is limited, by the platform.
@@ -65,6 +73,7 @@
 	uint32_t *index; /**< hash table: index in `routes` plus 1, 0: empty */
 	size_t index_size; /**< a power of two */
 	size_t longest_prefix; /**< bytes */
+	jj_route_limits_t limits; /**< of the same version, for all routes */
 	/** of the same version; NULL: callers need no key */
 	jj_teams_t *teams;
 } jj_routes_t;
--- a/tests/platform/config_test.cc
+++ b/tests/platform/config_test.cc
@@ -385,4 +385,27 @@
 		EXPECT_EQ(9U, version_of(vm.first)) << vm.first;
 }
 
+/* Guards against limits of the configuration that are not in force. */
+TEST(ConfigLimits, AreRead)
+{
+	std::string text = config_json(7, 1);
+	jj_bytes_t object;
+	jj_routes_t routes;
+	char why[200];
+
+	text.pop_back();
+	text += R"(,"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
+		R"("headerTimeoutMs":3000,"idleTimeoutMs":15000,"other":[1,)"
+		R"({"maxBodyBytes":5}]}})";
+	object = jj_bytes_from_text(text.c_str());
+	ASSERT_TRUE(jj_platform_read_routes(&object, &routes, why, sizeof(why)))
+	    << why;
+	EXPECT_EQ(16384U, routes.limits.head_bytes);
+	EXPECT_EQ(4194304U, routes.limits.body_bytes);
+	EXPECT_EQ(3000, routes.limits.head_ms);
+	EXPECT_EQ(15000, routes.limits.idle_ms);
+	jj_routes_clear(&routes);
+	jj_bytes_free(&object);
+}
+
 } // namespace
