--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,8 @@
 	$(B)/src/daemon/assembler.o $(B)/src/daemon/attempt_end.o \
 	$(B)/src/daemon/stream_relay.o $(B)/src/daemon/health.o \
 	$(B)/src/daemon/gateway_node.o $(B)/src/daemon/gateway_front.o \
-	$(B)/src/daemon/gateway_events.o $(B)/src/daemon/gateway_views.o
+	$(B)/src/daemon/gateway_events.o $(B)/src/daemon/gateway_views.o \
+	$(B)/src/daemon/inlets.o
 # All of jujubectl but its main function.
 CTL_PARTS := $(filter-out $(B)/src/ctl/main.o,$(CTL_OBJ))
 PLATFORM_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -23,9 +23,15 @@
 /** Interval of the check for callers that closed their connection, ms. */
 #define DISCONNECT_CHECK_MS 200
 /** Block size of streamed responses, bytes. */
-#define STREAM_BLOCK_BYTES 65536
-/** Reading stops when this many times the body limit was discarded. */
-#define OVERSIZE_FACTOR 4
+#define STREAM_BLOCK_BYTES 16384
+/** A stream's buffer that is empty keeps no more memory than that, bytes. */
+#define STREAM_KEPT_BYTES 65536
+/** A body without an announced length is held in steps of so many bytes. */
+#define BODY_STEP_BYTES 65536
+/** Buffers grow to twice their size and so many bytes more. */
+#define BUFFER_SLACK_BYTES 256
+/** Retry-After of a request that is refused for want of memory, s. */
+#define MEMORY_RETRY_S "1"
 /** Headers from a backend server may use 1/this of header_bytes. */
 #define EXTRA_HEADERS_DIVISOR 2
 /** Bytes of a header line besides name and value: ": " and CRLF. */
@@ -54,12 +60,22 @@
 	char *uri; /**< as received, not decoded */
 	bool is_upload;
 	bool passed_to_port; /**< on_request or on_upload was called */
-	bool too_large;
-	size_t dropped; /**< discarded bytes of a too large body */
+	bool ends_early; /**< answered without its body */
+	jj_http_request_limits_t limits; /**< when its head was complete */
+	int64_t length; /**< see jj_http_call_length() */
 	jj_bytes_t body;
 	size_t body_capacity;
 	void *context;
 
+	/* Parts of what the guard holds; not changed once finished. */
+	jj_http_peer_t *peer; /**< valid until finished */
+	size_t body_held; /**< the body with the port's copies, bytes */
+	size_t port_held; /**< by jj_http_call_hold(), bytes */
+	size_t answer_held; /**< buffers of the answer, bytes */
+
+	jj_ms_t upload_spent_ms; /**< waiting for the caller, since then: */
+	size_t upload_since; /**< bytes, up to the limit of a body */
+
 	apr_thread_mutex_t *lock; /**< one of the server's; guards all below */
 	call_state_t state;
 	bool suspended;
@@ -85,12 +101,17 @@
 typedef struct {
 	jj_http_framing_t framing;
 	uint32_t hosts;
+	size_t bytes; /**< of names and values */
 } head_t;
 
 struct jj_http_server {
 	struct MHD_Daemon *daemon;
 	jj_http_port_t port;
 	jj_http_limits_t limits;
+	atomic_size_t head_bytes; /**< see jj_http_request_limits_t */
+	atomic_size_t body_bytes;
+	atomic_int_fast64_t idle_ms;
+	jj_http_share_t share; /**< with a reference to the guard */
 	apr_pool_t *pool;
 	/** One of the owner and one per call: calls may outlive the server. */
 	atomic_int references;
@@ -107,17 +128,24 @@
 static enum MHD_Result handle(void *, struct MHD_Connection *, const char *,
     const char *, const char *, const char *, size_t *, void **);
 static void *prepare_call(void *, const char *, struct MHD_Connection *);
-static enum MHD_Result begin_call(jj_http_call_t *, const char *, const char *);
-static int check_head(const jj_http_call_t *, const char *);
+static enum MHD_Result
+begin_call(jj_http_call_t *, const char *, const char *, const head_t *);
+static int check_head(jj_http_call_t *, const char *, head_t *);
+static int check_body(jj_http_call_t *, const head_t *);
 static bool is_target(const char *);
 static enum MHD_Result take_head_field(
     void *, enum MHD_ValueKind, const char *, size_t, const char *, size_t);
-static enum MHD_Result reject_head(jj_http_call_t *, int);
+static enum MHD_Result reject_head(jj_http_call_t *, int, bool);
+static enum MHD_Result take_head(jj_http_call_t *, const head_t *);
+static bool has_body(const head_t *);
 static enum MHD_Result
 pass_header(void *, enum MHD_ValueKind, const char *, const char *);
 static enum MHD_Result collect_body(jj_http_call_t *, const char *, size_t *);
+static enum MHD_Result end_body(jj_http_call_t *, int);
 static enum MHD_Result pass_upload(jj_http_call_t *, const char *, size_t *);
 static enum MHD_Result continue_call(jj_http_call_t *);
+static void on_connection(void *, struct MHD_Connection *, void **,
+    enum MHD_ConnectionNotificationCode);
 static void on_completed(
     void *, struct MHD_Connection *, void **, enum MHD_RequestTerminationCode);
 static ssize_t read_stream(void *, uint64_t, char *, size_t);
@@ -130,16 +158,31 @@
 static bool detect_disconnect(jj_http_call_t *);
 static bool parse_address(const char *, struct sockaddr_in *);
 static void ensure_capacity(char **, size_t *, size_t);
-static jj_http_server_t *
-prepare_server(const jj_http_limits_t *, const jj_http_port_t *);
+static jj_http_server_t *prepare_server(
+    const jj_http_limits_t *, const jj_http_port_t *, const jj_http_share_t *);
 static void release_server(jj_http_server_t *);
-static void answer_too_large(jj_http_call_t *);
+static void enter(const jj_http_call_t *, jj_caller_phase_t);
+static bool hold(jj_http_call_t *, size_t *, size_t, bool);
+static bool grow_buffer(jj_http_call_t *, size_t, bool);
 
 jj_http_server_t *
 jj_http_server_create(
     const jj_http_limits_t *limits, const jj_http_port_t *port)
 {
-	jj_http_server_t *server = prepare_server(limits, port);
+	jj_http_guard_limits_t none = {0, 0, 0};
+	jj_http_share_t share = {jj_http_guard_create(&none), 1, 0};
+	jj_http_server_t *server =
+	    jj_http_server_create_guarded(limits, port, &share);
+
+	jj_http_guard_release(share.guard);
+	return server;
+}
+
+jj_http_server_t *
+jj_http_server_create_guarded(const jj_http_limits_t *limits,
+    const jj_http_port_t *port, const jj_http_share_t *share)
+{
+	jj_http_server_t *server = prepare_server(limits, port, share);
 	struct sockaddr_in address;
 	unsigned int flags =
 	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
@@ -158,7 +201,8 @@
 	    (unsigned int)(limits->idle_ms / 1000),
 	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
 	    prepare_call, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-	    server, MHD_OPTION_END);
+	    server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
+	    MHD_OPTION_END);
 	if (server->daemon == NULL)
 		goto out;
 	server->disconnect_checker = jj_runtime_start_thread(
@@ -174,6 +218,15 @@
 	return NULL;
 }
 
+void
+jj_http_server_set_limits(
+    jj_http_server_t *server, const jj_http_request_limits_t *limits)
+{
+	atomic_store(&server->head_bytes, limits->head_bytes);
+	atomic_store(&server->body_bytes, limits->body_bytes);
+	atomic_store(&server->idle_ms, limits->idle_ms);
+}
+
 void
 jj_http_server_destroy(jj_http_server_t *server)
 {
@@ -251,6 +304,28 @@
 	return &call->body;
 }
 
+int64_t
+jj_http_call_length(const jj_http_call_t *call)
+{
+	return call->length;
+}
+
+jj_bytes_t
+jj_http_call_take_body(jj_http_call_t *call)
+{
+	jj_bytes_t body = call->body;
+
+	memset(&call->body, 0, sizeof(call->body));
+	call->body_capacity = 0;
+	return body;
+}
+
+bool
+jj_http_call_hold(jj_http_call_t *call, size_t bytes)
+{
+	return hold(call, &call->port_held, bytes, false);
+}
+
 void
 jj_http_call_set_context(jj_http_call_t *call, void *context)
 {
@@ -278,6 +353,8 @@
 		call->status = answer->status;
 		call->state = CALL_ANSWERED;
 		response = NULL;
+		if (!call->finished)
+			(void)hold(call, &call->answer_held, size, true);
 		resume_connection(call);
 	}
 	(void)apr_thread_mutex_unlock(call->lock);
@@ -298,6 +375,9 @@
 	call->response = response;
 	call->status = answer->status;
 	call->state = CALL_STREAMING;
+	if (!call->finished)
+		(void)hold(call, &call->answer_held,
+		    STREAM_BLOCK_BYTES + call->buffer_capacity, true);
 	resume_connection(call);
 	(void)apr_thread_mutex_unlock(call->lock);
 }
@@ -315,14 +395,10 @@
 	    call->buffer_size >= call->server->limits.stream_bytes) {
 		call->report_writable = true;
 		taken = false;
+	} else if (!grow_buffer(call, size, must || call->buffer_size == 0)) {
+		call->report_writable = true;
+		taken = false;
 	} else {
-		if (call->buffer_start > 0) {
-			memmove(call->buffer, call->buffer + call->buffer_start,
-			    call->buffer_size);
-			call->buffer_start = 0;
-		}
-		ensure_capacity(&call->buffer, &call->buffer_capacity,
-		    call->buffer_size + size);
 		memcpy(call->buffer + call->buffer_size, data, size);
 		call->buffer_size += size;
 		resume_connection(call);
@@ -407,6 +483,7 @@
     void **memory)
 {
 	jj_http_call_t *call = *memory;
+	head_t head = {0};
 	bool disconnected;
 	bool reading;
 	int rejected;
@@ -414,9 +491,10 @@
 	(void)ctx;
 	(void)connection;
 	if (call->path == NULL) {
-		rejected = check_head(call, version);
-		return rejected != 0 ? reject_head(call, rejected)
-				     : begin_call(call, url, method);
+		rejected = check_head(call, version, &head);
+		return rejected != 0
+		    ? reject_head(call, rejected, has_body(&head))
+		    : begin_call(call, url, method, &head);
 	}
 	(void)apr_thread_mutex_lock(call->lock);
 	disconnected = call->disconnected;
@@ -444,6 +522,9 @@
 
 	call->server = server;
 	call->connection = connection;
+	call->peer = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+			 ->socket_context;
 	call->uri = strdup(uri);
 	call->lock =
 	    server->call_locks[atomic_fetch_add(&server->next_call_lock, 1) %
@@ -464,17 +545,22 @@
  * @return the status to reject the request with; 0: it is valid.
  */
 static int
-check_head(const jj_http_call_t *call, const char *version)
+check_head(jj_http_call_t *call, const char *version, head_t *head)
 {
-	head_t head = {0};
-
 	(void)MHD_get_connection_values_n(
-	    call->connection, MHD_HEADER_KIND, take_head_field, &head);
-	if (!jj_http_framing_is_valid(&head.framing) || head.hosts > 1 ||
+	    call->connection, MHD_HEADER_KIND, take_head_field, head);
+	if (!jj_http_framing_is_valid(&head->framing) || head->hosts > 1 ||
 	    !is_target(call->uri) ||
-	    (head.framing.has_chunks &&
+	    (head->framing.has_chunks &&
 		strcmp(version, MHD_HTTP_VERSION_1_1) != 0))
 		return MHD_HTTP_BAD_REQUEST;
+	if (has_body(head))
+		call->length =
+		    head->framing.has_chunks ? -1 : head->framing.length;
+	call->limits.head_bytes = atomic_load(&call->server->head_bytes);
+	call->limits.body_bytes = atomic_load(&call->server->body_bytes);
+	if (head->bytes > call->limits.head_bytes)
+		return MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
 	return 0;
 }
 
@@ -498,21 +584,39 @@
 	jj_http_framing_take(&head->framing, name, name_size,
 	    value != NULL ? value : "", value_size);
 	head->hosts += strcasecmp(name, "Host") == 0;
+	head->bytes += name_size + value_size;
 	return MHD_YES;
 }
 
 /** libmicrohttpd closes the connection, as nothing of the body was read. */
 static enum MHD_Result
-reject_head(jj_http_call_t *call, int status)
+reject_head(jj_http_call_t *call, int status, bool lingers)
 {
-	struct MHD_Response *response =
-	    MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
+	static const char too_large[] =
+	    "{\"type\":\"about:blank\",\"title\":\"Content Too Large\","
+	    "\"status\":413,\"code\":\"body_too_large\",\"run\":\"not_run\"}";
+	bool explains = status == MHD_HTTP_CONTENT_TOO_LARGE;
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+	    explains ? sizeof(too_large) - 1 : 0, (void *)too_large,
+	    MHD_RESPMEM_PERSISTENT);
 	enum MHD_Result result;
 
 	JJ_INVARIANT(response != NULL);
-	jj_log(JJ_LOG_INFO, "request_malformed", "status=%d", status);
+	if (status == MHD_HTTP_BAD_REQUEST)
+		jj_log(JJ_LOG_INFO, "request_malformed", "status=%d", status);
+	else
+		jj_log(JJ_LOG_INFO, "request_over_limit", "status=%d", status);
+	if (explains)
+		(void)MHD_add_response_header(response,
+		    MHD_HTTP_HEADER_CONTENT_TYPE, "application/problem+json");
+	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		(void)MHD_add_response_header(
+		    response, MHD_HTTP_HEADER_RETRY_AFTER, MEMORY_RETRY_S);
 	(void)MHD_add_response_header(
 	    response, MHD_HTTP_HEADER_CONNECTION, "close");
+	if (lingers)
+		jj_http_guard_linger(call->server->share.guard, call->peer);
+	enter(call, JJ_CALLER_SENDING);
 	result = MHD_queue_response(
 	    call->connection, (unsigned int)status, response);
 	MHD_destroy_response(response);
@@ -520,9 +624,11 @@
 }
 
 static enum MHD_Result
-begin_call(jj_http_call_t *call, const char *url, const char *method)
+begin_call(jj_http_call_t *call, const char *url, const char *method,
+    const head_t *head)
 {
 	const jj_http_port_t *port = &call->server->port;
+	int rejected;
 
 	call->method = strdup(method);
 	call->path = strdup(url);
@@ -530,15 +636,63 @@
 		jj_http_call_retain(call);
 		call->passed_to_port = true;
 		if (port->on_headers(port->ctx, call))
-			return MHD_YES;
+			return take_head(call, head);
 		call->passed_to_port = false;
 		jj_http_call_release(call);
 	}
 	call->is_upload =
 	    port->takes_upload != NULL && port->takes_upload(port->ctx, call);
+	rejected = check_body(call, head);
+	if (rejected != 0)
+		return reject_head(call, rejected, true);
+	if (has_body(head))
+		enter(call, JJ_CALLER_BODY);
 	return MHD_YES;
 }
 
+static bool
+has_body(const head_t *head)
+{
+	return head->framing.has_chunks ||
+	    (head->framing.has_length && head->framing.length > 0);
+}
+
+/**
+ * Reserves memory for a body whose length is known.
+ * @return the status to reject the request with; 0: its body may come.
+ */
+static int
+check_body(jj_http_call_t *call, const head_t *head)
+{
+	const jj_http_share_t *share = &call->server->share;
+	int64_t length = head->framing.has_length ? head->framing.length : 0;
+	size_t needed = (size_t)length * share->body_copies;
+
+	if (!has_body(head))
+		return 0;
+	if (call->is_upload)
+		needed = share->upload_bytes;
+	else if ((uint64_t)length > call->limits.body_bytes)
+		return MHD_HTTP_CONTENT_TOO_LARGE;
+	return hold(call, &call->body_held, needed, false)
+	    ? 0
+	    : MHD_HTTP_SERVICE_UNAVAILABLE;
+}
+
+/** The port has taken a request without its body. */
+static enum MHD_Result
+take_head(jj_http_call_t *call, const head_t *head)
+{
+	(void)apr_thread_mutex_lock(call->lock);
+	if (call->state == CALL_READING)
+		call->state = CALL_WAITING;
+	(void)apr_thread_mutex_unlock(call->lock);
+	enter(call, JJ_CALLER_SERVED);
+	call->ends_early = has_body(head);
+	/* An answer before the body must be queued before it is received. */
+	return call->ends_early ? continue_call(call) : MHD_YES;
+}
+
 static enum MHD_Result
 pass_header(
     void *ctx, enum MHD_ValueKind kind, const char *name, const char *value)
@@ -553,24 +707,32 @@
 static enum MHD_Result
 collect_body(jj_http_call_t *call, const char *data, size_t *size)
 {
-	size_t limit = call->server->limits.body_bytes;
-
-	if (call->too_large || call->body.size + *size > limit) {
-		call->too_large = true;
-		call->dropped += *size;
-		*size = 0;
-		return call->dropped > limit * OVERSIZE_FACTOR ? MHD_NO
-							       : MHD_YES;
-	}
-	ensure_capacity(&call->body.data, &call->body_capacity,
-	    call->body.size + *size + 1);
+	size_t needed = call->body.size + *size;
+	size_t held = needed * call->server->share.body_copies;
+
+	if (needed > call->limits.body_bytes)
+		return end_body(call, MHD_HTTP_CONTENT_TOO_LARGE);
+	if (held > call->body_held &&
+	    !hold(call, &call->body_held, held + BODY_STEP_BYTES, false))
+		return end_body(call, MHD_HTTP_SERVICE_UNAVAILABLE);
+	ensure_capacity(&call->body.data, &call->body_capacity, needed + 1);
 	memcpy(call->body.data + call->body.size, data, *size);
-	call->body.size += *size;
-	call->body.data[call->body.size] = '\0';
+	call->body.size = needed;
+	call->body.data[needed] = '\0';
 	*size = 0;
 	return MHD_YES;
 }
 
+/** Answers in the middle of a body, which libmicrohttpd can't, and closes. */
+static enum MHD_Result
+end_body(jj_http_call_t *call, int status)
+{
+	jj_log(JJ_LOG_INFO, "request_over_limit", "status=%d received=%zu",
+	    status, call->body.size);
+	jj_http_guard_answer(call->server->share.guard, call->peer, status);
+	return MHD_NO;
+}
+
 static enum MHD_Result
 pass_upload(jj_http_call_t *call, const char *data, size_t *size)
 {
@@ -589,6 +751,13 @@
 	(void)apr_thread_mutex_lock(call->lock);
 	MHD_suspend_connection(call->connection);
 	call->suspended = true;
+	call->upload_spent_ms =
+	    jj_http_guard_pause(call->server->share.guard, call->peer);
+	call->upload_since += *size;
+	if (call->upload_since >= call->limits.body_bytes) {
+		call->upload_spent_ms = 0;
+		call->upload_since = 0;
+	}
 	(void)apr_thread_mutex_unlock(call->lock);
 	taken = port->on_upload(port->ctx, call, data, *size);
 	if (taken > 0) {
@@ -609,20 +778,17 @@
 	enum MHD_Result result = MHD_YES;
 	bool first;
 
-	if (call->too_large) {
-		answer_too_large(call);
-	} else {
-		(void)apr_thread_mutex_lock(call->lock);
-		first = call->state == CALL_READING;
-		if (first)
-			call->state = CALL_WAITING;
-		(void)apr_thread_mutex_unlock(call->lock);
-		if (first) {
-			if (!call->passed_to_port)
-				jj_http_call_retain(call);
-			call->passed_to_port = true;
-			port->on_request(port->ctx, call);
-		}
+	(void)apr_thread_mutex_lock(call->lock);
+	first = call->state == CALL_READING;
+	if (first)
+		call->state = CALL_WAITING;
+	(void)apr_thread_mutex_unlock(call->lock);
+	if (first) {
+		if (!call->passed_to_port)
+			jj_http_call_retain(call);
+		call->passed_to_port = true;
+		enter(call, JJ_CALLER_SERVED);
+		port->on_request(port->ctx, call);
 	}
 	(void)apr_thread_mutex_lock(call->lock);
 	if (call->disconnected) {
@@ -636,6 +802,13 @@
 	}
 	(void)apr_thread_mutex_unlock(call->lock);
 	if (response != NULL) {
+		if (call->ends_early) {
+			(void)MHD_add_response_header(
+			    response, MHD_HTTP_HEADER_CONNECTION, "close");
+			jj_http_guard_linger(
+			    call->server->share.guard, call->peer);
+		}
+		enter(call, JJ_CALLER_SENDING);
 		result = MHD_queue_response(
 		    call->connection, (unsigned int)call->status, response);
 		MHD_destroy_response(response);
@@ -644,17 +817,24 @@
 }
 
 static void
-answer_too_large(jj_http_call_t *call)
+on_connection(void *ctx, struct MHD_Connection *connection, void **context,
+    enum MHD_ConnectionNotificationCode code)
 {
-	static const char body[] =
-	    "{\"type\":\"about:blank\",\"title\":\"Content Too Large\","
-	    "\"status\":413,\"code\":\"body_too_large\",\"run\":\"not_run\"}";
-	jj_http_answer_t answer = {
-	    413, "application/problem+json", {{NULL, NULL}}, NULL, 0};
+	jj_http_server_t *server = ctx;
 
-	jj_http_call_retain(call);
-	call->too_large = false;
-	jj_http_call_answer(call, &answer, body, sizeof(body) - 1);
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		(void)MHD_set_connection_option(connection,
+		    MHD_CONNECTION_OPTION_TIMEOUT,
+		    (unsigned int)((atomic_load(&server->idle_ms) + 999) /
+			1000));
+		*context = jj_http_guard_open(server->share.guard,
+		    MHD_get_connection_info(
+			connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+			->connect_fd);
+	} else {
+		jj_http_guard_close(server->share.guard, *context);
+		*context = NULL;
+	}
 }
 
 static void
@@ -680,6 +860,10 @@
 	call->disconnected = true;
 	unfinished = call->passed_to_port && call->state != CALL_ANSWERED &&
 	    call->state != CALL_ENDED;
+	(void)hold(call, &call->body_held, 0, true);
+	(void)hold(call, &call->port_held, 0, true);
+	(void)hold(call, &call->answer_held, 0, true);
+	enter(call, JJ_CALLER_IDLE);
 	(void)apr_thread_mutex_unlock(call->lock);
 	if (unfinished && !notified && server->port.on_disconnect != NULL)
 		server->port.on_disconnect(server->port.ctx, call);
@@ -704,6 +888,15 @@
 		call->buffer_start += size;
 		call->buffer_size -= size;
 		result = (ssize_t)size;
+		if (call->buffer_size == 0 &&
+		    call->buffer_capacity > STREAM_KEPT_BYTES) {
+			free(call->buffer);
+			call->buffer = NULL;
+			call->buffer_capacity = 0;
+			(void)hold(
+			    call, &call->answer_held, STREAM_BLOCK_BYTES, true);
+		}
+		enter(call, JJ_CALLER_SENDING);
 		writable = call->report_writable &&
 		    call->buffer_size < call->server->limits.stream_bytes / 2;
 		if (writable)
@@ -716,6 +909,7 @@
 	} else {
 		call->suspended = true;
 		MHD_suspend_connection(call->connection);
+		enter(call, JJ_CALLER_SERVED);
 	}
 	(void)apr_thread_mutex_unlock(call->lock);
 	if (writable && port->on_writable != NULL)
@@ -730,6 +924,9 @@
 	if (!call->suspended || call->finished)
 		return;
 	call->suspended = false;
+	if (call->state == CALL_READING)
+		jj_http_guard_continue(call->server->share.guard, call->peer,
+		    JJ_CALLER_BODY, call->upload_spent_ms);
 	MHD_resume_connection(call->connection);
 }
 
@@ -781,6 +978,7 @@
 	(void)thread;
 	while (!stopping) {
 		jj_runtime_wait(server->waker, DISCONNECT_CHECK_MS);
+		jj_http_guard_tick(server->share.guard);
 		while ((closed = find_disconnected(server, &stopping)) != NULL)
 			notify_disconnect(server, closed);
 	}
@@ -862,18 +1060,58 @@
 {
 	if (needed <= *capacity)
 		return;
-	*capacity = needed + *capacity + 256;
+	*capacity = needed + *capacity + BUFFER_SLACK_BYTES;
 	*memory = jj_realloc(*memory, *capacity);
 }
 
+static void
+enter(const jj_http_call_t *call, jj_caller_phase_t phase)
+{
+	jj_http_guard_enter(call->server->share.guard, call->peer, phase);
+}
+
+/** Changes a part of what is held for a call; not once it is finished. */
+static bool
+hold(jj_http_call_t *call, size_t *part, size_t bytes, bool must)
+{
+	return jj_http_guard_hold(
+	    call->server->share.guard, call->peer, part, bytes, must);
+}
+
+/** Makes room for more bytes of a stream; false if there is no memory left. */
+static bool
+grow_buffer(jj_http_call_t *call, size_t more, bool must)
+{
+	size_t needed = call->buffer_size + more;
+	size_t capacity = needed + call->buffer_capacity + BUFFER_SLACK_BYTES;
+
+	if (needed > call->buffer_capacity &&
+	    !hold(
+		call, &call->answer_held, STREAM_BLOCK_BYTES + capacity, must))
+		return false;
+	if (call->buffer_start > 0) {
+		memmove(call->buffer, call->buffer + call->buffer_start,
+		    call->buffer_size);
+		call->buffer_start = 0;
+	}
+	ensure_capacity(&call->buffer, &call->buffer_capacity, needed);
+	return true;
+}
+
 static jj_http_server_t *
-prepare_server(const jj_http_limits_t *limits, const jj_http_port_t *port)
+prepare_server(const jj_http_limits_t *limits, const jj_http_port_t *port,
+    const jj_http_share_t *share)
 {
 	jj_http_server_t *server = jj_alloc(sizeof(*server));
 	size_t i;
 
 	server->port = *port;
 	server->limits = *limits;
+	server->share = *share;
+	(void)jj_http_guard_retain(share->guard);
+	atomic_init(&server->head_bytes, limits->header_bytes);
+	atomic_init(&server->body_bytes, limits->body_bytes);
+	atomic_init(&server->idle_ms, limits->idle_ms);
 	TAILQ_INIT(&server->open_calls);
 	atomic_init(&server->references, 1);
 	server->pool = jj_runtime_create_pool();
@@ -893,6 +1131,7 @@
 {
 	if (atomic_fetch_sub(&server->references, 1) != 1)
 		return;
+	jj_http_guard_release(server->share.guard);
 	apr_pool_destroy(server->pool);
 	free(server);
 }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -12,6 +12,7 @@
 #ifndef JJ_ADAPTERS_HTTP_SERVER_H
 #define JJ_ADAPTERS_HTTP_SERVER_H
 
+#include "adapters/http_guard.h"
 #include "core/types.h"
 
 /** Maximum number of headers in jj_http_answer_t.fields. */
@@ -60,8 +61,9 @@
 	/** A full stream buffer has free capacity again. NULL: ignored. */
 	void (*on_writable)(void *ctx, jj_http_call_t *call);
 	/**
-	 * The headers of a request were received. True when the port has
-	 * answered it; its body is then discarded. NULL: never.
+	 * The headers of a request were received. True when the port takes
+	 * the request as it is: it answers it now or later, as in on_request,
+	 * and the body is not read. NULL: never.
 	 */
 	bool (*on_headers)(void *ctx, jj_http_call_t *call);
 } jj_http_port_t;
@@ -77,11 +79,35 @@
 	jj_ms_t idle_ms; /**< idle timeout of a connection */
 } jj_http_limits_t;
 
+/** How the requests of a server count in the sum of its process. */
+typedef struct {
+	jj_http_guard_t *guard;
+	/** copies of a body while its request runs, the body itself included */
+	uint32_t body_copies;
+	size_t upload_bytes; /**< memory that the port uses for an upload */
+} jj_http_share_t;
+
+/** Limits of requests that may change while a server runs. */
+typedef struct {
+	size_t head_bytes; /**< names and values of the headers */
+	size_t body_bytes; /**< maximum size of a collected body */
+	jj_ms_t idle_ms; /**< idle timeout of new connections */
+} jj_http_request_limits_t;
+
 typedef struct jj_http_server jj_http_server_t;
 
-/** Starts serving; NULL if the address cannot be bound. */
+/**
+ * Starts serving; NULL if the address cannot be bound. Without a share of a
+ * guard, nothing but `limits` bounds what the server holds.
+ */
 jj_http_server_t *jj_http_server_create(
     const jj_http_limits_t *limits, const jj_http_port_t *port);
+/** The same within the bounds of a process. */
+jj_http_server_t *jj_http_server_create_guarded(const jj_http_limits_t *limits,
+    const jj_http_port_t *port, const jj_http_share_t *share);
+/** Limits for requests whose head is not complete yet. */
+void jj_http_server_set_limits(
+    jj_http_server_t *server, const jj_http_request_limits_t *limits);
 /** Stops the server; connections of open requests are closed. */
 void jj_http_server_destroy(jj_http_server_t *server);
 /** Number of requests whose answer is not yet complete. */
@@ -98,8 +124,18 @@
 const char *jj_http_call_header(const jj_http_call_t *call, const char *name);
 /** An argument of the query string, or NULL. */
 const char *jj_http_call_query(const jj_http_call_t *call, const char *name);
+/** Announced bytes of the body; 0: none, -1: not announced. */
+int64_t jj_http_call_length(const jj_http_call_t *call);
 /** The collected body; empty for uploads. */
 const jj_bytes_t *jj_http_call_body(const jj_http_call_t *call);
+/** Moves the collected body to the port; what it holds still counts. */
+jj_bytes_t jj_http_call_take_body(jj_http_call_t *call);
+/**
+ * Changes what the port holds for a call beside its body, until the call is
+ * answered; only during on_request.
+ * @return false if there is no memory left.
+ */
+bool jj_http_call_hold(jj_http_call_t *call, size_t bytes);
 /** Sets a pointer for the port's own use. */
 void jj_http_call_set_context(jj_http_call_t *call, void *context);
 void *jj_http_call_context(const jj_http_call_t *call);
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -83,9 +83,16 @@
 		size_t header_bytes; /**< maximum of one request */
 		size_t body_bytes; /**< maximum, except file uploads */
 		jj_ms_t idle_ms; /**< idle connections are closed after */
+		jj_ms_t head_ms; /**< time limit of a head */
+		jj_ms_t body_ms; /**< time limit of a body */
 		size_t stream_bytes; /**< buffer limit of a slow reader */
 	} callers;
 
+	struct {
+		uint32_t memory_mb; /**< that the process may use */
+		uint32_t descriptors; /**< that the process may open */
+	} machine;
+
 	struct {
 		jj_log_level_t level;
 		char file[JJ_SETTINGS_PATH_MAX + 1]; /**< empty: stderr */
--- /dev/null
+++ b/src/core/caller_budget.c
@@ -0,0 +1,223 @@
+/**
+ * @file caller_budget.c
+ * @brief Bounds the memory and the connections that a process holds for its
+ * callers.
+ */
+#include "core/caller_budget.h"
+
+/** Share of the limit that only connections with little memory may use. */
+#define RESERVE_DIVISOR 4
+
+static size_t find_sum(const jj_caller_budget_t *);
+static size_t find_limit(const jj_caller_budget_t *, size_t);
+static jj_caller_t *find_oldest(const jj_caller_budget_t *,
+    const jj_caller_phase_t *, size_t, const jj_caller_t *);
+static jj_caller_t *
+evict(jj_caller_budget_t *, jj_caller_t *, jj_caller_reason_t);
+
+void
+jj_caller_budget_init(jj_caller_budget_t *budget, size_t limit,
+    size_t connection_bytes, uint32_t connection_limit)
+{
+	int phase;
+
+	*budget = (jj_caller_budget_t){.limit = limit,
+	    .connection_bytes = connection_bytes,
+	    .connection_limit = connection_limit};
+	for (phase = 0; phase < JJ_CALLER_PHASES; phase++) {
+		TAILQ_INIT(&budget->lists[phase]);
+		budget->timeouts[phase] = JJ_MS_NEVER;
+	}
+}
+
+void
+jj_caller_budget_add(
+    jj_caller_budget_t *budget, jj_caller_t *caller, jj_ms_t now)
+{
+	*caller = (jj_caller_t){.phase = JJ_CALLER_HEAD, .since = now};
+	TAILQ_INSERT_TAIL(&budget->lists[JJ_CALLER_HEAD], caller, link);
+	budget->connections++;
+	budget->held += budget->connection_bytes;
+}
+
+void
+jj_caller_budget_remove(jj_caller_budget_t *budget, jj_caller_t *caller)
+{
+	size_t bytes = budget->connection_bytes + caller->bytes;
+
+	if (!caller->evicted)
+		TAILQ_REMOVE(&budget->lists[caller->phase], caller, link);
+	if (caller->evicted) {
+		budget->evicted--;
+		budget->leaving -= bytes;
+	}
+	budget->connections--;
+	budget->held -= bytes;
+}
+
+void
+jj_caller_budget_enter(jj_caller_budget_t *budget, jj_caller_t *caller,
+    jj_caller_phase_t phase, jj_ms_t since)
+{
+	jj_caller_list_t *list = &budget->lists[phase];
+	jj_caller_t *before;
+
+	if (caller->evicted)
+		return;
+	TAILQ_REMOVE(&budget->lists[caller->phase], caller, link);
+	caller->phase = phase;
+	caller->since = since;
+	before = TAILQ_LAST(list, jj_caller_list);
+	while (before != NULL && before->since > since)
+		before = TAILQ_PREV(before, jj_caller_list, link);
+	if (before != NULL)
+		TAILQ_INSERT_AFTER(list, before, caller, link);
+	else
+		TAILQ_INSERT_HEAD(list, caller, link);
+}
+
+bool
+jj_caller_budget_hold(
+    jj_caller_budget_t *budget, jj_caller_t *caller, size_t bytes, bool must)
+{
+	if (bytes > caller->bytes && !must &&
+	    !jj_caller_budget_fits(budget, caller, bytes))
+		return false;
+	budget->held = budget->held - caller->bytes + bytes;
+	if (caller->evicted)
+		budget->leaving = budget->leaving - caller->bytes + bytes;
+	caller->bytes = bytes;
+	return true;
+}
+
+bool
+jj_caller_budget_fits(
+    const jj_caller_budget_t *budget, const jj_caller_t *caller, size_t bytes)
+{
+	if (budget->limit == 0)
+		return true;
+	return !caller->evicted &&
+	    find_sum(budget) - caller->bytes + bytes <=
+	    find_limit(budget, bytes);
+}
+
+jj_caller_t *
+jj_caller_budget_evict_for_memory(jj_caller_budget_t *budget,
+    const jj_caller_t *caller, size_t bytes, jj_ms_t now)
+{
+	static const jj_caller_phase_t phases[] = {
+	    JJ_CALLER_HEAD, JJ_CALLER_BODY, JJ_CALLER_SENDING};
+	static const jj_caller_phase_t idle = JJ_CALLER_IDLE;
+	jj_caller_t *slowest;
+
+	if (bytes > find_limit(budget, bytes) ||
+	    jj_caller_budget_fits(budget, caller, bytes))
+		return NULL;
+	slowest = find_oldest(
+	    budget, phases, sizeof(phases) / sizeof(phases[0]), caller);
+	if (slowest == NULL || now - slowest->since < JJ_CALLER_SLOW_MS)
+		slowest = find_oldest(budget, &idle, 1, caller);
+	if (slowest == NULL || now - slowest->since < JJ_CALLER_SLOW_MS)
+		return NULL;
+	return evict(budget, slowest, JJ_CALLER_OVER_MEMORY);
+}
+
+jj_caller_t *
+jj_caller_budget_evict_for_connection(
+    jj_caller_budget_t *budget, const jj_caller_t *caller)
+{
+	static const jj_caller_phase_t phases[] = {
+	    JJ_CALLER_HEAD, JJ_CALLER_BODY, JJ_CALLER_SENDING, JJ_CALLER_IDLE};
+	jj_caller_t *oldest;
+
+	if (budget->connection_limit == 0 ||
+	    budget->connections - budget->evicted <= budget->connection_limit)
+		return NULL;
+	oldest = find_oldest(
+	    budget, phases, sizeof(phases) / sizeof(phases[0]), caller);
+	return oldest != NULL
+	    ? evict(budget, oldest, JJ_CALLER_OVER_CONNECTIONS)
+	    : NULL;
+}
+
+jj_caller_t *
+jj_caller_budget_expire(jj_caller_budget_t *budget, jj_ms_t now)
+{
+	jj_caller_t *first;
+	int phase;
+
+	for (phase = 0; phase < JJ_CALLER_PHASES; phase++) {
+		first = TAILQ_FIRST(&budget->lists[phase]);
+		if (first != NULL && budget->timeouts[phase] != JJ_MS_NEVER &&
+		    now - first->since >= budget->timeouts[phase])
+			return evict(budget, first, JJ_CALLER_OVER_TIME);
+	}
+	return NULL;
+}
+
+void
+jj_caller_budget_skip(jj_caller_budget_t *budget, jj_ms_t pause_ms)
+{
+	jj_caller_t *caller;
+	int phase;
+
+	for (phase = 0; phase < JJ_CALLER_PHASES; phase++)
+		TAILQ_FOREACH(caller, &budget->lists[phase], link)
+	caller->since += pause_ms;
+}
+
+const char *
+jj_caller_phase_name(jj_caller_phase_t phase)
+{
+	static const char *const names[JJ_CALLER_PHASES] = {
+	    "head", "body", "sending", "idle", "served"};
+
+	return names[phase];
+}
+
+/** What is held after all evicted connections have left. */
+static size_t
+find_sum(const jj_caller_budget_t *budget)
+{
+	return budget->held - budget->leaving;
+}
+
+/** The limit for a connection that holds so much. */
+static size_t
+find_limit(const jj_caller_budget_t *budget, size_t bytes)
+{
+	return bytes <= JJ_CALLER_SMALL_BYTES
+	    ? budget->limit
+	    : budget->limit - budget->limit / RESERVE_DIVISOR;
+}
+
+/** The one that is longest in one of these phases, other than @p except. */
+static jj_caller_t *
+find_oldest(const jj_caller_budget_t *budget, const jj_caller_phase_t *phases,
+    size_t count, const jj_caller_t *except)
+{
+	jj_caller_t *oldest = NULL;
+	jj_caller_t *first;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		first = TAILQ_FIRST(&budget->lists[phases[i]]);
+		if (first == except && first != NULL)
+			first = TAILQ_NEXT(first, link);
+		if (first != NULL &&
+		    (oldest == NULL || first->since < oldest->since))
+			oldest = first;
+	}
+	return oldest;
+}
+
+static jj_caller_t *
+evict(jj_caller_budget_t *budget, jj_caller_t *caller, jj_caller_reason_t why)
+{
+	TAILQ_REMOVE(&budget->lists[caller->phase], caller, link);
+	caller->evicted = true;
+	budget->evicted++;
+	budget->leaving += budget->connection_bytes + caller->bytes;
+	budget->closed[why]++;
+	return caller;
+}
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -13,10 +13,17 @@
 #include "adapters/monotonic.h"
 #include "core/event_stream.h"
 #include "daemon/gateway_node.h"
+#include "daemon/inlets.h"
 
 /** Bit that is set in a call's context when it waits for an operation. */
 #define CONTEXT_OPERATION (UINT64_C(1) << 63)
 
+/** Of a body: the exchange's and the HTTP client's. */
+#define BODY_COPIES 2
+/** Of a submission: its items, their records and what is sent to the store. */
+#define JOB_COPIES 3
+/** While this VM stops, a body up to this size is read before the answer. */
+#define SMALL_BODY_BYTES 65536
 /** Retry-After for a key that may be in a newer configuration, ms. */
 #define UNKNOWN_KEY_RETRY_MS 500
 /** Upper bound of the time that a caller says it waits, ms. */
@@ -50,8 +57,14 @@
 static void on_request(void *, jj_http_call_t *);
 static void on_caller_disconnect(void *, jj_http_call_t *);
 static void on_writable(void *, jj_http_call_t *);
-static void on_ready(void *, jj_http_call_t *);
-static void on_operator(void *, jj_http_call_t *);
+static bool on_ready(void *, jj_http_call_t *);
+static bool on_operator(void *, jj_http_call_t *);
+static jj_http_server_t *
+serve(jj_gateway_node_t *, const char *, const jj_http_port_t *);
+static bool
+is_hopeless(const jj_gateway_node_t *, jj_http_call_t *, const jj_routes_t *);
+static bool is_ready_check(const jj_gateway_node_t *, const jj_http_call_t *);
+static bool is_valid_head(const jj_gateway_node_t *, jj_http_call_t *);
 static bool allow_caller(jj_gateway_node_t *, jj_http_call_t *, caller_t *);
 static jj_access_t
 check_access(const jj_gateway_node_t *, jj_http_call_t *, caller_t *);
@@ -82,33 +95,61 @@
 jj_gateway_node_serve(jj_gateway_node_t *node)
 {
 	const jj_settings_t *settings = node->settings;
-	jj_http_limits_t limits = {settings->listen_callers, 1,
-	    settings->callers.connections, settings->callers.header_bytes,
-	    settings->callers.body_bytes, settings->callers.stream_bytes,
-	    settings->callers.idle_ms};
 	jj_http_port_t callers = {node, on_request, NULL, NULL,
 	    on_caller_disconnect, on_writable, on_headers};
-	jj_http_port_t ready = {node, on_ready, NULL, NULL, NULL, NULL, NULL};
+	jj_http_port_t ready = {node, NULL, NULL, NULL, NULL, NULL, on_ready};
 	jj_http_port_t operators = {
-	    node, on_operator, NULL, NULL, NULL, NULL, NULL};
+	    node, NULL, NULL, NULL, NULL, NULL, on_operator};
+	jj_http_server_t *server;
 
-	limits.address = settings->listen_operators;
-	node->operators = jj_http_server_create(&limits, &operators);
+	node->operators = serve(node, settings->listen_operators, &operators);
 	if (node->operators == NULL)
 		return false;
 	if (settings->gateway_idle)
 		return true;
-	limits.address = settings->listen_callers;
-	node->callers = jj_http_server_create(&limits, &callers);
-	if (node->callers == NULL)
+	server = serve(node, settings->listen_callers, &callers);
+	if (server == NULL)
 		return false;
+	(void)apr_thread_mutex_lock(node->lock);
+	node->callers = server;
+	jj_gateway_limit_callers(node, node->routes);
+	(void)apr_thread_mutex_unlock(node->lock);
 	if (settings->listen_ready[0] == '\0')
 		return true;
-	limits.address = settings->listen_ready;
-	node->ready_server = jj_http_server_create(&limits, &ready);
+	node->ready_server = serve(node, settings->listen_ready, &ready);
 	return node->ready_server != NULL;
 }
 
+void
+jj_gateway_limit_callers(jj_gateway_node_t *node, const jj_routes_t *routes)
+{
+	const jj_settings_t *settings = node->settings;
+	const jj_route_limits_t *limits = &routes->limits;
+	jj_http_request_limits_t requests = {limits->head_bytes > 0
+		? limits->head_bytes
+		: settings->callers.header_bytes,
+	    limits->body_bytes > 0 ? limits->body_bytes
+				   : settings->callers.body_bytes,
+	    limits->idle_ms > 0 ? limits->idle_ms : settings->callers.idle_ms};
+	jj_http_guard_times_t times = {
+	    limits->head_ms > 0 ? limits->head_ms : settings->callers.head_ms,
+	    settings->callers.body_ms, requests.idle_ms};
+
+	if (node->callers == NULL)
+		return;
+	jj_http_server_set_limits(node->callers, &requests);
+	jj_http_guard_set_times(node->guard, &times);
+}
+
+static jj_http_server_t *
+serve(jj_gateway_node_t *node, const char *address, const jj_http_port_t *port)
+{
+	jj_http_limits_t limits = jj_inlets_limits(node->settings, address);
+	jj_http_share_t share = {node->guard, BODY_COPIES, 0};
+
+	return jj_http_server_create_guarded(&limits, port, &share);
+}
+
 void
 jj_gateway_answer_request(jj_gateway_node_t *node, const jj_answer_t *given)
 {
@@ -187,19 +228,67 @@
 	jj_stream_relay_add(node->relay, &exchange);
 }
 
-/** Refuses a caller without a valid key before its body is read. */
+/** Takes a request whose head alone decides its answer. */
 static bool
 on_headers(void *ctx, jj_http_call_t *call)
 {
 	jj_gateway_node_t *node = ctx;
+	int64_t length = jj_http_call_length(call);
 	caller_t caller;
+	bool hopeless;
 
-	if (atomic_load(&node->rejecting))
-		return false;
+	if (atomic_load(&node->rejecting)) {
+		if (length >= 0 && length <= SMALL_BODY_BYTES)
+			return false;
+		answer(node, call, 503, STOPPING_RETRY_MS, "text/plain", NULL);
+		return true;
+	}
 	if (!allow_caller(node, call, &caller))
 		return true;
+	hopeless = length != 0 && is_hopeless(node, call, caller.routes);
+	if (hopeless)
+		forward(node, call, &caller);
 	jj_routes_release(caller.routes);
-	return false;
+	return hopeless;
+}
+
+/** True if a request is refused by this version, whatever its body is. */
+static bool
+is_hopeless(const jj_gateway_node_t *node, jj_http_call_t *call,
+    const jj_routes_t *routes)
+{
+	bool is_post = strcmp(jj_http_call_method(call), "POST") == 0;
+	const char *path = jj_http_call_path(call);
+	const jj_route_t *route;
+
+	if (is_job_call(node, call) || is_ready_check(node, call))
+		return false;
+	if (!is_valid_head(node, call))
+		return true;
+	route =
+	    jj_routes_match(routes, jj_http_call_header(call, "Host"), path);
+	return route == NULL || (route->kind == JJ_ROUTE_BATCH && !is_post);
+}
+
+/** True for a check of readiness at the callers' address. */
+static bool
+is_ready_check(const jj_gateway_node_t *node, const jj_http_call_t *call)
+{
+	return node->settings->listen_ready[0] == '\0' &&
+	    strcmp(jj_http_call_path(call), node->deployment->ready_path) == 0;
+}
+
+/** True if a request has a host and valid fields. */
+static bool
+is_valid_head(const jj_gateway_node_t *node, jj_http_call_t *call)
+{
+	const char *last =
+	    jj_http_call_header(call, node->deployment->headers.last_event_id);
+	int64_t id;
+
+	return jj_http_call_header(call, "Host") != NULL &&
+	    read_event_id(last, &id) &&
+	    strchr(jj_http_call_uri(call), '#') == NULL;
 }
 
 /**
@@ -283,9 +372,7 @@
 		answer(node, call, 400, 0, "text/plain", NULL);
 		break;
 	case JJ_FRONT_FORWARD:
-		if (node->settings->listen_ready[0] == '\0' &&
-		    strcmp(jj_http_call_path(call),
-			node->deployment->ready_path) == 0)
+		if (is_ready_check(node, call))
 			answer_ready(node, call);
 		else
 			forward(node, call, &caller);
@@ -318,13 +405,16 @@
 		jj_stream_relay_resume(node->relay, number);
 }
 
-static void
+/** Answers at the head, as bodies mean nothing here. */
+static bool
 on_ready(void *ctx, jj_http_call_t *call)
 {
 	answer_ready(ctx, call);
+	return true;
 }
 
-static void
+/** Answers at the head, as bodies mean nothing here. */
+static bool
 on_operator(void *ctx, jj_http_call_t *call)
 {
 	jj_gateway_node_t *node = ctx;
@@ -342,10 +432,11 @@
 		text = jj_gateway_write_view(node, JJ_GATEWAY_VIEW_OUTCOMES);
 	} else {
 		answer_ready(node, call);
-		return;
+		return true;
 	}
 	answer(node, call, 200, 0, type, &text);
 	jj_bytes_free(&text);
+	return true;
 }
 
 /** Finds the caller's team by its key; empty when it needs none. */
@@ -358,8 +449,7 @@
 	    jj_http_call_path(call), is_job_call(node, call), NULL, 0};
 	jj_access_t access;
 
-	if (node->settings->listen_ready[0] == '\0' &&
-	    strcmp(request.path, node->deployment->ready_path) == 0) {
+	if (is_ready_check(node, call)) {
 		memset(&caller->team, 0, sizeof(caller->team));
 		return JJ_ACCESS_GRANTED;
 	}
@@ -426,14 +516,12 @@
 	const char *last = jj_http_call_header(call, names->last_event_id);
 	const char *resumes = jj_http_call_header(call, names->resumes);
 	const char *prompt = jj_http_call_header(call, names->prompt);
-	const jj_bytes_t *body = jj_http_call_body(call);
 	jj_stream_exchange_t exchange = {0};
 	jj_gateway_request_t request = {0};
 	header_copy_t copy = {
 	    node, &exchange, jj_http_call_header(call, "Connection")};
 
-	if (host == NULL || !read_event_id(last, &exchange.last_id) ||
-	    strchr(jj_http_call_uri(call), '#') != NULL) {
+	if (!is_valid_head(node, call)) {
 		answer(node, call, 400, 0, "text/plain", NULL);
 		return;
 	}
@@ -441,6 +529,7 @@
 		submit(node, call, caller);
 		return;
 	}
+	(void)read_event_id(last, &exchange.last_id);
 	request.request = jj_gateway_node_next_number(node);
 	(void)snprintf(
 	    request.id, sizeof(request.id), "%s", id != NULL ? id : "");
@@ -460,7 +549,7 @@
 	exchange.id = strdup(id != NULL ? id : "");
 	exchange.method = strdup(jj_http_call_method(call));
 	exchange.uri = strdup(jj_http_call_uri(call));
-	exchange.body = jj_bytes_copy(body->data, body->size);
+	exchange.body = jj_http_call_take_body(call);
 	jj_http_call_each_header(call, copy_header, &copy);
 	if (!jj_name_is_empty(&caller->team))
 		jj_stream_exchange_add_header(
@@ -550,10 +639,19 @@
 static void
 submit(jj_gateway_node_t *node, jj_http_call_t *call, const caller_t *caller)
 {
+	size_t size = jj_http_call_body(call)->size;
 	jj_inline_job_t job;
-	const char *problem = node->deployment->read_job(call, &job);
+	const char *problem;
 	jj_bytes_t text;
 
+	if (!jj_http_call_hold(call, JOB_COPIES * size)) {
+		answer(node, call, 503, node->settings->gateway.retry_after_ms,
+		    "text/plain", NULL);
+		return;
+	}
+	problem = node->deployment->read_job(call, &job);
+	text = jj_http_call_take_body(call);
+	jj_bytes_free(&text);
 	if (problem != NULL) {
 		text = jj_bytes_from_text(problem);
 		answer(node, call, 400, 0, "text/plain", &text);
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -12,6 +12,7 @@
 #include "adapters/monotonic.h"
 #include "adapters/random.h"
 #include "daemon/gateway_node.h"
+#include "daemon/inlets.h"
 
 /**
  * Time over which messages of other VMs are coalesced, ms. Dozens of VMs report
@@ -47,6 +48,7 @@
 	node->lock = jj_runtime_create_mutex(node->pool);
 	node->pending =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	node->guard = jj_inlets_create_guard(settings);
 	create_core(node);
 	node->loop =
 	    jj_loop_create(jj_gateway_node_next, jj_gateway_node_tick, node);
@@ -96,6 +98,7 @@
 	jj_platform_destroy(node->platform);
 	jj_loop_destroy(node->loop);
 	jj_gateway_destroy(node->core);
+	jj_http_guard_release(node->guard);
 	jj_routes_release(node->routes);
 	free(node->views);
 	g_hash_table_destroy(node->pending);
@@ -115,6 +118,7 @@
 	update_table_ages(node);
 	jj_gateway_set_view_metrics(node);
 	jj_neighbours_update_metrics(node->neighbours);
+	jj_inlets_update_metrics(node->guard);
 	jj_metrics_set_total("jujube_platform_calls_total",
 	    "Calls to the platform.", jj_platform_calls(node->platform));
 	if (node->callers != NULL)
@@ -307,6 +311,7 @@
 	(void)apr_thread_mutex_lock(node->lock);
 	before = node->routes;
 	node->routes = jj_routes_retain(routes);
+	jj_gateway_limit_callers(node, routes);
 	(void)apr_thread_mutex_unlock(node->lock);
 	jj_routes_release(before);
 }
--- a/src/daemon/gateway_node.h
+++ b/src/daemon/gateway_node.h
@@ -47,7 +47,8 @@
 	jj_platform_t *platform;
 	jj_neighbours_t *neighbours;
 	jj_stream_relay_t *relay;
-	jj_http_server_t *callers;
+	jj_http_guard_t *guard; /**< of all three servers */
+	jj_http_server_t *callers; /**< set under the lock */
 	/** NULL: readiness is served at the callers' address. */
 	jj_http_server_t *ready_server;
 	jj_http_server_t *operators;
@@ -109,6 +110,9 @@
 
 /* Callers (gateway_front.c). */
 bool jj_gateway_node_serve(jj_gateway_node_t *node);
+/** Puts the limits of a configuration in force; the lock is held. */
+void
+jj_gateway_limit_callers(jj_gateway_node_t *node, const jj_routes_t *routes);
 /** Ends a request with an answer made by this VM. */
 void
 jj_gateway_answer_request(jj_gateway_node_t *node, const jj_answer_t *answer);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -8,6 +8,7 @@
 
 #include "adapters/log.h"
 #include "adapters/random.h"
+#include "daemon/inlets.h"
 #include "daemon/node.h"
 
 /** Boot number used for a server that crashed before its boot was known. */
@@ -38,6 +39,7 @@
 	jj_core_write_writer(&settings->name, node->incarnation, node->writer,
 	    sizeof(node->writer));
 	create_locks(node);
+	node->guard = jj_inlets_create_guard(settings);
 	node->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
 	node->uploads = g_hash_table_new(g_int64_hash, g_int64_equal);
 	node->hops =
@@ -90,6 +92,7 @@
 	jj_core_destroy(node->core);
 	jj_batch_destroy(node->batch);
 	jj_jobs_destroy(node->jobs);
+	jj_http_guard_release(node->guard);
 	g_hash_table_destroy(node->pending);
 	g_hash_table_destroy(node->uploads);
 	g_hash_table_destroy(node->hops);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -76,6 +76,7 @@
 	jj_relay_t *relay;
 	jj_health_watch_t *health;
 	jj_http_client_t *order_client;
+	jj_http_guard_t *guard; /**< of both servers */
 	jj_http_server_t *callers;
 	jj_http_server_t *operators;
 
--- a/src/daemon/node_callers.c
+++ b/src/daemon/node_callers.c
@@ -10,11 +10,15 @@
 
 #include "adapters/log.h"
 #include "adapters/monotonic.h"
+#include "core/json_text.h"
 #include "daemon/answers.h"
+#include "daemon/inlets.h"
 #include "daemon/node.h"
 
 /** Bytes of a prompt block for prefix routing, as engines cache blocks. */
 #define PREFIX_BLOCK_BYTES 256
+/** Of a body: the call's, the relay's, the loop's and the HTTP client's. */
+#define BODY_COPIES 4
 /** Rough estimate of the bytes of text in one token. */
 #define BYTES_PER_TOKEN 4
 /** Tokens of an answer when the caller sets no max_tokens. */
@@ -44,14 +48,16 @@
 jj_node_serve_callers(jj_node_t *node)
 {
 	const jj_settings_t *settings = node->settings;
-	jj_http_limits_t limits = {settings->listen_callers, settings->shards,
-	    settings->callers.connections, settings->callers.header_bytes,
-	    settings->callers.body_bytes, settings->callers.stream_bytes,
-	    settings->callers.idle_ms};
+	jj_http_limits_t limits =
+	    jj_inlets_limits(settings, settings->listen_callers);
+	jj_http_share_t share = {node->guard, BODY_COPIES,
+	    settings->intake.part_bytes * (settings->intake.parts_pending + 1) +
+		settings->intake.line_bytes};
 	jj_http_port_t port = {node, on_request, is_upload, jj_node_feed_upload,
 	    on_caller_disconnect, on_writable, NULL};
 
-	node->callers = jj_http_server_create(&limits, &port);
+	limits.threads = settings->shards;
+	node->callers = jj_http_server_create_guarded(&limits, &port, &share);
 	return node->callers != NULL;
 }
 
@@ -214,16 +220,17 @@
     jj_http_call_t *call, jj_request_t *request, jj_exchange_t *exchange)
 {
 	const jj_bytes_t *body = jj_http_call_body(call);
-	json_error_t error;
-	json_t *root = json_loadb(
-	    body->data != NULL ? body->data : "", body->size, 0, &error);
+	json_t *root =
+	    jj_json_load_limited(body->data != NULL ? body->data : "",
+		body->size, 0, JJ_JSON_VALUES_MAX);
 	const char *model = json_string_value(json_object_get(root, "model"));
 	const json_t *limit = json_object_get(root, "max_tokens");
 	jj_bytes_t prompt;
 	bool valid = false;
 
 	if (root == NULL) {
-		refuse(call, 400, "malformed_json", error.text);
+		refuse(call, 400, "malformed_json",
+		    "The body is not valid JSON, or has too many values.");
 	} else if (model == NULL || !jj_name_set(&request->service, model)) {
 		refuse(call, 400, "model",
 		    "\"model\" must name a service, at most 63 bytes.");
--- a/src/daemon/node_operators.c
+++ b/src/daemon/node_operators.c
@@ -11,8 +11,12 @@
 #include "adapters/random.h"
 #include "adapters/trace.h"
 #include "daemon/answers.h"
+#include "daemon/inlets.h"
 #include "daemon/node.h"
 
+/** Of a body: the call's, the loop's and the HTTP client's. */
+#define BODY_COPIES 3
+
 static void on_request(void *, jj_http_call_t *);
 static void on_operator_gone(void *, jj_http_call_t *);
 static void show_config(jj_node_t *, jj_http_call_t *);
@@ -31,13 +35,14 @@
 jj_node_serve_operators(jj_node_t *node)
 {
 	const jj_settings_t *settings = node->settings;
-	jj_http_limits_t limits = {settings->listen_operators, 1, 64,
-	    settings->callers.header_bytes, JJ_OBJECT_VALUE_MAX,
-	    settings->callers.stream_bytes, settings->callers.idle_ms};
+	jj_http_limits_t limits =
+	    jj_inlets_limits(settings, settings->listen_operators);
+	jj_http_share_t share = {node->guard, BODY_COPIES, 0};
 	jj_http_port_t port = {
 	    node, on_request, NULL, NULL, on_operator_gone, NULL, NULL};
 
-	node->operators = jj_http_server_create(&limits, &port);
+	limits.body_bytes = JJ_OBJECT_VALUE_MAX;
+	node->operators = jj_http_server_create_guarded(&limits, &port, &share);
 	return node->operators != NULL;
 }
 
@@ -206,6 +211,7 @@
 	jj_bytes_t text;
 
 	jj_node_update_metrics(node);
+	jj_inlets_update_metrics(node->guard);
 	text = jj_metrics_text();
 	jj_http_call_answer(call, &answer, text.data, text.size);
 	jj_bytes_free(&text);
