Limits of callers follow the machine, not the deploy file

The settings' memory and descriptors now have the machine's as their upper bound, which the system tells.

--- a/src/adapters/settings.c
+++ b/src/adapters/settings.c
@@ -192,9 +192,10 @@
 	"response bytes buffered for a slow reader; beyond, its stream ends"),
 
     NUMBER("machine", "memory_mb", KEY_U32, machine.memory_mb, 32, 1048576, 128,
-	"memory of this process; half of it may be held for callers"),
+	"of this process, at most the machine's; half may be held for callers"),
     NUMBER("machine", "descriptors", KEY_U32, machine.descriptors, 256, 1048576,
-	4096, "open files of this process; half of them may be callers'"),
+	4096,
+	"open files, at most what the system allows; half may be callers'"),
 
     NUMBER("member", "heartbeat_ms", KEY_MS, core.member.heartbeat_ms, 50,
 	MINUTE, 500, "interval of heartbeats to each VM of the domain"),
--- a/src/daemon/inlets.c
+++ b/src/daemon/inlets.c
@@ -2,10 +2,13 @@
  * @file inlets.c
  * @brief What a process holds for all its callers and operators together.
  */
-#include "daemon/inlets.h"
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include "adapters/metrics.h"
+#include "daemon/inlets.h"
 
-/** Share of the machine's memory that may be held for callers. */
+/** Share of the process's memory that may be held for callers. */
 #define MEMORY_DIVISOR 2
 /** Share of that memory that connections may use by themselves. */
 #define CONNECTIONS_DIVISOR 2
@@ -14,13 +17,14 @@
 /** Share of the other descriptors for callers; servers use the rest. */
 #define DESCRIPTORS_DIVISOR 2
 
+static size_t find_memory(const jj_settings_t *);
+static size_t find_descriptors(const jj_settings_t *);
 static uint32_t find_connections(const jj_settings_t *, size_t);
 
 jj_http_guard_t *
 jj_inlets_create_guard(const jj_settings_t *settings)
 {
-	size_t memory =
-	    ((size_t)settings->machine.memory_mb << 20) / MEMORY_DIVISOR;
+	size_t memory = find_memory(settings) / MEMORY_DIVISOR;
 	jj_http_guard_limits_t limits = {memory, settings->callers.header_bytes,
 	    find_connections(settings, memory)};
 	jj_http_guard_times_t times = {settings->callers.head_ms,
@@ -76,6 +80,32 @@
 	    stats.connections);
 }
 
+/** The memory of the settings, at most the machine's. */
+static size_t
+find_memory(const jj_settings_t *settings)
+{
+	size_t memory = (size_t)settings->machine.memory_mb << 20;
+	long pages = sysconf(_SC_PHYS_PAGES);
+	long page_bytes = sysconf(_SC_PAGESIZE);
+
+	if (pages > 0 && page_bytes > 0 &&
+	    memory / (size_t)page_bytes > (size_t)pages)
+		memory = (size_t)pages * (size_t)page_bytes;
+	return memory;
+}
+
+/** The descriptors of the settings, at most those that may be opened. */
+static size_t
+find_descriptors(const jj_settings_t *settings)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+	    limit.rlim_cur < settings->machine.descriptors)
+		return limit.rlim_cur;
+	return settings->machine.descriptors;
+}
+
 /** As many as memory and descriptors allow, at most those of the settings. */
 static uint32_t
 find_connections(const jj_settings_t *settings, size_t memory)
@@ -83,9 +113,10 @@
 	size_t connections = settings->callers.connections;
 	size_t by_memory =
 	    memory / CONNECTIONS_DIVISOR / settings->callers.header_bytes;
-	size_t by_descriptors =
-	    (settings->machine.descriptors - OWN_DESCRIPTORS) /
-	    DESCRIPTORS_DIVISOR;
+	size_t descriptors = find_descriptors(settings);
+	size_t by_descriptors = descriptors > OWN_DESCRIPTORS
+	    ? (descriptors - OWN_DESCRIPTORS) / DESCRIPTORS_DIVISOR
+	    : 0;
 
 	if (connections > by_memory)
 		connections = by_memory;
