--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -18,6 +18,7 @@
 #include "adapters/http_framing.h"
 #include "adapters/http_server.h"
 #include "adapters/log.h"
+#include "adapters/metrics.h"
 #include "adapters/runtime.h"
 
 /** Interval of the check for callers that closed their connection, ms. */
@@ -144,6 +145,7 @@
 static enum MHD_Result end_body(jj_http_call_t *, int);
 static enum MHD_Result pass_upload(jj_http_call_t *, const char *, size_t *);
 static enum MHD_Result continue_call(jj_http_call_t *);
+static void count_over_limit(int);
 static void on_connection(void *, struct MHD_Connection *, void **,
     enum MHD_ConnectionNotificationCode);
 static void on_completed(
@@ -605,7 +607,7 @@
 	if (status == MHD_HTTP_BAD_REQUEST)
 		jj_log(JJ_LOG_INFO, "request_malformed", "status=%d", status);
 	else
-		jj_log(JJ_LOG_INFO, "request_over_limit", "status=%d", status);
+		count_over_limit(status);
 	if (explains)
 		(void)MHD_add_response_header(response,
 		    MHD_HTTP_HEADER_CONTENT_TYPE, "application/problem+json");
@@ -727,8 +729,7 @@
 static enum MHD_Result
 end_body(jj_http_call_t *call, int status)
 {
-	jj_log(JJ_LOG_INFO, "request_over_limit", "status=%d received=%zu",
-	    status, call->body.size);
+	count_over_limit(status);
 	jj_http_guard_answer(call->server->share.guard, call->peer, status);
 	return MHD_NO;
 }
@@ -816,6 +817,18 @@
 	return result;
 }
 
+static void
+count_over_limit(int status)
+{
+	char label[16];
+
+	(void)snprintf(label, sizeof(label), "%d", status);
+	jj_counter_add(
+	    jj_metrics_counter("jujube_requests_over_limit_total",
+		"Requests refused as they exceed a limit.", "status", label),
+	    1);
+}
+
 static void
 on_connection(void *ctx, struct MHD_Connection *connection, void **context,
     enum MHD_ConnectionNotificationCode code)
