Streams that are not read stay in the bound; a full process takes no more

When all connections are being served, a new one beyond the limit is closed at once; before, their number was not bounded then.

--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -415,8 +415,11 @@
 	bool writable;
 
 	(void)apr_thread_mutex_lock(call->lock);
-	writable = call->disconnected ||
-	    call->buffer_size < call->server->limits.stream_bytes;
+	/* An empty buffer is always writable: only its end reports space. */
+	writable = call->disconnected || call->finished ||
+	    call->buffer_size == 0 ||
+	    (call->buffer_size < call->server->limits.stream_bytes &&
+		grow_buffer(call, STREAM_BLOCK_BYTES, false));
 	if (!writable)
 		call->report_writable = true;
 	(void)apr_thread_mutex_unlock(call->lock);
@@ -877,6 +880,11 @@
 	(void)hold(call, &call->port_held, 0, true);
 	(void)hold(call, &call->answer_held, 0, true);
 	enter(call, JJ_CALLER_IDLE);
+	/* The port may keep its reference for long. */
+	free(call->buffer);
+	call->buffer = NULL;
+	call->buffer_size = 0;
+	call->buffer_capacity = 0;
 	(void)apr_thread_mutex_unlock(call->lock);
 	if (unfinished && !notified && server->port.on_disconnect != NULL)
 		server->port.on_disconnect(server->port.ctx, call);
--- a/src/core/caller_budget.c
+++ b/src/core/caller_budget.c
@@ -5,10 +5,13 @@
  */
 #include "core/caller_budget.h"
 
-/** Share of the limit that only connections with little memory may use. */
+/**
+ * Share of the limit that only connections with little memory may use. As much
+ * beyond the limit may be held by evicted ones until they have left.
+ */
 #define RESERVE_DIVISOR 4
 
-static size_t find_sum(const jj_caller_budget_t *);
+static bool will_fit(const jj_caller_budget_t *, const jj_caller_t *, size_t);
 static size_t find_limit(const jj_caller_budget_t *, size_t);
 static jj_caller_t *find_oldest(const jj_caller_budget_t *,
     const jj_caller_phase_t *, size_t, const jj_caller_t *);
@@ -94,11 +97,13 @@
 jj_caller_budget_fits(
     const jj_caller_budget_t *budget, const jj_caller_t *caller, size_t bytes)
 {
+	size_t leaving_max = budget->limit / RESERVE_DIVISOR;
+
 	if (budget->limit == 0)
 		return true;
-	return !caller->evicted &&
-	    find_sum(budget) - caller->bytes + bytes <=
-	    find_limit(budget, bytes);
+	return !caller->evicted && will_fit(budget, caller, bytes) &&
+	    budget->held - caller->bytes + bytes <=
+	    find_limit(budget, bytes) + leaving_max;
 }
 
 jj_caller_t *
@@ -110,8 +115,9 @@
 	static const jj_caller_phase_t idle = JJ_CALLER_IDLE;
 	jj_caller_t *slowest;
 
-	if (bytes > find_limit(budget, bytes) ||
-	    jj_caller_budget_fits(budget, caller, bytes))
+	if (budget->limit == 0 || caller->evicted ||
+	    bytes > find_limit(budget, bytes) ||
+	    will_fit(budget, caller, bytes))
 		return NULL;
 	slowest = find_oldest(
 	    budget, phases, sizeof(phases) / sizeof(phases[0]), caller);
@@ -124,20 +130,19 @@
 
 jj_caller_t *
 jj_caller_budget_evict_for_connection(
-    jj_caller_budget_t *budget, const jj_caller_t *caller)
+    jj_caller_budget_t *budget, jj_caller_t *caller)
 {
 	static const jj_caller_phase_t phases[] = {
 	    JJ_CALLER_HEAD, JJ_CALLER_BODY, JJ_CALLER_SENDING, JJ_CALLER_IDLE};
 	jj_caller_t *oldest;
 
-	if (budget->connection_limit == 0 ||
+	if (caller->evicted || budget->connection_limit == 0 ||
 	    budget->connections - budget->evicted <= budget->connection_limit)
 		return NULL;
 	oldest = find_oldest(
 	    budget, phases, sizeof(phases) / sizeof(phases[0]), caller);
-	return oldest != NULL
-	    ? evict(budget, oldest, JJ_CALLER_OVER_CONNECTIONS)
-	    : NULL;
+	return evict(budget, oldest != NULL ? oldest : caller,
+	    JJ_CALLER_OVER_CONNECTIONS);
 }
 
 jj_caller_t *
@@ -175,11 +180,13 @@
 	return names[phase];
 }
 
-/** What is held after all evicted connections have left. */
-static size_t
-find_sum(const jj_caller_budget_t *budget)
+/** Whether there is room once all evicted connections have left. */
+static bool
+will_fit(
+    const jj_caller_budget_t *budget, const jj_caller_t *caller, size_t bytes)
 {
-	return budget->held - budget->leaving;
+	return budget->held - budget->leaving - caller->bytes + bytes <=
+	    find_limit(budget, bytes);
 }
 
 /** The limit for a connection that holds so much. */
--- a/src/core/caller_budget.h
+++ b/src/core/caller_budget.h
@@ -90,7 +90,7 @@
  */
 bool jj_caller_budget_hold(
     jj_caller_budget_t *budget, jj_caller_t *caller, size_t bytes, bool must);
-/** Whether a connection may hold so much, after evictions if need be. */
+/** Whether a connection may hold so much now. */
 bool jj_caller_budget_fits(
     const jj_caller_budget_t *budget, const jj_caller_t *caller, size_t bytes);
 /**
@@ -101,11 +101,11 @@
 jj_caller_t *jj_caller_budget_evict_for_memory(jj_caller_budget_t *budget,
     const jj_caller_t *caller, size_t bytes, jj_ms_t now);
 /**
- * The next connection to evict as there are too many, other than @p caller,
- * the newest; NULL when there are not too many.
+ * The next connection to evict as there are too many: @p caller, the newest,
+ * only if all others are being served; NULL when there are not too many.
  */
 jj_caller_t *jj_caller_budget_evict_for_connection(
-    jj_caller_budget_t *budget, const jj_caller_t *caller);
+    jj_caller_budget_t *budget, jj_caller_t *caller);
 /** The next connection whose phase has expired; it counts as evicted. */
 jj_caller_t *jj_caller_budget_expire(jj_caller_budget_t *budget, jj_ms_t now);
 /** Excludes a pause of this process from all times. */
--- a/tests/core/caller_budget_test.cc
+++ b/tests/core/caller_budget_test.cc
@@ -107,7 +107,7 @@
 	callers.clear();
 	other = add(0, row.phase, LARGE);
 	newest = add(SLOW, JJ_CALLER_BODY);
-	EXPECT_EQ(row.for_connection ? other : nullptr,
+	EXPECT_EQ(row.for_connection ? other : newest,
 	    jj_caller_budget_evict_for_connection(&budget, newest));
 	jj_caller_budget_init(&budget, LIMIT, FIXED, 0);
 	callers.clear();
@@ -115,7 +115,9 @@
 	newest = add(SLOW, JJ_CALLER_BODY);
 	EXPECT_EQ(row.for_memory ? other : nullptr,
 	    jj_caller_budget_evict_for_memory(&budget, newest, LARGE, SLOW));
-	EXPECT_EQ(row.for_memory, hold(newest, LARGE));
+	EXPECT_FALSE(hold(newest, LARGE));
+	jj_caller_budget_remove(&budget, other);
+	EXPECT_TRUE(hold(newest, LARGE));
 }
 INSTANTIATE_TEST_SUITE_P(Cases, CallerPhase,
     testing::Values(phase_case_t{JJ_CALLER_HEAD, true, true, true},
@@ -142,6 +144,7 @@
 	EXPECT_EQ(nullptr,
 	    jj_caller_budget_evict_for_memory(&budget, newest, LARGE, SLOW));
 	EXPECT_FALSE(idle->evicted);
+	jj_caller_budget_remove(&budget, slow);
 	EXPECT_TRUE(hold(newest, LARGE));
 }
 
