--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -166,6 +166,7 @@
 static void enter(const jj_http_call_t *, jj_caller_phase_t);
 static bool hold(jj_http_call_t *, size_t *, size_t, bool);
 static bool grow_buffer(jj_http_call_t *, size_t, bool);
+static void free_buffer(jj_http_call_t *);
 
 jj_http_server_t *
 jj_http_server_create(
@@ -401,7 +402,8 @@
 		call->report_writable = true;
 		taken = false;
 	} else {
-		memcpy(call->buffer + call->buffer_size, data, size);
+		memcpy(call->buffer + call->buffer_start + call->buffer_size,
+		    data, size);
 		call->buffer_size += size;
 		resume_connection(call);
 	}
@@ -881,10 +883,7 @@
 	(void)hold(call, &call->answer_held, 0, true);
 	enter(call, JJ_CALLER_IDLE);
 	/* The port may keep its reference for long. */
-	free(call->buffer);
-	call->buffer = NULL;
-	call->buffer_size = 0;
-	call->buffer_capacity = 0;
+	free_buffer(call);
 	(void)apr_thread_mutex_unlock(call->lock);
 	if (unfinished && !notified && server->port.on_disconnect != NULL)
 		server->port.on_disconnect(server->port.ctx, call);
@@ -911,9 +910,7 @@
 		result = (ssize_t)size;
 		if (call->buffer_size == 0 &&
 		    call->buffer_capacity > STREAM_KEPT_BYTES) {
-			free(call->buffer);
-			call->buffer = NULL;
-			call->buffer_capacity = 0;
+			free_buffer(call);
 			(void)hold(
 			    call, &call->answer_held, STREAM_BLOCK_BYTES, true);
 		}
@@ -1110,7 +1107,8 @@
 	    !hold(
 		call, &call->answer_held, STREAM_BLOCK_BYTES + capacity, must))
 		return false;
-	if (call->buffer_start > 0) {
+	if (call->buffer_start + needed > call->buffer_capacity &&
+	    call->buffer_start > 0) {
 		memmove(call->buffer, call->buffer + call->buffer_start,
 		    call->buffer_size);
 		call->buffer_start = 0;
@@ -1119,6 +1117,17 @@
 	return true;
 }
 
+/** Frees the buffer of a stream. */
+static void
+free_buffer(jj_http_call_t *call)
+{
+	free(call->buffer);
+	call->buffer = NULL;
+	call->buffer_start = 0;
+	call->buffer_size = 0;
+	call->buffer_capacity = 0;
+}
+
 static jj_http_server_t *
 prepare_server(const jj_http_limits_t *limits, const jj_http_port_t *port,
     const jj_http_share_t *share)
