Accepted jobs: a VM keeps them up to an eighth of its memory

Callers saw nothing; 40 whole submissions of 4 MiB bring a VM to 115 MB of the smallest machine's 110, and more go on: a route's limit counts tokens, which the caller states, and has none by default.

Now a new job that does not fit is refused with 503, after the store was asked whether it is a resend of an accepted one, which is always taken, as with the route's limit.

--- a/src/core/inline.h
+++ b/src/core/inline.h
@@ -118,6 +118,8 @@
 	/** A VM's report of its jobs is valid for this long. */
 	jj_ms_t state_fresh_ms;
 	jj_ms_t retry_after_ms; /**< sent to refused callers */
+	/** limit of the jobs that this VM keeps in memory, bytes; 0: none */
+	size_t memory_bytes;
 } jj_inline_settings_t;
 
 /** How an item's run ended. */
--- a/src/core/inline_job.c
+++ b/src/core/inline_job.c
@@ -14,6 +14,8 @@
 
 /** Bytes of a stored result in addition to its id and text. */
 #define RESULT_OVERHEAD 40
+/** Rough memory of a header of an item. */
+#define HEADER_BYTES 64
 /** Additional bytes of an escaped control character ("\\u0001"). */
 #define ESCAPE_EXTRA 5
 
@@ -37,6 +39,18 @@
 	memset(job, 0, sizeof(*job));
 }
 
+size_t
+jj_inline_job_bytes(const jj_inline_job_t *job)
+{
+	size_t bytes = sizeof(*job) + job->item_count * sizeof(*job->items);
+	size_t i;
+
+	for (i = 0; i < job->item_count; i++)
+		bytes += job->items[i].body.size +
+		    job->items[i].header_count * HEADER_BYTES;
+	return bytes;
+}
+
 jj_inline_item_t *
 jj_inline_job_add(jj_inline_job_t *job)
 {
--- a/src/core/inline_job.h
+++ b/src/core/inline_job.h
@@ -72,6 +72,8 @@
 } jj_inline_segment_t;
 
 void jj_inline_job_clear(jj_inline_job_t *job);
+/** Memory of a job, roughly, bytes. */
+size_t jj_inline_job_bytes(const jj_inline_job_t *job);
 /** Adds an empty item. */
 jj_inline_item_t *jj_inline_job_add(jj_inline_job_t *job);
 /** Adds a header line to an item. */
--- a/src/core/inline_state.h
+++ b/src/core/inline_state.h
@@ -176,6 +176,7 @@
 	uint32_t parts_done;
 	jj_name_t route;
 	uint64_t max_waiting_tokens; /**< 0: no limit */
+	bool over_memory; /**< refused as this VM keeps too many jobs */
 	/** It is not decided yet whether it fits: its tokens don't count. */
 	bool undecided;
 	jj_ms_t run_due_ms;
--- a/src/core/inline_submit.c
+++ b/src/core/inline_submit.c
@@ -22,6 +22,7 @@
 static void decide(jj_inline_t *, jj_inline_op_t *, jj_ms_t);
 static bool is_known(const jj_inline_t *, const jj_inline_op_t *);
 static bool fits(const jj_inline_t *, const jj_inline_op_t *, jj_ms_t);
+static bool has_memory(const jj_inline_t *, const jj_inline_op_t *);
 static void start_job(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
 static void start_open(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
 static void start_check(jj_inline_t *, jj_inline_op_t *, jj_actions_t *);
@@ -114,7 +115,10 @@
 static void
 decide(jj_inline_t *jobs, jj_inline_op_t *op, jj_ms_t now)
 {
-	if (is_known(jobs, op) || fits(jobs, op, now)) {
+	bool known = is_known(jobs, op);
+
+	op->over_memory = !known && !has_memory(jobs, op);
+	if (known || (!op->over_memory && fits(jobs, op, now))) {
 		op->text = jj_inline_job_encode(&op->job);
 		op->parts = jj_inline_count_parts(op->text.size);
 		jj_inline_schedule_call(&op->create_job, now);
@@ -143,6 +147,24 @@
 	    op->max_waiting_tokens;
 }
 
+/** True when this VM may keep one more job, with its text while it is stored. */
+static bool
+has_memory(const jj_inline_t *jobs, const jj_inline_op_t *op)
+{
+	size_t held = 2 * jj_inline_job_bytes(&op->job);
+	const jj_inline_run_t *run;
+	const jj_inline_op_t *other;
+
+	if (jobs->settings.memory_bytes == 0)
+		return true;
+	TAILQ_FOREACH(run, &jobs->runs, link)
+	held += jj_inline_job_bytes(&run->job);
+	TAILQ_FOREACH(other, &jobs->ops, link)
+	if (other->kind == JJ_OP_SUBMIT && !other->undecided)
+		held += jj_inline_job_bytes(&other->job) + other->text.size;
+	return held <= jobs->settings.memory_bytes;
+}
+
 static void
 start_job(jj_inline_t *jobs, jj_inline_op_t *op, jj_actions_t *out)
 {
@@ -248,13 +270,17 @@
 		jj_inline_step_submit(jobs, op, now, out);
 	} else if (result->outcome == JJ_PLATFORM_ABSENT) {
 		jj_actions_add_event(out, "job_over_limit",
-		    "job=%s tokens=%llu waiting=%llu route=%s", op->id,
+		    "job=%s limit=%s bytes=%zu tokens=%llu waiting=%llu "
+		    "route=%s",
+		    op->id, op->over_memory ? "memory" : "tokens",
+		    jj_inline_job_bytes(&op->job),
 		    (unsigned long long)op->job.tokens,
 		    (unsigned long long)(jj_inline_open_tokens(
 					     jobs, &op->route, now) -
 			op->job.tokens),
 		    op->route.text);
-		jj_inline_answer(jobs, op, 429, NULL, out);
+		jj_inline_answer(
+		    jobs, op, op->over_memory ? 503 : 429, NULL, out);
 	} else
 		jj_inline_back_off(jobs, &op->get, now);
 }
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -194,6 +194,7 @@
 	core->slots.name = settings->name;
 	core->slots.domain = settings->domain;
 	core->slots.seed = node->incarnation ^ 3;
+	core->jobs.memory_bytes = jj_inlets_job_bytes(settings);
 	jj_core_write_writer(&settings->name, node->incarnation,
 	    core->jobs.writer, sizeof(core->jobs.writer));
 	(void)snprintf(core->config_prefix, sizeof(core->config_prefix), "%s",
--- a/src/daemon/inlets.c
+++ b/src/daemon/inlets.c
@@ -10,6 +10,8 @@
 
 /** Share of the process's memory that may be held for callers. */
 #define MEMORY_DIVISOR 2
+/** Share of the process's memory for accepted jobs. */
+#define JOBS_DIVISOR 8
 /** Share of that memory that connections may use by themselves. */
 #define CONNECTIONS_DIVISOR 2
 /** Descriptors of files, the loops and the platform. */
@@ -35,6 +37,12 @@
 	return guard;
 }
 
+size_t
+jj_inlets_job_bytes(const jj_settings_t *settings)
+{
+	return find_memory(settings) / JOBS_DIVISOR;
+}
+
 jj_http_limits_t
 jj_inlets_limits(const jj_settings_t *settings, const char *address)
 {
--- a/src/daemon/inlets.h
+++ b/src/daemon/inlets.h
@@ -10,6 +10,8 @@
 
 /** The bound of a process by its settings. */
 jj_http_guard_t *jj_inlets_create_guard(const jj_settings_t *settings);
+/** Limit of the jobs that the process keeps in memory, bytes. */
+size_t jj_inlets_job_bytes(const jj_settings_t *settings);
 /** Limits of a server at @p address; of its size, the settings' for callers. */
 jj_http_limits_t
 jj_inlets_limits(const jj_settings_t *settings, const char *address);
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -165,6 +165,25 @@
 	    << "a resend of an accepted job always fits";
 }
 
+/* Guards against accepted jobs that use up the memory of their VM. */
+TEST_F(InlineFailure, AJobThatDoesNotFitIntoMemoryIsNotRun)
+{
+	constexpr size_t LARGE = JOBS_BYTES / 4;
+
+	EXPECT_EQ(202, a.answer(a.submit("j", 1, 1, LARGE)).status);
+	EXPECT_EQ(202, a.answer(a.submit("k", 1, 1, LARGE)).status);
+	EXPECT_EQ(503, a.answer(a.submit("l", 1, 1, LARGE)).status);
+	EXPECT_FALSE(platform.has("batch-jobs/l"));
+	EXPECT_FALSE(platform.has("batch-open/l"));
+	EXPECT_EQ(202, a.answer(a.submit("m", 1, 1)).status) << "a small one";
+	EXPECT_EQ(202, a.answer(a.submit("k", 1, 1, LARGE)).status)
+	    << "a resend of an accepted job always fits";
+	EXPECT_EQ(202, b.answer(b.submit("l", 1, 1, LARGE)).status);
+	pass(100);
+	EXPECT_EQ(202, a.answer(a.submit("l", 1, 1, LARGE)).status)
+	    << "accepted elsewhere meanwhile";
+}
+
 /** A VM that has started beside others and has not read the list of jobs. */
 class UnlistedVm : public InlineFailure
 {
--- a/tests/core/inline_world.h
+++ b/tests/core/inline_world.h
@@ -311,6 +311,9 @@
 
 } // namespace inline_port
 
+/** What a VM may keep of jobs in memory; far more than most tests use. */
+constexpr size_t JOBS_BYTES = 16 << 20;
+
 inline InlineVm::InlineVm(InlineWorld &in, const std::string &name)
     : world(in), writer(name + "/0000000000000001")
 {
@@ -339,6 +342,7 @@
 	settings.mirror_spacing_ms = 100;
 	settings.state_fresh_ms = 850;
 	settings.retry_after_ms = 500;
+	settings.memory_bytes = JOBS_BYTES;
 	TAILQ_INIT(&out);
 	jobs = jj_inline_create(&settings, &port);
 }
--- a/tests/crowd/crowd.cc
+++ b/tests/crowd/crowd.cc
@@ -141,6 +141,8 @@
 		client.dripped += (size_t)sent;
 	else
 		client.at += (size_t)sent;
+	if (behaviour.half_closes && client.at == bytes.size())
+		(void)shutdown(client.fd, SHUT_WR);
 }
 
 void
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -17,6 +17,7 @@
 	std::string drip =
 	    {}; /* sent afterwards, a byte a tick, from the start */
 	bool reads = true; /* reads answers; else its receive buffer fills */
+	bool half_closes = false; /* sends FIN after `bytes` */
 };
 
 /* Connections to one address; the destructor closes them. */
--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -36,7 +36,8 @@
 /* Bytes of a streamed answer. */
 constexpr size_t STREAM_BYTES = 12 * MIB;
 
-/* A backend server; streams STREAM_BYTES below /r/stream. */
+/* A backend server; streams STREAM_BYTES at paths with "stream" and does not
+ * answer at those with "hold". */
 class backend_t
 {
       public:
@@ -55,7 +56,11 @@
 	}
 	~backend_t()
 	{
+		jj_http_answer_t head = {503, nullptr, {}, nullptr, 0};
+
 		jj_http_server_destroy(server);
+		for (jj_http_call_t *call : held)
+			jj_http_call_answer(call, &head, "", 0);
 	}
 	backend_t(const backend_t &) = delete;
 
@@ -67,6 +72,16 @@
 	};
 	static constexpr size_t EVENT_BYTES = 16384;
 	jj_http_server_t *server;
+	std::mutex lock;
+	std::vector<jj_http_call_t *> held; /* answered at the end */
+
+	void
+	hold(jj_http_call_t *call)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		held.push_back(call);
+	}
 
 	static void
 	on_call(void *ctx, jj_http_call_t *call)
@@ -78,6 +93,10 @@
 			{"X-Jujubeswitch-Request-Id", id}},
 		    nullptr, 0};
 
+		if (strstr(jj_http_call_path(call), "hold") != nullptr) {
+			static_cast<backend_t *>(ctx)->hold(call);
+			return;
+		}
 		if (strstr(jj_http_call_path(call), "stream") == nullptr) {
 			jj_http_call_answer(
 			    call, &head, "id: 0\ndata: a\n\n", 15);
@@ -144,6 +163,7 @@
 	std::string callers;
 	std::string operators;
 	std::string ready;
+	std::string neighbours;
 	std::unique_ptr<process_t> vm;
 
 	Crowd()
@@ -157,6 +177,7 @@
 		callers = ports.choose_address();
 		operators = ports.choose_address();
 		ready = ports.choose_address();
+		neighbours = ports.choose_address();
 	}
 	~Crowd() override
 	{
@@ -175,7 +196,7 @@
 		    << "name = \"vm\"\ndomain = \"d\"\nregion = \"r\"\n"
 		    << "shards = 1\n[listen]\ncallers = \"" << callers
 		    << "\"\noperators = \"" << operators << "\"\nready = \""
-		    << ready << "\"\nneighbours = \"" << ports.choose_address()
+		    << ready << "\"\nneighbours = \"" << neighbours
 		    << "\"\n[platform]\nform = \"objects\"\naddress = \""
 		    << store.address << "\"\ntimeout_ms = 5000\n"
 		    << "contracts = []\n[callers]\nheader_bytes = 40960\n"
@@ -238,6 +259,19 @@
 			body += value + ",";
 		return body + "0]}";
 	}
+	/* A job of 200 items, as large as a body may be. */
+	static std::string
+	whole_job(const std::string &id, const std::string &path)
+	{
+		std::string rest = R"(","path":")" + path + R"(","body":")" +
+		    std::string((BODY_MAX / 200 - 100) / 4 * 4, 'A') + "\"}";
+		std::string job = R"({"items":[)";
+
+		for (int i = 0; i < 200; i++)
+			job += (i > 0 ? "," : "") + std::string(R"({"id":")") +
+			    id + "-" + std::to_string(i) + rest;
+		return job + "]}";
+	}
 	/* Answers of an ordinary caller. */
 	bool
 	is_served()
@@ -512,6 +546,86 @@
 	expect_calm();
 }
 
+/* Guards against accepted jobs that add up while servers are busy. */
+TEST_F(Crowd, AcceptedJobsStayInTheMachinesMemory)
+{
+	start();
+	for (size_t i = 0; i < CROWD; i++) {
+		std::string id = "job" + std::to_string(i);
+		reply_t reply = call("POST", "http://" + callers + "/b/x",
+		    whole_job(id, "/b/hold"),
+		    {"Host: h", "X-Jujubeswitch-Request-Id: " + id});
+
+		EXPECT_TRUE(reply.status == 202 || reply.status == 503 ||
+		    reply.status == 429)
+		    << reply.status;
+		if (vm->status_kb("VmHWM") > MACHINE_KB)
+			break;
+	}
+	expect_served("beside the jobs");
+	expect_alive();
+}
+
+/* Guards against bytes that are no message between VMs. */
+TEST_F(Crowd, NeighboursBytesStayInTheMachinesMemory)
+{
+	start();
+	withstand(neighbours, {std::string(BODY_MAX, '\xff')});
+}
+
+/* Guards against callers that end their half of a connection in a body. */
+TEST_F(Crowd, HalfClosedBodiesStayInTheMachinesMemory)
+{
+	behaviour_t behaviour = {
+	    head("/r/a", "Transfer-Encoding: chunked\r\n") +
+	    in_chunks(BODY_MAX - 1, 65536)};
+
+	behaviour.half_closes = true;
+	start();
+	withstand(callers, behaviour);
+}
+
+/* Guards against bytes that follow a whole request without an end. */
+TEST_F(Crowd, BytesAfterARequestStayInTheMachinesMemory)
+{
+	start();
+	withstand(
+	    callers, {with_length("/r/a", "ok") + std::string(BODY_MAX, 'x')});
+}
+
+/* Guards against forms that hold together what none holds alone. */
+TEST_F(Crowd, SeveralFormsAtOnceStayInTheMachinesMemory)
+{
+	start();
+
+	crowd_t chunks(callers, CROWD / 4,
+	    {head("/r/a", "Transfer-Encoding: chunked\r\n") +
+		in_chunks(BODY_MAX - 1, 65536)});
+	crowd_t jobs(callers, CROWD / 4,
+	    {head("/b/a", "Content-Length: 4194304\r\n") +
+		std::string(BODY_MAX - 1, '[')});
+	crowd_t heads(callers, CROWD / 4,
+	    {"POST /r/a HTTP/1.1\r\nX-Long: " + std::string(39000, 'x')});
+	crowd_t unread(
+	    callers, CROWD / 4, {with_length("/r/stream", "ok"), "", false});
+
+	wait_until("the crowds have sent what is taken", [&] {
+		size_t sent = 0;
+
+		for (crowd_t *crowd : {&chunks, &jobs, &heads, &unread}) {
+			crowd->step();
+			sent += crowd->sent();
+		}
+		return sent == CROWD || vm->status_kb("VmHWM") > MACHINE_KB;
+	});
+	wait_until_stalled();
+	expect_served("beside the crowds");
+	expect_alive();
+	for (crowd_t *crowd : {&chunks, &jobs, &heads, &unread})
+		crowd->leave();
+	expect_calm();
+}
+
 struct refusal_case_t {
 	const char *name;
 	const char *path;
@@ -610,17 +724,8 @@
 /* Guards against ordinary requests that are refused for their size. */
 TEST_F(Crowd, RequestsOfAnyLegalSizeAreServed)
 {
-	std::string item = R"({"id":"i0","path":"/b/x","body":")" +
-	    std::string(BODY_MAX / 200 - 80, 'A');
-	std::string job = R"({"items":[)";
 	reply_t reply;
 
-	for (int i = 0; i < 200; i++) {
-		std::string id = R"({"id":"i)" + std::to_string(i);
-
-		job += (i > 0 ? "," : "") + id +
-		    item.substr(std::string(R"({"id":"i0)").size()) + "\"}";
-	}
 	start();
 	reply = call("POST", "http://" + callers + "/r/x",
 	    std::string(BODY_MAX, 'x'),
@@ -630,8 +735,9 @@
 	    {"Host: h", "X-Jujubeswitch-Request-Id: head",
 		"X-Long: " + std::string(16000, 'x')});
 	EXPECT_EQ(200, reply.status);
-	reply = call("POST", "http://" + callers + "/b/x", job + "]}",
-	    {"Host: h", "X-Jujubeswitch-Request-Id: job"});
+	reply =
+	    call("POST", "http://" + callers + "/b/x", whole_job("i", "/b/x"),
+		{"Host: h", "X-Jujubeswitch-Request-Id: job"});
 	EXPECT_EQ(202, reply.status) << reply.body;
 	expect_alive();
 }
