--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -89,7 +89,13 @@
 void
 jj_gateway_node_destroy(jj_gateway_node_t *node)
 {
-	jj_http_server_destroy(node->callers);
+	jj_http_server_t *callers = node->callers;
+
+	/* The loop still takes configurations, which limit the callers. */
+	(void)apr_thread_mutex_lock(node->lock);
+	node->callers = NULL;
+	(void)apr_thread_mutex_unlock(node->lock);
+	jj_http_server_destroy(callers);
 	jj_http_server_destroy(node->ready_server);
 	jj_http_server_destroy(node->operators);
 	jj_loop_stop(node->loop);
