Crowds: one set of bounds for both fixtures; a plainer branch in the budget

Values, crowds and checks are the same. The fixture of our own interface had copied the machine's memory, the connections and the crowd's size.

--- a/src/core/caller_budget.c
+++ b/src/core/caller_budget.c
@@ -48,11 +48,11 @@
 {
 	size_t bytes = budget->connection_bytes + caller->bytes;
 
-	if (!caller->evicted)
-		TAILQ_REMOVE(&budget->lists[caller->phase], caller, link);
 	if (caller->evicted) {
 		budget->evicted--;
 		budget->leaving -= bytes;
+	} else {
+		TAILQ_REMOVE(&budget->lists[caller->phase], caller, link);
 	}
 	budget->connections--;
 	budget->held -= bytes;
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -11,6 +11,18 @@
 namespace crowd
 {
 
+/* Memory of the smallest machine. */
+constexpr long MACHINE_KB = 110 * 1024;
+/* What a VM without callers may keep of it. */
+constexpr long CALM_KB = MACHINE_KB / 2;
+constexpr size_t MIB = 1024 * 1024;
+/* Largest body of the deployment's callers. */
+constexpr size_t BODY_MAX = 4 * MIB;
+constexpr size_t CONNECTIONS = 64;
+/* Descriptors beside those of callers. */
+constexpr size_t OTHER_DESCRIPTORS = 100;
+constexpr size_t CROWD = 40;
+
 /* What each caller of a crowd does. */
 struct behaviour_t {
 	std::string bytes = {}; /* sent at once, as fast as they are taken */
--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -10,24 +10,11 @@
 #include "tests/system/harness.h"
 
 using namespace harness;
-using crowd::behaviour_t;
-using crowd::crowd_t;
-using crowd::in_chunks;
+using namespace crowd;
 
 namespace
 {
 
-/* Memory of the smallest machine. */
-constexpr long MACHINE_KB = 110 * 1024;
-/* What a VM without callers may keep of it. */
-constexpr long CALM_KB = MACHINE_KB / 2;
-constexpr size_t MIB = 1024 * 1024;
-/* Largest body of the deployment's callers. */
-constexpr size_t BODY_MAX = 4 * MIB;
-constexpr size_t CONNECTIONS = 64;
-/* Descriptors beside those of callers. */
-constexpr size_t OTHER_DESCRIPTORS = 100;
-constexpr size_t CROWD = 40;
 /* Long enough for every limit of a body's time. */
 constexpr long SLOW_LIMIT_MS = 90000;
 /* An answer is stalled when so many polls in a row see no progress. */
@@ -36,8 +23,7 @@
 /* Bytes of a streamed answer. */
 constexpr size_t STREAM_BYTES = 12 * MIB;
 
-/* A backend server; streams STREAM_BYTES at paths with "stream" and does not
- * answer at those with "hold". */
+/* Streams at paths with "stream", does not answer at those with "hold". */
 class backend_t
 {
       public:
--- a/tests/crowd/own_crowd_test.cc
+++ b/tests/crowd/own_crowd_test.cc
@@ -6,22 +6,11 @@
 #include "tests/system/harness.h"
 
 using namespace harness;
-using crowd::behaviour_t;
-using crowd::crowd_t;
-using crowd::in_chunks;
+using namespace crowd;
 
 namespace
 {
 
-/* Memory of the smallest machine, and what a VM without callers may keep. */
-constexpr long MACHINE_KB = 110 * 1024;
-constexpr long CALM_KB = MACHINE_KB / 2;
-constexpr size_t MIB = 1024 * 1024;
-constexpr size_t BODY_MAX = 4 * MIB;
-constexpr size_t CONNECTIONS = 64;
-constexpr size_t OTHER_DESCRIPTORS = 100;
-constexpr size_t CROWD = 40;
-
 class OwnCrowd : public ::testing::Test
 {
       protected:
