--- a/review/4/case.c
+++ b/review/4/case.c
@@ -34,13 +34,6 @@
 static atomic_int served, refused, mismatches, running_items;
 static atomic_long last_item_ms; /* when a server had an item last */
 
-/* Old servers have weights 1, new ones 2. */
-static int
-weights_of(const rig_server_t *server)
-{
-	return server->number < SERVERS ? 1 : 2;
-}
-
 static bool
 run(rig_server_t *server, int fd, rig_request_t *request)
 {
@@ -52,18 +45,18 @@
 	    request->head, "X-Jujubeswitch-Request-Id", id, sizeof(id));
 	is_item = strncmp(id, "e5b2", 4) == 0;
 	if (rig_header(request->head, "Expect-Version", text, sizeof(text)) &&
-	    atoi(text) != weights_of(server)) {
+	    atoi(text) != server->weights) {
 		mismatches++;
 		rig_note("server %s (weights %d) answers 421 to %s, which "
 			 "expects %s",
-		    server->id, weights_of(server), id, text);
+		    server->id, server->weights, id, text);
 		return rig_sendf(fd,
 		    "HTTP/1.1 421 Misdirected Request\r\n"
 		    "X-Jujubeswitch-Request-Id: %s\r\n"
 		    "X-Jujubeswitch-Instance-Id: %s\r\n"
 		    "X-Jujubeswitch-Not-Executed: 1\r\nVersions: %d\r\n"
 		    "Content-Length: 0\r\n\r\n",
-		    id, server->id, weights_of(server));
+		    id, server->id, server->weights);
 	}
 	running_items += is_item;
 	sent = rig_sendf(fd,
@@ -71,7 +64,7 @@
 		   "X-Jujubeswitch-Request-Id: %s\r\n"
 		   "X-Jujubeswitch-Response-Stamp: %s.%s\r\nVersions: %d\r\n"
 		   "Transfer-Encoding: chunked\r\n\r\n",
-		   id, server->id, id, weights_of(server)) &&
+		   id, server->id, id, server->weights) &&
 	    rig_events(server, fd, request, after + 1, EVENTS - 1, GAP_MS) &&
 	    rig_chunk_end(fd);
 	running_items -= is_item;
@@ -132,6 +125,7 @@
 	static const char *const zones[] = {"sala-a", "sala-b", "sala-c"};
 	int i;
 
+	rig_weights = 2;
 	for (i = first; i < first + SERVERS / 2; i++) {
 		(void)rig_server_start(SERVERS + i, SERVICE, zones[i % 3], run);
 		rig_server_register(old_servers[i], true);
@@ -194,8 +188,8 @@
 	for (i = 0; i < MACHINES && count < 0; i++) {
 		snprintf(target, sizeof(target),
 		    "/api/lots/7c41e09b%08x?after=0", job);
-		rig_call(vms[i]->front, "GET", target,
-		    "Host: " JOB_HOST "\r\n", NULL, 0, 4000, &answer);
+		rig_call(vms[i]->front, "GET", target, "Host: " JOB_HOST "\r\n",
+		    NULL, 0, 4000, &answer);
 		page = json_loadb(answer.body != NULL ? answer.body : "",
 		    answer.body_size, 0, NULL);
 		if (answer.status == 200)
@@ -224,8 +218,7 @@
 	json_object_set_new(route, "sticky", json_true());
 	json_object_set_new(route, "gap_aim_ms", json_integer(200));
 	json_array_append_new(routes, route);
-	route =
-	    rig_route("r-p0lb7qd", JOB_HOST, JOB_PREFIX, "batch", SERVICE);
+	route = rig_route("r-p0lb7qd", JOB_HOST, JOB_PREFIX, "batch", SERVICE);
 	json_object_set_new(route, "maxAttempts", json_integer(3));
 	json_object_set_new(route, "runDeadlineMs", json_integer(18000));
 	json_object_set_new(route, "retentionS", json_integer(60));
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -67,7 +67,8 @@
 	record = fopen(path, "w");
 	if (record == NULL)
 		exit(2);
-	snprintf(folder, sizeof(folder), "/tmp/jujube-review-%d", (int)getpid());
+	snprintf(
+	    folder, sizeof(folder), "/tmp/jujube-review-%d", (int)getpid());
 	if (getenv("RIG_TMP") != NULL)
 		snprintf(folder, sizeof(folder), "%s", getenv("RIG_TMP"));
 }
@@ -550,8 +551,8 @@
 static void
 add_event(const object_t *object, bool gone)
 {
-	json_t *event =
-	    json_pack("{s:b,s:o}", "gone", gone, "object", encode_object(object));
+	json_t *event = json_pack(
+	    "{s:b,s:o}", "gone", gone, "object", encode_object(object));
 	event_t *at;
 
 	events = realloc(events, (event_count + 1) * sizeof(*events));
@@ -731,8 +732,8 @@
 	for (i = 0; i < event_count; i++)
 		if (events[i].revision > since &&
 		    strcmp(events[i].kind, kind) == 0)
-			fprintf(
-			    out, "%s%s", count++ > 0 ? "," : "", events[i].event);
+			fprintf(out, "%s%s", count++ > 0 ? "," : "",
+			    events[i].event);
 	fprintf(out, "],\"at\":%llu}", (unsigned long long)store_revision);
 	fclose(out);
 	return text;
@@ -760,8 +761,8 @@
 	int status = 200;
 
 	*text = NULL;
-	snprintf(path, sizeof(path), "%.*s",
-	    (int)strcspn(request->target, "?"), request->target);
+	snprintf(path, sizeof(path), "%.*s", (int)strcspn(request->target, "?"),
+	    request->target);
 	if (strncmp(path, "/api/objects/", 13) != 0)
 		return 404;
 	sscanf(path + 13, "%63[^/]/%199[^/]", kind, name);
@@ -802,8 +803,8 @@
 		if (object != NULL)
 			status = 409;
 		else
-			object =
-			    put_object(kind, name, json_object_get(body, "spec"));
+			object = put_object(
+			    kind, name, json_object_get(body, "spec"));
 		*text = object_text(object);
 	} else if (object == NULL) {
 		status = 404;
@@ -846,8 +847,8 @@
 		what = rig_store_hook(request, &delay_ms);
 	if (what == RIG_BUSY) {
 		rig_sleep_ms(delay_ms);
-		return rig_sendf(fd,
-		    "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+		return rig_sendf(
+		    fd, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
 	}
 	if (what == RIG_SILENT || what == RIG_HOLD || what == RIG_LOSE) {
 		if (what == RIG_HOLD)
@@ -890,8 +891,8 @@
 		    "HTTP/1.1 %d X\r\nX-Jujubeswitch-Instance-Id: %s\r\n"
 		    "Content-Length: 0\r\n\r\n",
 		    server->draining ? 503 : 200, server->id);
-	(void)rig_header(request->head, "X-Jujubeswitch-Request-Id", id,
-	    sizeof(id));
+	(void)rig_header(
+	    request->head, "X-Jujubeswitch-Request-Id", id, sizeof(id));
 	(void)rig_header(request->head, "Last-Event-Id", last, sizeof(last));
 	if (rig_header(request->head, "X-Jujubeswitch-Target-Instance", target,
 		sizeof(target)) &&
@@ -905,6 +906,8 @@
 	return server->run(server, fd, request);
 }
 
+int rig_weights = 1;
+
 void
 rig_server_register(rig_server_t *server, bool draining)
 {
@@ -912,11 +915,13 @@
 
 	server->draining = draining;
 	rig_store_put("servers", server->id,
-	    json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:i}", "service",
-		server->service, "address", server->address, "zone",
+	    json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:[{s:s,s:i,s:[]}],s:i}",
+		"service", server->service, "address", server->address, "zone",
 		server->zone, "version", server->version, "slots",
 		server->slots, "state", draining ? "draining" : "ready",
-		"coldRemainingMs", 0, "stage", "both", "seq", ++seq));
+		"coldRemainingMs", 0, "stage", "both", "models", "name", "m",
+		"version", server->weights, "adapters", "seq", ++seq));
 }
 
 rig_server_t *
@@ -926,14 +931,15 @@
 	rig_server_t *server = calloc(1, sizeof(*server));
 
 	server->number = number;
-	snprintf(server->id, sizeof(server->id), "i-%06x",
-	    0x5a0000 + number * 257);
+	snprintf(
+	    server->id, sizeof(server->id), "i-%06x", 0x5a0000 + number * 257);
 	snprintf(server->address, sizeof(server->address), "%s:8080",
 	    rig_ip(100 + number));
 	snprintf(server->service, sizeof(server->service), "%s", service);
 	snprintf(server->zone, sizeof(server->zone), "%s", zone);
 	snprintf(server->version, sizeof(server->version), "v1");
 	server->slots = 8;
+	server->weights = rig_weights;
 	server->run = run;
 	server->service_at = serve(server->address, handle_server, server);
 	rig_server_register(server, false);
@@ -961,8 +967,8 @@
 	snprintf(server->id, sizeof(server->id), "i-%06x",
 	    0x5a0000 + server->number * 257 + server->life);
 	service->fd = listen_at(server->address);
-	rig_note("server %s starts at the address of the one before",
-	    server->id);
+	rig_note(
+	    "server %s starts at the address of the one before", server->id);
 	rig_server_register(server, false);
 }
 
@@ -994,8 +1000,8 @@
 }
 
 bool
-rig_events(rig_server_t *server, int fd, const rig_request_t *request,
-    int from, int to, int64_t gap_ms)
+rig_events(rig_server_t *server, int fd, const rig_request_t *request, int from,
+    int to, int64_t gap_ms)
 {
 	char id[128] = "", text[512];
 	int life = server->life;
@@ -1064,8 +1070,8 @@
 
 void
 rig_call(const char *address, const char *method, const char *target,
-    const char *headers, const void *body, size_t body_size,
-    int64_t timeout_ms, rig_answer_t *answer)
+    const char *headers, const void *body, size_t body_size, int64_t timeout_ms,
+    rig_answer_t *answer)
 {
 	rig_call_stream(address, method, target, headers, body, body_size,
 	    timeout_ms, 0, answer);
@@ -1073,8 +1079,8 @@
 
 void
 rig_call_stream(const char *address, const char *method, const char *target,
-    const char *headers, const void *body, size_t body_size,
-    int64_t timeout_ms, int64_t gap_ms, rig_answer_t *answer)
+    const char *headers, const void *body, size_t body_size, int64_t timeout_ms,
+    int64_t gap_ms, rig_answer_t *answer)
 {
 	reader_t *reader = calloc(1, sizeof(*reader));
 	int64_t begin = rig_now_ms(), until = begin + timeout_ms, last = begin;
@@ -1093,8 +1099,9 @@
 		goto out;
 	answer->end = RIG_CLOSED;
 	if (body_size > 0 || strcmp(method, "POST") == 0)
-		(void)rig_sendf(fd, "%s %s HTTP/1.1\r\n%sContent-Length: %zu\r\n\r\n",
-		    method, target, headers, body_size);
+		(void)rig_sendf(fd,
+		    "%s %s HTTP/1.1\r\n%sContent-Length: %zu\r\n\r\n", method,
+		    target, headers, body_size);
 	else
 		(void)rig_sendf(
 		    fd, "%s %s HTTP/1.1\r\n%s\r\n", method, target, headers);
@@ -1112,10 +1119,9 @@
 	} while (answer->status < 200);
 	last = rig_now_ms();
 	errno = 0;
-	if (rig_header(
-		answer->head, "Transfer-Encoding", text, sizeof(text))) {
-		whole = read_chunks(reader, &answer->body, &answer->body_size,
-		    until, &last);
+	if (rig_header(answer->head, "Transfer-Encoding", text, sizeof(text))) {
+		whole = read_chunks(
+		    reader, &answer->body, &answer->body_size, until, &last);
 	} else if (rig_header(
 		       answer->head, "Content-Length", text, sizeof(text))) {
 		whole = read_bytes(reader, &answer->body, &answer->body_size,
@@ -1131,7 +1137,7 @@
 		} while (fill(reader, until));
 		whole = errno == 0;
 	}
-	answer->end = whole ? RIG_COMPLETE
+	answer->end = whole   ? RIG_COMPLETE
 	    : errno == EAGAIN ? RIG_TIMEOUT
 			      : RIG_CUT;
 out:
@@ -1209,8 +1215,7 @@
 	text = replace(text, "{{internalPorts.1}}", "7735");
 	text = replace(text, "{{bounds.configApplyMs}}", "2000");
 	text = replace(text, "{{bounds.graceS}}", "8");
-	text = replace(text,
-	    "{{#contracts}}{{.|json}}{{,}}{{/contracts}}",
+	text = replace(text, "{{#contracts}}{{.|json}}{{,}}{{/contracts}}",
 	    "\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"batch\","
 	    "\"stream\",\"engine\",\"platform\"");
 	if (strstr(text, "{{") != NULL)
@@ -1241,8 +1246,8 @@
 		if (log != NULL)
 			dup2(fileno(log), 2);
 		setenv("JUJUBESWITCH_SETTINGS", vm->settings, 1);
-		execl(program, program, "--settings", vm->settings,
-		    (char *)NULL);
+		execl(
+		    program, program, "--settings", vm->settings, (char *)NULL);
 		_exit(127);
 	}
 	rig_note("%s starts at %s", vm->name, vm->front);
@@ -1258,8 +1263,8 @@
 	snprintf(vm->ip, sizeof(vm->ip), "%s", rig_ip(10 + number));
 	snprintf(vm->front, sizeof(vm->front), "%s:8161", vm->ip);
 	snprintf(vm->ready, sizeof(vm->ready), "%s:8167", vm->ip);
-	snprintf(vm->settings, sizeof(vm->settings), "%s/%s.toml", folder,
-	    vm->name);
+	snprintf(
+	    vm->settings, sizeof(vm->settings), "%s/%s.toml", folder, vm->name);
 	snprintf(vm->log, sizeof(vm->log), "%s/%s.log", folder, vm->name);
 	vms[vm_count++] = vm;
 	rig_vm_launch(vm);
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -74,6 +74,7 @@
 	char zone[64];
 	char version[32];
 	int slots;
+	int weights;
 	rig_run_t run;
 	volatile bool draining;
 	int number;
@@ -81,6 +82,7 @@
 	void *service_at;
 	void *ctx;
 };
+extern int rig_weights; /* version of the weights of servers that start */
 rig_server_t *rig_server_start(
     int number, const char *service, const char *zone, rig_run_t run);
 void rig_server_register(rig_server_t *, bool draining);
@@ -93,8 +95,8 @@
 bool rig_chunk(int fd, const char *text);
 bool rig_chunk_end(int fd);
 /* Events from..to (inclusive), each gap_ms; data "ID-N". */
-bool rig_events(rig_server_t *, int fd, const rig_request_t *, int from,
-    int to, int64_t gap_ms);
+bool rig_events(rig_server_t *, int fd, const rig_request_t *, int from, int to,
+    int64_t gap_ms);
 int rig_resumes_after(const rig_request_t *); /* -1: from the start */
 bool rig_answer(rig_server_t *, int fd, const rig_request_t *, int status,
     const char *more_headers, const char *body);
@@ -119,13 +121,12 @@
 	bool close_framed; /* neither length nor chunks */
 } rig_answer_t;
 void rig_call(const char *address, const char *method, const char *target,
-    const char *headers, const void *body, size_t body_size,
-    int64_t timeout_ms, rig_answer_t *answer);
+    const char *headers, const void *body, size_t body_size, int64_t timeout_ms,
+    rig_answer_t *answer);
 /* The same; given up after gap_ms without a byte (0: never). */
 void rig_call_stream(const char *address, const char *method,
-    const char *target, const char *headers, const void *body,
-    size_t body_size, int64_t timeout_ms, int64_t gap_ms,
-    rig_answer_t *answer);
+    const char *target, const char *headers, const void *body, size_t body_size,
+    int64_t timeout_ms, int64_t gap_ms, rig_answer_t *answer);
 void rig_clear(rig_answer_t *answer);
 const char *rig_end_name(rig_end_t);
 
