Lists: no name of an entry ends a list, and a part isn't the whole

What callers saw: with an entry of another writer among those of the servers, whose name held characters such as & or +, a VM that started knew no server behind it: almost all requests got 503 and items did not run.

Cause: the next page was asked for behind the page's last name, whatever it was. In a query such a name may be read as a lower one, so that the same page comes again, or the call is refused; one that is too long for a key was not sent. A page that did not advance counted as the list's end, and all that was not read as removed.

Change: core/list_cursor decides where a page begins: behind names that every store reads alike where there is one, escaped otherwise, and behind all names of that beginning where this fails or goes in a circle. A list that skipped names removes nothing, is logged and read again. A list that is answered 410 backs off. An empty page of a list that goes on is no answer.

--- a/src/adapters/platform_wire.c
+++ b/src/adapters/platform_wire.c
@@ -135,15 +135,19 @@
 	root = json_loadb(text, size, 0, NULL);
 	array = json_object_get(
 	    root, result->op == JJ_PLATFORM_LIST ? "items" : "events");
-	/* A gap has a revision only. */
+	result->more = json_is_true(json_object_get(root, "more"));
+	/*
+	 * A gap has a revision only. A page without items would be the list's
+	 * end though more follow.
+	 */
 	if (root == NULL ||
-	    (result->outcome == JJ_PLATFORM_OK && !json_is_array(array))) {
+	    (result->outcome == JJ_PLATFORM_OK && !json_is_array(array)) ||
+	    (result->more && json_array_size(array) == 0)) {
 		json_decref(root);
 		return false;
 	}
 	result->version =
 	    (uint64_t)json_integer_value(json_object_get(root, "revision"));
-	result->more = json_is_true(json_object_get(root, "more"));
 	if (json_array_size(array) > 0)
 		result->items =
 		    jj_alloc(json_array_size(array) * sizeof(*result->items));
--- a/src/core/action.c
+++ b/src/core/action.c
@@ -244,21 +244,6 @@
 	jj_bytes_free(&call->value);
 }
 
-bool
-jj_platform_next_page(
-    const jj_platform_result_t *result, char after[JJ_OBJECT_KEY_MAX + 1])
-{
-	const char *last = result->last_key;
-
-	if (last[0] == '\0' && result->item_count > 0)
-		last = result->items[result->item_count - 1].key;
-	/* A page that ends where it began would be read again and again. */
-	if (!result->more || strcmp(last, after) == 0)
-		last = "";
-	(void)snprintf(after, JJ_OBJECT_KEY_MAX + 1, "%s", last);
-	return after[0] != '\0';
-}
-
 void
 jj_platform_result_clear(jj_platform_result_t *result)
 {
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -40,7 +40,7 @@
 static bool take_mirror_result(
     jj_gateway_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
 static void begin_list(void *);
-static void end_list(void *, jj_ms_t);
+static void end_list(void *, bool, jj_ms_t);
 static void take_config_object(void *, const jj_platform_item_t *);
 static void ignore_removed(void *, const char *);
 static void take_retirement(void *, const jj_platform_item_t *);
@@ -462,9 +462,10 @@
 }
 
 static void
-end_list(void *ctx, jj_ms_t now)
+end_list(void *ctx, bool is_complete, jj_ms_t now)
 {
 	(void)ctx;
+	(void)is_complete;
 	(void)now;
 }
 
--- a/src/core/gateway_servers.c
+++ b/src/core/gateway_servers.c
@@ -69,10 +69,12 @@
 }
 
 void
-jj_gateway_end_servers(void *ctx, jj_ms_t now)
+jj_gateway_end_servers(void *ctx, bool is_complete, jj_ms_t now)
 {
 	jj_gateway_t *gateway = ctx;
 
+	if (!is_complete)
+		jj_slots_keep_unlisted(gateway->slots);
 	jj_slots_end_list(
 	    gateway->slots, now, now + gateway->settings.relist_grace_ms);
 }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -239,7 +239,7 @@
 	uint64_t register_version;
 	jj_ms_t next_register_ms;
 	jj_ms_t registered_ms; /**< when it was written */
-	char vms_after[JJ_OBJECT_KEY_MAX + 1];
+	jj_list_cursor_t vms_cursor; /**< of the list that is being read */
 	/** the list that is being read has this VM's entry */
 	bool vms_have_self;
 	/** the list is read only after this VM's entry was written */
@@ -319,7 +319,7 @@
 void jj_gateway_begin_servers(void *gateway);
 void jj_gateway_take_server(void *gateway, const jj_platform_item_t *item);
 void jj_gateway_drop_server(void *gateway, const char *key);
-void jj_gateway_end_servers(void *gateway, jj_ms_t now);
+void jj_gateway_end_servers(void *gateway, bool is_complete, jj_ms_t now);
 void
 jj_gateway_tick_servers(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 
--- a/src/core/gateway_vms.c
+++ b/src/core/gateway_vms.c
@@ -38,7 +38,8 @@
 static void index_vms(jj_gateway_t *);
 static jj_ms_t poll_interval(const jj_gateway_t *);
 static void begin_list(jj_gateway_t *);
-static void end_list(jj_gateway_t *, jj_ms_t);
+static void end_list(jj_gateway_t *, bool, jj_ms_t);
+static void register_again(jj_gateway_t *, jj_ms_t);
 static void remove_gone(jj_gateway_t *, jj_ms_t);
 static bool is_of_region(const jj_gateway_t *, const jj_name_t *);
 static void remove_entry(jj_gateway_t *, const jj_gateway_vm_t *, jj_ms_t);
@@ -232,7 +233,7 @@
 		gateway->registered_ms = now;
 		gateway->register_version = result->version;
 		gateway->vms_fresh = false;
-		if (gateway->vms_after[0] == '\0')
+		if (gateway->vms_cursor.after[0] == '\0')
 			gateway->next_vms_ms = now;
 		return;
 	}
@@ -255,10 +256,9 @@
 
 	gateway->vms_polling = true;
 	(void)snprintf(call->key, sizeof(call->key), "%s", VMS_PREFIX);
-	(void)snprintf(
-	    call->after, sizeof(call->after), "%s", gateway->vms_after);
+	memcpy(call->after, gateway->vms_cursor.after, sizeof(call->after));
 	call->values = true;
-	if (gateway->vms_after[0] == '\0')
+	if (gateway->vms_cursor.after[0] == '\0')
 		gateway->vms_reading_fresh =
 		    gateway->registered && !gateway->vms_fresh;
 	call->stale = !gateway->vms_reading_fresh;
@@ -268,21 +268,26 @@
 take_list(
     jj_gateway_t *gateway, const jj_platform_result_t *result, jj_ms_t now)
 {
+	jj_list_step_t step;
 	size_t i;
 
 	gateway->vms_polling = false;
 	if (result->outcome != JJ_PLATFORM_OK) {
 		gateway->next_vms_ms = now + gateway->settings.vms_poll_ms;
+		if (jj_list_cursor_take_failure(&gateway->vms_cursor,
+			result->outcome) == JJ_LIST_INCOMPLETE)
+			end_list(gateway, false, now);
 		return;
 	}
-	if (gateway->vms_after[0] == '\0')
+	if (gateway->vms_cursor.after[0] == '\0')
 		begin_list(gateway);
 	for (i = 0; i < result->item_count; i++)
 		take_vm(gateway, &result->items[i]);
-	if (!jj_platform_next_page(result, gateway->vms_after)) {
+	step = jj_list_cursor_take_page(&gateway->vms_cursor, result);
+	if (step != JJ_LIST_CONTINUES) {
 		gateway->vms_fresh =
 		    gateway->vms_fresh || gateway->vms_reading_fresh;
-		end_list(gateway, now);
+		end_list(gateway, step == JJ_LIST_COMPLETE, now);
 		gateway->next_vms_ms = now;
 		if (gateway->vms_fresh || !gateway->registered)
 			gateway->next_vms_ms += poll_interval(gateway);
@@ -407,24 +412,17 @@
 }
 
 static void
-end_list(jj_gateway_t *gateway, jj_ms_t now)
+end_list(jj_gateway_t *gateway, bool is_complete, jj_ms_t now)
 {
 	jj_gateway_vm_t *vm;
 	size_t kept = 0;
 	size_t i;
 
-	/*
-	 * Other VMs removed the entry: this VM was cut off from them for long.
-	 */
-	if (gateway->registered && !gateway->vms_have_self &&
-	    now - gateway->registered_ms >= LIST_LAG_MS) {
-		gateway->registered = false;
-		gateway->register_version = 0;
-		gateway->next_register_ms = now;
-	}
+	if (is_complete)
+		register_again(gateway, now);
 	for (i = 0; i < gateway->vm_count; i++) {
 		vm = &gateway->vms[i];
-		if (!vm->listed &&
+		if (is_complete && !vm->listed &&
 		    jj_member_find(gateway->member, &vm->name) == NULL)
 			continue;
 		if (jj_member_is_live(gateway->member, &vm->name))
@@ -438,6 +436,18 @@
 	remove_gone(gateway, now);
 }
 
+/** Other VMs removed the entry: this VM was cut off from them for long. */
+static void
+register_again(jj_gateway_t *gateway, jj_ms_t now)
+{
+	if (!gateway->registered || gateway->vms_have_self ||
+	    now - gateway->registered_ms < LIST_LAG_MS)
+		return;
+	gateway->registered = false;
+	gateway->register_version = 0;
+	gateway->next_register_ms = now;
+}
+
 /**
  * Guards against a list that keeps the entries of all VMs that ever existed.
  * The speaker of the region removes one at a time, on the condition that its
--- a/src/core/inline_open.c
+++ b/src/core/inline_open.c
@@ -28,7 +28,7 @@
 static void begin_list(void *);
 static void take_entry(void *, const jj_platform_item_t *);
 static void drop_entry(void *, const char *);
-static void end_list(void *, jj_ms_t);
+static void end_list(void *, bool, jj_ms_t);
 static void set_content(jj_open_entry_t *, const jj_open_entry_t *);
 static void remove_entry(jj_inline_t *, jj_open_entry_t *);
 static void free_entry(jj_inline_t *, jj_open_entry_t *);
@@ -327,7 +327,7 @@
 }
 
 static void
-end_list(void *ctx, jj_ms_t now)
+end_list(void *ctx, bool is_complete, jj_ms_t now)
 {
 	jj_inline_t *jobs = ctx;
 	jj_open_entry_t *entry;
@@ -336,7 +336,7 @@
 	(void)now;
 	for (entry = TAILQ_FIRST(&jobs->open); entry != NULL; entry = next) {
 		next = TAILQ_NEXT(entry, link);
-		if (!entry->listed)
+		if (is_complete && !entry->listed)
 			remove_entry(jobs, entry);
 	}
 }
--- a/src/core/mirror.c
+++ b/src/core/mirror.c
@@ -9,9 +9,15 @@
 
 /** Low bits of a call's token; the count of dropped calls is above them. */
 #define TOKEN_BITS 40
+/** Time until a listing that was incomplete is repeated, ms. */
+#define RELIST_MS 30000
 
+static bool is_answer(const jj_platform_result_t *);
 static uint64_t current_token(const jj_mirror_t *);
-static void take_list(jj_mirror_t *, const jj_platform_result_t *, jj_ms_t);
+static void
+take_list(jj_mirror_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
+static void end_list(jj_mirror_t *, bool, jj_ms_t, jj_actions_t *);
+static void take_skipped(jj_mirror_t *, const jj_platform_result_t *, jj_ms_t);
 static void take_events(jj_mirror_t *, const jj_platform_result_t *, jj_ms_t);
 static void take_failure(
     jj_mirror_t *, const jj_platform_result_t *, jj_ms_t, jj_actions_t *);
@@ -24,6 +30,7 @@
 static bool
 is_recreated(const jj_mirror_t *, const jj_platform_item_t *, size_t, size_t);
 static jj_ms_t due_ms(const jj_mirror_t *);
+static jj_ms_t later(jj_ms_t, jj_ms_t);
 
 void
 jj_mirror_init(jj_mirror_t *mirror, const jj_mirror_settings_t *settings,
@@ -34,6 +41,7 @@
 	mirror->port = *port;
 	mirror->relayed_ms = JJ_MS_NEVER;
 	mirror->confirmed_ms = JJ_MS_NEVER;
+	mirror->relist_ms = JJ_MS_NEVER;
 }
 
 void
@@ -53,11 +61,18 @@
 
 	if (!mirror->active || mirror->polling || now < due_ms(mirror))
 		return;
+	if (mirror->listed && now >= mirror->relist_ms)
+		start_list(mirror);
 	mirror->polling = true;
 	mirror->polled_ms = now;
 	call = jj_actions_add_platform(out, settings->owner,
 	    mirror->listed ? JJ_PLATFORM_WATCH : JJ_PLATFORM_LIST,
 	    current_token(mirror));
+	if (mirror->cursor.skips_after) {
+		call->op = JJ_PLATFORM_GET;
+		memcpy(call->key, mirror->cursor.after, sizeof(call->key));
+		return;
+	}
 	(void)snprintf(call->key, sizeof(call->key), "%s", settings->prefix);
 	if (mirror->listed) {
 		call->version = mirror->since;
@@ -68,7 +83,7 @@
 		return;
 	}
 	call->values = true;
-	(void)snprintf(call->after, sizeof(call->after), "%s", mirror->after);
+	memcpy(call->after, mirror->cursor.after, sizeof(call->after));
 }
 
 jj_ms_t
@@ -148,24 +163,21 @@
 	if (result->token != current_token(mirror))
 		return true;
 	mirror->polling = false;
-	switch (result->outcome) {
-	case JJ_PLATFORM_OK:
-		log_recovery(mirror, now, out);
-		take_success(mirror);
-		if (result->op == JJ_PLATFORM_LIST)
-			take_list(mirror, result, now);
-		else
-			take_events(mirror, result, now);
-		break;
-	case JJ_PLATFORM_GAP:
-		log_recovery(mirror, now, out);
-		take_success(mirror);
+	if (!is_answer(result)) {
+		take_failure(mirror, result, now, out);
+		return true;
+	}
+	log_recovery(mirror, now, out);
+	take_success(mirror);
+	if (result->op == JJ_PLATFORM_GET)
+		take_skipped(mirror, result, now);
+	else if (result->op == JJ_PLATFORM_LIST)
+		take_list(mirror, result, now, out);
+	else if (result->outcome == JJ_PLATFORM_OK)
+		take_events(mirror, result, now);
+	else {
 		start_list(mirror);
 		mirror->next_ms = now;
-		break;
-	default:
-		take_failure(mirror, result, now, out);
-		break;
 	}
 	return true;
 }
@@ -176,6 +188,17 @@
 	return mirror->listed && mirror->failures == 0;
 }
 
+/** A history that is gone answers a watch only, no object answers a get only. */
+static bool
+is_answer(const jj_platform_result_t *result)
+{
+	return result->outcome == JJ_PLATFORM_OK ||
+	    (result->outcome == JJ_PLATFORM_GAP &&
+		result->op == JJ_PLATFORM_WATCH) ||
+	    (result->outcome == JJ_PLATFORM_ABSENT &&
+		result->op == JJ_PLATFORM_GET);
+}
+
 static uint64_t
 current_token(const jj_mirror_t *mirror)
 {
@@ -184,27 +207,57 @@
 }
 
 static void
-take_list(jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now)
+take_list(jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now,
+    jj_actions_t *out)
 {
 	const jj_mirror_port_t *port = &mirror->port;
+	jj_list_step_t step;
 	size_t i;
 
-	if (mirror->after[0] == '\0')
+	if (mirror->cursor.after[0] == '\0')
 		port->begin_list(port->ctx);
 	/*
 	 * The watch starts from the first page's revision, or it would miss
 	 * objects that change while later pages are read.
 	 */
-	if (mirror->after[0] == '\0')
+	if (mirror->cursor.after[0] == '\0')
 		mirror->since = result->version;
 	for (i = 0; i < result->item_count; i++)
 		port->take(port->ctx, &result->items[i]);
 	mirror->next_ms = now;
-	if (jj_platform_next_page(result, mirror->after))
-		return;
+	step = jj_list_cursor_take_page(&mirror->cursor, result);
+	if (step != JJ_LIST_CONTINUES)
+		end_list(mirror, step == JJ_LIST_COMPLETE, now, out);
+}
+
+static void
+end_list(jj_mirror_t *mirror, bool is_complete, jj_ms_t now, jj_actions_t *out)
+{
 	mirror->listed = true;
 	mirror->confirmed_ms = now;
-	port->end_list(port->ctx, now);
+	mirror->relist_ms = is_complete ? JJ_MS_NEVER : now + RELIST_MS;
+	if (!is_complete)
+		jj_actions_add_event(out, "list_incomplete",
+		    "watch=%.*s revision=%llu again_ms=%d", name_length(mirror),
+		    mirror->settings.prefix, (unsigned long long)mirror->since,
+		    RELIST_MS);
+	mirror->port.end_list(mirror->port.ctx, is_complete, now);
+}
+
+/** Takes the object behind which the listing goes on without its page. */
+static void
+take_skipped(
+    jj_mirror_t *mirror, const jj_platform_result_t *result, jj_ms_t now)
+{
+	const jj_mirror_port_t *port = &mirror->port;
+	jj_platform_item_t item = {
+	    .version = result->version, .value = result->value};
+
+	memcpy(item.key, mirror->cursor.after, sizeof(item.key));
+	if (result->outcome == JJ_PLATFORM_OK)
+		port->take(port->ctx, &item);
+	mirror->cursor.skips_after = false;
+	mirror->next_ms = now;
 }
 
 static void
@@ -271,13 +324,21 @@
 static jj_ms_t
 due_ms(const jj_mirror_t *mirror)
 {
-	jj_ms_t relay_due;
+	jj_ms_t due = mirror->next_ms;
 
-	if (mirror->duty != JJ_MIRROR_LISTENER || !mirror->listed ||
-	    mirror->relayed_ms == JJ_MS_NEVER)
-		return mirror->next_ms;
-	relay_due = mirror->relayed_ms + mirror->settings.relay_timeout_ms;
-	return relay_due > mirror->next_ms ? relay_due : mirror->next_ms;
+	if (mirror->duty == JJ_MIRROR_LISTENER && mirror->listed &&
+	    mirror->relayed_ms != JJ_MS_NEVER)
+		due = later(due,
+		    mirror->relayed_ms + mirror->settings.relay_timeout_ms);
+	if (mirror->listed && mirror->relist_ms < due)
+		due = later(mirror->next_ms, mirror->relist_ms);
+	return due;
+}
+
+static jj_ms_t
+later(jj_ms_t a, jj_ms_t b)
+{
+	return a > b ? a : b;
 }
 
 /**
@@ -290,6 +351,7 @@
     jj_ms_t now, jj_actions_t *out)
 {
 	jj_ms_t wait = mirror->settings.backoff_ms;
+	jj_list_step_t step = JJ_LIST_REPEATS;
 	uint32_t i;
 
 	for (i = 0; i < mirror->failures; i++) {
@@ -300,6 +362,11 @@
 	if (wait > mirror->settings.backoff_most_ms)
 		wait = mirror->settings.backoff_most_ms;
 	mirror->failures++;
+	if (result->op == JJ_PLATFORM_LIST)
+		step = jj_list_cursor_take_failure(
+		    &mirror->cursor, result->outcome);
+	if (step == JJ_LIST_CONTINUES)
+		wait = 0;
 	mirror->next_ms = now + wait;
 	jj_actions_add_event(out, "watch_failed",
 	    "watch=%.*s op=%s outcome=%d after_ms=%lld revision=%llu "
@@ -310,6 +377,8 @@
 	    (unsigned long long)mirror->since,
 	    jj_ms_ago(mirror->confirmed_ms, now), mirror->failures,
 	    (long long)wait);
+	if (step == JJ_LIST_INCOMPLETE)
+		end_list(mirror, false, now, out);
 }
 
 static void
@@ -351,5 +420,6 @@
 start_list(jj_mirror_t *mirror)
 {
 	mirror->listed = false;
-	mirror->after[0] = '\0';
+	mirror->relist_ms = JJ_MS_NEVER;
+	jj_list_cursor_reset(&mirror->cursor);
 }
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -5,7 +5,8 @@
  * One listing and a chain of watch calls keep a whole table up to date. After a
  * watch that returned events the next one is delayed, so that events close
  * together cost one call. When the platform no longer has the history since the
- * last call, the table is listed again. Calls that fail, or whose answer is
+ * last call, the table is listed again; likewise, after a while, when a listing
+ * was incomplete. Calls that fail, or whose answer is
  * malformed, are retried with exponential backoff, and wait for less time: a
  * platform that was silent is soon known to be back.
  *
@@ -19,6 +20,7 @@
 #define JJ_CORE_MIRROR_H
 
 #include "core/action.h"
+#include "core/list_cursor.h"
 
 typedef struct {
 	jj_owner_t owner; /**< owner of its platform calls */
@@ -53,7 +55,11 @@
 	void (*begin_list)(void *ctx);
 	void (*take)(void *ctx, const jj_platform_item_t *item);
 	void (*drop)(void *ctx, const char *key);
-	void (*end_list)(void *ctx, jj_ms_t now);
+	/**
+	 * The listing ended. Unless it is complete, objects that it does not
+	 * contain may exist.
+	 */
+	void (*end_list)(void *ctx, bool is_complete, jj_ms_t now);
 	/** A poll ended; called by a relay only. */
 	void (*relay)(void *ctx, uint64_t token, uint64_t from, uint64_t to,
 	    const jj_platform_item_t *items, size_t count);
@@ -72,10 +78,11 @@
 	jj_ms_t confirmed_ms;
 	/** Number of calls whose results are ignored. */
 	uint32_t calls_dropped;
-	bool listed; /**< the listing is complete; now watching */
+	bool listed; /**< the listing has ended; now watching */
 	uint64_t since;
-	/** Last key of the listing so far. */
-	char after[JJ_OBJECT_KEY_MAX + 1];
+	jj_list_cursor_t cursor; /**< of the listing */
+	/** time of a new listing after an incomplete one; or JJ_MS_NEVER */
+	jj_ms_t relist_ms;
 	jj_ms_t next_ms; /**< time of the next call */
 	uint32_t failures; /**< in a row */
 } jj_mirror_t;
@@ -105,7 +112,7 @@
 /** Handles the result of a call; false when it is not a call of this mirror. */
 bool jj_mirror_take_result(jj_mirror_t *mirror,
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out);
-/** True when the listing is complete and the last call succeeded. */
+/** True when the listing has ended and the last call succeeded. */
 bool jj_mirror_is_current(const jj_mirror_t *mirror);
 
 #endif
--- a/src/core/platform_call.h
+++ b/src/core/platform_call.h
@@ -87,7 +87,10 @@
 	/** Objects that could not be read; those with a name are items too. */
 	size_t unreadable;
 	bool more; /**< the list was truncated at its limit */
-	/** Key of a list's last object, if its name is no valid one; or "". */
+	/**
+	 * Key of a list's last object if its name is no valid one, cut where it
+	 * is too long or holds a NUL; else "".
+	 */
 	char last_key[JJ_OBJECT_KEY_MAX + 1];
 	jj_ms_t retry_after_ms;
 } jj_platform_result_t;
@@ -96,13 +99,6 @@
 const char *jj_object_name(const char *key);
 /** Frees the data that the call owns. */
 void jj_platform_call_clear(jj_platform_call_t *call);
-/**
- * Copies the key after which the next page of a list begins.
- * @param after of the page that was read; "" if no page follows.
- * @return false if no page follows.
- */
-bool jj_platform_next_page(
-    const jj_platform_result_t *result, char after[JJ_OBJECT_KEY_MAX + 1]);
 /** Frees the data that the result owns. */
 void jj_platform_result_clear(jj_platform_result_t *result);
 
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -167,6 +167,18 @@
 	}
 }
 
+void
+jj_slots_keep_unlisted(jj_slots_t *slots)
+{
+	jj_slot_server_t *server;
+
+	TAILQ_FOREACH(server, &slots->servers, link)
+	{
+		if (!server->listed && server->unlisted_ms == JJ_MS_NEVER)
+			server->listed = true;
+	}
+}
+
 void
 jj_slots_end_list(jj_slots_t *slots, jj_ms_t now, jj_ms_t until)
 {
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -171,10 +171,12 @@
  * @return the server, or NULL when there is none.
  */
 jj_slot_server_t *jj_slots_accept_old_start(jj_slots_t *slots, jj_ms_t now);
-/** Called before a complete list is taken; servers not in it are missing. */
+/** Called before a list is taken; servers not in it are missing. */
 void jj_slots_begin_list(jj_slots_t *slots);
+/** Called when the list is incomplete: none that it does not have is missing. */
+void jj_slots_keep_unlisted(jj_slots_t *slots);
 /**
- * Called after a complete list was taken. Missing servers are handled as in
+ * Called after a list was taken. Missing servers are handled as in
  * jj_slots_note_unlisted().
  */
 void jj_slots_end_list(jj_slots_t *slots, jj_ms_t now, jj_ms_t until);
--- a/tests/core/mirror_test.cc
+++ b/tests/core/mirror_test.cc
@@ -62,7 +62,7 @@
 		self(ctx)->table.erase(key);
 	}
 	static void
-	end(void *, jj_ms_t)
+	end(void *, bool, jj_ms_t)
 	{
 	}
 	static void
--- a/tests/platform/entries_test.cc
+++ b/tests/platform/entries_test.cc
@@ -294,7 +294,7 @@
 		    JJ_OWNER_GATEWAY, 1, "servers/", 1, 1, 1, 1, 1, 1};
 		jj_mirror_port_t port = {nullptr, [](void *) {},
 		    [](void *, const jj_platform_item_t *) {},
-		    [](void *, const char *) {}, [](void *, jj_ms_t) {},
+		    [](void *, const char *) {}, [](void *, bool, jj_ms_t) {},
 		    nullptr};
 		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
 		jj_platform_request_t request = {};
--- a/tests/platform/objects_test.cc
+++ b/tests/platform/objects_test.cc
@@ -119,6 +119,10 @@
 	    JJ_PLATFORM_CONFLICT, 7, 0, "{\"a\":1}"},
 	ReadCase{
 	    "Absent", JJ_PLATFORM_GET, 404, "", JJ_PLATFORM_ABSENT, 0, 0, ""},
+	/* Guards against taking a part of a list for the whole. */
+	ReadCase{"EmptyPageOfMore", JJ_PLATFORM_LIST, 200,
+	    "{\"items\":[],\"more\":true,\"at\":7}", JJ_PLATFORM_UNKNOWN, 7, 0,
+	    ""},
 	ReadCase{"Gap", JJ_PLATFORM_WATCH, 410, "", JJ_PLATFORM_GAP, 0, 0, ""},
 	ReadCase{"Limited", JJ_PLATFORM_CREATE, 429, "", JJ_PLATFORM_LIMITED, 0,
 	    0, ""},
