Refusals: a server is not taken out of use for what one request asks for

Cause: each 421 counted as another process at the server's address and marked the server as leaving until its entry changed. A 421 to a request that expects other weights, a 503 to one with a reservation or a copy, and a 400 to one without an id follow from the request.

Change: classify_refusal() tells four cases apart by the server that the answer names and by the request's headers. JJ_BACKEND_MISMATCH notes nothing of the server; an item that fits none is sent once a second.

--- a/src/adapters/deployment.h
+++ b/src/adapters/deployment.h
@@ -33,6 +33,9 @@
 	jj_ms_t wait_ms; /**< maximum time to wait for a result */
 } jj_front_call_t;
 
+/** Maximum number of headers in jj_front_headers_t.conditions. */
+#define JJ_FRONT_CONDITIONS_MAX 4
+
 /** Names of headers that the daemon reads or sets. */
 typedef struct {
 	const char *request_id; /**< id of one attempt of the caller */
@@ -46,6 +49,9 @@
 	const char *prompt; /**< parts of the prompt, see read_prompt */
 	const char *key; /**< key of the caller's team; never passed on */
 	const char *team; /**< name of that team; only this system sets it */
+	const char *instance; /**< of an answer: id of the server */
+	/** headers by which a request may ask for what a server lacks */
+	const char *conditions[JJ_FRONT_CONDITIONS_MAX];
 } jj_front_headers_t;
 
 /** Switches of the gateway that a deployment may turn on. */
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -46,6 +46,11 @@
 	JJ_BACKEND_NOT_SENT, /**< no byte can have reached the server */
 	JJ_BACKEND_REFUSED, /**< 429 or 503: verifiably not started */
 	JJ_BACKEND_LEAVING, /**< refused because the server is shutting down */
+	/**
+	 * gateway: refused because of what the request asks for; the server may
+	 * take others
+	 */
+	JJ_BACKEND_MISMATCH,
 	JJ_BACKEND_FIRST, /**< first token, or the head of an answer */
 	JJ_BACKEND_TOKENS, /**< `tokens` more tokens */
 	JJ_BACKEND_DONE,
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -25,6 +25,8 @@
 #define MEAN_WEIGHT 0.05
 /** Maximum parts of a prompt that one log line names. */
 #define LOGGED_PARTS_MAX 7
+/** Time until an item is sent again after a server refused what it asks, ms. */
+#define MISMATCH_RETRY_MS 1000
 /** Fields of a log line on how an answer ended, bytes. */
 #define ANSWER_TEXT_SIZE 128
 
@@ -62,6 +64,7 @@
     jj_gateway_t *, jj_gateway_entry_t *, const jj_backend_event_t *, jj_ms_t);
 static void take_unconfirmed(jj_gateway_t *, jj_gateway_entry_t *,
     const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
+static jj_ms_t item_pause(const jj_gateway_t *, jj_backend_kind_t, bool);
 static void requeue_item(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t);
 static void log_prompt(const jj_gateway_entry_t *, jj_actions_t *);
 static void
@@ -713,7 +716,8 @@
 	char answer[ANSWER_TEXT_SIZE];
 	bool not_run = event->kind == JJ_BACKEND_NOT_SENT ||
 	    event->kind == JJ_BACKEND_REFUSED ||
-	    event->kind == JJ_BACKEND_LEAVING;
+	    event->kind == JJ_BACKEND_LEAVING ||
+	    event->kind == JJ_BACKEND_MISMATCH;
 
 	if (was_sent)
 		entry->sent_attempts++;
@@ -739,7 +743,7 @@
 		log_prompt(entry, out);
 	if (entry->class_of == JJ_CLASS_BATCH) {
 		requeue_item(gateway, entry,
-		    not_run ? now : now + gateway->settings.retry_after_ms);
+		    now + item_pause(gateway, event->kind, not_run));
 		return;
 	}
 	jj_gateway_leave_server(gateway, entry);
@@ -749,6 +753,15 @@
 		jj_gateway_give_up(gateway, entry, JJ_FAILURE_BROKEN, out);
 }
 
+/** Time until an item is sent again after a failed attempt. */
+static jj_ms_t
+item_pause(const jj_gateway_t *gateway, jj_backend_kind_t kind, bool not_run)
+{
+	if (kind == JJ_BACKEND_MISMATCH)
+		return MISMATCH_RETRY_MS;
+	return not_run ? 0 : gateway->settings.retry_after_ms;
+}
+
 /** Resumes a stream later, to learn whether its output goes on. */
 static void
 take_unconfirmed(jj_gateway_t *gateway, jj_gateway_entry_t *entry,
@@ -930,8 +943,9 @@
 name_of_kind(jj_backend_kind_t kind)
 {
 	static const char *const names[] = {"not_sent", "refused",
-	    "other_instance", "first", "tokens", "done", "unconfirmed",
-	    "rejected", "failed", "broken", "timeout", "cancelled"};
+	    "other_instance", "mismatch", "first", "tokens", "done",
+	    "unconfirmed", "rejected", "failed", "broken", "timeout",
+	    "cancelled"};
 
 	return names[kind];
 }
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -77,9 +77,14 @@
 	/** of the events forwarded so far; 0: there is none */
 	uint64_t begun_software;
 	char *id; /**< request id, which the server must echo; owned */
+	jj_name_t server; /**< id of the server */
+	bool is_item;
+	bool is_conditional; /**< it may ask for what a server lacks */
 	answer_kind_t kind;
 	int status;
 	bool not_run; /**< the server reported that it did not run it */
+	bool is_named; /**< the answer names its server */
+	bool is_other; /**< it names another one than it was sent to */
 	jj_http_body_t body_end; /**< how the end of its body is found */
 	const char *ended; /**< how its transfer ended; static */
 	uint32_t event_count; /**< complete events */
@@ -114,6 +119,9 @@
 static void check_head(attempt_t *);
 static jj_http_flow_t on_data(void *, const char *, size_t);
 static bool prepare_output(entry_t *, const jj_gateway_attempt_t *);
+static bool
+is_conditional(const jj_stream_relay_t *, const jj_stream_exchange_t *);
+static bool is_header(const char *, const char *);
 static void receive_events(attempt_t *, entry_t *, const char *, size_t);
 static void forward_event(attempt_t *, entry_t *, const jj_stream_event_t *);
 static void append_output(attempt_t *, entry_t *, const jj_stream_event_t *);
@@ -126,6 +134,7 @@
 static void on_end(void *, jj_http_end_t, const jj_http_head_t *);
 static jj_backend_kind_t classify_end(const attempt_t *, jj_http_end_t);
 static jj_backend_kind_t classify_close(const attempt_t *, entry_t *);
+static jj_backend_kind_t classify_refusal(const attempt_t *);
 static jj_backend_kind_t classify_status(const attempt_t *);
 static bool is_retried_error(const attempt_t *);
 static void finish_answer(attempt_t *, entry_t *, jj_bytes_t *);
@@ -243,7 +252,7 @@
 	if (!fits) {
 		entry->attempt = 0;
 		(void)apr_thread_mutex_unlock(relay->lock);
-		post_event(attempt, JJ_BACKEND_REFUSED, 0, false, NULL);
+		post_event(attempt, JJ_BACKEND_MISMATCH, 0, false, NULL);
 		free_attempt(attempt);
 		return;
 	}
@@ -252,6 +261,9 @@
 	attempt->resumes = entry->last_id != JJ_EVENT_NO_ID;
 	attempt->after = entry->last_id;
 	attempt->id = strdup(entry->exchange.id);
+	attempt->server = start->server;
+	attempt->is_item = entry->exchange.call == NULL;
+	attempt->is_conditional = is_conditional(relay, &entry->exchange);
 	jj_event_stream_begin(&attempt->events, entry->last_id);
 	attempt->reported_id = entry->last_id;
 	(void)snprintf(deadline, sizeof(deadline), "%s: %lld",
@@ -481,6 +493,11 @@
 			has_stamp = true;
 		if (strcasecmp(line, names->not_run) == 0)
 			attempt->not_run = strcmp(value, "0") != 0;
+		if (strcasecmp(line, names->instance) == 0) {
+			attempt->is_named = true;
+			attempt->is_other |=
+			    strcmp(value, attempt->server.text) != 0;
+		}
 		g_free(line);
 	}
 	if (attempt->status >= 200 && attempt->status < 300 && !has_stamp)
@@ -540,6 +557,35 @@
 	return entry->software == start->software;
 }
 
+/** True if the request has a header that a server may be unable to satisfy. */
+static bool
+is_conditional(
+    const jj_stream_relay_t *relay, const jj_stream_exchange_t *exchange)
+{
+	const jj_front_headers_t *names = &relay->deployment->headers;
+	size_t name;
+	size_t i;
+
+	for (name = 0;
+	     name < JJ_FRONT_CONDITIONS_MAX && names->conditions[name] != NULL;
+	     name++)
+		for (i = 0; i < exchange->header_count; i++)
+			if (is_header(
+				exchange->headers[i], names->conditions[name]))
+				return true;
+	return false;
+}
+
+/** True for the line of that header, also without a value. */
+static bool
+is_header(const char *line, const char *name)
+{
+	size_t size = strlen(name);
+
+	return strncasecmp(line, name, size) == 0 &&
+	    (line[size] == ':' || line[size] == ';');
+}
+
 static void
 receive_events(
     attempt_t *attempt, entry_t *entry, const char *data, size_t size)
@@ -799,6 +845,24 @@
 	    : JJ_BACKEND_UNCONFIRMED;
 }
 
+/**
+ * A refusal tells that another process has the address, that the server is
+ * full, that it lacks what the request asks for, or that the request is wrong.
+ */
+static jj_backend_kind_t
+classify_refusal(const attempt_t *attempt)
+{
+	if (attempt->status == 421 &&
+	    (attempt->is_other ||
+		(!attempt->is_named && !attempt->is_conditional)))
+		return JJ_BACKEND_LEAVING;
+	if (attempt->status == 429 || attempt->status == 503)
+		return attempt->is_conditional ? JJ_BACKEND_MISMATCH
+					       : JJ_BACKEND_REFUSED;
+	return attempt->is_item || attempt->status == 421 ? JJ_BACKEND_MISMATCH
+							  : JJ_BACKEND_REJECTED;
+}
+
 /**
  * Only the server's own statement (421 or the not-run header) proves that it
  * did not run a request. A status that implies it to the caller without that
@@ -807,10 +871,8 @@
 static jj_backend_kind_t
 classify_status(const attempt_t *attempt)
 {
-	if (attempt->status == 421)
-		return JJ_BACKEND_LEAVING;
-	if (attempt->not_run)
-		return JJ_BACKEND_REFUSED;
+	if (attempt->status == 421 || attempt->not_run)
+		return classify_refusal(attempt);
 	if (attempt->status >= 200 && attempt->status < 300)
 		return JJ_BACKEND_DONE;
 	switch (attempt->status) {
--- a/tests/core/gateway_test.cc
+++ b/tests/core/gateway_test.cc
@@ -126,6 +126,8 @@
 	    JJ_RUN_NOT_RUN},
 	FailCase{"OnceOtherInstance", "/once/1", JJ_BACKEND_LEAVING, false, 2,
 	    JJ_RUN_NOT_RUN},
+	FailCase{"OnceMismatch", "/once/1", JJ_BACKEND_MISMATCH, false, 2,
+	    JJ_RUN_NOT_RUN},
 	FailCase{"OnceFailed", "/once/1", JJ_BACKEND_FAILED, false, 1,
 	    JJ_RUN_UNKNOWN},
 	FailCase{"OnceNotSent", "/once/1", JJ_BACKEND_NOT_SENT, false, 5,
@@ -138,6 +140,35 @@
 	    JJ_RUN_UNKNOWN}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/* Guards against servers that one kind of request takes out of use. */
+TEST_F(GatewayFailure, ARequestThatNoServerFitsLeavesThemInUse)
+{
+	see(2, "servers/s2", "verona ready");
+	for (int i = 0; i < 6; i++) {
+		uint64_t request = begin("/once/1");
+
+		report_event(request, JJ_BACKEND_MISMATCH);
+		report_event(request, JJ_BACKEND_MISMATCH);
+		EXPECT_EQ(1, outcomes[request].answers);
+	}
+	EXPECT_EQ(1U, attempts(begin("/once/1")));
+	EXPECT_EQ(1U, attempts(begin("/once/2")));
+}
+
+/* Guards against an item that goes round idle servers without a pause. */
+TEST_F(GatewayFailure, AnItemThatNoServerFitsIsSentOnceASecond)
+{
+	submit("j", 1);
+	tick(50);
+	for (int i = 0; i < 100; i++) {
+		report_event(FIRST_ITEM, JJ_BACKEND_MISMATCH);
+		tick(50);
+	}
+	EXPECT_GE(attempts(FIRST_ITEM), 4U);
+	EXPECT_LE(attempts(FIRST_ITEM), 6U);
+	report_event(begin("/once/1"), JJ_BACKEND_DONE);
+}
+
 /*
  * A request's time is over: it is answered then, and cancelled at its server.
  */
