Answers of servers: part of the process's one sum, and heads have a limit

Cause: libcurl keeps each header line in blocks of its own, and the limit was in bytes only. Whole answers could always hold 1 MB each beyond their common limit. Nothing that servers send was part of the one sum of what a process holds.

Change: a head has at most 1,000 lines. Heads, buffers, whole answers, incomplete events, outputs of items and answers of the platform count in the sum of core/caller_budget; large ones may use half of it together. One that does not fit ends as a broken answer.

--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -43,6 +43,15 @@
  * answers and of a trailer.
  */
 #define HEAD_BYTES_MAX 262144
+/** Maximum number of these lines: libcurl keeps each in blocks of its own. */
+#define HEAD_LINES_MAX 1000
+/** Copies of the header lines, and memory of each line beside its text. */
+#define HEAD_COPIES 3
+#define HEAD_LINE_BYTES 128
+/** Buffers of libcurl for a transfer. */
+#define TRANSFER_BYTES 24576
+/** The memory of a head is counted in such steps, bytes. */
+#define HEAD_STEP_BYTES 8192
 /** Idle connections that a client keeps for reuse. */
 #define IDLE_CONNECTIONS 512L
 /** Upper bound of a Retry-After, seconds. */
@@ -68,7 +77,10 @@
 	jj_http_request_t request; /**< only ctx and callbacks stay valid */
 	jj_http_head_t head;
 	GString *lines; /**< header lines of the response */
+	jj_http_guard_t *guard; /**< or NULL */
+	size_t held; /**< in the guard's sum */
 	size_t head_bytes; /**< of all header lines so far */
+	size_t head_lines;
 	bool head_delivered;
 	jj_http_framing_t framing; /**< of the current head */
 	bool is_http10;
@@ -98,6 +110,7 @@
 	TAILQ_HEAD(, transfer) idle_limited; /**< begin_ms is set */
 	jj_ms_t last_read_ms; /**< all data that arrived before was read */
 	atomic_uint_fast64_t last_number;
+	jj_http_guard_t *guard; /**< or NULL */
 };
 
 static void *APR_THREAD_FUNC run(apr_thread_t *, void *);
@@ -125,6 +138,7 @@
 static jj_http_end_t classify_result(const transfer_t *, CURLcode);
 static const char *name_result(const jj_http_head_t *, CURLcode);
 static jj_ms_t read_seconds(const char *);
+static bool hold_head(transfer_t *, size_t);
 static void begin_head(transfer_t *, const char *);
 static void end_head(transfer_t *);
 static void take_header(transfer_t *, const char *);
@@ -170,6 +184,12 @@
 	return NULL;
 }
 
+void
+jj_http_client_set_guard(jj_http_client_t *client, jj_http_guard_t *guard)
+{
+	client->guard = guard;
+}
+
 void
 jj_http_client_destroy(jj_http_client_t *client)
 {
@@ -414,6 +434,9 @@
 static void
 start_transfer(jj_http_client_t *client, transfer_t *transfer)
 {
+	transfer->guard = client->guard;
+	(void)jj_http_guard_hold_answer(transfer->guard, &transfer->held,
+	    TRANSFER_BYTES + HEAD_STEP_BYTES, true);
 	(void)g_hash_table_insert(
 	    client->transfers, &transfer->number, transfer);
 	if (transfer->request.begin_ms > 0) {
@@ -578,6 +601,8 @@
 static void
 free_transfer(transfer_t *transfer)
 {
+	(void)jj_http_guard_hold_answer(
+	    transfer->guard, &transfer->held, 0, true);
 	curl_easy_cleanup(transfer->easy);
 	curl_slist_free_all(transfer->headers);
 	(void)g_string_free(transfer->lines, TRUE);
@@ -752,8 +777,7 @@
 	char line[256];
 
 	/* Any other value than the length ends the transfer. */
-	transfer->head_bytes += length;
-	if (transfer->head_bytes > HEAD_BYTES_MAX)
+	if (!hold_head(transfer, length))
 		return 0;
 	extend_idle_deadline(transfer);
 	(void)snprintf(line, sizeof(line), "%.*s", (int)length, data);
@@ -778,6 +802,24 @@
 	return length;
 }
 
+/** False when a head has too many lines or bytes, or there is no memory. */
+static bool
+hold_head(transfer_t *transfer, size_t length)
+{
+	size_t bytes;
+
+	transfer->head_bytes += length;
+	transfer->head_lines++;
+	if (transfer->head_bytes > HEAD_BYTES_MAX ||
+	    transfer->head_lines > HEAD_LINES_MAX)
+		return false;
+	bytes = TRANSFER_BYTES + transfer->head_bytes * HEAD_COPIES +
+	    transfer->head_lines * HEAD_LINE_BYTES;
+	return bytes <= transfer->held ||
+	    jj_http_guard_hold_answer(transfer->guard, &transfer->held,
+		bytes + HEAD_STEP_BYTES, false);
+}
+
 static void
 begin_head(transfer_t *transfer, const char *line)
 {
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -9,7 +9,7 @@
 #ifndef JJ_ADAPTERS_HTTP_CLIENT_H
 #define JJ_ADAPTERS_HTTP_CLIENT_H
 
-#include "core/types.h"
+#include "adapters/http_guard.h"
 
 /** Maximum number of extra headers in jj_http_request_t.headers. */
 #define JJ_HTTP_HEADERS_MAX 8
@@ -96,6 +96,12 @@
 
 /** Starts the client's thread; NULL if libcurl or the thread fails. */
 jj_http_client_t *jj_http_client_create(void);
+/**
+ * From now on the heads and buffers of answers count in the guard's sum; an
+ * answer whose head does not fit ends as broken. To be called before the first
+ * request; the guard outlives the client.
+ */
+void jj_http_client_set_guard(jj_http_client_t *client, jj_http_guard_t *guard);
 /** Cancels all requests (their on_end runs) and stops the thread. */
 void jj_http_client_destroy(jj_http_client_t *client);
 /** Starts a request; returns its number, for cancel and resume. */
--- a/src/adapters/http_guard.c
+++ b/src/adapters/http_guard.c
@@ -1,6 +1,7 @@
 /**
  * @file http_guard.c
- * @brief Keeps what the HTTP servers of a process hold for callers in bounds.
+ * @brief Keeps what a process holds for its callers in bounds, and what it
+ * receives from servers.
  */
 #include <errno.h>
 #include <malloc.h>
@@ -47,6 +48,7 @@
 	lingering_t lingering[LINGERING_MAX];
 	size_t lingering_count;
 	uint64_t refused;
+	uint64_t answers_refused;
 	uint64_t logged; /**< closed and refused ones that were logged */
 	jj_ms_t logged_ms;
 	jj_ms_t ticked_ms;
@@ -138,7 +140,9 @@
 	stats->held = guard->budget.held;
 	stats->limit = guard->budget.limit;
 	stats->connections = guard->budget.connections;
+	stats->answers = guard->budget.answers;
 	stats->refused = guard->refused;
+	stats->answers_refused = guard->answers_refused;
 	for (reason = 0; reason < JJ_CALLER_REASONS; reason++)
 		stats->closed[reason] = guard->budget.closed[reason];
 	(void)apr_thread_mutex_unlock(guard->lock);
@@ -239,6 +243,32 @@
 	return holds;
 }
 
+bool
+jj_http_guard_hold_answer(
+    jj_http_guard_t *guard, size_t *held, size_t bytes, bool must)
+{
+	jj_caller_t *victim;
+	bool holds;
+
+	if (guard == NULL || bytes == *held)
+		return true;
+	(void)apr_thread_mutex_lock(guard->lock);
+	while (bytes > *held &&
+	    (victim = jj_caller_budget_evict_for_answer(
+		 &guard->budget, *held, bytes, jj_monotonic_now())) != NULL)
+		close_caller(victim, false);
+	holds =
+	    jj_caller_budget_hold_answer(&guard->budget, *held, bytes, must);
+	if (holds)
+		*held = bytes;
+	else
+		guard->answers_refused++;
+	if (guard->budget.held > guard->peak)
+		guard->peak = guard->budget.held;
+	(void)apr_thread_mutex_unlock(guard->lock);
+	return holds;
+}
+
 void
 jj_http_guard_answer(jj_http_guard_t *guard, jj_http_peer_t *peer, int status)
 {
@@ -324,7 +354,7 @@
 log_closed(jj_http_guard_t *guard, jj_ms_t now)
 {
 	const uint64_t *closed = guard->budget.closed;
-	uint64_t total = guard->refused;
+	uint64_t total = guard->refused + guard->answers_refused;
 	int reason;
 
 	for (reason = 0; reason < JJ_CALLER_REASONS; reason++)
@@ -333,12 +363,15 @@
 		return;
 	jj_log(JJ_LOG_INFO, "callers_closed",
 	    "over_time=%llu over_memory=%llu over_connections=%llu "
-	    "refused=%llu held=%zu limit=%zu connections=%u",
+	    "refused=%llu answers_refused=%llu held=%zu answers=%zu limit=%zu "
+	    "connections=%u",
 	    (unsigned long long)closed[JJ_CALLER_OVER_TIME],
 	    (unsigned long long)closed[JJ_CALLER_OVER_MEMORY],
 	    (unsigned long long)closed[JJ_CALLER_OVER_CONNECTIONS],
-	    (unsigned long long)guard->refused, guard->budget.held,
-	    guard->budget.limit, guard->budget.connections);
+	    (unsigned long long)guard->refused,
+	    (unsigned long long)guard->answers_refused, guard->budget.held,
+	    guard->budget.answers, guard->budget.limit,
+	    guard->budget.connections);
 	guard->logged = total;
 	guard->logged_ms = now;
 }
--- a/src/adapters/http_guard.h
+++ b/src/adapters/http_guard.h
@@ -1,6 +1,7 @@
 /**
  * @file http_guard.h
- * @brief Keeps what the HTTP servers of a process hold for callers in bounds.
+ * @brief Keeps what a process holds for its callers in bounds, and what it
+ * receives from servers.
  *
  * The servers of a process share one guard, so that there is one sum over all
  * addresses (core/caller_budget.h). Connections that wait too long for their
@@ -31,10 +32,12 @@
 /** What a guard holds and what it did, for metrics. */
 typedef struct {
 	size_t held; /**< bytes */
+	size_t answers; /**< part of it: unfinished answers of servers */
 	size_t limit; /**< bytes */
 	uint32_t connections;
 	uint64_t closed[JJ_CALLER_REASONS];
 	uint64_t refused; /**< requests refused for want of memory */
+	uint64_t answers_refused; /**< answers of servers, likewise */
 } jj_http_guard_stats_t;
 
 typedef struct jj_http_guard jj_http_guard_t;
@@ -74,6 +77,16 @@
  */
 bool jj_http_guard_hold(jj_http_guard_t *guard, jj_http_peer_t *peer,
     size_t *held, size_t bytes, bool must);
+/**
+ * Changes what is held for an unfinished answer of a server.
+ * @param guard NULL: there is no limit.
+ * @param held bytes; updated if they may be held.
+ * @param must also beyond the limit.
+ * @return false if there is no memory left, also after slow callers were
+ * closed.
+ */
+bool jj_http_guard_hold_answer(
+    jj_http_guard_t *guard, size_t *held, size_t bytes, bool must);
 /**
  * Sends an answer without a body in place of the HTTP server, in the middle of
  * a request's body. The connection is to be closed afterwards.
--- a/src/adapters/platform.c
+++ b/src/adapters/platform.c
@@ -27,6 +27,7 @@
 	jj_platform_done_t done;
 	void *ctx;
 	atomic_uint_fast64_t calls;
+	jj_http_guard_t *guard; /**< or NULL */
 };
 
 typedef struct {
@@ -34,7 +35,8 @@
 	jj_platform_result_t result;
 	char key[JJ_OBJECT_KEY_MAX + 1]; /**< of the call */
 	jj_buffer_t answer;
-	bool too_large;
+	size_t held; /**< for it, in the guard's sum */
+	bool too_large; /**< or there is no memory for it */
 	jj_span_t span; /**< trace span of the call */
 } exchange_t;
 
@@ -66,6 +68,13 @@
 	return platform;
 }
 
+void
+jj_platform_set_guard(jj_platform_t *platform, jj_http_guard_t *guard)
+{
+	platform->guard = guard;
+	jj_http_client_set_guard(platform->http, guard);
+}
+
 void
 jj_platform_destroy(jj_platform_t *platform)
 {
@@ -163,8 +172,11 @@
 on_data(void *ctx, const char *data, size_t size)
 {
 	exchange_t *exchange = ctx;
+	size_t total = exchange->answer.bytes.size + size;
 
-	if (exchange->answer.bytes.size + size > ANSWER_MAX_BYTES)
+	if (total > ANSWER_MAX_BYTES ||
+	    !jj_http_guard_hold_answer(
+		exchange->platform->guard, &exchange->held, total, false))
 		exchange->too_large = true;
 	else
 		jj_buffer_append(&exchange->answer, data, size);
@@ -181,6 +193,8 @@
 	    &exchange->span, end != JJ_HTTP_COMPLETE, jj_unix_now_ns());
 	read_answer(exchange, end, head);
 	exchange->platform->done(exchange->platform->ctx, &exchange->result);
+	(void)jj_http_guard_hold_answer(
+	    exchange->platform->guard, &exchange->held, 0, true);
 	jj_buffer_clear(&exchange->answer);
 	free(exchange);
 }
--- a/src/adapters/platform.h
+++ b/src/adapters/platform.h
@@ -67,6 +67,11 @@
 jj_platform_t *jj_platform_create(const jj_platform_codec_t *codec,
     const char *address, const char *client_name, jj_ms_t timeout_ms,
     jj_platform_done_t done, void *ctx);
+/**
+ * From now on the platform's answers count in the guard's sum. To be called
+ * before the first call.
+ */
+void jj_platform_set_guard(jj_platform_t *platform, jj_http_guard_t *guard);
 void jj_platform_destroy(jj_platform_t *platform);
 /** Starts a call; takes ownership of the call's value. */
 void jj_platform_start(jj_platform_t *platform, jj_platform_call_t *call);
--- a/src/core/caller_budget.c
+++ b/src/core/caller_budget.c
@@ -10,9 +10,15 @@
  * beyond the limit may be held by evicted ones until they have left.
  */
 #define RESERVE_DIVISOR 4
+/** Share of the limit that large answers of servers may use together. */
+#define ANSWERS_DIVISOR 2
 
-static bool will_fit(const jj_caller_budget_t *, const jj_caller_t *, size_t);
+static bool will_fit(const jj_caller_budget_t *, size_t, size_t);
+static bool fits_now(const jj_caller_budget_t *, size_t, size_t);
+static bool answer_fits(const jj_caller_budget_t *, size_t, size_t);
 static size_t find_limit(const jj_caller_budget_t *, size_t);
+static jj_caller_t *
+evict_slowest(jj_caller_budget_t *, const jj_caller_t *, jj_ms_t);
 static jj_caller_t *find_oldest(const jj_caller_budget_t *,
     const jj_caller_phase_t *, size_t, const jj_caller_t *);
 static jj_caller_t *
@@ -93,39 +99,46 @@
 	return true;
 }
 
+bool
+jj_caller_budget_hold_answer(
+    jj_caller_budget_t *budget, size_t held, size_t bytes, bool must)
+{
+	if (bytes > held && !must && budget->limit > 0 &&
+	    !(answer_fits(budget, held, bytes) &&
+		fits_now(budget, held, bytes)))
+		return false;
+	budget->held = budget->held - held + bytes;
+	budget->answers = budget->answers - held + bytes;
+	return true;
+}
+
 bool
 jj_caller_budget_fits(
     const jj_caller_budget_t *budget, const jj_caller_t *caller, size_t bytes)
 {
-	size_t leaving_max = budget->limit / RESERVE_DIVISOR;
-
-	if (budget->limit == 0)
-		return true;
-	return !caller->evicted && will_fit(budget, caller, bytes) &&
-	    budget->held - caller->bytes + bytes <=
-	    find_limit(budget, bytes) + leaving_max;
+	return budget->limit == 0 ||
+	    (!caller->evicted && fits_now(budget, caller->bytes, bytes));
 }
 
 jj_caller_t *
 jj_caller_budget_evict_for_memory(jj_caller_budget_t *budget,
     const jj_caller_t *caller, size_t bytes, jj_ms_t now)
 {
-	static const jj_caller_phase_t phases[] = {
-	    JJ_CALLER_HEAD, JJ_CALLER_BODY, JJ_CALLER_SENDING};
-	static const jj_caller_phase_t idle = JJ_CALLER_IDLE;
-	jj_caller_t *slowest;
-
 	if (budget->limit == 0 || caller->evicted ||
 	    bytes > find_limit(budget, bytes) ||
-	    will_fit(budget, caller, bytes))
+	    will_fit(budget, caller->bytes, bytes))
 		return NULL;
-	slowest = find_oldest(
-	    budget, phases, sizeof(phases) / sizeof(phases[0]), caller);
-	if (slowest == NULL || now - slowest->since < JJ_CALLER_SLOW_MS)
-		slowest = find_oldest(budget, &idle, 1, caller);
-	if (slowest == NULL || now - slowest->since < JJ_CALLER_SLOW_MS)
+	return evict_slowest(budget, caller, now);
+}
+
+jj_caller_t *
+jj_caller_budget_evict_for_answer(
+    jj_caller_budget_t *budget, size_t held, size_t bytes, jj_ms_t now)
+{
+	if (budget->limit == 0 || !answer_fits(budget, held, bytes) ||
+	    will_fit(budget, held, bytes))
 		return NULL;
-	return evict(budget, slowest, JJ_CALLER_OVER_MEMORY);
+	return evict_slowest(budget, NULL, now);
 }
 
 jj_caller_t *
@@ -182,14 +195,32 @@
 
 /** Whether there is room once all evicted connections have left. */
 static bool
-will_fit(
-    const jj_caller_budget_t *budget, const jj_caller_t *caller, size_t bytes)
+will_fit(const jj_caller_budget_t *budget, size_t held, size_t bytes)
 {
-	return budget->held - budget->leaving - caller->bytes + bytes <=
+	return budget->held - budget->leaving - held + bytes <=
 	    find_limit(budget, bytes);
 }
 
-/** The limit for a connection that holds so much. */
+static bool
+fits_now(const jj_caller_budget_t *budget, size_t held, size_t bytes)
+{
+	return will_fit(budget, held, bytes) &&
+	    budget->held - held + bytes <=
+	    find_limit(budget, bytes) + budget->limit / RESERVE_DIVISOR;
+}
+
+/** Whether the answers of servers stay within their share of the limit. */
+static bool
+answer_fits(const jj_caller_budget_t *budget, size_t held, size_t bytes)
+{
+	size_t limit = budget->limit - budget->limit / RESERVE_DIVISOR;
+
+	if (bytes > JJ_CALLER_SMALL_BYTES)
+		limit = budget->limit / ANSWERS_DIVISOR;
+	return budget->answers - held + bytes <= limit;
+}
+
+/** The limit for a connection or an answer that holds so much. */
 static size_t
 find_limit(const jj_caller_budget_t *budget, size_t bytes)
 {
@@ -218,6 +249,24 @@
 	return oldest;
 }
 
+/** @param except is not evicted; or NULL. */
+static jj_caller_t *
+evict_slowest(
+    jj_caller_budget_t *budget, const jj_caller_t *except, jj_ms_t now)
+{
+	static const jj_caller_phase_t phases[] = {
+	    JJ_CALLER_HEAD, JJ_CALLER_BODY, JJ_CALLER_SENDING};
+	static const jj_caller_phase_t idle = JJ_CALLER_IDLE;
+	jj_caller_t *slowest = find_oldest(
+	    budget, phases, sizeof(phases) / sizeof(phases[0]), except);
+
+	if (slowest == NULL || now - slowest->since < JJ_CALLER_SLOW_MS)
+		slowest = find_oldest(budget, &idle, 1, except);
+	if (slowest == NULL || now - slowest->since < JJ_CALLER_SLOW_MS)
+		return NULL;
+	return evict(budget, slowest, JJ_CALLER_OVER_MEMORY);
+}
+
 static jj_caller_t *
 evict(jj_caller_budget_t *budget, jj_caller_t *caller, jj_caller_reason_t why)
 {
--- a/src/core/caller_budget.h
+++ b/src/core/caller_budget.h
@@ -1,13 +1,14 @@
 /**
  * @file caller_budget.h
  * @brief Bounds the memory and the connections that a process holds for its
- * callers.
+ * callers, with the answers that it receives from servers.
  *
  * Each connection has a phase and a number of bytes held for it: its buffers,
  * the body of its request with all copies, and the part of an answer that was
  * not read. The sum over all connections has a limit. Under pressure, the
  * connection that waits for its caller longest is closed first. A request that
- * was received completely is never given up.
+ * was received completely is never given up. Unfinished answers of servers are
+ * part of the sum, and have a limit of their own: they leave room for requests.
  *
  * A phase's list is in the order of its members' times, so that expiry and
  * eviction look only at its head.
@@ -60,7 +61,8 @@
 	uint32_t connection_limit; /**< 0: none */
 	/** maximum time in a phase; JJ_MS_NEVER: no limit */
 	jj_ms_t timeouts[JJ_CALLER_PHASES];
-	size_t held; /**< sum of all connections, bytes */
+	size_t held; /**< sum of all connections and answers, bytes */
+	size_t answers; /**< part of it: unfinished answers of servers */
 	size_t leaving; /**< part of it held by evicted ones */
 	uint32_t connections; /**< all, with the evicted ones */
 	uint32_t evicted; /**< not removed yet */
@@ -90,6 +92,13 @@
  */
 bool jj_caller_budget_hold(
     jj_caller_budget_t *budget, jj_caller_t *caller, size_t bytes, bool must);
+/**
+ * Changes what is held for an answer of a server from @p held to @p bytes.
+ * @param must also beyond the limits.
+ * @return false when more is asked for than is left; nothing has changed.
+ */
+bool jj_caller_budget_hold_answer(
+    jj_caller_budget_t *budget, size_t held, size_t bytes, bool must);
 /** Whether a connection may hold so much now. */
 bool jj_caller_budget_fits(
     const jj_caller_budget_t *budget, const jj_caller_t *caller, size_t bytes);
@@ -100,6 +109,9 @@
  */
 jj_caller_t *jj_caller_budget_evict_for_memory(jj_caller_budget_t *budget,
     const jj_caller_t *caller, size_t bytes, jj_ms_t now);
+/** The same so that what is held for an answer may grow so. */
+jj_caller_t *jj_caller_budget_evict_for_answer(
+    jj_caller_budget_t *budget, size_t held, size_t bytes, jj_ms_t now);
 /**
  * The next connection to evict as there are too many: @p caller, the newest,
  * only if all others are being served; NULL when there are not too many.
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -251,8 +251,12 @@
 	node->relay = jj_stream_relay_create(node->deployment, &relay);
 	node->neighbours = jj_neighbours_create(settings->listen_neighbours,
 	    COALESCE_MS, jj_gateway_post_message, node);
-	return node->platform != NULL && node->relay != NULL &&
-	    node->neighbours != NULL;
+	if (node->platform == NULL || node->relay == NULL ||
+	    node->neighbours == NULL)
+		return false;
+	jj_platform_set_guard(node->platform, node->guard);
+	jj_stream_relay_set_guard(node->relay, node->guard);
+	return true;
 }
 
 static bool
--- a/src/daemon/health.c
+++ b/src/daemon/health.c
@@ -86,6 +86,12 @@
 	return watch;
 }
 
+void
+jj_health_watch_set_guard(jj_health_watch_t *watch, jj_http_guard_t *guard)
+{
+	jj_http_client_set_guard(watch->client, guard);
+}
+
 void
 jj_health_watch_destroy(jj_health_watch_t *watch)
 {
--- a/src/daemon/health.h
+++ b/src/daemon/health.h
@@ -42,6 +42,9 @@
 typedef struct jj_health_watch jj_health_watch_t;
 
 jj_health_watch_t *jj_health_watch_create(const jj_health_port_t *port);
+/** See jj_http_client_set_guard(). */
+void
+jj_health_watch_set_guard(jj_health_watch_t *watch, jj_http_guard_t *guard);
 void jj_health_watch_destroy(jj_health_watch_t *watch);
 /**
  * Starts a health check, unless one of this server is in progress.
--- a/src/daemon/inlets.c
+++ b/src/daemon/inlets.c
@@ -79,6 +79,15 @@
 	jj_gauge_set(jj_metrics_gauge("jujube_callers_held_bytes",
 			 "Memory held for callers.", NULL, NULL),
 	    (int64_t)stats.held);
+	jj_metrics_set_total("jujube_answers_over_memory_total",
+	    "Answers of servers ended for want of memory.",
+	    stats.answers_refused);
+	jj_gauge_set(
+	    jj_metrics_gauge("jujube_answers_held_bytes",
+		"Memory held for unfinished answers of servers; part of "
+		"jujube_callers_held_bytes.",
+		NULL, NULL),
+	    (int64_t)stats.answers);
 	jj_gauge_set(jj_metrics_gauge("jujube_callers_limit_bytes",
 			 "Limit of the memory held for callers.", NULL, NULL),
 	    (int64_t)stats.limit);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -213,6 +213,11 @@
 	node->platform_bulk = jj_platform_create(&jj_platform_native_codec,
 	    settings->platform.address, settings->platform.client.text,
 	    settings->platform.timeout_ms, take_bulk_result, node);
+	jj_relay_set_guard(node->relay, node->guard);
+	jj_health_watch_set_guard(node->health, node->guard);
+	jj_http_client_set_guard(node->order_client, node->guard);
+	jj_platform_set_guard(node->platform_control, node->guard);
+	jj_platform_set_guard(node->platform_bulk, node->guard);
 	node->neighbours = jj_neighbours_create(
 	    settings->listen_neighbours, 0, take_message, node);
 	if (node->neighbours == NULL) {
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -38,7 +38,8 @@
 	bool resumable; /**< its stream can be resumed at the server */
 	jj_sse_t sse;
 	jj_buffer_t body; /**< of an answer that is not streamed */
-	bool too_large;
+	size_t held; /**< for it, in the guard's sum */
+	bool too_large; /**< or there is no memory for it */
 	int status;
 	char content_type[96];
 	jj_ms_t tokens_reported_ms;
@@ -69,6 +70,7 @@
 	jj_relay_port_t port;
 	uint32_t shard_count;
 	shard_t *shards;
+	jj_http_guard_t *guard; /**< or NULL */
 };
 
 static uint32_t shard_of(const jj_relay_t *, uint64_t);
@@ -123,6 +125,16 @@
 	return relay;
 }
 
+void
+jj_relay_set_guard(jj_relay_t *relay, jj_http_guard_t *guard)
+{
+	uint32_t i;
+
+	relay->guard = guard;
+	for (i = 0; i < relay->shard_count; i++)
+		jj_http_client_set_guard(relay->shards[i].client, guard);
+}
+
 void
 jj_relay_destroy(jj_relay_t *relay)
 {
@@ -507,7 +519,11 @@
 static void
 receive_body(attempt_t *attempt, const char *data, size_t size)
 {
-	if (attempt->body.bytes.size + size > ANSWER_MAX)
+	size_t total = attempt->body.bytes.size + size;
+
+	if (total > ANSWER_MAX ||
+	    !jj_http_guard_hold_answer(
+		attempt->relay->guard, &attempt->held, total, false))
 		attempt->too_large = true;
 	else
 		jj_buffer_append(&attempt->body, data, size);
@@ -730,6 +746,8 @@
 static void
 free_attempt(attempt_t *attempt)
 {
+	(void)jj_http_guard_hold_answer(
+	    attempt->relay->guard, &attempt->held, 0, true);
 	jj_sse_clear(&attempt->sse);
 	jj_buffer_clear(&attempt->body);
 	free(attempt);
--- a/src/daemon/relay.h
+++ b/src/daemon/relay.h
@@ -74,6 +74,11 @@
 
 /** @param shards number of threads, at least 1. */
 jj_relay_t *jj_relay_create(uint32_t shards, const jj_relay_port_t *port);
+/**
+ * From now on answers of servers count in the guard's sum. To be called before
+ * the first attempt.
+ */
+void jj_relay_set_guard(jj_relay_t *relay, jj_http_guard_t *guard);
 void jj_relay_destroy(jj_relay_t *relay);
 
 /** Adds an exchange; takes ownership of its path, body and call. */
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -17,12 +17,8 @@
 
 /** Largest answer that is no stream, bytes. */
 #define ANSWER_MAX (16U << 20)
-/**
- * Bytes of all unfinished answers that are no streams; beyond, an answer may
- * have no more than ANSWER_SHARE_MAX.
- */
-#define ANSWERS_MAX (16U << 20)
-#define ANSWER_SHARE_MAX (1U << 20)
+/** Memory of an answer or an output is counted in such steps, bytes. */
+#define HOLD_STEP_BYTES 4096
 /** Largest output of an item, bytes; the store holds less. */
 #define ITEM_TEXT_MAX (4U << 20)
 /** Interval of progress reports, by which the core detects a stall, ms. */
@@ -41,6 +37,7 @@
 
 /** An exchange and how much of its answer was forwarded. */
 typedef struct {
+	jj_stream_relay_t *relay;
 	jj_stream_exchange_t exchange;
 	/** a complete answer with a server's error, or NULL; owned */
 	attempt_t *error;
@@ -51,6 +48,7 @@
 	/** software version of the forwarded events; 0: not known */
 	uint64_t software;
 	jj_bytes_t text; /**< of a batch item: its output so far */
+	size_t text_held; /**< for it, in the guard's sum */
 	bool has_text; /**< an event had data, if only an empty text */
 	bool was_framed; /**< an answer had a length or chunks */
 	uint32_t closes; /**< attempts in a row that ended with a close */
@@ -93,6 +91,7 @@
 	char *header_lines; /**< header lines of the answer; owned */
 	jj_event_stream_t events;
 	jj_buffer_t body; /**< of an answer that is not streamed */
+	size_t held; /**< for what is not forwarded yet, in the guard's sum */
 	/** last_id of `events` at the last progress report */
 	int64_t reported_id;
 	bool first_reported;
@@ -106,7 +105,7 @@
 	apr_pool_t *pool;
 	apr_thread_mutex_t *lock; /**< guards the table and its entries */
 	GHashTable *table; /**< entry_t by request */
-	size_t buffered; /**< bytes of bodies that are being received */
+	jj_http_guard_t *guard; /**< or NULL */
 	bool close_connections; /**< answers have Connection: close */
 };
 
@@ -125,6 +124,8 @@
 static void receive_events(attempt_t *, entry_t *, const char *, size_t);
 static void forward_event(attempt_t *, entry_t *, const jj_stream_event_t *);
 static void append_output(attempt_t *, entry_t *, const jj_stream_event_t *);
+static void drop_output(entry_t *);
+static bool hold(jj_stream_relay_t *, size_t *, size_t);
 static void receive_body(attempt_t *, const char *, size_t);
 static void begin_answer(attempt_t *, entry_t *);
 static void send_unstreamed(attempt_t *, entry_t *);
@@ -172,6 +173,13 @@
 	free(relay);
 }
 
+void
+jj_stream_relay_set_guard(jj_stream_relay_t *relay, jj_http_guard_t *guard)
+{
+	relay->guard = guard;
+	jj_http_client_set_guard(relay->client, guard);
+}
+
 void
 jj_stream_relay_close_connections(jj_stream_relay_t *relay)
 {
@@ -186,6 +194,7 @@
 {
 	entry_t *entry = jj_alloc(sizeof(*entry));
 
+	entry->relay = relay;
 	entry->exchange = *exchange;
 	entry->last_id = exchange->last_id;
 	(void)apr_thread_mutex_lock(relay->lock);
@@ -396,7 +405,7 @@
 	if (entry->error != NULL)
 		free_attempt(entry->error);
 	clear_exchange(&entry->exchange);
-	jj_bytes_free(&entry->text);
+	drop_output(entry);
 	free(entry);
 }
 
@@ -417,6 +426,7 @@
 static void
 free_attempt(attempt_t *attempt)
 {
+	(void)hold(attempt->relay, &attempt->held, 0);
 	jj_event_stream_clear(&attempt->events);
 	jj_buffer_clear(&attempt->body);
 	free(attempt->header_lines);
@@ -544,8 +554,7 @@
 prepare_output(entry_t *entry, const jj_gateway_attempt_t *start)
 {
 	if (start->restarts) {
-		jj_bytes_free(&entry->text);
-		entry->has_text = false;
+		drop_output(entry);
 		entry->last_id = entry->exchange.last_id;
 		entry->software = 0;
 		entry->closes = 0;
@@ -599,7 +608,8 @@
 		if (result == JJ_EVENT_COMPLETE)
 			forward_event(attempt, entry, &event);
 	}
-	if (result == JJ_EVENT_OUT_OF_SEQUENCE)
+	if (result == JJ_EVENT_OUT_OF_SEQUENCE ||
+	    !hold(attempt->relay, &attempt->held, attempt->events.capacity))
 		attempt->kind = ANSWER_INVALID;
 }
 
@@ -631,29 +641,47 @@
 {
 	jj_stream_event_append_data(event, !entry->has_text, &entry->text);
 	entry->has_text = entry->has_text || event->has_data;
-	if (entry->text.size <= ITEM_TEXT_MAX)
+	if (entry->text.size <= ITEM_TEXT_MAX &&
+	    hold(entry->relay, &entry->text_held, entry->text.size))
 		return;
-	jj_bytes_free(&entry->text);
-	entry->has_text = false;
+	drop_output(entry);
 	entry->last_id = JJ_EVENT_NO_ID;
 	entry->software = 0;
 	entry->closes = 0;
 	attempt->kind = ANSWER_INVALID;
 }
 
+static void
+drop_output(entry_t *entry)
+{
+	jj_bytes_free(&entry->text);
+	(void)hold(entry->relay, &entry->text_held, 0);
+	entry->has_text = false;
+}
+
+/**
+ * Counts what is held in the guard's sum.
+ * @return false if there is no memory for that.
+ */
+static bool
+hold(jj_stream_relay_t *relay, size_t *held, size_t bytes)
+{
+	size_t counted =
+	    (bytes + HOLD_STEP_BYTES - 1) / HOLD_STEP_BYTES * HOLD_STEP_BYTES;
+
+	return jj_http_guard_hold_answer(relay->guard, held, counted, false);
+}
+
 static void
 receive_body(attempt_t *attempt, const char *data, size_t size)
 {
-	jj_stream_relay_t *relay = attempt->relay;
 	size_t total = attempt->body.bytes.size + size;
 
 	if (total > ANSWER_MAX ||
-	    (total > ANSWER_SHARE_MAX &&
-		relay->buffered + size > ANSWERS_MAX)) {
+	    !hold(attempt->relay, &attempt->held, total)) {
 		attempt->kind = ANSWER_INVALID;
 		return;
 	}
-	relay->buffered += size;
 	jj_buffer_append(&attempt->body, data, size);
 }
 
@@ -745,7 +773,6 @@
 	attempt->body_end = head->body;
 	attempt->ended = head->ended;
 	(void)apr_thread_mutex_lock(relay->lock);
-	relay->buffered -= attempt->body.bytes.size;
 	entry = find(relay, attempt->request);
 	if (entry != NULL && entry->attempt == attempt->attempt) {
 		is_current = true;
@@ -797,6 +824,7 @@
 	if (entry->exchange.call == NULL) {
 		*text = entry->text;
 		memset(&entry->text, 0, sizeof(entry->text));
+		drop_output(entry);
 	} else if (attempt->kind == ANSWER_UNSTREAMED) {
 		send_unstreamed(attempt, entry);
 	} else {
--- a/src/daemon/stream_relay.h
+++ b/src/daemon/stream_relay.h
@@ -48,6 +48,12 @@
     const jj_deployment_t *deployment, const jj_stream_relay_port_t *port);
 void jj_stream_relay_destroy(jj_stream_relay_t *relay);
 
+/**
+ * From now on answers of servers count in the guard's sum; one that does not
+ * fit ends as broken. To be called before the first attempt.
+ */
+void
+jj_stream_relay_set_guard(jj_stream_relay_t *relay, jj_http_guard_t *guard);
 /** From now on answers close their callers' connections. */
 void jj_stream_relay_close_connections(jj_stream_relay_t *relay);
 
--- a/tests/core/caller_budget_test.cc
+++ b/tests/core/caller_budget_test.cc
@@ -208,4 +208,54 @@
 	EXPECT_EQ(caller, jj_caller_budget_expire(&budget, 6000));
 }
 
+/* Guards against servers' answers that leave no room for requests. */
+TEST_F(CallerBudget, AnswersOfServersLeaveRoomForRequests)
+{
+	jj_caller_t *caller = add(0, JJ_CALLER_SERVED);
+	size_t held = 0;
+	size_t small = 0;
+
+	while (jj_caller_budget_hold_answer(&budget, 0, 100000, false))
+		held += 100000;
+	EXPECT_LE(held, LIMIT / 2);
+	EXPECT_GT(held, LIMIT / 2 - 100000);
+	while (jj_caller_budget_hold_answer(
+	    &budget, 0, JJ_CALLER_SMALL_BYTES, false))
+		small += JJ_CALLER_SMALL_BYTES;
+	EXPECT_GT(small, 0U) << "a small one beside the large ones";
+	EXPECT_LE(held + small, LIMIT - LIMIT / 4);
+	EXPECT_TRUE(hold(caller, JJ_CALLER_SMALL_BYTES));
+	EXPECT_EQ(held + small, budget.answers);
+	EXPECT_EQ(FIXED + held + small + JJ_CALLER_SMALL_BYTES, budget.held);
+	while (held > 0) {
+		EXPECT_TRUE(
+		    jj_caller_budget_hold_answer(&budget, 100000, 0, true));
+		held -= 100000;
+	}
+	EXPECT_TRUE(jj_caller_budget_hold_answer(&budget, small, 0, true));
+	EXPECT_EQ(0U, budget.answers);
+}
+
+/* Guards against slow callers that break the answers of others. */
+TEST_F(CallerBudget, SlowCallersAreEvictedForAnAnswer)
+{
+	jj_caller_t *slow = add(0, JJ_CALLER_BODY, LARGE);
+
+	EXPECT_EQ(nullptr,
+	    jj_caller_budget_evict_for_answer(&budget, 0, 400000, SLOW - 1));
+	EXPECT_FALSE(jj_caller_budget_hold_answer(&budget, 0, 400000, false));
+	EXPECT_EQ(
+	    slow, jj_caller_budget_evict_for_answer(&budget, 0, 400000, SLOW));
+	EXPECT_TRUE(jj_caller_budget_hold_answer(&budget, 0, 400000, false));
+}
+
+/* Guards against callers evicted for an answer that is too large anyway. */
+TEST_F(CallerBudget, NobodyIsEvictedForAnAnswerOverItsShare)
+{
+	(void)add(0, JJ_CALLER_BODY, LARGE);
+	EXPECT_EQ(nullptr,
+	    jj_caller_budget_evict_for_answer(&budget, 0, LARGE, SLOW));
+	EXPECT_FALSE(jj_caller_budget_hold_answer(&budget, 0, LARGE, false));
+}
+
 } // namespace
--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 
 #include "tests/crowd/crowd.h"
+#include "tests/crowd/flood.h"
 #include "tests/platform/fake_store.h"
 #include "tests/system/harness.h"
 
@@ -151,6 +152,8 @@
 	std::string ready;
 	std::string neighbours;
 	std::unique_ptr<process_t> vm;
+	size_t connections = CONNECTIONS; /* of callers */
+	std::string routes; /* more routes, with a comma before each */
 
 	Crowd()
 	{
@@ -187,14 +190,14 @@
 		    << store.address << "\"\ntimeout_ms = 5000\n"
 		    << "contracts = []\n[callers]\nheader_bytes = 40960\n"
 		    << "body_bytes = " << BODY_MAX
-		    << "\nconnections = " << CONNECTIONS << "\n"
+		    << "\nconnections = " << connections << "\n"
 		    << settings << "[log]\nfile = \"-\"\n";
 		store.put("config/main",
 		    R"({"version":1,"routes":[)" + route("r", "streaming") +
 			"," +
 			route("b", "batch",
 			    R"(,"runDeadlineMs":9000,"retentionS":60)") +
-			R"(],"limits":{"maxHeaderBytes":)" +
+			routes + R"(],"limits":{"maxHeaderBytes":)" +
 			std::to_string(limits.header_bytes) +
 			R"(,"maxBodyBytes":)" +
 			std::to_string(limits.body_bytes) +
@@ -209,12 +212,12 @@
 	}
 	static std::string
 	route(const std::string &name, const std::string &kind,
-	    const std::string &more = "")
+	    const std::string &more = "", const std::string &service = "s")
 	{
 		return R"({"name":")" + name +
 		    R"(","host":"h","pathPrefix":"/)" + name +
-		    R"(/","kind":")" + kind +
-		    R"(","service":"s","maxAttempts":2,"timeoutMs":30000,)"
+		    R"(/","kind":")" + kind + R"(","service":")" + service +
+		    R"(","maxAttempts":2,"timeoutMs":30000,)"
 		    R"("resumable":true)" +
 		    more + "}";
 	}
@@ -309,7 +312,7 @@
 		EXPECT_TRUE(vm->is_alive()) << vm->log_tail(2000);
 		EXPECT_LE(vm->status_kb("VmHWM"), MACHINE_KB) << "kB at most";
 		EXPECT_LE(
-		    vm->descriptor_count(), CONNECTIONS + OTHER_DESCRIPTORS);
+		    vm->descriptor_count(), connections + OTHER_DESCRIPTORS);
 	}
 	void
 	expect_calm()
@@ -728,4 +731,100 @@
 	expect_alive();
 }
 
+#define FLOOD_HEAD                                              \
+	"HTTP/1.1 200 OK\r\nX-Jujubeswitch-Request-Id: %ID\r\n" \
+	"X-Jujubeswitch-Response-Stamp: s\r\n"
+
+const flood_t floods[] = {
+    {"HeaderLines", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+    {"HeaderLine", "HTTP/1.1 200 OK\r\nX-A: ", "b"},
+    {"LongHeaderLines", "HTTP/1.1 200 OK\r\n",
+	"X-A: " + std::string(2000, 'b') + "\r\n"},
+    {"EmptyNames", "HTTP/1.1 200 OK\r\n", ":\r\n"},
+    {"InformationalHeads", "", "HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n"},
+    {"NoAnswer", "", "garbage "},
+    {"BodyToItsClose", FLOOD_HEAD "\r\n", "x"},
+    {"BodyOfALength", FLOOD_HEAD "Content-Length: 900000000\r\n\r\n", "x"},
+    {"BodyInChunks", FLOOD_HEAD "Transfer-Encoding: chunked\r\n\r\n",
+	"4000\r\n" + std::string(0x4000, 'x') + "\r\n"},
+    {"Trailers", FLOOD_HEAD "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+	"X-A: b\r\n"},
+    {"Errors",
+	"HTTP/1.1 500 Error\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
+	"X-Jujubeswitch-Response-Stamp: s\r\n\r\n",
+	"x"},
+    {"OneEvent",
+	FLOOD_HEAD "Content-Type: text/event-stream\r\n\r\ndata: ", "x"},
+    {"ManyEvents", FLOOD_HEAD "Content-Type: text/event-stream\r\n\r\nid: 0\n",
+	"data: x\n\n"},
+};
+
+class CrowdFloods : public Crowd, public ::testing::WithParamInterface<flood_t>
+{
+      protected:
+	static constexpr size_t CALLERS = 200;
+	static constexpr size_t REQUESTS = 20; /* of each */
+	static constexpr size_t FLOOD_BYTES = 400 * MIB;
+	std::unique_ptr<flood_server_t> server;
+	size_t seen = 0; /* bytes sent */
+	long seen_ms = now_ms(); /* when they changed last */
+
+	/* True if much was sent, or nothing more is taken. */
+	bool
+	is_flooded()
+	{
+		if (server->sent != seen)
+			seen_ms = now_ms();
+		seen = server->sent;
+		return seen >= FLOOD_BYTES ||
+		    (seen > 0 &&
+			now_ms() - seen_ms >= STALL_POLLS * STALL_POLL_MS);
+	}
+	/* All callers' requests go to a server that sends without end. */
+	void
+	withstand_answers(const std::string &kind, const std::string &path)
+	{
+		std::string requests;
+
+		connections = CALLERS + 20;
+		routes = "," + route("f", kind, "", "flood");
+		server = std::make_unique<flood_server_t>(
+		    ports.choose_address(), GetParam());
+		store.put("servers/f",
+		    R"({"zone":"d","state":"ready","slots":512,)"
+		    R"("service":"flood","address":")" +
+			server->address + "\"}");
+		start();
+		for (size_t i = 0; i < REQUESTS; i++)
+			requests += with_length(path, "ok");
+		{
+			crowd_t crowd(callers, CALLERS, {requests});
+
+			wait_until("answers are flooded", [&] {
+				crowd.step();
+				return is_flooded() ||
+				    vm->status_kb("VmHWM") > MACHINE_KB;
+			});
+			expect_served("beside the floods");
+			expect_alive();
+		}
+		server.reset();
+		expect_calm();
+	}
+};
+
+/* Guards against servers' answers without end that outgrow the memory. */
+TEST_P(CrowdFloods, OfStreamsStayInTheMachinesMemory)
+{
+	withstand_answers("streaming", "/f/a");
+}
+
+/* Guards against the same where answers are forwarded whole. */
+TEST_P(CrowdFloods, OfWholeAnswersStayInTheMachinesMemory)
+{
+	withstand_answers("safe", "/f/a");
+}
+INSTANTIATE_TEST_SUITE_P(Cases, CrowdFloods, ::testing::ValuesIn(floods),
+    [](const auto &info) { return info.param.name; });
+
 } // namespace
