--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -229,7 +229,10 @@
 	attempt(2, 8);
 	wait_for([this] { return ended >= 0; });
 	EXPECT_EQ(JJ_BACKEND_MISMATCH, ended);
-	EXPECT_EQ(7U, software);
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		EXPECT_EQ(7U, software);
+	}
 	EXPECT_FALSE(server.accept_one(100));
 	attempt(3, 7);
 	ASSERT_TRUE(server.accept_one(WAIT_LIMIT_MS));
