Planned stop: a request that may outlast it is refused, the rest answered

What callers saw: requests that came while a VM was stopping and lasted beyond the end of its grace were passed on and cut without an answer, also those that may not be repeated.

Cause: a stopping VM took requests for stop.least_ms whatever their time limit, and ended with what was in progress unanswered. An idle one ended without having refused new requests before.

Change: a request whose time limit lies behind the end of the stop gets 503 at once. 0.1 s before the end all that is in progress is answered. New requests are refused before the last check for idleness.

--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -284,10 +284,12 @@
 }
 
 void
-jj_gateway_leave(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+jj_gateway_leave(
+    jj_gateway_t *gateway, jj_ms_t end_ms, jj_ms_t now, jj_actions_t *out)
 {
 	begin_step(gateway, now, out);
 	gateway->leaving = true;
+	gateway->stop_ms = end_ms;
 	jj_member_set_state(gateway->member, JJ_VM_LEAVING);
 	jj_inline_leave(gateway->jobs, now, out);
 	end_step(gateway, now, out);
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -220,8 +220,15 @@
     const jj_platform_result_t *result, jj_ms_t now, jj_actions_t *out);
 void jj_gateway_tick(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 jj_ms_t jj_gateway_next(const jj_gateway_t *gateway);
-/** Starts a planned stop: requests in progress finish, jobs are handed over. */
-void jj_gateway_leave(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
+/**
+ * Starts a planned stop: requests in progress finish, jobs are handed over.
+ * @param end_ms end of the stop; a request that may last longer is refused.
+ */
+void jj_gateway_leave(
+    jj_gateway_t *gateway, jj_ms_t end_ms, jj_ms_t now, jj_actions_t *out);
+/** Ends all online requests that are in progress, as the process ends. */
+void
+jj_gateway_end_requests(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out);
 /** True when no request is in progress and the jobs are handed over. */
 bool jj_gateway_is_idle(const jj_gateway_t *gateway);
 /** True when requests can be served: a configuration is known. */
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -23,6 +23,8 @@
 #define SILENT_MS 1000
 /** Weight of a new sample in the moving average of a request's service time. */
 #define MEAN_WEIGHT 0.05
+/** Retry-After of a VM that stops, ms; short, as other VMs are not busy. */
+#define STOPPING_RETRY_MS 10
 /** Maximum parts of a prompt that one log line names. */
 #define LOGGED_PARTS_MAX 7
 /** Time until an item is sent again after a server refused what it asks, ms. */
@@ -36,6 +38,7 @@
 note_if_silent(jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t, jj_actions_t *);
 static jj_gateway_entry_t *add_entry(
     jj_gateway_t *, const jj_gateway_request_t *, const jj_route_t *, jj_ms_t);
+static jj_ms_t time_limit(const jj_gateway_request_t *, const jj_route_t *);
 static void refuse(jj_gateway_t *, const jj_gateway_request_t *, jj_failure_t,
     jj_ms_t, jj_actions_t *);
 static bool
@@ -104,6 +107,12 @@
 		refuse(gateway, request, JJ_FAILURE_NO_SERVER, 0, out);
 		return;
 	}
+	if (gateway->leaving &&
+	    now + time_limit(request, route) > gateway->stop_ms) {
+		refuse(gateway, request, JJ_FAILURE_STOPPING, STOPPING_RETRY_MS,
+		    out);
+		return;
+	}
 	reason = jj_gateway_check_request(
 	    gateway, request->fingerprint, &request->prompt, false, now);
 	if (reason != JJ_FAILURE_NONE) {
@@ -190,6 +199,31 @@
 	jj_gateway_step(gateway, now, out);
 }
 
+void
+jj_gateway_end_requests(jj_gateway_t *gateway, jj_ms_t now, jj_actions_t *out)
+{
+	jj_gateway_entry_t *entry;
+	jj_gateway_entry_t *next;
+
+	gateway->now = now;
+	gateway->out = out;
+	for (entry = TAILQ_FIRST(&gateway->sent); entry != NULL; entry = next) {
+		next = TAILQ_NEXT(entry, link);
+		if (entry->class_of != JJ_CLASS_ONLINE)
+			continue;
+		entry->may_have_run = true;
+		cancel_attempt(gateway, entry, out);
+		jj_gateway_give_up(gateway, entry, JJ_FAILURE_STOPPING, out);
+	}
+	for (entry = TAILQ_FIRST(&gateway->waiting); entry != NULL;
+	     entry = next) {
+		next = TAILQ_NEXT(entry, link);
+		if (entry->class_of == JJ_CLASS_ONLINE)
+			jj_gateway_give_up(
+			    gateway, entry, JJ_FAILURE_STOPPING, out);
+	}
+}
+
 bool
 jj_gateway_find_attempt(const jj_gateway_t *gateway, uint64_t request,
     jj_ms_t now, jj_gateway_attempt_t *start)
@@ -472,10 +506,7 @@
     const jj_route_t *route, jj_ms_t now)
 {
 	jj_gateway_entry_t *entry = jj_alloc(sizeof(*entry));
-	jj_ms_t budget = request->budget_ms;
 
-	if (budget <= 0 || budget > route->timeout_ms)
-		budget = route->timeout_ms;
 	entry->request = request->request;
 	(void)snprintf(entry->id, sizeof(entry->id), "%s", request->id);
 	entry->resumed = request->resumed;
@@ -493,7 +524,7 @@
 	entry->repeatable = jj_route_is_repeatable(route);
 	entry->max_attempts = route->attempts > 0 ? route->attempts : 1;
 	entry->begun_ms = now;
-	entry->give_up_ms = now + budget;
+	entry->give_up_ms = now + time_limit(request, route);
 	entry->deadline_ms = now +
 	    (request->budget_ms > 0 ? request->budget_ms : route->timeout_ms);
 	entry->target_ms = route->target_ms;
@@ -512,6 +543,15 @@
 	return entry;
 }
 
+/** Time after which the request is given up. */
+static jj_ms_t
+time_limit(const jj_gateway_request_t *request, const jj_route_t *route)
+{
+	return request->budget_ms > 0 && request->budget_ms < route->timeout_ms
+	    ? request->budget_ms
+	    : route->timeout_ms;
+}
+
 /** @param retry_after_ms 0: as usual for that reason. */
 static void
 refuse(jj_gateway_t *gateway, const jj_gateway_request_t *request,
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -215,6 +215,7 @@
 	uint32_t unlogged_share_refusals;
 
 	bool leaving;
+	jj_ms_t stop_ms; /**< if leaving: end of the planned stop */
 	jj_ms_t last_tick_ms;
 	/** next load report to this failure domain */
 	jj_ms_t next_local_loads_ms;
--- a/src/daemon/gateway_events.c
+++ b/src/daemon/gateway_events.c
@@ -20,6 +20,7 @@
 	EVENT_OPERATION,
 	EVENT_ABANDON,
 	EVENT_LEAVE,
+	EVENT_END_REQUESTS,
 } event_kind_t;
 
 /** An event posted to the loop; owns the data it points to. */
@@ -27,6 +28,7 @@
 	jj_task_t task;
 	event_kind_t kind;
 	uint64_t number; /**< of a request or an operation */
+	jj_ms_t end_ms; /**< of a planned stop */
 	jj_gateway_request_t request;
 	const jj_routes_t *routes; /**< by which a call is decided, or NULL */
 	char *host;
@@ -152,9 +154,18 @@
 }
 
 void
-jj_gateway_post_leave(jj_gateway_node_t *node)
+jj_gateway_post_leave(jj_gateway_node_t *node, jj_ms_t end_ms)
 {
-	jj_loop_post(node->loop, &create_event(EVENT_LEAVE)->task);
+	event_t *event = create_event(EVENT_LEAVE);
+
+	event->end_ms = end_ms;
+	jj_loop_post(node->loop, &event->task);
+}
+
+void
+jj_gateway_post_end_requests(jj_gateway_node_t *node)
+{
+	jj_loop_post(node->loop, &create_event(EVENT_END_REQUESTS)->task);
 }
 
 jj_ms_t
@@ -233,7 +244,10 @@
 		    jj_gateway_jobs(core, now, out), event->number);
 		break;
 	case EVENT_LEAVE:
-		jj_gateway_leave(core, now, out);
+		jj_gateway_leave(core, event->end_ms, now, out);
+		break;
+	case EVENT_END_REQUESTS:
+		jj_gateway_end_requests(core, now, out);
 		break;
 	}
 }
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -186,6 +186,21 @@
 		    body);
 }
 
+void
+jj_gateway_answer_pending(jj_gateway_node_t *node)
+{
+	GList *calls;
+	GList *call;
+
+	(void)apr_thread_mutex_lock(node->lock);
+	calls = g_hash_table_get_values(node->pending);
+	g_hash_table_remove_all(node->pending);
+	(void)apr_thread_mutex_unlock(node->lock);
+	for (call = calls; call != NULL; call = call->next)
+		answer(node, call->data, 502, 0, "text/plain", NULL);
+	g_list_free(calls);
+}
+
 void
 jj_gateway_add_item(jj_gateway_node_t *node, uint64_t request,
     const jj_inline_job_t *job, const jj_inline_item_t *item)
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -64,12 +64,20 @@
 }
 
 void
-jj_gateway_node_leave(jj_gateway_node_t *node)
+jj_gateway_node_leave(jj_gateway_node_t *node, jj_ms_t end_ms)
 {
 	atomic_store(&node->leaving, true);
 	atomic_store(&node->idle, false);
 	jj_stream_relay_close_connections(node->relay);
-	jj_gateway_post_leave(node);
+	jj_gateway_post_leave(node, end_ms);
+}
+
+void
+jj_gateway_node_end_requests(jj_gateway_node_t *node)
+{
+	jj_gateway_node_reject_requests(node);
+	jj_gateway_post_end_requests(node);
+	jj_gateway_answer_pending(node);
 }
 
 void
--- a/src/daemon/gateway_node.h
+++ b/src/daemon/gateway_node.h
@@ -75,10 +75,16 @@
 /** Creates and starts all parts; logs and returns NULL on failure. */
 jj_gateway_node_t *jj_gateway_node_create(
     const jj_settings_t *settings, const jj_deployment_t *deployment);
-/** Begins a planned stop; the readiness check fails for the balancer. */
-void jj_gateway_node_leave(jj_gateway_node_t *node);
+/**
+ * Begins a planned stop; the readiness check fails for the balancer.
+ * @param end_ms when requests end that are still in progress; one that may last
+ * longer is refused.
+ */
+void jj_gateway_node_leave(jj_gateway_node_t *node, jj_ms_t end_ms);
 /** Rejects new requests; called later in a planned stop. */
 void jj_gateway_node_reject_requests(jj_gateway_node_t *node);
+/** Answers all that is in progress, at the end of a planned stop. */
+void jj_gateway_node_end_requests(jj_gateway_node_t *node);
 /** True when a planned stop has drained all work. */
 bool jj_gateway_node_is_idle(jj_gateway_node_t *node);
 void jj_gateway_node_destroy(jj_gateway_node_t *node);
@@ -104,7 +110,8 @@
     uint64_t operation, const jj_front_call_t *call);
 /** The caller that waits for an operation disconnected. */
 void jj_gateway_post_abandon(jj_gateway_node_t *node, uint64_t operation);
-void jj_gateway_post_leave(jj_gateway_node_t *node);
+void jj_gateway_post_leave(jj_gateway_node_t *node, jj_ms_t end_ms);
+void jj_gateway_post_end_requests(jj_gateway_node_t *node);
 jj_ms_t jj_gateway_node_next(void *node);
 void jj_gateway_node_tick(void *node, jj_ms_t now);
 
@@ -119,6 +126,8 @@
 /** Answers the call that waits for an operation. */
 void jj_gateway_answer_operation(jj_gateway_node_t *node, uint64_t operation,
     int status, jj_ms_t retry_after_ms, const jj_bytes_t *body);
+/** Answers all calls that wait for operations; what becomes of them is open. */
+void jj_gateway_answer_pending(jj_gateway_node_t *node);
 /** Adds the exchange of an item that is sent for the first time. */
 void jj_gateway_add_item(jj_gateway_node_t *node, uint64_t request,
     const jj_inline_job_t *job, const jj_inline_item_t *item);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -33,6 +33,9 @@
 #define STOP_POLL_MS 200
 /** A stop ends this long before the platform would kill the process, ms. */
 #define STOP_MARGIN_MS 400
+/** Time for the answers to requests that are in progress at its end, ms. */
+#define LAST_ANSWERS_MS 100
+#define LAST_ANSWERS_POLL_MS 5
 
 static char *settings_path;
 static gboolean check_only;
@@ -61,6 +64,8 @@
 static int run_node(const jj_settings_t *, sigset_t *);
 static int
 run_gateway(const jj_settings_t *, const jj_deployment_t *, sigset_t *);
+static void
+drain_gateway(jj_gateway_node_t *, const jj_settings_t *, sigset_t *, int);
 static void log_start(const jj_settings_t *);
 static int wait_for_signal(const sigset_t *, jj_ms_t);
 
@@ -171,8 +176,6 @@
     sigset_t *signals)
 {
 	jj_gateway_node_t *node = jj_gateway_node_create(settings, deployment);
-	jj_ms_t stop_begin_ms;
-	jj_ms_t deadline_ms;
 	int signal;
 
 	if (node == NULL)
@@ -183,31 +186,44 @@
 	    signal == SIGHUP)
 		if (signal == SIGHUP)
 			jj_log(JJ_LOG_INFO, "reload", "changed=0");
-	stop_begin_ms = jj_monotonic_now();
-	deadline_ms = stop_begin_ms + settings->stop.drain_ms;
+	drain_gateway(node, settings, signals, signal);
+	jj_gateway_node_destroy(node);
+	return 0;
+}
+
+/** Finishes what is in progress within the time that a planned stop may take. */
+static void
+drain_gateway(jj_gateway_node_t *node, const jj_settings_t *settings,
+    sigset_t *signals, int signal)
+{
+	jj_ms_t begin_ms = jj_monotonic_now();
+	jj_ms_t deadline_ms = begin_ms + settings->stop.drain_ms;
+	jj_ms_t least_ms = begin_ms + settings->stop.least_ms;
+	jj_ms_t end_ms;
+
 	if (settings->stop.grace_s > 0)
-		deadline_ms = stop_begin_ms +
+		deadline_ms = begin_ms +
 		    (jj_ms_t)(settings->stop.grace_s * 1000) - STOP_MARGIN_MS;
+	end_ms = deadline_ms - LAST_ANSWERS_MS;
 	jj_log(JJ_LOG_INFO, "stopping", "signal=%d limit_ms=%lld", signal,
-	    (long long)(deadline_ms - stop_begin_ms));
-	jj_gateway_node_leave(node);
-	while (jj_monotonic_now() < deadline_ms &&
-	    (!jj_gateway_node_is_idle(node) ||
-		jj_monotonic_now() < stop_begin_ms + settings->stop.least_ms)) {
-		/*
-		 * The balancer had time to remove this VM: refuse late
-		 * requests.
-		 */
-		if (jj_monotonic_now() >=
-		    stop_begin_ms + settings->stop.least_ms)
+	    (long long)(deadline_ms - begin_ms));
+	jj_gateway_node_leave(node, end_ms);
+	while (jj_monotonic_now() < end_ms) {
+		if (jj_monotonic_now() >= least_ms) {
+			/* The balancer had time to remove this VM. */
 			jj_gateway_node_reject_requests(node);
+			if (jj_gateway_node_is_idle(node))
+				break;
+		}
 		(void)wait_for_signal(signals, DRAIN_POLL_MS);
 	}
+	jj_gateway_node_end_requests(node);
+	while (
+	    jj_monotonic_now() < deadline_ms && !jj_gateway_node_is_idle(node))
+		(void)wait_for_signal(signals, LAST_ANSWERS_POLL_MS);
 	jj_log(JJ_LOG_INFO, "stopped", "status=0 idle=%d took_ms=%lld",
 	    jj_gateway_node_is_idle(node),
-	    (long long)(jj_monotonic_now() - stop_begin_ms));
-	jj_gateway_node_destroy(node);
-	return 0;
+	    (long long)(jj_monotonic_now() - begin_ms));
 }
 
 static void
--- a/tests/core/gateway_items_fleet_test.cc
+++ b/tests/core/gateway_items_fleet_test.cc
@@ -295,7 +295,7 @@
 	{
 		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
 
-		jj_gateway_leave(vms[name].gateway, now, &out);
+		jj_gateway_leave(vms[name].gateway, JJ_MS_NEVER, now, &out);
 		carry_out(name, &out);
 		elapse(500);
 	}
