Streams of unknown version: no VM that may know better is left out

Cause: a stream that nobody knew went on at the only version that two VMs had in their lists, although the VM that had begun it had not answered within 0.15 s. The lists of both were some tenths of a second old.

Change: the only version counts only if all VMs that were asked have answered and no known VM of the region is missing.

--- a/src/core/gateway_origins.c
+++ b/src/core/gateway_origins.c
@@ -6,7 +6,8 @@
  * domain, so that the caller can take it up elsewhere when that VM is lost. A
  * VM that does not know a stream asks the others. Only if nobody knows it, and
  * one version alone has served for longer than a stream lasts by the lists of
- * servers of at least two VMs, is it of that one; otherwise it is refused.
+ * servers of at least two VMs, and all VMs that may know better have answered,
+ * is it of that one; otherwise it is refused.
  *
  * A caller that does not name the request that began the stream is recognised by
  * the content. Another stream may have the same content, so that counts only
@@ -102,9 +103,11 @@
 	    ? seen_software(gateway, &entry->service, entry->stream_ms, now)
 	    : JJ_SOFTWARE_MIXED;
 	entry->sole_is_sure = has_seen_all(gateway, entry->stream_ms, now);
+	entry->is_vm_missing =
+	    is_any_vm_missing(gateway, entry->stream_ms, now);
 	entry->is_memory_whole =
 	    remembers_all(gateway, entry->stream_ms, now) &&
-	    !is_any_vm_missing(gateway, entry->stream_ms, now);
+	    !entry->is_vm_missing;
 	/* Another stream with the same content may be known elsewhere. */
 	if (entry->known_software == 0 || entry->origin_id == 0)
 		ask_others(gateway, entry, now, out);
@@ -334,14 +337,15 @@
  * The only software version that the stream's service had for longer than a
  * stream lasts, 0 when that is not known, or JJ_SOFTWARE_MIXED. A VM whose list
  * is some seconds old may have missed the newest version, so another VM has to
- * have read the list, too.
+ * have read the list, too, and no VM may be left that knows better.
  */
 static uint64_t
 sole_software(const jj_gateway_t *gateway, const jj_gateway_entry_t *entry)
 {
 	if (entry->sole_software == JJ_SOFTWARE_MIXED)
 		return JJ_SOFTWARE_MIXED;
-	return entry->sole_is_sure &&
+	return entry->sole_is_sure && entry->replies_due == 0 &&
+		!entry->is_vm_missing &&
 		(entry->has_other_list || jj_member_count(gateway->member) == 0)
 	    ? entry->sole_software
 	    : 0;
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -45,6 +45,7 @@
 	uint64_t sole_software; /**< the only one that VMs have seen, or 0 */
 	/** one of these VMs missed no version for as long as a stream lasts */
 	bool sole_is_sure;
+	bool is_vm_missing; /**< a VM that may know it can't be asked */
 	bool has_other_list; /**< another VM has seen it in its list */
 	/** no VM that may know of streams of this age is missing or new */
 	bool is_memory_whole;
