HTTP client: an end during the upload is none, a status over 599 neither

What callers saw: of an answer without a length that came during a long upload and was cut by a reset, the part passed for the whole. Answers with the status 600 or 999 were passed on.

Cause: the kernel reports a reset once; where the write got it, the read sees the end of the connection, and libcurl takes that for the end of the answer. It takes any three digits for a status.

Change: an answer that ends with its connection is complete only if all of the request was sent; a status over 599 makes an answer invalid.

--- a/src/adapters/http_client.c
+++ b/src/adapters/http_client.c
@@ -54,6 +54,8 @@
 #define HEAD_STEP_BYTES 8192
 /** Idle connections that a client keeps for reuse. */
 #define IDLE_CONNECTIONS 512L
+/** Largest status of an answer. */
+#define STATUS_MAX 599
 /** Upper bound of a Retry-After, seconds. */
 #define RETRY_AFTER_MAX_S 86400
 /** TCP keep-alive: idle time before a probe and between probes, seconds. */
@@ -74,6 +76,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	char *body;
+	size_t body_size; /**< bytes to be sent; 0: none */
 	jj_http_request_t request; /**< only ctx and callbacks stay valid */
 	jj_http_head_t head;
 	GString *lines; /**< header lines of the response */
@@ -136,6 +139,7 @@
 static int on_socket_created(void *, curl_socket_t, curlsocktype);
 static void set_body(transfer_t *, const jj_http_request_t *);
 static jj_http_end_t classify_result(const transfer_t *, CURLcode);
+static bool has_end(const transfer_t *);
 static const char *name_result(const jj_http_head_t *, CURLcode);
 static jj_ms_t read_seconds(const char *);
 static bool hold_head(transfer_t *, size_t);
@@ -535,11 +539,8 @@
 	curl_off_t ready_us = 0;
 	long request_size = 0;
 
-	/* libcurl takes an answer for complete that ends inside its head. */
 	if (result == CURLE_OK)
-		return transfer->head.body == JJ_HTTP_BODY_UNKNOWN
-		    ? JJ_HTTP_BROKEN
-		    : JJ_HTTP_COMPLETE;
+		return has_end(transfer) ? JJ_HTTP_COMPLETE : JJ_HTTP_BROKEN;
 	(void)curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &ready_us);
 	(void)curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
 	/*
@@ -556,6 +557,22 @@
 	return JJ_HTTP_BROKEN;
 }
 
+/**
+ * libcurl takes an answer for complete that ends inside its head, or with its
+ * connection while the request is being sent: that may be a reset, which was
+ * reported to the write.
+ */
+static bool
+has_end(const transfer_t *transfer)
+{
+	curl_off_t sent = 0;
+
+	if (transfer->head.body != JJ_HTTP_BODY_CLOSE)
+		return transfer->head.body != JJ_HTTP_BODY_UNKNOWN;
+	(void)curl_easy_getinfo(transfer->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	return (size_t)sent >= transfer->body_size;
+}
+
 static const char *
 name_result(const jj_http_head_t *head, CURLcode result)
 {
@@ -734,6 +751,7 @@
 	if (!has_body)
 		return;
 	transfer->body = jj_alloc(request->body_size + 1);
+	transfer->body_size = request->body_size;
 	if (request->body_size > 0)
 		memcpy(transfer->body, request->body, request->body_size);
 	(void)curl_easy_setopt(transfer->easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -843,7 +861,7 @@
 
 	if (head->status < 200)
 		return;
-	if (!jj_http_framing_is_valid(framing) ||
+	if (head->status > STATUS_MAX || !jj_http_framing_is_valid(framing) ||
 	    (framing->has_chunks && transfer->is_http10))
 		head->body = JJ_HTTP_BODY_INVALID;
 	else if (framing->has_chunks)
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -44,6 +44,7 @@
 	std::string output; /**< of the item, when it is done */
 	int64_t last_id = JJ_EVENT_NO_ID; /**< event to resume after */
 	const char *wish = ""; /**< a header of the request; "": none */
+	std::string upload; /**< body of the request */
 	int progress = 0; /**< reports of events after the first one */
 	UnresponsiveServer server;
 	std::string front_address = free_address();
@@ -121,7 +122,8 @@
 		exchange.request = 1;
 		exchange.call = caller;
 		exchange.id = strdup(id.c_str());
-		exchange.method = strdup("GET");
+		exchange.method = strdup(upload.empty() ? "GET" : "POST");
+		exchange.body = jj_bytes_copy(upload.data(), upload.size());
 		exchange.uri = strdup("/x");
 		exchange.last_id = last_id;
 		jj_stream_exchange_add_header(&exchange, "X-Id", id.c_str());
@@ -300,6 +302,7 @@
 
 #define ANSWER_HEAD "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Stamp: s\r\n"
 #define EVENT "id: 0\ndata: a\n\n"
+#define NO_STATUS "X-Id: i\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
 
 class AnswerEnd : public StreamRelayFixture,
 		  public ::testing::WithParamInterface<EndCase>
@@ -423,6 +426,46 @@
 	    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX-Id: j\r\nHTTP/1.1 200\r\n"
 	    "X-Id: i\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
 	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"Status000", false, "HTTP/1.1 000 OK\r\n" NO_STATUS, false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"Status000OfAStream", true, "HTTP/1.1 000 OK\r\n" NO_STATUS,
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"Status099", false, "HTTP/1.1 099 OK\r\n" NO_STATUS, false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"Status099OfAStream", true, "HTTP/1.1 099 OK\r\n" NO_STATUS,
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"Status101", false, "HTTP/1.1 101 OK\r\n" NO_STATUS, false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"Status101OfAStream", true, "HTTP/1.1 101 OK\r\n" NO_STATUS,
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"StatusOfTwoDigits", false, "HTTP/1.1 20 OK\r\n" NO_STATUS,
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"StatusOfTwoDigitsOfAStream", true,
+	    "HTTP/1.1 20 OK\r\n" NO_STATUS, false, JJ_BACKEND_BROKEN, false},
+	EndCase{"StatusOfLetters", false, "HTTP/1.1 2x0 OK\r\n" NO_STATUS,
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"StatusOfLettersOfAStream", true,
+	    "HTTP/1.1 2x0 OK\r\n" NO_STATUS, false, JJ_BACKEND_BROKEN, false},
+	EndCase{"StatusOfFourDigits", false, "HTTP/1.1 2000 OK\r\n" NO_STATUS,
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"StatusOfFourDigitsOfAStream", true,
+	    "HTTP/1.1 2000 OK\r\n" NO_STATUS, false, JJ_BACKEND_BROKEN, false},
+	EndCase{"Status600", false, "HTTP/1.1 600 OK\r\n" NO_STATUS, false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"Status600OfAStream", true, "HTTP/1.1 600 OK\r\n" NO_STATUS,
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"Status999", false, "HTTP/1.1 999 OK\r\n" NO_STATUS, false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"Status999OfAStream", true, "HTTP/1.1 999 OK\r\n" NO_STATUS,
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"StatusNegative", false, "HTTP/1.1 -200 OK\r\n" NO_STATUS,
+	    false, JJ_BACKEND_BROKEN, false},
+	EndCase{"StatusNegativeOfAStream", true,
+	    "HTTP/1.1 -200 OK\r\n" NO_STATUS, false, JJ_BACKEND_BROKEN, false},
+	EndCase{"NoStatus", false, "HTTP/1.1  OK\r\n" NO_STATUS, false,
+	    JJ_BACKEND_BROKEN, false},
+	EndCase{"NoStatusOfAStream", true, "HTTP/1.1  OK\r\n" NO_STATUS, false,
+	    JJ_BACKEND_BROKEN, false},
 	EndCase{"HeaderLikeAStatusLine", false,
 	    "HTTP/1.1 200 OK\r\nX-Id: j\r\nHTTP/a: b\r\n"
 	    "X-Id: i\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
@@ -440,6 +483,125 @@
 	    false, JJ_BACKEND_BROKEN, false}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/** What a server does behind the answer that it sends during an upload. */
+enum early_end_t {
+	RESETS,
+	CLOSES, /**< a reset, as the upload was not read */
+	ENDS_SENDING, /**< and closes later, with the upload unread */
+	READS_ON, /**< the whole upload, then closes */
+};
+
+struct EarlyCase {
+	const char *name;
+	bool streams;
+	const char *answer;
+	early_end_t end;
+	size_t read_first; /**< bytes of the upload */
+	bool is_whole; /**< what was sent may pass for the whole answer */
+};
+
+class EarlyAnswer : public StreamRelayFixture,
+		    public ::testing::WithParamInterface<EarlyCase>
+{
+      protected:
+	static constexpr size_t UPLOAD_BYTES = 16U << 20;
+
+	void
+	read_bytes(size_t size)
+	{
+		char bytes[65536];
+		ssize_t got = 1;
+
+		for (size_t sum = 0; sum < size && got > 0; sum += (size_t)got)
+			got = recv(server.last(), bytes, sizeof(bytes), 0);
+	}
+	/** Answers during the upload; returns how the attempt ended. */
+	int
+	answer_early()
+	{
+		linger reset = {1, 0};
+		std::string answer = GetParam().answer;
+
+		streams = GetParam().streams;
+		upload.assign(UPLOAD_BYTES, 'u');
+		start("i");
+		EXPECT_TRUE(server.accept_one(WAIT_LIMIT_MS));
+		(void)read_until(server.last(), "\r\n\r\n");
+		read_bytes(GetParam().read_first);
+		EXPECT_EQ((ssize_t)answer.size(),
+		    send(server.last(), answer.data(), answer.size(),
+			MSG_NOSIGNAL));
+		if (GetParam().end == RESETS)
+			(void)setsockopt(server.last(), SOL_SOCKET, SO_LINGER,
+			    &reset, sizeof(reset));
+		if (GetParam().end == ENDS_SENDING)
+			(void)shutdown(server.last(), SHUT_WR);
+		if (GetParam().end == READS_ON)
+			read_bytes(UPLOAD_BYTES);
+		if (GetParam().end != ENDS_SENDING)
+			server.close_last();
+		wait_for([this] { return ended >= 0; });
+		return ended;
+	}
+};
+
+/* Guards against a part of an early answer that passes for the whole. */
+TEST_P(EarlyAnswer, IsWholeOnlyWhereItsEndIsSeen)
+{
+	for (int i = 0; i < 5; i++) {
+		int fd = send_request(front_address);
+
+		wait_for([this] { return caller != nullptr; });
+		EXPECT_EQ(
+		    GetParam().is_whole, answer_early() == JJ_BACKEND_DONE);
+		(void)close(fd);
+		jj_http_call_t *left = nullptr;
+		bool relayed;
+		if (jj_stream_relay_take(relay, 1, &left, &relayed) &&
+		    left != nullptr)
+			jj_http_call_end_stream(left, true);
+		std::lock_guard<std::mutex> guard(lock);
+		caller = nullptr;
+		ended = -1;
+	}
+}
+
+/* The same for an item. */
+TEST_P(EarlyAnswer, OfAnItemIsJudgedAlike)
+{
+	EXPECT_EQ(GetParam().is_whole, answer_early() == JJ_BACKEND_DONE);
+}
+
+#define EARLY_HEAD "HTTP/1.1 200 OK\r\nX-Id: i\r\nX-Stamp: s\r\n"
+#define EARLY_PART "\r\npart of the body"
+#define EARLY_LENGTH "Content-Length: 2\r\n\r\nok"
+#define EARLY_CHUNKS "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+#define EARLY_EVENTS "\r\nid: 0\ndata: a\n\n"
+
+INSTANTIATE_TEST_SUITE_P(Answers, EarlyAnswer,
+    ::testing::Values(
+	EarlyCase{"PartReset", false, EARLY_HEAD EARLY_PART, RESETS, 0, false},
+	EarlyCase{"PartClosed", false, EARLY_HEAD EARLY_PART, CLOSES, 0, false},
+	EarlyCase{
+	    "PartEnded", false, EARLY_HEAD EARLY_PART, ENDS_SENDING, 0, false},
+	EarlyCase{"PartResetLater", false, EARLY_HEAD EARLY_PART, RESETS,
+	    1U << 20, false},
+	EarlyCase{"PartClosedLater", false, EARLY_HEAD EARLY_PART, CLOSES,
+	    1U << 20, false},
+	EarlyCase{
+	    "EventsReset", true, EARLY_HEAD EARLY_EVENTS, RESETS, 0, false},
+	EarlyCase{
+	    "EventsClosed", true, EARLY_HEAD EARLY_EVENTS, CLOSES, 0, false},
+	EarlyCase{"EventsEnded", true, EARLY_HEAD EARLY_EVENTS, ENDS_SENDING, 0,
+	    false},
+	EarlyCase{"EventsResetLater", true, EARLY_HEAD EARLY_EVENTS, RESETS,
+	    1U << 20, false},
+	EarlyCase{
+	    "OfALength", false, EARLY_HEAD EARLY_LENGTH, READS_ON, 0, true},
+	EarlyCase{
+	    "InChunks", false, EARLY_HEAD EARLY_CHUNKS, READS_ON, 0, true}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 struct RefusalCase {
 	const char *name;
 	const char *wish; /**< header of the request, or "" */
