Calls: an answer that is no stream ends a stream that has begun

Cause: the error was passed to a call whose stream had begun, which dropped it, and all that could have ended the call was freed.

Change: such an answer is a failed attempt, so the core goes on elsewhere or cuts the stream; only a 200 goes on with a stream. jj_http_call_answer() cuts a begun stream and reports it, with a metric and the request in the log. A dropped exchange ends its call.

--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -341,12 +341,13 @@
 	return call->context;
 }
 
-void
+bool
 jj_http_call_answer(jj_http_call_t *call, const jj_http_answer_t *answer,
     const void *body, size_t size)
 {
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 	    size, (void *)body, MHD_RESPMEM_MUST_COPY);
+	bool fits = true;
 
 	JJ_INVARIANT(response != NULL);
 	add_headers(call, response, answer);
@@ -359,11 +360,24 @@
 		if (!call->finished)
 			(void)hold(call, &call->answer_held, size, true);
 		resume_connection(call);
+	} else {
+		fits = call->state != CALL_STREAMING || call->disconnected;
+		call->broken = call->broken || call->state == CALL_STREAMING;
+		if (call->state == CALL_STREAMING)
+			call->state = CALL_ENDED;
+		resume_connection(call);
 	}
 	(void)apr_thread_mutex_unlock(call->lock);
+	if (!fits)
+		jj_counter_add(
+		    jj_metrics_counter("jujube_answers_misplaced_total",
+			"Streams cut as a whole answer was to be sent.", NULL,
+			NULL),
+		    1);
 	if (response != NULL)
 		MHD_destroy_response(response);
 	jj_http_call_release(call);
+	return fits;
 }
 
 void
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -140,8 +140,11 @@
 void jj_http_call_set_context(jj_http_call_t *call, void *context);
 void *jj_http_call_context(const jj_http_call_t *call);
 
-/** Sends a complete answer and drops the port's reference. */
-void jj_http_call_answer(jj_http_call_t *call, const jj_http_answer_t *answer,
+/**
+ * Sends a complete answer and drops the port's reference.
+ * @return false if a streamed answer has begun: it is cut instead.
+ */
+bool jj_http_call_answer(jj_http_call_t *call, const jj_http_answer_t *answer,
     const void *body, size_t size);
 /** Begins a streamed answer. */
 void
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 
+#include "adapters/log.h"
 #include "adapters/monotonic.h"
 #include "adapters/runtime.h"
 #include "core/event_stream.h"
@@ -137,6 +138,7 @@
 static jj_backend_kind_t classify_close(const attempt_t *, entry_t *);
 static jj_backend_kind_t classify_refusal(const attempt_t *);
 static jj_backend_kind_t classify_status(const attempt_t *);
+static bool fits_caller(const attempt_t *, const entry_t *, jj_backend_kind_t);
 static bool is_retried_error(const attempt_t *);
 static void finish_answer(attempt_t *, entry_t *, jj_bytes_t *);
 static void
@@ -399,9 +401,8 @@
 {
 	entry_t *entry = memory;
 
-	/* On a forced stop, the call can no longer be answered. */
 	if (entry->exchange.call != NULL)
-		jj_http_call_release(entry->exchange.call);
+		jj_http_call_end_stream(entry->exchange.call, true);
 	if (entry->error != NULL)
 		free_attempt(entry->error);
 	clear_exchange(&entry->exchange);
@@ -486,10 +487,13 @@
 	char *value;
 	char *line;
 
-	attempt->kind =
-	    attempt->streams && attempt->status >= 200 && attempt->status < 300
-	    ? ANSWER_STREAM
-	    : ANSWER_UNSTREAMED;
+	attempt->kind = ANSWER_UNSTREAMED;
+	/* Only a 200 goes on with a stream. */
+	if (attempt->streams &&
+	    (attempt->status == 200 ||
+		(attempt->status > 200 && attempt->status < 300 &&
+		    !attempt->resumes)))
+		attempt->kind = ANSWER_STREAM;
 	while ((line = read_header(&cursor, &value)) != NULL) {
 		if (strcasecmp(line, names->request_id) == 0) {
 			has_id = true;
@@ -702,8 +706,10 @@
 	GArray *fields = list_fields(attempt);
 	jj_http_answer_t answer = make_answer(attempt, fields);
 
-	jj_http_call_answer(entry->exchange.call, &answer,
-	    attempt->body.bytes.data, attempt->body.bytes.size);
+	if (!jj_http_call_answer(entry->exchange.call, &answer,
+		attempt->body.bytes.data, attempt->body.bytes.size))
+		jj_log(JJ_LOG_ERROR, "answer_misplaced", "request=%s status=%d",
+		    attempt->id, attempt->status);
 	entry->exchange.call = NULL;
 	free_fields(fields);
 }
@@ -783,6 +789,8 @@
 			kind = classify_close(attempt, entry);
 		else if (attempt->kind != ANSWER_UNSTREAMED)
 			entry->closes = 0;
+		if (!fits_caller(attempt, entry, kind))
+			kind = JJ_BACKEND_FAILED;
 		entry->was_framed |= attempt->body_end == JJ_HTTP_BODY_LENGTH ||
 		    attempt->body_end == JJ_HTTP_BODY_CHUNKS;
 		if (kind == JJ_BACKEND_DONE || kind == JJ_BACKEND_REJECTED)
@@ -805,6 +813,22 @@
 		free_attempt(attempt);
 }
 
+/**
+ * False for an answer that is no stream where events have come before: it can't
+ * be the rest of them, and a caller can't be given another answer.
+ */
+static bool
+fits_caller(
+    const attempt_t *attempt, const entry_t *entry, jj_backend_kind_t kind)
+{
+	if (attempt->kind != ANSWER_UNSTREAMED)
+		return true;
+	if (attempt->is_item)
+		return kind != JJ_BACKEND_DONE || !attempt->resumes;
+	return !entry->begun ||
+	    (kind != JJ_BACKEND_DONE && kind != JJ_BACKEND_REJECTED);
+}
+
 /** True for a server's own error after which the request is sent again. */
 static bool
 is_retried_error(const attempt_t *attempt)
--- /dev/null
+++ b/tests/platform/call_end_test.cc
@@ -0,0 +1,403 @@
+/**
+ * @file call_end_test.cc
+ * @brief Each call of a caller ends, once and in time, whatever its server does.
+ */
+#include <atomic>
+#include <chrono>
+#include <map>
+
+#include "tests/platform/entry_vm.h"
+
+namespace
+{
+
+constexpr int LIMIT_MS = 1500; /**< of the routes */
+constexpr int LATE_MS = 500;
+constexpr int BACKLOG = 512;
+
+/** How the last attempt of a request ends. */
+struct End {
+	const char *name;
+	/** All that the server sends; "" for nothing; "%ID" is the request's. */
+	std::string answer;
+	enum {
+		CLOSED,
+		RESET,
+		OPEN
+	} connection;
+	bool not_run; /**< the server says that it did not run the request */
+	/** it is the rest of a stream of which two events have come */
+	bool is_rest = false;
+};
+
+std::string
+head(int status, const std::string &more = "")
+{
+	return "HTTP/1.1 " + std::to_string(status) +
+	    " S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
+	    "X-Jujubeswitch-Response-Stamp: s\r\n" +
+	    more + "Content-Length: 4\r\n\r\nbody";
+}
+
+const std::string NOT_RUN = "X-Jujubeswitch-Not-Executed: 1\r\n";
+
+std::vector<End>
+all_ends()
+{
+	std::vector<End> ends = {
+	    {"silence", "", End::OPEN, false},
+	    {"close", "", End::CLOSED, false},
+	    {"reset", "", End::RESET, false},
+	    {"half-a-head", "HTTP/1.1 200 OK\r\nX-A", End::CLOSED, false},
+	    {"garbage", "no answer at all\r\n\r\n", End::OPEN, false},
+	    {"half-a-body",
+		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
+		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 99\r\n\r\n"
+		"id: 7\ndata: x\n",
+		End::CLOSED, false},
+	    {"without-stamp",
+		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
+		"Content-Length: 4\r\n\r\nbody",
+		End::OPEN, false},
+	    {"of-another-request",
+		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: other\r\n"
+		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 4\r\n\r\n"
+		"body",
+		End::OPEN, false},
+	    {"rest",
+		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
+		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 15\r\n"
+		"\r\nid: 2\ndata: c\n\n",
+		End::OPEN, false, true},
+	    {"nothing-follows",
+		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
+		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 0\r\n"
+		"\r\n",
+		End::OPEN, false, true},
+	    {"events-of-another-place",
+		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
+		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 15\r\n"
+		"\r\nid: 5\ndata: c\n\n",
+		End::OPEN, false},
+	    {"421-other", head(421, "X-Jujubeswitch-Instance-Id: i-other\r\n"),
+		End::OPEN, true},
+	    {"429-not-run", head(429, NOT_RUN), End::OPEN, true},
+	    {"503-not-run", head(503, NOT_RUN), End::OPEN, true},
+	    {"400-not-run", head(400, NOT_RUN), End::OPEN, true},
+	};
+
+	for (int status : {200, 204, 206, 226, 299, 300, 301, 304, 307, 400,
+		 401, 403, 404, 408, 409, 413, 418, 422, 425, 429, 451, 500,
+		 501, 502, 503, 504, 505, 507, 511, 599, 600, 999})
+		ends.push_back({nullptr, head(status), End::OPEN, false});
+	return ends;
+}
+
+/** A server that acts as the path says: /KIND/STATE/NUMBER-OF-AN-END/0. */
+class ScriptedServer
+{
+      public:
+	std::string address;
+	const std::vector<End> ends = all_ends();
+
+	ScriptedServer()
+	{
+		sockaddr_in bound = {};
+		socklen_t size = sizeof(bound);
+
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		bound.sin_family = AF_INET;
+		bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(0, bind(listener, (sockaddr *)&bound, sizeof(bound)));
+		EXPECT_EQ(0, listen(listener, BACKLOG));
+		EXPECT_EQ(0, getsockname(listener, (sockaddr *)&bound, &size));
+		address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+		thread = std::thread([this] { accept_all(); });
+	}
+	~ScriptedServer()
+	{
+		(void)shutdown(listener, SHUT_RDWR);
+		thread.join();
+		(void)close(listener);
+		for (std::thread &each : threads)
+			each.join();
+	}
+	/** True if an attempt of the request may have run. */
+	bool
+	has_run(const std::string &id)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		return ran.count(id) > 0;
+	}
+
+      private:
+	int listener;
+	std::thread thread;
+	std::vector<std::thread> threads;
+	std::mutex lock;
+	std::map<std::string, int> ran; /**< by id */
+
+	void
+	accept_all()
+	{
+		int fd;
+
+		while ((fd = accept(listener, nullptr, nullptr)) >= 0)
+			threads.emplace_back([this, fd] { serve(fd); });
+	}
+	static std::string
+	field(const std::string &request, const std::string &name)
+	{
+		size_t at = request.find("\r\n" + name + ": ");
+
+		if (at == std::string::npos)
+			return "";
+		at += name.size() + 4;
+		return request.substr(at, request.find('\r', at) - at);
+	}
+	static void
+	send_text(int fd, std::string text, const std::string &id)
+	{
+		size_t at = text.find("%ID");
+
+		if (at != std::string::npos)
+			text.replace(at, 3, id);
+		(void)send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+	}
+	void
+	serve(int fd)
+	{
+		std::string request = read_until(fd, "\r\n\r\n");
+		std::string path = request.substr(0, request.find(" HTTP"));
+		std::string id = field(request, "X-Jujubeswitch-Request-Id");
+		linger reset = {1, 0};
+		bool has_events = path.find("/events/") != std::string::npos;
+		bool resumes = !field(request, "Last-Event-Id").empty();
+
+		if (request.empty() ||
+		    path.find("/wait/") != std::string::npos) {
+			if (!request.empty())
+				send_text(fd, head(200), id);
+			(void)close(fd);
+			return;
+		}
+		const End &end = ends[std::stoul(
+		    path.substr(path.rfind('/', path.size() - 3) + 1))];
+		if (!end.not_run || has_events) {
+			std::lock_guard<std::mutex> guard(lock);
+			ran[id]++;
+		}
+		if (has_events && !resumes) {
+			send_text(fd,
+			    "HTTP/1.1 200 OK\r\nX-Jujubeswitch-Request-Id: "
+			    "%ID\r\nX-Jujubeswitch-Response-Stamp: s\r\n"
+			    "Transfer-Encoding: chunked\r\n\r\n"
+			    "1e\r\nid: 0\ndata: a\n\nid: 1\ndata: b\n\n\r\n",
+			    id);
+			/* A stream that can't be resumed ends in that way. */
+			if (path.find("/again/") != std::string::npos) {
+				(void)close(fd);
+				return;
+			}
+		}
+		send_text(fd, end.answer, id);
+		if (end.connection == End::OPEN)
+			(void)read_until(fd, "until it is closed");
+		if (end.connection == End::RESET)
+			(void)setsockopt(
+			    fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		(void)close(fd);
+	}
+};
+
+/** Kind of a route, and what a caller has when the last attempt ends. */
+struct Form {
+	const char *kind;
+	const char *state;
+};
+
+const Form forms[] = {{"safe", "nothing"}, {"once", "nothing"},
+    {"stream", "nothing"}, {"again", "nothing"}, {"stream", "events"},
+    {"again", "events"}};
+
+/** What a caller has seen. */
+struct Seen {
+	std::string what; /**< of the request */
+	std::string id;
+	std::string text;
+	long took_ms;
+	bool open; /**< the call had not ended by then */
+	bool begun_as_stream;
+	bool may_be_whole; /**< although its first attempt broke off */
+};
+
+class CallEnd : public EntryVm
+{
+      protected:
+	ScriptedServer scripted;
+	std::vector<std::thread> callers_of_all;
+	std::mutex seen_lock;
+	std::vector<Seen> seen;
+
+	void
+	SetUp() override
+	{
+		EntryVm::SetUp();
+		std::string routes = route("safe", "nothing", "wait");
+
+		for (const Form &form : forms)
+			for (size_t i = 0; i < scripted.ends.size(); i++)
+				routes += "," +
+				    route(form.kind, form.state,
+					std::to_string(i));
+		store.put("config/main",
+		    R"({"version":2,"routes":[)" + routes + "]}");
+		wait_for_status("GET", "/safe/nothing/wait/0", "none", 200);
+	}
+	void
+	TearDown() override
+	{
+		for (std::thread &thread : callers_of_all)
+			thread.join();
+		EntryVm::TearDown();
+	}
+	/** A route with two servers of its own, so that no case spoils others. */
+	std::string
+	route(const std::string &kind, const std::string &state,
+	    const std::string &number)
+	{
+		std::string name = kind + "-" + state + "-" + number;
+
+		for (const char *end : {"-1", "-2"})
+			store.put("servers/" + name + end,
+			    R"({"zone":"d","state":"ready","slots":8,)"
+			    R"("service":")" +
+				name + R"(","address":")" + scripted.address +
+				"\"}");
+		return R"({"name":")" + name +
+		    R"(","host":"h","pathPrefix":"/)" + kind + "/" + state +
+		    "/" + number + R"(/","service":")" + name +
+		    R"(","maxAttempts":2,"timeoutMs":)" +
+		    std::to_string(LIMIT_MS) + R"(,"kind":)" +
+		    (kind == "safe"	     ? R"("safe"})"
+			    : kind == "once" ? R"("non_idempotent"})"
+			    : kind == "stream"
+			    ? R"("streaming"})"
+			    : R"("streaming","resumable":true})");
+	}
+	/** Sends a request and follows it until it ends, or is too late. */
+	void
+	follow(const std::string &kind, const std::string &state, size_t number)
+	{
+		const char *name = scripted.ends[number].name;
+		Seen call;
+
+		call.may_be_whole =
+		    kind == "again" && scripted.ends[number].is_rest;
+		call.id = kind + "-" + state + "-" + std::to_string(number);
+		call.what = kind + ", " + state + ", " +
+		    (name != nullptr
+			    ? name
+			    : scripted.ends[number].answer.substr(9, 3));
+		callers_of_all.emplace_back([=]() mutable {
+			auto begin = std::chrono::steady_clock::now();
+			int fd = send_request(callers,
+			    "POST /" + kind + "/" + state + "/" +
+				std::to_string(number) +
+				"/0 HTTP/1.1\r\nHost: h\r\n"
+				"X-Jujubeswitch-Request-Id: " +
+				call.id + "\r\nContent-Length: 0\r\n\r\n");
+
+			receive(fd, &call, begin);
+			(void)close(fd);
+			std::lock_guard<std::mutex> guard(seen_lock);
+			seen.push_back(call);
+		});
+	}
+	static bool
+	is_whole(const std::string &text)
+	{
+		size_t body = text.find("\r\n\r\n");
+		size_t length = text.find("Content-Length: ");
+
+		if (body == std::string::npos)
+			return false;
+		if (text.find("Transfer-Encoding: chunked") < body)
+			return text.find("\r\n0\r\n\r\n") != std::string::npos;
+		if (length > body)
+			return text.compare(9, 3, "204") == 0 ||
+			    text.compare(9, 3, "304") == 0;
+		return text.size() - body - 4 >=
+		    std::stoul(text.substr(length + 16));
+	}
+	static void
+	receive(int fd, Seen *call, std::chrono::steady_clock::time_point begin)
+	{
+		char bytes[4096];
+		ssize_t size = 1;
+		long most_ms = LIMIT_MS + LATE_MS;
+
+		auto ms = [&] {
+			return (long)std::chrono::duration_cast<
+			    std::chrono::milliseconds>(
+			    std::chrono::steady_clock::now() - begin)
+			    .count();
+		};
+		while (size > 0 && !is_whole(call->text) && ms() < most_ms) {
+			pollfd waits = {fd, POLLIN, 0};
+
+			if (poll(&waits, 1, (int)(most_ms - ms()) + 1) != 1)
+				break;
+			size = recv(fd, bytes, sizeof(bytes), 0);
+			if (size > 0)
+				call->text.append(bytes, (size_t)size);
+		}
+		call->took_ms = ms();
+		call->open = size > 0 && !is_whole(call->text);
+		call->begun_as_stream =
+		    call->text.find("data: a") != std::string::npos;
+	}
+	void
+	check(const Seen &call)
+	{
+		int status = call.text.size() > 12
+		    ? std::stoi(call.text.substr(9, 3))
+		    : 0;
+		size_t second = call.text.find("HTTP/1.1", 1);
+
+		EXPECT_FALSE(call.open)
+		    << call.what << ": no end after " << call.took_ms << " ms";
+		EXPECT_EQ(std::string::npos, second)
+		    << call.what << ": two answers";
+		bool is_promise = status == 408 || status == 421 ||
+		    status == 429 || status == 503;
+
+		EXPECT_FALSE(is_promise && scripted.has_run(call.id))
+		    << call.what << ": " << status << ", and has run";
+		if (call.begun_as_stream) {
+			EXPECT_EQ(call.may_be_whole, is_whole(call.text))
+			    << call.what
+			    << (call.may_be_whole
+				       ? ": is cut"
+				       : ": a part passes for the whole");
+		} else if (!call.open) {
+			EXPECT_NE(0, status) << call.what << ": no answer";
+		}
+	}
+};
+
+/* Guards against a call that a server's answer neither goes on nor ends. */
+TEST_F(CallEnd, IsSeenByEachCaller)
+{
+	for (const Form &form : forms)
+		for (size_t i = 0; i < scripted.ends.size(); i++)
+			follow(form.kind, form.state, i);
+	for (std::thread &thread : callers_of_all)
+		thread.join();
+	callers_of_all.clear();
+	for (const Seen &call : seen)
+		check(call);
+}
+
+} // namespace
