Evicted callers: a request whose caller was told 408 or 503 does not run

What callers saw: a caller whose body came too slowly was told 408 (or 503 for want of memory), and its request ran all the same, when the rest of the body lay unread in its socket while the server's thread was busy.

Cause: an eviction sends the answer and shuts the connection down, but bytes that have arrived are still read.

Change: a request that is complete begins only if its connection was not evicted; both are decided under the guard's lock.

--- a/src/adapters/http_guard.c
+++ b/src/adapters/http_guard.c
@@ -183,11 +183,11 @@
 	free(peer);
 }
 
-void
+bool
 jj_http_guard_enter(
     jj_http_guard_t *guard, jj_http_peer_t *peer, jj_caller_phase_t phase)
 {
-	jj_http_guard_continue(guard, peer, phase, 0);
+	return jj_http_guard_continue(guard, peer, phase, 0);
 }
 
 jj_ms_t
@@ -198,20 +198,23 @@
 
 	(void)apr_thread_mutex_lock(guard->lock);
 	spent = now - peer->caller.since;
-	jj_caller_budget_enter(
+	(void)jj_caller_budget_enter(
 	    &guard->budget, &peer->caller, JJ_CALLER_SERVED, now);
 	(void)apr_thread_mutex_unlock(guard->lock);
 	return spent;
 }
 
-void
+bool
 jj_http_guard_continue(jj_http_guard_t *guard, jj_http_peer_t *peer,
     jj_caller_phase_t phase, jj_ms_t spent_ms)
 {
+	bool is_open;
+
 	(void)apr_thread_mutex_lock(guard->lock);
-	jj_caller_budget_enter(&guard->budget, &peer->caller, phase,
+	is_open = jj_caller_budget_enter(&guard->budget, &peer->caller, phase,
 	    jj_monotonic_now() - spent_ms);
 	(void)apr_thread_mutex_unlock(guard->lock);
+	return is_open;
 }
 
 bool
--- a/src/adapters/http_guard.h
+++ b/src/adapters/http_guard.h
@@ -61,13 +61,17 @@
 jj_http_peer_t *jj_http_guard_open(jj_http_guard_t *guard, int fd);
 /** Removes a connection; to be called before its descriptor is closed. */
 void jj_http_guard_close(jj_http_guard_t *guard, jj_http_peer_t *peer);
-/** Begins a phase of a connection. */
-void jj_http_guard_enter(
+/**
+ * Begins a phase of a connection.
+ * @return false if the connection is being closed: its caller was told that no
+ * request of it runs.
+ */
+bool jj_http_guard_enter(
     jj_http_guard_t *guard, jj_http_peer_t *peer, jj_caller_phase_t phase);
 /** Stops the time of a phase and returns it, ms. */
 jj_ms_t jj_http_guard_pause(jj_http_guard_t *guard, jj_http_peer_t *peer);
-/** Continues a phase that has lasted for @p spent_ms already. */
-void jj_http_guard_continue(jj_http_guard_t *guard, jj_http_peer_t *peer,
+/** Continues a phase that has lasted for @p spent_ms already; as above. */
+bool jj_http_guard_continue(jj_http_guard_t *guard, jj_http_peer_t *peer,
     jj_caller_phase_t phase, jj_ms_t spent_ms);
 /**
  * Changes one part of what is held for a connection.
--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -163,7 +163,7 @@
 static jj_http_server_t *prepare_server(
     const jj_http_limits_t *, const jj_http_port_t *, const jj_http_share_t *);
 static void release_server(jj_http_server_t *);
-static void enter(const jj_http_call_t *, jj_caller_phase_t);
+static bool enter(const jj_http_call_t *, jj_caller_phase_t);
 static bool hold(jj_http_call_t *, size_t *, size_t, bool);
 static bool grow_buffer(jj_http_call_t *, size_t, bool);
 static void free_buffer(jj_http_call_t *);
@@ -637,7 +637,7 @@
 	    response, MHD_HTTP_HEADER_CONNECTION, "close");
 	if (lingers)
 		jj_http_guard_linger(call->server->share.guard, call->peer);
-	enter(call, JJ_CALLER_SENDING);
+	(void)enter(call, JJ_CALLER_SENDING);
 	result = MHD_queue_response(
 	    call->connection, (unsigned int)status, response);
 	MHD_destroy_response(response);
@@ -667,7 +667,7 @@
 	if (rejected != 0)
 		return reject_head(call, rejected, true);
 	if (has_body(head))
-		enter(call, JJ_CALLER_BODY);
+		(void)enter(call, JJ_CALLER_BODY);
 	return MHD_YES;
 }
 
@@ -708,7 +708,7 @@
 	if (call->state == CALL_READING)
 		call->state = CALL_WAITING;
 	(void)apr_thread_mutex_unlock(call->lock);
-	enter(call, JJ_CALLER_SERVED);
+	(void)enter(call, JJ_CALLER_SERVED);
 	call->ends_early = has_body(head);
 	/* An answer before the body must be queued before it is received. */
 	return call->ends_early ? continue_call(call) : MHD_YES;
@@ -804,10 +804,12 @@
 		call->state = CALL_WAITING;
 	(void)apr_thread_mutex_unlock(call->lock);
 	if (first) {
+		/* Its caller was told that it does not run. */
+		if (!enter(call, JJ_CALLER_SERVED))
+			return MHD_NO;
 		if (!call->passed_to_port)
 			jj_http_call_retain(call);
 		call->passed_to_port = true;
-		enter(call, JJ_CALLER_SERVED);
 		port->on_request(port->ctx, call);
 	}
 	(void)apr_thread_mutex_lock(call->lock);
@@ -828,7 +830,7 @@
 			jj_http_guard_linger(
 			    call->server->share.guard, call->peer);
 		}
-		enter(call, JJ_CALLER_SENDING);
+		(void)enter(call, JJ_CALLER_SENDING);
 		result = MHD_queue_response(
 		    call->connection, (unsigned int)call->status, response);
 		MHD_destroy_response(response);
@@ -895,7 +897,7 @@
 	(void)hold(call, &call->body_held, 0, true);
 	(void)hold(call, &call->port_held, 0, true);
 	(void)hold(call, &call->answer_held, 0, true);
-	enter(call, JJ_CALLER_IDLE);
+	(void)enter(call, JJ_CALLER_IDLE);
 	/* The port may keep its reference for long. */
 	free_buffer(call);
 	(void)apr_thread_mutex_unlock(call->lock);
@@ -928,7 +930,7 @@
 			(void)hold(
 			    call, &call->answer_held, STREAM_BLOCK_BYTES, true);
 		}
-		enter(call, JJ_CALLER_SENDING);
+		(void)enter(call, JJ_CALLER_SENDING);
 		writable = call->report_writable &&
 		    call->buffer_size < call->server->limits.stream_bytes / 2;
 		if (writable)
@@ -941,7 +943,7 @@
 	} else {
 		call->suspended = true;
 		MHD_suspend_connection(call->connection);
-		enter(call, JJ_CALLER_SERVED);
+		(void)enter(call, JJ_CALLER_SERVED);
 	}
 	(void)apr_thread_mutex_unlock(call->lock);
 	if (writable && port->on_writable != NULL)
@@ -957,8 +959,8 @@
 		return;
 	call->suspended = false;
 	if (call->state == CALL_READING)
-		jj_http_guard_continue(call->server->share.guard, call->peer,
-		    JJ_CALLER_BODY, call->upload_spent_ms);
+		(void)jj_http_guard_continue(call->server->share.guard,
+		    call->peer, JJ_CALLER_BODY, call->upload_spent_ms);
 	MHD_resume_connection(call->connection);
 }
 
@@ -1096,10 +1098,12 @@
 	*memory = jj_realloc(*memory, *capacity);
 }
 
-static void
+/** False if the connection is being closed. */
+static bool
 enter(const jj_http_call_t *call, jj_caller_phase_t phase)
 {
-	jj_http_guard_enter(call->server->share.guard, call->peer, phase);
+	return jj_http_guard_enter(
+	    call->server->share.guard, call->peer, phase);
 }
 
 /** Changes a part of what is held for a call; not once it is finished. */
--- a/src/core/caller_budget.c
+++ b/src/core/caller_budget.c
@@ -64,7 +64,7 @@
 	budget->held -= bytes;
 }
 
-void
+bool
 jj_caller_budget_enter(jj_caller_budget_t *budget, jj_caller_t *caller,
     jj_caller_phase_t phase, jj_ms_t since)
 {
@@ -72,7 +72,7 @@
 	jj_caller_t *before;
 
 	if (caller->evicted)
-		return;
+		return false;
 	TAILQ_REMOVE(&budget->lists[caller->phase], caller, link);
 	caller->phase = phase;
 	caller->since = since;
@@ -83,6 +83,7 @@
 		TAILQ_INSERT_AFTER(list, before, caller, link);
 	else
 		TAILQ_INSERT_HEAD(list, caller, link);
+	return true;
 }
 
 bool
--- a/src/core/caller_budget.h
+++ b/src/core/caller_budget.h
@@ -82,8 +82,9 @@
  * Begins a phase, or continues an earlier one; an evicted connection keeps its
  * phase.
  * @param since when the phase began: now, or before for one that continues.
+ * @return false if the connection is evicted.
  */
-void jj_caller_budget_enter(jj_caller_budget_t *budget, jj_caller_t *caller,
+bool jj_caller_budget_enter(jj_caller_budget_t *budget, jj_caller_t *caller,
     jj_caller_phase_t phase, jj_ms_t since);
 /**
  * Changes what is held for a connection to @p bytes.
--- a/tests/adapters/http_server_test.cc
+++ b/tests/adapters/http_server_test.cc
@@ -3,6 +3,7 @@
  * @brief Calls answered after their server was destroyed; large heads; methods.
  */
 #include <atomic>
+#include <condition_variable>
 #include <cstring>
 #include <future>
 #include <mutex>
@@ -150,6 +151,164 @@
 	"Content-Length: 2\r\n\r\nok"
 #define OUTER "POST /outer HTTP/1.1\r\nHost: x\r\n"
 
+/** A server within a bound of time, whose thread stands still on request. */
+class EvictedCaller : public testing::Test
+{
+      protected:
+	std::string address = free_address();
+	std::mutex lock;
+	std::condition_variable changed;
+	std::string heads; /**< paths of the requests whose heads came */
+	std::string passed_on; /**< of those that were passed on */
+	std::string blocked_by; /**< path; "": the thread runs */
+	jj_http_guard_t *guard;
+	jj_http_server_t *server;
+
+	EvictedCaller()
+	{
+		jj_http_limits_t limits = {
+		    address.c_str(), 1, 10, 8192, 1000, 1000, 60000};
+		jj_http_guard_limits_t bounds = {1 << 20, 8192, 10};
+		jj_http_share_t share = {};
+		jj_http_port_t port = {};
+
+		guard = jj_http_guard_create(&bounds);
+		share.guard = guard;
+		share.body_copies = 1;
+		port.ctx = this;
+		port.on_request = on_request;
+		port.on_headers = on_headers;
+		server = jj_http_server_create_guarded(&limits, &port, &share);
+	}
+	~EvictedCaller() override
+	{
+		jj_http_server_destroy(server);
+		jj_http_guard_release(guard);
+	}
+	static bool
+	on_headers(void *ctx, jj_http_call_t *call)
+	{
+		auto *self = static_cast<EvictedCaller *>(ctx);
+		std::lock_guard<std::mutex> guard(self->lock);
+
+		self->heads += jj_http_call_path(call);
+		self->changed.notify_all();
+		return false;
+	}
+	static void
+	on_request(void *ctx, jj_http_call_t *call)
+	{
+		auto *self = static_cast<EvictedCaller *>(ctx);
+		std::string path = jj_http_call_path(call);
+
+		{
+			std::unique_lock<std::mutex> guard(self->lock);
+
+			self->passed_on += path;
+			if (path.rfind("/block", 0) == 0)
+				self->blocked_by = path;
+			self->changed.notify_all();
+			self->changed.wait(
+			    guard, [self] { return self->blocked_by.empty(); });
+		}
+		jj_http_call_answer(call, &answer, "", 0);
+	}
+	template <typename Condition>
+	void
+	wait_for(Condition condition)
+	{
+		std::unique_lock<std::mutex> guard(lock);
+
+		changed.wait(guard, condition);
+	}
+	/** The server's thread stands still in the request of that path. */
+	void
+	wait_until_blocked(const std::string &path)
+	{
+		wait_for([&] { return blocked_by == path; });
+	}
+	void
+	release()
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		blocked_by.clear();
+		changed.notify_all();
+	}
+	static int
+	send_more(int fd, const std::string &text)
+	{
+		return (int)send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+	}
+	/**
+	 * A request whose rest is about to be read when its caller is told 408.
+	 * @return false if the rest was read before that.
+	 */
+	bool
+	evict(bool rest_first)
+	{
+		const std::string end = " HTTP/1.1\r\nHost: h\r\n\r\n";
+		jj_http_guard_times_t never = {0, 0, 0};
+		jj_http_guard_times_t soon = {0, 1, 0};
+		int slow = send_request(address,
+		    "POST /slow HTTP/1.1\r\nHost: h\r\n"
+		    "Content-Length: 4\r\n\r\nab");
+		int first = send_request(address, "GET /warm" + end);
+		int second = send_request(address, "GET /warm" + end);
+		bool is_unread;
+
+		jj_http_guard_set_times(guard, &never);
+		wait_for([this] {
+			return heads.find("/slow") != std::string::npos;
+		});
+		(void)read_until(first, "\r\n\r\n");
+		(void)read_until(second, "\r\n\r\n");
+		(void)send_more(first, "GET /block" + end);
+		wait_until_blocked("/block");
+		if (rest_first)
+			(void)send_more(slow, "cd");
+		(void)send_more(second, "GET /block-again" + end);
+		if (!rest_first)
+			(void)send_more(slow, "cd");
+		release();
+		wait_until_blocked("/block-again");
+		{
+			std::lock_guard<std::mutex> guard(lock);
+			is_unread =
+			    passed_on.find("/slow") == std::string::npos;
+		}
+		if (is_unread) {
+			jj_http_guard_set_times(guard, &soon);
+			EXPECT_EQ(0U,
+			    read_until(slow, "\r\n\r\n").find("HTTP/1.1 408"));
+		}
+		release();
+		(void)read_until(second, "\r\n\r\n");
+		(void)send_more(second, "GET /last" + end);
+		(void)read_until(second, "\r\n\r\n");
+		for (int fd : {slow, first, second})
+			(void)close(fd);
+		return is_unread;
+	}
+};
+
+/* Guards against a request that runs after its caller was told 408. */
+TEST_F(EvictedCaller, HasNoRequestThatRuns)
+{
+	int evicted = 0;
+
+	for (bool rest_first : {false, true}) {
+		if (evict(rest_first)) {
+			evicted++;
+			EXPECT_EQ(std::string::npos, passed_on.find("/slow"));
+		}
+		std::lock_guard<std::mutex> guard(lock);
+		passed_on.clear();
+		heads.clear();
+	}
+	EXPECT_GT(evicted, 0);
+}
+
 struct InnerCase {
 	const char *name;
 	const char
