Calls for batch jobs: one whose caller leaves is freed

Cause: an abandoned operation gets no answer, and nothing else removed the call from those that wait.

Change: the call ends with its abandoned operation. jujube_pending_calls shows how many wait.

--- a/src/daemon/gateway_events.c
+++ b/src/daemon/gateway_events.c
@@ -242,6 +242,7 @@
 	case EVENT_ABANDON:
 		jj_inline_abandon(
 		    jj_gateway_jobs(core, now, out), event->number);
+		jj_gateway_drop_pending(node, event->number);
 		break;
 	case EVENT_LEAVE:
 		jj_gateway_leave(core, event->end_ms, now, out);
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -77,6 +77,7 @@
 static void forward(jj_gateway_node_t *, jj_http_call_t *, const caller_t *);
 static void submit(jj_gateway_node_t *, jj_http_call_t *, const caller_t *);
 static uint64_t add_pending(jj_gateway_node_t *, jj_http_call_t *);
+static jj_http_call_t *take_pending(jj_gateway_node_t *, uint64_t);
 static void start_operation(jj_gateway_node_t *, jj_http_call_t *,
     jj_gateway_operation_t, const jj_front_call_t *);
 static bool
@@ -174,18 +175,22 @@
 jj_gateway_answer_operation(jj_gateway_node_t *node, uint64_t operation,
     int status, jj_ms_t retry_after_ms, const jj_bytes_t *body)
 {
-	jj_http_call_t *call;
+	jj_http_call_t *call = take_pending(node, operation);
 
-	(void)apr_thread_mutex_lock(node->lock);
-	call = g_hash_table_lookup(node->pending, &operation);
-	if (call != NULL)
-		(void)g_hash_table_remove(node->pending, &operation);
-	(void)apr_thread_mutex_unlock(node->lock);
 	if (call != NULL)
 		answer(node, call, status, retry_after_ms, "application/json",
 		    body);
 }
 
+void
+jj_gateway_drop_pending(jj_gateway_node_t *node, uint64_t operation)
+{
+	jj_http_call_t *call = take_pending(node, operation);
+
+	if (call != NULL)
+		jj_http_call_end_stream(call, true);
+}
+
 void
 jj_gateway_answer_pending(jj_gateway_node_t *node)
 {
@@ -679,6 +684,20 @@
 	    node, add_pending(node, call), &job, caller->routes);
 }
 
+/** Removes the call that waits for an operation; NULL if there is none. */
+static jj_http_call_t *
+take_pending(jj_gateway_node_t *node, uint64_t operation)
+{
+	jj_http_call_t *call;
+
+	(void)apr_thread_mutex_lock(node->lock);
+	call = g_hash_table_lookup(node->pending, &operation);
+	if (call != NULL)
+		(void)g_hash_table_remove(node->pending, &operation);
+	(void)apr_thread_mutex_unlock(node->lock);
+	return call;
+}
+
 /** Adds a call to those that wait; returns the number of its operation. */
 static uint64_t
 add_pending(jj_gateway_node_t *node, jj_http_call_t *call)
--- a/src/daemon/gateway_node.c
+++ b/src/daemon/gateway_node.c
@@ -129,6 +129,15 @@
 void
 jj_gateway_update_metrics(jj_gateway_node_t *node)
 {
+	guint pending;
+
+	(void)apr_thread_mutex_lock(node->lock);
+	pending = g_hash_table_size(node->pending);
+	(void)apr_thread_mutex_unlock(node->lock);
+	jj_gauge_set(jj_metrics_gauge("jujube_pending_calls",
+			 "Calls for batch jobs that wait for their answers.",
+			 NULL, NULL),
+	    pending);
 	update_table_ages(node);
 	jj_gateway_set_view_metrics(node);
 	jj_neighbours_update_metrics(node->neighbours);
--- a/src/daemon/gateway_node.h
+++ b/src/daemon/gateway_node.h
@@ -126,6 +126,8 @@
 /** Answers the call that waits for an operation. */
 void jj_gateway_answer_operation(jj_gateway_node_t *node, uint64_t operation,
     int status, jj_ms_t retry_after_ms, const jj_bytes_t *body);
+/** Ends the call that waits for an operation, as its caller has left. */
+void jj_gateway_drop_pending(jj_gateway_node_t *node, uint64_t operation);
 /** Answers all calls that wait for operations; what becomes of them is open. */
 void jj_gateway_answer_pending(jj_gateway_node_t *node);
 /** Adds the exchange of an item that is sent for the first time. */
--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -731,6 +731,88 @@
 	expect_alive();
 }
 
+/* When a caller leaves, and what it has sent by then. */
+struct leaver_t {
+	const char *name;
+	const char *method;
+	const char *path;
+	const char *header;
+	bool waits; /* until the answer has begun */
+};
+
+const leaver_t leavers[] = {
+    {"InAHead", "POST", "/r/x", "X-A: ", false},
+    {"InABody", "POST", "/r/x", "Content-Length: 9\r\n\r\nabc", false},
+    {"BeforeTheAnswer", "POST", "/r/hold", "Content-Length: 0\r\n\r\n", false},
+    {"InAStream", "POST", "/r/stream", "Content-Length: 0\r\n\r\n", true},
+    {"InARead", "GET", "/api/lots/kept",
+	"X-Jujubeswitch-Wait-Ms: 30000\r\n\r\n", false},
+    {"InASubmission", "POST", "/b/a",
+	"Content-Length: 12\r\n\r\n{\"items\":[]}", false},
+};
+
+class CrowdLeavers : public Crowd,
+		     public ::testing::WithParamInterface<leaver_t>
+{
+      protected:
+	static constexpr size_t ROUNDS = 100;
+	static constexpr size_t CALLERS = 40;
+	static constexpr size_t STEPS = 3;
+	static constexpr long KEPT_KB = 3072;
+
+	void
+	leave_all(size_t rounds)
+	{
+		for (size_t i = 0; i < rounds; i++) {
+			crowd_t crowd(callers, CALLERS,
+			    {std::string(GetParam().method) + " " +
+				GetParam().path +
+				" HTTP/1.1\r\nHost: h\r\n"
+				"X-Jujubeswitch-Request-Id: l" +
+				std::to_string(i) + "\r\n" +
+				GetParam().header});
+
+			wait_until("all were sent", [&] {
+				crowd.step();
+				return crowd.sent() == CALLERS &&
+				    (!GetParam().waits ||
+					crowd.answered(200) > 0);
+			});
+			/* Most leave after their bytes were read. */
+			for (size_t k = 0; k < 2 + i % STEPS; k++)
+				crowd.step();
+		}
+		expect_served("afterwards");
+	}
+};
+
+/* Guards against callers that leave and of whom something is kept. */
+TEST_P(CrowdLeavers, LeaveNothingBehind)
+{
+	long before;
+
+	start();
+	EXPECT_EQ(202,
+	    call("POST", "http://" + callers + "/b/x",
+		R"({"items":[{"id":"i","path":"/b/hold","body":"YQ=="}]})",
+		{"Host: h", "X-Jujubeswitch-Request-Id: kept"})
+		.status);
+	leave_all(ROUNDS / 5);
+	before = vm->status_kb("VmRSS");
+	leave_all(ROUNDS);
+	wait_until("memory is released",
+	    [&] { return vm->status_kb("VmRSS") <= before + KEPT_KB; });
+	EXPECT_LE(vm->status_kb("VmRSS"), before + KEPT_KB) << "kB afterwards";
+	wait_until("no call waits any more", [&] {
+		return call("GET", "http://" + operators + "/metrics")
+			   .body.find("\njujube_pending_calls 0\n") !=
+		    std::string::npos;
+	});
+	expect_alive();
+}
+INSTANTIATE_TEST_SUITE_P(Cases, CrowdLeavers, ::testing::ValuesIn(leavers),
+    [](const auto &info) { return info.param.name; });
+
 #define FLOOD_HEAD                                              \
 	"HTTP/1.1 200 OK\r\nX-Jujubeswitch-Request-Id: %ID\r\n" \
 	"X-Jujubeswitch-Response-Stamp: s\r\n"
