Uploads: their memory is free with their answer

What callers saw: an upload of the own interface got 503 for want of memory although fewer were under way than fit.

Cause: what is reserved for an upload was held until its connection's next state was reached, so a caller that uploads file after file counted twice for a moment. BatchFailure.UploadsSideBySideAreAllAnswered failed for it: held 38 of 50 MB for 16 uploads, one refused.

Change: the reservation ends with the answer.

--- a/src/adapters/http_server.c
+++ b/src/adapters/http_server.c
@@ -357,6 +357,9 @@
 		call->status = answer->status;
 		call->state = CALL_ANSWERED;
 		response = NULL;
+		/* The caller's next upload may come before this one's end. */
+		if (!call->finished && call->is_upload)
+			(void)hold(call, &call->body_held, 0, true);
 		if (!call->finished)
 			(void)hold(call, &call->answer_held, size, true);
 		resume_connection(call);
