Requests for certain weights go to servers that have them

What callers saw: a session that asks for the weights of its first answer (Expect-Version) was sent to any server in a release, refused there, and got 503 when its attempts were used up.

Change: the version of a server's weights is read from its answers; a server known to have others is a last resort, behind a queue for one that fits. If the last attempt was refused for that and none may have run, the caller gets the server's 421.

Evidence: in a release of three servers one after the other 40 of 40 requests of sessions of both versions reach a server of theirs, none is refused on the way (virtual time); rows at the relay for what the caller gets.

--- a/src/adapters/deployment.h
+++ b/src/adapters/deployment.h
@@ -52,6 +52,8 @@
 	const char *instance; /**< of an answer: id of the server */
 	/** headers by which a request may ask for what a server lacks */
 	const char *conditions[JJ_FRONT_CONDITIONS_MAX];
+	const char *expects; /**< the version of the weights it asks for */
+	const char *weights; /**< of an answer: that of its server */
 } jj_front_headers_t;
 
 /** Switches of the gateway that a deployment may turn on. */
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -81,6 +81,8 @@
 	bool relayed; /**< the caller has received part of the answer */
 	/** gateway: software version of the events so far, 0: no event */
 	uint64_t software;
+	/** gateway: version of the server's weights, 0: not told */
+	uint64_t weights;
 	/**
 	 * gateway: the answer had no length and ended with its connection, as
 	 * it also does when the server crashes
--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -108,6 +108,7 @@
 	jj_ms_t budget_ms;
 	uint64_t fingerprint; /**< hash of path and body */
 	jj_prompt_t prompt;
+	uint64_t weights; /**< version of the weights it asks for; 0: any */
 	bool resumed; /**< the caller has the events of an earlier attempt */
 	/** id of the attempt that brought the first of them; empty: not given
 	 */
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -151,6 +151,8 @@
 	    entry->attempt != event->attempt)
 		return;
 	entry->relayed = entry->relayed || event->relayed;
+	if (event->weights != 0)
+		entry->server->weights = event->weights;
 	if (event->software != 0 && !entry->restarts)
 		entry->software = event->software;
 	if (event->kind != JJ_BACKEND_NOT_SENT &&
@@ -296,7 +298,7 @@
 	jj_slots_criteria_t criteria = {&entry->service,
 	    server_to_avoid(gateway, entry),
 	    jj_gateway_first_event_limit(entry), entry->software,
-	    jj_gateway_spare_part(gateway, entry)};
+	    jj_gateway_spare_part(gateway, entry), entry->weights};
 	jj_failure_t reason;
 	jj_slot_server_t *server;
 	bool full;
@@ -536,6 +538,7 @@
 	    route->priority);
 	entry->fingerprint = request->fingerprint;
 	entry->prompt = request->prompt;
+	entry->weights = request->weights;
 	LIST_INSERT_HEAD(&gateway->buckets[entry->request % JJ_GATEWAY_BUCKETS],
 	    entry, bucket);
 	TAILQ_INSERT_HEAD(&gateway->waiting, entry, link);
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -35,6 +35,7 @@
 	const jj_routes_t *routes;
 	/** software version that its events are from; 0: no event yet */
 	uint64_t software;
+	uint64_t weights; /**< version of the weights it asks for; 0: any */
 	/** an item's output so far is dropped when it is sent again */
 	bool restarts;
 	uint64_t origin_id; /**< see jj_stream_origin_t.id */
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -96,6 +96,7 @@
 	jj_slot_info_t info;
 	uint64_t hash; /**< hash of its id and its start time */
 	uint64_t software; /**< hash of its service and software version */
+	uint64_t weights; /**< version of its weights; 0: not known */
 	bool local; /**< in this VM's failure domain */
 	bool used; /**< of a local server: in this VM's subset */
 	jj_slot_subset_t subset;
@@ -238,6 +239,8 @@
 	uint64_t software; /**< only this software version; 0: any */
 	/** part of a server's slots that is left to other requests, 0 to 1 */
 	double spare_part;
+	/** servers known to have other weights are a last resort; 0: any */
+	uint64_t weights;
 } jj_slots_criteria_t;
 
 /**
--- a/src/core/slots_choose.c
+++ b/src/core/slots_choose.c
@@ -104,6 +104,7 @@
 static double slowness(const jj_slot_server_t *, double);
 static bool is_candidate(const jj_slot_server_t *, const jj_name_t *, jj_ms_t);
 static bool is_of_software(const jj_slot_server_t *, uint64_t);
+static bool has_weights(const jj_slot_server_t *, uint64_t);
 
 jj_slot_server_t *
 jj_slots_choose_online(jj_slots_t *slots, const jj_slots_criteria_t *criteria,
@@ -115,7 +116,8 @@
 
 	slots->sequence++;
 	best = choose_server(slots, criteria, now, sample, full);
-	if (best != NULL && jj_slot_server_taken(best) < best->info.slots)
+	if (best != NULL && jj_slot_server_taken(best) < best->info.slots &&
+	    has_weights(best, criteria->weights))
 		return best;
 	sample.assigned_share = 1;
 	sample.others_share = others_share(slots, criteria->service, now);
@@ -202,6 +204,7 @@
 	jj_slot_server_t *best = NULL;
 	jj_slot_server_t *server;
 	double best_cost = 0;
+	bool is_fitting_full = false;
 
 	*full = false;
 	TAILQ_FOREACH(server, &slots->servers, link)
@@ -228,12 +231,16 @@
 		    !is_soon_enough(
 			server, extra, criteria, best_ms, service_ms)) {
 			*full = true;
+			is_fitting_full = is_fitting_full ||
+			    has_weights(server, criteria->weights);
 			continue;
 		}
 		cost = cost_of(server, extra, best_ms);
 		if (criteria->avoid != NULL &&
 		    jj_name_equal(&server->info.id, criteria->avoid))
 			cost += COST_AVOIDED;
+		if (!has_weights(server, criteria->weights))
+			cost += COST_AVOIDED;
 		if (!assigned)
 			cost += COST_REMOTE;
 		/*
@@ -246,6 +253,10 @@
 		best = server;
 		best_cost = cost;
 	}
+	/* A server that would refuse it is no better than a queue. */
+	if (best != NULL && is_fitting_full &&
+	    !has_weights(best, criteria->weights))
+		best = NULL;
 	if (best != NULL)
 		*full = false;
 	return best;
@@ -516,3 +527,11 @@
 {
 	return software == 0 || server->software == software;
 }
+
+/** True if the server may have these weights; 0: any. */
+static bool
+has_weights(const jj_slot_server_t *server, uint64_t weights)
+{
+	return weights == 0 || server->weights == 0 ||
+	    server->weights == weights;
+}
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -157,7 +157,8 @@
 	jj_http_call_t *call = NULL;
 	bool relayed = false;
 
-	if (jj_stream_relay_forward_error(node->relay, given->request))
+	if (jj_stream_relay_forward_error(
+		node->relay, given->request, given->run == JJ_RUN_NOT_RUN))
 		return;
 	if (!jj_stream_relay_take(
 		node->relay, given->request, &call, &relayed) ||
@@ -536,6 +537,7 @@
 	const char *last = jj_http_call_header(call, names->last_event_id);
 	const char *resumes = jj_http_call_header(call, names->resumes);
 	const char *prompt = jj_http_call_header(call, names->prompt);
+	const char *expects = jj_http_call_header(call, names->expects);
 	jj_stream_exchange_t exchange = {0};
 	jj_gateway_request_t request = {0};
 	header_copy_t copy = {
@@ -561,6 +563,8 @@
 	request.fingerprint = fingerprint_of(call);
 	if (prompt != NULL)
 		node->deployment->read_prompt(prompt, &request.prompt);
+	if (expects != NULL)
+		request.weights = strtoull(expects, NULL, 10);
 	request.resumed = last != NULL;
 	(void)snprintf(request.resumes, sizeof(request.resumes), "%s",
 	    resumes != NULL ? resumes : "");
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -31,6 +31,8 @@
 #define CLOSES 2
 /** The same where an earlier attempt's answer had a length or chunks. */
 #define FRAMED_CLOSES 4
+/** HTTP status: the server lacks what the request asks for, or is another. */
+#define STATUS_MISDIRECTED 421
 /** The server stops at its deadline; we cancel this much later, ms. */
 #define DEADLINE_GRACE_MS 500
 
@@ -84,6 +86,7 @@
 	bool not_run; /**< the server reported that it did not run it */
 	bool is_named; /**< the answer names its server */
 	bool is_other; /**< it names another one than it was sent to */
+	uint64_t weights; /**< version of its weights; 0: not told */
 	jj_http_body_t body_end; /**< how the end of its body is found */
 	const char *ended; /**< how its transfer ended; static */
 	uint32_t event_count; /**< complete events */
@@ -139,6 +142,7 @@
 static jj_backend_kind_t classify_refusal(const attempt_t *);
 static jj_backend_kind_t classify_status(const attempt_t *);
 static bool fits_caller(const attempt_t *, const entry_t *, jj_backend_kind_t);
+static bool keep_error(attempt_t *, entry_t *, jj_backend_kind_t);
 static bool is_retried_error(const attempt_t *);
 static void finish_answer(attempt_t *, entry_t *, jj_bytes_t *);
 static void
@@ -344,7 +348,8 @@
 }
 
 bool
-jj_stream_relay_forward_error(jj_stream_relay_t *relay, uint64_t request)
+jj_stream_relay_forward_error(
+    jj_stream_relay_t *relay, uint64_t request, bool not_run)
 {
 	bool forwarded = false;
 	entry_t *entry;
@@ -352,6 +357,7 @@
 	(void)apr_thread_mutex_lock(relay->lock);
 	entry = find(relay, request);
 	if (entry != NULL && entry->error != NULL && !entry->begun &&
+	    (not_run || entry->error->status != STATUS_MISDIRECTED) &&
 	    entry->exchange.call != NULL) {
 		forwarded = true;
 		if (entry->attempt != 0)
@@ -507,6 +513,8 @@
 			has_stamp = true;
 		if (strcasecmp(line, names->not_run) == 0)
 			attempt->not_run = strcmp(value, "0") != 0;
+		if (strcasecmp(line, names->weights) == 0)
+			attempt->weights = strtoull(value, NULL, 10);
 		if (strcasecmp(line, names->instance) == 0) {
 			attempt->is_named = true;
 			attempt->is_other |=
@@ -517,7 +525,7 @@
 	if (attempt->status >= 200 && attempt->status < 300 && !has_stamp)
 		attempt->kind = ANSWER_INVALID;
 	if (has_stamp && !has_id && attempt->id[0] != '\0' &&
-	    !attempt->not_run && attempt->status != 421)
+	    !attempt->not_run && attempt->status != STATUS_MISDIRECTED)
 		attempt->kind = ANSWER_INVALID;
 }
 
@@ -797,13 +805,9 @@
 			finish_answer(attempt, entry, &text);
 	}
 	ended = *attempt;
-	if (is_current && kind == JJ_BACKEND_FAILED &&
-	    is_retried_error(attempt) && entry->exchange.call != NULL) {
-		if (entry->error != NULL)
-			free_attempt(entry->error);
-		entry->error = attempt;
-		is_kept = true;
-	}
+	if (is_current && kind != JJ_BACKEND_DONE &&
+	    kind != JJ_BACKEND_REJECTED)
+		is_kept = keep_error(attempt, entry, kind);
 	(void)apr_thread_mutex_unlock(relay->lock);
 	/* A kept attempt may be freed by another thread now. */
 	if (is_current)
@@ -829,6 +833,30 @@
 	    (kind != JJ_BACKEND_DONE && kind != JJ_BACKEND_REJECTED);
 }
 
+/**
+ * Keeps an answer that the caller gets if no other attempt has a better one:
+ * an error of the server, or its refusal because of what the request asks for.
+ * A refusal holds only while no later attempt ends in another way.
+ */
+static bool
+keep_error(attempt_t *attempt, entry_t *entry, jj_backend_kind_t kind)
+{
+	bool is_refusal = kind == JJ_BACKEND_MISMATCH &&
+	    attempt->status == STATUS_MISDIRECTED;
+	bool keeps = entry->exchange.call != NULL &&
+	    (is_refusal ||
+		(kind == JJ_BACKEND_FAILED && is_retried_error(attempt)));
+
+	if (entry->error != NULL &&
+	    (keeps || entry->error->status == STATUS_MISDIRECTED)) {
+		free_attempt(entry->error);
+		entry->error = NULL;
+	}
+	if (keeps)
+		entry->error = attempt;
+	return keeps;
+}
+
 /** True for a server's own error after which the request is sent again. */
 static bool
 is_retried_error(const attempt_t *attempt)
@@ -904,15 +932,16 @@
 static jj_backend_kind_t
 classify_refusal(const attempt_t *attempt)
 {
-	if (attempt->status == 421 &&
+	if (attempt->status == STATUS_MISDIRECTED &&
 	    (attempt->is_other ||
 		(!attempt->is_named && !attempt->is_conditional)))
 		return JJ_BACKEND_LEAVING;
 	if (attempt->status == 429 || attempt->status == 503)
 		return attempt->is_conditional ? JJ_BACKEND_MISMATCH
 					       : JJ_BACKEND_REFUSED;
-	return attempt->is_item || attempt->status == 421 ? JJ_BACKEND_MISMATCH
-							  : JJ_BACKEND_REJECTED;
+	return attempt->is_item || attempt->status == STATUS_MISDIRECTED
+	    ? JJ_BACKEND_MISMATCH
+	    : JJ_BACKEND_REJECTED;
 }
 
 /**
@@ -923,7 +952,7 @@
 static jj_backend_kind_t
 classify_status(const attempt_t *attempt)
 {
-	if (attempt->status == 421 || attempt->not_run)
+	if (attempt->status == STATUS_MISDIRECTED || attempt->not_run)
 		return classify_refusal(attempt);
 	if (attempt->status >= 200 && attempt->status < 300)
 		return JJ_BACKEND_DONE;
@@ -952,6 +981,7 @@
 	event.retry_after_ms = retry_after_ms;
 	event.relayed = relayed;
 	event.software = attempt->begun_software;
+	event.weights = attempt->weights;
 	event.unframed =
 	    (kind == JJ_BACKEND_DONE || kind == JJ_BACKEND_UNCONFIRMED) &&
 	    attempt->body_end == JJ_HTTP_BODY_CLOSE;
--- a/src/daemon/stream_relay.h
+++ b/src/daemon/stream_relay.h
@@ -82,8 +82,11 @@
 /**
  * Forwards the last server's error that was kept while the request was sent
  * again; false when there is none.
+ * @param not_run the request has certainly not run: only then is a refusal
+ * true that promises this.
  */
-bool jj_stream_relay_forward_error(jj_stream_relay_t *relay, uint64_t request);
+bool jj_stream_relay_forward_error(
+    jj_stream_relay_t *relay, uint64_t request, bool not_run);
 /** Resumes a paused answer once the caller's buffer has free space. */
 void jj_stream_relay_resume(jj_stream_relay_t *relay, uint64_t request);
 /** True for hop-by-hop headers, which must not be forwarded. */
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -39,6 +39,7 @@
 	bool streams = false; /**< the route has streamed answers */
 	bool retries_errors = false; /**< errors are not final */
 	uint64_t software = 0; /**< of the last event */
+	uint64_t weights = 0; /**< of the server, by the last event */
 	int ended = -1; /**< how the attempt ended */
 	bool unframed = false; /**< it ended with its connection */
 	std::string output; /**< of the item, when it is done */
@@ -63,7 +64,7 @@
 		deployment.headers = {"X-Id", "X-Deadline", "X-Target",
 		    "X-Not-Run", "X-Stamp", "Last-Event-Id", "Resumes",
 		    "X-Prompt", "X-Key", "X-Team", "X-Server",
-		    {"X-Wants", "X-Holds"}};
+		    {"X-Wants", "X-Holds"}, "X-Wants", "X-Weights"};
 		front = jj_http_server_create(&limits, &front_port);
 		relay = jj_stream_relay_create(&deployment, &port);
 	}
@@ -95,6 +96,7 @@
 		std::lock_guard<std::mutex> guard(self->lock);
 
 		self->software = event->software;
+		self->weights = event->weights;
 		self->progress += event->kind == JJ_BACKEND_TOKENS;
 		if (event->kind == JJ_BACKEND_FIRST ||
 		    event->kind == JJ_BACKEND_TOKENS)
@@ -278,12 +280,13 @@
 			retries_errors = !is_final;
 			attempt(2, 7);
 		}
-		EXPECT_EQ(!is_final, jj_stream_relay_forward_error(relay, 1));
+		EXPECT_EQ(
+		    !is_final, jj_stream_relay_forward_error(relay, 1, true));
 		std::string answer = read_until(fd, "fails");
 		EXPECT_EQ(0U, answer.find("HTTP/1.1 500"));
 		EXPECT_NE(std::string::npos, answer.find("X-Stamp: s"));
 		EXPECT_FALSE(jj_stream_relay_has(relay, 1));
-		EXPECT_FALSE(jj_stream_relay_forward_error(relay, 1));
+		EXPECT_FALSE(jj_stream_relay_forward_error(relay, 1, true));
 		(void)close(fd);
 		std::lock_guard<std::mutex> guard(lock);
 		caller = nullptr;
@@ -483,6 +486,61 @@
 	    false, JJ_BACKEND_BROKEN, false}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/* Guards against a refusal that its caller never learns, or that is not true. */
+TEST_F(StreamRelayFixture, ARefusalOfWhatItAsksForIsForwarded)
+{
+	const std::string refusal =
+	    "HTTP/1.1 421 Misdirected\r\nX-Id: i\r\nX-Stamp: s\r\n"
+	    "X-Server: s1\r\nX-Weights: 4\r\nContent-Length: 4\r\n\r\nlack";
+	struct {
+		const char *name;
+		std::string last; /**< answer to a second attempt; "": none */
+		bool not_run;
+		bool is_forwarded;
+	} const cases[] = {
+	    {"the only attempt", "", true, true},
+	    {"another one refuses it, too", refusal, true, true},
+	    {"another one may have run", "", false, false},
+	    {"another one is full",
+		"HTTP/1.1 503 Full\r\nX-Id: i\r\nX-Not-Run: 1\r\n"
+		"Content-Length: 0\r\n\r\n",
+		true, false},
+	    {"another one closes", " ", true, false},
+	};
+
+	wish = "X-Wants";
+	for (const auto &row : cases) {
+		jj_http_call_t *left = nullptr;
+		bool relayed;
+		int fd = send_request(front_address);
+
+		wait_for([this] { return caller != nullptr; });
+		start("i");
+		EXPECT_EQ(JJ_BACKEND_MISMATCH, answer_and_close(refusal))
+		    << row.name;
+		EXPECT_EQ(4U, weights);
+		if (!row.last.empty()) {
+			attempt(2, 7);
+			(void)answer_and_close(row.last);
+		}
+		EXPECT_EQ(row.is_forwarded,
+		    jj_stream_relay_forward_error(relay, 1, row.not_run))
+		    << row.name;
+		if (row.is_forwarded) {
+			EXPECT_EQ(
+			    0U, read_until(fd, "lack").find("HTTP/1.1 421"));
+		} else {
+			EXPECT_TRUE(
+			    jj_stream_relay_take(relay, 1, &left, &relayed));
+			jj_http_call_end_stream(left, true);
+		}
+		(void)close(fd);
+		std::lock_guard<std::mutex> guard(lock);
+		caller = nullptr;
+		ended = -1;
+	}
+}
+
 /** What a server does behind the answer that it sends during an upload. */
 enum early_end_t {
 	RESETS,
--- a/tests/core/gateway_fixture.h
+++ b/tests/core/gateway_fixture.h
@@ -206,6 +206,9 @@
 	{
 		return begin_resumed(path, nullptr, fingerprint, budget_ms);
 	}
+	uint64_t weights = 0; /**< that requests ask for; 0: any */
+	uint64_t answered_weights = 0; /**< of the servers that answer */
+
 	/** @param resumes request that began the stream, or nullptr. */
 	uint64_t
 	begin_resumed(const char *path, const char *resumes,
@@ -224,6 +227,7 @@
 		snprintf(request.resumes, sizeof(request.resumes), "%s",
 		    resumes != nullptr ? resumes : "");
 		request.routes = jj_gateway_routes(gateway);
+		request.weights = weights;
 		jj_gateway_begin(gateway, &request, now, &out);
 		run_actions();
 		return last;
@@ -239,6 +243,7 @@
 		event.attempt = (uint32_t)outcomes[request].servers.size();
 		event.kind = kind;
 		event.relayed = relayed;
+		event.weights = answered_weights;
 		jj_gateway_take_backend_event(
 		    gateway, &event, status, &text, now, &out);
 		jj_bytes_free(&text);
--- a/tests/core/gateway_test.cc
+++ b/tests/core/gateway_test.cc
@@ -155,6 +155,64 @@
 	EXPECT_EQ(1U, attempts(begin("/once/2")));
 }
 
+/*
+ * Guards against sessions that are refused while servers of their weights are
+ * there, in a release that replaces one server after the other.
+ */
+TEST_F(GatewayFailure, SessionsStayAtTheirWeightsInARelease)
+{
+	std::vector<std::string> ids = {"s1", "s2", "s3"};
+	int refused = 0;
+	int served = 0;
+
+	auto ask = [&](uint64_t wanted) {
+		weights = wanted;
+		uint64_t request = begin("/again/1");
+
+		while (outcomes[request].answers == 0) {
+			std::string id = outcomes[request].servers.back();
+
+			answered_weights = id[0] == 'n' ? 2 : 1;
+			if (wanted != 0 && wanted != answered_weights) {
+				refused++;
+				report_event(request, JJ_BACKEND_MISMATCH, 421);
+				continue;
+			}
+			report_event(request, JJ_BACKEND_DONE);
+			served++;
+			return;
+		}
+	};
+
+	see(2, "servers/s2", "verona ready");
+	see(2, "servers/s3", "verona ready");
+	for (int i = 0; i < 12; i++)
+		ask(0);
+	for (size_t k = 0; k < ids.size(); k++) {
+		std::string fresh = "n" + std::to_string(k);
+
+		see(2, ("servers/" + fresh).c_str(), "verona ready");
+		for (int i = 0; i < 12; i++)
+			ask(0);
+		refused = served = 0;
+		for (int i = 0; i < 20; i++) {
+			ask(1);
+			ask(2);
+		}
+		EXPECT_EQ(0, refused) << k;
+		EXPECT_EQ(40, served) << k;
+		see(2, ("servers/" + ids[k]).c_str(), "", true);
+		tick(5000);
+	}
+	served = 0;
+	for (int i = 0; i < 4; i++)
+		ask(1);
+	EXPECT_EQ(0, served) << "no server has them any more";
+	for (int i = 0; i < 4; i++)
+		ask(0);
+	EXPECT_EQ(4, served) << "others are served";
+}
+
 /* Guards against an item that goes round idle servers without a pause. */
 TEST_F(GatewayFailure, AnItemThatNoServerFitsIsSentOnceASecond)
 {
--- a/tests/core/large_fleet_test.cc
+++ b/tests/core/large_fleet_test.cc
@@ -241,7 +241,8 @@
 {
 	jj_slots_t *slots = create("verona-0");
 	jj_name_t service = name_of("ordini");
-	jj_slots_criteria_t criteria = {&service, nullptr, JJ_MS_NEVER, 0, 0};
+	jj_slots_criteria_t criteria = {
+	    &service, nullptr, JJ_MS_NEVER, 0, 0, 0};
 	std::map<std::string, int> chosen;
 	bool full;
 
@@ -281,7 +282,7 @@
 {
 	jj_slots_t *slots = create("verona-0");
 	jj_name_t service = name_of("ordini");
-	jj_slots_criteria_t criteria = {&service, nullptr, 225, 0, 0};
+	jj_slots_criteria_t criteria = {&service, nullptr, 225, 0, 0, 0};
 	jj_name_t vm = name_of("verona-1");
 	jj_slot_server_t *server;
 	bool full;
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -74,6 +74,8 @@
 		jj_name_set(&vm, "verona-2");
 		jj_slots_take_loads(slots, &vm, &load, 1, false);
 	}
+	uint64_t weights = 0; /**< that requests ask for */
+
 	std::string
 	online(const char *avoid = nullptr, jj_ms_t now = 1000)
 	{
@@ -82,8 +84,8 @@
 
 		if (avoid != nullptr)
 			jj_name_set(&name, avoid);
-		jj_slots_criteria_t wish = {
-		    &service, avoid != nullptr ? &name : nullptr, within, 0, 0};
+		jj_slots_criteria_t wish = {&service,
+		    avoid != nullptr ? &name : nullptr, within, 0, 0, weights};
 		server = jj_slots_choose_online(slots, &wish, now, &full);
 		return server != nullptr ? server->info.id.text : "";
 	}
@@ -240,6 +242,28 @@
 	EXPECT_EQ("s1", online("s1"));
 }
 
+/* Guards against requests for certain weights at servers that lack them. */
+TEST_F(Slots, KnownWeightsAreUsed)
+{
+	jj_slot_server_t *old = learn("s1");
+	jj_slot_server_t *fresh = learn("s2");
+
+	old->weights = 1;
+	weights = 1;
+	fill(old, 1, 0);
+	EXPECT_EQ("s2", online()) << "its weights are not known";
+	fresh->weights = 2;
+	EXPECT_EQ("s1", online());
+	weights = 2;
+	EXPECT_EQ("s2", online());
+	weights = 3;
+	EXPECT_NE("", online()) << "a server says that it lacks them";
+	weights = 1;
+	fill(old, 8, 0);
+	EXPECT_EQ("", online());
+	EXPECT_TRUE(full) << "it waits for a server that has them";
+}
+
 /*
  * The platform is down, so servers cannot renew their entries, which expire.
  * After it returns its list is empty for a moment: requests must go to the
