Batch jobs: an end in a full segment of results is kept

What callers saw: nothing; the VM kept a job open that its client had ended while a full segment of results was being written, until it stopped, and used all of its grace then. By reading: a VM that took the job over would have run its items again, as it looked for the end behind that segment.

Cause: the end was written into the segment, which was full; the next segment began without it, and nothing was left to be written.

Change: the end stands in the segment that has the last result, and no segment begins behind it.

Evidence: AJobThatEndsWithAFullSegmentIsClosed, 48 combinations of results, sizes and moments of the end: the first job of 700,000 bytes stayed open and the VM was never idle; all green with this change.

--- a/src/core/inline_publish.c
+++ b/src/core/inline_publish.c
@@ -107,8 +107,13 @@
 		run->unconfirmed++;
 		segment->sealed = size >= JJ_INLINE_SEGMENT_BYTES;
 	}
+	/* The end stands in the last segment, or a reader would look behind. */
+	while (
+	    i < run->job.item_count && run->items[i].state != JJ_ITEM_FINISHED)
+		i++;
 	run->write_sent_ms = jobs->now_ms;
-	segment->ended = segment->ended || run->ended;
+	segment->ended =
+	    segment->ended || (run->ended && i == run->job.item_count);
 	(void)snprintf(segment->writer, sizeof(segment->writer), "%s",
 	    jobs->settings.writer);
 	run->publish_ms = JJ_MS_NEVER;
@@ -155,7 +160,7 @@
 		    (unsigned long long)result->version);
 		publish_written(jobs, run);
 		jj_inline_serve_readers(jobs, run, out);
-		if (run->segment.sealed)
+		if (run->segment.sealed && !run->segment.ended)
 			begin_segment(run);
 		if (has_unpublished(run))
 			jj_inline_schedule_publish(jobs, run, now);
@@ -201,7 +206,7 @@
 			jj_inline_require_check(jobs);
 		publish_stored(jobs, run);
 		jj_inline_schedule_call(&run->write, now);
-		if (stored.sealed) {
+		if (stored.sealed && !stored.ended) {
 			begin_segment(run);
 			return;
 		}
--- a/tests/core/inline_test.cc
+++ b/tests/core/inline_test.cc
@@ -396,6 +396,39 @@
 	EXPECT_EQ(200, b.answer(b.end("j")).status);
 }
 
+/* Guards against an ended job that stays open as its last segment is full. */
+TEST_F(InlineFailure, AJobThatEndsWithAFullSegmentIsClosed)
+{
+	for (int finished : {1, 2, 3, 5})
+		for (size_t size : {700000, 250000, 3})
+			for (jj_ms_t before_ms : {0, 50, 200, 1000}) {
+				std::string id = "j" +
+				    std::to_string(finished) + "-" +
+				    std::to_string(size) + "-" +
+				    std::to_string(before_ms);
+
+				(void)a.submit(id, 6);
+				pass(300);
+				for (int i = 0; i < finished; i++)
+					EXPECT_TRUE(a.finish(
+					    id + "-" + std::to_string(i),
+					    std::string(size, 't')));
+				if (before_ms > 0)
+					pass(before_ms);
+				EXPECT_EQ(200, a.answer(a.end(id)).status);
+				pass(5000);
+				EXPECT_FALSE(
+				    platform.has(("batch-open/" + id).c_str()))
+				    << id;
+				EXPECT_TRUE(jj_inline_is_idle(a.jobs)) << id;
+				EXPECT_EQ(
+				    202, b.answer(b.submit(id, 6)).status);
+				pass(3000);
+				EXPECT_TRUE(a.items.empty()) << id;
+				EXPECT_TRUE(b.items.empty()) << id;
+			}
+}
+
 /*
  * The VM that runs a job fails just after the end was confirmed. The VM that
  * takes the job over must not start items before it learns of the end.
