--- a/src/core/gateway.h
+++ b/src/core/gateway.h
@@ -24,6 +24,8 @@
 
 /** Longest id that a caller may give a request, bytes. */
 #define JJ_GATEWAY_ID_MAX 63
+/** Retry-After of a VM that stops, ms; short, as other VMs are not busy. */
+#define JJ_GATEWAY_STOPPING_RETRY_MS 10
 
 /**
  * Callbacks that read the stored objects of a deployment, write pages and tell
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -23,8 +23,6 @@
 #define SILENT_MS 1000
 /** Weight of a new sample in the moving average of a request's service time. */
 #define MEAN_WEIGHT 0.05
-/** Retry-After of a VM that stops, ms; short, as other VMs are not busy. */
-#define STOPPING_RETRY_MS 10
 /** Maximum parts of a prompt that one log line names. */
 #define LOGGED_PARTS_MAX 7
 /** Time until an item is sent again after a server refused what it asks, ms. */
@@ -109,8 +107,8 @@
 	}
 	if (gateway->leaving &&
 	    now + time_limit(request, route) > gateway->stop_ms) {
-		refuse(gateway, request, JJ_FAILURE_STOPPING, STOPPING_RETRY_MS,
-		    out);
+		refuse(gateway, request, JJ_FAILURE_STOPPING,
+		    JJ_GATEWAY_STOPPING_RETRY_MS, out);
 		return;
 	}
 	reason = jj_gateway_check_request(
--- a/src/core/list_cursor.c
+++ b/src/core/list_cursor.c
@@ -58,7 +58,7 @@
 	cursor->failures = 0;
 	memmove(cursor->after, next, strlen(next) + 1);
 	cursor->pages++;
-	/* At powers of two, so that a circle of any length is found. */
+	/* At powers of two, so that a cycle of any length is found. */
 	if ((cursor->pages & (cursor->pages - 1)) == 0)
 		memcpy(cursor->checkpoint, cursor->after,
 		    sizeof(cursor->checkpoint));
--- a/src/core/list_cursor.h
+++ b/src/core/list_cursor.h
@@ -26,7 +26,7 @@
 typedef struct {
 	/** Key after which the next page begins; "": the first page. */
 	char after[JJ_OBJECT_KEY_MAX + 1];
-	/** An earlier `after`: a list that returns to it goes in a circle. */
+	/** An earlier `after`: a list that returns to it is in a cycle. */
 	char checkpoint[JJ_OBJECT_KEY_MAX + 1];
 	uint32_t pages; /**< read so far */
 	uint32_t failures; /**< of the page after `after`, in a row */
--- a/src/daemon/gateway_front.c
+++ b/src/daemon/gateway_front.c
@@ -30,8 +30,6 @@
 #define BUDGET_MAX_MS 86400000
 /** How callers prove their team, as RFC 9110 requires with a 401. */
 #define AUTHENTICATE "ApiKey realm=\"jujubeswitch\""
-/** Retry-After while this VM stops, ms; short, as other VMs are not busy. */
-#define STOPPING_RETRY_MS 10
 
 /** A caller, by the one version of the configuration that decides its call. */
 typedef struct {
@@ -261,7 +259,8 @@
 	if (atomic_load(&node->rejecting)) {
 		if (length >= 0 && length <= SMALL_BODY_BYTES)
 			return false;
-		answer(node, call, 503, STOPPING_RETRY_MS, "text/plain", NULL);
+		answer(node, call, 503, JJ_GATEWAY_STOPPING_RETRY_MS,
+		    "text/plain", NULL);
 		return true;
 	}
 	if (!allow_caller(node, call, &caller))
@@ -371,7 +370,8 @@
 	 * sent to a server, and another VM can take it at once.
 	 */
 	if (atomic_load(&node->rejecting)) {
-		answer(node, call, 503, STOPPING_RETRY_MS, "text/plain", NULL);
+		answer(node, call, 503, JJ_GATEWAY_STOPPING_RETRY_MS,
+		    "text/plain", NULL);
 		return;
 	}
 	/* Keys that were taken away while the body came count, too. */
