Logs: status and stamp of each answer, longer details

request_ended, item_ended and attempt_failed name the status of the answer and whether it had the server's stamp. The details of attempt_failed were cut at 200 bytes; 256 hold them.

--- a/src/core/action.h
+++ b/src/core/action.h
@@ -152,7 +152,7 @@
 		} lost;
 		struct {
 			const char *name; /**< static, as in `event=NAME` */
-			char detail[200]; /**< more key=value pairs */
+			char detail[256]; /**< more key=value pairs */
 		} event;
 	} body;
 } jj_action_t;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -92,6 +92,8 @@
 	const char *ended;
 	/** gateway, for logs: how the end of its body is found; static */
 	const char *framing;
+	int status; /**< gateway, for logs: of the answer, 0: none */
+	bool stamped; /**< gateway, for logs: it has the server's stamp */
 	uint32_t events; /**< gateway: complete events of the attempt */
 	int64_t after; /**< gateway: event after which it was resumed, or -1 */
 	bool resumable; /**< the server can resume the stream */
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -949,8 +949,10 @@
 	if (event == NULL || event->ended == NULL)
 		return;
 	(void)snprintf(text, size,
-	    " ended=%s framing=%s events=%u resumed_after=%lld", event->ended,
-	    event->framing, event->events, (long long)event->after);
+	    " ended=%s framing=%s events=%u resumed_after=%lld status=%d "
+	    "stamped=%d",
+	    event->ended, event->framing, event->events,
+	    (long long)event->after, event->status, event->stamped);
 }
 
 /**
--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -84,6 +84,7 @@
 	answer_kind_t kind;
 	int status;
 	bool not_run; /**< the server reported that it did not run it */
+	bool has_stamp; /**< the answer has the server's stamp */
 	bool is_named; /**< the answer names its server */
 	bool is_other; /**< it names another one than it was sent to */
 	uint64_t weights; /**< version of its weights; 0: not told */
@@ -488,7 +489,6 @@
 {
 	const jj_front_headers_t *names = &attempt->relay->deployment->headers;
 	const char *cursor = attempt->header_lines;
-	bool has_stamp = false;
 	bool has_id = false;
 	char *value;
 	char *line;
@@ -510,7 +510,7 @@
 		    strcasecmp(value, "identity") != 0)
 			attempt->kind = ANSWER_INVALID;
 		if (strcasecmp(line, names->stamp) == 0)
-			has_stamp = true;
+			attempt->has_stamp = true;
 		if (strcasecmp(line, names->not_run) == 0)
 			attempt->not_run = strcmp(value, "0") != 0;
 		if (strcasecmp(line, names->weights) == 0)
@@ -522,9 +522,10 @@
 		}
 		g_free(line);
 	}
-	if (attempt->status >= 200 && attempt->status < 300 && !has_stamp)
+	if (attempt->status >= 200 && attempt->status < 300 &&
+	    !attempt->has_stamp)
 		attempt->kind = ANSWER_INVALID;
-	if (has_stamp && !has_id && attempt->id[0] != '\0' &&
+	if (attempt->has_stamp && !has_id && attempt->id[0] != '\0' &&
 	    !attempt->not_run && attempt->status != STATUS_MISDIRECTED)
 		attempt->kind = ANSWER_INVALID;
 }
@@ -987,6 +988,8 @@
 	    attempt->body_end == JJ_HTTP_BODY_CLOSE;
 	event.ended = attempt->ended;
 	event.framing = jj_http_body_name(attempt->body_end);
+	event.status = attempt->status;
+	event.stamped = attempt->has_stamp;
 	event.events = attempt->event_count;
 	event.after = attempt->after;
 	attempt->relay->port.on_event(
