Answers of servers: without the server's stamp only a refusal counts

What callers saw: answers of a process that is no server of the service. An entry of another writer, or an old one, names an address at which something else answers at once, with 400, 404, 301, 500 or 503. With one such entry of thirteen a third of the requests got its 404, with one in each failure domain every second one.

Cause: only a success needed the stamp. Any other status was forwarded as the server's, or counted as its error, and nothing was noted of the server. It answers fastest and is idle, so it is chosen first; items with a 422 of that process would have been given up.

Change: an answer without the stamp is none, whatever its status, unless it refuses the request (not run, or 421). The attempt is broken, so the server rests, and requests that may be repeated go elsewhere.

The row MaybeRun of Refusal had an error that may have run without a stamp. It is stamped now, with the same end, and the row OfNoServer is its unstamped one.

--- a/src/daemon/stream_relay.c
+++ b/src/daemon/stream_relay.c
@@ -481,8 +481,8 @@
 /**
  * Guards against bytes that are not a valid answer to this request: a late
  * answer to another one (its echoed id differs or is missing), a body that a
- * proxy has encoded, a success without the server's stamp. None may reach the
- * caller.
+ * proxy has encoded, an answer without the server's stamp, which comes from
+ * another process at the server's address. None may reach the caller.
  */
 static void
 check_head(attempt_t *attempt)
@@ -490,6 +490,7 @@
 	const jj_front_headers_t *names = &attempt->relay->deployment->headers;
 	const char *cursor = attempt->header_lines;
 	bool has_id = false;
+	bool is_refusal;
 	char *value;
 	char *line;
 
@@ -522,11 +523,9 @@
 		}
 		g_free(line);
 	}
-	if (attempt->status >= 200 && attempt->status < 300 &&
-	    !attempt->has_stamp)
-		attempt->kind = ANSWER_INVALID;
-	if (attempt->has_stamp && !has_id && attempt->id[0] != '\0' &&
-	    !attempt->not_run && attempt->status != STATUS_MISDIRECTED)
+	is_refusal = attempt->not_run || attempt->status == STATUS_MISDIRECTED;
+	if (!is_refusal &&
+	    (!attempt->has_stamp || (!has_id && attempt->id[0] != '\0')))
 		attempt->kind = ANSWER_INVALID;
 }
 
--- a/tests/adapters/stream_relay_test.cc
+++ b/tests/adapters/stream_relay_test.cc
@@ -149,6 +149,22 @@
 		start.budget_ms = WAIT_LIMIT_MS;
 		jj_stream_relay_start(relay, 1, number, &start);
 	}
+	/** Ends the caller's call, whatever became of it, for the next one. */
+	void
+	end_call(int fd)
+	{
+		jj_http_call_t *left = nullptr;
+		bool relayed;
+
+		if (jj_stream_relay_take(relay, 1, &left, &relayed) &&
+		    left != nullptr)
+			jj_http_call_end_stream(left, true);
+		if (fd >= 0)
+			(void)close(fd);
+		std::lock_guard<std::mutex> guard(lock);
+		caller = nullptr;
+		ended = -1;
+	}
 	/** Answers the attempt that was started, closes; returns its end. */
 	int
 	answer_and_close(const std::string &answer, bool resets = false)
@@ -541,6 +557,36 @@
 	}
 }
 
+/* Guards against answers of another process at a server's address. */
+TEST_F(StreamRelayFixture, OnlyRefusalsAndStampedAnswersAreTheServers)
+{
+	const std::string id = "X-Id: i\r\n";
+	const std::string stamp = "X-Stamp: s\r\n";
+
+	for (int status : {200, 204, 300, 301, 304, 400, 401, 403, 404, 405,
+		 408, 410, 413, 422, 429, 500, 501, 502, 503, 504, 505, 599})
+		for (bool is_item : {false, true})
+			for (bool is_stamped : {false, true}) {
+				int fd =
+				    is_item ? -1 : send_request(front_address);
+
+				if (!is_item)
+					wait_for([this] {
+						return caller != nullptr;
+					});
+				start("i");
+				int end = answer_and_close("HTTP/1.1 " +
+				    std::to_string(status) + " S\r\n" + id +
+				    (is_stamped ? stamp : "") +
+				    "Content-Length: 0\r\n\r\n");
+				EXPECT_EQ(is_stamped, end != JJ_BACKEND_BROKEN)
+				    << status << (is_item ? " item" : "");
+				EXPECT_TRUE(is_stamped ||
+				    jj_stream_relay_has(relay, 1));
+				end_call(fd);
+			}
+}
+
 /** What a server does behind the answer that it sends during an upload. */
 enum early_end_t {
 	RESETS,
@@ -612,15 +658,7 @@
 		wait_for([this] { return caller != nullptr; });
 		EXPECT_EQ(
 		    GetParam().is_whole, answer_early() == JJ_BACKEND_DONE);
-		(void)close(fd);
-		jj_http_call_t *left = nullptr;
-		bool relayed;
-		if (jj_stream_relay_take(relay, 1, &left, &relayed) &&
-		    left != nullptr)
-			jj_http_call_end_stream(left, true);
-		std::lock_guard<std::mutex> guard(lock);
-		caller = nullptr;
-		ended = -1;
+		end_call(fd);
 	}
 }
 
@@ -726,8 +764,10 @@
 	    JJ_BACKEND_MISMATCH, JJ_BACKEND_MISMATCH},
 	RefusalCase{"NoId", "", "400 N\r\nX-Not-Run: 1", JJ_BACKEND_REJECTED,
 	    JJ_BACKEND_MISMATCH},
-	RefusalCase{"MaybeRun", "X-Wants", "503 F", JJ_BACKEND_FAILED,
-	    JJ_BACKEND_FAILED}),
+	RefusalCase{"MaybeRun", "X-Wants", "503 F\r\nX-Stamp: s",
+	    JJ_BACKEND_FAILED, JJ_BACKEND_FAILED},
+	RefusalCase{"OfNoServer", "X-Wants", "503 F", JJ_BACKEND_BROKEN,
+	    JJ_BACKEND_BROKEN}),
     [](const auto &info) { return std::string(info.param.name); });
 
 struct CutCase {
