Servers: a refusal of one that is idle counts as a failure

It is idle, so it is chosen first.

Cause: a refusal makes a server rest for 50 ms, as if it were full, however often it comes. A failure makes it rest longer each time, and servers without one are preferred.

Change: a refusal of a server at which nothing runs but the refused request, by what VMs told each other, counts as a failure, too.

The row RefusesAll of RecoverFailure held before: its callers are too few to show it.

--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -405,6 +405,9 @@
 	jj_ms_t until =
 	    now + (cooldown_ms > 0 ? cooldown_ms : REFUSAL_COOLDOWN_MS);
 
+	/* It isn't full: nothing runs there but the refused request. */
+	if (jj_slot_server_taken(server) <= 1)
+		(void)jj_slots_note_failure(server, now);
 	if (cooldown_ms > COOLDOWN_MAX_MS)
 		until = now + COOLDOWN_MAX_MS;
 	if (until > server->rest_until_ms)
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -299,7 +299,10 @@
  * recently.
  */
 void jj_slots_note_remote_failure(jj_slot_server_t *server, jj_ms_t now);
-/** Records a refusal with its Retry-After (0: it had none). */
+/**
+ * Records a refusal with its Retry-After (0: it had none), while the refused
+ * request still counts. Of a server that is idle otherwise it is a failure.
+ */
 void jj_slots_note_refusal(
     jj_slot_server_t *server, jj_ms_t cooldown_ms, jj_ms_t now);
 
--- a/tests/core/slots_test.cc
+++ b/tests/core/slots_test.cc
@@ -202,6 +202,27 @@
  * timeout of a connection that was never accepted. Batch items test such a
  * server first.
  */
+/* Guards against a process that is idle, as it refuses all that it is sent. */
+TEST_F(Slots, AServerThatRefusesThoughItIsIdleRestsLongerEachTime)
+{
+	jj_slot_server_t *server = learn("s1");
+
+	jj_slots_add(server, JJ_CLASS_ONLINE);
+	jj_slots_note_refusal(server, 0, 1000);
+	jj_slots_remove(server, JJ_CLASS_ONLINE);
+	EXPECT_EQ("", online(nullptr, 1199));
+	EXPECT_EQ("s1", online(nullptr, 1200));
+	jj_slots_note_refusal(server, 0, 1200);
+	EXPECT_EQ("", online(nullptr, 1599));
+	fill(learn("s2"), 2, 0);
+	EXPECT_EQ("s2", online(nullptr, 1600)) << "it may refuse again";
+	fill(server, 2, 0);
+	jj_slots_note_refusal(server, 0, 2000);
+	jj_slots_remove(server, JJ_CLASS_ONLINE);
+	EXPECT_EQ("s2", online(nullptr, 2049)) << "it is full";
+	EXPECT_EQ("s1", online(nullptr, 2050));
+}
+
 TEST_F(Slots, ASuspectedServerIsTriedByBatch)
 {
 	jj_slot_server_t *dark = learn("s1");
--- a/tests/system/recover_failure_test.cc
+++ b/tests/system/recover_failure_test.cc
@@ -14,11 +14,15 @@
 namespace
 {
 
+constexpr const char *STAMP = "X-Jujubeswitch-Response-Stamp";
+constexpr const char *NOT_RUN = "X-Jujubeswitch-Not-Executed";
 constexpr int VMS = 3;
 /* Time for service to come back after a restart of all VMs. */
 constexpr long RECOVERY_MS = 12000;
 constexpr int CALLS_PER_VM = 40;
-constexpr const char *ROUTES[] = {"safe", "non_idempotent"};
+/* The kind of each route, and to how many servers a request may be sent. */
+const std::pair<const char *, int> ROUTES[] = {
+    {"safe", 2}, {"non_idempotent", 1}};
 
 /* A process that answers each request alike. */
 class answering_t
@@ -26,8 +30,8 @@
       public:
 	std::string address;
 
-	answering_t(std::string at, int status, bool stamps)
-	    : address(std::move(at)), status(status), stamps(stamps)
+	answering_t(std::string at, int status, const char *proof)
+	    : address(std::move(at)), status(status), proof(proof)
 	{
 		jj_http_limits_t limits = {
 		    address.c_str(), 2, 200, 65536, 1 << 20, 65536, 60000};
@@ -45,7 +49,7 @@
 
       private:
 	int status;
-	bool stamps;
+	const char *proof; /* a header, or NULL */
 	jj_http_server_t *server;
 
 	static void
@@ -55,10 +59,7 @@
 		const char *id =
 		    jj_http_call_header(call, "X-Jujubeswitch-Request-Id");
 		jj_http_answer_t head = {self->status, "text/event-stream",
-		    {{"X-Jujubeswitch-Request-Id", id},
-			{self->stamps ? "X-Jujubeswitch-Response-Stamp"
-				      : nullptr,
-			    "s"}},
+		    {{"X-Jujubeswitch-Request-Id", id}, {self->proof, "1"}},
 		    nullptr, 0};
 
 		jj_http_call_answer(call, &head, "id: 0\ndata: a\n\n", 15);
@@ -68,8 +69,9 @@
 struct recover_case_t {
 	const char *name;
 	const char *kind; /* of the entry of another writer */
-	const char *spec; /* "": of a server whose address answers `status` */
+	const char *spec; /* "": of servers whose address answers `status` */
 	int status;
+	const char *proof = nullptr; /* a header of that answer */
 };
 
 class RecoverFailure : public ::testing::TestWithParam<recover_case_t>
@@ -87,16 +89,17 @@
 	{
 		std::string routes;
 
-		for (const char *kind : ROUTES)
+		for (const auto &[kind, attempts] : ROUTES)
 			routes += std::string(routes.empty() ? "" : ",") +
-			    R"({"host":"h","service":"s","maxAttempts":2,)"
-			    R"("timeoutMs":5000,"name":")" +
-			    kind + R"(","kind":")" + kind +
-			    R"(","pathPrefix":"/)" + kind + R"(/"})";
+			    R"({"host":"h","service":"s","timeoutMs":5000,)"
+			    R"("maxAttempts":)" +
+			    std::to_string(attempts) + R"(,"name":")" + kind +
+			    R"(","kind":")" + kind + R"(","pathPrefix":"/)" +
+			    kind + R"(/"})";
 		store.put("config/main",
 		    R"({"version":1,"routes":[)" + routes + "]}");
 		for (int i = 0; i < VMS; i++) {
-			add_server("i-" + std::to_string(i), i, 200, true);
+			add_server("i-" + std::to_string(i), i, 200, STAMP);
 			add_vm(i);
 		}
 	}
@@ -132,10 +135,11 @@
 		    file_of(number, ".log")));
 	}
 	void
-	add_server(const std::string &id, int domain, int status, bool stamps)
+	add_server(const std::string &id, int domain, int status,
+	    const char *proof = nullptr)
 	{
 		servers.push_back(std::make_unique<answering_t>(
-		    ports.choose_address(), status, stamps));
+		    ports.choose_address(), status, proof));
 		store.put("servers/" + id,
 		    R"({"state":"ready","slots":8,"service":"s","zone":"d)" +
 			std::to_string(domain) + R"(","address":")" +
@@ -189,7 +193,7 @@
 		}
 		for (int i = 0; i < VMS; i++)
 			add_server(
-			    "a-" + std::to_string(i), i, row.status, false);
+			    "a-" + std::to_string(i), i, row.status, row.proof);
 	}
 };
 
@@ -202,8 +206,10 @@
 	kill_all();
 	start_all();
 	ASSERT_TRUE(wait_until_served());
-	for (const char *route : ROUTES) {
+	for (const auto &[route, attempts] : ROUTES) {
 		std::map<long, int> statuses;
+		long refusal =
+		    GetParam().proof == NOT_RUN && attempts == 1 ? 503 : 502;
 
 		for (int i = 0; i < CALLS_PER_VM; i++)
 			for (int vm = 0; vm < VMS; vm++)
@@ -211,7 +217,8 @@
 		/* Which of two processes answers is not known in advance. */
 		EXPECT_GE(4 * statuses[200], 3 * CALLS_PER_VM * VMS) << route;
 		for (const auto &status : statuses)
-			EXPECT_TRUE(status.first == 200 || status.first == 502)
+			EXPECT_TRUE(status.first == 200 ||
+			    status.first == 502 || status.first == refusal)
 			    << route << ": " << status.second << " times "
 			    << status.first;
 	}
@@ -228,7 +235,8 @@
 	recover_case_t{"Address301", "servers", "", 301},
 	recover_case_t{"Address500", "servers", "", 500},
 	recover_case_t{"Address503", "servers", "", 503},
-	recover_case_t{"Address200", "servers", "", 200}),
+	recover_case_t{"Address200", "servers", "", 200},
+	recover_case_t{"RefusesAll", "servers", "", 503, NOT_RUN}),
     [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
