Parts of prompts: a probe that did not run is repeated

What callers saw: 503 for sound requests, seconds after all VMs and servers were back, for up to half a minute. Which of them: all that share a first part of their prompts, of which a deployment has few.

Cause: VMs that have all restarted know of no completed answer. Where servers crash at that time, parts that all requests share are refused after three crashes, until a probe completes. The probe was counted when it was sent. One that a full server refused, or that found no connection, never ran, and the next one was due 30 s later, then after 15 minutes.

Change: an attempt that did not run is no probe; the next one is due a second later. part_probed and part_probe_not_run are logged. PromptFleet.AProbeThatDidNotRunIsRepeatedSoon was red in all three rows.

--- a/src/core/crash_parts.c
+++ b/src/core/crash_parts.c
@@ -48,6 +48,8 @@
 	uint64_t crashes[JJ_PART_CRASHES_MAX]; /**< server processes */
 	jj_ms_t last_ms; /**< of the last crash */
 	jj_ms_t probe_ms; /**< of the last probe; 0: none */
+	jj_ms_t earlier_probe_ms; /**< of the one before it; 0: none */
+	jj_ms_t not_before_ms; /**< no probe is due until then */
 	uint32_t probes; /**< sent since it is refused */
 } suspect_t;
 
@@ -209,8 +211,8 @@
 }
 
 void
-jj_crash_parts_note_probe(
-    jj_crash_parts_t *parts, const jj_prompt_t *prompt, jj_ms_t now)
+jj_crash_parts_note_probe(jj_crash_parts_t *parts, const jj_prompt_t *prompt,
+    jj_ms_t now, jj_actions_t *out)
 {
 	suspect_t *suspect;
 	uint32_t i;
@@ -219,8 +221,34 @@
 		suspect = find_suspect(parts, prompt->ids[i]);
 		if (suspect == NULL || !is_refused(parts, suspect))
 			continue;
+		suspect->earlier_probe_ms = suspect->probe_ms;
 		suspect->probe_ms = now;
 		suspect->probes++;
+		jj_actions_add_event(out, "part_probed",
+		    "part=%016llx crashes=%u probes=%u",
+		    (unsigned long long)suspect->id, suspect->crash_count,
+		    suspect->probes);
+	}
+}
+
+void
+jj_crash_parts_withdraw_probe(jj_crash_parts_t *parts,
+    const jj_prompt_t *prompt, jj_ms_t sent_ms, jj_actions_t *out)
+{
+	suspect_t *suspect;
+	uint32_t i;
+
+	for (i = 0; i < prompt->count; i++) {
+		suspect = find_suspect(parts, prompt->ids[i]);
+		if (suspect == NULL || suspect->probes == 0 ||
+		    suspect->probe_ms != sent_ms)
+			continue;
+		suspect->probe_ms = suspect->earlier_probe_ms;
+		suspect->not_before_ms = sent_ms + PROBE_FIRST_MS;
+		suspect->probes--;
+		jj_actions_add_event(out, "part_probe_not_run",
+		    "part=%016llx probes=%u", (unsigned long long)suspect->id,
+		    suspect->probes);
 	}
 }
 
@@ -247,6 +275,7 @@
 		} else if (!is_refused(parts, suspect)) {
 			suspect->probes = 0;
 			suspect->probe_ms = 0;
+			suspect->earlier_probe_ms = 0;
 		}
 	}
 	return count;
@@ -379,12 +408,15 @@
 probe_due(const jj_crash_parts_t *parts, const suspect_t *suspect)
 {
 	jj_ms_t wait_ms = PROBE_FIRST_MS;
+	jj_ms_t due_ms;
 	uint32_t i;
 
 	for (i = 0; i < suspect->probes && wait_ms < parts->probe_most_ms; i++)
 		wait_ms *= PROBE_GROWTH;
-	return tried_since(suspect) +
+	due_ms = tried_since(suspect) +
 	    (wait_ms < parts->probe_most_ms ? wait_ms : parts->probe_most_ms);
+	return due_ms > suspect->not_before_ms ? due_ms
+					       : suspect->not_before_ms;
 }
 
 static completed_t *
--- a/src/core/crash_parts.h
+++ b/src/core/crash_parts.h
@@ -67,8 +67,11 @@
  * A request with these parts is sent; it is a probe of those that are refused,
  * and the next one is due later.
  */
-void jj_crash_parts_note_probe(
-    jj_crash_parts_t *parts, const jj_prompt_t *prompt, jj_ms_t now);
+void jj_crash_parts_note_probe(jj_crash_parts_t *parts,
+    const jj_prompt_t *prompt, jj_ms_t now, jj_actions_t *out);
+/** The probe that was sent then did not run: another one is due soon. */
+void jj_crash_parts_withdraw_probe(jj_crash_parts_t *parts,
+    const jj_prompt_t *prompt, jj_ms_t sent_ms, jj_actions_t *out);
 /**
  * The process did not crash: it no longer counts against any part.
  * @return number of parts that it was counted against.
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -385,7 +385,7 @@
 	if (entry->class_of == JJ_CLASS_ONLINE &&
 	    jj_crash_parts_count(gateway->crash_parts) > 0)
 		jj_crash_parts_note_probe(
-		    gateway->crash_parts, &entry->prompt, now);
+		    gateway->crash_parts, &entry->prompt, now, out);
 	jj_slots_add(server, entry->class_of);
 	server->probe_due = false;
 	if (server->avoided)
@@ -764,6 +764,9 @@
 		entry->sent_attempts++;
 	if (!not_run)
 		entry->may_have_run = true;
+	else if (entry->class_of == JJ_CLASS_ONLINE)
+		jj_crash_parts_withdraw_probe(
+		    gateway->crash_parts, &entry->prompt, entry->sent_ms, out);
 	if ((event->kind == JJ_BACKEND_BROKEN ||
 		event->kind == JJ_BACKEND_TIMEOUT) &&
 	    !entry->silence_noted)
--- a/tests/core/gateway_prompt_test.cc
+++ b/tests/core/gateway_prompt_test.cc
@@ -172,6 +172,32 @@
 	EXPECT_EQ(4U, finished_poisons);
 }
 
+/* Guards against a refusal that goes on as full servers refused its probe. */
+TEST_F(PromptFleet, AProbeThatDidNotRunIsRepeatedSoon)
+{
+	for (jj_backend_kind_t kind :
+	    {JJ_BACKEND_REFUSED, JJ_BACKEND_NOT_SENT, JJ_BACKEND_MISMATCH}) {
+		cured = false;
+		not_run = JJ_BACKEND_DONE;
+		send_mixed(6);
+		cured = true;
+		not_run = kind;
+		for (int i = 0; i < 30; i++) {
+			send(name_of(i), {FIRST, POISON});
+			play(100);
+		}
+		not_run = JJ_BACKEND_DONE;
+		play(STABLE_MS);
+		finished_poisons = 0;
+		for (int i = 0; i < 20; i++) {
+			send(name_of(i), {FIRST, POISON});
+			play(100);
+		}
+		EXPECT_GE(finished_poisons, 10U) << kind;
+		play(60000);
+	}
+}
+
 /* Guards against probes that crash servers without end. */
 TEST_F(PromptFleet, ProbesOfAPartThatCrashesServersBecomeRare)
 {
--- a/tests/core/prompt_fleet.h
+++ b/tests/core/prompt_fleet.h
@@ -45,6 +45,8 @@
 	End end = End::BREAKS;
 	jj_ms_t service_ms = SERVICE_MS; /**< of a sound request */
 	bool cured = false; /**< no server crashes any more */
+	/** how requests with the part end that do not run; DONE: they run */
+	jj_backend_kind_t not_run = JJ_BACKEND_DONE;
 	size_t finished_poisons = 0;
 	bool unframed = false; /**< answers end with their connection */
 	jj_answer_t answered = {}; /**< the last refusal */
@@ -72,6 +74,11 @@
 			});
 			return;
 		}
+		if (poisons[start.request] && not_run != JJ_BACKEND_DONE) {
+			due.emplace(now + 1,
+			    [this, attempt]() { report(attempt, not_run); });
+			return;
+		}
 		open.push_back(attempt);
 		if (poisons[start.request] || is_item(start.request)) {
 			reached.push_back(now);
