Parts of prompts: a probe whose caller left is repeated

The caller of the probe closed its connection while its server was answering; that told nothing, but counted.

Change: such a probe is withdrawn, too, unless its server was silent for as long as one that has crashed.

--- a/src/core/crash_parts.c
+++ b/src/core/crash_parts.c
@@ -246,7 +246,7 @@
 		suspect->probe_ms = suspect->earlier_probe_ms;
 		suspect->not_before_ms = sent_ms + PROBE_FIRST_MS;
 		suspect->probes--;
-		jj_actions_add_event(out, "part_probe_not_run",
+		jj_actions_add_event(out, "part_probe_withdrawn",
 		    "part=%016llx probes=%u", (unsigned long long)suspect->id,
 		    suspect->probes);
 	}
--- a/src/core/crash_parts.h
+++ b/src/core/crash_parts.h
@@ -69,7 +69,7 @@
  */
 void jj_crash_parts_note_probe(jj_crash_parts_t *parts,
     const jj_prompt_t *prompt, jj_ms_t now, jj_actions_t *out);
-/** The probe that was sent then did not run: another one is due soon. */
+/** The probe that was sent then told nothing: another one is due soon. */
 void jj_crash_parts_withdraw_probe(jj_crash_parts_t *parts,
     const jj_prompt_t *prompt, jj_ms_t sent_ms, jj_actions_t *out);
 /**
--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -63,6 +63,8 @@
     const jj_backend_event_t *, int, jj_bytes_t *, jj_ms_t, jj_actions_t *);
 static void note_server(
     jj_gateway_t *, jj_gateway_entry_t *, const jj_backend_event_t *, jj_ms_t);
+static void
+withdraw_probe(jj_gateway_t *, const jj_gateway_entry_t *, jj_actions_t *);
 static void take_unconfirmed(jj_gateway_t *, jj_gateway_entry_t *,
     const jj_backend_event_t *, jj_ms_t, jj_actions_t *);
 static jj_ms_t item_pause(const jj_gateway_t *, jj_backend_kind_t, bool);
@@ -194,6 +196,8 @@
 		return;
 	log_end(entry, "caller_gone", NULL, now, out);
 	note_if_silent(gateway, entry, now, out);
+	if (entry->server != NULL && !entry->silence_noted)
+		withdraw_probe(gateway, entry, out);
 	cancel_attempt(gateway, entry, out);
 	jj_gateway_free_entry(gateway, entry);
 	jj_gateway_step(gateway, now, out);
@@ -764,9 +768,8 @@
 		entry->sent_attempts++;
 	if (!not_run)
 		entry->may_have_run = true;
-	else if (entry->class_of == JJ_CLASS_ONLINE)
-		jj_crash_parts_withdraw_probe(
-		    gateway->crash_parts, &entry->prompt, entry->sent_ms, out);
+	else
+		withdraw_probe(gateway, entry, out);
 	if ((event->kind == JJ_BACKEND_BROKEN ||
 		event->kind == JJ_BACKEND_TIMEOUT) &&
 	    !entry->silence_noted)
@@ -797,6 +800,16 @@
 		jj_gateway_give_up(gateway, entry, JJ_FAILURE_BROKEN, out);
 }
 
+/** The attempt, if it is a probe of refused parts, does not tell about them. */
+static void
+withdraw_probe(
+    jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_actions_t *out)
+{
+	if (entry->class_of == JJ_CLASS_ONLINE)
+		jj_crash_parts_withdraw_probe(
+		    gateway->crash_parts, &entry->prompt, entry->sent_ms, out);
+}
+
 /** Time until an item is sent again after a failed attempt. */
 static jj_ms_t
 item_pause(const jj_gateway_t *gateway, jj_backend_kind_t kind, bool not_run)
--- a/tests/core/gateway_prompt_test.cc
+++ b/tests/core/gateway_prompt_test.cc
@@ -198,6 +198,27 @@
 	}
 }
 
+/* Guards against a refusal that goes on as the caller of its probe left. */
+TEST_F(PromptFleet, AProbeWhoseCallerLeftIsRepeatedSoon)
+{
+	send_mixed(6);
+	cured = true;
+	play(STABLE_MS);
+	for (int i = 0; i < 30; i++) {
+		send(name_of(i), {FIRST, POISON});
+		play(SERVICE_MS / 3);
+		leave(name_of(i), last);
+		play(100);
+	}
+	ASSERT_EQ(0U, finished_poisons);
+	play(STABLE_MS);
+	for (int i = 0; i < 20; i++) {
+		send(name_of(i), {FIRST, POISON});
+		play(100);
+	}
+	EXPECT_GE(finished_poisons, 10U);
+}
+
 /* Guards against probes that crash servers without end. */
 TEST_F(PromptFleet, ProbesOfAPartThatCrashesServersBecomeRare)
 {
--- a/tests/core/prompt_fleet.h
+++ b/tests/core/prompt_fleet.h
@@ -139,6 +139,15 @@
 			sounds[last + 1] = {now, false};
 		begin(vm, path);
 	}
+	/** The caller of that request closes its connection. */
+	void
+	leave(const std::string &vm, uint64_t request)
+	{
+		jj_actions_t out = TAILQ_HEAD_INITIALIZER(out);
+
+		jj_gateway_take_disconnect(vms[vm].gateway, request, now, &out);
+		carry_out(vm, &out);
+	}
 	static std::string
 	name_of(int number)
 	{
