--- a/tests/platform/entries_test.cc
+++ b/tests/platform/entries_test.cc
@@ -256,6 +256,28 @@
 	    "{\"items\":[{\"metadata\":{\"name\":\"evil\"}}],\"at\":1e999}"}),
     [](const auto &info) { return std::string(info.param.name); });
 
+/* Guards against elements that are no objects and no JSON. */
+TEST_F(PlatformBody, SkipsElementsThatAreNoObjects)
+{
+	for (const char *element : {"[NaN]", "[[Infinity,\"]\"]]", "[\"\t\"]"})
+		for (bool is_first : {true, false}) {
+			std::string other = object("z", entry());
+
+			take(JJ_PLATFORM_LIST,
+			    "{\"items\":[" +
+				(is_first ? element + ("," + other)
+					  : other + "," + element) +
+				"],\"more\":true,\"at\":530}");
+			ASSERT_EQ(JJ_PLATFORM_OK, result.outcome) << element;
+			ASSERT_EQ(1U, result.item_count) << element;
+			EXPECT_STREQ("servers/z", result.items[0].key);
+			EXPECT_LT(0U, result.items[0].value.size) << element;
+			EXPECT_TRUE(result.more);
+		}
+	take(JJ_PLATFORM_LIST, "{\"items\":[NaN],\"at\":530}");
+	EXPECT_EQ(JJ_PLATFORM_UNKNOWN, result.outcome);
+}
+
 TEST_F(PlatformBody, ADeletionIsKnownByNameAlone)
 {
 	take(JJ_PLATFORM_WATCH,
