Tests: VMs over a store in memory have one set-up

AccessFailure and RecoverFailure wrote the same settings and handled their processes alike; tests/system/entry_vms.h serves both.

--- a/tests/system/access_failure_test.cc
+++ b/tests/system/access_failure_test.cc
@@ -3,13 +3,10 @@
  * or get a new one, while callers of several teams, of none and with unknown
  * keys go on.
  */
-#include <unistd.h>
-
 #include <algorithm>
-#include <fstream>
 
 #include "tests/platform/fake_store.h"
-#include "tests/system/harness.h"
+#include "tests/system/entry_vms.h"
 
 using namespace harness;
 
@@ -210,10 +207,7 @@
 	FakeStore store;
 	record_t record;
 	std::vector<std::unique_ptr<backend_t>> backends;
-	std::string folder =
-	    ::testing::TempDir() + "/access-" + std::to_string(getpid());
-	strings_t addresses; /* of the VMs, for callers */
-	std::vector<std::unique_ptr<process_t>> processes;
+	entry_vms_t vms{"access"};
 	/* Odd: no VM has a configuration. */
 	std::atomic<int> phase{0};
 	tally_t tallies[VMS];
@@ -240,54 +234,15 @@
 				backends.back()->address + "\"}");
 		}
 		for (int i = 0; i < VMS; i++)
-			add_vm(i);
+			vms.add(&ports, store.address, "d", 5000,
+			    "spacing_ms = 10\n");
 	}
 	~AccessFailure() override
 	{
 		stop_callers();
-		kill_all();
-		for (int i = 0; i < VMS; i++) {
-			if (!HasFailure())
-				unlink(file_of(i, ".log").c_str());
-			unlink(file_of(i, ".toml").c_str());
-		}
+		vms.kill_all();
 		curl_global_cleanup();
 	}
-	std::string
-	file_of(int vm, const std::string &end)
-	{
-		return folder + "-vm" + std::to_string(vm) + end;
-	}
-	void
-	add_vm(int number)
-	{
-		addresses.push_back(ports.choose_address());
-		std::ofstream(file_of(number, ".toml"))
-		    << "name = \"vm-" << number << "\"\ndomain = \"d\"\n"
-		    << "region = \"r\"\nshards = 1\n[listen]\ncallers = \""
-		    << addresses.back() << "\"\noperators = \""
-		    << ports.choose_address() << "\"\nneighbours = \""
-		    << ports.choose_address()
-		    << "\"\n[platform]\nform = \"objects\"\naddress = \""
-		    << store.address << "\"\ntimeout_ms = 5000\n"
-		    << "contracts = []\n[gateway]\nspacing_ms = 10\n"
-		    << "[log]\nfile = \"-\"\n";
-		processes.push_back(std::make_unique<process_t>("jujubed",
-		    strings_t{"--settings", file_of(number, ".toml")},
-		    file_of(number, ".log")));
-	}
-	void
-	kill_all()
-	{
-		for (const auto &process : processes)
-			process->kill();
-	}
-	void
-	start_all()
-	{
-		for (const auto &process : processes)
-			process->start();
-	}
 	void
 	begin_phase()
 	{
@@ -358,7 +313,7 @@
 	void
 	send_call(CURL *curl, int vm, const std::string &id, const call_t &call)
 	{
-		std::string url = "http://" + addresses[vm] + call.path;
+		std::string url = "http://" + vms.addresses[vm] + call.path;
 		std::string body = R"({"items":[{"id":"i-)" + id +
 		    R"(","path":"/b/x","body":"YQ=="}]})";
 		curl_slist *headers = curl_slist_append(nullptr, "Host: h");
@@ -470,7 +425,7 @@
 			ADD_FAILURE()
 			    << fault.second.size() << " requests at servers "
 			    << fault.first << ", as " << fault.second[0]
-			    << "; logs: " << folder << "-vm*";
+			    << "; logs: " << vms.folder << "-vm*";
 		for (const auto &answer : wrong)
 			ADD_FAILURE()
 			    << answer.second << " times " << answer.first;
@@ -494,10 +449,10 @@
 	restart_without_config()
 	{
 		store.hold("config");
-		kill_all();
+		vms.kill_all();
 		begin_phase();
 		publish();
-		start_all();
+		vms.start_all();
 		wait_until("each VM answers without a configuration", [this] {
 			return have_all(
 			    [](const tally_t &tally) {
@@ -524,7 +479,7 @@
 	size_t received;
 
 	publish();
-	start_all();
+	vms.start_all();
 	start_callers();
 	serve();
 	for (int start = 0; start < STARTS && !HasFailure(); start++) {
@@ -535,10 +490,10 @@
 			publish();
 		wait_until("each VM has the last version",
 		    [this] { return record.has_seen(version.number); });
-		kill_all();
+		vms.kill_all();
 		begin_phase();
 		begin_phase();
-		start_all();
+		vms.start_all();
 		serve();
 	}
 	stop_callers();
--- a/tests/system/recover_failure_test.cc
+++ b/tests/system/recover_failure_test.cc
@@ -2,12 +2,8 @@
  * VMs of the users' platform that are all killed at once and start again, while
  * entries of other writers stand in the store.
  */
-#include <unistd.h>
-
-#include <fstream>
-
 #include "tests/platform/fake_store.h"
-#include "tests/system/harness.h"
+#include "tests/system/entry_vms.h"
 
 using namespace harness;
 
@@ -80,10 +76,7 @@
 	ports_t ports;
 	FakeStore store;
 	std::vector<std::unique_ptr<answering_t>> servers;
-	std::string folder =
-	    ::testing::TempDir() + "/recover-" + std::to_string(getpid());
-	strings_t addresses; /* of the VMs, for callers */
-	std::vector<std::unique_ptr<process_t>> processes;
+	entry_vms_t vms{"recover"};
 
 	RecoverFailure()
 	{
@@ -100,40 +93,10 @@
 		    R"({"version":1,"routes":[)" + routes + "]}");
 		for (int i = 0; i < VMS; i++) {
 			add_server("i-" + std::to_string(i), i, 200, STAMP);
-			add_vm(i);
+			vms.add(&ports, store.address, "d" + std::to_string(i),
+			    1000, "");
 		}
 	}
-	~RecoverFailure() override
-	{
-		kill_all();
-		for (int i = 0; i < VMS; i++) {
-			if (!HasFailure())
-				unlink(file_of(i, ".log").c_str());
-			unlink(file_of(i, ".toml").c_str());
-		}
-	}
-	std::string
-	file_of(int vm, const std::string &end)
-	{
-		return folder + "-vm" + std::to_string(vm) + end;
-	}
-	void
-	add_vm(int number)
-	{
-		addresses.push_back(ports.choose_address());
-		std::ofstream(file_of(number, ".toml"))
-		    << "name = \"vm-" << number << "\"\ndomain = \"d" << number
-		    << "\"\nregion = \"r\"\nshards = 1\n[listen]\ncallers = \""
-		    << addresses.back() << "\"\noperators = \""
-		    << ports.choose_address() << "\"\nneighbours = \""
-		    << ports.choose_address()
-		    << "\"\n[platform]\nform = \"objects\"\naddress = \""
-		    << store.address << "\"\ntimeout_ms = 1000\n"
-		    << "contracts = []\n[log]\nfile = \"-\"\n";
-		processes.push_back(std::make_unique<process_t>("jujubed",
-		    strings_t{"--settings", file_of(number, ".toml")},
-		    file_of(number, ".log")));
-	}
 	void
 	add_server(const std::string &id, int domain, int status,
 	    const char *proof = nullptr)
@@ -145,25 +108,13 @@
 			std::to_string(domain) + R"(","address":")" +
 			servers.back()->address + "\"}");
 	}
-	void
-	kill_all()
-	{
-		for (const auto &process : processes)
-			process->kill();
-	}
-	void
-	start_all()
-	{
-		for (const auto &process : processes)
-			process->start();
-	}
 	long
 	send(int vm, const char *route)
 	{
 		static std::atomic<int> sent{0};
 
 		return call("GET",
-		    "http://" + addresses[vm] + "/" + route + "/x", "",
+		    "http://" + vms.addresses[vm] + "/" + route + "/x", "",
 		    {"Host: h",
 			"X-Jujubeswitch-Request-Id: r" +
 			    std::to_string(++sent)})
@@ -200,11 +151,11 @@
 /* Guards against entries of other writers that keep service from returning. */
 TEST_P(RecoverFailure, AllVmsServeAgainBesideEntriesOfOthers)
 {
-	start_all();
+	vms.start_all();
 	ASSERT_TRUE(wait_until_served());
 	put_entries();
-	kill_all();
-	start_all();
+	vms.kill_all();
+	vms.start_all();
 	ASSERT_TRUE(wait_until_served());
 	for (const auto &[route, attempts] : ROUTES) {
 		std::map<long, int> statuses;
