Requests: look for crowded attempts every 100 ms, not in each tick

Callers: with many requests that wait for a first event, the loop fell behind and answers came after their limit. Seen under the thread sanitizer on aarch64: in CallEnd (282 calls, 282 services of two servers each) about 105 calls had no answer half a second after their limit.

Cause: each tick compared each waiting attempt with the wait limit of its service, which looks at all servers of the fleet: attempts x servers every 10 ms. Samples of the loop's thread were in wait_limit() in 6 of 7.

The limit is never below 100 ms, so an attempt is looked at first after 100 ms and then every 100 ms, or when its limit passes if that is sooner. A limit that shrinks meanwhile is noticed up to 100 ms later.

--- a/src/core/gateway_requests.c
+++ b/src/core/gateway_requests.c
@@ -27,6 +27,8 @@
 #define LOGGED_PARTS_MAX 7
 /** Time until an item is sent again after a server refused what it asks, ms. */
 #define MISMATCH_RETRY_MS 1000
+/** Most time between two looks at an attempt that waits in a server, ms. */
+#define CROWDED_CHECK_MS 100
 /** Fields of a log line on how an answer ended, bytes. */
 #define ANSWER_TEXT_SIZE 128
 
@@ -47,6 +49,7 @@
 preempt_if_full(jj_gateway_t *, jj_slot_server_t *, jj_ms_t, jj_actions_t *);
 static void
 free_slot(jj_gateway_t *, jj_slot_server_t *, jj_ms_t, jj_actions_t *);
+static bool waits_too_long(const jj_gateway_t *, jj_gateway_entry_t *, jj_ms_t);
 static jj_ms_t
 wait_limit(const jj_gateway_t *, const jj_gateway_entry_t *, jj_ms_t);
 static void
@@ -386,6 +389,7 @@
 	entry->first_seen = false;
 	entry->silence_noted = false;
 	entry->crowded = false;
+	entry->crowded_check_ms = now + CROWDED_CHECK_MS;
 	if (entry->class_of == JJ_CLASS_ONLINE &&
 	    jj_crash_parts_count(gateway->crash_parts) > 0)
 		jj_crash_parts_note_probe(
@@ -450,8 +454,7 @@
 		jj_gateway_give_up(gateway, entry, JJ_FAILURE_DEADLINE, out);
 		return true;
 	}
-	if (!entry->first_seen && !entry->crowded &&
-	    now - entry->sent_ms >= wait_limit(gateway, entry, now)) {
+	if (waits_too_long(gateway, entry, now)) {
 		note_crowded(gateway, entry, now, out);
 		return true;
 	}
@@ -619,6 +622,23 @@
 	message->body.yield = server->hash;
 }
 
+/** Is an attempt without a first event to be noted as crowded? */
+static bool
+waits_too_long(
+    const jj_gateway_t *gateway, jj_gateway_entry_t *entry, jj_ms_t now)
+{
+	jj_ms_t left;
+
+	if (entry->first_seen || entry->crowded ||
+	    now < entry->crowded_check_ms)
+		return false;
+	left = wait_limit(gateway, entry, now) - (now - entry->sent_ms);
+	entry->crowded_check_ms =
+	    now + (left < CROWDED_CHECK_MS ? left : CROWDED_CHECK_MS);
+	return left <= 0;
+}
+
+/** Looks at all servers of the service. */
 static jj_ms_t
 wait_limit(
     const jj_gateway_t *gateway, const jj_gateway_entry_t *entry, jj_ms_t now)
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -103,6 +103,7 @@
 	bool silence_noted; /**< this attempt is evidence of a crash */
 	/** its first event takes longer than one takes in a free slot */
 	bool crowded;
+	jj_ms_t crowded_check_ms; /**< when that is checked next */
 	uint32_t crowded_tries; /**< attempts that were crowded */
 	bool relayed; /**< part of the answer was relayed to the caller */
 	bool may_have_run; /**< true if any attempt may have run */
