--- a/tests/platform/call_end_test.cc
+++ b/tests/platform/call_end_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 
+#include "tests/adapters/scripted_server.h"
 #include "tests/platform/entry_vm.h"
 
 namespace
@@ -12,18 +13,13 @@
 
 constexpr int LIMIT_MS = 1500; /**< of the routes */
 constexpr int LATE_MS = 500;
-constexpr int BACKLOG = 512;
 
 /** How the last attempt of a request ends. */
 struct End {
 	const char *name;
 	/** All that the server sends; "" for nothing; "%ID" is the request's. */
 	std::string answer;
-	enum {
-		CLOSED,
-		RESET,
-		OPEN
-	} connection;
+	decltype(ScriptedAnswer::connection) connection;
 	bool not_run; /**< the server says that it did not run the request */
 	/** it is the rest of a stream of which two events have come */
 	bool is_rest = false;
@@ -44,81 +40,63 @@
 all_ends()
 {
 	std::vector<End> ends = {
-	    {"silence", "", End::OPEN, false},
-	    {"close", "", End::CLOSED, false},
-	    {"reset", "", End::RESET, false},
-	    {"half-a-head", "HTTP/1.1 200 OK\r\nX-A", End::CLOSED, false},
-	    {"garbage", "no answer at all\r\n\r\n", End::OPEN, false},
+	    {"silence", "", ScriptedAnswer::SILENT, false},
+	    {"close", "", ScriptedAnswer::CLOSED, false},
+	    {"reset", "", ScriptedAnswer::RESET, false},
+	    {"half-a-head", "HTTP/1.1 200 OK\r\nX-A", ScriptedAnswer::CLOSED,
+		false},
+	    {"garbage", "no answer at all\r\n\r\n", ScriptedAnswer::SILENT,
+		false},
 	    {"half-a-body",
 		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
 		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 99\r\n\r\n"
 		"id: 7\ndata: x\n",
-		End::CLOSED, false},
+		ScriptedAnswer::CLOSED, false},
 	    {"without-stamp",
 		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
 		"Content-Length: 4\r\n\r\nbody",
-		End::OPEN, false},
+		ScriptedAnswer::SILENT, false},
 	    {"of-another-request",
 		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: other\r\n"
 		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 4\r\n\r\n"
 		"body",
-		End::OPEN, false},
+		ScriptedAnswer::SILENT, false},
 	    {"rest",
 		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
 		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 15\r\n"
 		"\r\nid: 2\ndata: c\n\n",
-		End::OPEN, false, true},
+		ScriptedAnswer::SILENT, false, true},
 	    {"nothing-follows",
 		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
 		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 0\r\n"
 		"\r\n",
-		End::OPEN, false, true},
+		ScriptedAnswer::SILENT, false, true},
 	    {"events-of-another-place",
 		"HTTP/1.1 200 S\r\nX-Jujubeswitch-Request-Id: %ID\r\n"
 		"X-Jujubeswitch-Response-Stamp: s\r\nContent-Length: 15\r\n"
 		"\r\nid: 5\ndata: c\n\n",
-		End::OPEN, false},
+		ScriptedAnswer::SILENT, false},
 	    {"421-other", head(421, "X-Jujubeswitch-Instance-Id: i-other\r\n"),
-		End::OPEN, true},
-	    {"429-not-run", head(429, NOT_RUN), End::OPEN, true},
-	    {"503-not-run", head(503, NOT_RUN), End::OPEN, true},
-	    {"400-not-run", head(400, NOT_RUN), End::OPEN, true},
+		ScriptedAnswer::SILENT, true},
+	    {"429-not-run", head(429, NOT_RUN), ScriptedAnswer::SILENT, true},
+	    {"503-not-run", head(503, NOT_RUN), ScriptedAnswer::SILENT, true},
+	    {"400-not-run", head(400, NOT_RUN), ScriptedAnswer::SILENT, true},
 	};
 
 	for (int status : {200, 204, 206, 226, 299, 300, 301, 304, 307, 400,
 		 401, 403, 404, 408, 409, 413, 418, 422, 425, 429, 451, 500,
 		 501, 502, 503, 504, 505, 507, 511, 599, 600, 999})
-		ends.push_back({nullptr, head(status), End::OPEN, false});
+		ends.push_back(
+		    {nullptr, head(status), ScriptedAnswer::SILENT, false});
 	return ends;
 }
 
-/** A server that acts as the path says: /KIND/STATE/NUMBER-OF-AN-END/0. */
-class ScriptedServer
+/** Servers that act as the path says: /KIND/STATE/NUMBER-OF-AN-END/0. */
+class Servers
 {
       public:
-	std::string address;
 	const std::vector<End> ends = all_ends();
 
-	ScriptedServer()
-	{
-		sockaddr_in bound = {};
-		socklen_t size = sizeof(bound);
-
-		listener = socket(AF_INET, SOCK_STREAM, 0);
-		bound.sin_family = AF_INET;
-		bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(0, bind(listener, (sockaddr *)&bound, sizeof(bound)));
-		EXPECT_EQ(0, listen(listener, BACKLOG));
-		EXPECT_EQ(0, getsockname(listener, (sockaddr *)&bound, &size));
-		address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
-		thread = std::thread([this] { serve_all(); });
-	}
-	~ScriptedServer()
-	{
-		(void)shutdown(listener, SHUT_RDWR);
-		thread.join();
-		(void)close(listener);
-	}
 	/** True if an attempt of the request may have run. */
 	bool
 	has_run(const std::string &id)
@@ -127,102 +105,19 @@
 
 		return ran.count(id) > 0;
 	}
-
-      private:
-	struct Connection {
-		std::string request;
-		bool is_answered;
-	};
-	int listener;
-	std::thread thread;
-	std::map<int, Connection> connections; /**< by descriptor */
-	std::mutex lock;
-	std::map<std::string, int> ran; /**< by id */
-
-	/* One thread for all: the thread sanitizer has room for 250 on arm64. */
-	void
-	serve_all()
-	{
-		std::vector<pollfd> waits;
-		bool is_open = true;
-
-		while (is_open) {
-			waits = {{listener, POLLIN, 0}};
-			for (const auto &[fd, connection] : connections)
-				waits.push_back({fd, POLLIN, 0});
-			(void)poll(waits.data(), waits.size(), -1);
-			for (size_t i = 1; i < waits.size(); i++)
-				if (waits[i].revents != 0)
-					receive(waits[i].fd);
-			if (waits[0].revents != 0)
-				is_open = accept_one();
-		}
-		for (const auto &[fd, connection] : connections)
-			(void)close(fd);
-	}
-	bool
-	accept_one()
-	{
-		int fd = accept(listener, nullptr, nullptr);
-
-		if (fd >= 0)
-			connections[fd] = {};
-		return fd >= 0;
-	}
-	void
-	receive(int fd)
-	{
-		Connection &connection = connections[fd];
-		char bytes[4096];
-		ssize_t size = recv(fd, bytes, sizeof(bytes), 0);
-		bool stays_open = size > 0;
-
-		if (size > 0 && !connection.is_answered) {
-			connection.request.append(bytes, (size_t)size);
-			if (connection.request.find("\r\n\r\n") !=
-			    std::string::npos) {
-				connection.is_answered = true;
-				stays_open = answer(fd, connection.request);
-			}
-		}
-		if (!stays_open) {
-			connections.erase(fd);
-			(void)close(fd);
-		}
-	}
-	static std::string
-	field(const std::string &request, const std::string &name)
-	{
-		size_t at = request.find("\r\n" + name + ": ");
-
-		if (at == std::string::npos)
-			return "";
-		at += name.size() + 4;
-		return request.substr(at, request.find('\r', at) - at);
-	}
-	static void
-	send_text(int fd, std::string text, const std::string &id)
-	{
-		size_t at = text.find("%ID");
-
-		if (at != std::string::npos)
-			text.replace(at, 3, id);
-		(void)send(fd, text.data(), text.size(), MSG_NOSIGNAL);
-	}
-	/** Returns false if the connection is to be closed. */
-	bool
-	answer(int fd, const std::string &request)
+	ScriptedAnswer
+	answer(const std::string &request)
 	{
 		std::string path = request.substr(0, request.find(" HTTP"));
-		std::string id = field(request, "X-Jujubeswitch-Request-Id");
-		linger reset = {1, 0};
+		std::string id =
+		    ScriptedServer::field(request, "X-Jujubeswitch-Request-Id");
 		bool has_events = path.find("/events/") != std::string::npos;
-		bool resumes = !field(request, "Last-Event-Id").empty();
+		bool resumes =
+		    !ScriptedServer::field(request, "Last-Event-Id").empty();
+		std::string begin;
 
-		if (path.find("/wait/") != std::string::npos) {
-			send_text(fd, head(200), id);
-			return false;
-		}
+		if (path.find("/wait/") != std::string::npos)
+			return {with_id(head(200), id), ScriptedAnswer::CLOSED};
 		const End &end = ends[std::stoul(
 		    path.substr(path.rfind('/', path.size() - 3) + 1))];
 		if (!end.not_run || has_events) {
@@ -230,7 +125,7 @@
 			ran[id]++;
 		}
 		if (has_events && !resumes) {
-			send_text(fd,
+			begin = with_id(
 			    "HTTP/1.1 200 OK\r\nX-Jujubeswitch-Request-Id: "
 			    "%ID\r\nX-Jujubeswitch-Response-Stamp: s\r\n"
 			    "Transfer-Encoding: chunked\r\n\r\n"
@@ -238,13 +133,23 @@
 			    id);
 			/* A stream that can't be resumed ends in that way. */
 			if (path.find("/again/") != std::string::npos)
-				return false;
+				return {begin, ScriptedAnswer::CLOSED};
 		}
-		send_text(fd, end.answer, id);
-		if (end.connection == End::RESET)
-			(void)setsockopt(
-			    fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-		return end.connection == End::OPEN;
+		return {begin + with_id(end.answer, id), end.connection};
+	}
+
+      private:
+	std::mutex lock;
+	std::map<std::string, int> ran; /**< by id */
+
+	static std::string
+	with_id(std::string text, const std::string &id)
+	{
+		size_t at = text.find("%ID");
+
+		if (at != std::string::npos)
+			text.replace(at, 3, id);
+		return text;
 	}
 };
 
@@ -274,7 +179,10 @@
 class CallEnd : public EntryVm
 {
       protected:
-	ScriptedServer scripted;
+	Servers servers;
+	ScriptedServer scripted{[this](const std::string &request) {
+		return servers.answer(request);
+	}};
 	std::vector<Call> calls;
 
 	void
@@ -284,7 +192,7 @@
 		std::string routes = route("safe", "nothing", "wait");
 
 		for (const Form &form : forms)
-			for (size_t i = 0; i < scripted.ends.size(); i++)
+			for (size_t i = 0; i < servers.ends.size(); i++)
 				routes += "," +
 				    route(form.kind, form.state,
 					std::to_string(i));
@@ -320,16 +228,16 @@
 	start_call(
 	    const std::string &kind, const std::string &state, size_t number)
 	{
-		const char *name = scripted.ends[number].name;
+		const char *name = servers.ends[number].name;
 		Call call = {};
 
 		call.may_be_whole =
-		    kind == "again" && scripted.ends[number].is_rest;
+		    kind == "again" && servers.ends[number].is_rest;
 		call.id = kind + "-" + state + "-" + std::to_string(number);
 		call.what = kind + ", " + state + ", " +
 		    (name != nullptr
 			    ? name
-			    : scripted.ends[number].answer.substr(9, 3));
+			    : servers.ends[number].answer.substr(9, 3));
 		call.is_followed = true;
 		call.open = true;
 		call.begin = std::chrono::steady_clock::now();
@@ -416,7 +324,7 @@
 		bool is_promise = status == 408 || status == 421 ||
 		    status == 429 || status == 503;
 
-		EXPECT_FALSE(is_promise && scripted.has_run(call.id))
+		EXPECT_FALSE(is_promise && servers.has_run(call.id))
 		    << call.what << ": " << status << ", and has run";
 		bool begun_as_stream =
 		    call.text.find("data: a") != std::string::npos;
@@ -437,7 +345,7 @@
 TEST_F(CallEnd, IsSeenByEachCaller)
 {
 	for (const Form &form : forms)
-		for (size_t i = 0; i < scripted.ends.size(); i++) {
+		for (size_t i = 0; i < servers.ends.size(); i++) {
 			start_call(form.kind, form.state, i);
 			(void)receive_some(0);
 		}
