Relay: the body of a refusal is no sign that a request was begun

What callers saw: at the project's own interface, a call that may not be repeated and reached a server that is about to stop (503, Jujube-Leaving) got 502 answer_broken, under a key 502 outcome_unknown for good, though the server had refused it. Where all servers refused, a 503 said "run":"unknown".

Cause: any byte of an answer's body was reported as progress, which the core takes for the first token, so the request counted as one that may have run before its end was classified.

Fix: only bytes of a 2xx answer are progress. The end of an error is classified by its status as before.

--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -94,6 +94,7 @@
 static bool assemble_answer(attempt_t *, entry_t *);
 static jj_backend_kind_t
 classify_end(const attempt_t *, jj_http_end_t, const jj_http_head_t *);
+static bool is_success(int);
 static bool is_json(const jj_buffer_t *);
 static jj_backend_kind_t
 classify_status(const attempt_t *, const jj_http_head_t *);
@@ -463,11 +464,18 @@
 			flow = JJ_HTTP_ABORT;
 	}
 	(void)apr_thread_mutex_unlock(shard->lock);
-	if (flow == JJ_HTTP_CONSUMED)
+	/* The body of an error is no sign that the request was begun. */
+	if (flow == JJ_HTTP_CONSUMED && is_success(attempt->status))
 		report_progress(attempt);
 	return flow;
 }
 
+static bool
+is_success(int status)
+{
+	return status >= 200 && status < 300;
+}
+
 static jj_http_flow_t
 receive_stream(
     attempt_t *attempt, entry_t *entry, const char *data, size_t size)
@@ -656,7 +664,7 @@
 	/* An error answer to a resume is not the answer to the request. */
 	if (attempt->resumes && (head->status != 200 || !attempt->streams))
 		return JJ_BACKEND_FAILED;
-	if (head->status >= 200 && head->status < 300)
+	if (is_success(head->status))
 		return JJ_BACKEND_DONE;
 	if (head->status >= 400 && head->status < 500 && head->status != 408 &&
 	    head->status != 425 && head->status != 429)
