InlineCallEnd: faults begin with the call that the case names

FakePlatform takes the fault of a call before it tells the test of the call, so each fault came one call later than its name says, and the first call never met one. The fault of the next call is set now.

--- a/tests/core/inline_call_end_test.cc
+++ b/tests/core/inline_call_end_test.cc
@@ -105,16 +105,24 @@
 		pass(300);
 		ASSERT_EQ(2U, a.items.size());
 	}
+	/** Sets what the next call meets. */
+	void
+	set_fault()
+	{
+		int place = calls_so_far - store.passed;
+
+		platform.fault =
+		    place >= 0 && (store.hit == 0 || place < store.hit)
+		    ? store.fault
+		    : Fault::kNone;
+	}
 	void
 	break_store()
 	{
+		set_fault();
 		platform.before = [this](const jj_platform_call_t &) {
-			int place = calls_so_far++ - store.passed;
-
-			platform.fault =
-			    place >= 0 && (store.hit == 0 || place < store.hit)
-			    ? store.fault
-			    : Fault::kNone;
+			calls_so_far++;
+			set_fault();
 		};
 		if (!store.silent)
 			return;
@@ -171,9 +179,11 @@
 		return found;
 	}
 	void
-	expect_true(int status)
+	check_truth(int status)
 	{
 		bool is_new = strcmp(call.job, "n") == 0;
+		bool is_ended = call.kind == CallCase::END && status == 200 &&
+		    strcmp(call.job, "j") == 0;
 
 		if (call.kind == CallCase::SUBMIT && is_new) {
 			EXPECT_TRUE(status != 202 || runs()) << "not run";
@@ -183,9 +193,6 @@
 		EXPECT_TRUE(call.kind == CallCase::SUBMIT || status != 404 ||
 		    is_new || call.kind == CallCase::ITEM)
 		    << "the job exists";
-		bool is_ended = call.kind == CallCase::END && status == 200 &&
-		    strcmp(call.job, "j") == 0;
-
 		EXPECT_FALSE(is_ended && a.items.size() > 0)
 		    << "items still run";
 	}
@@ -206,7 +213,7 @@
 	mend_store();
 	pass(12000);
 	EXPECT_EQ(status, vm.answer(operation).status);
-	expect_true(status);
+	check_truth(status);
 }
 
 INSTANTIATE_TEST_SUITE_P(Cases, InlineCallEnd,
