--- a/tests/system/own_call_end_test.cc
+++ b/tests/system/own_call_end_test.cc
@@ -41,7 +41,7 @@
 	true, false},
     {"whole", R"("kind":"model","idempotent":true)", false, false},
     {"stream", R"("kind":"model","idempotent":true)", false, true},
-    /* Its server sends an event before the end, also with each attempt. */
+    /* Its server sends an event before the end, unless a stream is resumed. */
     {"begun", R"("kind":"model","idempotent":true)", false, true},
 };
 
